--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -22,7 +22,7 @@
 	"github.com/cherryward/cherryward/internal/endpoint/engine"
 	"github.com/cherryward/cherryward/internal/kvcache/storehttp"
 	"github.com/cherryward/cherryward/internal/peers"
-	"github.com/cherryward/cherryward/internal/platform"
+	"github.com/cherryward/cherryward/internal/logservice"
 	"github.com/cherryward/cherryward/internal/settings"
 )
 
@@ -124,7 +124,7 @@
 	for _, n := range []int{100, 1000, 13000} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			data := hostsOf(n)
-			hosts := platform.NewHosts(canned(b, data).URL)
+			hosts := logservice.NewHosts(canned(b, data).URL)
 			perOp(b, func() {
 				_, err := hosts.List(b.Context())
 				must.NoError(b, err)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -23,7 +23,7 @@
 	"github.com/cherryward/cherryward/coord/rendezvous"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/peers"
-	"github.com/cherryward/cherryward/internal/platform"
+	"github.com/cherryward/cherryward/internal/logservice"
 	"github.com/cherryward/cherryward/internal/settings"
 )
 
@@ -42,7 +42,7 @@
 	self    peers.Identity
 	domain  string
 	members *member.List
-	hosts   *platform.Hosts
+	hosts   *logservice.Hosts
 	poll    time.Duration
 	log     zerolog.Logger
 	leaving atomic.Pointer[map[string]bool] // hosts by address; nil before the first list
@@ -65,7 +65,7 @@
 	c := &Cluster{
 		Traffic: &peers.Traffic{},
 		domain:  s.Node.FailureDomain,
-		hosts:   platform.NewHosts(s.Hosts.URL),
+		hosts:   logservice.NewHosts(s.Hosts.URL),
 		poll:    time.Duration(s.Hosts.PollInterval),
 		log:     log.With().Str("service", Name).Logger(),
 	}
@@ -197,7 +197,7 @@
 
 func (c *Cluster) readHosts(ctx context.Context) {
 	list, err := c.hosts.List(ctx)
-	if errors.Is(err, platform.ErrUnchanged) {
+	if errors.Is(err, logservice.ErrUnchanged) {
 		return
 	}
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/cherryward/cherryward/internal/demo"
 	"github.com/cherryward/cherryward/internal/node"
 	"github.com/cherryward/cherryward/internal/settings"
+	"github.com/cherryward/cherryward/platform"
 )
 
 // Exit codes.
@@ -31,6 +32,7 @@
 type command struct {
 	streams  Streams
 	settings string
+	boot     string
 	serve    bool
 	acted    bool // the arguments were right
 }
@@ -60,7 +62,9 @@
 }
 
 func (c *command) root() *cli.Command {
-	file := &cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the node", Required: true, Destination: &c.settings}
+	file := &cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the node", Destination: &c.settings}
+	boot := &cli.StringFlag{Name: "boot", Usage: "boot `FILE` of a node on the users' platform, in place of settings",
+		Sources: cli.EnvVars(platform.BootEnv), Destination: &c.boot}
 	serve := &cli.BoolFlag{Name: "serve", Usage: "stay up after the conversations", Destination: &c.serve}
 	return &cli.Command{
 		Name:           "cherryward",
@@ -70,14 +74,24 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} },
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "run a node", Flags: []cli.Flag{file}, Action: c.run},
-			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{file}, Action: c.check},
+			{Name: "run", Usage: "run a node", Flags: []cli.Flag{file, boot}, Action: c.run},
+			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{file, boot}, Action: c.check},
 			{Name: "demo", Usage: "run a small system on loopback and play conversations", Flags: []cli.Flag{serve}, Action: c.demo},
 		},
 	}
 }
 
+// errNoFile asks for the one file that says how a node is set up.
+var errNoFile = errors.New("want one of --settings and --boot")
+
+// onPlatform reports whether the node is set up by a boot file of the users'
+// platform.
+func (c *command) onPlatform() bool { return c.settings == "" && c.boot != "" }
+
 func (c *command) load() (*settings.Settings, error) {
+	if c.settings == "" {
+		return nil, &usageError{errNoFile}
+	}
 	c.acted = true
 	s, err := settings.Load(c.settings)
 	if err != nil {
@@ -87,6 +101,9 @@
 }
 
 func (c *command) run(ctx context.Context, _ *cli.Command) error {
+	if c.onPlatform() {
+		return c.runGateway(ctx)
+	}
 	s, err := c.load()
 	if err != nil {
 		return err
@@ -106,10 +123,18 @@
 }
 
 func (c *command) check(context.Context, *cli.Command) error {
-	if _, err := c.load(); err != nil {
+	file := c.settings
+	var err error
+	if c.onPlatform() {
+		file = c.boot
+		_, err = c.loadBoot()
+	} else {
+		_, err = c.load()
+	}
+	if err != nil {
 		return err
 	}
-	_, err := fmt.Fprintln(c.streams.Out, c.settings+": ok")
+	_, err = fmt.Fprintln(c.streams.Out, file+": ok")
 	return err
 }
 
@@ -125,8 +150,13 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	w := zerolog.ConsoleWriter{
-		Out:          c.streams.Err,
+	return zerolog.New(keyValues(c.streams.Err)).Level(l).With().Timestamp().Logger()
+}
+
+// keyValues writes events as lines of key=value pairs.
+func keyValues(out io.Writer) zerolog.ConsoleWriter {
+	return zerolog.ConsoleWriter{
+		Out:          out,
 		NoColor:      true,
 		TimeFormat:   "2006-01-02T15:04:05.000Z07:00",
 		FormatLevel:  func(v any) string { return fmt.Sprintf("level=%v", v) },
@@ -135,5 +165,4 @@
 			return fmt.Sprintf("time=%v", v)
 		},
 	}
-	return zerolog.New(w).Level(l).With().Timestamp().Logger()
 }
--- /dev/null
+++ b/internal/fleet/health.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// ejectBase is the first time for which a failing endpoint gets no requests;
+	// each further failure in a row doubles it up to ejectMax. A crashed endpoint
+	// leaves the registry after three heartbeats, 3.6 s, so longer ones gain
+	// nothing.
+	ejectBase = 300 * time.Millisecond
+	ejectMax  = 3 * time.Second
+	// failureDecay is the weight of the newest outcome in the failure rate: about
+	// ten outcomes are remembered.
+	failureDecay = 0.12
+	// ejectRate is the failure rate from which an endpoint is avoided. Services
+	// answer up to 14% of requests with errors of their own in sound health.
+	ejectRate = 0.35
+)
+
+// Health judges an endpoint by the outcomes that this node saw. Its zero value is
+// that of an endpoint nothing is known of. It is safe for concurrent use.
+type Health struct {
+	mu      sync.Mutex
+	rate    float64 // of failures, recent ones weighted most
+	inRow   int     // connection failures
+	ejected time.Time
+}
+
+// Succeeded notes an answer that was sound.
+func (h *Health) Succeeded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rate -= failureDecay * h.rate
+	h.inRow = 0
+}
+
+// Failed notes a failed attempt. Where the endpoint could not be reached, or broke
+// the connection, broken is true: then it gets no requests for a while.
+func (h *Health) Failed(now time.Time, broken bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rate += failureDecay * (1 - h.rate)
+	if !broken {
+		if h.rate > ejectRate {
+			h.eject(now, ejectMax)
+		}
+		return
+	}
+	h.eject(now, min(ejectBase<<min(h.inRow, 4), ejectMax))
+	h.inRow++
+}
+
+// Refused notes that the endpoint would not take a request for now.
+func (h *Health) Refused(now time.Time, pause time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.eject(now, pause)
+}
+
+func (h *Health) eject(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(h.ejected) {
+		h.ejected = until
+	}
+}
+
+// Usable reports whether the endpoint should get requests.
+func (h *Health) Usable(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !now.Before(h.ejected)
+}
+
+// FailureRate returns the recent share of failed attempts, 0 to 1.
+func (h *Health) FailureRate() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rate
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/result"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/upstream"
+)
+
+const (
+	// maxSends bounds the sends of one request, refused ones included: beyond a
+	// few refusals the whole service is full, and the caller should know.
+	maxSends = 3
+	// refusedPause keeps other requests from an endpoint that refused one: about
+	// the time in which one of its requests ends.
+	refusedPause = 50 * time.Millisecond
+)
+
+// verdict is what one attempt came to.
+type verdict int
+
+const (
+	delivered verdict = iota // the caller has the answer
+	notRun                   // the endpoint did not run it, and never will
+	failed                   // it may have run
+	answered                 // the endpoint answered with an error of its own
+	cut                      // a stream broke off after its first event
+)
+
+// forward sends the request until it is answered, or may not be sent again.
+func (x *exchange) forward() *result.Error {
+	ctx, cancel := x.contextOf()
+	defer cancel()
+	budget := x.Budgets.Of(x.service.Name)
+	budget.Request(time.Now())
+	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs}
+	runs := 0
+	for {
+		placement, ok := x.Placer.Place(query)
+		if !ok {
+			return x.giveUp(ctx, runs, result.New(result.NoEndpoint, result.WithRetryAfter(retryNoEndpoint)))
+		}
+		x.placed = &placement
+		x.outcome.Attempts++
+		v := x.attempt(ctx, query, &placement)
+		x.judge(&placement, v)
+		x.Placer.Placed(query, &placement, v == delivered || v == answered)
+		if v == delivered {
+			return nil
+		}
+		query.Tried = append(query.Tried, placement.Member.ID)
+		if v != notRun {
+			runs++
+		}
+		if ctx.Err() != nil || !x.mayRepeat(v, runs) || !budget.Repeat(time.Now()) {
+			return x.conclude(ctx, v, runs)
+		}
+	}
+}
+
+// mayRepeat reports whether the request may be sent to another endpoint.
+func (x *exchange) mayRepeat(v verdict, runs int) bool {
+	if x.unread || x.outcome.Attempts >= maxSends || runs >= x.route.MaxAttempts {
+		return false
+	}
+	switch v {
+	case notRun:
+		return true
+	case cut:
+		return x.route.Resumable
+	default:
+		return x.route.Repeatable() || x.route.Kind == routing.Stream && x.route.Resumable
+	}
+}
+
+// judge tells the endpoint's health what happened.
+func (x *exchange) judge(p *Placement, v verdict) {
+	health := &p.Member.Health
+	if x.unread || x.r.Context().Err() != nil {
+		return // the caller left, which says nothing of the endpoint
+	}
+	var broken *upstream.Error
+	switch {
+	case v == delivered:
+		health.Succeeded()
+	case v == answered:
+		health.Failed(time.Now(), false)
+	case errors.As(x.cause, &broken) && broken.Stage == upstream.StageConnect:
+		health.Failed(time.Now(), true)
+	case v == notRun:
+		health.Refused(time.Now(), refusedPause)
+	default:
+		health.Failed(time.Now(), false)
+	}
+}
+
+// conclude returns the error for a request that is not sent again. An endpoint's
+// own error has been kept and is delivered as it is.
+func (x *exchange) conclude(ctx context.Context, v verdict, runs int) *result.Error {
+	if v == answered {
+		return nil
+	}
+	return x.giveUp(ctx, runs, result.New(result.Overloaded, result.WithRetryAfter(retryNoEndpoint)))
+}
+
+// giveUp returns unrun where the request has not run, and else an error that
+// promises nothing.
+func (x *exchange) giveUp(ctx context.Context, runs int, unrun *result.Error) *result.Error {
+	switch {
+	case x.unread, x.r.Context().Err() != nil:
+		return result.New(result.CallerGone)
+	case runs == 0 && ctx.Err() != nil:
+		return result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryElsewhere))
+	case runs == 0:
+		return unrun
+	case ctx.Err() != nil:
+		return result.New(result.DeadlinePassed)
+	}
+	return result.New(result.EndpointBrokeOff, result.WithRunState(result.MayHaveRun))
+}
+
+// attempt sends the request once.
+func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
+	p.Attempt.Remaining = time.Until(x.deadline())
+	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
+	load := &p.Member.Load
+	load.Begin(p.Reading)
+	defer load.End()
+	reading := true
+	first := func() {
+		if reading {
+			reading = false
+			load.FirstEvent(p.Reading)
+		}
+	}
+	defer first()
+	answer, err := p.Member.Pool.Do(ctx, x.request(&p.Attempt), x.isOwn)
+	if err != nil {
+		return x.failedSend(err)
+	}
+	info := x.Dialect.ReadAnswer(answer.Header)
+	if info.Version > 0 {
+		p.Member.SawVersion(x.attrs.Model, info.Version)
+	}
+	return x.deliver(answer, &info, first)
+}
+
+func (x *exchange) failedSend(err error) verdict {
+	x.cause = err
+	var failure *upstream.Error
+	if errors.As(err, &failure) && failure.NotRun() {
+		return notRun
+	}
+	return failed
+}
+
+// isOwn reports whether an answer belongs to this request. Refusals may name none.
+func (x *exchange) isOwn(h http.Header) bool {
+	info := x.Dialect.ReadAnswer(h)
+	return info.ID == x.attrs.ID || info.ID == "" && !info.Sealed
+}
+
+// request returns the request as it goes to an endpoint.
+func (x *exchange) request(a *Attempt) *upstream.Request {
+	header := x.r.Header.Clone()
+	removeHopByHop(header)
+	header.Del("Content-Length")
+	header.Del("Expect")
+	x.Dialect.StripRequest(header)
+	x.Dialect.SetAttempt(header, a)
+	return &upstream.Request{Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header, Body: x.body}
+}
--- /dev/null
+++ b/internal/forward/deliver.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/internal/upstream"
+)
+
+// maxAnswerBytes bounds a plain answer, which is read whole before it is
+// delivered.
+const maxAnswerBytes = 16 << 20
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func removeHopByHop(h http.Header) {
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// deliver takes an answer to the caller. first is called with the first byte of
+// the answer itself.
+func (x *exchange) deliver(answer *upstream.Answer, info *AnswerInfo, first func()) verdict {
+	if info.NotRun {
+		x.cause = eris.Errorf("refused with status %d", answer.StatusCode)
+		x.drain(answer)
+		return notRun
+	}
+	success := answer.StatusCode < http.StatusMultipleChoices
+	if success && !info.Sealed {
+		answer.Abort()
+		x.cause = eris.New("a success without a seal")
+		return failed
+	}
+	if success && info.Events {
+		return x.deliverEvents(answer, first)
+	}
+	return x.deliverWhole(answer, first)
+}
+
+// drain reads a short answer that is not delivered, so that its connection can be
+// kept.
+func (x *exchange) drain(answer *upstream.Answer) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes)); err != nil {
+		answer.Abort()
+		return
+	}
+	answer.Done()
+}
+
+// deliverWhole reads an answer to its end before the caller sees any of it.
+func (x *exchange) deliverWhole(answer *upstream.Answer, first func()) verdict {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	first()
+	if err != nil {
+		answer.Abort()
+		x.cause = eris.Wrap(err, "read the answer")
+		return failed
+	}
+	answer.Done()
+	if answer.StatusCode >= http.StatusInternalServerError && x.wantsAnother() {
+		x.cause = eris.Errorf("answered with status %d", answer.StatusCode)
+		return failed
+	}
+	if promisesNotRun(answer.StatusCode) {
+		x.cause = eris.Errorf("status %d without proof that it did not run", answer.StatusCode)
+		return failed
+	}
+	x.writeHead(answer.Response, int64(len(body)))
+	if _, err := x.w.Write(body); err != nil {
+		x.Log.Debug().Str("event", "answer_unread").Str("id", x.attrs.ID).Err(err).Send()
+	}
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return answered
+	}
+	return delivered
+}
+
+// wantsAnother reports whether an endpoint's error is worth another attempt.
+func (x *exchange) wantsAnother() bool {
+	return x.route.Repeatable() && x.outcome.Attempts < min(x.route.MaxAttempts, maxSends)
+}
+
+// promisesNotRun reports whether callers read a status as proof that the request
+// did not run, which only an endpoint's own statement is.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// writeHead writes the endpoint's status and headers. length is -1 for a stream.
+func (x *exchange) writeHead(resp *http.Response, length int64) {
+	header := x.w.Header()
+	for name, values := range resp.Header {
+		header[name] = values
+	}
+	removeHopByHop(header)
+	header.Del("Content-Length")
+	if length >= 0 && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	x.outcome.Status = resp.StatusCode
+	x.outcome.First = time.Since(x.arrived)
+	x.written = true
+	x.w.WriteHeader(resp.StatusCode)
+}
--- /dev/null
+++ b/internal/forward/types.go
@@ -0,0 +1,119 @@
+// Package forward takes callers' requests to endpoints and their answers back.
+//
+// Guarantees:
+//
+//   - A request that is not repeatable is sent again only after proof that it did
+//     not run.
+//   - A refusal that promises "not run" (429, 503, 408, 421) is only made where no
+//     endpoint can have run the request and none will.
+//   - A caller gets an endpoint's whole answer to its own request, or an error, or
+//     a connection that visibly breaks off.
+//   - A key is accepted only if the configuration that holds it was current less
+//     than the revocation bound ago.
+//   - A request that is given up on is answered at once.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/routing"
+)
+
+// Part is a part of a prompt, shared by all requests that name it in the same
+// place.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Attributes are what a caller says of its request in headers.
+type Attributes struct {
+	ID          string // of this send of the request
+	Key         string // of the client account; empty without one
+	Deadline    time.Duration
+	HasDeadline bool
+	// ResumeAfter is the id of the last event of a stream that the caller has.
+	ResumeAfter string
+
+	Model        string
+	PromptTokens int
+	OutputTokens int // at most
+	Parts        []Part
+}
+
+// Attempt is what one send to an endpoint says in headers.
+type Attempt struct {
+	Instance    string        // the only endpoint that may take it
+	Remaining   time.Duration // until the caller's deadline
+	Account     string
+	ResumeAfter string
+	Version     int64 // of the weights; 0 for any
+	Salt        string
+	Priority    *int
+	// Sources and Targets hold an address for each part, empty for none: where
+	// its KV cache is fetched from, and where it is stored.
+	Sources, Targets []string
+	// FetchUntil is the time, on the engines' clock in ms, after which a fetch is
+	// thrown away; 0 for no bound.
+	FetchUntil int64
+}
+
+// AnswerInfo is what an endpoint says of its answer in headers.
+type AnswerInfo struct {
+	ID      string // of the request that it belongs to; empty if not said
+	NotRun  bool   // the endpoint did not run the request
+	Sealed  bool   // signed by an endpoint
+	Events  bool   // a stream of events follows
+	Version int64  // of the weights; 0 if not said
+}
+
+// Dialect speaks the headers of the platform.
+type Dialect interface {
+	// ReadRequest decodes a caller's headers.
+	ReadRequest(h http.Header) Attributes
+	// StripRequest removes the headers that only this system may set.
+	StripRequest(h http.Header)
+	// SetAttempt adds the headers of one send.
+	SetAttempt(h http.Header, a *Attempt)
+	// ReadAnswer decodes an answer's headers.
+	ReadAnswer(h http.Header) AnswerInfo
+	// SetRetryAfter tells a caller when to come back.
+	SetRetryAfter(h http.Header, d time.Duration)
+}
+
+// State is the configuration in force.
+type State interface {
+	// Config returns the configuration, or nil, and how long ago it was certainly
+	// current.
+	Config() (config *routing.Config, age time.Duration)
+}
+
+// Query is what a placement is chosen for.
+type Query struct {
+	Route      *routing.Route
+	Service    *routing.Service
+	Account    *routing.Account // nil on public routes
+	Attributes *Attributes
+	Tried      []string // ids of endpoints that had the request already
+}
+
+// Placement is a chosen endpoint and how the request is to be sent to it.
+type Placement struct {
+	Member *fleet.Member
+	// Attempt is filled in but for Remaining and ResumeAfter.
+	Attempt Attempt
+	// Reading is the number of prompt tokens that the endpoint has to read.
+	Reading int
+	// Reason says in a few words what decided.
+	Reason string
+}
+
+// Placer chooses endpoints.
+type Placer interface {
+	// Place returns a placement, or false where no endpoint can take the request.
+	Place(q *Query) (Placement, bool)
+	// Placed tells the placer how an attempt went.
+	Placed(q *Query, p *Placement, succeeded bool)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,161 @@
+// Package gateway puts together a node that stands between the clients and
+// servers of the users' platform.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kernel"
+	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/platform"
+)
+
+const (
+	// configWait is how long a read of the configuration waits for a change. Each
+	// read that ends proves that the configuration was current when it was sent.
+	configWait = 1200 * time.Millisecond
+	// registryPause is the time between two reads of the registry. Each heartbeat
+	// is a record, so a read that waits for one would end many times a second.
+	registryPause = 400 * time.Millisecond
+	// storeRetry is the pause after a failed read of the store.
+	storeRetry = 250 * time.Millisecond
+	// stopMargin is kept of the grace time for the process's own end.
+	stopMargin = 500 * time.Millisecond
+	// memoryShare is the part of the host's memory from which the collector works
+	// harder; stacks, buffers in the kernel and the program itself need the rest.
+	memoryShare = 0.6
+	// readyShare is the part of the revocation bound up to which a node with an
+	// ageing configuration counts as ready. Callers are better served elsewhere
+	// before it has to refuse their keys.
+	readyShare = 0.5
+
+	pathReady   = "/-/readyz"
+	pathMetrics = "/metrics"
+)
+
+// Node is a gateway node, listening but not yet running.
+type Node struct {
+	kernel  *kernel.Kernel
+	boot    atomic.Pointer[bootstrap.Node]
+	state   *state
+	fleet   *fleet.Fleet
+	leaving atomic.Bool
+	log     zerolog.Logger
+}
+
+// New opens the node's listeners and puts its services together.
+func New(boot *bootstrap.Node, log zerolog.Logger) (*Node, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(boot.MemoryBytes)))
+	n := &Node{
+		kernel: kernel.New(boot.Bounds.Grace - stopMargin),
+		state:  newState(log),
+		fleet:  fleet.New(log),
+		log:    log,
+	}
+	n.boot.Store(boot)
+	callers, err := listen("callers", boot.CallersAddr, closing(&n.leaving, n.handler()), &n.leaving, log)
+	if err != nil {
+		return nil, err
+	}
+	callers.linger = leaveTime
+	ready, err := listen("ready", boot.ReadyAddr, http.HandlerFunc(n.serveReady), &n.leaving, log)
+	if err != nil {
+		return nil, err
+	}
+	store := platform.NewStore(boot.StoreAddr)
+	config := n.follower("config", store.Topic(platform.TopicOperator), n.state)
+	config.Wait = configWait
+	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: log})
+	endpoints.Pause = registryPause
+	callers.needs = []string{"ready", "config", "registry"}
+	return n, n.register(ready, &task{name: "config", run: config.Run}, &task{name: "registry", run: endpoints.Run}, callers)
+}
+
+func (n *Node) follower(name string, topic follow.Topic, sink follow.Sink) *follow.Follower {
+	return &follow.Follower{Name: name, Topic: topic, Sink: sink, Retry: storeRetry, Log: n.log}
+}
+
+func (n *Node) register(services ...kernel.Service) error {
+	for _, s := range services {
+		if err := n.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) handler() *forward.Handler {
+	boot := n.boot.Load()
+	return &forward.Handler{
+		Dialect:  platform.Dialect{},
+		State:    n.state,
+		Placer:   &placer.Placer{Domain: boot.Domain, Fleet: n.fleet, Versions: n.state},
+		Budgets:  forward.NewBudgets(boot.Bounds),
+		Bounds:   n.bounds,
+		Recorder: &recorder{},
+		Log:      n.log,
+	}
+}
+
+func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
+
+// recorder counts requests.
+type recorder struct{}
+
+// Forwarded implements forward.Recorder.
+func (*recorder) Forwarded(*forward.Outcome) {}
+
+// ready reports whether callers are well served here.
+func (n *Node) ready() bool {
+	config, age := n.state.Config()
+	limit := time.Duration(readyShare * float64(n.bounds().Revoke))
+	return config != nil && age < limit && !n.fleet.Empty() && !n.leaving.Load()
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != pathReady {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Run serves until ctx is done, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error { return n.kernel.Run(ctx) }
+
+// task is a loop as a service of the kernel.
+type task struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+var (
+	_ kernel.Service = (*task)(nil)
+	_ kernel.Runner  = (*task)(nil)
+)
+
+// Name implements kernel.Service.
+func (t *task) Name() string { return t.name }
+
+// Needs implements kernel.Service.
+func (t *task) Needs() []string { return nil }
+
+// Start implements kernel.Service.
+func (t *task) Start(context.Context, *kernel.Kernel) error { return nil }
+
+// Run implements kernel.Runner.
+func (t *task) Run(ctx context.Context) error { return t.run(ctx) }
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/platform"
+)
+
+// state is what the operators want: the configuration and the versions of
+// weights, with the time at which both were certainly current.
+//
+// Guarantee: the configuration's version never falls while the process runs.
+type state struct {
+	log      zerolog.Logger
+	rejected atomic.Int64 // records that could not be decoded
+	config   atomic.Pointer[routing.Config]
+	proven   atomic.Pointer[time.Time]
+
+	mu       sync.Mutex
+	versions map[string]wantedVersion
+	changed  chan struct{} // signalled when a version was named
+}
+
+type wantedVersion struct {
+	version int64
+	since   time.Time
+}
+
+var (
+	_ follow.Sink     = (*state)(nil)
+	_ forward.State   = (*state)(nil)
+	_ placer.Versions = (*state)(nil)
+)
+
+func newState(log zerolog.Logger) *state {
+	return &state{log: log, versions: make(map[string]wantedVersion), changed: make(chan struct{}, 1)}
+}
+
+// Apply implements follow.Sink. The configuration is stored before the time at
+// which it was current, so that a reader who takes them the other way round never
+// finds it fresher than it is.
+func (s *state) Apply(b follow.Batch) {
+	for i := range b.Records {
+		s.applyRecord(&b.Records[i])
+	}
+	s.proven.Store(&b.ProvenAt)
+}
+
+func (s *state) applyRecord(r *follow.Record) {
+	if r.Value == nil {
+		return // the operators never withdraw a configuration
+	}
+	if platform.IsConfig(r.Key) {
+		s.applyConfig(r)
+		return
+	}
+	if model, ok := platform.ModelOf(r.Key); ok {
+		s.applyVersion(model, r)
+	}
+}
+
+func (s *state) applyConfig(r *follow.Record) {
+	config, err := platform.DecodeConfig(r.Value)
+	if err != nil {
+		s.reject(r, err)
+		return
+	}
+	before := s.config.Load()
+	if before != nil && config.Version <= before.Version {
+		return
+	}
+	s.config.Store(config)
+	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
+		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
+}
+
+func (s *state) applyVersion(model string, r *follow.Record) {
+	version, err := platform.DecodeVersion(r.Value)
+	if err != nil {
+		s.reject(r, err)
+		return
+	}
+	s.mu.Lock()
+	newer := version > s.versions[model].version
+	if newer {
+		s.versions[model] = wantedVersion{version, time.Now()}
+	}
+	s.mu.Unlock()
+	if !newer {
+		return
+	}
+	s.log.Info().Str("event", "weights_named").Str("model", model).Int64("version", version).Send()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// reject keeps what was in force before a record that can't be decoded.
+func (s *state) reject(r *follow.Record, err error) {
+	s.rejected.Add(1)
+	s.log.Error().Str("event", "record_rejected").Str("key", r.Key).Int64("offset", r.Offset).Err(err).Send()
+}
+
+// Config implements forward.State.
+func (s *state) Config() (*routing.Config, time.Duration) {
+	proven := s.proven.Load()
+	if proven == nil {
+		return nil, 0
+	}
+	return s.config.Load(), time.Since(*proven)
+}
+
+// Wanted implements placer.Versions.
+func (s *state) Wanted(model string) (int64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := s.versions[model]
+	return wanted.version, wanted.since
+}
+
+// models returns the models whose version was named.
+func (s *state) models() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	models := make([]string, 0, len(s.versions))
+	for model := range s.versions {
+		models = append(models, model)
+	}
+	return models
+}
--- a/internal/platform/platform.go
+++ b/internal/logservice/logservice.go
@@ -1,6 +1,6 @@
-// Package platform speaks the protocols of the platform's services: the
+// Package logservice speaks HTTP to the outside services of the standalone mode: the
 // append-only log and the list of hosts.
-package platform
+package logservice
 
 import (
 	"bytes"
--- a/internal/platform/platform_test.go
+++ b/internal/logservice/logservice_test.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"net/http/httptest"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,7 @@
 	"github.com/cherryward/cherryward/internal/kvcache"
 	"github.com/cherryward/cherryward/internal/limits"
 	"github.com/cherryward/cherryward/internal/owner"
-	"github.com/cherryward/cherryward/internal/platform"
+	"github.com/cherryward/cherryward/internal/logservice"
 	"github.com/cherryward/cherryward/internal/rollout"
 	"github.com/cherryward/cherryward/internal/router"
 	"github.com/cherryward/cherryward/internal/settings"
@@ -106,8 +106,8 @@
 // innerServices returns the services that listen to nobody themselves.
 func (p *parts) innerServices() ([]kernel.Service, error) {
 	s := p.settings
-	config := configsync.New(s.Node.ID, platform.NewLog(s.Log.URL, s.Log.Stream), time.Duration(s.Requests.MaxConfigAge), p.log)
-	rollouts, err := rollout.New(s.Node.ID, platform.NewLog(s.Log.URL, s.Log.Stream+rollout.ClaimsSuffix), engine.Weights{Client: p.engines}, p.log)
+	config := configsync.New(s.Node.ID, logservice.NewLog(s.Log.URL, s.Log.Stream), time.Duration(s.Requests.MaxConfigAge), p.log)
+	rollouts, err := rollout.New(s.Node.ID, logservice.NewLog(s.Log.URL, s.Log.Stream+rollout.ClaimsSuffix), engine.Weights{Client: p.engines}, p.log)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,148 @@
+// Package placer chooses the endpoint for each request of a gateway node.
+//
+// A choice has three steps, each pure: filter the endpoints that may take the
+// request, score what is left by the predicted time to the first event, pick the
+// least. The reason goes along with the choice.
+package placer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+)
+
+// Versions are the versions of weights that the operators want.
+type Versions interface {
+	// Wanted returns the wanted version of a model and when it was first seen; 0
+	// where none was named.
+	Wanted(model string) (version int64, since time.Time)
+}
+
+// Placer implements forward.Placer.
+type Placer struct {
+	Domain   string // failure domain of this node
+	Fleet    *fleet.Fleet
+	Versions Versions
+}
+
+var _ forward.Placer = (*Placer)(nil)
+
+// Place implements forward.Placer.
+func (p *Placer) Place(q *forward.Query) (forward.Placement, bool) {
+	candidates := usable(p.Fleet.Members(q.Service.Name), q.Tried, time.Now())
+	if len(candidates) == 0 {
+		return forward.Placement{}, false
+	}
+	if q.Service.Engine == nil || q.Attributes.Model == "" {
+		return p.placePlain(q, candidates), true
+	}
+	return p.placePrompt(q, candidates), true
+}
+
+// Placed implements forward.Placer.
+func (p *Placer) Placed(*forward.Query, *forward.Placement, bool) {}
+
+// usable returns the endpoints that were not tried and are not avoided. Where all
+// are avoided, none is: a judgement that leaves no endpoint helps nobody.
+func usable(members []*fleet.Member, tried []string, now time.Time) []*fleet.Member {
+	var left, sound []*fleet.Member
+	for _, m := range members {
+		if slices.Contains(tried, m.ID) {
+			continue
+		}
+		left = append(left, m)
+		if m.Health.Usable(now) {
+			sound = append(sound, m)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return left
+}
+
+const (
+	// foreignDomain is the cost of another failure domain, in requests under way:
+	// a round trip is 2 ms more, and its bytes are priced.
+	foreignDomain = 0.5
+	// failurePenalty is the cost of a failure rate of 1, in requests under way.
+	failurePenalty = 8
+	// tieSpread spreads choices between equals.
+	tieSpread = 0.2
+)
+
+// placePlain picks the endpoint with the fewest requests under way.
+func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member) forward.Placement {
+	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
+		cost := float64(m.Load.Running()) + failurePenalty*m.Health.FailureRate() + tieSpread*rand.Float64()
+		if m.Endpoint().Domain != p.Domain {
+			cost += foreignDomain
+		}
+		return cost
+	}), byCost)
+	return forward.Placement{
+		Member:  best.member,
+		Attempt: forward.Attempt{Instance: best.member.ID, Account: accountName(q), Priority: priorityOf(q)},
+		Reason:  "least_running",
+	}
+}
+
+// scored is an endpoint with its cost.
+type scored struct {
+	member *fleet.Member
+	cost   float64
+}
+
+func score(members []*fleet.Member, cost func(*fleet.Member) float64) []scored {
+	list := make([]scored, len(members))
+	for i, m := range members {
+		list[i] = scored{m, cost(m)}
+	}
+	return list
+}
+
+func byCost(a, b scored) int {
+	switch {
+	case a.cost < b.cost:
+		return -1
+	case a.cost > b.cost:
+		return 1
+	}
+	return strings.Compare(a.member.ID, b.member.ID)
+}
+
+func accountName(q *forward.Query) string {
+	if q.Account == nil {
+		return ""
+	}
+	return q.Account.Name
+}
+
+// priorityOf returns the rank of a request: its client account's, or else its
+// route's.
+func priorityOf(q *forward.Query) *int {
+	priority := &q.Route.Priority
+	if q.Account != nil && q.Account.Priority != nil {
+		priority = q.Account.Priority
+	}
+	rank := min(max(*priority, 0), maxPriority)
+	return &rank
+}
+
+// maxPriority is the least urgent rank that engines know.
+const maxPriority = 9
+
+// saltOf returns the text under which the request's parts are kept: parts are
+// shared between requests of the same weights, and not beyond an isolated account.
+func saltOf(q *forward.Query, version int64) string {
+	salt := "w" + strconv.FormatInt(version, 10)
+	if q.Account != nil && q.Account.Isolated {
+		salt += "." + q.Account.Name
+	}
+	return salt
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -31,6 +31,8 @@
 	TicketMismatch   Code = 1016
 	TicketExpired    Code = 1017
 	TicketAnswerGone Code = 1018
+	HeaderTooLarge   Code = 1019
+	BodyTimeout      Code = 1020
 )
 
 // Authentication and limits of client accounts.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -40,6 +40,10 @@
 		"Find out whether the request ran before sending it with a new ticket."},
 	{TicketAnswerGone, "ticket_answer_gone", http.StatusConflict, Ran, false,
 		"The ticket's request ran, but its answer is no longer kept.", "Don't send it again: it ran."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, false,
+		"The header is longer than the configuration allows.", "Send a shorter header."},
+	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, NotRun, true,
+		"The body did not arrive in time, or broke off.", "Send the request again."},
 
 	{MissingKey, "missing_key", http.StatusUnauthorized, NotRun, false,
 		"The request has no bearer key.", "Send Authorization: Bearer with the client account's key."},
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+)
+
+// table holds the look-ups of one configuration.
+type table struct {
+	byHost   map[string][]*Route // longest prefix first
+	byKey    map[string]*Account
+	services map[string]*Service
+}
+
+// Index builds the look-ups. It is called once, before the configuration is
+// shared, and returns the configuration itself.
+func (c *Config) Index() *Config {
+	t := &table{
+		byHost:   make(map[string][]*Route),
+		byKey:    make(map[string]*Account),
+		services: make(map[string]*Service),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			t.byKey[key] = &c.Accounts[i]
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	c.table = t
+	return c
+}
+
+// Match returns the route of the longest prefix that begins the path, or nil.
+// host may carry a port, which is ignored.
+func (c *Config) Match(host, path string) *Route {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range c.table.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// AccountOf returns the client account that holds the key, or nil.
+func (c *Config) AccountOf(key string) *Account { return c.table.byKey[key] }
+
+// Service returns the service of that name, or nil.
+func (c *Config) Service(name string) *Service { return c.table.services[name] }
+
+// Choose returns the service of an upstream by its weight. draw is uniform in
+// [0, 1).
+func (r *Route) Choose(draw float64) string {
+	total := 0.0
+	for _, u := range r.Upstreams {
+		total += u.Weight
+	}
+	left := draw * total
+	for _, u := range r.Upstreams {
+		left -= u.Weight
+		if left < 0 {
+			return u.Service
+		}
+	}
+	return r.Upstreams[len(r.Upstreams)-1].Service
+}
