--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -21,8 +21,8 @@
 	"github.com/cherryward/cherryward/internal/config"
 	"github.com/cherryward/cherryward/internal/endpoint/engine"
 	"github.com/cherryward/cherryward/internal/kvcache/storehttp"
-	"github.com/cherryward/cherryward/internal/peers"
 	"github.com/cherryward/cherryward/internal/logservice"
+	"github.com/cherryward/cherryward/internal/peers"
 	"github.com/cherryward/cherryward/internal/settings"
 )
 
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -22,8 +22,8 @@
 	"github.com/cherryward/cherryward/coord/member"
 	"github.com/cherryward/cherryward/coord/rendezvous"
 	"github.com/cherryward/cherryward/internal/kernel"
-	"github.com/cherryward/cherryward/internal/peers"
 	"github.com/cherryward/cherryward/internal/logservice"
+	"github.com/cherryward/cherryward/internal/peers"
 	"github.com/cherryward/cherryward/internal/settings"
 )
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,8 +15,10 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
 )
 
@@ -39,6 +41,10 @@
 	// before it has to refuse their keys.
 	readyShare = 0.5
 
+	// leaseMargin is added to the lease bound before another node gives orders, for
+	// the way of the last order.
+	leaseMargin = 200 * time.Millisecond
+
 	pathReady   = "/-/readyz"
 	pathMetrics = "/metrics"
 )
@@ -49,6 +55,7 @@
 	boot    atomic.Pointer[bootstrap.Node]
 	state   *state
 	fleet   *fleet.Fleet
+	keeping *keeping
 	leaving atomic.Bool
 	log     zerolog.Logger
 }
@@ -63,6 +70,14 @@
 		log:    log,
 	}
 	n.boot.Store(boot)
+	store := platform.NewStore(boot.StoreAddr)
+	engines := platform.NewEngines()
+	n.keeping = &keeping{node: n, index: kept.NewIndex(engines, log)}
+	orders, err := weights.New(boot.Name, n.fleet, n.state, engines, store.Log(platform.ClaimsTopic),
+		boot.Bounds.Lease+leaseMargin, n.state.changed, log)
+	if err != nil {
+		return nil, err
+	}
 	callers, err := listen("callers", boot.CallersAddr, closing(&n.leaving, n.handler()), &n.leaving, log)
 	if err != nil {
 		return nil, err
@@ -72,13 +87,18 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(boot.StoreAddr)
 	config := n.follower("config", store.Topic(platform.TopicOperator), n.state)
 	config.Wait = configWait
 	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: log})
 	endpoints.Pause = registryPause
-	callers.needs = []string{"ready", "config", "registry"}
-	return n, n.register(ready, &task{name: "config", run: config.Run}, &task{name: "registry", run: endpoints.Run}, callers)
+	callers.needs = []string{"ready", "config", "registry", "kept"}
+	return n, n.register(ready, callers,
+		&task{name: "config", run: config.Run},
+		&task{name: "registry", run: endpoints.Run},
+		&task{name: "orders", run: orders.Run},
+		&task{name: "kept", run: n.keeping.follow},
+		&task{name: "free", run: n.keeping.free},
+	)
 }
 
 func (n *Node) follower(name string, topic follow.Topic, sink follow.Sink) *follow.Follower {
@@ -99,7 +119,7 @@
 	return &forward.Handler{
 		Dialect:  platform.Dialect{},
 		State:    n.state,
-		Placer:   &placer.Placer{Domain: boot.Domain, Fleet: n.fleet, Versions: n.state},
+		Placer:   &placer.Placer{Domain: boot.Domain, Fleet: n.fleet, Versions: n.state, Kept: n.keeping.index, Fresh: n.keeping.fresh},
 		Budgets:  forward.NewBudgets(boot.Bounds),
 		Bounds:   n.bounds,
 		Recorder: &recorder{},
--- /dev/null
+++ b/internal/gateway/keeping.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/kept"
+)
+
+const (
+	// followPause is the time between two looks for engines and stores that came
+	// or went.
+	followPause = 300 * time.Millisecond
+	// namingAge is the oldest configuration with which a node names parts at
+	// stores.
+	namingAge = 2 * time.Second
+	// freeAfter is how long after a version was replaced its parts are freed: no
+	// node names them after namingAge, and no fetch lasts longer than a second.
+	freeAfter = namingAge + 1500*time.Millisecond
+	// freeRanks and freeSpread let one node after the other look for parts to
+	// free, so that most find nothing left.
+	freeRanks  = 6
+	freeSpread = 1200 * time.Millisecond
+)
+
+// keeping follows what engines and stores keep, and frees outdated parts.
+type keeping struct {
+	node  *Node
+	index *kept.Index
+}
+
+var _ kept.Outdated = (*keeping)(nil)
+
+// follow keeps the index's holders in step with the configuration and the fleet.
+func (k *keeping) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		k.index.Follow(ctx, k.engines(), k.stores())
+		timer := time.NewTimer(followPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	k.index.Wait()
+	return nil
+}
+
+func (k *keeping) engines() []*kept.Holder {
+	config, _ := k.node.state.Config()
+	if config == nil {
+		return nil
+	}
+	var engines []*kept.Holder
+	for _, m := range k.node.fleet.All() {
+		service := config.Service(m.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		at := m.Endpoint()
+		h := kept.NewHolder(m.ID, at.Addr, at.Domain)
+		h.Mbps = service.Engine.LinkMbps
+		engines = append(engines, h)
+	}
+	return engines
+}
+
+func (k *keeping) stores() []*kept.Holder {
+	config, _ := k.node.state.Config()
+	if config == nil {
+		return nil
+	}
+	var stores []*kept.Holder
+	for i := range config.Services {
+		s := config.Services[i].Store
+		if s == nil {
+			continue
+		}
+		h := kept.NewHolder(s.Addr, s.Addr, s.Domain)
+		h.Mbps = s.LinkMbps
+		h.First = s.FirstDelay
+		h.Tokens = s.KVTokens
+		stores = append(stores, h)
+	}
+	return stores
+}
+
+// fresh reports whether this node may name parts at stores.
+func (k *keeping) fresh() bool {
+	_, age := k.node.state.Config()
+	return age < namingAge
+}
+
+// Outdated implements kept.Outdated.
+func (k *keeping) Outdated(text string) bool {
+	salt, ok := kept.ParseSalt(text)
+	if !ok {
+		return false
+	}
+	wanted, since := k.node.state.Wanted(salt.Model)
+	return salt.Version < wanted && time.Since(since) > freeAfter+k.turn()
+}
+
+// turn is how much later than the first node this one looks.
+func (k *keeping) turn() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(k.node.boot.Load().Name)) // a hash never fails
+	return time.Duration(h.Sum32()%freeRanks) * freeSpread
+}
+
+// free frees outdated parts until ctx is done.
+func (k *keeping) free(ctx context.Context) error {
+	return k.index.Free(ctx, k, k.fresh)
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
 )
 
@@ -38,6 +39,7 @@
 	_ follow.Sink     = (*state)(nil)
 	_ forward.State   = (*state)(nil)
 	_ placer.Versions = (*state)(nil)
+	_ weights.Wanted  = (*state)(nil)
 )
 
 func newState(log zerolog.Logger) *state {
@@ -127,8 +129,8 @@
 	return wanted.version, wanted.since
 }
 
-// models returns the models whose version was named.
-func (s *state) models() []string {
+// Models implements weights.Wanted.
+func (s *state) Models() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	models := make([]string, 0, len(s.versions))
--- /dev/null
+++ b/internal/kept/free.go
@@ -0,0 +1,53 @@
+package kept
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// freePause is the time between two looks for parts to free.
+	freePause = time.Second
+	// freeBatch is the largest number of parts freed by one call.
+	freeBatch = 500
+)
+
+// Outdated tells which salts no request names any more.
+type Outdated interface {
+	// Outdated reports whether parts under the salt may be freed: whether every
+	// node has stopped naming them, and each fetch that was begun has ended.
+	Outdated(salt string) bool
+}
+
+// Free frees the stores' outdated parts until ctx is done. Nodes may do so at the
+// same time: what one frees can't be in use by another, by the rule of Outdated.
+// active reports whether this node should.
+func (x *Index) Free(ctx context.Context, rule Outdated, active func() bool) error {
+	for ctx.Err() == nil {
+		sleep(ctx, freePause)
+		if !active() {
+			continue
+		}
+		for _, store := range x.Stores() {
+			x.freeAt(ctx, store, rule)
+		}
+	}
+	return nil
+}
+
+func (x *Index) freeAt(ctx context.Context, store *Holder, rule Outdated) {
+	parts, epoch := store.under(rule.Outdated)
+	if len(parts) == 0 || !store.Reachable() {
+		return
+	}
+	parts = parts[:min(len(parts), freeBatch)]
+	err := x.Source.Free(ctx, store.Addr, parts, epoch)
+	x.Log.Info().Str("event", "parts_freed").Str("store", store.Addr).Int("parts", len(parts)).
+		Str("salt", parts[0].Salt).AnErr("error", err).Send()
+	if err != nil {
+		return
+	}
+	for _, part := range parts {
+		store.Note(part, 0)
+	}
+}
--- /dev/null
+++ b/internal/kept/index.go
@@ -0,0 +1,180 @@
+package kept
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// eventsWait is how long a question waits for an event.
+	eventsWait = 800 * time.Millisecond
+	// eventsPause is the time between the start of two questions to one holder.
+	// Events come in batches then, and are about as old as engines tell them.
+	eventsPause = 250 * time.Millisecond
+	// eventsRetry is the pause after a question that failed.
+	eventsRetry = 500 * time.Millisecond
+)
+
+// Index is what is kept at all holders. It is safe for concurrent use.
+type Index struct {
+	Source Source
+	Log    zerolog.Logger
+
+	view atomic.Pointer[view]
+
+	mu     sync.Mutex
+	cancel map[*Holder]context.CancelFunc
+	wg     sync.WaitGroup
+	clock  atomic.Pointer[clockReading]
+}
+
+// view is the immutable list of holders.
+type view struct {
+	engines map[string]*Holder
+	stores  []*Holder
+}
+
+// clockReading is the engines' clock at a local time.
+type clockReading struct {
+	ms int64
+	at time.Time
+}
+
+// NewIndex returns an index without holders.
+func NewIndex(source Source, log zerolog.Logger) *Index {
+	x := &Index{Source: source, Log: log, cancel: make(map[*Holder]context.CancelFunc)}
+	x.view.Store(&view{engines: make(map[string]*Holder)})
+	return x
+}
+
+// Engine returns what is kept at an engine, or nil.
+func (x *Index) Engine(id string) *Holder { return x.view.Load().engines[id] }
+
+// Engines returns all engines.
+func (x *Index) Engines() map[string]*Holder { return x.view.Load().engines }
+
+// Stores returns all stores.
+func (x *Index) Stores() []*Holder { return x.view.Load().stores }
+
+// ClockMS returns the engines' clock, at least as late as it was read; 0 while it
+// is not known.
+func (x *Index) ClockMS() int64 {
+	r := x.clock.Load()
+	if r == nil {
+		return 0
+	}
+	return r.ms + time.Since(r.at).Milliseconds()
+}
+
+// Follow replaces the holders. Known ones, by id and address, stay as they are.
+func (x *Index) Follow(ctx context.Context, engines, stores []*Holder) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	old := x.view.Load()
+	next := &view{engines: make(map[string]*Holder)}
+	for _, h := range engines {
+		if known := old.engines[h.ID]; known != nil {
+			h = known
+		}
+		next.engines[h.ID] = h
+		x.start(ctx, h)
+	}
+	for _, h := range stores {
+		next.stores = append(next.stores, x.known(old.stores, h))
+		x.start(ctx, next.stores[len(next.stores)-1])
+	}
+	x.view.Store(next)
+	x.stopOthers(next)
+}
+
+// known returns the store that is followed already under the address, or h.
+func (x *Index) known(stores []*Holder, h *Holder) *Holder {
+	for _, s := range stores {
+		if s.Addr == h.Addr && s.Tokens == h.Tokens {
+			return s
+		}
+	}
+	return h
+}
+
+func (x *Index) start(ctx context.Context, h *Holder) {
+	if _, followed := x.cancel[h]; followed {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	x.cancel[h] = cancel
+	x.wg.Add(1)
+	go func() {
+		defer x.wg.Done()
+		x.follow(ctx, h)
+	}()
+}
+
+func (x *Index) stopOthers(v *view) {
+	for h, cancel := range x.cancel {
+		if v.engines[h.ID] == h || contains(v.stores, h) {
+			continue
+		}
+		cancel()
+		delete(x.cancel, h)
+	}
+}
+
+func contains(list []*Holder, h *Holder) bool {
+	for _, other := range list {
+		if other == h {
+			return true
+		}
+	}
+	return false
+}
+
+// follow asks one holder for its events until ctx is done.
+func (x *Index) follow(ctx context.Context, h *Holder) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		pause := eventsPause
+		events, err := x.Source.Events(ctx, h.Addr, h.since(), eventsWait)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			pause = eventsRetry
+			if h.failed() {
+				x.Log.Warn().Str("event", "events_lost").Str("holder", h.ID).AnErr("error", err).Send()
+			}
+		default:
+			x.take(h, &events)
+		}
+		sleep(ctx, pause-time.Since(begun))
+	}
+}
+
+func (x *Index) take(h *Holder, e *Events) {
+	if e.ClockMS > 0 {
+		x.clock.Store(&clockReading{ms: e.ClockMS, at: time.Now()})
+	}
+	if e.Gap {
+		x.Log.Info().Str("event", "events_gap").Str("holder", h.ID).Int64("next", e.Next).Send()
+	}
+	h.apply(e)
+}
+
+// Wait returns when all following has ended.
+func (x *Index) Wait() { x.wg.Wait() }
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/kept/kept.go
@@ -0,0 +1,167 @@
+// Package kept knows which parts of prompts are kept as KV cache, at which engines
+// and stores.
+//
+// What it knows comes from events that are late and sometimes lost, so it may be
+// wrong either way. Nothing rests on its being right but time: an engine reads what
+// it doesn't find. The one exception is a store's part that is freed while it is
+// fetched, which Freeable guards against.
+package kept
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Part is a part of a prompt under the salt that it is kept with.
+type Part struct {
+	Salt string
+	ID   string
+}
+
+// Change is one event: how many tokens of a part are kept now, 0 for none.
+type Change struct {
+	Part   Part
+	Tokens int
+}
+
+// Events are what changed at one holder since a number.
+type Events struct {
+	Epoch   int64 // changes when the holder restarts, which empties it
+	Next    int64 // to ask from next time
+	Gap     bool  // older events are no longer there
+	Changes []Change
+	ClockMS int64 // the engines' clock, which all share
+}
+
+// Source asks engines and stores what they keep. Its calls may be repeated.
+type Source interface {
+	// Events returns the events since a number, waiting up to wait for the first.
+	Events(ctx context.Context, addr string, since int64, wait time.Duration) (Events, error)
+	// Free removes parts from a store in the given epoch.
+	Free(ctx context.Context, addr string, parts []Part, epoch int64) error
+}
+
+// Holder is an engine or a store that keeps parts. It is safe for concurrent use.
+type Holder struct {
+	ID     string // of an engine; a store's address
+	Addr   string
+	Domain string  // failure domain
+	Mbps   float64 // of its link
+	First  time.Duration
+	Tokens int // that a store has room for; 0 for an engine
+
+	mu     sync.Mutex
+	epoch  int64
+	next   int64
+	parts  map[Part]int
+	used   int                // tokens in parts
+	saving map[Part]time.Time // that this node had sent to a store
+	lost   bool               // the last question failed
+}
+
+// NewHolder returns a holder of which nothing is known yet.
+func NewHolder(id, addr, domain string) *Holder {
+	return &Holder{ID: id, Addr: addr, Domain: domain, parts: make(map[Part]int), saving: make(map[Part]time.Time)}
+}
+
+// Has returns the number of tokens of a part that are kept.
+func (h *Holder) Has(p Part) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.parts[p]
+}
+
+// Reachable reports whether the holder answered the last question.
+func (h *Holder) Reachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.lost
+}
+
+// Note says that a part is about to be kept, before any event tells. It is meant
+// for engines: a store's part counts only when its event says that it is whole.
+func (h *Holder) Note(p Part, tokens int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.set(p, tokens)
+}
+
+// savePatience is how long a part that was sent to a store is waited for before it
+// is sent again.
+const savePatience = 4 * time.Second
+
+// BeginSave reports whether a part should be sent to the store, and notes that it
+// is.
+func (h *Holder) BeginSave(p Part, tokens int, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.parts[p] > 0 || h.lost || h.used+tokens > h.Tokens {
+		return false
+	}
+	if sent, under := h.saving[p]; under && now.Sub(sent) < savePatience {
+		return false
+	}
+	h.saving[p] = now
+	return true
+}
+
+// apply takes a batch of events.
+func (h *Holder) apply(e *Events) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lost = false
+	if e.Epoch != h.epoch {
+		restarted := h.next > 0
+		clear(h.parts)
+		clear(h.saving)
+		h.used = 0
+		h.epoch = e.Epoch
+		if restarted {
+			h.next = 0 // events are numbered anew: ask for all of them
+			return
+		}
+	}
+	h.next = e.Next
+	for _, c := range e.Changes {
+		h.set(c.Part, c.Tokens)
+		delete(h.saving, c.Part)
+	}
+}
+
+func (h *Holder) set(p Part, tokens int) {
+	h.used += tokens - h.parts[p]
+	if tokens == 0 {
+		delete(h.parts, p)
+		return
+	}
+	h.parts[p] = tokens
+}
+
+func (h *Holder) since() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next
+}
+
+// failed notes that a question was not answered. It reports whether the one before
+// was.
+func (h *Holder) failed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := !h.lost
+	h.lost = true
+	return first
+}
+
+// under returns the parts that match, and the epoch in which they were kept.
+func (h *Holder) under(match func(salt string) bool) (parts []Part, epoch int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for p := range h.parts {
+		if match(p.Salt) {
+			parts = append(parts, p)
+		}
+	}
+	return parts, h.epoch
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -8,12 +8,12 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kept"
 )
 
 // Versions are the versions of weights that the operators want.
@@ -28,6 +28,10 @@
 	Domain   string // failure domain of this node
 	Fleet    *fleet.Fleet
 	Versions Versions
+	Kept     *kept.Index
+	// Fresh reports whether this node knows the wanted versions well enough to name
+	// parts at stores, which are freed some time after a version was replaced.
+	Fresh func() bool
 }
 
 var _ forward.Placer = (*Placer)(nil)
@@ -45,7 +49,15 @@
 }
 
 // Placed implements forward.Placer.
-func (p *Placer) Placed(*forward.Query, *forward.Placement, bool) {}
+func (p *Placer) Placed(q *forward.Query, placement *forward.Placement, succeeded bool) {
+	engine := p.Kept.Engine(placement.Member.ID)
+	if !succeeded || engine == nil || placement.Attempt.Salt == "" {
+		return
+	}
+	for _, part := range q.Attributes.Parts {
+		engine.Note(kept.Part{Salt: placement.Attempt.Salt, ID: part.ID}, part.Tokens)
+	}
+}
 
 // usable returns the endpoints that were not tried and are not avoided. Where all
 // are avoided, none is: a judgement that leaves no endpoint helps nobody.
@@ -137,12 +149,11 @@
 // maxPriority is the least urgent rank that engines know.
 const maxPriority = 9
 
-// saltOf returns the text under which the request's parts are kept: parts are
-// shared between requests of the same weights, and not beyond an isolated account.
+// saltOf returns the text under which the request's parts are kept.
 func saltOf(q *forward.Query, version int64) string {
-	salt := "w" + strconv.FormatInt(version, 10)
+	salt := kept.Salt{Model: q.Attributes.Model, Version: version}
 	if q.Account != nil && q.Account.Isolated {
-		salt += "." + q.Account.Name
+		salt.Account = q.Account.Name
 	}
-	return salt
+	return salt.String()
 }
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/cherryward/cherryward/coord/rendezvous"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 )
@@ -23,79 +22,57 @@
 	failureMs = 400.0
 	// foreignDomainMs is the cost of another failure domain.
 	foreignDomainMs = 2.0
-	// keptAtHome is the share of a session's shared parts that its home engine is
-	// assumed to keep.
-	keptAtHome = 0.6
+	// movedMsPerGB is the cost of moving KV cache, beyond its time: its price
+	// against that of a late answer.
+	movedMsPerGB = 40.0
 )
 
-// placePrompt picks the engine with the least predicted time to the first event.
+// placePrompt picks the engine with the least predicted time to the first event,
+// and names where it gets the parts from that it lacks.
 func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member) forward.Placement {
 	wanted, _ := p.Versions.Wanted(q.Attributes.Model)
-	home := homeOf(q, candidates)
+	plans := make(map[string]*plan, len(candidates))
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
-		return p.promptCost(q, m, m.ID == home, wanted)
+		version := m.VersionOf(q.Attributes.Model)
+		plan := p.plan(q, m, saltOf(q, version))
+		plans[m.ID] = plan
+		cost := p.engineCost(m) + plan.ms()
+		if version < wanted {
+			cost += oldWeightsMs
+		}
+		return cost
 	}), byCost).member
-	version := best.VersionOf(q.Attributes.Model)
-	reason := "least_time"
-	if best.ID == home {
-		reason = "home"
-	}
-	return forward.Placement{
-		Member: best,
+	return p.placement(q, best, plans[best.ID])
+}
+
+func (p *Placer) placement(q *forward.Query, m *fleet.Member, plan *plan) forward.Placement {
+	placement := forward.Placement{
+		Member: m,
 		Attempt: forward.Attempt{
-			Instance: best.ID,
+			Instance: m.ID,
 			Account:  accountName(q),
 			Priority: priorityOf(q),
-			Version:  version,
-			Salt:     saltOf(q, version),
+			Version:  m.VersionOf(q.Attributes.Model),
+			Salt:     plan.salt,
+			Sources:  plan.sources,
+			Targets:  p.targets(q, plan.salt),
 		},
-		Reading: reading(q, best.ID == home),
-		Reason:  reason,
+		Reading: plan.reading,
+		Reason:  plan.reason(),
+	}
+	if plan.fromStore {
+		placement.Attempt.FetchUntil = p.Kept.ClockMS() + fetchLimit.Milliseconds()
 	}
+	return placement
 }
 
-func (p *Placer) promptCost(q *forward.Query, m *fleet.Member, home bool, wanted int64) float64 {
-	cost := (unseenLoad*float64(m.Load.Reading()) + float64(reading(q, home))) / prefillPerMs
+// engineCost is the time, in ms, that a request waits at the engine for others.
+func (p *Placer) engineCost(m *fleet.Member) float64 {
+	cost := unseenLoad * float64(m.Load.Reading()) / prefillPerMs
 	cost += runningMs * unseenLoad * float64(m.Load.Running())
 	cost += failureMs * m.Health.FailureRate()
-	if m.VersionOf(q.Attributes.Model) < wanted {
-		cost += oldWeightsMs
-	}
 	if m.Endpoint().Domain != p.Domain {
 		cost += foreignDomainMs
 	}
 	return cost
 }
-
-// homeOf returns the engine on which all nodes place a session by preference, so
-// that its parts are found there.
-func homeOf(q *forward.Query, candidates []*fleet.Member) string {
-	parts := q.Attributes.Parts
-	if len(parts) < 2 {
-		return ""
-	}
-	nodes := make([]rendezvous.Node, len(candidates))
-	for i, m := range candidates {
-		nodes[i] = rendezvous.Node{ID: m.ID, Weight: 1}
-	}
-	home, _ := rendezvous.Owner(parts[len(parts)-2].ID, nodes)
-	return home
-}
-
-// reading estimates the prompt tokens that an engine has to read.
-func reading(q *forward.Query, home bool) int {
-	parts := q.Attributes.Parts
-	if len(parts) == 0 {
-		return q.Attributes.PromptTokens
-	}
-	shared := 0
-	for _, part := range parts[:len(parts)-1] {
-		shared += part.Tokens
-	}
-	own := parts[len(parts)-1].Tokens
-	if home {
-		return own + int((1-keptAtHome)*float64(shared))
-	}
-	return own + shared
-}
-
--- /dev/null
+++ b/internal/weights/job.go
@@ -0,0 +1,121 @@
+package weights
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+const (
+	// atOnce is the number of engines that load at the same time; beyond it loads
+	// slow each other down.
+	atOnce = 2
+	// reportPause is the time between two reports of an engine that loads. Reports
+	// are priced, and some hundred ms old.
+	reportPause = 200 * time.Millisecond
+	// lostOrder is how long an order without an answer may still be taken before
+	// it is given again; what comes later is refused by its expected number.
+	lostOrder = time.Second
+	// jobTimeout is when an engine that doesn't come to the wanted version makes
+	// room for another.
+	jobTimeout = 6 * time.Second
+)
+
+func randomInt(n int64) int64 { return rand.Int64N(n) }
+
+// job is one engine that is being brought to a version.
+type job struct {
+	model   string
+	version int64
+	begun   time.Time
+	ordered time.Time // zero before an order was given
+	nextAt  time.Time // of the next look
+}
+
+// step looks at the engines once. It reports false where the claim is lost.
+func (s *Service) step(ctx context.Context, held *claim.Claim) bool {
+	members := s.fleet.All()
+	for _, model := range s.wanted.Models() {
+		version, _ := s.wanted.Wanted(model)
+		s.begin(behind(members, model, version), model, version)
+	}
+	for id, j := range s.jobs {
+		m := find(members, id)
+		if m == nil || time.Since(j.begun) > jobTimeout {
+			delete(s.jobs, id)
+			continue
+		}
+		if time.Now().Before(j.nextAt) {
+			continue
+		}
+		j.nextAt = time.Now().Add(reportPause)
+		if !s.advance(ctx, held, m, j) {
+			return false
+		}
+	}
+	return true
+}
+
+func find(members []*fleet.Member, id string) *fleet.Member {
+	i := slices.IndexFunc(members, func(m *fleet.Member) bool { return m.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return members[i]
+}
+
+// begin adds jobs up to the number that may run at once, the engines with the
+// least under way first.
+func (s *Service) begin(list []*fleet.Member, model string, version int64) {
+	slices.SortFunc(list, func(a, b *fleet.Member) int { return a.Load.Running() - b.Load.Running() })
+	for _, m := range list {
+		if len(s.jobs) >= atOnce {
+			return
+		}
+		if j, under := s.jobs[m.ID]; under {
+			j.version = version
+			continue
+		}
+		s.jobs[m.ID] = &job{model: model, version: version, begun: time.Now()}
+	}
+}
+
+// advance takes one engine a step on. It reports false where the claim is lost.
+func (s *Service) advance(ctx context.Context, held *claim.Claim, m *fleet.Member, j *job) bool {
+	at := m.Endpoint()
+	report, err := s.engines.Report(ctx, at)
+	if err != nil {
+		s.log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", err).Send()
+		return true
+	}
+	if has := report.VersionOf(j.model); has >= j.version {
+		m.SawVersion(j.model, has)
+		delete(s.jobs, m.ID)
+		s.log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("version", has).
+			Dur("took_ms", time.Since(j.begun)).Send()
+		return true
+	}
+	if report.Busy || time.Since(j.ordered) < lostOrder {
+		return true
+	}
+	return s.order(ctx, held, m, j, &report)
+}
+
+func (s *Service) order(ctx context.Context, held *claim.Claim, m *fleet.Member, j *job, report *Report) bool {
+	bounded, cancel, err := held.Order(ctx)
+	if err != nil {
+		return false
+	}
+	defer cancel()
+	j.ordered = time.Now()
+	// Tokens begin at 0 in the log, which engines read as none.
+	order := Order{Model: j.model, Version: j.version, Holder: s.node, Token: held.Token() + 1, Expected: report.Orders}
+	reply, err := s.engines.Order(bounded, m.Endpoint(), order)
+	s.log.Info().Str("event", "order").Str("endpoint", m.ID).Str("model", j.model).Int64("version", j.version).
+		Int64("token", order.Token).Int64("expected", order.Expected).Str("reply", reply.String()).AnErr("error", err).Send()
+	return reply != Fenced
+}
--- /dev/null
+++ b/internal/weights/service.go
@@ -0,0 +1,195 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+const (
+	// resource is the one matter that is claimed: all orders about weights.
+	resource = "weights"
+	// claimTTL is how long a claim lasts. A holder that dies delays the orders of
+	// the next one by this time and the lease bound.
+	claimTTL = 4 * time.Second
+	// renewAt is how much of a claim is left when it is renewed: enough for two
+	// tries at a slow store.
+	renewAt = 2500 * time.Millisecond
+	// orderTimeout bounds one order.
+	orderTimeout = 800 * time.Millisecond
+	// claimPoll is the time between reads of the log while a claim is waited for.
+	claimPoll = 500 * time.Millisecond
+	// maxClaimTTL bounds the claims that are believed.
+	maxClaimTTL = 10 * time.Second
+	// tick is the time between two looks at the engines by the holder.
+	tick = 150 * time.Millisecond
+	// idleTick is the time between two looks by nodes that hold no claim.
+	idleTick = 500 * time.Millisecond
+	// rankDelay spreads the nodes' first tries, so that one claims and the others
+	// see it.
+	rankDelay = 250 * time.Millisecond
+	ranks     = 6
+)
+
+// Service gives the orders of one node.
+type Service struct {
+	node    string
+	fleet   *fleet.Fleet
+	wanted  Wanted
+	engines Engines
+	claimer *claim.Claimer
+	changed <-chan struct{}
+	log     zerolog.Logger
+	jobs    map[string]*job // by endpoint
+}
+
+// New returns the service of a node. changed is signalled when a version was
+// named. lease is the time after another holder's last order in which none may be
+// given.
+func New(node string, f *fleet.Fleet, wanted Wanted, engines Engines, claims claim.Log, lease time.Duration,
+	changed <-chan struct{}, log zerolog.Logger) (*Service, error) {
+	claimer, err := claim.New(claim.Config{
+		Log:          claims,
+		Clock:        claim.NewSystemClock(),
+		Holder:       node,
+		OrderTimeout: orderTimeout,
+		Grace:        lease,
+		MaxTTL:       maxClaimTTL,
+		Poll:         claimPoll,
+		Random:       randomInt,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Service{
+		node: node, fleet: f, wanted: wanted, engines: engines, claimer: claimer,
+		changed: changed, log: log, jobs: make(map[string]*job),
+	}, nil
+}
+
+// Run gives orders until ctx is done.
+func (s *Service) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !s.pending() {
+			s.wait(ctx, idleTick)
+			continue
+		}
+		s.wait(ctx, s.rank())
+		if s.pending() {
+			s.lead(ctx)
+		}
+	}
+	return nil
+}
+
+// wait returns after d, or when a version is named.
+func (s *Service) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.changed:
+	case <-timer.C:
+	}
+}
+
+// rank delays this node's claim by its place among the nodes.
+func (s *Service) rank() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.node)) // a hash never fails
+	return time.Duration(h.Sum32()%ranks) * rankDelay
+}
+
+// pending reports whether an engine lacks a wanted version.
+func (s *Service) pending() bool {
+	members := s.fleet.All()
+	for _, model := range s.wanted.Models() {
+		version, _ := s.wanted.Wanted(model)
+		if len(behind(members, model, version)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lead claims the right to give orders, and gives them until all is done or the
+// claim is lost.
+func (s *Service) lead(ctx context.Context) {
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.cancelWhenDone(waiting, cancel)
+	held, err := s.claimer.Acquire(waiting, resource, claimTTL)
+	if err != nil {
+		return
+	}
+	s.log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", held.Token()).Send()
+	clear(s.jobs)
+	for ctx.Err() == nil && held.Valid(orderTimeout) {
+		if held.Remaining() < renewAt {
+			held = s.renew(ctx, held)
+		}
+		if s.pending() {
+			if !s.step(ctx, held) {
+				break
+			}
+			s.wait(ctx, tick)
+			continue
+		}
+		if len(s.jobs) == 0 {
+			break
+		}
+		clear(s.jobs)
+	}
+	s.log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Token()).
+		Dur("left_ms", held.Remaining()).Send()
+	s.rest(ctx, held)
+}
+
+// cancelWhenDone ends the wait for a claim when another node has done the work.
+func (s *Service) cancelWhenDone(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(idleTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !s.pending() {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
+// renew returns the renewed claim, or the old one where that failed.
+func (s *Service) renew(ctx context.Context, held *claim.Claim) *claim.Claim {
+	ctx, cancel := context.WithTimeout(ctx, held.Remaining()-orderTimeout)
+	defer cancel()
+	renewed, err := s.claimer.Renew(ctx, held, claimTTL)
+	if err == nil {
+		return renewed
+	}
+	s.log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Token()).AnErr("error", err).Send()
+	if !errors.Is(err, claim.ErrExpired) {
+		s.wait(ctx, claimPoll)
+	}
+	return held
+}
+
+// rest keeps the claim, unused, until it runs out, so that a next holder's orders
+// don't follow on this one's. A version that is named meanwhile is taken up.
+func (s *Service) rest(ctx context.Context, held *claim.Claim) {
+	for ctx.Err() == nil && held.Valid(renewAt) {
+		s.wait(ctx, idleTick)
+		if s.pending() {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/weights/weights.go
@@ -0,0 +1,95 @@
+// Package weights brings the engines to the version of weights that the operators
+// want, by orders from one node at a time.
+//
+// Guarantees: orders are given only under a claim, whose token the engines check;
+// a node whose claim runs out, by its own monotonic clock, gives no more. Each
+// order names the number of orders that the engine had taken, so that one which is
+// carried out late, after another, is refused. An order whose answer is lost is
+// looked into by a report before it is given again.
+package weights
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// Reply is an engine's answer to an order.
+type Reply int
+
+const (
+	// Taken: the order is being carried out.
+	Taken Reply = iota + 1
+	// Holds: the engine already has what was ordered.
+	Holds
+	// Busy: another order is under way, or the number of orders was not the
+	// expected one.
+	Busy
+	// Fenced: the engine saw a higher token. The claim is lost.
+	Fenced
+	// Gone: another endpoint has the address.
+	Gone
+)
+
+// String implements fmt.Stringer.
+func (r Reply) String() string {
+	names := [...]string{Taken: "taken", Holds: "holds", Busy: "busy", Fenced: "fenced", Gone: "gone"}
+	if r < Taken || r > Gone {
+		return "none"
+	}
+	return names[r]
+}
+
+// Order asks an engine to load a version of a model's weights, after the runs that
+// have begun are done.
+type Order struct {
+	Model    string
+	Version  int64
+	Holder   string // the node that gives it
+	Token    int64  // fencing token of the holder's claim
+	Expected int64  // number of orders that the engine must have taken before
+}
+
+// Report is an engine's state.
+type Report struct {
+	Weights []fleet.Weights
+	Busy    bool  // an order is being carried out
+	Orders  int64 // number of orders taken since the engine's start
+	Running int
+	Waiting int
+}
+
+// VersionOf returns the version of the model that the engine has, or 0.
+func (r *Report) VersionOf(model string) int64 {
+	e := fleet.Endpoint{Weights: r.Weights}
+	return e.VersionOf(model)
+}
+
+// Engines makes calls to engines.
+type Engines interface {
+	// Report returns an engine's state, as of some hundred ms ago.
+	Report(ctx context.Context, at *fleet.Endpoint) (Report, error)
+	// Order gives an order. After an error the engine may have taken it, or may
+	// take it later.
+	Order(ctx context.Context, at *fleet.Endpoint, o Order) (Reply, error)
+}
+
+// Wanted tells what the operators want.
+type Wanted interface {
+	// Models returns the models of which a version was named.
+	Models() []string
+	// Wanted returns the wanted version of a model and when it was first seen.
+	Wanted(model string) (version int64, since time.Time)
+}
+
+// behind returns the engines that lack the wanted version of the model.
+func behind(members []*fleet.Member, model string, version int64) []*fleet.Member {
+	var list []*fleet.Member
+	for _, m := range members {
+		if has := m.VersionOf(model); has > 0 && has < version {
+			list = append(list, m)
+		}
+	}
+	return list
+}
