Bring engines to new weights in one order that all nodes know

Change: only the wanted version's parts are named or saved at stores; all nodes derive the same order of engines and avoid those that load.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -143,10 +143,19 @@
 		return x.failedSend(err)
 	}
 	info := x.Dialect.ReadAnswer(answer.Header)
-	if info.Version > 0 {
+	x.noteVersion(answer.StatusCode, &info, p)
+	return x.deliver(answer, &info, first)
+}
+
+// noteVersion learns the weights of the endpoint from its answer.
+func (x *exchange) noteVersion(status int, info *AnswerInfo, p *Placement) {
+	switch {
+	case info.Version > 0:
 		p.Member.SawVersion(x.attrs.Model, info.Version)
+	case status == http.StatusMisdirectedRequest && p.Attempt.Version > 0 && (info.Instance == "" || info.Instance == p.Member.ID):
+		// It is the right endpoint, so its weights are other than believed: newer.
+		p.Member.SawVersion(x.attrs.Model, p.Attempt.Version+1)
 	}
-	return x.deliver(answer, &info, first)
 }
 
 func (x *exchange) failedSend(err error) verdict {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -67,6 +67,8 @@
 	Sealed  bool   // signed by an endpoint
 	Events  bool   // a stream of events follows
 	Version int64  // of the weights; 0 if not said
+	// Instance is the endpoint that answered; empty if not said.
+	Instance string
 }
 
 // Dialect speaks the headers of the platform.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 	return &forward.Handler{
 		Dialect:  platform.Dialect{},
 		State:    n.state,
-		Placer:   &placer.Placer{Domain: boot.Domain, Fleet: n.fleet, Versions: n.state, Kept: n.keeping.index, Fresh: n.keeping.fresh},
+		Placer:   n.placer(),
 		Budgets:  forward.NewBudgets(boot.Bounds),
 		Bounds:   n.bounds,
 		Recorder: &recorder{},
@@ -127,6 +127,17 @@
 	}
 }
 
+func (n *Node) placer() *placer.Placer {
+	return &placer.Placer{
+		Domain:       n.boot.Load().Domain,
+		Fleet:        n.fleet,
+		Versions:     n.state,
+		Kept:         n.keeping.index,
+		Fresh:        n.keeping.fresh,
+		VersionApply: func() time.Duration { return n.bounds().VersionApply },
+	}
+}
+
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
 // recorder counts requests.
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cherryward/cherryward/internal/kept"
 )
 
@@ -103,9 +104,7 @@
 
 // turn is how much later than the first node this one looks.
 func (k *keeping) turn() time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(k.node.boot.Load().Name)) // a hash never fails
-	return time.Duration(h.Sum32()%freeRanks) * freeSpread
+	return time.Duration(xxhash.Sum64String(k.node.boot.Load().Name)%freeRanks) * freeSpread
 }
 
 // free frees outdated parts until ctx is done.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -32,6 +32,8 @@
 	// Fresh reports whether this node knows the wanted versions well enough to name
 	// parts at stores, which are freed some time after a version was replaced.
 	Fresh func() bool
+	// VersionApply is the operators' bound on new weights.
+	VersionApply func() time.Duration
 }
 
 var _ forward.Placer = (*Placer)(nil)
@@ -45,7 +47,7 @@
 	if q.Service.Engine == nil || q.Attributes.Model == "" {
 		return p.placePlain(q, candidates), true
 	}
-	return p.placePrompt(q, candidates), true
+	return p.placePrompt(q, candidates)
 }
 
 // Placed implements forward.Placer.
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -26,6 +26,7 @@
 // plan is how an engine would come by the parts of a prompt.
 type plan struct {
 	salt      string
+	current   bool     // the salt's version is the wanted one
 	sources   []string // an address for each part; nil where none is fetched
 	fromStore bool
 	cached    int // tokens that the engine keeps itself
@@ -55,9 +56,10 @@
 }
 
 // plan works out the parts one after the other: an engine can use a part only if
-// it has all before it.
-func (p *Placer) plan(q *forward.Query, m *fleet.Member, salt string) *plan {
-	plan := &plan{salt: salt}
+// it has all before it. Parts of weights that are no longer wanted are neither
+// fetched from stores nor saved there, since they are being freed.
+func (p *Placer) plan(q *forward.Query, m *fleet.Member, salt string, current bool) *plan {
+	plan := &plan{salt: salt, current: current}
 	parts := q.Attributes.Parts
 	if len(parts) == 0 {
 		plan.reading = q.Attributes.PromptTokens
@@ -98,7 +100,7 @@
 			consider(h)
 		}
 	}
-	stores := p.Fresh() && p.Kept.ClockMS() > 0
+	stores := plan.current && p.Fresh() && p.Kept.ClockMS() > 0
 	for _, h := range p.Kept.Stores() {
 		if stores {
 			consider(h)
@@ -134,14 +136,14 @@
 
 // targets names a store for each shared part that none keeps yet. The last part
 // belongs to the request alone.
-func (p *Placer) targets(q *forward.Query, salt string) []string {
+func (p *Placer) targets(q *forward.Query, plan *plan) []string {
 	parts := q.Attributes.Parts
-	if len(parts) < 2 {
+	if len(parts) < 2 || !plan.current {
 		return nil
 	}
 	var targets []string
 	for i, part := range parts[:len(parts)-1] {
-		store := p.saveAt(kept.Part{Salt: salt, ID: part.ID}, part.Tokens)
+		store := p.saveAt(kept.Part{Salt: plan.salt, ID: part.ID}, part.Tokens)
 		if store == "" {
 			continue
 		}
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -15,9 +15,6 @@
 	runningMs = 0.6
 	// unseenLoad scales this node's own counts up to those of all nodes.
 	unseenLoad = 3.0
-	// oldWeightsMs is the cost of weights that are no longer wanted: a fifth of
-	// the request's worth, against an objective of 400 to 600 ms.
-	oldWeightsMs = 120.0
 	// failureMs is the cost of a failure rate of 1.
 	failureMs = 400.0
 	// foreignDomainMs is the cost of another failure domain.
@@ -29,20 +26,20 @@
 
 // placePrompt picks the engine with the least predicted time to the first event,
 // and names where it gets the parts from that it lacks.
-func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member) forward.Placement {
-	wanted, _ := p.Versions.Wanted(q.Attributes.Model)
+func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member) (forward.Placement, bool) {
+	rollout := p.rollout(q)
+	candidates = rollout.filter(candidates)
+	if len(candidates) == 0 {
+		return forward.Placement{}, false
+	}
 	plans := make(map[string]*plan, len(candidates))
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
 		version := m.VersionOf(q.Attributes.Model)
-		plan := p.plan(q, m, saltOf(q, version))
+		plan := p.plan(q, m, saltOf(q, version), version >= rollout.wanted)
 		plans[m.ID] = plan
-		cost := p.engineCost(m) + plan.ms()
-		if version < wanted {
-			cost += oldWeightsMs
-		}
-		return cost
+		return p.engineCost(m) + plan.ms() + rollout.cost(m)
 	}), byCost).member
-	return p.placement(q, best, plans[best.ID])
+	return p.placement(q, best, plans[best.ID]), true
 }
 
 func (p *Placer) placement(q *forward.Query, m *fleet.Member, plan *plan) forward.Placement {
@@ -55,7 +52,7 @@
 			Version:  m.VersionOf(q.Attributes.Model),
 			Salt:     plan.salt,
 			Sources:  plan.sources,
-			Targets:  p.targets(q, plan.salt),
+			Targets:  p.targets(q, plan),
 		},
 		Reading: plan.reading,
 		Reason:  plan.reason(),
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// atOnce is the number of engines that load at the same time; beyond it loads
-	// slow each other down.
-	atOnce = 2
 	// reportPause is the time between two reports of an engine that loads. Reports
 	// are priced, and some hundred ms old.
 	reportPause = 200 * time.Millisecond
@@ -41,7 +38,7 @@
 	members := s.fleet.All()
 	for _, model := range s.wanted.Models() {
 		version, _ := s.wanted.Wanted(model)
-		s.begin(behind(members, model, version), model, version)
+		s.begin(Behind(members, model, version), model, version)
 	}
 	for id, j := range s.jobs {
 		m := find(members, id)
@@ -68,12 +65,10 @@
 	return members[i]
 }
 
-// begin adds jobs up to the number that may run at once, the engines with the
-// least under way first.
+// begin adds jobs up to the number that may run at once.
 func (s *Service) begin(list []*fleet.Member, model string, version int64) {
-	slices.SortFunc(list, func(a, b *fleet.Member) int { return a.Load.Running() - b.Load.Running() })
 	for _, m := range list {
-		if len(s.jobs) >= atOnce {
+		if len(s.jobs) >= AtOnce {
 			return
 		}
 		if j, under := s.jobs[m.ID]; under {
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/claim"
@@ -33,7 +33,7 @@
 	idleTick = 500 * time.Millisecond
 	// rankDelay spreads the nodes' first tries, so that one claims and the others
 	// see it.
-	rankDelay = 250 * time.Millisecond
+	rankDelay = 150 * time.Millisecond
 	ranks     = 6
 )
 
@@ -101,9 +101,7 @@
 
 // rank delays this node's claim by its place among the nodes.
 func (s *Service) rank() time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.node)) // a hash never fails
-	return time.Duration(h.Sum32()%ranks) * rankDelay
+	return time.Duration(xxhash.Sum64String(s.node)%ranks) * rankDelay
 }
 
 // pending reports whether an engine lacks a wanted version.
@@ -111,7 +109,7 @@
 	members := s.fleet.All()
 	for _, model := range s.wanted.Models() {
 		version, _ := s.wanted.Wanted(model)
-		if len(behind(members, model, version)) > 0 {
+		if len(Behind(members, model, version)) > 0 {
 			return true
 		}
 	}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -9,9 +9,14 @@
 package weights
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -83,13 +88,27 @@
 	Wanted(model string) (version int64, since time.Time)
 }
 
-// behind returns the engines that lack the wanted version of the model.
-func behind(members []*fleet.Member, model string, version int64) []*fleet.Member {
+// AtOnce is the number of engines that are brought to a version at the same time.
+// An engine first finishes its runs, for up to 2.5 s, and then loads for 1.3 s;
+// more than two loads at once slow each other down, so that three orders at a time
+// keep about two loads going.
+const AtOnce = 3
+
+// Behind returns the engines that lack the wanted version of the model, in the
+// order in which they are brought to it. All nodes come to the same order, so that
+// each knows without asking which engines will soon refuse requests.
+func Behind(members []*fleet.Member, model string, version int64) []*fleet.Member {
 	var list []*fleet.Member
 	for _, m := range members {
 		if has := m.VersionOf(model); has > 0 && has < version {
 			list = append(list, m)
 		}
 	}
+	slices.SortFunc(list, func(a, b *fleet.Member) int { return cmp.Compare(turn(version, a.ID), turn(version, b.ID)) })
 	return list
 }
+
+// turn is an engine's place in the order for a version.
+func turn(version int64, id string) uint64 {
+	return xxhash.Sum64String(strconv.FormatInt(version, 10) + "/" + id)
+}
