Empty engines for a second, then load with their last runs going on

Cause: after new weights were named the fleet collapsed: runs last up to 6 s, an engine that finished them first was out for 5 s, and nodes went by their own load counts alone. Change: internal/peerload tells nodes one another's load and which engines are being loaded; a session has a home engine; orders keep the runs that are left after a second; old parts are named for 11 s by nodes that saw the new version in time; claims are renewed beside the orders.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/kernel"
+	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
@@ -56,6 +59,8 @@
 	state   *state
 	fleet   *fleet.Fleet
 	keeping *keeping
+	orders  *weights.Service
+	peers   *peerload.Exchange
 	leaving atomic.Bool
 	log     zerolog.Logger
 }
@@ -72,12 +77,17 @@
 	n.boot.Store(boot)
 	store := platform.NewStore(boot.StoreAddr)
 	engines := platform.NewEngines()
+	var err error
 	n.keeping = &keeping{node: n, index: kept.NewIndex(engines, log)}
-	orders, err := weights.New(boot.Name, n.fleet, n.state, engines, store.Log(platform.ClaimsTopic),
+	n.orders, err = weights.New(boot.Name, n.fleet, n.state, engines, store.Log(platform.ClaimsTopic),
 		boot.Bounds.Lease+leaseMargin, n.state.changed, log)
 	if err != nil {
 		return nil, err
 	}
+	n.peers, err = peerload.Listen(boot.Name, peerAddr(boot), n.fleet.All, n.orders.Closed, log)
+	if err != nil {
+		return nil, err
+	}
 	callers, err := listen("callers", boot.CallersAddr, closing(&n.leaving, n.handler()), &n.leaving, log)
 	if err != nil {
 		return nil, err
@@ -91,11 +101,17 @@
 	config.Wait = configWait
 	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: log})
 	endpoints.Pause = registryPause
+	members := newRoster(boot.Name, peerAddr(boot), store.Topic(nodesTopic), n.peers.SetPeers, log)
+	nodes := n.follower("nodes", store.Topic(nodesTopic), members)
+	nodes.Wait = nodesWait
 	callers.needs = []string{"ready", "config", "registry", "kept"}
 	return n, n.register(ready, callers,
 		&task{name: "config", run: config.Run},
 		&task{name: "registry", run: endpoints.Run},
-		&task{name: "orders", run: orders.Run},
+		&task{name: "orders", run: n.orders.Run},
+		&task{name: "peers", run: n.peers.Run},
+		&task{name: "roster", run: nodes.Run},
+		&task{name: "announce", run: members.announce},
 		&task{name: "kept", run: n.keeping.follow},
 		&task{name: "free", run: n.keeping.free},
 	)
@@ -133,7 +149,9 @@
 		Fleet:        n.fleet,
 		Versions:     n.state,
 		Kept:         n.keeping.index,
-		Fresh:        n.keeping.fresh,
+		MayName:      n.keeping.mayName,
+		Peers:        n.peers.Table,
+		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
 	}
 }
@@ -146,6 +164,11 @@
 // Forwarded implements forward.Recorder.
 func (*recorder) Forwarded(*forward.Outcome) {}
 
+// peerAddr is where the node hears its peers.
+func peerAddr(boot *bootstrap.Node) string {
+	return net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPorts[0]))
+}
+
 // ready reports whether callers are well served here.
 func (n *Node) ready() bool {
 	config, age := n.state.Config()
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -16,9 +16,14 @@
 	// namingAge is the oldest configuration with which a node names parts at
 	// stores.
 	namingAge = 2 * time.Second
+	// nameOldFor is how long parts of a replaced version are still named, for the
+	// engines that have it yet: about half of a rollout. The room is then needed
+	// for the new version's parts.
+	nameOldFor = 11 * time.Second
 	// freeAfter is how long after a version was replaced its parts are freed: no
-	// node names them after namingAge, and no fetch lasts longer than a second.
-	freeAfter = namingAge + 1500*time.Millisecond
+	// node names them after nameOldFor from when it saw the new one, which is
+	// namingAge late at most, and no fetch lasts longer than a second.
+	freeAfter = nameOldFor + namingAge + 1500*time.Millisecond
 	// freeRanks and freeSpread let one node after the other look for parts to
 	// free, so that most find nothing left.
 	freeRanks  = 6
@@ -86,20 +91,33 @@
 	return stores
 }
 
-// fresh reports whether this node may name parts at stores.
+// fresh reports whether this node knows which versions are wanted.
 func (k *keeping) fresh() bool {
 	_, age := k.node.state.Config()
 	return age < namingAge
 }
 
+// mayName reports whether this node may name parts of a version at stores.
+//
+// A part is freed freeAfter after its version was replaced, at the earliest. A node
+// that saw the replacement promptly stops naming in time by its own clock; one that
+// did not, as it was cut off or frozen, names the wanted version alone.
+func (k *keeping) mayName(model string, version int64) bool {
+	if !k.fresh() {
+		return false
+	}
+	by, replaced := k.node.state.replaced(model, version)
+	return !replaced || by.prompt && time.Since(by.since) < nameOldFor
+}
+
 // Outdated implements kept.Outdated.
 func (k *keeping) Outdated(text string) bool {
 	salt, ok := kept.ParseSalt(text)
 	if !ok {
 		return false
 	}
-	wanted, since := k.node.state.Wanted(salt.Model)
-	return salt.Version < wanted && time.Since(since) > freeAfter+k.turn()
+	by, replaced := k.node.state.replaced(salt.Model, salt.Version)
+	return replaced && time.Since(by.since) > freeAfter+k.turn()
 }
 
 // turn is how much later than the first node this one looks.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,13 +26,17 @@
 	proven   atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
-	versions map[string]wantedVersion
-	changed  chan struct{} // signalled when a version was named
+	versions map[string][]namedVersion // by model, rising
+	changed  chan struct{}             // signalled when a version was named
 }
 
-type wantedVersion struct {
+// namedVersion is a version of a model that the operators named.
+type namedVersion struct {
 	version int64
-	since   time.Time
+	since   time.Time // when it was first seen here
+	// prompt is true where it was seen soon after it was named, since the state
+	// was known to be current shortly before.
+	prompt bool
 }
 
 var (
@@ -43,20 +47,22 @@
 )
 
 func newState(log zerolog.Logger) *state {
-	return &state{log: log, versions: make(map[string]wantedVersion), changed: make(chan struct{}, 1)}
+	return &state{log: log, versions: make(map[string][]namedVersion), changed: make(chan struct{}, 1)}
 }
 
 // Apply implements follow.Sink. The configuration is stored before the time at
 // which it was current, so that a reader who takes them the other way round never
 // finds it fresher than it is.
 func (s *state) Apply(b follow.Batch) {
+	before := s.proven.Load()
+	prompt := before != nil && b.ProvenAt.Sub(*before) < namingAge
 	for i := range b.Records {
-		s.applyRecord(&b.Records[i])
+		s.applyRecord(&b.Records[i], prompt)
 	}
 	s.proven.Store(&b.ProvenAt)
 }
 
-func (s *state) applyRecord(r *follow.Record) {
+func (s *state) applyRecord(r *follow.Record, prompt bool) {
 	if r.Value == nil {
 		return // the operators never withdraw a configuration
 	}
@@ -65,7 +71,7 @@
 		return
 	}
 	if model, ok := platform.ModelOf(r.Key); ok {
-		s.applyVersion(model, r)
+		s.applyVersion(model, r, prompt)
 	}
 }
 
@@ -84,16 +90,17 @@
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
 }
 
-func (s *state) applyVersion(model string, r *follow.Record) {
+func (s *state) applyVersion(model string, r *follow.Record, prompt bool) {
 	version, err := platform.DecodeVersion(r.Value)
 	if err != nil {
 		s.reject(r, err)
 		return
 	}
 	s.mu.Lock()
-	newer := version > s.versions[model].version
+	named := s.versions[model]
+	newer := len(named) == 0 || version > named[len(named)-1].version
 	if newer {
-		s.versions[model] = wantedVersion{version, time.Now()}
+		s.versions[model] = append(named, namedVersion{version, time.Now(), prompt})
 	}
 	s.mu.Unlock()
 	if !newer {
@@ -125,8 +132,25 @@
 func (s *state) Wanted(model string) (int64, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wanted := s.versions[model]
-	return wanted.version, wanted.since
+	named := s.versions[model]
+	if len(named) == 0 {
+		return 0, time.Time{}
+	}
+	newest := named[len(named)-1]
+	return newest.version, newest.since
+}
+
+// replaced returns the first version that replaced one, and false for a version
+// that is still wanted.
+func (s *state) replaced(model string, version int64) (by namedVersion, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, named := range s.versions[model] {
+		if named.version > version {
+			return named, true
+		}
+	}
+	return namedVersion{}, false
 }
 
 // Models implements weights.Wanted.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,6 +14,8 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/weights"
 )
 
 // Versions are the versions of weights that the operators want.
@@ -29,9 +31,13 @@
 	Fleet    *fleet.Fleet
 	Versions Versions
 	Kept     *kept.Index
-	// Fresh reports whether this node knows the wanted versions well enough to name
-	// parts at stores, which are freed some time after a version was replaced.
-	Fresh func() bool
+	// MayName reports whether parts of a version of a model may be named at stores,
+	// which are freed some time after the version was replaced.
+	MayName func(model string, version int64) bool
+	// Peers is what the other nodes tell.
+	Peers *peerload.Table
+	// Closed are the engines that this node has loaded now.
+	Closed func() []weights.Closed
 	// VersionApply is the operators' bound on new weights.
 	VersionApply func() time.Duration
 }
@@ -92,8 +98,9 @@
 
 // placePlain picks the endpoint with the fewest requests under way.
 func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member) forward.Placement {
+	others := p.Peers.Loads(time.Now())
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
-		cost := float64(m.Load.Running()) + failurePenalty*m.Health.FailureRate() + tieSpread*rand.Float64()
+		cost := float64(m.Load.Running()+others[m.ID].Running) + failurePenalty*m.Health.FailureRate() + tieSpread*rand.Float64()
 		if m.Endpoint().Domain != p.Domain {
 			cost += foreignDomain
 		}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -27,6 +27,7 @@
 type plan struct {
 	salt      string
 	current   bool     // the salt's version is the wanted one
+	named     bool     // parts at stores may be named
 	sources   []string // an address for each part; nil where none is fetched
 	fromStore bool
 	cached    int // tokens that the engine keeps itself
@@ -56,10 +57,13 @@
 }
 
 // plan works out the parts one after the other: an engine can use a part only if
-// it has all before it. Parts of weights that are no longer wanted are neither
-// fetched from stores nor saved there, since they are being freed.
-func (p *Placer) plan(q *forward.Query, m *fleet.Member, salt string, current bool) *plan {
-	plan := &plan{salt: salt, current: current}
+// it has all before it. Parts of weights that are no longer wanted are not saved.
+func (p *Placer) plan(q *forward.Query, m *fleet.Member, version, wanted int64) *plan {
+	plan := &plan{
+		salt:    saltOf(q, version),
+		current: version >= wanted,
+		named:   p.Kept.ClockMS() > 0 && p.MayName(q.Attributes.Model, version),
+	}
 	parts := q.Attributes.Parts
 	if len(parts) == 0 {
 		plan.reading = q.Attributes.PromptTokens
@@ -68,7 +72,7 @@
 	engine := p.Kept.Engine(m.ID)
 	prefix := true
 	for i, part := range parts {
-		key := kept.Part{Salt: salt, ID: part.ID}
+		key := kept.Part{Salt: plan.salt, ID: part.ID}
 		if prefix && engine != nil && engine.Has(key) >= part.Tokens {
 			plan.cached += part.Tokens
 			continue
@@ -100,9 +104,8 @@
 			consider(h)
 		}
 	}
-	stores := plan.current && p.Fresh() && p.Kept.ClockMS() > 0
 	for _, h := range p.Kept.Stores() {
-		if stores {
+		if plan.named {
 			consider(h)
 		}
 	}
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -1,20 +1,23 @@
 package placer
 
 import (
+	"math/rand/v2"
 	"slices"
+	"time"
 
+	"github.com/cherryward/cherryward/coord/rendezvous"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/peerload"
 )
 
 const (
 	// prefillPerMs is the number of prompt tokens that an engine reads in a ms,
 	// as the operators state it for the present engines.
 	prefillPerMs = 112.0
-	// runningMs is what a request under way adds to the time to a first event.
-	runningMs = 0.6
-	// unseenLoad scales this node's own counts up to those of all nodes.
-	unseenLoad = 3.0
+	// runningMs is what a request under way adds to the time to a first event: it
+	// lengthens each step of the batch, and takes memory.
+	runningMs = 0.5
 	// failureMs is the cost of a failure rate of 1.
 	failureMs = 400.0
 	// foreignDomainMs is the cost of another failure domain.
@@ -22,6 +25,12 @@
 	// movedMsPerGB is the cost of moving KV cache, beyond its time: its price
 	// against that of a late answer.
 	movedMsPerGB = 40.0
+	// homeMs is what speaks for a session's home engine, which all nodes derive from
+	// the session alone: it spreads prompts that are kept nowhere yet, where nodes
+	// that go by load alone would all choose the same engine between two messages.
+	homeMs = 50.0
+	// spreadMs is the random part of a cost, against the same.
+	spreadMs = 10.0
 )
 
 // placePrompt picks the engine with the least predicted time to the first event,
@@ -32,12 +41,18 @@
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
+	home := p.home(q)
+	others := p.Peers.Loads(time.Now())
 	plans := make(map[string]*plan, len(candidates))
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
 		version := m.VersionOf(q.Attributes.Model)
-		plan := p.plan(q, m, saltOf(q, version), version >= rollout.wanted)
+		plan := p.plan(q, m, version, rollout.wanted)
 		plans[m.ID] = plan
-		return p.engineCost(m) + plan.ms() + rollout.cost(m)
+		cost := p.engineCost(m, others[m.ID]) + plan.ms() + rollout.cost(m) + spreadMs*rand.Float64()
+		if m.ID == home {
+			cost -= homeMs
+		}
+		return cost
 	}), byCost).member
 	return p.placement(q, best, plans[best.ID]), true
 }
@@ -63,10 +78,25 @@
 	return placement
 }
 
+// home returns the engine on which all nodes place a session by preference.
+func (p *Placer) home(q *forward.Query) string {
+	parts := q.Attributes.Parts
+	if len(parts) < 2 {
+		return ""
+	}
+	members := p.Fleet.Members(q.Service.Name)
+	nodes := make([]rendezvous.Node, len(members))
+	for i, m := range members {
+		nodes[i] = rendezvous.Node{ID: m.ID, Weight: 1}
+	}
+	home, _ := rendezvous.Owner(parts[len(parts)-2].ID, nodes)
+	return home
+}
+
 // engineCost is the time, in ms, that a request waits at the engine for others.
-func (p *Placer) engineCost(m *fleet.Member) float64 {
-	cost := unseenLoad * float64(m.Load.Reading()) / prefillPerMs
-	cost += runningMs * unseenLoad * float64(m.Load.Running())
+func (p *Placer) engineCost(m *fleet.Member, others peerload.Load) float64 {
+	cost := float64(m.Load.Reading()+others.Reading) / prefillPerMs
+	cost += runningMs * float64(m.Load.Running()+others.Running)
 	cost += failureMs * m.Health.FailureRate()
 	if m.Endpoint().Domain != p.Domain {
 		cost += foreignDomainMs
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -6,7 +6,6 @@
 
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
-	"github.com/cherryward/cherryward/internal/weights"
 )
 
 const (
@@ -16,15 +15,12 @@
 	// oldWeightsAfter is how long old weights cost nothing after newer ones were
 	// named.
 	oldWeightsAfter = 1500 * time.Millisecond
-	// nextInTurnMs is the cost of an engine that is about to be loaded: it should
-	// have few runs to finish by then.
-	nextInTurnMs = 60.0
 	// beginMargin is the longest time from a placement until the run begins, which
 	// is when its weights are judged.
 	beginMargin = 2 * time.Second
-	// rolloutTime is how long engines are avoided because they are next. After it
-	// something else keeps them from being loaded.
-	rolloutTime = 20 * time.Second
+	// shortAnswer is the longest answer, in tokens, that ends before an engine that
+	// is being emptied loads.
+	shortAnswer = 100
 )
 
 // rollout is how far the engines are on the way to a wanted version.
@@ -33,58 +29,52 @@
 	wanted int64
 	age    time.Duration // since the version was named
 	limit  time.Duration // from when on no request may begin on older weights
-	behind []*fleet.Member
+	// closed are the engines that a holder of orders has loaded now; true where
+	// they take no requests at all, else they take short ones.
+	closed map[string]bool
+	short  bool // the request's answer is short
 }
 
 func (p *Placer) rollout(q *forward.Query) *rollout {
 	wanted, since := p.Versions.Wanted(q.Attributes.Model)
 	r := &rollout{model: q.Attributes.Model, wanted: wanted}
-	if wanted == 0 {
-		return r
-	}
 	r.age = time.Since(since)
 	r.limit = p.VersionApply() - beginMargin
-	r.behind = weights.Behind(p.Fleet.Members(q.Service.Name), r.model, wanted)
+	r.closed = p.Peers.Closed(time.Now())
+	for _, c := range p.Closed() {
+		r.closed[c.Endpoint] = r.closed[c.Endpoint] || c.Loads
+	}
+	r.short = q.Attributes.OutputTokens <= shortAnswer
 	return r
 }
 
 // filter removes the engines whose weights are too old, and those that load now
 // unless no other is left.
 func (r *rollout) filter(candidates []*fleet.Member) []*fleet.Member {
-	if len(r.behind) == 0 {
-		return candidates
-	}
-	if r.age > r.limit {
-		candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return m.VersionOf(r.model) < r.wanted })
+	if r.wanted > 0 && r.age > r.limit {
+		candidates = slices.DeleteFunc(slices.Clone(candidates), r.isBehind)
 	}
-	if r.age > rolloutTime {
+	if len(r.closed) == 0 {
 		return candidates
 	}
-	others := slices.DeleteFunc(slices.Clone(candidates), r.loads)
-	if len(others) == 0 {
+	open := slices.DeleteFunc(slices.Clone(candidates), r.isClosed)
+	if len(open) == 0 {
 		return candidates
 	}
-	return others
+	return open
 }
 
-// loads reports whether the engine is among those that load now.
-func (r *rollout) loads(m *fleet.Member) bool {
-	i := slices.Index(r.behind, m)
-	return i >= 0 && i < weights.AtOnce
+func (r *rollout) isBehind(m *fleet.Member) bool { return m.VersionOf(r.model) < r.wanted }
+
+func (r *rollout) isClosed(m *fleet.Member) bool {
+	loads, closed := r.closed[m.ID]
+	return loads || closed && !r.short
 }
 
 // cost is what speaks against an engine because of its weights, in ms.
 func (r *rollout) cost(m *fleet.Member) float64 {
-	i := slices.Index(r.behind, m)
-	if i < 0 {
-		return 0
-	}
-	cost := 0.0
-	if r.age > oldWeightsAfter {
-		cost += oldWeightsMs
-	}
-	if i < 2*weights.AtOnce {
-		cost += nextInTurnMs
+	if r.isBehind(m) && r.age > oldWeightsAfter {
+		return oldWeightsMs
 	}
-	return cost
+	return 0
 }
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -14,6 +14,14 @@
 	// reportPause is the time between two reports of an engine that loads. Reports
 	// are priced, and some hundred ms old.
 	reportPause = 200 * time.Millisecond
+	// emptyTime is how long an engine gets no new long runs before it is ordered to
+	// load. Runs last 1.5 s on average and up to 6 s; the few that are left then go
+	// on with the new weights and lose a part of their worth, where waiting for
+	// them would cost the engine's whole service.
+	emptyTime = 1000 * time.Millisecond
+	// closedEarly is how long before the order an engine gets no requests at all,
+	// so that all nodes have heard of it.
+	closedEarly = 300 * time.Millisecond
 	// lostOrder is how long an order without an answer may still be taken before
 	// it is given again; what comes later is refused by its expected number.
 	lostOrder = time.Second
@@ -40,6 +48,7 @@
 		version, _ := s.wanted.Wanted(model)
 		s.begin(Behind(members, model, version), model, version)
 	}
+	s.announce()
 	for id, j := range s.jobs {
 		m := find(members, id)
 		if m == nil || time.Since(j.begun) > jobTimeout {
@@ -57,6 +66,16 @@
 	return true
 }
 
+// announce lets other nodes know which engines are being emptied and loaded.
+func (s *Service) announce() {
+	closed := make([]Closed, 0, len(s.jobs))
+	for id, j := range s.jobs {
+		loads := !j.ordered.IsZero() || time.Since(j.begun) > emptyTime-closedEarly
+		closed = append(closed, Closed{Endpoint: id, Loads: loads})
+	}
+	s.closed.Store(&closed)
+}
+
 func find(members []*fleet.Member, id string) *fleet.Member {
 	i := slices.IndexFunc(members, func(m *fleet.Member) bool { return m.ID == id })
 	if i < 0 {
@@ -67,15 +86,18 @@
 
 // begin adds jobs up to the number that may run at once.
 func (s *Service) begin(list []*fleet.Member, model string, version int64) {
+	for _, m := range list {
+		if j, under := s.jobs[m.ID]; under {
+			j.version = version
+		}
+	}
 	for _, m := range list {
 		if len(s.jobs) >= AtOnce {
 			return
 		}
-		if j, under := s.jobs[m.ID]; under {
-			j.version = version
-			continue
+		if _, under := s.jobs[m.ID]; !under {
+			s.jobs[m.ID] = &job{model: model, version: version, begun: time.Now()}
 		}
-		s.jobs[m.ID] = &job{model: model, version: version, begun: time.Now()}
 	}
 }
 
@@ -97,6 +119,10 @@
 	if report.Busy || time.Since(j.ordered) < lostOrder {
 		return true
 	}
+	empty := report.Running+report.Waiting == 0 && time.Since(j.begun) > closedEarly
+	if !empty && time.Since(j.begun) < emptyTime {
+		return true
+	}
 	return s.order(ctx, held, m, j, &report)
 }
 
@@ -108,7 +134,7 @@
 	defer cancel()
 	j.ordered = time.Now()
 	// Tokens begin at 0 in the log, which engines read as none.
-	order := Order{Model: j.model, Version: j.version, Holder: s.node, Token: held.Token() + 1, Expected: report.Orders}
+	order := Order{Model: j.model, Version: j.version, Holder: s.node, Token: held.Token() + 1, Expected: report.Orders, Continue: report.Running > 0}
 	reply, err := s.engines.Order(bounded, m.Endpoint(), order)
 	s.log.Info().Str("event", "order").Str("endpoint", m.ID).Str("model", j.model).Int64("version", j.version).
 		Int64("token", order.Token).Int64("expected", order.Expected).Str("reply", reply.String()).AnErr("error", err).Send()
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,18 +17,17 @@
 	resource = "weights"
 	// claimTTL is how long a claim lasts. A holder that dies delays the orders of
 	// the next one by this time and the lease bound.
-	claimTTL = 4 * time.Second
-	// renewAt is how much of a claim is left when it is renewed: enough for two
-	// tries at a slow store.
-	renewAt = 2500 * time.Millisecond
+	claimTTL = 2 * time.Second
+	// renewAt is how much of a claim is left when it is renewed.
+	renewAt = 1300 * time.Millisecond
 	// orderTimeout bounds one order.
-	orderTimeout = 800 * time.Millisecond
+	orderTimeout = 500 * time.Millisecond
 	// claimPoll is the time between reads of the log while a claim is waited for.
-	claimPoll = 500 * time.Millisecond
+	claimPoll = 300 * time.Millisecond
 	// maxClaimTTL bounds the claims that are believed.
 	maxClaimTTL = 10 * time.Second
 	// tick is the time between two looks at the engines by the holder.
-	tick = 150 * time.Millisecond
+	tick = 100 * time.Millisecond
 	// idleTick is the time between two looks by nodes that hold no claim.
 	idleTick = 500 * time.Millisecond
 	// rankDelay spreads the nodes' first tries, so that one claims and the others
@@ -47,6 +46,7 @@
 	changed <-chan struct{}
 	log     zerolog.Logger
 	jobs    map[string]*job // by endpoint
+	closed  atomic.Pointer[[]Closed]
 }
 
 // New returns the service of a node. changed is signalled when a version was
@@ -122,31 +122,53 @@
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.cancelWhenDone(waiting, cancel)
-	held, err := s.claimer.Acquire(waiting, resource, claimTTL)
+	first, err := s.claimer.Acquire(waiting, resource, claimTTL)
 	if err != nil {
 		return
 	}
-	s.log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", held.Token()).Send()
+	s.log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", first.Token()).Send()
+	holding, stop := context.WithCancel(ctx)
+	defer stop()
+	held := s.keep(holding, first)
 	clear(s.jobs)
-	for ctx.Err() == nil && held.Valid(orderTimeout) {
-		if held.Remaining() < renewAt {
-			held = s.renew(ctx, held)
-		}
-		if s.pending() {
-			if !s.step(ctx, held) {
-				break
+	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held.Load()) {
+		s.wait(ctx, tick)
+	}
+	clear(s.jobs)
+	s.closed.Store(nil)
+	stop()
+	s.log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
+		Dur("left_ms", held.Load().Remaining()).Send()
+}
+
+// keep renews a claim until ctx is done or the claim is lost, beside the orders,
+// which must not wait for the store.
+func (s *Service) keep(ctx context.Context, first *claim.Claim) *atomic.Pointer[claim.Claim] {
+	var held atomic.Pointer[claim.Claim]
+	held.Store(first)
+	go func() {
+		for ctx.Err() == nil && held.Load().Valid(0) {
+			sleep(ctx, held.Load().Remaining()-renewAt)
+			renewed, err := s.claimer.Renew(ctx, held.Load(), claimTTL)
+			switch {
+			case err == nil:
+				held.Store(renewed)
+			case ctx.Err() == nil:
+				s.log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
+				sleep(ctx, claimPoll)
 			}
-			s.wait(ctx, tick)
-			continue
-		}
-		if len(s.jobs) == 0 {
-			break
 		}
-		clear(s.jobs)
+	}()
+	return &held
+}
+
+// Closed returns the engines that this node has loaded now.
+func (s *Service) Closed() []Closed {
+	closed := s.closed.Load()
+	if closed == nil {
+		return nil
 	}
-	s.log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Token()).
-		Dur("left_ms", held.Remaining()).Send()
-	s.rest(ctx, held)
+	return *closed
 }
 
 // cancelWhenDone ends the wait for a claim when another node has done the work.
@@ -166,28 +188,11 @@
 	}
 }
 
-// renew returns the renewed claim, or the old one where that failed.
-func (s *Service) renew(ctx context.Context, held *claim.Claim) *claim.Claim {
-	ctx, cancel := context.WithTimeout(ctx, held.Remaining()-orderTimeout)
-	defer cancel()
-	renewed, err := s.claimer.Renew(ctx, held, claimTTL)
-	if err == nil {
-		return renewed
-	}
-	s.log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Token()).AnErr("error", err).Send()
-	if !errors.Is(err, claim.ErrExpired) {
-		s.wait(ctx, claimPoll)
-	}
-	return held
-}
-
-// rest keeps the claim, unused, until it runs out, so that a next holder's orders
-// don't follow on this one's. A version that is named meanwhile is taken up.
-func (s *Service) rest(ctx context.Context, held *claim.Claim) {
-	for ctx.Err() == nil && held.Valid(renewAt) {
-		s.wait(ctx, idleTick)
-		if s.pending() {
-			return
-		}
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -20,6 +20,14 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
+// Closed is an engine that is about to load.
+type Closed struct {
+	Endpoint string
+	// Loads is true where the engine refuses requests now or very soon. Until then
+	// it takes short ones.
+	Loads bool
+}
+
 // Reply is an engine's answer to an order.
 type Reply int
 
@@ -46,14 +54,16 @@
 	return names[r]
 }
 
-// Order asks an engine to load a version of a model's weights, after the runs that
-// have begun are done.
+// Order asks an engine to load a version of a model's weights.
 type Order struct {
 	Model    string
 	Version  int64
 	Holder   string // the node that gives it
 	Token    int64  // fencing token of the holder's claim
 	Expected int64  // number of orders that the engine must have taken before
+	// Continue lets the runs that have begun go on with the new weights. Without
+	// it they are finished first.
+	Continue bool
 }
 
 // Report is an engine's state.
@@ -88,11 +98,10 @@
 	Wanted(model string) (version int64, since time.Time)
 }
 
-// AtOnce is the number of engines that are brought to a version at the same time.
-// An engine first finishes its runs, for up to 2.5 s, and then loads for 1.3 s;
-// more than two loads at once slow each other down, so that three orders at a time
-// keep about two loads going.
-const AtOnce = 3
+// AtOnce is the number of engines that are brought to a version at the same time,
+// each for emptyTime and a load of 1.3 s. With more the rest can't read the prompts
+// that are kept nowhere under the new version yet.
+const AtOnce = 2
 
 // Behind returns the engines that lack the wanted version of the model, in the
 // order in which they are brought to it. All nodes come to the same order, so that
