Know kept parts by events alone, and tell peers of each placement

Change: configuration reads of 0.9 s; no notes beside events; a version's age is counted from when it may first have been replaced; digests follow placements.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,7 +48,6 @@
 		x.outcome.Attempts++
 		v := x.attempt(ctx, query, &placement)
 		x.judge(&placement, v)
-		x.Placer.Placed(query, &placement, v == delivered || v == answered)
 		if v == delivered {
 			return nil
 		}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -233,7 +233,12 @@
 		event = event.Str("route", x.route.Name).Str("account", x.outcome.Account)
 	}
 	if x.placed != nil {
-		event = event.Str("endpoint", x.placed.Member.ID).Str("why", x.placed.Reason).Int64("weights", x.placed.Attempt.Version)
+		event = event.Str("endpoint", x.placed.Member.ID).Str("why", x.placed.Reason).Int64("weights", x.placed.Attempt.Version).
+			Int("read", x.placed.Reading).Int("cached", x.placed.Cached).Int("fetched", x.placed.Fetched).
+			Strs("saved", x.placed.Attempt.Targets)
+	}
+	if parts := x.attrs.Parts; len(parts) > 1 {
+		event = event.Str("session", parts[len(parts)-2].ID).Int("session_tokens", parts[len(parts)-2].Tokens)
 	}
 	if x.cause != nil {
 		event = event.Str("cause", x.cause.Error())
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -106,8 +106,9 @@
 	Member *fleet.Member
 	// Attempt is filled in but for Remaining and ResumeAfter.
 	Attempt Attempt
-	// Reading is the number of prompt tokens that the endpoint has to read.
-	Reading int
+	// Reading is the number of prompt tokens that the endpoint is expected to read;
+	// Cached and Fetched those that it has or gets from elsewhere.
+	Reading, Cached, Fetched int
 	// Reason says in a few words what decided.
 	Reason string
 }
@@ -116,6 +117,4 @@
 type Placer interface {
 	// Place returns a placement, or false where no endpoint can take the request.
 	Place(q *Query) (Placement, bool)
-	// Placed tells the placer how an attempt went.
-	Placed(q *Query, p *Placement, succeeded bool)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,8 +27,9 @@
 
 const (
 	// configWait is how long a read of the configuration waits for a change. Each
-	// read that ends proves that the configuration was current when it was sent.
-	configWait = 1200 * time.Millisecond
+	// read that ends proves that the configuration was current when it was sent, so
+	// that the proof is up to twice as old.
+	configWait = 900 * time.Millisecond
 	// registryPause is the time between two reads of the registry. Each heartbeat
 	// is a record, so a read that waits for one would end many times a second.
 	registryPause = 400 * time.Millisecond
@@ -151,6 +152,7 @@
 		Kept:         n.keeping.index,
 		MayName:      n.keeping.mayName,
 		Peers:        n.peers.Table,
+		Kick:         n.peers.Kick,
 		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
 	}
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -107,7 +107,7 @@
 		return false
 	}
 	by, replaced := k.node.state.replaced(model, version)
-	return !replaced || by.prompt && time.Since(by.since) < nameOldFor
+	return !replaced || by.prompt && time.Since(by.seen) < nameOldFor
 }
 
 // Outdated implements kept.Outdated.
@@ -117,7 +117,7 @@
 		return false
 	}
 	by, replaced := k.node.state.replaced(salt.Model, salt.Version)
-	return replaced && time.Since(by.since) > freeAfter+k.turn()
+	return replaced && time.Since(by.seen) > freeAfter+k.turn()
 }
 
 // turn is how much later than the first node this one looks.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -33,7 +33,9 @@
 // namedVersion is a version of a model that the operators named.
 type namedVersion struct {
 	version int64
-	since   time.Time // when it was first seen here
+	seen    time.Time // when it was first seen here
+	// notBefore is a time at which it was not named yet, as far as is known.
+	notBefore time.Time
 	// prompt is true where it was seen soon after it was named, since the state
 	// was known to be current shortly before.
 	prompt bool
@@ -50,19 +52,33 @@
 	return &state{log: log, versions: make(map[string][]namedVersion), changed: make(chan struct{}, 1)}
 }
 
+// sight is when a batch of records was seen, and since when they may have been there.
+type sight struct {
+	at, notBefore time.Time
+	prompt        bool
+}
+
+// unknownAge is how long ago a version may count as named that a node finds when it
+// starts. It leaves engines with older weights a few seconds, the time for which a
+// start excuses a node.
+const unknownAge = 7 * time.Second
+
 // Apply implements follow.Sink. The configuration is stored before the time at
 // which it was current, so that a reader who takes them the other way round never
 // finds it fresher than it is.
 func (s *state) Apply(b follow.Batch) {
-	before := s.proven.Load()
-	prompt := before != nil && b.ProvenAt.Sub(*before) < namingAge
+	sight := sight{at: time.Now(), notBefore: time.Now().Add(-unknownAge)}
+	if before := s.proven.Load(); before != nil {
+		sight.notBefore = *before
+		sight.prompt = b.ProvenAt.Sub(*before) < namingAge
+	}
 	for i := range b.Records {
-		s.applyRecord(&b.Records[i], prompt)
+		s.applyRecord(&b.Records[i], &sight)
 	}
 	s.proven.Store(&b.ProvenAt)
 }
 
-func (s *state) applyRecord(r *follow.Record, prompt bool) {
+func (s *state) applyRecord(r *follow.Record, sight *sight) {
 	if r.Value == nil {
 		return // the operators never withdraw a configuration
 	}
@@ -71,7 +87,7 @@
 		return
 	}
 	if model, ok := platform.ModelOf(r.Key); ok {
-		s.applyVersion(model, r, prompt)
+		s.applyVersion(model, r, sight)
 	}
 }
 
@@ -87,10 +103,21 @@
 	}
 	s.config.Store(config)
 	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
-		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Send()
+		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Int("ranked", ranked(config)).Send()
+}
+
+// ranked counts the client accounts with a priority of their own.
+func ranked(c *routing.Config) int {
+	n := 0
+	for i := range c.Accounts {
+		if c.Accounts[i].Priority != nil {
+			n++
+		}
+	}
+	return n
 }
 
-func (s *state) applyVersion(model string, r *follow.Record, prompt bool) {
+func (s *state) applyVersion(model string, r *follow.Record, sight *sight) {
 	version, err := platform.DecodeVersion(r.Value)
 	if err != nil {
 		s.reject(r, err)
@@ -100,7 +127,7 @@
 	named := s.versions[model]
 	newer := len(named) == 0 || version > named[len(named)-1].version
 	if newer {
-		s.versions[model] = append(named, namedVersion{version, time.Now(), prompt})
+		s.versions[model] = append(named, namedVersion{version: version, seen: sight.at, notBefore: sight.notBefore, prompt: sight.prompt})
 	}
 	s.mu.Unlock()
 	if !newer {
@@ -137,7 +164,7 @@
 		return 0, time.Time{}
 	}
 	newest := named[len(named)-1]
-	return newest.version, newest.since
+	return newest.version, newest.notBefore
 }
 
 // replaced returns the first version that replaced one, and false for a version
@@ -153,6 +180,12 @@
 	return namedVersion{}, false
 }
 
+// Replaced implements placer.Versions.
+func (s *state) Replaced(model string, version int64) (time.Time, bool) {
+	by, ok := s.replaced(model, version)
+	return by.notBefore, ok
+}
+
 // Models implements weights.Wanted.
 func (s *state) Models() []string {
 	s.mu.Lock()
--- a/internal/kept/free.go
+++ b/internal/kept/free.go
@@ -48,6 +48,6 @@
 		return
 	}
 	for _, part := range parts {
-		store.Note(part, 0)
+		store.forget(part)
 	}
 }
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -79,12 +79,11 @@
 	return !h.lost
 }
 
-// Note says that a part is about to be kept, before any event tells. It is meant
-// for engines: a store's part counts only when its event says that it is whole.
-func (h *Holder) Note(p Part, tokens int) {
+// forget notes that a part was freed, before its event tells.
+func (h *Holder) forget(p Part) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.set(p, tokens)
+	h.set(p, 0)
 }
 
 // savePatience is how long a part that was sent to a store is waited for before it
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -24,6 +24,9 @@
 	// closedFor is how long an endpoint stays closed on one message, so that a few
 	// lost ones are bridged.
 	closedFor = 600 * time.Millisecond
+	// spacing is the shortest time between two messages. It leaves time for the
+	// request that a message is sent for to be counted.
+	spacing = 15 * time.Millisecond
 )
 
 // Exchange sends this node's digests and takes those of its peers.
@@ -38,6 +41,7 @@
 	log         zerolog.Logger
 	peers       atomic.Pointer[[]*net.UDPAddr]
 	seq         int64
+	kick        chan struct{}
 }
 
 // Listen opens the node's port. members are the endpoints whose load is told,
@@ -53,7 +57,7 @@
 	}
 	return &Exchange{
 		Table: NewTable(), node: node, incarnation: time.Now().UnixNano(),
-		conn: conn, members: members, closed: closed, log: log,
+		conn: conn, members: members, closed: closed, log: log, kick: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -87,8 +91,27 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			e.send()
+		case <-e.kick:
+			sleep(ctx, spacing)
 		}
+		e.send()
+	}
+}
+
+// Kick has a message sent soon, since this node's load has changed. It never waits.
+func (e *Exchange) Kick() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,9 +20,12 @@
 
 // Versions are the versions of weights that the operators want.
 type Versions interface {
-	// Wanted returns the wanted version of a model and when it was first seen; 0
-	// where none was named.
+	// Wanted returns the wanted version of a model and a time at which it was not
+	// named yet; 0 where none was named.
 	Wanted(model string) (version int64, since time.Time)
+	// Replaced returns since when a version may have been replaced, and false for
+	// one that is wanted.
+	Replaced(model string, version int64) (since time.Time, ok bool)
 }
 
 // Placer implements forward.Placer.
@@ -36,6 +39,8 @@
 	MayName func(model string, version int64) bool
 	// Peers is what the other nodes tell.
 	Peers *peerload.Table
+	// Kick has the other nodes told soon of a placement.
+	Kick func()
 	// Closed are the engines that this node has loaded now.
 	Closed func() []weights.Closed
 	// VersionApply is the operators' bound on new weights.
@@ -56,17 +61,6 @@
 	return p.placePrompt(q, candidates)
 }
 
-// Placed implements forward.Placer.
-func (p *Placer) Placed(q *forward.Query, placement *forward.Placement, succeeded bool) {
-	engine := p.Kept.Engine(placement.Member.ID)
-	if !succeeded || engine == nil || placement.Attempt.Salt == "" {
-		return
-	}
-	for _, part := range q.Attributes.Parts {
-		engine.Note(kept.Part{Salt: placement.Attempt.Salt, ID: part.ID}, part.Tokens)
-	}
-}
-
 // usable returns the endpoints that were not tried and are not avoided. Where all
 // are avoided, none is: a judgement that leaves no endpoint helps nobody.
 func usable(members []*fleet.Member, tried []string, now time.Time) []*fleet.Member {
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -54,6 +54,7 @@
 		}
 		return cost
 	}), byCost).member
+	p.Kick()
 	return p.placement(q, best, plans[best.ID]), true
 }
 
@@ -70,6 +71,8 @@
 			Targets:  p.targets(q, plan),
 		},
 		Reading: plan.reading,
+		Cached:  plan.cached,
+		Fetched: plan.fetched,
 		Reason:  plan.reason(),
 	}
 	if plan.fromStore {
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -25,10 +25,10 @@
 
 // rollout is how far the engines are on the way to a wanted version.
 type rollout struct {
-	model  string
-	wanted int64
-	age    time.Duration // since the version was named
-	limit  time.Duration // from when on no request may begin on older weights
+	model    string
+	wanted   int64
+	versions Versions
+	limit    time.Duration // from when on no request may begin on replaced weights
 	// closed are the engines that a holder of orders has loaded now; true where
 	// they take no requests at all, else they take short ones.
 	closed map[string]bool
@@ -36,27 +36,39 @@
 }
 
 func (p *Placer) rollout(q *forward.Query) *rollout {
-	wanted, since := p.Versions.Wanted(q.Attributes.Model)
-	r := &rollout{model: q.Attributes.Model, wanted: wanted}
-	r.age = time.Since(since)
-	r.limit = p.VersionApply() - beginMargin
-	r.closed = p.Peers.Closed(time.Now())
+	wanted, _ := p.Versions.Wanted(q.Attributes.Model)
+	r := &rollout{
+		model:    q.Attributes.Model,
+		wanted:   wanted,
+		versions: p.Versions,
+		limit:    p.VersionApply() - beginMargin,
+		closed:   p.Peers.Closed(time.Now()),
+		short:    q.Attributes.OutputTokens <= shortAnswer,
+	}
 	for _, c := range p.Closed() {
 		r.closed[c.Endpoint] = r.closed[c.Endpoint] || c.Loads
 	}
-	r.short = q.Attributes.OutputTokens <= shortAnswer
 	return r
 }
 
+// replacedFor returns how long ago the engine's weights may have been replaced, 0
+// where they are the wanted ones.
+func (r *rollout) replacedFor(m *fleet.Member) time.Duration {
+	version := m.VersionOf(r.model)
+	if version >= r.wanted {
+		return 0
+	}
+	since, replaced := r.versions.Replaced(r.model, version)
+	if !replaced {
+		return 0
+	}
+	return time.Since(since)
+}
+
 // filter removes the engines whose weights are too old, and those that load now
 // unless no other is left.
 func (r *rollout) filter(candidates []*fleet.Member) []*fleet.Member {
-	if r.wanted > 0 && r.age > r.limit {
-		candidates = slices.DeleteFunc(slices.Clone(candidates), r.isBehind)
-	}
-	if len(r.closed) == 0 {
-		return candidates
-	}
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return r.replacedFor(m) > r.limit })
 	open := slices.DeleteFunc(slices.Clone(candidates), r.isClosed)
 	if len(open) == 0 {
 		return candidates
@@ -64,8 +76,6 @@
 	return open
 }
 
-func (r *rollout) isBehind(m *fleet.Member) bool { return m.VersionOf(r.model) < r.wanted }
-
 func (r *rollout) isClosed(m *fleet.Member) bool {
 	loads, closed := r.closed[m.ID]
 	return loads || closed && !r.short
@@ -73,7 +83,7 @@
 
 // cost is what speaks against an engine because of its weights, in ms.
 func (r *rollout) cost(m *fleet.Member) float64 {
-	if r.isBehind(m) && r.age > oldWeightsAfter {
+	if r.replacedFor(m) > oldWeightsAfter {
 		return oldWeightsMs
 	}
 	return 0
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -94,7 +94,8 @@
 type Wanted interface {
 	// Models returns the models of which a version was named.
 	Models() []string
-	// Wanted returns the wanted version of a model and when it was first seen.
+	// Wanted returns the wanted version of a model and a time at which it was not
+	// named yet.
 	Wanted(model string) (version int64, since time.Time)
 }
 
