Rank requests by account, then by route

Cause: all client accounts have the same rank, so engines took requests in the order of arrival; when prompts are cold after new weights, long prompts filled the engines' memory and everything was late. Change: the rank that engines see is the account's, then the route's.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -103,18 +103,18 @@
 	}
 	s.config.Store(config)
 	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
-		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Int("ranked", ranked(config)).Send()
+		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Ints("ranks", ranks(config)).Send()
 }
 
-// ranked counts the client accounts with a priority of their own.
-func ranked(c *routing.Config) int {
-	n := 0
+// ranks returns the priorities of the client accounts that have one.
+func ranks(c *routing.Config) []int {
+	var list []int
 	for i := range c.Accounts {
-		if c.Accounts[i].Priority != nil {
-			n++
+		if p := c.Accounts[i].Priority; p != nil {
+			list = append(list, *p)
 		}
 	}
-	return n
+	return list
 }
 
 func (s *state) applyVersion(model string, r *follow.Record, sight *sight) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -138,20 +138,25 @@
 	return q.Account.Name
 }
 
-// priorityOf returns the rank of a request: its client account's, or else its
-// route's.
+const (
+	// maxPriority is the least urgent rank that engines know.
+	maxPriority = 9
+	// routeRanks is the number of ranks that routes have below each rank of client
+	// accounts.
+	routeRanks = 3
+)
+
+// priorityOf returns the rank of a request: its client account's goes before its
+// route's, which tells apart the requests of accounts of equal rank.
 func priorityOf(q *forward.Query) *int {
-	priority := &q.Route.Priority
+	rank := min(max(q.Route.Priority, 0), routeRanks-1)
 	if q.Account != nil && q.Account.Priority != nil {
-		priority = q.Account.Priority
+		rank += routeRanks * max(*q.Account.Priority, 0)
 	}
-	rank := min(max(*priority, 0), maxPriority)
+	rank = min(rank, maxPriority)
 	return &rank
 }
 
-// maxPriority is the least urgent rank that engines know.
-const maxPriority = 9
-
 // saltOf returns the text under which the request's parts are kept.
 func saltOf(q *forward.Query, version int64) string {
 	salt := kept.Salt{Model: q.Attributes.Model, Version: version}
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -13,15 +13,22 @@
 const (
 	// reportPause is the time between two reports of an engine that loads. Reports
 	// are priced, and some hundred ms old.
-	reportPause = 200 * time.Millisecond
+	reportPause = 120 * time.Millisecond
+	// maxJobs is the number of engines that are emptied or load at the same time.
+	// With more the rest can't read the prompts that are kept nowhere under the new
+	// version yet.
+	maxJobs = 3
+	// maxLoads is the number of engines that load at the same time; more than two
+	// slow each other down. One is emptied meanwhile.
+	maxLoads = 2
 	// emptyTime is how long an engine gets no new long runs before it is ordered to
-	// load. Runs last 1.5 s on average and up to 6 s; the few that are left then go
-	// on with the new weights and lose a part of their worth, where waiting for
-	// them would cost the engine's whole service.
-	emptyTime = 1000 * time.Millisecond
+	// load. Runs last 1.5 s on average and up to 6 s; those that are left then go on
+	// with the new weights and lose a part of their worth, where waiting for them
+	// would cost the engine's whole service.
+	emptyTime = 800 * time.Millisecond
 	// closedEarly is how long before the order an engine gets no requests at all,
 	// so that all nodes have heard of it.
-	closedEarly = 300 * time.Millisecond
+	closedEarly = 200 * time.Millisecond
 	// lostOrder is how long an order without an answer may still be taken before
 	// it is given again; what comes later is refused by its expected number.
 	lostOrder = time.Second
@@ -92,7 +99,7 @@
 		}
 	}
 	for _, m := range list {
-		if len(s.jobs) >= AtOnce {
+		if len(s.jobs) >= maxJobs {
 			return
 		}
 		if _, under := s.jobs[m.ID]; !under {
@@ -119,6 +126,10 @@
 	if report.Busy || time.Since(j.ordered) < lostOrder {
 		return true
 	}
+	j.ordered = time.Time{} // an order without effect is given again
+	if s.loads() >= maxLoads {
+		return true
+	}
 	empty := report.Running+report.Waiting == 0 && time.Since(j.begun) > closedEarly
 	if !empty && time.Since(j.begun) < emptyTime {
 		return true
@@ -126,6 +137,17 @@
 	return s.order(ctx, held, m, j, &report)
 }
 
+// loads returns the number of engines that were ordered to load and have not done so.
+func (s *Service) loads() int {
+	n := 0
+	for _, j := range s.jobs {
+		if !j.ordered.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Service) order(ctx context.Context, held *claim.Claim, m *fleet.Member, j *job, report *Report) bool {
 	bounded, cancel, err := held.Order(ctx)
 	if err != nil {
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -99,11 +99,6 @@
 	Wanted(model string) (version int64, since time.Time)
 }
 
-// AtOnce is the number of engines that are brought to a version at the same time,
-// each for emptyTime and a load of 1.3 s. With more the rest can't read the prompts
-// that are kept nowhere under the new version yet.
-const AtOnce = 2
-
 // Behind returns the engines that lack the wanted version of the model, in the
 // order in which they are brought to it. All nodes come to the same order, so that
 // each knows without asking which engines will soon refuse requests.
