--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,88 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func endpoint(draining bool) *fleet.Endpoint {
+	return &fleet.Endpoint{ID: "e", Service: "s", Addr: "127.0.0.1:1", Draining: draining, Weights: []fleet.Weights{{Model: "m", Version: 1}}}
+}
+
+func usable(f *fleet.Fleet) bool { return len(f.Members("s")) == 1 }
+
+// TestDrainingStays keeps an old entry, which arrives late, from bringing a leaving
+// endpoint back.
+func TestDrainingStays(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(endpoint(false), at(0))
+	test.True(t, usable(f))
+	f.Update(endpoint(true), at(time.Second))
+	test.False(t, usable(f))
+	f.Update(endpoint(false), at(2*time.Second))
+	test.False(t, usable(f))
+	f.Remove("e", false, at(3*time.Second))
+	f.Expire(at(4 * time.Second))
+	f.Update(endpoint(false), at(5*time.Second))
+	test.False(t, usable(f))
+}
+
+func TestRemovedAtOnce(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(endpoint(false), at(0))
+	f.Remove("e", false, at(time.Second))
+	test.False(t, usable(f))
+}
+
+// TestLapse uses an endpoint whose entry went during an outage of the registry until
+// it would have come back.
+func TestLapse(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(endpoint(false), at(0))
+	f.Retain(map[string]bool{}, true, at(time.Second))
+	f.Expire(at(2 * time.Second))
+	test.True(t, usable(f))
+	f.Update(endpoint(false), at(2500*time.Millisecond))
+	f.Expire(at(10 * time.Second))
+	test.True(t, usable(f), test.Sprint("back in the registry"))
+	f.Remove("e", true, at(11*time.Second))
+	f.Expire(at(11*time.Second + fleet.LapseHold))
+	test.False(t, usable(f), test.Sprint("gone for good"))
+}
+
+func TestVersionsSeenInAnswers(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(endpoint(false), at(0))
+	m := f.Members("s")[0]
+	m.SawVersion("m", 3)
+	test.Eq(t, 3, m.VersionOf("m"))
+	m.SawVersion("m", 2)
+	f.Update(endpoint(false), at(time.Second))
+	test.Eq(t, 3, m.VersionOf("m"), test.Sprint("the entry is older"))
+}
+
+func TestHealth(t *testing.T) {
+	var h fleet.Health
+	test.True(t, h.Usable(at(0)))
+	h.Failed(at(0), true)
+	test.False(t, h.Usable(at(100*time.Millisecond)))
+	test.True(t, h.Usable(at(400*time.Millisecond)))
+	h.Failed(at(400*time.Millisecond), true)
+	test.False(t, h.Usable(at(900*time.Millisecond)), test.Sprint("twice as long"))
+	for range 5 {
+		h.Failed(at(time.Second), false)
+	}
+	test.Greater(t, 0.35, h.FailureRate())
+	test.False(t, h.Usable(at(3*time.Second)), test.Sprint("too many errors"))
+	h.Succeeded()
+	test.True(t, h.Usable(at(10*time.Second)))
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,195 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cherryward/cherryward/standin/modelserver"
+)
+
+const model = "m"
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestForwardsUnchanged(t *testing.T) {
+	w := newWorld(t, "")
+	got := w.do(t, http.MethodPost, uploadPath+"?x=%2f&y", "the body", func(r *http.Request) {
+		r.Header.Set("X-Custom", "kept")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "dropped")
+		for _, name := range []string{"X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Cache-Salt", "X-Kv-Source", "X-Kv-Target"} {
+			r.Header.Set(name, "forged")
+		}
+	})
+	must.Eq(t, http.StatusOK, got.status)
+	test.Eq(t, "s0 answers r1", got.body)
+	test.Eq(t, "seal-s0", got.header.Get("X-Server-Seal"))
+	runs := w.servers[0].Runs()
+	must.Len(t, 1, runs)
+	run := runs[0]
+	test.Eq(t, uploadPath+"?x=%2f&y", run.Target)
+	test.Eq(t, "the body", run.Body)
+	test.Eq(t, "kept", run.Header.Get("X-Custom"))
+	test.Eq(t, "yard", run.Header.Get("X-Tenant"))
+	test.Eq(t, "s0", run.Header.Get("X-Expect-Instance"))
+	for _, name := range []string{"X-Hop", "Authorization", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Cache-Salt", "X-Kv-Source", "X-Kv-Target"} {
+		test.Eq(t, "", run.Header.Get(name), test.Sprint(name))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		body   string
+		age    time.Duration
+		change func(*http.Request)
+		status int
+	}{
+		{name: "unknown path", path: "/nowhere/a", status: http.StatusNotFound},
+		{name: "no key", path: recordPath, change: func(r *http.Request) { r.Header.Del("Authorization") }, status: http.StatusUnauthorized},
+		{name: "unknown key", path: recordPath, change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }, status: http.StatusUnauthorized},
+		{name: "long header", path: recordPath, change: func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", maxHeader)) }, status: http.StatusRequestHeaderFieldsTooLarge},
+		{name: "long body", path: uploadPath, body: strings.Repeat("x", maxBody+1), status: http.StatusRequestEntityTooLarge},
+		{name: "stale key", path: recordPath, age: 4800 * time.Millisecond, status: http.StatusServiceUnavailable},
+		{name: "unknown path, stale", path: "/nowhere/a", age: 3 * time.Second, status: http.StatusServiceUnavailable},
+		{name: "unknown key, stale", path: recordPath, age: 3 * time.Second, change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer new") }, status: http.StatusServiceUnavailable},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, "")
+			w.state.age = tc.age
+			method := http.MethodGet
+			if tc.body != "" {
+				method = http.MethodPost
+			}
+			got := w.do(t, method, tc.path, tc.body, tc.change)
+			test.Eq(t, tc.status, got.status)
+			test.Eq(t, tc.status == http.StatusServiceUnavailable, got.header.Get("Retry-After") != "")
+			test.Len(t, 0, w.servers[0].Runs())
+		})
+	}
+}
+
+func TestNoConfiguration(t *testing.T) {
+	w := newWorld(t, "")
+	w.state.config = nil
+	test.Eq(t, http.StatusServiceUnavailable, w.do(t, http.MethodGet, recordPath, "", nil).status)
+}
+
+// TestSentAgain tells which failures of the first server are made up for by the
+// second, and which must not be.
+func TestSentAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		faults modelserver.Faults
+		status int
+		second int // runs at the second server
+	}{
+		{name: "upload refused as not run", path: uploadPath, faults: modelserver.Faults{Shed: true}, status: http.StatusOK, second: 1},
+		{name: "upload whose answer is lost", path: uploadPath, faults: modelserver.Faults{LoseAnswer: true}, status: http.StatusBadGateway},
+		{name: "upload answered 503 without proof", path: uploadPath, faults: modelserver.Faults{Unproven: true}, status: http.StatusBadGateway},
+		{name: "lookup whose answer is lost", path: recordPath, faults: modelserver.Faults{LoseAnswer: true}, status: http.StatusOK, second: 1},
+		{name: "lookup answered by an error", path: recordPath, faults: modelserver.Faults{Status: http.StatusInternalServerError}, status: http.StatusOK, second: 1},
+		{name: "upload answered by an error", path: uploadPath, faults: modelserver.Faults{Status: http.StatusInternalServerError}, status: http.StatusInternalServerError},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, "", "")
+			w.servers[0].SetFaults(tc.faults)
+			test.Eq(t, tc.status, w.do(t, http.MethodGet, tc.path, "", nil).status)
+			test.Len(t, tc.second, w.servers[1].Runs())
+		})
+	}
+}
+
+// TestAllRefuse leaves the promise that the request has not run.
+func TestAllRefuse(t *testing.T) {
+	w := newWorld(t, "", "")
+	for _, s := range w.servers {
+		s.SetFaults(modelserver.Faults{Shed: true})
+	}
+	got := w.do(t, http.MethodGet, uploadPath, "", nil)
+	test.Eq(t, http.StatusServiceUnavailable, got.status)
+	test.NotEq(t, "", got.header.Get("Retry-After"))
+}
+
+func TestForeignAnswers(t *testing.T) {
+	for _, faults := range []modelserver.Faults{{Foreign: true}, {Extra: true}} {
+		w := newWorld(t, "")
+		w.servers[0].SetFaults(faults)
+		for i := range 3 {
+			got := w.do(t, http.MethodGet, uploadPath, "", func(r *http.Request) { r.Header.Set("X-Attempt-Id", fmt.Sprint("r", i)) })
+			test.Eq(t, http.StatusOK, got.status)
+			test.Eq(t, fmt.Sprint("s0 answers r", i), got.body)
+		}
+	}
+}
+
+func TestStreams(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		faults modelserver.Faults
+		want   string
+		whole  bool
+		second int
+	}{
+		{name: "whole", path: streamPath, want: events(1, streamSize), whole: true},
+		{name: "cut, not resumable", path: streamPath, faults: modelserver.Faults{CutAfter: 2}, want: events(1, 2)},
+		{name: "cut, resumed", path: resumePath, faults: modelserver.Faults{CutAfter: 2}, want: events(1, streamSize), whole: true, second: 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, model, model)
+			w.servers[0].SetFaults(tc.faults)
+			got := w.do(t, http.MethodPost, tc.path, "prompt", nil)
+			test.Eq(t, http.StatusOK, got.status)
+			test.Eq(t, "seal-s0", got.header.Get("X-Server-Seal"))
+			test.Eq(t, tc.want, got.body)
+			test.Eq(t, tc.whole, got.err == nil)
+			runs := w.servers[1].Runs()
+			must.Len(t, tc.second, runs)
+			if tc.second > 0 {
+				test.Eq(t, "2", runs[0].Header.Get("Last-Event-Id"))
+			}
+		})
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	w := newWorld(t, model)
+	w.servers[0].SetFaults(modelserver.Faults{Hang: true})
+	left := make(chan struct{})
+	go func() {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return len(w.servers[0].Runs()) == 1 }), wait.Timeout(longTimeout), wait.Gap(time.Millisecond)))
+		close(left)
+	}()
+	w.doUntil(t, left, streamPath)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return w.servers[0].Left() == 1 }), wait.Timeout(longTimeout), wait.Gap(time.Millisecond)))
+}
+
+// TestTimeout answers at the caller's deadline, not later, and promises nothing.
+func TestTimeout(t *testing.T) {
+	w := newWorld(t, model)
+	w.servers[0].SetFaults(modelserver.Faults{Hang: true})
+	got := w.do(t, http.MethodGet, streamPath, "", func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "50") })
+	test.Eq(t, http.StatusGatewayTimeout, got.status)
+	runs := w.servers[0].Runs()
+	must.Len(t, 1, runs)
+	test.LessEq(t, 2, len(runs[0].Header.Get("X-Deadline-Ms")))
+}
--- /dev/null
+++ b/internal/forward/help_test.go
@@ -0,0 +1,163 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/platform"
+	"github.com/cherryward/cherryward/standin/modelserver"
+)
+
+const (
+	host        = "office.example"
+	key         = "the-key"
+	streamPath  = "/stream/a"
+	resumePath  = "/resume/a"
+	recordPath  = "/record/a"
+	uploadPath  = "/upload/a"
+	maxHeader   = 4 << 10
+	maxBody     = 1 << 10
+	streamSize  = 4 // events
+	longTimeout = 5 * time.Second
+)
+
+func config() *routing.Config {
+	route := func(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Resumable: resumable,
+			Timeout: longTimeout, Objective: time.Second, Upstreams: []routing.Upstream{{Service: "servers", Weight: 1}},
+		}
+	}
+	c := &routing.Config{
+		Version: 3,
+		Routes: []routing.Route{
+			route("stream", routing.Stream, 1, false),
+			route("resume", routing.Stream, 2, true),
+			route("record", routing.Idempotent, 2, false),
+			route("upload", routing.NonIdempotent, 1, false),
+		},
+		Services: []routing.Service{{Name: "servers"}},
+		Accounts: []routing.Account{{Name: "yard", Keys: []string{key}}},
+		Limits:   routing.Limits{HeaderBytes: maxHeader, BodyBytes: maxBody},
+	}
+	return c.Index()
+}
+
+// state is a configuration of a given age.
+type state struct {
+	config *routing.Config
+	age    time.Duration
+}
+
+func (s *state) Config() (*routing.Config, time.Duration) { return s.config, s.age }
+
+// inOrder places requests on the first endpoint that was not tried.
+type inOrder []*fleet.Member
+
+func (o inOrder) Place(q *forward.Query) (forward.Placement, bool) {
+	for _, m := range o {
+		if !slices.Contains(q.Tried, m.ID) {
+			return forward.Placement{Member: m, Attempt: forward.Attempt{Instance: m.ID, Account: "yard"}, Reason: "in_order"}, true
+		}
+	}
+	return forward.Placement{}, false
+}
+
+type outcomes struct{ list []forward.Outcome }
+
+func (o *outcomes) Forwarded(outcome *forward.Outcome) { o.list = append(o.list, *outcome) }
+
+// world is a handler before stand-ins of servers.
+type world struct {
+	state   *state
+	servers []*modelserver.Server
+	front   *httptest.Server
+}
+
+// newWorld starts one server for each config; they get the ids s0, s1 and so on.
+func newWorld(t *testing.T, models ...string) *world {
+	t.Helper()
+	w := &world{state: &state{config: config()}}
+	f := fleet.New(zerolog.Nop())
+	var order inOrder
+	for i, model := range models {
+		id := "s" + string(rune('0'+i))
+		server := modelserver.New(modelserver.Config{ID: id, Service: "servers", Model: model, Pieces: streamSize})
+		back := httptest.NewServer(server.Handler())
+		t.Cleanup(back.Close)
+		w.servers = append(w.servers, server)
+		f.Update(&fleet.Endpoint{ID: id, Service: "servers", Addr: strings.TrimPrefix(back.URL, "http://")}, time.Now())
+	}
+	members := f.Members("servers")
+	slices.SortFunc(members, func(a, b *fleet.Member) int { return strings.Compare(a.ID, b.ID) })
+	order = append(order, members...)
+	bounds := bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
+	w.front = httptest.NewServer(&forward.Handler{
+		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(bounds),
+		Bounds: func() bootstrap.Bounds { return bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
+	})
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+}
+
+func (w *world) request(t *testing.T, method, path, body string, change func(*http.Request)) *http.Request {
+	t.Helper()
+	var content io.Reader
+	if body != "" {
+		content = strings.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(t.Context(), method, w.front.URL+path, content)
+	must.NoError(t, err)
+	req.Host = host
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Attempt-Id", "r1")
+	req.Header.Set("X-Deadline-Ms", "4000")
+	if change != nil {
+		change(req)
+	}
+	return req
+}
+
+func (w *world) do(t *testing.T, method, path, body string, change func(*http.Request)) answer {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(w.request(t, method, path, body, change))
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// doUntil sends a request and leaves when left is closed.
+func (w *world) doUntil(t *testing.T, left <-chan struct{}, path string) {
+	t.Helper()
+	req := w.request(t, http.MethodGet, path, "", nil)
+	ctx, cancel := context.WithCancel(req.Context())
+	go func() {
+		<-left
+		cancel()
+	}()
+	if resp, err := http.DefaultClient.Do(req.WithContext(ctx)); err == nil {
+		resp.Body.Close()
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	boot    atomic.Pointer[bootstrap.Node]
 	state   *state
 	fleet   *fleet.Fleet
+	callers *server
 	keeping *keeping
 	orders  *weights.Service
 	peers   *peerload.Exchange
@@ -94,6 +95,7 @@
 		return nil, err
 	}
 	callers.linger = leaveTime
+	n.callers = callers
 	ready, err := listen("ready", boot.ReadyAddr, http.HandlerFunc(n.serveReady), &n.leaving, log)
 	if err != nil {
 		return nil, err
@@ -102,7 +104,7 @@
 	config.Wait = configWait
 	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: log})
 	endpoints.Pause = registryPause
-	members := newRoster(boot.Name, peerAddr(boot), store.Topic(nodesTopic), n.peers.SetPeers, log)
+	members := newRoster(boot.Name, n.peers.Addr(), store.Topic(nodesTopic), n.peers.SetPeers, log)
 	nodes := n.follower("nodes", store.Topic(nodesTopic), members)
 	nodes.Wait = nodesWait
 	callers.needs = []string{"ready", "config", "registry", "kept"}
@@ -190,6 +192,12 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// CallersAddr returns the address that callers connect to.
+func (n *Node) CallersAddr() string { return n.callers.listener.Addr().String() }
+
+// Ready reports whether the node tells the balancer to send callers.
+func (n *Node) Ready() bool { return n.ready() }
+
 // Run serves until ctx is done, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error { return n.kernel.Run(ctx) }
 
--- /dev/null
+++ b/internal/kept/kept_test.go
@@ -0,0 +1,66 @@
+package kept
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+var (
+	part  = Part{Salt: Salt{Model: "m", Version: 2}.String(), ID: "p"}
+	other = Part{Salt: Salt{Model: "m", Version: 1}.String(), ID: "p"}
+	now   = time.Unix(1000, 0)
+)
+
+func newStore() *Holder {
+	h := NewHolder("store", "127.0.0.1:1", "north")
+	h.Tokens = 100
+	return h
+}
+
+func TestEvents(t *testing.T) {
+	h := newStore()
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{part, 40}, {other, 16}}})
+	test.Eq(t, 40, h.Has(part))
+	h.apply(&Events{Epoch: 5, Next: 3, Changes: []Change{{part, 0}}})
+	test.Eq(t, 0, h.Has(part))
+	test.Eq(t, 16, h.used)
+	test.Eq(t, 3, h.since())
+}
+
+// TestRestart asks for all events of a holder that came back empty.
+func TestRestart(t *testing.T) {
+	h := newStore()
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{part, 40}}})
+	h.apply(&Events{Epoch: 6, Next: 1})
+	test.Eq(t, 0, h.Has(part))
+	test.Eq(t, 0, h.since())
+	h.apply(&Events{Epoch: 6, Next: 1, Changes: []Change{{part, 16}}})
+	test.Eq(t, 16, h.Has(part))
+	test.Eq(t, 1, h.since())
+}
+
+func TestBeginSave(t *testing.T) {
+	h := newStore()
+	test.True(t, h.BeginSave(part, 40, now))
+	test.False(t, h.BeginSave(part, 40, now.Add(time.Second)), test.Sprint("under way"))
+	test.True(t, h.BeginSave(part, 40, now.Add(savePatience)), test.Sprint("never arrived"))
+	test.False(t, h.BeginSave(other, 101, now), test.Sprint("no room"))
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{part, 40}}})
+	test.False(t, h.BeginSave(part, 40, now.Add(time.Minute)), test.Sprint("kept"))
+	h.failed()
+	test.False(t, h.BeginSave(other, 16, now), test.Sprint("out of reach"))
+}
+
+func TestSalt(t *testing.T) {
+	for _, s := range []Salt{{Model: "m", Version: 2}, {Model: "m", Version: 1, Account: "yard"}} {
+		got, ok := ParseSalt(s.String())
+		test.True(t, ok)
+		test.Eq(t, s, got)
+	}
+	for _, text := range []string{"", "m", "x/m/", "1/m"} {
+		_, ok := ParseSalt(text)
+		test.False(t, ok, test.Sprint(text))
+	}
+}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -61,9 +61,12 @@
 	}, nil
 }
 
+// Addr returns the address that peers send to.
+func (e *Exchange) Addr() string { return e.conn.LocalAddr().String() }
+
 // SetPeers replaces the addresses that digests go to. Wrong ones are left out.
 func (e *Exchange) SetPeers(addrs []string) {
-	own := e.conn.LocalAddr().String()
+	own := e.Addr()
 	slices.Sort(addrs)
 	var peers []*net.UDPAddr
 	for _, addr := range slices.Compact(addrs) {
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,272 @@
+package placer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/weights"
+)
+
+const (
+	model = "m"
+	store = "10.9.0.1:1"
+	limit = 12 * time.Second
+	home  = "e2" // of the query's session among e0, e1 and e2
+)
+
+// source tells each holder's events once.
+type source map[string][]kept.Change
+
+func (s source) Events(_ context.Context, addr string, since int64, _ time.Duration) (kept.Events, error) {
+	e := kept.Events{Epoch: 1, Next: 1, ClockMS: 1000}
+	if since == 0 {
+		e.Changes = s[addr]
+	}
+	return e, nil
+}
+
+func (source) Free(context.Context, string, []kept.Part, int64) error { return nil }
+
+// versions are what the operators named, and how long ago.
+type versions struct {
+	wanted int64
+	age    time.Duration
+}
+
+func (v *versions) Wanted(string) (int64, time.Time) { return v.wanted, time.Now().Add(-v.age) }
+
+func (v *versions) Replaced(_ string, version int64) (time.Time, bool) {
+	return time.Now().Add(-v.age), version < v.wanted
+}
+
+type world struct {
+	*placer.Placer
+	versions *versions
+	members  []*fleet.Member
+	mayName  bool
+	closed   []weights.Closed
+}
+
+func addr(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+// newWorld has three engines with the given versions of their weights.
+func newWorld(t *testing.T, kept3 source, has ...int64) *world {
+	t.Helper()
+	w := &world{versions: &versions{wanted: 1}, mayName: true}
+	f := fleet.New(zerolog.Nop())
+	index := kept.NewIndex(kept3, zerolog.Nop())
+	var engines []*kept.Holder
+	for i, version := range has {
+		id := fmt.Sprint("e", i)
+		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: addr(i), Domain: "north", Weights: []fleet.Weights{{Model: model, Version: version}}}, time.Now())
+		h := kept.NewHolder(id, addr(i), "north")
+		h.Mbps = 1_000_000
+		engines = append(engines, h)
+	}
+	keep := kept.NewHolder(store, store, "north")
+	keep.Mbps, keep.Tokens = 300_000, 1_000_000
+	ctx, cancel := context.WithCancel(t.Context())
+	index.Follow(ctx, engines, []*kept.Holder{keep})
+	t.Cleanup(func() { cancel(); index.Wait() })
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return told(index, kept3) }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+	w.Placer = &placer.Placer{
+		Domain: "north", Fleet: f, Versions: w.versions, Kept: index, Peers: peerload.NewTable(), Kick: func() {},
+		MayName:      func(string, int64) bool { return w.mayName },
+		Closed:       func() []weights.Closed { return w.closed },
+		VersionApply: func() time.Duration { return limit },
+	}
+	w.members = f.Members("s")
+	return w
+}
+
+// told reports whether the index has all events.
+func told(index *kept.Index, s source) bool {
+	holders := index.Stores()
+	for _, h := range index.Engines() {
+		holders = append(holders, h)
+	}
+	for _, h := range holders {
+		for _, c := range s[h.Addr] {
+			if h.Has(c.Part) != c.Tokens {
+				return false
+			}
+		}
+	}
+	return index.ClockMS() > 0
+}
+
+func salt(version int64, account string) string {
+	return kept.Salt{Model: model, Version: version, Account: account}.String()
+}
+
+func query() *forward.Query {
+	return &forward.Query{
+		Route:   &routing.Route{Priority: 2},
+		Service: &routing.Service{Name: "s", Engine: &routing.Engine{TokenBytes: 35136}},
+		Account: &routing.Account{Name: "yard"},
+		Attributes: &forward.Attributes{Model: model, OutputTokens: 400, Parts: []forward.Part{
+			{ID: "common", Tokens: 500}, {ID: "session", Tokens: 9000}, {ID: "own", Tokens: 2000},
+		}},
+	}
+}
+
+func shared(version int64, account string) []kept.Change {
+	return []kept.Change{
+		{Part: kept.Part{Salt: salt(version, account), ID: "common"}, Tokens: 500},
+		{Part: kept.Part{Salt: salt(version, account), ID: "session"}, Tokens: 9000},
+	}
+}
+
+func TestGoesWherePartsAre(t *testing.T) {
+	w := newWorld(t, source{addr(2): shared(1, "")}, 1, 1, 1)
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, home, p.Member.ID)
+	test.Eq(t, 2000, p.Reading)
+	test.Eq(t, "cached", p.Reason)
+	test.Eq(t, 1, p.Attempt.Version)
+}
+
+// TestBringsPartsAlong fetches from a busy engine rather than waiting for it.
+func TestBringsPartsAlong(t *testing.T) {
+	w := newWorld(t, source{addr(1): shared(1, "")}, 1, 1, 1)
+	for _, m := range w.members {
+		if m.ID == "e1" {
+			m.Load.Begin(100_000)
+		}
+	}
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.NotEq(t, "e1", p.Member.ID)
+	test.Eq(t, []string{addr(1), addr(1), ""}, p.Attempt.Sources)
+	test.Eq(t, 0, p.Attempt.FetchUntil, test.Sprint("only fetches from stores have an end"))
+}
+
+func TestFetchesFromStore(t *testing.T) {
+	w := newWorld(t, source{store: shared(1, "")}, 1, 1, 1)
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, []string{store, store, ""}, p.Attempt.Sources)
+	test.Greater(t, 1000, p.Attempt.FetchUntil)
+	test.Nil(t, p.Attempt.Targets, test.Sprint("nothing is saved twice"))
+	w.mayName = false
+	p, ok = w.Place(query())
+	must.True(t, ok)
+	test.Nil(t, p.Attempt.Sources, test.Sprint("a part that may be freed is not named"))
+}
+
+func TestSavesSharedParts(t *testing.T) {
+	w := newWorld(t, source{}, 1, 1, 1)
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, []string{store, store, ""}, p.Attempt.Targets)
+	p, ok = w.Place(query())
+	must.True(t, ok)
+	test.Nil(t, p.Attempt.Targets, test.Sprint("the save is under way"))
+}
+
+// TestIsolation shares nothing with an isolated account, either way.
+func TestIsolation(t *testing.T) {
+	w := newWorld(t, source{addr(1): shared(1, ""), store: shared(1, "other")}, 1, 1, 1)
+	q := query()
+	q.Account.Isolated = true
+	p, ok := w.Place(q)
+	must.True(t, ok)
+	test.Eq(t, salt(1, "yard"), p.Attempt.Salt)
+	test.Nil(t, p.Attempt.Sources)
+	test.Eq(t, 11500, p.Reading)
+}
+
+// TestVersions uses nothing that other weights made.
+func TestVersions(t *testing.T) {
+	w := newWorld(t, source{addr(0): shared(1, ""), store: shared(1, "")}, 2, 2, 2)
+	w.versions.wanted = 2
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Nil(t, p.Attempt.Sources)
+	test.Eq(t, salt(2, ""), p.Attempt.Salt)
+	test.Eq(t, 2, p.Attempt.Version)
+}
+
+// TestOldWeights are used while newer ones are loaded, and not beyond the bound.
+func TestOldWeights(t *testing.T) {
+	w := newWorld(t, source{}, 1, 1, 1)
+	w.versions.wanted, w.versions.age = 2, 9*time.Second
+	_, ok := w.Place(query())
+	test.True(t, ok)
+	w.versions.age = limit
+	_, ok = w.Place(query())
+	test.False(t, ok)
+}
+
+func TestNewWeightsPreferred(t *testing.T) {
+	w := newWorld(t, source{addr(0): shared(1, "")}, 1, 1, 2)
+	w.versions.wanted, w.versions.age = 2, 5*time.Second
+	q := query()
+	q.Attributes.Parts = q.Attributes.Parts[2:] // without a home
+	p, ok := w.Place(q)
+	must.True(t, ok)
+	test.Eq(t, "e2", p.Member.ID)
+}
+
+func TestClosedEngines(t *testing.T) {
+	w := newWorld(t, source{addr(2): shared(1, "")}, 1, 1, 1)
+	w.closed = []weights.Closed{{Endpoint: home}}
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.NotEq(t, home, p.Member.ID)
+	short := query()
+	short.Attributes.OutputTokens = 20
+	p, ok = w.Place(short)
+	must.True(t, ok)
+	test.Eq(t, home, p.Member.ID, test.Sprint("a short answer ends before the load"))
+	w.closed[0].Loads = true
+	p, ok = w.Place(short)
+	must.True(t, ok)
+	test.NotEq(t, home, p.Member.ID)
+}
+
+func TestRank(t *testing.T) {
+	w := newWorld(t, source{}, 1)
+	rank := func(account *int, route int) int {
+		q := query()
+		q.Account.Priority, q.Route.Priority = account, route
+		p, ok := w.Place(q)
+		must.True(t, ok)
+		return *p.Attempt.Priority
+	}
+	first, second := 0, 1
+	test.Less(t, rank(&second, 0), rank(&first, 2))
+	test.Less(t, rank(&second, 2), rank(&second, 1))
+	test.LessEq(t, 9, rank(&[]int{7}[0], 2))
+}
+
+func TestTriedAndEjected(t *testing.T) {
+	w := newWorld(t, source{}, 1, 1)
+	q := query()
+	q.Tried = []string{"e0"}
+	p, ok := w.Place(q)
+	must.True(t, ok)
+	test.Eq(t, "e1", p.Member.ID)
+	for _, m := range w.members {
+		m.Health.Failed(time.Now(), true)
+	}
+	_, ok = w.Place(q)
+	test.True(t, ok, test.Sprint("where all are avoided none is"))
+	q.Tried = []string{"e0", "e1"}
+	_, ok = w.Place(q)
+	test.False(t, ok)
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,58 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/routing"
+)
+
+func config() *routing.Config {
+	route := func(name, host, prefix string) routing.Route {
+		return routing.Route{Name: name, Host: host, Prefix: prefix, Upstreams: []routing.Upstream{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	}
+	c := &routing.Config{
+		Routes:   []routing.Route{route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/a/")},
+		Services: []routing.Service{{Name: "a"}, {Name: "b"}},
+		Accounts: []routing.Account{{Name: "yard", Keys: []string{"k1", "k2"}}},
+	}
+	return c.Index()
+}
+
+func TestMatch(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"h", "/a/", "short"},
+		{"h", "/a/x", "short"},
+		{"h", "/a/b", "short"},
+		{"h", "/a/b/", "long"},
+		{"H:8080", "/a/b/c", "long"},
+		{"i", "/a/b/c", "other"},
+		{"h", "/a", ""},
+		{"j", "/a/", ""},
+	}
+	for _, tc := range tests {
+		got := ""
+		if r := config().Match(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		test.Eq(t, tc.want, got, test.Sprint(tc.host, tc.path))
+	}
+}
+
+func TestLookups(t *testing.T) {
+	c := config()
+	must.NotNil(t, c.AccountOf("k2"))
+	test.Eq(t, "yard", c.AccountOf("k2").Name)
+	test.Nil(t, c.AccountOf(""))
+	test.NotNil(t, c.Service("b"))
+	test.Nil(t, c.Service("c"))
+}
+
+func TestChoose(t *testing.T) {
+	r := config().Match("h", "/a/")
+	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999999: "b"} {
+		test.Eq(t, want, r.Choose(draw))
+	}
+}
--- /dev/null
+++ b/internal/weights/service_test.go
@@ -0,0 +1,296 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+const (
+	model    = "m"
+	loadTime = 1300 * time.Millisecond
+	lease    = 3 * time.Second
+)
+
+// memLog is a log that can be away.
+type memLog struct {
+	mu      sync.Mutex
+	records [][]byte
+	down    bool
+}
+
+var errDown = errors.New("down")
+
+func (l *memLog) Append(_ context.Context, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, errDown
+	}
+	l.records = append(l.records, data)
+	return int64(len(l.records) - 1), nil
+}
+
+func (l *memLog) Read(_ context.Context, from int64, _ int) ([]claim.Record, int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, 0, errDown
+	}
+	var records []claim.Record
+	for i := from; i < int64(len(l.records)); i++ {
+		records = append(records, claim.Record{Offset: i, Data: l.records[i]})
+	}
+	return records, int64(len(l.records)), nil
+}
+
+// given is an order as an engine saw it.
+type given struct {
+	Order
+	endpoint string
+	at       time.Time
+}
+
+// engines load what they are ordered to, in loadTime.
+type engines struct {
+	mu      sync.Mutex
+	version map[string]int64
+	done    map[string]time.Time // end of the load under way
+	next    map[string]int64
+	orders  map[string]int64
+	given   []given
+	loading int // the most at once
+	lose    int // answers still to be lost, with the order done
+}
+
+func (e *engines) settle(id string) {
+	if next := e.next[id]; next > 0 && !time.Now().Before(e.done[id]) {
+		e.version[id] = next
+		delete(e.next, id)
+	}
+}
+
+func (e *engines) Report(_ context.Context, at *fleet.Endpoint) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle(at.ID)
+	return Report{Weights: []fleet.Weights{{Model: model, Version: e.version[at.ID]}}, Busy: e.next[at.ID] > 0, Orders: e.orders[at.ID], Running: 1}, nil
+}
+
+func (e *engines) Order(_ context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle(at.ID)
+	if e.next[at.ID] > 0 || o.Expected != e.orders[at.ID] {
+		return Busy, nil
+	}
+	e.given = append(e.given, given{o, at.ID, time.Now()})
+	e.orders[at.ID]++
+	e.next[at.ID] = o.Version
+	e.done[at.ID] = time.Now().Add(loadTime)
+	for id := range e.next {
+		e.settle(id)
+	}
+	e.loading = max(e.loading, len(e.next))
+	if e.lose > 0 {
+		e.lose--
+		return 0, errDown
+	}
+	return Taken, nil
+}
+
+type wanted struct {
+	mu      sync.Mutex
+	version int64
+}
+
+func (w *wanted) Models() []string { return []string{model} }
+
+func (w *wanted) Wanted(string) (int64, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version, time.Now()
+}
+
+type world struct {
+	log     *memLog
+	engines *engines
+	wanted  *wanted
+	ids     []string
+}
+
+func newWorld(ids ...string) *world {
+	w := &world{
+		log: &memLog{}, wanted: &wanted{version: 1}, ids: ids,
+		engines: &engines{version: map[string]int64{}, done: map[string]time.Time{}, next: map[string]int64{}, orders: map[string]int64{}},
+	}
+	for _, id := range ids {
+		w.engines.version[id] = 1
+	}
+	return w
+}
+
+// node starts a service with a fleet of its own, whose entries follow the engines
+// after a heartbeat, and returns what stops it.
+func (w *world) node(t *testing.T, name string) (stop func()) {
+	t.Helper()
+	f := fleet.New(zerolog.Nop())
+	w.beat(f)
+	s, err := New(name, f, w.wanted, w.engines, w.log, lease, make(chan struct{}), zerolog.Nop())
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { must.NoError(t, s.Run(ctx)) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			sleep(ctx, time.Second)
+			w.beat(f)
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+		time.Sleep(2 * maxClaimTTL) // the claims' own watches end
+	}
+}
+
+func (w *world) beat(f *fleet.Fleet) {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	for _, id := range w.ids {
+		w.engines.settle(id)
+		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: "127.0.0.1:1", Weights: []fleet.Weights{{Model: model, Version: w.engines.version[id]}}}, time.Now())
+	}
+}
+
+func (w *world) name(version int64) {
+	w.wanted.mu.Lock()
+	defer w.wanted.mu.Unlock()
+	w.wanted.version = version
+}
+
+func (w *world) versions() []int64 {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	var list []int64
+	for _, id := range w.ids {
+		w.engines.settle(id)
+		list = append(list, w.engines.version[id])
+	}
+	return list
+}
+
+func nine() []string { return []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} }
+
+// TestRollout brings nine engines to a version within the operators' bound, two
+// loads at a time, by one holder.
+func TestRollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nine()...)
+		stops := []func(){w.node(t, "n1"), w.node(t, "n2"), w.node(t, "n3")}
+		time.Sleep(time.Second)
+		w.name(2)
+		time.Sleep(11 * time.Second)
+		test.Eq(t, slices.Repeat([]int64{2}, 9), w.versions())
+		test.Eq(t, maxLoads, w.engines.loading)
+		holders := map[string]bool{}
+		for _, g := range w.engines.given {
+			holders[g.Holder] = true
+		}
+		test.MapLen(t, 1, holders)
+		test.Len(t, 9, w.engines.given)
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
+
+// TestNewerVersion goes straight to the newest version.
+func TestNewerVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nine()...)
+		stop := w.node(t, "n1")
+		w.name(2)
+		time.Sleep(4 * time.Second)
+		w.name(3)
+		time.Sleep(14 * time.Second)
+		test.Eq(t, slices.Repeat([]int64{3}, 9), w.versions())
+		for _, g := range w.engines.given {
+			if g.Version == 2 {
+				test.Less(t, 5*time.Second, g.at.Sub(w.engines.given[0].at))
+			}
+		}
+		stop()
+	})
+}
+
+// TestHolderStops has a second node take over, no sooner than the lease bound after
+// the last order, with a higher token.
+func TestHolderStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nine()...)
+		w.name(2)
+		stopFirst := w.node(t, "n1")
+		time.Sleep(3 * time.Second)
+		go stopFirst()
+		stopSecond := w.node(t, "n2")
+		time.Sleep(25 * time.Second)
+		test.Eq(t, slices.Repeat([]int64{2}, 9), w.versions())
+		var last, first given
+		for _, g := range w.engines.given {
+			if g.Holder == "n1" {
+				last = g
+			} else if first.Holder == "" {
+				first = g
+			}
+		}
+		must.NotEq(t, "", first.Holder)
+		test.GreaterEq(t, lease, first.at.Sub(last.at))
+		test.Greater(t, last.Token, first.Token)
+		stopSecond()
+	})
+}
+
+// TestStoreAway gives no orders once the claim can't be renewed.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nine()...)
+		w.name(2)
+		stop := w.node(t, "n1")
+		time.Sleep(2 * time.Second)
+		w.log.mu.Lock()
+		w.log.down = true
+		w.log.mu.Unlock()
+		lost := time.Now()
+		time.Sleep(20 * time.Second)
+		for _, g := range w.engines.given {
+			test.Less(t, claimTTL, g.at.Sub(lost))
+		}
+		stop()
+	})
+}
+
+// TestLostAnswer does not give an order twice that was carried out.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a")
+		w.engines.lose = 1
+		w.name(2)
+		stop := w.node(t, "n1")
+		time.Sleep(8 * time.Second)
+		test.Eq(t, []int64{2}, w.versions())
+		test.Len(t, 1, w.engines.given)
+		stop()
+	})
+}
--- /dev/null
+++ b/standin/metastore/metastore.go
@@ -0,0 +1,244 @@
+// Package metastore is a stand-in of the users' platform's metadata store: a log of
+// topics with one partition, some of which keep the newest record of each key.
+//
+// It speaks the part of the published protocol that nodes use: append, read with a
+// wait, and the newest records of a keyed topic.
+package metastore
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	keyedPrefix  = "keyed."
+	maxCallBytes = 2 << 20
+	lengthBytes  = 4
+	headerBytes  = 16
+)
+
+// Faults are switched by tests.
+type Faults struct {
+	Down bool // calls are answered 503, and nothing is done
+	// LoseAnswers has appends done and their connection closed without an answer.
+	LoseAnswers bool
+	// Delay is waited before each answer.
+	Delay time.Duration
+}
+
+// Store is the service. It is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	faults Faults
+	calls  map[string]int
+	change chan struct{} // closed and replaced on each append
+}
+
+type topic struct {
+	first   int64 // offset of records[0]
+	records [][]byte
+	newest  map[string]newest
+}
+
+type newest struct {
+	value  []byte
+	offset int64
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{topics: make(map[string]*topic), calls: make(map[string]int), change: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls of a path so far.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes the newest record of a key, as operators and servers do. An empty
+// value removes the key.
+func (s *Store) Put(name, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, append(record, value...))
+}
+
+// Forget drops the records of a topic, but for the newest of each key.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+}
+
+// Handler serves the protocol.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/log-append", s.serveAppend)
+	mux.HandleFunc("GET /-/log-read", s.serveRead)
+	mux.HandleFunc("GET /-/log-newest", s.serveNewest)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls[r.URL.Path]++
+		faults := s.faults
+		s.mu.Unlock()
+		time.Sleep(faults.Delay)
+		if faults.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: make(map[string]newest)}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// append adds a record and returns its offset. s.mu is held.
+func (s *Store) append(name string, record []byte) int64 {
+	t := s.topic(name)
+	offset := t.first + int64(len(t.records))
+	t.records = append(t.records, record)
+	if strings.HasPrefix(name, keyedPrefix) && len(record) > 0 {
+		n := 1 + int(record[0])
+		key := string(record[1:n])
+		if n == len(record) {
+			delete(t.newest, key)
+		} else {
+			t.newest[key] = newest{value: record[n:], offset: offset}
+		}
+	}
+	close(s.change)
+	s.change = make(chan struct{})
+	return offset
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	name := r.URL.Query().Get("topic")
+	t := s.topic(name)
+	first := t.first + int64(len(t.records))
+	for len(body) >= lengthBytes {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > len(body)-lengthBytes {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.append(name, body[lengthBytes:lengthBytes+n])
+		body = body[lengthBytes+n:]
+	}
+	end := t.first + int64(len(t.records))
+	lose := s.faults.LoseAnswers
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]int64{"offset": first, "end": end})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get("wait-ms")) // absent means 0
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(query.Get("topic"))
+		first, end := t.first, t.first+int64(len(t.records))
+		var records [][]byte
+		if from >= first && from < end {
+			records = slices.Clone(t.records[from-first:])
+		}
+		change := s.change
+		s.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			writeJSON(w, map[string]int64{"first": first})
+			return
+		}
+		if len(records) > 0 || wait == 0 {
+			writeRecords(w, end, first, records)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-change:
+		case <-timeout:
+			wait = 0
+		}
+	}
+}
+
+func writeRecords(w http.ResponseWriter, end, first int64, records [][]byte) {
+	data := make([]byte, 0, headerBytes)
+	data = binary.BigEndian.AppendUint64(data, uint64(end))
+	data = binary.BigEndian.AppendUint64(data, uint64(first))
+	for _, record := range records {
+		data = binary.BigEndian.AppendUint32(data, uint32(len(record)))
+		data = append(data, record...)
+	}
+	_, _ = w.Write(data) // a reader that has gone needs no answer
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	page := struct {
+		Items   []item `json:"items"`
+		HasMore bool   `json:"has-more"`
+		End     int64  `json:"end"`
+	}{Items: []item{}}
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	for key, n := range t.newest {
+		page.Items = append(page.Items, item{key, base64.StdEncoding.EncodeToString(n.value), n.offset})
+	}
+	page.End = t.first + int64(len(t.records))
+	s.mu.Unlock()
+	slices.SortFunc(page.Items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	writeJSON(w, page)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	_ = json.NewEncoder(w).Encode(v) // a reader that has gone needs no answer
+}
--- /dev/null
+++ b/standin/modelserver/modelserver.go
@@ -0,0 +1,339 @@
+// Package modelserver is a stand-in of the users' servers: model servers, which
+// answer prompts by streams of events, and plain ones, which answer at once.
+//
+// It speaks the headers of the published protocol, keeps prompt parts by salt and
+// id, takes orders to load weights, and has faults that tests switch.
+package modelserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are switched by tests.
+type Faults struct {
+	Shed       bool // requests are refused as not run
+	LoseAnswer bool // requests run, and the connection is closed without an answer
+	// CutAfter closes a stream after so many events, within the next one.
+	CutAfter int
+	// Foreign sends an answer to another request before the own one.
+	Foreign bool
+	// Extra sends a second answer after the own one.
+	Extra bool
+	// Unproven answers 503 without saying that the request did not run.
+	Unproven bool
+	Status   int // of a plain answer; 0 means 200
+	Hang     bool
+}
+
+// Config sizes a server.
+type Config struct {
+	ID      string
+	Service string
+	Zone    string
+	Model   string // empty for a plain server
+	Pieces  int    // events of a stream
+	Gap     time.Duration
+}
+
+// Run is one request that the server ran.
+type Run struct {
+	Request string // its id
+	Method  string
+	Target  string
+	Body    string
+	Header  http.Header
+}
+
+// Server is the service. It is safe for concurrent use.
+type Server struct {
+	cfg Config
+
+	mu      sync.Mutex
+	faults  Faults
+	version int64
+	orders  int64
+	fence   int64
+	runs    []Run
+	left    int // requests whose client left
+	parts   map[[2]string]int
+	events  [][]any
+}
+
+// New returns a server with version 1 of its model.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, version: 1, parts: make(map[[2]string]int)}
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns the requests that the server ran.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Left returns the number of requests whose client left before the end.
+func (s *Server) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
+// Version returns the version of the weights.
+func (s *Server) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Entry returns the server's entry in the registry.
+func (s *Server) Entry(addr, state string) []byte {
+	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1}
+	if s.cfg.Model != "" {
+		entry["models"] = s.models()
+	}
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return data
+}
+
+func (s *Server) models() []map[string]any {
+	return []map[string]any{{"name": s.cfg.Model, "version": s.Version(), "adapters": []string{}}}
+}
+
+// Handler serves the protocol.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/report", s.serveReport)
+	mux.HandleFunc("POST /-/order", s.serveOrder)
+	mux.HandleFunc("GET /-/kv-events", s.serveEvents)
+	mux.HandleFunc("POST /-/kv-free", s.serveFree)
+	mux.HandleFunc("/", s.serveRequest)
+	return mux
+}
+
+func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	orders := s.orders
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"stage": "read_write", "models": s.models(), "busy": false, "seq": orders, "queued": 0, "active": 0})
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Version  int64  `json:"version"`
+		Holder   string `json:"holder"`
+		Token    int64  `json:"fencing-token"`
+		Expected *int64 `json:"expected"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Holder == "" || order.Token == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case order.Token < s.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case order.Expected != nil && *order.Expected != s.orders:
+		w.WriteHeader(http.StatusConflict)
+	case order.Version == s.version:
+		w.WriteHeader(http.StatusOK)
+	default:
+		s.fence = order.Token
+		s.orders++
+		s.version = order.Version
+		clear(s.parts)
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.Atoi(r.URL.Query().Get("since"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	events := append([][]any{}, s.events[min(since, len(s.events)):]...)
+	next := len(s.events)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"boot-epoch": 1, "next": next, "has-gap": false, "events": events, "clock_ms": time.Now().UnixMilli()})
+}
+
+func (s *Server) serveFree(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Parts [][2]string `json:"parts"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range request.Parts {
+		s.set(part, 0)
+	}
+}
+
+// Keep puts a part into the server's memory.
+func (s *Server) Keep(salt, id string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set([2]string{salt, id}, tokens)
+}
+
+// Kept returns the number of parts that the server keeps.
+func (s *Server) Kept() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.parts)
+}
+
+// set changes what is kept of a part. s.mu is held.
+func (s *Server) set(part [2]string, tokens int) {
+	if s.parts[part] == tokens {
+		return
+	}
+	sign := "+"
+	s.parts[part] = tokens
+	if tokens == 0 {
+		sign = "-"
+		delete(s.parts, part)
+	}
+	s.events = append(s.events, []any{len(s.events), sign, part[0], part[1], tokens, s.cfg.Model})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a reader that has gone needs no answer
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.cfg.ID {
+		w.Header().Set("X-Instance-Id", s.cfg.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.mu.Lock()
+	faults, version := s.faults, s.version
+	s.mu.Unlock()
+	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.FormatInt(version, 10) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if faults.Shed {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.run(w, r, id, faults)
+}
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request, id string, faults Faults) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller broke off
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{Request: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
+	for entry := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
+		part, size, _ := strings.Cut(entry, ":")
+		if tokens, err := strconv.Atoi(size); err == nil {
+			s.set([2]string{r.Header.Get("X-Cache-Salt"), part}, tokens)
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	w.Header().Set("X-Server-Seal", "seal-"+s.cfg.ID)
+	switch {
+	case faults.Hang:
+		<-r.Context().Done()
+		s.clientLeft()
+	case faults.LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case faults.Unproven:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case faults.Foreign || faults.Extra:
+		s.answerTwice(w, id, faults)
+	case s.cfg.Model != "":
+		w.Header().Set("X-Weight-Versions", strconv.FormatInt(version, 10))
+		s.stream(w, r, faults)
+	default:
+		w.WriteHeader(max(faults.Status, http.StatusOK))
+		fmt.Fprintf(w, "%s answers %s", s.cfg.ID, id)
+	}
+}
+
+// answerTwice writes two answers by hand, one of which belongs to another request.
+func (s *Server) answerTwice(w http.ResponseWriter, id string, faults Faults) {
+	own := s.plainAnswer(id, fmt.Sprintf("%s answers %s", s.cfg.ID, id))
+	other := s.plainAnswer("another", "an answer to another request")
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // servers of this package always can
+	}
+	defer conn.Close()
+	if faults.Foreign {
+		own = other + own
+	} else {
+		own += other
+	}
+	_, _ = io.WriteString(conn, own) // a reader that has gone needs no answer
+}
+
+func (s *Server) plainAnswer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, s.cfg.ID, len(body), body)
+}
+
+// stream writes events whose ids rise from 1, or go on after the last one that the
+// caller has.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, faults Faults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(w)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means 0
+	for i := last + 1; i <= s.cfg.Pieces; i++ {
+		if faults.CutAfter > 0 && i > faults.CutAfter {
+			fmt.Fprintf(w, "id: %d\ndata: bro", i)
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		if control.Flush() != nil {
+			s.clientLeft()
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			s.clientLeft()
+			return
+		case <-time.After(s.cfg.Gap):
+		}
+	}
+}
+
+func (s *Server) clientLeft() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left++
+}
