Serve metrics, take changed settings, and share the retry budget by nodes

Cause: the gateway counted nothing, took no change of its boot file, and divided the fixed part of the retry budget by an assumed number of nodes. Change: counters and histograms by class at the ready address; the boot file is looked at on SIGHUP and each 2 s; the budget is shared among the nodes heard of; a stop whose grace time ends is logged and no error.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -32,7 +32,7 @@
 	}
 	log, flush := c.gatewayLogger(boot.Name)
 	defer flush()
-	n, err := gateway.New(boot, log)
+	n, err := gateway.New(boot, func() (*bootstrap.Node, error) { return platform.LoadBoot(c.boot) }, log)
 	if err != nil {
 		return err
 	}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -12,41 +12,46 @@
 	// budgetShare is the part of the operators' retry budget that nodes use; the
 	// rest is for what is counted otherwise at the edges of a window.
 	budgetShare = 0.8
-	// assumedNodes divides the fixed part of the budget while a node doesn't know
-	// how many there are.
-	assumedNodes = 12
+	// fewestNodes divides the fixed part of the budget among at least so many
+	// nodes, since some may not have been heard of.
+	fewestNodes = 8
 )
 
 // Budgets bounds how often this node sends requests again, service by service.
 //
 // Guarantee: in any window, the repeats of all nodes together are at most the
 // operators' ratio of the requests plus their slack, as long as there are no more
-// nodes than Budgets is told.
+// nodes than this one has heard of, or fewestNodes.
 type Budgets struct {
-	config retry.BudgetConfig
+	bounds bootstrap.Bounds
+	nodes  func() int
 
 	mu       sync.Mutex
+	shared   int // nodes that the present budgets are a share of
 	services map[string]*Budget
 }
 
-// NewBudgets returns budgets within the operators' bounds.
-func NewBudgets(b bootstrap.Bounds) *Budgets {
-	return &Budgets{
-		config: retry.BudgetConfig{
-			Ratio:   b.RetryRatio * budgetShare,
-			Reserve: b.RetrySlack * budgetShare / assumedNodes,
-		},
-		services: make(map[string]*Budget),
-	}
+// NewBudgets returns budgets within the operators' bounds, of which this node has
+// its share. nodes returns the number of nodes.
+func NewBudgets(b bootstrap.Bounds, nodes func() int) *Budgets {
+	return &Budgets{bounds: b, nodes: nodes, services: make(map[string]*Budget)}
 }
 
-// Of returns the budget of a service.
+// Of returns the budget of a service. When more nodes are heard of, all budgets
+// begin anew, empty, with a smaller share.
 func (b *Budgets) Of(service string) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if nodes := max(b.nodes(), fewestNodes); nodes > b.shared {
+		b.shared = nodes
+		clear(b.services)
+	}
 	budget, known := b.services[service]
 	if !known {
-		budget = &Budget{tokens: retry.NewBudget(time.Now(), b.config)}
+		budget = &Budget{tokens: retry.NewBudget(time.Now(), retry.BudgetConfig{
+			Ratio:   b.bounds.RetryRatio * budgetShare,
+			Reserve: b.bounds.RetrySlack * budgetShare / float64(b.shared),
+		})}
 		b.services[service] = budget
 	}
 	return budget
--- a/internal/forward/help_test.go
+++ b/internal/forward/help_test.go
@@ -106,7 +106,7 @@
 	order = append(order, members...)
 	bounds := bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	w.front = httptest.NewServer(&forward.Handler{
-		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(bounds),
+		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(bounds, func() int { return 1 }),
 		Bounds: func() bootstrap.Bounds { return bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
 	})
 	t.Cleanup(w.front.Close)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,20 +55,22 @@
 
 // Node is a gateway node, listening but not yet running.
 type Node struct {
-	kernel  *kernel.Kernel
-	boot    atomic.Pointer[bootstrap.Node]
-	state   *state
-	fleet   *fleet.Fleet
-	callers *server
-	keeping *keeping
-	orders  *weights.Service
-	peers   *peerload.Exchange
-	leaving atomic.Bool
-	log     zerolog.Logger
+	kernel   *kernel.Kernel
+	boot     atomic.Pointer[bootstrap.Node]
+	state    *state
+	fleet    *fleet.Fleet
+	callers  *server
+	keeping  *keeping
+	orders   *weights.Service
+	peers    *peerload.Exchange
+	recorder *recorder
+	leaving  atomic.Bool
+	log      zerolog.Logger
 }
 
-// New opens the node's listeners and puts its services together.
-func New(boot *bootstrap.Node, log zerolog.Logger) (*Node, error) {
+// New opens the node's listeners and puts its services together. load reads the
+// boot file anew, in case it changes.
+func New(boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(boot.MemoryBytes)))
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.Grace - stopMargin),
@@ -90,6 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.recorder = newRecorder(n)
 	callers, err := listen("callers", boot.CallersAddr, closing(&n.leaving, n.handler()), &n.leaving, log)
 	if err != nil {
 		return nil, err
@@ -115,6 +118,7 @@
 		&task{name: "peers", run: n.peers.Run},
 		&task{name: "roster", run: nodes.Run},
 		&task{name: "announce", run: members.announce},
+		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.keeping.follow},
 		&task{name: "free", run: n.keeping.free},
 	)
@@ -139,9 +143,9 @@
 		Dialect:  platform.Dialect{},
 		State:    n.state,
 		Placer:   n.placer(),
-		Budgets:  forward.NewBudgets(boot.Bounds),
+		Budgets:  forward.NewBudgets(boot.Bounds, n.peers.Table.Nodes),
 		Bounds:   n.bounds,
-		Recorder: &recorder{},
+		Recorder: n.recorder,
 		Log:      n.log,
 	}
 }
@@ -162,12 +166,6 @@
 
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
-// recorder counts requests.
-type recorder struct{}
-
-// Forwarded implements forward.Recorder.
-func (*recorder) Forwarded(*forward.Outcome) {}
-
 // peerAddr is where the node hears its peers.
 func peerAddr(boot *bootstrap.Node) string {
 	return net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPorts[0]))
@@ -181,15 +179,16 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != pathReady {
+	switch {
+	case r.URL.Path == pathMetrics:
+		n.recorder.ServeHTTP(w, r)
+	case r.URL.Path != pathReady:
 		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	if !n.ready() {
+	case n.ready():
+		w.WriteHeader(http.StatusOK)
+	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	}
-	w.WriteHeader(http.StatusOK)
 }
 
 // CallersAddr returns the address that callers connect to.
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/routing"
+)
+
+// Names of the gateway's metrics; docs/OPERATIONS.md describes them.
+const (
+	metricRequests    = "cherryward_gateway_requests_total"
+	metricAttempts    = "cherryward_gateway_attempts_total"
+	metricFirst       = "cherryward_gateway_first_byte_seconds"
+	metricTotal       = "cherryward_gateway_request_seconds"
+	metricConfigAge   = "cherryward_gateway_config_age_seconds"
+	metricConfig      = "cherryward_gateway_config_version"
+	metricEndpoints   = "cherryward_gateway_endpoints"
+	metricPeers       = "cherryward_gateway_nodes"
+	metricRejected    = "cherryward_gateway_rejected_records_total"
+	metricConnections = "cherryward_gateway_connections_opened_total"
+	metricReady       = "cherryward_gateway_ready"
+)
+
+// secondsBounds are the upper bounds of the buckets, the same on all nodes so that
+// their series can be added up.
+var secondsBounds = []float64{0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 5, 15}
+
+// recorder keeps a node's metrics. The number of series is bounded by the kinds of
+// routes, their ranks and the result codes, whatever the number of routes and
+// accounts.
+type recorder struct{ set *metrics.Set }
+
+var _ forward.Recorder = (*recorder)(nil)
+
+// newRecorder returns the metrics of a node, with gauges that read its state.
+func newRecorder(n *Node) *recorder {
+	set := metrics.NewSet()
+	set.NewGauge(metricConfigAge, func() float64 {
+		_, age := n.state.Config()
+		return age.Seconds()
+	})
+	set.NewGauge(metricConfig, func() float64 {
+		if config, _ := n.state.Config(); config != nil {
+			return float64(config.Version)
+		}
+		return 0
+	})
+	set.NewGauge(metricEndpoints, func() float64 { return float64(len(n.fleet.All())) })
+	set.NewGauge(metricPeers, func() float64 { return float64(n.peers.Table.Nodes()) })
+	set.NewGauge(metricRejected, func() float64 { return float64(n.state.rejected.Load()) })
+	set.NewGauge(metricConnections, func() float64 {
+		opened := int64(0)
+		for _, m := range n.fleet.All() {
+			opened += m.Pool.Dials()
+		}
+		return float64(opened)
+	})
+	set.NewGauge(metricReady, func() float64 {
+		if n.ready() {
+			return 1
+		}
+		return 0
+	})
+	return &recorder{set: set}
+}
+
+// Forwarded implements forward.Recorder.
+func (r *recorder) Forwarded(o *forward.Outcome) {
+	labels := `{class="` + classOf(o.Route) + `"`
+	r.set.GetOrCreateCounter(metricRequests + labels + `,code="` + strconv.Itoa(int(o.Code)) + `"}`).Inc()
+	r.set.GetOrCreateCounter(metricAttempts + labels + `}`).Add(o.Attempts)
+	if o.First > 0 {
+		r.set.GetOrCreatePrometheusHistogramExt(metricFirst+labels+`}`, secondsBounds).Update(o.First.Seconds())
+	}
+	r.set.GetOrCreatePrometheusHistogramExt(metricTotal+labels+`}`, secondsBounds).Update(o.Total.Seconds())
+}
+
+// classOf names a route's class: its kind and rank.
+func classOf(route *routing.Route) string {
+	if route == nil {
+		return "none"
+	}
+	return route.Kind.String() + "-" + strconv.Itoa(route.Priority)
+}
+
+// ServeHTTP writes the metrics in the Prometheus text format.
+func (r *recorder) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	r.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/bootstrap"
+)
+
+// reloadPause is the time between two looks at the boot file, which may change
+// without a signal.
+const reloadPause = 2 * time.Second
+
+// reload takes changes of the boot file until ctx is done: at once on SIGHUP, else
+// within reloadPause. What was bound at the start, the listeners and the store's
+// address, stays; a change of these is logged and takes a restart.
+func (n *Node) reload(ctx context.Context, load func() (*bootstrap.Node, error)) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(reloadPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			n.log.Info().Str("event", "hangup").Send()
+		case <-ticker.C:
+		}
+		n.take(load())
+	}
+}
+
+// take puts changed settings in force. A file that can't be read keeps the old ones.
+func (n *Node) take(next *bootstrap.Node, err error) {
+	if err != nil {
+		n.log.Error().Str("event", "reload_failed").AnErr("error", err).Send()
+		return
+	}
+	before := n.boot.Load()
+	if reflect.DeepEqual(before, next) {
+		return
+	}
+	n.boot.Store(next)
+	restart := next.CallersAddr != before.CallersAddr || next.ReadyAddr != before.ReadyAddr || next.StoreAddr != before.StoreAddr
+	n.log.Info().Str("event", "reload").Bool("restart_needed", restart).Send()
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -98,7 +98,12 @@
 		case <-timer.C:
 		}
 	}
-	return eris.Wrapf(s.http.Shutdown(ctx), "finish the requests of %s", s.name)
+	if err := s.http.Shutdown(ctx); err != nil {
+		// The grace time is over: what is still under way is cut off by the end of
+		// the process, as the operators' own kill would do.
+		s.log.Warn().Str("event", "requests_cut").Str("server", s.name).AnErr("error", err).Send()
+	}
+	return nil
 }
 
 // closing asks callers, while the node stops, to use another connection for their
