--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cherryward/cherryward/internal/demo"
+	"github.com/cherryward/cherryward/internal/gatewaydemo"
 	"github.com/cherryward/cherryward/internal/node"
 	"github.com/cherryward/cherryward/internal/settings"
 	"github.com/cherryward/cherryward/platform"
@@ -34,6 +35,7 @@
 	settings string
 	boot     string
 	serve    bool
+	platform bool // the demo shows the users' platform
 	acted    bool // the arguments were right
 }
 
@@ -66,6 +68,7 @@
 	boot := &cli.StringFlag{Name: "boot", Usage: "boot `FILE` of a node on the users' platform, in place of settings",
 		Sources: cli.EnvVars(platform.BootEnv), Destination: &c.boot}
 	serve := &cli.BoolFlag{Name: "serve", Usage: "stay up after the conversations", Destination: &c.serve}
+	onPlatform := &cli.BoolFlag{Name: "platform", Usage: "show nodes on a stand-in of the users' platform", Destination: &c.platform}
 	return &cli.Command{
 		Name:           "cherryward",
 		Usage:          "serves language model prompts that return after minutes to days",
@@ -76,7 +79,7 @@
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run a node", Flags: []cli.Flag{file, boot}, Action: c.run},
 			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{file, boot}, Action: c.check},
-			{Name: "demo", Usage: "run a small system on loopback and play conversations", Flags: []cli.Flag{serve}, Action: c.demo},
+			{Name: "demo", Usage: "run a small system on loopback and play conversations", Flags: []cli.Flag{serve, onPlatform}, Action: c.demo},
 		},
 	}
 }
@@ -140,6 +143,9 @@
 
 func (c *command) demo(ctx context.Context, _ *cli.Command) error {
 	c.acted = true
+	if c.platform {
+		return gatewaydemo.Run(ctx, c.streams.Out, c.logger("error"), c.serve)
+	}
 	return demo.Run(ctx, c.streams.Out, c.logger("error"), c.serve)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,15 @@
 	return version
 }
 
+// Seen returns the weights that answers named and the entry doesn't yet, or nil.
+func (m *Member) Seen() *Weights {
+	seen := m.version.Load()
+	if seen == nil || seen.Version <= m.Endpoint().VersionOf(seen.Model) {
+		return nil
+	}
+	return seen
+}
+
 // SawVersion notes the version that an answer named.
 func (m *Member) SawVersion(model string, version int64) {
 	if version > m.VersionOf(model) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -127,8 +127,8 @@
 	p.Attempt.Remaining = time.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := &p.Member.Load
-	load.Begin(p.Reading)
-	defer load.End()
+	load.Begin(p.Reading, p.Holding)
+	defer load.End(p.Holding)
 	reading := true
 	first := func() {
 		if reading {
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -15,6 +15,9 @@
 	// fewestNodes divides the fixed part of the budget among at least so many
 	// nodes, since some may not have been heard of.
 	fewestNodes = 8
+	// firstRepeats is what a new budget begins with, so that a node's first requests
+	// survive a refusal. It is small, as a node may start again within a window.
+	firstRepeats = 2
 )
 
 // Budgets bounds how often this node sends requests again, service by service.
@@ -48,15 +51,27 @@
 	}
 	budget, known := b.services[service]
 	if !known {
-		budget = &Budget{tokens: retry.NewBudget(time.Now(), retry.BudgetConfig{
-			Ratio:   b.bounds.RetryRatio * budgetShare,
-			Reserve: b.bounds.RetrySlack * budgetShare / float64(b.shared),
-		})}
+		budget = b.newBudget()
 		b.services[service] = budget
 	}
 	return budget
 }
 
+func (b *Budgets) newBudget() *Budget {
+	config := retry.BudgetConfig{
+		Ratio:   b.bounds.RetryRatio * budgetShare,
+		Reserve: b.bounds.RetrySlack * budgetShare / float64(b.shared),
+	}
+	budget := &Budget{tokens: retry.NewBudget(time.Now(), config)}
+	if config.Ratio <= 0 {
+		return budget
+	}
+	for range int(firstRepeats / config.Ratio) {
+		budget.Request(time.Now())
+	}
+	return budget
+}
+
 // Budget is a node's share of one service's repeats.
 type Budget struct{ tokens *retry.Budget }
 
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -109,6 +109,9 @@
 	// Reading is the number of prompt tokens that the endpoint is expected to read;
 	// Cached and Fetched those that it has or gets from elsewhere.
 	Reading, Cached, Fetched int
+	// Holding is the number of tokens that the request is expected to hold in the
+	// endpoint's memory.
+	Holding int
 	// Reason says in a few words what decided.
 	Reason string
 }
--- /dev/null
+++ b/internal/gatewaydemo/gatewaydemo.go
@@ -0,0 +1,150 @@
+// Package gatewaydemo runs gateway nodes before a stand-in of the users' platform,
+// all in one process on loopback.
+package gatewaydemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/gateway"
+	"github.com/cherryward/cherryward/platform"
+	"github.com/cherryward/cherryward/standin/site"
+)
+
+const (
+	// Key is the client account's key in the demo.
+	Key = "loopback-key"
+
+	nodes     = 2
+	sessions  = 3
+	turns     = 3
+	readyTime = 10 * time.Second
+	readyPoll = 20 * time.Millisecond
+	beat      = 200 * time.Millisecond
+	gap       = 10 * time.Millisecond
+)
+
+// Member is a running node.
+type Member struct {
+	*gateway.Node
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Stop stops the node as SIGTERM would, and returns how that went.
+func (m *Member) Stop() error {
+	m.cancel()
+	return <-m.done
+}
+
+// StartNode starts a node of the site.
+func StartNode(s *site.Site, name string, log zerolog.Logger) (*Member, error) {
+	load := func() (*bootstrap.Node, error) { return platform.ParseBoot([]byte(s.BootFile(name))) }
+	boot, err := load()
+	if err != nil {
+		return nil, err
+	}
+	n, err := gateway.New(boot, load, log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Member{Node: n, cancel: cancel, done: make(chan error, 1)}
+	go func() { m.done <- n.Run(ctx) }()
+	return m, nil
+}
+
+// WaitReady returns when the node takes requests.
+func (m *Member) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !m.Ready() {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "wait for a node")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Run starts a site and nodes, plays requests and prints what they came to.
+func Run(ctx context.Context, out io.Writer, log zerolog.Logger, serve bool) error {
+	s, err := site.Start(site.Config{Beat: beat, Gap: gap})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	s.Configure(1, Key)
+	var members []*Member
+	for i := range nodes {
+		m, err := StartNode(s, fmt.Sprint("node-", i+1), log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = m.Stop() }() // nothing follows that could use the error
+		if err := m.WaitReady(ctx); err != nil {
+			return err
+		}
+		members = append(members, m)
+	}
+	if err := play(ctx, out, members); err != nil {
+		return err
+	}
+	if serve {
+		fmt.Fprintf(out, "\nTry it:\n  curl http://%s%sx -H 'Host: %s' -H 'Authorization: Bearer %s'\n", members[0].CallersAddr(), site.PathLookup, site.Host, Key)
+		<-ctx.Done()
+	}
+	return nil
+}
+
+// play sends the turns of some sessions to both nodes in turn, and a plain request.
+func play(ctx context.Context, out io.Writer, members []*Member) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REQUEST\tNODE\tSTATUS\tFIRST EVENT\tBYTES")
+	for turn := range turns {
+		for session := range sessions {
+			id := fmt.Sprintf("a%d%d", session, turn)
+			row, err := ask(ctx, members[turn%len(members)], site.PathQuery+"x", id, fmt.Sprintf("5e551%d", session))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(table, "session %d, turn %d\tnode-%d\t%s\n", session+1, turn+1, turn%len(members)+1, row)
+		}
+	}
+	row, err := ask(ctx, members[0], site.PathLookup+"x", "b1", "")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(table, "lookup\tnode-1\t%s\n", row)
+	return table.Flush()
+}
+
+func ask(ctx context.Context, m *Member, path, id, session string) (row string, err error) {
+	req, err := site.Request(ctx, m.CallersAddr(), http.MethodGet, path, Key, id, session)
+	if err != nil {
+		return "", err
+	}
+	begun := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", eris.Wrap(err, "ask a node")
+	}
+	first := time.Since(begun)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", eris.Wrap(err, "read an answer")
+	}
+	return fmt.Sprintf("%d\t%s\t%d", resp.StatusCode, first.Round(time.Millisecond), len(body)), nil
+}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -162,6 +162,21 @@
 	return d, err
 }
 
+// learnVersions takes over what a peer saw of engines' weights. Versions only rise,
+// so a late digest does no harm.
+func (e *Exchange) learnVersions(d *Digest) {
+	for _, l := range d.Loads {
+		if l.Version == 0 {
+			continue
+		}
+		for _, m := range e.members() {
+			if m.ID == l.Endpoint {
+				m.SawVersion(l.Model, l.Version)
+			}
+		}
+	}
+}
+
 func (e *Exchange) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
@@ -178,5 +193,6 @@
 			continue
 		}
 		e.Table.Take(digest, time.Now())
+		e.learnVersions(&digest)
 	}
 }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -38,7 +38,12 @@
 type Load struct {
 	Endpoint string `json:"endpoint"`
 	Running  int    `json:"running"`
-	Reading  int    `json:"reading"` // prompt tokens
+	Reading  int    `json:"reading"` // prompt tokens that wait to be read
+	Holding  int    `json:"holding"` // tokens in the endpoint's memory
+	// Model and Version are weights that the node saw in an answer before the
+	// registry told of them; a version of 0 says nothing.
+	Model   string `json:"model,omitempty"`
+	Version int64  `json:"version,omitempty"`
 }
 
 // Closed is an engine that is about to load.
@@ -88,6 +93,7 @@
 			sum := sums[l.Endpoint]
 			sum.Running += l.Running
 			sum.Reading += l.Reading
+			sum.Holding += l.Holding
 			sums[l.Endpoint] = sum
 		}
 	}
@@ -129,13 +135,16 @@
 	return len(t.peers)
 }
 
-// LoadsOf returns what this node has under way, without endpoints that have
-// nothing.
+// LoadsOf returns what this node has under way and what it saw, without endpoints
+// that it has nothing to say of.
 func LoadsOf(members []*fleet.Member) []Load {
 	var loads []Load
 	for _, m := range members {
-		l := Load{Endpoint: m.ID, Running: m.Load.Running(), Reading: m.Load.Reading()}
-		if l.Running > 0 || l.Reading > 0 {
+		l := Load{Endpoint: m.ID, Running: m.Load.Running(), Reading: m.Load.Reading(), Holding: m.Load.Holding()}
+		if seen := m.Seen(); seen != nil {
+			l.Model, l.Version = seen.Model, seen.Version
+		}
+		if l.Running > 0 || l.Reading > 0 || l.Version > 0 {
 			loads = append(loads, l)
 		}
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -145,7 +145,7 @@
 	w := newWorld(t, source{addr(1): shared(1, "")}, 1, 1, 1)
 	for _, m := range w.members {
 		if m.ID == "e1" {
-			m.Load.Begin(100_000)
+			m.Load.Begin(100_000, 0)
 		}
 	}
 	p, ok := w.Place(query())
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -31,6 +31,13 @@
 	homeMs = 50.0
 	// spreadMs is the random part of a cost, against the same.
 	spreadMs = 10.0
+	// roomyShare is the part of an engine's memory that running requests may hold
+	// at no cost. Beyond it, requests wait for memory or put others back, whose
+	// prompts are then read again.
+	roomyShare = 0.6
+	// fullMs is the cost of an engine whose memory is full: about the time until a
+	// run ends there.
+	fullMs = 600.0
 )
 
 // placePrompt picks the engine with the least predicted time to the first event,
@@ -48,7 +55,7 @@
 		version := m.VersionOf(q.Attributes.Model)
 		plan := p.plan(q, m, version, rollout.wanted)
 		plans[m.ID] = plan
-		cost := p.engineCost(m, others[m.ID]) + plan.ms() + rollout.cost(m) + spreadMs*rand.Float64()
+		cost := p.engineCost(q, m, others[m.ID]) + plan.ms() + rollout.cost(m) + spreadMs*rand.Float64()
 		if m.ID == home {
 			cost -= homeMs
 		}
@@ -73,6 +80,7 @@
 		Reading: plan.reading,
 		Cached:  plan.cached,
 		Fetched: plan.fetched,
+		Holding: holding(q),
 		Reason:  plan.reason(),
 	}
 	if plan.fromStore {
@@ -97,12 +105,29 @@
 }
 
 // engineCost is the time, in ms, that a request waits at the engine for others.
-func (p *Placer) engineCost(m *fleet.Member, others peerload.Load) float64 {
+func (p *Placer) engineCost(q *forward.Query, m *fleet.Member, others peerload.Load) float64 {
 	cost := float64(m.Load.Reading()+others.Reading) / prefillPerMs
 	cost += runningMs * float64(m.Load.Running()+others.Running)
+	cost += memoryCost(q, m.Load.Holding()+others.Holding)
 	cost += failureMs * m.Health.FailureRate()
 	if m.Endpoint().Domain != p.Domain {
 		cost += foreignDomainMs
 	}
 	return cost
 }
+
+// memoryCost is what speaks against an engine whose memory is nearly full, in ms.
+func memoryCost(q *forward.Query, held int) float64 {
+	room := float64(q.Service.Engine.KVTokens)
+	if room <= 0 {
+		return 0
+	}
+	share := float64(held+holding(q)) / room
+	return fullMs * max(share-roomyShare, 0) / (1 - roomyShare)
+}
+
+// holding estimates the tokens that a request holds while it runs: its prompt, and
+// half of its answer on average.
+func holding(q *forward.Query) int {
+	return q.Attributes.PromptTokens + q.Attributes.OutputTokens/2
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,243 @@
+// Package site is a stand-in of a whole deployment of the users' platform on
+// loopback: its metadata store, three model servers, a plain server, a store of KV
+// cache, and the operator who configures them.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cherryward/cherryward/standin/metastore"
+	"github.com/cherryward/cherryward/standin/modelserver"
+)
+
+const (
+	// Host and the paths are those of the configured routes.
+	Host        = "office.example"
+	PathSummary = "/summary/" // streams, not resumable
+	PathQuery   = "/query/"   // streams, resumable
+	PathLookup  = "/lookup/"  // idempotent
+	PathUpload  = "/upload/"  // not idempotent
+
+	// Model is the name of the served model, Account that of the client account.
+	Model   = "reader"
+	Account = "yard"
+
+	models     = 3
+	pieces     = 8
+	headerTime = 5 * time.Second
+)
+
+// Config sizes a site.
+type Config struct {
+	Beat time.Duration // between the servers' entries in the registry
+	Gap  time.Duration // between the events of a stream
+}
+
+// Site is a running deployment.
+type Site struct {
+	Store  *metastore.Store
+	Models []*modelserver.Server
+	Plain  *modelserver.Server
+	Keep   *modelserver.Server // the store of KV cache
+
+	storeAddr, keepAddr string
+	servers             []server
+	stop                context.CancelFunc
+	wg                  sync.WaitGroup
+}
+
+type server struct {
+	*modelserver.Server
+	id, addr string
+	mu       *sync.Mutex
+	state    *string // empty once it is gone
+}
+
+// Start starts a site whose servers are registered and which is not configured yet.
+func Start(c Config) (*Site, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Site{Store: metastore.New(), stop: cancel}
+	var err error
+	if s.storeAddr, err = s.listen(ctx, s.Store.Handler()); err != nil {
+		return nil, err
+	}
+	s.Keep = modelserver.New(modelserver.Config{ID: "keep"})
+	if s.keepAddr, err = s.listen(ctx, s.Keep.Handler()); err != nil {
+		return nil, err
+	}
+	for i := range models {
+		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: "north", Model: Model, Pieces: pieces, Gap: c.Gap}
+		added, err := s.add(ctx, cfg)
+		if err != nil {
+			return nil, err
+		}
+		s.Models = append(s.Models, added)
+	}
+	if s.Plain, err = s.add(ctx, modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
+		return nil, err
+	}
+	s.wg.Go(func() { s.beat(ctx, c.Beat) })
+	return s, nil
+}
+
+func (s *Site) add(ctx context.Context, cfg modelserver.Config) (*modelserver.Server, error) {
+	m := modelserver.New(cfg)
+	addr, err := s.listen(ctx, m.Handler())
+	if err != nil {
+		return nil, err
+	}
+	state := "ready"
+	s.servers = append(s.servers, server{Server: m, id: cfg.ID, addr: addr, mu: &sync.Mutex{}, state: &state})
+	return m, nil
+}
+
+func (s *Site) listen(ctx context.Context, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	served := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
+	s.wg.Go(func() { _ = served.Serve(l) }) // ends with Close
+	context.AfterFunc(ctx, func() { _ = served.Close() })
+	return l.Addr().String(), nil
+}
+
+// Close stops all stand-ins.
+func (s *Site) Close() {
+	s.stop()
+	s.wg.Wait()
+}
+
+// beat writes the servers' entries until ctx is done.
+func (s *Site) beat(ctx context.Context, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		for _, server := range s.servers {
+			server.mu.Lock()
+			if *server.state != "" {
+				s.Store.Put("keyed.servers", server.id, server.Entry(server.addr, *server.state))
+			}
+			server.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain has the i-th model server report that it leaves.
+func (s *Site) Drain(i int) { s.setState(i, "draining") }
+
+// Remove takes the i-th model server's entry away.
+func (s *Site) Remove(i int) {
+	s.setState(i, "")
+	s.Store.Put("keyed.servers", s.servers[i].id, nil)
+}
+
+func (s *Site) setState(i int, state string) {
+	s.servers[i].mu.Lock()
+	defer s.servers[i].mu.Unlock()
+	*s.servers[i].state = state
+}
+
+// Configure writes a version of the configuration in which the account has the keys.
+func (s *Site) Configure(version int64, keys ...string) {
+	route := func(prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "hostname": Host, "path-prefix": prefix, "route-kind": kind, "service": service,
+			"timeout-ms": 10000, "target-latency-ms": 500, "gap-target-ms": 300, "priority": 1,
+			"max-attempts": attempts, "sticky": kind == "streaming", "resumable": resumable,
+		}
+	}
+	engine := map[string]any{
+		"slots": 8, "kv-capacity-tokens": 100000, "kv-token-bytes": 35136, "link-mbps": 1e6,
+		"models": []any{map[string]any{"name": Model}},
+	}
+	s.put("keyed.op", "config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route(PathSummary, "streaming", "models", 1, false),
+			route(PathQuery, "streaming", "models", 2, true),
+			route(PathLookup, "idempotent", "plain", 2, false),
+			route(PathUpload, "non_idempotent", "plain", 1, false),
+		},
+		"services": []any{
+			map[string]any{"name": "models", "health-path": "/healthz", "max-connections": 100, "engine": engine},
+			map[string]any{"name": "plain", "health-path": "/healthz", "max-connections": 100},
+			map[string]any{"name": "keep", "kv-store-addr": s.keepAddr, "zone": "north", "kv-capacity-tokens": 100000, "link-mbps": 3e5, "managed": true, "first_ms": 0.5},
+		},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": Account, "api-keys": keys, "priority": 1}},
+	})
+}
+
+// NameVersion writes the version of the model's weights that the operator wants.
+func (s *Site) NameVersion(version int64) {
+	s.put("keyed.op", "version/"+Model, map[string]any{"model": Model, "version": version})
+}
+
+func (s *Site) put(topic, key string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // maps of strings and numbers always encode
+	}
+	s.Store.Put(topic, key, data)
+}
+
+// BootFile returns the boot file of a node on loopback, with ports of its own.
+func (s *Site) BootFile(node string) string {
+	return fmt.Sprintf(`node-name = %q
+zone = "north"
+region = "loopback"
+ip = "127.0.0.1"
+internal-ports = [0, 0]
+[listen]
+front = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+[limits]
+memory-mb = 256
+max-fds = 1024
+[bounds]
+drain-ms = 2000
+grace-s = 8
+config-apply-ms = 2000
+revoke-ms = 5000
+stable-window-ms = 3000
+retry-budget-ratio = 0.2
+budget-slack = 50
+budget-window-s = 10
+lease-ms = 500
+version-ms = 12000
+require-fence = true
+[platform]
+address = %q
+`, node, s.storeAddr)
+}
+
+// Request returns a client's request to a node. session is the shared part of a
+// prompt; empty for plain requests.
+func Request(ctx context.Context, node, method, path, key, id, session string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = Host
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", "8000")
+	if session != "" {
+		req.Header.Set("X-Model", Model)
+		req.Header.Set("X-Token-Usage", "3400,48")
+		req.Header.Set("X-Prefix-Hash", fmt.Sprintf("c0ffee:400,%s:2000,%s:1000", session, id))
+	}
+	return req, nil
+}
