Refuse the least urgent prompts where every engine's memory is full

Ruled out: stores that are out of balance (590 and 716 of 1527 saves at the two large ones); parts not named (planned reads were 0.2M a second). Change: a prompt of the least urgent routes is refused at once, with when to come back, where all engines hold 95% of their memory; parts at stores are named for 5 s without the store.

--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -15,7 +15,7 @@
 	retryElsewhere = 20 * time.Millisecond
 	// retryNoEndpoint is when a caller may come back that found no endpoint: after
 	// the first pause of a failing one.
-	retryNoEndpoint = 150 * time.Millisecond
+	retryNoEndpoint = 800 * time.Millisecond
 )
 
 // writeError answers with an error of this node. Only errors whose run state is
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -14,12 +14,12 @@
 	// or went.
 	followPause = 300 * time.Millisecond
 	// namingAge is the oldest configuration with which a node names parts at
-	// stores.
-	namingAge = 2 * time.Second
+	// stores. Requests with keys are refused at about the same age, so that parts
+	// are named as long as the node serves at all.
+	namingAge = 5 * time.Second
 	// nameOldFor is how long parts of a replaced version are still named, for the
-	// engines that have it yet: about half of a rollout. The room is then needed
-	// for the new version's parts.
-	nameOldFor = 11 * time.Second
+	// engines that have it yet: about as long as a rollout takes.
+	nameOldFor = 9 * time.Second
 	// freeAfter is how long after a version was replaced its parts are freed: no
 	// node names them after nameOldFor from when it saw the new one, which is
 	// namingAge late at most, and no fetch lasts longer than a second.
@@ -27,7 +27,7 @@
 	// freeRanks and freeSpread let one node after the other look for parts to
 	// free, so that most find nothing left.
 	freeRanks  = 6
-	freeSpread = 1200 * time.Millisecond
+	freeSpread = 400 * time.Millisecond
 )
 
 // keeping follows what engines and stores keep, and frees outdated parts.
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -38,6 +38,10 @@
 	// fullMs is the cost of an engine whose memory is full: about the time until a
 	// run ends there.
 	fullMs = 600.0
+	// refuseShare is the part of every engine's memory, held by running requests,
+	// from which the least urgent prompts are refused: one more would put another
+	// back, whose prompt is then read again, and all would be late.
+	refuseShare = 0.95
 )
 
 // placePrompt picks the engine with the least predicted time to the first event,
@@ -50,6 +54,9 @@
 	}
 	home := p.home(q)
 	others := p.Peers.Loads(time.Now())
+	if p.full(q, candidates, others) {
+		return forward.Placement{}, false
+	}
 	plans := make(map[string]*plan, len(candidates))
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
 		version := m.VersionOf(q.Attributes.Model)
@@ -116,6 +123,18 @@
 	return cost
 }
 
+// full reports whether no engine has room for the request, which is one of the
+// least urgent.
+func (p *Placer) full(q *forward.Query, candidates []*fleet.Member, others map[string]peerload.Load) bool {
+	room := refuseShare * float64(q.Service.Engine.KVTokens)
+	if room <= 0 || q.Route.Priority < routeRanks-1 {
+		return false
+	}
+	return !slices.ContainsFunc(candidates, func(m *fleet.Member) bool {
+		return float64(m.Load.Holding()+others[m.ID].Holding+holding(q)) < room
+	})
+}
+
 // memoryCost is what speaks against an engine whose memory is nearly full, in ms.
 func memoryCost(q *forward.Query, held int) float64 {
 	room := float64(q.Service.Engine.KVTokens)
