--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -13,8 +13,8 @@
 	// retryElsewhere is when a caller may come back whose next connection should
 	// reach another node: at once, but for a spread of simultaneous refusals.
 	retryElsewhere = 20 * time.Millisecond
-	// retryNoEndpoint is when a caller may come back that found no endpoint: after
-	// the first pause of a failing one.
+	// retryNoEndpoint is when a caller may come back that found no room at any
+	// endpoint: after about half of a usual run.
 	retryNoEndpoint = 800 * time.Millisecond
 )
 
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -4,7 +4,7 @@
 // What it knows comes from events that are late and sometimes lost, so it may be
 // wrong either way. Nothing rests on its being right but time: an engine reads what
 // it doesn't find. The one exception is a store's part that is freed while it is
-// fetched, which Freeable guards against.
+// fetched, which the rule of Outdated guards against.
 package kept
 
 import (
--- a/internal/kept/salt.go
+++ b/internal/kept/salt.go
@@ -1,6 +1,7 @@
 package kept
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 )
@@ -16,9 +17,10 @@
 // saltFields is the number of fields of a salt's text.
 const saltFields = 3
 
-// String returns the text under which engines and stores keep the parts.
+// String returns the text under which engines and stores keep the parts. The names
+// are escaped, so that no model or account can look like another.
 func (s Salt) String() string {
-	return strconv.FormatInt(s.Version, 10) + "/" + s.Model + "/" + s.Account
+	return strconv.FormatInt(s.Version, 10) + "/" + url.PathEscape(s.Model) + "/" + url.PathEscape(s.Account)
 }
 
 // ParseSalt reads a salt's text back, and reports false for one that this package
@@ -32,5 +34,13 @@
 	if err != nil {
 		return Salt{}, false
 	}
-	return Salt{Model: fields[1], Version: version, Account: fields[2]}, true
+	model, err := url.PathUnescape(fields[1])
+	if err != nil {
+		return Salt{}, false
+	}
+	account, err := url.PathUnescape(fields[2])
+	if err != nil {
+		return Salt{}, false
+	}
+	return Salt{Model: model, Version: version, Account: account}, true
 }
