Log repeats, avoided endpoints and changes of readiness

Cause: one line a request did not tell which endpoint a stream had left, when an endpoint was judged bad, nor why a node was not ready. Change: a line for each repeat, each endpoint that is avoided anew, and each change of what the balancer is told.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -38,19 +38,23 @@
 }
 
 // Failed notes a failed attempt. Where the endpoint could not be reached, or broke
-// the connection, broken is true: then it gets no requests for a while.
-func (h *Health) Failed(now time.Time, broken bool) {
+// the connection, broken is true: then it gets no requests for a while. It reports
+// whether the endpoint is avoided from now on and was not before.
+func (h *Health) Failed(now time.Time, broken bool) (avoided bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	usable := !now.Before(h.ejected)
 	h.rate += failureDecay * (1 - h.rate)
-	if !broken {
-		if h.rate > ejectRate {
-			h.eject(now, ejectMax)
-		}
-		return
+	switch {
+	case broken:
+		h.eject(now, min(ejectBase<<min(h.inRow, 4), ejectMax))
+		h.inRow++
+	case h.rate > ejectRate:
+		h.eject(now, ejectMax)
+	default:
+		return false
 	}
-	h.eject(now, min(ejectBase<<min(h.inRow, 4), ejectMax))
-	h.inRow++
+	return usable
 }
 
 // Refused notes that the endpoint would not take a request for now.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -31,6 +31,11 @@
 	cut                      // a stream broke off after its first event
 )
 
+// String implements fmt.Stringer.
+func (v verdict) String() string {
+	return [...]string{delivered: "delivered", notRun: "not_run", failed: "may_have_run", answered: "answered", cut: "cut"}[v]
+}
+
 // forward sends the request until it is answered, or may not be sent again.
 func (x *exchange) forward() *result.Error {
 	ctx, cancel := x.contextOf()
@@ -58,6 +63,9 @@
 		if ctx.Err() != nil || !x.mayRepeat(v, runs) || !budget.Repeat(time.Now()) {
 			return x.conclude(ctx, v, runs)
 		}
+		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
+			Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.attrs.ResumeAfter).
+			Dur("after_ms", time.Since(x.arrived)).Send()
 	}
 }
 
@@ -86,14 +94,13 @@
 	switch {
 	case v == delivered:
 		health.Succeeded()
-	case v == answered:
-		health.Failed(time.Now(), false)
-	case errors.As(x.cause, &broken) && broken.Stage == upstream.StageConnect:
-		health.Failed(time.Now(), true)
-	case v == notRun:
+	case v == notRun && !(errors.As(x.cause, &broken) && broken.Stage == upstream.StageConnect):
 		health.Refused(time.Now(), refusedPause)
 	default:
-		health.Failed(time.Now(), false)
+		if health.Failed(time.Now(), broken != nil && broken.Stage == upstream.StageConnect) {
+			x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
+				Float64("failure_rate", health.FailureRate()).AnErr("cause", x.cause).Send()
+		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,17 +55,18 @@
 
 // Node is a gateway node, listening but not yet running.
 type Node struct {
-	kernel   *kernel.Kernel
-	boot     atomic.Pointer[bootstrap.Node]
-	state    *state
-	fleet    *fleet.Fleet
-	callers  *server
-	keeping  *keeping
-	orders   *weights.Service
-	peers    *peerload.Exchange
-	recorder *recorder
-	leaving  atomic.Bool
-	log      zerolog.Logger
+	kernel    *kernel.Kernel
+	boot      atomic.Pointer[bootstrap.Node]
+	state     *state
+	fleet     *fleet.Fleet
+	callers   *server
+	keeping   *keeping
+	orders    *weights.Service
+	peers     *peerload.Exchange
+	recorder  *recorder
+	leaving   atomic.Bool
+	toldReady atomic.Bool // the newest answer to the balancer
+	log       zerolog.Logger
 }
 
 // New opens the node's listeners and puts its services together. load reads the
@@ -184,7 +185,7 @@
 		n.recorder.ServeHTTP(w, r)
 	case r.URL.Path != pathReady:
 		w.WriteHeader(http.StatusNotFound)
-	case n.ready():
+	case n.tellReady():
 		w.WriteHeader(http.StatusOK)
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -197,6 +198,18 @@
 // Ready reports whether the node tells the balancer to send callers.
 func (n *Node) Ready() bool { return n.ready() }
 
+// tellReady returns what ready does, and logs each change with what decided it.
+func (n *Node) tellReady() bool {
+	ready := n.ready()
+	if n.toldReady.Swap(ready) != ready {
+		config, age := n.state.Config()
+		n.log.Info().Str("event", "ready").Bool("ready", ready).Bool("configured", config != nil).
+			Int64("config_age_ms", age.Milliseconds()).Bool("endpoints", !n.fleet.Empty()).
+			Bool("leaving", n.leaving.Load()).Send()
+	}
+	return ready
+}
+
 // Run serves until ctx is done, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error { return n.kernel.Run(ctx) }
 
