--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/coord/retry"
 )
 
 // ErrCompacted is returned by Topic.Read where the records from the offset on are
@@ -86,7 +88,7 @@
 			f.failed(err)
 			pause = f.Retry
 		}
-		sleep(ctx, pause-time.Since(begun))
+		retry.Sleep(ctx, pause-time.Since(begun))
 	}
 	return nil
 }
@@ -132,15 +134,3 @@
 	f.failing = true
 	f.Log.Warn().Str("event", "store_lost").Str("topic", f.Name).AnErr("error", err).Send()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/kept"
 )
 
@@ -42,11 +43,7 @@
 func (k *keeping) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		k.index.Follow(ctx, k.engines(), k.stores())
-		timer := time.NewTimer(followPause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
+		retry.Sleep(ctx, followPause)
 	}
 	k.index.Wait()
 	return nil
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/follow"
 )
 
@@ -77,11 +78,7 @@
 			err := r.topic.Put(ctx, r.node, []byte(r.addr))
 			r.log.Info().Str("event", "announced").Str("addr", r.addr).AnErr("error", err).Send()
 		}
-		timer := time.NewTimer(announcePause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
+		retry.Sleep(ctx, announcePause)
 	}
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/kernel"
 )
 
@@ -90,14 +91,7 @@
 func (s *server) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
 	s.log.Info().Str("event", "stopping").Str("server", s.name).Send()
-	if s.linger > 0 {
-		timer := time.NewTimer(s.linger)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-	}
+	retry.Sleep(ctx, s.linger)
 	if err := s.http.Shutdown(ctx); err != nil {
 		// The grace time is over: what is still under way is cut off by the end of
 		// the process, as the operators' own kill would do.
--- a/internal/kept/free.go
+++ b/internal/kept/free.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cherryward/cherryward/coord/retry"
 )
 
 const (
@@ -24,7 +26,7 @@
 // active reports whether this node should.
 func (x *Index) Free(ctx context.Context, rule Outdated, active func() bool) error {
 	for ctx.Err() == nil {
-		sleep(ctx, freePause)
+		retry.Sleep(ctx, freePause)
 		if !active() {
 			continue
 		}
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/coord/retry"
 )
 
 const (
@@ -150,7 +152,7 @@
 		default:
 			x.take(h, &events)
 		}
-		sleep(ctx, pause-time.Since(begun))
+		retry.Sleep(ctx, pause-time.Since(begun))
 	}
 }
 
@@ -166,15 +168,3 @@
 
 // Wait returns when all following has ended.
 func (x *Index) Wait() { x.wg.Wait() }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/weights"
 )
@@ -95,7 +96,7 @@
 			return nil
 		case <-ticker.C:
 		case <-e.kick:
-			sleep(ctx, spacing)
+			retry.Sleep(ctx, spacing)
 		}
 		e.send()
 	}
@@ -109,15 +110,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (e *Exchange) send() {
 	peers := e.peers.Load()
 	if peers == nil || len(*peers) == 0 {
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -148,14 +149,14 @@
 	held.Store(first)
 	go func() {
 		for ctx.Err() == nil && held.Load().Valid(0) {
-			sleep(ctx, held.Load().Remaining()-renewAt)
+			retry.Sleep(ctx, held.Load().Remaining()-renewAt)
 			renewed, err := s.claimer.Renew(ctx, held.Load(), claimTTL)
 			switch {
 			case err == nil:
 				held.Store(renewed)
 			case ctx.Err() == nil:
 				s.log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
-				sleep(ctx, claimPoll)
+				retry.Sleep(ctx, claimPoll)
 			}
 		}
 	}()
@@ -187,12 +188,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/weights/service_test.go
+++ b/internal/weights/service_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -154,7 +155,7 @@
 	wg.Go(func() { must.NoError(t, s.Run(ctx)) })
 	wg.Go(func() {
 		for ctx.Err() == nil {
-			sleep(ctx, time.Second)
+			retry.Sleep(ctx, time.Second)
 			w.beat(f)
 		}
 	})
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -7,11 +7,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -224,116 +221,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // a reader that has gone needs no answer
 }
-
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.cfg.ID {
-		w.Header().Set("X-Instance-Id", s.cfg.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	s.mu.Lock()
-	faults, version := s.faults, s.version
-	s.mu.Unlock()
-	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.FormatInt(version, 10) {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if faults.Shed {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	s.run(w, r, id, faults)
-}
-
-func (s *Server) run(w http.ResponseWriter, r *http.Request, id string, faults Faults) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return // the caller broke off
-	}
-	s.mu.Lock()
-	s.runs = append(s.runs, Run{Request: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
-	for entry := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
-		part, size, _ := strings.Cut(entry, ":")
-		if tokens, err := strconv.Atoi(size); err == nil {
-			s.set([2]string{r.Header.Get("X-Cache-Salt"), part}, tokens)
-		}
-	}
-	version := s.version
-	s.mu.Unlock()
-	w.Header().Set("X-Server-Seal", "seal-"+s.cfg.ID)
-	switch {
-	case faults.Hang:
-		<-r.Context().Done()
-		s.clientLeft()
-	case faults.LoseAnswer:
-		panic(http.ErrAbortHandler)
-	case faults.Unproven:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case faults.Foreign || faults.Extra:
-		s.answerTwice(w, id, faults)
-	case s.cfg.Model != "":
-		w.Header().Set("X-Weight-Versions", strconv.FormatInt(version, 10))
-		s.stream(w, r, faults)
-	default:
-		w.WriteHeader(max(faults.Status, http.StatusOK))
-		fmt.Fprintf(w, "%s answers %s", s.cfg.ID, id)
-	}
-}
-
-// answerTwice writes two answers by hand, one of which belongs to another request.
-func (s *Server) answerTwice(w http.ResponseWriter, id string, faults Faults) {
-	own := s.plainAnswer(id, fmt.Sprintf("%s answers %s", s.cfg.ID, id))
-	other := s.plainAnswer("another", "an answer to another request")
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err) // servers of this package always can
-	}
-	defer conn.Close()
-	if faults.Foreign {
-		own = other + own
-	} else {
-		own += other
-	}
-	_, _ = io.WriteString(conn, own) // a reader that has gone needs no answer
-}
-
-func (s *Server) plainAnswer(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, s.cfg.ID, len(body), body)
-}
-
-// stream writes events whose ids rise from 1, or go on after the last one that the
-// caller has.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, faults Faults) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	control := http.NewResponseController(w)
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means 0
-	for i := last + 1; i <= s.cfg.Pieces; i++ {
-		if faults.CutAfter > 0 && i > faults.CutAfter {
-			fmt.Fprintf(w, "id: %d\ndata: bro", i)
-			_ = control.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
-		if control.Flush() != nil {
-			s.clientLeft()
-			return
-		}
-		select {
-		case <-r.Context().Done():
-			s.clientLeft()
-			return
-		case <-time.After(s.cfg.Gap):
-		}
-	}
-}
-
-func (s *Server) clientLeft() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.left++
-}
