--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Str("event", "start").Str("callers", boot.CallersAddr).Str("store", boot.StoreAddr).
+	log.Info().Str("event", "start").Str("callers", n.CallersAddr()).Str("store", boot.StoreAddr).
 		Str("domain", boot.Domain).Int64("memory_bytes", boot.MemoryBytes).Send()
 	err = n.Run(ctx)
 	log.Info().Str("event", "stopped").AnErr("error", err).Send()
--- /dev/null
+++ b/scenarios/gateway/gateway_test.go
@@ -0,0 +1,326 @@
+// Package gateway runs the scripts *.txtar: gateway nodes as processes before a
+// stand-in of the users' platform, which fails as the scripts say.
+//
+// At the end of each script what the servers ran is checked: no upload ran twice, and
+// none that was refused ran at all.
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cherryward/cherryward/internal/daemon"
+	"github.com/cherryward/cherryward/standin/metastore"
+	"github.com/cherryward/cherryward/standin/modelserver"
+	"github.com/cherryward/cherryward/standin/site"
+)
+
+const (
+	key       = "script-key"
+	awaitTime = time.Minute
+	pollEvery = 10 * time.Millisecond
+	beat      = 100 * time.Millisecond
+	gap       = 5 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"cherryward": func() {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			os.Exit(daemon.Run(ctx, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+		},
+	})
+}
+
+// world is what one script works with.
+type world struct {
+	env   *testscript.Env
+	site  *site.Site
+	nodes map[string]*process
+	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	asked   int
+	refused []string // ids of uploads that were answered "not run"
+}
+
+// process is one node.
+type process struct {
+	cmd   *exec.Cmd
+	addr  string
+	ended chan struct{}
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 ".",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			s, err := site.Start(site.Config{Beat: beat, Gap: gap})
+			if err != nil {
+				return err
+			}
+			s.Configure(1, key)
+			w := &world{env: env, site: s, nodes: make(map[string]*process)}
+			env.Values[worldKey{}] = w
+			env.Defer(func() { w.close(env.T()) })
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"node":    command((*world).node),
+			"ask":     command((*world).ask),
+			"await":   command((*world).await),
+			"signal":  command((*world).signal),
+			"ended":   command((*world).ended),
+			"store":   command((*world).store),
+			"server":  command((*world).server),
+			"weights": command((*world).weights),
+			"keys":    command((*world).keys),
+		},
+	})
+}
+
+type worldKey struct{}
+
+// command makes a script command of a method, which takes the words after its name.
+func command(do func(w *world, words []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, words []string) {
+		w, _ := ts.Value(worldKey{}).(*world)
+		err := do(w, words)
+		if neg == (err == nil) {
+			ts.Fatalf("%v: %v", words, err)
+		}
+	}
+}
+
+func (w *world) close(t testscript.T) {
+	for _, p := range w.nodes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT) // it may have ended
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+	w.wg.Wait()
+	runs := make(map[string]int)
+	for _, r := range w.site.Plain.Runs() {
+		if strings.HasPrefix(r.Target, site.PathUpload) {
+			runs[r.Request]++
+		}
+	}
+	w.site.Close()
+	for id, n := range runs {
+		if n > 1 {
+			t.Fatal(fmt.Sprintf("upload %s ran %d times", id, n))
+		}
+	}
+	for _, id := range w.refused {
+		if runs[id] > 0 {
+			t.Fatal(fmt.Sprintf("upload %s was refused as not run, and ran", id))
+		}
+	}
+}
+
+var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
+
+// node NAME starts a node and waits until it listens.
+func (w *world) node(words []string) error {
+	name := words[0]
+	file := filepath.Join(w.env.WorkDir, name+".toml")
+	if err := os.WriteFile(file, []byte(w.site.BootFile(name)), 0o600); err != nil {
+		return err
+	}
+	p := &process{cmd: exec.Command("cherryward", "run", "--boot", file), ended: make(chan struct{})}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if found := callersField.FindStringSubmatch(lines.Text()); found != nil {
+			p.addr = found[1]
+			break
+		}
+	}
+	w.nodes[name] = p
+	w.wg.Go(func() {
+		_, _ = io.Copy(io.Discard, out) // ends with the process
+		_ = p.cmd.Wait()                // its state is looked at by ended
+		close(p.ended)
+	})
+	if p.addr == "" {
+		return fmt.Errorf("%s ended at once", name)
+	}
+	return nil
+}
+
+// ask NODE PATH STATUS [SESSION] sends a request and checks the status.
+func (w *world) ask(words []string) error {
+	status, err := w.send(words)
+	if err != nil {
+		return err
+	}
+	if want := words[2]; want != strconv.Itoa(status) {
+		return fmt.Errorf("status %d", status)
+	}
+	return nil
+}
+
+// await does as ask until the status is as wanted.
+func (w *world) await(words []string) error {
+	return w.poll(func() bool { return w.ask(words) == nil })
+}
+
+func (w *world) poll(ok func() bool) error {
+	deadline := time.After(awaitTime)
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for !ok() {
+		select {
+		case <-deadline:
+			return fmt.Errorf("not within %v", awaitTime)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (w *world) send(words []string) (status int, err error) {
+	node, path := words[0], words[1]
+	session := ""
+	if len(words) > 3 {
+		session = words[3]
+	}
+	w.mu.Lock()
+	w.asked++
+	id := fmt.Sprintf("a%d", w.asked)
+	w.mu.Unlock()
+	req, err := site.Request(context.Background(), w.nodes[node].addr, http.MethodGet, path, key, id, session)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, err
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && strings.HasPrefix(path, site.PathUpload) {
+		w.mu.Lock()
+		w.refused = append(w.refused, id)
+		w.mu.Unlock()
+	}
+	return resp.StatusCode, nil
+}
+
+var signals = map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "hup": syscall.SIGHUP}
+
+// signal NODE NAME signals a node.
+func (w *world) signal(words []string) error {
+	return w.nodes[words[0]].cmd.Process.Signal(signals[words[1]])
+}
+
+// ended NODE CODE waits for a node's end.
+func (w *world) ended(words []string) error {
+	p := w.nodes[words[0]]
+	<-p.ended
+	if code := p.cmd.ProcessState.ExitCode(); strconv.Itoa(code) != words[1] {
+		return fmt.Errorf("exit code %d", code)
+	}
+	return nil
+}
+
+// store sound|down|lossy|forgets changes the metadata store.
+func (w *world) store(words []string) error {
+	switch words[0] {
+	case "sound":
+		w.site.Store.SetFaults(metastore.Faults{})
+	case "down":
+		w.site.Store.SetFaults(metastore.Faults{Down: true})
+	case "lossy":
+		w.site.Store.SetFaults(metastore.Faults{LoseAnswers: true})
+	case "forgets":
+		w.site.Store.Forget("keyed.op")
+		w.site.Store.Forget("keyed.servers")
+	default:
+		return fmt.Errorf("unknown state %q", words[0])
+	}
+	return nil
+}
+
+// server NUMBER sound|shed|cut|lose|drain changes a model server, or the plain one
+// where NUMBER is "plain".
+func (w *world) server(words []string) error {
+	faults := map[string]modelserver.Faults{"sound": {}, "shed": {Shed: true}, "cut": {CutAfter: 3}, "lose": {LoseAnswer: true}}
+	f, known := faults[words[1]]
+	if words[0] == "plain" {
+		w.site.Plain.SetFaults(f)
+		return nil
+	}
+	i, err := strconv.Atoi(words[0])
+	switch {
+	case err != nil:
+		return err
+	case words[1] == "drain":
+		w.site.Drain(i - 1)
+	case !known:
+		return fmt.Errorf("unknown state %q", words[1])
+	default:
+		w.site.Models[i-1].SetFaults(f)
+	}
+	return nil
+}
+
+// weights name N names a version; weights await N waits until all servers have it.
+func (w *world) weights(words []string) error {
+	version, err := strconv.ParseInt(words[1], 10, 64)
+	if err != nil {
+		return err
+	}
+	if words[0] == "name" {
+		w.site.NameVersion(version)
+		return nil
+	}
+	return w.poll(func() bool {
+		return !slices.ContainsFunc(w.site.Models, func(m *modelserver.Server) bool { return m.Version() != version })
+	})
+}
+
+// keys VERSION KEY... writes a configuration; "own" stands for the scripts' key.
+func (w *world) keys(words []string) error {
+	version, err := strconv.ParseInt(words[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	var list []string
+	for _, word := range words[1:] {
+		if word == "own" {
+			word = key
+		}
+		list = append(list, word)
+	}
+	w.site.Configure(version, list...)
+	return nil
+}
