Have the stand-in announce the close after a doubled answer

Cause: TestForeignAnswers failed 2 times of about 65 beside load: the stand-in closed its connection after two answers without a word, and the next request, which may not be repeated, crossed the close. Seen by running the test's binary in a loop. Ruled out: the product, which can't tell such a close from one after the request ran, and rightly answers 502. Change: the last of the two answers says Connection: close. Conclusion: a fault of the stand-in.

--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -68,10 +68,12 @@
 	}
 }
 
-// answerTwice writes two answers by hand, one of which belongs to another request.
+// answerTwice writes two answers by hand, one of which belongs to another request. The
+// last one says that the connection is closed, which it is: a request that crossed an
+// unannounced close could be neither answered nor repeated.
 func (s *Server) answerTwice(w http.ResponseWriter, id string, faults Faults) {
-	own := s.plainAnswer(id, fmt.Sprintf("%s answers %s", s.cfg.ID, id))
-	other := s.plainAnswer("another", "an answer to another request")
+	own := s.plainAnswer(id, fmt.Sprintf("%s answers %s", s.cfg.ID, id), faults.Foreign)
+	other := s.plainAnswer("another", "an answer to another request", faults.Extra)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // servers of this package always can
@@ -85,8 +87,12 @@
 	_, _ = io.WriteString(conn, own) // a reader that has gone needs no answer
 }
 
-func (s *Server) plainAnswer(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, s.cfg.ID, len(body), body)
+func (s *Server) plainAnswer(id, body string, last bool) string {
+	closing := ""
+	if last {
+		closing = "Connection: close\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.cfg.ID, closing, len(body), body)
 }
 
 // stream writes events whose ids rise from 1, or go on after the last one that the
