Split the gateway's set-up and the judgement of endpoints

Cause: New was sixty lines long, and judge mixed two questions. Change: addParts, listen and registerServices; unreachable has a method.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -86,24 +86,28 @@
 
 // judge tells the endpoint's health what happened.
 func (x *exchange) judge(p *Placement, v verdict) {
-	health := &p.Member.Health
 	if x.unread || x.r.Context().Err() != nil {
 		return // the caller left, which says nothing of the endpoint
 	}
-	var broken *upstream.Error
+	health := &p.Member.Health
+	unreachable := v == notRun && x.unreachable()
 	switch {
 	case v == delivered:
 		health.Succeeded()
-	case v == notRun && !(errors.As(x.cause, &broken) && broken.Stage == upstream.StageConnect):
+	case v == notRun && !unreachable:
 		health.Refused(time.Now(), refusedPause)
-	default:
-		if health.Failed(time.Now(), broken != nil && broken.Stage == upstream.StageConnect) {
-			x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
-				Float64("failure_rate", health.FailureRate()).AnErr("cause", x.cause).Send()
-		}
+	case health.Failed(time.Now(), unreachable):
+		x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
+			Float64("failure_rate", health.FailureRate()).AnErr("cause", x.cause).Send()
 	}
 }
 
+// unreachable reports whether the newest attempt found no connection.
+func (x *exchange) unreachable() bool {
+	var failure *upstream.Error
+	return errors.As(x.cause, &failure) && failure.Stage == upstream.StageConnect
+}
+
 // conclude returns the error for a request that is not sent again. An endpoint's
 // own error has been kept and is delivered as it is.
 func (x *exchange) conclude(ctx context.Context, v verdict, runs int) *result.Error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	state     *state
 	fleet     *fleet.Fleet
 	callers   *server
+	balancer  *server // answers whether the node is ready
 	keeping   *keeping
 	orders    *weights.Service
 	peers     *peerload.Exchange
@@ -81,38 +82,57 @@
 	}
 	n.boot.Store(boot)
 	store := platform.NewStore(boot.StoreAddr)
-	engines := platform.NewEngines()
-	var err error
-	n.keeping = &keeping{node: n, index: kept.NewIndex(engines, log)}
-	n.orders, err = weights.New(boot.Name, n.fleet, n.state, engines, store.Log(platform.ClaimsTopic),
-		boot.Bounds.Lease+leaseMargin, n.state.changed, log)
-	if err != nil {
+	if err := n.addParts(store); err != nil {
 		return nil, err
 	}
-	n.peers, err = peerload.Listen(boot.Name, peerAddr(boot), n.fleet.All, n.orders.Closed, log)
-	if err != nil {
+	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	n.recorder = newRecorder(n)
-	callers, err := listen("callers", boot.CallersAddr, closing(&n.leaving, n.handler()), &n.leaving, log)
+	return n, n.registerServices(store, load)
+}
+
+// addParts makes what requests are decided with.
+func (n *Node) addParts(store *platform.Store) (err error) {
+	boot := n.boot.Load()
+	engines := platform.NewEngines()
+	n.keeping = &keeping{node: n, index: kept.NewIndex(engines, n.log)}
+	claims := store.Log(platform.ClaimsTopic)
+	lease := boot.Bounds.Lease + leaseMargin
+	n.orders, err = weights.New(boot.Name, n.fleet, n.state, engines, claims, lease, n.state.changed, n.log)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	callers.linger = leaveTime
-	n.callers = callers
-	ready, err := listen("ready", boot.ReadyAddr, http.HandlerFunc(n.serveReady), &n.leaving, log)
+	n.peers, err = peerload.Listen(boot.Name, peerAddr(boot), n.fleet.All, n.orders.Closed, n.log)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	n.recorder = newRecorder(n)
+	return nil
+}
+
+// listen opens the listeners for callers and for the balancer.
+func (n *Node) listen() (err error) {
+	boot := n.boot.Load()
+	n.callers, err = listen("callers", boot.CallersAddr, closing(&n.leaving, n.handler()), &n.leaving, n.log)
+	if err != nil {
+		return err
+	}
+	n.callers.linger = leaveTime
+	n.callers.needs = []string{"ready", "config", "registry", "kept"}
+	n.balancer, err = listen("ready", boot.ReadyAddr, http.HandlerFunc(n.serveReady), &n.leaving, n.log)
+	return err
+}
+
+// registerServices hands all services to the kernel.
+func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
 	config := n.follower("config", store.Topic(platform.TopicOperator), n.state)
 	config.Wait = configWait
-	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: log})
+	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: n.log})
 	endpoints.Pause = registryPause
-	members := newRoster(boot.Name, n.peers.Addr(), store.Topic(nodesTopic), n.peers.SetPeers, log)
+	members := newRoster(n.boot.Load().Name, n.peers.Addr(), store.Topic(nodesTopic), n.peers.SetPeers, n.log)
 	nodes := n.follower("nodes", store.Topic(nodesTopic), members)
 	nodes.Wait = nodesWait
-	callers.needs = []string{"ready", "config", "registry", "kept"}
-	return n, n.register(ready, callers,
+	return n.register(n.balancer, n.callers,
 		&task{name: "config", run: config.Run},
 		&task{name: "registry", run: endpoints.Run},
 		&task{name: "orders", run: n.orders.Run},
