--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -28,8 +28,10 @@
 	Model   = "reader"
 	Account = "yard"
 
+	// Pieces is the number of events of a whole stream.
+	Pieces = 8
+
 	models     = 3
-	pieces     = 8
 	headerTime = 5 * time.Second
 )
 
@@ -37,6 +39,9 @@
 type Config struct {
 	Beat time.Duration // between the servers' entries in the registry
 	Gap  time.Duration // between the events of a stream
+	// Proxy returns the address that others are told in place of a stand-in's own;
+	// nil leaves them.
+	Proxy func(addr string) (string, error)
 }
 
 // Site is a running deployment.
@@ -48,6 +53,7 @@
 
 	storeAddr, keepAddr string
 	servers             []server
+	proxy               func(addr string) (string, error)
 	stop                context.CancelFunc
 	wg                  sync.WaitGroup
 }
@@ -62,7 +68,7 @@
 // Start starts a site whose servers are registered and which is not configured yet.
 func Start(c Config) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Site{Store: metastore.New(), stop: cancel}
+	s := &Site{Store: metastore.New(), stop: cancel, proxy: c.Proxy}
 	var err error
 	if s.storeAddr, err = s.listen(ctx, s.Store.Handler()); err != nil {
 		return nil, err
@@ -72,7 +78,7 @@
 		return nil, err
 	}
 	for i := range models {
-		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: "north", Model: Model, Pieces: pieces, Gap: c.Gap}
+		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: "north", Model: Model, Pieces: Pieces, Gap: c.Gap}
 		added, err := s.add(ctx, cfg)
 		if err != nil {
 			return nil, err
@@ -105,6 +111,9 @@
 	served := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
 	s.wg.Go(func() { _ = served.Serve(l) }) // ends with Close
 	context.AfterFunc(ctx, func() { _ = served.Close() })
+	if s.proxy != nil {
+		return s.proxy(l.Addr().String())
+	}
 	return l.Addr().String(), nil
 }
 
