--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,16 +18,34 @@
 
 // topic answers after a delay from a script.
 type topic struct {
-	delay     time.Duration
+	delay time.Duration
+
+	mu        sync.Mutex
 	fail      bool
 	compacted bool
 	newest    int // calls of Newest
 }
 
+// change changes the script.
+func (t *topic) change(fail, compacted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fail, t.compacted = fail, compacted
+}
+
+// reads returns the number of calls of Newest.
+func (t *topic) reads() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest
+}
+
 var errDown = errors.New("down")
 
 func (t *topic) Newest(context.Context) ([]follow.Record, int64, error) {
 	time.Sleep(t.delay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.fail {
 		return nil, 0, errDown
 	}
@@ -35,19 +55,37 @@
 }
 
 func (t *topic) Read(_ context.Context, from int64, wait time.Duration) ([]follow.Record, int64, error) {
-	if t.fail {
+	t.mu.Lock()
+	fail, compacted := t.fail, t.compacted
+	t.mu.Unlock()
+	if fail {
 		return nil, 0, errDown
 	}
-	if t.compacted {
+	if compacted {
 		return nil, 0, follow.ErrCompacted
 	}
 	time.Sleep(wait + t.delay)
 	return nil, from, nil
 }
 
-type sink struct{ batches []follow.Batch }
+type sink struct {
+	mu    sync.Mutex
+	taken []follow.Batch
+}
+
+func (s *sink) Apply(b follow.Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taken = append(s.taken, b)
+}
+
+func (s *sink) batches() []follow.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.taken)
+}
 
-func (s *sink) Apply(b follow.Batch) { s.batches = append(s.batches, b) }
+func last(batches []follow.Batch) follow.Batch { return batches[len(batches)-1] }
 
 const wait = time.Second
 
@@ -71,10 +109,10 @@
 	run(t, &topic{delay: 3 * time.Second}, func(s *sink) {
 		begun := time.Now()
 		time.Sleep(10 * time.Second)
-		must.SliceNotEmpty(t, s.batches)
-		test.Eq(t, begun, s.batches[0].ProvenAt)
-		must.Len(t, 2, s.batches)
-		test.Eq(t, begun.Add(3*time.Second), s.batches[1].ProvenAt)
+		must.SliceNotEmpty(t, s.batches())
+		test.Eq(t, begun, s.batches()[0].ProvenAt)
+		must.Len(t, 2, s.batches())
+		test.Eq(t, begun.Add(3*time.Second), s.batches()[1].ProvenAt)
 	})
 }
 
@@ -82,10 +120,10 @@
 	topic := &topic{}
 	run(t, topic, func(s *sink) {
 		time.Sleep(1500 * time.Millisecond)
-		topic.compacted = true
+		topic.change(false, true)
 		time.Sleep(2 * time.Second)
-		test.Eq(t, 2, topic.newest)
-		test.True(t, s.batches[len(s.batches)-1].ProvenAt.After(s.batches[0].ProvenAt))
+		test.Eq(t, 2, topic.reads())
+		test.True(t, last(s.batches()).ProvenAt.After(s.batches()[0].ProvenAt))
 	})
 }
 
@@ -93,12 +131,12 @@
 	topic := &topic{}
 	run(t, topic, func(s *sink) {
 		time.Sleep(500 * time.Millisecond)
-		topic.fail = true
+		topic.change(true, false)
 		time.Sleep(4 * time.Second)
-		topic.fail = false
+		topic.change(false, false)
 		time.Sleep(3 * time.Second)
 		var outages []time.Duration
-		for _, b := range s.batches {
+		for _, b := range s.batches() {
 			if b.AfterOutage {
 				outages = append(outages, b.Outage)
 			}
--- a/internal/weights/service_test.go
+++ b/internal/weights/service_test.go
@@ -111,6 +111,13 @@
 	return Taken, nil
 }
 
+// orders returns the orders that were given.
+func (w *world) orders() []given {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	return slices.Clone(w.engines.given)
+}
+
 type wanted struct {
 	mu      sync.Mutex
 	version int64
@@ -206,11 +213,11 @@
 		test.Eq(t, slices.Repeat([]int64{2}, 9), w.versions())
 		test.Eq(t, maxLoads, w.engines.loading)
 		holders := map[string]bool{}
-		for _, g := range w.engines.given {
+		for _, g := range w.orders() {
 			holders[g.Holder] = true
 		}
 		test.MapLen(t, 1, holders)
-		test.Len(t, 9, w.engines.given)
+		test.Len(t, 9, w.orders())
 		for _, stop := range stops {
 			stop()
 		}
@@ -227,9 +234,9 @@
 		w.name(3)
 		time.Sleep(14 * time.Second)
 		test.Eq(t, slices.Repeat([]int64{3}, 9), w.versions())
-		for _, g := range w.engines.given {
+		for _, g := range w.orders() {
 			if g.Version == 2 {
-				test.Less(t, 5*time.Second, g.at.Sub(w.engines.given[0].at))
+				test.Less(t, 5*time.Second, g.at.Sub(w.orders()[0].at))
 			}
 		}
 		stop()
@@ -249,7 +256,7 @@
 		time.Sleep(25 * time.Second)
 		test.Eq(t, slices.Repeat([]int64{2}, 9), w.versions())
 		var last, first given
-		for _, g := range w.engines.given {
+		for _, g := range w.orders() {
 			if g.Holder == "n1" {
 				last = g
 			} else if first.Holder == "" {
@@ -275,7 +282,7 @@
 		w.log.mu.Unlock()
 		lost := time.Now()
 		time.Sleep(20 * time.Second)
-		for _, g := range w.engines.given {
+		for _, g := range w.orders() {
 			test.Less(t, claimTTL, g.at.Sub(lost))
 		}
 		stop()
@@ -291,7 +298,7 @@
 		stop := w.node(t, "n1")
 		time.Sleep(8 * time.Second)
 		test.Eq(t, []int64{2}, w.versions())
-		test.Len(t, 1, w.engines.given)
+		test.Len(t, 1, w.orders())
 		stop()
 	})
 }
