Name the model of a resumed run, and don't repeat its role

Cause: a run resumed over the OpenAI entry sent chunks with an empty model and the role chunk once more; seen from outside. Change: the engine's start frame echoes model and adapter; a resumed stream takes them from there, and a caller that has any token gets no role chunk.

--- a/api/wire/enginewire/enginewire.go
+++ b/api/wire/enginewire/enginewire.go
@@ -67,6 +67,8 @@
 	Text         string    `json:"text,omitempty"`
 	Version      string    `json:"version,omitempty"`       // start: weight version in use
 	CacheSalt    string    `json:"cache_salt,omitempty"`    // start: echoed
+	Model        string    `json:"model,omitempty"`         // start: echoed
+	Adapter      string    `json:"adapter,omitempty"`       // start: echoed
 	PromptTokens int       `json:"prompt_tokens,omitempty"` // start
 	CachedTokens int       `json:"cached_tokens,omitempty"` // start: of the prompt, not recomputed
 	Blocks       []Block   `json:"blocks,omitempty"`        // end: whole blocks of prompt and output now in memory
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -115,6 +115,7 @@
 		return err
 	}
 	sink := newStreamSink(c, "", object, info.begun)
+	sink.resumedAt(offset)
 	req := runs.ResumeRequest{Account: info.accountID, Run: run, Offset: offset, Deadline: deadline}
 	sum, err := s.Runner.Resume(c.Request().Context(), req, sink)
 	info.summary, info.gaps = sum, sink.gaps.gaps
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -72,11 +72,12 @@
 	}
 	s.started = true
 	s.chunk.ID = start.Run
+	s.nameModel(start)
 	h := s.c.Response().Header()
 	h.Set(echo.HeaderContentType, "text/event-stream")
 	h.Set(echo.HeaderCacheControl, "no-cache")
 	s.c.Response().WriteHeader(http.StatusOK)
-	if s.choice.Delta == nil {
+	if s.choice.Delta == nil || s.choice.Delta.Role == "" {
 		s.c.Response().Flush()
 		return nil
 	}
@@ -85,6 +86,25 @@
 	return err
 }
 
+// nameModel fills in the model of a resumed run, whose request named none.
+func (s *streamSink) nameModel(start runs.Start) {
+	if s.chunk.Model != "" {
+		return
+	}
+	s.chunk.Model = start.Model
+	if start.Adapter != "" {
+		s.chunk.Model += modelAdapterSeparator + start.Adapter
+	}
+}
+
+// resumedAt prepares the sink for a run of which the caller has so many tokens. One
+// who has any has the role, too.
+func (s *streamSink) resumedAt(offset int) {
+	if offset > 0 && s.choice.Delta != nil {
+		s.choice.Delta.Role = ""
+	}
+}
+
 // Tokens implements runs.Sink.
 func (s *streamSink) Tokens(run string, offset int, text string) error {
 	s.gaps.token(time.Now())
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -55,6 +55,8 @@
 type Start struct {
 	Run          string
 	Endpoint     string
+	Model        string // as the engine echoes it; empty from engines that don't
+	Adapter      string
 	PromptTokens int
 	CachedTokens int
 }
--- a/internal/runs/stream.go
+++ b/internal/runs/stream.go
@@ -96,7 +96,7 @@
 	r.seen.Incarnation = f.Incarnation
 	r.seen.PromptTokens = f.PromptTokens
 	r.seen.CachedTokens = f.CachedTokens
-	s := Start{Run: r.id, Endpoint: r.name, PromptTokens: f.PromptTokens, CachedTokens: f.CachedTokens}
+	s := Start{Run: r.id, Endpoint: r.name, Model: f.Model, Adapter: f.Adapter, PromptTokens: f.PromptTokens, CachedTokens: f.CachedTokens}
 	if r.p.sum.Engines == 0 {
 		r.p.sum.Start = s
 	}
--- a/standin/engine/frames.go
+++ b/standin/engine/frames.go
@@ -22,6 +22,8 @@
 		f.Version += "-other"
 	}
 	f.CacheSalt = s.run.from.salt
+	f.Model = s.run.from.model
+	f.Adapter = s.run.from.adapter
 	f.PromptTokens = s.run.promptTokens
 	f.CachedTokens = s.run.cached * s.e.cfg.BlockTokens
 	return f
