Read an engine's version once for a placement

Cause: a last reading of the change: a placement read the believed version for its salt and again for the expected version; an answer or a digest between the two could pair one version's salt with another's weights. failedSend and unreachable asked the same of an error. Change: the plan carries the version that its salt names; failedSend asks unreachable; a comment said that an answer was yet to be delivered.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -105,11 +105,11 @@
 // unreachable reports whether the newest attempt found no connection.
 func (x *exchange) unreachable() bool {
 	var failure *upstream.Error
-	return errors.As(x.cause, &failure) && failure.Stage == upstream.StageConnect
+	return errors.As(x.cause, &failure) && failure.NotRun()
 }
 
 // conclude returns the error for a request that is not sent again. An endpoint's
-// own error has been kept and is delivered as it is.
+// own error has been delivered already.
 func (x *exchange) conclude(ctx context.Context, v verdict, runs int) *result.Error {
 	if v == answered {
 		return nil
@@ -170,8 +170,7 @@
 
 func (x *exchange) failedSend(err error) verdict {
 	x.cause = err
-	var failure *upstream.Error
-	if errors.As(err, &failure) && failure.NotRun() {
+	if x.unreachable() {
 		return notRun
 	}
 	return failed
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -25,6 +25,7 @@
 
 // plan is how an engine would come by the parts of a prompt.
 type plan struct {
+	version   int64 // of the weights that the salt names
 	salt      string
 	current   bool     // the salt's version is the wanted one
 	named     bool     // parts at stores may be named
@@ -60,6 +61,7 @@
 // it has all before it. Parts of weights that are no longer wanted are not saved.
 func (p *Placer) plan(q *forward.Query, m *fleet.Member, version, wanted int64) *plan {
 	plan := &plan{
+		version: version,
 		salt:    saltOf(q, version),
 		current: version >= wanted,
 		named:   p.Kept.ClockMS() > 0 && p.MayName(q.Attributes.Model, version),
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -79,7 +79,7 @@
 			Instance: m.ID,
 			Account:  accountName(q),
 			Priority: priorityOf(q),
-			Version:  m.VersionOf(q.Attributes.Model),
+			Version:  plan.version,
 			Salt:     plan.salt,
 			Sources:  plan.sources,
 			Targets:  p.targets(q, plan),
