Keep saves over a store's first answer; test that a version is read once

Cause: a holder's first answer has an epoch that differs from none, which cleared the saves that this node had begun before it. Change: saves are forgotten on a restart alone. TestFirstContactKeepsSaves fails on the code before.

--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -111,13 +111,9 @@
 	defer h.mu.Unlock()
 	h.lost = false
 	if e.Epoch != h.epoch {
-		restarted := h.next > 0
-		clear(h.parts)
-		clear(h.saving)
-		h.used = 0
 		h.epoch = e.Epoch
-		if restarted {
-			h.next = 0 // events are numbered anew: ask for all of them
+		if h.next > 0 {
+			h.restarted()
 			return
 		}
 	}
@@ -128,6 +124,15 @@
 	}
 }
 
+// restarted forgets what was kept. Events are numbered anew, so all are asked for. On
+// the first contact there is nothing to forget, and saves may be under way already.
+func (h *Holder) restarted() {
+	clear(h.parts)
+	clear(h.saving)
+	h.used = 0
+	h.next = 0
+}
+
 func (h *Holder) set(p Part, tokens int) {
 	h.used += tokens - h.parts[p]
 	if tokens == 0 {
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -64,3 +64,13 @@
 		test.False(t, ok, test.Sprint(text))
 	}
 }
+
+// TestFirstContactKeepsSaves lets a store's first answer arrive after a save was begun.
+func TestFirstContactKeepsSaves(t *testing.T) {
+	h := newStore()
+	test.True(t, h.BeginSave(part, 40, now))
+	h.apply(&Events{Epoch: 7, Next: 1})
+	test.False(t, h.BeginSave(part, 40, now), test.Sprint("the save is under way"))
+	h.apply(&Events{Epoch: 8, Next: 1})
+	test.True(t, h.BeginSave(part, 40, now), test.Sprint("a restart lost it"))
+}
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,109 @@
+// Package pace says how often a node asks the platform and tells its peers, by the
+// number of nodes.
+//
+// A system of up to MeshNodes nodes asks as often as is useful. In a larger one, what
+// each node costs the others grows with their number, so the rates are bounded for all
+// nodes together. All functions are pure.
+package pace
+
+import "time"
+
+const (
+	// MeshNodes is the largest number of nodes that tell one another everything and
+	// follow every engine. It is also the number of event readers that an engine of
+	// the users' platform serves at once.
+	MeshNodes = 12
+
+	// registryPause is the time between two reads of the registry in a small system.
+	registryPause = 400 * time.Millisecond
+	// registryReads is the number of reads of the registry by all nodes in a second.
+	registryReads = 90
+	// registryShare is the part of the drain bound that may pass between two reads.
+	// The rest is for the read itself and one that fails.
+	registryShare = 0.35
+
+	// configWait is how long a read of the configuration waits for a change in a
+	// small system. Each read that ends proves that the configuration was current
+	// when it was sent, so that the proof is up to twice as old.
+	configWait = 900 * time.Millisecond
+	// configReads is the number of reads of the configuration by all nodes in a second.
+	configReads = 60
+	// configShare is the part of the revocation bound that a read may wait: three
+	// waits, a failed one among them, fit into the bound.
+	configShare = 0.3
+
+	// eventsWait and eventsPause are how long a question for events waits, and the
+	// time between the start of two, where all readers may wait at the same time.
+	eventsWait  = 800 * time.Millisecond
+	eventsPause = 250 * time.Millisecond
+	// eventsShortWait is the shortest wait that is not priced as a probe.
+	eventsShortWait = 200 * time.Millisecond
+	// eventsUse is the part of a holder's places for waiting readers that nodes use.
+	eventsUse = 0.8
+
+	// digestSpacing is the shortest time between two messages to peers. It leaves
+	// time for the request that a message is sent for to be counted.
+	digestSpacing = 15 * time.Millisecond
+	// digestInterval is the longest time between two messages.
+	digestInterval = 150 * time.Millisecond
+	// digestsHeard bounds the messages that a node hears in a second: each takes
+	// some 40 microseconds of a processor.
+	digestsHeard = 400
+
+	// rosterPause is the time between two reads of the nodes' addresses while nodes
+	// may be coming up together; each address is a record that ends a waiting read.
+	rosterPause = 2 * time.Second
+)
+
+// Registry returns the time between two reads of the registry.
+func Registry(nodes int, drain time.Duration) time.Duration {
+	return between(registryPause, perSecond(nodes, registryReads), part(drain, registryShare))
+}
+
+// ConfigWait returns how long a read of the configuration waits for a change.
+func ConfigWait(nodes int, revoke time.Duration) time.Duration {
+	return between(configWait, perSecond(nodes, configReads), part(revoke, configShare))
+}
+
+// Roster returns the time between two reads of the nodes' addresses.
+func Roster(nodes int) time.Duration {
+	if nodes <= MeshNodes {
+		return 0
+	}
+	return rosterPause
+}
+
+// Events returns how long a question for a holder's events waits, and the time
+// between the start of two, where the holder lets so many readers wait at once.
+func Events(nodes, readers int) (wait, pause time.Duration) {
+	if nodes <= max(readers, 1) {
+		return eventsWait, eventsPause
+	}
+	places := float64(max(readers, 1)) * eventsUse
+	return eventsShortWait, time.Duration(float64(eventsShortWait) * float64(nodes) / places)
+}
+
+// Digests returns the shortest and the longest time between two messages to peers.
+func Digests(peers int) (spacing, interval time.Duration) {
+	spacing = max(digestSpacing, perSecond(peers, digestsHeard))
+	return spacing, max(digestInterval, spacing)
+}
+
+// Whole reports whether nodes tell one another everything.
+func Whole(nodes int) bool { return nodes <= MeshNodes }
+
+// perSecond returns the time between two calls of a node where all make so many a
+// second.
+func perSecond(nodes, calls int) time.Duration {
+	return time.Duration(nodes) * time.Second / time.Duration(calls)
+}
+
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * share)
+}
+
+// between returns want, but at least least, and at most most if that is longer than
+// least.
+func between(least, want, most time.Duration) time.Duration {
+	return max(least, min(want, most))
+}
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,58 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/pace"
+)
+
+const (
+	drain  = 3 * time.Second
+	revoke = 5 * time.Second
+)
+
+// TestRates keeps the rates of all nodes together bounded, up to the largest system.
+func TestRates(t *testing.T) {
+	for _, nodes := range []int{1, 7, 12, 13, 30, 85, 300, 1000} {
+		registry := pace.Registry(nodes, drain)
+		test.LessEq(t, drain/2, registry)
+		config := pace.ConfigWait(nodes, revoke)
+		test.LessEq(t, revoke/3, config)
+		spacing, interval := pace.Digests(nodes)
+		test.LessEq(t, interval, spacing)
+		test.LessEq(t, 600, float64(nodes)/spacing.Seconds(), test.Sprint(nodes, " nodes"))
+		if nodes <= 90 {
+			test.LessEq(t, 2.5*12+100, float64(nodes)/registry.Seconds(), test.Sprint(nodes, " nodes"))
+		}
+	}
+}
+
+// TestReadersFit keeps the readers that wait at a holder below the number that it
+// lets wait.
+func TestReadersFit(t *testing.T) {
+	for _, nodes := range []int{12, 13, 85, 1000} {
+		for _, readers := range []int{0, 1, 12, 100} {
+			wait, pause := pace.Events(nodes, readers)
+			waiting := float64(nodes) * wait.Seconds() / max(pause, wait).Seconds()
+			test.LessEq(t, float64(max(readers, 1))+1e-9, waiting, test.Sprint(nodes, " nodes, ", readers, " readers"))
+		}
+	}
+}
+
+// TestSmallSystems keeps the rates of a system in which everybody tells everybody.
+func TestSmallSystems(t *testing.T) {
+	test.Eq(t, 400*time.Millisecond, pace.Registry(7, 2*time.Second))
+	test.Eq(t, 900*time.Millisecond, pace.ConfigWait(7, revoke))
+	test.Eq(t, 0, pace.Roster(7))
+	wait, pause := pace.Events(7, 12)
+	test.Eq(t, 800*time.Millisecond, wait)
+	test.Eq(t, 250*time.Millisecond, pause)
+	spacing, interval := pace.Digests(6)
+	test.Eq(t, 15*time.Millisecond, spacing)
+	test.Eq(t, 150*time.Millisecond, interval)
+	test.True(t, pace.Whole(7))
+	test.False(t, pace.Whole(85))
+}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -270,3 +270,17 @@
 	_, ok = w.Place(q)
 	test.False(t, ok)
 }
+
+// TestVersionIsReadOnce has an engine's weights change while a placement is worked
+// out: the parts' salt and the expected weights must still be of one version, or the
+// engine would use parts that other weights made.
+func TestVersionIsReadOnce(t *testing.T) {
+	w := newWorld(t, source{}, 1)
+	w.MayName = func(string, int64) bool {
+		w.members[0].SawVersion(model, 2)
+		return true
+	}
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, salt(p.Attempt.Version, ""), p.Attempt.Salt)
+}
