--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -155,10 +155,11 @@
 	if e.Draining {
 		f.noteDraining(e.ID, now)
 	}
-	if before == nil || before.Draining != e.Draining {
-		f.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).
-			Str("addr", e.Addr).Bool("draining", e.Draining).Send()
+	if before != nil && before.Draining == e.Draining {
+		return // a heartbeat, which changes no list
 	}
+	f.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).
+		Str("addr", e.Addr).Bool("draining", e.Draining).Send()
 	f.rebuild()
 }
 
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -18,22 +19,26 @@
 	// ejectRate is the failure rate from which an endpoint is avoided. Services
 	// answer up to 14% of requests with errors of their own in sound health.
 	ejectRate = 0.35
+	// failureHalfLife is the time in which a failure rate falls to half without any
+	// outcome: an endpoint that is avoided has none, and may be sound again.
+	failureHalfLife = 5 * time.Second
 )
 
 // Health judges an endpoint by the outcomes that this node saw. Its zero value is
 // that of an endpoint nothing is known of. It is safe for concurrent use.
 type Health struct {
 	mu      sync.Mutex
-	rate    float64 // of failures, recent ones weighted most
-	inRow   int     // connection failures
+	rate    float64 // of failures, recent ones weighted most, as of rated
+	rated   time.Time
+	inRow   int // connection failures
 	ejected time.Time
 }
 
 // Succeeded notes an answer that was sound.
-func (h *Health) Succeeded() {
+func (h *Health) Succeeded(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.rate -= failureDecay * h.rate
+	h.note(now, 0)
 	h.inRow = 0
 }
 
@@ -44,7 +49,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	usable := !now.Before(h.ejected)
-	h.rate += failureDecay * (1 - h.rate)
+	h.note(now, 1)
 	switch {
 	case broken:
 		h.eject(now, min(ejectBase<<min(h.inRow, 4), ejectMax))
@@ -78,8 +83,22 @@
 }
 
 // FailureRate returns the recent share of failed attempts, 0 to 1.
-func (h *Health) FailureRate() float64 {
+func (h *Health) FailureRate(now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.rate
+	return h.rateAt(now)
+}
+
+// note takes an outcome, 1 for a failure, into the rate.
+func (h *Health) note(now time.Time, outcome float64) {
+	rate := h.rateAt(now)
+	h.rate = rate + failureDecay*(outcome-rate)
+	h.rated = now
+}
+
+func (h *Health) rateAt(now time.Time) float64 {
+	if h.rate == 0 {
+		return 0
+	}
+	return h.rate * math.Exp2(-now.Sub(h.rated).Seconds()/failureHalfLife.Seconds())
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -61,10 +61,10 @@
 	Name  string // in logs
 	Topic Topic
 	Sink  Sink
-	// Wait is how long a read waits for a change.
-	Wait time.Duration
-	// Pause is the time between the start of two reads, at least.
-	Pause time.Duration
+	// Wait returns how long a read waits for a change. Nil means that reads don't wait.
+	Wait func() time.Duration
+	// Pause returns the time between the start of two reads, at least. Nil means none.
+	Pause func() time.Duration
 	// Retry is the time after a failed read.
 	Retry time.Duration
 	Log   zerolog.Logger
@@ -74,6 +74,14 @@
 	failing  bool
 }
 
+// now returns what a setting is at present, which may change with the number of nodes.
+func now(setting func() time.Duration) time.Duration {
+	if setting == nil {
+		return 0
+	}
+	return setting()
+}
+
 // unknown is the offset of a follower that has read nothing yet.
 const unknown = -1
 
@@ -83,7 +91,7 @@
 	f.lastGood = time.Now()
 	for ctx.Err() == nil {
 		begun := time.Now()
-		pause := f.Pause
+		pause := now(f.Pause)
 		if err := f.step(ctx, begun); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause = f.Retry
@@ -101,7 +109,7 @@
 	if batch.Snapshot {
 		batch.Records, next, err = f.Topic.Newest(ctx)
 	} else {
-		batch.Records, next, err = f.Topic.Read(ctx, f.next, f.Wait)
+		batch.Records, next, err = f.Topic.Read(ctx, f.next, now(f.Wait))
 	}
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("event", "history_gone").Str("topic", f.Name).Int64("offset", f.next).Send()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -89,16 +89,17 @@
 	if x.unread || x.r.Context().Err() != nil {
 		return // the caller left, which says nothing of the endpoint
 	}
+	now := time.Now()
 	health := &p.Member.Health
 	unreachable := v == notRun && x.unreachable()
 	switch {
 	case v == delivered:
-		health.Succeeded()
+		health.Succeeded(now)
 	case v == notRun && !unreachable:
-		health.Refused(time.Now(), refusedPause)
-	case health.Failed(time.Now(), unreachable):
+		health.Refused(now, refusedPause)
+	case health.Failed(now, unreachable):
 		x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
-			Float64("failure_rate", health.FailureRate()).AnErr("cause", x.cause).Send()
+			Float64("failure_rate", health.FailureRate(now)).AnErr("cause", x.cause).Send()
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/kernel"
+	"github.com/cherryward/cherryward/internal/pace"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/weights"
@@ -26,13 +27,6 @@
 )
 
 const (
-	// configWait is how long a read of the configuration waits for a change. Each
-	// read that ends proves that the configuration was current when it was sent, so
-	// that the proof is up to twice as old.
-	configWait = 900 * time.Millisecond
-	// registryPause is the time between two reads of the registry. Each heartbeat
-	// is a record, so a read that waits for one would end many times a second.
-	registryPause = 400 * time.Millisecond
 	// storeRetry is the pause after a failed read of the store.
 	storeRetry = 250 * time.Millisecond
 	// stopMargin is kept of the grace time for the process's own end.
@@ -44,11 +38,19 @@
 	// ageing configuration counts as ready. Callers are better served elsewhere
 	// before it has to refuse their keys.
 	readyShare = 0.5
+	// readyMargin is what the configuration's age may be beyond two waits of a read,
+	// its age on a calm day, at a node that counts as ready.
+	readyMargin = 500 * time.Millisecond
 
 	// leaseMargin is added to the lease bound before another node gives orders, for
 	// the way of the last order.
 	leaseMargin = 200 * time.Millisecond
 
+	// takeoverTime is how long a node that doesn't stand by leaves the claim on orders to
+	// those that do after it last heard of a holder. They need the rest of the claim's
+	// time, the lease bound and a read of the log: 5.5 s.
+	takeoverTime = 8 * time.Second
+
 	pathReady   = "/-/readyz"
 	pathMetrics = "/metrics"
 )
@@ -64,6 +66,7 @@
 	keeping   *keeping
 	orders    *weights.Service
 	peers     *peerload.Exchange
+	roster    *roster
 	recorder  *recorder
 	leaving   atomic.Bool
 	toldReady atomic.Bool // the newest answer to the balancer
@@ -95,14 +98,32 @@
 func (n *Node) addParts(store *platform.Store) (err error) {
 	boot := n.boot.Load()
 	engines := platform.NewEngines()
-	n.keeping = &keeping{node: n, index: kept.NewIndex(engines, n.log)}
-	claims := store.Log(platform.ClaimsTopic)
-	lease := boot.Bounds.Lease + leaseMargin
-	n.orders, err = weights.New(boot.Name, n.fleet, n.state, engines, claims, lease, n.state.changed, n.log)
+	n.keeping = &keeping{node: n}
+	n.keeping.index = kept.NewIndex(engines, n.keeping.pace, n.log)
+	n.peers, err = peerload.Listen(peerload.Config{
+		Node:    boot.Name,
+		Domain:  boot.Domain,
+		Addr:    peerAddr(boot),
+		Members: n.fleet.All,
+		Orders:  n.givenOrders,
+		Log:     n.log,
+	})
 	if err != nil {
 		return err
 	}
-	n.peers, err = peerload.Listen(boot.Name, peerAddr(boot), n.fleet.All, n.orders.Closed, n.log)
+	own := nodeEntry{Addr: n.peers.Addr(), Domain: boot.Domain}
+	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.log)
+	n.orders, err = weights.New(weights.Config{
+		Node:    boot.Name,
+		Fleet:   n.fleet,
+		Wanted:  n.state,
+		Engines: engines,
+		Claims:  store.Log(platform.ClaimsTopic),
+		Peers:   n,
+		Lease:   boot.Bounds.Lease + leaseMargin,
+		Changed: n.state.changed,
+		Log:     n.log,
+	})
 	if err != nil {
 		return err
 	}
@@ -110,6 +131,22 @@
 	return nil
 }
 
+var _ weights.Peers = (*Node)(nil)
+
+// Standby implements weights.Peers.
+func (n *Node) Standby() bool { return n.roster.Standby() }
+
+// Led implements weights.Peers.
+func (n *Node) Led() bool { return n.peers.Table.Led(time.Now(), takeoverTime) }
+
+// givenOrders is what peers are told of the orders that this node gives.
+func (n *Node) givenOrders() (closed []weights.Closed, leads bool) {
+	return n.orders.Closed(), n.orders.Leads()
+}
+
+// nodes returns the number of nodes that share what is given out among nodes.
+func (n *Node) nodes() int { return max(n.roster.Nodes(), n.peers.Table.Nodes()) }
+
 // listen opens the listeners for callers and for the balancer.
 func (n *Node) listen() (err error) {
 	boot := n.boot.Load()
@@ -126,19 +163,21 @@
 // registerServices hands all services to the kernel.
 func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
 	config := n.follower("config", store.Topic(platform.TopicOperator), n.state)
-	config.Wait = configWait
+	config.Wait = n.configWait
 	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: n.log})
-	endpoints.Pause = registryPause
-	members := newRoster(n.boot.Load().Name, n.peers.Addr(), store.Topic(nodesTopic), n.peers.SetPeers, n.log)
-	nodes := n.follower("nodes", store.Topic(nodesTopic), members)
-	nodes.Wait = nodesWait
+	// Each heartbeat is a record, so a read that waits for one would end many times a
+	// second.
+	endpoints.Pause = func() time.Duration { return pace.Registry(n.nodes(), n.bounds().Drain) }
+	nodes := n.follower("nodes", store.Topic(nodesTopic), n.roster)
+	nodes.Wait = func() time.Duration { return nodesWait }
+	nodes.Pause = func() time.Duration { return pace.Roster(n.nodes()) }
 	return n.register(n.balancer, n.callers,
 		&task{name: "config", run: config.Run},
 		&task{name: "registry", run: endpoints.Run},
 		&task{name: "orders", run: n.orders.Run},
 		&task{name: "peers", run: n.peers.Run},
 		&task{name: "roster", run: nodes.Run},
-		&task{name: "announce", run: members.announce},
+		&task{name: "announce", run: n.roster.announce},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.keeping.follow},
 		&task{name: "free", run: n.keeping.free},
@@ -164,7 +203,7 @@
 		Dialect:  platform.Dialect{},
 		State:    n.state,
 		Placer:   n.placer(),
-		Budgets:  forward.NewBudgets(boot.Bounds, n.peers.Table.Nodes),
+		Budgets:  forward.NewBudgets(boot.Bounds, n.nodes),
 		Bounds:   n.bounds,
 		Recorder: n.recorder,
 		Log:      n.log,
@@ -180,6 +219,7 @@
 		MayName:      n.keeping.mayName,
 		Peers:        n.peers.Table,
 		Kick:         n.peers.Kick,
+		Whole:        n.peers.Whole,
 		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
 	}
@@ -187,6 +227,9 @@
 
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
+// configWait is how long a read of the configuration waits for a change.
+func (n *Node) configWait() time.Duration { return pace.ConfigWait(n.nodes(), n.bounds().Revoke) }
+
 // peerAddr is where the node hears its peers.
 func peerAddr(boot *bootstrap.Node) string {
 	return net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPorts[0]))
@@ -195,7 +238,7 @@
 // ready reports whether callers are well served here.
 func (n *Node) ready() bool {
 	config, age := n.state.Config()
-	limit := time.Duration(readyShare * float64(n.bounds().Revoke))
+	limit := max(time.Duration(readyShare*float64(n.bounds().Revoke)), 2*n.configWait()+readyMargin)
 	return config != nil && age < limit && !n.fleet.Empty() && !n.leaving.Load()
 }
 
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -8,6 +8,7 @@
 
 	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/pace"
 )
 
 const (
@@ -49,20 +50,24 @@
 	return nil
 }
 
+// engines returns the engines to follow: none where all nodes together would ask more
+// than an engine lets wait. What engines keep is then guessed from sessions' homes.
 func (k *keeping) engines() []*kept.Holder {
 	config, _ := k.node.state.Config()
 	if config == nil {
 		return nil
 	}
+	nodes := k.node.nodes()
 	var engines []*kept.Holder
 	for _, m := range k.node.fleet.All() {
 		service := config.Service(m.Service)
-		if service == nil || service.Engine == nil {
+		if service == nil || service.Engine == nil || nodes > readersOf(service.Engine.EventReaders) {
 			continue
 		}
 		at := m.Endpoint()
 		h := kept.NewHolder(m.ID, at.Addr, at.Domain)
 		h.Mbps = service.Engine.LinkMbps
+		h.Readers = service.Engine.EventReaders
 		engines = append(engines, h)
 	}
 	return engines
@@ -83,11 +88,26 @@
 		h.Mbps = s.LinkMbps
 		h.First = s.FirstDelay
 		h.Tokens = s.KVTokens
+		h.Readers = s.EventReaders
 		stores = append(stores, h)
 	}
 	return stores
 }
 
+// pace is how often a holder is asked.
+func (k *keeping) pace(h *kept.Holder) (wait, pause time.Duration) {
+	return pace.Events(k.node.nodes(), readersOf(h.Readers))
+}
+
+// readersOf returns the number of event readers of a holder, or the usual one where the
+// configuration doesn't state it.
+func readersOf(stated int) int {
+	if stated > 0 {
+		return stated
+	}
+	return pace.MeshNodes
+}
+
 // fresh reports whether this node knows which versions are wanted.
 func (k *keeping) fresh() bool {
 	_, age := k.node.state.Config()
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
+	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/pace"
+	"github.com/cherryward/cherryward/internal/peerload"
 )
 
 const (
@@ -22,6 +26,16 @@
 	announcePause = 500 * time.Millisecond
 )
 
+// standbys is the number of nodes of a large system that follow the claim on orders
+// while another node holds it: enough that one is left after the loss of two.
+const standbys = 3
+
+// nodeEntry is a node's entry in the topic.
+type nodeEntry struct {
+	Addr   string `json:"addr"`   // where it hears its peers, IP:PORT
+	Domain string `json:"domain"` // failure domain
+}
+
 // putter writes the newest record of a key.
 type putter interface {
 	Put(ctx context.Context, key string, value []byte) error
@@ -29,20 +43,26 @@
 
 // roster knows the addresses of all nodes, and makes this one known.
 type roster struct {
-	node, addr string
-	topic      putter
-	set        func(addrs []string)
-	log        zerolog.Logger
-
-	mu    sync.Mutex
-	addrs map[string]string // by node
-	read  bool
+	node  string
+	own   nodeEntry
+	topic putter
+	set   func(peers []peerload.Peer)
+	log   zerolog.Logger
+
+	count   atomic.Int64 // nodes, this one included
+	standby atomic.Bool
+
+	mu      sync.Mutex
+	entries map[string]nodeEntry // by node
+	read    bool
 }
 
 var _ follow.Sink = (*roster)(nil)
 
-func newRoster(node, addr string, topic putter, set func([]string), log zerolog.Logger) *roster {
-	return &roster{node: node, addr: addr, topic: topic, set: set, log: log, addrs: make(map[string]string)}
+func newRoster(node string, own nodeEntry, topic putter, set func([]peerload.Peer), log zerolog.Logger) *roster {
+	r := &roster{node: node, own: own, topic: topic, set: set, log: log, entries: make(map[string]nodeEntry)}
+	r.summarize()
+	return r
 }
 
 // Apply implements follow.Sink.
@@ -50,35 +70,85 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if b.Snapshot {
-		clear(r.addrs)
+		clear(r.entries)
 	}
-	for _, record := range b.Records {
-		if record.Value == nil {
-			delete(r.addrs, record.Key)
-			continue
-		}
-		r.addrs[record.Key] = string(record.Value)
+	for i := range b.Records {
+		r.apply(&b.Records[i])
 	}
 	r.read = true
-	r.set(slices.Collect(maps.Values(r.addrs)))
+	r.summarize()
+	peers := make([]peerload.Peer, 0, len(r.entries))
+	for _, e := range r.entries {
+		peers = append(peers, peerload.Peer{Addr: e.Addr, Domain: e.Domain})
+	}
+	r.set(peers)
+}
+
+func (r *roster) apply(record *follow.Record) {
+	if record.Value == nil {
+		delete(r.entries, record.Key)
+		return
+	}
+	var e nodeEntry
+	if err := json.Unmarshal(record.Value, &e); err != nil {
+		r.log.Error().Str("event", "record_rejected").Str("key", record.Key).Int64("offset", record.Offset).Err(err).Send()
+		return
+	}
+	r.entries[record.Key] = e
 }
 
+// summarize counts the nodes, and finds out whether this one stands by: all do in a
+// small system, in a larger one the first few in the order of their names' hashes.
+func (r *roster) summarize() {
+	nodes := len(r.entries)
+	if _, listed := r.entries[r.node]; !listed {
+		nodes++
+	}
+	before := 0
+	own := xxhash.Sum64String(r.node)
+	for name := range r.entries {
+		if xxhash.Sum64String(name) < own {
+			before++
+		}
+	}
+	r.count.Store(int64(nodes))
+	r.standby.Store(pace.Whole(nodes) || before < standbys)
+}
+
+// Nodes returns the number of nodes that were ever announced, this one included. Some
+// may be gone.
+func (r *roster) Nodes() int { return int(r.count.Load()) }
+
+// Standby reports whether this node follows the claim on orders while another holds it.
+func (r *roster) Standby() bool { return r.standby.Load() }
+
 // missing reports whether the topic was read and lacks this node.
 func (r *roster) missing() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.read && r.addrs[r.node] != r.addr
+	return r.read && r.entries[r.node] != r.own
 }
 
 // announce writes this node's entry whenever it is missing. Writing it twice does
 // no harm.
 func (r *roster) announce(ctx context.Context) error {
 	for ctx.Err() == nil {
+		pause := announcePause
 		if r.missing() {
-			err := r.topic.Put(ctx, r.node, []byte(r.addr))
-			r.log.Info().Str("event", "announced").Str("addr", r.addr).AnErr("error", err).Send()
+			// The entry is read back before it is written again.
+			pause += pace.Roster(r.Nodes())
+			err := r.put(ctx)
+			r.log.Info().Str("event", "announced").Str("addr", r.own.Addr).Str("domain", r.own.Domain).AnErr("error", err).Send()
 		}
-		retry.Sleep(ctx, announcePause)
+		retry.Sleep(ctx, pause)
 	}
 	return nil
 }
+
+func (r *roster) put(ctx context.Context) error {
+	value, err := json.Marshal(r.own)
+	if err != nil {
+		return eris.Wrap(err, "encode the node's entry")
+	}
+	return r.topic.Put(ctx, r.node, value)
+}
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -11,20 +11,16 @@
 	"github.com/cherryward/cherryward/coord/retry"
 )
 
-const (
-	// eventsWait is how long a question waits for an event.
-	eventsWait = 800 * time.Millisecond
-	// eventsPause is the time between the start of two questions to one holder.
-	// Events come in batches then, and are about as old as engines tell them.
-	eventsPause = 250 * time.Millisecond
-	// eventsRetry is the pause after a question that failed.
-	eventsRetry = 500 * time.Millisecond
-)
+// eventsRetry is the pause after a question that failed.
+const eventsRetry = 500 * time.Millisecond
 
 // Index is what is kept at all holders. It is safe for concurrent use.
 type Index struct {
 	Source Source
 	Log    zerolog.Logger
+	// Pace returns how long a question to a holder waits for an event, and the time
+	// between the start of two. Events come in batches then.
+	Pace func(h *Holder) (wait, pause time.Duration)
 
 	view atomic.Pointer[view]
 
@@ -47,8 +43,8 @@
 }
 
 // NewIndex returns an index without holders.
-func NewIndex(source Source, log zerolog.Logger) *Index {
-	x := &Index{Source: source, Log: log, cancel: make(map[*Holder]context.CancelFunc)}
+func NewIndex(source Source, paced func(h *Holder) (wait, pause time.Duration), log zerolog.Logger) *Index {
+	x := &Index{Source: source, Pace: paced, Log: log, cancel: make(map[*Holder]context.CancelFunc)}
 	x.view.Store(&view{engines: make(map[string]*Holder)})
 	return x
 }
@@ -139,13 +135,13 @@
 func (x *Index) follow(ctx context.Context, h *Holder) {
 	for ctx.Err() == nil {
 		begun := time.Now()
-		pause := eventsPause
-		events, err := x.Source.Events(ctx, h.Addr, h.since(), eventsWait)
+		wait, pause := x.Pace(h)
+		events, err := x.Source.Events(ctx, h.Addr, h.since(), wait)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			pause = eventsRetry
+			pause = max(pause, eventsRetry)
 			if h.failed() {
 				x.Log.Warn().Str("event", "events_lost").Str("holder", h.ID).AnErr("error", err).Send()
 			}
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -50,6 +50,9 @@
 	Mbps   float64 // of its link
 	First  time.Duration
 	Tokens int // that a store has room for; 0 for an engine
+	// Readers is the number of questions for events that wait there at once; 0 if not
+	// known.
+	Readers int
 
 	mu     sync.Mutex
 	epoch  int64
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -7,6 +7,7 @@
 package peerload
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -14,13 +15,17 @@
 )
 
 const (
-	// Interval is the time between two messages of a node.
-	Interval = 150 * time.Millisecond
 	// Fresh is how long a message is used: a few lost ones are bridged.
 	Fresh = 800 * time.Millisecond
 	// heardFor is how long a node counts as one of those that share a budget after
 	// its last message.
 	heardFor = 10 * time.Second
+	// toldFailures is the failure rate from which peers are told of it.
+	toldFailures = 0.2
+	// failureWitnesses is the number of peers that must tell of an endpoint's failures
+	// before they count: one alone may have lost its own way there.
+	failureWitnesses = 2
+	percent          = 100
 )
 
 // Digest is what a node says of itself.
@@ -30,8 +35,16 @@
 	Incarnation int64  `json:"incarnation"`
 	Seq         int64  `json:"seq"`
 	Loads       []Load `json:"loads,omitempty"`
-	// Closed are the engines that this node has loaded now.
-	Closed []Closed `json:"closed,omitempty"`
+	// Seen are weights that the node saw in answers or reports before the registry told
+	// of them.
+	Seen []Seen `json:"seen,omitempty"`
+	// Emptied and Loading are the engines that this node has loaded now: the former take
+	// short requests yet. Both count for ForMs.
+	Emptied []string `json:"emptied,omitempty"`
+	Loading []string `json:"loading,omitempty"`
+	ForMs   int64    `json:"for_ms,omitempty"`
+	// Leads is true where this node holds the claim on orders.
+	Leads bool `json:"leads,omitempty"`
 }
 
 // Load is what the node has under way at an endpoint.
@@ -40,17 +53,15 @@
 	Running  int    `json:"running"`
 	Reading  int    `json:"reading"` // prompt tokens that wait to be read
 	Holding  int    `json:"holding"` // tokens in the endpoint's memory
-	// Model and Version are weights that the node saw in an answer before the
-	// registry told of them; a version of 0 says nothing.
-	Model   string `json:"model,omitempty"`
-	Version int64  `json:"version,omitempty"`
+	// Failures is the share of attempts that failed lately, in percent, if it is high.
+	Failures int `json:"failures,omitempty"`
 }
 
-// Closed is an engine that is about to load.
-type Closed struct {
-	Endpoint string `json:"endpoint"`
-	Loads    bool   `json:"loads"` // it takes no requests, not even short ones
-	ForMs    int64  `json:"for_ms"`
+// Seen are the engines that have a version of a model.
+type Seen struct {
+	Model     string   `json:"model"`
+	Version   int64    `json:"version"`
+	Endpoints []string `json:"endpoints"`
 }
 
 // Table holds the newest digest of each peer. It is safe for concurrent use.
@@ -80,11 +91,27 @@
 	t.most = max(t.most, t.count(now))
 }
 
-// Loads returns the sum of what the peers have under way, by endpoint.
-func (t *Table) Loads(now time.Time) map[string]Load {
+// Sum is what all peers together tell of an endpoint.
+type Sum struct {
+	Running, Reading, Holding int
+
+	failures  int // percent, added up
+	witnesses int // peers that tell of failures
+}
+
+// FailureRate returns the share of failed attempts that several peers tell of, else 0.
+func (s Sum) FailureRate() float64 {
+	if s.witnesses < failureWitnesses {
+		return 0
+	}
+	return float64(s.failures) / percent / float64(s.witnesses)
+}
+
+// Loads returns the sum of what the peers tell, by endpoint.
+func (t *Table) Loads(now time.Time) map[string]Sum {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sums := make(map[string]Load)
+	sums := make(map[string]Sum)
 	for _, p := range t.peers {
 		if now.Sub(p.at) > Fresh {
 			continue
@@ -94,6 +121,10 @@
 			sum.Running += l.Running
 			sum.Reading += l.Reading
 			sum.Holding += l.Holding
+			if l.Failures > 0 {
+				sum.failures += l.Failures
+				sum.witnesses++
+			}
 			sums[l.Endpoint] = sum
 		}
 	}
@@ -107,15 +138,31 @@
 	defer t.mu.Unlock()
 	closed := make(map[string]bool)
 	for _, p := range t.peers {
-		for _, c := range p.digest.Closed {
-			if now.Sub(p.at) < time.Duration(c.ForMs)*time.Millisecond {
-				closed[c.Endpoint] = closed[c.Endpoint] || c.Loads
-			}
+		if now.Sub(p.at) >= time.Duration(p.digest.ForMs)*time.Millisecond {
+			continue
+		}
+		for _, id := range p.digest.Emptied {
+			closed[id] = closed[id]
+		}
+		for _, id := range p.digest.Loading {
+			closed[id] = true
 		}
 	}
 	return closed
 }
 
+// Led reports whether a peer that holds the claim on orders was heard within a time.
+func (t *Table) Led(now time.Time, within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.digest.Leads && now.Sub(p.at) < within {
+			return true
+		}
+	}
+	return false
+}
+
 // Nodes returns the number of nodes, this one included, that are known to share
 // what is given out among nodes. It is the largest number ever seen: a node that is
 // cut off must not take the others' shares.
@@ -137,16 +184,35 @@
 
 // LoadsOf returns what this node has under way and what it saw, without endpoints
 // that it has nothing to say of.
-func LoadsOf(members []*fleet.Member) []Load {
+func LoadsOf(members []*fleet.Member, now time.Time) []Load {
 	var loads []Load
 	for _, m := range members {
 		l := Load{Endpoint: m.ID, Running: m.Load.Running(), Reading: m.Load.Reading(), Holding: m.Load.Holding()}
-		if seen := m.Seen(); seen != nil {
-			l.Model, l.Version = seen.Model, seen.Version
+		if rate := m.Health.FailureRate(now); rate >= toldFailures {
+			l.Failures = int(rate * percent)
 		}
-		if l.Running > 0 || l.Reading > 0 || l.Version > 0 {
+		if l.Running > 0 || l.Reading > 0 || l.Failures > 0 {
 			loads = append(loads, l)
 		}
 	}
 	return loads
 }
+
+// SeenOf returns what this node saw of engines' weights and the registry doesn't tell
+// yet.
+func SeenOf(members []*fleet.Member) []Seen {
+	var list []Seen
+	for _, m := range members {
+		seen := m.Seen()
+		if seen == nil {
+			continue
+		}
+		i := slices.IndexFunc(list, func(s Seen) bool { return s.Model == seen.Model && s.Version == seen.Version })
+		if i < 0 {
+			i = len(list)
+			list = append(list, Seen{Model: seen.Model, Version: seen.Version})
+		}
+		list[i].Endpoints = append(list[i].Endpoints, m.ID)
+	}
+	return list
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -41,6 +41,9 @@
 	Peers *peerload.Table
 	// Kick has the other nodes told soon of a placement.
 	Kick func()
+	// Whole reports whether Peers tells of all nodes, rather than of those of this
+	// failure domain.
+	Whole func() bool
 	// Closed are the engines that this node has loaded now.
 	Closed func() []weights.Closed
 	// VersionApply is the operators' bound on new weights.
@@ -92,9 +95,11 @@
 
 // placePlain picks the endpoint with the fewest requests under way.
 func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member) forward.Placement {
-	others := p.Peers.Loads(time.Now())
+	now := time.Now()
+	others := p.Peers.Loads(now)
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
-		cost := float64(m.Load.Running()+others[m.ID].Running) + failurePenalty*m.Health.FailureRate() + tieSpread*rand.Float64()
+		seen := others[m.ID]
+		cost := float64(m.Load.Running()+seen.Running) + failurePenalty*failureRate(m, seen, now) + tieSpread*rand.Float64()
 		if m.Endpoint().Domain != p.Domain {
 			cost += foreignDomain
 		}
@@ -107,6 +112,11 @@
 	}
 }
 
+// failureRate is the share of failed attempts that this node or its peers saw.
+func failureRate(m *fleet.Member, others peerload.Sum, now time.Time) float64 {
+	return max(m.Health.FailureRate(now), others.FailureRate())
+}
+
 // scored is an endpoint with its cost.
 type scored struct {
 	member *fleet.Member
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cherryward/cherryward/coord/rendezvous"
-	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
 )
@@ -21,6 +20,10 @@
 	// minSaved is the smallest part worth a transfer to a store, in tokens: a
 	// smaller one is read in less than the transfer's own start takes.
 	minSaved = 64
+	// againMsPerK is what speaks against reading 1,000 tokens that are kept elsewhere,
+	// beyond the time it takes: the price of reading them again against that of a late
+	// answer.
+	againMsPerK = 60.0
 )
 
 // plan is how an engine would come by the parts of a prompt.
@@ -28,7 +31,6 @@
 	version   int64 // of the weights that the salt names
 	salt      string
 	current   bool     // the salt's version is the wanted one
-	named     bool     // parts at stores may be named
 	sources   []string // an address for each part; nil where none is fetched
 	fromStore bool
 	cached    int // tokens that the engine keeps itself
@@ -44,6 +46,14 @@
 	return p.fetchMs + float64(p.reading)/prefillPerMs + movedMsPerGB*p.bytes/bytesPerGB
 }
 
+// name notes the source of part i of so many.
+func (p *plan) name(i, parts int, addr string) {
+	if p.sources == nil {
+		p.sources = make([]string, parts)
+	}
+	p.sources[i] = addr
+}
+
 // reason names what the plan rests on.
 func (p *plan) reason() string {
 	switch {
@@ -57,74 +67,6 @@
 	return "read"
 }
 
-// plan works out the parts one after the other: an engine can use a part only if
-// it has all before it. Parts of weights that are no longer wanted are not saved.
-func (p *Placer) plan(q *forward.Query, m *fleet.Member, version, wanted int64) *plan {
-	plan := &plan{
-		version: version,
-		salt:    saltOf(q, version),
-		current: version >= wanted,
-		named:   p.Kept.ClockMS() > 0 && p.MayName(q.Attributes.Model, version),
-	}
-	parts := q.Attributes.Parts
-	if len(parts) == 0 {
-		plan.reading = q.Attributes.PromptTokens
-		return plan
-	}
-	engine := p.Kept.Engine(m.ID)
-	prefix := true
-	for i, part := range parts {
-		key := kept.Part{Salt: plan.salt, ID: part.ID}
-		if prefix && engine != nil && engine.Has(key) >= part.Tokens {
-			plan.cached += part.Tokens
-			continue
-		}
-		if prefix && p.fetch(q, m, plan, i, key) {
-			continue
-		}
-		prefix = false
-		plan.reading += part.Tokens
-	}
-	return plan
-}
-
-// fetch adds the quickest source of part i to the plan. It reports false where no
-// other holder has the whole part.
-func (p *Placer) fetch(q *forward.Query, m *fleet.Member, plan *plan, i int, key kept.Part) bool {
-	part := q.Attributes.Parts[i]
-	bytes := float64(part.Tokens) * float64(q.Service.Engine.TokenBytes)
-	domain := m.Endpoint().Domain
-	var best *kept.Holder
-	bestMs := float64(part.Tokens) / prefillPerMs
-	consider := func(h *kept.Holder) {
-		if ms := transferMs(h, bytes, domain); ms < bestMs && h.Reachable() && h.Has(key) >= part.Tokens {
-			best, bestMs = h, ms
-		}
-	}
-	for id, h := range p.Kept.Engines() {
-		if id != m.ID {
-			consider(h)
-		}
-	}
-	for _, h := range p.Kept.Stores() {
-		if plan.named {
-			consider(h)
-		}
-	}
-	if best == nil {
-		return false
-	}
-	if plan.sources == nil {
-		plan.sources = make([]string, len(q.Attributes.Parts))
-	}
-	plan.sources[i] = best.Addr
-	plan.fromStore = plan.fromStore || best.Tokens > 0
-	plan.fetched += part.Tokens
-	plan.fetchMs += bestMs
-	plan.bytes += bytes
-	return true
-}
-
 // transferMs is the time of a transfer to a failure domain, in ms.
 func transferMs(h *kept.Holder, bytes float64, domain string) float64 {
 	const bitsPerByte = 8
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,6 +41,15 @@
 	// from which the least urgent prompts are refused: one more would put another
 	// back, whose prompt is then read again, and all would be late.
 	refuseShare = 0.95
+	// runMs is the mean time of a run, during which it takes one of an engine's slots.
+	runMs = 450.0
+	// fewestNear is the number of usable engines in this node's failure domain with
+	// which a node of a large system does without the others.
+	fewestNear = 4
+	// spillMs is the cost from which engines of other failure domains are weighed too.
+	// Their load is not known, so they cost unknownMs more.
+	spillMs   = 200.0
+	unknownMs = 60.0
 )
 
 // placePrompt picks the engine with the least predicted time to the first event,
@@ -52,24 +60,37 @@
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
-	home := p.home(q)
-	others := p.Peers.Loads(time.Now())
-	if p.full(q, candidates, others) {
+	near, far := p.split(candidates)
+	s := p.search(q, rollout)
+	if p.full(q, near, s.others) {
 		return forward.Placement{}, false
 	}
-	plans := make(map[string]*plan, len(candidates))
-	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
-		version := m.VersionOf(q.Attributes.Model)
-		plan := p.plan(q, m, version, rollout.wanted)
-		plans[m.ID] = plan
-		cost := p.engineCost(q, m, others[m.ID]) + plan.ms() + rollout.cost(m) + spreadMs*rand.Float64()
-		if m.ID == home {
-			cost -= homeMs
-		}
-		return cost
-	}), byCost).member
+	best := slices.MinFunc(score(near, s.cost), byCost)
+	if len(far) > 0 && best.cost > spillMs {
+		farther := slices.MinFunc(score(far, s.farCost), byCost)
+		best = slices.MinFunc([]scored{best, farther}, byCost)
+	}
 	p.Kick()
-	return p.placement(q, best, plans[best.ID]), true
+	return p.placement(q, best.member, s.plan(best.member)), true
+}
+
+// split tells the engines whose load this node knows from the others: in a large
+// system those of its failure domain, if enough are left there.
+func (p *Placer) split(candidates []*fleet.Member) (near, far []*fleet.Member) {
+	if p.Whole() {
+		return candidates, nil
+	}
+	for _, m := range candidates {
+		if m.Endpoint().Domain == p.Domain {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	if len(near) < fewestNear {
+		return candidates, nil
+	}
+	return near, far
 }
 
 func (p *Placer) placement(q *forward.Query, m *fleet.Member, plan *plan) forward.Placement {
@@ -96,36 +117,53 @@
 	return placement
 }
 
-// home returns the engine on which all nodes place a session by preference.
-func (p *Placer) home(q *forward.Query) string {
+// home returns the engine on which all nodes, in a large system all of a failure
+// domain, place a session by preference; nil for a prompt without a session.
+func (p *Placer) home(q *forward.Query) *fleet.Member {
 	parts := q.Attributes.Parts
 	if len(parts) < 2 {
-		return ""
+		return nil
 	}
-	members := p.Fleet.Members(q.Service.Name)
+	members, _ := p.split(p.Fleet.Members(q.Service.Name))
 	nodes := make([]rendezvous.Node, len(members))
 	for i, m := range members {
 		nodes[i] = rendezvous.Node{ID: m.ID, Weight: 1}
 	}
 	home, _ := rendezvous.Owner(parts[len(parts)-2].ID, nodes)
-	return home
+	for _, m := range members {
+		if m.ID == home {
+			return m
+		}
+	}
+	return nil
 }
 
 // engineCost is the time, in ms, that a request waits at the engine for others.
-func (p *Placer) engineCost(q *forward.Query, m *fleet.Member, others peerload.Load) float64 {
+func (p *Placer) engineCost(q *forward.Query, m *fleet.Member, others peerload.Sum, now time.Time) float64 {
+	running := m.Load.Running() + others.Running
 	cost := float64(m.Load.Reading()+others.Reading) / prefillPerMs
-	cost += runningMs * float64(m.Load.Running()+others.Running)
+	cost += runningMs * float64(running)
+	cost += slotCost(m, running)
 	cost += memoryCost(q, m.Load.Holding()+others.Holding)
-	cost += failureMs * m.Health.FailureRate()
+	cost += failureMs * failureRate(m, others, now)
 	if m.Endpoint().Domain != p.Domain {
 		cost += foreignDomainMs
 	}
 	return cost
 }
 
+// slotCost is the time, in ms, until one of the engine's slots is free.
+func slotCost(m *fleet.Member, running int) float64 {
+	slots := m.Endpoint().Slots
+	if slots <= 0 || running < slots {
+		return 0
+	}
+	return runMs * float64(running+1-slots) / float64(slots)
+}
+
 // full reports whether no engine has room for the request, which is one of the
 // least urgent.
-func (p *Placer) full(q *forward.Query, candidates []*fleet.Member, others map[string]peerload.Load) bool {
+func (p *Placer) full(q *forward.Query, candidates []*fleet.Member, others map[string]peerload.Sum) bool {
 	room := refuseShare * float64(q.Service.Engine.KVTokens)
 	if room <= 0 || q.Route.Priority < routeRanks-1 {
 		return false
--- /dev/null
+++ b/internal/placer/search.go
@@ -0,0 +1,175 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/peerload"
+)
+
+// search is the choice of an engine for one prompt. What doesn't depend on the engine
+// is looked up once.
+type search struct {
+	*Placer
+	q       *forward.Query
+	now     time.Time
+	rollout *rollout
+	others  map[string]peerload.Sum
+	home    *fleet.Member // may be nil
+	located map[int64]*located
+	plans   map[*fleet.Member]*plan
+}
+
+func (p *Placer) search(q *forward.Query, r *rollout) *search {
+	now := time.Now()
+	return &search{
+		Placer: p, q: q, now: now, rollout: r, others: p.Peers.Loads(now), home: p.home(q),
+		located: make(map[int64]*located), plans: make(map[*fleet.Member]*plan),
+	}
+}
+
+// cost is the predicted time to the first event at an engine, in ms, with what speaks
+// for and against it.
+func (s *search) cost(m *fleet.Member) float64 {
+	cost := s.engineCost(s.q, m, s.others[m.ID], s.now) + s.plan(m).ms() + s.rollout.cost(m) + spreadMs*rand.Float64()
+	if m == s.home {
+		cost -= homeMs
+	}
+	return cost
+}
+
+// farCost is cost for an engine whose load the other nodes don't tell.
+func (s *search) farCost(m *fleet.Member) float64 { return s.cost(m) + unknownMs }
+
+// located is where the parts of the prompt are kept under one version of the weights.
+type located struct {
+	version int64
+	salt    string
+	current bool // the version is the wanted one
+	parts   []locatedPart
+}
+
+// locatedPart is where one part is kept whole. Only holders that may be named count.
+type locatedPart struct {
+	forward.Part
+	engines map[string]*kept.Holder // by id
+	stores  []*kept.Holder
+}
+
+// locate looks up the parts under a version of the weights.
+func (s *search) locate(version int64) *located {
+	if l := s.located[version]; l != nil {
+		return l
+	}
+	l := &located{version: version, salt: saltOf(s.q, version), current: version >= s.rollout.wanted}
+	named := s.Kept.ClockMS() > 0 && s.MayName(s.q.Attributes.Model, version)
+	for _, part := range s.q.Attributes.Parts {
+		l.parts = append(l.parts, s.locatePart(part, l.salt, named))
+	}
+	s.located[version] = l
+	return l
+}
+
+func (s *search) locatePart(part forward.Part, salt string, named bool) locatedPart {
+	key := kept.Part{Salt: salt, ID: part.ID}
+	at := locatedPart{Part: part}
+	for id, h := range s.Kept.Engines() {
+		if h.Has(key) >= part.Tokens {
+			if at.engines == nil {
+				at.engines = make(map[string]*kept.Holder)
+			}
+			at.engines[id] = h
+		}
+	}
+	if !named {
+		return at
+	}
+	for _, h := range s.Kept.Stores() {
+		if h.Has(key) >= part.Tokens && h.Reachable() {
+			at.stores = append(at.stores, h)
+		}
+	}
+	return at
+}
+
+// plan works out how an engine would come by the parts, one after the other: it can use
+// a part only if it has all before it.
+func (s *search) plan(m *fleet.Member) *plan {
+	if p := s.plans[m]; p != nil {
+		return p
+	}
+	l := s.locate(m.VersionOf(s.q.Attributes.Model))
+	p := &plan{version: l.version, salt: l.salt, current: l.current}
+	s.plans[m] = p
+	if len(l.parts) == 0 {
+		p.reading = s.q.Attributes.PromptTokens
+		return p
+	}
+	followed := s.Kept.Engine(m.ID) != nil
+	prefix := true
+	for i := range l.parts {
+		part := &l.parts[i]
+		switch {
+		case prefix && part.engines[m.ID] != nil:
+			p.cached += part.Tokens
+		case prefix && s.fetch(m, p, i, part, !followed && m == s.home):
+		default:
+			prefix = false
+			p.reading += part.Tokens
+			s.tryHome(m, p, i, part)
+		}
+	}
+	return p
+}
+
+// fetch adds the quickest source of part i to the plan. It reports false where no other
+// holder has the whole part. Where the engine probably has the part itself, as all
+// nodes place the session there, the source is named all the same but costs nothing.
+func (s *search) fetch(m *fleet.Member, p *plan, i int, part *locatedPart, likely bool) bool {
+	bytes := float64(part.Tokens) * float64(s.q.Service.Engine.TokenBytes)
+	domain := m.Endpoint().Domain
+	var best *kept.Holder
+	bestMs := float64(part.Tokens) * (1/prefillPerMs + againMsPerK/1000)
+	consider := func(h *kept.Holder) {
+		if ms := transferMs(h, bytes, domain); ms < bestMs && h.Reachable() {
+			best, bestMs = h, ms
+		}
+	}
+	for id, h := range part.engines {
+		if id != m.ID {
+			consider(h)
+		}
+	}
+	for _, h := range part.stores {
+		consider(h)
+	}
+	if best == nil {
+		return false
+	}
+	p.name(i, len(s.q.Attributes.Parts), best.Addr)
+	p.fromStore = p.fromStore || best.Tokens > 0
+	if likely {
+		p.cached += part.Tokens
+		return true
+	}
+	p.fetched += part.Tokens
+	p.fetchMs += bestMs
+	p.bytes += bytes
+	return true
+}
+
+// tryHome names the session's home as the source of a part of which nothing is known,
+// where nobody follows what engines keep. If it has none the engine reads the part, a
+// ms later.
+func (s *search) tryHome(m *fleet.Member, p *plan, i int, part *locatedPart) {
+	shared := i < len(s.q.Attributes.Parts)-1
+	if !shared || part.Tokens < minSaved || s.home == nil || s.home == m || s.Kept.Engine(m.ID) != nil {
+		return
+	}
+	if s.home.VersionOf(s.q.Attributes.Model) == p.version && s.home.Health.Usable(s.now) {
+		p.name(i, len(s.q.Attributes.Parts), s.home.Endpoint().Addr)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -93,7 +93,10 @@
 	KVTokens   int // tokens that one engine's memory holds
 	TokenBytes int // bytes of KV cache for a token
 	LinkMbps   float64
-	Models     []string
+	// EventReaders is the number of questions for events that one engine lets wait
+	// at once; 0 if not stated.
+	EventReaders int
+	Models       []string
 }
 
 // Store describes a store of KV cache.
@@ -104,6 +107,9 @@
 	LinkMbps   float64
 	FirstDelay time.Duration // added to each transfer
 	Managed    bool          // drops nothing by itself
+	// EventReaders is the number of questions for events that it lets wait at once;
+	// 0 if not stated.
+	EventReaders int
 }
 
 // Account is a client account.
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cherryward/cherryward/coord/claim"
@@ -14,13 +15,12 @@
 	// reportPause is the time between two reports of an engine that loads. Reports
 	// are priced, and some hundred ms old.
 	reportPause = 120 * time.Millisecond
-	// maxJobs is the number of engines that are emptied or load at the same time.
-	// With more the rest can't read the prompts that are kept nowhere under the new
-	// version yet.
-	maxJobs = 3
-	// maxLoads is the number of engines that load at the same time; more than two
-	// slow each other down. One is emptied meanwhile.
-	maxLoads = 2
+	// fewestLoads is the number of engines of a small fleet that load at the same time;
+	// more slow each other down.
+	fewestLoads = 2
+	// loadShare is the part of a large fleet that loads at the same time: a fifth, as
+	// the operators state it for 9, 90 and 112 engines.
+	loadShare = 5
 	// emptyTime is how long an engine gets no new long runs before it is ordered to
 	// load. Runs last 1.5 s on average and up to 6 s; those that are left then go on
 	// with the new weights and lose a part of their worth, where waiting for them
@@ -43,34 +43,86 @@
 type job struct {
 	model   string
 	version int64
+	loads   int // engines of the fleet that may load at the same time
 	begun   time.Time
 	ordered time.Time // zero before an order was given
 	nextAt  time.Time // of the next look
 }
 
+// atOnce returns the number of engines that load at the same time, and the number of
+// jobs: half as many are emptied meanwhile. With more the rest can't read the prompts
+// that are kept nowhere under the new version yet.
+func atOnce(engines int) (loads, jobs int) {
+	loads = max(fewestLoads, engines/loadShare)
+	return loads, loads + (loads+1)/2
+}
+
+// look is an engine with its job, and what the engine reports.
+type look struct {
+	member *fleet.Member
+	job    *job
+	report Report
+	err    error
+}
+
 // step looks at the engines once. It reports false where the claim is lost.
 func (s *Service) step(ctx context.Context, held *claim.Claim) bool {
-	members := s.fleet.All()
-	for _, model := range s.wanted.Models() {
-		version, _ := s.wanted.Wanted(model)
-		s.begin(Behind(members, model, version), model, version)
+	members := s.Fleet.All()
+	for _, model := range s.Wanted.Models() {
+		version, _ := s.Wanted.Wanted(model)
+		serving := countServing(members, model)
+		s.begin(Behind(members, model, version), model, version, serving)
 	}
 	s.announce()
+	looks := s.due(members)
+	s.ask(ctx, looks)
+	for i := range looks {
+		if !s.advance(ctx, held, &looks[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func countServing(members []*fleet.Member, model string) int {
+	n := 0
+	for _, m := range members {
+		if m.VersionOf(model) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// due returns the engines that are to be looked at now, and drops jobs of engines that
+// are gone or take too long.
+func (s *Service) due(members []*fleet.Member) []look {
+	var looks []look
+	now := time.Now()
 	for id, j := range s.jobs {
 		m := find(members, id)
-		if m == nil || time.Since(j.begun) > jobTimeout {
+		if m == nil || now.Sub(j.begun) > jobTimeout {
 			delete(s.jobs, id)
 			continue
 		}
-		if time.Now().Before(j.nextAt) {
+		if now.Before(j.nextAt) {
 			continue
 		}
-		j.nextAt = time.Now().Add(reportPause)
-		if !s.advance(ctx, held, m, j) {
-			return false
-		}
+		j.nextAt = now.Add(reportPause)
+		looks = append(looks, look{member: m, job: j})
 	}
-	return true
+	return looks
+}
+
+// ask has all engines report at the same time, so that one that is silent holds up no
+// other.
+func (s *Service) ask(ctx context.Context, looks []look) {
+	var wg sync.WaitGroup
+	for i := range looks {
+		l := &looks[i]
+		wg.Go(func() { l.report, l.err = s.Engines.Report(ctx, l.member.Endpoint()) })
+	}
+	wg.Wait()
 }
 
 // announce lets other nodes know which engines are being emptied and loaded.
@@ -92,34 +144,34 @@
 }
 
 // begin adds jobs up to the number that may run at once.
-func (s *Service) begin(list []*fleet.Member, model string, version int64) {
+func (s *Service) begin(list []*fleet.Member, model string, version int64, engines int) {
+	loads, jobs := atOnce(engines)
 	for _, m := range list {
 		if j, under := s.jobs[m.ID]; under {
-			j.version = version
+			j.version, j.loads = version, loads
 		}
 	}
 	for _, m := range list {
-		if len(s.jobs) >= maxJobs {
+		if len(s.jobs) >= jobs {
 			return
 		}
 		if _, under := s.jobs[m.ID]; !under {
-			s.jobs[m.ID] = &job{model: model, version: version, begun: time.Now()}
+			s.jobs[m.ID] = &job{model: model, version: version, loads: loads, begun: time.Now()}
 		}
 	}
 }
 
 // advance takes one engine a step on. It reports false where the claim is lost.
-func (s *Service) advance(ctx context.Context, held *claim.Claim, m *fleet.Member, j *job) bool {
-	at := m.Endpoint()
-	report, err := s.engines.Report(ctx, at)
-	if err != nil {
-		s.log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", err).Send()
+func (s *Service) advance(ctx context.Context, held *claim.Claim, l *look) bool {
+	m, j, report := l.member, l.job, &l.report
+	if l.err != nil {
+		s.Log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", l.err).Send()
 		return true
 	}
 	if has := report.VersionOf(j.model); has >= j.version {
 		m.SawVersion(j.model, has)
 		delete(s.jobs, m.ID)
-		s.log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("version", has).
+		s.Log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("version", has).
 			Dur("took_ms", time.Since(j.begun)).Send()
 		return true
 	}
@@ -127,14 +179,14 @@
 		return true
 	}
 	j.ordered = time.Time{} // an order without effect is given again
-	if s.loads() >= maxLoads {
+	if s.loads() >= j.loads {
 		return true
 	}
 	empty := report.Running+report.Waiting == 0 && time.Since(j.begun) > closedEarly
 	if !empty && time.Since(j.begun) < emptyTime {
 		return true
 	}
-	return s.order(ctx, held, m, j, &report)
+	return s.order(ctx, held, m, j, report)
 }
 
 // loads returns the number of engines that were ordered to load and have not done so.
@@ -156,9 +208,9 @@
 	defer cancel()
 	j.ordered = time.Now()
 	// Tokens begin at 0 in the log, which engines read as none.
-	order := Order{Model: j.model, Version: j.version, Holder: s.node, Token: held.Token() + 1, Expected: report.Orders, Continue: report.Running > 0}
-	reply, err := s.engines.Order(bounded, m.Endpoint(), order)
-	s.log.Info().Str("event", "order").Str("endpoint", m.ID).Str("model", j.model).Int64("version", j.version).
+	order := Order{Model: j.model, Version: j.version, Holder: s.Node, Token: held.Token() + 1, Expected: report.Orders, Continue: report.Running > 0}
+	reply, err := s.Engines.Order(bounded, m.Endpoint(), order)
+	s.Log.Info().Str("event", "order").Str("endpoint", m.ID).Str("model", j.model).Int64("version", j.version).
 		Int64("token", order.Token).Int64("expected", order.Expected).Str("reply", reply.String()).AnErr("error", err).Send()
 	return reply != Fenced
 }
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,32 +36,52 @@
 	// see it.
 	rankDelay = 150 * time.Millisecond
 	ranks     = 6
+	// standbyTime is how much longer nodes wait that do not stand by, so that those
+	// that do come first.
+	standbyTime = 2500 * time.Millisecond
 )
 
+// Peers is what a node knows of the others.
+type Peers interface {
+	// Standby reports whether this node follows the claim while another holds it, so
+	// that it can take over at once. In a large system few nodes do.
+	Standby() bool
+	// Led reports whether another node was heard lately that holds the claim.
+	Led() bool
+}
+
+// Config is what a Service needs. All fields must be set.
+type Config struct {
+	Node    string // name of this node
+	Fleet   *fleet.Fleet
+	Wanted  Wanted
+	Engines Engines
+	Claims  claim.Log
+	Peers   Peers
+	// Lease is the time after another holder's last order in which none may be given.
+	Lease time.Duration
+	// Changed is signalled when a version was named.
+	Changed <-chan struct{}
+	Log     zerolog.Logger
+}
+
 // Service gives the orders of one node.
 type Service struct {
-	node    string
-	fleet   *fleet.Fleet
-	wanted  Wanted
-	engines Engines
+	Config
 	claimer *claim.Claimer
-	changed <-chan struct{}
-	log     zerolog.Logger
 	jobs    map[string]*job // by endpoint
 	closed  atomic.Pointer[[]Closed]
+	leads   atomic.Bool
 }
 
-// New returns the service of a node. changed is signalled when a version was
-// named. lease is the time after another holder's last order in which none may be
-// given.
-func New(node string, f *fleet.Fleet, wanted Wanted, engines Engines, claims claim.Log, lease time.Duration,
-	changed <-chan struct{}, log zerolog.Logger) (*Service, error) {
+// New returns the service of a node.
+func New(c Config) (*Service, error) {
 	claimer, err := claim.New(claim.Config{
-		Log:          claims,
+		Log:          c.Claims,
 		Clock:        claim.NewSystemClock(),
-		Holder:       node,
+		Holder:       c.Node,
 		OrderTimeout: orderTimeout,
-		Grace:        lease,
+		Grace:        c.Lease,
 		MaxTTL:       maxClaimTTL,
 		Poll:         claimPoll,
 		Random:       randomInt,
@@ -68,10 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Service{
-		node: node, fleet: f, wanted: wanted, engines: engines, claimer: claimer,
-		changed: changed, log: log, jobs: make(map[string]*job),
-	}, nil
+	return &Service{Config: c, claimer: claimer, jobs: make(map[string]*job)}, nil
 }
 
 // Run gives orders until ctx is done.
@@ -81,8 +99,8 @@
 			s.wait(ctx, idleTick)
 			continue
 		}
-		s.wait(ctx, s.rank())
-		if s.pending() {
+		s.wait(ctx, s.turn())
+		if s.pending() && s.contends() {
 			s.lead(ctx)
 		}
 	}
@@ -95,22 +113,29 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-s.changed:
+	case <-s.Changed:
 	case <-timer.C:
 	}
 }
 
-// rank delays this node's claim by its place among the nodes.
-func (s *Service) rank() time.Duration {
-	return time.Duration(xxhash.Sum64String(s.node)%ranks) * rankDelay
+// turn delays this node's claim by its place among the nodes.
+func (s *Service) turn() time.Duration {
+	delay := time.Duration(xxhash.Sum64String(s.Node)%ranks) * rankDelay
+	if !s.Peers.Standby() {
+		delay += standbyTime
+	}
+	return delay
 }
 
+// contends reports whether this node should try to get the claim.
+func (s *Service) contends() bool { return s.Peers.Standby() || !s.Peers.Led() }
+
 // pending reports whether an engine lacks a wanted version.
 func (s *Service) pending() bool {
-	members := s.fleet.All()
-	for _, model := range s.wanted.Models() {
-		version, _ := s.wanted.Wanted(model)
-		if len(Behind(members, model, version)) > 0 {
+	members := s.Fleet.All()
+	for _, model := range s.Wanted.Models() {
+		version, _ := s.Wanted.Wanted(model)
+		if slices.ContainsFunc(members, func(m *fleet.Member) bool { return lacks(m, model, version) }) {
 			return true
 		}
 	}
@@ -127,18 +152,20 @@
 	if err != nil {
 		return
 	}
-	s.log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", first.Token()).Send()
+	s.Log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", first.Token()).Send()
 	holding, stop := context.WithCancel(ctx)
 	defer stop()
 	held := s.keep(holding, first)
+	s.leads.Store(true)
 	clear(s.jobs)
 	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held.Load()) {
 		s.wait(ctx, tick)
 	}
 	clear(s.jobs)
+	s.leads.Store(false)
 	s.closed.Store(nil)
 	stop()
-	s.log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
+	s.Log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
 		Dur("left_ms", held.Load().Remaining()).Send()
 }
 
@@ -155,7 +182,7 @@
 			case err == nil:
 				held.Store(renewed)
 			case ctx.Err() == nil:
-				s.log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
+				s.Log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
 				retry.Sleep(ctx, claimPoll)
 			}
 		}
@@ -163,6 +190,9 @@
 	return &held
 }
 
+// Leads reports whether this node holds the claim on orders.
+func (s *Service) Leads() bool { return s.leads.Load() }
+
 // Closed returns the engines that this node has loaded now.
 func (s *Service) Closed() []Closed {
 	closed := s.closed.Load()
@@ -181,7 +211,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if !s.pending() {
+			if !s.pending() || !s.contends() {
 				cancel()
 				return
 			}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -105,15 +105,21 @@
 func Behind(members []*fleet.Member, model string, version int64) []*fleet.Member {
 	var list []*fleet.Member
 	for _, m := range members {
-		if has := m.VersionOf(model); has > 0 && has < version {
+		if lacks(m, model, version) {
 			list = append(list, m)
 		}
 	}
-	slices.SortFunc(list, func(a, b *fleet.Member) int { return cmp.Compare(turn(version, a.ID), turn(version, b.ID)) })
+	slices.SortFunc(list, func(a, b *fleet.Member) int { return cmp.Compare(place(version, a.ID), place(version, b.ID)) })
 	return list
 }
 
-// turn is an engine's place in the order for a version.
-func turn(version int64, id string) uint64 {
+// lacks reports whether an engine serves the model on older weights.
+func lacks(m *fleet.Member, model string, version int64) bool {
+	has := m.VersionOf(model)
+	return has > 0 && has < version
+}
+
+// place is an engine's place in the order for a version.
+func place(version int64, id string) uint64 {
 	return xxhash.Sum64String(strconv.FormatInt(version, 10) + "/" + id)
 }
