Let a few nodes of a large system read the store for the others

Ruled out: rarer reads, which the bounds on draining and on keys limit, and proofs sent to nodes, which a frozen node would take for fresher than they are. Change: three nodes of each failure domain read the store, the others ask one of them for what changed (internal/relay), in single datagrams (internal/datagram, which the load messages use now, too). The age of the answer counts back from before the question was sent. Where an answer fails or is older than 2.5 s the node reads the store itself.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,19 +24,27 @@
 
 // Record is one record of a topic. A nil Value means that the key was removed.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Offset int64  `json:"offset"`
+}
+
+// Page is the answer to one read.
+type Page struct {
+	Records []Record
+	Next    int64 // offset to read from next
+	// Age is how long before the read was sent the answer was current, at most: 0 where
+	// the topic itself was asked, more where another's copy was.
+	Age time.Duration
 }
 
 // Topic is a compacted topic. Its calls may be repeated.
 type Topic interface {
-	// Newest returns the newest record of each key, and the offset to read from
-	// next.
-	Newest(ctx context.Context) (records []Record, next int64, err error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Page, error)
 	// Read returns the records from an offset on, waiting up to wait for the
 	// first. It fails with ErrCompacted where they are no longer retained.
-	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
 }
 
 // Batch is what one read brought.
@@ -46,9 +54,11 @@
 	Snapshot bool
 	// ProvenAt is the time at which the copy was current.
 	ProvenAt time.Time
-	// AfterOutage is true where reads failed before this one, for Outage.
-	AfterOutage bool
-	Outage      time.Duration
+	// Next is the offset after the newest record that the copy holds.
+	Next int64
+	// Gap is the time from the proof before, or from the start, to ProvenAt. Within it
+	// the topic may have been out of reach.
+	Gap time.Duration
 }
 
 // Sink takes what was read. Its methods are called by one goroutine.
@@ -69,9 +79,9 @@
 	Retry time.Duration
 	Log   zerolog.Logger
 
-	next     int64 // offset to read from, or unknown
-	lastGood time.Time
-	failing  bool
+	next    int64 // offset to read from, or unknown
+	proven  time.Time
+	failing bool
 }
 
 // now returns what a setting is at present, which may change with the number of nodes.
@@ -88,7 +98,7 @@
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	f.next = unknown
-	f.lastGood = time.Now()
+	f.proven = time.Now()
 	for ctx.Err() == nil {
 		begun := time.Now()
 		pause := now(f.Pause)
@@ -103,13 +113,13 @@
 
 // step reads once. begun is a time before the read is sent.
 func (f *Follower) step(ctx context.Context, begun time.Time) error {
-	batch := Batch{ProvenAt: begun, Snapshot: f.next == unknown}
+	snapshot := f.next == unknown
+	var page Page
 	var err error
-	var next int64
-	if batch.Snapshot {
-		batch.Records, next, err = f.Topic.Newest(ctx)
+	if snapshot {
+		page, err = f.Topic.Newest(ctx)
 	} else {
-		batch.Records, next, err = f.Topic.Read(ctx, f.next, now(f.Wait))
+		page, err = f.Topic.Read(ctx, f.next, now(f.Wait))
 	}
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("event", "history_gone").Str("topic", f.Name).Int64("offset", f.next).Send()
@@ -119,8 +129,10 @@
 	if err != nil {
 		return err
 	}
+	f.next = max(f.next, page.Next)
+	batch := Batch{Records: page.Records, Snapshot: snapshot, ProvenAt: begun.Add(-page.Age), Next: f.next}
+	batch.Gap = max(batch.ProvenAt.Sub(f.proven), 0)
 	f.succeeded(&batch)
-	f.next = next
 	f.Sink.Apply(batch)
 	return nil
 }
@@ -128,11 +140,18 @@
 func (f *Follower) succeeded(b *Batch) {
 	if f.failing {
 		f.failing = false
-		b.AfterOutage = true
-		b.Outage = time.Since(f.lastGood)
-		f.Log.Info().Str("event", "store_regained").Str("topic", f.Name).Dur("outage_ms", b.Outage).Send()
+		f.Log.Info().Str("event", "store_regained").Str("topic", f.Name).Dur("outage_ms", b.Gap).Send()
+	}
+	// A node that is asked after another may have an older copy.
+	b.ProvenAt = later(b.ProvenAt, f.proven)
+	f.proven = b.ProvenAt
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
 	}
-	f.lastGood = time.Now()
+	return a
 }
 
 func (f *Follower) failed(err error) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -42,30 +42,30 @@
 
 var errDown = errors.New("down")
 
-func (t *topic) Newest(context.Context) ([]follow.Record, int64, error) {
+func (t *topic) Newest(context.Context) (follow.Page, error) {
 	time.Sleep(t.delay)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.fail {
-		return nil, 0, errDown
+		return follow.Page{}, errDown
 	}
 	t.newest++
 	t.compacted = false
-	return []follow.Record{{Key: "k", Value: []byte("v")}}, 7, nil
+	return follow.Page{Records: []follow.Record{{Key: "k", Value: []byte("v")}}, Next: 7}, nil
 }
 
-func (t *topic) Read(_ context.Context, from int64, wait time.Duration) ([]follow.Record, int64, error) {
+func (t *topic) Read(_ context.Context, from int64, wait time.Duration) (follow.Page, error) {
 	t.mu.Lock()
 	fail, compacted := t.fail, t.compacted
 	t.mu.Unlock()
 	if fail {
-		return nil, 0, errDown
+		return follow.Page{}, errDown
 	}
 	if compacted {
-		return nil, 0, follow.ErrCompacted
+		return follow.Page{}, follow.ErrCompacted
 	}
 	time.Sleep(wait + t.delay)
-	return nil, from, nil
+	return follow.Page{Next: from}, nil
 }
 
 type sink struct {
@@ -137,8 +137,8 @@
 		time.Sleep(3 * time.Second)
 		var outages []time.Duration
 		for _, b := range s.batches() {
-			if b.AfterOutage {
-				outages = append(outages, b.Outage)
+			if b.Gap > 2*wait {
+				outages = append(outages, b.Gap)
 			}
 		}
 		must.Len(t, 1, outages)
--- /dev/null
+++ b/internal/gateway/followers.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/pace"
+	"github.com/cherryward/cherryward/internal/relay"
+	"github.com/cherryward/cherryward/platform"
+)
+
+// askPause is the time between two questions to another node for what changed in a
+// topic. With the age of that node's copy it stays well within the operators' bounds.
+const askPause = 400 * time.Millisecond
+
+// nodesAskPause is the same for the nodes' addresses, which change seldom.
+const nodesAskPause = 3 * time.Second
+
+// followers are what keeps the node's copies of topics current.
+type followers struct {
+	config, endpoints, nodes *follow.Follower
+}
+
+// followers returns the followers of the store's topics, whose copies other nodes may
+// ask for.
+func (n *Node) followers(store *platform.Store) followers {
+	copies := relay.New(n.conn)
+	follower := func(name, topic string, sink follow.Sink, same func(before, after []byte) bool) (*follow.Follower, *relay.Topic) {
+		held := &relay.Copy{Sink: sink, Same: same}
+		copies.Serve(name, held)
+		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Log: n.log}
+		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, Log: n.log}, from
+	}
+	var f followers
+	var from *relay.Topic
+	f.config, from = follower("config", platform.TopicOperator, n.state, nil)
+	f.config.Wait, f.config.Pause = unless(from.Relayed, n.configWait), either(from.Relayed, askPause, nil)
+	f.endpoints, from = follower("registry", platform.TopicEndpoints, &registry{fleet: n.fleet, log: n.log}, platform.SameEndpoint)
+	// Each heartbeat is a record, so a read that waits for one would end many times a
+	// second.
+	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
+	f.nodes, from = follower("nodes", nodesTopic, n.roster, nil)
+	f.nodes.Wait, f.nodes.Pause = unless(from.Relayed, func() time.Duration { return nodesWait }), either(from.Relayed, nodesAskPause, n.rosterPause)
+	return f
+}
+
+// unless returns a setting that is nothing while a topic is read from another node.
+func unless(relayed func() bool, setting func() time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if relayed() {
+			return 0
+		}
+		return setting()
+	}
+}
+
+// either returns a setting that is asked while a topic is read from another node, else
+// what own returns; nil for nothing.
+func either(relayed func() bool, asked time.Duration, own func() time.Duration) func() time.Duration {
+	return func() time.Duration {
+		switch {
+		case relayed():
+			return asked
+		case own == nil:
+			return 0
+		}
+		return own()
+	}
+}
+
+// readers returns the nodes that this one asks for what the store has.
+func (n *Node) readers() []netip.AddrPort {
+	addrs, _ := n.roster.readers()
+	return addrs
+}
+
+// storeReaders returns the number of nodes that share the reads of the store: all, at a
+// node that reads it for want of one to ask.
+func (n *Node) storeReaders() int {
+	if _, own := n.roster.readers(); own {
+		return pace.MeshNodes
+	}
+	return n.nodes()
+}
+
+// configWait is how long a read of the configuration waits for a change.
+func (n *Node) configWait() time.Duration {
+	return pace.ConfigWait(n.storeReaders(), n.bounds().Revoke)
+}
+
+func (n *Node) registryPause() time.Duration {
+	return pace.Registry(n.storeReaders(), n.bounds().Drain)
+}
+
+func (n *Node) rosterPause() time.Duration { return pace.Roster(n.nodes()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,12 +14,11 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
-	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/kernel"
-	"github.com/cherryward/cherryward/internal/pace"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/weights"
@@ -51,6 +50,10 @@
 	// time, the lease bound and a read of the log: 5.5 s.
 	takeoverTime = 8 * time.Second
 
+	// heardTime is how long a node may be silent that others ask for what the store has:
+	// a few of its messages may be lost.
+	heardTime = time.Second
+
 	pathReady   = "/-/readyz"
 	pathMetrics = "/metrics"
 )
@@ -65,6 +68,7 @@
 	balancer  *server // answers whether the node is ready
 	keeping   *keeping
 	orders    *weights.Service
+	conn      *datagram.Conn // to and from other nodes
 	peers     *peerload.Exchange
 	roster    *roster
 	recorder  *recorder
@@ -100,19 +104,20 @@
 	engines := platform.NewEngines()
 	n.keeping = &keeping{node: n}
 	n.keeping.index = kept.NewIndex(engines, n.keeping.pace, n.log)
-	n.peers, err = peerload.Listen(peerload.Config{
+	n.conn, err = datagram.Listen(peerAddr(boot), n.log)
+	if err != nil {
+		return err
+	}
+	n.peers = peerload.New(peerload.Config{
 		Node:    boot.Name,
 		Domain:  boot.Domain,
-		Addr:    peerAddr(boot),
+		Conn:    n.conn,
 		Members: n.fleet.All,
 		Orders:  n.givenOrders,
 		Log:     n.log,
 	})
-	if err != nil {
-		return err
-	}
-	own := nodeEntry{Addr: n.peers.Addr(), Domain: boot.Domain}
-	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.log)
+	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain}
+	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
 	n.orders, err = weights.New(weights.Config{
 		Node:    boot.Name,
 		Fleet:   n.fleet,
@@ -144,6 +149,11 @@
 	return n.orders.Closed(), n.orders.Leads()
 }
 
+// heard reports whether another node of the failure domain was heard lately.
+func (n *Node) heard(node string) bool {
+	return n.peers.Table.Heard(node, time.Now(), heardTime)
+}
+
 // nodes returns the number of nodes that share what is given out among nodes.
 func (n *Node) nodes() int { return max(n.roster.Nodes(), n.peers.Table.Nodes()) }
 
@@ -162,21 +172,14 @@
 
 // registerServices hands all services to the kernel.
 func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
-	config := n.follower("config", store.Topic(platform.TopicOperator), n.state)
-	config.Wait = n.configWait
-	endpoints := n.follower("registry", store.Topic(platform.TopicEndpoints), &registry{fleet: n.fleet, log: n.log})
-	// Each heartbeat is a record, so a read that waits for one would end many times a
-	// second.
-	endpoints.Pause = func() time.Duration { return pace.Registry(n.nodes(), n.bounds().Drain) }
-	nodes := n.follower("nodes", store.Topic(nodesTopic), n.roster)
-	nodes.Wait = func() time.Duration { return nodesWait }
-	nodes.Pause = func() time.Duration { return pace.Roster(n.nodes()) }
+	followers := n.followers(store)
 	return n.register(n.balancer, n.callers,
-		&task{name: "config", run: config.Run},
-		&task{name: "registry", run: endpoints.Run},
+		&task{name: "config", run: followers.config.Run},
+		&task{name: "registry", run: followers.endpoints.Run},
+		&task{name: "roster", run: followers.nodes.Run},
 		&task{name: "orders", run: n.orders.Run},
+		&task{name: "messages", run: n.conn.Run},
 		&task{name: "peers", run: n.peers.Run},
-		&task{name: "roster", run: nodes.Run},
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.keeping.follow},
@@ -184,10 +187,6 @@
 	)
 }
 
-func (n *Node) follower(name string, topic follow.Topic, sink follow.Sink) *follow.Follower {
-	return &follow.Follower{Name: name, Topic: topic, Sink: sink, Retry: storeRetry, Log: n.log}
-}
-
 func (n *Node) register(services ...kernel.Service) error {
 	for _, s := range services {
 		if err := n.kernel.Register(s); err != nil {
@@ -227,9 +226,6 @@
 
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
-// configWait is how long a read of the configuration waits for a change.
-func (n *Node) configWait() time.Duration { return pace.ConfigWait(n.nodes(), n.bounds().Revoke) }
-
 // peerAddr is where the node hears its peers.
 func peerAddr(boot *bootstrap.Node) string {
 	return net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPorts[0]))
@@ -238,7 +234,7 @@
 // ready reports whether callers are well served here.
 func (n *Node) ready() bool {
 	config, age := n.state.Config()
-	limit := max(time.Duration(readyShare*float64(n.bounds().Revoke)), 2*n.configWait()+readyMargin)
+	limit := max(time.Duration(readyShare*float64(n.bounds().Revoke)), 2*n.configWait()+askPause+readyMargin)
 	return config != nil && age < limit && !n.fleet.Empty() && !n.leaving.Load()
 }
 
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -22,7 +22,7 @@
 func TestMetricsAreDescribed(t *testing.T) {
 	n := &Node{
 		state: newState(zerolog.Nop()), fleet: fleet.New(zerolog.Nop()), peers: &peerload.Exchange{Table: peerload.NewTable()},
-		roster: newRoster("n", nodeEntry{}, nil, nil, zerolog.Nop()),
+		roster: newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
 	}
 	n.boot.Store(bootOf(t))
 	r := newRecorder(n)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -28,7 +28,7 @@
 // Apply implements follow.Sink.
 func (r *registry) Apply(b follow.Batch) {
 	now := time.Now()
-	if b.AfterOutage && b.Outage > lapseOutage {
+	if b.Gap > lapseOutage {
 		r.doubtUntil = now.Add(fleet.LapseHold)
 	}
 	lapsed := now.Before(r.doubtUntil)
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +33,10 @@
 // while another node holds it: enough that one is left after the loss of two.
 const standbys = 3
 
+// domainReaders is the number of nodes of a failure domain that read the store for the
+// others, in a large system: one may be lost, and one cut off from the store.
+const domainReaders = 3
+
 // nodeEntry is a node's entry in the topic.
 type nodeEntry struct {
 	Addr   string `json:"addr"`   // where it hears its peers, IP:PORT
@@ -52,15 +59,26 @@
 	count   atomic.Int64 // nodes, this one included
 	standby atomic.Bool
 
+	// heard reports whether a node was heard lately.
+	heard func(node string) bool
+
 	mu      sync.Mutex
 	entries map[string]nodeEntry // by node
+	near    []neighbour          // the nodes of this failure domain, in the order of their hashes
 	read    bool
 }
 
+// neighbour is a node of the same failure domain.
+type neighbour struct {
+	name string
+	hash uint64
+	addr netip.AddrPort
+}
+
 var _ follow.Sink = (*roster)(nil)
 
-func newRoster(node string, own nodeEntry, topic putter, set func([]peerload.Peer), log zerolog.Logger) *roster {
-	r := &roster{node: node, own: own, topic: topic, set: set, log: log, entries: make(map[string]nodeEntry)}
+func newRoster(node string, own nodeEntry, topic putter, set func([]peerload.Peer), heard func(string) bool, log zerolog.Logger) *roster {
+	r := &roster{node: node, own: own, topic: topic, set: set, heard: heard, log: log, entries: make(map[string]nodeEntry)}
 	r.summarize()
 	return r
 }
@@ -111,10 +129,51 @@
 			before++
 		}
 	}
+	r.near = r.neighbours()
 	r.count.Store(int64(nodes))
 	r.standby.Store(pace.Whole(nodes) || before < standbys)
 }
 
+// neighbours returns the nodes of this failure domain, this one included.
+func (r *roster) neighbours() []neighbour {
+	var near []neighbour
+	for name, e := range r.entries {
+		addr, err := netip.ParseAddrPort(e.Addr)
+		if err != nil || e.Domain != r.own.Domain {
+			continue
+		}
+		near = append(near, neighbour{name: name, hash: xxhash.Sum64String(name), addr: addr})
+	}
+	slices.SortFunc(near, func(a, b neighbour) int { return cmp.Compare(a.hash, b.hash) })
+	return near
+}
+
+// readers returns the nodes that read the store for this one: the first few of its
+// failure domain that were heard lately. None means that it reads the store itself, as
+// all do in a small system; own is true where it is one of the few of a large one. Nodes
+// may differ for a while in whom they take for a reader: then more read the store.
+func (r *roster) readers() (addrs []netip.AddrPort, own bool) {
+	if pace.Whole(r.Nodes()) {
+		return nil, false
+	}
+	r.mu.Lock()
+	near := r.near
+	r.mu.Unlock()
+	addrs = make([]netip.AddrPort, 0, domainReaders)
+	for _, n := range near {
+		if n.name == r.node {
+			return nil, true
+		}
+		if !r.heard(n.name) {
+			continue
+		}
+		if addrs = append(addrs, n.addr); len(addrs) == domainReaders {
+			return addrs, false
+		}
+	}
+	return nil, false // its own entry is not there yet
+}
+
 // Nodes returns the number of nodes that were ever announced, this one included. Some
 // may be gone.
 func (r *roster) Nodes() int { return int(r.count.Load()) }
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -24,7 +24,7 @@
 func rosterOf(t *testing.T, node string, nodes int) (*roster, *[]peerload.Peer) {
 	t.Helper()
 	told := &[]peerload.Peer{}
-	r := newRoster(node, nodeEntry{Addr: "own", Domain: "d0"}, noTopic{}, func(peers []peerload.Peer) { *told = peers }, zerolog.Nop())
+	r := newRoster(node, nodeEntry{Addr: "own", Domain: "d0"}, noTopic{}, func(peers []peerload.Peer) { *told = peers }, func(string) bool { return true }, zerolog.Nop())
 	var batch follow.Batch
 	for i := range nodes {
 		value, err := json.Marshal(nodeEntry{Addr: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i%3)})
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/pace"
 	"github.com/cherryward/cherryward/internal/weights"
@@ -21,8 +21,6 @@
 const (
 	// method is the name of the notification.
 	method = "node.load"
-	// maxDatagram bounds a message; an endpoint takes about 60 bytes.
-	maxDatagram = 16 << 10
 	// closedFor is how long an endpoint stays closed on one message, so that a few
 	// lost ones are bridged.
 	closedFor = 800 * time.Millisecond
@@ -37,7 +35,7 @@
 type Config struct {
 	Node   string
 	Domain string // failure domain of this node
-	Addr   string // where this node listens, IP:PORT
+	Conn   *datagram.Conn
 	// Members are the endpoints whose load is told.
 	Members func() []*fleet.Member
 	// Orders are the engines that this node has loaded now, and whether it holds the
@@ -56,8 +54,8 @@
 type audience struct {
 	// near are the nodes that hear of this node's load: all of a small system, else
 	// those of its failure domain.
-	near []*net.UDPAddr
-	far  []*net.UDPAddr // the others, which hear of orders alone
+	near []netip.AddrPort
+	far  []netip.AddrPort // the others, which hear of orders alone
 }
 
 // Exchange sends this node's digests and takes those of its peers.
@@ -66,7 +64,6 @@
 
 	config      Config
 	incarnation int64
-	conn        *net.UDPConn
 	log         zerolog.Logger
 	peers       atomic.Pointer[audience]
 	kick        chan struct{}
@@ -77,35 +74,26 @@
 	led     bool      // they were told that this node leads
 }
 
-// Listen opens the node's port.
-func Listen(c Config) (*Exchange, error) {
-	local, err := net.ResolveUDPAddr("udp", c.Addr)
-	if err != nil {
-		return nil, eris.Wrap(err, "parse the address for peers")
-	}
-	conn, err := net.ListenUDP("udp", local)
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for peers")
-	}
-	return &Exchange{
+// New returns an exchange that hears its peers at a connection that doesn't run yet.
+func New(c Config) *Exchange {
+	e := &Exchange{
 		Table: NewTable(), config: c, incarnation: time.Now().UnixNano(),
-		conn: conn, log: c.Log, kick: make(chan struct{}, 1),
-	}, nil
+		log: c.Log, kick: make(chan struct{}, 1),
+	}
+	c.Conn.Handle(method, e.take)
+	return e
 }
 
-// Addr returns the address that peers send to.
-func (e *Exchange) Addr() string { return e.conn.LocalAddr().String() }
-
 // SetPeers replaces the nodes that digests go to. Wrong addresses are left out.
 func (e *Exchange) SetPeers(peers []Peer) {
-	own := e.Addr()
+	own := e.config.Conn.Addr()
 	whole := pace.Whole(len(peers))
 	next := &audience{}
 	for _, p := range peers {
 		if p.Addr == own {
 			continue
 		}
-		addr, err := net.ResolveUDPAddr("udp", p.Addr)
+		addr, err := netip.ParseAddrPort(p.Addr)
 		if err != nil {
 			e.log.Warn().Str("event", "peer_rejected").Str("addr", p.Addr).Err(err).Send()
 			continue
@@ -126,11 +114,8 @@
 	return peers == nil || len(peers.far) == 0
 }
 
-// Run sends and receives until ctx is done.
+// Run sends until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { e.conn.Close() })
-	defer stop()
-	go e.receive(ctx)
 	for ctx.Err() == nil {
 		spacing, interval := pace.Digests(e.listeners())
 		retry.Sleep(ctx, spacing)
@@ -179,12 +164,12 @@
 	digest := e.orders()
 	leads := digest.Leads
 	if len(peers.far) > 0 && (leads || e.led) && time.Since(e.toldFar) >= farSpacing {
-		e.tell(peers.far, digest)
+		e.config.Conn.Notify(peers.far, method, digest)
 		e.toldFar = time.Now()
 		e.led = leads // once more after the end
 	}
 	digest.Loads = LoadsOf(e.config.Members(), time.Now())
-	e.tell(peers.near, digest)
+	e.config.Conn.Notify(peers.near, method, digest)
 }
 
 // orders returns a digest of the orders that this node gives, and of the weights that
@@ -204,44 +189,6 @@
 	return d
 }
 
-func (e *Exchange) tell(peers []*net.UDPAddr, d *Digest) {
-	if len(peers) == 0 {
-		return
-	}
-	data, err := encode(d)
-	if err != nil {
-		e.log.Error().Str("event", "encode_digest").Err(err).Send()
-		return
-	}
-	for _, peer := range peers {
-		// A datagram that can't be sent is as good as a lost one: the next one follows.
-		if _, err := e.conn.WriteToUDP(data, peer); err != nil {
-			e.log.Debug().Str("event", "digest_unsent").Stringer("peer", peer).Err(err).Send()
-		}
-	}
-}
-
-func encode(d *Digest) ([]byte, error) {
-	request := jsonrpc2.Request{Method: method, Notif: true}
-	if err := request.SetParams(d); err != nil {
-		return nil, err
-	}
-	return json.Marshal(&request)
-}
-
-func decode(data []byte) (Digest, error) {
-	var d Digest
-	var request jsonrpc2.Request
-	if err := json.Unmarshal(data, &request); err != nil {
-		return d, err
-	}
-	if request.Method != method || request.Params == nil {
-		return d, eris.Errorf("unknown method %q", request.Method)
-	}
-	err := json.Unmarshal(*request.Params, &d)
-	return d, err
-}
-
 // learnVersions takes over what a peer saw of engines' weights. Versions only rise,
 // so a late digest does no harm.
 func (e *Exchange) learnVersions(d *Digest) {
@@ -258,22 +205,13 @@
 	}
 }
 
-func (e *Exchange) receive(ctx context.Context) {
-	buffer := make([]byte, maxDatagram)
-	for ctx.Err() == nil {
-		n, from, err := e.conn.ReadFromUDP(buffer)
-		if err != nil {
-			if ctx.Err() == nil {
-				e.log.Warn().Str("event", "digest_unread").Err(err).Send()
-			}
-			continue
-		}
-		digest, err := decode(buffer[:n])
-		if err != nil {
-			e.log.Warn().Str("event", "digest_rejected").Stringer("from", from).Err(err).Send()
-			continue
-		}
-		e.Table.Take(digest, time.Now())
-		e.learnVersions(&digest)
+// take notes what a peer tells.
+func (e *Exchange) take(params json.RawMessage) (any, error) {
+	var d Digest
+	if err := json.Unmarshal(params, &d); err != nil {
+		return nil, eris.Wrap(err, "decode a digest")
 	}
+	e.Table.Take(d, time.Now())
+	e.learnVersions(&d)
+	return nil, nil
 }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -163,6 +163,14 @@
 	return false
 }
 
+// Heard reports whether a node was heard within a time.
+func (t *Table) Heard(node string, now time.Time, within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, known := t.peers[node]
+	return known && now.Sub(p.at) < within
+}
+
 // Nodes returns the number of nodes, this one included, that are known to share
 // what is given out among nodes. It is the largest number ever seen: a node that is
 // cut off must not take the others' shares.
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -1,8 +1,9 @@
 package peerload
 
 import (
+	"encoding/json"
 	"fmt"
-	"net"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/weights"
 )
@@ -62,19 +64,30 @@
 	test.MapEmpty(t, table.Closed(now.Add(600*time.Millisecond)))
 }
 
-func TestEncoding(t *testing.T) {
+// TestTake takes what the exchange of another node sends, and no other text.
+func TestTake(t *testing.T) {
+	e := listenAt(t, "n0", "d0", &atomic.Bool{})
 	want := digest("a", 1, 2, 3)
-	data, err := encode(&want)
+	data, err := json.Marshal(want)
 	must.NoError(t, err)
-	got, err := decode(data)
+	_, err = e.take(data)
 	must.NoError(t, err)
-	test.Eq(t, want, got)
-	for _, text := range []string{"", "{}", `{"method":"other","params":{}}`, `{"method":"node.load"}`} {
-		_, err := decode([]byte(text))
+	test.Eq(t, want, e.Table.peers["a"].digest)
+	for _, text := range []string{"", "[]", `{"node":1}`} {
+		_, err := e.take([]byte(text))
 		test.Error(t, err, test.Sprint(text))
 	}
 }
 
+// TestHeard forgets nodes that fell silent.
+func TestHeard(t *testing.T) {
+	table := NewTable()
+	table.Take(digest("a", 1, 1, 0), now)
+	test.True(t, table.Heard("a", now.Add(time.Second), 2*time.Second))
+	test.False(t, table.Heard("a", now.Add(2*time.Second), 2*time.Second))
+	test.False(t, table.Heard("b", now, 2*time.Second))
+}
+
 // TestFailuresNeedWitnesses keeps one node that lost its way to an endpoint from
 // turning the others away from it.
 func TestFailuresNeedWitnesses(t *testing.T) {
@@ -104,14 +117,14 @@
 // listenAt opens an exchange of a node that gives orders while leads is true.
 func listenAt(t *testing.T, node, domain string, leads *atomic.Bool) *Exchange {
 	t.Helper()
-	e, err := Listen(Config{
-		Node: node, Domain: domain, Addr: "127.0.0.1:0", Log: zerolog.Nop(),
+	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return New(Config{
+		Node: node, Domain: domain, Conn: conn, Log: zerolog.Nop(),
 		Members: func() []*fleet.Member { return nil },
 		Orders:  func() ([]weights.Closed, bool) { return []weights.Closed{{Endpoint: "x", Loads: true}}, leads.Load() },
 	})
-	must.NoError(t, err)
-	t.Cleanup(func() { e.conn.Close() })
-	return e
 }
 
 // TestAudience tells a node's load to its failure domain alone where there are many
@@ -119,7 +132,7 @@
 func TestAudience(t *testing.T) {
 	for _, tc := range []struct{ nodes, near, far int }{{7, 6, 0}, {85, 42, 42}} {
 		e := listenAt(t, "n0", "d0", &atomic.Bool{})
-		peers := []Peer{{Addr: e.Addr(), Domain: "d0"}, {Addr: "no address", Domain: "d0"}}
+		peers := []Peer{{Addr: e.config.Conn.Addr(), Domain: "d0"}, {Addr: "no address", Domain: "d0"}}
 		for i := 1; i < tc.nodes; i++ {
 			peers = append(peers, Peer{Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: fmt.Sprint("d", i%2)})
 		}
@@ -135,8 +148,8 @@
 func TestOrdersAreHeardByAll(t *testing.T) {
 	var leads atomic.Bool
 	speaker, listener := listenAt(t, "n0", "d0", &leads), listenAt(t, "n1", "d1", &atomic.Bool{})
-	speaker.peers.Store(&audience{far: []*net.UDPAddr{listener.conn.LocalAddr().(*net.UDPAddr)}})
-	go listener.receive(t.Context())
+	speaker.peers.Store(&audience{far: []netip.AddrPort{netip.MustParseAddrPort(listener.config.Conn.Addr())}})
+	go func() { _ = listener.config.Conn.Run(t.Context()) }()
 	heard := func(leads bool) func() bool {
 		return func() bool {
 			speaker.send()
--- /dev/null
+++ b/internal/relay/copy.go
@@ -0,0 +1,80 @@
+// Package relay lets a few nodes of a large system read the store's topics, and the
+// others ask those.
+//
+// Guarantee: what is read from a node's copy proves no more than the copy did. Its age is
+// measured by the copy's own monotonic clock when it answers, and counts back from before
+// the question was sent, so that neither a slow answer nor a frozen process on either side
+// makes a copy seem fresher than it is.
+package relay
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// ErrUnknown is returned for what a copy can't tell: it has not read the topic yet, or
+// the records that were asked for are older than it is.
+var ErrUnknown = errors.New("relay: the copy doesn't reach back so far")
+
+// Copy keeps a topic's newest records, so that other nodes can ask what changed. It
+// passes all it takes on to Sink. It is safe for concurrent use.
+type Copy struct {
+	Sink follow.Sink
+	// Same reports whether a record says nothing new, as heartbeats do; nil means that
+	// all records count. Others are not told of such records.
+	Same func(before, after []byte) bool
+
+	mu     sync.Mutex
+	known  map[string]follow.Record // with removed keys, by key
+	first  int64                    // all changes from this offset on are known
+	next   int64
+	proven time.Time // zero before the first batch
+}
+
+var _ follow.Sink = (*Copy)(nil)
+
+// Apply implements follow.Sink.
+func (c *Copy) Apply(b follow.Batch) {
+	c.take(&b)
+	c.Sink.Apply(b)
+}
+
+func (c *Copy) take(b *follow.Batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.Snapshot {
+		// What was removed before the snapshot is not known.
+		c.known = make(map[string]follow.Record, len(b.Records))
+		c.first = b.Next
+	}
+	for _, r := range b.Records {
+		before, known := c.known[r.Key]
+		if known && c.Same != nil && before.Value != nil && r.Value != nil && c.Same(before.Value, r.Value) {
+			continue
+		}
+		c.known[r.Key] = r
+	}
+	c.next = b.Next
+	c.proven = b.ProvenAt
+}
+
+// Since returns what changed from an offset on.
+func (c *Copy) Since(from int64) (follow.Page, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.proven.IsZero() || from < c.first {
+		return follow.Page{}, ErrUnknown
+	}
+	page := follow.Page{Next: c.next, Age: time.Since(c.proven)}
+	for _, r := range c.known {
+		if r.Offset >= from {
+			page.Records = append(page.Records, r)
+		}
+	}
+	slices.SortFunc(page.Records, func(a, b follow.Record) int { return int(a.Offset - b.Offset) })
+	return page, nil
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// drop takes batches and keeps nothing.
+type drop struct{}
+
+func (drop) Apply(follow.Batch) {}
+
+func record(key, value string, offset int64) follow.Record {
+	r := follow.Record{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return r
+}
+
+// sameFirst takes values with the same first letter for the same.
+func sameFirst(before, after []byte) bool { return before[0] == after[0] }
+
+func filled(provenAt time.Time) *Copy {
+	c := &Copy{Sink: drop{}, Same: sameFirst}
+	c.Apply(follow.Batch{Snapshot: true, Records: []follow.Record{record("a", "x1", 3), record("b", "y1", 7)}, Next: 10, ProvenAt: provenAt})
+	return c
+}
+
+func TestCopyTellsWhatChanged(t *testing.T) {
+	c := filled(time.Now())
+	c.Apply(follow.Batch{Records: []follow.Record{record("a", "x2", 10), record("b", "z1", 11), record("c", "w", 12)}, Next: 13, ProvenAt: time.Now()})
+	c.Apply(follow.Batch{Records: []follow.Record{record("c", "", 13)}, Next: 14, ProvenAt: time.Now()})
+	page, err := c.Since(10)
+	must.NoError(t, err)
+	test.Eq(t, 14, page.Next)
+	test.Eq(t, []follow.Record{record("b", "z1", 11), record("c", "", 13)}, page.Records, test.Sprint("heartbeats are left out"))
+	page, err = c.Since(14)
+	must.NoError(t, err)
+	test.SliceEmpty(t, page.Records)
+	page, err = c.Since(20)
+	must.NoError(t, err)
+	test.Eq(t, 14, page.Next, test.Sprint("who asks knows more"))
+}
+
+// TestCopyTellsNoHalfStory refuses where keys may have been removed that it never knew.
+func TestCopyTellsNoHalfStory(t *testing.T) {
+	_, err := (&Copy{Sink: drop{}}).Since(0)
+	test.ErrorIs(t, err, ErrUnknown)
+	c := filled(time.Now())
+	_, err = c.Since(9)
+	test.ErrorIs(t, err, ErrUnknown)
+	c.Apply(follow.Batch{Records: []follow.Record{record("a", "q", 10)}, Next: 11, ProvenAt: time.Now()})
+	c.Apply(follow.Batch{Snapshot: true, Records: []follow.Record{record("b", "y1", 7)}, Next: 30, ProvenAt: time.Now()})
+	_, err = c.Since(11)
+	test.ErrorIs(t, err, ErrUnknown, test.Sprint("a was removed meanwhile"))
+}
+
+// storeTopic counts reads, and can be away.
+type storeTopic struct {
+	mu    sync.Mutex
+	reads int
+	away  bool
+}
+
+var errAway = errors.New("away")
+
+func (s *storeTopic) Newest(context.Context) (follow.Page, error) { return follow.Page{Next: 10}, nil }
+
+func (s *storeTopic) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.away {
+		return follow.Page{}, errAway
+	}
+	return follow.Page{Next: from}, nil
+}
+
+// relayOf returns a relay that runs, with a copy of the topic t if there is one.
+func relayOf(t *testing.T, c *Copy) (*Relay, netip.AddrPort) {
+	t.Helper()
+	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
+	must.NoError(t, err)
+	r := New(conn)
+	if c != nil {
+		r.Serve("t", c)
+	}
+	go func() { _ = conn.Run(t.Context()) }()
+	t.Cleanup(func() { conn.Close() })
+	return r, netip.MustParseAddrPort(conn.Addr())
+}
+
+// TestAsksAnotherNode reads from a copy, and from the store where the copy is too old,
+// too long or not there.
+func TestAsksAnotherNode(t *testing.T) {
+	long := filled(time.Now())
+	long.Apply(follow.Batch{Records: []follow.Record{record("long", strings.Repeat("x", datagram.MaxBytes), 10)}, Next: 11, ProvenAt: time.Now()})
+	old := filled(time.Now().Add(-MaxAge))
+	young := filled(time.Now().Add(-time.Second))
+	young.Apply(follow.Batch{Records: []follow.Record{record("b", "z", 10)}, Next: 11, ProvenAt: time.Now().Add(-time.Second)})
+	for _, tc := range []struct {
+		name    string
+		copy    *Copy
+		relayed bool
+	}{{"young", young, true}, {"old", old, false}, {"too long", long, false}, {"not there", nil, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			own, _ := relayOf(t, nil)
+			_, reader := relayOf(t, tc.copy)
+			store := &storeTopic{}
+			topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: func() []netip.AddrPort { return []netip.AddrPort{reader} }}
+			page, err := topic.Read(t.Context(), 10, 0)
+			must.NoError(t, err)
+			test.Eq(t, tc.relayed, topic.Relayed())
+			test.Eq(t, tc.relayed, store.reads == 0)
+			if tc.relayed {
+				test.Eq(t, []follow.Record{record("b", "z", 10)}, page.Records)
+				test.GreaterEq(t, time.Second, page.Age)
+			} else {
+				test.Eq(t, 0, page.Age)
+			}
+		})
+	}
+}
+
+// TestTurnsToAnotherReader asks the next reader after one that failed, and the store
+// meanwhile.
+func TestTurnsToAnotherReader(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	_, bad := relayOf(t, nil)
+	_, good := relayOf(t, filled(time.Now()))
+	store := &storeTopic{away: true}
+	topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: func() []netip.AddrPort { return []netip.AddrPort{bad, good} }}
+	_, err := topic.Read(t.Context(), 10, 0)
+	test.ErrorIs(t, err, errAway)
+	_, err = topic.Read(t.Context(), 10, 0)
+	test.NoError(t, err)
+	test.Eq(t, 1, store.reads)
+}
+
+// TestProofOfACopy plays a follower that asks a copy: at each moment the time of its
+// proof is not later than the copy's.
+func TestProofOfACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &Copy{Sink: drop{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		seen := &lastProof{}
+		f := &follow.Follower{
+			Name: "t", Topic: slowCopy{reader}, Sink: seen, Log: zerolog.Nop(), Retry: 100 * time.Millisecond,
+			Pause: func() time.Duration { return 400 * time.Millisecond },
+		}
+		proven := time.Now()
+		reader.Apply(follow.Batch{Snapshot: true, Next: 10, ProvenAt: proven})
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		for i := range 200 {
+			time.Sleep(70 * time.Millisecond)
+			if i%13 == 0 && (i < 60 || i > 120) { // the reader loses the store for 4 s
+				proven = time.Now().Add(-30 * time.Millisecond)
+				reader.Apply(follow.Batch{Next: 10, ProvenAt: proven})
+			}
+			test.False(t, seen.at().After(proven), test.Sprint("step ", i))
+		}
+		test.False(t, seen.at().IsZero())
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
+
+// slowCopy is a copy whose answers take long in both directions.
+type slowCopy struct{ *Copy }
+
+func (c slowCopy) Newest(context.Context) (follow.Page, error) {
+	return follow.Page{Next: 10, Age: time.Hour}, nil
+}
+
+func (c slowCopy) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	time.Sleep(300 * time.Millisecond)
+	page, err := c.Since(from)
+	time.Sleep(700 * time.Millisecond)
+	return page, err
+}
+
+// lastProof keeps the newest proof.
+type lastProof struct {
+	mu     sync.Mutex
+	proven time.Time
+}
+
+func (l *lastProof) Apply(b follow.Batch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !b.Snapshot {
+		l.proven = b.ProvenAt
+	}
+}
+
+func (l *lastProof) at() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.proven
+}
--- /dev/null
+++ b/internal/relay/topic.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+const (
+	// method is the name of the call. It may be repeated.
+	method = "node.changes"
+	// askTimeout bounds a question to a node, which is a ms away. A small host that is
+	// busy answers within some ten ms.
+	askTimeout = 150 * time.Millisecond
+	// MaxAge is the oldest copy that is believed: twice the wait of a read of the store,
+	// which its age is on a calm day, with a margin. An older one has lost the store.
+	MaxAge = 2500 * time.Millisecond
+)
+
+// question asks for what changed in a topic from an offset on.
+type question struct {
+	Topic string `json:"topic"`
+	From  int64  `json:"from"`
+}
+
+// answer is what changed.
+type answer struct {
+	Records []follow.Record `json:"records,omitempty"`
+	Next    int64           `json:"next"`
+	AgeUS   int64           `json:"age_us"` // microseconds
+}
+
+// Relay answers other nodes' questions for this node's copies.
+type Relay struct {
+	conn   *datagram.Conn
+	copies map[string]*Copy
+}
+
+// New returns a relay that answers at a connection that doesn't run yet.
+func New(conn *datagram.Conn) *Relay {
+	r := &Relay{conn: conn, copies: make(map[string]*Copy)}
+	conn.Handle(method, r.serve)
+	return r
+}
+
+// Serve answers questions for a topic from a copy. It must be called before the
+// connection runs.
+func (r *Relay) Serve(topic string, c *Copy) { r.copies[topic] = c }
+
+func (r *Relay) serve(params json.RawMessage) (any, error) {
+	var q question
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, eris.Wrap(err, "decode a question")
+	}
+	c := r.copies[q.Topic]
+	if c == nil {
+		return nil, eris.Errorf("unknown topic %q", q.Topic)
+	}
+	page, err := c.Since(q.From)
+	if err != nil {
+		return nil, err
+	}
+	return answer{Records: page.Records, Next: page.Next, AgeUS: page.Age.Microseconds()}, nil
+}
+
+// Topic is a topic that is read from other nodes' copies where there are any, and from
+// the store else or if they fail.
+type Topic struct {
+	Name  string
+	Store follow.Topic
+	Relay *Relay
+	// Readers are the nodes that read the store. None means that this node does.
+	Readers func() []netip.AddrPort
+	Log     zerolog.Logger
+
+	turn    int // the reader that is asked
+	relayed atomic.Bool
+}
+
+var _ follow.Topic = (*Topic)(nil)
+
+// Newest implements follow.Topic. A first read is the store's: it is long.
+func (t *Topic) Newest(ctx context.Context) (follow.Page, error) { return t.Store.Newest(ctx) }
+
+// Read implements follow.Topic.
+func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
+	readers := t.Readers()
+	if len(readers) == 0 {
+		t.note(false, nil)
+		return t.Store.Read(ctx, from, wait)
+	}
+	page, err := t.ask(ctx, readers[t.turn%len(readers)], from)
+	t.note(err == nil, err)
+	if err == nil {
+		return page, nil
+	}
+	t.turn++
+	return t.Store.Read(ctx, from, wait)
+}
+
+// Relayed reports whether the newest read was answered by another node.
+func (t *Topic) Relayed() bool { return t.relayed.Load() }
+
+// note logs where the topic is read from, when that changes.
+func (t *Topic) note(relayed bool, cause error) {
+	if t.relayed.Swap(relayed) != relayed {
+		t.Log.Info().Str("event", "topic_source").Str("topic", t.Name).Bool("relayed", relayed).AnErr("cause", cause).Send()
+	}
+}
+
+func (t *Topic) ask(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var a answer
+	if err := t.Relay.conn.Call(ctx, reader, method, question{Topic: t.Name, From: from}, &a); err != nil {
+		return follow.Page{}, err
+	}
+	page := follow.Page{Records: a.Records, Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}
+	if page.Age > MaxAge {
+		return follow.Page{}, eris.Errorf("the copy is %s old", page.Age)
+	}
+	return page, nil
+}
