Notice late stores from first events, free slowly, and let few nodes free

Change: how late first events come from each store is learned, told to peers and added to the cost of its fetches; a fetch that is likely to be thrown away is not begun; fetches may take 1.5 s. The home engine of a session is no longer taken to have its parts: engines' memory turns over in 2 s there.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -142,13 +142,20 @@
 	load.Begin(p.Reading, p.Holding)
 	defer load.End(p.Holding)
 	reading := true
-	first := func() {
+	begun := time.Now()
+	read := func() {
 		if reading {
 			reading = false
 			load.FirstEvent(p.Reading)
 		}
 	}
-	defer first()
+	defer read()
+	first := func() {
+		if reading && p.Began != nil {
+			p.Began(time.Since(begun))
+		}
+		read()
+	}
 	answer, err := p.Member.Pool.Do(ctx, x.request(&p.Attempt), x.isOwn)
 	if err != nil {
 		return x.failedSend(err)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -114,6 +114,8 @@
 	Holding int
 	// Reason says in a few words what decided.
 	Reason string
+	// Began, if not nil, is told how long after the send the first event came.
+	Began func(after time.Duration)
 }
 
 // Placer chooses endpoints.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 		Domain:  boot.Domain,
 		Conn:    n.conn,
 		Members: n.fleet.All,
+		Late:    n.keeping.late,
 		Orders:  n.givenOrders,
 		Log:     n.log,
 	})
@@ -218,6 +219,7 @@
 		MayName:      n.keeping.mayName,
 		Peers:        n.peers.Table,
 		Kick:         n.peers.Kick,
+		Usual:        &kept.Lateness{},
 		Whole:        n.peers.Whole,
 		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -9,6 +9,8 @@
 	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/pace"
+	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/placer"
 )
 
 const (
@@ -16,20 +18,26 @@
 	// or went.
 	followPause = 300 * time.Millisecond
 	// namingAge is the oldest configuration with which a node names parts at
-	// stores. Requests with keys are refused at about the same age, so that parts
-	// are named as long as the node serves at all.
-	namingAge = 5 * time.Second
+	// stores: somewhat more than its age on a calm day. The longer it is, the later
+	// outdated parts are freed, whose room new ones need.
+	namingAge = 2800 * time.Millisecond
 	// nameOldFor is how long parts of a replaced version are still named, for the
 	// engines that have it yet: about as long as a rollout takes.
 	nameOldFor = 9 * time.Second
 	// freeAfter is how long after a version was replaced its parts are freed: no
 	// node names them after nameOldFor from when it saw the new one, which is
-	// namingAge late at most, and no fetch lasts longer than a second.
-	freeAfter = nameOldFor + namingAge + 1500*time.Millisecond
+	// namingAge late at most, and no fetch lasts longer than placer.FetchLimit.
+	freeAfter = nameOldFor + namingAge + placer.FetchLimit + 500*time.Millisecond
+	// toldLateMs is the lateness of fetches from which peers are told of it: more than a
+	// busy engine makes of a usual first event.
+	toldLateMs = 100.0
 	// freeRanks and freeSpread let one node after the other look for parts to
 	// free, so that most find nothing left.
 	freeRanks  = 6
 	freeSpread = 400 * time.Millisecond
+	// freeOthers is how much later nodes of a large system look that don't stand by.
+	// Freeing names each part to its store, which fills a small host's link.
+	freeOthers = 8 * time.Second
 )
 
 // keeping follows what engines and stores keep, and frees outdated parts.
@@ -99,6 +107,18 @@
 	return pace.Events(k.node.nodes(), readersOf(h.Readers))
 }
 
+// late returns the stores from which this node's fetches come late.
+func (k *keeping) late() []peerload.Late {
+	var list []peerload.Late
+	now := time.Now()
+	for _, store := range k.index.Stores() {
+		if ms := store.Late.MS(now); ms >= toldLateMs {
+			list = append(list, peerload.Late{Addr: store.Addr, MS: int(ms)})
+		}
+	}
+	return list
+}
+
 // readersOf returns the number of event readers of a holder, or the usual one where the
 // configuration doesn't state it.
 func readersOf(stated int) int {
@@ -139,10 +159,14 @@
 
 // turn is how much later than the first node this one looks.
 func (k *keeping) turn() time.Duration {
-	return time.Duration(xxhash.Sum64String(k.node.boot.Load().Name)%freeRanks) * freeSpread
+	turn := time.Duration(xxhash.Sum64String(k.node.boot.Load().Name)%freeRanks) * freeSpread
+	if !k.node.Standby() {
+		turn += freeOthers
+	}
+	return turn
 }
 
 // free frees outdated parts until ctx is done.
 func (k *keeping) free(ctx context.Context) error {
-	return k.index.Free(ctx, k, k.fresh)
+	return k.index.Free(ctx, k, k.fresh, func() bool { return !pace.Whole(k.node.nodes()) })
 }
--- a/internal/gateway/keeping_test.go
+++ b/internal/gateway/keeping_test.go
@@ -14,6 +14,7 @@
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/placer"
 )
 
 const model = "m"
@@ -27,6 +28,7 @@
 func newView(name string) view {
 	n := &Node{state: newState(zerolog.Nop())}
 	n.boot.Store(&bootstrap.Node{Name: name})
+	n.roster = newRoster(name, nodeEntry{}, nil, nil, nil, zerolog.Nop())
 	return view{keeping: &keeping{node: n}, state: n.state}
 }
 
@@ -51,7 +53,7 @@
 	const (
 		step  = 100 * time.Millisecond
 		steps = 500
-		fetch = time.Second
+		fetch = placer.FetchLimit
 		// cutSteps is longer than a node names parts without the store.
 		cutSteps = 80
 	)
@@ -130,3 +132,29 @@
 	t.Helper()
 	return &bootstrap.Node{Name: "n", Bounds: bootstrap.Bounds{Revoke: 5 * time.Second}}
 }
+
+// TestFewFree has few nodes of a large system free parts, and the others where none of
+// these did.
+func TestFewFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		early := 0
+		views := make([]view, 0, 85)
+		for i := range 85 {
+			v := newView(fmt.Sprint("n", i))
+			v.node.roster, _ = rosterOf(t, fmt.Sprint("n", i), 85)
+			v.read(t, 1, 2)
+			views = append(views, v)
+		}
+		time.Sleep(freeAfter + freeRanks*freeSpread)
+		for _, v := range views {
+			if v.Outdated(salt(1)) {
+				early++
+			}
+		}
+		test.Eq(t, standbys, early)
+		time.Sleep(freeOthers)
+		for _, v := range views {
+			test.True(t, v.Outdated(salt(1)))
+		}
+	})
+}
--- a/internal/kept/free.go
+++ b/internal/kept/free.go
@@ -10,8 +10,11 @@
 const (
 	// freePause is the time between two looks for parts to free.
 	freePause = time.Second
-	// freeBatch is the largest number of parts freed by one call.
-	freeBatch = 500
+	// freeBatch is the largest number of parts freed by one call in a small system, and
+	// slowFreeBatch in a large one, where all nodes hear of each part that is freed: with
+	// 22 stores that is 45 KB of events a second for each node.
+	freeBatch     = 500
+	slowFreeBatch = 40
 )
 
 // Outdated tells which salts no request names any more.
@@ -23,26 +26,30 @@
 
 // Free frees the stores' outdated parts until ctx is done. Nodes may do so at the
 // same time: what one frees can't be in use by another, by the rule of Outdated.
-// active reports whether this node should.
-func (x *Index) Free(ctx context.Context, rule Outdated, active func() bool) error {
+// active reports whether this node should, slowly whether the system is large.
+func (x *Index) Free(ctx context.Context, rule Outdated, active, slowly func() bool) error {
 	for ctx.Err() == nil {
 		retry.Sleep(ctx, freePause)
 		if !active() {
 			continue
 		}
+		most := freeBatch
+		if slowly() {
+			most = slowFreeBatch
+		}
 		for _, store := range x.Stores() {
-			x.freeAt(ctx, store, rule)
+			x.freeAt(ctx, store, rule, most)
 		}
 	}
 	return nil
 }
 
-func (x *Index) freeAt(ctx context.Context, store *Holder, rule Outdated) {
+func (x *Index) freeAt(ctx context.Context, store *Holder, rule Outdated, most int) {
 	parts, epoch := store.under(rule.Outdated)
 	if len(parts) == 0 || !store.Reachable() {
 		return
 	}
-	parts = parts[:min(len(parts), freeBatch)]
+	parts = parts[:min(len(parts), most)]
 	err := x.Source.Free(ctx, store.Addr, parts, epoch)
 	x.Log.Info().Str("event", "parts_freed").Str("store", store.Addr).Int("parts", len(parts)).
 		Str("salt", parts[0].Salt).AnErr("error", err).Send()
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -53,6 +53,8 @@
 	// Readers is the number of questions for events that wait there at once; 0 if not
 	// known.
 	Readers int
+	// Late is how much later this node's fetches from here ended than expected.
+	Late Lateness
 
 	mu     sync.Mutex
 	epoch  int64
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -38,6 +38,8 @@
 	Conn   *datagram.Conn
 	// Members are the endpoints whose load is told.
 	Members func() []*fleet.Member
+	// Late are the holders from which fetches come late.
+	Late func() []Late
 	// Orders are the engines that this node has loaded now, and whether it holds the
 	// claim on orders.
 	Orders func() (closed []weights.Closed, leads bool)
@@ -168,6 +170,7 @@
 		e.toldFar = time.Now()
 		e.led = leads // once more after the end
 	}
+	digest.Late = e.config.Late()
 	digest.Loads = LoadsOf(e.config.Members(), time.Now())
 	e.config.Conn.Notify(peers.near, method, digest)
 }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -35,6 +35,8 @@
 	Incarnation int64  `json:"incarnation"`
 	Seq         int64  `json:"seq"`
 	Loads       []Load `json:"loads,omitempty"`
+	// Late are the holders from which fetches come late.
+	Late []Late `json:"late,omitempty"`
 	// Seen are weights that the node saw in answers or reports before the registry told
 	// of them.
 	Seen []Seen `json:"seen,omitempty"`
@@ -57,6 +59,12 @@
 	Failures int `json:"failures,omitempty"`
 }
 
+// Late is how much later than expected fetches from a holder came lately.
+type Late struct {
+	Addr string `json:"addr"`
+	MS   int    `json:"ms"`
+}
+
 // Seen are the engines that have a version of a model.
 type Seen struct {
 	Model     string   `json:"model"`
@@ -131,6 +139,32 @@
 	return sums
 }
 
+// Late returns how much later than expected fetches from holders come, in ms, by their
+// addresses, where several peers tell so.
+func (t *Table) Late(now time.Time) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := make(map[string]float64)
+	witnesses := make(map[string]int)
+	for _, p := range t.peers {
+		if now.Sub(p.at) > Fresh {
+			continue
+		}
+		for _, l := range p.digest.Late {
+			sums[l.Addr] += float64(l.MS)
+			witnesses[l.Addr]++
+		}
+	}
+	for addr, n := range witnesses {
+		if n < failureWitnesses {
+			delete(sums, addr)
+			continue
+		}
+		sums[addr] /= float64(n)
+	}
+	return sums
+}
+
 // Closed returns the engines that peers have loaded now, and whether each refuses
 // all requests.
 func (t *Table) Closed(now time.Time) map[string]bool {
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -123,6 +123,7 @@
 	return New(Config{
 		Node: node, Domain: domain, Conn: conn, Log: zerolog.Nop(),
 		Members: func() []*fleet.Member { return nil },
+		Late:    func() []Late { return nil },
 		Orders:  func() ([]weights.Closed, bool) { return []weights.Closed{{Endpoint: "x", Loads: true}}, leads.Load() },
 	})
 }
@@ -165,3 +166,18 @@
 		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(heard(step)), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
 	}
 }
+
+// TestLateNeedsWitnesses takes the mean of what several peers tell of a holder.
+func TestLateNeedsWitnesses(t *testing.T) {
+	table := NewTable()
+	for i, ms := range []int{300, 500} {
+		d := digest(fmt.Sprint("n", i), 1, 1, 1)
+		d.Late = []Late{{Addr: "s", MS: ms}}
+		table.Take(d, now)
+		if i == 0 {
+			test.MapEmpty(t, table.Late(now))
+		}
+	}
+	test.Eq(t, map[string]float64{"s": 400}, table.Late(now))
+	test.MapEmpty(t, table.Late(now.Add(2*Fresh)))
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -41,6 +41,8 @@
 	Peers *peerload.Table
 	// Kick has the other nodes told soon of a placement.
 	Kick func()
+	// Usual is how late first events come that depend on no store.
+	Usual *kept.Lateness
 	// Whole reports whether Peers tells of all nodes, rather than of those of this
 	// failure domain.
 	Whole func() bool
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -83,7 +83,7 @@
 	t.Cleanup(func() { cancel(); index.Wait() })
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return told(index, kept3) }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
 	w.Placer = &placer.Placer{
-		Domain: "north", Fleet: f, Versions: w.versions, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Whole: func() bool { return true },
+		Domain: "north", Fleet: f, Versions: w.versions, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{}, Whole: func() bool { return true },
 		MayName:      func(string, int64) bool { return w.mayName },
 		Closed:       func() []weights.Closed { return w.closed },
 		VersionApply: func() time.Duration { return limit },
@@ -284,3 +284,86 @@
 	must.True(t, ok)
 	test.Eq(t, salt(p.Attempt.Version, ""), p.Attempt.Salt)
 }
+
+// TestLateStoreIsAvoided learns from first events that fetches from a store come late,
+// reads the parts itself then, and tries the store again later.
+func TestLateStoreIsAvoided(t *testing.T) {
+	w := newWorld(t, source{store: shared(1, "")}, 1)
+	place := func() forward.Placement {
+		p, ok := w.Place(query())
+		must.True(t, ok)
+		must.NotNil(t, p.Began)
+		return p
+	}
+	for range 8 {
+		place().Began(2 * time.Second)
+	}
+	p := place()
+	test.Nil(t, p.Attempt.Sources)
+	test.Eq(t, 11500, p.Reading)
+	keep := w.Kept.Stores()[0]
+	for range 8 {
+		keep.Late.Note(0, time.Now())
+	}
+	test.NotNil(t, place().Attempt.Sources)
+}
+
+// TestPeersTellOfLateStores avoids a store from which several peers fetch late.
+func TestPeersTellOfLateStores(t *testing.T) {
+	w := newWorld(t, source{store: shared(1, "")}, 1)
+	for i := range 3 {
+		w.Peers.Take(peerload.Digest{Node: fmt.Sprint("n", i), Incarnation: 1, Seq: 1, Late: []peerload.Late{{Addr: store, MS: 900}}}, time.Now())
+	}
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Nil(t, p.Attempt.Sources)
+}
+
+// TestBusyEngineIsNotTheStore takes what all first events are late off a store's.
+func TestBusyEngineIsNotTheStore(t *testing.T) {
+	w := newWorld(t, source{store: shared(1, "")}, 1)
+	for range 20 {
+		w.Usual.Note(700, time.Now())
+		p, ok := w.Place(query())
+		must.True(t, ok)
+		p.Began(800 * time.Millisecond)
+	}
+	test.Less(t, 250, w.Kept.Stores()[0].Late.MS(time.Now()), test.Sprint("700 of its 800 ms are everybody's"))
+}
+
+// TestLargeSystem places a session at its home in the node's own failure domain, and
+// goes elsewhere where no slot is free there or too few engines are near.
+func TestLargeSystem(t *testing.T) {
+	w := newWorld(t, source{store: shared(1, "")}, 1, 1, 1)
+	w.Whole = func() bool { return false }
+	w.Kept.Follow(t.Context(), nil, w.Kept.Stores()) // engines are not followed
+	for i := range 12 {
+		domain := []string{"north", "south"}[i%2]
+		w.Fleet.Update(&fleet.Endpoint{ID: fmt.Sprint("f", i), Service: "s", Addr: addr(10 + i), Domain: domain, Slots: 12, Weights: []fleet.Weights{{Model: model, Version: 1}}}, time.Now())
+	}
+	first, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, "north", first.Member.Endpoint().Domain)
+	test.Eq(t, []string{store, store, ""}, first.Attempt.Sources)
+	test.Eq(t, 9500, first.Fetched)
+	for range 10 {
+		again, ok := w.Place(query())
+		must.True(t, ok)
+		test.Eq(t, first.Member.ID, again.Member.ID)
+	}
+	first.Member.Load.Begin(0, 0)
+	for range 40 {
+		first.Member.Load.Begin(0, 0)
+	}
+	other, ok := w.Place(query())
+	must.True(t, ok)
+	test.NotEq(t, first.Member.ID, other.Member.ID, test.Sprint("no slot is free"))
+	for _, m := range w.Fleet.Members("s") {
+		if m.Endpoint().Domain == "north" {
+			w.Fleet.Remove(m.ID, false, time.Now())
+		}
+	}
+	far, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, "south", far.Member.Endpoint().Domain)
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// fetchLimit is the longest time that a fetch from a store may take; what
+	// FetchLimit is the longest time that a fetch from a store may take; what
 	// comes later is thrown away, and the engine reads the prompt. Outdated parts
 	// are freed only when this has passed since the last node named them.
-	fetchLimit = time.Second
+	FetchLimit = 1500 * time.Millisecond
+	// lostFetchMs is the time from which a fetch is likely to be thrown away, so that
+	// reading the part costs the same and comes sooner.
+	lostFetchMs = 800.0
 	// foreignLink is how much longer a transfer between failure domains takes.
 	foreignLink = 2.0
 	// assumedMbps is the speed of a link that the configuration doesn't state.
@@ -23,7 +26,7 @@
 	// againMsPerK is what speaks against reading 1,000 tokens that are kept elsewhere,
 	// beyond the time it takes: the price of reading them again against that of a late
 	// answer.
-	againMsPerK = 60.0
+	againMsPerK = 160.0
 )
 
 // plan is how an engine would come by the parts of a prompt.
@@ -37,7 +40,9 @@
 	fetched   int // tokens that it fetches
 	reading   int // tokens that it has to read
 	fetchMs   float64
-	bytes     float64 // fetched
+	bytes     float64      // fetched
+	slowest   *kept.Holder // the store of the fetch that takes longest
+	slowestMs float64
 }
 
 // ms is the time until the prompt is read, with what its transfers cost.
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -71,7 +71,9 @@
 		best = slices.MinFunc([]scored{best, farther}, byCost)
 	}
 	p.Kick()
-	return p.placement(q, best.member, s.plan(best.member)), true
+	placement := p.placement(q, best.member, s.plan(best.member))
+	placement.Began = s.noteBegin(best.member)
+	return placement, true
 }
 
 // split tells the engines whose load this node knows from the others: in a large
@@ -112,7 +114,7 @@
 		Reason:  plan.reason(),
 	}
 	if plan.fromStore {
-		placement.Attempt.FetchUntil = p.Kept.ClockMS() + fetchLimit.Milliseconds()
+		placement.Attempt.FetchUntil = p.Kept.ClockMS() + FetchLimit.Milliseconds()
 	}
 	return placement
 }
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -10,6 +10,15 @@
 	"github.com/cherryward/cherryward/internal/peerload"
 )
 
+const (
+	// firstMs is the time from when a prompt is read until its first event, as the
+	// operators state it for the present engines.
+	firstMs = 47.0
+	// tellingFetch is the number of tokens from which a fetch takes long enough to tell
+	// of its store.
+	tellingFetch = 1000
+)
+
 // search is the choice of an engine for one prompt. What doesn't depend on the engine
 // is looked up once.
 type search struct {
@@ -18,7 +27,8 @@
 	now     time.Time
 	rollout *rollout
 	others  map[string]peerload.Sum
-	home    *fleet.Member // may be nil
+	late    map[string]float64 // ms that peers' fetches come late, by the holder's address
+	home    *fleet.Member      // may be nil
 	located map[int64]*located
 	plans   map[*fleet.Member]*plan
 }
@@ -26,7 +36,7 @@
 func (p *Placer) search(q *forward.Query, r *rollout) *search {
 	now := time.Now()
 	return &search{
-		Placer: p, q: q, now: now, rollout: r, others: p.Peers.Loads(now), home: p.home(q),
+		Placer: p, q: q, now: now, rollout: r, others: p.Peers.Loads(now), late: p.Peers.Late(now), home: p.home(q),
 		located: make(map[int64]*located), plans: make(map[*fleet.Member]*plan),
 	}
 }
@@ -108,14 +118,13 @@
 		p.reading = s.q.Attributes.PromptTokens
 		return p
 	}
-	followed := s.Kept.Engine(m.ID) != nil
 	prefix := true
 	for i := range l.parts {
 		part := &l.parts[i]
 		switch {
 		case prefix && part.engines[m.ID] != nil:
 			p.cached += part.Tokens
-		case prefix && s.fetch(m, p, i, part, !followed && m == s.home):
+		case prefix && s.fetch(m, p, i, part):
 		default:
 			prefix = false
 			p.reading += part.Tokens
@@ -126,15 +135,16 @@
 }
 
 // fetch adds the quickest source of part i to the plan. It reports false where no other
-// holder has the whole part. Where the engine probably has the part itself, as all
-// nodes place the session there, the source is named all the same but costs nothing.
-func (s *search) fetch(m *fleet.Member, p *plan, i int, part *locatedPart, likely bool) bool {
+// holder has the whole part. An engine that nobody follows may have the part itself, and
+// fetches nothing then.
+func (s *search) fetch(m *fleet.Member, p *plan, i int, part *locatedPart) bool {
 	bytes := float64(part.Tokens) * float64(s.q.Service.Engine.TokenBytes)
 	domain := m.Endpoint().Domain
 	var best *kept.Holder
 	bestMs := float64(part.Tokens) * (1/prefillPerMs + againMsPerK/1000)
 	consider := func(h *kept.Holder) {
-		if ms := transferMs(h, bytes, domain); ms < bestMs && h.Reachable() {
+		ms := transferMs(h, bytes, domain) + s.lateMs(h)
+		if ms < min(bestMs, lostFetchMs) && h.Reachable() {
 			best, bestMs = h, ms
 		}
 	}
@@ -151,9 +161,8 @@
 	}
 	p.name(i, len(s.q.Attributes.Parts), best.Addr)
 	p.fromStore = p.fromStore || best.Tokens > 0
-	if likely {
-		p.cached += part.Tokens
-		return true
+	if best.Tokens > 0 && bestMs > p.slowestMs {
+		p.slowest, p.slowestMs = best, bestMs
 	}
 	p.fetched += part.Tokens
 	p.fetchMs += bestMs
@@ -173,3 +182,29 @@
 		p.name(i, len(s.q.Attributes.Parts), s.home.Endpoint().Addr)
 	}
 }
+
+// lateMs is how much later than expected fetches from a holder come, as this node or its
+// peers saw.
+func (s *search) lateMs(h *kept.Holder) float64 { return max(h.Late.MS(s.now), s.late[h.Addr]) }
+
+// noteBegin returns what learns from the time of the first event how late fetches come
+// from the store that the placement leans on most; nil where it fetches little. What an
+// engine's own load adds is learned from the prompts that fetch little, and taken off.
+func (s *search) noteBegin(m *fleet.Member) func(after time.Duration) {
+	p := s.plan(m)
+	expected := s.engineCost(s.q, m, s.others[m.ID], s.now) + p.fetchMs + float64(p.reading)/prefillPerMs + firstMs
+	store := p.slowest
+	if store != nil {
+		expected -= s.lateMs(store)
+	}
+	usual := s.Usual
+	return func(after time.Duration) {
+		now := time.Now()
+		late := float64(after)/float64(time.Millisecond) - expected
+		if store == nil || p.fetched < tellingFetch {
+			usual.Note(late, now)
+			return
+		}
+		store.Late.Note(late-usual.MS(now), now)
+	}
+}
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -19,7 +19,8 @@
 	// more slow each other down.
 	fewestLoads = 2
 	// loadShare is the part of a large fleet that loads at the same time: a fifth, as
-	// the operators state it for 9, 90 and 112 engines.
+	// the operators state it for 9, 90 and 112 engines. With an eighth 112 engines take
+	// 13 s, of the bound's 15.
 	loadShare = 5
 	// emptyTime is how long an engine gets no new long runs before it is ordered to
 	// load. Runs last 1.5 s on average and up to 6 s; those that are left then go on
@@ -50,8 +51,7 @@
 }
 
 // atOnce returns the number of engines that load at the same time, and the number of
-// jobs: half as many are emptied meanwhile. With more the rest can't read the prompts
-// that are kept nowhere under the new version yet.
+// jobs: half as many are emptied meanwhile.
 func atOnce(engines int) (loads, jobs int) {
 	loads = max(fewestLoads, engines/loadShare)
 	return loads, loads + (loads+1)/2
