Keep a large system's nodes to the engines whose load they know

Nodes turned to engines of other failure domains when their own were busy; the load of these is not told there, so they looked empty and filled up unseen by anybody. Ruled out: lost messages, a wrong memory size. Change: engines of other domains are used only where fewer than four are left in the own one, and their nodes are told of that load then. A placement's log line names the wait and the memory that it believed in.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -235,7 +235,7 @@
 	if x.placed != nil {
 		event = event.Str("endpoint", x.placed.Member.ID).Str("why", x.placed.Reason).Int64("weights", x.placed.Attempt.Version).
 			Int("read", x.placed.Reading).Int("cached", x.placed.Cached).Int("fetched", x.placed.Fetched).
-			Strs("saved", x.placed.Attempt.Targets)
+			Strs("saved", x.placed.Attempt.Targets).Int64("wait_ms", x.placed.Wait.Milliseconds()).Int("held", x.placed.Held)
 	}
 	if parts := x.attrs.Parts; len(parts) > 1 {
 		event = event.Str("session", parts[len(parts)-2].ID).Int("session_tokens", parts[len(parts)-2].Tokens)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -112,6 +112,10 @@
 	// Holding is the number of tokens that the request is expected to hold in the
 	// endpoint's memory.
 	Holding int
+	// Wait and Held are what decided, as far as the node knew: the predicted time until the
+	// endpoint has time and room, and the tokens that running requests held there.
+	Wait time.Duration
+	Held int
 	// Reason says in a few words what decided.
 	Reason string
 	// Began, if not nil, is told how long after the send the first event came.
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -24,8 +24,8 @@
 	// closedFor is how long an endpoint stays closed on one message, so that a few
 	// lost ones are bridged.
 	closedFor = 800 * time.Millisecond
-	// farSpacing is the time between two messages to the nodes that hear of orders
-	// alone: the message to each of 1,000 nodes takes 4 Mbit/s then.
+	// farSpacing is the time between two messages to the nodes of other failure
+	// domains: the message to each of 1,000 nodes takes 4 Mbit/s then.
 	farSpacing = 250 * time.Millisecond
 	// countTime is the time for the request that a message is sent for to be counted.
 	countTime = time.Millisecond
@@ -57,7 +57,7 @@
 	// near are the nodes that hear of this node's load: all of a small system, else
 	// those of its failure domain.
 	near []netip.AddrPort
-	far  []netip.AddrPort // the others, which hear of orders alone
+	far  []netip.AddrPort // the others
 }
 
 // Exchange sends this node's digests and takes those of its peers.
@@ -72,8 +72,8 @@
 
 	// The rest is used by Run alone.
 	seq     int64
-	toldFar time.Time // when the nodes far were told of orders
-	led     bool      // they were told that this node leads
+	toldFar time.Time // when the nodes far were told something
+	news    bool      // they were told of something that may have ended
 }
 
 // New returns an exchange that hears its peers at a connection that doesn't run yet.
@@ -155,26 +155,47 @@
 }
 
 // send tells the peers near of this node's load. A node that gives orders is heard by
-// all, who must send nothing to engines that load; those that don't need its load hear
-// less often, as one message to each of many nodes would fill a small host's link.
+// all, who must send nothing to engines that load; those far hear less often, as one
+// message to each of many nodes would fill a small host's link.
 func (e *Exchange) send() {
 	peers := e.peers.Load()
 	if peers == nil {
 		return
 	}
 	e.seq++
+	members := e.config.Members()
 	digest := e.orders()
-	leads := digest.Leads
-	if len(peers.far) > 0 && (leads || e.led) && time.Since(e.toldFar) >= farSpacing {
-		e.config.Conn.Notify(peers.far, method, digest)
-		e.toldFar = time.Now()
-		e.led = leads // once more after the end
+	if len(peers.far) > 0 && time.Since(e.toldFar) >= farSpacing {
+		e.sendFar(peers, digest, members)
 	}
 	digest.Late = e.config.Late()
-	digest.Loads = LoadsOf(e.config.Members(), time.Now())
+	digest.Loads = LoadsOf(members, time.Now())
 	e.config.Conn.Notify(peers.near, method, digest)
 }
 
+// sendFar tells the nodes of other failure domains of orders, and of this node's load at
+// engines there, which it uses where its own domain has too few. Once both have ended they
+// are told so.
+func (e *Exchange) sendFar(peers *audience, digest *Digest, members []*fleet.Member) {
+	far := *digest
+	far.Loads = LoadsOf(outside(members, e.config.Domain), time.Now())
+	news := far.Leads || len(far.Loads) > 0
+	if news || e.news {
+		e.config.Conn.Notify(peers.far, method, &far)
+		e.toldFar = time.Now()
+	}
+	e.news = news
+}
+
+// outside returns the engines of other failure domains. Plain services are left out: all
+// nodes use all endpoints of these, a few each.
+func outside(members []*fleet.Member, domain string) []*fleet.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m *fleet.Member) bool {
+		at := m.Endpoint()
+		return at.Domain == domain || len(at.Weights) == 0
+	})
+}
+
 // orders returns a digest of the orders that this node gives, and of the weights that
 // it saw.
 func (e *Exchange) orders() *Digest {
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -181,3 +181,36 @@
 	test.Eq(t, map[string]float64{"s": 400}, table.Late(now))
 	test.MapEmpty(t, table.Late(now.Add(2*Fresh)))
 }
+
+// TestFarLoadIsHeard tells the nodes of other failure domains of requests under way at
+// engines there, and once that they have ended.
+func TestFarLoadIsHeard(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	for i, domain := range []string{"d0", "d1", "d1"} {
+		e := &fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Addr: "127.0.0.1:1", Domain: domain}
+		if i < 2 {
+			e.Weights = []fleet.Weights{{Model: "m", Version: 1}}
+		}
+		f.Update(e, now)
+	}
+	speaker, listener := listenAt(t, "n0", "d0", &atomic.Bool{}), listenAt(t, "n1", "d1", &atomic.Bool{})
+	speaker.config.Members = f.All
+	speaker.peers.Store(&audience{far: []netip.AddrPort{netip.MustParseAddrPort(listener.config.Conn.Addr())}})
+	go func() { _ = listener.config.Conn.Run(t.Context()) }()
+	for _, m := range f.All() {
+		m.Load.Begin(10, 100)
+	}
+	heard := func(want int) func() bool {
+		return func() bool {
+			speaker.send()
+			loads := listener.Table.Loads(time.Now())
+			return loads["e1"].Holding == want && loads["e0"].Holding == 0 && loads["e2"].Holding == 0 && listener.Table.Nodes() == 2
+		}
+	}
+	for _, want := range []int{100, 0} {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(heard(want)), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
+		for _, m := range f.All() {
+			m.Load.End(m.Load.Holding())
+		}
+	}
+}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -36,9 +36,10 @@
 	current   bool     // the salt's version is the wanted one
 	sources   []string // an address for each part; nil where none is fetched
 	fromStore bool
-	cached    int // tokens that the engine keeps itself
-	fetched   int // tokens that it fetches
-	reading   int // tokens that it has to read
+	cached    int     // tokens that the engine keeps itself
+	fetched   int     // tokens that it fetches
+	reading   int     // tokens that it has to read
+	waitMs    float64 // until the engine has time and room for the request
 	fetchMs   float64
 	bytes     float64      // fetched
 	slowest   *kept.Holder // the store of the fetch that takes longest
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -46,10 +46,6 @@
 	// fewestNear is the number of usable engines in this node's failure domain with
 	// which a node of a large system does without the others.
 	fewestNear = 4
-	// spillMs is the cost from which engines of other failure domains are weighed too.
-	// Their load is not known, so they cost unknownMs more.
-	spillMs   = 200.0
-	unknownMs = 60.0
 )
 
 // placePrompt picks the engine with the least predicted time to the first event,
@@ -60,46 +56,41 @@
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
-	near, far := p.split(candidates)
+	candidates = p.near(candidates)
 	s := p.search(q, rollout)
-	if p.full(q, near, s.others) {
+	if p.full(q, candidates, s.others) {
 		return forward.Placement{}, false
 	}
-	best := slices.MinFunc(score(near, s.cost), byCost)
-	if len(far) > 0 && best.cost > spillMs {
-		farther := slices.MinFunc(score(far, s.farCost), byCost)
-		best = slices.MinFunc([]scored{best, farther}, byCost)
-	}
+	best := slices.MinFunc(score(candidates, s.cost), byCost)
 	p.Kick()
-	placement := p.placement(q, best.member, s.plan(best.member))
-	placement.Began = s.noteBegin(best.member)
-	return placement, true
+	return s.placement(best.member), true
 }
 
-// split tells the engines whose load this node knows from the others: in a large
-// system those of its failure domain, if enough are left there.
-func (p *Placer) split(candidates []*fleet.Member) (near, far []*fleet.Member) {
+// near returns the engines whose load this node knows: in a large system those of its
+// failure domain, if enough are left there. The others look empty from here, so that a
+// domain under load would fill them unseen.
+func (p *Placer) near(candidates []*fleet.Member) []*fleet.Member {
 	if p.Whole() {
-		return candidates, nil
+		return candidates
 	}
+	var near []*fleet.Member
 	for _, m := range candidates {
 		if m.Endpoint().Domain == p.Domain {
 			near = append(near, m)
-		} else {
-			far = append(far, m)
 		}
 	}
 	if len(near) < fewestNear {
-		return candidates, nil
+		return candidates
 	}
-	return near, far
+	return near
 }
 
-func (p *Placer) placement(q *forward.Query, m *fleet.Member, plan *plan) forward.Placement {
+func (s *search) placement(best *fleet.Member) forward.Placement {
+	p, q, plan := s.Placer, s.q, s.plan(best)
 	placement := forward.Placement{
-		Member: m,
+		Member: best,
 		Attempt: forward.Attempt{
-			Instance: m.ID,
+			Instance: best.ID,
 			Account:  accountName(q),
 			Priority: priorityOf(q),
 			Version:  plan.version,
@@ -111,7 +102,10 @@
 		Cached:  plan.cached,
 		Fetched: plan.fetched,
 		Holding: holding(q),
+		Wait:    time.Duration(plan.waitMs * float64(time.Millisecond)),
+		Held:    best.Load.Holding() + s.others[best.ID].Holding,
 		Reason:  plan.reason(),
+		Began:   s.noteBegin(best),
 	}
 	if plan.fromStore {
 		placement.Attempt.FetchUntil = p.Kept.ClockMS() + FetchLimit.Milliseconds()
@@ -126,7 +120,7 @@
 	if len(parts) < 2 {
 		return nil
 	}
-	members, _ := p.split(p.Fleet.Members(q.Service.Name))
+	members := p.near(p.Fleet.Members(q.Service.Name))
 	nodes := make([]rendezvous.Node, len(members))
 	for i, m := range members {
 		nodes[i] = rendezvous.Node{ID: m.ID, Weight: 1}
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -44,16 +44,15 @@
 // cost is the predicted time to the first event at an engine, in ms, with what speaks
 // for and against it.
 func (s *search) cost(m *fleet.Member) float64 {
-	cost := s.engineCost(s.q, m, s.others[m.ID], s.now) + s.plan(m).ms() + s.rollout.cost(m) + spreadMs*rand.Float64()
+	plan := s.plan(m)
+	plan.waitMs = s.engineCost(s.q, m, s.others[m.ID], s.now)
+	cost := plan.waitMs + plan.ms() + s.rollout.cost(m) + spreadMs*rand.Float64()
 	if m == s.home {
 		cost -= homeMs
 	}
 	return cost
 }
 
-// farCost is cost for an engine whose load the other nodes don't tell.
-func (s *search) farCost(m *fleet.Member) float64 { return s.cost(m) + unknownMs }
-
 // located is where the parts of the prompt are kept under one version of the weights.
 type located struct {
 	version int64
@@ -192,7 +191,7 @@
 // engine's own load adds is learned from the prompts that fetch little, and taken off.
 func (s *search) noteBegin(m *fleet.Member) func(after time.Duration) {
 	p := s.plan(m)
-	expected := s.engineCost(s.q, m, s.others[m.ID], s.now) + p.fetchMs + float64(p.reading)/prefillPerMs + firstMs
+	expected := p.waitMs + p.fetchMs + float64(p.reading)/prefillPerMs + firstMs
 	store := p.slowest
 	if store != nil {
 		expected -= s.lateMs(store)
