Let few nodes ask the stores for events, and tell the others

Cause: 85 nodes ask 22 stores, which let 12 questions wait, so each node asked each store every 1.8 s and parts were read again that a store had got meanwhile; each node also kept 22 connections of its own to stores. Change: the nodes that read the store for their domain ask the stores for events, too; the others ask one of them for all stores at once, three times a second. A node tells only changes in the order of their numbers, of one epoch and without a gap; else the store itself is asked.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	callers   *server
 	balancer  *server // answers whether the node is ready
 	keeping   *keeping
+	events    *kept.Peers // tells and asks other nodes what stores keep
 	orders    *weights.Service
 	conn      *datagram.Conn // to and from other nodes
 	peers     *peerload.Exchange
@@ -108,6 +109,8 @@
 	if err != nil {
 		return err
 	}
+	n.events = &kept.Peers{Index: n.keeping.index, Conn: n.conn, Readers: n.readers}
+	n.events.Serve()
 	n.peers = peerload.New(peerload.Config{
 		Node:    boot.Name,
 		Domain:  boot.Domain,
@@ -184,6 +187,7 @@
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.keeping.follow},
+		&task{name: "events", run: n.events.Run},
 		&task{name: "free", run: n.keeping.free},
 	)
 }
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -102,9 +102,10 @@
 	return stores
 }
 
-// pace is how often a holder is asked.
+// pace is how often a holder is asked by this node, which few do for the others in a
+// large system.
 func (k *keeping) pace(h *kept.Holder) (wait, pause time.Duration) {
-	return pace.Events(k.node.nodes(), readersOf(h.Readers))
+	return pace.Events(k.node.storeReaders(), readersOf(h.Readers))
 }
 
 // late returns the stores from which this node's fetches come late.
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -11,8 +11,15 @@
 	"github.com/cherryward/cherryward/coord/retry"
 )
 
-// eventsRetry is the pause after a question that failed.
-const eventsRetry = 500 * time.Millisecond
+const (
+	// eventsRetry is the pause after a question that failed.
+	eventsRetry = 500 * time.Millisecond
+	// relayedFor is how long a holder isn't asked after another node told of it: two
+	// questions to that node may fail.
+	relayedFor = 900 * time.Millisecond
+	// relayedLook is the time between two looks whether another node still tells.
+	relayedLook = 200 * time.Millisecond
+)
 
 // Index is what is kept at all holders. It is safe for concurrent use.
 type Index struct {
@@ -135,6 +142,10 @@
 func (x *Index) follow(ctx context.Context, h *Holder) {
 	for ctx.Err() == nil {
 		begun := time.Now()
+		if h.isRelayed(begun) {
+			retry.Sleep(ctx, relayedLook)
+			continue
+		}
 		wait, pause := x.Pace(h)
 		events, err := x.Source.Events(ctx, h.Addr, h.since(), wait)
 		switch {
--- /dev/null
+++ b/internal/kept/journal.go
@@ -0,0 +1,78 @@
+package kept
+
+// journalLength is the number of changes of a holder that a node keeps for others, which
+// ask a few times a second.
+const journalLength = 1000
+
+// journal are the newest changes of a holder in one epoch. Its zero value reaches back to
+// nothing.
+type journal struct {
+	begun   bool
+	first   int64 // all changes from this number on are in changes
+	changes []Change
+}
+
+// note takes what followed a number. After a gap the journal begins anew.
+func (j *journal) note(since int64, e *Events) {
+	if !j.begun || e.Gap {
+		j.begun = true
+		j.first = since
+		j.changes = nil
+	}
+	if e.Gap {
+		j.first = e.Next
+		return
+	}
+	j.changes = append(j.changes, e.Changes...)
+	if extra := len(j.changes) - journalLength; extra > 0 {
+		j.changes = append([]Change(nil), j.changes[extra:]...)
+		j.first = j.changes[0].Number
+	}
+}
+
+// since returns up to most changes from a number on, and false where it reaches not back
+// so far.
+func (j *journal) since(number int64, most int) (list []Change, ok bool) {
+	if !j.begun || number < j.first {
+		return nil, false
+	}
+	for _, c := range j.changes {
+		if c.Number >= number && len(list) < most {
+			list = append(list, c)
+		}
+	}
+	return list, true
+}
+
+// Position is how far a node knows a store's events.
+type Position struct {
+	Addr  string `json:"addr"`
+	Epoch int64  `json:"epoch"`
+	Next  int64  `json:"next"` // the first number that it lacks
+}
+
+// Position returns how far the holder's events are known.
+func (h *Holder) Position() Position {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Position{Addr: h.Addr, Epoch: h.epoch, Next: h.next}
+}
+
+// Since returns up to most changes that another node lacks, and false where only the
+// holder itself can tell it.
+func (h *Holder) Since(p Position, most int) (Events, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lost || h.epoch != p.Epoch {
+		return Events{}, false
+	}
+	changes, ok := h.recent.since(p.Next, most)
+	if !ok {
+		return Events{}, false
+	}
+	e := Events{Epoch: h.epoch, Next: max(h.next, p.Next), Changes: changes}
+	if len(changes) == most {
+		e.Next = changes[most-1].Number + 1
+	}
+	return e, true
+}
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -10,19 +10,21 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Part is a part of a prompt under the salt that it is kept with.
 type Part struct {
-	Salt string
-	ID   string
+	Salt string `json:"salt"`
+	ID   string `json:"id"`
 }
 
 // Change is one event: how many tokens of a part are kept now, 0 for none.
 type Change struct {
-	Part   Part
-	Tokens int
+	Number int64 `json:"number"` // of the event, rising within an epoch
+	Part   Part  `json:"part"`
+	Tokens int   `json:"tokens"`
 }
 
 // Events are what changed at one holder since a number.
@@ -53,6 +55,8 @@
 	// Readers is the number of questions for events that wait there at once; 0 if not
 	// known.
 	Readers int
+	// relayed is until when another node's word stands in for questions; nil for never.
+	relayed atomic.Pointer[time.Time]
 	// Late is how much later this node's fetches from here ended than expected.
 	Late Lateness
 
@@ -63,6 +67,7 @@
 	used   int                // tokens in parts
 	saving map[Part]time.Time // that this node had sent to a store
 	lost   bool               // the last question failed
+	recent journal            // what other nodes may ask for
 }
 
 // NewHolder returns a holder of which nothing is known yet.
@@ -84,6 +89,12 @@
 	return !h.lost
 }
 
+// isRelayed reports whether another node tells what the holder keeps.
+func (h *Holder) isRelayed(now time.Time) bool {
+	until := h.relayed.Load()
+	return until != nil && now.Before(*until)
+}
+
 // forget notes that a part was freed, before its event tells.
 func (h *Holder) forget(p Part) {
 	h.mu.Lock()
@@ -122,6 +133,7 @@
 			return
 		}
 	}
+	h.recent.note(h.next, e)
 	h.next = e.Next
 	for _, c := range e.Changes {
 		h.set(c.Part, c.Tokens)
@@ -134,6 +146,7 @@
 func (h *Holder) restarted() {
 	clear(h.parts)
 	clear(h.saving)
+	h.recent = journal{}
 	h.used = 0
 	h.next = 0
 }
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -21,9 +21,9 @@
 
 func TestEvents(t *testing.T) {
 	h := newStore()
-	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{part, 40}, {other, 16}}})
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}, {Part: other, Tokens: 16}}})
 	test.Eq(t, 40, h.Has(part))
-	h.apply(&Events{Epoch: 5, Next: 3, Changes: []Change{{part, 0}}})
+	h.apply(&Events{Epoch: 5, Next: 3, Changes: []Change{{Part: part, Tokens: 0}}})
 	test.Eq(t, 0, h.Has(part))
 	test.Eq(t, 16, h.used)
 	test.Eq(t, 3, h.since())
@@ -32,11 +32,11 @@
 // TestRestart asks for all events of a holder that came back empty.
 func TestRestart(t *testing.T) {
 	h := newStore()
-	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{part, 40}}})
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}})
 	h.apply(&Events{Epoch: 6, Next: 1})
 	test.Eq(t, 0, h.Has(part))
 	test.Eq(t, 0, h.since())
-	h.apply(&Events{Epoch: 6, Next: 1, Changes: []Change{{part, 16}}})
+	h.apply(&Events{Epoch: 6, Next: 1, Changes: []Change{{Part: part, Tokens: 16}}})
 	test.Eq(t, 16, h.Has(part))
 	test.Eq(t, 1, h.since())
 }
@@ -47,7 +47,7 @@
 	test.False(t, h.BeginSave(part, 40, now.Add(time.Second)), test.Sprint("under way"))
 	test.True(t, h.BeginSave(part, 40, now.Add(savePatience)), test.Sprint("never arrived"))
 	test.False(t, h.BeginSave(other, 101, now), test.Sprint("no room"))
-	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{part, 40}}})
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}})
 	test.False(t, h.BeginSave(part, 40, now.Add(time.Minute)), test.Sprint("kept"))
 	h.failed()
 	test.False(t, h.BeginSave(other, 16, now), test.Sprint("out of reach"))
