--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,13 +33,6 @@
 	// memoryShare is the part of the host's memory from which the collector works
 	// harder; stacks, buffers in the kernel and the program itself need the rest.
 	memoryShare = 0.6
-	// readyShare is the part of the revocation bound up to which a node with an
-	// ageing configuration counts as ready. Callers are better served elsewhere
-	// before it has to refuse their keys.
-	readyShare = 0.5
-	// readyMargin is what the configuration's age may be beyond two waits of a read,
-	// its age on a calm day, at a node that counts as ready.
-	readyMargin = 500 * time.Millisecond
 
 	// leaseMargin is added to the lease bound before another node gives orders, for
 	// the way of the last order.
@@ -53,9 +46,6 @@
 	// heardTime is how long a node may be silent that others ask for what the store has:
 	// a few of its messages may be lost.
 	heardTime = time.Second
-
-	pathReady   = "/-/readyz"
-	pathMetrics = "/metrics"
 )
 
 // Node is a gateway node, listening but not yet running.
@@ -239,44 +229,9 @@
 	return net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPorts[0]))
 }
 
-// ready reports whether callers are well served here.
-func (n *Node) ready() bool {
-	config, age := n.state.Config()
-	limit := max(time.Duration(readyShare*float64(n.bounds().Revoke)), 2*n.configWait()+askPause+readyMargin)
-	return config != nil && age < limit && !n.fleet.Empty() && !n.leaving.Load()
-}
-
-func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case r.URL.Path == pathMetrics:
-		n.recorder.ServeHTTP(w, r)
-	case r.URL.Path != pathReady:
-		w.WriteHeader(http.StatusNotFound)
-	case n.tellReady():
-		w.WriteHeader(http.StatusOK)
-	default:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // CallersAddr returns the address that callers connect to.
 func (n *Node) CallersAddr() string { return n.callers.listener.Addr().String() }
 
-// Ready reports whether the node tells the balancer to send callers.
-func (n *Node) Ready() bool { return n.ready() }
-
-// tellReady returns what ready does, and logs each change with what decided it.
-func (n *Node) tellReady() bool {
-	ready := n.ready()
-	if n.toldReady.Swap(ready) != ready {
-		config, age := n.state.Config()
-		n.log.Info().Str("event", "ready").Bool("ready", ready).Bool("configured", config != nil).
-			Int64("config_age_ms", age.Milliseconds()).Bool("endpoints", !n.fleet.Empty()).
-			Bool("leaving", n.leaving.Load()).Send()
-	}
-	return ready
-}
-
 // Run serves until ctx is done, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error { return n.kernel.Run(ctx) }
 
--- /dev/null
+++ b/internal/gateway/ready.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// readyShare is the part of the revocation bound up to which a node with an
+	// ageing configuration counts as ready. Callers are better served elsewhere
+	// before it has to refuse their keys.
+	readyShare = 0.5
+	// readyMargin is what the configuration's age may be beyond two waits of a read,
+	// its age on a calm day, at a node that counts as ready.
+	readyMargin = 500 * time.Millisecond
+
+	pathReady   = "/-/readyz"
+	pathMetrics = "/metrics"
+)
+
+// ready reports whether callers are well served here.
+func (n *Node) ready() bool {
+	config, age := n.state.Config()
+	limit := max(time.Duration(readyShare*float64(n.bounds().Revoke)), 2*n.configWait()+askPause+readyMargin)
+	return config != nil && age < limit && !n.fleet.Empty() && !n.leaving.Load()
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == pathMetrics:
+		n.recorder.ServeHTTP(w, r)
+	case r.URL.Path != pathReady:
+		w.WriteHeader(http.StatusNotFound)
+	case n.tellReady():
+		w.WriteHeader(http.StatusOK)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Ready reports whether the node tells the balancer to send callers.
+func (n *Node) Ready() bool { return n.ready() }
+
+// tellReady returns what ready does, and logs each change with what decided it.
+func (n *Node) tellReady() bool {
+	ready := n.ready()
+	if n.toldReady.Swap(ready) != ready {
+		config, age := n.state.Config()
+		n.log.Info().Str("event", "ready").Bool("ready", ready).Bool("configured", config != nil).
+			Int64("config_age_ms", age.Milliseconds()).Bool("endpoints", !n.fleet.Empty()).
+			Bool("leaving", n.leaving.Load()).Send()
+	}
+	return ready
+}
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -176,7 +176,8 @@
 			continue
 		}
 		for _, id := range p.digest.Emptied {
-			closed[id] = closed[id]
+			loads := closed[id] // false, unless another peer has it load
+			closed[id] = loads
 		}
 		for _, id := range p.digest.Loading {
 			closed[id] = true
