Soak a system of many nodes, which read the store for one another

The soak ran three nodes, which tell one another everything. TestSoakManyNodes runs 14, and -nodes N any number.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 //	go test ./soak                          the seeds of CI, some seconds each
 //	go test ./soak -seed 7 -minutes 3       one seed
 //	go test ./soak -seeds 50 -timeout 1h    fifty seeds from 1 on
+//	go test ./soak -seed 7 -nodes 16        a large system, where few nodes read the store
 package soak
 
 import (
@@ -40,12 +41,15 @@
 var (
 	oneSeed = flag.Int64("seed", 0, "run this seed alone")
 	seeds   = flag.Int64("seeds", 0, "run so many seeds, from 1 on")
+	many    = flag.Int("nodes", fewNodes, "how many nodes")
 	minutes = flag.Float64("minutes", 0, "how long a seed runs; 0 means some seconds")
 )
 
 const (
-	runEnv      = "CHERRYWARD_SOAK_NODE" // makes the test's binary a node
-	nodes       = 3
+	runEnv   = "CHERRYWARD_SOAK_NODE" // makes the test's binary a node
+	fewNodes = 3
+	// manyNodes is a system in which few nodes read the store for the others.
+	manyNodes   = 14
 	clients     = 6
 	shortRun    = 6 * time.Second
 	recoverTime = 30 * time.Second
@@ -78,17 +82,25 @@
 		list = append(list, seed)
 	}
 	for _, seed := range list {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newWorld(t, seed).run() })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newWorld(t, seed, *many).run() })
 	}
 }
 
+// TestSoakManyNodes runs the seed of CI for a large system.
+func TestSoakManyNodes(t *testing.T) {
+	if *oneSeed != 0 || *seeds != 0 {
+		t.Skip("seeds were asked for, which TestSoak runs")
+	}
+	newWorld(t, 3, manyNodes).run()
+}
+
 // world is one run.
 type world struct {
 	t       *testing.T
 	random  *rand.Rand
 	site    *site.Site
 	proxies []*proxy // the metadata store's is the first
-	nodes   [nodes]*process
+	nodes   []*process
 	seen    *seen
 
 	mu      sync.Mutex
@@ -107,7 +119,7 @@
 	busy  bool // being harmed
 }
 
-func newWorld(t *testing.T, seed int64) *world {
+func newWorld(t *testing.T, seed int64, nodes int) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(uint64(seed), 1)), seen: newSeen(), revoked: make(map[string]time.Time)}
 	var err error
 	w.log, err = os.Create(filepath.Join(t.TempDir(), "nodes.log"))
@@ -122,8 +134,8 @@
 	}})
 	must.NoError(t, err)
 	w.configure("k1")
-	for i := range w.nodes {
-		w.nodes[i] = &process{}
+	for i := range nodes {
+		w.nodes = append(w.nodes, &process{})
 		w.start(i)
 	}
 	return w
@@ -214,7 +226,7 @@
 	return &client{
 		name: string(rune('a' + i)), random: random, seen: w.seen, key: w.key,
 		http: &http.Client{Transport: &http.Transport{}},
-		node: func() string { return *w.nodes[random.IntN(nodes)].addr.Load() },
+		node: func() string { return *w.nodes[random.IntN(len(w.nodes))].addr.Load() },
 	}
 }
 
@@ -265,7 +277,7 @@
 
 // harmNode stops, kills, freezes or hangs up a node, and starts it again.
 func (w *world) harmNode(target int, lasts time.Duration) {
-	i := target % nodes
+	i := target % len(w.nodes)
 	p := w.nodes[i]
 	if !w.claim(p) {
 		return
@@ -275,7 +287,7 @@
 		p.busy = false
 		w.mu.Unlock()
 	}()
-	switch target / nodes % 4 {
+	switch target / len(w.nodes) % 4 {
 	case 0:
 		w.signal(p, syscall.SIGKILL)
 		<-p.ended
