Look up members once a message, and call what is there

Cause: read again as a whole, the change asked for the list of endpoints twice for each load message, found a holder in a list by a loop of its own (slices.Contains), compared the number of nodes beside pace.Whole, and worked out the store's readers twice for one pause. Change: as above; no behaviour changes, no test is touched.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -97,7 +97,7 @@
 	if _, own := n.roster.readers(); own {
 		return readerPause
 	}
-	return pace.Registry(n.storeReaders(), n.bounds().Drain)
+	return pace.Registry(n.nodes(), n.bounds().Drain)
 }
 
 func (n *Node) rosterPause() time.Duration { return pace.Roster(n.nodes()) }
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -121,7 +122,7 @@
 
 func (x *Index) stopOthers(v *view) {
 	for h, cancel := range x.cancel {
-		if v.engines[h.ID] == h || contains(v.stores, h) {
+		if v.engines[h.ID] == h || slices.Contains(v.stores, h) {
 			continue
 		}
 		cancel()
@@ -129,15 +130,6 @@
 	}
 }
 
-func contains(list []*Holder, h *Holder) bool {
-	for _, other := range list {
-		if other == h {
-			return true
-		}
-	}
-	return false
-}
-
 // follow asks one holder for its events until ctx is done.
 func (x *Index) follow(ctx context.Context, h *Holder) {
 	for ctx.Err() == nil {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -67,7 +67,7 @@
 
 // Roster returns the time between two reads of the nodes' addresses.
 func Roster(nodes int) time.Duration {
-	if nodes <= MeshNodes {
+	if Whole(nodes) {
 		return 0
 	}
 	return rosterPause
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -164,7 +164,7 @@
 	}
 	e.seq++
 	members := e.config.Members()
-	digest := e.orders()
+	digest := e.orders(members)
 	if len(peers.far) > 0 && time.Since(e.toldFar) >= farSpacing {
 		e.sendFar(peers, digest, members)
 	}
@@ -198,8 +198,8 @@
 
 // orders returns a digest of the orders that this node gives, and of the weights that
 // it saw.
-func (e *Exchange) orders() *Digest {
-	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, Seen: SeenOf(e.config.Members())}
+func (e *Exchange) orders(members []*fleet.Member) *Digest {
+	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, Seen: SeenOf(members)}
 	var closed []weights.Closed
 	closed, d.Leads = e.config.Orders()
 	for _, c := range closed {
