Serve known keys through an outage of the store where the operators accept it

Where strict-revoke is false the bound does not hold for nodes that are cut off. A node whose reads fail asks another node that reads the store, whose copy proves as much as the store would. Where stale keys are accepted and none can tell, it goes on with the keys it knows, stays ready while it hears other nodes, and still refuses what it does not know with 503. Parts of the wanted version are named at stores for 11.8 s without the store, as freeing them takes 13.8 s from any replacement. Ruled out: an unlimited age for parts (the freer's bound would be passed).

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -32,6 +32,9 @@
 	// Revoke is the longest time from the acknowledgement that a key was taken
 	// away until no request with it runs.
 	Revoke time.Duration
+	// AcceptStaleKeys is true where Revoke does not bind a node that is cut off from the
+	// store: it accepts the keys that it knows until the store is back.
+	AcceptStaleKeys bool
 	// Drain is the longest time from the acknowledgement that an endpoint
 	// leaves until it gets no new request.
 	Drain time.Duration
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// TestStaleKeys serves the keys that are known through an outage of the store where the
+// operators accept that, and promises nothing of the others.
+func TestStaleKeys(t *testing.T) {
+	w := newWorld(t, "")
+	w.bounds.AcceptStaleKeys = true
+	w.state.age = time.Minute
+	test.Eq(t, http.StatusOK, w.do(t, http.MethodGet, recordPath, "", nil).status)
+	unknown := func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }
+	test.Eq(t, http.StatusServiceUnavailable, w.do(t, http.MethodGet, recordPath, "", unknown).status)
+	test.Len(t, 1, w.servers[0].Runs())
+}
+
 func TestNoConfiguration(t *testing.T) {
 	w := newWorld(t, "")
 	w.state.config = nil
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -101,7 +101,7 @@
 		return unlessStale(stale, result.UnknownPath)
 	}
 	if !x.route.Public {
-		if err := x.authenticate(stale, bounds.Revoke-revokeMargin); err != nil {
+		if err := x.authenticate(stale, &bounds); err != nil {
 			return err
 		}
 	}
@@ -119,9 +119,11 @@
 	return result.New(code)
 }
 
-// authenticate finds the client account of the key.
-func (x *exchange) authenticate(stale bool, maxAge time.Duration) *result.Error {
-	if x.configAge > maxAge {
+// authenticate finds the client account of the key. Where the operators' bound on revoked
+// keys holds during an outage of the store, a node without a recent proof of its
+// configuration accepts none; else it goes on with the keys that it knows.
+func (x *exchange) authenticate(stale bool, bounds *bootstrap.Bounds) *result.Error {
+	if !bounds.AcceptStaleKeys && x.configAge > bounds.Revoke-revokeMargin {
 		return result.New(result.NodeStale, result.WithRetryAfter(retryElsewhere))
 	}
 	if x.attrs.Key == "" {
--- a/internal/forward/help_test.go
+++ b/internal/forward/help_test.go
@@ -83,6 +83,7 @@
 // world is a handler before stand-ins of servers.
 type world struct {
 	state   *state
+	bounds  bootstrap.Bounds
 	servers []*modelserver.Server
 	front   *httptest.Server
 }
@@ -104,10 +105,10 @@
 	members := f.Members("servers")
 	slices.SortFunc(members, func(a, b *fleet.Member) int { return strings.Compare(a.ID, b.ID) })
 	order = append(order, members...)
-	bounds := bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
+	w.bounds = bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	w.front = httptest.NewServer(&forward.Handler{
-		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(bounds, func() int { return 1 }),
-		Bounds: func() bootstrap.Bounds { return bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
+		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }),
+		Bounds: func() bootstrap.Bounds { return w.bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
 	})
 	t.Cleanup(w.front.Close)
 	return w
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -9,7 +9,7 @@
 //   - A caller gets an endpoint's whole answer to its own request, or an error, or
 //     a connection that visibly breaks off.
 //   - A key is accepted only if the configuration that holds it was current less
-//     than the revocation bound ago.
+//     than the revocation bound ago, unless the operators accept stale keys.
 //   - A request that is given up on is answered at once.
 package forward
 
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -33,7 +33,7 @@
 	follower := func(name, topic string, sink follow.Sink, same func(before, after []byte) bool) (*follow.Follower, *relay.Topic) {
 		held := &relay.Copy{Sink: sink, Same: same}
 		copies.Serve(name, held)
-		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Log: n.log}
+		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Log: n.log}
 		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, Log: n.log}, from
 	}
 	var f followers
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -17,10 +17,15 @@
 	// followPause is the time between two looks for engines and stores that came
 	// or went.
 	followPause = 300 * time.Millisecond
-	// namingAge is the oldest configuration with which a node names parts at
-	// stores: somewhat more than its age on a calm day. The longer it is, the later
-	// outdated parts are freed, whose room new ones need.
+	// namingAge is the oldest configuration with which a node counts as knowing which
+	// versions are wanted: somewhat more than its age on a calm day. The longer it is, the
+	// later outdated parts are freed, whose room new ones need.
 	namingAge = 2800 * time.Millisecond
+	// staleNaming is the oldest configuration with which a node names parts of the version
+	// that it takes for the wanted one. A version that replaced it since is seen elsewhere
+	// no sooner than that configuration was current, and freeAfter passes from then. So
+	// KV cache is fetched from stores while the metadata store is away for some seconds.
+	staleNaming = nameOldFor + namingAge
 	// nameOldFor is how long parts of a replaced version are still named, for the
 	// engines that have it yet: about as long as a rollout takes.
 	nameOldFor = 9 * time.Second
@@ -139,13 +144,14 @@
 //
 // A part is freed freeAfter after its version was replaced, at the earliest. A node
 // that saw the replacement promptly stops naming in time by its own clock; one that
-// did not, as it was cut off or frozen, names the wanted version alone.
+// did not, as it was cut off or frozen, names the wanted version alone. A node that is cut
+// off stops naming that one, too, before others may free it.
 func (k *keeping) mayName(model string, version int64) bool {
-	if !k.fresh() {
-		return false
+	if by, replaced := k.node.state.replaced(model, version); replaced {
+		return by.prompt && time.Since(by.seen) < nameOldFor
 	}
-	by, replaced := k.node.state.replaced(model, version)
-	return !replaced || by.prompt && time.Since(by.seen) < nameOldFor
+	_, age := k.node.state.Config()
+	return age < staleNaming
 }
 
 // Outdated implements kept.Outdated.
--- a/internal/gateway/keeping_test.go
+++ b/internal/gateway/keeping_test.go
@@ -52,10 +52,10 @@
 func TestNoPartIsFreedWhileItIsNamed(t *testing.T) {
 	const (
 		step  = 100 * time.Millisecond
-		steps = 500
+		steps = 600
 		fetch = placer.FetchLimit
 		// cutSteps is longer than a node names parts without the store.
-		cutSteps = 80
+		cutSteps = 130
 	)
 	for cutFrom := 0; cutFrom < 150; cutFrom += 7 {
 		t.Run(fmt.Sprint("cut from step ", cutFrom), func(t *testing.T) {
@@ -103,7 +103,7 @@
 		v := newView("n")
 		v.read(t, 1)
 		test.True(t, v.mayName(model, 1))
-		time.Sleep(namingAge)
+		time.Sleep(staleNaming)
 		test.False(t, v.mayName(model, 1))
 		v.read(t, 2)
 		test.False(t, v.mayName(model, 1), test.Sprint("it can't tell for how long it was replaced"))
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -21,8 +21,16 @@
 // ready reports whether callers are well served here.
 func (n *Node) ready() bool {
 	config, age := n.state.Config()
-	limit := max(time.Duration(readyShare*float64(n.bounds().Revoke)), 2*n.configWait()+askPause+readyMargin)
-	return config != nil && age < limit && !n.fleet.Empty() && !n.leaving.Load()
+	return config != nil && n.current(age) && !n.fleet.Empty() && !n.leaving.Load()
+}
+
+// current reports whether a configuration of that age serves callers as well as another
+// node's would. Where stale keys are accepted, a node that hears others does as they do
+// while the store is away: each of them would have told it of a newer one.
+func (n *Node) current(age time.Duration) bool {
+	bounds := n.bounds()
+	limit := max(time.Duration(readyShare*float64(bounds.Revoke)), 2*n.configWait()+askPause+readyMargin)
+	return age < limit || bounds.AcceptStaleKeys && n.peers.Table.Hears(time.Now(), heardTime)
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -65,14 +65,15 @@
 	mu      sync.Mutex
 	entries map[string]nodeEntry // by node
 	near    []neighbour          // the nodes of this failure domain, in the order of their hashes
+	others  []netip.AddrPort     // what backups returns
 	read    bool
 }
 
-// neighbour is a node of the same failure domain.
+// neighbour is a node whose address is known.
 type neighbour struct {
-	name string
-	hash uint64
-	addr netip.AddrPort
+	name, domain string
+	hash         uint64
+	addr         netip.AddrPort
 }
 
 var _ follow.Sink = (*roster)(nil)
@@ -130,22 +131,28 @@
 		}
 	}
 	r.near = r.neighbours()
+	r.others = r.readersElsewhere()
 	r.count.Store(int64(nodes))
 	r.standby.Store(pace.Whole(nodes) || before < standbys)
 }
 
 // neighbours returns the nodes of this failure domain, this one included.
 func (r *roster) neighbours() []neighbour {
-	var near []neighbour
+	return r.sorted(func(e nodeEntry) bool { return e.Domain == r.own.Domain })
+}
+
+// sorted returns the nodes that match, in the order of their names' hashes.
+func (r *roster) sorted(match func(nodeEntry) bool) []neighbour {
+	var list []neighbour
 	for name, e := range r.entries {
 		addr, err := netip.ParseAddrPort(e.Addr)
-		if err != nil || e.Domain != r.own.Domain {
+		if err != nil || !match(e) {
 			continue
 		}
-		near = append(near, neighbour{name: name, hash: xxhash.Sum64String(name), addr: addr})
+		list = append(list, neighbour{name: name, domain: e.Domain, hash: xxhash.Sum64String(name), addr: addr})
 	}
-	slices.SortFunc(near, func(a, b neighbour) int { return cmp.Compare(a.hash, b.hash) })
-	return near
+	slices.SortFunc(list, func(a, b neighbour) int { return cmp.Compare(a.hash, b.hash) })
+	return list
 }
 
 // readers returns the nodes that read the store for this one: the first few of its
@@ -174,6 +181,29 @@
 	return nil, false // its own entry is not there yet
 }
 
+// backups returns nodes that read the store, whichever failure domain they are in, but for
+// this one: those of a small system, and each failure domain's readers of a large one.
+func (r *roster) backups() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.others
+}
+
+// readersElsewhere returns what backups returns. A node that is gone may be among them.
+func (r *roster) readersElsewhere() []netip.AddrPort {
+	whole := pace.Whole(len(r.entries))
+	found := make(map[string]int) // nodes, by failure domain
+	var addrs []netip.AddrPort
+	for _, n := range r.sorted(func(nodeEntry) bool { return true }) {
+		if n.name == r.node || !whole && found[n.domain] == domainReaders {
+			continue
+		}
+		found[n.domain]++
+		addrs = append(addrs, n.addr)
+	}
+	return addrs
+}
+
 // Nodes returns the number of nodes that were ever announced, this one included. Some
 // may be gone.
 func (r *roster) Nodes() int { return int(r.count.Load()) }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -206,6 +206,18 @@
 	return known && now.Sub(p.at) < within
 }
 
+// Hears reports whether any node was heard within a time.
+func (t *Table) Hears(now time.Time, within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if now.Sub(p.at) < within {
+			return true
+		}
+	}
+	return false
+}
+
 // Nodes returns the number of nodes, this one included, that are known to share
 // what is given out among nodes. It is the largest number ever seen: a node that is
 // cut off must not take the others' shares.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -121,7 +121,7 @@
 			own, _ := relayOf(t, nil)
 			_, reader := relayOf(t, tc.copy)
 			store := &storeTopic{}
-			topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: func() []netip.AddrPort { return []netip.AddrPort{reader} }}
+			topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: func() []netip.AddrPort { return []netip.AddrPort{reader} }, Backups: none}
 			page, err := topic.Read(t.Context(), 10, 0)
 			must.NoError(t, err)
 			test.Eq(t, tc.relayed, topic.Relayed())
@@ -136,6 +136,34 @@
 	}
 }
 
+// none are no nodes to ask.
+func none() []netip.AddrPort { return nil }
+
+// TestAsksABackup reads from a node that the store serves where it serves this one not,
+// and reports the store's own error where that one can't tell either.
+func TestAsksABackup(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	_, cutOff := relayOf(t, filled(time.Now().Add(-MaxAge)))
+	_, served := relayOf(t, filled(time.Now()))
+	store := &storeTopic{}
+	topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: none, Backups: func() []netip.AddrPort { return []netip.AddrPort{cutOff, served} }}
+	_, err := topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.False(t, topic.Relayed(), test.Sprint("the store answers"))
+
+	store.away = true
+	_, err = topic.Read(t.Context(), 10, 0)
+	test.ErrorIs(t, err, errAway)
+	_, err = topic.Read(t.Context(), 10, 0)
+	test.NoError(t, err)
+	test.True(t, topic.Relayed())
+
+	store.away = false
+	_, err = topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.False(t, topic.Relayed(), test.Sprint("the store is back"))
+}
+
 // TestTurnsToAnotherReader asks the next reader after one that failed, and the store
 // meanwhile.
 func TestTurnsToAnotherReader(t *testing.T) {
@@ -143,7 +171,7 @@
 	_, bad := relayOf(t, nil)
 	_, good := relayOf(t, filled(time.Now()))
 	store := &storeTopic{away: true}
-	topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: func() []netip.AddrPort { return []netip.AddrPort{bad, good} }}
+	topic := &Topic{Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Readers: func() []netip.AddrPort { return []netip.AddrPort{bad, good} }, Backups: none}
 	_, err := topic.Read(t.Context(), 10, 0)
 	test.ErrorIs(t, err, errAway)
 	_, err = topic.Read(t.Context(), 10, 0)
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -71,17 +72,20 @@
 	return answer{Records: page.Records, Next: page.Next, AgeUS: page.Age.Microseconds()}, nil
 }
 
-// Topic is a topic that is read from other nodes' copies where there are any, and from
-// the store else or if they fail.
+// Topic is a topic that is read from other nodes' copies where there are any, from the
+// store else or if they fail, and from backups' copies if the store fails, too.
 type Topic struct {
 	Name  string
 	Store follow.Topic
 	Relay *Relay
 	// Readers are the nodes that read the store. None means that this node does.
 	Readers func() []netip.AddrPort
+	// Backups are nodes that read the store themselves. One is asked where the store does
+	// not answer this node: it may serve others.
+	Backups func() []netip.AddrPort
 	Log     zerolog.Logger
 
-	turn    int // the reader that is asked
+	turn    int // the reader or backup that is asked
 	relayed atomic.Bool
 }
 
@@ -93,17 +97,45 @@
 // Read implements follow.Topic.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
 	readers := t.Readers()
-	if len(readers) == 0 {
+	if len(readers) > 0 {
+		page, err := t.askNext(ctx, readers, from)
+		t.note(err == nil, err)
+		if err == nil {
+			return page, nil
+		}
+	}
+	page, err := t.Store.Read(ctx, from, wait)
+	if err == nil || errors.Is(err, follow.ErrCompacted) {
 		t.note(false, nil)
-		return t.Store.Read(ctx, from, wait)
+		return page, err
+	}
+	return t.readBackup(ctx, from, err)
+}
+
+// readBackup reads from a node that may reach the store, after this one failed with cause.
+// Without one the cause stands.
+func (t *Topic) readBackup(ctx context.Context, from int64, cause error) (follow.Page, error) {
+	backups := t.Backups()
+	if len(backups) == 0 {
+		t.note(false, cause)
+		return follow.Page{}, cause
+	}
+	page, err := t.askNext(ctx, backups, from)
+	t.note(err == nil, cause)
+	if err != nil {
+		return follow.Page{}, cause
 	}
-	page, err := t.ask(ctx, readers[t.turn%len(readers)], from)
-	t.note(err == nil, err)
-	if err == nil {
-		return page, nil
+	return page, nil
+}
+
+// askNext asks the node whose turn it is, and leaves the next question to another one where
+// it fails.
+func (t *Topic) askNext(ctx context.Context, nodes []netip.AddrPort, from int64) (follow.Page, error) {
+	page, err := t.ask(ctx, nodes[t.turn%len(nodes)], from)
+	if err != nil {
+		t.turn++
 	}
-	t.turn++
-	return t.Store.Read(ctx, from, wait)
+	return page, err
 }
 
 // Relayed reports whether the newest read was answered by another node.
