--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,8 @@
 package fleet
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -232,7 +234,7 @@
 	}
 }
 
-// rebuild makes the list that requests read.
+// rebuild makes the list that requests read, in the order of the endpoints' ids.
 func (f *Fleet) rebuild() {
 	v := &view{byService: make(map[string][]*Member)}
 	for _, m := range f.members {
@@ -240,5 +242,8 @@
 			v.byService[m.Service] = append(v.byService[m.Service], m)
 		}
 	}
+	for _, members := range v.byService {
+		slices.SortFunc(members, func(a, b *Member) int { return strings.Compare(a.ID, b.ID) })
+	}
 	f.view.Store(v)
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -25,18 +25,27 @@
 // place chooses an endpoint. Where none takes the request now and one is predicted to soon,
 // it waits for that; it reports false as soon as that is known to come too late.
 func (x *exchange) place(ctx context.Context, q *Query) (Placement, bool) {
-	until := x.arrived.Add(time.Duration(waitShare * float64(x.route.Objective)))
 	for {
 		placement, ok := x.Placer.Place(q)
-		left := time.Until(until)
-		if ok || placement.Wait <= 0 || placement.Wait > left || ctx.Err() != nil {
-			placement.Waited = time.Since(x.arrived)
+		placement.Waited = time.Since(x.arrived)
+		pause := placement.Pause(x.route.Objective)
+		if ok || pause <= 0 || ctx.Err() != nil {
 			return placement, ok
 		}
-		retry.Sleep(ctx, min(lookAgain, left))
+		retry.Sleep(ctx, pause)
 	}
 }
 
+// Pause returns how long a request that has no place waits here until the next look; 0 where
+// it is to be refused now.
+func (p *Placement) Pause(objective time.Duration) time.Duration {
+	left := time.Duration(waitShare*float64(objective)) - p.Waited
+	if p.Wait <= 0 || p.Wait > left {
+		return 0
+	}
+	return min(lookAgain, left)
+}
+
 // declined returns the refusal of a request that no endpoint takes now.
 func declined(p *Placement) *result.Error {
 	after := p.RetryAfter
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -76,10 +76,24 @@
 	return r.ms + time.Since(r.at).Milliseconds()
 }
 
-// Follow replaces the holders. Known ones, by id and address, stay as they are.
+// Follow replaces the holders, and asks them for their events. Known ones, by id and address,
+// stay as they are.
 func (x *Index) Follow(ctx context.Context, engines, stores []*Holder) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.Replace(engines, stores)
+	next := x.view.Load()
+	for _, h := range next.engines {
+		x.start(ctx, h)
+	}
+	for _, h := range next.stores {
+		x.start(ctx, h)
+	}
+	x.stopOthers(next)
+}
+
+// Replace replaces the holders, whose events come by Take then.
+func (x *Index) Replace(engines, stores []*Holder) {
 	old := x.view.Load()
 	next := &view{engines: make(map[string]*Holder)}
 	for _, h := range engines {
@@ -87,14 +101,11 @@
 			h = known
 		}
 		next.engines[h.ID] = h
-		x.start(ctx, h)
 	}
 	for _, h := range stores {
 		next.stores = append(next.stores, x.known(old.stores, h))
-		x.start(ctx, next.stores[len(next.stores)-1])
 	}
 	x.view.Store(next)
-	x.stopOthers(next)
 }
 
 // known returns the store that is followed already under the address, or h.
@@ -149,13 +160,14 @@
 				x.Log.Warn().Str("event", "events_lost").Str("holder", h.ID).AnErr("error", err).Send()
 			}
 		default:
-			x.take(h, &events)
+			x.Take(h, &events)
 		}
 		retry.Sleep(ctx, pause-time.Since(begun))
 	}
 }
 
-func (x *Index) take(h *Holder, e *Events) {
+// Take notes a holder's events.
+func (x *Index) Take(h *Holder, e *Events) {
 	if e.ClockMS > 0 {
 		x.clock.Store(&clockReading{ms: e.ClockMS, at: time.Now()})
 	}
--- a/internal/kept/peers.go
+++ b/internal/kept/peers.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		// The clock is as old as the answer, so that fetches end early rather than late.
-		p.Index.take(store, &Events{Epoch: t.Epoch, Next: t.Next, Changes: t.Changes, ClockMS: answer.ClockMS})
+		p.Index.Take(store, &Events{Epoch: t.Epoch, Next: t.Next, Changes: t.Changes, ClockMS: answer.ClockMS})
 		store.relayed.Store(&until)
 	}
 	return nil
--- a/internal/kept/peers_test.go
+++ b/internal/kept/peers_test.go
@@ -113,9 +113,9 @@
 	reader, addr := nodeOf(t, &counted{})
 	asker, _ := nodeOf(t, &counted{})
 	for _, x := range []*Index{reader.Index, asker.Index} {
-		x.take(x.Stores()[0], &Events{Epoch: 5, Next: 1, ClockMS: 70})
+		x.Take(x.Stores()[0], &Events{Epoch: 5, Next: 1, ClockMS: 70})
 	}
-	reader.Index.take(reader.Index.Stores()[0], &Events{Epoch: 5, Next: 6, Changes: changes(1, 6), ClockMS: 77})
+	reader.Index.Take(reader.Index.Stores()[0], &Events{Epoch: 5, Next: 6, Changes: changes(1, 6), ClockMS: 77})
 	must.NoError(t, asker.ask(t.Context(), addr))
 	store := asker.Index.Stores()[0]
 	test.Eq(t, reader.Index.Stores()[0].parts, store.parts)
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -195,7 +195,8 @@
 	best := source{ms: min(float64(part.Tokens)*(s.figures.TokenMs+againMsPerK/1000), lostFetchMs)}
 	for _, h := range holders {
 		ms := transferMs(h, s.bytes(part), m.Endpoint().Domain) + s.lateMs(h)
-		if ms < best.ms && h.Reachable() {
+		equal := best.holder != nil && ms == best.ms && h.ID < best.holder.ID
+		if (ms < best.ms || equal) && h.Reachable() {
 			best = source{holder: h, ms: ms}
 		}
 	}
