Notice connections that went silent within a second or two

Cause: connections may go silent for good without a reset. Those to endpoints broke after 1.5 s with bytes unacknowledged, or 3 s while an answer was awaited; those to the store and for calls to engines only by each call's own time-out. Change: one dialer for all (internal/tcp): a second with bytes unacknowledged, two while nothing is sent. Nothing is sent again by it.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cherryward/cherryward/internal/tcp"
 )
 
 const (
@@ -27,17 +29,6 @@
 	// idleLimit is how long a connection is kept where the endpoint states no
 	// limit of its own.
 	idleLimit = 30 * time.Second
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as broken.
-	userTimeout = 1500 * time.Millisecond
-	// keepAliveIdle and the next two find a peer that went silent after it took a
-	// request: within about 3 s, where whole seconds are the finest unit.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package of
-	// the standard library doesn't name.
-	tcpUserTimeout = 18
 )
 
 // Pool holds the connections to one endpoint. It is safe for concurrent use.
@@ -55,32 +46,12 @@
 // NewPool returns a pool of connections to IP:PORT. None is opened before a
 // request needs it.
 func NewPool(addr string) *Pool {
-	return &Pool{
-		addr: addr,
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveIdle,
-				Interval: keepAliveInterval,
-				Count:    keepAliveCount,
-			},
-			Control: setUserTimeout,
-		},
-	}
+	return &Pool{addr: addr, dialer: tcp.Dialer(dialTimeout)}
 }
 
 // Dials returns the number of connections opened so far.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // conn is one connection with its read buffer.
 type conn struct {
 	net.Conn
