Tell loads in short, and promises twice a second

Change: a load is an array; the weights that a node names are told twice a second, not in each message.

--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,6 +59,7 @@
 	for model, v := range o.versions {
 		list = append(list, peerload.Named{Model: model, Oldest: v.version})
 	}
+	slices.SortFunc(list, func(a, b peerload.Named) int { return strings.Compare(a.Model, b.Model) })
 	return list
 }
 
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -27,6 +27,9 @@
 	// farSpacing is the time between two messages to the nodes of other failure
 	// domains: the message to each of 1,000 nodes takes 4 Mbit/s then.
 	farSpacing = 250 * time.Millisecond
+	// namesSpacing is the time between two messages with the same promises, of which some
+	// may be lost.
+	namesSpacing = 500 * time.Millisecond
 	// countTime is the time for the request that a message is sent for to be counted.
 	countTime = time.Millisecond
 )
@@ -76,6 +79,9 @@
 	seq     int64
 	toldFar time.Time // when the nodes far were told something
 	news    bool      // they were told of something that may have ended
+	// names are the weights that peers were told of, and when.
+	names     []Named
+	toldNames time.Time
 }
 
 // New returns an exchange that hears its peers at a connection that doesn't run yet.
@@ -171,11 +177,22 @@
 		e.sendFar(peers, digest, members)
 	}
 	digest.Late = e.config.Late()
-	digest.Names = e.config.Names()
+	digest.Names = e.newNames()
 	digest.Loads = LoadsOf(members, time.Now())
 	e.config.Conn.Notify(peers.near, method, digest)
 }
 
+// newNames returns which weights' parts this node names, now and then and when that changed:
+// it is a promise, which needs no message to last.
+func (e *Exchange) newNames() []Named {
+	names := e.config.Names()
+	if slices.Equal(names, e.names) && time.Since(e.toldNames) < namesSpacing {
+		return nil
+	}
+	e.names, e.toldNames = names, time.Now()
+	return names
+}
+
 // sendFar tells the nodes of other failure domains of orders, and of this node's load at
 // engines there, which it uses where its own domain has too few. Once both have ended they
 // are told so.
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -7,10 +7,13 @@
 package peerload
 
 import (
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -60,12 +63,36 @@
 
 // Load is what the node has under way at an endpoint.
 type Load struct {
-	Endpoint string `json:"endpoint"`
-	Running  int    `json:"running"`
-	Reading  int    `json:"reading"` // prompt tokens that wait to be read
-	Holding  int    `json:"holding"` // tokens in the endpoint's memory
+	Endpoint string
+	Running  int
+	Reading  int // prompt tokens that wait to be read
+	Holding  int // tokens in the endpoint's memory
 	// Failures is the share of attempts that failed lately, in percent, if it is high.
-	Failures int `json:"failures,omitempty"`
+	Failures int
+}
+
+var (
+	_ json.Marshaler   = Load{}
+	_ json.Unmarshaler = (*Load)(nil)
+)
+
+// MarshalJSON implements json.Marshaler. A load is [endpoint, running, reading, holding,
+// failures], as messages mostly consist of loads: with names they are twice as long.
+func (l Load) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{l.Endpoint, l.Running, l.Reading, l.Holding, l.Failures})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *Load) UnmarshalJSON(data []byte) error {
+	fields := []any{&l.Endpoint, &l.Running, &l.Reading, &l.Holding, &l.Failures}
+	want := len(fields)
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	if len(fields) != want {
+		return eris.Errorf("a load has %d fields", len(fields))
+	}
+	return nil
 }
 
 // Late is how much later than expected fetches from a holder came lately.
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -103,6 +103,20 @@
 	test.Eq(t, 0.5, table.Loads(now)["e"].FailureRate())
 }
 
+// TestLoadsTravelWhole encodes loads in short and refuses others.
+func TestLoadsTravelWhole(t *testing.T) {
+	want := []Load{{Endpoint: "e", Running: 1, Reading: 2, Holding: 3, Failures: 4}, {Endpoint: "f"}}
+	data, err := json.Marshal(want)
+	must.NoError(t, err)
+	test.Eq(t, `[["e",1,2,3,4],["f",0,0,0,0]]`, string(data))
+	var got []Load
+	must.NoError(t, json.Unmarshal(data, &got))
+	test.Eq(t, want, got)
+	for _, wrong := range []string{`[["e",1,2,3]]`, `[["e",1,2,3,4,5]]`, `[["e",1,2,3,"x"]]`, `[{}]`} {
+		test.Error(t, json.Unmarshal([]byte(wrong), &got), test.Sprint(wrong))
+	}
+}
+
 func TestLedExpires(t *testing.T) {
 	table := NewTable()
 	d := digest("a", 1, 1, 0)
