--- /dev/null
+++ b/internal/decay/decay.go
@@ -0,0 +1,31 @@
+// Package decay averages outcomes of which recent ones count most, and forgets them when no
+// new ones come.
+package decay
+
+import (
+	"math"
+	"time"
+)
+
+// Average is an exponentially weighted average that falls towards 0 while nothing is noted.
+// Its zero value is 0. It is not safe for concurrent use.
+type Average struct {
+	value float64
+	noted time.Time
+}
+
+// Note takes an outcome with a weight from 0 to 1, after the average fell by half in each
+// halfLife since the last one.
+func (a *Average) Note(outcome, weight float64, halfLife time.Duration, now time.Time) {
+	before := a.At(halfLife, now)
+	a.value = before + weight*(outcome-before)
+	a.noted = now
+}
+
+// At returns the average, which fell by half in each halfLife since the last outcome.
+func (a *Average) At(halfLife time.Duration, now time.Time) float64 {
+	if a.value == 0 {
+		return 0
+	}
+	return a.value * math.Exp2(-now.Sub(a.noted).Seconds()/halfLife.Seconds())
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -1,9 +1,10 @@
 package fleet
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"github.com/cherryward/cherryward/internal/decay"
 )
 
 const (
@@ -28,9 +29,8 @@
 // that of an endpoint nothing is known of. It is safe for concurrent use.
 type Health struct {
 	mu      sync.Mutex
-	rate    float64 // of failures, recent ones weighted most, as of rated
-	rated   time.Time
-	inRow   int // connection failures
+	rate    decay.Average // of failures
+	inRow   int           // connection failures
 	ejected time.Time
 }
 
@@ -54,7 +54,7 @@
 	case broken:
 		h.eject(now, min(ejectBase<<min(h.inRow, 4), ejectMax))
 		h.inRow++
-	case h.rate > ejectRate:
+	case h.rate.At(failureHalfLife, now) > ejectRate:
 		h.eject(now, ejectMax)
 	default:
 		return false
@@ -86,19 +86,10 @@
 func (h *Health) FailureRate(now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.rateAt(now)
+	return h.rate.At(failureHalfLife, now)
 }
 
 // note takes an outcome, 1 for a failure, into the rate.
 func (h *Health) note(now time.Time, outcome float64) {
-	rate := h.rateAt(now)
-	h.rate = rate + failureDecay*(outcome-rate)
-	h.rated = now
-}
-
-func (h *Health) rateAt(now time.Time) float64 {
-	if h.rate == 0 {
-		return 0
-	}
-	return h.rate * math.Exp2(-now.Sub(h.rated).Seconds()/failureHalfLife.Seconds())
+	h.rate.Note(outcome, failureDecay, failureHalfLife, now)
 }
--- a/internal/kept/late.go
+++ b/internal/kept/late.go
@@ -1,9 +1,10 @@
 package kept
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"github.com/cherryward/cherryward/internal/decay"
 )
 
 const (
@@ -18,9 +19,8 @@
 // Lateness is how much later first events come than expected, lately. Its zero value is
 // that of a holder nothing is known of. It is safe for concurrent use.
 type Lateness struct {
-	mu    sync.Mutex
-	ms    float64
-	noted time.Time
+	mu sync.Mutex
+	ms decay.Average
 }
 
 // Note takes one answer that came so many ms later than expected; fewer than none counts
@@ -28,21 +28,12 @@
 func (l *Lateness) Note(ms float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.at(now)
-	l.ms = before + lateWeight*(max(ms, 0)-before)
-	l.noted = now
+	l.ms.Note(max(ms, 0), lateWeight, lateHalfLife, now)
 }
 
 // MS returns the lateness in ms.
 func (l *Lateness) MS(now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.at(now)
-}
-
-func (l *Lateness) at(now time.Time) float64 {
-	if l.ms == 0 {
-		return 0
-	}
-	return l.ms * math.Exp2(-now.Sub(l.noted).Seconds()/lateHalfLife.Seconds())
+	return l.ms.At(lateHalfLife, now)
 }
