Ask a store that fails seldom

Change: the pause after failed reads doubles from 0.25 s to 1 s; a node of a large system for which others read the store asks a failing one every 4 s, and is told by them when it is back. Ruled out: answers between nodes that are lost or too long (few).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -75,13 +75,15 @@
 	Wait func() time.Duration
 	// Pause returns the time between the start of two reads, at least. Nil means none.
 	Pause func() time.Duration
-	// Retry is the time after a failed read.
-	Retry time.Duration
-	Log   zerolog.Logger
+	// Retry is the time after a failed read. It doubles with each further one up to
+	// RetryMost, as reads of a store that is away cost as much as others.
+	Retry, RetryMost time.Duration
+	Log              zerolog.Logger
 
 	next    int64 // offset to read from, or unknown
 	proven  time.Time
 	failing bool
+	pause   time.Duration // after the newest failed read
 }
 
 // now returns what a setting is at present, which may change with the number of nodes.
@@ -104,7 +106,8 @@
 		pause := now(f.Pause)
 		if err := f.step(ctx, begun); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			pause = f.Retry
+			f.pause = min(max(2*f.pause, f.Retry), max(f.Retry, f.RetryMost))
+			pause = f.pause
 		}
 		retry.Sleep(ctx, pause-time.Since(begun))
 	}
@@ -138,6 +141,7 @@
 }
 
 func (f *Follower) succeeded(b *Batch) {
+	f.pause = 0
 	if f.failing {
 		f.failing = false
 		f.Log.Info().Str("event", "store_regained").Str("topic", f.Name).Dur("outage_ms", b.Gap).Send()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -24,6 +24,7 @@
 	fail      bool
 	compacted bool
 	newest    int // calls of Newest
+	failures  int // calls of Read that failed
 }
 
 // change changes the script.
@@ -57,6 +58,9 @@
 func (t *topic) Read(_ context.Context, from int64, wait time.Duration) (follow.Page, error) {
 	t.mu.Lock()
 	fail, compacted := t.fail, t.compacted
+	if fail {
+		t.failures++
+	}
 	t.mu.Unlock()
 	if fail {
 		return follow.Page{}, errDown
@@ -94,7 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &sink{}
-		f := &follow.Follower{Name: "t", Topic: topic, Sink: s, Wait: func() time.Duration { return wait }, Retry: 100 * time.Millisecond, Log: zerolog.Nop()}
+		f := &follow.Follower{Name: "t", Topic: topic, Sink: s, Wait: func() time.Duration { return wait }, Retry: 100 * time.Millisecond, RetryMost: 800 * time.Millisecond, Log: zerolog.Nop()}
 		done := make(chan error, 1)
 		go func() { done <- f.Run(ctx) }()
 		play(s)
@@ -127,6 +131,25 @@
 	})
 }
 
+// TestReadsSeldomWhileTheTopicIsAway doubles the pause after each failed read up to a bound,
+// within which a topic that is back is noticed, and begins anew after a good one.
+func TestReadsSeldomWhileTheTopicIsAway(t *testing.T) {
+	topic := &topic{}
+	run(t, topic, func(s *sink) {
+		time.Sleep(wait / 2)
+		for range 2 {
+			topic.change(true, false)
+			time.Sleep(10 * time.Second)
+			before := len(s.batches())
+			topic.change(false, false)
+			time.Sleep(wait + 800*time.Millisecond)
+			test.Greater(t, before, len(s.batches()))
+		}
+		test.GreaterEq(t, 2*12, topic.failures)
+		test.LessEq(t, 2*15, topic.failures, test.Sprint("some 100 with the shortest pause"))
+	})
+}
+
 func TestOutageIsToldOnce(t *testing.T) {
 	topic := &topic{}
 	run(t, topic, func(s *sink) {
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -33,8 +33,8 @@
 	follower := func(name, topic string, sink follow.Sink, same func(before, after []byte) bool) (*follow.Follower, *relay.Topic) {
 		held := &relay.Copy{Sink: sink, Same: same}
 		copies.Serve(name, held)
-		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Log: n.log}
-		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, Log: n.log}, from
+		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Fallback: n.fallbackPause, Log: n.log}
+		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Log: n.log}, from
 	}
 	var f followers
 	var from *relay.Topic
@@ -88,6 +88,10 @@
 	return n.nodes()
 }
 
+// fallbackPause is the time between two reads of a store that fails, at a node for which
+// others read it. These tell it as soon as the store is back.
+func (n *Node) fallbackPause() time.Duration { return pace.Fallback(n.nodes()) }
+
 // configWait is how long a read of the configuration waits for a change.
 func (n *Node) configWait() time.Duration {
 	return pace.ConfigWait(n.storeReaders(), n.bounds().Revoke)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,9 @@
 const (
 	// storeRetry is the pause after a failed read of the store.
 	storeRetry = 250 * time.Millisecond
+	// storeRetryMost is the same after several. A node must know what changed within the
+	// stable window, 3 s or more, after the store is back.
+	storeRetryMost = time.Second
 	// stopMargin is kept of the grace time for the process's own end.
 	stopMargin = 500 * time.Millisecond
 	// memoryShare is the part of the host's memory from which the collector works
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -50,6 +50,11 @@
 	// some 40 microseconds of a processor.
 	digestsHeard = 400
 
+	// fallbackReads is the number of reads of one topic in a second by all nodes while the
+	// store fails, and fallbackLeast the shortest time between two of one node.
+	fallbackReads = 20
+	fallbackLeast = 2 * time.Second
+
 	// rosterPause is the time between two reads of the nodes' addresses while nodes
 	// may be coming up together; each address is a record that ends a waiting read.
 	rosterPause = 2 * time.Second
@@ -89,6 +94,16 @@
 	return spacing, max(digestInterval, spacing)
 }
 
+// Fallback returns the time between two reads of a store that fails, for a node of a large
+// system: all nodes would else ask it for three topics several times a second. An outage of 8 s
+// cost 82 nodes some 8,000 calls, 0.1 of what callers were worth.
+func Fallback(nodes int) time.Duration {
+	if Whole(nodes) {
+		return 0
+	}
+	return max(fallbackLeast, perSecond(nodes, fallbackReads))
+}
+
 // Whole reports whether nodes tell one another everything.
 func Whole(nodes int) bool { return nodes <= MeshNodes }
 
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// TestFallback bounds the reads of a store that is away, by all nodes for three topics, and has
+// none wait in a small system.
+func TestFallback(t *testing.T) {
+	test.Eq(t, 0, pace.Fallback(12))
+	for _, nodes := range []int{13, 85, 1000} {
+		test.LessEq(t, 3*45, 3*float64(nodes)/pace.Fallback(nodes).Seconds(), test.Sprint(nodes, " nodes"))
+	}
+}
+
 // TestReadersFit keeps the readers that wait at a holder below the number that it
 // lets wait.
 func TestReadersFit(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -164,6 +164,27 @@
 	test.False(t, topic.Relayed(), test.Sprint("the store is back"))
 }
 
+// TestStoreThatFailsIsAskedSeldom has a node whose readers can't tell leave a store that
+// failed alone for a while.
+func TestStoreThatFailsIsAskedSeldom(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	_, bad := relayOf(t, nil)
+	store := &storeTopic{away: true}
+	pause := time.Hour
+	topic := &Topic{
+		Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Backups: none,
+		Readers: func() []netip.AddrPort { return []netip.AddrPort{bad} }, Fallback: func() time.Duration { return pause },
+	}
+	for range 5 {
+		_, err := topic.Read(t.Context(), 10, 0)
+		test.Error(t, err)
+	}
+	test.Eq(t, 1, store.reads)
+	pause, store.away = 0, false
+	_, err := topic.Read(t.Context(), 10, 0)
+	test.NoError(t, err)
+}
+
 // TestTurnsToAnotherReader asks the next reader after one that failed, and the store
 // meanwhile.
 func TestTurnsToAnotherReader(t *testing.T) {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -83,9 +83,13 @@
 	// Backups are nodes that read the store themselves. One is asked where the store does
 	// not answer this node: it may serve others.
 	Backups func() []netip.AddrPort
-	Log     zerolog.Logger
+	// Fallback returns the time between two reads of the store that fail, at a node for which
+	// others read it. Nil means none.
+	Fallback func() time.Duration
+	Log      zerolog.Logger
 
-	turn    int // the reader or backup that is asked
+	turn    int       // the reader or backup that is asked
+	failed  time.Time // when the store failed last
 	relayed atomic.Bool
 }
 
@@ -103,12 +107,16 @@
 		if err == nil {
 			return page, nil
 		}
+		if t.Fallback != nil && time.Since(t.failed) < t.Fallback() {
+			return follow.Page{}, err
+		}
 	}
 	page, err := t.Store.Read(ctx, from, wait)
 	if err == nil || errors.Is(err, follow.ErrCompacted) {
 		t.note(false, nil)
 		return page, err
 	}
+	t.failed = time.Now()
 	return t.readBackup(ctx, from, err)
 }
 
