Call an engine's learned factor its slowdown, and one function a name of its own

Reading the change as a newcomer: internal/pace is another matter than an engine's pace, and a constant and a method were both called tooLate. No behaviour changes.

--- a/internal/enginemodel/model.go
+++ b/internal/enginemodel/model.go
@@ -14,27 +14,27 @@
 	priorFirstMs = 40.0
 	// priorRunMs is the time that a run takes, before outcomes tell.
 	priorRunMs = 500.0
-	// paceFade is the time after which the pace of one engine counts for nothing: an
+	// slowdownFade is the time after which the slowdown of one engine counts for nothing: an
 	// engine that is avoided has no outcomes, and may be sound again.
-	paceFade = 10 * time.Second
-	// slowest and quickest bound how far an engine's pace may be from that of all: beyond
+	slowdownFade = 10 * time.Second
+	// slowest and quickest bound how far an engine's slowdown may be from that of all: beyond
 	// them it is disturbed, which its failures tell better.
 	slowest, quickest = 4.0, 0.4
 	// tellingMs is the shortest predicted time to a first event that tells of an engine's
-	// pace: below it the network and the time between two steps prevail.
+	// slowdown: below it the network and the time between two steps prevail.
 	tellingMs = 60.0
 )
 
 // Model is what is known of the engines of one service. It is safe for concurrent use.
 type Model struct {
-	mu      sync.Mutex
-	reading line
-	run     Median // ms
-	paces   map[string]*pace
+	mu        sync.Mutex
+	reading   line
+	run       Median // ms
+	slowdowns map[string]*slowdown
 }
 
-// pace is how much longer one engine takes than all do, as a factor.
-type pace struct {
+// slowdown is how much longer one engine takes than all do, as a factor.
+type slowdown struct {
 	factor Median
 	at     time.Time // of the newest outcome
 }
@@ -42,9 +42,9 @@
 // New returns a model of which nothing is learned yet.
 func New() *Model {
 	return &Model{
-		reading: line{perToken: 1 / priorPerMs, fixed: priorFirstMs},
-		run:     NewMedian(priorRunMs),
-		paces:   make(map[string]*pace),
+		reading:   line{perToken: 1 / priorPerMs, fixed: priorFirstMs},
+		run:       NewMedian(priorRunMs),
+		slowdowns: make(map[string]*slowdown),
 	}
 }
 
@@ -71,17 +71,17 @@
 	defer m.mu.Unlock()
 	predicted := m.reading.fixed + m.reading.perToken*float64(tokens)
 	if predicted >= tellingMs {
-		m.notePace(engine, ms/predicted, now)
+		m.noteSlowdown(engine, ms/predicted, now)
 	}
 	m.reading.add(point{tokens: float64(tokens), ms: ms})
 }
 
-func (m *Model) notePace(engine string, factor float64, now time.Time) {
-	p := m.paces[engine]
-	if p == nil || now.Sub(p.at) > paceFade {
+func (m *Model) noteSlowdown(engine string, factor float64, now time.Time) {
+	p := m.slowdowns[engine]
+	if p == nil || now.Sub(p.at) > slowdownFade {
 		m.forget(now)
-		p = &pace{factor: NewMedian(1)}
-		m.paces[engine] = p
+		p = &slowdown{factor: NewMedian(1)}
+		m.slowdowns[engine] = p
 	}
 	p.at = now
 	p.factor.Add(min(max(factor, quickest), slowest), 1)
@@ -89,9 +89,9 @@
 
 // forget drops engines without outcomes, some of which are gone.
 func (m *Model) forget(now time.Time) {
-	for id, p := range m.paces {
-		if now.Sub(p.at) > paceFade {
-			delete(m.paces, id)
+	for id, p := range m.slowdowns {
+		if now.Sub(p.at) > slowdownFade {
+			delete(m.slowdowns, id)
 		}
 	}
 }
@@ -104,16 +104,16 @@
 	m.run.Add(float64(took)/float64(time.Millisecond), float64(held))
 }
 
-// fewestPaces is the number of outcomes of an engine that tell its pace.
-const fewestPaces = 5
+// fewestSlowdowns is the number of outcomes of an engine that tell its slowdown.
+const fewestSlowdowns = 5
 
-// Pace returns how much longer an engine takes to a first event than all do, as a factor;
+// Slowdown returns how much longer an engine takes to a first event than all do, as a factor;
 // 1 where nothing is known.
-func (m *Model) Pace(engine string, now time.Time) float64 {
+func (m *Model) Slowdown(engine string, now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.paces[engine]
-	if p == nil || p.factor.Outcomes() < fewestPaces || now.Sub(p.at) > paceFade {
+	p := m.slowdowns[engine]
+	if p == nil || p.factor.Outcomes() < fewestSlowdowns || now.Sub(p.at) > slowdownFade {
 		return 1
 	}
 	return p.factor.Value()
--- a/internal/enginemodel/model_test.go
+++ b/internal/enginemodel/model_test.go
@@ -53,9 +53,9 @@
 	test.Eq(t, priorRunMs, before.RunMs)
 }
 
-// TestPaceOfUnequalEngines tells engines of one fleet apart, follows one that turns slow, and
+// TestSlowdownOfUnequalEngines tells engines of one fleet apart, follows one that turns slow, and
 // forgets what is old.
-func TestPaceOfUnequalEngines(t *testing.T) {
+func TestSlowdownOfUnequalEngines(t *testing.T) {
 	random := rand.New(rand.NewPCG(2, 2))
 	m := New()
 	now := start
@@ -70,15 +70,15 @@
 		}
 	}
 	play(40)
-	test.Greater(t, 1.8, m.Pace("slow", now)/m.Pace("usual", now))
-	test.InDelta(t, m.Pace("quick", now), m.Pace("usual", now), 0.2)
+	test.Greater(t, 1.8, m.Slowdown("slow", now)/m.Slowdown("usual", now))
+	test.InDelta(t, m.Slowdown("quick", now), m.Slowdown("usual", now), 0.2)
 	engines["quick"] = engine{0.02, 40, 3}
 	engines["slow"] = engine{0.02, 40, 1}
 	play(40)
-	test.Greater(t, 1.8, m.Pace("quick", now)/m.Pace("usual", now))
-	test.Less(t, 1.5, m.Pace("slow", now)/m.Pace("usual", now), test.Sprint("it is sound again"))
-	test.Eq(t, 1.0, m.Pace("quick", now.Add(paceFade+time.Second)))
-	test.Eq(t, 1.0, m.Pace("unknown", now))
+	test.Greater(t, 1.8, m.Slowdown("quick", now)/m.Slowdown("usual", now))
+	test.Less(t, 1.5, m.Slowdown("slow", now)/m.Slowdown("usual", now), test.Sprint("it is sound again"))
+	test.Eq(t, 1.0, m.Slowdown("quick", now.Add(slowdownFade+time.Second)))
+	test.Eq(t, 1.0, m.Slowdown("unknown", now))
 }
 
 // TestRunsWeighByWhatTheyHold takes the time for which memory is held from the large runs:
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -72,11 +72,11 @@
 	return open
 }
 
-// tooLate reports whether the first event would come too late to be worth its caller's
+// comesTooLate reports whether the first event would come too late to be worth its caller's
 // while, for want of time at the engine: it would make others late, too. A caller that was
 // refused before is served, since it doesn't come back once more.
-func (s *search) tooLate(m *fleet.Member) bool {
-	objective := ms(s.q.Route.Objective)
+func (s *search) comesTooLate(m *fleet.Member) bool {
+	objective := millis(s.q.Route.Objective)
 	if objective <= 0 || s.q.Returned() {
 		return false
 	}
@@ -111,4 +111,4 @@
 	return least
 }
 
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -38,7 +38,7 @@
 func (s *search) queueMs(m *fleet.Member) float64 {
 	others := s.others[m.ID]
 	running := m.Load.Running() + others.Running
-	ms := s.service.model.Pace(m.ID, s.now) * s.figures.TokenMs * float64(m.Load.Reading()+others.Reading)
+	ms := s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(m.Load.Reading()+others.Reading)
 	return ms + runningMs*float64(running) + s.slotMs(m, running)
 }
 
@@ -65,7 +65,7 @@
 // firstMs is the predicted time to the first event at an engine, in ms.
 func (s *search) firstMs(m *fleet.Member) float64 {
 	plan := s.plan(m)
-	reading := s.service.model.Pace(m.ID, s.now) * s.figures.TokenMs * float64(plan.reading)
+	reading := s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(plan.reading)
 	return s.queueMs(m) + plan.fetchMs + reading + s.figures.FirstMs
 }
 
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -36,7 +36,7 @@
 		return s.decline(candidates, noRoom), false
 	}
 	best := slices.MinFunc(score(open, s.cost), byCost).member
-	if s.tooLate(best) {
+	if s.comesTooLate(best) {
 		return s.decline([]*fleet.Member{best}, tooLate), false
 	}
 	s.service.needs.Decided(false)
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -244,7 +244,7 @@
 	ahead := m.Load.Reading() + s.others[m.ID].Reading + p.reading
 	return func(after time.Duration) {
 		now := s.Now()
-		late := ms(after) - expected
+		late := millis(after) - expected
 		if store == nil || p.fetched < tellingFetch {
 			s.Usual.Note(late, now)
 			s.service.model.Began(m.ID, ahead, after-duration(p.fetchMs), now)
