Note a refusal, and the time to come back, once instead of at each look

A prompt that waits is declined at each look, every 10 ms, and each time counted as a refusal and took a place in the order in which callers come back: Retry-After grew to what callers honour at most, and room for large prompts was kept as under heavy refusals. Change: placement returns what refuses; it is called once, where the refusal is made. Tests: the bounds of the model's tests rise; TestReadsOnce, whose bound on tokens was exceeded by a seventh as more prompts are served, now bounds them at a twentieth of those asked for, at an eighth of what is read without a store, and asks for 0.15 more in time than without one.

--- a/internal/fleetmodel/callers.go
+++ b/internal/fleetmodel/callers.go
@@ -128,13 +128,14 @@
 		return
 	}
 	w.Result.LongestWait = max(w.Result.LongestWait, p.Waited)
+	after := p.Refuse()
 	if c.returned {
 		w.Result.of(c).Refused++
 		return
 	}
 	w.Result.Declined++
 	c.returned = true
-	w.after(p.RetryAfter, func() {
+	w.after(after, func() {
 		c.arrived = w.now
 		c.place()
 	})
--- a/internal/fleetmodel/model_test.go
+++ b/internal/fleetmodel/model_test.go
@@ -58,7 +58,7 @@
 		test.Greater(t, 12, before.PutBack)
 		test.LessEq(t, 3, after.PutBack)
 		test.Less(t, 0.15, before.Of(long).ShareInTime())
-		test.Greater(t, 0.4, after.Of(long).ShareInTime())
+		test.Greater(t, 0.6, after.Of(long).ShareInTime())
 		test.GreaterEq(t, before.Of(short).ShareInTime(), after.Of(short).ShareInTime())
 		test.Less(t, before.ReadAgain/10, after.ReadAgain)
 	}
@@ -75,7 +75,7 @@
 		before := New(c).Play()
 		t.Log("memory unknown:", describe(before))
 		all := r.Of(long)
-		test.Greater(t, 0.2, all.ShareInTime())
+		test.Greater(t, 0.3, all.ShareInTime())
 		test.Greater(t, 4*before.Of(long).ShareInTime(), all.ShareInTime())
 		test.Greater(t, all.ShareServed()/2, r.Largest(long).ShareServed())
 		test.GreaterEq(t, all.ShareInTime(), r.Of(short).ShareInTime())
@@ -87,11 +87,17 @@
 // the store then, and few are read again.
 func TestReadsOnce(t *testing.T) {
 	for seed := range uint64(3) {
-		r := New(site(seed, 7, smallMemory, 1)).Play()
+		c := site(seed, 7, smallMemory, 1)
+		r := New(c).Play()
 		t.Log(describe(r))
 		must.Positive(t, r.Of(long).InTime)
+		c.StoreTokens = 0
+		without := New(c).Play()
+		t.Log("without a store:", describe(without))
 		const asked = 25 * (12*8600 + 46*1500) // tokens of shared parts, about
-		test.Less(t, asked/25, r.ReadAgain)
+		test.Less(t, asked/20, r.ReadAgain)
+		test.Less(t, without.ReadAgain/8, r.ReadAgain)
+		test.Greater(t, without.Of(long).ShareInTime()+0.15, r.Of(long).ShareInTime())
 	}
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -48,11 +48,13 @@
 
 // declined returns the refusal of a request that no endpoint takes now.
 func declined(p *Placement) *result.Error {
-	after := p.RetryAfter
-	if after <= 0 {
-		after = retryNoEndpoint
+	if p.Refuse != nil {
+		p.RetryAfter = p.Refuse()
 	}
-	return result.New(result.NoEndpoint, result.WithRetryAfter(after))
+	if p.RetryAfter <= 0 {
+		p.RetryAfter = retryNoEndpoint
+	}
+	return result.New(result.NoEndpoint, result.WithRetryAfter(p.RetryAfter))
 }
 
 // log adds what decided, and what was predicted, to the request's line.
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -18,7 +18,7 @@
 
 func (p placesAt) Place(*Query) (Placement, bool) {
 	wait := time.Until(p.at)
-	return Placement{Wait: wait, RetryAfter: 2 * wait}, wait <= 0
+	return Placement{Wait: wait, Refuse: func() time.Duration { return 2 * wait }}, wait <= 0
 }
 
 // exchangeAt returns an exchange of a caller that first tried some time ago, before engines
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -130,7 +130,10 @@
 	Held        int
 	// Waited is how long the request was here when it was placed.
 	Waited time.Duration
-	// RetryAfter is when the caller may come back where no endpoint takes the request now.
+	// Refuse is called once where no endpoint takes the request now and it is refused. It
+	// returns when the caller may come back; 0 where that can't be predicted.
+	Refuse func() time.Duration
+	// RetryAfter is what Refuse returned.
 	RetryAfter time.Duration
 	// Reason says in a few words what decided.
 	Reason string
@@ -143,6 +146,6 @@
 // Placer chooses endpoints.
 type Placer interface {
 	// Place returns a placement, or false where no endpoint takes the request now. Then
-	// only Reason, Wait and RetryAfter are set, the latter two where they can be predicted.
+	// only Reason, Wait and Refuse are set, where anything is known.
 	Place(q *Query) (Placement, bool)
 }
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -84,18 +84,17 @@
 }
 
 // decline returns why the prompt has no place, with the time until one of the engines may
-// have one, and when the caller should come back.
+// have one. The refusal is noted, and given a time of its own to come back, only when it is
+// made: a prompt that waits is declined at every look.
 func (s *search) decline(engines []*fleet.Member, reason string) forward.Placement {
-	s.service.needs.Decided(true)
 	wait := s.waitAt(engines)
-	places := len(engines) * max(s.q.Service.Engine.KVTokens/max(holding(s.q), 1), 1)
-	spacing := duration(s.figures.RunMs * float64(s.Nodes()) / float64(places))
-	most := time.Duration(honoured * float64(s.q.Attributes.Deadline))
-	return forward.Placement{
-		Reason:     reason,
-		Wait:       wait,
-		RetryAfter: s.service.returns.After(s.now, wait, spacing, most),
-	}
+	return forward.Placement{Reason: reason, Wait: wait, Refuse: func() time.Duration {
+		s.service.needs.Decided(true)
+		places := len(engines) * max(s.q.Service.Engine.KVTokens/max(holding(s.q), 1), 1)
+		spacing := duration(s.figures.RunMs * float64(s.Nodes()) / float64(places))
+		most := time.Duration(honoured * float64(s.q.Attributes.Deadline))
+		return s.service.returns.After(s.Now(), wait, spacing, most)
+	}}
 }
 
 // waitAt predicts the time until one of the engines has room and time for the prompt.
