Pass over addresses at which another program answers

A node serves all calls, so 404 without a result means that none is there. Change: it counts as endpoint_unreachable, and the next server is asked. TestForeignServer failed before.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -120,6 +120,9 @@
 	switch wire.Code() {
 	case connect.CodeUnavailable:
 		return result.Wrap(err, result.EndpointUnreachable, result.WithMessage("the server can't be reached"))
+	case connect.CodeUnimplemented:
+		// A node serves all calls. After its end another program may listen at its address.
+		return result.Wrap(err, result.EndpointUnreachable, result.WithMessage("no node answers at this address"))
 	case connect.CodeDeadlineExceeded:
 		return result.Wrap(err, result.OutcomeUnknown, result.WithMessage("the server did not answer in time"))
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -169,6 +169,17 @@
 	r.want(0, "", "explain executor_gone", "3009", "may_have_run")
 }
 
+// TestForeignServer passes over an address at which another program answers, as one may that
+// got the port of a node which ended.
+func TestForeignServer(t *testing.T) {
+	foreign := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(foreign.Close)
+	r := runner{t, foreign.URL + "," + start(t, fakeSystem{log: configtest.New()})}
+	r.want(0, "", "status", "as seen by node n1")
+	r.servers = foreign.URL
+	r.want(1, "", "status", "4001 endpoint_unreachable", "no node answers at this address")
+}
+
 func TestStatusAndExplain(t *testing.T) {
 	log := configtest.New()
 	r := runner{t, start(t, fakeSystem{log: log}) + "," + start(t, fakeSystem{log: log, requestID: "r1"})}
