Ask a backup while a store that fails is left alone

The store turned a third of the nodes away while keys were taken away; a node whose readers were among these asked a backup only when it asked the store, every 4 s since that is bounded, one that might be turned away, too. Its configuration could be older than the bound. Change: while the store is left alone, a backup is asked at each turn. It costs no call. Test: TestStoreThatFailsIsAskedSeldom asks for it, and failed before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -180,8 +180,14 @@
 		test.Error(t, err)
 	}
 	test.Eq(t, 1, store.reads)
-	pause, store.away = 0, false
+	_, served := relayOf(t, filled(time.Now()))
+	topic.Backups = func() []netip.AddrPort { return []netip.AddrPort{served} }
 	_, err := topic.Read(t.Context(), 10, 0)
+	test.NoError(t, err, test.Sprint("a node that reads the store is asked meanwhile"))
+	test.Eq(t, 1, store.reads)
+	topic.Backups = none
+	pause, store.away = 0, false
+	_, err = topic.Read(t.Context(), 10, 0)
 	test.NoError(t, err)
 }
 
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -108,7 +108,7 @@
 			return page, nil
 		}
 		if t.Fallback != nil && time.Since(t.failed) < t.Fallback() {
-			return follow.Page{}, err
+			return t.readBackup(ctx, from, err)
 		}
 	}
 	page, err := t.Store.Read(ctx, from, wait)
