Ask a store that failed where readers can't tell

Nodes were cut off from second 1 to 13, and the store's history was compacted meanwhile. When they were back, their readers answered that they hold nothing so old; the store was left alone for up to 4 s since it had failed last, as the change that asks a failing store seldom has it. Change: where a reader answers that it can't tell, the store is asked at once.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -168,7 +168,7 @@
 // failed alone for a while.
 func TestStoreThatFailsIsAskedSeldom(t *testing.T) {
 	own, _ := relayOf(t, nil)
-	_, bad := relayOf(t, nil)
+	_, bad := relayOf(t, filled(time.Now().Add(-MaxAge)))
 	store := &storeTopic{away: true}
 	pause := time.Hour
 	topic := &Topic{
@@ -191,6 +191,23 @@
 	test.NoError(t, err)
 }
 
+// TestStoreIsAskedWhereReadersCantTell has a node that was cut off ask the store at once when
+// its readers answer again, but hold nothing so old, as the topic was compacted meanwhile.
+func TestStoreIsAskedWhereReadersCantTell(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	_, reader := relayOf(t, filled(time.Now()))
+	store := &storeTopic{away: true}
+	topic := &Topic{
+		Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Backups: none,
+		Readers: func() []netip.AddrPort { return []netip.AddrPort{reader} }, Fallback: func() time.Duration { return time.Hour },
+	}
+	_, err := topic.Read(t.Context(), 5, 0)
+	test.ErrorIs(t, err, errAway)
+	store.away = false
+	_, err = topic.Read(t.Context(), 5, 0)
+	test.NoError(t, err)
+}
+
 // TestTurnsToAnotherReader asks the next reader after one that failed, and the store
 // meanwhile.
 func TestTurnsToAnotherReader(t *testing.T) {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/follow"
@@ -84,7 +85,7 @@
 	// not answer this node: it may serve others.
 	Backups func() []netip.AddrPort
 	// Fallback returns the time between two reads of the store that fail, at a node for which
-	// others read it. Nil means none.
+	// others read it, unless these answer that only the store can tell. Nil means none.
 	Fallback func() time.Duration
 	Log      zerolog.Logger
 
@@ -107,7 +108,7 @@
 		if err == nil {
 			return page, nil
 		}
-		if t.Fallback != nil && time.Since(t.failed) < t.Fallback() {
+		if !errors.Is(err, ErrUnknown) && t.Fallback != nil && time.Since(t.failed) < t.Fallback() {
 			return t.readBackup(ctx, from, err)
 		}
 	}
@@ -160,7 +161,13 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var a answer
-	if err := t.Relay.conn.Call(ctx, reader, method, question{Topic: t.Name, From: from}, &a); err != nil {
+	err := t.Relay.conn.Call(ctx, reader, method, question{Topic: t.Name, From: from}, &a)
+	var refused *jsonrpc2.Error
+	if errors.As(err, &refused) {
+		// It is there, but can't tell, as after the topic was compacted: only the store can.
+		return follow.Page{}, eris.Wrap(ErrUnknown, refused.Message)
+	}
+	if err != nil {
 		return follow.Page{}, err
 	}
 	page := follow.Page{Records: a.Records, Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}
