List a part's holders once for a prompt, not once for each engine

Found reading the change: fetch made a new list of other engines and stores for each engine and part. The list is the same but for the engine itself, which the search now passes over. No behaviour changes: ties go by id as before.

--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -77,6 +77,7 @@
 	forward.Part
 	engines map[string]*kept.Holder // by id
 	stores  []*kept.Holder
+	holders []*kept.Holder // engines and stores
 }
 
 // locate looks up the parts under a version of the weights.
@@ -102,6 +103,7 @@
 				at.engines = make(map[string]*kept.Holder)
 			}
 			at.engines[id] = h
+			at.holders = append(at.holders, h)
 		}
 	}
 	if !named {
@@ -110,6 +112,7 @@
 	for _, h := range s.Kept.Stores() {
 		if h.Has(key) >= part.Tokens && h.Reachable() {
 			at.stores = append(at.stores, h)
+			at.holders = append(at.holders, h)
 		}
 	}
 	return at
@@ -161,7 +164,7 @@
 // holder has the whole part. An engine that nobody follows may have the part itself, and
 // fetches nothing then.
 func (s *search) fetch(m *fleet.Member, p *plan, i int, part *locatedPart) bool {
-	from := s.quickest(m, part, append(part.otherEngines(m.ID), part.stores...))
+	from := s.quickest(m, part, part.holders)
 	if from.holder == nil {
 		return false
 	}
@@ -184,14 +187,14 @@
 	ms     float64
 }
 
-// quickest returns the holder from which the engine has a part soonest, or none where
-// reading the part costs less.
+// quickest returns the holder other than the engine itself from which it has a part soonest, or
+// none where reading the part costs less.
 func (s *search) quickest(m *fleet.Member, part *locatedPart, holders []*kept.Holder) source {
 	best := source{ms: min(float64(part.Tokens)*(s.figures.TokenMs+againMsPerK/1000), lostFetchMs)}
 	for _, h := range holders {
 		ms := transferMs(h, s.bytes(part), m.Endpoint().Domain) + s.lateMs(h)
 		equal := best.holder != nil && ms == best.ms && h.ID < best.holder.ID
-		if (ms < best.ms || equal) && h.Reachable() {
+		if h.ID != m.ID && (ms < best.ms || equal) && h.Reachable() {
 			best = source{holder: h, ms: ms}
 		}
 	}
@@ -203,17 +206,6 @@
 	return float64(part.Tokens) * float64(s.q.Service.Engine.TokenBytes)
 }
 
-// otherEngines returns the engines that keep the part, but for one.
-func (l *locatedPart) otherEngines(except string) []*kept.Holder {
-	others := make([]*kept.Holder, 0, len(l.engines))
-	for id, h := range l.engines {
-		if id != except {
-			others = append(others, h)
-		}
-	}
-	return others
-}
-
 // tryHome names the session's home as the source of a part of which nothing is known,
 // where nobody follows what engines keep. If it has none the engine reads the part, a
 // ms later.
