Have the script of a returning prompt wait for estimates on a busy machine

Cause: the third prompt of return.txtar was placed without an import where the store's owner, the other node, answered its estimate after more than 8 ms: late estimates are left out, by design, and the engine then reads the prompt. The script checks reuse, not that bound.

How it was traced: 2 of 48 runs beside a busy bench failed, none of 48 with a bound of 1 s; with a bound of 0.7 ms 6 of 8 failed, with the same lines (engine chosen, 8,257 tokens to read, nothing imported).

Ruled out: the store's index (the same state with 1 s never failed), the export (the script waits for the store to hold the block).

All expectations stay.

--- a/scenarios/node_test.go
+++ b/scenarios/node_test.go
@@ -155,6 +155,7 @@
 	s.Hosts.PollInterval = settings.Duration(200 * time.Millisecond)
 	s.KeptContext.ExportAfter = settings.Duration(50 * time.Millisecond)
 	s.Requests.DrainGrace = settings.Duration(a.duration("grace", 500*time.Millisecond))
+	s.Requests.EstimateTimeout = settings.Duration(a.duration("estimate", time.Duration(s.Requests.EstimateTimeout)))
 	s.Requests.MaxBodyBytes = int64(a.number("body", int(s.Requests.MaxBodyBytes)))
 	data, err := json.Marshal(s)
 	if err != nil {
