Tell a node that asks for a record too long for a message so, and leave the store alone only on a reader's word

A configuration of some 50 routes and 24 accounts is longer than a message between nodes; the reader dropped its answer without a word, the asker took that for a silent reader and left the store, which had just been away, alone for up to 4.3 s. Nodes were up to 4.7 s behind when the bound held again, 4 s after the outage.

Ruled out: the follower's own pause (1 s at most); the readers (they had the record in time).

Change: an answer that can't be sent is replaced by an error that says so, upon which the store is asked at once; a store that fails is left alone only where a reader answered that its own copy is old. Tests failed before: TestAnswerTooLong, TestStoreIsAskedForLongRecords, TestStoreIsAskedWhereReadersAreSilent.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -122,24 +122,33 @@
 	return h(*m.Params)
 }
 
-// answer sends the answer to a call. One that can't be sent is as good as a lost one.
+// answer sends the answer to a call. In place of one that is too long the caller is told so:
+// it would take silence for a peer that is gone.
 func (c *Conn) answer(id jsonrpc2.ID, result any, failed error, to netip.AddrPort) {
 	resp := jsonrpc2.Response{ID: id}
 	if failed == nil {
 		failed = resp.SetResult(result)
 	}
-	if failed != nil {
-		resp.Error = &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: failed.Error()}
+	if failed == nil {
+		failed = c.send(&resp, to)
 	}
-	data, err := json.Marshal(&resp)
-	if err == nil {
-		err = c.write(data, to)
+	if failed == nil {
+		return
 	}
+	err := c.send(&jsonrpc2.Response{ID: id, Error: &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: failed.Error()}}, to)
 	if err != nil {
 		c.log.Debug().Str("event", "datagram_unsent").Stringer("to", to).AnErr("error", err).Send()
 	}
 }
 
+func (c *Conn) send(resp *jsonrpc2.Response, to netip.AddrPort) error {
+	data, err := json.Marshal(resp)
+	if err != nil {
+		return eris.Wrap(err, "encode an answer")
+	}
+	return c.write(data, to)
+}
+
 func (c *Conn) takeAnswer(m message, from netip.AddrPort) {
 	if m.ID == nil {
 		return
--- a/internal/datagram/datagram_test.go
+++ b/internal/datagram/datagram_test.go
@@ -54,6 +54,15 @@
 	test.ErrorContains(t, a.Call(t.Context(), b, "echo", words{strings.Repeat("x", datagram.MaxBytes)}, &got), "too long")
 }
 
+// TestAnswerTooLong tells the caller at once, which would else wait for its whole time.
+func TestAnswerTooLong(t *testing.T) {
+	a, _ := open(t)
+	_, b := open(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	test.ErrorContains(t, a.Call(ctx, b, "long", words{}, &words{}), "too long")
+}
+
 // TestCallWithoutAnswer ends with its context.
 func TestCallWithoutAnswer(t *testing.T) {
 	a, _ := open(t)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -208,6 +208,43 @@
 	test.NoError(t, err)
 }
 
+// TestStoreIsAskedForLongRecords plays an outage in which a record came that is too long for a
+// message between nodes, as a configuration of a hundred routes is: after it the store is
+// asked at once, however long it is left alone else.
+func TestStoreIsAskedForLongRecords(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	held := filled(time.Now())
+	held.Apply(follow.Batch{Records: []follow.Record{record("config", strings.Repeat("x", datagram.MaxBytes), 10)}, Next: 11, ProvenAt: time.Now()})
+	_, reader := relayOf(t, held)
+	store := &storeTopic{away: true}
+	topic := &Topic{
+		Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Backups: none,
+		Readers: func() []netip.AddrPort { return []netip.AddrPort{reader} }, Fallback: func() time.Duration { return time.Hour },
+	}
+	_, err := topic.Read(t.Context(), 10, 0)
+	test.ErrorIs(t, err, errAway)
+	store.away = false
+	_, err = topic.Read(t.Context(), 10, 0)
+	test.NoError(t, err)
+}
+
+// TestStoreIsAskedWhereReadersAreSilent has a node that was cut off from its readers and the
+// store ask the store as soon as it may answer.
+func TestStoreIsAskedWhereReadersAreSilent(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	silent := netip.MustParseAddrPort("127.0.0.1:9")
+	store := &storeTopic{away: true}
+	topic := &Topic{
+		Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Backups: none,
+		Readers: func() []netip.AddrPort { return []netip.AddrPort{silent} }, Fallback: func() time.Duration { return time.Hour },
+	}
+	_, err := topic.Read(t.Context(), 10, 0)
+	test.ErrorIs(t, err, errAway)
+	store.away = false
+	_, err = topic.Read(t.Context(), 10, 0)
+	test.NoError(t, err)
+}
+
 // TestTurnsToAnotherReader asks the next reader after one that failed, and the store
 // meanwhile.
 func TestTurnsToAnotherReader(t *testing.T) {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -27,6 +27,9 @@
 	MaxAge = 2500 * time.Millisecond
 )
 
+// errOld is returned for a copy that is older than MaxAge.
+var errOld = errors.New("relay: the copy is too old")
+
 // question asks for what changed in a topic from an offset on.
 type question struct {
 	Topic string `json:"topic"`
@@ -84,8 +87,9 @@
 	// Backups are nodes that read the store themselves. One is asked where the store does
 	// not answer this node: it may serve others.
 	Backups func() []netip.AddrPort
-	// Fallback returns the time between two reads of the store that fail, at a node for which
-	// others read it, unless these answer that only the store can tell. Nil means none.
+	// Fallback returns the time between two reads of the store that fail, at a node whose
+	// reader tells that its own copy is old: it will tell when the store is back. Nil means
+	// none.
 	Fallback func() time.Duration
 	Log      zerolog.Logger
 
@@ -108,7 +112,7 @@
 		if err == nil {
 			return page, nil
 		}
-		if !errors.Is(err, ErrUnknown) && t.Fallback != nil && time.Since(t.failed) < t.Fallback() {
+		if errors.Is(err, errOld) && t.Fallback != nil && time.Since(t.failed) < t.Fallback() {
 			return t.readBackup(ctx, from, err)
 		}
 	}
@@ -164,7 +168,8 @@
 	err := t.Relay.conn.Call(ctx, reader, method, question{Topic: t.Name, From: from}, &a)
 	var refused *jsonrpc2.Error
 	if errors.As(err, &refused) {
-		// It is there, but can't tell, as after the topic was compacted: only the store can.
+		// It is there, but can't tell, as after the topic was compacted, or where a record is
+		// too long for a message: only the store can.
 		return follow.Page{}, eris.Wrap(ErrUnknown, refused.Message)
 	}
 	if err != nil {
@@ -172,7 +177,7 @@
 	}
 	page := follow.Page{Records: a.Records, Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}
 	if page.Age > MaxAge {
-		return follow.Page{}, eris.Errorf("the copy is %s old", page.Age)
+		return follow.Page{}, eris.Wrap(errOld, page.Age.String())
 	}
 	return page, nil
 }
