Judge by the whole prompt which parts are fetched, and save again what a failed attempt did not

(1) Sources were judged part by part: where the small first part was read sooner than fetched from a store that comes some 50 ms late, all behind it was read, too, though stores had it. (2) An attempt that did not run, as at an engine that had gone dark, left its parts marked as being saved for 4 s, so the attempt after it named no store, nor did the next prompts of the session at this node.

Ruled out: stores without room (41 of 194 refused saves), lost events, parts known to be shorter than asked for (none), stores out of reach.

Change: the cut between what is fetched and what is read is the one that costs least for the whole prompt; a failed attempt takes its marks back. Tests that failed before: TestFetchesSmallPartsBeforeLargeOnes, TestFailedAttemptSavesNothing.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -56,6 +56,9 @@
 		if v == delivered {
 			return nil
 		}
+		if (v == notRun || v == failed) && placement.Failed != nil {
+			placement.Failed()
+		}
 		query.Tried = append(query.Tried, placement.Member.ID)
 		if v != notRun {
 			runs++
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -139,6 +139,9 @@
 	Reason string
 	// Began, if not nil, is told how long after the send the first event came.
 	Began func(after time.Duration)
+	// Failed, if not nil, is called where the attempt ended before its first event, without
+	// an answer of the endpoint's own: what it was to save is hardly on its way.
+	Failed func()
 	// Ended, if not nil, is told how long the endpoint took for the whole answer.
 	Ended func(took time.Duration)
 }
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -121,6 +121,14 @@
 	return true
 }
 
+// DropSave notes that a part is not on its way to the store, as the request that was to send
+// it did not run.
+func (h *Holder) DropSave(p Part) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.saving, p)
+}
+
 // apply takes a batch of events.
 func (h *Holder) apply(e *Events) {
 	h.mu.Lock()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -201,6 +201,32 @@
 	test.Nil(t, p.Attempt.Targets, test.Sprint("the save is under way"))
 }
 
+// TestFailedAttemptSavesNothing names the store again where the engine that was to send the
+// parts did not run the request: else nobody saves them for 4 s, and all their readers read.
+func TestFailedAttemptSavesNothing(t *testing.T) {
+	w := newWorld(t, source{}, 1, 1, 1)
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	p.Failed()
+	p, ok = w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, []string{store, store, ""}, p.Attempt.Targets)
+}
+
+// TestFetchesSmallPartsBeforeLargeOnes fetches a part that would be read sooner where that
+// spares reading a large one behind it, which can't be used without it.
+func TestFetchesSmallPartsBeforeLargeOnes(t *testing.T) {
+	w := newWorld(t, source{store: shared(1, "")}, 1)
+	for range 20 {
+		w.Kept.Stores()[0].Late.Note(300, time.Now())
+	}
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, []string{store, store, ""}, p.Attempt.Sources)
+	test.Eq(t, 9500, p.Fetched)
+	test.Eq(t, 2000, p.Reading)
+}
+
 // TestIsolation shares nothing with an isolated account, either way.
 func TestIsolation(t *testing.T) {
 	w := newWorld(t, source{addr(1): shared(1, ""), store: shared(1, "other")}, 1, 1, 1)
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -108,6 +108,17 @@
 	return targets
 }
 
+// dropSaves has the parts that a request was to save be sent again with the next one.
+func (p *Placer) dropSaves(q *forward.Query, a *forward.Attempt) {
+	for i, addr := range a.Targets {
+		for _, store := range p.Kept.Stores() {
+			if store.Addr == addr {
+				store.DropSave(kept.Part{Salt: a.Salt, ID: q.Attributes.Parts[i].ID})
+			}
+		}
+	}
+}
+
 // saveAt returns the store that a part should be sent to, or none. All nodes
 // choose the same one, in proportion to the stores' room.
 func (p *Placer) saveAt(key kept.Part, tokens int) string {
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -87,6 +87,7 @@
 		Began:   s.noteBegin(best),
 		Ended:   func(took time.Duration) { s.service.model.Ended(holding(q), took) },
 	}
+	placement.Failed = func() { p.dropSaves(q, &placement.Attempt) }
 	if plan.fromStore {
 		placement.Attempt.FetchUntil = s.until
 	}
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -30,7 +30,8 @@
 	plans   map[*fleet.Member]*plan
 	service *service
 	figures enginemodel.Figures
-	reserve int // tokens that the prompt asks for at least
+	reserve int      // tokens that the prompt asks for at least
+	sources []source // of the parts that reusable last looked at
 	// until is when fetches are thrown away, on the engines' clock in ms. It is read before
 	// it is asked which parts may be named, so that a node which freezes in between names
 	// none for longer.
@@ -131,43 +132,69 @@
 		p.reading = s.q.Attributes.PromptTokens
 		return p
 	}
-	prefix := true
+	reused := s.reusable(m, l)
 	for i := range l.parts {
 		part := &l.parts[i]
 		switch {
-		case prefix && part.engines[m.ID] != nil:
+		case i >= reused:
+			p.reading += part.Tokens
+			s.tryHome(m, p, i, part)
+		case part.engines[m.ID] != nil:
 			p.cached += part.Tokens
 			s.backUp(m, p, i, part)
-		case prefix && s.fetch(m, p, i, part):
 		default:
-			prefix = false
-			p.reading += part.Tokens
-			s.tryHome(m, p, i, part)
+			s.fetch(m, p, i, part, s.sources[i])
 		}
 	}
 	return p
 }
 
+// reusable returns how many of the first parts the engine is not to read: as many as make
+// fetching them and reading the rest cost least, together. A small part whose fetch costs more
+// than reading it is fetched if that spares reading a large one behind it: judged by
+// themselves, small first parts at busy stores had whole prompts read, 4.6M shared tokens in
+// 36 s on a fleet of 60 engines. s.sources is set for those that are fetched.
+func (s *search) reusable(m *fleet.Member, l *located) int {
+	s.sources = s.sources[:0]
+	reused, least, sum := 0, 0.0, 0.0
+	for i := range l.parts {
+		part := &l.parts[i]
+		from := source{}
+		if part.engines[m.ID] == nil {
+			from = s.quickest(m, part, part.holders)
+			if from.holder == nil {
+				break
+			}
+		}
+		s.sources = append(s.sources, from)
+		sum += from.ms - s.readMs(part)
+		if sum < least {
+			reused, least = i+1, sum
+		}
+	}
+	return reused
+}
+
+// readMs is what reading a part costs, in ms: its time, and the price of reading again.
+func (s *search) readMs(part *locatedPart) float64 {
+	return float64(part.Tokens) * (s.figures.TokenMs + againMsPerK/1000)
+}
+
 // backUp names a store for part i, which the engine is believed to keep: an engine fetches
 // only what it lacks, and its memory may have turned over since its events were read, up to
 // 0.4 s ago. Without it, shared tokens that are read again cost 0.102 of what callers are worth
 // instead of 0.054 on a deployment whose engines hold six long prompts (means of five days with
 // faults), and worth falls by 0.04 to 0.05 on all.
 func (s *search) backUp(m *fleet.Member, p *plan, i int, part *locatedPart) {
-	if from := s.quickest(m, part, part.stores); from.holder != nil {
+	if from := s.quickest(m, part, part.stores); from.holder != nil && from.ms < s.readMs(part) {
 		p.name(i, len(s.q.Attributes.Parts), from.holder.Addr)
 		p.fromStore = true
 	}
 }
 
-// fetch adds the quickest source of part i to the plan. It reports false where no other
-// holder has the whole part. An engine that nobody follows may have the part itself, and
-// fetches nothing then.
-func (s *search) fetch(m *fleet.Member, p *plan, i int, part *locatedPart) bool {
-	from := s.quickest(m, part, part.holders)
-	if from.holder == nil {
-		return false
-	}
+// fetch adds a source of part i to the plan. An engine that nobody follows may have the part
+// itself, and fetches nothing then.
+func (s *search) fetch(m *fleet.Member, p *plan, i int, part *locatedPart, from source) {
 	p.name(i, len(s.q.Attributes.Parts), from.holder.Addr)
 	if from.holder.Tokens > 0 {
 		p.fromStore = true
@@ -178,7 +205,6 @@
 	p.fetched += part.Tokens
 	p.fetchMs += from.ms
 	p.bytes += s.bytes(part)
-	return true
 }
 
 // source is a holder with the time, in ms, that a fetch from it takes.
@@ -188,9 +214,9 @@
 }
 
 // quickest returns the holder other than the engine itself from which it has a part soonest, or
-// none where reading the part costs less.
+// none where the fetch is likely to be thrown away.
 func (s *search) quickest(m *fleet.Member, part *locatedPart, holders []*kept.Holder) source {
-	best := source{ms: min(float64(part.Tokens)*(s.figures.TokenMs+againMsPerK/1000), lostFetchMs)}
+	best := source{ms: lostFetchMs}
 	for _, h := range holders {
 		ms := transferMs(h, s.bytes(part), m.Endpoint().Domain) + s.lateMs(h)
 		equal := best.holder != nil && ms == best.ms && h.ID < best.holder.ID
