Keep the table of peers apart from their messages

The table stands in a file of its own now, and its three questions whether somebody was heard share one loop. No behaviour changes; the tests of peerload and gateway pass.

--- /dev/null
+++ b/internal/peerload/table.go
@@ -0,0 +1,214 @@
+package peerload
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// Fresh is how long a message is used: a few lost ones are bridged.
+	Fresh = 800 * time.Millisecond
+	// heardFor is how long a node counts as one of those that share a budget after
+	// its last message.
+	heardFor = 10 * time.Second
+	// failureWitnesses is the number of peers that must tell of an endpoint's failures
+	// before they count: one alone may have lost its own way there.
+	failureWitnesses = 2
+)
+
+// Table holds the newest digest of each peer. It is safe for concurrent use.
+type Table struct {
+	mu    sync.Mutex
+	peers map[string]heard
+	most  int // the largest number of nodes seen at once
+}
+
+type heard struct {
+	digest Digest
+	at     time.Time
+	names  map[string]promise // by model
+}
+
+// promise is the oldest version that a node names, since when at the latest.
+type promise struct {
+	oldest int64
+	since  time.Time
+}
+
+// promises returns what a node promised before, with what its newest digest adds.
+func promises(before map[string]promise, named []Named, now time.Time) map[string]promise {
+	for _, n := range named {
+		if before == nil {
+			before = make(map[string]promise)
+		}
+		if n.Oldest > before[n.Model].oldest {
+			before[n.Model] = promise{oldest: n.Oldest, since: now}
+		}
+	}
+	return before
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{peers: make(map[string]heard)} }
+
+// Take notes a digest. One that is older than what is known of the node is dropped.
+func (t *Table) Take(d Digest, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.peers[d.Node]
+	if d.Incarnation < known.digest.Incarnation || d.Incarnation == known.digest.Incarnation && d.Seq <= known.digest.Seq {
+		return
+	}
+	t.peers[d.Node] = heard{digest: d, at: now, names: promises(known.names, d.Names, now)}
+	t.most = max(t.most, t.count(now))
+}
+
+// Sum is what all peers together tell of an endpoint.
+type Sum struct {
+	Running, Reading, Holding int
+
+	failures  int // percent, added up
+	witnesses int // peers that tell of failures
+}
+
+// FailureRate returns the share of failed attempts that several peers tell of, else 0.
+func (s Sum) FailureRate() float64 {
+	if s.witnesses < failureWitnesses {
+		return 0
+	}
+	return float64(s.failures) / percent / float64(s.witnesses)
+}
+
+// Loads returns the sum of what the peers tell, by endpoint.
+func (t *Table) Loads(now time.Time) map[string]Sum {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := make(map[string]Sum)
+	for _, p := range t.peers {
+		if now.Sub(p.at) > Fresh {
+			continue
+		}
+		for _, l := range p.digest.Loads {
+			sum := sums[l.Endpoint]
+			sum.Running += l.Running
+			sum.Reading += l.Reading
+			sum.Holding += l.Holding
+			if l.Failures > 0 {
+				sum.failures += l.Failures
+				sum.witnesses++
+			}
+			sums[l.Endpoint] = sum
+		}
+	}
+	return sums
+}
+
+// Late returns how much later than expected fetches from holders come, in ms, by their
+// addresses, where several peers tell so.
+func (t *Table) Late(now time.Time) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := make(map[string]float64)
+	witnesses := make(map[string]int)
+	for _, p := range t.peers {
+		if now.Sub(p.at) > Fresh {
+			continue
+		}
+		for _, l := range p.digest.Late {
+			sums[l.Addr] += float64(l.MS)
+			witnesses[l.Addr]++
+		}
+	}
+	for addr, n := range witnesses {
+		if n < failureWitnesses {
+			delete(sums, addr)
+			continue
+		}
+		sums[addr] /= float64(n)
+	}
+	return sums
+}
+
+// Closed returns the engines that peers have loaded now, and whether each refuses
+// all requests.
+func (t *Table) Closed(now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	closed := make(map[string]bool)
+	for _, p := range t.peers {
+		if now.Sub(p.at) >= time.Duration(p.digest.ForMs)*time.Millisecond {
+			continue
+		}
+		for _, id := range p.digest.Emptied {
+			loads := closed[id] // false, unless another peer has it load
+			closed[id] = loads
+		}
+		for _, id := range p.digest.Loading {
+			closed[id] = true
+		}
+	}
+	return closed
+}
+
+// Unnamed returns since when all of the nodes have named only newer versions of a model at
+// stores, and false where one of them has not said so.
+func (t *Table) Unnamed(model string, version int64, nodes []string) (since time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, node := range nodes {
+		p := t.peers[node].names[model]
+		if p.oldest <= version {
+			return time.Time{}, false
+		}
+		if p.since.After(since) {
+			since = p.since
+		}
+	}
+	return since, true
+}
+
+// Led reports whether a peer that holds the claim on orders was heard within a time.
+func (t *Table) Led(now time.Time, within time.Duration) bool {
+	return t.anyHeard(now, within, func(_ string, d *Digest) bool { return d.Leads })
+}
+
+// Heard reports whether a node was heard within a time.
+func (t *Table) Heard(node string, now time.Time, within time.Duration) bool {
+	return t.anyHeard(now, within, func(name string, _ *Digest) bool { return name == node })
+}
+
+// Hears reports whether any node was heard within a time.
+func (t *Table) Hears(now time.Time, within time.Duration) bool {
+	return t.anyHeard(now, within, func(string, *Digest) bool { return true })
+}
+
+// anyHeard reports whether a node that matches was heard within a time.
+func (t *Table) anyHeard(now time.Time, within time.Duration, match func(name string, d *Digest) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.peers {
+		if now.Sub(p.at) < within && match(name, &p.digest) {
+			return true
+		}
+	}
+	return false
+}
+
+// Nodes returns the number of nodes, this one included, that are known to share
+// what is given out among nodes. It is the largest number ever seen: a node that is
+// cut off must not take the others' shares.
+func (t *Table) Nodes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.most + 1
+}
+
+// count returns the number of peers heard of lately, and forgets others.
+func (t *Table) count(now time.Time) int {
+	for name, p := range t.peers {
+		if now.Sub(p.at) > heardFor {
+			delete(t.peers, name)
+		}
+	}
+	return len(t.peers)
+}
