Save a part at a store that has room where its own is full

Change: full stores, by what the node knows, are not among those chosen from. Test: TestFullStoreIsPassedOver, failed before.

--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -121,6 +121,13 @@
 	return true
 }
 
+// Room returns how many tokens a store has room for yet, without saves under way.
+func (h *Holder) Room() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Tokens - h.used
+}
+
 // DropSave notes that a part is not on its way to the store, as the request that was to send
 // it did not run.
 func (h *Holder) DropSave(p Part) {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -201,6 +201,26 @@
 	test.Nil(t, p.Attempt.Targets, test.Sprint("the save is under way"))
 }
 
+// TestFullStoreIsPassedOver saves at a store that has room where the one that is chosen for a
+// part by its size has none left: stores fill unevenly, as parts differ in size.
+func TestFullStoreIsPassedOver(t *testing.T) {
+	const large, small = "10.9.0.2:1", "10.9.0.3:1"
+	w := newWorld(t, source{}, 1, 1, 1)
+	full := kept.NewHolder(large, large, "north")
+	full.Tokens = 1_000_000_000
+	roomy := kept.NewHolder(small, small, "north")
+	roomy.Tokens = 20_000
+	w.Kept.Replace(nil, []*kept.Holder{full, roomy})
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, []string{large, large, ""}, p.Attempt.Targets)
+	p.Failed()
+	w.Kept.Take(full, &kept.Events{Epoch: 1, Next: 2, Changes: []kept.Change{{Number: 1, Part: kept.Part{Salt: "s", ID: "x"}, Tokens: full.Tokens}}, ClockMS: 1})
+	p, ok = w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, []string{small, small, ""}, p.Attempt.Targets)
+}
+
 // TestFailedAttemptSavesNothing names the store again where the engine that was to send the
 // parts did not run the request: else nobody saves them for 4 s, and all their readers read.
 func TestFailedAttemptSavesNothing(t *testing.T) {
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -120,7 +120,8 @@
 }
 
 // saveAt returns the store that a part should be sent to, or none. All nodes
-// choose the same one, in proportion to the stores' room.
+// choose the same one, in proportion to the stores' size, as long as they agree on which are
+// full: a part whose store has no room goes to another one.
 func (p *Placer) saveAt(key kept.Part, tokens int) string {
 	if tokens < minSaved {
 		return ""
@@ -131,7 +132,7 @@
 		if s.Has(key) > 0 {
 			return ""
 		}
-		if s.Reachable() {
+		if s.Reachable() && s.Room() >= tokens {
 			nodes = append(nodes, rendezvous.Node{ID: s.Addr, Weight: float64(s.Tokens)})
 		}
 	}
