Free replaced parts on promises in large systems, too

A small system frees them as soon as all nodes promised to name them no more.

Change: the nodes that read the store for their failure domain tell the others, twice a second, the oldest version that any node of it names, and of how many nodes they know that. A node frees a part early only if it heard so from its own domain's nodes and, for each other domain, of as many nodes as it knows there.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,14 +109,15 @@
 	n.events = &kept.Peers{Index: n.keeping.index, Conn: n.conn, Readers: n.readers}
 	n.events.Serve()
 	n.peers = peerload.New(peerload.Config{
-		Node:    boot.Name,
-		Domain:  boot.Domain,
-		Conn:    n.conn,
-		Members: n.fleet.All,
-		Late:    n.keeping.late,
-		Orders:  n.givenOrders,
-		Names:   n.keeping.names,
-		Log:     n.log,
+		Node:       boot.Name,
+		Domain:     boot.Domain,
+		Conn:       n.conn,
+		Members:    n.fleet.All,
+		Late:       n.keeping.late,
+		Orders:     n.givenOrders,
+		Names:      n.keeping.names,
+		Neighbours: n.neighbours,
+		Log:        n.log,
 	})
 	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain}
 	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
@@ -156,6 +157,13 @@
 	return n.peers.Table.Heard(node, time.Now(), heardTime)
 }
 
+// neighbours returns the other nodes of the failure domain. Those speak for it that read the
+// store for others.
+func (n *Node) neighbours() peerload.Neighbours {
+	_, own := n.roster.readers()
+	return peerload.Neighbours{Others: n.roster.othersByDomain()[n.boot.Load().Domain], Speaks: own}
+}
+
 // nodes returns the number of nodes that share what is given out among nodes.
 func (n *Node) nodes() int { return max(n.roster.Nodes(), n.peers.Table.Nodes()) }
 
--- a/internal/gateway/keeping_test.go
+++ b/internal/gateway/keeping_test.go
@@ -207,6 +207,113 @@
 	}
 }
 
+// newLargeViews returns the views of a large system's nodes: the freer is alone in its failure
+// domain, the others are in a second one. The freer is one of the few that free early.
+func newLargeViews(t *testing.T) (freer view, others []view) {
+	t.Helper()
+	for i := 0; ; i++ {
+		if freer, others = largeViews(t, fmt.Sprint("freer", i)); freer.node.Standby() {
+			return freer, others
+		}
+	}
+}
+
+func largeViews(t *testing.T, freer string) (view, []view) {
+	t.Helper()
+	names := []string{freer}
+	for i := range 12 {
+		names = append(names, fmt.Sprint("n", i))
+	}
+	var batch follow.Batch
+	for i, name := range names {
+		value, err := json.Marshal(nodeEntry{Addr: "10.0.0.1:1", Domain: domainOf(i)})
+		must.NoError(t, err)
+		batch.Records = append(batch.Records, follow.Record{Key: name, Value: value})
+	}
+	var others []view
+	for i, name := range names {
+		v := newView(name)
+		v.node.roster = newRoster(name, nodeEntry{Domain: domainOf(i)}, nil, func([]peerload.Peer) {}, nil, zerolog.Nop())
+		v.node.roster.Apply(batch)
+		others = append(others, v)
+	}
+	return others[0], others[1:]
+}
+
+// domainOf returns the failure domain of a large system's node; the freer is the first.
+func domainOf(node int) string { return fmt.Sprint("d", min(node, 1)) }
+
+// hearsDomain takes what a node says of its failure domain.
+func (v view) hearsDomain(speaker view, seq int64) {
+	near := speaker.node.roster.othersByDomain()[speaker.node.roster.own.Domain]
+	v.node.peers.Table.TakeDomain(peerload.DomainDigest{
+		Node: speaker.node.boot.Load().Name, Domain: speaker.node.roster.own.Domain, Incarnation: 1, Seq: seq,
+		Nodes: len(near) + 1, Names: speaker.node.peers.Table.DomainNames(speaker.names(), near),
+	}, time.Now())
+}
+
+// TestNoPartIsFreedBeforeItsPromiseInALargeSystem plays the same with nodes of which the freer
+// hears by the speaker of their failure domain, who hears them, and is heard, at random times. It
+// frees within some seconds after the last engine has loaded.
+func TestNoPartIsFreedBeforeItsPromiseInALargeSystem(t *testing.T) {
+	const seenLate = 80 // steps after which all nodes know that the last engine has loaded
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			freer, others := newLargeViews(t)
+			all := append([]view{freer}, others...)
+			for _, v := range all {
+				v.read(t, 1)
+				v.sees(1)
+			}
+			loaded := 22 + random.IntN(20)
+			seen := make([]int, len(all)) // when each node knows that the last engine has loaded
+			for i := range seen {
+				seen[i] = loaded + random.IntN(seenLate)
+			}
+			var named, freed time.Time
+			begun := time.Now()
+			for i := range 200 {
+				for j, v := range all {
+					switch {
+					case i == 20:
+						v.read(t, 2)
+					case random.IntN(8) == 0:
+						v.read(t)
+					}
+					if i == seen[j] {
+						v.sees(2)
+					}
+				}
+				freer.names()
+				for _, v := range all {
+					if v.mayName(model, 1) {
+						named = time.Now()
+					}
+				}
+				for _, v := range others[1:] {
+					if random.IntN(3) == 0 {
+						others[0].hears(v, int64(i+1))
+					}
+				}
+				if random.IntN(3) == 0 {
+					freer.hearsDomain(others[0], int64(i+1))
+				}
+				if freer.Outdated(salt(1)) {
+					test.Greater(t, placer.FetchLimit, time.Since(named), test.Sprint("seed ", seed, " at step ", i))
+					if freed.IsZero() {
+						freed = time.Now()
+					}
+				}
+				test.False(t, freer.Outdated(salt(2)))
+				time.Sleep(100 * time.Millisecond)
+			}
+			must.False(t, freed.IsZero())
+			test.Less(t, time.Duration(loaded+seenLate)*100*time.Millisecond+unnamedFor+freer.turn()+4*time.Second, freed.Sub(begun))
+		})
+	}
+}
+
 // TestStaleNodeNamesNothing keeps a node that is cut off from naming parts that
 // others may free.
 func TestStaleNodeNamesNothing(t *testing.T) {
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -126,20 +126,42 @@
 }
 
 // unnamed reports whether all nodes have said for long enough that they don't name a version.
-// Nodes of a large system don't hear all others.
 //
 // It makes room for the parts of new weights some 10 s sooner than the time alone: with two
 // versions named 4 s apart, stores that were full of the first let a third of the shared
 // tokens be read again for 15 s.
 func (k *keeping) unnamed(model string, version int64, turn time.Duration) bool {
 	own := k.named.of(model)
-	if own.version <= version || time.Since(own.since) < unnamedFor+turn || !k.node.peers.Whole() {
+	if own.version <= version || time.Since(own.since) < unnamedFor+turn {
 		return false
 	}
-	since, all := k.node.peers.Table.Unnamed(model, version, k.node.roster.Others())
+	since, all := k.unnamedByOthers(model, version)
 	return all && time.Since(since) >= unnamedFor+turn
 }
 
+// unnamedByOthers returns since when all other nodes have named only newer versions. In a large
+// system, nodes of other failure domains are vouched for by the speaker of theirs, which heard
+// them itself and must know as many of them as this node does.
+func (k *keeping) unnamedByOthers(model string, version int64) (since time.Time, all bool) {
+	table := k.node.peers.Table
+	if pace.Whole(k.node.roster.Nodes()) {
+		return table.Unnamed(model, version, k.node.roster.Others())
+	}
+	for domain, names := range k.node.roster.othersByDomain() {
+		said, ok := table.UnnamedIn(domain, len(names), model, version)
+		if domain == k.node.roster.own.Domain {
+			said, ok = table.Unnamed(model, version, names)
+		}
+		if !ok {
+			return time.Time{}, false
+		}
+		if said.After(since) {
+			since = said
+		}
+	}
+	return since, true
+}
+
 // turn is how much later than the first node this one looks.
 func (k *keeping) turn() time.Duration {
 	turn := time.Duration(xxhash.Sum64String(k.node.boot.Load().Name)%freeRanks) * freeSpread
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -227,6 +227,19 @@
 	return names
 }
 
+// othersByDomain returns the same by failure domain.
+func (r *roster) othersByDomain() map[string][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := make(map[string][]string)
+	for name, e := range r.entries {
+		if name != r.node {
+			names[e.Domain] = append(names[e.Domain], name)
+		}
+	}
+	return names
+}
+
 // Nodes returns the number of nodes that were ever announced, this one included. Some
 // may be gone.
 func (r *roster) Nodes() int { return int(r.count.Load()) }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -55,6 +55,12 @@
 	// some 40 microseconds of a processor.
 	digestsHeard = 400
 
+	// domainInterval is the time between two messages of a node to those of other failure
+	// domains on what its own one names at stores, and domainMessages bounds their number in a
+	// second.
+	domainInterval = 500 * time.Millisecond
+	domainMessages = 200
+
 	// fallbackReads is the number of reads of one topic in a second by all nodes while the
 	// store fails, and fallbackLeast the shortest time between two of one node.
 	fallbackReads = 20
@@ -103,6 +109,12 @@
 	return spacing, max(digestInterval, spacing)
 }
 
+// DomainDigests returns the time between two messages of a node to so many nodes of other
+// failure domains on what its own one names at stores.
+func DomainDigests(nodes int) time.Duration {
+	return max(domainInterval, perSecond(nodes, domainMessages))
+}
+
 // Fallback returns the time between two reads of a store that fails, for a node of a large
 // system: all nodes would else ask it for three topics several times a second. An outage of 8 s
 // cost 82 nodes some 8,000 calls, 0.1 of what callers were worth.
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// TestDomainDigests bounds the messages of a node that speaks for its failure domain.
+func TestDomainDigests(t *testing.T) {
+	for _, nodes := range []int{10, 60, 900} {
+		test.LessEq(t, 200, float64(nodes)/pace.DomainDigests(nodes).Seconds(), test.Sprint(nodes, " nodes"))
+	}
+}
+
 // TestReader leaves half of the drain bound after a read and a question.
 func TestReader(t *testing.T) {
 	const question = 400 * time.Millisecond
--- /dev/null
+++ b/internal/peerload/domain.go
@@ -0,0 +1,143 @@
+package peerload
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/internal/pace"
+)
+
+// domainMethod is the name of the notification.
+const domainMethod = "node.domain"
+
+// DomainDigest is what a node says of its whole failure domain to nodes of others, in a large
+// system, where these don't hear each node there.
+type DomainDigest struct {
+	Node        string `json:"node"` // the speaker
+	Domain      string `json:"domain"`
+	Incarnation int64  `json:"incarnation"`
+	Seq         int64  `json:"seq"`
+	// Names are the oldest weights whose parts any node of the domain names at stores, and
+	// Nodes is the number of nodes, the speaker included, that promised so.
+	Names []Named `json:"names,omitempty"`
+	Nodes int     `json:"nodes"`
+}
+
+// Neighbours are the nodes of a failure domain but for this one, and whether this one speaks
+// for them.
+type Neighbours struct {
+	Others []string
+	Speaks bool
+}
+
+// domainPromise is the oldest version that so many nodes of a failure domain name, since when
+// at the latest.
+type domainPromise struct {
+	oldest int64
+	nodes  int
+	since  time.Time
+}
+
+// heardDomain is the newest digest of a failure domain, with what was promised so far.
+type heardDomain struct {
+	digest DomainDigest
+	names  map[string]domainPromise // by model
+}
+
+// promised returns the promises with what a digest adds. They only rise, whoever speaks, as
+// each speaker knows of promises alone.
+func promised(before map[string]domainPromise, d *DomainDigest, now time.Time) map[string]domainPromise {
+	for _, n := range d.Names {
+		if before == nil {
+			before = make(map[string]domainPromise)
+		}
+		known := before[n.Model]
+		if n.Oldest > known.oldest || n.Oldest == known.oldest && d.Nodes > known.nodes {
+			before[n.Model] = domainPromise{oldest: n.Oldest, nodes: d.Nodes, since: now}
+		}
+	}
+	return before
+}
+
+// TakeDomain notes what a speaker says of its failure domain. One that came after a newer one
+// of the same speaker is dropped; of two speakers the last one heard counts.
+func (t *Table) TakeDomain(d DomainDigest, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.domains[d.Domain]
+	last := &known.digest
+	if last.Node == d.Node && (d.Incarnation < last.Incarnation || d.Incarnation == last.Incarnation && d.Seq <= last.Seq) {
+		return
+	}
+	t.domains[d.Domain] = heardDomain{digest: d, names: promised(known.names, &d, now)}
+}
+
+// UnnamedIn returns since when so many nodes of another failure domain have named only newer
+// versions of a model at stores, and false where not all have said so.
+func (t *Table) UnnamedIn(domain string, nodes int, model string, version int64) (since time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.domains[domain].names[model]
+	return p.since, p.oldest > version && p.nodes >= nodes
+}
+
+// oldestNamed returns the oldest version of a model that any of the nodes names, 0 where one
+// of them has not said.
+func (t *Table) oldestNamed(model string, nodes []string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var least int64
+	for i, node := range nodes {
+		if p := t.peers[node].names[model]; i == 0 || p.oldest < least {
+			least = p.oldest
+		}
+	}
+	return least
+}
+
+// sendDomain tells the nodes of other failure domains which weights' parts those of this one
+// name, if this node speaks for it.
+func (e *Exchange) sendDomain(far []netip.AddrPort) {
+	now := time.Now()
+	if len(far) == 0 || now.Sub(e.toldDomain) < pace.DomainDigests(len(far)) {
+		return
+	}
+	near := e.config.Neighbours()
+	if !near.Speaks {
+		return
+	}
+	e.toldDomain = now
+	e.config.Conn.Notify(far, domainMethod, DomainDigest{
+		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
+		Names: e.Table.DomainNames(e.config.Names(), near.Others),
+		Nodes: len(near.Others) + 1,
+	})
+}
+
+// DomainNames returns the oldest version of each model that this node, which names own, or any
+// of the others names at stores, where all have said.
+func (t *Table) DomainNames(own []Named, others []string) []Named {
+	var names []Named
+	for _, n := range own {
+		if len(others) > 0 {
+			n.Oldest = min(n.Oldest, t.oldestNamed(n.Model, others))
+		}
+		if n.Oldest > 0 {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// takeDomain notes what a node of another failure domain tells.
+func (e *Exchange) takeDomain(params json.RawMessage) (any, error) {
+	var d DomainDigest
+	if err := json.Unmarshal(params, &d); err != nil {
+		return nil, eris.Wrap(err, "decode a failure domain's digest")
+	}
+	e.Table.TakeDomain(d, time.Now())
+	return nil, nil
+}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -48,7 +48,9 @@
 	Orders func() (closed []weights.Closed, leads bool)
 	// Names are the oldest weights whose parts this node names at stores.
 	Names func() []Named
-	Log   zerolog.Logger
+	// Neighbours are the other nodes of this node's failure domain.
+	Neighbours func() Neighbours
+	Log        zerolog.Logger
 }
 
 // Peer is another node.
@@ -78,7 +80,9 @@
 	// The rest is used by Run alone.
 	seq     int64
 	toldFar time.Time // when the nodes far were told something
-	news    bool      // they were told of something that may have ended
+	// toldDomain is when they were told of this failure domain's promises.
+	toldDomain time.Time
+	news       bool // they were told of something that may have ended
 	// names are the weights that peers were told of, and when.
 	names     []Named
 	toldNames time.Time
@@ -91,6 +95,7 @@
 		log: c.Log, kick: make(chan struct{}, 1),
 	}
 	c.Conn.Handle(method, e.take)
+	c.Conn.Handle(domainMethod, e.takeDomain)
 	return e
 }
 
@@ -176,6 +181,7 @@
 	if len(peers.far) > 0 && time.Since(e.toldFar) >= farSpacing {
 		e.sendFar(peers, digest, members)
 	}
+	e.sendDomain(peers.far)
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
 	digest.Loads = LoadsOf(members, time.Now())
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -136,10 +136,11 @@
 	t.Cleanup(func() { conn.Close() })
 	return New(Config{
 		Node: node, Domain: domain, Conn: conn, Log: zerolog.Nop(),
-		Members: func() []*fleet.Member { return nil },
-		Late:    func() []Late { return nil },
-		Names:   func() []Named { return nil },
-		Orders:  func() ([]weights.Closed, bool) { return []weights.Closed{{Endpoint: "x", Loads: true}}, leads.Load() },
+		Members:    func() []*fleet.Member { return nil },
+		Late:       func() []Late { return nil },
+		Names:      func() []Named { return nil },
+		Neighbours: func() Neighbours { return Neighbours{Speaks: true} },
+		Orders:     func() ([]weights.Closed, bool) { return []weights.Closed{{Endpoint: "x", Loads: true}}, leads.Load() },
 	})
 }
 
@@ -229,3 +230,34 @@
 		}
 	}
 }
+
+// TestDomainNames tells of the oldest version that any node of a failure domain names, once
+// all have said; what was promised lasts.
+func TestDomainNames(t *testing.T) {
+	near := NewTable()
+	own := []Named{{Model: "m", Oldest: 3}}
+	test.SliceEmpty(t, near.DomainNames(own, []string{"a", "b"}))
+	for i, oldest := range []int64{3, 2} {
+		d := digest([]string{"a", "b"}[i], 1, 1, 0)
+		d.Names = []Named{{Model: "m", Oldest: oldest}}
+		near.Take(d, now)
+	}
+	test.Eq(t, []Named{{Model: "m", Oldest: 2}}, near.DomainNames(own, []string{"a", "b"}))
+	test.SliceEmpty(t, near.DomainNames(own, []string{"a", "b", "silent"}))
+	test.Eq(t, own, near.DomainNames(own, nil), test.Sprint("it is alone"))
+
+	far := NewTable()
+	far.TakeDomain(DomainDigest{Node: "a", Domain: "d0", Incarnation: 1, Seq: 1, Nodes: 3, Names: []Named{{Model: "m", Oldest: 2}}}, now)
+	far.TakeDomain(DomainDigest{Node: "b", Domain: "d0", Incarnation: 1, Seq: 1, Nodes: 3}, now.Add(time.Second))
+	since, ok := far.UnnamedIn("d0", 3, "m", 1)
+	test.True(t, ok)
+	test.Eq(t, now, since)
+	for _, no := range []struct {
+		domain  string
+		nodes   int
+		version int64
+	}{{"d0", 4, 1}, {"d0", 3, 2}, {"d1", 1, 1}} {
+		_, ok = far.UnnamedIn(no.domain, no.nodes, "m", no.version)
+		test.False(t, ok, test.Sprint(no))
+	}
+}
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -20,7 +20,9 @@
 type Table struct {
 	mu    sync.Mutex
 	peers map[string]heard
-	most  int // the largest number of nodes seen at once
+	// domains holds the newest digest of each other failure domain, by its name.
+	domains map[string]heardDomain
+	most    int // the largest number of nodes seen at once
 }
 
 type heard struct {
@@ -49,7 +51,9 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{peers: make(map[string]heard)} }
+func NewTable() *Table {
+	return &Table{peers: make(map[string]heard), domains: make(map[string]heardDomain)}
+}
 
 // Take notes a digest. One that is older than what is known of the node is dropped.
 func (t *Table) Take(d Digest, now time.Time) {
