Group the nodes by failure domain once for each change of the list

Cause: found in reading. A look for parts to free asks for each of some 4,000 parts of replaced weights what the other nodes promised, and made a map of all nodes each time: some 10 microseconds each (worked out) on hosts with a fifth of a core.

Change: the groups are made when the nodes' topic changes. No decision changes; the tests of gateway pass. Systems of up to 12 nodes don't use them.

--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -76,7 +76,9 @@
 	entries map[string]nodeEntry // by node
 	near    []neighbour          // the nodes of this failure domain, in the order of their hashes
 	others  []netip.AddrPort     // what backups returns
-	read    bool
+	// byDomain is what othersByDomain returns.
+	byDomain map[string][]string
+	read     bool
 }
 
 // neighbour is a node whose address is known.
@@ -142,6 +144,7 @@
 	}
 	r.near = r.neighbours()
 	r.others = r.readersElsewhere()
+	r.byDomain = r.groupOthers()
 	r.count.Store(int64(nodes))
 	r.standby.Store(pace.Whole(nodes) || before < standbys)
 }
@@ -227,10 +230,16 @@
 	return names
 }
 
-// othersByDomain returns the same by failure domain.
+// othersByDomain returns the same by failure domain. It is not to be changed: it is made once
+// for each change of the topic, and asked for with each part that may be freed.
 func (r *roster) othersByDomain() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.byDomain
+}
+
+// groupOthers returns what othersByDomain does.
+func (r *roster) groupOthers() map[string][]string {
 	names := make(map[string][]string)
 	for name, e := range r.entries {
 		if name != r.node {
