Ask stores for a prompt's blocks also after a pause of this node

It had taken 28 s: a node drops what an engine's owner said after 10 s, its KV layout, too, and asks stores for no blocks without a layout. So any prompt that returned to a node which had placed none at that engine for 10 s was read whole: what this system is for.

How it was traced: with a pause of 11 s before the third prompt the script fails every time, without load.

Change: the layout outlives the load figures. TestLayoutOutlivesFigures, failed before; the script with the pause passed after. Left: a node that never heard of an engine asks stores for nothing at its first prompt.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -225,12 +225,17 @@
 	for i, e := range endpoints {
 		engines[i] = placement.Engine{Endpoint: e.GetName(), FailureDomain: e.GetFailureDomain(), Status: placement.Late}
 		f, ok := r.figures[figureKey{e.GetName(), req.Model, req.Version}]
-		if !ok || now.Sub(f.at) > figuresAge {
+		if !ok {
+			continue
+		}
+		// The layout doesn't age: without one no store is asked, and a prompt that returns
+		// after a pause would be read whole.
+		engines[i].Layout = f.engine.Layout
+		if now.Sub(f.at) > figuresAge {
 			continue
 		}
 		engines[i].LastWait = f.engine.LastWait
 		engines[i].PrefillRate = f.engine.PrefillRate
-		engines[i].Layout = f.engine.Layout
 		if f.engine.Status == placement.Paused {
 			engines[i].Status = placement.Paused
 		}
