Show that a caller can get two endpoints' answers as one

In the node's log such a request has the verdict answered for its first send and the cause 'wrote more than the declared Content-Length', or a second endpoint's 500 behind the first one's events.

The stand-in of model servers gains answers with a status for streams, and streams without a length.

--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -59,7 +59,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case faults.Foreign || faults.Extra:
 		s.answerTwice(w, id, faults)
-	case s.cfg.Model != "":
+	case s.cfg.Model != "" && faults.Unframed:
+		s.streamUnframed(w, r, id, faults)
+	case s.cfg.Model != "" && faults.Status == 0:
 		w.Header().Set("X-Weight-Versions", strconv.FormatInt(version, 10))
 		s.stream(w, r, faults)
 	default:
@@ -95,6 +97,33 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.cfg.ID, closing, len(body), body)
 }
 
+// The formats of an event, by its number.
+const (
+	wholeEvent  = "id: %d\ndata: piece %d\n\n"
+	brokenEvent = "id: %d\ndata: bro"
+)
+
+// streamUnframed writes events by hand, without a length, and closes the connection
+// properly at the end, also where that comes within an event.
+func (s *Server) streamUnframed(w http.ResponseWriter, r *http.Request, id string, faults Faults) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // servers of this package always can
+	}
+	defer conn.Close()
+	var answer strings.Builder
+	fmt.Fprintf(&answer, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Type: text/event-stream\r\n\r\n", id, s.cfg.ID)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means 0
+	for i := last + 1; i <= s.cfg.Pieces; i++ {
+		if faults.CutAfter != 0 && i > faults.CutAfter {
+			fmt.Fprintf(&answer, brokenEvent, i)
+			break
+		}
+		fmt.Fprintf(&answer, wholeEvent, i, i)
+	}
+	_, _ = io.WriteString(conn, answer.String()) // a reader that has gone needs no answer
+}
+
 // stream writes events whose ids rise from 1, or go on after the last one that the
 // caller has.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, faults Faults) {
@@ -103,12 +132,12 @@
 	control := http.NewResponseController(w)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means 0
 	for i := last + 1; i <= s.cfg.Pieces; i++ {
-		if faults.CutAfter > 0 && i > faults.CutAfter {
-			fmt.Fprintf(w, "id: %d\ndata: bro", i)
+		if faults.CutAfter != 0 && i > faults.CutAfter {
+			fmt.Fprintf(w, brokenEvent, i)
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		fmt.Fprintf(w, wholeEvent, i, i)
 		if control.Flush() != nil {
 			s.clientLeft()
 			return
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -17,7 +17,7 @@
 type Faults struct {
 	Shed       bool // requests are refused as not run
 	LoseAnswer bool // requests run, and the connection is closed without an answer
-	// CutAfter closes a stream after so many events, within the next one.
+	// CutAfter closes a stream after so many events, within the next one; -1 within the first.
 	CutAfter int
 	// Foreign sends an answer to another request before the own one.
 	Foreign bool
@@ -25,8 +25,10 @@
 	Extra bool
 	// Unproven answers 503 without saying that the request did not run.
 	Unproven bool
-	Status   int // of a plain answer; 0 means 200
+	Status   int // of an answer; 0 means 200
 	Hang     bool
+	// Unframed sends a stream without a length, which ends with its connection.
+	Unframed bool
 }
 
 // Config sizes a server.
