Give a caller one endpoint's answer, or a stream that goes on

Cause: whether the caller has an answer, in part or whole, was no part of what decided what may follow. mayRepeat took an endpoint's own error, already written, for a failed attempt of a resumable stream; and an attempt that was to go on with a stream delivered whatever came back, an error's body included, and ended the stream properly. Class: an answer's state (nothing, events, whole) kept by implication instead of being asked at each step that writes.

Change: an answered request is final; a stream under way takes nothing but events of the next endpoint, anything else counts as another break; an endpoint's error on a resumable stream of which the caller has nothing goes to another endpoint before it is delivered; a stream without a length that ends within an event, or before any, is a break.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,7 +27,7 @@
 	delivered verdict = iota // the caller has the answer
 	notRun                   // the endpoint did not run it, and never will
 	failed                   // it may have run
-	answered                 // the endpoint answered with an error of its own
+	answered                 // the caller has the endpoint's own error
 	cut                      // a stream broke off after its first event
 )
 
@@ -72,21 +72,30 @@
 	}
 }
 
-// mayRepeat reports whether the request may be sent to another endpoint.
+// mayRepeat reports whether the request may be sent to another endpoint. A caller that has an
+// endpoint's whole answer gets nothing more: a second one behind it would read as its end.
 func (x *exchange) mayRepeat(v verdict, runs int) bool {
 	if x.unread || x.outcome.Attempts >= maxSends || runs >= x.route.MaxAttempts {
 		return false
 	}
 	switch v {
+	case delivered, answered:
+		return false
 	case notRun:
 		return true
 	case cut:
 		return x.route.Resumable
 	default:
-		return x.route.Repeatable() || x.route.Kind == routing.Stream && x.route.Resumable
+		return x.repeatable()
 	}
 }
 
+// repeatable reports whether a request that may have run, and of whose answer the caller has
+// nothing, may be sent again.
+func (x *exchange) repeatable() bool {
+	return x.route.Repeatable() || x.route.Kind == routing.Stream && x.route.Resumable
+}
+
 // judge tells the endpoint's health what happened.
 func (x *exchange) judge(p *Placement, v verdict) {
 	if x.unread || x.r.Context().Err() != nil {
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -50,6 +50,12 @@
 	if success && info.Events {
 		return x.deliverEvents(answer, first)
 	}
+	if x.written {
+		// The caller has events of another endpoint, which only events may follow.
+		answer.Abort()
+		x.cause = eris.Errorf("a stream under way was answered with status %d", answer.StatusCode)
+		return cut
+	}
 	return x.deliverWhole(answer, first)
 }
 
@@ -93,7 +99,7 @@
 
 // wantsAnother reports whether an endpoint's error is worth another attempt.
 func (x *exchange) wantsAnother() bool {
-	return x.route.Repeatable() && x.outcome.Attempts < min(x.route.MaxAttempts, maxSends)
+	return x.repeatable() && x.outcome.Attempts < min(x.route.MaxAttempts, maxSends)
 }
 
 // promisesNotRun reports whether callers read a status as proof that the request
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -73,8 +73,15 @@
 	return failed
 }
 
-// endEvents delivers what follows the last event, and ends the answer.
+// endEvents delivers what follows the last event, and ends the answer. Where only the end of
+// the connection ends it, one that comes within an event, or before any, is a break: an engine
+// that fails closes its connections in the same way.
 func (x *exchange) endEvents(answer *upstream.Answer, rest []byte) verdict {
+	if answer.Unframed() && (len(rest) > 0 || !x.written) {
+		answer.Abort()
+		x.cause = eris.New("the connection ended within an event")
+		return x.brokenStream()
+	}
 	if len(rest) > 0 || !x.written {
 		if !x.writeEvents(answer, rest) {
 			answer.Abort()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -172,9 +172,16 @@
 	}
 }
 
+// Unframed reports whether only the end of the connection ends the answer's body.
+func (a *Answer) Unframed() bool { return unframed(a.Response) }
+
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // skip reads the body of an answer that belongs to another request.
 func skip(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if unframed(resp) {
 		return errors.New("an answer to another request has no length")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes))
