Decode the start time of servers

Cause: servers may start again under the id that they had, with counts of their own. Nothing read the start time that tells the two apart. Change: it is decoded from entries and reports into the product's types; nothing uses it yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,14 +31,17 @@
 
 // Endpoint is an endpoint's entry in the registry. It is never changed in place.
 type Endpoint struct {
-	ID       string // of this incarnation; a restart gives a new one
+	ID       string
 	Service  string
 	Addr     string // IP:PORT
 	Domain   string // failure domain
 	Slots    int
 	Draining bool
 	ColdLeft time.Duration // how much longer it is slow after its start
-	Weights  []Weights
+	// Born is its start in Unix milliseconds, 0 if not said. A restart under the same ID has a
+	// later one: it holds and knows nothing of before.
+	Born    int64
+	Weights []Weights
 }
 
 // Weights is a version of a model's weights.
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -69,6 +69,7 @@
 // Report is an engine's state.
 type Report struct {
 	Weights []fleet.Weights
+	Born    int64 // start of the engine, Unix milliseconds; 0 if not said
 	Busy    bool  // an order is being carried out
 	Orders  int64 // number of orders taken since the engine's start
 	Running int
