Count what a node finds at its start from the start, by the bounds

Cause: a version that the first read finds counted as named 7 s ago, whatever the bounds and however late the read. With a bound of 12 s and a stable window of 3 s that ends with the excuse of the start if the read comes at once; with 15 s and 4 s prompts were placed on replaced weights for 2 s after it. Class: an age counted from the moment at which something was learned, with a figure that was worked out for one deployment's bounds and written down as a constant.

Change: the age counts from the start of the process, and is worked out from the bounds so that the last prompt is placed on replaced weights 250 ms before the start excuses the node no more.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,13 +79,13 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(boot.MemoryBytes)))
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.Grace - stopMargin),
-		state:  newState(log),
 		fleet:  fleet.New(log),
 		log:    log,
 
 		started: time.Now(),
 	}
 	n.boot.Store(boot)
+	n.state = newState(n.bounds, log)
 	store := platform.NewStore(boot.StoreAddr)
 	if err := n.addParts(store); err != nil {
 		return nil, err
--- a/internal/gateway/keeping_test.go
+++ b/internal/gateway/keeping_test.go
@@ -28,8 +28,10 @@
 	state *state
 }
 
+func noBounds() bootstrap.Bounds { return bootstrap.Bounds{} }
+
 func newView(name string) view {
-	n := &Node{state: newState(zerolog.Nop())}
+	n := &Node{state: newState(noBounds, zerolog.Nop())}
 	n.boot.Store(&bootstrap.Node{Name: name})
 	n.roster = newRoster(name, nodeEntry{}, nil, nil, nil, zerolog.Nop())
 	n.fleet = fleet.New(zerolog.Nop())
@@ -331,7 +333,7 @@
 
 // TestConfigNeverFalls keeps the newest version, and the last good one.
 func TestConfigNeverFalls(t *testing.T) {
-	s := newState(zerolog.Nop())
+	s := newState(noBounds, zerolog.Nop())
 	apply := func(value string) {
 		s.Apply(follow.Batch{ProvenAt: time.Now(), Records: []follow.Record{{Key: "config", Value: []byte(value)}}})
 	}
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -21,7 +21,7 @@
 // TestMetricsAreDescribed keeps the operators' page and the served metrics the same.
 func TestMetricsAreDescribed(t *testing.T) {
 	n := &Node{
-		state: newState(zerolog.Nop()), fleet: fleet.New(zerolog.Nop()), peers: &peerload.Exchange{Table: peerload.NewTable()},
+		state: newState(noBounds, zerolog.Nop()), fleet: fleet.New(zerolog.Nop()), peers: &peerload.Exchange{Table: peerload.NewTable()},
 		roster: newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
 	}
 	n.boot.Store(bootOf(t))
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -28,7 +28,7 @@
 }
 
 func newStarter(bounds bootstrap.Bounds) *starter {
-	s := &starter{state: newState(zerolog.Nop())}
+	s := &starter{state: newState(func() bootstrap.Bounds { return bounds }, zerolog.Nop())}
 	engines := fleet.New(zerolog.Nop())
 	engines.Update(&fleet.Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1", Weights: []fleet.Weights{{Model: model, Version: 1}}}, time.Now())
 	index := kept.NewIndex(nil, nil, zerolog.Nop())
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/placer"
@@ -21,6 +22,8 @@
 // Guarantee: the configuration's version never falls while the process runs.
 type state struct {
 	log      zerolog.Logger
+	started  time.Time // of the process
+	bounds   func() bootstrap.Bounds
 	rejected atomic.Int64 // records that could not be decoded
 	config   atomic.Pointer[routing.Config]
 	proven   atomic.Pointer[time.Time]
@@ -48,8 +51,11 @@
 	_ weights.Wanted  = (*state)(nil)
 )
 
-func newState(log zerolog.Logger) *state {
-	return &state{log: log, versions: make(map[string][]namedVersion), changed: make(chan struct{}, 1)}
+func newState(bounds func() bootstrap.Bounds, log zerolog.Logger) *state {
+	return &state{
+		log: log, started: time.Now(), bounds: bounds,
+		versions: make(map[string][]namedVersion), changed: make(chan struct{}, 1),
+	}
 }
 
 // sight is when a batch of records was seen, and since when they may have been there.
@@ -58,16 +64,25 @@
 	prompt        bool
 }
 
-// unknownAge is how long ago a version may count as named that a node finds when it
-// starts. It leaves engines with older weights a few seconds, the time for which a
-// start excuses a node.
-const unknownAge = 7 * time.Second
+// startMargin is how long before a start excuses a node no more its last prompts are placed on
+// replaced weights: the way from a placement to the engine, and the late turns of a busy host.
+const startMargin = 250 * time.Millisecond
+
+// namedBeforeStart returns when a version counts as named that the first read finds, as it may
+// have been at any time before. Engines with older weights get prompts until the start excuses
+// the node no more. The time counts from the start, not from the read, and follows the bounds:
+// 7 s before the read kept one deployment's bounds, and on one with a bound of 15 s had prompts
+// placed on replaced weights for 2 s after the node's excuse had ended.
+func (s *state) namedBeforeStart() time.Time {
+	bounds := s.bounds()
+	return s.started.Add(bounds.StableWindow - startMargin - placer.ReplacedLimit(bounds.VersionApply))
+}
 
 // Apply implements follow.Sink. The configuration is stored before the time at
 // which it was current, so that a reader who takes them the other way round never
 // finds it fresher than it is.
 func (s *state) Apply(b follow.Batch) {
-	sight := sight{at: time.Now(), notBefore: time.Now().Add(-unknownAge)}
+	sight := sight{at: time.Now(), notBefore: s.namedBeforeStart()}
 	if before := s.proven.Load(); before != nil {
 		sight.notBefore = *before
 		sight.prompt = b.ProvenAt.Sub(*before) < namingAge
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -23,6 +23,10 @@
 	shortAnswer = 100
 )
 
+// ReplacedLimit returns how long after weights were replaced the last prompts are placed on them,
+// under the operators' bound on new weights.
+func ReplacedLimit(versionApply time.Duration) time.Duration { return versionApply - beginMargin }
+
 // rollout is how far the engines are on the way to a wanted version.
 type rollout struct {
 	model    string
@@ -42,7 +46,7 @@
 		model:    q.Attributes.Model,
 		wanted:   wanted,
 		versions: p.Versions,
-		limit:    p.VersionApply() - beginMargin,
+		limit:    ReplacedLimit(p.VersionApply()),
 		closed:   p.Peers.Closed(p.Now()),
 		short:    q.Attributes.OutputTokens <= shortAnswer,
 		now:      p.Now(),
