Give orders to engines at the same time

Cause: the holder of orders gave them one after the other, and one that nobody answers took its timeout of 500 ms, with all other engines waiting: at most two orders a second, whatever the size of the fleet.

Change: decide for each engine first, then give the orders side by side, as reports are asked for. Ruled out: more loads at once (the number stays).

--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherryward/cherryward/coord/claim"
@@ -76,12 +77,7 @@
 	s.announce()
 	looks := s.due(members)
 	s.ask(ctx, looks)
-	for i := range looks {
-		if !s.advance(ctx, held, &looks[i]) {
-			return false
-		}
-	}
-	return true
+	return s.give(ctx, held, slices.DeleteFunc(looks, func(l look) bool { return !s.advance(&l) }))
 }
 
 func countServing(members []*fleet.Member, model string) int {
@@ -161,32 +157,34 @@
 	}
 }
 
-// advance takes one engine a step on. It reports false where the claim is lost.
-func (s *Service) advance(ctx context.Context, held *claim.Claim, l *look) bool {
+// advance takes one engine a step on. It reports whether the engine is to be ordered to load
+// now, and counts it among those that load.
+func (s *Service) advance(l *look) bool {
 	m, j, report := l.member, l.job, &l.report
 	if l.err != nil {
 		s.Log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", l.err).Send()
-		return true
+		return false
 	}
 	if has := report.VersionOf(j.model); has >= j.version {
 		m.SawVersion(j.model, has)
 		delete(s.jobs, m.ID)
 		s.Log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("version", has).
 			Dur("took_ms", time.Since(j.begun)).Send()
-		return true
+		return false
 	}
 	if report.Busy || time.Since(j.ordered) < lostOrder {
-		return true
+		return false
 	}
 	j.ordered = time.Time{} // an order without effect is given again
 	if s.loads() >= j.loads {
-		return true
+		return false
 	}
 	empty := report.Running+report.Waiting == 0 && time.Since(j.begun) > closedEarly
 	if !empty && time.Since(j.begun) < emptyTime {
-		return true
+		return false
 	}
-	return s.order(ctx, held, m, j, report)
+	j.ordered = time.Now()
+	return true
 }
 
 // loads returns the number of engines that were ordered to load and have not done so.
@@ -200,13 +198,31 @@
 	return n
 }
 
-func (s *Service) order(ctx context.Context, held *claim.Claim, m *fleet.Member, j *job, report *Report) bool {
+// give gives the orders at the same time. It reports false where the claim is lost.
+//
+// One after the other, an order that nobody answers held up the next by its timeout of 500 ms:
+// with every second one unanswered 112 engines took over 15 s, the operators' bound.
+func (s *Service) give(ctx context.Context, held *claim.Claim, looks []look) bool {
+	var lost atomic.Bool
+	var wg sync.WaitGroup
+	for i := range looks {
+		wg.Go(func() {
+			if !s.order(ctx, held, &looks[i]) {
+				lost.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return !lost.Load()
+}
+
+func (s *Service) order(ctx context.Context, held *claim.Claim, l *look) bool {
 	bounded, cancel, err := held.Order(ctx)
 	if err != nil {
 		return false
 	}
 	defer cancel()
-	j.ordered = time.Now()
+	m, j, report := l.member, l.job, &l.report
 	// Tokens begin at 0 in the log, which engines read as none.
 	order := Order{Model: j.model, Version: j.version, Holder: s.Node, Token: held.Token() + 1, Expected: report.Orders, Continue: report.Running > 0}
 	reply, err := s.Engines.Order(bounded, m.Endpoint(), order)
--- a/internal/weights/large_test.go
+++ b/internal/weights/large_test.go
@@ -36,6 +36,24 @@
 	})
 }
 
+// TestUnansweredOrders brings a large fleet to a version within the operators' bound of 15 s
+// where every second order is answered by nobody.
+func TestUnansweredOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(many(largeFleet)...)
+		for i, id := range w.ids {
+			w.engines.silent[id] = i % 2
+		}
+		stop := w.node(t, "n1")
+		time.Sleep(time.Second)
+		w.name(2)
+		time.Sleep(15 * time.Second)
+		test.Eq(t, slices.Repeat([]int64{2}, largeFleet), w.versions())
+		test.Eq(t, largeFleet/loadShare, w.engines.loading)
+		stop()
+	})
+}
+
 // TestStandbys has few of many nodes read the claims while another node leads, and the
 // others take over where none of these is left.
 func TestStandbys(t *testing.T) {
--- a/internal/weights/service_test.go
+++ b/internal/weights/service_test.go
@@ -80,8 +80,9 @@
 	next    map[string]int64
 	orders  map[string]int64
 	given   []given
-	loading int // the most at once
-	lose    int // answers still to be lost, with the order done
+	loading int            // the most at once
+	lose    int            // answers still to be lost, with the order done
+	silent  map[string]int // orders to an engine that are still to be neither answered nor done
 }
 
 func (e *engines) settle(id string) {
@@ -98,7 +99,11 @@
 	return Report{Weights: []fleet.Weights{{Model: model, Version: e.version[at.ID]}}, Busy: e.next[at.ID] > 0, Orders: e.orders[at.ID], Running: 1}, nil
 }
 
-func (e *engines) Order(_ context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
+func (e *engines) Order(ctx context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
+	if e.isSilent(at.ID) {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settle(at.ID)
@@ -120,6 +125,17 @@
 	return Taken, nil
 }
 
+// isSilent reports whether an order is not to be answered, and counts it.
+func (e *engines) isSilent(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.silent[id] == 0 {
+		return false
+	}
+	e.silent[id]--
+	return true
+}
+
 // orders returns the orders that were given.
 func (w *world) orders() []given {
 	w.engines.mu.Lock()
@@ -174,7 +190,7 @@
 func newWorld(ids ...string) *world {
 	w := &world{
 		log: &memLog{}, wanted: &wanted{version: 1}, ids: ids, services: map[string]*Service{},
-		engines: &engines{version: map[string]int64{}, done: map[string]time.Time{}, next: map[string]int64{}, orders: map[string]int64{}},
+		engines: &engines{version: map[string]int64{}, done: map[string]time.Time{}, next: map[string]int64{}, orders: map[string]int64{}, silent: map[string]int{}},
 	}
 	for _, id := range ids {
 		w.engines.version[id] = 1
