Withdraw prompts that have not begun when their engine's weights get too old

Cause: the bound on new weights was kept by a margin of 2 s between a placement and the begin of the run. Callers of a route with an objective of 1.2 s wait 4.8 s for a first event.

Change: a placement on replaced weights says when it must have begun; an attempt without a first event by then, 200 ms before the bound, is withdrawn by closing its connection, and counts as may have run. Tests: forward TestWithdrawsUnbegun and TestWithdrawal, placer TestOldWeights; all need what was not there.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,10 +155,12 @@
 	defer load.End(p.Holding)
 	reading := true
 	begun := time.Now()
+	ctx, began := withdrawUnbegun(ctx, p.BeginBy)
 	read := func() {
 		if reading {
 			reading = false
 			load.FirstEvent(p.Reading)
+			began()
 		}
 	}
 	defer read()
@@ -181,6 +183,19 @@
 	return v
 }
 
+// withdrawUnbegun returns a context that ends at a time, unless began is called before. Zero
+// means that it doesn't. Where a caller waits 4.8 s for its first event, engines that turned slow
+// began with prompts on replaced weights up to 3.6 s after the placement, within 0.4 s of the
+// operators' bound (a played day with engines 12 times slower).
+func withdrawUnbegun(ctx context.Context, at time.Time) (_ context.Context, began func()) {
+	if at.IsZero() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(time.Until(at), cancel)
+	return ctx, func() { timer.Stop() }
+}
+
 // noteVersion learns the weights of the endpoint from its answer.
 func (x *exchange) noteVersion(status int, info *AnswerInfo, p *Placement) {
 	switch {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -195,6 +195,35 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return w.servers[0].Left() == 1 }), wait.Timeout(longTimeout), wait.Gap(time.Millisecond)))
 }
 
+// TestWithdrawsUnbegun takes a request back from an endpoint that has not begun by the time at
+// which its weights are too old.
+func TestWithdrawsUnbegun(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		faults modelserver.Faults
+		within time.Duration
+		status int
+		second int // runs at the second server
+	}{
+		{name: "not begun, resumable", path: resumePath, faults: modelserver.Faults{Hang: true}, within: 20 * time.Millisecond, status: http.StatusOK, second: 1},
+		{name: "not begun, not resumable", path: streamPath, faults: modelserver.Faults{Hang: true}, within: 20 * time.Millisecond, status: http.StatusBadGateway},
+		{name: "begun in time", path: streamPath, within: longTimeout, status: http.StatusOK},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, model, model)
+			w.order.beginWithin = tc.within
+			w.servers[0].SetFaults(tc.faults)
+			got := w.do(t, http.MethodPost, tc.path, "prompt", nil)
+			test.Eq(t, tc.status, got.status)
+			test.NoError(t, got.err)
+			test.Len(t, tc.second, w.servers[1].Runs())
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return w.servers[0].Left() == 1 || !tc.faults.Hang }), wait.Timeout(longTimeout), wait.Gap(time.Millisecond)))
+		})
+	}
+}
+
 // TestTimeout answers at the caller's deadline, not later, and promises nothing.
 func TestTimeout(t *testing.T) {
 	w := newWorld(t, model)
--- a/internal/forward/help_test.go
+++ b/internal/forward/help_test.go
@@ -65,12 +65,20 @@
 func (s *state) Config() (*routing.Config, time.Duration) { return s.config, s.age }
 
 // inOrder places requests on the first endpoint that was not tried.
-type inOrder []*fleet.Member
+type inOrder struct {
+	members []*fleet.Member
+	// beginWithin is how soon the first endpoint must have begun; 0 means at any time.
+	beginWithin time.Duration
+}
 
-func (o inOrder) Place(q *forward.Query) (forward.Placement, bool) {
-	for _, m := range o {
+func (o *inOrder) Place(q *forward.Query) (forward.Placement, bool) {
+	for i, m := range o.members {
 		if !slices.Contains(q.Tried, m.ID) {
-			return forward.Placement{Member: m, Attempt: forward.Attempt{Instance: m.ID, Account: "yard"}, Reason: "in_order"}, true
+			p := forward.Placement{Member: m, Attempt: forward.Attempt{Instance: m.ID, Account: "yard"}, Reason: "in_order"}
+			if o.beginWithin > 0 && i == 0 {
+				p.BeginBy = time.Now().Add(o.beginWithin)
+			}
+			return p, true
 		}
 	}
 	return forward.Placement{}, false
@@ -85,6 +93,7 @@
 	state   *state
 	bounds  bootstrap.Bounds
 	servers []*modelserver.Server
+	order   *inOrder
 	front   *httptest.Server
 }
 
@@ -93,7 +102,7 @@
 	t.Helper()
 	w := &world{state: &state{config: config()}}
 	f := fleet.New(zerolog.Nop())
-	var order inOrder
+	w.order = &inOrder{}
 	for i, model := range models {
 		id := "s" + string(rune('0'+i))
 		server := modelserver.New(modelserver.Config{ID: id, Service: "servers", Model: model, Pieces: streamSize})
@@ -104,10 +113,10 @@
 	}
 	members := f.Members("servers")
 	slices.SortFunc(members, func(a, b *fleet.Member) int { return strings.Compare(a.ID, b.ID) })
-	order = append(order, members...)
+	w.order.members = members
 	w.bounds = bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	w.front = httptest.NewServer(&forward.Handler{
-		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }), Patience: &forward.Patience{},
+		Dialect: platform.Dialect{}, State: w.state, Placer: w.order, Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }), Patience: &forward.Patience{},
 		Bounds: func() bootstrap.Bounds { return w.bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
 	})
 	t.Cleanup(w.front.Close)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -123,6 +123,9 @@
 	// Holding is the number of tokens that the request is expected to hold in the
 	// endpoint's memory.
 	Holding int
+	// BeginBy is when the endpoint must have begun, as its weights were replaced: an attempt
+	// without a first event by then is withdrawn. Zero means no such limit.
+	BeginBy time.Time
 	// Wait, First and Held are what decided, as far as the node knew: the predicted time
 	// until the endpoint has time and room, that until the first event, and the tokens that
 	// running requests held there.
--- /dev/null
+++ b/internal/forward/withdraw_test.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// TestWithdrawal ends an attempt that has not begun in time, and none that has.
+func TestWithdrawal(t *testing.T) {
+	const within = time.Second
+	for name, tc := range map[string]struct {
+		limited, begun bool
+		ended          bool
+	}{
+		"no limit":  {},
+		"not begun": {limited: true, ended: true},
+		"begun":     {limited: true, begun: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var at time.Time
+				if tc.limited {
+					at = time.Now().Add(within)
+				}
+				ctx, began := withdrawUnbegun(t.Context(), at)
+				time.Sleep(within - time.Millisecond)
+				test.NoError(t, ctx.Err())
+				if tc.begun {
+					began()
+				}
+				time.Sleep(time.Minute)
+				test.Eq(t, tc.ended, ctx.Err() != nil)
+			})
+		})
+	}
+}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -273,9 +273,15 @@
 // TestOldWeights are used while newer ones are loaded, and not beyond the bound.
 func TestOldWeights(t *testing.T) {
 	w := newWorld(t, source{}, 1, 1, 1)
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.True(t, p.BeginBy.IsZero())
 	w.versions.wanted, w.versions.age = 2, 9*time.Second
-	_, ok := w.Place(query())
-	test.True(t, ok)
+	p, ok = w.Place(query())
+	must.True(t, ok)
+	left := time.Until(p.BeginBy)
+	test.Positive(t, left)
+	test.Less(t, limit-w.versions.age, left, test.Sprint("prompts are withdrawn before the bound"))
 	w.versions.age = limit
 	_, ok = w.Place(query())
 	test.False(t, ok)
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -80,6 +80,7 @@
 		Cached:  plan.cached,
 		Fetched: plan.fetched,
 		Holding: holding(q),
+		BeginBy: s.rollout.beginBy(plan.version),
 		Wait:    duration(plan.waitMs),
 		First:   duration(s.firstMs(best)),
 		Held:    s.memory(best).Held,
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -18,6 +18,9 @@
 	// beginMargin is the longest time from a placement until the run begins, which
 	// is when its weights are judged.
 	beginMargin = 2 * time.Second
+	// withdrawMargin is how long before the operators' bound a prompt is withdrawn that has not
+	// begun on replaced weights: the way of the close to the engine, and a busy host's late timers.
+	withdrawMargin = 200 * time.Millisecond
 	// shortAnswer is the longest answer, in tokens, that ends before an engine that
 	// is being emptied loads.
 	shortAnswer = 100
@@ -32,7 +35,8 @@
 	model    string
 	wanted   int64
 	versions Versions
-	limit    time.Duration // from when on no request may begin on replaced weights
+	limit    time.Duration // from when on no request is placed on replaced weights
+	bound    time.Duration // from when on none may begin on them
 	// closed are the engines that a holder of orders has loaded now; true where
 	// they take no requests at all, else they take short ones.
 	closed map[string]bool
@@ -47,6 +51,7 @@
 		wanted:   wanted,
 		versions: p.Versions,
 		limit:    ReplacedLimit(p.VersionApply()),
+		bound:    p.VersionApply(),
 		closed:   p.Peers.Closed(p.Now()),
 		short:    q.Attributes.OutputTokens <= shortAnswer,
 		now:      p.Now(),
@@ -57,20 +62,35 @@
 	return r
 }
 
+// replacedSince returns since when a version of the weights may have been replaced, and false
+// where it is the wanted one.
+func (r *rollout) replacedSince(version int64) (time.Time, bool) {
+	if version >= r.wanted {
+		return time.Time{}, false
+	}
+	return r.versions.Replaced(r.model, version)
+}
+
 // replacedFor returns how long ago the engine's weights may have been replaced, 0
 // where they are the wanted ones.
 func (r *rollout) replacedFor(m *fleet.Member) time.Duration {
-	version := m.VersionOf(r.model)
-	if version >= r.wanted {
-		return 0
-	}
-	since, replaced := r.versions.Replaced(r.model, version)
+	since, replaced := r.replacedSince(m.VersionOf(r.model))
 	if !replaced {
 		return 0
 	}
 	return r.now.Sub(since)
 }
 
+// beginBy returns when a prompt must have begun on a version of the weights; zero where that is
+// the wanted one.
+func (r *rollout) beginBy(version int64) time.Time {
+	since, replaced := r.replacedSince(version)
+	if !replaced {
+		return time.Time{}
+	}
+	return since.Add(r.bound - withdrawMargin)
+}
+
 // filter removes the engines whose weights are too old, and those that load now
 // unless no other is left.
 func (r *rollout) filter(candidates []*fleet.Member) []*fleet.Member {
