--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -63,6 +63,9 @@
 	if p.Member == nil {
 		return event.Int64("retry_after_ms", p.RetryAfter.Milliseconds())
 	}
+	if !p.BeginBy.IsZero() {
+		event = event.Int64("begin_left_ms", time.Until(p.BeginBy).Milliseconds())
+	}
 	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
 		Int("read", p.Reading).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
 		Int64("predicted_ms", p.First.Milliseconds()).Int("held", p.Held)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -148,7 +148,8 @@
 	if !newer {
 		return
 	}
-	s.log.Info().Str("event", "weights_named").Str("model", model).Int64("version", version).Send()
+	s.log.Info().Str("event", "weights_named").Str("model", model).Int64("version", version).Int64("offset", r.Offset).
+		Int64("age_at_most_ms", sight.at.Sub(sight.notBefore).Milliseconds()).Bool("prompt", sight.prompt).Send()
 	select {
 	case s.changed <- struct{}{}:
 	default:
