Use endpoints of services that the configuration names

Cause: the fleet took every entry that could be decoded. One of a service that the configuration doesn't name got orders of weights, took places for loads, kept "pending" true for ever and was asked for events. An entry that can't be decoded left what its key named before in use. Records of other writers in the nodes' own topic counted as nodes: they shrink each node's retry budget.

Ruled out: a filter where requests, orders and events are decided (three places that must agree), and refusing such entries for good (entries and configuration come in any order).

Change: the registry keeps the newest readable entry of each key, and has the fleet hold those whose service is named and that can serve it; a new configuration has it look again. An entry that names no server takes its key's endpoint away at once, without the hold for lapsed ones; the fleet still remembers what was draining. An endpoint of a plain service has no weights. An entry that names another service starts anew. Of the nodes' topic only entries with a usable address count; a known node stays, as it may name parts at stores, and a node rewrites its own. Rejected records of all topics are counted in one metric, their logging is bounded.

Conclusion: an entry of another writer gets neither requests nor orders, and isn't counted.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -36,7 +36,7 @@
 	var from *relay.Topic
 	f.config, from = follower("config", platform.TopicOperator, n.state, nil)
 	f.config.Wait, f.config.Pause = unless(from.Relayed, n.configWait), either(from.Relayed, askPause, nil)
-	f.endpoints, from = follower("registry", platform.TopicEndpoints, &registry{fleet: n.fleet, log: n.log}, platform.SameEndpoint)
+	f.endpoints, from = follower("registry", platform.TopicEndpoints, n.registry, platform.SameEndpoint)
 	// Each heartbeat is a record, so a read that waits for one would end many times a
 	// second.
 	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	boot      atomic.Pointer[bootstrap.Node]
 	state     *state
 	fleet     *fleet.Fleet
+	registry  *registry
 	callers   *server
 	balancer  *server // answers whether the node is ready
 	keeping   *keeping
@@ -85,6 +86,8 @@
 
 		started: time.Now(),
 	}
+	n.registry = newRegistry(n.fleet, n.state.config.Load, n.state.rejected)
+	n.state.configured = n.registry.reconsider
 	n.boot.Store(boot)
 	store := platform.NewStore(boot.StoreAddr)
 	if err := n.addParts(store); err != nil {
@@ -121,6 +124,7 @@
 	})
 	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain}
 	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
+	n.roster.rejected = n.state.rejected
 	n.orders, err = weights.New(weights.Config{
 		Node:    boot.Name,
 		Fleet:   n.fleet,
--- /dev/null
+++ b/internal/gateway/registry_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// registered is a node's registry with the state that names the services.
+type registered struct {
+	*registry
+	state  *state
+	offset int64
+}
+
+func newRegistered() *registered {
+	s := newState(zerolog.Nop())
+	r := &registered{registry: newRegistry(fleet.New(zerolog.Nop()), s.config.Load, s.rejected), state: s}
+	s.configured = r.reconsider
+	return r
+}
+
+// configure has a version of the configuration name the services.
+func (r *registered) configure(t *testing.T, version int, services string) {
+	t.Helper()
+	value := fmt.Sprintf(`{"version":%d,"services":[%s]}`, version, services)
+	r.state.Apply(follow.Batch{ProvenAt: time.Now(), Records: []follow.Record{{Key: "config", Value: []byte(value)}}})
+	must.Eq(t, int64(version), r.state.config.Load().Version)
+}
+
+func (r *registered) put(key, value string) {
+	r.offset++
+	record := follow.Record{Key: key, Offset: r.offset}
+	if value != "" {
+		record.Value = []byte(value)
+	}
+	r.Apply(follow.Batch{Records: []follow.Record{record}, ProvenAt: time.Now()})
+}
+
+// ids returns the endpoints of a service that take requests.
+func (r *registered) ids(service string) string {
+	ids := ""
+	for _, m := range r.fleet.Members(service) {
+		ids += m.ID + " "
+	}
+	return ids
+}
+
+func entryOf(service, state, more string) string {
+	return fmt.Sprintf(`{"service":%q,"address":"10.0.0.1:80","zone":"north","version":"v1","slots":8,"state":%q,"cold-left-ms":0,"seq":1%s}`, service, state, more)
+}
+
+const (
+	engines = `{"name":"engines","engine":{"slots":8,"models":[{"name":"m"}]}}`
+	plain   = `{"name":"plain"}`
+	keep    = `{"name":"keep","kv-store-addr":"10.0.0.9:80"}`
+	models  = `,"models":[{"name":"m","version":1}]`
+)
+
+// TestUnnamedServices leaves endpoints of services out that the configuration doesn't name,
+// whichever came first.
+func TestUnnamedServices(t *testing.T) {
+	r := newRegistered()
+	r.put("e1", entryOf("engines", "ready", models))
+	r.put("x1", entryOf("strangers", "ready", models))
+	test.True(t, r.fleet.Empty(), test.Sprint("nothing is named yet"))
+	r.configure(t, 1, engines+","+plain+","+keep)
+	test.Eq(t, "e1 ", r.ids("engines"))
+	test.Len(t, 1, r.fleet.All())
+
+	r.put("e2", entryOf("engines", "ready", ""))
+	r.put("e3", entryOf("engines", "ready", `,"models":[]`))
+	r.put("p1", entryOf("plain", "ready", models))
+	r.put("k1", entryOf("keep", "ready", models))
+	test.Eq(t, "e1 ", r.ids("engines"), test.Sprint("an engine has models"))
+	test.Eq(t, "p1 ", r.ids("plain"))
+	test.Eq(t, 0, r.fleet.Members("plain")[0].VersionOf("m"), test.Sprint("it gets no orders"))
+	test.Eq(t, "", r.ids("keep"), test.Sprint("a store registers nowhere"))
+
+	r.configure(t, 2, engines+`,{"name":"strangers","engine":{"models":[{"name":"m"}]}}`)
+	test.Eq(t, "x1 ", r.ids("strangers"))
+	test.Eq(t, "", r.ids("plain"))
+	r.put("x1", entryOf("elsewhere", "ready", models))
+	test.Eq(t, "", r.ids("strangers"), test.Sprint("its newest entry names another service"))
+	r.put("x1", "")
+	r.configure(t, 3, engines+","+plain+`,{"name":"elsewhere","engine":{"models":[{"name":"m"}]}}`)
+	test.Eq(t, "", r.ids("elsewhere"), test.Sprint("its entry was removed"))
+	test.Eq(t, "p1 ", r.ids("plain"))
+	r.put("p1", entryOf("engines", "ready", models))
+	test.Eq(t, "", r.ids("plain"))
+	test.Eq(t, "e1 p1 ", r.ids("engines"))
+	test.Eq(t, 0, r.rejected.Load())
+}
+
+// TestUnreadableEntries has an entry that names no server take away what its key named, and
+// no other; a heartbeat brings a living server back, unless it was draining.
+func TestUnreadableEntries(t *testing.T) {
+	for _, value := range []string{"\xff\xfe", "{", "{}", "null", entryOf("engines", "leaving", models), entryOf("", "ready", models)} {
+		r := newRegistered()
+		r.configure(t, 1, engines)
+		for _, id := range []string{"e1", "e2", "e3"} {
+			r.put(id, entryOf("engines", "ready", models))
+		}
+		r.put("e3", entryOf("engines", "draining", models))
+		for _, id := range []string{"e1", "e3", "x", ""} {
+			r.put(id, value)
+		}
+		test.Eq(t, 4, r.rejected.Load())
+		test.Eq(t, "e2 ", r.ids("engines"))
+		r.configure(t, 2, engines)
+		test.Eq(t, "e2 ", r.ids("engines"))
+		r.put("e1", entryOf("engines", "ready", models))
+		r.put("e3", entryOf("engines", "ready", models))
+		test.Eq(t, "e1 e2 ", r.ids("engines"), test.Sprint("e3 was seen draining"))
+	}
+}
+
+// TestUnreadableAfterAnOutage holds entries that lapsed, and those alone.
+func TestUnreadableAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistered()
+		r.configure(t, 1, engines)
+		for _, id := range []string{"e1", "e2"} {
+			r.put(id, entryOf("engines", "ready", models))
+		}
+		r.Apply(follow.Batch{Snapshot: true, Gap: lapseOutage + 1, Records: []follow.Record{{Key: "e1", Value: []byte("{")}}})
+		test.Eq(t, "e2 ", r.ids("engines"))
+		time.Sleep(fleet.LapseHold)
+		r.Apply(follow.Batch{})
+		test.Eq(t, "", r.ids("engines"))
+	})
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -47,12 +47,6 @@
 // that is cut off from the store, the other stands in meanwhile.
 const domainReaders = 2
 
-// nodeEntry is a node's entry in the topic.
-type nodeEntry struct {
-	Addr   string `json:"addr"`   // where it hears its peers, IP:PORT
-	Domain string `json:"domain"` // failure domain
-}
-
 // putter writes the newest record of a key.
 type putter interface {
 	Put(ctx context.Context, key string, value []byte) error
@@ -65,6 +59,8 @@
 	topic putter
 	set   func(peers []peerload.Peer)
 	log   zerolog.Logger
+	// rejected notes the entries that can't be used.
+	rejected *rejected
 
 	count   atomic.Int64 // nodes, this one included
 	standby atomic.Bool
@@ -91,7 +87,7 @@
 var _ follow.Sink = (*roster)(nil)
 
 func newRoster(node string, own nodeEntry, topic putter, set func([]peerload.Peer), heard func(string) bool, log zerolog.Logger) *roster {
-	r := &roster{node: node, own: own, topic: topic, set: set, heard: heard, log: log, entries: make(map[string]nodeEntry)}
+	r := &roster{node: node, own: own, topic: topic, set: set, heard: heard, log: log, rejected: newRejected(log), entries: make(map[string]nodeEntry)}
 	r.summarize()
 	return r
 }
@@ -120,9 +116,14 @@
 		delete(r.entries, record.Key)
 		return
 	}
-	var e nodeEntry
-	if err := json.Unmarshal(record.Value, &e); err != nil {
-		r.log.Error().Str("event", "record_rejected").Str("key", record.Key).Int64("offset", record.Offset).Err(err).Send()
+	e, err := decodeNode(record.Value)
+	if err != nil {
+		r.rejected.record(record, err)
+		// This node writes its own again. What is known of another stays: it may name parts
+		// at stores, which must not be freed as if it were gone.
+		if record.Key == r.node {
+			delete(r.entries, record.Key)
+		}
 		return
 	}
 	r.entries[record.Key] = e
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -21,9 +21,11 @@
 // Guarantee: the configuration's version never falls while the process runs.
 type state struct {
 	log      zerolog.Logger
-	rejected atomic.Int64 // records that could not be decoded
+	rejected *rejected
 	config   atomic.Pointer[routing.Config]
-	proven   atomic.Pointer[time.Time]
+	// configured is called when another configuration is in force; nil for nothing.
+	configured func()
+	proven     atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	versions map[string][]namedVersion // by model, rising
@@ -49,7 +51,7 @@
 )
 
 func newState(log zerolog.Logger) *state {
-	return &state{log: log, versions: make(map[string][]namedVersion), changed: make(chan struct{}, 1)}
+	return &state{log: log, rejected: newRejected(log), versions: make(map[string][]namedVersion), changed: make(chan struct{}, 1)}
 }
 
 // sight is when a batch of records was seen, and since when they may have been there.
@@ -94,7 +96,7 @@
 func (s *state) applyConfig(r *follow.Record) {
 	config, err := platform.DecodeConfig(r.Value)
 	if err != nil {
-		s.reject(r, err)
+		s.rejected.record(r, err) // what was in force stays
 		return
 	}
 	before := s.config.Load()
@@ -104,6 +106,9 @@
 	s.config.Store(config)
 	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Ints("ranks", ranks(config)).Send()
+	if s.configured != nil {
+		s.configured()
+	}
 }
 
 // ranks returns the priorities of the client accounts that have one.
@@ -120,7 +125,7 @@
 func (s *state) applyVersion(model string, r *follow.Record, sight *sight) {
 	version, err := platform.DecodeVersion(r.Value)
 	if err != nil {
-		s.reject(r, err)
+		s.rejected.record(r, err)
 		return
 	}
 	s.mu.Lock()
@@ -140,12 +145,6 @@
 	}
 }
 
-// reject keeps what was in force before a record that can't be decoded.
-func (s *state) reject(r *follow.Record, err error) {
-	s.rejected.Add(1)
-	s.log.Error().Str("event", "record_rejected").Str("key", r.Key).Int64("offset", r.Offset).Err(err).Send()
-}
-
 // Config implements forward.State.
 func (s *state) Config() (*routing.Config, time.Duration) {
 	proven := s.proven.Load()
