Pass over records that can't be read

Cause: one keyed record whose key is cut off, an empty one, or one newest value that is no base64 made the read fail as a whole, again and again: the node followed the topic no more, and a node that starts never came up. The stand-in of the store panicked on such a record.

Ruled out: dropping them in the sinks (they never get there), skipping without a word (nobody would learn of the other writer).

Change: a read gives the records that can be read and, apart from them, those that were passed over, all with their offsets. The stand-in holds such records.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,7 +5,8 @@
 // Guarantees: records reach the sink in the order of their offsets, each at least
 // once. ProvenAt is a time at which the copy was certainly current: it is taken
 // before a read is sent, never when its answer arrives, so that a delayed answer
-// or a frozen process can't make the copy seem fresher than it is.
+// or a frozen process can't make the copy seem fresher than it is. A record that can't
+// be read is passed over, and stops nothing.
 package follow
 
 import (
@@ -29,10 +30,19 @@
 	Offset int64  `json:"offset"`
 }
 
+// Rejected is a record that can't be read. Of its Record the offset is set, and the key where
+// that can be read.
+type Rejected struct {
+	Record
+	Err error
+}
+
 // Page is the answer to one read.
 type Page struct {
 	Records []Record
-	Next    int64 // offset to read from next
+	// Rejected are the records that were passed over, as they can't be read.
+	Rejected []Rejected
+	Next     int64 // offset to read from next
 	// Age is how long before the read was sent the answer was current, at most: 0 where
 	// the topic itself was asked, more where another's copy was.
 	Age time.Duration
@@ -78,12 +88,16 @@
 	// Retry is the time after a failed read. It doubles with each further one up to
 	// RetryMost, as reads of a store that is away cost as much as others.
 	Retry, RetryMost time.Duration
-	Log              zerolog.Logger
+	// Reject takes the records that can't be read, each once. Nil means that nobody does.
+	Reject func(r *Record, cause error)
+	Log    zerolog.Logger
 
 	next    int64 // offset to read from, or unknown
 	proven  time.Time
 	failing bool
 	pause   time.Duration // after the newest failed read
+	// rejected is the offset up to which Reject took the records.
+	rejected int64
 }
 
 // now returns what a setting is at present, which may change with the number of nodes.
@@ -136,10 +150,25 @@
 	batch := Batch{Records: page.Records, Snapshot: snapshot, ProvenAt: begun.Add(-page.Age), Next: f.next}
 	batch.Gap = max(batch.ProvenAt.Sub(f.proven), 0)
 	f.succeeded(&batch)
+	f.reject(page.Rejected)
 	f.Sink.Apply(batch)
 	return nil
 }
 
+// reject tells of the records that were not told of yet: those that are not compacted are read
+// again with a snapshot.
+func (f *Follower) reject(list []Rejected) {
+	told := f.rejected
+	for i := range list {
+		r := &list[i]
+		if r.Offset < told || f.Reject == nil {
+			continue
+		}
+		f.Reject(&r.Record, r.Err)
+		f.rejected = max(f.rejected, r.Offset+1)
+	}
+}
+
 func (f *Follower) succeeded(b *Batch) {
 	f.pause = 0
 	if f.failing {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -171,3 +171,44 @@
 		test.Greater(t, 3*time.Second, outages[0])
 	})
 }
+
+// rejecting brings a record that can't be read with each answer.
+type rejecting struct{ reads int64 }
+
+var errUnreadable = errors.New("unreadable")
+
+func (r *rejecting) page() follow.Page {
+	old := follow.Rejected{Record: follow.Record{Key: "old", Offset: 3}, Err: errUnreadable}
+	newer := follow.Rejected{Record: follow.Record{Offset: 5 + r.reads}, Err: errUnreadable}
+	return follow.Page{Rejected: []follow.Rejected{newer, old}, Next: 6 + r.reads}
+}
+
+func (r *rejecting) Newest(context.Context) (follow.Page, error) { return r.page(), nil }
+
+func (r *rejecting) Read(context.Context, int64, time.Duration) (follow.Page, error) {
+	r.reads++
+	if r.reads%2 == 0 {
+		return follow.Page{}, follow.ErrCompacted
+	}
+	return r.page(), nil
+}
+
+// TestRejectedRecords tells of each record that can't be read once, and goes on.
+func TestRejectedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		told := make(map[int64]int)
+		f := &follow.Follower{
+			Topic: &rejecting{}, Sink: &sink{}, Pause: func() time.Duration { return time.Second }, Log: zerolog.Nop(),
+			Reject: func(r *follow.Record, cause error) {
+				told[r.Offset]++
+				test.ErrorIs(t, cause, errUnreadable)
+			},
+		}
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(4*time.Second + time.Millisecond)
+		cancel()
+		synctest.Wait()
+		test.Eq(t, map[int64]int{3: 1, 5: 1, 6: 1, 7: 1, 8: 1, 9: 1}, told)
+	})
+}
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -30,7 +30,7 @@
 		held := &relay.Copy{Sink: sink, Same: same}
 		copies.Serve(name, held)
 		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Fallback: n.fallbackPause, Log: n.log}
-		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Log: n.log}, from
+		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Reject: n.state.rejected.record, Log: n.log}, from
 	}
 	var f followers
 	var from *relay.Topic
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -50,7 +50,7 @@
 }
 
 type newest struct {
-	value  []byte
+	value  string // in base64, as it is told
 	offset int64
 }
 
@@ -82,6 +82,22 @@
 	s.append(name, append(record, value...))
 }
 
+// PutRecord appends a record as it is, also one that names no key: another writer's.
+func (s *Store) PutRecord(name string, record []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, record)
+}
+
+// PutUnreadable writes a newest record of a key whose value is told as the text, which may
+// be no base64. In the log stands a record that is cut off.
+func (s *Store) PutUnreadable(name, key, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := s.append(name, append([]byte{byte(len(key) + 1)}, key...))
+	s.topic(name).newest[key] = newest{value: text, offset: offset}
+}
+
 // Forget drops the records of a topic, but for the newest of each key.
 func (s *Store) Forget(name string) {
 	s.mu.Lock()
@@ -125,20 +141,29 @@
 	t := s.topic(name)
 	offset := t.first + int64(len(t.records))
 	t.records = append(t.records, record)
-	if strings.HasPrefix(name, keyedPrefix) && len(record) > 0 {
-		n := 1 + int(record[0])
-		key := string(record[1:n])
-		if n == len(record) {
-			delete(t.newest, key)
-		} else {
-			t.newest[key] = newest{value: record[n:], offset: offset}
-		}
+	if strings.HasPrefix(name, keyedPrefix) {
+		t.note(record, offset)
 	}
 	close(s.change)
 	s.change = make(chan struct{})
 	return offset
 }
 
+// note takes a record of a keyed topic for the newest of its key. One that is cut off has
+// none.
+func (t *topic) note(record []byte, offset int64) {
+	if len(record) == 0 || int(record[0]) > len(record)-1 {
+		return
+	}
+	n := 1 + int(record[0])
+	key := string(record[1:n])
+	if n == len(record) {
+		delete(t.newest, key)
+		return
+	}
+	t.newest[key] = newest{value: base64.StdEncoding.EncodeToString(record[n:]), offset: offset}
+}
+
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes))
 	if err != nil {
@@ -231,7 +256,7 @@
 	s.mu.Lock()
 	t := s.topic(r.URL.Query().Get("topic"))
 	for key, n := range t.newest {
-		page.Items = append(page.Items, item{key, base64.StdEncoding.EncodeToString(n.value), n.offset})
+		page.Items = append(page.Items, item{key, n.value, n.offset})
 	}
 	page.End = t.first + int64(len(t.records))
 	s.mu.Unlock()
