--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -30,13 +30,13 @@
 		held := &relay.Copy{Sink: sink, Same: same}
 		copies.Serve(name, held)
 		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Fallback: n.fallbackPause, Log: n.log}
-		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Log: n.log}, from
+		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Reject: n.state.rejected.record, Log: n.log}, from
 	}
 	var f followers
 	var from *relay.Topic
 	f.config, from = follower("config", platform.TopicOperator, n.state, nil)
 	f.config.Wait, f.config.Pause = unless(from.Relayed, n.configWait), either(from.Relayed, askPause, nil)
-	f.endpoints, from = follower("registry", platform.TopicEndpoints, &registry{fleet: n.fleet, log: n.log}, platform.SameEndpoint)
+	f.endpoints, from = follower("registry", platform.TopicEndpoints, n.registry, platform.SameEndpoint)
 	// Each heartbeat is a record, so a read that waits for one would end many times a
 	// second.
 	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
