Write a topic's record only after the newest one that is known

Cause: a node that removes another's entry from a topic must not remove one that was written meanwhile, also where its call is carried out seconds late. Put can't tell. Ruled out: reading before writing, which leaves the time between the two.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,6 +22,10 @@
 // no longer retained.
 var ErrCompacted = errors.New("follow: the records were compacted")
 
+// ErrChanged is returned by a write that was to follow the newest record that its writer
+// knows, where the topic has newer ones. Nothing was written.
+var ErrChanged = errors.New("follow: the topic has newer records")
+
 // Record is one record of a topic. A nil Value means that the key was removed.
 type Record struct {
 	Key    string `json:"key"`
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -149,6 +149,11 @@
 	name := r.URL.Query().Get("topic")
 	t := s.topic(name)
 	first := t.first + int64(len(t.records))
+	if expected := r.URL.Query().Get("expected-end"); expected != "" && expected != strconv.FormatInt(first, 10) {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	for len(body) >= lengthBytes {
 		n := int(binary.BigEndian.Uint32(body))
 		if n > len(body)-lengthBytes {
