Let a node's share of the retry budget follow the number of nodes

Change: a budget's reserve is changed in place. It gives nothing that was not earned, and what was saved beyond a smaller share is lost. Held tells whether the others count this node; one that they may not count saves up a single repeat beside what its own requests earn, as others may have its share.

Ruled out: no repeats at all at an uncounted node, which in a long outage of the store would be all nodes.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -23,9 +23,8 @@
 // process that restarts during a brownout adds no burst. It is safe for
 // concurrent use.
 type Budget struct {
-	cfg BudgetConfig
-
 	mu    sync.Mutex
+	cfg   BudgetConfig
 	level float64
 	last  time.Time
 }
@@ -56,6 +55,15 @@
 	return true
 }
 
+// SetReserve changes the most retries that can be saved up. What was saved beyond it is
+// lost, and nothing is given for a larger one.
+func (b *Budget) SetReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Reserve = reserve
+	b.level = min(b.level, reserve)
+}
+
 // refill adds what time has earned.
 func (b *Budget) refill(now time.Time) {
 	passed := now.Sub(b.last).Seconds()
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -18,19 +18,27 @@
 	// firstRepeats is what a new budget begins with, so that a node's first requests
 	// survive a refusal. It is small, as a node may start again within a window.
 	firstRepeats = 2
+	// unheldReserve is what a node saves up that the others may not count: one repeat, so
+	// that what its own requests earn can be used.
+	unheldReserve = 1
 )
 
 // Budgets bounds how often this node sends requests again, service by service.
 //
 // Guarantee: in any window, the repeats of all nodes together are at most the
 // operators' ratio of the requests plus their slack, as long as there are no more
-// nodes than this one has heard of, or fewestNodes.
+// nodes than each has heard of, or fewestNodes. Nodes whose share others may have taken
+// add one repeat each, for which the part beyond budgetShare has room.
 type Budgets struct {
+	// Held reports whether the other nodes count this one; nil means always. A node that
+	// they may not count has no share of the fixed part, as others have it.
+	Held func() bool
+
 	bounds bootstrap.Bounds
 	nodes  func() int
 
 	mu       sync.Mutex
-	shared   int // nodes that the present budgets are a share of
+	reserve  float64 // that the present budgets have
 	services map[string]*Budget
 }
 
@@ -40,14 +48,16 @@
 	return &Budgets{bounds: b, nodes: nodes, services: make(map[string]*Budget)}
 }
 
-// Of returns the budget of a service. When more nodes are heard of, all budgets
-// begin anew, empty, with a smaller share.
+// Of returns the budget of a service. When the number of nodes changes, all budgets get
+// another share; what they saved beyond a smaller one is lost.
 func (b *Budgets) Of(service string) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if nodes := max(b.nodes(), fewestNodes); nodes > b.shared {
-		b.shared = nodes
-		clear(b.services)
+	if reserve := b.share(); reserve != b.reserve {
+		b.reserve = reserve
+		for _, budget := range b.services {
+			budget.tokens.SetReserve(reserve)
+		}
 	}
 	budget, known := b.services[service]
 	if !known {
@@ -57,11 +67,17 @@
 	return budget
 }
 
-func (b *Budgets) newBudget() *Budget {
-	config := retry.BudgetConfig{
-		Ratio:   b.bounds.RetryRatio * budgetShare,
-		Reserve: b.bounds.RetrySlack * budgetShare / float64(b.shared),
+// share returns the repeats that this node may save up for a service.
+func (b *Budgets) share() float64 {
+	share := b.bounds.RetrySlack * budgetShare / float64(max(b.nodes(), fewestNodes))
+	if b.Held != nil && !b.Held() {
+		return min(share, unheldReserve)
 	}
+	return share
+}
+
+func (b *Budgets) newBudget() *Budget {
+	config := retry.BudgetConfig{Ratio: b.bounds.RetryRatio * budgetShare, Reserve: b.reserve}
 	budget := &Budget{tokens: retry.NewBudget(time.Now(), config)}
 	if config.Ratio <= 0 {
 		return budget
