Name the nodes that a failure domain's promise is of

Cause: who frees parts of replaced weights took the promise of another failure domain for whole where its speaker knew as many nodes there. That held only while nodes were never removed: of a domain where one went and another came, the newcomer would have promised nothing and be counted.

Change: the digest carries the sum of the names' hashes, which the two must share; another set promises anew. Ruled out: the names themselves, some 30 bytes for each of the domain's nodes in 120 messages a second.

Before, with a count in place of the sum: TestReplacedNodePromisesAnew fails. After: it passes. TestDomainNames compares sets where it compared numbers, with one more case.

--- a/internal/gateway/keeping_test.go
+++ b/internal/gateway/keeping_test.go
@@ -248,7 +248,7 @@
 	near := speaker.node.roster.othersByDomain()[speaker.node.roster.own.Domain]
 	v.node.peers.Table.TakeDomain(peerload.DomainDigest{
 		Node: speaker.node.boot.Load().Name, Domain: speaker.node.roster.own.Domain, Incarnation: 1, Seq: seq,
-		Nodes: len(near) + 1, Names: speaker.node.peers.Table.DomainNames(speaker.names(), near),
+		Members: peerload.MembersOf(near...) + peerload.MembersOf(speaker.node.boot.Load().Name), Names: speaker.node.peers.Table.DomainNames(speaker.names(), near),
 	}, time.Now())
 }
 
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -141,14 +141,14 @@
 
 // unnamedByOthers returns since when all other nodes have named only newer versions. In a large
 // system, nodes of other failure domains are vouched for by the speaker of theirs, which heard
-// them itself and must know as many of them as this node does.
+// them itself and must know the same ones as this node does.
 func (k *keeping) unnamedByOthers(model string, version int64) (since time.Time, all bool) {
 	table := k.node.peers.Table
 	if pace.Whole(k.node.roster.Nodes()) {
 		return table.Unnamed(model, version, k.node.roster.Others())
 	}
 	for domain, names := range k.node.roster.othersByDomain() {
-		said, ok := table.UnnamedIn(domain, len(names), model, version)
+		said, ok := table.UnnamedIn(domain, peerload.MembersOf(names...), model, version)
 		if domain == k.node.roster.own.Domain {
 			said, ok = table.Unnamed(model, version, names)
 		}
--- a/internal/peerload/domain.go
+++ b/internal/peerload/domain.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/pace"
@@ -21,9 +22,22 @@
 	Incarnation int64  `json:"incarnation"`
 	Seq         int64  `json:"seq"`
 	// Names are the oldest weights whose parts any node of the domain names at stores, and
-	// Nodes is the number of nodes, the speaker included, that promised so.
-	Names []Named `json:"names,omitempty"`
-	Nodes int     `json:"nodes"`
+	// Members are the nodes, the speaker included, that promised so.
+	Names   []Named `json:"names,omitempty"`
+	Members Members `json:"members"`
+}
+
+// Members stand for the names of a set of nodes: the sum of their hashes. A number of nodes
+// would not do, as one may go and another come.
+type Members uint64
+
+// MembersOf returns what stands for the names, in any order.
+func MembersOf(names ...string) Members {
+	var sum Members
+	for _, name := range names {
+		sum += Members(xxhash.Sum64String(name))
+	}
+	return sum
 }
 
 // Neighbours are the nodes of a failure domain but for this one, and whether this one speaks
@@ -33,12 +47,12 @@
 	Speaks bool
 }
 
-// domainPromise is the oldest version that so many nodes of a failure domain name, since when
-// at the latest.
+// domainPromise is the oldest version that the nodes of a failure domain name, since when at
+// the latest.
 type domainPromise struct {
-	oldest int64
-	nodes  int
-	since  time.Time
+	oldest  int64
+	members Members
+	since   time.Time
 }
 
 // heardDomain is the newest digest of a failure domain, with what was promised so far.
@@ -48,15 +62,15 @@
 }
 
 // promised returns the promises with what a digest adds. They only rise, whoever speaks, as
-// each speaker knows of promises alone.
+// each speaker knows of promises alone. A speaker that knows of other nodes promises anew.
 func promised(before map[string]domainPromise, d *DomainDigest, now time.Time) map[string]domainPromise {
 	for _, n := range d.Names {
 		if before == nil {
 			before = make(map[string]domainPromise)
 		}
 		known := before[n.Model]
-		if n.Oldest > known.oldest || n.Oldest == known.oldest && d.Nodes > known.nodes {
-			before[n.Model] = domainPromise{oldest: n.Oldest, nodes: d.Nodes, since: now}
+		if n.Oldest > known.oldest || n.Oldest == known.oldest && d.Members != known.members {
+			before[n.Model] = domainPromise{oldest: n.Oldest, members: d.Members, since: now}
 		}
 	}
 	return before
@@ -75,13 +89,13 @@
 	t.domains[d.Domain] = heardDomain{digest: d, names: promised(known.names, &d, now)}
 }
 
-// UnnamedIn returns since when so many nodes of another failure domain have named only newer
-// versions of a model at stores, and false where not all have said so.
-func (t *Table) UnnamedIn(domain string, nodes int, model string, version int64) (since time.Time, ok bool) {
+// UnnamedIn returns since when the nodes of another failure domain have named only newer
+// versions of a model at stores, and false where not all have said so, or others have.
+func (t *Table) UnnamedIn(domain string, members Members, model string, version int64) (since time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.domains[domain].names[model]
-	return p.since, p.oldest > version && p.nodes >= nodes
+	return p.since, p.oldest > version && p.members == members
 }
 
 // oldestNamed returns the oldest version of a model that any of the nodes names, 0 where one
@@ -112,8 +126,8 @@
 	e.toldDomain = now
 	e.config.Conn.Notify(far, domainMethod, DomainDigest{
 		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
-		Names: e.Table.DomainNames(e.config.Names(), near.Others),
-		Nodes: len(near.Others) + 1,
+		Names:   e.Table.DomainNames(e.config.Names(), near.Others),
+		Members: MembersOf(near.Others...) + MembersOf(e.config.Node),
 	})
 }
 
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -247,17 +247,37 @@
 	test.Eq(t, own, near.DomainNames(own, nil), test.Sprint("it is alone"))
 
 	far := NewTable()
-	far.TakeDomain(DomainDigest{Node: "a", Domain: "d0", Incarnation: 1, Seq: 1, Nodes: 3, Names: []Named{{Model: "m", Oldest: 2}}}, now)
-	far.TakeDomain(DomainDigest{Node: "b", Domain: "d0", Incarnation: 1, Seq: 1, Nodes: 3}, now.Add(time.Second))
-	since, ok := far.UnnamedIn("d0", 3, "m", 1)
+	abc := MembersOf("c", "a", "b")
+	far.TakeDomain(DomainDigest{Node: "a", Domain: "d0", Incarnation: 1, Seq: 1, Members: abc, Names: []Named{{Model: "m", Oldest: 2}}}, now)
+	far.TakeDomain(DomainDigest{Node: "b", Domain: "d0", Incarnation: 1, Seq: 1, Members: abc}, now.Add(time.Second))
+	since, ok := far.UnnamedIn("d0", MembersOf("a", "b", "c"), "m", 1)
 	test.True(t, ok)
 	test.Eq(t, now, since)
 	for _, no := range []struct {
 		domain  string
-		nodes   int
+		members Members
 		version int64
-	}{{"d0", 4, 1}, {"d0", 3, 2}, {"d1", 1, 1}} {
-		_, ok = far.UnnamedIn(no.domain, no.nodes, "m", no.version)
+	}{{"d0", MembersOf("a", "b", "c", "d"), 1}, {"d0", abc, 2}, {"d1", abc, 1}, {"d0", MembersOf("a", "b"), 1}} {
+		_, ok = far.UnnamedIn(no.domain, no.members, "m", no.version)
 		test.False(t, ok, test.Sprint(no))
 	}
 }
+
+// TestReplacedNodePromisesAnew takes nothing that a failure domain promised before one of its
+// nodes was replaced for the successor's word, though there are as many.
+func TestReplacedNodePromisesAnew(t *testing.T) {
+	far := NewTable()
+	names := []Named{{Model: "m", Oldest: 2}}
+	far.TakeDomain(DomainDigest{Node: "a", Domain: "d0", Incarnation: 1, Seq: 1, Members: MembersOf("a", "b", "gone"), Names: names}, now)
+	successors := MembersOf("a", "b", "new")
+	_, ok := far.UnnamedIn("d0", successors, "m", 1)
+	test.False(t, ok)
+	promised := now.Add(time.Second)
+	for i := range int64(3) {
+		at := promised.Add(time.Duration(i) * time.Second)
+		far.TakeDomain(DomainDigest{Node: "a", Domain: "d0", Incarnation: 1, Seq: 2 + i, Members: successors, Names: names}, at)
+	}
+	since, ok := far.UnnamedIn("d0", successors, "m", 1)
+	test.True(t, ok)
+	test.Eq(t, promised, since)
+}
