Let the stand-in of model servers start again under its id

Cause: a server may start again under the id that it had, and no test could have one do so.

Change: the stand-in says when it started in entries, reports and events; Restart keeps its id and weights and clears its counts, fences, KV cache and events under a new epoch; an order can be left on its way and carried out later, also by the next start. Runs tell the weights and the start that they ran at.

Ruled out: a fault of the site's proxy, which would keep the server's state.

--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -30,23 +30,22 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.run(w, r, id, faults)
+	s.run(w, r, id, version, faults)
 }
 
-func (s *Server) run(w http.ResponseWriter, r *http.Request, id string, faults Faults) {
+func (s *Server) run(w http.ResponseWriter, r *http.Request, id string, version int64, faults Faults) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the caller broke off
 	}
 	s.mu.Lock()
-	s.runs = append(s.runs, Run{Request: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
+	s.runs = append(s.runs, Run{Request: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), Version: version, Born: s.born})
 	for entry := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
 		part, size, _ := strings.Cut(entry, ":")
 		if tokens, err := strconv.Atoi(size); err == nil {
 			s.set([2]string{r.Header.Get("X-Cache-Salt"), part}, tokens)
 		}
 	}
-	version := s.version
 	s.mu.Unlock()
 	w.Header().Set("X-Server-Seal", "seal-"+s.cfg.ID)
 	switch {
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -29,6 +29,8 @@
 	Hang     bool
 	// Unframed sends a stream without a length, which ends with its connection.
 	Unframed bool
+	// HoldOrders leaves orders without an answer and carries them out at ReleaseOrders.
+	HoldOrders bool
 }
 
 // Config sizes a server.
@@ -48,6 +50,8 @@
 	Target  string
 	Body    string
 	Header  http.Header
+	Version int64 // of the weights when it began
+	Born    int64 // start of the server, Unix milliseconds
 }
 
 // Server is the service. It is safe for concurrent use.
@@ -56,9 +60,12 @@
 
 	mu      sync.Mutex
 	faults  Faults
+	born    int64 // Unix milliseconds of its start
+	epoch   int64 // of its events
 	version int64
 	orders  int64
 	fence   int64
+	held    []order // orders to carry out later
 	runs    []Run
 	left    int // requests whose client left
 	parts   map[[2]string]int
@@ -67,7 +74,20 @@
 
 // New returns a server with version 1 of its model.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, version: 1, parts: make(map[[2]string]int)}
+	return &Server{cfg: cfg, born: time.Now().UnixMilli(), epoch: 1, version: 1, parts: make(map[[2]string]int)}
+}
+
+// Restart has the server start anew under its id: it holds and knows nothing of before but the
+// version of its weights. What tests have noted of it stays, and so do held orders, which are on
+// their way.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.born = max(time.Now().UnixMilli(), s.born+1)
+	s.epoch++
+	s.orders, s.fence = 0, 0
+	s.parts = make(map[[2]string]int)
+	s.events = nil
 }
 
 // SetFaults replaces the faults.
@@ -100,7 +120,7 @@
 
 // Entry returns the server's entry in the registry.
 func (s *Server) Entry(addr, state string) []byte {
-	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1}
+	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1, "born": s.Born()}
 	if s.cfg.Model != "" {
 		entry["models"] = s.models()
 	}
@@ -111,6 +131,13 @@
 	return data
 }
 
+// Born returns the start of the server in Unix milliseconds.
+func (s *Server) Born() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born
+}
+
 func (s *Server) models() []map[string]any {
 	return []map[string]any{{"name": s.cfg.Model, "version": s.Version(), "adapters": []string{}}}
 }
@@ -128,38 +155,9 @@
 
 func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	orders := s.orders
+	orders, born := s.orders, s.born
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"stage": "read_write", "models": s.models(), "busy": false, "seq": orders, "queued": 0, "active": 0})
-}
-
-func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order struct {
-		Version  int64  `json:"version"`
-		Holder   string `json:"holder"`
-		Token    int64  `json:"fencing-token"`
-		Expected *int64 `json:"expected"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Holder == "" || order.Token == 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case order.Token < s.fence:
-		w.WriteHeader(http.StatusPreconditionFailed)
-	case order.Expected != nil && *order.Expected != s.orders:
-		w.WriteHeader(http.StatusConflict)
-	case order.Version == s.version:
-		w.WriteHeader(http.StatusOK)
-	default:
-		s.fence = order.Token
-		s.orders++
-		s.version = order.Version
-		clear(s.parts)
-		w.WriteHeader(http.StatusAccepted)
-	}
+	writeJSON(w, http.StatusOK, map[string]any{"born": born, "stage": "read_write", "models": s.models(), "busy": false, "seq": orders, "queued": 0, "active": 0})
 }
 
 func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
@@ -170,9 +168,9 @@
 	}
 	s.mu.Lock()
 	events := append([][]any{}, s.events[min(since, len(s.events)):]...)
-	next := len(s.events)
+	next, epoch, born := len(s.events), s.epoch, s.born
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"boot-epoch": 1, "next": next, "has-gap": false, "events": events, "clock_ms": time.Now().UnixMilli()})
+	writeJSON(w, http.StatusOK, map[string]any{"born": born, "boot-epoch": epoch, "next": next, "has-gap": false, "events": events, "clock_ms": time.Now().UnixMilli()})
 }
 
 func (s *Server) serveFree(w http.ResponseWriter, r *http.Request) {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -33,6 +33,9 @@
 
 	models     = 3
 	headerTime = 5 * time.Second
+
+	stateReady    = "ready"
+	stateDraining = "draining"
 )
 
 // Config sizes a site.
@@ -52,69 +55,89 @@
 	Keep   *modelserver.Server // the store of KV cache
 
 	storeAddr, keepAddr string
-	servers             []server
+	servers             []*server
+	ctx                 context.Context // ends with Close
 	proxy               func(addr string) (string, error)
 	stop                context.CancelFunc
 	wg                  sync.WaitGroup
 }
 
+// server is a server of the site with its entry in the registry.
 type server struct {
 	*modelserver.Server
-	id, addr string
-	mu       *sync.Mutex
-	state    *string // empty once it is gone
+	id string
+
+	mu    sync.Mutex
+	at    listener
+	state string // empty once it is gone
+}
+
+// listener is where a server is reached.
+type listener struct {
+	own   string // address of the server itself
+	addr  string // that others are told
+	close func() // cuts all connections
 }
 
 // Start starts a site whose servers are registered and which is not configured yet.
 func Start(c Config) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Site{Store: metastore.New(), stop: cancel, proxy: c.Proxy}
-	var err error
-	if s.storeAddr, err = s.listen(ctx, s.Store.Handler()); err != nil {
+	s := &Site{Store: metastore.New(), ctx: ctx, stop: cancel, proxy: c.Proxy}
+	store, err := s.listen(s.Store.Handler())
+	if err != nil {
 		return nil, err
 	}
 	s.Keep = modelserver.New(modelserver.Config{ID: "keep"})
-	if s.keepAddr, err = s.listen(ctx, s.Keep.Handler()); err != nil {
+	keep, err := s.listen(s.Keep.Handler())
+	if err != nil {
 		return nil, err
 	}
+	s.storeAddr, s.keepAddr = store.addr, keep.addr
 	for i := range models {
 		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: "north", Model: Model, Pieces: Pieces, Gap: c.Gap}
-		added, err := s.add(ctx, cfg)
+		added, err := s.add(cfg)
 		if err != nil {
 			return nil, err
 		}
 		s.Models = append(s.Models, added)
 	}
-	if s.Plain, err = s.add(ctx, modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
+	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
 		return nil, err
 	}
 	s.wg.Go(func() { s.beat(ctx, c.Beat) })
 	return s, nil
 }
 
-func (s *Site) add(ctx context.Context, cfg modelserver.Config) (*modelserver.Server, error) {
+func (s *Site) add(cfg modelserver.Config) (*modelserver.Server, error) {
 	m := modelserver.New(cfg)
-	addr, err := s.listen(ctx, m.Handler())
+	at, err := s.listen(m.Handler())
 	if err != nil {
 		return nil, err
 	}
-	state := "ready"
-	s.servers = append(s.servers, server{Server: m, id: cfg.ID, addr: addr, mu: &sync.Mutex{}, state: &state})
+	s.servers = append(s.servers, &server{Server: m, id: cfg.ID, at: at, state: stateReady})
 	return m, nil
 }
 
-func (s *Site) listen(ctx context.Context, h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// listen serves at a port of its own, which others reach by the proxy.
+func (s *Site) listen(h http.Handler) (listener, error) {
+	at, err := s.serve("127.0.0.1:0", h)
+	if err == nil && s.proxy != nil {
+		at.addr, err = s.proxy(at.own)
+	}
+	return at, err
+}
+
+// serve serves at an address until it is closed, or the site is.
+func (s *Site) serve(addr string, h http.Handler) (listener, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return "", err
+		return listener{}, err
 	}
 	served := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
 	s.wg.Go(func() { _ = served.Serve(l) }) // ends with Close
-	context.AfterFunc(ctx, func() { _ = served.Close() })
-	if s.proxy != nil {
-		return s.proxy(l.Addr().String())
-	}
-	return l.Addr().String(), nil
+	context.AfterFunc(s.ctx, func() { _ = served.Close() })
+	own := l.Addr().String()
+	return listener{own: own, addr: own, close: func() { _ = served.Close() }}, nil
 }
 
 // Close stops all stand-ins.
@@ -130,8 +153,8 @@
 	for {
 		for _, server := range s.servers {
 			server.mu.Lock()
-			if *server.state != "" {
-				s.Store.Put("keyed.servers", server.id, server.Entry(server.addr, *server.state))
+			if server.state != "" {
+				s.Store.Put("keyed.servers", server.id, server.Entry(server.at.addr, server.state))
 			}
 			server.mu.Unlock()
 		}
@@ -144,7 +167,7 @@
 }
 
 // Drain has the i-th model server report that it leaves.
-func (s *Site) Drain(i int) { s.setState(i, "draining") }
+func (s *Site) Drain(i int) { s.setState(i, stateDraining) }
 
 // Remove takes the i-th model server's entry away.
 func (s *Site) Remove(i int) {
@@ -155,7 +178,7 @@
 func (s *Site) setState(i int, state string) {
 	s.servers[i].mu.Lock()
 	defer s.servers[i].mu.Unlock()
-	*s.servers[i].state = state
+	s.servers[i].state = state
 }
 
 // Configure writes a version of the configuration in which the account has the keys.
