Tell starts of an endpoint under one id apart

Cause: what a node sees of an endpoint was kept under its id, on the rule that each start has a new one. A start under an old id kept the connections to the address before, its health, its requests under way and its weights, stayed draining for ever, and old entries that came late could bring the start before back. The weights believed could only rise: after a refusal, or a report, an engine that had gone back to older weights (by an order that its next start carried out late, as counts and fences begin anew) refused all prompts and was not ordered again.

Change: fleet has a member for each start of an endpoint and each address and service; requests under way go on at the one before and count there. Entries of an earlier start than the newest are dropped, also for a minute after it is gone; draining is of one start. Weights are believed by statements of the engine with their time and start; the newest counts, also an older version. Nodes tell one another only what engines said to themselves, with start and age, so that no two keep an error alive. Jobs of the holder of orders belong to one start; the lines order and weights_loaded carry it.

Each prompt still names the weights of its salt, so a wrong belief costs a refusal and nothing else.

Ruled out: ordering by the entries' own count of heartbeats (one more field for what time settles); the holder acting on a report of a later start than the registry told (it gets a job within a heartbeat, at the right address).

After: go test ./internal/fleet ./internal/weights ./internal/peerload ./internal/forward passes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,10 +1,12 @@
 // Package fleet holds the endpoints that a node may send requests to, and what the
 // node itself has seen of each.
 //
-// Guarantees: an endpoint that was seen draining is never picked again under the
-// same id, whatever older entries say later. An entry that was removed while the
-// registry was away stays usable for LapseHold, since a living endpoint puts it
-// back by then; after that it is gone.
+// Guarantees: an endpoint that was seen draining is never picked again before it has
+// started anew, whatever older entries say later; nor is a start of an endpoint that a
+// later one under the same id has replaced. Nothing that was seen of an earlier start
+// counts for a later one. An entry that was removed while the registry was away stays
+// usable for LapseHold, since a living endpoint puts it back by then; after that it is
+// gone.
 package fleet
 
 import (
@@ -15,8 +17,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/cherryward/cherryward/internal/upstream"
 )
 
 // LapseHold is how long an entry that was found missing after an outage of the
@@ -24,10 +24,10 @@
 // a request must not reach one that is gone later than the drain bound, 2 s.
 const LapseHold = 1900 * time.Millisecond
 
-// drainedMemory is how long the ids of drained endpoints are remembered, so that
-// an old entry which arrives late doesn't bring one back. Late entries are at
-// most some heartbeats old.
-const drainedMemory = time.Minute
+// startMemory is how long the newest start of an endpoint is remembered after its entry
+// is gone, so that an old entry which arrives late doesn't bring it, or one before it,
+// back. Late entries are at most some heartbeats old.
+const startMemory = time.Minute
 
 // Endpoint is an endpoint's entry in the registry. It is never changed in place.
 type Endpoint struct {
@@ -60,56 +60,21 @@
 	return 0
 }
 
-// Member is an endpoint with what this node has seen of it. It is safe for
-// concurrent use.
-type Member struct {
-	ID      string
-	Service string
-	Pool    *upstream.Pool
-	Health  Health
-	Load    Load
-
-	entry   atomic.Pointer[Endpoint]
-	version atomic.Pointer[Weights] // seen in answers, newer than the entry
-	lapsed  time.Time               // guarded by Fleet.mu; zero while listed
-}
-
-// Endpoint returns the newest entry.
-func (m *Member) Endpoint() *Endpoint { return m.entry.Load() }
-
-// VersionOf returns the version of the model that the endpoint is believed to have.
-func (m *Member) VersionOf(model string) int64 {
-	version := m.Endpoint().VersionOf(model)
-	if seen := m.version.Load(); seen != nil && seen.Model == model {
-		version = max(version, seen.Version)
-	}
-	return version
-}
-
-// Seen returns the weights that answers named and the entry doesn't yet, or nil.
-func (m *Member) Seen() *Weights {
-	seen := m.version.Load()
-	if seen == nil || seen.Version <= m.Endpoint().VersionOf(seen.Model) {
-		return nil
-	}
-	return seen
-}
-
-// SawVersion notes the version that an answer named.
-func (m *Member) SawVersion(model string, version int64) {
-	if version > m.VersionOf(model) {
-		m.version.Store(&Weights{Model: model, Version: version})
-	}
-}
-
 // Fleet is the set of known endpoints. It is safe for concurrent use.
 type Fleet struct {
 	log zerolog.Logger
 
-	mu       sync.Mutex
-	members  map[string]*Member
-	draining map[string]time.Time // when an id was first seen draining
-	view     atomic.Pointer[view]
+	mu      sync.Mutex
+	members map[string]*Member
+	newest  map[string]start // by endpoint, also of those that are gone
+	view    atomic.Pointer[view]
+}
+
+// start is the newest start of an endpoint.
+type start struct {
+	born     int64 // Unix milliseconds, 0 if not said
+	draining bool  // it was seen draining
+	seen     time.Time
 }
 
 // view is the immutable list that requests read.
@@ -119,7 +84,7 @@
 
 // New returns an empty fleet.
 func New(log zerolog.Logger) *Fleet {
-	f := &Fleet{log: log, members: make(map[string]*Member), draining: make(map[string]time.Time)}
+	f := &Fleet{log: log, members: make(map[string]*Member), newest: make(map[string]start)}
 	f.view.Store(&view{})
 	return f
 }
@@ -140,38 +105,65 @@
 // Empty reports whether no endpoint is known.
 func (f *Fleet) Empty() bool { return len(f.view.Load().byService) == 0 }
 
-// Update takes an endpoint's entry.
+// Update takes an endpoint's entry. One of an earlier start than the newest known is dropped:
+// it arrived late.
 func (f *Fleet) Update(e *Endpoint, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, drained := f.draining[e.ID]; drained && !e.Draining {
-		stale := *e
-		stale.Draining = true
-		e = &stale
-	}
-	m, known := f.members[e.ID]
-	if !known {
-		m = &Member{ID: e.ID, Service: e.Service, Pool: upstream.NewPool(e.Addr)}
-		f.members[e.ID] = m
-	}
-	before := m.entry.Load()
-	m.entry.Store(e)
-	m.lapsed = time.Time{}
-	if e.Draining {
-		f.noteDraining(e.ID, now)
+	e, current := f.date(e, now)
+	if !current {
+		f.log.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.Born).
+			Int64("newest", f.newest[e.ID].born).Send()
+		return
 	}
-	if before != nil && before.Draining == e.Draining {
-		return // a heartbeat, which changes no list
+	m := f.members[e.ID]
+	if m != nil && m.at(e) {
+		before := m.Endpoint()
+		m.take(e)
+		m.lapsed = time.Time{}
+		if before.Draining == e.Draining {
+			return // a heartbeat, which changes no list
+		}
+	} else {
+		f.replace(m, e)
 	}
 	f.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).
-		Str("addr", e.Addr).Bool("draining", e.Draining).Send()
+		Str("addr", e.Addr).Int64("born", e.Born).Bool("draining", e.Draining).Send()
 	f.rebuild()
 }
 
-func (f *Fleet) noteDraining(id string, now time.Time) {
-	if _, known := f.draining[id]; !known {
-		f.draining[id] = now
+// date returns the entry with what is known of its start, and false where a later start is
+// known. An entry that doesn't say its start is one of the newest.
+func (f *Fleet) date(e *Endpoint, now time.Time) (dated *Endpoint, current bool) {
+	newest := f.newest[e.ID]
+	if e.Born != 0 && e.Born < newest.born {
+		return e, false
+	}
+	if e.Born > newest.born {
+		newest = start{born: e.Born}
+	}
+	newest.draining = newest.draining || e.Draining
+	newest.seen = now
+	f.newest[e.ID] = newest
+	if e.Born == newest.born && e.Draining == newest.draining {
+		return e, true
+	}
+	known := *e
+	known.Born, known.Draining = newest.born, newest.draining
+	return &known, true
+}
+
+// replace puts the member of an entry in the place of the one before, which may be nil.
+// Requests that are under way there go on.
+func (f *Fleet) replace(before *Member, e *Endpoint) {
+	m := newMember(e)
+	if before != nil {
+		if before.Born == e.Born {
+			m = before.moved(e)
+		}
+		before.Pool.CloseIdle()
 	}
+	f.members[e.ID] = m
 }
 
 // Remove takes an endpoint off. Where the entry may only have lapsed during an
@@ -216,20 +208,24 @@
 	}
 }
 
-// Expire drops the endpoints whose entries have lapsed for longer than LapseHold.
+// Expire drops the endpoints whose entries have lapsed for longer than LapseHold, and what
+// was believed beyond entries that are newer. It is called with the registry's copy current.
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
 	for _, m := range f.members {
-		if !m.lapsed.IsZero() && now.Sub(m.lapsed) >= LapseHold {
+		switch {
+		case m.lapsed.IsZero():
+			m.settle(now)
+		case now.Sub(m.lapsed) >= LapseHold:
 			f.drop(m)
 			changed = true
 		}
 	}
-	for id, since := range f.draining {
-		if _, listed := f.members[id]; !listed && now.Sub(since) > drainedMemory {
-			delete(f.draining, id)
+	for id, s := range f.newest {
+		if _, listed := f.members[id]; !listed && now.Sub(s.seen) > startMemory {
+			delete(f.newest, id)
 		}
 	}
 	if changed {
--- /dev/null
+++ b/internal/fleet/member.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/upstream"
+)
+
+// Member is one start of an endpoint at one address, with what this node has seen of it. An
+// endpoint that starts again has another Member, also under the same id: requests that are
+// under way at the old one go on and count there. It is safe for concurrent use.
+type Member struct {
+	ID      string
+	Service string
+	// Born is the endpoint's start in Unix milliseconds, 0 if not said.
+	Born   int64
+	Pool   *upstream.Pool
+	Health Health
+	// Load is what this node has under way at this start of the endpoint, whatever its address.
+	Load *Load
+
+	entry  atomic.Pointer[Endpoint]
+	lapsed time.Time // guarded by Fleet.mu; zero while listed
+
+	mu     sync.Mutex
+	belief atomic.Pointer[belief] // written under mu; nil while the entry is believed
+}
+
+// newMember returns a member that nothing but its entry is known of.
+func newMember(e *Endpoint) *Member {
+	m := &Member{ID: e.ID, Service: e.Service, Born: e.Born, Pool: upstream.NewPool(e.Addr), Load: &Load{}}
+	m.entry.Store(e)
+	return m
+}
+
+// moved returns the member of the same start at another address, or of another service. What is
+// under way at the server and the weights that it has stay as they are.
+func (m *Member) moved(e *Endpoint) *Member {
+	next := newMember(e)
+	next.Load = m.Load
+	next.entry.Store(m.Endpoint())
+	next.belief.Store(m.belief.Load())
+	next.take(e)
+	return next
+}
+
+// at reports whether the entry is of this start and leaves requests where they go.
+func (m *Member) at(e *Endpoint) bool {
+	now := m.Endpoint()
+	return m.Born == e.Born && now.Addr == e.Addr && now.Service == e.Service
+}
+
+// Endpoint returns the newest entry.
+func (m *Member) Endpoint() *Endpoint { return m.entry.Load() }
--- /dev/null
+++ b/internal/fleet/restart_test.go
@@ -0,0 +1,153 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+const model = "m"
+
+// born returns an entry of a start, with a version of the weights.
+func born(ms, version int64) *fleet.Endpoint {
+	return &fleet.Endpoint{ID: "e", Service: "s", Addr: "127.0.0.1:1", Born: ms, Weights: []fleet.Weights{{Model: model, Version: version}}}
+}
+
+func only(t *testing.T, f *fleet.Fleet, service string) *fleet.Member {
+	t.Helper()
+	members := f.Members(service)
+	must.Len(t, 1, members)
+	return members[0]
+}
+
+// TestRestart starts an endpoint anew under its id, at another address and for another
+// service: nothing that was seen of the one before counts for it.
+func TestRestart(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(100, 3), at(0))
+	old := only(t, f, "s")
+	old.Saw(said(4, at(0)))
+	old.Load.Begin(10, 20)
+	old.Health.Failed(at(0), true)
+
+	again := born(200, 2)
+	again.Addr, again.Service = "127.0.0.1:2", "other"
+	f.Update(again, at(time.Second/10))
+	test.SliceEmpty(t, f.Members("s"))
+	m := only(t, f, "other")
+	test.Eq(t, "127.0.0.1:2", m.Endpoint().Addr)
+	test.True(t, m.Pool != old.Pool)
+	test.Eq(t, 2, m.VersionOf(model))
+	test.Zero(t, m.Load.Running())
+	test.True(t, m.Health.Usable(at(time.Second/10)))
+
+	old.Load.FirstEvent(10)
+	old.Load.End(20)
+	test.Zero(t, m.Load.Running(), test.Sprint("a request at the start before ended"))
+	test.Zero(t, m.Load.Holding())
+}
+
+// TestRestartAtTheSameAddress has requests of the start before end beside new ones.
+func TestRestartAtTheSameAddress(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(100, 1), at(0))
+	old := only(t, f, "s")
+	old.Load.Begin(0, 0)
+	f.Update(born(200, 1), at(time.Second))
+	m := only(t, f, "s")
+	m.Load.Begin(0, 0)
+	old.Load.End(0)
+	test.Eq(t, 1, m.Load.Running())
+}
+
+// TestOldBeatsOfARestart keeps entries of a start that a later one replaced from bringing it
+// back, also when both are gone.
+func TestOldBeatsOfARestart(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(100, 1), at(0))
+	f.Update(born(200, 2), at(time.Second))
+	f.Update(born(100, 1), at(2*time.Second))
+	test.Eq(t, 200, only(t, f, "s").Born)
+	test.Eq(t, 2, only(t, f, "s").VersionOf(model))
+	leaves := born(100, 1)
+	leaves.Draining = true
+	f.Update(leaves, at(3*time.Second))
+	test.True(t, usable(f), test.Sprint("the start before leaves"))
+
+	f.Remove("e", false, at(4*time.Second))
+	f.Update(born(100, 1), at(5*time.Second))
+	f.Expire(at(6 * time.Second))
+	test.False(t, usable(f))
+	f.Update(born(200, 2), at(7*time.Second))
+	test.True(t, usable(f), test.Sprint("the newest start is back"))
+
+	f.Remove("e", false, at(8*time.Second))
+	f.Expire(at(10 * time.Minute))
+	f.Update(born(100, 1), at(11*time.Minute))
+	test.True(t, usable(f), test.Sprint("nothing is remembered for ever"))
+}
+
+// TestOldBeatDoesNotUndoALapse lets an old entry neither hold nor bring back one that lapsed.
+func TestOldBeatDoesNotUndoALapse(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(200, 1), at(0))
+	f.Remove("e", true, at(time.Second))
+	f.Update(born(100, 1), at(2*time.Second))
+	f.Expire(at(time.Second + fleet.LapseHold))
+	test.False(t, usable(f))
+}
+
+// TestRestartAfterDraining uses an endpoint that left and started again, and not the start that
+// left.
+func TestRestartAfterDraining(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	leaves := born(100, 1)
+	leaves.Draining = true
+	f.Update(leaves, at(0))
+	f.Update(born(100, 1), at(time.Second))
+	test.False(t, usable(f))
+	f.Update(born(200, 1), at(2*time.Second))
+	test.True(t, usable(f))
+	f.Update(born(100, 1), at(3*time.Second))
+	test.True(t, usable(f))
+}
+
+// TestEntryWithoutAStart is taken for one of the newest start.
+func TestEntryWithoutAStart(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(200, 1), at(0))
+	m := only(t, f, "s")
+	f.Update(born(0, 1), at(time.Second))
+	test.True(t, m == only(t, f, "s"))
+	test.Eq(t, 200, m.Endpoint().Born)
+}
+
+// TestMoved sends requests to the address and as the service that the newest entry of a start
+// names, and goes on counting what is under way.
+func TestMoved(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(100, 1), at(0))
+	old := only(t, f, "s")
+	old.Load.Begin(0, 5)
+	old.Saw(said(2, at(0)))
+	moved := born(100, 1)
+	moved.Addr = "127.0.0.1:2"
+	f.Update(moved, at(time.Second))
+	m := only(t, f, "s")
+	test.True(t, m.Pool != old.Pool)
+	test.Eq(t, 2, m.VersionOf(model))
+	test.Eq(t, 1, m.Load.Running())
+	old.Load.End(5)
+	test.Zero(t, m.Load.Running())
+
+	other := born(100, 1)
+	other.Service = "other"
+	f.Update(other, at(2*time.Second))
+	test.SliceEmpty(t, f.Members("s"))
+	only(t, f, "other")
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/upstream"
@@ -150,7 +151,7 @@
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
 	p.Attempt.Remaining = time.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
-	load := &p.Member.Load
+	load := p.Member.Load
 	load.Begin(p.Reading, p.Holding)
 	defer load.End(p.Holding)
 	reading := true
@@ -173,7 +174,7 @@
 		return x.failedSend(err)
 	}
 	info := x.Dialect.ReadAnswer(answer.Header)
-	x.noteVersion(answer.StatusCode, &info, p)
+	x.noteVersion(answer.StatusCode, &info, p, begun)
 	v := x.deliver(answer, &info, first)
 	if v == delivered && p.Ended != nil {
 		p.Ended(time.Since(begun))
@@ -181,14 +182,16 @@
 	return v
 }
 
-// noteVersion learns the weights of the endpoint from its answer.
-func (x *exchange) noteVersion(status int, info *AnswerInfo, p *Placement) {
+// noteVersion learns the weights of the endpoint from its answer to a request that was sent at
+// a time.
+func (x *exchange) noteVersion(status int, info *AnswerInfo, p *Placement, sent time.Time) {
+	model := x.attrs.Model
 	switch {
 	case info.Version > 0:
-		p.Member.SawVersion(x.attrs.Model, info.Version)
+		p.Member.Saw(fleet.Statement{Weights: fleet.Weights{Model: model, Version: info.Version}, At: sent})
 	case status == http.StatusMisdirectedRequest && p.Attempt.Version > 0 && (info.Instance == "" || info.Instance == p.Member.ID):
-		// It is the right endpoint, so its weights are other than believed: newer.
-		p.Member.SawVersion(x.attrs.Model, p.Attempt.Version+1)
+		// It is the right endpoint, so its weights are other than believed.
+		p.Member.Refuted(model, p.Attempt.Version, time.Now())
 	}
 }
 
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -225,7 +225,7 @@
 // orders returns a digest of the orders that this node gives, and of the weights that
 // it saw.
 func (e *Exchange) orders(members []*fleet.Member) *Digest {
-	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, Seen: SeenOf(members)}
+	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, Seen: SeenOf(members, time.Now())}
 	var closed []weights.Closed
 	closed, d.Leads = e.config.Orders()
 	for _, c := range closed {
@@ -239,17 +239,18 @@
 	return d
 }
 
-// learnVersions takes over what a peer saw of engines' weights. Versions only rise,
-// so a late digest does no harm.
-func (e *Exchange) learnVersions(d *Digest) {
+// learnVersions takes over what a peer was told by engines of their weights. It counts from
+// when they said it, so that a late digest does no harm.
+func (e *Exchange) learnVersions(d *Digest, now time.Time) {
 	if len(d.Seen) == 0 {
 		return
 	}
 	members := e.config.Members()
-	for _, s := range d.Seen {
+	for i := range d.Seen {
+		s := &d.Seen[i]
 		for _, m := range members {
-			if slices.Contains(s.Endpoints, m.ID) {
-				m.SawVersion(s.Model, s.Version)
+			if at := slices.Index(s.Endpoints, m.ID); at >= 0 {
+				m.Heard(s.statement(at, now))
 			}
 		}
 	}
@@ -261,7 +262,8 @@
 	if err := json.Unmarshal(params, &d); err != nil {
 		return nil, eris.Wrap(err, "decode a digest")
 	}
-	e.Table.Take(d, time.Now())
-	e.learnVersions(&d)
+	now := time.Now()
+	e.Table.Take(d, now)
+	e.learnVersions(&d, now)
 	return nil, nil
 }
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -8,7 +8,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -92,13 +91,6 @@
 	MS   int    `json:"ms"`
 }
 
-// Seen are the engines that have a version of a model.
-type Seen struct {
-	Model     string   `json:"model"`
-	Version   int64    `json:"version"`
-	Endpoints []string `json:"endpoints"`
-}
-
 // LoadsOf returns what this node has under way and what it saw, without endpoints
 // that it has nothing to say of.
 func LoadsOf(members []*fleet.Member, now time.Time) []Load {
@@ -114,22 +106,3 @@
 	}
 	return loads
 }
-
-// SeenOf returns what this node saw of engines' weights and the registry doesn't tell
-// yet.
-func SeenOf(members []*fleet.Member) []Seen {
-	var list []Seen
-	for _, m := range members {
-		seen := m.Seen()
-		if seen == nil {
-			continue
-		}
-		i := slices.IndexFunc(list, func(s Seen) bool { return s.Model == seen.Model && s.Version == seen.Version })
-		if i < 0 {
-			i = len(list)
-			list = append(list, Seen{Model: seen.Model, Version: seen.Version})
-		}
-		list[i].Endpoints = append(list[i].Endpoints, m.ID)
-	}
-	return list
-}
--- /dev/null
+++ b/internal/weights/help_test.go
@@ -0,0 +1,258 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+const (
+	model    = "m"
+	loadTime = 1300 * time.Millisecond
+	lease    = 3 * time.Second
+)
+
+// memLog is a log that can be away.
+type memLog struct {
+	mu      sync.Mutex
+	records [][]byte
+	down    bool
+	reads   int
+}
+
+var errDown = errors.New("down")
+
+func (l *memLog) Append(_ context.Context, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, errDown
+	}
+	l.records = append(l.records, data)
+	return int64(len(l.records) - 1), nil
+}
+
+func (l *memLog) Read(_ context.Context, from int64, _ int) ([]claim.Record, int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	if l.down {
+		return nil, 0, errDown
+	}
+	var records []claim.Record
+	for i := from; i < int64(len(l.records)); i++ {
+		records = append(records, claim.Record{Offset: i, Data: l.records[i]})
+	}
+	return records, int64(len(l.records)), nil
+}
+
+// readCount returns the number of reads so far.
+func (l *memLog) readCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+// given is an order as an engine saw it.
+type given struct {
+	Order
+	endpoint string
+	at       time.Time
+}
+
+// engines load what they are ordered to, in loadTime.
+type engines struct {
+	mu      sync.Mutex
+	version map[string]int64
+	done    map[string]time.Time // end of the load under way
+	next    map[string]int64
+	orders  map[string]int64
+	given   []given
+	loading int // the most at once
+	lose    int // answers still to be lost, with the order done
+	born    map[string]int64
+	hold    int     // orders still to be held on their way
+	held    []given // orders on their way
+}
+
+func (e *engines) settle(id string) {
+	if next := e.next[id]; next > 0 && !time.Now().Before(e.done[id]) {
+		e.version[id] = next
+		delete(e.next, id)
+	}
+}
+
+func (e *engines) Report(_ context.Context, at *fleet.Endpoint) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle(at.ID)
+	return Report{Weights: []fleet.Weights{{Model: model, Version: e.version[at.ID]}}, Born: e.born[at.ID], Busy: e.next[at.ID] > 0, Orders: e.orders[at.ID], Running: 1}, nil
+}
+
+func (e *engines) Order(_ context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle(at.ID)
+	if e.hold > 0 {
+		e.hold--
+		e.held = append(e.held, given{o, at.ID, time.Now()})
+		return 0, errDown
+	}
+	return e.take(at, o)
+}
+
+// take has an engine carry out an order, if it holds. e.mu is held.
+func (e *engines) take(at *fleet.Endpoint, o Order) (Reply, error) {
+	if e.next[at.ID] > 0 || o.Expected != e.orders[at.ID] {
+		return Busy, nil
+	}
+	e.given = append(e.given, given{o, at.ID, time.Now()})
+	e.orders[at.ID]++
+	e.next[at.ID] = o.Version
+	e.done[at.ID] = time.Now().Add(loadTime)
+	for id := range e.next {
+		e.settle(id)
+	}
+	e.loading = max(e.loading, len(e.next))
+	if e.lose > 0 {
+		e.lose--
+		return 0, errDown
+	}
+	return Taken, nil
+}
+
+// orders returns the orders that were given.
+func (w *world) orders() []given {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	return slices.Clone(w.engines.given)
+}
+
+type wanted struct {
+	mu      sync.Mutex
+	version int64
+}
+
+func (w *wanted) Models() []string { return []string{model} }
+
+func (w *wanted) Wanted(string) (int64, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version, time.Now()
+}
+
+type world struct {
+	log     *memLog
+	engines *engines
+	wanted  *wanted
+	ids     []string
+	// standby are the nodes that stand by; nil means all.
+	standby []string
+
+	mu       sync.Mutex
+	services map[string]*Service // running
+}
+
+// view is what a node knows of the others.
+type view struct {
+	*world
+	name string
+}
+
+func (v view) Standby() bool { return v.standby == nil || slices.Contains(v.standby, v.name) }
+
+func (v view) Led() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, s := range v.services {
+		if name != v.name && s.Leads() {
+			return true
+		}
+	}
+	return false
+}
+
+func newWorld(ids ...string) *world {
+	w := &world{
+		log: &memLog{}, wanted: &wanted{version: 1}, ids: ids, services: map[string]*Service{},
+		engines: &engines{version: map[string]int64{}, done: map[string]time.Time{}, next: map[string]int64{}, orders: map[string]int64{}, born: map[string]int64{}},
+	}
+	for _, id := range ids {
+		w.engines.version[id] = 1
+		w.engines.born[id] = 1
+	}
+	return w
+}
+
+// node starts a service with a fleet of its own, whose entries follow the engines
+// after a heartbeat, and returns what stops it.
+func (w *world) node(t *testing.T, name string) (stop func()) {
+	t.Helper()
+	f := fleet.New(zerolog.Nop())
+	w.beat(f)
+	s, err := New(Config{
+		Node: name, Fleet: f, Wanted: w.wanted, Engines: w.engines, Claims: w.log, Peers: view{w, name},
+		Lease: lease, Changed: make(chan struct{}), Log: zerolog.Nop(),
+	})
+	must.NoError(t, err)
+	w.mu.Lock()
+	w.services[name] = s
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { must.NoError(t, s.Run(ctx)) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			retry.Sleep(ctx, time.Second)
+			w.beat(f)
+		}
+	})
+	return func() {
+		w.mu.Lock()
+		delete(w.services, name)
+		w.mu.Unlock()
+		cancel()
+		wg.Wait()
+		time.Sleep(2 * maxClaimTTL) // the claims' own watches end
+	}
+}
+
+func (w *world) beat(f *fleet.Fleet) {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	now := time.Now()
+	for _, id := range w.ids {
+		w.engines.settle(id)
+		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: "127.0.0.1:1", Born: w.engines.born[id], Weights: []fleet.Weights{{Model: model, Version: w.engines.version[id]}}}, now)
+	}
+	f.Expire(now)
+}
+
+func (w *world) name(version int64) {
+	w.wanted.mu.Lock()
+	defer w.wanted.mu.Unlock()
+	w.wanted.version = version
+}
+
+func (w *world) versions() []int64 {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	var list []int64
+	for _, id := range w.ids {
+		w.engines.settle(id)
+		list = append(list, w.engines.version[id])
+	}
+	return list
+}
+
+func nine() []string { return []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} }
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -33,6 +33,8 @@
 	// lostOrder is how long an order without an answer may still be taken before
 	// it is given again; what comes later is refused by its expected number.
 	lostOrder = time.Second
+	// reportAge is how old a report may be that names older weights than are believed.
+	reportAge = 500 * time.Millisecond
 	// jobTimeout is when an engine that doesn't come to the wanted version makes
 	// room for another.
 	jobTimeout = 6 * time.Second
@@ -40,9 +42,10 @@
 
 func randomInt(n int64) int64 { return rand.Int64N(n) }
 
-// job is one engine that is being brought to a version.
+// job is one start of an engine that is being brought to a version.
 type job struct {
 	model   string
+	born    int64 // start of the engine, 0 if not said
 	version int64
 	loads   int // engines of the fleet that may load at the same time
 	begun   time.Time
@@ -61,6 +64,7 @@
 type look struct {
 	member *fleet.Member
 	job    *job
+	asked  time.Time
 	report Report
 	err    error
 }
@@ -101,7 +105,7 @@
 	now := time.Now()
 	for id, j := range s.jobs {
 		m := find(members, id)
-		if m == nil || now.Sub(j.begun) > jobTimeout {
+		if m == nil || j.born < m.Born || now.Sub(j.begun) > jobTimeout {
 			delete(s.jobs, id)
 			continue
 		}
@@ -120,6 +124,7 @@
 	var wg sync.WaitGroup
 	for i := range looks {
 		l := &looks[i]
+		l.asked = time.Now()
 		wg.Go(func() { l.report, l.err = s.Engines.Report(ctx, l.member.Endpoint()) })
 	}
 	wg.Wait()
@@ -156,7 +161,7 @@
 			return
 		}
 		if _, under := s.jobs[m.ID]; !under {
-			s.jobs[m.ID] = &job{model: model, version: version, loads: loads, begun: time.Now()}
+			s.jobs[m.ID] = &job{model: model, born: m.Born, version: version, loads: loads, begun: time.Now()}
 		}
 	}
 }
@@ -168,10 +173,14 @@
 		s.Log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", l.err).Send()
 		return true
 	}
-	if has := report.VersionOf(j.model); has >= j.version {
-		m.SawVersion(j.model, has)
+	if !j.concerns(report) {
+		return true
+	}
+	has := report.VersionOf(j.model)
+	s.believe(l, has)
+	if has >= j.version {
 		delete(s.jobs, m.ID)
-		s.Log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("version", has).
+		s.Log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("born", j.born).Int64("version", has).
 			Dur("took_ms", time.Since(j.begun)).Send()
 		return true
 	}
@@ -189,6 +198,25 @@
 	return s.order(ctx, held, m, j, report)
 }
 
+// concerns reports whether the report is of the start that the job is for. One that came since is
+// in the registry soon, and gets a job of its own.
+func (j *job) concerns(report *Report) bool {
+	return report.Born == j.born || report.Born == 0 || j.born == 0
+}
+
+// believe notes the version that the engine reported, which may be older than it was believed
+// to have.
+func (s *Service) believe(l *look, version int64) {
+	if version == 0 {
+		return // it doesn't say
+	}
+	said := fleet.Statement{Weights: fleet.Weights{Model: l.job.model, Version: version}, Born: l.report.Born, At: l.asked}
+	if version < l.member.VersionOf(said.Model) {
+		said.At = said.At.Add(-reportAge)
+	}
+	l.member.Saw(said)
+}
+
 // loads returns the number of engines that were ordered to load and have not done so.
 func (s *Service) loads() int {
 	n := 0
@@ -210,7 +238,7 @@
 	// Tokens begin at 0 in the log, which engines read as none.
 	order := Order{Model: j.model, Version: j.version, Holder: s.Node, Token: held.Token() + 1, Expected: report.Orders, Continue: report.Running > 0}
 	reply, err := s.Engines.Order(bounded, m.Endpoint(), order)
-	s.Log.Info().Str("event", "order").Str("endpoint", m.ID).Str("model", j.model).Int64("version", j.version).
+	s.Log.Info().Str("event", "order").Str("endpoint", m.ID).Int64("born", j.born).Str("model", j.model).Int64("version", j.version).
 		Int64("token", order.Token).Int64("expected", order.Expected).Str("reply", reply.String()).AnErr("error", err).Send()
 	return reply != Fenced
 }
