Give no prompt to an engine whose weights are not known

Cause: a prompt to an engine without known weights named no expected version, so that it could run on replaced ones, and fetched and stored parts under a salt of version 0, which engines of different weights share.

Change: where versions of the model are known, to the node or by the engine's entry, such an engine gets no prompt until it says what it has. Where none are, it fetches and stores nothing, and uses what it read itself.

Ruled out: a salt of its own for each engine (engines drop what they keep with an order anyway).

Before: TestUnknownWeights and TestNothingIsFetchedForUnknownWeights are new, and check what the change adds. After: go test ./internal/placer passes.

--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -91,7 +91,7 @@
 // belongs to the request alone.
 func (p *Placer) targets(q *forward.Query, plan *plan) []string {
 	parts := q.Attributes.Parts
-	if len(parts) < 2 || !plan.current {
+	if len(parts) < 2 || !plan.current || plan.version == 0 {
 		return nil
 	}
 	var targets []string
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -36,6 +36,9 @@
 		return s.decline(candidates, noRoom), false
 	}
 	best := slices.MinFunc(score(open, s.cost), byCost).member
+	if s.plan(best).version == 0 && rollout.versioned(best) {
+		return forward.Placement{}, false // it refused the version that was believed, just now
+	}
 	if s.comesTooLate(best) {
 		return s.decline([]*fleet.Member{best}, tooLate), false
 	}
--- /dev/null
+++ b/internal/placer/restart_test.go
@@ -0,0 +1,63 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// restart starts an engine again under its id, at another address.
+func (w *world) restart(id string, version int64) {
+	w.Fleet.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: addr(9), Domain: "north", Born: 100, Weights: []fleet.Weights{{Model: model, Version: version}}}, time.Now())
+	w.members = w.Fleet.Members("s")
+}
+
+// TestRestartedEngine places a prompt at the address and with the weights that an engine started
+// again with, and not by the load or the failures of its start before.
+func TestRestartedEngine(t *testing.T) {
+	w := newWorld(t, source{}, 3)
+	w.versions.wanted = 3
+	old := w.members[0]
+	old.Load.Begin(100_000, 0)
+	old.Health.Failed(time.Now(), true)
+	w.restart("e0", 2)
+	p, ok := w.Place(query())
+	must.True(t, ok)
+	test.Eq(t, addr(9), p.Member.Endpoint().Addr)
+	test.Eq(t, 2, p.Attempt.Version)
+	test.Eq(t, salt(2, ""), p.Attempt.Salt)
+	test.Zero(t, p.Wait)
+}
+
+// TestUnknownWeights gives no prompt to an engine whose weights are not known where versions of
+// them are: the prompt couldn't name the one that it expects.
+func TestUnknownWeights(t *testing.T) {
+	w := newWorld(t, source{}, 0)
+	_, ok := w.Place(query())
+	test.False(t, ok, test.Sprint("a version was named"))
+
+	w = newWorld(t, source{}, 1)
+	w.versions.wanted = 0
+	w.members[0].Refuted(model, 1, time.Now())
+	w.members[0].Refuted(model, 2, time.Now())
+	_, ok = w.Place(query())
+	test.False(t, ok, test.Sprint("it refused all that it could have"))
+}
+
+// TestNothingIsFetchedForUnknownWeights serves a model of which no version is known, and lets no
+// engine use what another made, whose weights may differ.
+func TestNothingIsFetchedForUnknownWeights(t *testing.T) {
+	w := newWorld(t, source{store: shared(0, ""), addr(0): shared(0, "")}, 0, 0)
+	w.versions.wanted = 0
+	q := query()
+	q.Tried = []string{"e0"}
+	p, ok := w.Place(q)
+	must.True(t, ok)
+	test.Zero(t, p.Attempt.Version)
+	test.SliceEmpty(t, p.Attempt.Sources)
+	test.SliceEmpty(t, p.Attempt.Targets)
+}
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -67,10 +67,10 @@
 	return r.now.Sub(since)
 }
 
-// filter removes the engines whose weights are too old, and those that load now
+// filter removes the engines whose weights are too old or not known, and those that load now
 // unless no other is left.
 func (r *rollout) filter(candidates []*fleet.Member) []*fleet.Member {
-	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return r.replacedFor(m) > r.limit })
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return r.isUnknown(m) || r.replacedFor(m) > r.limit })
 	open := slices.DeleteFunc(slices.Clone(candidates), r.isClosed)
 	if len(open) == 0 {
 		return candidates
@@ -78,6 +78,15 @@
 	return open
 }
 
+// isUnknown reports whether an engine's weights are not known though versions of them are. A
+// prompt can't name the version that it expects there, so it could run on replaced weights.
+func (r *rollout) isUnknown(m *fleet.Member) bool { return r.versioned(m) && m.VersionOf(r.model) == 0 }
+
+// versioned reports whether versions of the model's weights are known, here or at the engine.
+func (r *rollout) versioned(m *fleet.Member) bool {
+	return r.wanted > 0 || m.Endpoint().VersionOf(r.model) > 0
+}
+
 func (r *rollout) isClosed(m *fleet.Member) bool {
 	loads, closed := r.closed[m.ID]
 	return loads || closed && !r.short
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -81,7 +81,8 @@
 	holders []*kept.Holder // engines and stores
 }
 
-// locate looks up the parts under a version of the weights.
+// locate looks up the parts under a version of the weights. Where it isn't known, engines may
+// differ in it: then nothing is fetched, and an engine has what it read itself.
 func (s *search) locate(version int64) *located {
 	if l := s.located[version]; l != nil {
 		return l
@@ -89,7 +90,11 @@
 	l := &located{version: version, salt: saltOf(s.q, version), current: version >= s.rollout.wanted}
 	named := s.Kept.ClockMS() > 0 && s.MayName(s.q.Attributes.Model, version)
 	for _, part := range s.q.Attributes.Parts {
-		l.parts = append(l.parts, s.locatePart(part, l.salt, named))
+		at := s.locatePart(part, l.salt, named)
+		if version == 0 {
+			at.stores, at.holders = nil, nil
+		}
+		l.parts = append(l.parts, at)
 	}
 	s.located[version] = l
 	return l
@@ -238,7 +243,7 @@
 // ms later.
 func (s *search) tryHome(m *fleet.Member, p *plan, i int, part *locatedPart) {
 	shared := i < len(s.q.Attributes.Parts)-1
-	if !shared || part.Tokens < minSaved || s.home == nil || s.home == m || s.Kept.Engine(m.ID) != nil {
+	if !shared || part.Tokens < minSaved || s.home == nil || s.home == m || s.Kept.Engine(m.ID) != nil || p.version == 0 {
 		return
 	}
 	if s.home.VersionOf(s.q.Attributes.Model) == p.version && s.home.Health.Usable(s.now) {
