Believe nothing kept at an engine that started again

Cause: the index kept what it knew of an engine by its id, with the address that it had first: after a restart at another address it asked the old one for events and named it as a source.

Change: an engine is known by id, start and address. Another start or address begins with nothing.

Ruled out: the start in events, as their epoch changes with each start.

Before: an engine started again was believed to keep all it had until its events told of another epoch, and for ever where its address changed (TestRestartedEngine).

--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -88,6 +88,7 @@
 		}
 		at := m.Endpoint()
 		h := kept.NewHolder(m.ID, at.Addr, at.Domain)
+		h.Born = at.Born
 		h.Mbps = service.Engine.LinkMbps
 		h.Readers = service.Engine.EventReaders
 		engines = append(engines, h)
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -76,8 +76,8 @@
 	return r.ms + time.Since(r.at).Milliseconds()
 }
 
-// Follow replaces the holders, and asks them for their events. Known ones, by id and address,
-// stay as they are.
+// Follow replaces the holders, and asks them for their events. Known ones, by id, start and
+// address, stay as they are.
 func (x *Index) Follow(ctx context.Context, engines, stores []*Holder) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -97,7 +97,7 @@
 	old := x.view.Load()
 	next := &view{engines: make(map[string]*Holder)}
 	for _, h := range engines {
-		if known := old.engines[h.ID]; known != nil {
+		if known := old.engines[h.ID]; known != nil && known.Born == h.Born && known.Addr == h.Addr {
 			h = known
 		}
 		next.engines[h.ID] = h
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -47,6 +47,7 @@
 // Holder is an engine or a store that keeps parts. It is safe for concurrent use.
 type Holder struct {
 	ID     string // of an engine; a store's address
+	Born   int64  // start of an engine, Unix milliseconds; 0 if not said
 	Addr   string
 	Domain string  // failure domain
 	Mbps   float64 // of its link
--- /dev/null
+++ b/internal/kept/restart_test.go
@@ -0,0 +1,35 @@
+package kept
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+)
+
+// TestRestartedEngine believes nothing to be kept at an engine that started again under its id,
+// nor at one that another address is named for, before they tell.
+func TestRestartedEngine(t *testing.T) {
+	engine := func(addr string, born int64) *Holder {
+		h := NewHolder("e", addr, "north")
+		h.Born = born
+		return h
+	}
+	tests := map[string]struct {
+		next  *Holder
+		knows bool
+	}{
+		"the same":        {engine("127.0.0.1:1", 100), true},
+		"started again":   {engine("127.0.0.1:1", 200), false},
+		"another address": {engine("127.0.0.1:2", 100), false},
+	}
+	for name, tt := range tests {
+		x := NewIndex(nil, nil, zerolog.Nop())
+		first := engine("127.0.0.1:1", 100)
+		x.Replace([]*Holder{first}, nil)
+		x.Take(first, &Events{Epoch: 1, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}})
+		x.Replace([]*Holder{tt.next}, nil)
+		test.Eq(t, tt.next.Addr, x.Engine("e").Addr, test.Sprint(name))
+		test.Eq(t, tt.knows, x.Engine("e").Has(part) > 0, test.Sprint(name))
+	}
+}
