--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -123,7 +123,7 @@
 }
 
 func (s *state) applyVersion(model string, r *follow.Record, sight *sight) {
-	version, err := platform.DecodeVersion(r.Value)
+	version, err := platform.DecodeVersion(model, r.Value)
 	if err != nil {
 		s.rejected.record(r, err)
 		return
