--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -50,6 +50,8 @@
 	Models []*modelserver.Server
 	Plain  *modelserver.Server
 	Keep   *modelserver.Server // the store of KV cache
+	// Foreign writes to the store when a test has it do so.
+	Foreign *Foreign
 
 	storeAddr, keepAddr string
 	servers             []server
@@ -88,6 +90,9 @@
 	if s.Plain, err = s.add(ctx, modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
 		return nil, err
 	}
+	if s.Foreign, err = newForeign(ctx, s); err != nil {
+		return nil, err
+	}
 	s.wg.Go(func() { s.beat(ctx, c.Beat) })
 	return s, nil
 }
