--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -174,6 +174,9 @@
 	if e.Gap {
 		x.Log.Info().Str("event", "events_gap").Str("holder", h.ID).Int64("next", e.Next).Send()
 	}
+	if e.Unread > 0 {
+		x.Log.Warn().Str("event", "events_unread").Str("holder", h.ID).Int("events", e.Unread).Send()
+	}
 	h.apply(e)
 }
 
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -33,6 +33,7 @@
 	Next    int64 // to ask from next time
 	Gap     bool  // older events are no longer there
 	Changes []Change
+	Unread  int   // events that could not be read, which are not among Changes
 	ClockMS int64 // the engines' clock, which all share
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -241,14 +242,17 @@
 // keepFor returns how long the endpoint keeps an idle connection, less a margin
 // for a request that is sent just before.
 func keepFor(h http.Header) time.Duration {
-	const margin = 0.7 // share of the stated time that is used
+	const (
+		margin   = 0.7  // share of the stated time that is used
+		mostKept = 3600 // seconds; a longer time would overflow
+	)
 	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
 		if !found {
 			continue
 		}
-		if s, err := strconv.ParseFloat(value, 64); err == nil {
-			return time.Duration(s * margin * float64(time.Second))
+		if s, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(s) {
+			return time.Duration(max(min(s, mostKept), 0) * margin * float64(time.Second))
 		}
 	}
 	return idleLimit
