--- a/standin/site/foreign.go
+++ b/standin/site/foreign.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -16,13 +15,13 @@
 	calls atomic.Int64
 }
 
-func newForeign(ctx context.Context, s *Site) (*Foreign, error) {
+func newForeign(s *Site) (*Foreign, error) {
 	f := &Foreign{site: s}
-	var err error
-	f.addr, err = s.listen(ctx, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	at, err := s.listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		f.calls.Add(1)
 		w.WriteHeader(http.StatusInternalServerError)
 	}))
+	f.addr = at.addr
 	return f, err
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -106,7 +106,7 @@
 	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
 		return nil, err
 	}
-	if s.Foreign, err = newForeign(ctx, s); err != nil {
+	if s.Foreign, err = newForeign(s); err != nil {
 		return nil, err
 	}
 	s.wg.Go(func() { s.beat(ctx, c.Beat) })
