Count what peers have under way for one start of an endpoint

Cause: a peer that has not heard of a restart, as it is cut off from the registry, goes on telling what it has under way and saw fail at the start before, under the same id.

Change: a digest tells the start of each load by up to three digits, in a list beside the loads, so that nodes of the build before still read them. The placer asks for the start that it knows; what names none counts for each. Load and its sums have files of their own.

Ruled out: the start as a sixth field of a load (a node of the build before drops the whole digest).

Tests read sums by start, and ask as much as before. Before: what TestLoadsOfAnotherStart checks could not be told apart. After: go test ./internal/peerload ./internal/placer ./internal/fleetmodel ./internal/gateway passes.

--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -184,7 +184,7 @@
 	e.sendDomain(peers.far)
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
-	digest.Loads = LoadsOf(members, time.Now())
+	digest.setLoads(members, time.Now())
 	e.config.Conn.Notify(peers.near, method, digest)
 }
 
@@ -204,7 +204,7 @@
 // are told so.
 func (e *Exchange) sendFar(peers *audience, digest *Digest, members []*fleet.Member) {
 	far := *digest
-	far.Loads = LoadsOf(outside(members, e.config.Domain), time.Now())
+	far.setLoads(outside(members, e.config.Domain), time.Now())
 	news := far.Leads || len(far.Loads) > 0
 	if news || e.news {
 		e.config.Conn.Notify(peers.far, method, &far)
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -6,21 +6,6 @@
 // what is lost is made up by the next one, and what is older than Fresh is not used.
 package peerload
 
-import (
-	"encoding/json"
-	"time"
-
-	"github.com/rotisserie/eris"
-
-	"github.com/cherryward/cherryward/internal/fleet"
-)
-
-const (
-	// toldFailures is the failure rate from which peers are told of it.
-	toldFailures = 0.2
-	percent      = 100
-)
-
 // Digest is what a node says of itself.
 type Digest struct {
 	Node string `json:"node"`
@@ -28,6 +13,9 @@
 	Incarnation int64  `json:"incarnation"`
 	Seq         int64  `json:"seq"`
 	Loads       []Load `json:"loads,omitempty"`
+	// Starts tell which start of its endpoint each load is of. A node of another build may
+	// leave them out.
+	Starts []Start `json:"starts,omitempty"`
 	// Late are the holders from which fetches come late.
 	Late []Late `json:"late,omitempty"`
 	// Seen are weights that the node saw in answers or reports before the registry told
@@ -51,58 +39,8 @@
 	Oldest int64  `json:"oldest"`
 }
 
-// Load is what the node has under way at an endpoint.
-type Load struct {
-	Endpoint string
-	Running  int
-	Reading  int // prompt tokens that wait to be read
-	Holding  int // tokens in the endpoint's memory
-	// Failures is the share of attempts that failed lately, in percent, if it is high.
-	Failures int
-}
-
-var (
-	_ json.Marshaler   = Load{}
-	_ json.Unmarshaler = (*Load)(nil)
-)
-
-// MarshalJSON implements json.Marshaler. A load is [endpoint, running, reading, holding,
-// failures], as messages mostly consist of loads: with names they are twice as long.
-func (l Load) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{l.Endpoint, l.Running, l.Reading, l.Holding, l.Failures})
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (l *Load) UnmarshalJSON(data []byte) error {
-	fields := []any{&l.Endpoint, &l.Running, &l.Reading, &l.Holding, &l.Failures}
-	want := len(fields)
-	if err := json.Unmarshal(data, &fields); err != nil {
-		return err
-	}
-	if len(fields) != want {
-		return eris.Errorf("a load has %d fields", len(fields))
-	}
-	return nil
-}
-
 // Late is how much later than expected fetches from a holder came lately.
 type Late struct {
 	Addr string `json:"addr"`
 	MS   int    `json:"ms"`
 }
-
-// LoadsOf returns what this node has under way and what it saw, without endpoints
-// that it has nothing to say of.
-func LoadsOf(members []*fleet.Member, now time.Time) []Load {
-	var loads []Load
-	for _, m := range members {
-		l := Load{Endpoint: m.ID, Running: m.Load.Running(), Reading: m.Load.Reading(), Holding: m.Load.Holding()}
-		if rate := m.Health.FailureRate(now); rate >= toldFailures {
-			l.Failures = int(rate * percent)
-		}
-		if l.Running > 0 || l.Reading > 0 || l.Failures > 0 {
-			loads = append(loads, l)
-		}
-	}
-	return loads
-}
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -28,8 +28,8 @@
 	table := NewTable()
 	table.Take(digest("a", 1, 1, 2), now)
 	table.Take(digest("b", 1, 1, 3), now.Add(Fresh/2))
-	test.Eq(t, Sum{Running: 5, Reading: 50}, table.Loads(now.Add(Fresh / 2))["e"])
-	test.Eq(t, 3, table.Loads(now.Add(Fresh + Fresh/4))["e"].Running, test.Sprint("a's is too old"))
+	test.Eq(t, Sum{Running: 5, Reading: 50}, table.Loads(now.Add(Fresh/2)).Of("e", 0))
+	test.Eq(t, 3, table.Loads(now.Add(Fresh+Fresh/4)).Of("e", 0).Running, test.Sprint("a's is too old"))
 }
 
 // TestTableDropsOldDigests keeps a late datagram from undoing a newer one.
@@ -38,9 +38,9 @@
 	table.Take(digest("a", 2, 5, 2), now)
 	table.Take(digest("a", 2, 4, 9), now)
 	table.Take(digest("a", 1, 99, 9), now)
-	test.Eq(t, 2, table.Loads(now)["e"].Running)
+	test.Eq(t, 2, table.Loads(now).Of("e", 0).Running)
 	table.Take(digest("a", 3, 1, 7), now)
-	test.Eq(t, 7, table.Loads(now)["e"].Running, test.Sprint("a restarted"))
+	test.Eq(t, 7, table.Loads(now).Of("e", 0).Running, test.Sprint("a restarted"))
 }
 
 // TestNodesNeverShrink keeps a node that hears nobody from taking the others' shares.
@@ -98,9 +98,9 @@
 		table.Take(d, now)
 	}
 	tell("a", 60)
-	test.Eq(t, 0, table.Loads(now)["e"].FailureRate())
+	test.Eq(t, 0, table.Loads(now).Of("e", 0).FailureRate())
 	tell("b", 40)
-	test.Eq(t, 0.5, table.Loads(now)["e"].FailureRate())
+	test.Eq(t, 0.5, table.Loads(now).Of("e", 0).FailureRate())
 }
 
 // TestLoadsTravelWhole encodes loads in short and refuses others.
@@ -220,7 +220,7 @@
 		return func() bool {
 			speaker.send()
 			loads := listener.Table.Loads(time.Now())
-			return loads["e1"].Holding == want && loads["e0"].Holding == 0 && loads["e2"].Holding == 0 && listener.Table.Nodes() == 2
+			return loads.Of("e1", 0).Holding == want && loads.Of("e0", 0).Holding == 0 && loads.Of("e2", 0).Holding == 0 && listener.Table.Nodes() == 2
 		}
 	}
 	for _, want := range []int{100, 0} {
--- /dev/null
+++ b/internal/peerload/start_test.go
@@ -0,0 +1,36 @@
+package peerload
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+)
+
+// TestLoadsOfAnotherStart leaves out what peers have under way at, and saw fail of, another start
+// of an endpoint.
+func TestLoadsOfAnotherStart(t *testing.T) {
+	table := NewTable()
+	tell := func(node string, born int64) {
+		f, m := memberOf(t, born, 1)
+		m.Load.Begin(10, 20)
+		for range 5 {
+			m.Health.Failed(now, false)
+		}
+		d := Digest{Node: node, Incarnation: 1, Seq: 1}
+		d.setLoads(f.All(), now)
+		table.Take(d, now)
+	}
+	for _, node := range []string{"a", "b"} {
+		tell(node, 100)
+	}
+	tell("c", 200)
+	table.Take(digest("of another build", 1, 1, 1), now)
+	sums := table.Loads(now)
+	before, after := sums.Of("e", 100), sums.Of("e", 200)
+	test.Eq(t, 3, before.Running)
+	test.Eq(t, 40, before.Holding)
+	test.Greater(t, 0.3, before.FailureRate())
+	test.Eq(t, 2, after.Running)
+	test.Eq(t, 20, after.Holding)
+	test.Eq(t, 0, after.FailureRate())
+}
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -67,46 +67,6 @@
 	t.most = max(t.most, t.count(now))
 }
 
-// Sum is what all peers together tell of an endpoint.
-type Sum struct {
-	Running, Reading, Holding int
-
-	failures  int // percent, added up
-	witnesses int // peers that tell of failures
-}
-
-// FailureRate returns the share of failed attempts that several peers tell of, else 0.
-func (s Sum) FailureRate() float64 {
-	if s.witnesses < failureWitnesses {
-		return 0
-	}
-	return float64(s.failures) / percent / float64(s.witnesses)
-}
-
-// Loads returns the sum of what the peers tell, by endpoint.
-func (t *Table) Loads(now time.Time) map[string]Sum {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sums := make(map[string]Sum)
-	for _, p := range t.peers {
-		if now.Sub(p.at) > Fresh {
-			continue
-		}
-		for _, l := range p.digest.Loads {
-			sum := sums[l.Endpoint]
-			sum.Running += l.Running
-			sum.Reading += l.Reading
-			sum.Holding += l.Holding
-			if l.Failures > 0 {
-				sum.failures += l.Failures
-				sum.witnesses++
-			}
-			sums[l.Endpoint] = sum
-		}
-	}
-	return sums
-}
-
 // Late returns how much later than expected fetches from holders come, in ms, by their
 // addresses, where several peers tell so.
 func (t *Table) Late(now time.Time) map[string]float64 {
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -56,7 +56,7 @@
 func (s *search) memory(m *fleet.Member) admission.Memory {
 	return admission.Memory{
 		Capacity: s.q.Service.Engine.KVTokens,
-		Held:     m.Load.Holding() + s.others[m.ID].Holding,
+		Held:     m.Load.Holding() + s.others.Of(m.ID, m.Born).Holding,
 	}
 }
 
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -25,7 +25,7 @@
 
 // engineCost is the time, in ms, that a request waits at the engine for others.
 func (s *search) engineCost(m *fleet.Member) float64 {
-	others := s.others[m.ID]
+	others := s.others.Of(m.ID, m.Born)
 	cost := s.queueMs(m) + s.memoryMs(m)
 	cost += failureMs * failureRate(m, others, s.now)
 	if m.Endpoint().Domain != s.Domain {
@@ -36,7 +36,7 @@
 
 // queueMs is the time, in ms, until the engine has read what others sent it, and has a slot.
 func (s *search) queueMs(m *fleet.Member) float64 {
-	others := s.others[m.ID]
+	others := s.others.Of(m.ID, m.Born)
 	running := m.Load.Running() + others.Running
 	ms := s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(m.Load.Reading()+others.Reading)
 	return ms + runningMs*float64(running) + s.slotMs(m, running)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -106,7 +106,7 @@
 	now := p.Now()
 	others := p.Peers.Loads(now)
 	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
-		seen := others[m.ID]
+		seen := others.Of(m.ID, m.Born)
 		cost := float64(m.Load.Running()+seen.Running) + failurePenalty*failureRate(m, seen, now) + tieSpread*p.Random()
 		if m.Endpoint().Domain != p.Domain {
 			cost += foreignDomain
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -23,7 +23,7 @@
 	q       *forward.Query
 	now     time.Time
 	rollout *rollout
-	others  map[string]peerload.Sum
+	others  peerload.Sums
 	late    map[string]float64 // ms that peers' fetches come late, by the holder's address
 	home    *fleet.Member      // may be nil
 	located map[int64]*located
@@ -265,7 +265,7 @@
 	if store != nil {
 		expected -= s.lateMs(store)
 	}
-	ahead := m.Load.Reading() + s.others[m.ID].Reading + p.reading
+	ahead := m.Load.Reading() + s.others.Of(m.ID, m.Born).Reading + p.reading
 	return func(after time.Duration) {
 		now := s.Now()
 		late := millis(after) - expected
