Drop entries without a start of endpoints that name theirs

Cause: an entry without a start was taken for one of the newest start, with its address, service and state. An endpoint's own entries name the start always, so such an entry is of another writer.

Change: it is dropped. Endpoints that never name a start are followed as before.

Ruled out: believing parts of it (its address could be anyone's).

Before: TestEntryWithoutAStart asked that the entry be taken; it asks that it changes nothing, and that endpoints without a start are followed. After: go test ./internal/fleet ./internal/gateway ./internal/placer ./internal/weights ./internal/peerload passes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -105,8 +105,8 @@
 // Empty reports whether no endpoint is known.
 func (f *Fleet) Empty() bool { return len(f.view.Load().byService) == 0 }
 
-// Update takes an endpoint's entry. One of an earlier start than the newest known is dropped:
-// it arrived late.
+// Update takes an endpoint's entry. One of an earlier start than the newest known is dropped,
+// as it arrived late, and so is one that names no start though the endpoint does.
 func (f *Fleet) Update(e *Endpoint, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -133,24 +133,24 @@
 }
 
 // date returns the entry with what is known of its start, and false where a later start is
-// known. An entry that doesn't say its start is one of the newest.
+// known. An entry without a start is not the endpoint's own where that has said one before.
 func (f *Fleet) date(e *Endpoint, now time.Time) (dated *Endpoint, current bool) {
 	newest := f.newest[e.ID]
-	if e.Born != 0 && e.Born < newest.born {
+	switch {
+	case e.Born < newest.born:
 		return e, false
-	}
-	if e.Born > newest.born {
+	case e.Born > newest.born:
 		newest = start{born: e.Born}
 	}
 	newest.draining = newest.draining || e.Draining
 	newest.seen = now
 	f.newest[e.ID] = newest
-	if e.Born == newest.born && e.Draining == newest.draining {
+	if e.Draining == newest.draining {
 		return e, true
 	}
-	known := *e
-	known.Born, known.Draining = newest.born, newest.draining
-	return &known, true
+	drained := *e
+	drained.Draining = true
+	return &drained, true
 }
 
 // replace puts the member of an entry in the place of the one before, which may be nil.
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -117,14 +117,22 @@
 	test.True(t, usable(f))
 }
 
-// TestEntryWithoutAStart is taken for one of the newest start.
+// TestEntryWithoutAStart drops an entry that names no start where the endpoint's own do, and
+// follows endpoints that never name one.
 func TestEntryWithoutAStart(t *testing.T) {
 	f := fleet.New(zerolog.Nop())
-	f.Update(born(200, 1), at(0))
+	f.Update(born(0, 1), at(0))
 	m := only(t, f, "s")
-	f.Update(born(0, 1), at(time.Second))
+	f.Update(born(0, 2), at(time.Second))
+	test.True(t, m == only(t, f, "s"))
+	test.Eq(t, 2, m.VersionOf(model))
+	f.Update(born(200, 2), at(2*time.Second))
+	m = only(t, f, "s")
+	foreign := born(0, 1)
+	foreign.Addr, foreign.Draining = "127.0.0.1:9", true
+	f.Update(foreign, at(3*time.Second))
 	test.True(t, m == only(t, f, "s"))
-	test.Eq(t, 200, m.Endpoint().Born)
+	test.Eq(t, "127.0.0.1:1", m.Endpoint().Addr)
 }
 
 // TestMoved sends requests to the address and as the service that the newest entry of a start
