Refuse messages and claims that no node sends

Cause: between nodes only the JSON was checked.

Ruled out: clamping in place of refusing (what else such a message says is no better), a rule on senders' addresses (nodes come and go before the roster tells).

Change: such messages are refused as a whole. Claims that ask for more than MaxTTL, which must now be the same for all that use a log, have no id, or name an offset beyond their own are ignored.

That the ages of relayed copies overflow was read in the code. Conclusion: a message that is out of range changes nothing.

--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -164,6 +164,43 @@
 	})
 }
 
+// TestRecordsOfOthers ignores records that no contender writes, which would keep a resource from
+// all, and waits for one that a contender could have written.
+func TestRecordsOfOthers(t *testing.T) {
+	for _, text := range []string{
+		"", "null", "7", `"claim"`, "{", "\xff", `{"kind":"lease","id":"x","resource":"r","ttl_ns":20000000000}`, `{"kind":7}`,
+		`{"kind":"claim","id":"x","resource":"r","ttl_ns":60000000001}`, `{"kind":"claim","id":"x","resource":"r","ttl_ns":9223372036854775807}`,
+		`{"kind":"claim","id":"x","resource":"r","ttl_ns":-1}`, `{"kind":"claim","id":"x","resource":"r","ttl_ns":1.5}`, `{"kind":"claim","id":"x","resource":"r"}`,
+		`{"kind":"claim","id":"","resource":"r","ttl_ns":20000000000}`, `{"kind":"claim","id":"x","resource":"r","ttl_ns":20000000000,"seen":-1}`,
+		`{"kind":"claim","id":"x","resource":"r","ttl_ns":20000000000,"seen":1}`, `{"kind":"claim","id":"x","resource":"r","ttl_ns":20000000000,"seen":9000000000000000000}`,
+		`{"kind":"release","id":"","resource":"r"}`, `{"kind":"release","id":"x","resource":"r"}`,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			log := &memLog{}
+			log.add([]byte(text))
+			c, err := claim.New(config(log, "a", rand.New(rand.NewPCG(1, 1))))
+			must.NoError(t, err)
+			begun := time.Now()
+			held, err := c.Acquire(t.Context(), "r", ttl)
+			must.NoError(t, err)
+			test.Eq(t, 1, held.Token(), test.Sprint(text))
+			test.Less(t, time.Second, time.Since(begun), test.Sprint(text))
+			must.NoError(t, held.Release(t.Context()))
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		log := &memLog{}
+		log.add([]byte(`{"kind":"claim","id":"x","resource":"r","ttl_ns":20000000000,"seen":0}`))
+		c, err := claim.New(config(log, "a", rand.New(rand.NewPCG(1, 1))))
+		must.NoError(t, err)
+		begun := time.Now()
+		held, err := c.Acquire(t.Context(), "r", ttl)
+		must.NoError(t, err)
+		test.Greater(t, 20*time.Second, time.Since(begun))
+		must.NoError(t, held.Release(t.Context()))
+	})
+}
+
 func FuzzRecords(f *testing.F) {
 	f.Add([]byte(`{"kind":"claim","id":"x","resource":"r","ttl_ns":20000000000,"seen":0}`))
 	f.Add([]byte(`{"kind":"claim","id":"x","resource":"r","ttl_ns":9223372036854775807,"seen":-1}`))
--- a/coord/claim/claimer.go
+++ b/coord/claim/claimer.go
@@ -29,6 +29,7 @@
 			log:       config.Log,
 			clock:     config.Clock,
 			grace:     config.Grace,
+			maxTTL:    config.MaxTTL,
 			resources: make(map[string]*resource),
 		},
 	}, nil
--- a/coord/claim/config.go
+++ b/coord/claim/config.go
@@ -18,7 +18,9 @@
 	// endpoints that ignore tokens it is at least the longest time in which an
 	// order sent can still take effect.
 	Grace time.Duration
-	// MaxTTL bounds each claim; the log must retain records many times longer.
+	// MaxTTL bounds each claim, and must be the same for all that use a log: records that ask
+	// for more are another writer's, would block a resource for as long, and are ignored. The
+	// log must retain records many times longer.
 	MaxTTL time.Duration
 	// Poll is the time between reads while waiting for a claim.
 	Poll time.Duration
@@ -39,5 +41,5 @@
 	return nil
 }
 
-// TTLLimit bounds MaxTTL. Records that ask for more are ignored.
+// TTLLimit bounds MaxTTL.
 const TTLLimit = 24 * time.Hour
--- a/coord/claim/doc.go
+++ b/coord/claim/doc.go
@@ -19,7 +19,7 @@
 //     delay a claim, by a claim's time at most for each, never grant it twice.
 //
 // Conditions: records are retained for much longer than any claim lasts
-// ([Config].MaxTTL), the log's offsets have no holes, and the monotonic clock
+// ([Config].MaxTTL, the same for all), the log's offsets have no holes, and the monotonic clock
 // does not stop. A host that is suspended as a whole stops it on some systems,
 // and a holder that is paused between [Claim.Valid] and sending is late all the
 // same. Endpoints guard against both by a [Fence]; for endpoints that ignore
--- a/coord/claim/view.go
+++ b/coord/claim/view.go
@@ -64,7 +64,8 @@
 	log       Log
 	clock     Clock
 	grace     time.Duration
-	first     int64 // everything from here to position was read
+	maxTTL    time.Duration // of claims that are believed
+	first     int64         // everything from here to position was read
 	position  int64
 	resources map[string]*resource
 }
@@ -108,7 +109,8 @@
 	}
 	switch e.Kind {
 	case kindClaim:
-		if e.TTL <= 0 || e.TTL > TTLLimit {
+		// Who writes a claim has read no further than to where it comes to stand.
+		if e.ID == "" || e.TTL <= 0 || e.TTL > v.maxTTL || e.Seen < 0 || e.Seen > r.Offset {
 			return
 		}
 		v.claim(r.Offset, e, now)
--- /dev/null
+++ b/internal/peerload/check.go
@@ -0,0 +1,36 @@
+package peerload
+
+import "github.com/rotisserie/eris"
+
+const (
+	// mostCounted bounds what a digest counts, so that sums over all nodes are exact: more
+	// tokens than any engine holds.
+	mostCounted = 1 << 40
+	// mostLateMS bounds the lateness of fetches, which end long before.
+	mostLateMS = 600_000
+	// mostClosedMS bounds how long one message closes engines.
+	mostClosedMS = 10_000
+)
+
+// check returns an error where a digest holds what no node sends: its loads would make an engine
+// seem empty or full, and a long closing would take engines from all.
+func (d *Digest) check() error {
+	if d.Node == "" {
+		return eris.New("a digest of no node")
+	}
+	if d.ForMs < 0 || d.ForMs > mostClosedMS {
+		return eris.Errorf("a digest closes engines for %d ms", d.ForMs)
+	}
+	for _, l := range d.Loads {
+		least := min(l.Running, l.Reading, l.Holding, l.Failures)
+		if least < 0 || max(l.Running, l.Reading, l.Holding) > mostCounted || l.Failures > percent {
+			return eris.Errorf("a digest with the load %+v", l)
+		}
+	}
+	for _, l := range d.Late {
+		if l.MS < 0 || l.MS > mostLateMS {
+			return eris.Errorf("a digest with fetches %d ms late", l.MS)
+		}
+	}
+	return nil
+}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -261,6 +261,9 @@
 	if err := json.Unmarshal(params, &d); err != nil {
 		return nil, eris.Wrap(err, "decode a digest")
 	}
+	if err := d.check(); err != nil {
+		return nil, err
+	}
 	e.Table.Take(d, time.Now())
 	e.learnVersions(&d)
 	return nil, nil
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -104,7 +104,7 @@
 func LoadsOf(members []*fleet.Member, now time.Time) []Load {
 	var loads []Load
 	for _, m := range members {
-		l := Load{Endpoint: m.ID, Running: m.Load.Running(), Reading: m.Load.Reading(), Holding: m.Load.Holding()}
+		l := Load{Endpoint: m.ID, Running: counted(m.Load.Running()), Reading: counted(m.Load.Reading()), Holding: counted(m.Load.Holding())}
 		if rate := m.Health.FailureRate(now); rate >= toldFailures {
 			l.Failures = int(rate * percent)
 		}
@@ -115,6 +115,9 @@
 	return loads
 }
 
+// counted returns a number as digests carry it: peers refuse what is out of range.
+func counted(n int) int { return max(min(n, mostCounted), 0) }
+
 // SeenOf returns what this node saw of engines' weights and the registry doesn't tell
 // yet.
 func SeenOf(members []*fleet.Member) []Seen {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -175,9 +175,23 @@
 	if err != nil {
 		return follow.Page{}, err
 	}
-	page := follow.Page{Records: a.Records, Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}
-	if page.Age > MaxAge {
-		return follow.Page{}, eris.Wrap(errOld, page.Age.String())
+	return a.page(from)
+}
+
+// page returns what an answer to a question from an offset on tells. What can't be an answer is
+// refused: an age before the question or beyond the range of durations would make the copy
+// fresher than it is, and offsets out of range would have records passed over.
+func (a *answer) page(from int64) (follow.Page, error) {
+	if a.AgeUS < 0 || a.Next < 0 {
+		return follow.Page{}, eris.Errorf("an answer of age %d µs up to offset %d", a.AgeUS, a.Next)
 	}
-	return page, nil
+	for i := range a.Records {
+		if offset := a.Records[i].Offset; offset < from || offset >= a.Next {
+			return follow.Page{}, eris.Errorf("a record at offset %d from %d to %d", offset, from, a.Next)
+		}
+	}
+	if a.AgeUS >= MaxAge.Microseconds() {
+		return follow.Page{}, eris.Wrapf(errOld, "%d µs", a.AgeUS)
+	}
+	return follow.Page{Records: a.Records, Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}, nil
 }
