--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -262,6 +262,9 @@
 	if err := json.Unmarshal(params, &d); err != nil {
 		return nil, eris.Wrap(err, "decode a digest")
 	}
+	if err := d.check(); err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	e.Table.Take(d, now)
 	e.learnVersions(&d, now)
--- a/internal/peerload/load.go
+++ b/internal/peerload/load.go
@@ -58,7 +58,7 @@
 // nothing to say of, and which start of its endpoint each is of.
 func LoadsOf(members []*fleet.Member, now time.Time) (loads []Load, starts []Start) {
 	for _, m := range members {
-		l := Load{Endpoint: m.ID, Running: m.Load.Running(), Reading: m.Load.Reading(), Holding: m.Load.Holding()}
+		l := Load{Endpoint: m.ID, Running: counted(m.Load.Running()), Reading: counted(m.Load.Reading()), Holding: counted(m.Load.Holding())}
 		if rate := m.Health.FailureRate(now); rate >= toldFailures {
 			l.Failures = int(rate * percent)
 		}
@@ -69,3 +69,6 @@
 	}
 	return loads, starts
 }
+
+// counted returns a number as digests carry it: peers refuse what is out of range.
+func counted(n int) int { return max(min(n, mostCounted), 0) }
