Have nodes that are gone leave the list of nodes

Cause: the nodes' topic kept every node that was ever announced. Each one that was replaced made the others' share of the retry budget smaller for ever, counted towards the size at which nodes tell one another less, and left parts of replaced weights to time alone, since not all nodes ever promised again to name them no more.

Change: a sweeper marks the entry of a node that was not heard for 60 s, which a node that lives answers by writing it anew, and removes one that stayed marked for 75 s. Both writes follow the newest record that the writer knows, so that two sweepers don't fight and nothing is removed that was written meanwhile. A node acts as counted under a lease: for 60 s after it sent a read that found its entry unmarked, and, once removed, not before 75 s after it is listed again. Without it it names no parts at stores, frees none on promises and saves up one repeat. The number of nodes is that of the list, or of those heard lately if they are more; a list that was not read yet takes nobody for gone.

Cost: nothing while nothing changes; two writes for each node that is gone, and the end of one waiting read of each node at both (TestReplacedNodeLeavesTheList counts writes and reads).

Ruled out: dropping an entry at once and leaving it out for a while at each node, which one that starts meanwhile would not know of; groups of the store, renewed by each node for ever; removal by the stopping node, for which each rolling restart would pay.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 	})
 	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain}
 	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
+	n.roster.lease.grace = goneGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
 		Node:    boot.Name,
 		Fleet:   n.fleet,
@@ -164,8 +165,14 @@
 	return peerload.Neighbours{Others: n.roster.othersByDomain()[n.boot.Load().Domain], Speaks: own}
 }
 
-// nodes returns the number of nodes that share what is given out among nodes.
-func (n *Node) nodes() int { return max(n.roster.Nodes(), n.peers.Table.Nodes()) }
+// nodes returns the number of nodes that share what is given out among nodes: those that are
+// listed, or heard and not listed yet. Until the list was read none is taken for gone.
+func (n *Node) nodes() int {
+	if !n.roster.Read() {
+		return n.peers.Table.Nodes()
+	}
+	return max(n.roster.Nodes(), n.peers.Table.Lately(time.Now()))
+}
 
 // listen opens the listeners for callers and for the balancer.
 func (n *Node) listen() (err error) {
@@ -191,6 +198,7 @@
 		&task{name: "messages", run: n.conn.Run},
 		&task{name: "peers", run: n.peers.Run},
 		&task{name: "announce", run: n.roster.announce},
+		&task{name: "sweep", run: newSweeper(n).run},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.keeping.follow},
 		&task{name: "events", run: n.events.Run},
@@ -209,11 +217,13 @@
 
 func (n *Node) handler() *forward.Handler {
 	boot := n.boot.Load()
+	budgets := forward.NewBudgets(boot.Bounds, n.nodes)
+	budgets.Held = n.roster.Counted
 	return &forward.Handler{
 		Dialect:  platform.Dialect{},
 		State:    n.state,
 		Placer:   n.placer(),
-		Budgets:  forward.NewBudgets(boot.Bounds, n.nodes),
+		Budgets:  budgets,
 		Patience: &forward.Patience{},
 		Bounds:   n.bounds,
 		Recorder: n.recorder,
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -99,9 +99,10 @@
 // A part is freed freeAfter after its version was replaced, or once all nodes promised to
 // name it no more. A node that saw the replacement promptly stops naming in time by its own
 // clock; one that did not, as it was cut off or frozen, names the wanted version alone. A node
-// that is cut off stops naming that one, too, before others may free it.
+// that is cut off stops naming that one, too, before others may free it. One that the others
+// may not count names nothing, as they don't wait for its promise.
 func (k *keeping) mayName(model string, version int64) bool {
-	if version < k.named.of(model).version {
+	if version < k.named.of(model).version || !k.node.roster.Counted() {
 		return false
 	}
 	if by, replaced := k.node.state.replaced(model, version); replaced {
@@ -132,6 +133,9 @@
 // tokens be read again for 15 s.
 func (k *keeping) unnamed(model string, version int64, turn time.Duration) bool {
 	own := k.named.of(model)
+	if !k.node.roster.Counted() {
+		return false // its own knowledge of who must promise is old, or may be
+	}
 	if own.version <= version || time.Since(own.since) < unnamedFor+turn {
 		return false
 	}
--- /dev/null
+++ b/internal/gateway/readers.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cherryward/cherryward/internal/pace"
+)
+
+// domainReaders is the number of nodes of a failure domain that read the store for the
+// others, in a large system. One that is lost is replaced as soon as it isn't heard; for one
+// that is cut off from the store, the other stands in meanwhile.
+const domainReaders = 2
+
+// neighbour is a node whose address is known.
+type neighbour struct {
+	name, domain string
+	hash         uint64
+	addr         netip.AddrPort
+}
+
+// neighbours returns the nodes of this failure domain, this one included.
+func (r *roster) neighbours() []neighbour {
+	return r.sorted(func(e nodeEntry) bool { return e.Domain == r.own.Domain })
+}
+
+// sorted returns the nodes that match, in the order of their names' hashes.
+func (r *roster) sorted(match func(nodeEntry) bool) []neighbour {
+	var list []neighbour
+	for name, e := range r.entries {
+		addr, err := netip.ParseAddrPort(e.Addr)
+		if err != nil || !match(e) {
+			continue
+		}
+		list = append(list, neighbour{name: name, domain: e.Domain, hash: xxhash.Sum64String(name), addr: addr})
+	}
+	slices.SortFunc(list, func(a, b neighbour) int { return cmp.Compare(a.hash, b.hash) })
+	return list
+}
+
+// readers returns the nodes that read the store for this one: the first few of its
+// failure domain that were heard lately. None means that it reads the store itself, as
+// all do in a small system; own is true where it is one of the few of a large one. Nodes
+// may differ for a while in whom they take for a reader: then more read the store.
+func (r *roster) readers() (addrs []netip.AddrPort, own bool) {
+	if pace.Whole(r.Nodes()) {
+		return nil, false
+	}
+	r.mu.Lock()
+	near := r.near
+	r.mu.Unlock()
+	addrs = make([]netip.AddrPort, 0, domainReaders)
+	for _, n := range near {
+		if n.name == r.node {
+			return nil, true
+		}
+		if !r.heard(n.name) {
+			continue
+		}
+		if addrs = append(addrs, n.addr); len(addrs) == domainReaders {
+			return addrs, false
+		}
+	}
+	return nil, false // its own entry is not there yet
+}
+
+// backups returns nodes that read the store, whichever failure domain they are in, but for
+// this one: those of a small system, and each failure domain's readers of a large one.
+func (r *roster) backups() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.others
+}
+
+// readersElsewhere returns what backups returns. A node that is gone may be among them.
+func (r *roster) readersElsewhere() []netip.AddrPort {
+	whole := pace.Whole(len(r.entries))
+	found := make(map[string]int) // nodes, by failure domain
+	var addrs []netip.AddrPort
+	for _, n := range r.sorted(func(nodeEntry) bool { return true }) {
+		if n.name == r.node || !whole && found[n.domain] == domainReaders {
+			continue
+		}
+		found[n.domain]++
+		addrs = append(addrs, n.addr)
+	}
+	return addrs
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -1,20 +1,16 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/pace"
 	"github.com/cherryward/cherryward/internal/peerload"
@@ -25,11 +21,6 @@
 	nodesTopic = "keyed.cherryward-nodes"
 	// nodesWait is how long a read waits for a node to come.
 	nodesWait = 10 * time.Second
-	// announcePause is the time between two looks whether the own entry is there.
-	announcePause = 500 * time.Millisecond
-	// readBack is the time after which an entry that was written must be there, with some
-	// reads in between: written twice at a common start, it ended all nodes' waiting reads twice.
-	readBack = 2 * time.Second
 	// gatherTime is how long after its start a node expects others to come up with it, as after
 	// a loss of power, and gatherPause the time between two reads of the nodes' addresses
 	// meanwhile: each node's coming ends a waiting read of all others. 82 nodes made 1,550 calls
@@ -42,20 +33,21 @@
 // while another node holds it: enough that one is left after the loss of two.
 const standbys = 3
 
-// domainReaders is the number of nodes of a failure domain that read the store for the
-// others, in a large system. One that is lost is replaced as soon as it isn't heard; for one
-// that is cut off from the store, the other stands in meanwhile.
-const domainReaders = 2
-
 // nodeEntry is a node's entry in the topic.
 type nodeEntry struct {
 	Addr   string `json:"addr"`   // where it hears its peers, IP:PORT
 	Domain string `json:"domain"` // failure domain
+	// Gone is true where another node has not heard this one for long. It writes its entry
+	// anew if it lives; else its entry is removed.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // putter writes the newest record of a key.
 type putter interface {
 	Put(ctx context.Context, key string, value []byte) error
+	// PutIf does so where the topic still ends at an offset, and fails with
+	// follow.ErrChanged else. Without a value the key is removed.
+	PutIf(ctx context.Context, key string, value []byte, end int64) error
 }
 
 // roster knows the addresses of all nodes, and makes this one known.
@@ -73,7 +65,10 @@
 	heard func(node string) bool
 
 	mu      sync.Mutex
+	lease   lease
 	entries map[string]nodeEntry // by node
+	written map[string]time.Time // when a node's newest record was read
+	end     int64                // of the topic, as far as it was read
 	near    []neighbour          // the nodes of this failure domain, in the order of their hashes
 	others  []netip.AddrPort     // what backups returns
 	// byDomain is what othersByDomain returns.
@@ -81,17 +76,14 @@
 	read     bool
 }
 
-// neighbour is a node whose address is known.
-type neighbour struct {
-	name, domain string
-	hash         uint64
-	addr         netip.AddrPort
-}
-
 var _ follow.Sink = (*roster)(nil)
 
 func newRoster(node string, own nodeEntry, topic putter, set func([]peerload.Peer), heard func(string) bool, log zerolog.Logger) *roster {
-	r := &roster{node: node, own: own, topic: topic, set: set, heard: heard, log: log, entries: make(map[string]nodeEntry)}
+	r := &roster{
+		node: node, own: own, topic: topic, set: set, heard: heard, log: log,
+		lease:   lease{proven: time.Now(), grace: goneGrace(0)},
+		entries: make(map[string]nodeEntry), written: make(map[string]time.Time),
+	}
 	r.summarize()
 	return r
 }
@@ -106,7 +98,8 @@
 	for i := range b.Records {
 		r.apply(&b.Records[i])
 	}
-	r.read = true
+	r.noteWritten(&b)
+	r.read, r.end = true, b.Next
 	r.summarize()
 	peers := make([]peerload.Peer, 0, len(r.entries))
 	for _, e := range r.entries {
@@ -128,6 +121,24 @@
 	r.entries[record.Key] = e
 }
 
+// noteWritten notes whose records were read, and what they say of this node's own entry.
+func (r *roster) noteWritten(b *follow.Batch) {
+	now := time.Now()
+	touched := b.Snapshot
+	for i := range b.Records {
+		key := b.Records[i].Key
+		r.written[key] = now
+		touched = touched || key == r.node
+	}
+	for name := range r.written {
+		if _, listed := r.entries[name]; !listed {
+			delete(r.written, name)
+		}
+	}
+	own, listed := r.entries[r.node]
+	r.lease.see(sighting{listed: listed, gone: own.Gone, touched: touched, provenAt: b.ProvenAt, at: now})
+}
+
 // summarize counts the nodes, and finds out whether this one stands by: all do in a
 // small system, in a larger one the first few in the order of their names' hashes.
 func (r *roster) summarize() {
@@ -149,75 +160,7 @@
 	r.standby.Store(pace.Whole(nodes) || before < standbys)
 }
 
-// neighbours returns the nodes of this failure domain, this one included.
-func (r *roster) neighbours() []neighbour {
-	return r.sorted(func(e nodeEntry) bool { return e.Domain == r.own.Domain })
-}
-
-// sorted returns the nodes that match, in the order of their names' hashes.
-func (r *roster) sorted(match func(nodeEntry) bool) []neighbour {
-	var list []neighbour
-	for name, e := range r.entries {
-		addr, err := netip.ParseAddrPort(e.Addr)
-		if err != nil || !match(e) {
-			continue
-		}
-		list = append(list, neighbour{name: name, domain: e.Domain, hash: xxhash.Sum64String(name), addr: addr})
-	}
-	slices.SortFunc(list, func(a, b neighbour) int { return cmp.Compare(a.hash, b.hash) })
-	return list
-}
-
-// readers returns the nodes that read the store for this one: the first few of its
-// failure domain that were heard lately. None means that it reads the store itself, as
-// all do in a small system; own is true where it is one of the few of a large one. Nodes
-// may differ for a while in whom they take for a reader: then more read the store.
-func (r *roster) readers() (addrs []netip.AddrPort, own bool) {
-	if pace.Whole(r.Nodes()) {
-		return nil, false
-	}
-	r.mu.Lock()
-	near := r.near
-	r.mu.Unlock()
-	addrs = make([]netip.AddrPort, 0, domainReaders)
-	for _, n := range near {
-		if n.name == r.node {
-			return nil, true
-		}
-		if !r.heard(n.name) {
-			continue
-		}
-		if addrs = append(addrs, n.addr); len(addrs) == domainReaders {
-			return addrs, false
-		}
-	}
-	return nil, false // its own entry is not there yet
-}
-
-// backups returns nodes that read the store, whichever failure domain they are in, but for
-// this one: those of a small system, and each failure domain's readers of a large one.
-func (r *roster) backups() []netip.AddrPort {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.others
-}
-
-// readersElsewhere returns what backups returns. A node that is gone may be among them.
-func (r *roster) readersElsewhere() []netip.AddrPort {
-	whole := pace.Whole(len(r.entries))
-	found := make(map[string]int) // nodes, by failure domain
-	var addrs []netip.AddrPort
-	for _, n := range r.sorted(func(nodeEntry) bool { return true }) {
-		if n.name == r.node || !whole && found[n.domain] == domainReaders {
-			continue
-		}
-		found[n.domain]++
-		addrs = append(addrs, n.addr)
-	}
-	return addrs
-}
-
-// Others returns the names of all other nodes that were ever announced.
+// Others returns the names of all other nodes whose entries are there.
 func (r *roster) Others() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -249,41 +192,24 @@
 	return names
 }
 
-// Nodes returns the number of nodes that were ever announced, this one included. Some
-// may be gone.
+// Nodes returns the number of nodes whose entries are there, this one included. Some may be
+// gone for less than goneAfter and goneGrace.
 func (r *roster) Nodes() int { return int(r.count.Load()) }
 
-// Standby reports whether this node follows the claim on orders while another holds it.
-func (r *roster) Standby() bool { return r.standby.Load() }
-
-// missing reports whether the topic was read and lacks this node.
-func (r *roster) missing() bool {
+// Read reports whether the topic was read.
+func (r *roster) Read() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.read && r.entries[r.node] != r.own
+	return r.read
 }
 
-// announce writes this node's entry whenever it is missing. Writing it twice does
-// no harm.
-func (r *roster) announce(ctx context.Context) error {
-	for ctx.Err() == nil {
-		pause := announcePause
-		if r.missing() {
-			err := r.put(ctx)
-			if err == nil {
-				pause = readBack
-			}
-			r.log.Info().Str("event", "announced").Str("addr", r.own.Addr).Str("domain", r.own.Domain).AnErr("error", err).Send()
-		}
-		retry.Sleep(ctx, pause)
-	}
-	return nil
+// Counted reports whether the other nodes certainly count this one, so that it may use what
+// they leave to it.
+func (r *roster) Counted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.holds(time.Now())
 }
 
-func (r *roster) put(ctx context.Context) error {
-	value, err := json.Marshal(r.own)
-	if err != nil {
-		return eris.Wrap(err, "encode the node's entry")
-	}
-	return r.topic.Put(ctx, r.node, value)
-}
+// Standby reports whether this node follows the claim on orders while another holds it.
+func (r *roster) Standby() bool { return r.standby.Load() }
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -19,6 +19,8 @@
 
 func (noTopic) Put(context.Context, string, []byte) error { return nil }
 
+func (noTopic) PutIf(context.Context, string, []byte, int64) error { return nil }
+
 // rosterOf returns the roster of a node that has read the entries of so many nodes, and
 // what it told of its peers.
 func rosterOf(t *testing.T, node string, nodes int) (*roster, *[]peerload.Peer) {
--- a/internal/peerload/domain.go
+++ b/internal/peerload/domain.go
@@ -58,6 +58,7 @@
 // heardDomain is the newest digest of a failure domain, with what was promised so far.
 type heardDomain struct {
 	digest DomainDigest
+	at     time.Time
 	names  map[string]domainPromise // by model
 }
 
@@ -86,7 +87,7 @@
 	if last.Node == d.Node && (d.Incarnation < last.Incarnation || d.Incarnation == last.Incarnation && d.Seq <= last.Seq) {
 		return
 	}
-	t.domains[d.Domain] = heardDomain{digest: d, names: promised(known.names, &d, now)}
+	t.domains[d.Domain] = heardDomain{digest: d, at: now, names: promised(known.names, &d, now)}
 }
 
 // UnnamedIn returns since when the nodes of another failure domain have named only newer
--- /dev/null
+++ b/internal/peerload/heard_test.go
@@ -0,0 +1,33 @@
+package peerload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// TestDomainsAreHeard tells of failure domains whose speakers were heard lately.
+func TestDomainsAreHeard(t *testing.T) {
+	table := NewTable()
+	test.False(t, table.HearsAfar(now, time.Second))
+	table.TakeDomain(DomainDigest{Node: "a", Domain: "d1", Incarnation: 1, Seq: 1}, now)
+	later := now.Add(time.Second / 2)
+	test.True(t, table.HearsAfar(later, time.Second))
+	test.True(t, table.HeardOf("d1", later, time.Second))
+	test.False(t, table.HeardOf("d2", later, time.Second))
+	later = now.Add(time.Second)
+	test.False(t, table.HearsAfar(later, time.Second))
+	test.False(t, table.HeardOf("d1", later, time.Second))
+}
+
+// TestLatelyForgets counts nodes until they were silent for long.
+func TestLatelyForgets(t *testing.T) {
+	table := NewTable()
+	table.Take(digest("a", 1, 1, 0), now)
+	table.Take(digest("b", 1, 1, 0), now.Add(heardFor))
+	test.Eq(t, 3, table.Lately(now.Add(heardFor)))
+	test.Eq(t, 2, table.Lately(now.Add(2*heardFor)))
+	test.Eq(t, 1, table.Lately(now.Add(3*heardFor)))
+	test.Eq(t, 3, table.Nodes())
+}
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -181,6 +181,33 @@
 	return t.anyHeard(now, within, func(name string, _ *Digest) bool { return name == node })
 }
 
+// HeardOf reports whether a speaker of another failure domain was heard within a time.
+func (t *Table) HeardOf(domain string, now time.Time, within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d, known := t.domains[domain]
+	return known && now.Sub(d.at) < within
+}
+
+// HearsAfar reports whether a speaker of any other failure domain was heard within a time.
+func (t *Table) HearsAfar(now time.Time, within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range t.domains {
+		if now.Sub(d.at) < within {
+			return true
+		}
+	}
+	return false
+}
+
+// Lately returns the number of nodes, this one included, that were heard lately.
+func (t *Table) Lately(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count(now) + 1
+}
+
 // Hears reports whether any node was heard within a time.
 func (t *Table) Hears(now time.Time, within time.Duration) bool {
 	return t.anyHeard(now, within, func(string, *Digest) bool { return true })
