Bound what nodes tell one another in bytes

Cause: messages between nodes were bounded in number, not in bytes. A load takes some 35 bytes for each endpoint in use, told to each node of the failure domain 15 times a second; answers on events are up to 12 KB each.

Change: what a node tells of its own accord takes a fifth of such a link, 250 KB/s: the next message waits until the last has had its time, so that the newest state is told, and where all can't be told within 0.4 s the endpoints with the fewest requests are left out. Answers take at most 375 KB/s; an answer beyond is a short refusal, on which the store is asked; events take what others leave, in smaller pieces. Nothing waits for room. x/time/rate, which was there indirectly, holds the answers' bytes.

Ruled out: dropping single messages by a bucket, which would starve the same peers and tell old loads. A bound by the own link alone: what a node hears comes from links that may be twenty times as wide.

TestFewEventsWhereTheLinkIsFull gets 120 changes without the change, 81 and then 20 with it.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -8,19 +8,28 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
 )
 
 // MaxBytes is the length of the longest message. A longer one is refused by the sender.
 const MaxBytes = 16 << 10
 
+// headerBytes is the length of the headers of IPv4 and UDP.
+const headerBytes = 28
+
+// errBusy is told to a caller in place of an answer for which there is no room now.
+var errBusy = errors.New("datagram: the answers of this second are given")
+
 // Handler serves one method. It must not wait, as messages are served one after the
 // other. For a notification its result is dropped.
 type Handler func(params json.RawMessage) (result any, err error)
@@ -30,6 +39,8 @@
 	udp      *net.UDPConn
 	log      zerolog.Logger
 	handlers map[string]Handler
+	answers  *rate.Limiter // bytes of answers; nil for no bound
+	sent     atomic.Int64
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -70,6 +81,22 @@
 // Handle has a method served. It must be called before Run.
 func (c *Conn) Handle(method string, h Handler) { c.handlers[method] = h }
 
+// Bound bounds the bytes of answers in a second, a second's worth at once. In place of an
+// answer beyond it the caller is told so. It must be called before Run.
+func (c *Conn) Bound(bytes int) { c.answers = rate.NewLimiter(rate.Limit(bytes), max(bytes, MaxBytes)) }
+
+// Spare returns how many bytes an answer may take of what is not kept for others: half of
+// what Bound allows at once.
+func (c *Conn) Spare() int {
+	if c.answers == nil {
+		return MaxBytes
+	}
+	return max(int(c.answers.Tokens())-c.answers.Burst()/2, 0)
+}
+
+// Sent returns the number of bytes sent so far, with the datagrams' headers.
+func (c *Conn) Sent() int64 { return c.sent.Load() }
+
 // Close ends Run.
 func (c *Conn) Close() error { return c.udp.Close() }
 
@@ -146,6 +173,9 @@
 	if err != nil {
 		return eris.Wrap(err, "encode an answer")
 	}
+	if resp.Error == nil && c.answers != nil && !c.answers.AllowN(time.Now(), len(data)) {
+		return errBusy
+	}
 	return c.write(data, to)
 }
 
@@ -169,12 +199,13 @@
 	if len(data) > MaxBytes {
 		return eris.Errorf("a message of %d bytes is too long", len(data))
 	}
+	c.sent.Add(int64(len(data) + headerBytes))
 	_, err := c.udp.WriteToUDPAddrPort(data, to)
 	return err
 }
 
-// Notify sends a notification to each peer.
-func (c *Conn) Notify(peers []netip.AddrPort, method string, params any) {
+// Notify sends a notification to each peer, and returns the bytes of all.
+func (c *Conn) Notify(peers []netip.AddrPort, method string, params any) (bytes int) {
 	req := jsonrpc2.Request{Method: method, Notif: true}
 	err := req.SetParams(params)
 	var data []byte
@@ -183,13 +214,14 @@
 	}
 	if err != nil {
 		c.log.Error().Str("event", "datagram_unsent").Str("method", method).Err(err).Send()
-		return
+		return 0
 	}
 	for _, peer := range peers {
 		if err := c.write(data, peer); err != nil {
 			c.log.Debug().Str("event", "datagram_unsent").Stringer("to", peer).Err(err).Send()
 		}
 	}
+	return len(peers) * (len(data) + headerBytes)
 }
 
 // Call calls a method of a peer and decodes its result. Without an answer it fails when
--- a/internal/datagram/datagram_test.go
+++ b/internal/datagram/datagram_test.go
@@ -124,3 +124,27 @@
 	a.Notify([]netip.AddrPort{netip.MustParseAddrPort(b.Addr())}, "say", words{"hello"})
 	test.Eq(t, "hello", <-heard)
 }
+
+// TestAnswersAreBounded tells a caller at once that there is no room for its answer, and keeps
+// half of the room from those that ask what there is to spare.
+func TestAnswersAreBounded(t *testing.T) {
+	a, _ := open(t)
+	b, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
+	must.NoError(t, err)
+	test.Eq(t, datagram.MaxBytes, b.Spare(), test.Sprint("it is not bounded"))
+	b.Bound(1) // and one longest message
+	b.Handle("long", func(json.RawMessage) (any, error) {
+		return words{strings.Repeat("x", datagram.MaxBytes*2/3)}, nil
+	})
+	go func() { _ = b.Run(t.Context()) }()
+	t.Cleanup(func() { b.Close() })
+	test.Eq(t, datagram.MaxBytes/2, b.Spare())
+	addr := netip.MustParseAddrPort(b.Addr())
+	var got words
+	must.NoError(t, a.Call(t.Context(), addr, "long", words{}, &got))
+	test.Eq(t, 0, b.Spare())
+	sent := b.Sent()
+	test.Greater(t, datagram.MaxBytes*2/3, sent)
+	test.ErrorContains(t, a.Call(t.Context(), addr, "long", words{}, &got), "answers of this second")
+	test.Less(t, sent+500, b.Sent())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/kernel"
+	"github.com/cherryward/cherryward/internal/pace"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/weights"
@@ -106,6 +107,7 @@
 	if err != nil {
 		return err
 	}
+	n.conn.Bound(pace.AnswerBytes)
 	n.events = &kept.Peers{Index: n.keeping.index, Conn: n.conn, Readers: n.readers}
 	n.events.Serve()
 	n.peers = peerload.New(peerload.Config{
--- a/internal/kept/peers.go
+++ b/internal/kept/peers.go
@@ -21,8 +21,12 @@
 	askTimeout = 150 * time.Millisecond
 	// askAgain is how long stores are asked themselves after a node didn't answer.
 	askAgain = time.Second
-	// mostChanges bounds the changes in an answer, of some 100 bytes each in a datagram.
-	mostChanges = 120
+	// mostChanges bounds the changes in an answer, of some changeBytes each in a datagram, and
+	// leastChanges is what is told where the connection has no bytes to spare: other answers go
+	// before events, which come late at worst.
+	mostChanges  = 120
+	leastChanges = 20
+	changeBytes  = 100
 )
 
 // Peers has few nodes of a large system ask the stores for their events, and the others
@@ -58,14 +62,13 @@
 		if err := json.Unmarshal(params, &asked); err != nil {
 			return nil, eris.Wrap(err, "decode a question for events")
 		}
-		return p.Index.tell(asked), nil
+		return p.Index.tell(asked, min(max(p.Conn.Spare()/changeBytes, leastChanges), mostChanges)), nil
 	})
 }
 
-// tell returns what this node knows beyond the positions.
-func (x *Index) tell(asked []Position) told {
+// tell returns what this node knows beyond the positions, up to so many changes.
+func (x *Index) tell(asked []Position, most int) told {
 	answer := told{ClockMS: x.ClockMS()}
-	most := mostChanges
 	for _, position := range asked {
 		store := x.store(position.Addr)
 		if store == nil || most == 0 {
--- a/internal/kept/peers_test.go
+++ b/internal/kept/peers_test.go
@@ -145,3 +145,30 @@
 		x.Wait()
 	})
 }
+
+// TestFewEventsWhereTheLinkIsFull tells fewer changes at once where the connection has few bytes
+// to spare; the asker learns all of them all the same.
+func TestFewEventsWhereTheLinkIsFull(t *testing.T) {
+	const events = 150
+	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
+	must.NoError(t, err)
+	conn.Bound(1) // and one longest message
+	reader := &Peers{Index: NewIndex(&counted{}, nil, zerolog.Nop()), Conn: conn}
+	reader.Index.view.Store(&view{stores: []*Holder{newStore()}})
+	reader.Serve()
+	go func() { _ = conn.Run(t.Context()) }()
+	t.Cleanup(func() { conn.Close() })
+	asker, _ := nodeOf(t, &counted{})
+	for _, x := range []*Index{reader.Index, asker.Index} {
+		x.Take(x.Stores()[0], &Events{Epoch: 5, Next: 1, ClockMS: 70})
+	}
+	reader.Index.Take(reader.Index.Stores()[0], &Events{Epoch: 5, Next: events, Changes: changes(1, events), ClockMS: 77})
+	var told []int64
+	for known := int64(1); known < events; known = asker.Index.Stores()[0].Position().Next {
+		must.NoError(t, asker.ask(t.Context(), netip.MustParseAddrPort(conn.Addr())))
+		told = append(told, asker.Index.Stores()[0].Position().Next-known)
+	}
+	test.Eq(t, datagram.MaxBytes/2/changeBytes, told[0])
+	test.Eq(t, leastChanges, told[len(told)-2])
+	test.Eq(t, reader.Index.Stores()[0].parts, asker.Index.Stores()[0].parts)
+}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -55,6 +55,15 @@
 	// some 40 microseconds of a processor.
 	digestsHeard = 400
 
+	// slowestLink is what nodes are made for, in bytes a second: 10 Mbit/s.
+	slowestLink = 10_000_000 / 8
+	// MessageBytes bounds the bytes of messages that a node tells others of its own accord in
+	// a second. What it hears is as much, as all tell alike.
+	MessageBytes = slowestLink / 5
+	// AnswerBytes bounds the bytes of answers to other nodes in a second. With MessageBytes they
+	// leave requests half of the link.
+	AnswerBytes = slowestLink * 3 / 10
+
 	// domainInterval is the time between two messages of a node to those of other failure
 	// domains on what its own one names at stores, and domainMessages bounds their number in a
 	// second.
@@ -109,6 +118,17 @@
 	return spacing, max(digestInterval, spacing)
 }
 
+// Spread returns how long a node tells nothing more after messages of so many bytes.
+func Spread(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / MessageBytes
+}
+
+// LongestMessage returns the bytes of the longest message that so many peers can be told
+// within a time.
+func LongestMessage(peers int, within time.Duration) int {
+	return int(within.Seconds() * MessageBytes / float64(max(peers, 1)))
+}
+
 // DomainDigests returns the time between two messages of a node to so many nodes of other
 // failure domains on what its own one names at stores.
 func DomainDigests(nodes int) time.Duration {
--- a/internal/peerload/domain.go
+++ b/internal/peerload/domain.go
@@ -114,18 +114,18 @@
 }
 
 // sendDomain tells the nodes of other failure domains which weights' parts those of this one
-// name, if this node speaks for it.
-func (e *Exchange) sendDomain(far []netip.AddrPort) {
+// name, if this node speaks for it. It returns the bytes of all messages.
+func (e *Exchange) sendDomain(far []netip.AddrPort) (bytes int) {
 	now := time.Now()
 	if len(far) == 0 || now.Sub(e.toldDomain) < pace.DomainDigests(len(far)) {
-		return
+		return 0
 	}
 	near := e.config.Neighbours()
 	if !near.Speaks {
-		return
+		return 0
 	}
 	e.toldDomain = now
-	e.config.Conn.Notify(far, domainMethod, DomainDigest{
+	return e.config.Conn.Notify(far, domainMethod, DomainDigest{
 		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
 		Names:   e.Table.DomainNames(e.config.Names(), near.Others),
 		Members: MembersOf(near.Others...) + MembersOf(e.config.Node),
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -131,11 +131,13 @@
 
 // Run sends until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
+	sent := 0
 	for ctx.Err() == nil {
 		spacing, interval := pace.Digests(e.listeners())
+		spacing = max(spacing, pace.Spread(sent))
 		retry.Sleep(ctx, spacing)
 		e.awaitKick(ctx, interval-spacing)
-		e.send()
+		sent = e.send()
 	}
 	return nil
 }
@@ -169,23 +171,24 @@
 
 // send tells the peers near of this node's load. A node that gives orders is heard by
 // all, who must send nothing to engines that load; those far hear less often, as one
-// message to each of many nodes would fill a small host's link.
-func (e *Exchange) send() {
+// message to each of many nodes would fill a small host's link. It returns the bytes of all
+// messages.
+func (e *Exchange) send() (bytes int) {
 	peers := e.peers.Load()
 	if peers == nil {
-		return
+		return 0
 	}
 	e.seq++
 	members := e.config.Members()
 	digest := e.orders(members)
 	if len(peers.far) > 0 && time.Since(e.toldFar) >= farSpacing {
-		e.sendFar(peers, digest, members)
+		bytes += e.sendFar(peers, digest, members)
 	}
-	e.sendDomain(peers.far)
+	bytes += e.sendDomain(peers.far)
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
-	digest.Loads = LoadsOf(members, time.Now())
-	e.config.Conn.Notify(peers.near, method, digest)
+	digest.Loads = fit(LoadsOf(members, time.Now()), len(peers.near))
+	return bytes + e.config.Conn.Notify(peers.near, method, digest)
 }
 
 // newNames returns which weights' parts this node names, now and then and when that changed:
@@ -202,15 +205,16 @@
 // sendFar tells the nodes of other failure domains of orders, and of this node's load at
 // engines there, which it uses where its own domain has too few. Once both have ended they
 // are told so.
-func (e *Exchange) sendFar(peers *audience, digest *Digest, members []*fleet.Member) {
+func (e *Exchange) sendFar(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
 	far := *digest
-	far.Loads = LoadsOf(outside(members, e.config.Domain), time.Now())
+	far.Loads = fit(LoadsOf(outside(members, e.config.Domain), time.Now()), len(peers.far))
 	news := far.Leads || len(far.Loads) > 0
 	if news || e.news {
-		e.config.Conn.Notify(peers.far, method, &far)
+		bytes = e.config.Conn.Notify(peers.far, method, &far)
 		e.toldFar = time.Now()
 	}
 	e.news = news
+	return bytes
 }
 
 // outside returns the engines of other failure domains. Plain services are left out: all
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -7,6 +7,7 @@
 package peerload
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -14,12 +15,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/pace"
 )
 
 const (
 	// toldFailures is the failure rate from which peers are told of it.
 	toldFailures = 0.2
 	percent      = 100
+	// loadBytes is the length of an encoded load at most, with an id of 20 bytes and seven
+	// digits of tokens.
+	loadBytes = 48
+	// toldWithin is the time in which all peers are told once: a message may be lost before
+	// the one before is no more used.
+	toldWithin = Fresh / 2
 )
 
 // Digest is what a node says of itself.
@@ -115,6 +123,17 @@
 	return loads
 }
 
+// fit returns the loads of which so many peers can be told in time: those of the endpoints
+// with the most requests, which matter most to where others send theirs.
+func fit(loads []Load, peers int) []Load {
+	most := max(pace.LongestMessage(peers, toldWithin)/loadBytes, 1)
+	if len(loads) <= most {
+		return loads
+	}
+	slices.SortStableFunc(loads, func(a, b Load) int { return cmp.Compare(b.Running, a.Running) })
+	return loads[:most]
+}
+
 // SeenOf returns what this node saw of engines' weights and the registry doesn't tell
 // yet.
 func SeenOf(members []*fleet.Member) []Seen {
