--- a/internal/gateway/nodeentry.go
+++ b/internal/gateway/nodeentry.go
@@ -11,6 +11,9 @@
 type nodeEntry struct {
 	Addr   string `json:"addr"`   // where it hears its peers, IP:PORT
 	Domain string `json:"domain"` // failure domain
+	// Gone is true where another node has not heard this one for long. It writes its entry
+	// anew if it lives; else its entry is removed.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // decodeNode decodes a node's entry. An error means that it names no node: other writers'
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -59,10 +59,10 @@
 }
 
 const (
-	engines = `{"name":"engines","engine":{"slots":8,"models":[{"name":"m"}]}}`
-	plain   = `{"name":"plain"}`
-	keep    = `{"name":"keep","kv-store-addr":"10.0.0.9:80"}`
-	models  = `,"models":[{"name":"m","version":1}]`
+	engines   = `{"name":"engines","engine":{"slots":8,"models":[{"name":"m"}]}}`
+	plain     = `{"name":"plain"}`
+	keptStore = `{"name":"keep","kv-store-addr":"10.0.0.9:80"}`
+	models    = `,"models":[{"name":"m","version":1}]`
 )
 
 // TestUnnamedServices leaves endpoints of services out that the configuration doesn't name,
@@ -72,7 +72,7 @@
 	r.put("e1", entryOf("engines", "ready", models))
 	r.put("x1", entryOf("strangers", "ready", models))
 	test.True(t, r.fleet.Empty(), test.Sprint("nothing is named yet"))
-	r.configure(t, 1, engines+","+plain+","+keep)
+	r.configure(t, 1, engines+","+plain+","+keptStore)
 	test.Eq(t, "e1 ", r.ids("engines"))
 	test.Len(t, 1, r.fleet.All())
 
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -20,6 +20,8 @@
 
 func (noTopic) Put(context.Context, string, []byte) error { return nil }
 
+func (noTopic) PutIf(context.Context, string, []byte, int64) error { return nil }
+
 // foreignNodes are records of the topic that name no node.
 var foreignNodes = []string{
 	"10.0.0.1:7", "{}", "null", "[]", `{"addr":7}`, `{"addr":""}`, `{"addr":"10.0.0.1"}`, `{"addr":"10.0.0.1:0"}`, `{"addr":"0.0.0.0:7"}`,
--- a/internal/peerload/check_test.go
+++ b/internal/peerload/check_test.go
@@ -41,7 +41,7 @@
 	m := f.All()[0]
 	m.Load.Begin(-5, 1<<62)
 	d := &Digest{Node: "n"}
-	d.setLoads(f.All(), time.Now())
+	d.setLoads(f.All(), 1, time.Now())
 	test.Eq(t, []Load{{Endpoint: "e", Running: 1, Holding: mostCounted}}, d.Loads)
 	test.NoError(t, d.check())
 }
--- a/internal/peerload/load.go
+++ b/internal/peerload/load.go
@@ -1,18 +1,27 @@
 package peerload
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/pace"
 )
 
 const (
 	// toldFailures is the failure rate from which peers are told of it.
 	toldFailures = 0.2
 	percent      = 100
+	// loadBytes is the length of an encoded load at most, with an id of 20 bytes, seven digits
+	// of tokens and the tag of its endpoint's start.
+	loadBytes = 52
+	// toldWithin is the time in which all peers are told once: a message may be lost before
+	// the one before is no more used.
+	toldWithin = Fresh / 2
 )
 
 // Load is what the node has under way at an endpoint.
@@ -49,25 +58,47 @@
 	return nil
 }
 
-// setLoads has the digest tell what this node has under way and what it saw.
-func (d *Digest) setLoads(members []*fleet.Member, now time.Time) {
-	d.Loads, d.Starts = LoadsOf(members, now)
+// setLoads has the digest tell so many peers what this node has under way and what it saw.
+func (d *Digest) setLoads(members []*fleet.Member, peers int, now time.Time) {
+	d.Loads, d.Starts = fit(loadsOf(members, now), peers)
 }
 
-// LoadsOf returns what this node has under way and what it saw, without endpoints that it has
-// nothing to say of, and which start of its endpoint each is of.
-func LoadsOf(members []*fleet.Member, now time.Time) (loads []Load, starts []Start) {
+// fit returns the loads of which so many peers can be told in time, and which start of its
+// endpoint each is of: those of the endpoints with the most requests, which matter most to where
+// others send theirs.
+func fit(all []datedLoad, peers int) (loads []Load, starts []Start) {
+	most := max(pace.LongestMessage(peers, toldWithin)/loadBytes, 1)
+	if len(all) > most {
+		slices.SortStableFunc(all, func(a, b datedLoad) int { return cmp.Compare(b.Running, a.Running) })
+		all = all[:most]
+	}
+	for _, l := range all {
+		loads = append(loads, l.Load)
+		starts = append(starts, l.start)
+	}
+	return loads, starts
+}
+
+// datedLoad is a load with the start of its endpoint.
+type datedLoad struct {
+	Load
+	start Start
+}
+
+// loadsOf returns what this node has under way and what it saw, without endpoints that it has
+// nothing to say of.
+func loadsOf(members []*fleet.Member, now time.Time) []datedLoad {
+	var loads []datedLoad
 	for _, m := range members {
 		l := Load{Endpoint: m.ID, Running: counted(m.Load.Running()), Reading: counted(m.Load.Reading()), Holding: counted(m.Load.Holding())}
 		if rate := m.Health.FailureRate(now); rate >= toldFailures {
 			l.Failures = int(rate * percent)
 		}
 		if l.Running > 0 || l.Reading > 0 || l.Failures > 0 {
-			loads = append(loads, l)
-			starts = append(starts, startOf(m.Born))
+			loads = append(loads, datedLoad{l, startOf(m.Born)})
 		}
 	}
-	return loads, starts
+	return loads
 }
 
 // counted returns a number as digests carry it: peers refuse what is out of range.
--- a/internal/peerload/start_test.go
+++ b/internal/peerload/start_test.go
@@ -17,7 +17,7 @@
 			m.Health.Failed(now, false)
 		}
 		d := Digest{Node: node, Incarnation: 1, Seq: 1}
-		d.setLoads(f.All(), now)
+		d.setLoads(f.All(), 1, now)
 		table.Take(d, now)
 	}
 	for _, node := range []string{"a", "b"} {
