End all holds of lapsed entries with the doubt about them

Cause: an endpoint whose entry was found missing within 1.9 s of the registry's return was held for 1.9 s from that sight, until the next read after it. One that left for good 1.7 s after the return got requests for up to 2.3 s, when the outage had long ceased to excuse the node.

Change: the hold ends at one time, a while after the return, by a timer; the while follows from the drain bound, the stable window and the time within which the platform says that entries are back. The fleet is told until when, and has no figure of its own.

Ruled out: no hold (all endpoints would be lost after each outage). Before, by the code: e2 of TestHoldsEndWithTheDoubt is held until 3.6 s after the return and the next read. After: the tests of fleet, gateway, placer, weights and peerload pass. Tests of the fleet say until when an entry stays in place of that it may have lapsed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,9 +4,7 @@
 // Guarantees: an endpoint that was seen draining is never picked again before it has
 // started anew, whatever older entries say later; nor is a start of an endpoint that a
 // later one under the same id has replaced. Nothing that was seen of an earlier start
-// counts for a later one. An entry that was removed while the registry was away stays
-// usable for LapseHold, since a living endpoint puts it back by then; after that it is
-// gone.
+// counts for a later one.
 package fleet
 
 import (
@@ -19,11 +17,6 @@
 	"github.com/rs/zerolog"
 )
 
-// LapseHold is how long an entry that was found missing after an outage of the
-// registry is still used: living endpoints put theirs back within about 2 s, and
-// a request must not reach one that is gone later than the drain bound, 2 s.
-const LapseHold = 1900 * time.Millisecond
-
 // startMemory is how long the newest start of an endpoint is remembered after its entry
 // is gone, so that an old entry which arrives late doesn't bring it, or one before it,
 // back. Late entries are at most some heartbeats old.
@@ -166,24 +159,31 @@
 	f.members[e.ID] = m
 }
 
-// Remove takes an endpoint off. Where the entry may only have lapsed during an
-// outage of the registry, lapsed is true and it stays for LapseHold.
-func (f *Fleet) Remove(id string, lapsed bool, now time.Time) {
+// Remove takes an endpoint off at once.
+func (f *Fleet) Remove(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, known := f.members[id]
-	if !known {
-		return
+	if m, known := f.members[id]; known {
+		f.drop(m)
+		f.rebuild()
 	}
-	if lapsed && !m.Endpoint().Draining {
-		if m.lapsed.IsZero() {
-			m.lapsed = now
-			f.log.Info().Str("event", "endpoint_lapsed").Str("endpoint", id).Send()
-		}
-		return
+}
+
+// Lapse takes an endpoint off whose entry may only have lapsed during an outage of the registry:
+// it stays until a time, unless it was draining or is back by then.
+func (f *Fleet) Lapse(id string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, known := f.members[id]
+	switch {
+	case !known || !m.lapsed.IsZero():
+	case m.Endpoint().Draining:
+		f.drop(m)
+		f.rebuild()
+	default:
+		m.lapsed = until
+		f.log.Info().Str("event", "endpoint_lapsed").Str("endpoint", id).Send()
 	}
-	f.drop(m)
-	f.rebuild()
 }
 
 // drop forgets a member. Requests that are under way at it go on.
@@ -193,44 +193,55 @@
 	f.log.Info().Str("event", "endpoint_gone").Str("endpoint", m.ID).Str("service", m.Service).Send()
 }
 
-// Retain removes all endpoints that are not in ids, as Remove does.
-func (f *Fleet) Retain(ids map[string]bool, lapsed bool, now time.Time) {
+// Missing returns the endpoints that are not in ids.
+func (f *Fleet) Missing(ids map[string]bool) []string {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	var missing []string
 	for id := range f.members {
 		if !ids[id] {
 			missing = append(missing, id)
 		}
 	}
-	f.mu.Unlock()
-	for _, id := range missing {
-		f.Remove(id, lapsed, now)
-	}
+	return missing
 }
 
-// Expire drops the endpoints whose entries have lapsed for longer than LapseHold, and what
-// was believed beyond entries that are newer. It is called with the registry's copy current.
-func (f *Fleet) Expire(now time.Time) {
+// EndLapses drops the endpoints whose entries lapsed and whose time is over.
+func (f *Fleet) EndLapses(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endLapses(now)
+}
+
+func (f *Fleet) endLapses(now time.Time) {
 	changed := false
 	for _, m := range f.members {
-		switch {
-		case m.lapsed.IsZero():
-			m.settle(now)
-		case now.Sub(m.lapsed) >= LapseHold:
+		if !m.lapsed.IsZero() && !now.Before(m.lapsed) {
 			f.drop(m)
 			changed = true
 		}
 	}
+	if changed {
+		f.rebuild()
+	}
+}
+
+// Expire ends lapses, and drops what was believed beyond entries that are newer. It is called
+// with the registry's copy current.
+func (f *Fleet) Expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endLapses(now)
+	for _, m := range f.members {
+		if m.lapsed.IsZero() {
+			m.settle(now)
+		}
+	}
 	for id, s := range f.newest {
 		if _, listed := f.members[id]; !listed && now.Sub(s.seen) > startMemory {
 			delete(f.newest, id)
 		}
 	}
-	if changed {
-		f.rebuild()
-	}
 }
 
 // rebuild makes the list that requests read, in the order of the endpoints' ids.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,7 +30,7 @@
 	test.False(t, usable(f))
 	f.Update(endpoint(false), at(2*time.Second))
 	test.False(t, usable(f))
-	f.Remove("e", false, at(3*time.Second))
+	f.Remove("e")
 	f.Expire(at(4 * time.Second))
 	f.Update(endpoint(false), at(5*time.Second))
 	test.False(t, usable(f))
@@ -39,7 +39,7 @@
 func TestRemovedAtOnce(t *testing.T) {
 	f := fleet.New(zerolog.Nop())
 	f.Update(endpoint(false), at(0))
-	f.Remove("e", false, at(time.Second))
+	f.Remove("e")
 	test.False(t, usable(f))
 }
 
@@ -48,14 +48,14 @@
 func TestLapse(t *testing.T) {
 	f := fleet.New(zerolog.Nop())
 	f.Update(endpoint(false), at(0))
-	f.Retain(map[string]bool{}, true, at(time.Second))
+	f.Lapse("e", at(3*time.Second))
 	f.Expire(at(2 * time.Second))
 	test.True(t, usable(f))
 	f.Update(endpoint(false), at(2500*time.Millisecond))
 	f.Expire(at(10 * time.Second))
 	test.True(t, usable(f), test.Sprint("back in the registry"))
-	f.Remove("e", true, at(11*time.Second))
-	f.Expire(at(11*time.Second + fleet.LapseHold))
+	f.Lapse("e", at(13*time.Second))
+	f.Expire(at(13 * time.Second))
 	test.False(t, usable(f), test.Sprint("gone for good"))
 }
 
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -22,7 +22,7 @@
 	Load *Load
 
 	entry  atomic.Pointer[Endpoint]
-	lapsed time.Time // guarded by Fleet.mu; zero while listed
+	lapsed time.Time // until when it stays without an entry; guarded by Fleet.mu; zero while listed
 
 	mu     sync.Mutex
 	belief atomic.Pointer[belief] // written under mu; nil while the entry is believed
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -79,14 +79,14 @@
 	f.Update(leaves, at(3*time.Second))
 	test.True(t, usable(f), test.Sprint("the start before leaves"))
 
-	f.Remove("e", false, at(4*time.Second))
+	f.Remove("e")
 	f.Update(born(100, 1), at(5*time.Second))
 	f.Expire(at(6 * time.Second))
 	test.False(t, usable(f))
 	f.Update(born(200, 2), at(7*time.Second))
 	test.True(t, usable(f), test.Sprint("the newest start is back"))
 
-	f.Remove("e", false, at(8*time.Second))
+	f.Remove("e")
 	f.Expire(at(10 * time.Minute))
 	f.Update(born(100, 1), at(11*time.Minute))
 	test.True(t, usable(f), test.Sprint("nothing is remembered for ever"))
@@ -96,9 +96,9 @@
 func TestOldBeatDoesNotUndoALapse(t *testing.T) {
 	f := fleet.New(zerolog.Nop())
 	f.Update(born(200, 1), at(0))
-	f.Remove("e", true, at(time.Second))
+	f.Lapse("e", at(3*time.Second))
 	f.Update(born(100, 1), at(2*time.Second))
-	f.Expire(at(time.Second + fleet.LapseHold))
+	f.Expire(at(3 * time.Second))
 	test.False(t, usable(f))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,7 +88,7 @@
 	}
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
-	n.registry = newRegistry(n.fleet, n.state.config.Load, n.state.rejected)
+	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
 	n.state.configured = n.registry.reconsider
 	store := platform.NewStore(boot.StoreAddr)
 	if err := n.addParts(store); err != nil {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -4,16 +4,33 @@
 	"sync"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/platform"
 )
 
-// lapseOutage is the shortest outage of the registry during which entries may
-// have lapsed though their endpoints live: half of the three heartbeats after
-// which an entry is removed.
-const lapseOutage = 1500 * time.Millisecond
+const (
+	// lapseOutage is the shortest outage of the registry during which entries may
+	// have lapsed though their endpoints live: half of the three heartbeats after
+	// which an entry is removed.
+	lapseOutage = 1500 * time.Millisecond
+	// entriesBack is how long after the registry's return living endpoints have put their
+	// entries back: about 2 s, as the platform says.
+	entriesBack = 2200 * time.Millisecond
+	// lapseMargin is taken off a bound for the time between the end of a hold and the arrival of
+	// a request that was placed before.
+	lapseMargin = 100 * time.Millisecond
+)
+
+// lapseHold returns how long after the return of the registry endpoints stay whose entries are
+// missing. A request must not reach one that is gone later than the drain bound after this node
+// could know it, nor once the outage excuses the node no more; the return may have been noticed a
+// failed read late.
+func lapseHold(b bootstrap.Bounds) time.Duration {
+	return min(entriesBack, b.Drain-lapseMargin, b.StableWindow-storeRetryMost-lapseMargin)
+}
 
 // registry takes the endpoints' entries to the fleet.
 //
@@ -23,6 +40,7 @@
 type registry struct {
 	fleet    *fleet.Fleet
 	config   func() *routing.Config // nil before the first
+	bounds   func() bootstrap.Bounds
 	rejected *rejected
 
 	mu         sync.Mutex
@@ -33,8 +51,8 @@
 
 var _ follow.Sink = (*registry)(nil)
 
-func newRegistry(f *fleet.Fleet, config func() *routing.Config, rejected *rejected) *registry {
-	return &registry{fleet: f, config: config, rejected: rejected, entries: make(map[string]*fleet.Endpoint)}
+func newRegistry(f *fleet.Fleet, config func() *routing.Config, bounds func() bootstrap.Bounds, rejected *rejected) *registry {
+	return &registry{fleet: f, config: config, bounds: bounds, rejected: rejected, entries: make(map[string]*fleet.Endpoint)}
 }
 
 // Apply implements follow.Sink.
@@ -43,26 +61,46 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	if b.Gap > lapseOutage {
-		r.doubtUntil = now.Add(fleet.LapseHold)
+		r.doubt(now)
 	}
-	lapsed := now.Before(r.doubtUntil)
 	present := make(map[string]bool, len(b.Records))
 	for i := range b.Records {
 		record := &b.Records[i]
 		present[record.Key] = record.Value != nil
-		r.apply(record, lapsed, now)
+		r.apply(record, now)
 	}
 	if b.Snapshot {
 		r.retain(present)
-		r.fleet.Retain(present, lapsed, now)
+		for _, id := range r.fleet.Missing(present) {
+			r.remove(id, now)
+		}
 	}
 	r.fleet.Expire(now)
 }
 
-func (r *registry) apply(record *follow.Record, lapsed bool, now time.Time) {
+// doubt has entries that are missing count as lapsed for a while. All holds end with it, by a
+// timer: each entry's own, counted from when it was found missing, which may be at the end of
+// the doubt, and ended by the next read, had requests reach an endpoint 2.03 s after it had
+// left, of a bound of 2 s.
+func (r *registry) doubt(now time.Time) {
+	hold := lapseHold(r.bounds())
+	r.doubtUntil = now.Add(hold)
+	time.AfterFunc(hold, func() { r.fleet.EndLapses(time.Now()) })
+}
+
+// remove takes an endpoint off whose entry is missing.
+func (r *registry) remove(id string, now time.Time) {
+	if now.Before(r.doubtUntil) {
+		r.fleet.Lapse(id, r.doubtUntil)
+		return
+	}
+	r.fleet.Remove(id)
+}
+
+func (r *registry) apply(record *follow.Record, now time.Time) {
 	if record.Value == nil {
 		delete(r.entries, record.Key)
-		r.fleet.Remove(record.Key, lapsed, now)
+		r.remove(record.Key, now)
 		return
 	}
 	endpoint, err := platform.DecodeEndpoint(record.Key, record.Value)
@@ -72,11 +110,11 @@
 		// not held; if it lives, its next heartbeat brings it back. That an id was seen
 		// draining the fleet remembers, and requests under way go on.
 		delete(r.entries, record.Key)
-		r.fleet.Remove(record.Key, false, now)
+		r.fleet.Remove(record.Key)
 		return
 	}
 	if before := r.entries[record.Key]; before != nil && before.Service != endpoint.Service {
-		r.fleet.Remove(record.Key, false, now) // what was learned is of another service
+		r.fleet.Remove(record.Key) // what was learned is of another service
 	}
 	r.entries[record.Key] = endpoint
 	r.use(endpoint, r.config(), now)
@@ -107,7 +145,7 @@
 func (r *registry) use(endpoint *fleet.Endpoint, config *routing.Config, now time.Time) {
 	usable := served(endpoint, config)
 	if usable == nil {
-		r.fleet.Remove(endpoint.ID, false, now)
+		r.fleet.Remove(endpoint.ID)
 		return
 	}
 	r.fleet.Update(usable, now)
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
 )
@@ -21,9 +22,13 @@
 	offset int64
 }
 
+func registryBounds() bootstrap.Bounds {
+	return bootstrap.Bounds{Drain: 2 * time.Second, StableWindow: 3 * time.Second}
+}
+
 func newRegistered() *registered {
-	s := newState(noBounds, zerolog.Nop())
-	r := &registered{registry: newRegistry(fleet.New(zerolog.Nop()), s.config.Load, s.rejected), state: s}
+	s := newState(registryBounds, zerolog.Nop())
+	r := &registered{registry: newRegistry(fleet.New(zerolog.Nop()), s.config.Load, registryBounds, s.rejected), state: s}
 	s.configured = r.reconsider
 	return r
 }
@@ -133,8 +138,39 @@
 		}
 		r.Apply(follow.Batch{Snapshot: true, Gap: lapseOutage + 1, Records: []follow.Record{{Key: "e1", Value: []byte("{")}}})
 		test.Eq(t, "e2 ", r.ids("engines"))
-		time.Sleep(fleet.LapseHold)
+		time.Sleep(lapseHold(registryBounds()))
 		r.Apply(follow.Batch{})
 		test.Eq(t, "", r.ids("engines"))
 	})
 }
+
+// TestHoldsEndWithTheDoubt drops an endpoint that leaves while entries may only have lapsed by
+// the drain bound, also where nothing is read any more.
+func TestHoldsEndWithTheDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistered()
+		r.configure(t, 1, engines)
+		for _, id := range []string{"e1", "e2"} {
+			r.put(id, entryOf("engines", "ready", models))
+		}
+		returned := time.Now()
+		r.Apply(follow.Batch{Gap: lapseOutage + 1, Records: []follow.Record{{Key: "e1"}}})
+		time.Sleep(1700 * time.Millisecond)
+		r.put("e2", "")
+		test.Eq(t, "e1 e2 ", r.ids("engines"), test.Sprint("both may be back"))
+		time.Sleep(time.Until(returned.Add(registryBounds().Drain)))
+		test.Eq(t, "", r.ids("engines"))
+	})
+}
+
+// TestLapseHold keeps within each bound.
+func TestLapseHold(t *testing.T) {
+	for _, tc := range []struct{ drain, stable, want time.Duration }{
+		{2 * time.Second, 3 * time.Second, 1900 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, entriesBack},
+		{time.Second, 3 * time.Second, 900 * time.Millisecond},
+		{3 * time.Second, 3 * time.Second, 1900 * time.Millisecond},
+	} {
+		test.Eq(t, tc.want, lapseHold(bootstrap.Bounds{Drain: tc.drain, StableWindow: tc.stable}))
+	}
+}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -435,7 +435,7 @@
 	test.NotEq(t, first.Member.ID, other.Member.ID, test.Sprint("no slot is free"))
 	for _, m := range w.Fleet.Members("s") {
 		if m.Endpoint().Domain == "north" {
-			w.Fleet.Remove(m.ID, false, time.Now())
+			w.Fleet.Remove(m.ID)
 		}
 	}
 	far, ok := w.Place(query())
