Let no answer to an earlier request undo the entry

Cause: where the registry had caught up with an engine's weights, nothing remembered since when. The answer to a prompt that was sent before the engine loaded, and began on the weights before, then counted as the newest statement: the next prompts expected the old version and were refused.

Change: a statement of older weights than the entry's counts only if its request was sent after the entry had told of them.

Ruled out: the guess after a refusal (it came second).

--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// entryAge is how long ago the newest entry that a node knows may have been written: a
@@ -52,7 +55,8 @@
 
 // Saw notes what the endpoint said of its weights. The newest statement counts, also where it
 // names an older version than was believed: an order that is carried out late, or one that a
-// crash undid, brings older weights back. What another start of the endpoint said is dropped.
+// crash undid, brings older weights back. What another start of the endpoint said is dropped, and
+// so is the answer to a request that was sent before the entry told of newer weights.
 func (m *Member) Saw(s Statement) { m.note(s, true) }
 
 // Heard notes what another node was told by the endpoint.
@@ -65,11 +69,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := m.belief.Load()
-	if b != nil && b.Model == s.Model {
+	switch listed := m.Endpoint().VersionOf(s.Model); {
+	case b != nil && b.Model == s.Model:
 		if b.outweighs(&s, own) {
 			return
 		}
-	} else if s.Version == m.Endpoint().VersionOf(s.Model) {
+	case s.Version == listed, s.Version < listed && s.At.Before(m.listed):
 		return
 	}
 	m.belief.Store(&belief{Weights: s.Weights, at: s.At, own: own})
@@ -105,11 +110,14 @@
 
 // take stores a newer entry of the same start. An entry that names what is believed, a newer
 // version, or an older one than the entry before did, is the newest news.
-func (m *Member) take(e *Endpoint) {
+func (m *Member) take(e *Endpoint, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.Endpoint()
 	m.entry.Store(e)
+	if !slices.Equal(before.Weights, e.Weights) {
+		m.listed = now
+	}
 	b := m.belief.Load()
 	if b == nil {
 		return
--- a/internal/fleet/belief_test.go
+++ b/internal/fleet/belief_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// TestAnswersToEarlierRequests believes the entry rather than an answer to a request that was sent
+// before it told of newer weights, as the run may have begun on the ones before.
+func TestAnswersToEarlierRequests(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(100, 1), at(0))
+	m := f.Members("s")[0]
+	m.Saw(said(2, at(time.Second)))
+	f.Update(born(100, 2), at(2*time.Second))
+	m.Saw(said(1, at(time.Second/2)))
+	test.Eq(t, 2, m.VersionOf(model))
+	m.Saw(said(3, at(time.Second)))
+	test.Eq(t, 3, m.VersionOf(model), test.Sprint("newer weights than the entry's"))
+	m.Saw(said(1, at(3*time.Second)))
+	test.Eq(t, 1, m.VersionOf(model), test.Sprint("a request sent since"))
+}
+
 // TestEntryCountsInTheEnd believes the entry again where what was said is older than it can be.
 func TestEntryCountsInTheEnd(t *testing.T) {
 	f := fleet.New(zerolog.Nop())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,13 +119,13 @@
 	m := f.members[e.ID]
 	if m != nil && m.at(e) {
 		before := m.Endpoint()
-		m.take(e)
+		m.take(e, now)
 		m.lapsed = time.Time{}
 		if before.Draining == e.Draining {
 			return // a heartbeat, which changes no list
 		}
 	} else {
-		f.replace(m, e)
+		f.replace(m, e, now)
 	}
 	f.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).
 		Str("addr", e.Addr).Int64("born", e.Born).Bool("draining", e.Draining).Send()
@@ -155,11 +155,11 @@
 
 // replace puts the member of an entry in the place of the one before, which may be nil.
 // Requests that are under way there go on.
-func (f *Fleet) replace(before *Member, e *Endpoint) {
-	m := newMember(e)
+func (f *Fleet) replace(before *Member, e *Endpoint, now time.Time) {
+	m := newMember(e, now)
 	if before != nil {
 		if before.Born == e.Born {
-			m = before.moved(e)
+			m = before.moved(e, now)
 		}
 		before.Pool.CloseIdle()
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -26,23 +26,24 @@
 
 	mu     sync.Mutex
 	belief atomic.Pointer[belief] // written under mu; nil while the entry is believed
+	listed time.Time              // guarded by mu; when the entry's weights changed
 }
 
 // newMember returns a member that nothing but its entry is known of.
-func newMember(e *Endpoint) *Member {
-	m := &Member{ID: e.ID, Service: e.Service, Born: e.Born, Pool: upstream.NewPool(e.Addr), Load: &Load{}}
+func newMember(e *Endpoint, now time.Time) *Member {
+	m := &Member{ID: e.ID, Service: e.Service, Born: e.Born, Pool: upstream.NewPool(e.Addr), Load: &Load{}, listed: now}
 	m.entry.Store(e)
 	return m
 }
 
 // moved returns the member of the same start at another address, or of another service. What is
 // under way at the server and the weights that it has stay as they are.
-func (m *Member) moved(e *Endpoint) *Member {
-	next := newMember(e)
+func (m *Member) moved(e *Endpoint, now time.Time) *Member {
+	next := newMember(e, now)
 	next.Load = m.Load
 	next.entry.Store(m.Endpoint())
 	next.belief.Store(m.belief.Load())
-	next.take(e)
+	next.take(e, now)
 	return next
 }
 
