--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -4,8 +4,10 @@
 // Guarantees: orders are given only under a claim, whose token the engines check;
 // a node whose claim runs out, by its own monotonic clock, gives no more. Each
 // order names the number of orders that the engine had taken, so that one which is
-// carried out late, after another, is refused. An order whose answer is lost is
-// looked into by a report before it is given again.
+// carried out late, after another, is refused. That number begins anew with each start
+// of an engine, so one may be taken after a restart: an engine that goes back to older
+// weights is ordered again. An order whose answer is lost is looked into by a report
+// before it is given again.
 package weights
 
 import (
