Keep the other writer of the stand-in apart from proxies

Cause: the writer's listener was opened last and through the proxy of a site, where soak takes the last address for the plain server's and draws faults over all proxies: TestChecksFind failed in go test ./... Change: it has no proxy and is opened before the servers.

Figures (go test ./soak -run TestChecksFind): failed before, passes after.

--- a/standin/site/foreign.go
+++ b/standin/site/foreign.go
@@ -19,7 +19,7 @@
 func newForeign(ctx context.Context, s *Site) (*Foreign, error) {
 	f := &Foreign{site: s}
 	var err error
-	f.addr, err = s.listen(ctx, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	f.addr, err = s.serve(ctx, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		f.calls.Add(1)
 		w.WriteHeader(http.StatusInternalServerError)
 	}))
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -75,6 +75,9 @@
 	if s.storeAddr, err = s.listen(ctx, s.Store.Handler()); err != nil {
 		return nil, err
 	}
+	if s.Foreign, err = newForeign(ctx, s); err != nil {
+		return nil, err
+	}
 	s.Keep = modelserver.New(modelserver.Config{ID: "keep"})
 	if s.keepAddr, err = s.listen(ctx, s.Keep.Handler()); err != nil {
 		return nil, err
@@ -90,9 +93,6 @@
 	if s.Plain, err = s.add(ctx, modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
 		return nil, err
 	}
-	if s.Foreign, err = newForeign(ctx, s); err != nil {
-		return nil, err
-	}
 	s.wg.Go(func() { s.beat(ctx, c.Beat) })
 	return s, nil
 }
@@ -108,7 +108,16 @@
 	return m, nil
 }
 
+// listen serves at an address of its own, and returns the one that others are told.
 func (s *Site) listen(ctx context.Context, h http.Handler) (string, error) {
+	addr, err := s.serve(ctx, h)
+	if err != nil || s.proxy == nil {
+		return addr, err
+	}
+	return s.proxy(addr)
+}
+
+func (s *Site) serve(ctx context.Context, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -116,9 +125,6 @@
 	served := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
 	s.wg.Go(func() { _ = served.Serve(l) }) // ends with Close
 	context.AfterFunc(ctx, func() { _ = served.Close() })
-	if s.proxy != nil {
-		return s.proxy(l.Addr().String())
-	}
 	return l.Addr().String(), nil
 }
 
