--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -26,21 +26,20 @@
 // ask for.
 func (n *Node) followers(store *platform.Store) followers {
 	copies := relay.New(n.conn)
-	follower := func(name, topic string, sink follow.Sink, same func(before, after []byte) bool) (*follow.Follower, *relay.Topic) {
-		held := &relay.Copy{Sink: sink, Same: same}
+	follower := func(name, topic string, held *relay.Copy) (*follow.Follower, *relay.Topic) {
 		copies.Serve(name, held)
 		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Fallback: n.fallbackPause, Log: n.log}
 		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Reject: n.state.rejected.record, Log: n.log}, from
 	}
 	var f followers
 	var from *relay.Topic
-	f.config, from = follower("config", platform.TopicOperator, n.state, nil)
+	f.config, from = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state})
 	f.config.Wait, f.config.Pause = unless(from.Relayed, n.configWait), either(from.Relayed, askPause, nil)
-	f.endpoints, from = follower("registry", platform.TopicEndpoints, n.registry, platform.SameEndpoint)
+	f.endpoints, from = follower("registry", platform.TopicEndpoints, &relay.Copy{Sink: n.registry, Same: platform.SameEndpoint, Brief: platform.BriefEndpoint})
 	// Each heartbeat is a record, so a read that waits for one would end many times a
 	// second.
 	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
-	f.nodes, from = follower("nodes", nodesTopic, n.roster, nil)
+	f.nodes, from = follower("nodes", nodesTopic, &relay.Copy{Sink: n.roster})
 	f.nodes.Wait, f.nodes.Pause = unless(from.Relayed, func() time.Duration { return nodesWait }), either(from.Relayed, nodesAskPause, n.rosterPause)
 	return f
 }
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -27,6 +27,8 @@
 	// Same reports whether a record says nothing new, as heartbeats do; nil means that
 	// all records count. Others are not told of such records.
 	Same func(before, after []byte) bool
+	// Brief returns what is kept and told of a value, which may be long; nil means the value.
+	Brief func(value []byte) []byte
 
 	mu     sync.Mutex
 	known  map[string]follow.Record // with removed keys, by key
@@ -52,6 +54,9 @@
 		c.first = b.Next
 	}
 	for _, r := range b.Records {
+		if c.Brief != nil && r.Value != nil {
+			r.Value = c.Brief(r.Value)
+		}
 		before, known := c.known[r.Key]
 		if known && c.Same != nil && before.Value != nil && r.Value != nil && c.Same(before.Value, r.Value) {
 			continue
--- /dev/null
+++ b/internal/relay/copy_test.go
@@ -0,0 +1,26 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// TestCopyTellsBriefly keeps and tells the short form of a value, and passes the value on.
+func TestCopyTellsBriefly(t *testing.T) {
+	c := filled(time.Now())
+	c.Brief = func(value []byte) []byte { return value[:min(len(value), 3)] }
+	long := record("c", "w"+strings.Repeat("x", datagram.MaxBytes), 10)
+	batch := follow.Batch{Records: []follow.Record{long}, Next: 11, ProvenAt: time.Now()}
+	c.Apply(batch)
+	page, err := c.Since(10)
+	must.NoError(t, err)
+	test.Eq(t, []follow.Record{record("c", "wxx", 10)}, page.Records)
+	test.Eq(t, long, batch.Records[0])
+}
