--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Foreign, err = newForeign(s); err != nil {
+		return nil, err
+	}
 	s.Keep = modelserver.New(modelserver.Config{ID: "keep"})
 	keep, err := s.listen(s.Keep.Handler())
 	if err != nil {
@@ -106,9 +109,6 @@
 	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
 		return nil, err
 	}
-	if s.Foreign, err = newForeign(s); err != nil {
-		return nil, err
-	}
 	s.wg.Go(func() { s.beat(ctx, c.Beat) })
 	return s, nil
 }
