--- a/internal/gateway/sweep.go
+++ b/internal/gateway/sweep.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,7 +22,7 @@
 	goneAfter = 60 * time.Second
 	// sweepPause is the time between two looks for nodes that are gone, each of which writes
 	// at most one entry: where failure domains are cut off from one another, but not from the
-	// store, a sweeper makes no more than 12 writes a minute, each of which one follows.
+	// store, a sweeper makes no more than 12 writes a minute, and the marked nodes as many.
 	sweepPause = 5 * time.Second
 	// sweepers is the number of nodes that look after the same others. One may have lost the
 	// store.
@@ -86,8 +88,8 @@
 		return
 	}
 	for i := range listed {
-		if change := s.due(&listed[i], now); change != keep {
-			s.write(ctx, &listed[i], change, end)
+		if do := s.due(&listed[i], now); do != keepEntry {
+			s.write(ctx, &listed[i], do, end)
 			return
 		}
 	}
@@ -114,41 +116,43 @@
 	}
 }
 
-// change is what is to be done with an entry.
-type change int
+// action is what is to be done with an entry.
+type action int
 
 const (
-	keep change = iota
-	mark
-	remove
+	keepEntry action = iota
+	markEntry
+	removeEntry
 )
 
 // String implements fmt.Stringer.
-func (c change) String() string { return [...]string{keep: "keep", mark: "mark", remove: "remove"}[c] }
+func (a action) String() string {
+	return [...]string{keepEntry: "keep", markEntry: "mark", removeEntry: "remove"}[a]
+}
 
 // due returns what is to be done with an entry. Its mark is a record, too, from which on
 // goneGrace counts.
-func (s *sweeper) due(l *listing, now time.Time) change {
+func (s *sweeper) due(l *listing, now time.Time) action {
 	silent := now.Sub(s.signs[l.name])
 	switch {
 	case l.Gone && silent >= s.roster.lease.grace:
-		return remove
+		return removeEntry
 	case !l.Gone && silent >= goneAfter:
-		return mark
+		return markEntry
 	}
-	return keep
+	return keepEntry
 }
 
-func (s *sweeper) write(ctx context.Context, l *listing, c change, end int64) {
-	err := s.put(ctx, l, c, end)
+func (s *sweeper) write(ctx context.Context, l *listing, do action, end int64) {
+	err := s.put(ctx, l, do, end)
 	if errors.Is(err, follow.ErrChanged) {
 		return // another sweeper was first, or the node lives
 	}
-	s.roster.log.Info().Str("event", "node_gone").Str("node", l.name).Stringer("change", c).AnErr("error", err).Send()
+	s.roster.log.Info().Str("event", "node_gone").Str("node", l.name).Stringer("action", do).AnErr("error", err).Send()
 }
 
-func (s *sweeper) put(ctx context.Context, l *listing, c change, end int64) error {
-	if c == remove {
+func (s *sweeper) put(ctx context.Context, l *listing, do action, end int64) error {
+	if do == removeEntry {
 		return s.roster.topic.PutIf(ctx, l.name, nil, end)
 	}
 	marked := l.nodeEntry
@@ -160,7 +164,7 @@
 	return s.roster.topic.PutIf(ctx, l.name, value, end)
 }
 
-// listed returns the other nodes' entries, and where the topic ended when they were read.
+// listed returns the other nodes' entries by name, and where the topic ended when they were read.
 func (r *roster) listed() (list []listing, end int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -169,6 +173,7 @@
 			list = append(list, listing{nodeEntry: e, name: name, written: r.written[name]})
 		}
 	}
+	slices.SortFunc(list, func(a, b listing) int { return strings.Compare(a.name, b.name) })
 	return list, r.end
 }
 
