--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,7 +50,7 @@
 		return 0
 	})
 	set.NewGauge(metricEndpoints, func() float64 { return float64(len(n.fleet.All())) })
-	set.NewGauge(metricPeers, func() float64 { return float64(n.peers.Table.Nodes()) })
+	set.NewGauge(metricPeers, func() float64 { return float64(n.nodes()) })
 	set.NewGauge(metricRejected, func() float64 { return float64(n.state.rejected.Load()) })
 	set.NewGauge(metricConnections, func() float64 {
 		opened := int64(0)
