--- a/internal/calls/service.go
+++ b/internal/calls/service.go
@@ -109,15 +109,7 @@
 	}
 	s.plain = newPlainClient(directory, s.cluster, s.budget)
 	self := s.cluster.Self()
-	s.executor, err = ticket.New(ticket.Config{
-		Self:        ticket.Incarnation{Node: self.ID, Run: self.Incarnation},
-		Key:         s.key,
-		Window:      ticketWindow,
-		KeepAnswers: keepAnswers,
-		KeepBytes:   keepBytes,
-		KeepFor:     keepFor,
-		AdoptFor:    adoptFor,
-	})
+	s.executor, err = ticket.New(s.tickets(ticket.Incarnation{Node: self.ID, Run: self.Incarnation}))
 	if err != nil {
 		return err
 	}
@@ -129,6 +121,19 @@
 	return nil
 }
 
+// tickets sets up the executor of this process's tickets.
+func (s *Service) tickets(self ticket.Incarnation) ticket.Config {
+	return ticket.Config{
+		Self:        self,
+		Key:         s.key,
+		Window:      ticketWindow,
+		KeepAnswers: keepAnswers,
+		KeepBytes:   keepBytes,
+		KeepFor:     keepFor,
+		AdoptFor:    adoptFor,
+	}
+}
+
 // SetPrompts says who answers ticketed prompts. It is called before requests come.
 func (s *Service) SetPrompts(p Prompts) { s.prompts = p }
 
