Let a ticketed call go on past the deadline of the caller that began it

Cause: the run took the deadline of its first caller, so a caller that left by its deadline ended the call at the service, and the answer that a repeat with the ticket should get was lost; the ticket then answered service_call_failed, may have run. That the service ran the call was known to all but us.

Ruled out: keeping the deadline and answering otherwise (the outcome is unknown once we have cut the connection); runs without an end (a service that never answers would hold its call for ever, and a drain with it); a fixed time from the begin (it would end under a repeat that waits).

Change: a run is given up Config.RunOn after the last deadline of those who wait for it, a minute in the daemon; a repeat with a later deadline moves that. Calls of services take the run's context in place of the caller's time. A ticketed prompt that has an engine goes on (Request.RunsOn); one that has none by its deadline ends there, as not run. Errors name the cause of a context's end.

--- a/coord/ticket/cluster_test.go
+++ b/coord/ticket/cluster_test.go
@@ -25,7 +25,7 @@
 func config(self ticket.Incarnation) ticket.Config {
 	return ticket.Config{
 		Self: self, Key: key, Window: 64, KeepAnswers: 16, KeepBytes: 1 << 20,
-		KeepFor: time.Minute, AdoptFor: time.Hour,
+		KeepFor: time.Minute, AdoptFor: time.Hour, RunOn: 10 * time.Second,
 	}
 }
 
--- a/coord/ticket/config.go
+++ b/coord/ticket/config.go
@@ -24,6 +24,9 @@
 	// AdoptFor is how long the tickets of a handed-over incarnation stay
 	// redeemable, counted from its first handover.
 	AdoptFor time.Duration
+	// RunOn is how long a run goes on after the last deadline of the callers that
+	// waited for it, so that a repeat gets its answer.
+	RunOn time.Duration
 }
 
 func (c Config) validate() error {
@@ -34,7 +37,7 @@
 		return fmt.Errorf("ticket: key is shorter than %d bytes", KeyBytes)
 	case c.Window < 1 || c.Window > MaxWindow:
 		return fmt.Errorf("ticket: window is not within 1 to %d", MaxWindow)
-	case c.KeepAnswers < 1 || c.KeepBytes < 0 || c.KeepFor < 0 || c.AdoptFor < 0:
+	case c.KeepAnswers < 1 || c.KeepBytes < 0 || c.KeepFor < 0 || c.AdoptFor < 0 || c.RunOn < 0:
 		return errors.New("ticket: a bound is negative, or KeepAnswers is zero")
 	}
 	return nil
--- a/coord/ticket/executor.go
+++ b/coord/ticket/executor.go
@@ -18,8 +18,10 @@
 // begun again. Attempts at several endpoints, where the first refused for
 // certain, belong inside one RunFunc.
 //
-// Its context has the values and deadline of the first caller, but doesn't end
-// when that caller hangs up: others may wait for the same run.
+// Its context has the values of the first caller, but ends neither with that
+// caller nor at its deadline: others may wait for the same run, or ask for its
+// answer later. It ends with the cause context.DeadlineExceeded, Config.RunOn
+// after the last deadline of those who waited.
 type RunFunc func(ctx context.Context) (Answer, error)
 
 // Executor issues tickets that name this process and runs them at most once. It
@@ -53,6 +55,10 @@
 	done        chan struct{}
 	answer      Answer // once done is closed
 	err         error
+
+	until  time.Time   // when the run is given up; zero for never
+	giveUp *time.Timer // at until; nil for never
+	cancel context.CancelCauseFunc
 }
 
 // New returns an executor for this process's incarnation.
@@ -97,7 +103,11 @@
 		return nil, err
 	}
 	if x := a.running[t.Serial]; x != nil {
-		return x, sameRequest(x.fingerprint, fp)
+		if err := sameRequest(x.fingerprint, fp); err != nil {
+			return nil, err
+		}
+		x.waitFor(ctx, e.config.RunOn)
+		return x, nil
 	}
 	if k, ok := e.answers.get(owner{t.Executor, t.Account}, t.Serial); ok {
 		return ended(k.answer), sameRequest(k.fingerprint, fp)
@@ -135,31 +145,54 @@
 }
 
 func (e *Executor) begin(ctx context.Context, a *account, t Ticket, fp Fingerprint, run RunFunc) *execution {
-	x := &execution{fingerprint: fp, done: make(chan struct{})}
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	x := &execution{fingerprint: fp, done: make(chan struct{}), cancel: cancel}
+	x.giveUpAfter(ctx, e.config.RunOn)
 	a.running[t.Serial] = x
 	a.window.record(t.Serial, begun)
-	go e.execute(ctx, a, t, x, run)
+	go e.execute(detached, a, t, x, run)
 	return x
 }
 
+// giveUpAfter bounds a run that begins by the deadline of its first caller.
+func (x *execution) giveUpAfter(ctx context.Context, runOn time.Duration) {
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		return
+	}
+	x.until = deadline.Add(runOn)
+	x.giveUp = time.AfterFunc(time.Until(x.until), func() { x.cancel(context.DeadlineExceeded) })
+}
+
+// waitFor has a bounded run go on for as long as one more caller waits for it.
+func (x *execution) waitFor(ctx context.Context, runOn time.Duration) {
+	if x.giveUp == nil {
+		return
+	}
+	deadline, limited := ctx.Deadline()
+	switch {
+	case !limited:
+		x.giveUp.Stop()
+		x.giveUp = nil
+	case deadline.Add(runOn).After(x.until):
+		x.until = deadline.Add(runOn)
+		x.giveUp.Reset(time.Until(x.until))
+	}
+}
+
 var errPanicked = errors.New("run function panicked or exited")
 
 func (e *Executor) execute(ctx context.Context, a *account, t Ticket, x *execution, run RunFunc) {
-	detached := context.WithoutCancel(ctx)
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		detached, cancel = context.WithDeadline(detached, deadline)
-		defer cancel()
-	}
 	var answer Answer
 	err := errPanicked
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("%w: %v", errPanicked, p)
 		}
+		x.cancel(nil)
 		e.finish(a, t, x, answer, err)
 	}()
-	answer, err = run(detached)
+	answer, err = run(ctx)
 }
 
 // finish records the outcome before any waiter learns of it.
@@ -167,6 +200,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(a.running, t.Serial)
+	if x.giveUp != nil {
+		x.giveUp.Stop()
+	}
 	switch StateOf(err) {
 	case NotRun:
 		a.window.record(t.Serial, refused)
--- a/internal/calls/plain.go
+++ b/internal/calls/plain.go
@@ -73,11 +73,16 @@
 	}
 }
 
-// Call makes a call. One that did not reach an endpoint goes to another; one that
-// may have run is repeated only where it is declared idempotent.
+// Call makes a call within its caller's time.
 func (p *plainClient) Call(ctx context.Context, call *ServiceCall) (*ServiceAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.TimeLeft)
 	defer cancel()
+	return p.callUntil(ctx, call)
+}
+
+// callUntil makes a call until ctx ends. One that did not reach an endpoint goes to another; one that
+// may have run is repeated only where it is declared idempotent.
+func (p *plainClient) callUntil(ctx context.Context, call *ServiceCall) (*ServiceAnswer, error) {
 	endpoints := p.endpoints(call.Service)
 	if len(endpoints) == 0 {
 		return nil, p.noEndpoint(call.Service)
@@ -226,7 +231,7 @@
 		return result.Wrap(err, result.EndpointUnreachable)
 	}
 	if ctx.Err() != nil {
-		return result.Wrap(err, result.From(ctx.Err()).Code, result.WithRunState(result.MayHaveRun))
+		return result.Wrap(err, result.From(context.Cause(ctx)).Code, result.WithRunState(result.MayHaveRun))
 	}
 	return result.Wrap(err, result.ServiceCallFailed, result.WithRunState(result.MayHaveRun))
 }
--- a/internal/calls/redeem.go
+++ b/internal/calls/redeem.go
@@ -49,9 +49,10 @@
 	}
 }
 
+// run makes the call until ctx ends, which is later than the first caller's time.
 func (s *Service) run(ctx context.Context, call *Ticketed) ([]byte, error) {
 	if call.Service != nil {
-		answer, err := s.plain.Call(ctx, call.Service)
+		answer, err := s.plain.callUntil(ctx, call.Service)
 		if err != nil {
 			return nil, err
 		}
@@ -62,6 +63,7 @@
 	}
 	req := *call.Prompt
 	req.Once = true
+	req.RunsOn = true
 	req.Deadline = time.Now().Add(call.TimeLeft)
 	sink := &collector{}
 	sum, err := s.prompts.Run(ctx, &req, sink)
--- a/internal/calls/service.go
+++ b/internal/calls/service.go
@@ -32,11 +32,14 @@
 	methodAdopt  = "calls.adopt"  // safe to repeat
 	methodMoved  = "calls.moved"  // safe to repeat
 
-	ticketWindow  = 1 << 16
-	keepAnswers   = 4096
-	keepBytes     = 32 << 20
-	keepFor       = 15 * time.Minute
-	adoptFor      = time.Hour
+	ticketWindow = 1 << 16
+	keepAnswers  = 4096
+	keepBytes    = 32 << 20
+	keepFor      = 15 * time.Minute
+	adoptFor     = time.Hour
+	// runOn leaves a caller time to repeat a call that took longer than it waited,
+	// and bounds what a service that never answers can hold.
+	runOn         = time.Minute
 	ticketKeyInfo = "cherryward/ticket/v1"
 
 	handoverRetry = 200 * time.Millisecond
@@ -131,6 +134,7 @@
 		KeepBytes:   keepBytes,
 		KeepFor:     keepFor,
 		AdoptFor:    adoptFor,
+		RunOn:       runOn,
 	}
 }
 
--- a/internal/runs/dispatcher.go
+++ b/internal/runs/dispatcher.go
@@ -51,8 +51,11 @@
 
 // Run answers a request. It waits for as long as the request's deadline allows.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, sink Sink) (Summary, error) {
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
+	if !req.RunsOn {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
 	p := &progress{req: req, sink: sink, begun: time.Now()}
 	for attempt := 1; ; attempt++ {
 		err := d.attempt(ctx, p)
@@ -117,7 +120,7 @@
 // an earlier one that may have run.
 func (p *progress) final(ctx context.Context, err error) error {
 	if ctx.Err() != nil && !result.Is(err, result.DeadlineUnmeetable) {
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
 	e := result.From(err)
 	if p.mayRun && e.RunState == result.NotRun {
@@ -131,7 +134,7 @@
 
 // attempt places the request on one engine and streams from it.
 func (d *Dispatcher) attempt(ctx context.Context, p *progress) error {
-	grant, err := d.Placer.Place(ctx, p.req, p.tried)
+	grant, err := d.place(ctx, p)
 	if err != nil {
 		return err
 	}
@@ -165,6 +168,13 @@
 	return err
 }
 
+// place finds an engine before the request's deadline.
+func (d *Dispatcher) place(ctx context.Context, p *progress) (Grant, error) {
+	ctx, cancel := context.WithDeadline(ctx, p.req.Deadline)
+	defer cancel()
+	return d.Placer.Place(ctx, p.req, p.tried)
+}
+
 // exhausted tells an answer that has all the tokens that were asked for, and
 // lacks only the frame that says so.
 func (p *progress) exhausted() bool { return p.tokens > 0 && p.tokens >= p.req.MaxTokens }
@@ -185,7 +195,7 @@
 
 func (r *engineRun) request(now time.Time) *enginewire.RunRequest {
 	q := r.p.req
-	return &enginewire.RunRequest{
+	out := &enginewire.RunRequest{
 		Run:         r.id,
 		Model:       q.Model,
 		Version:     q.Version,
@@ -198,8 +208,11 @@
 		Priority:    int(q.Class),
 		Temperature: q.Temperature,
 		Seed:        q.Seed,
-		DeadlineMS:  q.Deadline.Sub(now).Milliseconds(),
 	}
+	if !q.RunsOn {
+		out.DeadlineMS = q.Deadline.Sub(now).Milliseconds()
+	}
+	return out
 }
 
 // run makes the engine's run. An engine from which nothing comes for longer than
--- a/internal/runs/dispatcher_test.go
+++ b/internal/runs/dispatcher_test.go
@@ -91,3 +91,35 @@
 		})
 	}
 }
+
+// TestRunsOnPastTheDeadline: the deadline bounds the wait for an engine alone.
+func TestRunsOnPastTheDeadline(t *testing.T) {
+	const deadline, end = time.Second, 5 * time.Second
+	cases := map[string]struct {
+		now    step
+		runsOn bool
+		after  time.Duration
+		want   result.RunState
+	}{
+		"ends":               {step{silent: true}, false, deadline, result.MayHaveRun},
+		"runs on":            {step{silent: true}, true, end, result.MayHaveRun},
+		"still in the queue": {step{placeWaits: true}, true, deadline, result.NotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				salter, err := kvcache.NewSalter([]byte("0123456789abcdef0123456789abcdef"))
+				must.NoError(t, err)
+				f := &fake{steps: []step{c.now}}
+				d := &Dispatcher{Key: []byte("key"), Salter: salter, Engines: f, Placer: f, Budget: f}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				time.AfterFunc(end, func() { cancel(context.DeadlineExceeded) })
+				begun := time.Now()
+				_, err = d.Run(ctx, &Request{Account: "a", Prompt: "p", MaxTokens: 1, Deadline: begun.Add(deadline), RunsOn: c.runsOn}, nil)
+				must.Eq(t, c.after, time.Since(begun))
+				must.Eq(t, result.DeadlinePassed, result.From(err).Code)
+				must.Eq(t, c.want, result.From(err).RunState)
+			})
+		})
+	}
+}
--- a/internal/runs/runs.go
+++ b/internal/runs/runs.go
@@ -43,6 +43,9 @@
 	Seed        int64
 	Class       Class
 	Deadline    time.Time
+	// RunsOn is set where an answer that has an engine goes on past the deadline,
+	// until its context ends.
+	RunsOn bool
 	// Resumable is set where the caller can resume a broken stream.
 	Resumable bool
 	// Once forbids a second start after one that may have run.
--- a/internal/runs/watchdog.go
+++ b/internal/runs/watchdog.go
@@ -63,5 +63,6 @@
 	if result.From(err).RunState == result.NotRun {
 		return err
 	}
-	return result.Wrap(ctx.Err(), result.From(ctx.Err()).Code, result.WithRunState(result.MayHaveRun))
+	cause := context.Cause(ctx)
+	return result.Wrap(cause, result.From(cause).Code, result.WithRunState(result.MayHaveRun))
 }
