Keep a connection to an endpoint only behind a body that was read to its end

Cause: Answer.Done trusted its caller to have read the body to its end, and saw only bytes that had arrived. A body read in part (a refusal longer than is drained, an answer longer than is read, a chunked one without its last chunk) whose rest had not come yet left the connection in the pool, and the rest came as the head of the next request's answer. An answer to HEAD without a length also counted as one that only the end of the connection ends.

Ruled out by tests that pass before and after: heads that come byte by byte, behind 1xx and answers to others; bytes behind an answer; a reset against an orderly end without a length; an answer before the body is written, on a connection that is not kept; a caller that leaves.

Change: an answer notes that its body was read to its end; Done keeps the connection only then. Unframed is false where there is no body. The first tests of the package.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,6 +81,9 @@
 	conn  *conn
 	write <-chan error // the end of a write that was not awaited
 	stop  func() bool  // detaches the connection from the context
+	body  *body
+	// unframed is set where only the end of the connection ends the body.
+	unframed bool
 }
 
 // Do sends the request once and returns the head of its answer. own tells from an
@@ -159,7 +162,7 @@
 			continue // 100 Continue and the like
 		}
 		if own(resp.Header) {
-			a.Response = resp
+			a.take(resp)
 			return nil
 		}
 		foreign++
@@ -172,11 +175,11 @@
 	}
 }
 
-// Unframed reports whether only the end of the connection ends the answer's body.
-func (a *Answer) Unframed() bool { return unframed(a.Response) }
-
-func unframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+func (a *Answer) take(resp *http.Response) {
+	a.body = &body{ReadCloser: resp.Body}
+	a.unframed = unframed(resp)
+	resp.Body = a.body
+	a.Response = resp
 }
 
 // skip reads the body of an answer that belongs to another request.
@@ -204,8 +207,8 @@
 	return resp, nil
 }
 
-// Done ends an answer whose body was read to its end, and keeps the connection if
-// that is sound.
+// Done ends an answer, and keeps the connection if that is sound: where the body
+// was read to its end, and nothing more has come.
 func (a *Answer) Done() {
 	if !a.reusable() {
 		a.Abort()
@@ -218,7 +221,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if a.Close || a.conn.reader.Buffered() > 0 {
+	if a.Close || !a.body.ended || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if a.write == nil {
@@ -253,28 +256,3 @@
 	}
 	return idleLimit
 }
-
-// unlimited is the limit of a connection whose answer's head was read.
-const unlimited = -1
-
-// limitedReader reads from source until left bytes have passed.
-type limitedReader struct {
-	source io.Reader
-	left   int
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.left == unlimited {
-		return l.source.Read(b)
-	}
-	if l.left <= 0 {
-		return 0, errors.New("the head of the answer is too long")
-	}
-	if len(b) > l.left {
-		b = b[:l.left]
-	}
-	n, err := l.source.Read(b)
-	l.left = max(l.left-n, 0)
-	return n, err
-}
--- /dev/null
+++ b/internal/upstream/exchange_test.go
@@ -0,0 +1,200 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+// endpoint serves each connection by a function, until the test ends.
+func endpoint(t *testing.T, serve func(conn *net.TCPConn, r *bufio.Reader)) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	p := NewPool(l.Addr().String())
+	t.Cleanup(func() {
+		p.CloseIdle()
+		_ = l.Close()
+	})
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return // closed
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return p
+}
+
+// write sends a text; a client that has gone needs none.
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+// answers reads requests and answers each with the same text.
+func answers(text string) func(*net.TCPConn, *bufio.Reader) {
+	return func(conn *net.TCPConn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return // the client closed the connection
+			}
+			write(conn, text)
+		}
+	}
+}
+
+func anyAnswer(http.Header) bool { return true }
+
+func get(t *testing.T, p *Pool) *Answer {
+	t.Helper()
+	a, err := p.Do(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h"}, anyAnswer)
+	must.NoError(t, err)
+	return a
+}
+
+func TestWhichConnectionsAreKept(t *testing.T) {
+	const withLength = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+	tests := []struct {
+		name   string
+		answer string
+		read   int64 // bytes of the body
+		dials  int64 // for two requests
+	}{
+		{name: "read to its end", answer: withLength + "body", read: 5, dials: 1},
+		{name: "no body", answer: "HTTP/1.1 204 No Content\r\n\r\n", read: 1, dials: 1},
+		{name: "read in part, the rest has come", answer: withLength + "body", read: 2, dials: 2},
+		{name: "read in part, the rest has not come", answer: withLength + "bo", read: 2, dials: 2},
+		{name: "chunks read, but not the last", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n", read: 2, dials: 2},
+		{name: "bytes behind the answer", answer: withLength + "body!", read: 5, dials: 2},
+		{name: "says that it closes", answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", read: 1, dials: 2},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			p := endpoint(t, answers(tc.answer))
+			for range 2 {
+				a := get(t, p)
+				_, err := io.Copy(io.Discard, io.LimitReader(a.Body, tc.read))
+				must.NoError(t, err)
+				a.Done()
+			}
+			test.Eq(t, tc.dials, p.Dials())
+		})
+	}
+}
+
+// TestHeadInPieces reads heads that come byte by byte, behind others that are not the answer's.
+func TestHeadInPieces(t *testing.T) {
+	text := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew"
+	p := endpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		for i := range text {
+			write(conn, text[i:i+1])
+		}
+	})
+	own := func(h http.Header) bool { return h.Get("X-Other") == "" }
+	a, err := p.Do(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h"}, own)
+	must.NoError(t, err)
+	body, err := io.ReadAll(a.Body)
+	must.NoError(t, err)
+	test.Eq(t, "new", string(body))
+	a.Done()
+}
+
+// TestEndAndReset: a connection that ends an answer without a length ends it in order, one that
+// is reset does not.
+func TestEndAndReset(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		read := make(chan struct{})
+		p := endpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			write(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			<-read
+			if reset {
+				_ = conn.SetLinger(0) // an open connection takes it
+			}
+		})
+		a := get(t, p)
+		must.True(t, a.Unframed())
+		part := make([]byte, len("part"))
+		_, err := io.ReadFull(a.Body, part)
+		must.NoError(t, err)
+		close(read)
+		_, err = io.ReadAll(a.Body)
+		test.Eq(t, reset, err != nil)
+		a.Done()
+		test.SliceEmpty(t, p.idle)
+	}
+}
+
+// TestEarlyAnswer gives the answer of an endpoint that does not read the whole body, and does not
+// keep the connection, on which the rest of the body would be taken for a request.
+func TestEarlyAnswer(t *testing.T) {
+	release := make(chan struct{})
+	p := endpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		write(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nlong")
+		<-release
+	})
+	defer close(release)
+	body := []byte(strings.Repeat("x", 16<<20)) // more than the system buffers
+	a, err := p.Do(t.Context(), &Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body}, anyAnswer)
+	must.NoError(t, err)
+	text, err := io.ReadAll(a.Body)
+	must.NoError(t, err)
+	test.Eq(t, "long", string(text))
+	a.Done()
+	test.SliceEmpty(t, p.idle)
+}
+
+// TestUnframed tells answers that only the end of the connection ends.
+func TestUnframed(t *testing.T) {
+	tests := []struct {
+		method, answer string
+		want           bool
+	}{
+		{http.MethodGet, "HTTP/1.1 200 OK\r\n\r\n", true},
+		{http.MethodGet, "HTTP/1.0 200 OK\r\n\r\n", true},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", false},
+		{http.MethodGet, "HTTP/1.1 304 Not Modified\r\n\r\n", false},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n", false},
+	}
+	for _, tc := range tests {
+		p := endpoint(t, answers(tc.answer))
+		a, err := p.Do(t.Context(), &Request{Method: tc.method, Target: "/", Host: "h"}, anyAnswer)
+		must.NoError(t, err)
+		test.Eq(t, tc.want, a.Unframed(), test.Sprintf("%s %q", tc.method, tc.answer))
+		a.Abort()
+	}
+}
+
+// TestContextEndsTheExchange: a caller that leaves ends it, and the connection is not kept.
+func TestContextEndsTheExchange(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := endpoint(t, answers("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo"))
+	a, err := p.Do(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h"}, anyAnswer)
+	must.NoError(t, err)
+	cancel()
+	_, err = io.ReadAll(a.Body)
+	must.True(t, errors.Is(err, net.ErrClosed), must.Sprint(err))
+	a.Done()
+	must.SliceEmpty(t, p.idle)
+}
