Show that a caller's stream is judged by the last event's id alone

Cause, by tests over endpoints that answer in bytes given by the test: what the caller's stream has come to is known by the last id alone. An event without an id, or a stream without any, is sent again by the endpoint that goes on; one that leaves an event out, or has no id, is taken for the next; text without a whole event behind the break, or an empty answer without a length, ends the stream in order; an encoded answer is put behind plain events. Lines that end with CR and LF, or CR, are not seen as ends of events at all: such a stream is held to its end, and broken off it is lost as a whole.

--- /dev/null
+++ b/internal/forward/framing_test.go
@@ -0,0 +1,51 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test"
+)
+
+// TestEventsThatBreakOff: what a caller has is the beginning of the true stream, and an orderly
+// end comes with the whole alone, however lines end and whatever the second endpoint answers.
+func TestEventsThatBreakOff(t *testing.T) {
+	lf := events(1, streamSize)
+	crlf, cr := numbered(1, streamSize, "\r\n"), numbered(1, streamSize, "\r")
+	unnamed := "id: 1\ndata: a\n\ndata: b\n\n"
+	behind := func(n int) int { return len(events(1, n)) }
+	tests := []struct {
+		name          string
+		path          string
+		first, second string
+		body          string
+		whole         bool
+	}{
+		{name: "goes on", path: resumePath, first: streamOf(lf, behind(2)+3), second: streamOf(events(3, streamSize), -1), body: lf, whole: true},
+		{name: "lines end with CR and LF", path: resumePath, first: streamOf(crlf, len(numbered(1, 2, "\r\n"))+3), second: streamOf(numbered(3, streamSize, "\r\n"), -1), body: crlf, whole: true},
+		{name: "lines end with CR and LF, cut between them", path: resumePath, first: streamOf(crlf, len(numbered(1, 2, "\r\n"))-1), second: streamOf(numbered(2, streamSize, "\r\n"), -1), body: crlf, whole: true},
+		{name: "lines end with CR", path: resumePath, first: streamOf(cr, len(numbered(1, 2, "\r"))+3), second: streamOf(numbered(3, streamSize, "\r"), -1), body: cr, whole: true},
+		{name: "CR and LF, not resumable", path: streamPath, first: streamOf(crlf, len(numbered(1, 2, "\r\n"))+3), body: numbered(1, 2, "\r\n")},
+		{name: "leaves one out", path: resumePath, first: streamOf(lf, behind(2)), second: streamOf(events(4, streamSize), -1), body: events(1, 2)},
+		{name: "repeats the last", path: resumePath, first: streamOf(lf, behind(2)), second: streamOf(events(2, streamSize), -1), body: events(1, 2)},
+		{name: "begins anew", path: resumePath, first: streamOf(lf, behind(2)), second: streamOf(lf, -1), body: events(1, 2)},
+		{name: "goes on without an id", path: resumePath, first: streamOf(lf, behind(2)), second: streamOf("data: a\n\n"+events(3, streamSize), -1), body: events(1, 2)},
+		{name: "an event without an id before the cut", path: resumePath, first: streamOf(unnamed+events(2, 3), len(unnamed)), second: streamOf("data: b\n\n"+events(2, 3), -1), body: unnamed},
+		{name: "no ids at all", path: resumePath, first: streamOf("data: a\n\ndata: b\n\n", 9), second: streamOf("data: a\n\ndata: b\n\n", -1), body: "data: a\n\n"},
+		{name: "a comment before the cut", path: resumePath, first: streamOf(": ping\n\n"+lf, 8), second: streamOf(lf, -1), body: ": ping\n\n" + lf, whole: true},
+		{name: "no event, but text", path: resumePath, first: streamOf(lf, behind(2)), second: streamOf("internal error", -1), body: events(1, 2)},
+		{name: "no event and no length", path: resumePath, first: streamOf(lf, behind(2)), second: head(http.StatusOK, eventStream), body: events(1, 2)},
+		{name: "all delivered, only the end is lost", path: resumePath, first: streamOf(lf, len(lf)), second: streamOf("", -1), body: lf, whole: true},
+		{name: "encoded", path: resumePath, first: streamOf(lf, behind(2)), second: strings.Replace(streamOf(events(3, streamSize), -1), eventStream, eventStream+"Content-Encoding: br\r\n", 1), body: events(1, 2)},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newRawWorld(t, says(tc.first), says(tc.second))
+			got := w.do(t, http.MethodPost, tc.path, "prompt", nil)
+			test.Eq(t, http.StatusOK, got.status)
+			test.Eq(t, tc.body, got.body)
+			test.Eq(t, tc.whole, got.err == nil, test.Sprint(got.err))
+		})
+	}
+}
--- a/internal/forward/help_test.go
+++ b/internal/forward/help_test.go
@@ -91,27 +91,37 @@
 // newWorld starts one server for each config; they get the ids s0, s1 and so on.
 func newWorld(t *testing.T, models ...string) *world {
 	t.Helper()
-	w := &world{state: &state{config: config()}}
-	f := fleet.New(zerolog.Nop())
-	var order inOrder
+	w := &world{}
+	var addrs []string
 	for i, model := range models {
-		id := "s" + string(rune('0'+i))
-		server := modelserver.New(modelserver.Config{ID: id, Service: "servers", Model: model, Pieces: streamSize})
+		server := modelserver.New(modelserver.Config{ID: serverID(i), Service: "servers", Model: model, Pieces: streamSize})
 		back := httptest.NewServer(server.Handler())
 		t.Cleanup(back.Close)
 		w.servers = append(w.servers, server)
-		f.Update(&fleet.Endpoint{ID: id, Service: "servers", Addr: strings.TrimPrefix(back.URL, "http://")}, time.Now())
+		addrs = append(addrs, strings.TrimPrefix(back.URL, "http://"))
+	}
+	w.open(t, addrs)
+	return w
+}
+
+func serverID(i int) string { return "s" + string(rune('0'+i)) }
+
+// open starts the handler before endpoints at the addresses, which it tries in their order.
+func (w *world) open(t testing.TB, addrs []string) {
+	t.Helper()
+	w.state = &state{config: config()}
+	f := fleet.New(zerolog.Nop())
+	for i, addr := range addrs {
+		f.Update(&fleet.Endpoint{ID: serverID(i), Service: "servers", Addr: addr}, time.Now())
 	}
 	members := f.Members("servers")
 	slices.SortFunc(members, func(a, b *fleet.Member) int { return strings.Compare(a.ID, b.ID) })
-	order = append(order, members...)
 	w.bounds = bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	w.front = httptest.NewServer(&forward.Handler{
-		Dialect: platform.Dialect{}, State: w.state, Placer: order, Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }), Patience: &forward.Patience{},
+		Dialect: platform.Dialect{}, State: w.state, Placer: inOrder(members), Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }), Patience: &forward.Patience{},
 		Bounds: func() bootstrap.Bounds { return w.bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
 	})
 	t.Cleanup(w.front.Close)
-	return w
 }
 
 // answer is what a caller got.
