Let a stream go on only behind the last event that the caller has

Ruled out: dropping events that come again (with ids of another form nothing shows which they are); checking the ids of a first stream (it is one endpoint's own answer); taking an empty answer with an end of its own for a break: it is what an endpoint gives where only the end was lost.

Change: a stream is cut into events by the format's rules for lines, and the caller's position says what the last id covers. Where an event without an id follows it, nothing is sent again. The first event of an endpoint that goes on must be the next number where the ids have counted the events so far, else a greater or another one, and a break is its verdict otherwise, as for an end before any whole event. An encoded answer is no stream of events: it is delivered whole, or not behind a stream.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -84,7 +84,7 @@
 	case notRun:
 		return true
 	case cut:
-		return x.route.Resumable
+		return x.route.Resumable && !x.at.unnamed
 	default:
 		return x.repeatable()
 	}
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -47,7 +47,7 @@
 		x.cause = eris.New("a success without a seal")
 		return failed
 	}
-	if success && info.Events {
+	if success && info.Events && plainBytes(answer) {
 		return x.deliverEvents(answer, first)
 	}
 	if x.written {
@@ -59,6 +59,12 @@
 	return x.deliverWhole(answer, first)
 }
 
+// plainBytes reports whether events can be told apart in an answer's body.
+func plainBytes(answer *upstream.Answer) bool {
+	encoding := answer.Header.Get("Content-Encoding")
+	return encoding == "" || encoding == "identity"
+}
+
 // drain reads a short answer that is not delivered, so that its connection can be
 // kept.
 func (x *exchange) drain(answer *upstream.Answer) {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -1,72 +1,68 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
-const (
-	// readBytes is how much of a stream is read at once.
-	readBytes = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
-)
-
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+// delivery is one endpoint's share of a stream.
+type delivery struct {
+	*eventReader
+	// unchecked is set until an event shows that the stream goes on behind that of another
+	// endpoint.
+	unchecked bool
+	empty     bool // nothing was passed on
+}
 
 // deliverEvents passes on each whole event as it arrives. An event that breaks off
 // is not passed on, so that a resumed stream can begin with it.
 func (x *exchange) deliverEvents(answer *upstream.Answer, first func()) verdict {
-	var pending []byte
-	buffer := make([]byte, readBytes)
-	resumed := x.written
+	d := &delivery{
+		eventReader: &eventReader{body: answer.Body, unframed: answer.Unframed()},
+		unchecked:   x.written,
+		empty:       true,
+	}
 	for {
-		n, err := answer.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
+		events, err := d.next()
+		if len(events) > 0 {
 			first()
-			events := pending[:end+len(eventEnd)]
-			if resumed {
-				if !x.continues(events) {
-					answer.Abort()
-					x.cause = eris.New("a resumed stream does not go on where it broke off")
-					return cut
-				}
-				resumed = false
-			}
-			if !x.writeEvents(answer, events) {
-				answer.Abort()
-				return cut
+			if !x.passOn(answer, d, events) {
+				return x.brokenStream(answer)
 			}
-			pending = append(pending[:0], pending[len(events):]...)
 		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return x.endEvents(answer, pending)
-		case err != nil:
-			answer.Abort()
+		if errors.Is(err, io.EOF) {
+			return x.endEvents(answer, d)
+		}
+		if err != nil {
 			x.cause = eris.Wrap(err, "read the stream")
-			return x.brokenStream()
-		case len(pending) > maxEventBytes:
-			answer.Abort()
-			x.cause = eris.New("an event is too long")
-			return x.brokenStream()
+			return x.brokenStream(answer)
 		}
 	}
 }
 
-// brokenStream returns the verdict on a stream that broke off.
-func (x *exchange) brokenStream() verdict {
+// passOn writes events that follow what the caller has. It reports false where they don't,
+// or the caller can't be reached.
+func (x *exchange) passOn(answer *upstream.Answer, d *delivery, events []byte) bool {
+	if d.unchecked {
+		ok, decided := x.at.goesOn(events)
+		if !ok {
+			x.cause = eris.New("a resumed stream does not go on where it broke off")
+			return false
+		}
+		d.unchecked = !decided
+	}
+	d.empty = false
+	return x.writeEvents(answer, events)
+}
+
+// brokenStream ends an answer that broke off, and returns the verdict on it.
+func (x *exchange) brokenStream(answer *upstream.Answer) verdict {
+	answer.Abort()
 	if x.written {
 		return cut
 	}
@@ -75,12 +71,17 @@
 
 // endEvents delivers what follows the last event, and ends the answer. Where only the end of
 // the connection ends it, one that comes within an event, or before any, is a break: an engine
-// that fails closes its connections in the same way.
-func (x *exchange) endEvents(answer *upstream.Answer, rest []byte) verdict {
-	if answer.Unframed() && (len(rest) > 0 || !x.written) {
-		answer.Abort()
+// that fails closes its connections in the same way. Nothing but events follows those of
+// another endpoint.
+func (x *exchange) endEvents(answer *upstream.Answer, d *delivery) verdict {
+	rest := d.rest()
+	if d.unframed && (len(rest) > 0 || d.empty) {
 		x.cause = eris.New("the connection ended within an event")
-		return x.brokenStream()
+		return x.brokenStream(answer)
+	}
+	if d.unchecked && len(rest) > 0 {
+		x.cause = eris.New("a resumed stream ended within its first event")
+		return x.brokenStream(answer)
 	}
 	if len(rest) > 0 || !x.written {
 		if !x.writeEvents(answer, rest) {
@@ -98,9 +99,8 @@
 	if !x.written {
 		x.writeHead(answer.Response, -1)
 	}
-	if id := lastID(events); id != "" {
-		x.attrs.ResumeAfter = id
-	}
+	x.at.pass(events)
+	x.attrs.ResumeAfter = x.at.last
 	_, err := x.w.Write(events)
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
@@ -111,33 +111,3 @@
 	}
 	return err == nil
 }
-
-// continues reports whether the first of the events follows the last delivered one.
-func (x *exchange) continues(events []byte) bool {
-	if x.attrs.ResumeAfter == "" {
-		return true
-	}
-	last, err := strconv.ParseInt(x.attrs.ResumeAfter, 10, 64)
-	if err != nil {
-		return true // ids of another form can't be compared
-	}
-	next, err := strconv.ParseInt(firstID(events), 10, 64)
-	return err == nil && next > last
-}
-
-func firstID(events []byte) string {
-	for line := range bytes.Lines(events) {
-		if value, found := bytes.CutPrefix(line, idField); found {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
-func lastID(events []byte) string {
-	start := bytes.LastIndex(events, []byte("\nid:"))
-	if start < 0 {
-		return firstID(events)
-	}
-	return firstID(events[start+1:])
-}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -72,6 +72,7 @@
 	placed  *Placement // the newest one
 	cause   error      // of the newest failed attempt
 	written bool       // the head of the answer was written
+	at      position   // of the caller's stream
 	unread  bool       // the caller could not be written to
 }
 
@@ -79,6 +80,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Handler: h, w: w, r: r, arrived: time.Now()}
 	x.attrs = h.Dialect.ReadRequest(r.Header)
+	x.at.last = x.attrs.ResumeAfter
 	err := x.admit()
 	if err == nil {
 		err = x.forward()
