Have a script's freeze wait until the process is stopped

Cause: freeze sent SIGSTOP and went on. The signal takes effect only when the process's threads are scheduled and take it, so on a busy machine a node answers calls after its script has frozen it.

Change: freeze waits with waitid until the process is stopped, without taking its state from those who wait for its end.

Conclusion: the script was right in what it wants and wrong in what it took for frozen.

--- a/scenarios/signal_test.go
+++ b/scenarios/signal_test.go
@@ -1,9 +1,12 @@
 package scenarios
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // signal sends a signal to each node that is named.
@@ -32,8 +35,32 @@
 	return err
 }
 
+// freeze stops nodes and waits until they are: the signal is sent at once, but a process runs
+// on until its threads are scheduled and take it.
 func (w *world) freeze(a *args) error {
-	return w.signal(a, syscall.SIGSTOP, func(n *nodeProcess) { n.frozen.Store(true) })
+	if err := w.signal(a, syscall.SIGSTOP, func(n *nodeProcess) { n.frozen.Store(true) }); err != nil {
+		return err
+	}
+	for _, id := range a.words {
+		n, err := w.find(id)
+		if err != nil {
+			return err
+		}
+		if err := awaitStop(n.cmd.Process.Pid); err != nil {
+			return fmt.Errorf("%s did not stop: %w", id, err)
+		}
+	}
+	return nil
+}
+
+// awaitStop waits until all threads of a child are stopped, and leaves its state to be read again.
+func awaitStop(pid int) error {
+	for {
+		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
 }
 
 func (w *world) thaw(a *args) error {
