Give a caller a plain answer as the endpoint gave it, or show that it is not whole

Cause: what a plain answer had come to was taken from how much was read. One of more than 16 MiB was cut there and delivered as if whole; one without a length of which nothing came behind the head was delivered as an empty answer; an answer to HEAD was given the length 0, and one to HEAD on a route of streams was taken for a break. Encoded events were passed on by the empty lines of their encoded bytes.

Ruled out by cases that pass before and after: an answer shorter than its length or without its last chunk, a trailer, 204 and 304, 1xx before the answer, an answer without a length.

Change: a long answer is passed on behind what was held, and a break of it breaks the caller's; nothing is sent again behind it. An empty end of the connection behind the head is a break, as for streams. HEAD keeps the endpoint's length. Callers' Accept-Encoding is not sent on for routes of streams, and an encoded stream is delivered whole.

Left: a non-empty plain answer without a length that ends in order is taken for whole, since nothing tells otherwise.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -212,6 +212,9 @@
 	removeHopByHop(header)
 	header.Del("Content-Length")
 	header.Del("Expect")
+	if x.route.Kind == routing.Stream {
+		header.Del("Accept-Encoding") // events of an encoded stream can't be told apart
+	}
 	x.Dialect.StripRequest(header)
 	x.Dialect.SetAttempt(header, a)
 	return &upstream.Request{Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header, Body: x.body}
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,8 +13,7 @@
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
-// maxAnswerBytes bounds a plain answer, which is read whole before it is
-// delivered.
+// maxAnswerBytes bounds a plain answer that is read whole before it is delivered.
 const maxAnswerBytes = 16 << 20
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
@@ -75,34 +75,68 @@
 	answer.Done()
 }
 
-// deliverWhole reads an answer to its end before the caller sees any of it.
+// deliverWhole reads an answer to its end before the caller sees any of it, but for a long one.
 func (x *exchange) deliverWhole(answer *upstream.Answer, first func()) verdict {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	first()
+	if err == nil && len(body) == 0 && answer.Unframed() {
+		err = eris.New("the connection ended behind the head")
+	}
 	if err != nil {
 		answer.Abort()
 		x.cause = eris.Wrap(err, "read the answer")
 		return failed
 	}
-	answer.Done()
-	if answer.StatusCode >= http.StatusInternalServerError && x.wantsAnother() {
-		x.cause = eris.Errorf("answered with status %d", answer.StatusCode)
+	if x.rejects(answer.StatusCode) {
+		answer.Done()
 		return failed
 	}
-	if promisesNotRun(answer.StatusCode) {
-		x.cause = eris.Errorf("status %d without proof that it did not run", answer.StatusCode)
-		return failed
+	if len(body) > maxAnswerBytes {
+		return x.deliverLong(answer, body)
 	}
+	answer.Done()
 	x.writeHead(answer.Response, int64(len(body)))
 	if _, err := x.w.Write(body); err != nil {
 		x.Log.Debug().Str("event", "answer_unread").Str("id", x.attrs.ID).Err(err).Send()
 	}
-	if answer.StatusCode >= http.StatusInternalServerError {
+	return whole(answer.StatusCode)
+}
+
+// deliverLong passes on an answer that is too long to be held. One that breaks off is never
+// followed by another.
+func (x *exchange) deliverLong(answer *upstream.Answer, begun []byte) verdict {
+	x.writeHead(answer.Response, answer.ContentLength)
+	x.at.unnamed = true
+	if _, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(begun), answer.Body)); err != nil {
+		answer.Abort()
+		x.cause = eris.Wrap(err, "pass on a long answer")
+		return cut
+	}
+	answer.Done()
+	return whole(answer.StatusCode)
+}
+
+// whole is the verdict on an answer that was delivered to its end.
+func whole(status int) verdict {
+	if status >= http.StatusInternalServerError {
 		return answered
 	}
 	return delivered
 }
 
+// rejects reports whether an answer of this status is not delivered.
+func (x *exchange) rejects(status int) bool {
+	if status >= http.StatusInternalServerError && x.wantsAnother() {
+		x.cause = eris.Errorf("answered with status %d", status)
+		return true
+	}
+	if promisesNotRun(status) {
+		x.cause = eris.Errorf("status %d without proof that it did not run", status)
+		return true
+	}
+	return false
+}
+
 // wantsAnother reports whether an endpoint's error is worth another attempt.
 func (x *exchange) wantsAnother() bool {
 	return x.repeatable() && x.outcome.Attempts < min(x.route.MaxAttempts, maxSends)
@@ -125,12 +159,18 @@
 		header[name] = values
 	}
 	removeHopByHop(header)
-	header.Del("Content-Length")
-	if length >= 0 && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	if x.r.Method != http.MethodHead { // there it is the length of what GET would bring
+		setLength(header, resp.StatusCode, length)
 	}
 	x.outcome.Status = resp.StatusCode
 	x.outcome.First = time.Since(x.arrived)
 	x.written = true
 	x.w.WriteHeader(resp.StatusCode)
 }
+
+func setLength(header http.Header, status int, length int64) {
+	header.Del("Content-Length")
+	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+}
--- /dev/null
+++ b/internal/forward/plain_test.go
@@ -0,0 +1,82 @@
+package forward_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test"
+)
+
+// TestEncodedStreams: a caller that takes encodings gets events as they come, and an encoded
+// stream, whose events can't be told apart, whole or not at all.
+func TestEncodedStreams(t *testing.T) {
+	w := newRawWorld(t, script{answer: func(r *http.Request) string {
+		if r.Header.Get("Accept-Encoding") != "" {
+			return head(http.StatusInternalServerError, ofLength(0))
+		}
+		return streamOf(events(1, streamSize), -1)
+	}})
+	got := w.do(t, http.MethodPost, streamPath, "prompt", func(r *http.Request) { r.Header.Set("Accept-Encoding", "br") })
+	test.Eq(t, http.StatusOK, got.status)
+	test.Eq(t, events(1, streamSize), got.body)
+
+	encoded := head(http.StatusOK, eventStream+isChunked+"Content-Encoding: br\r\n") + chunk("\n\nid: ")
+	w = newRawWorld(t, says(encoded), says(encoded+chunk("x")+lastChunk))
+	got = w.do(t, http.MethodPost, resumePath, "prompt", nil)
+	test.Eq(t, http.StatusOK, got.status)
+	test.Eq(t, "\n\nid: x", got.body)
+}
+
+// tooMuch is the length of an answer that is too long to be held.
+const tooMuch = 16<<20 + 1
+
+// TestPlainAnswers: a plain answer reaches the caller as the endpoint gave it, or not at all.
+func TestPlainAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		answer string
+		status int
+		length string // of the answer, as its header tells
+	}{
+		{name: "whole", method: http.MethodGet, answer: head(http.StatusOK, ofLength(2)) + "ok", status: http.StatusOK, length: "2"},
+		{name: "without a length", method: http.MethodGet, answer: head(http.StatusOK, "") + "ok", status: http.StatusOK, length: "2"},
+		{name: "without a length, and nothing came", method: http.MethodGet, answer: head(http.StatusOK, ""), status: http.StatusBadGateway},
+		{name: "shorter than its length", method: http.MethodGet, answer: head(http.StatusOK, ofLength(3)) + "ok", status: http.StatusBadGateway},
+		{name: "without its last chunk", method: http.MethodGet, answer: head(http.StatusOK, isChunked) + chunk("ok"), status: http.StatusBadGateway},
+		{name: "with a trailer", method: http.MethodGet, answer: head(http.StatusOK, isChunked) + chunk("ok") + "0\r\nX-Sum: 1\r\n\r\n", status: http.StatusOK, length: "2"},
+		{name: "longer than is held", method: http.MethodGet, answer: head(http.StatusOK, ofLength(tooMuch)) + strings.Repeat("x", tooMuch), status: http.StatusOK, length: strconv.Itoa(tooMuch)},
+		{name: "no content", method: http.MethodGet, answer: head(http.StatusNoContent, ""), status: http.StatusNoContent},
+		{name: "not modified", method: http.MethodGet, answer: head(http.StatusNotModified, ofLength(7)), status: http.StatusNotModified},
+		{name: "head", method: http.MethodHead, answer: head(http.StatusOK, ofLength(7)), status: http.StatusOK, length: "7"},
+		{name: "head without a length", method: http.MethodHead, answer: head(http.StatusOK, ""), status: http.StatusOK},
+		{name: "head of a stream", method: http.MethodHead, answer: head(http.StatusOK, eventStream), status: http.StatusOK},
+		{name: "early hints and continue first", method: http.MethodGet, answer: "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + head(http.StatusOK, ofLength(2)) + "ok", status: http.StatusOK, length: "2"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newRawWorld(t, says(tc.answer))
+			got := w.do(t, tc.method, uploadPath, "", nil)
+			test.Eq(t, tc.status, got.status)
+			test.NoError(t, got.err)
+			if tc.method != http.MethodHead && tc.length != "" {
+				test.Eq(t, tc.length, strconv.Itoa(len(got.body)))
+			}
+			if tc.status < http.StatusBadRequest {
+				test.Eq(t, tc.length, got.header.Get("Content-Length"))
+			}
+		})
+	}
+}
+
+// TestLongAnswerThatBreaksOff: nothing follows the part that the caller has, and it shows as one.
+func TestLongAnswerThatBreaksOff(t *testing.T) {
+	part := strings.Repeat("x", tooMuch)
+	w := newRawWorld(t, says(head(http.StatusOK, isChunked)+chunk(part)), says(streamOf(events(1, streamSize), -1)))
+	got := w.do(t, http.MethodPost, resumePath, "prompt", nil)
+	test.Eq(t, http.StatusOK, got.status)
+	test.Error(t, got.err)
+	test.True(t, got.body == part, test.Sprint(len(got.body)))
+}
