Fail an answer whose text no token accounts for

Cause: a frame with text and no token was taken for a repeat and dropped, and the end frame's count of tokens still agreed: the caller got an answer without that text as the whole.

Ruled out: repeats (they have tokens, and end where the answer is or before); keeping the text (a repeat of it could not be told).

Change: such a frame is malformed; the run is resumed or goes on elsewhere like after any other break.

Before: 3 new cases of TestCheckFailsWhatIsNotTheAnswer failed. After: they pass. Conclusion: mended.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -4,8 +4,8 @@
 // Guarantee: the tokens that Check delivers are those of one run on one weight
 // version for one client account, each once and in order. Frames of other runs
 // and other engine incarnations are dropped; a gap, another version or another
-// account's salt fails the answer. Only an end frame whose token count agrees
-// makes it complete.
+// account's salt fails the answer, and so does text that no token accounts for.
+// Only an end frame whose token count agrees makes it complete.
 package answer
 
 import (
@@ -89,6 +89,9 @@
 	if c.incarnation == "" {
 		return false, result.New(result.AnswerMalformed, result.WithField("start"))
 	}
+	if f.Tokens < 1 && f.Text != "" {
+		return false, result.New(result.AnswerMalformed, result.WithField("tokens"))
+	}
 	end := f.Offset + f.Tokens
 	if end <= c.tokens {
 		return false, nil
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -46,6 +46,12 @@
 		{"no start", func(f []enginewire.Frame) []enginewire.Frame { return f[1:] }, result.AnswerMalformed},
 		{"other version", func(f []enginewire.Frame) []enginewire.Frame { f[0].Version = "v2"; return f }, result.VersionMismatch},
 		{"other account", func(f []enginewire.Frame) []enginewire.Frame { f[0].CacheSalt = "x"; return f }, result.AnswerOfOtherRun},
+		{"text without a token", func(f []enginewire.Frame) []enginewire.Frame { f[1].Tokens = 0; return f }, result.AnswerMalformed},
+		{"text of fewer than none", func(f []enginewire.Frame) []enginewire.Frame { f[2].Tokens = -1; return f }, result.AnswerMalformed},
+		{"last text without a token", func(f []enginewire.Frame) []enginewire.Frame {
+			f[3].Tokens, f[4].OutputTokens = 0, 2
+			return f
+		}, result.AnswerMalformed},
 		{"unknown kind", func(f []enginewire.Frame) []enginewire.Frame { f[1].Kind = "x"; return f }, result.AnswerMalformed},
 	}
 	for _, c := range cases {
