Check a stream that a caller itself resumes like one that a node resumes

Cause: whether the caller has events was asked of this connection alone. A caller that comes with the id of its last event has some, too, and an endpoint that began anew gave it those again.

Ruled out: wanting the very next number there (what the ids of such a caller count is not known).

Change: on resumable routes the first event must be behind the id that the caller names; else the attempt counts as failed, and another endpoint may answer.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -13,8 +13,7 @@
 // delivery is one endpoint's share of a stream.
 type delivery struct {
 	*eventReader
-	// unchecked is set until an event shows that the stream goes on behind that of another
-	// endpoint.
+	// unchecked is set until an event shows that the stream goes on behind what the caller has.
 	unchecked bool
 	empty     bool // nothing was passed on
 }
@@ -24,7 +23,7 @@
 func (x *exchange) deliverEvents(answer *upstream.Answer, first func()) verdict {
 	d := &delivery{
 		eventReader: &eventReader{body: answer.Body, unframed: answer.Unframed()},
-		unchecked:   x.written,
+		unchecked:   x.written || x.route.Resumable && x.at.last != "",
 		empty:       true,
 	}
 	for {
--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -8,6 +8,32 @@
 	"github.com/shoenig/test"
 )
 
+// TestCallerResumes: an endpoint that does not go on behind the event that the caller names is no
+// answer to its request; whether it leaves some out is not known of ids that may count anything.
+func TestCallerResumes(t *testing.T) {
+	tests := []struct {
+		name, last    string
+		first, second string
+		body          string
+	}{
+		{name: "goes on", last: "2", first: events(3, streamSize), body: events(3, streamSize)},
+		{name: "goes on at a higher id", last: "2", first: events(4, streamSize), body: events(4, streamSize)},
+		{name: "begins anew, the second goes on", last: "2", first: events(1, streamSize), second: events(3, streamSize), body: events(3, streamSize)},
+		{name: "repeats, the second goes on", last: "2", first: events(2, streamSize), second: events(3, streamSize), body: events(3, streamSize)},
+		{name: "ids of another form", last: "a:2", first: "id: a:3\ndata: x\n\n", body: "id: a:3\ndata: x\n\n"},
+		{name: "nothing is left", last: "4", first: "", body: ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newRawWorld(t, says(streamOf(tc.first, -1)), says(streamOf(tc.second, -1)))
+			got := w.do(t, http.MethodPost, resumePath, "prompt", func(r *http.Request) { r.Header.Set("Last-Event-Id", tc.last) })
+			test.Eq(t, http.StatusOK, got.status)
+			test.NoError(t, got.err)
+			test.Eq(t, tc.body, got.body)
+		})
+	}
+}
+
 // TestEventsThatBreakOff: what a caller has is the beginning of the true stream, and an orderly
 // end comes with the whole alone, however lines end and whatever the second endpoint answers.
 func TestEventsThatBreakOff(t *testing.T) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -80,7 +80,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Handler: h, w: w, r: r, arrived: time.Now()}
 	x.attrs = h.Dialect.ReadRequest(r.Header)
-	x.at.last = x.attrs.ResumeAfter
+	x.at = positionAt(x.attrs.ResumeAfter)
 	err := x.admit()
 	if err == nil {
 		err = x.forward()
--- a/internal/forward/sse.go
+++ b/internal/forward/sse.go
@@ -141,6 +141,10 @@
 	uncounted bool
 }
 
+// positionAt returns the position of a caller that has the event of an id, "" for none. What its
+// ids count is not known.
+func positionAt(id string) position { return position{last: id, uncounted: id != ""} }
+
 // pass notes events that the caller was sent.
 func (p *position) pass(events []byte) {
 	for e := range eventsOf(events) {
