Have the scripts of gateway mode wait for a frozen node, too

Cause: as in the other scripts, a node runs on for a while behind SIGSTOP; what a script wants of a frozen node then holds by luck. It is not known to have failed there.

Change: both folders use processtest.AwaitStop. The commands that signal nodes of gateway mode have a file of their own.

--- a/scenarios/gateway/gateway_test.go
+++ b/scenarios/gateway/gateway_test.go
@@ -235,23 +235,6 @@
 	return resp.StatusCode, nil
 }
 
-var signals = map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "hup": syscall.SIGHUP}
-
-// signal NODE NAME signals a node.
-func (w *world) signal(words []string) error {
-	return w.nodes[words[0]].cmd.Process.Signal(signals[words[1]])
-}
-
-// ended NODE CODE waits for a node's end.
-func (w *world) ended(words []string) error {
-	p := w.nodes[words[0]]
-	<-p.ended
-	if code := p.cmd.ProcessState.ExitCode(); strconv.Itoa(code) != words[1] {
-		return fmt.Errorf("exit code %d", code)
-	}
-	return nil
-}
-
 // store sound|down|lossy|forgets changes the metadata store.
 func (w *world) store(words []string) error {
 	switch words[0] {
--- /dev/null
+++ b/scenarios/gateway/signal_test.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"syscall"
+
+	"github.com/cherryward/cherryward/scenarios/processtest"
+)
+
+var signals = map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "hup": syscall.SIGHUP}
+
+// signal NODE NAME signals a node, and waits until one that is to freeze is stopped.
+func (w *world) signal(words []string) error {
+	process := w.nodes[words[0]].cmd.Process
+	if err := process.Signal(signals[words[1]]); err != nil || words[1] != "freeze" {
+		return err
+	}
+	return processtest.AwaitStop(process.Pid)
+}
+
+// ended NODE CODE waits for a node's end.
+func (w *world) ended(words []string) error {
+	p := w.nodes[words[0]]
+	<-p.ended
+	if code := p.cmd.ProcessState.ExitCode(); strconv.Itoa(code) != words[1] {
+		return fmt.Errorf("exit code %d", code)
+	}
+	return nil
+}
--- a/scenarios/signal_test.go
+++ b/scenarios/signal_test.go
@@ -1,12 +1,11 @@
 package scenarios
 
 import (
-	"errors"
 	"fmt"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/cherryward/cherryward/scenarios/processtest"
 )
 
 // signal sends a signal to each node that is named.
@@ -35,8 +34,7 @@
 	return err
 }
 
-// freeze stops nodes and waits until they are: the signal is sent at once, but a process runs
-// on until its threads are scheduled and take it.
+// freeze stops nodes and waits until they are stopped.
 func (w *world) freeze(a *args) error {
 	if err := w.signal(a, syscall.SIGSTOP, func(n *nodeProcess) { n.frozen.Store(true) }); err != nil {
 		return err
@@ -46,23 +44,13 @@
 		if err != nil {
 			return err
 		}
-		if err := awaitStop(n.cmd.Process.Pid); err != nil {
+		if err := processtest.AwaitStop(n.cmd.Process.Pid); err != nil {
 			return fmt.Errorf("%s did not stop: %w", id, err)
 		}
 	}
 	return nil
 }
 
-// awaitStop waits until all threads of a child are stopped, and leaves its state to be read again.
-func awaitStop(pid int) error {
-	for {
-		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
-		if !errors.Is(err, unix.EINTR) {
-			return err
-		}
-	}
-}
-
 func (w *world) thaw(a *args) error {
 	return w.signal(a, syscall.SIGCONT, func(n *nodeProcess) { n.frozen.Store(false) })
 }
