--- a/internal/calls/service.go
+++ b/internal/calls/service.go
@@ -32,11 +32,14 @@
 	methodAdopt  = "calls.adopt"  // safe to repeat
 	methodMoved  = "calls.moved"  // safe to repeat
 
-	ticketWindow  = 1 << 16
-	keepAnswers   = 4096
-	keepBytes     = 32 << 20
-	keepFor       = 15 * time.Minute
-	adoptFor      = time.Hour
+	ticketWindow = 1 << 16
+	keepAnswers  = 4096
+	keepBytes    = 32 << 20
+	keepFor      = 15 * time.Minute
+	adoptFor     = time.Hour
+	// runOn leaves a caller time to repeat a call that took longer than it waited,
+	// and bounds what a service that never answers can hold.
+	runOn         = time.Minute
 	ticketKeyInfo = "cherryward/ticket/v1"
 
 	handoverRetry = 200 * time.Millisecond
@@ -109,15 +112,7 @@
 	}
 	s.plain = newPlainClient(directory, s.cluster, s.budget)
 	self := s.cluster.Self()
-	s.executor, err = ticket.New(ticket.Config{
-		Self:        ticket.Incarnation{Node: self.ID, Run: self.Incarnation},
-		Key:         s.key,
-		Window:      ticketWindow,
-		KeepAnswers: keepAnswers,
-		KeepBytes:   keepBytes,
-		KeepFor:     keepFor,
-		AdoptFor:    adoptFor,
-	})
+	s.executor, err = ticket.New(s.tickets(ticket.Incarnation{Node: self.ID, Run: self.Incarnation}))
 	if err != nil {
 		return err
 	}
@@ -129,6 +124,20 @@
 	return nil
 }
 
+// tickets sets up the executor of this process's tickets.
+func (s *Service) tickets(self ticket.Incarnation) ticket.Config {
+	return ticket.Config{
+		Self:        self,
+		Key:         s.key,
+		Window:      ticketWindow,
+		KeepAnswers: keepAnswers,
+		KeepBytes:   keepBytes,
+		KeepFor:     keepFor,
+		AdoptFor:    adoptFor,
+		RunOn:       runOn,
+	}
+}
+
 // SetPrompts says who answers ticketed prompts. It is called before requests come.
 func (s *Service) SetPrompts(p Prompts) { s.prompts = p }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -85,7 +85,7 @@
 	case notRun:
 		return true
 	case cut:
-		return x.route.Resumable
+		return x.route.Resumable && !x.at.unnamed
 	default:
 		return x.repeatable()
 	}
@@ -230,6 +230,9 @@
 	removeHopByHop(header)
 	header.Del("Content-Length")
 	header.Del("Expect")
+	if x.route.Kind == routing.Stream {
+		header.Del("Accept-Encoding") // events of an encoded stream can't be told apart
+	}
 	x.Dialect.StripRequest(header)
 	x.Dialect.SetAttempt(header, a)
 	return &upstream.Request{Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header, Body: x.body}
--- a/scenarios/signal_test.go
+++ b/scenarios/signal_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"github.com/cherryward/cherryward/scenarios/processtest"
 )
 
 // signal sends a signal to each node that is named.
@@ -32,8 +34,21 @@
 	return err
 }
 
+// freeze stops nodes and waits until they are stopped.
 func (w *world) freeze(a *args) error {
-	return w.signal(a, syscall.SIGSTOP, func(n *nodeProcess) { n.frozen.Store(true) })
+	if err := w.signal(a, syscall.SIGSTOP, func(n *nodeProcess) { n.frozen.Store(true) }); err != nil {
+		return err
+	}
+	for _, id := range a.words {
+		n, err := w.find(id)
+		if err != nil {
+			return err
+		}
+		if err := processtest.AwaitStop(n.cmd.Process.Pid); err != nil {
+			return fmt.Errorf("%s did not stop: %w", id, err)
+		}
+	}
+	return nil
 }
 
 func (w *world) thaw(a *args) error {
