Take no start in the future from an entry

Cause: the newest start of an id counts, and one that another writer claims far in the future would shut out the server that has the id. Found by the review of restarts. Change: an entry whose start is over a minute ahead of this host's clock names no server. Ruled out: comparing with the entries of other servers. Before: TestStartInTheFuture fails (e1 is not used again); after: it passes.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
@@ -19,6 +21,9 @@
 	// entriesBack is how long after the registry's return living endpoints have put their
 	// entries back: about 2 s, as the platform says.
 	entriesBack = 2200 * time.Millisecond
+	// mostAhead is how far a server's clock may be ahead of this host's. An entry of another
+	// writer that claims a later start would shut the server of its id out for good.
+	mostAhead = time.Minute
 	// lapseMargin is taken off a bound for the time between the end of a hold and the arrival of
 	// a request that was placed before.
 	lapseMargin = 100 * time.Millisecond
@@ -104,6 +109,9 @@
 		return
 	}
 	endpoint, err := platform.DecodeEndpoint(record.Key, record.Value)
+	if err == nil && endpoint.Born > now.Add(mostAhead).UnixMilli() {
+		err = eris.Errorf("a start in the future: %d", endpoint.Born)
+	}
 	if err != nil {
 		r.rejected.record(record, err)
 		// The newest record of the key names no server. It is no lapse, so the endpoint is
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -174,3 +174,19 @@
 		test.Eq(t, tc.want, lapseHold(bootstrap.Bounds{Drain: tc.drain, StableWindow: tc.stable}))
 	}
 }
+
+// TestStartInTheFuture has an entry that claims a start long ahead of the clock name no server, so
+// that the server of its id is used again at its next heartbeat.
+func TestStartInTheFuture(t *testing.T) {
+	r := newRegistered()
+	r.configure(t, 1, engines)
+	born := func(at time.Time) string { return fmt.Sprintf(`%s,"born":%d`, models, at.UnixMilli()) }
+	now := time.Now()
+	r.put("e1", entryOf("engines", "ready", born(now)))
+	r.put("e1", entryOf("engines", "ready", born(now.Add(time.Hour))))
+	test.Eq(t, "", r.ids("engines"))
+	r.put("e1", entryOf("engines", "ready", born(now)))
+	test.Eq(t, "e1 ", r.ids("engines"))
+	r.put("e2", entryOf("engines", "ready", born(now.Add(10*time.Second))))
+	test.Eq(t, "e1 e2 ", r.ids("engines"), test.Sprint("clocks differ"))
+}
