Show that engines that report nothing keep the others from new weights

Cause: jobs are few (3 of 9 engines), an engine whose reports fail keeps its job for 6 s, and the next look gives it the same job again, as engines are taken in a fixed order. Class: a wait for one within a loop over all. TestMuteEnginesMakeRoom fails: with the first 3 of 9 engines silent, the other 6 still have the older weights after 40 s.

--- a/internal/weights/help_test.go
+++ b/internal/weights/help_test.go
@@ -174,6 +174,9 @@
 	ids     []string
 	// standby are the nodes that stand by; nil means all.
 	standby []string
+	// reporter and claims stand in for engines and log; nil means these themselves.
+	reporter Engines
+	claims   claim.Log
 
 	mu       sync.Mutex
 	services map[string]*Service // running
@@ -216,8 +219,16 @@
 	t.Helper()
 	f := fleet.New(zerolog.Nop())
 	w.beat(f)
+	var reporter Engines = w.engines
+	if w.reporter != nil {
+		reporter = w.reporter
+	}
+	var claims claim.Log = w.log
+	if w.claims != nil {
+		claims = w.claims
+	}
 	s, err := New(Config{
-		Node: name, Fleet: f, Wanted: w.wanted, Engines: w.engines, Claims: w.log, Peers: view{w, name},
+		Node: name, Fleet: f, Wanted: w.wanted, Engines: reporter, Claims: claims, Peers: view{w, name},
 		Lease: lease, Changed: make(chan struct{}), Log: zerolog.Nop(),
 	})
 	must.NoError(t, err)
--- /dev/null
+++ b/internal/weights/mute_test.go
@@ -0,0 +1,71 @@
+package weights
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// reportTimeout is how long the platform's client waits for a report.
+const reportTimeout = 700 * time.Millisecond
+
+// mute are engines of which some never answer a report.
+type mute struct {
+	*engines
+	ids map[string]bool
+}
+
+func (m mute) Report(ctx context.Context, at *fleet.Endpoint) (Report, error) {
+	if !m.ids[at.ID] {
+		return m.engines.Report(ctx, at)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(reportTimeout):
+	}
+	return Report{}, errDown
+}
+
+// firstBehind returns the first engines in the order of a version.
+func firstBehind(ids []string, version int64, n int) map[string]bool {
+	sorted := slices.Clone(ids)
+	slices.SortFunc(sorted, func(a, b string) int {
+		if place(version, a) < place(version, b) {
+			return -1
+		}
+		return 1
+	})
+	first := make(map[string]bool)
+	for _, id := range sorted[:n] {
+		first[id] = true
+	}
+	return first
+}
+
+// TestMuteEnginesMakeRoom brings the other engines to a version where the first ones that are
+// due never report.
+func TestMuteEnginesMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nine()...)
+		muted := firstBehind(w.ids, 2, 3)
+		w.reporter = mute{w.engines, muted}
+		stop := w.node(t, "n1")
+		time.Sleep(time.Second)
+		w.name(2)
+		time.Sleep(40 * time.Second)
+		behind := 0
+		for i, version := range w.versions() {
+			if !muted[w.ids[i]] && version < 2 {
+				behind++
+			}
+		}
+		test.Eq(t, 0, behind, test.Sprint("engines that answer and still have the older version"))
+		stop()
+	})
+}
