Show that an endpoint that left is held where a read was late

Cause: a time of more than 1.5 s between two proofs of the registry counts as an outage, though no read failed; what is missing is then held for 1.9 s to 2.2 s from the read on. The removal may be as old as the proof before, so that requests follow up to 3.4 s after it, of a bound of 2 s. The 1.5 s are a constant beside bounds that differ: with a drain bound of 4 s calm reads are 1.2 s to 1.4 s apart. TestLateReadIsNoOutage fails.

--- /dev/null
+++ b/internal/gateway/registry_late_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// lateTopic is a topic whose reads all succeed at once. An entry is removed right after the first
+// read.
+type lateTopic struct{ reads int }
+
+func (l *lateTopic) Newest(context.Context) (follow.Page, error) {
+	value := []byte(entryOf("engines", "ready", models))
+	return follow.Page{Records: []follow.Record{{Key: "e1", Value: value}, {Key: "e2", Value: value, Offset: 1}}, Next: 2}, nil
+}
+
+func (l *lateTopic) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	if l.reads++; l.reads > 1 {
+		return follow.Page{Next: from}, nil
+	}
+	return follow.Page{Records: []follow.Record{{Key: "e1", Offset: from}}, Next: from + 1}, nil
+}
+
+// TestLateReadIsNoOutage has an endpoint's removal keep the drain bound where a node reads late,
+// without the store having been away: nothing lapsed, and nothing excuses the node.
+func TestLateReadIsNoOutage(t *testing.T) {
+	for _, bounds := range []bootstrap.Bounds{
+		{Drain: 2 * time.Second, StableWindow: 3 * time.Second},
+		{Drain: 3 * time.Second, StableWindow: 4 * time.Second},
+	} {
+		t.Run(bounds.Drain.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegistered()
+				r.bounds = func() bootstrap.Bounds { return bounds }
+				r.configure(t, 1, engines)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := follow.Follower{
+					Name: "registry", Topic: &lateTopic{}, Sink: r, Log: zerolog.Nop(),
+					Pause: func() time.Duration { return lapseOutage + 10*time.Millisecond },
+				}
+				var wg sync.WaitGroup
+				wg.Go(func() { _ = f.Run(ctx) })
+				time.Sleep(time.Millisecond)
+				test.Eq(t, "e1 e2 ", r.ids("engines"))
+				time.Sleep(bounds.Drain)
+				test.Eq(t, "e2 ", r.ids("engines"))
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
