Show that no prompt is placed without a bound on new weights

Cause: the age of weights that were never replaced, 0, is compared with the bound less 2 s. TestNoBoundOnWeights fails for a bound that is missing and for one of 1 s.

--- /dev/null
+++ b/internal/placer/bound_test.go
@@ -0,0 +1,19 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// TestNoBoundOnWeights places prompts on the wanted weights where the operators state no bound on
+// new ones, or one that is shorter than the margin.
+func TestNoBoundOnWeights(t *testing.T) {
+	for _, bound := range []time.Duration{0, time.Second} {
+		w := newWorld(t, source{}, 1, 1, 1)
+		w.VersionApply = func() time.Duration { return bound }
+		_, ok := w.Place(query())
+		test.True(t, ok, test.Sprint(bound))
+	}
+}
