--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherryward/cherryward/coord/claim"
@@ -70,8 +71,10 @@
 	err    error
 }
 
-// step looks at the engines once. It reports false where the claim is lost.
-func (s *Service) step(ctx context.Context, held *claim.Claim) bool {
+// step looks at the engines once. It reports false where the claim is lost. Orders go by the claim
+// as it is after the reports: the one before may be over, as an engine that doesn't report takes as
+// long as the call's timeout.
+func (s *Service) step(ctx context.Context, held *atomic.Pointer[claim.Claim]) bool {
 	members := s.Fleet.All()
 	for _, model := range s.Wanted.Models() {
 		version, _ := s.Wanted.Wanted(model)
@@ -81,7 +84,7 @@
 	s.announce()
 	looks := s.due(members)
 	s.ask(ctx, looks)
-	s.give(ctx, held, slices.DeleteFunc(looks, func(l look) bool { return !s.advance(&l) }))
+	s.give(ctx, held.Load(), slices.DeleteFunc(looks, func(l look) bool { return !s.advance(&l) }))
 	return !s.lost.Load()
 }
 
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -163,7 +163,7 @@
 	s.leads.Store(true)
 	s.lost.Store(false)
 	clear(s.jobs)
-	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held.Load()) {
+	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held) {
 		s.wait(ctx, tick)
 	}
 	clear(s.jobs)
