--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,9 @@
 	born     int64 // Unix milliseconds, 0 if not said
 	draining bool  // it was seen draining
 	seen     time.Time
+	// load is what this node has under way there, also while its entry is missing: one that is
+	// back after a lapse has the same runs.
+	load *Load
 }
 
 // view is the immutable list that requests read.
@@ -137,6 +140,9 @@
 	}
 	newest.draining = newest.draining || e.Draining
 	newest.seen = now
+	if newest.load == nil {
+		newest.load = &Load{}
+	}
 	f.newest[e.ID] = newest
 	if e.Draining == newest.draining {
 		return e, true
@@ -156,6 +162,7 @@
 		}
 		before.Pool.CloseIdle()
 	}
+	m.Load = f.newest[e.ID].load
 	f.members[e.ID] = m
 }
 
