--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -75,7 +75,8 @@
 			r.remove(id, now)
 		}
 	}
-	r.fleet.Expire(now)
+	// The doubt's timer may have run since now was taken, before what was found missing.
+	r.fleet.Expire(time.Now())
 }
 
 // doubt has entries that are missing count as lapsed for a while. All holds end with it, by a
