--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -94,7 +94,7 @@
 // filter removes the engines whose weights are too old or not known, and those that load now
 // unless no other is left.
 func (r *rollout) filter(candidates []*fleet.Member) []*fleet.Member {
-	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return r.isUnknown(m) || r.replacedFor(m) > r.limit })
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return r.isUnknown(m) || r.isOld(m) })
 	open := slices.DeleteFunc(slices.Clone(candidates), r.isClosed)
 	if len(open) == 0 {
 		return candidates
@@ -102,6 +102,13 @@
 	return open
 }
 
+// isOld reports whether an engine's weights were replaced too long ago. Those that were not are
+// never old, also where the operators' bound is missing or shorter than the margin.
+func (r *rollout) isOld(m *fleet.Member) bool {
+	since, replaced := r.replacedSince(m.VersionOf(r.model))
+	return replaced && r.now.Sub(since) > r.limit
+}
+
 // isUnknown reports whether an engine's weights are not known though versions of them are. A
 // prompt can't name the version that it expects there, so it could run on replaced weights.
 func (r *rollout) isUnknown(m *fleet.Member) bool { return r.versioned(m) && m.VersionOf(r.model) == 0 }
