--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,8 +108,6 @@
 	defer f.mu.Unlock()
 	e, current := f.date(e, now)
 	if !current {
-		f.log.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.Born).
-			Int64("newest", f.newest[e.ID].born).Send()
 		return
 	}
 	m := f.members[e.ID]
@@ -128,6 +126,18 @@
 	f.rebuild()
 }
 
+// Outdated reports whether Update drops an entry.
+func (f *Fleet) Outdated(e *Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := f.newest[e.ID].born
+	if e.Born >= newest {
+		return false
+	}
+	f.log.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.Born).Int64("newest", newest).Send()
+	return true
+}
+
 // date returns the entry with what is known of its start, and false where a later start is
 // known. An entry without a start is not the endpoint's own where that has said one before.
 func (f *Fleet) date(e *Endpoint, now time.Time) (dated *Endpoint, current bool) {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -114,6 +114,9 @@
 		r.fleet.Remove(record.Key)
 		return
 	}
+	if r.fleet.Outdated(endpoint) {
+		return // it arrived late, or isn't the endpoint's own
+	}
 	if before := r.entries[record.Key]; before != nil && before.Service != endpoint.Service {
 		r.fleet.Remove(record.Key) // what was learned is of another service
 	}
