--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -152,7 +152,7 @@
 func (s *Service) begin(list []*fleet.Member, model string, version int64, engines int) {
 	loads, jobs := atOnce(engines)
 	for _, m := range list {
-		if j, under := s.jobs[m.ID]; under {
+		if j, under := s.jobs[m.ID]; under && j.model == model {
 			j.version, j.loads = version, loads
 		}
 	}
