Show that engines that take no orders keep the others from new weights

Cause: as with engines that report nothing: a job that took too long is given to the same engine again. TestDeafEnginesMakeRoom fails: the other 6 of 9 still have the older weights after 40 s.

--- a/internal/weights/mute_test.go
+++ b/internal/weights/mute_test.go
@@ -69,3 +69,26 @@
 		stop()
 	})
 }
+
+// TestDeafEnginesMakeRoom does the same where the first ones report, and take no order.
+func TestDeafEnginesMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nine()...)
+		deaf := firstBehind(w.ids, 2, 3)
+		for id := range deaf {
+			w.engines.silent[id] = 1000
+		}
+		stop := w.node(t, "n1")
+		time.Sleep(time.Second)
+		w.name(2)
+		time.Sleep(40 * time.Second)
+		behind := 0
+		for i, version := range w.versions() {
+			if !deaf[w.ids[i]] && version < 2 {
+				behind++
+			}
+		}
+		test.Eq(t, 0, behind, test.Sprint("engines that take orders and still have the older version"))
+		stop()
+	})
+}
