Have engines that don't load make room for the others

Reports are bounded by 250 ms, an engine that was not ordered and reports nothing for 1 s loses its job, and engines whose jobs came to nothing come behind the others. TestMuteEnginesMakeRoom and TestDeafEnginesMakeRoom pass.

--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -40,6 +40,12 @@
 	// jobTimeout is when an engine that doesn't come to the wanted version makes
 	// room for another.
 	jobTimeout = 6 * time.Second
+	// reportTimeout bounds a report, which takes some ms: all looks wait for the slowest one.
+	reportTimeout = 250 * time.Millisecond
+	// muteTime is how long an engine that was not ordered yet may fail to report before it makes
+	// room for another. With one of 9 engines silent, jobTimeout and calls of 700 ms had the others
+	// take 15 s to new weights, of a bound of 12 s; now they take 9 s (simulated).
+	muteTime = time.Second
 )
 
 func randomInt(n int64) int64 { return rand.Int64N(n) }
@@ -53,6 +59,7 @@
 	begun   time.Time
 	ordered time.Time // zero before an order was given
 	nextAt  time.Time // of the next look
+	heard   time.Time // of the newest report
 }
 
 // atOnce returns the number of engines that load at the same time, and the number of
@@ -105,10 +112,15 @@
 	now := time.Now()
 	for id, j := range s.jobs {
 		m := find(members, id)
-		if m == nil || j.born < m.Born || now.Sub(j.begun) > jobTimeout {
+		if m == nil || j.born < m.Born {
 			delete(s.jobs, id)
 			continue
 		}
+		if now.Sub(j.begun) > jobTimeout || j.ordered.IsZero() && now.Sub(j.heard) > muteTime {
+			delete(s.jobs, id)
+			s.passed[id] = now
+			continue
+		}
 		if now.Before(j.nextAt) {
 			continue
 		}
@@ -125,7 +137,11 @@
 	for i := range looks {
 		l := &looks[i]
 		l.asked = time.Now()
-		wg.Go(func() { l.report, l.err = s.Engines.Report(ctx, l.member.Endpoint()) })
+		wg.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			l.report, l.err = s.Engines.Report(bounded, l.member.Endpoint())
+		})
 	}
 	wg.Wait()
 }
@@ -148,7 +164,8 @@
 	return members[i]
 }
 
-// begin adds jobs up to the number that may run at once.
+// begin adds jobs up to the number that may run at once. Engines whose jobs came to nothing come
+// behind the others.
 func (s *Service) begin(list []*fleet.Member, model string, version int64, engines int) {
 	loads, jobs := atOnce(engines)
 	for _, m := range list {
@@ -156,12 +173,14 @@
 			j.version, j.loads = version, loads
 		}
 	}
+	slices.SortStableFunc(list, func(a, b *fleet.Member) int { return s.passed[a.ID].Compare(s.passed[b.ID]) })
 	for _, m := range list {
 		if len(s.jobs) >= jobs {
 			return
 		}
 		if _, under := s.jobs[m.ID]; !under {
-			s.jobs[m.ID] = &job{model: model, born: m.Born, version: version, loads: loads, begun: time.Now()}
+			now := time.Now()
+			s.jobs[m.ID] = &job{model: model, born: m.Born, version: version, loads: loads, begun: now, heard: now}
 		}
 	}
 }
@@ -177,6 +196,7 @@
 	if !j.concerns(report) {
 		return false
 	}
+	j.heard = l.asked
 	has := report.VersionOf(j.model)
 	s.believe(l, has)
 	if has >= j.version {
--- a/internal/weights/mute_test.go
+++ b/internal/weights/mute_test.go
@@ -12,8 +12,8 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
-// reportTimeout is how long the platform's client waits for a report.
-const reportTimeout = 700 * time.Millisecond
+// callTimeout is how long the platform's client waits for a report.
+const callTimeout = 700 * time.Millisecond
 
 // mute are engines of which some never answer a report.
 type mute struct {
@@ -27,7 +27,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(reportTimeout):
+	case <-time.After(callTimeout):
 	}
 	return Report{}, errDown
 }
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -71,8 +71,10 @@
 	Config
 	claimer *claim.Claimer
 	jobs    map[string]*job // by endpoint
-	closed  atomic.Pointer[[]Closed]
-	leads   atomic.Bool
+	// passed are the endpoints whose jobs came to nothing since the claim was taken, and when.
+	passed map[string]time.Time
+	closed atomic.Pointer[[]Closed]
+	leads  atomic.Bool
 
 	underWay sync.WaitGroup // orders
 	lost     atomic.Bool    // an order told that the claim is
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Service{Config: c, claimer: claimer, jobs: make(map[string]*job)}, nil
+	return &Service{Config: c, claimer: claimer, jobs: make(map[string]*job), passed: make(map[string]time.Time)}, nil
 }
 
 // Run gives orders until ctx is done.
@@ -163,6 +165,7 @@
 	s.leads.Store(true)
 	s.lost.Store(false)
 	clear(s.jobs)
+	clear(s.passed)
 	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held) {
 		s.wait(ctx, tick)
 	}
