Take a late read for no outage of the registry

Only where reads failed may entries have lapsed; a long time between two proofs is else this node's own lateness, which excuses it from nothing. A store that is away fails the reads of all nodes, also of those that ask others: copies are refused once they are 2.5 s old, before entries lapse.

Tests that give the registry an outage say now that reads failed; what they ask stays.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,6 +73,9 @@
 	// Gap is the time from the proof before, or from the start, to ProvenAt. Within it
 	// the topic may have been out of reach.
 	Gap time.Duration
+	// Failed is true where a read failed since the proof before. Without it a long Gap is this
+	// process's own lateness.
+	Failed bool
 }
 
 // Sink takes what was read. Its methods are called by one goroutine.
@@ -153,6 +156,7 @@
 	f.next = max(f.next, page.Next)
 	batch := Batch{Records: page.Records, Snapshot: snapshot, ProvenAt: begun.Add(-page.Age), Next: f.next}
 	batch.Gap = max(batch.ProvenAt.Sub(f.proven), 0)
+	batch.Failed = f.failing
 	f.succeeded(&batch)
 	f.reject(page.Rejected)
 	f.Sink.Apply(batch)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -60,7 +60,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if b.Gap > lapseOutage {
+	if b.Failed && b.Gap > lapseOutage {
 		r.doubt(now)
 	}
 	present := make(map[string]bool, len(b.Records))
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -136,7 +136,7 @@
 		for _, id := range []string{"e1", "e2"} {
 			r.put(id, entryOf("engines", "ready", models))
 		}
-		r.Apply(follow.Batch{Snapshot: true, Gap: lapseOutage + 1, Records: []follow.Record{{Key: "e1", Value: []byte("{")}}})
+		r.Apply(follow.Batch{Snapshot: true, Gap: lapseOutage + 1, Failed: true, Records: []follow.Record{{Key: "e1", Value: []byte("{")}}})
 		test.Eq(t, "e2 ", r.ids("engines"))
 		time.Sleep(lapseHold(registryBounds()))
 		r.Apply(follow.Batch{})
@@ -154,7 +154,7 @@
 			r.put(id, entryOf("engines", "ready", models))
 		}
 		returned := time.Now()
-		r.Apply(follow.Batch{Gap: lapseOutage + 1, Records: []follow.Record{{Key: "e1"}}})
+		r.Apply(follow.Batch{Gap: lapseOutage + 1, Failed: true, Records: []follow.Record{{Key: "e1"}}})
 		time.Sleep(1700 * time.Millisecond)
 		r.put("e2", "")
 		test.Eq(t, "e1 e2 ", r.ids("engines"), test.Sprint("both may be back"))
--- a/internal/gateway/registry_timer_test.go
+++ b/internal/gateway/registry_timer_test.go
@@ -21,7 +21,7 @@
 			r.put(id, entryOf("engines", "ready", models))
 		}
 		returned := time.Now()
-		r.Apply(follow.Batch{Gap: lapseOutage + 1})
+		r.Apply(follow.Batch{Gap: lapseOutage + 1, Failed: true})
 		hold := lapseHold(registryBounds())
 		time.Sleep(hold - time.Millisecond)
 		config := r.config
