--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -176,6 +176,9 @@
 		return x.failedSend(err)
 	}
 	info := x.Dialect.ReadAnswer(answer.Header)
+	if !info.Events {
+		began() // only its end, which may be far, is told to first
+	}
 	x.noteVersion(answer.StatusCode, &info, p, begun)
 	v := x.deliver(answer, &info, first)
 	if v == delivered && p.Ended != nil {
