--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,9 @@
 	born     int64 // Unix milliseconds, 0 if not said
 	draining bool  // it was seen draining
 	seen     time.Time
+	// load is what this node has under way there, also while its entry is missing: one that is
+	// back after a lapse has the same runs.
+	load *Load
 }
 
 // view is the immutable list that requests read.
@@ -105,8 +108,6 @@
 	defer f.mu.Unlock()
 	e, current := f.date(e, now)
 	if !current {
-		f.log.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.Born).
-			Int64("newest", f.newest[e.ID].born).Send()
 		return
 	}
 	m := f.members[e.ID]
@@ -125,6 +126,18 @@
 	f.rebuild()
 }
 
+// Outdated reports whether Update drops an entry.
+func (f *Fleet) Outdated(e *Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := f.newest[e.ID].born
+	if e.Born >= newest {
+		return false
+	}
+	f.log.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.Born).Int64("newest", newest).Send()
+	return true
+}
+
 // date returns the entry with what is known of its start, and false where a later start is
 // known. An entry without a start is not the endpoint's own where that has said one before.
 func (f *Fleet) date(e *Endpoint, now time.Time) (dated *Endpoint, current bool) {
@@ -137,6 +150,9 @@
 	}
 	newest.draining = newest.draining || e.Draining
 	newest.seen = now
+	if newest.load == nil {
+		newest.load = &Load{}
+	}
 	f.newest[e.ID] = newest
 	if e.Draining == newest.draining {
 		return e, true
@@ -156,6 +172,7 @@
 		}
 		before.Pool.CloseIdle()
 	}
+	m.Load = f.newest[e.ID].load
 	f.members[e.ID] = m
 }
 
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -65,7 +65,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if b.Gap > lapseOutage {
+	if b.Failed && b.Gap > lapseOutage {
 		r.doubt(now)
 	}
 	present := make(map[string]bool, len(b.Records))
@@ -80,7 +80,8 @@
 			r.remove(id, now)
 		}
 	}
-	r.fleet.Expire(now)
+	// The doubt's timer may have run since now was taken, before what was found missing.
+	r.fleet.Expire(time.Now())
 }
 
 // doubt has entries that are missing count as lapsed for a while. All holds end with it, by a
@@ -121,6 +122,9 @@
 		r.fleet.Remove(record.Key)
 		return
 	}
+	if r.fleet.Outdated(endpoint) {
+		return // it arrived late, or isn't the endpoint's own
+	}
 	if before := r.entries[record.Key]; before != nil && before.Service != endpoint.Service {
 		r.fleet.Remove(record.Key) // what was learned is of another service
 	}
