--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -39,7 +39,7 @@
 		return // the caller broke off
 	}
 	s.mu.Lock()
-	s.runs = append(s.runs, Run{Request: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
+	s.runs = append(s.runs, Run{Request: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Header: r.Header.Clone(), At: time.Now(), Version: s.version})
 	for entry := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
 		part, size, _ := strings.Cut(entry, ":")
 		if tokens, err := strconv.Atoi(size); err == nil {
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -29,6 +29,8 @@
 	Hang     bool
 	// Unframed sends a stream without a length, which ends with its connection.
 	Unframed bool
+	// LateOrders leaves orders unanswered and carries them out so much later; 0 means at once.
+	LateOrders time.Duration
 }
 
 // Config sizes a server.
@@ -48,6 +50,8 @@
 	Target  string
 	Body    string
 	Header  http.Header
+	At      time.Time // its start
+	Version int64     // of the weights at its start
 }
 
 // Server is the service. It is safe for concurrent use.
@@ -57,6 +61,7 @@
 	mu      sync.Mutex
 	faults  Faults
 	version int64
+	born    int64 // Unix milliseconds, also the epoch of the events
 	orders  int64
 	fence   int64
 	runs    []Run
@@ -67,7 +72,7 @@
 
 // New returns a server with version 1 of its model.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, version: 1, parts: make(map[[2]string]int)}
+	return &Server{cfg: cfg, version: 1, born: time.Now().UnixMilli(), parts: make(map[[2]string]int)}
 }
 
 // SetFaults replaces the faults.
@@ -100,7 +105,7 @@
 
 // Entry returns the server's entry in the registry.
 func (s *Server) Entry(addr, state string) []byte {
-	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1}
+	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1, "born": s.start()}
 	if s.cfg.Model != "" {
 		entry["models"] = s.models()
 	}
@@ -128,38 +133,52 @@
 
 func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	orders := s.orders
+	orders, born := s.orders, s.born
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"stage": "read_write", "models": s.models(), "busy": false, "seq": orders, "queued": 0, "active": 0})
+	writeJSON(w, http.StatusOK, map[string]any{"stage": "read_write", "models": s.models(), "busy": false, "seq": orders, "born": born, "queued": 0, "active": 0})
+}
+
+// order is the body of an order to load weights.
+type order struct {
+	Version  int64  `json:"version"`
+	Holder   string `json:"holder"`
+	Token    int64  `json:"fencing-token"`
+	Expected *int64 `json:"expected"`
 }
 
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order struct {
-		Version  int64  `json:"version"`
-		Holder   string `json:"holder"`
-		Token    int64  `json:"fencing-token"`
-		Expected *int64 `json:"expected"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Holder == "" || order.Token == 0 {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Token == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	late := s.faults.LateOrders
+	s.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { s.take(o) })
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(s.take(o))
+}
+
+// take carries an order out and returns the status of its answer.
+func (s *Server) take(o order) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case order.Token < s.fence:
-		w.WriteHeader(http.StatusPreconditionFailed)
-	case order.Expected != nil && *order.Expected != s.orders:
-		w.WriteHeader(http.StatusConflict)
-	case order.Version == s.version:
-		w.WriteHeader(http.StatusOK)
-	default:
-		s.fence = order.Token
-		s.orders++
-		s.version = order.Version
-		clear(s.parts)
-		w.WriteHeader(http.StatusAccepted)
+	case o.Token < s.fence:
+		return http.StatusPreconditionFailed
+	case o.Expected != nil && *o.Expected != s.orders:
+		return http.StatusConflict
+	case o.Version == s.version:
+		return http.StatusOK
 	}
+	s.fence = o.Token
+	s.orders++
+	s.version = o.Version
+	clear(s.parts)
+	return http.StatusAccepted
 }
 
 func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
@@ -170,9 +189,9 @@
 	}
 	s.mu.Lock()
 	events := append([][]any{}, s.events[min(since, len(s.events)):]...)
-	next := len(s.events)
+	next, born := len(s.events), s.born
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"boot-epoch": 1, "next": next, "has-gap": false, "events": events, "clock_ms": time.Now().UnixMilli()})
+	writeJSON(w, http.StatusOK, map[string]any{"boot-epoch": born, "born": born, "next": next, "has-gap": false, "events": events, "clock_ms": time.Now().UnixMilli()})
 }
 
 func (s *Server) serveFree(w http.ResponseWriter, r *http.Request) {
