Overlap the soak's troubles, and check what runs on which weights

Cause: the soak caused one trouble for each node or server at a time, never let engines fail in different ways at once, restart, take orders late or share their registry with other writers, and did not know on which weights requests ran.

Change: nodes get series of signals that overlap; all nodes are hung up at once; servers' faults add up and differ between servers; streams without a length; restarts under the same id behind a cut; late orders; versions in a row; foreign entries in the registry. Clients keep a connection until its node fails, leave early at times, and send bodies. Checks: events to the byte, the answer's id, all four promising statuses, method, path and body as sent, and weights that were replaced longer ago than the bound, counted while the store is stable. Odd seeds spare the store at first for that. A run takes 16 s in place of 6, to outlast the version bound. There are as many clients as half of the nodes, twelve at least.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -23,12 +24,23 @@
 		prepare func(w *world)
 		ids     []string
 		tenant  string
+		path    string // site.PathUpload if empty
 	}{
 		{want: "ran 2 times", ids: []string{"a", "a"}, tenant: site.Account},
 		{want: "no client sent it", ids: []string{"unknown"}, tenant: site.Account},
 		{want: "under another account", ids: []string{"a"}, tenant: "other"},
+		{want: "ran as GET /other/", ids: []string{"a"}, tenant: site.Account, path: "/other/"},
 		{want: "told that it did not", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) { w.seen.refused["a"] = true }},
 		{want: "key that was taken away", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) { w.revoked["k"] = now.Add(-revokeBound - time.Second) }},
+		{want: "weights that were replaced", ids: []string{"a"}, tenant: site.Account, prepare: replacedWeights(now)},
+		{want: "", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) {
+			replacedWeights(now)(w)
+			w.core.open()
+		}},
+		{want: "", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) {
+			replacedWeights(now)(w)
+			w.nodes[0].harmed.open()()
+		}},
 		{want: "", ids: []string{"a"}, tenant: site.Account},
 	}
 	for _, tc := range tests {
@@ -38,13 +50,13 @@
 			return addr, nil
 		}})
 		must.NoError(t, err)
-		w := &world{site: s, seen: newSeen(), revoked: make(map[string]time.Time)}
-		w.seen.sent["a"] = sentWith{key: "k", at: now}
+		w := &world{site: s, seen: newSeen(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
+		w.seen.sent["a"] = sentWith{key: "k", method: http.MethodGet, target: site.PathUpload + "x", at: now}
 		if tc.prepare != nil {
 			tc.prepare(w)
 		}
 		for _, id := range tc.ids {
-			req, err := site.Request(context.Background(), direct, http.MethodGet, site.PathUpload+"x", "k", id, "")
+			req, err := site.Request(context.Background(), direct, http.MethodGet, cmp.Or(tc.path, site.PathUpload)+"x", "k", id, "session")
 			must.NoError(t, err)
 			req.Header.Del("Authorization")
 			req.Header.Set("X-Tenant", tc.tenant)
@@ -59,12 +71,17 @@
 	}
 }
 
+// replacedWeights names a version longer ago than the bound.
+func replacedWeights(now time.Time) func(w *world) {
+	return func(w *world) { w.named = []naming{{version: 2, at: now.Add(-versionBound - time.Second)}} }
+}
+
 // TestClientChecksFind gives a client answers that break promises.
 func TestClientChecksFind(t *testing.T) {
 	event := func(ids ...string) string {
 		var b strings.Builder
 		for _, id := range ids {
-			b.WriteString("id: " + id + "\ndata: x\n\n")
+			b.WriteString("id: " + id + "\ndata: piece " + id + "\n\n")
 		}
 		return b.String()
 	}
@@ -76,12 +93,15 @@
 		retryAfter, broken string
 	}{
 		{http.StatusOK, stream, "s", whole, "", ""},
-		{http.StatusOK, stream, "s", event("1", "3"), "", "in place of 2"},
-		{http.StatusOK, stream, "s", event("1", "1"), "", "in place of 2"},
+		{http.StatusOK, stream, "s", event("1", "3"), "", `in place of "id: 2`},
+		{http.StatusOK, stream, "s", event("1", "1"), "", `in place of "id: 2`},
+		{http.StatusOK, stream, "s", event("1") + "id: 2\ndata: piece 3\n\n", "", `in place of "id: 2`},
+		{http.StatusOK, stream, "s", whole + "id: 9\nda", "", "ended as whole"},
 		{http.StatusOK, stream, "s", event("1", "2"), "", "ended as whole"},
 		{http.StatusOK, "", "s", "plain-1 answers a", "", ""},
 		{http.StatusOK, "", "s", "plain-1 answers b", "", "got the answer"},
 		{http.StatusOK, "", "", "plain-1 answers a", "", "without a seal"},
+		{http.StatusOK, "", "s of b", "plain-1 answers a", "", `got the answer to "b"`},
 		{http.StatusServiceUnavailable, "", "", "", "1", ""},
 		{http.StatusServiceUnavailable, "", "", "", "", "without Retry-After"},
 	}
@@ -90,9 +110,25 @@
 		header := http.Header{}
 		header.Set("Content-Type", tc.kind)
 		header.Set("X-Server-Seal", tc.seal)
+		header.Set("X-Attempt-Id", "a")
+		if _, other, found := strings.Cut(tc.seal, " of "); found {
+			header.Set("X-Attempt-Id", other)
+		}
 		header.Set("Retry-After", tc.retryAfter)
 		c.check("a", site.PathQuery, &http.Response{StatusCode: tc.status, Header: header, Body: io.NopCloser(strings.NewReader(tc.body))})
 		test.StrContains(t, strings.Join(c.seen.failures, "\n"), tc.broken)
 		test.Eq(t, tc.broken == "", len(c.seen.failures) == 0)
 	}
 }
+
+// TestPromisesNotRun has a client remember each status that says that its request has not
+// run.
+func TestPromisesNotRun(t *testing.T) {
+	for status, promises := range map[int]bool{503: true, 429: true, 408: true, 421: true, 502: false, 504: false, 500: false} {
+		c := &client{seen: newSeen()}
+		header := http.Header{}
+		header.Set("Retry-After", "1")
+		c.check("a", site.PathQuery, &http.Response{StatusCode: status, Header: header, Body: http.NoBody})
+		test.Eq(t, promises, c.seen.refused["a"])
+	}
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,13 +15,20 @@
 	"github.com/shoenig/test/must"
 )
 
+const (
+	// nodesAtOnce or a fifth of all may be harmed at the same time.
+	nodesAtOnce = 2
+	shareAtOnce = 5
+	longSeries  = 4
+)
+
 // process is one node, started again and again.
 type process struct {
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	addr  atomic.Pointer[string]
-	ended chan struct{}
-	busy  bool // being harmed
+	cmd    *exec.Cmd // set by who harms the node
+	addr   atomic.Pointer[string]
+	ended  chan struct{}
+	harmed spans
+	busy   bool // being harmed; world.mu
 }
 
 var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
@@ -33,8 +39,6 @@
 	name := fmt.Sprint("n", i)
 	file := filepath.Join(w.t.TempDir(), name+".toml")
 	must.NoError(w.t, os.WriteFile(file, []byte(w.site.BootFile(name)), 0o600))
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.cmd = exec.Command(os.Args[0], "run", "--boot", file)
 	p.cmd.Env = append(os.Environ(), runEnv+"=1")
 	out, err := p.cmd.StdoutPipe()
@@ -59,34 +63,61 @@
 	}()
 }
 
-// harmNode stops, kills, freezes or hangs up a node, and starts it again.
+// signal does nothing to a process that has ended.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// harmNode sends one node a series of signals, some of which overlap with what the one
+// before started, and has it run in the end.
 func (w *world) harmNode(target int, lasts time.Duration) {
 	i := target % len(w.nodes)
 	p := w.nodes[i]
 	if !w.claim(p) {
 		return
 	}
-	defer func() {
-		w.mu.Lock()
-		p.busy = false
-		w.mu.Unlock()
-	}()
-	switch target / len(w.nodes) % 4 {
-	case 0:
-		w.signal(p, syscall.SIGKILL)
-		<-p.ended
-		time.Sleep(lasts)
-		w.start(i)
-	case 1:
-		w.signal(p, syscall.SIGTERM)
+	defer w.release(p)
+	defer p.harmed.open()()
+	ends := false
+	for n := target / len(w.nodes); ; n /= longSeries {
+		switch n % longSeries {
+		case 0:
+			p.signal(syscall.SIGKILL)
+			ends = true
+		case 1:
+			p.signal(syscall.SIGTERM)
+			ends = true
+		case 2:
+			p.signal(syscall.SIGSTOP)
+			w.pause(2 * lasts)
+			p.signal(syscall.SIGCONT)
+		case 3:
+			p.signal(syscall.SIGHUP)
+		}
+		if n < longSeries {
+			break
+		}
+		w.pause(lasts / 4)
+	}
+	if ends {
 		<-p.ended
+		w.pause(lasts / 2)
 		w.start(i)
-	case 2:
-		w.signal(p, syscall.SIGSTOP)
-		time.Sleep(3 * lasts)
-		w.signal(p, syscall.SIGCONT)
-	case 3:
-		w.signal(p, syscall.SIGHUP)
+	}
+}
+
+// reload hangs up all nodes at about the same time.
+func (w *world) reload(int, time.Duration) {
+	for _, p := range w.nodes {
+		if w.claim(p) {
+			end := p.harmed.open()
+			p.signal(syscall.SIGHUP)
+			end()
+			w.release(p)
+		}
 	}
 }
 
@@ -100,11 +131,15 @@
 			busy++
 		}
 	}
-	if p.busy || busy >= nodesAtOnce {
+	if p.busy || busy >= max(nodesAtOnce, len(w.nodes)/shareAtOnce) {
 		return false
 	}
 	p.busy = true
 	return true
 }
 
-func (w *world) signal(p *process, s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+func (w *world) release(p *process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p.busy = false
+}
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -3,37 +3,89 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cherryward/cherryward/standin/modelserver"
 	"github.com/cherryward/cherryward/standin/site"
 )
 
+// The bounds of the site's boot files.
+const (
+	revokeBound  = 5 * time.Second
+	versionBound = 12 * time.Second
+	stableWindow = 3 * time.Second
+)
+
+// brokenPromises compares what servers ran with what clients sent and were told.
 func (w *world) brokenPromises() []string {
 	broken := w.seen.failures
-	uploads := make(map[string]int)
-	for _, s := range append([]*modelserver.Server{w.site.Plain}, w.site.Models...) {
+	once := make(map[string]int)
+	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
-			sent, known := w.seen.sent[r.Request]
-			gone, isGone := w.revoked[sent.key]
-			switch {
-			case !known:
-				broken = append(broken, r.Request+" ran, and no client sent it")
-			case r.Header.Get("X-Tenant") != site.Account || r.Header.Get("Authorization") != "":
-				broken = append(broken, r.Request+" ran under another account, or with its key")
-			case isGone && sent.at.After(gone.Add(revokeBound)):
-				broken = append(broken, r.Request+" ran with a key that was taken away")
-			case w.seen.refused[r.Request] && !strings.HasPrefix(r.Target, site.PathLookup):
-				broken = append(broken, r.Request+" ran, and its client was told that it did not")
+			if why := w.brokenBy(&r); why != "" {
+				broken = append(broken, r.Request+" "+why)
 			}
 			if strings.HasPrefix(r.Target, site.PathUpload) || strings.HasPrefix(r.Target, site.PathSummary) {
-				uploads[r.Request]++
+				once[r.Request]++
 			}
 		}
 	}
-	for id, n := range uploads {
+	for id, n := range once {
 		if n > 1 {
 			broken = append(broken, fmt.Sprintf("%s ran %d times", id, n))
 		}
 	}
 	return broken
 }
+
+// brokenBy says which promise a run breaks by itself, if any.
+func (w *world) brokenBy(r *modelserver.Run) string {
+	sent, known := w.seen.sent[r.Request]
+	gone, isGone := w.revoked[sent.key]
+	switch {
+	case !known:
+		return "ran, and no client sent it"
+	case r.Header.Get("X-Tenant") != site.Account || r.Header.Get("Authorization") != "":
+		return "ran under another account, or with its key"
+	case r.Method != sent.method || r.Target != sent.target || r.Body != sent.body:
+		return fmt.Sprintf("ran as %s %s %q", r.Method, r.Target, r.Body)
+	case isGone && sent.at.After(gone.Add(revokeBound)):
+		return "ran with a key that was taken away"
+	case w.seen.refused[r.Request] && !strings.HasPrefix(r.Target, site.PathLookup):
+		return "ran, and its client was told that it did not"
+	}
+	if age := w.replacedFor(r, sent.node); age > versionBound {
+		return fmt.Sprintf("ran on weights that were replaced %v before, by way of n%d at %v", age, sent.node, r.At.Format(time.StampMilli))
+	}
+	return ""
+}
+
+// replacedFor returns for how long the weights of a run had been replaced, counted while
+// the metadata store was stable, where the node that sent it on was in touch.
+func (w *world) replacedFor(r *modelserver.Run, node int) time.Duration {
+	if r.Header.Get("X-Model") == "" || !w.nodes[node].harmed.calm(r.At.Add(-stableWindow), r.At) {
+		return 0
+	}
+	for _, newer := range w.named {
+		if newer.version <= r.Version {
+			continue
+		}
+		since := newer.at
+		if stable := w.core.lastEnd(r.At).Add(stableWindow); stable.After(since) {
+			since = stable
+		}
+		return r.At.Sub(since)
+	}
+	return 0
+}
+
+// oldestWeights returns the greatest time for which the weights of a run had been replaced.
+func (w *world) oldestWeights() time.Duration {
+	var oldest time.Duration
+	for _, s := range w.site.Models {
+		for _, r := range s.Runs() {
+			oldest = max(oldest, w.replacedFor(&r, w.seen.sent[r.Request].node))
+		}
+	}
+	return oldest
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,13 +1,17 @@
 // Package soak runs gateway nodes as processes before a stand-in of the users'
 // platform and harms them from outside, at random: proxies that delay, reset, silence
 // and cut connections one way, signals that stop, freeze, kill and restart nodes, a
-// metadata store and servers that misbehave. Clients go on all the while. The promises
+// metadata store and servers that misbehave. Troubles come in series and overlap. Clients
+// go on all the while, over connections that they keep until a node is gone. The promises
 // are checked from what clients got and servers ran.
 //
 //	go test ./soak                          the seeds of CI, some seconds each
 //	go test ./soak -seed 7 -minutes 3       one seed
 //	go test ./soak -seeds 50 -timeout 1h    fifty seeds from 1 on
 //	go test ./soak -seed 7 -nodes 16        a large system, where few nodes read the store
+//
+// Odd seeds spare the metadata store at first, so that the bounds that hold while it is
+// stable can be checked; longer runs do so in turn.
 package soak
 
 import (
@@ -34,12 +38,9 @@
 	runEnv   = "CHERRYWARD_SOAK_NODE" // makes the test's binary a node
 	fewNodes = 3
 	// manyNodes is a system in which few nodes read the store for the others.
-	manyNodes   = 14
-	clients     = 6
-	shortRun    = 6 * time.Second
-	recoverTime = 30 * time.Second
-	revokeBound = 5 * time.Second // of the site's boot files
-	nodesAtOnce = 2               // that may be harmed at the same time
+	manyNodes = 14
+	// shortRun is longer than the version bound.
+	shortRun = 16 * time.Second
 )
 
 // ciSeeds are run by CI, with each seed that ever failed; see REGRESSIONS.md.
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,58 +10,207 @@
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
 
+const (
+	// The metadata store is spared for the rest of each turn.
+	turn      = 30 * time.Second
+	storeTurn = 10 * time.Second
+
+	longest        = 6 // times as long as a usual trouble: orders are late
+	targets        = 10000
+	latest         = 10 // seconds more than two by which an order is late
+	rowOfNames     = 3
+	foreignWriters = 3
+	storeDelay     = 150 * time.Millisecond
+
+	registry = "keyed.servers"
+	operator = "keyed.op"
+
+	storeProxy = 0
+	modelProxy = 2 // of the first model server
+)
+
+// cause brings one trouble about, chosen among its variants by the target, and ends it.
+type cause func(w *world, target int, lasts time.Duration)
+
+// The causes are equally probable. Those of the metadata store are apart.
+var (
+	usualTroubles = []cause{
+		(*world).harmNode, (*world).harmNode, (*world).harmNode, (*world).reload,
+		(*world).harmServerLink, (*world).harmServerLink,
+		(*world).harmServer, (*world).harmServer, (*world).harmAllServers,
+		(*world).restartServer, (*world).restartServer, (*world).delayOrders,
+		(*world).changeKey, (*world).nameVersions, (*world).putForeignEntries,
+	}
+	coreTroubles = []cause{(*world).harmStoreLink, (*world).harmStore, (*world).forget}
+)
+
+// pause follows the seeded schedule of a run, until its troubles are over.
+func (w *world) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-w.over:
+	}
+}
+
 // harm causes one trouble after the other, which overlap, for a time.
 func (w *world) harm(length time.Duration) {
 	var wg sync.WaitGroup
-	for end := time.Now().Add(length); time.Now().Before(end); {
-		kind, target := w.random.IntN(8), w.random.IntN(1000)
+	defer wg.Wait()
+	defer close(w.over)
+	phase := time.Duration(0)
+	if w.seed%2 == 1 {
+		phase = storeTurn
+	}
+	for start := time.Now(); time.Since(start) < length; {
+		list := usualTroubles
+		if (time.Since(start)+phase)%turn < storeTurn {
+			list = slices.Concat(usualTroubles, coreTroubles, coreTroubles)
+		}
+		bring, target := list[w.random.IntN(len(list))], w.random.IntN(targets)
 		lasts := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
-		wg.Go(func() { w.cause(kind, target, lasts) })
-		time.Sleep(time.Duration(100+w.random.IntN(500)) * time.Millisecond)
+		wg.Go(func() { bring(w, target, lasts) })
+		w.pause(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
+	}
+}
+
+func (w *world) harmStoreLink(target int, lasts time.Duration) {
+	defer w.core.open()()
+	w.harmLink(w.proxies[storeProxy], target, lasts)
+}
+
+func (w *world) harmServerLink(target int, lasts time.Duration) {
+	others := w.proxies[storeProxy+1:]
+	w.harmLink(others[target%len(others)], target/len(others), lasts)
+}
+
+func (w *world) harmLink(p *proxy, target int, lasts time.Duration) {
+	p.set(trouble(1 + target%int(troubles-1)))
+	w.pause(lasts)
+	p.set(none)
+}
+
+func (w *world) harmStore(target int, lasts time.Duration) {
+	defer w.core.open()()
+	list := []metastore.Faults{{Down: true}, {LoseAnswers: true}, {Delay: storeDelay}}
+	w.site.Store.SetFaults(list[target%len(list)])
+	w.pause(lasts)
+	w.site.Store.SetFaults(metastore.Faults{})
+}
+
+func (w *world) forget(target int, _ time.Duration) {
+	w.site.Store.Forget([]string{operator, registry}[target%2])
+}
+
+// fault is what one trouble does to a server. Those of several troubles add up.
+type fault struct {
+	apply func(f *modelserver.Faults)
+}
+
+var serverFaults = []func(f *modelserver.Faults, target int){
+	func(f *modelserver.Faults, _ int) { f.Shed = true },
+	func(f *modelserver.Faults, _ int) { f.LoseAnswer = true },
+	func(f *modelserver.Faults, target int) { f.CutAfter = 1 + target%6 },
+	func(f *modelserver.Faults, _ int) { f.Unproven = true },
+	func(f *modelserver.Faults, _ int) { f.Status = 500 },
+	func(f *modelserver.Faults, _ int) { f.Unframed = true },
+	func(f *modelserver.Faults, target int) { f.Unframed, f.CutAfter = true, 1+target%6 },
+	func(f *modelserver.Faults, _ int) { f.Hang = true },
+	func(f *modelserver.Faults, _ int) { f.CutAfter = -1 },
+}
+
+// misbehave gives a server a fault for a time.
+func (w *world) misbehave(s *modelserver.Server, lasts time.Duration, apply func(*modelserver.Faults)) {
+	own := &fault{apply}
+	w.mu.Lock()
+	w.faults[s] = append(w.faults[s], own)
+	w.applyFaults(s)
+	w.mu.Unlock()
+	w.pause(lasts)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults[s] = slices.DeleteFunc(w.faults[s], func(f *fault) bool { return f == own })
+	w.applyFaults(s)
+}
+
+// applyFaults joins a server's faults. w.mu is held.
+func (w *world) applyFaults(s *modelserver.Server) {
+	var joined modelserver.Faults
+	for _, f := range w.faults[s] {
+		f.apply(&joined)
+	}
+	s.SetFaults(joined)
+}
+
+func (w *world) harmServer(target int, lasts time.Duration) {
+	list := w.servers()
+	choice := target / len(list)
+	apply := serverFaults[choice%len(serverFaults)]
+	w.misbehave(list[target%len(list)], lasts, func(f *modelserver.Faults) { apply(f, choice/len(serverFaults)) })
+}
+
+// harmAllServers gives the servers different faults at the same time.
+func (w *world) harmAllServers(target int, lasts time.Duration) {
+	var wg sync.WaitGroup
+	for i, s := range w.servers() {
+		apply := serverFaults[(target+i)%len(serverFaults)]
+		wg.Go(func() { w.misbehave(s, lasts/2, func(f *modelserver.Faults) { apply(f, target+i) }) })
 	}
 	wg.Wait()
 }
 
-// cause causes one trouble, and ends it.
-func (w *world) cause(kind, target int, lasts time.Duration) {
-	switch kind {
-	case 0, 1:
-		w.harmNode(target, lasts)
-	case 2, 3:
-		p := w.proxies[target%len(w.proxies)]
-		p.set(trouble(1 + target/7%int(troubles-1)))
-		time.Sleep(lasts)
-		p.set(none)
-	case 4:
-		w.site.Store.SetFaults([]metastore.Faults{{Down: true}, {LoseAnswers: true}, {Delay: 150 * time.Millisecond}}[target%3])
-		time.Sleep(lasts)
-		w.site.Store.SetFaults(metastore.Faults{})
-	case 5:
-		s := append([]*modelserver.Server{w.site.Plain}, w.site.Models...)[target%4]
-		s.SetFaults([]modelserver.Faults{{Shed: true}, {LoseAnswer: true}, {CutAfter: 1 + target%6}, {Unproven: true}, {Status: 500}}[target/4%5])
-		time.Sleep(lasts)
-		s.SetFaults(modelserver.Faults{})
-	case 6:
-		w.configure(fmt.Sprint("k", target))
-		if target%2 == 0 {
-			w.site.Store.Forget("keyed.op")
-		}
-	case 7:
-		w.mu.Lock()
-		w.version++
-		version := w.version
-		w.mu.Unlock()
-		w.site.NameVersion(version)
+// restartServer has a model server start again under its id, behind a cut.
+func (w *world) restartServer(target int, lasts time.Duration) {
+	i := target % len(w.site.Models)
+	link := w.proxies[modelProxy+i]
+	link.set([]trouble{reset, silent}[target/len(w.site.Models)%2])
+	w.site.Models[i].Restart()
+	w.pause(lasts / 2)
+	link.set(none)
+}
+
+// delayOrders leaves a server's orders unanswered and has them carried out late.
+func (w *world) delayOrders(target int, lasts time.Duration) {
+	s := w.site.Models[target%len(w.site.Models)]
+	late := time.Duration(2+target%latest) * time.Second
+	w.misbehave(s, time.Duration(1+target%longest)*lasts, func(f *modelserver.Faults) { f.LateOrders = late })
+}
+
+func (w *world) changeKey(target int, _ time.Duration) { w.configure(fmt.Sprint("k", target)) }
+
+// nameVersions names one to three versions in a row.
+func (w *world) nameVersions(target int, lasts time.Duration) {
+	w.nameVersion()
+	for range target % rowOfNames {
+		w.pause(lasts)
+		w.nameVersion()
 	}
 }
 
-// heal ends all troubles that may still last.
+// foreignEntries are entries of other writers, which name no server to use.
+var foreignEntries = []string{
+	`not JSON`, "\xff\x00\xfe", `[]`, `{}`, `null`, `"models"`,
+	`{"service":"models","address":17,"zone":"north","state":"ready","slots":8,"seq":1}`,
+	`{"service":["models"],"address":"127.0.0.1:1","zone":"north","state":"ready","slots":8,"seq":1}`,
+	`{"service":"models","address":"nowhere","zone":"north","state":"asleep","slots":8,"seq":1}`,
+	`{"service":"unnamed","address":"127.0.0.1:1","zone":"north","state":"ready","slots":8,"seq":1}`,
+	`{"service":"models","zone":"north","slots":"eight","state":"ready"}`,
+	`{"service":"plain","address":"","zone":7,"state":true,"seq":"one"}`,
+}
+
+// putForeignEntries puts entries of another writer beside those of the servers, where they
+// stay, and one in the place of a server's own, until its next.
+func (w *world) putForeignEntries(target int, _ time.Duration) {
+	entry := func(i int) []byte { return []byte(foreignEntries[(target+i)%len(foreignEntries)]) }
+	for i := range foreignWriters {
+		w.site.Store.Put(registry, fmt.Sprint("foreign-", i), entry(i))
+	}
+	w.site.Store.Put(registry, fmt.Sprint("model-", 1+target%len(w.site.Models)), entry(foreignWriters))
+}
+
+// heal ends the troubles that overlapping ones may have left.
 func (w *world) heal() {
 	for _, p := range w.proxies {
 		p.set(none)
 	}
 	w.site.Store.SetFaults(metastore.Faults{})
-	for _, s := range append([]*modelserver.Server{w.site.Plain}, w.site.Models...) {
-		s.SetFaults(modelserver.Faults{})
-	}
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -2,43 +2,67 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/standin/modelserver"
 	"github.com/cherryward/cherryward/standin/site"
 )
 
+const (
+	fewClients  = 12
+	recoverTime = 30 * time.Second
+	recovered   = 50 // answers after the last trouble
+
+	beat = 150 * time.Millisecond
+	gap  = 5 * time.Millisecond
+)
+
 // world is one run.
 type world struct {
 	t       *testing.T
+	seed    int64
 	random  *rand.Rand
 	site    *site.Site
-	proxies []*proxy // the metadata store's is the first
+	proxies []*proxy // of the metadata store, the KV cache's store, the model servers and the plain one
 	nodes   []*process
 	seen    *seen
+	core    spans // troubles of the metadata store and of the way to it
+	log     *os.File
+	over    chan struct{} // closed once no more troubles are caused
 
 	mu      sync.Mutex
 	version int64                // of the configuration
 	keys    []string             // in force
 	revoked map[string]time.Time // when it was acknowledged that a key is gone
-	log     *os.File
+	named   []naming             // of weights, oldest first
+	faults  map[*modelserver.Server][]*fault
+}
+
+// naming is one version of the weights that the operator named.
+type naming struct {
+	version int64
+	at      time.Time
 }
 
 func newWorld(t *testing.T, seed int64, nodes int) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(uint64(seed), 1)), seen: newSeen(), revoked: make(map[string]time.Time)}
+	w := &world{
+		t: t, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 1)), seen: newSeen(), over: make(chan struct{}),
+		revoked: make(map[string]time.Time), faults: make(map[*modelserver.Server][]*fault),
+	}
 	var err error
 	w.log, err = os.Create(filepath.Join(t.TempDir(), "nodes.log"))
 	must.NoError(t, err)
-	w.site, err = site.Start(site.Config{Beat: 150 * time.Millisecond, Gap: 5 * time.Millisecond, Proxy: func(addr string) (string, error) {
+	w.site, err = site.Start(site.Config{Beat: beat, Gap: gap, Proxy: func(addr string) (string, error) {
 		p, err := newProxy(addr)
 		if err != nil {
 			return "", err
@@ -76,6 +100,20 @@
 	return w.keys[0]
 }
 
+// nameVersion names new weights.
+func (w *world) nameVersion() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.site.NameVersion(w.version)
+	w.named = append(w.named, naming{w.version, time.Now()})
+}
+
+// servers returns the plain server and the model servers.
+func (w *world) servers() []*modelserver.Server {
+	return append([]*modelserver.Server{w.site.Plain}, w.site.Models...)
+}
+
 func (w *world) run() {
 	length := shortRun
 	if *minutes > 0 {
@@ -83,38 +121,41 @@
 	}
 	ctx, cancel := context.WithCancel(w.t.Context())
 	var wg sync.WaitGroup
-	for i := range clients {
+	for i := range max(fewClients, len(w.nodes)/2) {
 		seed := w.random.Uint64()
 		wg.Go(func() { w.client(i, seed).run(ctx) })
 	}
 	w.harm(length)
 	w.heal()
-	before := w.seen.served()
-	deadline := time.Now().Add(recoverTime)
-	for w.seen.served() < before+50 && time.Now().Before(deadline) {
-		time.Sleep(10 * time.Millisecond)
+	back := w.seen.reached(w.seen.served() + recovered)
+	isBack := true
+	select {
+	case <-back:
+	case <-time.After(recoverTime):
+		isBack = false
 	}
-	recovered := w.seen.served() >= before+50
 	cancel()
 	wg.Wait()
 	w.stop()
-	w.check(recovered)
+	w.check(isBack)
 }
 
 func (w *world) client(i int, seed uint64) *client {
 	random := rand.New(rand.NewPCG(seed, 2))
 	return &client{
-		name: string(rune('a' + i)), random: random, seen: w.seen, key: w.key,
+		name: fmt.Sprintf("c%d-", i), random: random, seen: w.seen, key: w.key,
 		http: &http.Client{Transport: &http.Transport{}},
-		node: func() string { return *w.nodes[random.IntN(len(w.nodes))].addr.Load() },
+		choose: func() (int, string) {
+			node := random.IntN(len(w.nodes))
+			return node, *w.nodes[node].addr.Load()
+		},
 	}
 }
 
 // stop ends the nodes that this run started, and all else.
 func (w *world) stop() {
 	for _, p := range w.nodes {
-		w.signal(p, syscall.SIGKILL)
-		<-p.ended
+		p.kill()
 	}
 	w.site.Close()
 	for _, p := range w.proxies {
@@ -123,15 +164,15 @@
 	w.log.Close()
 }
 
-// check compares what servers ran with what clients were told.
-func (w *world) check(recovered bool) {
+// check reports the broken promises, and keeps the nodes' logs if there are some.
+func (w *world) check(isBack bool) {
 	for _, failure := range w.brokenPromises() {
 		w.t.Error(failure)
 	}
-	if !recovered {
+	if !isBack {
 		w.t.Errorf("not served again within %v after the last trouble", recoverTime)
 	}
-	w.t.Logf("%d answered, %d refused", w.seen.answered, len(w.seen.refused))
+	w.t.Logf("%d answered, %d refused, oldest replaced weights that ran: %v", w.seen.answered, len(w.seen.refused), w.oldestWeights())
 	if w.t.Failed() {
 		kept := filepath.Join(os.TempDir(), "cherryward-soak-"+strings.ReplaceAll(w.t.Name(), "/", "-")+".log")
 		if data, err := os.ReadFile(w.log.Name()); err == nil && os.WriteFile(kept, data, 0o600) == nil {
