Have endpoints leave in the soak, and check what they run then

Cause: no server left the soak's registry, so that the drain bound was not checked.

Change: one model server at a time is taken off for longer than the bound and starts again under its id; a run there, over 2 s after it left, sent on by a node in touch while the store is stable, is a broken promise.

Ruled out: a restart that lists a server which has left; the restarts behind cuts leave entries alone.

Conclusion: covers leaving; a node's own outage just before is met by chance only.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -71,6 +71,44 @@
 	}
 }
 
+// TestRunsOfLeaversAreFound has a model server run a request after it left, with and
+// without what excuses the node.
+func TestRunsOfLeaversAreFound(t *testing.T) {
+	long := span{from: time.Now().Add(-drainBound - time.Second)}
+	tests := []struct {
+		name   string
+		away   span
+		excuse func(w *world)
+		want   int
+	}{
+		{"long gone", long, func(*world) {}, 1},
+		{"just gone", span{from: time.Now()}, func(*world) {}, 0},
+		{"back", span{from: long.from, to: time.Now()}, func(*world) {}, 0},
+		{"store in trouble", long, func(w *world) { w.core.open()() }, 0},
+		{"node in trouble", long, func(w *world) { w.nodes[0].harmed.open()() }, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var addrs []string
+			s, err := site.Start(site.Config{Beat: time.Second, Proxy: func(addr string) (string, error) {
+				addrs = append(addrs, addr)
+				return addr, nil
+			}})
+			must.NoError(t, err)
+			defer s.Close()
+			w := &world{site: s, seen: newSeen(), nodes: []*process{{}}, away: make([]spans, len(s.Models))}
+			w.away[0].list = []*span{&tc.away}
+			tc.excuse(w)
+			req, err := site.Request(context.Background(), addrs[modelProxy], http.MethodPost, site.PathQuery, "k", "a", "session")
+			must.NoError(t, err)
+			resp, err := http.DefaultClient.Do(req)
+			must.NoError(t, err)
+			resp.Body.Close()
+			test.Len(t, tc.want, w.ranAway(0))
+		})
+	}
+}
+
 // replacedWeights names a version longer ago than the bound.
 func replacedWeights(now time.Time) func(w *world) {
 	return func(w *world) { w.named = []naming{{version: 2, at: now.Add(-versionBound - time.Second)}} }
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -11,6 +11,7 @@
 
 // The bounds of the site's boot files.
 const (
+	drainBound   = 2 * time.Second
 	revokeBound  = 5 * time.Second
 	versionBound = 12 * time.Second
 	stableWindow = 3 * time.Second
@@ -20,6 +21,9 @@
 func (w *world) brokenPromises() []string {
 	broken := w.seen.failures
 	once := make(map[string]int)
+	for i := range w.away {
+		broken = append(broken, w.ranAway(i)...)
+	}
 	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
 			if why := w.brokenBy(&r); why != "" {
@@ -60,6 +64,20 @@
 	return ""
 }
 
+// ranAway returns the requests that a model server ran after it had been gone for longer
+// than the drain bound, sent on by a node in touch while the metadata store was stable.
+func (w *world) ranAway(i int) []string {
+	var broken []string
+	for _, r := range w.site.Models[i].Runs() {
+		calm := r.At.Add(-stableWindow)
+		node := w.nodes[w.seen.sent[r.Request].node]
+		if w.away[i].covers(r.At.Add(-drainBound), r.At) && w.core.calm(calm, r.At) && node.harmed.calm(calm, r.At) {
+			broken = append(broken, fmt.Sprintf("%s ran at model-%d, which had left %v before", r.Request, 1+i, drainBound))
+		}
+	}
+	return broken
+}
+
 // replacedFor returns for how long the weights of a run had been replaced, counted while
 // the metadata store was stable, where the node that sent it on was in touch.
 func (w *world) replacedFor(r *modelserver.Run, node int) time.Duration {
--- a/soak/spans_test.go
+++ b/soak/spans_test.go
@@ -56,3 +56,15 @@
 	}
 	return last
 }
+
+// covers reports whether one trouble lasts over the whole time from one moment to another.
+func (s *spans) covers(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, trouble := range s.list {
+		if !trouble.from.After(from) && (trouble.to.IsZero() || !trouble.to.Before(to)) {
+			return true
+		}
+	}
+	return false
+}
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -38,7 +38,7 @@
 		(*world).harmNode, (*world).harmNode, (*world).harmNode, (*world).reload,
 		(*world).harmServerLink, (*world).harmServerLink,
 		(*world).harmServer, (*world).harmServer, (*world).harmAllServers,
-		(*world).restartServer, (*world).restartServer, (*world).delayOrders,
+		(*world).restartServer, (*world).restartServer, (*world).delayOrders, (*world).leave,
 		(*world).changeKey, (*world).nameVersions, (*world).putForeignEntries,
 	}
 	coreTroubles = []cause{(*world).harmStoreLink, (*world).harmStore, (*world).forget}
@@ -168,6 +168,21 @@
 	link.set(none)
 }
 
+// leave takes a model server's entry away for longer than the drain bound, unless another
+// one has left, and has the server start again then.
+func (w *world) leave(target int, lasts time.Duration) {
+	if !w.leaving.TryLock() {
+		return
+	}
+	defer w.leaving.Unlock()
+	i := target % len(w.site.Models)
+	w.site.Remove(i)
+	end := w.away[i].open()
+	w.pause(2*drainBound + lasts)
+	end()
+	w.site.Restart(i)
+}
+
 // delayOrders leaves a server's orders unanswered and has them carried out late.
 func (w *world) delayOrders(target int, lasts time.Duration) {
 	s := w.site.Models[target%len(w.site.Models)]
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -36,7 +36,9 @@
 	proxies []*proxy // of the metadata store, the KV cache's store, the model servers and the plain one
 	nodes   []*process
 	seen    *seen
-	core    spans // troubles of the metadata store and of the way to it
+	core    spans   // troubles of the metadata store and of the way to it
+	away    []spans // of each model server: its entry is gone
+	leaving sync.Mutex
 	log     *os.File
 	over    chan struct{} // closed once no more troubles are caused
 
@@ -71,6 +73,7 @@
 		return p.addr(), nil
 	}})
 	must.NoError(t, err)
+	w.away = make([]spans, len(w.site.Models))
 	w.configure("k1")
 	for i := range nodes {
 		w.nodes = append(w.nodes, &process{})
