Have a server leave right after an outage in the soak

Change: as the turn of the store's troubles ends, the store is down for 2 s and a server leaves 1.0 to 1.5 s later.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -19,7 +19,15 @@
 	// nodesAtOnce or a fifth of all may be harmed at the same time.
 	nodesAtOnce = 2
 	shareAtOnce = 5
-	longSeries  = 4
+)
+
+// The signals of a series.
+const (
+	kill = iota
+	terminate
+	suspend
+	hangUp
+	signals // how many there are
 )
 
 // process is one node, started again and again.
@@ -80,24 +88,26 @@
 		return
 	}
 	defer w.release(p)
-	defer p.harmed.open()()
-	ends := false
-	for n := target / len(w.nodes); ; n /= longSeries {
-		switch n % longSeries {
-		case 0:
+	ends, series := false, target/len(w.nodes)
+	if series != hangUp { // which leaves a node in touch
+		defer p.harmed.open()()
+	}
+	for n := series; ; n /= signals {
+		switch n % signals {
+		case kill:
 			p.signal(syscall.SIGKILL)
 			ends = true
-		case 1:
+		case terminate:
 			p.signal(syscall.SIGTERM)
 			ends = true
-		case 2:
+		case suspend:
 			p.signal(syscall.SIGSTOP)
 			w.pause(2 * lasts)
 			p.signal(syscall.SIGCONT)
-		case 3:
+		case hangUp:
 			p.signal(syscall.SIGHUP)
 		}
-		if n < longSeries {
+		if n < signals {
 			break
 		}
 		w.pause(lasts / 4)
@@ -113,9 +123,7 @@
 func (w *world) reload(int, time.Duration) {
 	for _, p := range w.nodes {
 		if w.claim(p) {
-			end := p.harmed.open()
 			p.signal(syscall.SIGHUP)
-			end()
 			w.release(p)
 		}
 	}
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -17,6 +17,9 @@
 
 	longest        = 6 // times as long as a usual trouble: orders are late
 	targets        = 10000
+	outage         = 2 * time.Second
+	afterOutage    = time.Second
+	storeDown      = 0  // the first of the store's faults
 	latest         = 10 // seconds more than two by which an order is late
 	rowOfNames     = 3
 	foreignWriters = 3
@@ -61,18 +64,30 @@
 	if w.seed%2 == 1 {
 		phase = storeTurn
 	}
+	harmsStore := false
 	for start := time.Now(); time.Since(start) < length; {
-		list := usualTroubles
-		if (time.Since(start)+phase)%turn < storeTurn {
-			list = slices.Concat(usualTroubles, coreTroubles, coreTroubles)
-		}
-		bring, target := list[w.random.IntN(len(list))], w.random.IntN(targets)
+		before := harmsStore
+		harmsStore = (time.Since(start)+phase)%turn < storeTurn
+		target := w.random.IntN(targets)
 		lasts := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
+		bring := w.choose(harmsStore)
+		if before && !harmsStore {
+			bring = (*world).leaveAfterOutage
+		}
 		wg.Go(func() { bring(w, target, lasts) })
 		w.pause(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
 	}
 }
 
+// choose draws a cause of the next trouble.
+func (w *world) choose(harmsStore bool) cause {
+	list := usualTroubles
+	if harmsStore {
+		list = slices.Concat(usualTroubles, coreTroubles, coreTroubles)
+	}
+	return list[w.random.IntN(len(list))]
+}
+
 func (w *world) harmStoreLink(target int, lasts time.Duration) {
 	defer w.core.open()()
 	w.harmLink(w.proxies[storeProxy], target, lasts)
@@ -183,6 +198,14 @@
 	w.site.Restart(i)
 }
 
+// leaveAfterOutage has a server leave soon after the metadata store came back, when nodes
+// can't know yet whose entries only lapsed.
+func (w *world) leaveAfterOutage(target int, lasts time.Duration) {
+	w.harmStore(storeDown, outage)
+	w.pause(afterOutage + lasts/4)
+	w.leave(target, lasts)
+}
+
 // delayOrders leaves a server's orders unanswered and has them carried out late.
 func (w *world) delayOrders(target int, lasts time.Duration) {
 	s := w.site.Models[target%len(w.site.Models)]
