--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// nodesAtOnce or a fifth of all may be harmed at the same time.
+	nodesAtOnce = 2
+	shareAtOnce = 5
+)
+
+// The signals of a series.
+const (
+	kill = iota
+	terminate
+	suspend
+	hangUp
+	signals // how many there are
+)
+
+// process is one node, started again and again.
+type process struct {
+	cmd    *exec.Cmd // set by who harms the node
+	addr   atomic.Pointer[string]
+	ended  chan struct{}
+	harmed spans
+	busy   bool // being harmed; world.mu
+}
+
+var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
+
+// start starts a node and waits until it listens.
+func (w *world) start(i int) {
+	p := w.nodes[i]
+	name := fmt.Sprint("n", i)
+	file := filepath.Join(w.t.TempDir(), name+".toml")
+	must.NoError(w.t, os.WriteFile(file, []byte(w.site.BootFile(name)), 0o600))
+	p.cmd = exec.Command(os.Args[0], "run", "--boot", file)
+	p.cmd.Env = append(os.Environ(), runEnv+"=1")
+	out, err := p.cmd.StdoutPipe()
+	must.NoError(w.t, err)
+	must.NoError(w.t, p.cmd.Start())
+	ended := make(chan struct{})
+	p.ended = ended
+	lines := bufio.NewReader(out)
+	for {
+		line, err := lines.ReadString('\n')
+		if found := callersField.FindStringSubmatch(line); found != nil {
+			p.addr.Store(&found[1])
+			break
+		}
+		must.NoError(w.t, err)
+	}
+	cmd := p.cmd
+	go func() {
+		_, _ = io.Copy(w.log, lines) // ends with the process
+		_ = cmd.Wait()               // any end is looked at by who caused it
+		close(ended)
+	}()
+}
+
+// signal does nothing to a process that has ended.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// harmNode sends one node a series of signals, some of which overlap with what the one
+// before started, and has it run in the end.
+func (w *world) harmNode(target int, lasts time.Duration) {
+	i := target % len(w.nodes)
+	p := w.nodes[i]
+	if !w.claim(p) {
+		return
+	}
+	defer w.release(p)
+	ends, series := false, target/len(w.nodes)
+	if series != hangUp { // which leaves a node in touch
+		defer p.harmed.open()()
+	}
+	for n := series; ; n /= signals {
+		switch n % signals {
+		case kill:
+			p.signal(syscall.SIGKILL)
+			ends = true
+		case terminate:
+			p.signal(syscall.SIGTERM)
+			ends = true
+		case suspend:
+			p.signal(syscall.SIGSTOP)
+			w.pause(2 * lasts)
+			p.signal(syscall.SIGCONT)
+		case hangUp:
+			p.signal(syscall.SIGHUP)
+		}
+		if n < signals {
+			break
+		}
+		w.pause(lasts / 4)
+	}
+	if ends {
+		<-p.ended
+		w.pause(lasts / 2)
+		w.start(i)
+	}
+}
+
+// reload hangs up all nodes at about the same time.
+func (w *world) reload(int, time.Duration) {
+	for _, p := range w.nodes {
+		if w.claim(p) {
+			p.signal(syscall.SIGHUP)
+			w.release(p)
+		}
+	}
+}
+
+// claim marks a node as being harmed, unless too many are.
+func (w *world) claim(p *process) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	busy := 0
+	for _, other := range w.nodes {
+		if other.busy {
+			busy++
+		}
+	}
+	if p.busy || busy >= max(nodesAtOnce, len(w.nodes)/shareAtOnce) {
+		return false
+	}
+	p.busy = true
+	return true
+}
+
+func (w *world) release(p *process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p.busy = false
+}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -29,6 +29,8 @@
 	Hang     bool
 	// Unframed sends a stream without a length, which ends with its connection.
 	Unframed bool
+	// LateOrders leaves orders unanswered and carries them out so much later; 0 means at once.
+	LateOrders time.Duration
 	// HoldOrders leaves orders without an answer and carries them out at ReleaseOrders.
 	HoldOrders bool
 }
@@ -50,8 +52,9 @@
 	Target  string
 	Body    string
 	Header  http.Header
-	Version int64 // of the weights when it began
-	Born    int64 // start of the server, Unix milliseconds
+	At      time.Time // its begin
+	Version int64     // of the weights when it began
+	Born    int64     // start of the server, Unix milliseconds
 }
 
 // Server is the service. It is safe for concurrent use.
--- a/standin/modelserver/order.go
+++ b/standin/modelserver/order.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 )
 
 // order is an order to load weights.
@@ -20,16 +21,28 @@
 		return
 	}
 	s.mu.Lock()
-	if s.faults.HoldOrders {
+	late := s.faults.LateOrders
+	switch {
+	case s.faults.HoldOrders:
 		s.held = append(s.held, o)
 		s.mu.Unlock()
 		panic(http.ErrAbortHandler)
+	case late > 0:
+		s.mu.Unlock()
+		time.AfterFunc(late, func() { s.carryOutLate(&o) })
+		panic(http.ErrAbortHandler)
 	}
 	status := s.carryOut(&o)
 	s.mu.Unlock()
 	w.WriteHeader(status)
 }
 
+func (s *Server) carryOutLate(o *order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.carryOut(o) // nobody waits for its status
+}
+
 // carryOut loads the weights, if the order holds now, and returns its status. s.mu is held.
 func (s *Server) carryOut(o *order) int {
 	switch {
