Have prompts of a start begin while the start excuses them

Cause: a prompt that is placed while a start excuses the node had to begin by the operators' bound, counted from when its version counts as named: 1.55 s after the excuse (TestStartedPromptsBeginInTime, 4.55 s of 3 s). Change: for what was named before the start, the begin is bound by the end of the excuse.

Ruled out: an earlier time of naming, which would end placements 1.75 s sooner. After: the test, and those of forward, placer, gateway and fleetmodel, pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,6 +21,9 @@
 	refusedPause = 50 * time.Millisecond
 )
 
+// errWithdrawn is the cause of attempts that had not begun when their endpoint's weights got too old.
+var errWithdrawn = errors.New("withdrawn: not begun before the endpoint's weights got too old")
+
 // verdict is what one attempt came to.
 type verdict int
 
@@ -99,8 +102,8 @@
 
 // judge tells the endpoint's health what happened.
 func (x *exchange) judge(p *Placement, v verdict) {
-	if x.unread || x.r.Context().Err() != nil {
-		return // the caller left, which says nothing of the endpoint
+	if x.unread || x.r.Context().Err() != nil || errors.Is(x.cause, errWithdrawn) {
+		return // the caller left, or this node withdrew it, which says nothing of the endpoint
 	}
 	now := time.Now()
 	health := &p.Member.Health
@@ -173,7 +176,7 @@
 	}
 	answer, err := p.Member.Pool.Do(ctx, x.request(&p.Attempt), x.isOwn)
 	if err != nil {
-		return x.failedSend(err)
+		return x.failedSend(ctx, err)
 	}
 	info := x.Dialect.ReadAnswer(answer.Header)
 	if !info.Events {
@@ -181,6 +184,9 @@
 	}
 	x.noteVersion(answer.StatusCode, &info, p, begun)
 	v := x.deliver(answer, &info, first)
+	if v == failed && errors.Is(context.Cause(ctx), errWithdrawn) {
+		x.cause = errWithdrawn
+	}
 	if v == delivered && p.Ended != nil {
 		p.Ended(time.Since(begun))
 	}
@@ -195,8 +201,8 @@
 	if at.IsZero() {
 		return ctx, func() {}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(time.Until(at), cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(time.Until(at), func() { cancel(errWithdrawn) })
 	return ctx, func() { timer.Stop() }
 }
 
@@ -213,10 +219,13 @@
 	}
 }
 
-func (x *exchange) failedSend(err error) verdict {
+func (x *exchange) failedSend(ctx context.Context, err error) verdict {
 	x.cause = err
-	if x.unreachable() {
+	switch {
+	case x.unreachable():
 		return notRun
+	case errors.Is(context.Cause(ctx), errWithdrawn):
+		x.cause = errWithdrawn
 	}
 	return failed
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,6 +250,7 @@
 		Whole:        n.peers.Whole,
 		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
+		Excused:      n.state.excused,
 		Services:     &placer.Services{},
 		Nodes:        n.nodes,
 		Now:          time.Now,
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -34,6 +34,7 @@
 	index := kept.NewIndex(nil, nil, zerolog.Nop())
 	s.placer = &placer.Placer{
 		Fleet: engines, Versions: s.state, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{},
+		Excused: s.state.excused,
 		MayName: func(string, int64) bool { return false }, Whole: func() bool { return true }, Closed: func() []weights.Closed { return nil },
 		VersionApply: func() time.Duration { return bounds.VersionApply }, Services: &placer.Services{}, Nodes: func() int { return 1 },
 		Now: time.Now, Random: rand.Float64,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -80,6 +80,11 @@
 	return s.started.Add(bounds.StableWindow - startMargin - placer.ReplacedLimit(bounds.VersionApply))
 }
 
+// excused implements placer.Placer.Excused.
+func (s *state) excused() (started, until time.Time) {
+	return s.started, s.started.Add(s.bounds().StableWindow)
+}
+
 // Apply implements follow.Sink. The configuration is stored before the time at
 // which it was current, so that a reader who takes them the other way round never
 // finds it fresher than it is.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -49,6 +49,9 @@
 	Closed func() []weights.Closed
 	// VersionApply is the operators' bound on new weights.
 	VersionApply func() time.Duration
+	// Excused returns when this process started, and until when that excuses runs on weights that
+	// were replaced before. Nil means that nothing does.
+	Excused func() (started, until time.Time)
 	// Services is what is learned of engines and prompts.
 	Services *Services
 	// Nodes returns the number of nodes that place requests.
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -37,6 +37,7 @@
 	versions Versions
 	limit    time.Duration // from when on no request is placed on replaced weights
 	bound    time.Duration // from when on none may begin on them
+	excused  func() (started, until time.Time)
 	// closed are the engines that a holder of orders has loaded now; true where
 	// they take no requests at all, else they take short ones.
 	closed map[string]bool
@@ -52,6 +53,7 @@
 		versions: p.Versions,
 		limit:    ReplacedLimit(p.VersionApply()),
 		bound:    p.VersionApply(),
+		excused:  p.Excused,
 		closed:   p.Peers.Closed(p.Now()),
 		short:    q.Attributes.OutputTokens <= shortAnswer,
 		now:      p.Now(),
@@ -88,7 +90,15 @@
 	if !replaced {
 		return time.Time{}
 	}
-	return since.Add(r.bound - withdrawMargin)
+	by := since.Add(r.bound)
+	if r.excused == nil {
+		return by.Add(-withdrawMargin)
+	}
+	// What a process finds at its start may have been replaced at any time before.
+	if started, until := r.excused(); since.Before(started) && until.Before(by) {
+		by = until
+	}
+	return by.Add(-withdrawMargin)
 }
 
 // filter removes the engines whose weights are too old or not known, and those that load now
