Pass the shares that decide on refusals into the decision code

Cause: an experiment on policies in virtual time needs the waiting share, the share from which a prompt is too late, and the large prompts' reserve to vary, and the three were constants. Ruled out: copies of the decisions in the model, which would drift; package variables, which runs beside one another would share. Change: placer.Tuning holds two shares, nil keeps what nodes decide by; forward gets PauseWithin beside Pause. Nodes set neither.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -14,9 +14,9 @@
 	// their answers grow by beyond the estimates, and what two nodes place there between
 	// two messages.
 	roomyShare = 1.0
-	// reserveShare bounds the room that a small prompt asks for, as a part of the memory: an
+	// ReserveShare bounds the room that a small prompt asks for, as a part of the memory: an
 	// engine that holds few prompts would else stay half empty.
-	reserveShare = 0.6
+	ReserveShare = 0.6
 )
 
 // Memory is what is believed of one engine's memory, in tokens.
@@ -32,7 +32,7 @@
 // fits now. reserve is the size of a usual prompt: a smaller one asks for as much room, so
 // that small ones don't fill what large ones wait for.
 func (m Memory) lacking(need, reserve int) float64 {
-	kept := min(float64(reserve), reserveShare*float64(m.Capacity))
+	kept := min(float64(reserve), ReserveShare*float64(m.Capacity))
 	return float64(m.Held) + max(float64(need), kept) - m.room()
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// waitShare is the part of the objective for which a request waits here for an endpoint:
+	// WaitShare is the part of the objective for which a request waits here for an endpoint:
 	// a caller that is refused later than that has lost time that it could have used.
 	// Callers that were refused before wait no longer: those that waited for an eighth of
 	// their time left took room from prompts that could still be in time (0.637 instead of
 	// 0.658 on a heavy day).
-	waitShare = 0.125
+	WaitShare = 0.125
 	// lookAgain is the time between two looks while a request waits. Places come free, and
 	// peers tell so, some dozens of times a second.
 	lookAgain = 10 * time.Millisecond
@@ -39,7 +39,12 @@
 // Pause returns how long a request that has no place waits here until the next look; 0 where
 // it is to be refused now.
 func (p *Placement) Pause(objective time.Duration) time.Duration {
-	left := time.Duration(waitShare*float64(objective)) - p.Waited
+	return p.PauseWithin(time.Duration(WaitShare * float64(objective)))
+}
+
+// PauseWithin is Pause where a request waits for so long at most.
+func (p *Placement) PauseWithin(most time.Duration) time.Duration {
+	left := most - p.Waited
 	if p.Wait <= 0 || p.Wait > left {
 		return 0
 	}
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -16,13 +16,8 @@
 	tooLate = "too_late" // the first event would come after the objective, for others' sake
 )
 
-const (
-	// queueShare is the part of the objective that a prompt must have waited for others
-	// before it is refused as too late: one that is late by its own size is served.
-	queueShare = 0.25
-	// honoured is the part of a caller's time left for which it comes back later at most.
-	honoured = 1.0 / 3
-)
+// honoured is the part of a caller's time left for which it comes back later at most.
+const honoured = 1.0 / 3
 
 // Services holds what a node learns of each service's engines and prompts. Its zero value is
 // ready for use, by several goroutines at once.
@@ -80,7 +75,7 @@
 	if objective <= 0 || s.q.Returned() {
 		return false
 	}
-	return s.firstMs(m) > objective && s.queueMs(m) > queueShare*objective
+	return s.firstMs(m) > objective && s.queueMs(m) > s.tuning().QueueShare*objective
 }
 
 // decline returns why the prompt has no place, with the time until one of the engines may
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -56,6 +56,8 @@
 	// Now and Random are the clock, and a source of numbers from 0 to below 1.
 	Now    func() time.Time
 	Random func() float64
+	// Tuning may be nil for the values of DefaultTuning.
+	Tuning *Tuning
 }
 
 var _ forward.Placer = (*Placer)(nil)
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -49,7 +49,7 @@
 		service: service, figures: service.model.Figures(),
 		until: p.Kept.ClockMS() + FetchLimit.Milliseconds(),
 	}
-	s.reserve = service.needs.Reserve(rank, q.Returned())
+	s.reserve = s.tuning().reserve(service.needs.Reserve(rank, q.Returned()), q.Service.Engine.KVTokens)
 	return s
 }
 
