--- a/internal/fleetmodel/engine.go
+++ b/internal/fleetmodel/engine.go
@@ -42,12 +42,19 @@
 	waiting []*run // most urgent first
 	running []*run // oldest first
 	cache   map[kept.Part]cached
-	events  int64 // numbers given
-	busy    bool  // a step is under way
+	events  int64   // numbers given
+	busy    bool    // a step is under way
+	slow    float64 // by which steps take longer; 0 for 1
+	down    bool
+	crashes int
 }
 
 // send takes a request. The parts that it named at the store are there without reading.
 func (e *engine) send(c *call) {
+	if e.down {
+		c.failed()
+		return
+	}
 	e.enqueue(&run{call: c, left: c.request.Output})
 	e.step()
 }
@@ -161,7 +168,15 @@
 			read = append(read, r)
 		}
 	}
-	e.world.after(duration(ms), func() { e.endStep(read) })
+	if e.slow > 0 {
+		ms *= e.slow
+	}
+	crashes := e.crashes
+	e.world.after(duration(ms), func() {
+		if e.crashes == crashes {
+			e.endStep(read)
+		}
+	})
 }
 
 // endStep produces a token of each run that was read.
