Check any JSON document as settings are checked

Cause: files of experiments are to be refused with the path and the number of each problem, as settings are, and the check was tied to the settings' schema. Ruled out: a second checker beside it. Change: settings.Checker holds a schema; the settings use one. No check changed. Conclusion: moved, not changed.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -160,7 +160,7 @@
 
 // Parse checks data and returns the settings it holds, with defaults applied.
 func Parse(data []byte) (*Settings, error) {
-	if problems := checkSchema(data); len(problems) > 0 {
+	if problems := checker.Check(data); len(problems) > 0 {
 		return nil, problems
 	}
 	s := Default()
