Describe experiments in checked files, play and compare them

Cause: the model of a fleet could be played from tests alone, one policy at a time, without intervals. Change: internal/experiment reads a file of fleet, load, faults, policies and seeds, checked by schema and by what a schema can't say (6007 experiment_clash), plays policies and seeds beside one another, and gives medians with intervals by order statistics, paired differences with Student's t, JSON lines, tables and an SVG. The model counts returned callers by class and size.

--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,134 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/cherryward/cherryward/internal/fleetmodel"
+)
+
+// Counts are what became of callers.
+type Counts struct {
+	InTime  int `json:"in_time"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Broken  int `json:"broken"`  // by a crash, after the first event
+	Retried int `json:"retried"` // came back after a refusal; counted above, too
+}
+
+// Asked returns the number of callers.
+func (c Counts) Asked() int { return c.InTime + c.Late + c.Refused + c.Broken }
+
+// ClassRun is what became of the callers of a class.
+type ClassRun struct {
+	Class string `json:"class"`
+	Counts
+	// FirstEventMs holds the percentiles 0, 5, 10 to 100 of the time from a caller's first try
+	// to its first event, of those served; empty where none was.
+	FirstEventMs []float64 `json:"first_event_ms,omitempty"`
+	// Sizes holds the counts by size, the smallest tenth first.
+	Sizes []Counts `json:"sizes"`
+}
+
+// Run is the result of a policy with a seed.
+type Run struct {
+	Policy  string     `json:"policy"`
+	Seed    uint64     `json:"seed"`
+	Classes []ClassRun `json:"classes"`
+	// ReadAgain counts shared prompt tokens that were read though some engine had read them.
+	ReadAgain   int `json:"read_again_tokens"`
+	Preemptions int `json:"preemptions"`
+	// Resent counts requests that went to another engine after a crash.
+	Resent int `json:"resent"`
+	// Refusals counts refusals, first ones too, by the second of virtual time.
+	Refusals []int `json:"refusals_by_second"`
+}
+
+// Play plays each policy with each seed, so many at once, and returns the runs in the order of
+// the file. done, if not nil, is told after each run how many are done, never twice at once.
+func (f *File) Play(ctx context.Context, parallel int, done func(n, of int)) ([]Run, error) {
+	runs := make([]Run, len(f.Policies)*len(f.Seeds))
+	var mu sync.Mutex
+	finished := 0
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	for i := range runs {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			runs[i] = f.play(&f.Policies[i/len(f.Seeds)], f.Seeds[i%len(f.Seeds)])
+			mu.Lock()
+			defer mu.Unlock()
+			finished++
+			if done != nil {
+				done(finished, len(runs))
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	return runs, err
+}
+
+func (f *File) play(p *Policy, seed uint64) Run {
+	r := fleetmodel.New(f.config(p, seed)).Play()
+	run := Run{Policy: p.Name, Seed: seed, ReadAgain: r.ReadAgain, Preemptions: r.PutBack, Resent: r.Resent, Refusals: r.Refusals}
+	for _, k := range f.Load {
+		run.Classes = append(run.Classes, classRun(r, k.Name))
+	}
+	return run
+}
+
+func classRun(r *fleetmodel.Result, class string) ClassRun {
+	c := ClassRun{Class: class, Counts: counts(r.Of(class)), FirstEventMs: percentiles(r.FirstEvents[class])}
+	if sizes := r.Classes[class]; sizes != nil {
+		for _, o := range sizes {
+			c.Sizes = append(c.Sizes, counts(o))
+		}
+	}
+	return c
+}
+
+func counts(o fleetmodel.Outcome) Counts {
+	return Counts{InTime: o.InTime, Late: o.Late, Refused: o.Refused, Broken: o.Broken, Retried: o.Returned}
+}
+
+const (
+	percentileStep = 5
+	allPercent     = 100
+)
+
+func percentiles(times []time.Duration) []float64 {
+	if len(times) == 0 {
+		return nil
+	}
+	sorted := make([]float64, len(times))
+	for i, t := range times {
+		sorted[i] = float64(t.Microseconds()) / 1000
+	}
+	slices.Sort(sorted)
+	var at []float64
+	for p := 0; p <= allPercent; p += percentileStep {
+		at = append(at, stat.Quantile(float64(p)/allPercent, stat.Empirical, sorted, nil))
+	}
+	return at
+}
+
+// WriteRuns writes runs as JSON lines.
+func WriteRuns(w io.Writer, runs []Run) error {
+	enc := json.NewEncoder(w)
+	for i := range runs {
+		if err := enc.Encode(&runs[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/fleetmodel/callers.go
+++ b/internal/fleetmodel/callers.go
@@ -152,6 +152,7 @@
 		return
 	}
 	w.Result.Declined++
+	w.Result.of(c).Returned++
 	c.returned = true
 	w.after(after, func() {
 		c.arrived, c.tried = w.now, nil
--- a/internal/fleetmodel/result.go
+++ b/internal/fleetmodel/result.go
@@ -12,6 +12,7 @@
 type Outcome struct {
 	InTime, Late, Refused int
 	Broken                int // by an engine's crash, after the first token
+	Returned              int // after a first refusal; they are counted above, too
 }
 
 // Asked returns the number of callers.
@@ -110,6 +111,7 @@
 		sum.Late += o.Late
 		sum.Refused += o.Refused
 		sum.Broken += o.Broken
+		sum.Returned += o.Returned
 	}
 	return sum
 }
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -94,6 +94,8 @@
 	SettingClash   Code = 6004
 	SettingMissing Code = 6005
 	SettingInvalid Code = 6006
+	// ExperimentClash is for the files of experiments.
+	ExperimentClash Code = 6007
 )
 
 // Exchanges between nodes.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -136,6 +136,8 @@
 		"A required setting is missing.", "Add the field that is named."},
 	{SettingInvalid, "setting_invalid", http.StatusBadRequest, NotRun, false,
 		"A setting has a value outside its range.", "Correct the field that is named."},
+	{ExperimentClash, "experiment_clash", http.StatusBadRequest, NotRun, false,
+		"Fields of an experiment don't go together.", "Correct the field that is named."},
 
 	{PeerKey, "peer_key", http.StatusUnauthorized, NotRun, false,
 		"A peer does not hold the shared key.", "Give every node the same peer key."},
