Add cherryctl experiment run

Cause: experiments are for operators, without Go at hand. Ruled out: results on standard output, where they would mix with the tables. A wrong file, policy or directory ends it with 2 before anything is played. Conclusion: a whole experiment from file to plot with one command.

--- /dev/null
+++ b/internal/ctl/experiment.go
@@ -0,0 +1,141 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cherryward/cherryward/internal/experiment"
+	"github.com/cherryward/cherryward/internal/settings"
+)
+
+// Flag names of experiments.
+const (
+	flagParallel = "parallel"
+	flagOut      = "out"
+	flagCompare  = "compare"
+)
+
+// outputMode is that of the files of results.
+const outputMode = 0o644
+
+func experimentCommand(s Streams) *cli.Command {
+	return &cli.Command{
+		Name:     "experiment",
+		Usage:    "compare policies over a described fleet and load, in virtual time",
+		Commands: []*cli.Command{experimentRunCommand(s)},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return usagef("experiment: want: experiment run FILE, not %q", strings.Join(cmd.Args().Slice(), " "))
+		},
+	}
+}
+
+func experimentRunCommand(s Streams) *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "play each policy with each seed, and compare them",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: flagParallel, Value: max(runtime.GOMAXPROCS(0)/2, 1), Usage: "`RUNS` at once"},
+			&cli.StringFlag{Name: flagOut, Value: ".", Usage: "`DIRECTORY` for NAME.jsonl and NAME.svg"},
+			&cli.StringFlag{Name: flagCompare, Usage: "`FIRST,SECOND` policy to compare; the first two if not given"},
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} },
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if err := wantArgs(cmd, 1, 1); err != nil {
+				return err
+			}
+			t, err := newTrial(cmd)
+			if err != nil {
+				return err
+			}
+			return t.run(ctx, s)
+		},
+	}
+}
+
+// trial is an experiment with how to run it.
+type trial struct {
+	file          *experiment.File
+	parallel      int
+	out           string
+	first, second string
+}
+
+func newTrial(cmd *cli.Command) (*trial, error) {
+	file, err := experiment.Load(cmd.Args().First())
+	if err != nil {
+		return nil, experimentError(cmd.Args().First(), err)
+	}
+	t := &trial{file: file, parallel: cmd.Int(flagParallel), out: cmd.String(flagOut)}
+	if t.parallel < 1 {
+		return nil, usagef("--%s: want 1 or more", flagParallel)
+	}
+	t.first, t.second = file.Policies[0].Name, file.Policies[1].Name
+	if names := cmd.String(flagCompare); names != "" {
+		var ok bool
+		t.first, t.second, ok = strings.Cut(names, ",")
+		if !ok || !file.HasPolicy(t.first) || !file.HasPolicy(t.second) {
+			return nil, usagef("--%s: %q: want the names of two policies of the file", flagCompare, names)
+		}
+	}
+	return t, nil
+}
+
+// experimentError returns a file's problems, or that it can't be read, as wrong input.
+func experimentError(path string, err error) error {
+	var problems settings.Problems
+	if errors.As(err, &problems) {
+		return usagef("%s: wrong experiment\n%w", path, problems)
+	}
+	return &usageError{err}
+}
+
+// run plays the experiment, writes its files, and prints what came of it.
+func (t *trial) run(ctx context.Context, s Streams) error {
+	if err := os.MkdirAll(t.out, 0o755); err != nil {
+		return &usageError{err}
+	}
+	runs, err := t.file.Play(ctx, t.parallel, func(n, of int) {
+		fmt.Fprintf(s.Err, "\r%s: %d of %d runs", t.file.Name, n, of)
+	})
+	fmt.Fprintln(s.Err)
+	if err != nil {
+		return err
+	}
+	if err := t.writeFiles(runs); err != nil {
+		return err
+	}
+	if err := t.file.WriteSummary(s.Out, runs); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.Out)
+	return t.file.WriteComparison(s.Out, runs, t.first, t.second)
+}
+
+func (t *trial) writeFiles(runs []experiment.Run) error {
+	err := t.writeFile(".jsonl", func(w io.Writer) error { return experiment.WriteRuns(w, runs) })
+	if err != nil {
+		return err
+	}
+	return t.writeFile(".svg", func(w io.Writer) error { return t.file.WritePlot(w, runs) })
+}
+
+// writeFile writes a file whole, or returns why it can't.
+func (t *trial) writeFile(suffix string, write func(io.Writer) error) error {
+	file, err := os.OpenFile(filepath.Join(t.out, t.file.Name+suffix), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, outputMode)
+	if err != nil {
+		return err
+	}
+	if err := write(file); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	return file.Close()
+}
