Let policies state other memories of engines

Cause: one figure of memory is stated for all engines of a service, and unequal ones raise the question which. Ruled out: a figure for each engine, which the gateway's configuration doesn't have. Two policies more in small-accounts-unequal-engines.

--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -40,6 +40,11 @@
 	for i := range f.Load {
 		f.Load[i].check(c, i)
 	}
+	for i, p := range f.Policies {
+		if p.StatedMemoryTokens != nil && p.MemoryAdmission != nil && !*p.MemoryAdmission {
+			c.add(fmt.Sprintf("/policies/%d/stated_memory_tokens", i), "is not used without memory_admission")
+		}
+	}
 	for i := range f.Faults {
 		f.checkFault(c, i)
 	}
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -20,6 +20,9 @@
 
 // apply changes what the policy says.
 func (p *Policy) apply(c *fleetmodel.Config) {
+	if p.StatedMemoryTokens != nil {
+		c.Told = *p.StatedMemoryTokens
+	}
 	if p.MemoryAdmission != nil && !*p.MemoryAdmission {
 		c.Told = 0
 	}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -85,12 +85,14 @@
 
 // Policy is what the gateway decides by. Nil keeps its own value.
 type Policy struct {
-	Name            string   `json:"name"`
-	MemoryAdmission *bool    `json:"memory_admission"`
-	Store           *bool    `json:"store"`
-	WaitingShare    *float64 `json:"waiting_share"`
-	LateShare       *float64 `json:"late_share"`
-	ReserveShare    *float64 `json:"reserve_share"`
+	Name            string `json:"name"`
+	MemoryAdmission *bool  `json:"memory_admission"`
+	// StatedMemoryTokens replaces the fleet's.
+	StatedMemoryTokens *int     `json:"stated_memory_tokens"`
+	Store              *bool    `json:"store"`
+	WaitingShare       *float64 `json:"waiting_share"`
+	LateShare          *float64 `json:"late_share"`
+	ReserveShare       *float64 `json:"reserve_share"`
 }
 
 // Load reads and checks a file. The error is settings.Problems when the file can be read but
--- a/internal/experiment/file_test.go
+++ b/internal/experiment/file_test.go
@@ -28,13 +28,13 @@
  "faults": [{"kind": "crash", "engine": "a", "number": 1, "at": "1s", "for": "500ms"},
   {"kind": "slow", "engine": "b", "number": 0, "at": "1s", "for": "1s", "factor": 2},
   {"kind": "crash", "engine": "a", "number": 1, "at": "2s", "for": "500ms"}, {"kind": "crash", "engine": "a", "number": 1, "at": "100ms", "for": "200ms"}],
- "policies": [{"name": "p"}, {"name": "q", "memory_admission": false, "store": false, "waiting_share": 0.3, "late_share": 0.5, "reserve_share": 0.1}]
+ "policies": [{"name": "p"}, {"name": "r", "stated_memory_tokens": 35000}, {"name": "q", "memory_admission": false, "store": false, "waiting_share": 0.3, "late_share": 0.5, "reserve_share": 0.1}]
 }`
 
 func TestParse(t *testing.T) {
 	f, err := Parse([]byte(whole))
 	must.NoError(t, err)
-	p, q := f.config(&f.Policies[0], 7), f.config(&f.Policies[1], 8)
+	p, q := f.config(&f.Policies[0], 7), f.config(&f.Policies[2], 8)
 	must.Eq(t, 3, len(p.Engines))
 	must.Eq(t, 2048, p.Engines[2].ChunkTokens)
 	must.Eq(t, 0.12, p.Engines[2].RunStepMs)
@@ -42,6 +42,7 @@
 	must.Eq(t, 2, p.Faults[1].Engine)
 	must.Eq(t, 200*time.Millisecond, p.EventsLate)
 	must.Eq(t, []int{20_000, 100_000, 0, 0}, []int{p.Told, p.StoreTokens, q.Told, q.StoreTokens})
+	must.Eq(t, 35_000, f.config(&f.Policies[1], 7).Told)
 	must.Eq(t, placer.DefaultTuning(), *p.Tuning)
 	must.Nil(t, p.WaitShare)
 	must.Eq(t, placer.Tuning{QueueShare: 0.5, ReserveShare: 0.1}, *q.Tuning)
@@ -69,10 +70,11 @@
 		{"rank", `"rank": 1`, `"rank": 3`, "/load/0/rank", result.SettingInvalid},
 		{"negative skew", `"session_skew": 0.5`, `"session_skew": -1`, "/load/0/session_skew", result.SettingInvalid},
 		{"kind of fault", `"crash"`, `"flood"`, "/faults/0/kind", result.SettingInvalid},
-		{"one policy", `{"name": "p"}, `, ``, "/policies", result.SettingInvalid},
-		{"share", `"waiting_share": 0.3`, `"waiting_share": 1.3`, "/policies/1/waiting_share", result.SettingInvalid},
-		{"reserve", `"reserve_share": 0.1`, `"reserve_share": 0.7`, "/policies/1/reserve_share", result.SettingInvalid},
-		{"same policy", `"q"`, `"p"`, "/policies/1/name", result.ExperimentClash},
+		{"one policy", `{"name": "p"}, {"name": "r", "stated_memory_tokens": 35000}, `, ``, "/policies", result.SettingInvalid},
+		{"share", `"waiting_share": 0.3`, `"waiting_share": 1.3`, "/policies/2/waiting_share", result.SettingInvalid},
+		{"reserve", `"reserve_share": 0.1`, `"reserve_share": 0.7`, "/policies/2/reserve_share", result.SettingInvalid},
+		{"same policy", `"q"`, `"p"`, "/policies/2/name", result.ExperimentClash},
+		{"memory that isn't used", `"memory_admission": false`, `"memory_admission": false, "stated_memory_tokens": 1000`, "/policies/2/stated_memory_tokens", result.ExperimentClash},
 		{"same engine", `"engines": [`, `"engines": [{"name": "b", "count": 1, "slots": 8, "memory_tokens": 30000, "read_tokens_per_ms": 25, "step_ms": 6},`, "/fleet/engines/2/name", result.ExperimentClash},
 		{"too many engines", `"count": 1`, `"count": 255`, "/fleet/engines", result.ExperimentClash},
 		{"too many requests", `"3s"`, `"60000s"`, "/length", result.ExperimentClash},
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -75,13 +75,13 @@
 		runs, err := f.Play(t.Context(), parallel, func(n, of int) {
 			told++
 			must.Eq(t, told, n)
-			must.Eq(t, 4, of)
+			must.Eq(t, 6, of)
 		})
 		must.NoError(t, err)
-		must.Eq(t, 4, told)
+		must.Eq(t, 6, told)
 		must.NoError(t, WriteRuns(&texts[i], runs))
 	}
-	must.Eq(t, 4, strings.Count(texts[0].String(), "\n"))
+	must.Eq(t, 6, strings.Count(texts[0].String(), "\n"))
 	must.Eq(t, texts[0].String(), texts[1].String())
 }
 
@@ -105,7 +105,7 @@
 	}
 	var svg bytes.Buffer
 	must.NoError(t, f.WritePlot(&svg, runs))
-	for _, text := range []string{"c: time to first event", "refusals", ">p<", ">q<"} {
+	for _, text := range []string{"c: time to first event", "refusals", ">p<", ">q<", ">r<"} {
 		must.StrContains(t, svg.String(), text)
 	}
 	for dec := xml.NewDecoder(&svg); ; {
