--- /dev/null
+++ b/internal/placer/help_test.go
@@ -0,0 +1,132 @@
+package placer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/weights"
+)
+
+const (
+	model = "m"
+	store = "10.9.0.1:1"
+	limit = 12 * time.Second
+	home  = "e2" // of the query's session among e0, e1 and e2
+)
+
+// source tells each holder's events once.
+type source map[string][]kept.Change
+
+func (s source) Events(_ context.Context, addr string, since int64, _ time.Duration) (kept.Events, error) {
+	e := kept.Events{Epoch: 1, Next: 1, ClockMS: 1000}
+	if since == 0 {
+		e.Changes = s[addr]
+	}
+	return e, nil
+}
+
+func (source) Free(context.Context, string, []kept.Part, int64) error { return nil }
+
+// versions are what the operators named, and how long ago.
+type versions struct {
+	wanted int64
+	age    time.Duration
+}
+
+func (v *versions) Wanted(string) (int64, time.Time) { return v.wanted, time.Now().Add(-v.age) }
+
+func (v *versions) Replaced(_ string, version int64) (time.Time, bool) {
+	return time.Now().Add(-v.age), version < v.wanted
+}
+
+type world struct {
+	*placer.Placer
+	versions *versions
+	members  []*fleet.Member
+	mayName  bool
+	closed   []weights.Closed
+}
+
+func addr(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+// newWorld has three engines with the given versions of their weights.
+func newWorld(t *testing.T, kept3 source, has ...int64) *world {
+	t.Helper()
+	w := &world{versions: &versions{wanted: 1}, mayName: true}
+	f := fleet.New(zerolog.Nop())
+	index := kept.NewIndex(kept3, func(*kept.Holder) (time.Duration, time.Duration) { return time.Second, time.Second }, zerolog.Nop())
+	var engines []*kept.Holder
+	for i, version := range has {
+		id := fmt.Sprint("e", i)
+		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: addr(i), Domain: "north", Weights: []fleet.Weights{{Model: model, Version: version}}}, time.Now())
+		h := kept.NewHolder(id, addr(i), "north")
+		h.Mbps = 1_000_000
+		engines = append(engines, h)
+	}
+	keep := kept.NewHolder(store, store, "north")
+	keep.Mbps, keep.Tokens = 300_000, 1_000_000
+	ctx, cancel := context.WithCancel(t.Context())
+	index.Follow(ctx, engines, []*kept.Holder{keep})
+	t.Cleanup(func() { cancel(); index.Wait() })
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return told(index, kept3) }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+	w.Placer = &placer.Placer{
+		Domain: "north", Fleet: f, Versions: w.versions, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{}, Whole: func() bool { return true },
+		MayName:      func(string, int64) bool { return w.mayName },
+		Closed:       func() []weights.Closed { return w.closed },
+		VersionApply: func() time.Duration { return limit },
+		Services:     &placer.Services{}, Nodes: func() int { return 3 }, Now: time.Now, Random: rand.Float64,
+	}
+	w.members = f.Members("s")
+	return w
+}
+
+// told reports whether the index has all events.
+func told(index *kept.Index, s source) bool {
+	holders := index.Stores()
+	for _, h := range index.Engines() {
+		holders = append(holders, h)
+	}
+	for _, h := range holders {
+		for _, c := range s[h.Addr] {
+			if h.Has(c.Part) != c.Tokens {
+				return false
+			}
+		}
+	}
+	return index.ClockMS() > 0
+}
+
+func salt(version int64, account string) string {
+	return kept.Salt{Model: model, Version: version, Account: account}.String()
+}
+
+func query() *forward.Query {
+	return &forward.Query{
+		Route:   &routing.Route{Priority: 2},
+		Service: &routing.Service{Name: "s", Engine: &routing.Engine{TokenBytes: 35136}},
+		Account: &routing.Account{Name: "yard"},
+		Attributes: &forward.Attributes{Model: model, OutputTokens: 400, Parts: []forward.Part{
+			{ID: "common", Tokens: 500}, {ID: "session", Tokens: 9000}, {ID: "own", Tokens: 2000},
+		}},
+	}
+}
+
+func shared(version int64, account string) []kept.Change {
+	return []kept.Change{
+		{Part: kept.Part{Salt: salt(version, account), ID: "common"}, Tokens: 500},
+		{Part: kept.Part{Salt: salt(version, account), ID: "session"}, Tokens: 9000},
+	}
+}
--- /dev/null
+++ b/internal/relay/told_test.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+func TestCopyTellsWhatChanged(t *testing.T) {
+	c := filled(time.Now())
+	c.Apply(follow.Batch{Records: []follow.Record{record("a", "x2", 10), record("b", "z1", 11), record("c", "w", 12)}, Next: 13, ProvenAt: time.Now()})
+	c.Apply(follow.Batch{Records: []follow.Record{record("c", "", 13)}, Next: 14, ProvenAt: time.Now()})
+	page, err := c.Since(10)
+	must.NoError(t, err)
+	test.Eq(t, 14, page.Next)
+	test.Eq(t, []follow.Record{record("b", "z1", 11), record("c", "", 13)}, page.Records, test.Sprint("heartbeats are left out"))
+	page, err = c.Since(14)
+	must.NoError(t, err)
+	test.SliceEmpty(t, page.Records)
+	page, err = c.Since(20)
+	must.NoError(t, err)
+	test.Eq(t, 14, page.Next, test.Sprint("who asks knows more"))
+}
+
+// TestCopyTellsNoHalfStory refuses where keys may have been removed that it never knew.
+func TestCopyTellsNoHalfStory(t *testing.T) {
+	_, err := (&Copy{Sink: drop{}}).Since(0)
+	test.ErrorIs(t, err, ErrUnknown)
+	c := filled(time.Now())
+	_, err = c.Since(9)
+	test.ErrorIs(t, err, ErrUnknown)
+	c.Apply(follow.Batch{Records: []follow.Record{record("a", "q", 10)}, Next: 11, ProvenAt: time.Now()})
+	c.Apply(follow.Batch{Snapshot: true, Records: []follow.Record{record("b", "y1", 7)}, Next: 30, ProvenAt: time.Now()})
+	_, err = c.Since(11)
+	test.ErrorIs(t, err, ErrUnknown, test.Sprint("a was removed meanwhile"))
+}
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -255,7 +255,7 @@
 //
 // One after the other, an order that nobody answers held up the next by its timeout of 500 ms;
 // side by side but waited for, it held up the next look at all engines. With every second one
-// unanswered 90 engines of a played day took 20 s, of the operators' bound of 15 s.
+// unanswered 90 engines of a simulated day took 20 s, of the operators' bound of 15 s.
 func (s *Service) give(ctx context.Context, held *claim.Claim, looks []look) {
 	for i := range looks {
 		l := &looks[i]
