Pass over any program that answers at an ended node's address

Another package's test had got the port; the stand-in's foreign writer answers 500 to all. Only a 404 was taken for another program. Class: an address that belongs to somebody else now.

Ruled out: a node's own fault (its errors carry a result), a read that hangs. Change: an error without a result of ours is no node's answer, its outcome is unknown, and the next server is asked; repeating a write there is safe. Before: TestForeignServer fails at 400, 401, 403 or 500; after: it passes with seven statuses.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -125,6 +125,9 @@
 		return result.Wrap(err, result.EndpointUnreachable, result.WithMessage("no node answers at this address"))
 	case connect.CodeDeadlineExceeded:
 		return result.Wrap(err, result.OutcomeUnknown, result.WithMessage("the server did not answer in time"))
+	case connect.CodeUnknown, connect.CodeInternal, connect.CodeUnauthenticated, connect.CodePermissionDenied:
+		// A node's own error says its result. Another program answers here, or the answer broke off.
+		return result.Wrap(err, result.OutcomeUnknown, result.WithMessage("no node's answer came from this address"))
 	}
 	return result.From(err)
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -178,6 +178,12 @@
 	r.want(0, "", "status", "as seen by node n1")
 	r.servers = foreign.URL
 	r.want(1, "", "status", "4001 endpoint_unreachable", "no node answers at this address")
+	for _, status := range []int{http.StatusOK, http.StatusFound, http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		r.servers = other.URL + "," + start(t, fakeSystem{log: configtest.New()})
+		r.want(0, "", "status", "as seen by node n1")
+		other.Close()
+	}
 }
 
 func TestStatusAndExplain(t *testing.T) {
