Have the stand-in's servers registered when it has started, as it says

The stand-in wrote its servers' first entries beside its start, so that a node could read the registry between two of them. Ruled out: the node (it refuses truly what it knows no server for). Change: the first entries are written before Start returns. Before: TestStartRegisters fails 20 of 20 times; after: 0 of 20.

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -34,6 +34,8 @@
 	models     = 3
 	headerTime = 5 * time.Second
 
+	registry = "keyed.servers" // the topic of the servers' entries
+
 	stateReady    = "ready"
 	stateDraining = "draining"
 )
@@ -109,6 +111,7 @@
 	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
 		return nil, err
 	}
+	s.register()
 	s.wg.Go(func() { s.beat(ctx, c.Beat) })
 	return s, nil
 }
@@ -156,18 +159,23 @@
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
-		for _, server := range s.servers {
-			server.mu.Lock()
-			if server.state != "" {
-				s.Store.Put("keyed.servers", server.id, server.Entry(server.at.addr, server.state))
-			}
-			server.mu.Unlock()
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.register()
+		}
+	}
+}
+
+// register writes the entry of each server that is there.
+func (s *Site) register() {
+	for _, server := range s.servers {
+		server.mu.Lock()
+		if server.state != "" {
+			s.Store.Put(registry, server.id, server.Entry(server.at.addr, server.state))
 		}
+		server.mu.Unlock()
 	}
 }
 
@@ -177,7 +185,7 @@
 // Remove takes the i-th model server's entry away.
 func (s *Site) Remove(i int) {
 	s.setState(i, "")
-	s.Store.Put("keyed.servers", s.servers[i].id, nil)
+	s.Store.Put(registry, s.servers[i].id, nil)
 }
 
 func (s *Site) setState(i int, state string) {
