--- a/standin/site/restart.go
+++ b/standin/site/restart.go
@@ -1,6 +1,18 @@
 package site
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// While a server is away, the system may give its port to a connection of another process. It is
+// waited for so long, looking so often.
+const (
+	portTime  = 20 * time.Second
+	portPause = 20 * time.Millisecond
+)
 
 // Restart has the i-th model server crash, which cuts its connections, and start again under its
 // id, as modelserver.Server.Restart says. It comes back at the address that it had, or at another
@@ -26,6 +38,10 @@
 		return s.listen(h)
 	}
 	at, err := s.serve(before.own, h)
+	for limit := time.Now().Add(portTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(limit); {
+		time.Sleep(portPause)
+		at, err = s.serve(before.own, h)
+	}
 	at.addr = before.addr
 	return at, err
 }
