Have few nodes of a failure domain collect its load and tell the others

Cause: in a large system each node told each other one of its failure domain what it has under way.

Ruled out: telling less often (nodes that decide on loads 1 s old send all to the same engine); the requests themselves, of which there are none in the start.

Change: the two nodes of a domain that read the store collect what the others tell, and tell all of them the sums, encoded once and in short, with the number of each node's message that is in them, so that a node takes its own load off exactly. Two more nodes are heard by all, to take over at once. Orders and weights that nodes saw go the same way. Those nodes are first that may use most of a processor, as hosts differ by four times. A message to the other domains goes to the nodes that speak there.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -19,6 +19,10 @@
 
 	MemoryBytes int64 // the process is killed beyond it
 	MaxFiles    int   // descriptors of the process
+	// MilliCores is what the process may use of a processor, in thousandths of a core, and
+	// LinkBytes what the host's link carries, in bytes a second; 0 if not said.
+	MilliCores int
+	LinkBytes  int
 
 	StoreAddr string // address of the metadata store, IP:PORT
 	Bounds    Bounds
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,9 +122,11 @@
 		Orders:     n.givenOrders,
 		Names:      n.keeping.names,
 		Neighbours: n.neighbours,
+		Role:       func() peerload.Role { return n.roster.role() },
+		LinkBytes:  boot.LinkBytes,
 		Log:        n.log,
 	})
-	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain}
+	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain, MilliCores: boot.MilliCores}
 	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
 	n.roster.rejected = n.state.rejected
 	n.roster.lease.grace = goneGrace(boot.Bounds.RetryWindow)
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -144,18 +144,15 @@
 }
 
 // unnamedByOthers returns since when all other nodes have named only newer versions. In a large
-// system, nodes of other failure domains are vouched for by the speaker of theirs, which heard
-// them itself and must know the same ones as this node does.
+// system, nodes are vouched for by the speaker of their failure domain, which heard them itself
+// and must know the same ones as this node does. A speaker itself hears those of its own.
 func (k *keeping) unnamedByOthers(model string, version int64) (since time.Time, all bool) {
 	table := k.node.peers.Table
 	if pace.Whole(k.node.roster.Nodes()) {
 		return table.Unnamed(model, version, k.node.roster.Others())
 	}
 	for domain, names := range k.node.roster.othersByDomain() {
-		said, ok := table.UnnamedIn(domain, peerload.MembersOf(names...), model, version)
-		if domain == k.node.roster.own.Domain {
-			said, ok = table.Unnamed(model, version, names)
-		}
+		said, ok := k.unnamedIn(domain, names, model, version)
 		if !ok {
 			return time.Time{}, false
 		}
@@ -166,6 +163,19 @@
 	return since, true
 }
 
+// unnamedIn returns the same for the nodes of one failure domain of a large system.
+func (k *keeping) unnamedIn(domain string, names []string, model string, version int64) (since time.Time, all bool) {
+	table, roster := k.node.peers.Table, k.node.roster
+	members := peerload.MembersOf(names...)
+	if domain == roster.own.Domain {
+		if since, all = table.Unnamed(model, version, names); all {
+			return since, true
+		}
+		members += peerload.MembersOf(roster.node)
+	}
+	return table.UnnamedIn(domain, members, model, version)
+}
+
 // turn is how much later than the first node this one looks.
 func (k *keeping) turn() time.Duration {
 	turn := time.Duration(xxhash.Sum64String(k.node.boot.Load().Name)%freeRanks) * freeSpread
--- a/internal/gateway/nodeentry.go
+++ b/internal/gateway/nodeentry.go
@@ -11,6 +11,9 @@
 type nodeEntry struct {
 	Addr   string `json:"addr"`   // where it hears its peers, IP:PORT
 	Domain string `json:"domain"` // failure domain
+	// MilliCores is what the node may use of a processor, in thousandths of a core; 0 if not
+	// known. Those with most of it work for the others.
+	MilliCores int `json:"millicores,omitempty"`
 	// Gone is true where another node has not heard this one for long. It writes its entry
 	// anew if it lives; else its entry is removed.
 	Gone bool `json:"gone,omitempty"`
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -8,26 +8,39 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cherryward/cherryward/internal/pace"
+	"github.com/cherryward/cherryward/internal/peerload"
 )
 
-// domainReaders is the number of nodes of a failure domain that read the store for the
-// others, in a large system. One that is lost is replaced as soon as it isn't heard; for one
-// that is cut off from the store, the other stands in meanwhile.
-const domainReaders = 2
+// domainReaders is the number of nodes of a failure domain that read the store and collect loads
+// for the others, in a large system. One that is lost is replaced as soon as it isn't heard; for
+// one that is cut off from the store, the other stands in meanwhile. domainStandbys is the
+// number of nodes that are heard by all so that they can take a reader's place at once.
+const (
+	domainReaders  = 2
+	domainStandbys = 2
+)
 
 // neighbour is a node whose address is known.
 type neighbour struct {
 	name, domain string
 	hash         uint64
+	milliCores   int
 	addr         netip.AddrPort
 }
 
+// compareNeighbours puts first who can do most for the others: of 59 nodes of a failure domain
+// three may have four times the processor and ten times the link of the rest.
+func compareNeighbours(a, b neighbour) int {
+	return cmp.Or(cmp.Compare(b.milliCores, a.milliCores), cmp.Compare(a.hash, b.hash))
+}
+
 // neighbours returns the nodes of this failure domain, this one included.
 func (r *roster) neighbours() []neighbour {
 	return r.sorted(func(e nodeEntry) bool { return e.Domain == r.own.Domain })
 }
 
-// sorted returns the nodes that match, in the order of their names' hashes.
+// sorted returns the nodes that match, those with most of a processor first, and equal ones in
+// the order of their names' hashes.
 func (r *roster) sorted(match func(nodeEntry) bool) []neighbour {
 	var list []neighbour
 	for name, e := range r.entries {
@@ -35,9 +48,9 @@
 		if err != nil || !match(e) {
 			continue
 		}
-		list = append(list, neighbour{name: name, domain: e.Domain, hash: xxhash.Sum64String(name), addr: addr})
+		list = append(list, neighbour{name: name, domain: e.Domain, hash: xxhash.Sum64String(name), milliCores: e.MilliCores, addr: addr})
 	}
-	slices.SortFunc(list, func(a, b neighbour) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(list, compareNeighbours)
 	return list
 }
 
@@ -67,6 +80,35 @@
 	return nil, false // its own entry is not there yet
 }
 
+// role returns this node's part in telling loads: the readers collect. Until its own entry is
+// there it tells all itself.
+func (r *roster) role() peerload.Role {
+	r.mu.Lock()
+	near := r.near
+	r.mu.Unlock()
+	var role peerload.Role
+	before := 0 // nodes ahead of this one that are heard
+	own := -1
+	for _, n := range near {
+		if n.name == r.node {
+			own = before
+			continue
+		}
+		if !r.heard(n.name) {
+			continue
+		}
+		if before++; own < 0 && before <= domainReaders || own >= 0 && own < domainReaders && before < domainReaders {
+			role.Collectors = append(role.Collectors, n.addr)
+		}
+	}
+	if own < 0 {
+		return peerload.Role{}
+	}
+	role.Collects = own < domainReaders
+	role.StandsBy = !role.Collects && own < domainReaders+domainStandbys
+	return role
+}
+
 // backups returns nodes that read the store, whichever failure domain they are in, but for
 // this one: those of a small system, and each failure domain's readers of a large one.
 func (r *roster) backups() []netip.AddrPort {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -61,7 +61,7 @@
 	entries map[string]nodeEntry // by node
 	written map[string]time.Time // when a node's newest record was read
 	end     int64                // of the topic, as far as it was read
-	near    []neighbour          // the nodes of this failure domain, in the order of their hashes
+	near    []neighbour          // the nodes of this failure domain, in the order of sorted
 	others  []netip.AddrPort     // what backups returns
 	// byDomain is what othersByDomain returns.
 	byDomain map[string][]string
@@ -94,8 +94,8 @@
 	r.read, r.end = true, b.Next
 	r.summarize()
 	peers := make([]peerload.Peer, 0, len(r.entries))
-	for _, e := range r.entries {
-		peers = append(peers, peerload.Peer{Addr: e.Addr, Domain: e.Domain})
+	for name, e := range r.entries {
+		peers = append(peers, peerload.Peer{Node: name, Addr: e.Addr, Domain: e.Domain})
 	}
 	r.set(peers)
 }
--- a/internal/gateway/sweep.go
+++ b/internal/gateway/sweep.go
@@ -46,6 +46,7 @@
 
 	signs map[string]time.Time // a node's last sign of life
 	last  time.Time            // look
+	swept bool                 // at the last look
 }
 
 // listing is another node's entry as the sweeper sees it.
@@ -62,7 +63,7 @@
 		roster: n.roster,
 		alive: func(name, domain string, within time.Duration) bool {
 			now := time.Now()
-			return table.Heard(name, now, within) || table.HeardOf(domain, now, within)
+			return table.Heard(name, now, within) || domain != n.roster.own.Domain && table.HeardOf(domain, now, within)
 		},
 		hears: func(within time.Duration) bool {
 			now := time.Now()
@@ -83,8 +84,9 @@
 // sweep looks once, and writes at most one entry.
 func (s *sweeper) sweep(ctx context.Context, now time.Time) {
 	listed, end := s.roster.listed()
-	s.note(listed, now)
-	if !s.hears(sweepPause) || !s.roster.sweeps() {
+	sweeps := s.roster.sweeps()
+	s.note(listed, sweeps, now)
+	if !s.hears(sweepPause) || !sweeps {
 		return
 	}
 	for i := range listed {
@@ -96,13 +98,14 @@
 }
 
 // note takes the nodes' signs of life: messages and entries that they wrote. After a pause of
-// this process all count as alive, as it heard nobody meanwhile.
-func (s *sweeper) note(listed []listing, now time.Time) {
+// this process all count as alive, as it heard nobody meanwhile, and so they do for a node that
+// begins to sweep, as those of a large system tell the sweepers alone that they live.
+func (s *sweeper) note(listed []listing, sweeps bool, now time.Time) {
 	before := s.signs
-	if now.Sub(s.last) > 2*sweepPause {
+	if now.Sub(s.last) > 2*sweepPause || !s.swept {
 		before = nil
 	}
-	s.last = now
+	s.last, s.swept = now, sweeps
 	s.signs = make(map[string]time.Time, len(listed))
 	for _, l := range listed {
 		sign, known := before[l.name]
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -57,9 +57,11 @@
 
 	// slowestLink is what nodes are made for, in bytes a second: 10 Mbit/s.
 	slowestLink = 10_000_000 / 8
-	// MessageBytes bounds the bytes of messages that a node tells others of its own accord in
-	// a second. What it hears is as much, as all tell alike.
-	MessageBytes = slowestLink / 5
+	// messageShare is the part of its host's link that a node's messages to others take which
+	// it sends of its own accord. What it hears is as much, as all tell alike.
+	messageShare = 5
+	// MessageBytes bounds the bytes of these messages in a second at the slowest link.
+	MessageBytes = slowestLink / messageShare
 	// AnswerBytes bounds the bytes of answers to other nodes in a second. With MessageBytes they
 	// leave requests half of the link.
 	AnswerBytes = slowestLink * 3 / 10
@@ -118,17 +120,21 @@
 	return spacing, max(digestInterval, spacing)
 }
 
-// Spread returns how long a node tells nothing more after messages of so many bytes.
-func Spread(bytes int) time.Duration {
-	return time.Duration(bytes) * time.Second / MessageBytes
+// Spread returns how long a node tells nothing more after messages of so many bytes, at a link
+// that carries so many a second, 0 if not known.
+func Spread(bytes, link int) time.Duration {
+	return time.Duration(bytes) * time.Second / time.Duration(messageBytes(link))
 }
 
 // LongestMessage returns the bytes of the longest message that so many peers can be told
-// within a time.
-func LongestMessage(peers int, within time.Duration) int {
-	return int(within.Seconds() * MessageBytes / float64(max(peers, 1)))
+// within a time, at a link that carries so many a second.
+func LongestMessage(peers, link int, within time.Duration) int {
+	return int(within.Seconds() * float64(messageBytes(link)) / float64(max(peers, 1)))
 }
 
+// messageBytes returns what a node tells others of its own accord in a second at a link.
+func messageBytes(link int) int { return max(link/messageShare, MessageBytes) }
+
 // DomainDigests returns the time between two messages of a node to so many nodes of other
 // failure domains on what its own one names at stores.
 func DomainDigests(nodes int) time.Duration {
--- a/internal/peerload/bytes_test.go
+++ b/internal/peerload/bytes_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 
+	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/pace"
 )
@@ -48,7 +49,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), lasts)
 		defer cancel()
 		_ = e.Run(ctx)
-		bytes = e.config.Conn.Sent()
+		bytes = e.config.Conn.(*datagram.Conn).Sent()
 	})
 	return int(bytes / int64(lasts/time.Second))
 }
@@ -72,15 +73,16 @@
 	for i := range 400 {
 		loads = append(loads, datedLoad{Load{Endpoint: fmt.Sprint("e", i), Running: i}, Start(i)})
 	}
-	all, _ := fit(slices.Clone(loads), 1)
+	longest := func(peers int) int { return pace.LongestMessage(peers, 0, toldWithin) }
+	all, _ := fit(slices.Clone(loads), longest(1))
 	test.Len(t, 400, all)
-	kept, starts := fit(slices.Clone(loads), 27)
-	most := pace.LongestMessage(27, toldWithin)
+	most := longest(27)
+	kept, starts := fit(slices.Clone(loads), most)
 	test.Between(t, most/loadBytes-1, len(kept), most/loadBytes)
 	for i, l := range kept {
 		test.GreaterEq(t, 400-len(kept), l.Running)
 		test.Eq(t, Start(l.Running), starts[i])
 	}
-	one, _ := fit(loads, 100_000)
+	one, _ := fit(loads, longest(100_000))
 	test.Len(t, 1, one)
 }
--- a/internal/peerload/check.go
+++ b/internal/peerload/check.go
@@ -35,8 +35,41 @@
 			return eris.Errorf("a digest with fetches %d ms late", l.MS)
 		}
 	}
-	for i := range d.Seen {
-		if err := d.Seen[i].check(); err != nil {
+	if err := checkSeen(d.Seen); err != nil {
+		return err
+	}
+	return d.Collected.check()
+}
+
+// check returns an error where a collector tells what can't be, as for a digest.
+func (c *Collected) check() error {
+	if c == nil {
+		return nil
+	}
+	if _, err := decodeSums(c.Loads); err != nil {
+		return err
+	}
+	if c.Nodes < 0 || len(c.Told) != c.Nodes*toldBytes {
+		return eris.Errorf("a collector tells of %d nodes in %d bytes", c.Nodes, len(c.Told))
+	}
+	for _, l := range c.Late {
+		if l.MS < 0 || l.MS > mostLateMS {
+			return eris.Errorf("a collector tells of fetches %d ms late", l.MS)
+		}
+	}
+	for i := range c.Orders {
+		o := &c.Orders[i]
+		if o.ForMs < 0 || o.ForMs > mostClosedMS || o.AgeMs < 0 {
+			return eris.Errorf("a collector closes engines for %d ms, said %d ms ago", o.ForMs, o.AgeMs)
+		}
+	}
+	return checkSeen(c.Seen)
+}
+
+// checkSeen checks each of the statements.
+func checkSeen(seen []Seen) error {
+	for i := range seen {
+		if err := seen[i].check(); err != nil {
 			return err
 		}
 	}
--- a/internal/peerload/domain.go
+++ b/internal/peerload/domain.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,11 +57,16 @@
 
 // heardDomain is the newest digest of a failure domain, with what was promised so far.
 type heardDomain struct {
-	digest DomainDigest
-	at     time.Time
-	names  map[string]domainPromise // by model
+	digest   DomainDigest
+	at       time.Time
+	names    map[string]domainPromise // by model
+	speakers map[string]time.Time     // when each node that speaks for it was heard
 }
 
+// speakerTime is how long a node counts as one that speaks for its failure domain after its last
+// word: two or three of its messages.
+const speakerTime = 4 * time.Second
+
 // promised returns the promises with what a digest adds. They only rise, whoever speaks, as
 // each speaker knows of promises alone. A speaker that knows of other nodes promises anew.
 func promised(before map[string]domainPromise, d *DomainDigest, now time.Time) map[string]domainPromise {
@@ -87,7 +92,27 @@
 	if last.Node == d.Node && (d.Incarnation < last.Incarnation || d.Incarnation == last.Incarnation && d.Seq <= last.Seq) {
 		return
 	}
-	t.domains[d.Domain] = heardDomain{digest: d, at: now, names: promised(known.names, &d, now)}
+	if known.speakers == nil {
+		known.speakers = make(map[string]time.Time)
+	}
+	known.speakers[d.Node] = now
+	t.domains[d.Domain] = heardDomain{digest: d, at: now, names: promised(known.names, &d, now), speakers: known.speakers}
+}
+
+// speakers returns the nodes that spoke for a failure domain lately, and forgets others.
+func (t *Table) speakers(domain string, now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lately := make(map[string]bool)
+	heard := t.domains[domain].speakers
+	for node, at := range heard {
+		if now.Sub(at) > speakerTime {
+			delete(heard, node)
+			continue
+		}
+		lately[node] = true
+	}
+	return lately
 }
 
 // UnnamedIn returns since when the nodes of another failure domain have named only newer
@@ -113,11 +138,13 @@
 	return least
 }
 
-// sendDomain tells the nodes of other failure domains which weights' parts those of this one
-// name, if this node speaks for it. It returns the bytes of all messages.
-func (e *Exchange) sendDomain(far []netip.AddrPort) (bytes int) {
+// sendDomain tells all nodes which weights' parts those of this failure domain name, if this
+// node speaks for it: in a large system they don't hear one another, in their own domain
+// neither. It returns the bytes of all messages.
+func (e *Exchange) sendDomain(peers *audience) (bytes int) {
 	now := time.Now()
-	if len(far) == 0 || now.Sub(e.toldDomain) < pace.DomainDigests(len(far)) {
+	all := slices.Concat(peers.near, peers.far)
+	if len(peers.far) == 0 || now.Sub(e.toldDomain) < pace.DomainDigests(len(all)) {
 		return 0
 	}
 	near := e.config.Neighbours()
@@ -125,7 +152,7 @@
 		return 0
 	}
 	e.toldDomain = now
-	return e.config.Conn.Notify(far, domainMethod, DomainDigest{
+	return e.config.Conn.Notify(all, domainMethod, DomainDigest{
 		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
 		Names:   e.Table.DomainNames(e.config.Names(), near.Others),
 		Members: MembersOf(near.Others...) + MembersOf(e.config.Node),
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -32,13 +32,28 @@
 	namesSpacing = 500 * time.Millisecond
 	// countTime is the time for the request that a message is sent for to be counted.
 	countTime = time.Millisecond
+	// aliveSpacing is the time between two messages to all of a node that stands by to
+	// collect: a few may be lost before it counts as gone.
+	aliveSpacing = 300 * time.Millisecond
 )
 
-// Config is what an Exchange needs. All fields must be set.
+// Conn carries notifications between nodes. Nothing is repeated.
+type Conn interface {
+	// Addr returns the address that peers send to, IP:PORT.
+	Addr() string
+	// Handle has a method served. It is called before messages come.
+	Handle(method string, h datagram.Handler)
+	// Notify sends a notification to each peer, and returns the bytes of all.
+	Notify(peers []netip.AddrPort, method string, params any) (bytes int)
+}
+
+var _ Conn = (*datagram.Conn)(nil)
+
+// Config is what an Exchange needs. Unless said otherwise all fields must be set.
 type Config struct {
 	Node   string
 	Domain string // failure domain of this node
-	Conn   *datagram.Conn
+	Conn   Conn
 	// Members are the endpoints whose load is told.
 	Members func() []*fleet.Member
 	// Late are the holders from which fetches come late.
@@ -50,11 +65,28 @@
 	Names func() []Named
 	// Neighbours are the other nodes of this node's failure domain.
 	Neighbours func() Neighbours
-	Log        zerolog.Logger
+	// Role is this node's part in telling loads within the failure domain. It is asked in large
+	// systems alone. Nil means that each node tells all there itself.
+	Role func() Role
+	// LinkBytes is what the host's link carries, in bytes a second; 0 if not known.
+	LinkBytes int
+	Log       zerolog.Logger
+}
+
+// Role is a node's part in telling loads within the failure domain of a large system. With its
+// zero value it tells all nodes there itself.
+type Role struct {
+	// Collects is true at a collector, which tells all nodes there what it hears.
+	Collects bool
+	// StandsBy is true where it is one of the next to collect. It tells all that it lives.
+	StandsBy bool
+	// Collectors are the others that collect.
+	Collectors []netip.AddrPort
 }
 
 // Peer is another node.
 type Peer struct {
+	Node   string // its name
 	Addr   string // IP:PORT
 	Domain string // failure domain; empty if not known
 }
@@ -65,6 +97,32 @@
 	// those of its failure domain.
 	near []netip.AddrPort
 	far  []netip.AddrPort // the others
+	// farByDomain are the latter by failure domain, with their names.
+	farByDomain map[string][]namedAddr
+}
+
+// namedAddr is a node with its address.
+type namedAddr struct {
+	node string
+	addr netip.AddrPort
+}
+
+// collectors returns the nodes of other failure domains that tell the others there: those that
+// speak for theirs, or all of a domain of which no speaker was heard lately.
+func (a *audience) collectors(t *Table, now time.Time) []netip.AddrPort {
+	if a.farByDomain == nil {
+		return a.far
+	}
+	var addrs []netip.AddrPort
+	for domain, nodes := range a.farByDomain {
+		speakers := t.speakers(domain, now)
+		for _, n := range nodes {
+			if len(speakers) == 0 || speakers[n.node] {
+				addrs = append(addrs, n.addr)
+			}
+		}
+	}
+	return addrs
 }
 
 // Exchange sends this node's digests and takes those of its peers.
@@ -78,8 +136,10 @@
 	kick        chan struct{}
 
 	// The rest is used by Run alone.
-	seq     int64
-	toldFar time.Time // when the nodes far were told something
+	seq      int64
+	role     Role
+	toldFar  time.Time // when the nodes far were told something
+	toldNear time.Time // when all nodes near were
 	// toldDomain is when they were told of this failure domain's promises.
 	toldDomain time.Time
 	news       bool // they were told of something that may have ended
@@ -103,7 +163,7 @@
 func (e *Exchange) SetPeers(peers []Peer) {
 	own := e.config.Conn.Addr()
 	whole := pace.Whole(len(peers))
-	next := &audience{}
+	next := &audience{farByDomain: make(map[string][]namedAddr)}
 	for _, p := range peers {
 		if p.Addr == own {
 			continue
@@ -117,6 +177,7 @@
 			next.near = append(next.near, addr)
 		} else {
 			next.far = append(next.far, addr)
+			next.farByDomain[p.Domain] = append(next.farByDomain[p.Domain], namedAddr{p.Node, addr})
 		}
 	}
 	e.peers.Store(next)
@@ -134,7 +195,10 @@
 	sent := 0
 	for ctx.Err() == nil {
 		spacing, interval := pace.Digests(e.listeners())
-		spacing = max(spacing, pace.Spread(sent))
+		if e.role.Collects {
+			interval = spacing // what others tell it changes all the time
+		}
+		spacing = max(spacing, pace.Spread(sent, e.config.LinkBytes))
 		retry.Sleep(ctx, spacing)
 		e.awaitKick(ctx, interval-spacing)
 		sent = e.send()
@@ -169,10 +233,9 @@
 	}
 }
 
-// send tells the peers near of this node's load. A node that gives orders is heard by
-// all, who must send nothing to engines that load; those far hear less often, as one
-// message to each of many nodes would fill a small host's link. It returns the bytes of all
-// messages.
+// send tells the peers of this node's load. A node that gives orders is heard by all, who must
+// send nothing to engines that load; those far hear less often, as one message to each of many
+// nodes would fill a small host's link. It returns the bytes of all messages.
 func (e *Exchange) send() (bytes int) {
 	peers := e.peers.Load()
 	if peers == nil {
@@ -184,11 +247,35 @@
 	if len(peers.far) > 0 && time.Since(e.toldFar) >= farSpacing {
 		bytes += e.sendFar(peers, digest, members)
 	}
-	bytes += e.sendDomain(peers.far)
+	bytes += e.sendDomain(peers)
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
-	digest.setLoads(members, len(peers.near), time.Now())
-	return bytes + e.config.Conn.Notify(peers.near, method, digest)
+	digest.setLoads(members, e.longest(len(peers.near)), time.Now())
+	return bytes + e.sendNear(peers, digest)
+}
+
+// sendNear tells the nodes of this failure domain. In a large system only collectors hear each
+// of them.
+func (e *Exchange) sendNear(peers *audience, digest *Digest) (bytes int) {
+	if len(peers.far) == 0 || e.config.Role == nil {
+		return e.config.Conn.Notify(peers.near, method, digest)
+	}
+	e.role = e.config.Role()
+	e.Table.NoteOwn(digest)
+	now := time.Now()
+	switch {
+	case e.role.Collects:
+		digest.Collected = e.Table.Collect(now)
+	case len(e.role.Collectors) > 0 && !(e.role.StandsBy && now.Sub(e.toldNear) >= aliveSpacing):
+		return e.config.Conn.Notify(e.role.Collectors, method, digest)
+	}
+	e.toldNear = now
+	return e.config.Conn.Notify(peers.near, method, digest)
+}
+
+// longest returns the bytes of the longest message that so many peers can be told in time.
+func (e *Exchange) longest(peers int) int {
+	return pace.LongestMessage(peers, e.config.LinkBytes, toldWithin)
 }
 
 // newNames returns which weights' parts this node names, now and then and when that changed:
@@ -202,15 +289,16 @@
 	return names
 }
 
-// sendFar tells the nodes of other failure domains of orders, and of this node's load at
-// engines there, which it uses where its own domain has too few. Once both have ended they
-// are told so.
+// sendFar tells the nodes of other failure domains, by the collectors there, of orders, and of
+// this node's load at engines there, which it uses where its own domain has too few. Once both
+// have ended they are told so.
 func (e *Exchange) sendFar(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
 	far := *digest
-	far.setLoads(outside(members, e.config.Domain), len(peers.far), time.Now())
+	to := peers.collectors(e.Table, time.Now())
+	far.setLoads(outside(members, e.config.Domain), e.longest(len(to)), time.Now())
 	news := far.Leads || len(far.Loads) > 0
 	if news || e.news {
-		bytes = e.config.Conn.Notify(peers.far, method, &far)
+		bytes = e.config.Conn.Notify(to, method, &far)
 		e.toldFar = time.Now()
 	}
 	e.news = news
@@ -243,18 +331,20 @@
 	return d
 }
 
-// learnVersions takes over what a peer was told by engines of their weights. It counts from
-// when they said it, so that a late digest does no harm.
-func (e *Exchange) learnVersions(d *Digest, now time.Time) {
-	if len(d.Seen) == 0 {
+// learnVersions takes over what peers were told by engines of their weights. It counts from
+// when these said it, so that a late digest does no harm.
+func (e *Exchange) learnVersions(seen []Seen, now time.Time) {
+	if len(seen) == 0 {
 		return
 	}
-	members := e.config.Members()
-	for i := range d.Seen {
-		s := &d.Seen[i]
-		for _, m := range members {
-			if at := slices.Index(s.Endpoints, m.ID); at >= 0 {
-				m.Heard(s.statement(at, now))
+	byID := make(map[string]*fleet.Member)
+	for _, m := range e.config.Members() {
+		byID[m.ID] = m
+	}
+	for i := range seen {
+		for at, id := range seen[i].Endpoints {
+			if m := byID[id]; m != nil {
+				m.Heard(seen[i].statement(at, now))
 			}
 		}
 	}
@@ -271,6 +361,9 @@
 	}
 	now := time.Now()
 	e.Table.Take(d, now)
-	e.learnVersions(&d, now)
+	e.learnVersions(d.Seen, now)
+	if d.Collected != nil {
+		e.learnVersions(d.Collected.Seen, now)
+	}
 	return nil, nil
 }
--- a/internal/peerload/load.go
+++ b/internal/peerload/load.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/fleet"
-	"github.com/cherryward/cherryward/internal/pace"
 )
 
 const (
@@ -58,16 +57,16 @@
 	return nil
 }
 
-// setLoads has the digest tell so many peers what this node has under way and what it saw.
-func (d *Digest) setLoads(members []*fleet.Member, peers int, now time.Time) {
-	d.Loads, d.Starts = fit(loadsOf(members, now), peers)
+// setLoads has the digest, of so many bytes at most, tell what this node has under way and what
+// it saw.
+func (d *Digest) setLoads(members []*fleet.Member, bytes int, now time.Time) {
+	d.Loads, d.Starts = fit(loadsOf(members, now), bytes)
 }
 
-// fit returns the loads of which so many peers can be told in time, and which start of its
-// endpoint each is of: those of the endpoints with the most requests, which matter most to where
-// others send theirs.
-func fit(all []datedLoad, peers int) (loads []Load, starts []Start) {
-	most := max(pace.LongestMessage(peers, toldWithin)/loadBytes, 1)
+// fit returns the loads that so many bytes hold, and which start of its endpoint each is of:
+// those of the endpoints with the most requests, which matter most to where others send theirs.
+func fit(all []datedLoad, bytes int) (loads []Load, starts []Start) {
+	most := max(bytes/loadBytes, 1)
 	if len(all) > most {
 		slices.SortStableFunc(all, func(a, b datedLoad) int { return cmp.Compare(b.Running, a.Running) })
 		all = all[:most]
--- /dev/null
+++ b/internal/peerload/network_test.go
@@ -0,0 +1,234 @@
+package peerload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/weights"
+)
+
+// hop is how long a message takes between two nodes.
+const hop = time.Millisecond
+
+// network carries messages between nodes in virtual time.
+type network struct {
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*networkNode
+}
+
+// networkNode is a node with its exchange and engines.
+type networkNode struct {
+	*Exchange
+	net      *network
+	addr     netip.AddrPort
+	handlers map[string]datagram.Handler
+	fleet    *fleet.Fleet
+	domain   string
+	index    int
+	stop     context.CancelFunc
+
+	mu     sync.Mutex
+	down   bool
+	leads  bool
+	closed []weights.Closed
+	heard  int // messages
+	sent   int // messages
+}
+
+var _ Conn = (*networkNode)(nil)
+
+// Addr implements Conn.
+func (n *networkNode) Addr() string { return n.addr.String() }
+
+// Handle implements Conn.
+func (n *networkNode) Handle(method string, h datagram.Handler) {
+	if n.handlers == nil {
+		n.handlers = make(map[string]datagram.Handler)
+	}
+	n.handlers[method] = h
+}
+
+// Notify implements Conn.
+func (n *networkNode) Notify(peers []netip.AddrPort, method string, params any) int {
+	data, err := json.Marshal(params)
+	if err != nil || n.gone() {
+		return 0
+	}
+	n.mu.Lock()
+	n.sent += len(peers)
+	n.mu.Unlock()
+	time.AfterFunc(hop, func() {
+		for _, to := range peers {
+			n.net.at(to).hear(method, data)
+		}
+	})
+	return len(peers) * len(data)
+}
+
+func (w *network) at(addr netip.AddrPort) *networkNode {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[addr]
+}
+
+func (n *networkNode) hear(method string, data []byte) {
+	if n.gone() {
+		return
+	}
+	n.mu.Lock()
+	n.heard++
+	n.mu.Unlock()
+	_, _ = n.handlers[method](data)
+}
+
+func (n *networkNode) gone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down
+}
+
+// kill takes the node down.
+func (n *networkNode) kill() {
+	n.mu.Lock()
+	n.down = true
+	n.mu.Unlock()
+	n.stop()
+}
+
+// orders is what the node tells of orders that it gives.
+func (n *networkNode) orders() ([]weights.Closed, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.closed, n.leads
+}
+
+// role is the node's part, by the order of its number in its failure domain.
+func (n *networkNode) role() Role {
+	var role Role
+	before, own := 0, -1
+	for _, o := range n.net.domain(n.domain) {
+		if o == n {
+			own = before
+			continue
+		}
+		if !n.Table.Heard(o.config.Node, time.Now(), time.Second) {
+			continue
+		}
+		if before++; own < 0 && before <= 2 || own >= 0 && own < 2 && before < 2 {
+			role.Collectors = append(role.Collectors, o.addr)
+		}
+	}
+	role.Collects, role.StandsBy = own < 2, own >= 2 && own < 4
+	return role
+}
+
+// domain returns the nodes of a failure domain in the order of their numbers.
+func (w *network) domain(name string) []*networkNode {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*networkNode
+	for i := range len(w.nodes) {
+		if n := w.nodes[addrOf(i)]; n.domain == name {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// domains returns the names of all failure domains.
+func (w *network) domains() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := make(map[string]bool)
+	for _, n := range w.nodes {
+		names[n.domain] = true
+	}
+	return names
+}
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)}), 7)
+}
+
+// newNetwork starts nodes in so many failure domains, each with the same engines.
+func newNetwork(t *testing.T, nodes, domains, engines int) *network {
+	t.Helper()
+	w := &network{nodes: make(map[netip.AddrPort]*networkNode)}
+	var peers []Peer
+	for i := range nodes {
+		n := &networkNode{net: w, addr: addrOf(i), fleet: fleet.New(zerolog.Nop()), domain: fmt.Sprint("d", i%domains), index: i}
+		for j := range engines {
+			n.fleet.Update(&fleet.Endpoint{
+				ID: fmt.Sprintf("i-%010d", j), Service: "s", Addr: "127.0.0.1:1", Domain: fmt.Sprint("d", j%domains),
+				Weights: []fleet.Weights{{Model: "m", Version: 1}},
+			}, time.Now())
+		}
+		n.Exchange = New(Config{
+			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All,
+			Late: func() []Late { return nil }, Names: func() []Named { return []Named{{Model: "m", Oldest: 1}} },
+			Neighbours: func() Neighbours { return Neighbours{Speaks: n.role().Collects} },
+			Orders:     n.orders, Role: n.role,
+		})
+		w.nodes[n.addr] = n
+		peers = append(peers, Peer{Node: n.config.Node, Addr: n.Addr(), Domain: n.domain})
+	}
+	for _, n := range w.nodes {
+		n.SetPeers(peers)
+		ctx, cancel := context.WithCancel(t.Context())
+		n.stop = cancel
+		go func() { _ = n.Run(ctx) }()
+	}
+	return w
+}
+
+// end stops all nodes. It is called before a bubble of virtual time ends.
+func (w *network) end() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+}
+
+// begin has a node start a request at an engine, which others hear of.
+func (n *networkNode) begin(engine string) {
+	for _, m := range n.fleet.All() {
+		if m.ID == engine {
+			m.Load.Begin(100, 1000)
+		}
+	}
+	n.Kick()
+}
+
+// lives calls f with each node that is not down.
+func (w *network) lives(f func(*networkNode)) {
+	for i := range len(w.nodes) {
+		if n := w.nodes[addrOf(i)]; !n.gone() {
+			f(n)
+		}
+	}
+}
+
+// play plays a test in virtual time.
+func play(t *testing.T, nodes, domains, engines int, run func(t *testing.T, w *network)) {
+	t.Helper()
+	must.Positive(t, domains)
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t, nodes, domains, engines)
+		defer func() {
+			w.end()
+			time.Sleep(2 * time.Second)
+		}()
+		time.Sleep(3 * time.Second)
+		run(t, w)
+	})
+}
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -31,6 +31,8 @@
 	// Names are the oldest weights whose parts this node names at stores. They only rise,
 	// also over a restart of the node.
 	Names []Named `json:"names,omitempty"`
+	// Collected is what a collector tells of all the nodes that it hears.
+	Collected *Collected `json:"collected,omitempty"`
 }
 
 // Named is the oldest version of a model whose parts a node names at stores.
--- a/internal/peerload/peerload_test.go
+++ b/internal/peerload/peerload_test.go
@@ -166,7 +166,7 @@
 	var leads atomic.Bool
 	speaker, listener := listenAt(t, "n0", "d0", &leads), listenAt(t, "n1", "d1", &atomic.Bool{})
 	speaker.peers.Store(&audience{far: []netip.AddrPort{netip.MustParseAddrPort(listener.config.Conn.Addr())}})
-	go func() { _ = listener.config.Conn.Run(t.Context()) }()
+	go func() { _ = listener.config.Conn.(*datagram.Conn).Run(t.Context()) }()
 	heard := func(leads bool) func() bool {
 		return func() bool {
 			speaker.send()
@@ -212,7 +212,7 @@
 	speaker, listener := listenAt(t, "n0", "d0", &atomic.Bool{}), listenAt(t, "n1", "d1", &atomic.Bool{})
 	speaker.config.Members = f.All
 	speaker.peers.Store(&audience{far: []netip.AddrPort{netip.MustParseAddrPort(listener.config.Conn.Addr())}})
-	go func() { _ = listener.config.Conn.Run(t.Context()) }()
+	go func() { _ = listener.config.Conn.(*datagram.Conn).Run(t.Context()) }()
 	for _, m := range f.All() {
 		m.Load.Begin(10, 100)
 	}
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -23,12 +23,16 @@
 	// domains holds the newest digest of each other failure domain, by its name.
 	domains map[string]heardDomain
 	most    int // the largest number of nodes seen at once
+	// own stands for this node's start, and ownDigests are its newest digests.
+	own        uint32
+	ownDigests []ownDigest
 }
 
 type heard struct {
-	digest Digest
-	at     time.Time
-	names  map[string]promise // by model
+	digest    Digest
+	at        time.Time
+	names     map[string]promise // by model
+	collected *heardCollected    // nil where the peer is no collector
 }
 
 // promise is the oldest version that a node names, since when at the latest.
@@ -63,7 +67,9 @@
 	if d.Incarnation < known.digest.Incarnation || d.Incarnation == known.digest.Incarnation && d.Seq <= known.digest.Seq {
 		return
 	}
-	t.peers[d.Node] = heard{digest: d, at: now, names: promises(known.names, d.Names, now)}
+	collected := t.takeCollected(&d, now)
+	d.Collected = nil // what it says is kept there
+	t.peers[d.Node] = heard{digest: d, at: now, names: promises(known.names, d.Names, now), collected: collected}
 	t.most = max(t.most, t.count(now))
 }
 
@@ -72,6 +78,19 @@
 func (t *Table) Late(now time.Time) map[string]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c := t.collected(now)
+	if c == nil {
+		return t.directLate(now)
+	}
+	late := make(map[string]float64, len(c.late))
+	for _, l := range c.late {
+		late[l.Addr] = float64(l.MS)
+	}
+	return late
+}
+
+// directLate returns what Late does, by what the peers tell themselves.
+func (t *Table) directLate(now time.Time) map[string]float64 {
 	sums := make(map[string]float64)
 	witnesses := make(map[string]int)
 	for _, p := range t.peers {
@@ -98,22 +117,37 @@
 func (t *Table) Closed(now time.Time) map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	closed := make(map[string]bool)
+	closed := make(closings)
 	for _, p := range t.peers {
-		if now.Sub(p.at) >= time.Duration(p.digest.ForMs)*time.Millisecond {
+		closed.take(p.digest.Emptied, p.digest.Loading, p.digest.ForMs, now.Sub(p.at))
+		if p.collected == nil {
 			continue
 		}
-		for _, id := range p.digest.Emptied {
-			loads := closed[id] // false, unless another peer has it load
-			closed[id] = loads
-		}
-		for _, id := range p.digest.Loading {
-			closed[id] = true
+		for i := range p.collected.orders {
+			o := &p.collected.orders[i]
+			closed.take(o.Emptied, o.Loading, o.ForMs, now.Sub(p.at))
 		}
 	}
 	return closed
 }
 
+// closings are the engines that are closed, and whether each refuses all requests.
+type closings map[string]bool
+
+// take adds engines that a peer closed for some ms, so long ago.
+func (c closings) take(emptied, loading []string, forMs int64, ago time.Duration) {
+	if ago >= time.Duration(forMs)*time.Millisecond {
+		return
+	}
+	for _, id := range emptied {
+		loads := c[id] // false, unless another peer has it load
+		c[id] = loads
+	}
+	for _, id := range loading {
+		c[id] = true
+	}
+}
+
 // Unnamed returns since when all of the nodes have named only newer versions of a model at
 // stores, and false where one of them has not said so.
 func (t *Table) Unnamed(model string, version int64, nodes []string) (since time.Time, ok bool) {
@@ -131,9 +165,31 @@
 	return since, true
 }
 
-// Led reports whether a peer that holds the claim on orders was heard within a time.
+// Led reports whether a peer that holds the claim on orders was heard within a time, by this
+// node or by a collector.
 func (t *Table) Led(now time.Time, within time.Duration) bool {
-	return t.anyHeard(now, within, func(_ string, d *Digest) bool { return d.Leads })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.digest.Leads && now.Sub(p.at) < within || p.collected.led(now, within) {
+			return true
+		}
+	}
+	return false
+}
+
+// led reports whether the collector heard the holder of the claim on orders within a time.
+func (c *heardCollected) led(now time.Time, within time.Duration) bool {
+	if c == nil {
+		return false
+	}
+	for i := range c.orders {
+		o := &c.orders[i]
+		if o.Leads && now.Sub(c.at)+time.Duration(o.AgeMs)*time.Millisecond < within {
+			return true
+		}
+	}
+	return false
 }
 
 // Heard reports whether a node was heard within a time.
