Tell long lists of changes between nodes in several answers

Cause: what changed in a topic since a node last asked was told in one message of at most 16 KB, or not at all: then the node read the store. After a common start that is so for the registry of 245 endpoints (19,798 bytes) and for the addresses of 295 nodes.

Ruled out: messages longer than 16 KB, as a lost fragment loses the whole.

Change: an answer is cut at the bound and says so; the asker goes on from there, and takes the last answer's word for how old the copy is, counted from before its first question. Cut answers are given to a call of a new name, as older builds would take one for whole. A single record that is too long is read from the store as before.

Tests TestLongListsAreTold (fails before), TestCopyTellsWhatChanged.

--- /dev/null
+++ b/internal/placer/balance_test.go
@@ -0,0 +1,88 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// slotsEach is the number of slots of the engines here.
+const slotsEach = 12
+
+// newDomains has four engines in each of three failure domains, of which so many slots are taken.
+func newDomains(t *testing.T, north, south, west int) *world {
+	t.Helper()
+	w := newWorld(t, source{})
+	w.Whole = func() bool { return false }
+	random := rand.New(rand.NewPCG(1, 2))
+	w.Random = random.Float64
+	for domain, running := range map[string]int{"north": north, "south": south, "west": west} {
+		for i := range 4 {
+			w.Fleet.Update(&fleet.Endpoint{
+				ID: fmt.Sprint(domain, i), Service: "s", Addr: addr(i), Domain: domain, Slots: slotsEach,
+				Weights: []fleet.Weights{{Model: model, Version: 1}},
+			}, time.Now())
+		}
+		for _, m := range w.Fleet.Members("s") {
+			for range running {
+				if m.Endpoint().Domain == domain {
+					m.Load.Begin(0, 1000)
+				}
+			}
+		}
+	}
+	return w
+}
+
+// TestPromptsGoWhereEnginesAreEmptier sends a share of the prompts to other failure domains that
+// rises with how much fuller the engines of the own one are, to each by what it has to spare, and
+// none where they are emptier or equally full. Before, all stayed while four engines were left.
+func TestPromptsGoWhereEnginesAreEmptier(t *testing.T) {
+	for _, tc := range []struct {
+		north, south, west    int // slots taken of each engine
+		leastSouth, mostSouth int // of 100 prompts
+		leastWest, mostWest   int
+	}{
+		{6, 6, 6, 0, 0, 0, 0},
+		{6, 12, 6, 0, 0, 0, 0},
+		{9, 6, 9, 15, 35, 0, 0},
+		{12, 6, 6, 18, 32, 18, 32},
+		{12, 9, 6, 0, 0, 40, 60},
+		{40, 3, 3, 18, 32, 18, 32},
+	} {
+		w := newDomains(t, tc.north, tc.south, tc.west)
+		went := make(map[string]int)
+		for range 100 {
+			p, ok := w.Place(query())
+			test.True(t, ok)
+			went[p.Member.Endpoint().Domain]++
+		}
+		test.Between(t, tc.leastSouth, went["south"], tc.mostSouth, test.Sprint(tc))
+		test.Between(t, tc.leastWest, went["west"], tc.mostWest, test.Sprint(tc))
+	}
+}
+
+// TestAwayPromptsSpread has prompts that go to another failure domain use all its engines, though
+// one looks the least busy to all nodes.
+func TestAwayPromptsSpread(t *testing.T) {
+	w := newDomains(t, 30, 6, 30)
+	for _, m := range w.Fleet.Members("s") {
+		if m.ID == "south0" {
+			m.Load.End(1000)
+		}
+	}
+	went := make(map[string]int)
+	for range 400 {
+		p, ok := w.Place(query())
+		test.True(t, ok)
+		went[p.Member.ID]++
+	}
+	for i := range 4 {
+		test.Positive(t, went[fmt.Sprint("south", i)], test.Sprint("south", i))
+	}
+}
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -8,6 +8,7 @@
 package relay
 
 import (
+	"encoding/base64"
 	"errors"
 	"slices"
 	"sync"
@@ -20,6 +21,9 @@
 // the records that were asked for are older than it is.
 var ErrUnknown = errors.New("relay: the copy doesn't reach back so far")
 
+// recordBytes is what an answer takes for a record beyond its key and its value.
+const recordBytes = 64
+
 // Copy keeps a topic's newest records, so that other nodes can ask what changed. It
 // passes all it takes on to Sink. It is safe for concurrent use.
 type Copy struct {
@@ -67,19 +71,37 @@
 	c.proven = b.ProvenAt
 }
 
-// Since returns what changed from an offset on.
-func (c *Copy) Since(from int64) (follow.Page, error) {
+// Since returns what changed from an offset on, in the order of the offsets. Where that is more than
+// so many bytes it returns the first records, at least one, and that there are more.
+func (c *Copy) Since(from int64, most int) (page follow.Page, more bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.proven.IsZero() || from < c.first {
-		return follow.Page{}, ErrUnknown
+		return follow.Page{}, false, ErrUnknown
 	}
-	page := follow.Page{Next: c.next, Age: time.Since(c.proven)}
+	page = follow.Page{Next: c.next, Age: time.Since(c.proven)}
 	for _, r := range c.known {
 		if r.Offset >= from {
 			page.Records = append(page.Records, r)
 		}
 	}
 	slices.SortFunc(page.Records, func(a, b follow.Record) int { return int(a.Offset - b.Offset) })
-	return page, nil
+	if n := fitting(page.Records, most); n < len(page.Records) {
+		page.Next = page.Records[n].Offset
+		page.Records = page.Records[:n]
+		more = true
+	}
+	return page, more, nil
+}
+
+// fitting returns how many of the first records an answer of so many bytes holds, at least one.
+func fitting(records []follow.Record, most int) int {
+	bytes := 0
+	for i := range records {
+		bytes += len(records[i].Key) + base64.StdEncoding.EncodedLen(len(records[i].Value)) + recordBytes
+		if i > 0 && bytes > most {
+			return i
+		}
+	}
+	return len(records)
 }
--- a/internal/relay/copy_test.go
+++ b/internal/relay/copy_test.go
@@ -19,7 +19,7 @@
 	long := record("c", "w"+strings.Repeat("x", datagram.MaxBytes), 10)
 	batch := follow.Batch{Records: []follow.Record{long}, Next: 11, ProvenAt: time.Now()}
 	c.Apply(batch)
-	page, err := c.Since(10)
+	page, _, err := c.Since(10, answerBytes)
 	must.NoError(t, err)
 	test.Eq(t, []follow.Record{record("c", "wxx", 10)}, page.Records)
 	test.Eq(t, long, batch.Records[0])
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"strings"
 	"sync"
@@ -110,6 +111,29 @@
 // none are no nodes to ask.
 func none() []netip.AddrPort { return nil }
 
+// TestLongListsAreTold reads more records than an answer holds from another node, without the store,
+// and passes all of them on with the age that the last answer told.
+func TestLongListsAreTold(t *testing.T) {
+	const records = 400
+	held := filled(time.Now().Add(-time.Second))
+	var want []follow.Record
+	for i := range int64(records) {
+		want = append(want, record(fmt.Sprint("n", i), strings.Repeat("x", 200), 10+i))
+	}
+	held.Apply(follow.Batch{Records: want, Next: 10 + records, ProvenAt: time.Now().Add(-time.Second)})
+	own, _ := relayOf(t, nil)
+	_, reader := relayOf(t, held)
+	store := &storeTopic{}
+	topic := patientTopic(own, store, reader)
+	page, err := topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.Eq(t, want, page.Records)
+	test.Eq(t, 10+records, page.Next)
+	test.GreaterEq(t, time.Second, page.Age)
+	test.Eq(t, 0, store.reads)
+	test.True(t, topic.Relayed())
+}
+
 // TestAsksABackup reads from a node that the store serves where it serves this one not,
 // and reports the store's own error where that one can't tell either.
 func TestAsksABackup(t *testing.T) {
@@ -269,7 +293,7 @@
 
 func (c slowCopy) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
 	time.Sleep(300 * time.Millisecond)
-	page, err := c.Since(from)
+	page, _, err := c.Since(from, answerBytes)
 	time.Sleep(700 * time.Millisecond)
 	return page, err
 }
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// method is the name of the call. It may be repeated.
-	method = "node.changes"
+	// method is the name of the call. It may be repeated. A node of a build that doesn't know of cut
+	// answers must not be answered, as it would take one for whole.
+	method = "node.records"
 	// askTimeout bounds a question to a node, which is a ms away. A small host that is
 	// busy answers within some ten ms.
 	askTimeout = 150 * time.Millisecond
@@ -27,6 +28,13 @@
 	MaxAge = 2500 * time.Millisecond
 )
 
+const (
+	// answerBytes bounds the records of one answer, with room for what is around them.
+	answerBytes = datagram.MaxBytes - 1<<10
+	// mostAnswers bounds the answers to one read, far beyond what changes between two.
+	mostAnswers = 32
+)
+
 // errOld is returned for a copy that is older than MaxAge.
 var errOld = errors.New("relay: the copy is too old")
 
@@ -41,6 +49,9 @@
 	Records []follow.Record `json:"records,omitempty"`
 	Next    int64           `json:"next"`
 	AgeUS   int64           `json:"age_us"` // microseconds
+	// More is true where there are more records, from Next on. Such an answer proves nothing: the
+	// last one does, for all.
+	More bool `json:"more,omitempty"`
 }
 
 // Relay answers other nodes' questions for this node's copies.
@@ -69,11 +80,11 @@
 	if c == nil {
 		return nil, eris.Errorf("unknown topic %q", q.Topic)
 	}
-	page, err := c.Since(q.From)
+	page, more, err := c.Since(q.From, answerBytes)
 	if err != nil {
 		return nil, err
 	}
-	return answer{Records: page.Records, Next: page.Next, AgeUS: page.Age.Microseconds()}, nil
+	return answer{Records: page.Records, Next: page.Next, AgeUS: page.Age.Microseconds(), More: more}, nil
 }
 
 // Topic is a topic that is read from other nodes' copies where there are any, from the
@@ -161,28 +172,49 @@
 	}
 }
 
+// ask asks one node, as often as its answers are cut.
+//
+// An answer that was too long had the store asked: at a common start of 295 nodes each did so for
+// the registry and for the nodes' addresses, 560 calls.
 func (t *Topic) ask(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
+	var whole follow.Page
+	for range mostAnswers {
+		page, more, err := t.askOnce(ctx, reader, from)
+		if err != nil {
+			return follow.Page{}, err
+		}
+		whole = follow.Page{Records: append(whole.Records, page.Records...), Next: page.Next, Age: page.Age}
+		if !more {
+			return whole, nil
+		}
+		from = page.Next
+	}
+	return follow.Page{}, eris.Wrapf(ErrUnknown, "more than %d answers", mostAnswers)
+}
+
+func (t *Topic) askOnce(ctx context.Context, reader netip.AddrPort, from int64) (page follow.Page, more bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var a answer
-	err := t.Relay.conn.Call(ctx, reader, method, question{Topic: t.Name, From: from}, &a)
+	err = t.Relay.conn.Call(ctx, reader, method, question{Topic: t.Name, From: from}, &a)
 	var refused *jsonrpc2.Error
 	if errors.As(err, &refused) {
 		// It is there, but can't tell, as after the topic was compacted, or where a record is
 		// too long for a message: only the store can.
-		return follow.Page{}, eris.Wrap(ErrUnknown, refused.Message)
+		return follow.Page{}, false, eris.Wrap(ErrUnknown, refused.Message)
 	}
 	if err != nil {
-		return follow.Page{}, err
+		return follow.Page{}, false, err
 	}
-	return a.page(from)
+	page, err = a.page(from)
+	return page, a.More, err
 }
 
 // page returns what an answer to a question from an offset on tells. What can't be an answer is
 // refused: an age before the question or beyond the range of durations would make the copy
 // fresher than it is, and offsets out of range would have records passed over.
 func (a *answer) page(from int64) (follow.Page, error) {
-	if a.AgeUS < 0 || a.Next < 0 {
+	if a.AgeUS < 0 || a.Next < 0 || a.More && a.Next <= from {
 		return follow.Page{}, eris.Errorf("an answer of age %d µs up to offset %d", a.AgeUS, a.Next)
 	}
 	for i := range a.Records {
