Read long configurations and the nodes' addresses from other nodes, too

Cause: two more reads that each of 295 nodes made itself. A configuration of 50 routes (23 KB) fits no message between nodes, so each change of it was read by all; and the nodes' addresses are read with waits of 10 s, so that a reader's copy is up to 20 s old, and the others, which believe copies of 2.5 s, read them from the store, 29 times a second in all.

Change: long values are told compressed (compress/flate, once a change); a topic may state how old a copy it believes; readers wait 5 s for the addresses, others believe copies of 12 s, less than the 20 s that the lease counts on.

TestStoreIsAskedForLongRecords and a case of TestAsksAnotherNode use random bytes now, as what they had would be compressed.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -40,7 +40,8 @@
 	// second.
 	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
 	f.nodes, from = follower("nodes", nodesTopic, &relay.Copy{Sink: n.roster})
-	f.nodes.Wait, f.nodes.Pause = unless(from.Relayed, func() time.Duration { return nodesWait }), either(from.Relayed, nodesAskPause, n.rosterPause)
+	from.MaxAge = oldestNodes
+	f.nodes.Wait, f.nodes.Pause = unless(from.Relayed, n.nodesWait), either(from.Relayed, nodesAskPause, n.rosterPause)
 	return f
 }
 
@@ -92,6 +93,14 @@
 	return pace.ConfigWait(n.storeReaders(), n.bounds().Revoke)
 }
 
+// nodesWait is how long a read of the nodes' addresses waits for a change.
+func (n *Node) nodesWait() time.Duration {
+	if _, own := n.roster.readers(); own {
+		return readerNodesWait
+	}
+	return nodesWait
+}
+
 func (n *Node) registryPause() time.Duration {
 	if _, own := n.roster.readers(); own {
 		return pace.Reader(n.bounds().Drain)
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -8,7 +8,6 @@
 package relay
 
 import (
-	"encoding/base64"
 	"errors"
 	"slices"
 	"sync"
@@ -21,9 +20,6 @@
 // the records that were asked for are older than it is.
 var ErrUnknown = errors.New("relay: the copy doesn't reach back so far")
 
-// recordBytes is what an answer takes for a record beyond its key and its value.
-const recordBytes = 64
-
 // Copy keeps a topic's newest records, so that other nodes can ask what changed. It
 // passes all it takes on to Sink. It is safe for concurrent use.
 type Copy struct {
@@ -36,6 +32,7 @@
 
 	mu     sync.Mutex
 	known  map[string]follow.Record // with removed keys, by key
+	long   map[string]toldRecord    // those that were told compressed, by key
 	first  int64                    // all changes from this offset on are known
 	next   int64
 	proven time.Time // zero before the first batch
@@ -71,34 +68,55 @@
 	c.proven = b.ProvenAt
 }
 
+// page is what a copy tells.
+type page struct {
+	records []toldRecord
+	next    int64
+	age     time.Duration
+	more    bool // there are more records, from next on
+}
+
 // Since returns what changed from an offset on, in the order of the offsets. Where that is more than
 // so many bytes it returns the first records, at least one, and that there are more.
-func (c *Copy) Since(from int64, most int) (page follow.Page, more bool, err error) {
+func (c *Copy) Since(from int64, most int) (page, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.proven.IsZero() || from < c.first {
-		return follow.Page{}, false, ErrUnknown
+		return page{}, ErrUnknown
 	}
-	page = follow.Page{Next: c.next, Age: time.Since(c.proven)}
+	p := page{next: c.next, age: time.Since(c.proven)}
 	for _, r := range c.known {
 		if r.Offset >= from {
-			page.Records = append(page.Records, r)
+			p.records = append(p.records, c.told(r))
 		}
 	}
-	slices.SortFunc(page.Records, func(a, b follow.Record) int { return int(a.Offset - b.Offset) })
-	if n := fitting(page.Records, most); n < len(page.Records) {
-		page.Next = page.Records[n].Offset
-		page.Records = page.Records[:n]
-		more = true
+	slices.SortFunc(p.records, func(a, b toldRecord) int { return int(a.Offset - b.Offset) })
+	if n := fitting(p.records, most); n < len(p.records) {
+		p.next, p.records, p.more = p.records[n].Offset, p.records[:n], true
+	}
+	return p, nil
+}
+
+// told returns a record as it is told. Long ones are compressed once.
+func (c *Copy) told(r follow.Record) toldRecord {
+	if len(r.Value) < longValue {
+		return toldRecord{Record: r}
+	}
+	if known, ok := c.long[r.Key]; ok && known.Offset == r.Offset {
+		return known
+	}
+	if c.long == nil {
+		c.long = make(map[string]toldRecord)
 	}
-	return page, more, nil
+	c.long[r.Key] = told(r)
+	return c.long[r.Key]
 }
 
 // fitting returns how many of the first records an answer of so many bytes holds, at least one.
-func fitting(records []follow.Record, most int) int {
+func fitting(records []toldRecord, most int) int {
 	bytes := 0
 	for i := range records {
-		bytes += len(records[i].Key) + base64.StdEncoding.EncodedLen(len(records[i].Value)) + recordBytes
+		bytes += records[i].bytes()
 		if i > 0 && bytes > most {
 			return i
 		}
--- a/internal/relay/copy_test.go
+++ b/internal/relay/copy_test.go
@@ -19,8 +19,8 @@
 	long := record("c", "w"+strings.Repeat("x", datagram.MaxBytes), 10)
 	batch := follow.Batch{Records: []follow.Record{long}, Next: 11, ProvenAt: time.Now()}
 	c.Apply(batch)
-	page, _, err := c.Since(10, answerBytes)
+	p, err := c.Since(10, answerBytes)
 	must.NoError(t, err)
-	test.Eq(t, []follow.Record{record("c", "wxx", 10)}, page.Records)
+	test.Eq(t, tell(record("c", "wxx", 10)), p.records)
 	test.Eq(t, long, batch.Records[0])
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
@@ -32,6 +33,23 @@
 	return r
 }
 
+// tell returns records as they are told.
+func tell(records ...follow.Record) []toldRecord {
+	var list []toldRecord
+	for _, r := range records {
+		list = append(list, told(r))
+	}
+	return list
+}
+
+// noise is text of a length that doesn't get shorter when it is compressed.
+func noise(n int) string {
+	random := rand.NewChaCha8([32]byte{1})
+	data := make([]byte, n)
+	_, _ = random.Read(data)
+	return string(data)
+}
+
 // sameFirst takes values with the same first letter for the same.
 func sameFirst(before, after []byte) bool { return before[0] == after[0] }
 
@@ -80,7 +98,7 @@
 // too long or not there.
 func TestAsksAnotherNode(t *testing.T) {
 	long := filled(time.Now())
-	long.Apply(follow.Batch{Records: []follow.Record{record("long", strings.Repeat("x", datagram.MaxBytes), 10)}, Next: 11, ProvenAt: time.Now()})
+	long.Apply(follow.Batch{Records: []follow.Record{record("long", noise(datagram.MaxBytes), 10)}, Next: 11, ProvenAt: time.Now()})
 	old := filled(time.Now().Add(-MaxAge))
 	young := filled(time.Now().Add(-time.Second))
 	young.Apply(follow.Batch{Records: []follow.Record{record("b", "z", 10)}, Next: 11, ProvenAt: time.Now().Add(-time.Second)})
@@ -134,6 +152,37 @@
 	test.True(t, topic.Relayed())
 }
 
+// TestLongConfigurationsAreTold reads a configuration of 50 routes, which no message holds, from
+// another node.
+func TestLongConfigurationsAreTold(t *testing.T) {
+	value := strings.Repeat(`{"name":"r-uk82esn","hostname":"xara68.example","path-prefix":"/bohu524/","timeout-ms":800},`, 250)
+	held := filled(time.Now())
+	held.Apply(follow.Batch{Records: []follow.Record{record("config", value, 10)}, Next: 11, ProvenAt: time.Now()})
+	own, _ := relayOf(t, nil)
+	_, reader := relayOf(t, held)
+	store := &storeTopic{}
+	page, err := patientTopic(own, store, reader).Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.Eq(t, []follow.Record{record("config", value, 10)}, page.Records)
+	test.Eq(t, 0, store.reads)
+}
+
+// TestOldestCopy believes an older copy of a topic whose reads wait longer.
+func TestOldestCopy(t *testing.T) {
+	own, _ := relayOf(t, nil)
+	_, reader := relayOf(t, filled(time.Now().Add(-2*MaxAge)))
+	store := &storeTopic{}
+	topic := patientTopic(own, store, reader)
+	topic.MaxAge = 3 * MaxAge
+	_, err := topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.Eq(t, 0, store.reads)
+	topic.MaxAge = 0
+	_, err = topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.Eq(t, 1, store.reads)
+}
+
 // TestAsksABackup reads from a node that the store serves where it serves this one not,
 // and reports the store's own error where that one can't tell either.
 func TestAsksABackup(t *testing.T) {
@@ -214,7 +263,7 @@
 func TestStoreIsAskedForLongRecords(t *testing.T) {
 	own, _ := relayOf(t, nil)
 	held := filled(time.Now())
-	held.Apply(follow.Batch{Records: []follow.Record{record("config", strings.Repeat("x", datagram.MaxBytes), 10)}, Next: 11, ProvenAt: time.Now()})
+	held.Apply(follow.Batch{Records: []follow.Record{record("config", noise(datagram.MaxBytes), 10)}, Next: 11, ProvenAt: time.Now()})
 	_, reader := relayOf(t, held)
 	store := &storeTopic{away: true}
 	topic := patientTopic(own, store, reader)
@@ -293,7 +342,8 @@
 
 func (c slowCopy) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
 	time.Sleep(300 * time.Millisecond)
-	page, _, err := c.Since(from, answerBytes)
+	p, err := c.Since(from, answerBytes)
+	page := follow.Page{Next: p.next, Age: p.age}
 	time.Sleep(700 * time.Millisecond)
 	return page, err
 }
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -23,8 +23,9 @@
 	// askTimeout bounds a question to a node, which is a ms away. A small host that is
 	// busy answers within some ten ms.
 	askTimeout = 150 * time.Millisecond
-	// MaxAge is the oldest copy that is believed: twice the wait of a read of the store,
-	// which its age is on a calm day, with a margin. An older one has lost the store.
+	// MaxAge is the oldest copy that is believed, unless Topic says otherwise: twice the wait of a
+	// read of the store, which its age is on a calm day, with a margin. An older one has lost the
+	// store.
 	MaxAge = 2500 * time.Millisecond
 )
 
@@ -46,9 +47,9 @@
 
 // answer is what changed.
 type answer struct {
-	Records []follow.Record `json:"records,omitempty"`
-	Next    int64           `json:"next"`
-	AgeUS   int64           `json:"age_us"` // microseconds
+	Records []toldRecord `json:"records,omitempty"`
+	Next    int64        `json:"next"`
+	AgeUS   int64        `json:"age_us"` // microseconds
 	// More is true where there are more records, from Next on. Such an answer proves nothing: the
 	// last one does, for all.
 	More bool `json:"more,omitempty"`
@@ -80,11 +81,11 @@
 	if c == nil {
 		return nil, eris.Errorf("unknown topic %q", q.Topic)
 	}
-	page, more, err := c.Since(q.From, answerBytes)
+	p, err := c.Since(q.From, answerBytes)
 	if err != nil {
 		return nil, err
 	}
-	return answer{Records: page.Records, Next: page.Next, AgeUS: page.Age.Microseconds(), More: more}, nil
+	return answer{Records: p.records, Next: p.next, AgeUS: p.age.Microseconds(), More: p.more}, nil
 }
 
 // Topic is a topic that is read from other nodes' copies where there are any, from the
@@ -102,7 +103,9 @@
 	// reader tells that its own copy is old: it will tell when the store is back. Nil means
 	// none.
 	Fallback func() time.Duration
-	Log      zerolog.Logger
+	// MaxAge is the oldest copy that is believed where reads wait longer; 0 for the package's.
+	MaxAge time.Duration
+	Log    zerolog.Logger
 
 	turn    int       // the reader or backup that is asked
 	failed  time.Time // when the store failed last
@@ -165,6 +168,14 @@
 // Relayed reports whether the newest read was answered by another node.
 func (t *Topic) Relayed() bool { return t.relayed.Load() }
 
+// maxAge returns the oldest copy that is believed.
+func (t *Topic) maxAge() time.Duration {
+	if t.MaxAge > 0 {
+		return t.MaxAge
+	}
+	return MaxAge
+}
+
 // note logs where the topic is read from, when that changes.
 func (t *Topic) note(relayed bool, cause error) {
 	if t.relayed.Swap(relayed) != relayed {
@@ -206,24 +217,30 @@
 	if err != nil {
 		return follow.Page{}, false, err
 	}
-	page, err = a.page(from)
+	page, err = a.page(from, t.maxAge())
 	return page, a.More, err
 }
 
 // page returns what an answer to a question from an offset on tells. What can't be an answer is
 // refused: an age before the question or beyond the range of durations would make the copy
 // fresher than it is, and offsets out of range would have records passed over.
-func (a *answer) page(from int64) (follow.Page, error) {
+func (a *answer) page(from int64, most time.Duration) (follow.Page, error) {
 	if a.AgeUS < 0 || a.Next < 0 || a.More && a.Next <= from {
 		return follow.Page{}, eris.Errorf("an answer of age %d µs up to offset %d", a.AgeUS, a.Next)
 	}
+	if a.AgeUS >= most.Microseconds() {
+		return follow.Page{}, eris.Wrapf(errOld, "%d µs", a.AgeUS)
+	}
+	page := follow.Page{Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}
 	for i := range a.Records {
 		if offset := a.Records[i].Offset; offset < from || offset >= a.Next {
 			return follow.Page{}, eris.Errorf("a record at offset %d from %d to %d", offset, from, a.Next)
 		}
+		whole, err := a.Records[i].whole()
+		if err != nil {
+			return follow.Page{}, err
+		}
+		page.Records = append(page.Records, whole)
 	}
-	if a.AgeUS >= MaxAge.Microseconds() {
-		return follow.Page{}, eris.Wrapf(errOld, "%d µs", a.AgeUS)
-	}
-	return follow.Page{Records: a.Records, Next: a.Next, Age: time.Duration(a.AgeUS+1) * time.Microsecond}, nil
+	return page, nil
 }
