Choose among engines to which a connection is kept and two others, in large systems

Cause: every node of a failure domain chose the best of all 41 engines by load that is 0.1 to 0.3 s old, and by a session's home. An engine that came or was emptied looked best to all 59 nodes at once, and each node used all engines seldom, so that most prompts took a new connection. Homes gain nothing there: an engine's memory turns over in 2 s, in which a session comes back to the same domain in one of a hundred prompts.

Ruled out: late loads alone; with the same loads and domains balanced the queues stayed.

Change: a node chooses among the engines to which it keeps a connection and two random ones of its domain; homes count in small systems alone.

--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -16,6 +16,9 @@
 	// awayChoices is the number of random engines of another domain of which the best is taken:
 	// all nodes that looked for the best of all would find the same one between two messages.
 	awayChoices = 3
+	// freshChoices is the number of random engines of the own domain among which a prompt is
+	// placed, beside those to which a connection is kept.
+	freshChoices = 2
 )
 
 // use is how much of the engines of a failure domain is in use.
@@ -38,14 +41,32 @@
 // in one of five domains and 0.85 times in another, and two thirds of all slots in use, of the
 // former's prompts 0.71 were worth what they could be, of the latter's 0.88.
 func (s *search) reach(candidates []*fleet.Member) []*fleet.Member {
+	if s.Whole() {
+		return candidates
+	}
 	near := s.near(candidates)
-	if len(near) == len(candidates) {
-		return near
+	if len(near) < len(candidates) {
+		if away := s.away(candidates); len(away) > 0 {
+			return away
+		}
 	}
-	if away := s.away(candidates); len(away) > 0 {
-		return away
+	return s.choices(near)
+}
+
+// choices returns the engines to which this node keeps a connection, and a few random others. An
+// engine that is new, or back empty, looks the least busy to all nodes between two messages: with
+// all of them choosing among all, it gets what they all place in that time. And a node that uses
+// few engines often opens fewer connections than one that uses all seldom.
+func (s *search) choices(near []*fleet.Member) []*fleet.Member {
+	var kept, others []*fleet.Member
+	for _, m := range near {
+		if m.Pool.Kept(s.now) {
+			kept = append(kept, m)
+		} else {
+			others = append(others, m)
+		}
 	}
-	return near
+	return append(kept, s.some(others, freshChoices)...)
 }
 
 // away returns a few engines of another failure domain, or none where the prompt is to stay.
--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -86,3 +86,34 @@
 		test.Positive(t, went[fmt.Sprint("south", i)], test.Sprint("south", i))
 	}
 }
+
+// TestNewEngineDrawsFewNodes has the nodes of a failure domain place prompts between two messages on
+// one another's load, when an engine has just come. To all of them it looks the least busy; it gets
+// a share that is bounded by the number of engines of which each chooses. Before, it got all.
+func TestNewEngineDrawsFewNodes(t *testing.T) {
+	w := newWorld(t, source{})
+	w.Whole = func() bool { return false }
+	random := rand.New(rand.NewPCG(3, 4))
+	w.Random = random.Float64
+	const engines, prompts = 40, 2000
+	for i := range engines {
+		w.Fleet.Update(&fleet.Endpoint{
+			ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: slotsEach,
+			Weights: []fleet.Weights{{Model: model, Version: 1}},
+		}, time.Now())
+	}
+	for _, m := range w.Fleet.Members("s") {
+		for range 9 {
+			if m.ID != "e0" {
+				m.Load.Begin(500, 6000)
+			}
+		}
+	}
+	went := make(map[string]int)
+	for range prompts {
+		p, ok := w.Place(query())
+		test.True(t, ok)
+		went[p.Member.ID]++
+	}
+	test.Between(t, prompts/engines, went["e0"], 3*prompts/engines, test.Sprint("neither all nor unused"))
+}
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -98,11 +98,11 @@
 	return placement
 }
 
-// home returns the engine on which all nodes, in a large system all of a failure
-// domain, place a session by preference; nil for a prompt without a session.
+// home returns the engine on which all nodes of a small system place a session by preference; nil
+// for a prompt without a session.
 func (p *Placer) home(q *forward.Query) *fleet.Member {
 	parts := q.Attributes.Parts
-	if len(parts) < 2 {
+	if len(parts) < 2 || !p.Whole() {
 		return nil
 	}
 	members := p.near(p.Fleet.Members(q.Service.Name))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,6 +52,14 @@
 // Dials returns the number of connections opened so far.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
+// Kept reports whether a connection is kept that may be used now. It may have broken since.
+func (p *Pool) Kept(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && now.Before(p.idle[n-1].usable)
+}
+
 // conn is one connection with its read buffer.
 type conn struct {
 	net.Conn
