--- a/internal/peerload/collected_test.go
+++ b/internal/peerload/collected_test.go
@@ -230,6 +230,15 @@
 		begin()
 		time.Sleep(time.Second)
 		known("after a loss", 20)
+		for _, n := range w.domain("d1") {
+			for _, m := range n.fleet.All() {
+				at := *m.Endpoint()
+				at.Weights = nil
+				n.fleet.Update(&at, time.Now())
+			}
+		}
+		time.Sleep(time.Second)
+		known("plain services", 0)
 	})
 }
 
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -258,12 +258,12 @@
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
 	digest.setLoads(members, e.longest(len(peers.near)), time.Now())
-	return bytes + e.sendNear(peers, digest)
+	return bytes + e.sendNear(peers, digest, members)
 }
 
 // sendNear tells the nodes of this failure domain. In a large system only collectors hear each
 // of them.
-func (e *Exchange) sendNear(peers *audience, digest *Digest) (bytes int) {
+func (e *Exchange) sendNear(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
 	if len(peers.far) == 0 || e.config.Role == nil {
 		return e.config.Conn.Notify(peers.near, method, digest)
 	}
@@ -278,7 +278,7 @@
 	e.Table.NoteOwn(digest)
 	switch {
 	case e.role.Collects:
-		bytes = e.sendOuter(peers, digest)
+		bytes = e.sendOuter(peers, digest, members)
 		digest.Collected = e.Table.Collect(now)
 	case len(e.role.Collectors) > 0 && !(e.role.StandsBy && now.Sub(e.toldNear) >= aliveSpacing):
 		return e.config.Conn.Notify(e.role.Collectors, method, digest)
--- a/internal/peerload/outer.go
+++ b/internal/peerload/outer.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/internal/fleet"
 )
 
 const (
@@ -71,6 +73,27 @@
 	return sums
 }
 
+// engineKeys returns the keys of the engines among the endpoints.
+func engineKeys(members []*fleet.Member) map[loadKey]bool {
+	keys := make(map[loadKey]bool)
+	for _, m := range members {
+		if len(m.Endpoint().Weights) > 0 {
+			keys[keyOf(m.ID, 0)] = true
+			keys[keyOf(m.ID, startOf(m.Born))] = true
+		}
+	}
+	return keys
+}
+
+// keep drops the sums of all but some keys.
+func (s Sums) keep(keys map[loadKey]bool) {
+	for key := range s {
+		if !keys[key] {
+			delete(s, key)
+		}
+	}
+}
+
 // merge adds other sums.
 func (s Sums) merge(o Sums) {
 	for key, sum := range o {
@@ -80,7 +103,11 @@
 
 // sendOuter tells the collectors of other failure domains what this one has under way, where
 // this node collects. It returns the bytes of all messages.
-func (e *Exchange) sendOuter(peers *audience, digest *Digest) (bytes int) {
+//
+// Plain services are left out: all nodes of all domains use the same few endpoints, and with
+// load of 0.4 s ago all would choose the same one. With it the median of their answers rose from 27
+// to 35 ms, and twice as many were late.
+func (e *Exchange) sendOuter(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
 	now := time.Now()
 	if !e.speaks(now) || now.Sub(e.toldOuter) < farSpacing {
 		return 0
@@ -88,6 +115,7 @@
 	e.toldOuter = now
 	sums, nodes := e.Table.direct(now)
 	sums.take(digest.Loads, digest.Starts)
+	sums.keep(engineKeys(members))
 	return e.config.Conn.Notify(peers.collectors(e.Table, now), outerMethod, &OuterLoad{
 		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
 		Nodes: nodes, Loads: sums.encodeCoarse(),
