Send prompts only to failure domains whose load is known

Cause: found by reading the change again. A node that was told nothing of a domain's load, as the collectors there are lost or cut off, took its engines for empty and sent up to half of its prompts there. In domains of four nodes this held always: each node there hears as many nodes as the collectors do, and went by what these tell themselves, without the other domains.

Change: collectors say of which domains they tell; prompts go to those alone. What a collector tells is used unless the node hears more nodes itself; collectors go by what they hear.

Tests, which fail before: TestUnknownDomainsGetNothing, TestSmallDomainsKnowTheOthers.

--- a/internal/peerload/collected.go
+++ b/internal/peerload/collected.go
@@ -40,6 +40,8 @@
 	// Outer are the sums of what the nodes of other failure domains have under way, as
 	// encodeCoarse writes them.
 	Outer []byte `json:"outer,omitempty"`
+	// Domains are the other failure domains that Outer tells of.
+	Domains []string `json:"domains,omitempty"`
 	// Told names the digest of each node that is in it: a key of 4 bytes for the node's start
 	// and the low 4 bytes of the digest's number, little-endian.
 	Told []byte `json:"told,omitempty"`
@@ -62,10 +64,11 @@
 
 // heardCollected is what a collector told.
 type heardCollected struct {
-	nodes  int
-	late   []Late
-	orders []ToldOrders
-	at     time.Time
+	nodes   int
+	late    []Late
+	orders  []ToldOrders
+	domains []string // other failure domains that it tells of
+	at      time.Time
 
 	// told is the rest, with the collector's own loads, and own this node's digest that is in
 	// it, or nil.
@@ -114,6 +117,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.own = nodeKey(d.Node, d.Incarnation)
+	t.collects = d.Collected != nil
 	if len(t.ownDigests) == keptDigests {
 		t.ownDigests = slices.Delete(t.ownDigests, 0, 1)
 	}
@@ -139,7 +143,8 @@
 		c.takeSeen(d.Seen, now.Sub(p.at))
 	}
 	c.Loads = sums.encode()
-	c.Outer = t.outer(now).encodeCoarse()
+	outer, domains := t.outer(now)
+	c.Outer, c.Domains = outer.encodeCoarse(), domains
 	for addr, ms := range t.directLate(now) {
 		c.Late = append(c.Late, Late{Addr: addr, MS: int(ms)})
 	}
@@ -206,7 +211,7 @@
 	if c == nil {
 		return nil
 	}
-	heard := &heardCollected{nodes: c.Nodes, late: c.Late, orders: c.Orders, at: now, told: c, loads: d.Loads, starts: d.Starts}
+	heard := &heardCollected{nodes: c.Nodes, late: c.Late, orders: c.Orders, domains: c.Domains, at: now, told: c, loads: d.Loads, starts: d.Starts}
 	if seq, ok := c.includes(t.own); ok {
 		heard.own = t.ownDigest(seq)
 	}
@@ -238,8 +243,9 @@
 	return now.Sub(c.at), true
 }
 
-// collected returns what a collector tells, where it covers clearly more nodes than are heard
-// directly. Of several that hear nearly as many nodes, the newest counts.
+// collected returns what a collector tells, unless the peers that are heard directly are more, and at
+// a collector also where they are nearly as many. Of several that hear nearly as many nodes, the
+// newest counts.
 func (t *Table) collected(now time.Time) *heardCollected {
 	direct, most := 0, 0
 	for _, p := range t.peers {
@@ -251,7 +257,10 @@
 			most = max(most, p.collected.nodes)
 		}
 	}
-	if clearMajority*float64(most) <= float64(direct) {
+	if most == 0 || float64(most) < clearMajority*float64(direct) {
+		return nil
+	}
+	if t.collects && clearMajority*float64(most) <= float64(direct) {
 		return nil
 	}
 	var best *heardCollected
--- a/internal/peerload/collected_test.go
+++ b/internal/peerload/collected_test.go
@@ -242,6 +242,32 @@
 	})
 }
 
+// TestSmallDomainsKnowTheOthers has the nodes of failure domains of four know the load of the others',
+// though each hears as many nodes of its own as the collectors do, and know of none when the
+// collectors of all others are lost.
+func TestSmallDomainsKnowTheOthers(t *testing.T) {
+	const there = "i-0000000001"
+	play(t, 16, 4, 8, func(t *testing.T, w *network) {
+		for _, n := range w.domain("d1") {
+			n.begin(there)
+		}
+		time.Sleep(2 * time.Second)
+		for _, n := range w.domain("d0") {
+			test.Eq(t, []string{"d1", "d2", "d3"}, n.Table.Domains(time.Now()), test.Sprint(n.config.Node))
+			test.Eq(t, 4, n.Table.Loads(time.Now()).Of(there, 0).Running, test.Sprint(n.config.Node))
+		}
+		for _, domain := range []string{"d1", "d2", "d3"} {
+			for _, n := range w.domain(domain) {
+				n.kill()
+			}
+		}
+		time.Sleep(4 * time.Second)
+		for _, n := range w.domain("d0") {
+			test.SliceEmpty(t, n.Table.Domains(time.Now()), test.Sprint(n.config.Node))
+		}
+	})
+}
+
 // TestCoarseSums tells tokens in units, and refuses what is cut short.
 func TestCoarseSums(t *testing.T) {
 	data := Sums{keyOf("e", 0): {Running: 3, Reading: 20_000, Holding: 99_000, failures: 7}, keyOf("f", 0): {failures: 9}}.encodeCoarse()
--- a/internal/peerload/outer.go
+++ b/internal/peerload/outer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,15 +63,29 @@
 	return nil
 }
 
-// outer returns the sums of all other failure domains.
-func (t *Table) outer(now time.Time) Sums {
-	sums := make(Sums)
-	for _, o := range t.outers {
+// outer returns the sums of all other failure domains of which load was told lately, and these.
+func (t *Table) outer(now time.Time) (sums Sums, domains []string) {
+	sums = make(Sums)
+	for domain, o := range t.outers {
 		if now.Sub(o.at) <= outerFresh {
 			sums.merge(o.sums)
+			domains = append(domains, domain)
 		}
 	}
-	return sums
+	slices.Sort(domains)
+	return sums, domains
+}
+
+// Domains returns the other failure domains whose nodes' load Loads tells of. The engines of
+// others look empty, as nobody tells what they have under way.
+func (t *Table) Domains(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.collected(now); c != nil {
+		return c.domains
+	}
+	_, domains := t.outer(now)
+	return domains
 }
 
 // engineKeys returns the keys of the engines among the endpoints.
--- a/internal/peerload/sum.go
+++ b/internal/peerload/sum.go
@@ -93,7 +93,8 @@
 		return c.load()
 	}
 	sums, _ := t.heardDirectly(now)
-	sums.merge(t.outer(now))
+	outer, _ := t.outer(now)
+	sums.merge(outer)
 	return sums
 }
 
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -27,6 +27,7 @@
 	most   int // the largest number of nodes seen at once
 	// own stands for this node's start, and ownDigests are its newest digests.
 	own        uint32
+	collects   bool // this node is a collector
 	ownDigests []*ownDigest
 }
 
--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -69,9 +69,14 @@
 	return append(kept, s.some(others, freshChoices)...)
 }
 
-// away returns a few engines of another failure domain, or none where the prompt is to stay.
+// away returns a few engines of another failure domain, or none where the prompt is to stay. Domains
+// count whose load is known: others' engines would look empty.
 func (s *search) away(candidates []*fleet.Member) []*fleet.Member {
-	uses, all := s.uses(candidates)
+	known := s.Peers.Domains(s.now)
+	if len(known) == 0 {
+		return nil
+	}
+	uses, all := s.uses(candidates, known)
 	own := slices.IndexFunc(uses, func(u *use) bool { return u.domain == s.Domain })
 	if own < 0 {
 		return nil
@@ -87,10 +92,14 @@
 	return s.some(to.engines, awayChoices)
 }
 
-// uses returns how much of the engines is in use, by failure domain and of all.
-func (s *search) uses(candidates []*fleet.Member) (byDomain []*use, all use) {
+// uses returns how much of the engines is in use, by failure domain and of all of this one and the
+// known ones.
+func (s *search) uses(candidates []*fleet.Member, known []string) (byDomain []*use, all use) {
 	for _, m := range candidates {
 		at := m.Endpoint()
+		if at.Domain != s.Domain && !slices.Contains(known, at.Domain) {
+			continue
+		}
 		i := slices.IndexFunc(byDomain, func(u *use) bool { return u.domain == at.Domain })
 		if i < 0 {
 			i = len(byDomain)
--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/peerload"
 )
 
 // slotsEach is the number of slots of the engines here.
@@ -21,6 +23,9 @@
 	w.Whole = func() bool { return false }
 	random := rand.New(rand.NewPCG(1, 2))
 	w.Random = random.Float64
+	for _, domain := range []string{"south", "west"} {
+		must.NoError(t, w.Peers.TakeOuter(&peerload.OuterLoad{Node: "n", Domain: domain, Incarnation: 1, Seq: 1}, time.Now()))
+	}
 	for domain, running := range map[string]int{"north": north, "south": south, "west": west} {
 		for i := range 4 {
 			w.Fleet.Update(&fleet.Endpoint{
@@ -67,6 +72,29 @@
 	}
 }
 
+// TestUnknownDomainsGetNothing keeps prompts from a failure domain that nobody tells the load of, as
+// its collectors are lost or cut off: its engines look empty.
+func TestUnknownDomainsGetNothing(t *testing.T) {
+	w := newDomains(t, 12, 6, 0)
+	w.Peers = peerload.NewTable()
+	for range 100 {
+		p, ok := w.Place(query())
+		test.True(t, ok)
+		test.Eq(t, "north", p.Member.Endpoint().Domain)
+	}
+	must.NoError(t, w.Peers.TakeOuter(&peerload.OuterLoad{Node: "n", Domain: "south", Incarnation: 1, Seq: 1}, time.Now()))
+	south := 0
+	for range 100 {
+		p, ok := w.Place(query())
+		test.True(t, ok)
+		test.NotEq(t, "west", p.Member.Endpoint().Domain)
+		if p.Member.Endpoint().Domain == "south" {
+			south++
+		}
+	}
+	test.Positive(t, south)
+}
+
 // TestAwayPromptsSpread has prompts that go to another failure domain use all its engines, though
 // one looks the least busy to all nodes.
 func TestAwayPromptsSpread(t *testing.T) {
