--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -35,13 +34,6 @@
 	storeRetryMost = time.Second
 	// stopMargin is kept of the grace time for the process's own end.
 	stopMargin = 500 * time.Millisecond
-	// memoryShare is the part of the host's memory from which the collector works
-	// harder; stacks, buffers in the kernel and the program itself need the rest.
-	memoryShare = 0.6
-	// collectAt is how much the heap grows, in percent, until it is collected. A node holds 2 to 8 MB,
-	// which at 100 were collected each 1 to 2 s, a seventh of its processor time; a host has 112 MB
-	// and more.
-	collectAt = 200
 
 	// leaseMargin is added to the lease bound before another node gives orders, for
 	// the way of the last order.
@@ -82,8 +74,7 @@
 // New opens the node's listeners and puts its services together. load reads the
 // boot file anew, in case it changes.
 func New(boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(boot.MemoryBytes)))
-	debug.SetGCPercent(collectAt)
+	limitMemory(boot.MemoryBytes)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.Grace - stopMargin),
 		fleet:  fleet.New(log),
--- a/internal/peerload/collected_test.go
+++ b/internal/peerload/collected_test.go
@@ -148,41 +148,6 @@
 	})
 }
 
-// TestCollectedLoadsTravelWhole decodes sums as they were, and refuses what is cut short.
-func TestCollectedLoadsTravelWhole(t *testing.T) {
-	want := Sums{keyOf("e", 0): {Running: 3, Reading: 20_000, Holding: 99_000, failures: 120, witnesses: 2}, keyOf("f", 7): {Running: 1}}
-	data := want.encode()
-	got := make(Sums)
-	must.NoError(t, got.addEncoded(data))
-	test.Eq(t, want, got)
-	for n := 1; n < len(data); n++ {
-		got := make(Sums)
-		if err := got.addEncoded(data[:n]); err == nil {
-			test.Less(t, len(want), len(got), test.Sprint(n, " bytes"))
-		}
-	}
-	test.SliceEmpty(t, Sums{keyOf("e", 0): {}}.encode(), test.Sprint("nothing to say"))
-}
-
-// FuzzCollected: an error, or sums within what digests carry.
-func FuzzCollected(f *testing.F) {
-	f.Add(Sums{keyOf("e", 0): {Running: 3, Reading: 20_000, Holding: 99_000}}.encode())
-	f.Add([]byte{1, 2, 3, 4, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1, 0, 0, 0})
-	f.Fuzz(func(t *testing.T, data []byte) {
-		sums := make(Sums)
-		checked := checkSums(data, sumFields)
-		if err := sums.addEncoded(data); err != nil {
-			test.Error(t, checked)
-			return
-		}
-		test.NoError(t, checked)
-		for _, s := range sums {
-			test.True(t, min(s.Running, s.Reading, s.Holding, s.failures, s.witnesses) >= 0)
-			test.True(t, max(s.Running, s.Reading, s.Holding, s.failures, s.witnesses) <= mostCounted*len(data))
-		}
-	})
-}
-
 // TestCollectorOfFewIsPassedOver uses the collector that hears most nodes, the newer of two that
 // hear nearly as many, and the peers themselves where they are as many.
 func TestCollectorOfFewIsPassedOver(t *testing.T) {
@@ -201,85 +166,6 @@
 	test.Eq(t, 0, running(now.Add(2*Fresh)), test.Sprint("too old"))
 }
 
-// TestOtherDomainsAreKnown has all nodes know within a second what the nodes of other failure
-// domains have under way at engines there and here, and so when the collectors there are lost.
-func TestOtherDomainsAreKnown(t *testing.T) {
-	const here, there = "i-0000000000", "i-0000000001"
-	play(t, 60, 3, siteEngines, func(t *testing.T, w *network) {
-		known := func(what string, want int) {
-			t.Helper()
-			for _, n := range w.domain("d0") {
-				loads := n.Table.Loads(time.Now())
-				test.Eq(t, want, loads.Of(there, 0).Running, test.Sprint(what, " ", n.config.Node))
-				test.Eq(t, want, loads.Of(here, 0).Running, test.Sprint(what, " ", n.config.Node))
-			}
-		}
-		begin := func() {
-			for _, n := range w.domain("d1")[5:15] {
-				n.begin(there)
-				n.begin(here)
-			}
-		}
-		begin()
-		time.Sleep(time.Second)
-		known("first", 10)
-		for _, n := range w.domain("d1")[:2] {
-			n.kill()
-		}
-		time.Sleep(3 * time.Second)
-		begin()
-		time.Sleep(time.Second)
-		known("after a loss", 20)
-		for _, n := range w.domain("d1") {
-			for _, m := range n.fleet.All() {
-				at := *m.Endpoint()
-				at.Weights = nil
-				n.fleet.Update(&at, time.Now())
-			}
-		}
-		time.Sleep(time.Second)
-		known("plain services", 0)
-	})
-}
-
-// TestSmallDomainsKnowTheOthers has the nodes of failure domains of four know the load of the others',
-// though each hears as many nodes of its own as the collectors do, and know of none when the
-// collectors of all others are lost.
-func TestSmallDomainsKnowTheOthers(t *testing.T) {
-	const there = "i-0000000001"
-	play(t, 16, 4, 8, func(t *testing.T, w *network) {
-		for _, n := range w.domain("d1") {
-			n.begin(there)
-		}
-		time.Sleep(2 * time.Second)
-		for _, n := range w.domain("d0") {
-			test.Eq(t, []string{"d1", "d2", "d3"}, n.Table.Domains(time.Now()), test.Sprint(n.config.Node))
-			test.Eq(t, 4, n.Table.Loads(time.Now()).Of(there, 0).Running, test.Sprint(n.config.Node))
-		}
-		for _, domain := range []string{"d1", "d2", "d3"} {
-			for _, n := range w.domain(domain) {
-				n.kill()
-			}
-		}
-		time.Sleep(4 * time.Second)
-		for _, n := range w.domain("d0") {
-			test.SliceEmpty(t, n.Table.Domains(time.Now()), test.Sprint(n.config.Node))
-		}
-	})
-}
-
-// TestCoarseSums tells tokens in units, and refuses what is cut short.
-func TestCoarseSums(t *testing.T) {
-	data := Sums{keyOf("e", 0): {Running: 3, Reading: 20_000, Holding: 99_000, failures: 7}, keyOf("f", 0): {failures: 9}}.encodeCoarse()
-	test.Len(t, coarseLeast, data)
-	got := make(Sums)
-	must.NoError(t, got.addCoarse(data))
-	test.Eq(t, Sums{keyOf("e", 0): {Running: 3, Reading: 20 * coarseTokens, Holding: 97 * coarseTokens}}, got)
-	for n := 1; n < len(data); n++ {
-		test.Error(t, make(Sums).addCoarse(data[:n]), test.Sprint(n, " bytes"))
-	}
-}
-
 // TestCollectedIsDecodedWhenAsked allocates next to nothing for the word of a collector that no
 // placement asks for. With all decoded as they came, loads were 45 of 100 bytes that a node of 295
 // allocated.
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
@@ -87,47 +85,6 @@
 	Collectors []netip.AddrPort
 }
 
-// Peer is another node.
-type Peer struct {
-	Node   string // its name
-	Addr   string // IP:PORT
-	Domain string // failure domain; empty if not known
-}
-
-// audience are the nodes that messages go to.
-type audience struct {
-	// near are the nodes that hear of this node's load: all of a small system, else
-	// those of its failure domain.
-	near []netip.AddrPort
-	far  []netip.AddrPort // the others
-	// farByDomain are the latter by failure domain, with their names.
-	farByDomain map[string][]namedAddr
-}
-
-// namedAddr is a node with its address.
-type namedAddr struct {
-	node string
-	addr netip.AddrPort
-}
-
-// collectors returns the nodes of other failure domains that tell the others there: those that
-// speak for theirs, or all of a domain of which no speaker was heard lately.
-func (a *audience) collectors(t *Table, now time.Time) []netip.AddrPort {
-	if a.farByDomain == nil {
-		return a.far
-	}
-	var addrs []netip.AddrPort
-	for domain, nodes := range a.farByDomain {
-		speakers := t.speakers(domain, now)
-		for _, n := range nodes {
-			if len(speakers) == 0 || speakers[n.node] {
-				addrs = append(addrs, n.addr)
-			}
-		}
-	}
-	return addrs
-}
-
 // Exchange sends this node's digests and takes those of its peers.
 type Exchange struct {
 	Table *Table
@@ -166,37 +123,6 @@
 	return e
 }
 
-// SetPeers replaces the nodes that digests go to. Wrong addresses are left out.
-func (e *Exchange) SetPeers(peers []Peer) {
-	own := e.config.Conn.Addr()
-	whole := pace.Whole(len(peers))
-	next := &audience{farByDomain: make(map[string][]namedAddr)}
-	for _, p := range peers {
-		if p.Addr == own {
-			continue
-		}
-		addr, err := netip.ParseAddrPort(p.Addr)
-		if err != nil {
-			e.log.Warn().Str("event", "peer_rejected").Str("addr", p.Addr).Err(err).Send()
-			continue
-		}
-		if whole || p.Domain == "" || p.Domain == e.config.Domain {
-			next.near = append(next.near, addr)
-		} else {
-			next.far = append(next.far, addr)
-			next.farByDomain[p.Domain] = append(next.farByDomain[p.Domain], namedAddr{p.Node, addr})
-		}
-	}
-	e.peers.Store(next)
-}
-
-// Whole reports whether the nodes tell one another everything, rather than those of
-// each failure domain.
-func (e *Exchange) Whole() bool {
-	peers := e.peers.Load()
-	return peers == nil || len(peers.far) == 0
-}
-
 // Run sends until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	sent := 0
@@ -225,13 +151,6 @@
 	}
 }
 
-func (e *Exchange) listeners() int {
-	if peers := e.peers.Load(); peers != nil {
-		return len(peers.near)
-	}
-	return 0
-}
-
 // Kick has a message sent soon, since this node's load has changed. It never waits.
 func (e *Exchange) Kick() {
 	select {
@@ -353,40 +272,3 @@
 	}
 	return d
 }
-
-// learnVersions takes over what peers were told by engines of their weights. It counts from
-// when these said it, so that a late digest does no harm.
-func (e *Exchange) learnVersions(seen []Seen, now time.Time) {
-	if len(seen) == 0 {
-		return
-	}
-	byID := make(map[string]*fleet.Member)
-	for _, m := range e.config.Members() {
-		byID[m.ID] = m
-	}
-	for i := range seen {
-		for at, id := range seen[i].Endpoints {
-			if m := byID[id]; m != nil {
-				m.Heard(seen[i].statement(at, now))
-			}
-		}
-	}
-}
-
-// take notes what a peer tells.
-func (e *Exchange) take(params json.RawMessage) (any, error) {
-	var d Digest
-	if err := json.Unmarshal(params, &d); err != nil {
-		return nil, eris.Wrap(err, "decode a digest")
-	}
-	if err := d.check(); err != nil {
-		return nil, err
-	}
-	now := time.Now()
-	e.Table.Take(d, now)
-	e.learnVersions(d.Seen, now)
-	if d.Collected != nil {
-		e.learnVersions(d.Collected.Seen, now)
-	}
-	return nil, nil
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
 	"net/netip"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,66 +16,6 @@
 	"github.com/cherryward/cherryward/internal/follow"
 )
 
-// drop takes batches and keeps nothing.
-type drop struct{}
-
-func (drop) Apply(follow.Batch) {}
-
-func record(key, value string, offset int64) follow.Record {
-	r := follow.Record{Key: key, Offset: offset}
-	if value != "" {
-		r.Value = []byte(value)
-	}
-	return r
-}
-
-// tell returns records as they are told.
-func tell(records ...follow.Record) []toldRecord {
-	var list []toldRecord
-	for _, r := range records {
-		list = append(list, told(r))
-	}
-	return list
-}
-
-// noise is text of a length that doesn't get shorter when it is compressed.
-func noise(n int) string {
-	random := rand.NewChaCha8([32]byte{1})
-	data := make([]byte, n)
-	_, _ = random.Read(data)
-	return string(data)
-}
-
-// sameFirst takes values with the same first letter for the same.
-func sameFirst(before, after []byte) bool { return before[0] == after[0] }
-
-func filled(provenAt time.Time) *Copy {
-	c := &Copy{Sink: drop{}, Same: sameFirst}
-	c.Apply(follow.Batch{Snapshot: true, Records: []follow.Record{record("a", "x1", 3), record("b", "y1", 7)}, Next: 10, ProvenAt: provenAt})
-	return c
-}
-
-// storeTopic counts reads, and can be away.
-type storeTopic struct {
-	mu    sync.Mutex
-	reads int
-	away  bool
-}
-
-var errAway = errors.New("away")
-
-func (s *storeTopic) Newest(context.Context) (follow.Page, error) { return follow.Page{Next: 10}, nil }
-
-func (s *storeTopic) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reads++
-	if s.away {
-		return follow.Page{}, errAway
-	}
-	return follow.Page{Next: from}, nil
-}
-
 // relayOf returns a relay that runs, with a copy of the topic t if there is one.
 func relayOf(t *testing.T, c *Copy) (*Relay, netip.AddrPort) {
 	t.Helper()
@@ -129,60 +65,6 @@
 // none are no nodes to ask.
 func none() []netip.AddrPort { return nil }
 
-// TestLongListsAreTold reads more records than an answer holds from another node, without the store,
-// and passes all of them on with the age that the last answer told.
-func TestLongListsAreTold(t *testing.T) {
-	const records = 400
-	held := filled(time.Now().Add(-time.Second))
-	var want []follow.Record
-	for i := range int64(records) {
-		want = append(want, record(fmt.Sprint("n", i), strings.Repeat("x", 200), 10+i))
-	}
-	held.Apply(follow.Batch{Records: want, Next: 10 + records, ProvenAt: time.Now().Add(-time.Second)})
-	own, _ := relayOf(t, nil)
-	_, reader := relayOf(t, held)
-	store := &storeTopic{}
-	topic := patientTopic(own, store, reader)
-	page, err := topic.Read(t.Context(), 10, 0)
-	must.NoError(t, err)
-	test.Eq(t, want, page.Records)
-	test.Eq(t, 10+records, page.Next)
-	test.GreaterEq(t, time.Second, page.Age)
-	test.Eq(t, 0, store.reads)
-	test.True(t, topic.Relayed())
-}
-
-// TestLongConfigurationsAreTold reads a configuration of 50 routes, which no message holds, from
-// another node.
-func TestLongConfigurationsAreTold(t *testing.T) {
-	value := strings.Repeat(`{"name":"r-uk82esn","hostname":"xara68.example","path-prefix":"/bohu524/","timeout-ms":800},`, 250)
-	held := filled(time.Now())
-	held.Apply(follow.Batch{Records: []follow.Record{record("config", value, 10)}, Next: 11, ProvenAt: time.Now()})
-	own, _ := relayOf(t, nil)
-	_, reader := relayOf(t, held)
-	store := &storeTopic{}
-	page, err := patientTopic(own, store, reader).Read(t.Context(), 10, 0)
-	must.NoError(t, err)
-	test.Eq(t, []follow.Record{record("config", value, 10)}, page.Records)
-	test.Eq(t, 0, store.reads)
-}
-
-// TestOldestCopy believes an older copy of a topic whose reads wait longer.
-func TestOldestCopy(t *testing.T) {
-	own, _ := relayOf(t, nil)
-	_, reader := relayOf(t, filled(time.Now().Add(-2*MaxAge)))
-	store := &storeTopic{}
-	topic := patientTopic(own, store, reader)
-	topic.MaxAge = 3 * MaxAge
-	_, err := topic.Read(t.Context(), 10, 0)
-	must.NoError(t, err)
-	test.Eq(t, 0, store.reads)
-	topic.MaxAge = 0
-	_, err = topic.Read(t.Context(), 10, 0)
-	must.NoError(t, err)
-	test.Eq(t, 1, store.reads)
-}
-
 // TestAsksABackup reads from a node that the store serves where it serves this one not,
 // and reports the store's own error where that one can't tell either.
 func TestAsksABackup(t *testing.T) {
