Have a stopping holder of orders give its claim back

Six nodes stop and start in turn, and each takes 8 s to stop. The holder's last order was at 20.9 s and its claim ended at 21.9; the only node that was not stopping had started at 25.0, read of the claim then for the first time, and waited for the whole claim and the lease bound from there: the next order came at 32.2.

Ruled out: a contender that was stopped in the midst of its claim (no other claim record came).

--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -259,6 +259,7 @@
 func (s *Service) give(ctx context.Context, held *claim.Claim, looks []look) {
 	for i := range looks {
 		l := &looks[i]
+		s.ordered = time.Now()
 		order := s.orderFor(held, l)
 		at := target{endpoint: l.member.Endpoint(), born: l.job.born}
 		s.underWay.Go(func() { s.order(ctx, held, at, order) })
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -77,6 +77,7 @@
 	leads  atomic.Bool
 
 	underWay sync.WaitGroup // orders
+	ordered  time.Time      // when the newest order was given
 	lost     atomic.Bool    // an order told that the claim is
 }
 
@@ -174,6 +175,9 @@
 	s.closed.Store(nil)
 	stop()
 	s.underWay.Wait()
+	if ctx.Err() != nil {
+		s.giveBack(held.Load())
+	}
 	s.Log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
 		Dur("left_ms", held.Load().Remaining()).Send()
 }
@@ -199,6 +203,21 @@
 	return &held
 }
 
+// giveBack ends the claim of a node that stops, once the lease bound has passed since its last order,
+// as it would have before the claim ran out by itself.
+//
+// Without it a node that starts meanwhile waits for the whole claim and the lease bound from when it
+// first read of the claim. With six nodes that stop and start in turn, each taking 8 s, nobody gave
+// orders for 9.3 s of a simulated day, and engines kept replaced weights past the bound.
+func (s *Service) giveBack(held *claim.Claim) {
+	time.Sleep(time.Until(s.ordered.Add(orderTimeout + s.Lease)))
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	if err := held.Release(ctx); err != nil {
+		s.Log.Warn().Str("event", "claim_not_released").Int64("token", held.Token()).AnErr("error", err).Send()
+	}
+}
+
 // Leads reports whether this node holds the claim on orders.
 func (s *Service) Leads() bool { return s.leads.Load() }
 
