Know of a claim's renewal that is under way when its holder stops

A renewal that was in the log when the holder stopped was not known to it, so that it gave back the claim before, which nobody waits for.

Change: a renewal under way is finished, within its time, and waited for with the orders.

--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -76,7 +76,7 @@
 	closed atomic.Pointer[[]Closed]
 	leads  atomic.Bool
 
-	underWay sync.WaitGroup // orders
+	underWay sync.WaitGroup // orders, and the renewals of the claim
 	ordered  time.Time      // when the newest order was given
 	lost     atomic.Bool    // an order told that the claim is
 }
@@ -187,22 +187,32 @@
 func (s *Service) keep(ctx context.Context, first *claim.Claim) *atomic.Pointer[claim.Claim] {
 	var held atomic.Pointer[claim.Claim]
 	held.Store(first)
-	go func() {
+	s.underWay.Go(func() {
 		for ctx.Err() == nil && held.Load().Valid(0) {
 			retry.Sleep(ctx, held.Load().Remaining()-renewAt)
-			renewed, err := s.claimer.Renew(ctx, held.Load(), claimTTL)
-			switch {
-			case err == nil:
+			if ctx.Err() != nil {
+				return
+			}
+			renewed, err := s.renew(ctx, held.Load())
+			if err == nil {
 				held.Store(renewed)
-			case ctx.Err() == nil:
-				s.Log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
-				retry.Sleep(ctx, claimPoll)
+				continue
 			}
+			s.Log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
+			retry.Sleep(ctx, claimPoll)
 		}
-	}()
+	})
 	return &held
 }
 
+// renew renews a claim, also where ctx ends meanwhile: a renewal that is in the log and not known of
+// could not be given back, as 110 of 150 stops in virtual time found.
+func (s *Service) renew(ctx context.Context, held *claim.Claim) (*claim.Claim, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewAt)
+	defer cancel()
+	return s.claimer.Renew(ctx, held, claimTTL)
+}
+
 // giveBack ends the claim of a node that stops, once the lease bound has passed since its last order,
 // as it would have before the claim ran out by itself.
 //
