--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -62,50 +62,51 @@
 	if pace.Whole(r.Nodes()) {
 		return nil, false
 	}
-	r.mu.Lock()
-	near := r.near
-	r.mu.Unlock()
-	addrs = make([]netip.AddrPort, 0, domainReaders)
-	for _, n := range near {
-		if n.name == r.node {
-			return nil, true
-		}
-		if !r.heard(n.name) {
-			continue
-		}
-		if addrs = append(addrs, n.addr); len(addrs) == domainReaders {
-			return addrs, false
-		}
+	role := r.rank(r.neighboursNow())
+	if role.Collects || len(role.Collectors) < domainReaders {
+		return nil, role.Collects // else its own entry is not there yet
 	}
-	return nil, false // its own entry is not there yet
+	return role.Collectors, false
 }
 
 // role returns this node's part in telling loads: the readers collect. Until its own entry is
 // there it tells all itself.
 func (r *roster) role() peerload.Role {
+	near := r.neighboursNow()
+	if !slices.ContainsFunc(near, func(n neighbour) bool { return n.name == r.node }) {
+		return peerload.Role{}
+	}
+	return r.rank(near)
+}
+
+// neighboursNow returns the nodes of this failure domain as they were listed last.
+func (r *roster) neighboursNow() []neighbour {
 	r.mu.Lock()
-	near := r.near
-	r.mu.Unlock()
-	var role peerload.Role
-	before := 0 // nodes ahead of this one that are heard
-	own := -1
+	defer r.mu.Unlock()
+	return r.near
+}
+
+// rank returns who of the neighbours, in their order, are the readers, and whether this node is one
+// of them or of those that stand by. Who isn't heard doesn't count.
+func (r *roster) rank(near []neighbour) (role peerload.Role) {
+	rank := 0
 	for _, n := range near {
-		if n.name == r.node {
-			own = before
+		self := n.name == r.node
+		if !self && !r.heard(n.name) {
 			continue
 		}
-		if !r.heard(n.name) {
-			continue
-		}
-		if before++; own < 0 && before <= domainReaders || own >= 0 && own < domainReaders && before < domainReaders {
+		switch {
+		case rank < domainReaders && self:
+			role.Collects = true
+		case rank < domainReaders:
 			role.Collectors = append(role.Collectors, n.addr)
+		case self:
+			role.StandsBy = true
+		}
+		if rank++; rank == domainReaders+domainStandbys {
+			break
 		}
 	}
-	if own < 0 {
-		return peerload.Role{}
-	}
-	role.Collects = own < domainReaders
-	role.StandsBy = !role.Collects && own < domainReaders+domainStandbys
 	return role
 }
 
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -52,6 +52,7 @@
 	if b.Snapshot {
 		// What was removed before the snapshot is not known.
 		c.known = make(map[string]follow.Record, len(b.Records))
+		c.long = make(map[string]toldRecord)
 		c.first = b.Next
 	}
 	for _, r := range b.Records {
@@ -99,17 +100,14 @@
 
 // told returns a record as it is told. Long ones are compressed once.
 func (c *Copy) told(r follow.Record) toldRecord {
-	if len(r.Value) < longValue {
-		return toldRecord{Record: r}
-	}
 	if known, ok := c.long[r.Key]; ok && known.Offset == r.Offset {
 		return known
 	}
-	if c.long == nil {
-		c.long = make(map[string]toldRecord)
+	t := told(r)
+	if t.Deflated != nil {
+		c.long[r.Key] = t
 	}
-	c.long[r.Key] = told(r)
-	return c.long[r.Key]
+	return t
 }
 
 // fitting returns how many of the first records an answer of so many bytes holds, at least one.
