Make no timer for a wait that is over before it begins

A collector has nothing to wait for between two messages, and waited on a timer of no time. Such a timer fires on the goroutine that asks for it. In a synctest bubble all timers share one race context (runtime/time.go, unlockAndRun), so two nodes' timers that fire so at once, or one beside those of the bubble's own loop, use one thread state of the race detector from two threads.

Ruled out: the timers of the test's network.

Change: awaitKick and retry.Sleep return at once where there is nothing to wait for. A node saves a timer for each message of a collector. One of those runs showed a data race of a test, too: it replaced a function of a running exchange. The test's node holds what it speaks for under its lock.

--- a/coord/retry/policy.go
+++ b/coord/retry/policy.go
@@ -165,8 +165,12 @@
 	}
 }
 
-// Sleep waits and reports whether the context outlived the wait.
+// Sleep waits and reports whether the context outlived the wait. A wait that is over before it
+// begins makes no timer.
 func Sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/peerload/collected_test.go
+++ b/internal/peerload/collected_test.go
@@ -126,15 +126,13 @@
 	play(t, 60, 3, 0, func(t *testing.T, w *network) {
 		near := w.domain("d0")
 		for _, n := range near[:2] {
-			n.config.Neighbours = func() Neighbours {
-				var others []string
-				for _, o := range near {
-					if o != n {
-						others = append(others, o.config.Node)
-					}
+			var others []string
+			for _, o := range near {
+				if o != n {
+					others = append(others, o.config.Node)
 				}
-				return Neighbours{Others: others, Speaks: true}
 			}
+			n.vouchFor(others)
 		}
 		time.Sleep(3 * time.Second)
 		var members Members
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -140,8 +140,15 @@
 	return nil
 }
 
-// awaitKick returns after d, or when a message is to be sent soon.
+// awaitKick returns after d, or when a message is to be sent soon; at once where d has passed.
+//
+// No timer is made then: one that fires on the goroutine which waits for it, beside another of
+// the same synctest bubble, ends the race detector's runtime, as these share one race context
+// there (a SIGSEGV, or its own check of an epoch).
 func (e *Exchange) awaitKick(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/peerload/network_test.go
+++ b/internal/peerload/network_test.go
@@ -42,8 +42,9 @@
 	down   bool
 	leads  bool
 	closed []weights.Closed
-	heard  int // messages
-	sent   int // messages
+	others []string // the nodes of the domain that it vouches for, if the test says
+	heard  int      // messages
+	sent   int      // messages
 }
 
 var _ Conn = (*networkNode)(nil)
@@ -113,6 +114,24 @@
 	return n.closed, n.leads
 }
 
+// vouchFor has the node speak for others of its domain.
+func (n *networkNode) vouchFor(others []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.others = others
+}
+
+// neighbours are those that the node speaks for.
+func (n *networkNode) neighbours() Neighbours {
+	n.mu.Lock()
+	others := n.others
+	n.mu.Unlock()
+	if others == nil {
+		return Neighbours{Speaks: n.role().Collects}
+	}
+	return Neighbours{Others: others, Speaks: true}
+}
+
 // role is the node's part, by the order of its number in its failure domain.
 func (n *networkNode) role() Role {
 	var role Role
@@ -177,8 +196,7 @@
 		n.Exchange = New(Config{
 			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All,
 			Late: func() []Late { return nil }, Names: func() []Named { return []Named{{Model: "m", Oldest: 1}} },
-			Neighbours: func() Neighbours { return Neighbours{Speaks: n.role().Collects} },
-			Orders:     n.orders, Role: n.role,
+			Neighbours: n.neighbours, Orders: n.orders, Role: n.role,
 		})
 		w.nodes[n.addr] = n
 		peers = append(peers, Peer{Node: n.config.Node, Addr: n.Addr(), Domain: n.domain})
