Wake one goroutine, not 40, to see which stores others still tell of

Cause: at a node to which others tell what stores keep, the follower of each of 40 stores slept until that word lapses, and found it renewed.

Change: followers of told stores wait without a timer; one goroutine looks when the next of them may lapse.

--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -38,6 +38,7 @@
 
 	mu     sync.Mutex
 	cancel map[*Holder]context.CancelFunc
+	lapses *lapses // nil until the first Follow
 	wg     sync.WaitGroup
 	clock  atomic.Pointer[clockReading]
 }
@@ -86,6 +87,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.Replace(engines, stores)
+	if x.lapses == nil {
+		x.lapses = newLapses()
+		x.wg.Go(func() { x.lapses.run(ctx) })
+	}
 	next := x.view.Load()
 	for _, h := range next.engines {
 		x.start(ctx, h)
@@ -150,10 +155,8 @@
 	failures := 0
 	for ctx.Err() == nil {
 		begun := time.Now()
-		if left := h.relayedFor(begun); left > 0 {
-			// All stores of one answer wake together: looks of their own, each 200 ms, were
-			// 200 wake-ups a second at a node of 40 stores.
-			retry.Sleep(ctx, left)
+		if h.relayedFor(begun) > 0 {
+			x.lapses.wait(ctx, h)
 			continue
 		}
 		wait, pause := x.Pace(h)
