Count heard nodes only when a new one is heard

Cause: a node counted all nodes that it hears at each message, some 30 a second, to remember the most that were there at once. In a profile of 59 nodes in one process (204 engines, 40 stores, 10 prompts a second and node) it took 2.1 s of the 14.2 s that nodes spend beside requests.

Change: only a node that wasn't listed can make them more, so only then is counted. Between two new ones nodes can only leave the list, so the largest number is the same.

--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -66,14 +66,18 @@
 func (t *Table) Take(d Digest, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.peers[d.Node]
+	known, listed := t.peers[d.Node]
 	if d.Incarnation < known.digest.Incarnation || d.Incarnation == known.digest.Incarnation && d.Seq <= known.digest.Seq {
 		return
 	}
 	collected := t.takeCollected(&d, now)
 	d.Collected = nil // what it says is kept there
 	t.peers[d.Node] = heard{digest: d, at: now, names: promises(known.names, d.Names, now), collected: collected}
-	t.most = max(t.most, t.count(now))
+	// Only a new node can make them more: counted at each message, they were a seventh of the
+	// processor time of what nodes do beside requests, as 59 nodes in one process were profiled.
+	if !listed {
+		t.most = max(t.most, t.count(now))
+	}
 }
 
 // Late returns how much later than expected fetches from holders come, in ms, by their
