Judge each attempt by its own cause

Cause: a request that was withdrawn from one endpoint, since its weights got too old, kept that cause for its next attempts. A success at another endpoint then didn't count for that one's health, and an endpoint that had failed before stayed disliked.

Change: the cause is cleared as an attempt begins.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -150,8 +150,9 @@
 	return result.New(result.EndpointBrokeOff, result.WithRunState(result.MayHaveRun))
 }
 
-// attempt sends the request once.
+// attempt sends the request once. The cause is this attempt's afterwards, nil where it delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
+	x.cause = nil
 	p.Attempt.Remaining = time.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := p.Member.Load
--- a/internal/forward/withdraw_plain_test.go
+++ b/internal/forward/withdraw_plain_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/standin/modelserver"
 )
 
 // TestWithdrawsNoAnswerThatComes leaves an endpoint alone whose plain answer is on its way by the
@@ -41,3 +44,24 @@
 		})
 	}
 }
+
+// TestSuccessAfterAWithdrawal counts the success of an endpoint for its health, though the request was
+// withdrawn from another one before.
+func TestSuccessAfterAWithdrawal(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer silent.Close()
+	good := modelserver.New(modelserver.Config{ID: serverID(1), Service: "servers"})
+	back := httptest.NewServer(good.Handler())
+	defer back.Close()
+	w := &world{}
+	w.open(t, []string{strings.TrimPrefix(silent.URL, "http://"), strings.TrimPrefix(back.URL, "http://")})
+	w.order.beginWithin = 100 * time.Millisecond
+	health := &w.order.members[1].Health
+	now := time.Now()
+	health.Failed(now, false)
+	before := health.FailureRate(now)
+	got := w.do(t, http.MethodGet, recordPath, "", nil)
+	must.Eq(t, http.StatusOK, got.status)
+	test.Less(t, before, health.FailureRate(now))
+	test.Eq(t, 0, w.order.members[0].Health.FailureRate(now), test.Sprint("this node withdrew it"))
+}
