Tell what a store keeps in pages

Cause: a message holds some 750 parts of a store. Stores of 2.4 million tokens keep more once they are full, as after a loss of power, and were left out: nodes that start then asked these themselves after 4 s, were refused (each store answers few readers at once), and asked ever more seldom.

--- a/internal/kept/journal.go
+++ b/internal/kept/journal.go
@@ -22,16 +22,14 @@
 	changes []Change
 }
 
-// note takes what followed a number. After a gap, or what was kept as a whole, the journal
-// begins anew.
+// note takes what followed a number. After a gap the journal begins anew.
 func (j *journal) note(since int64, e *Events) {
-	anew := e.Gap || e.Whole
-	if !j.begun || anew {
+	if !j.begun || e.Gap {
 		j.begun = true
 		j.first = since
 		j.changes = nil
 	}
-	if anew {
+	if e.Gap {
 		j.first = e.Next
 		return
 	}
@@ -58,13 +56,23 @@
 	Addr  string `json:"addr"`
 	Epoch int64  `json:"epoch"`
 	Next  int64  `json:"next"` // the first number that it lacks
+	// Copied is what it has of a snapshot, where it knows nothing else of the store.
+	Copied *copied `json:"copied,omitempty"`
 }
 
+// unknown reports whether the node knows nothing of the store, or a part of a snapshot.
+func (p *Position) unknown() bool { return p.Epoch == 0 && p.Next == 0 }
+
 // Position returns how far the holder's events are known.
 func (h *Holder) Position() Position {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Position{Addr: h.Addr, Epoch: h.epoch, Next: h.next}
+	p := Position{Addr: h.Addr, Epoch: h.epoch, Next: h.next}
+	if h.copied.Pages > 0 {
+		so := h.copied
+		p.Copied = &so
+	}
+	return p
 }
 
 // Since returns up to most changes that another node lacks, and false where only the
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -32,7 +32,7 @@
 	Epoch   int64 // changes when the holder restarts, which empties it
 	Next    int64 // to ask from next time
 	Gap     bool  // older events are no longer there
-	Whole   bool  // Changes are all that is kept, for a node that knows nothing of the holder yet
+	Whole   *Page // Changes are a part of all that is kept, for a node that knows nothing of it yet
 	Changes []Change
 	Unread  int   // events that could not be read, which are not among Changes
 	ClockMS int64 // the engines' clock, which all share
@@ -72,7 +72,8 @@
 	saving map[Part]time.Time // that this node had sent to a store
 	lost   bool               // the last question failed
 	recent journal            // what other nodes may ask for
-	copied snapshot           // what nodes that start were told last
+	told   snapshot           // what nodes that start were told last
+	copied copied             // what another node told of a snapshot so far
 }
 
 // NewHolder returns a holder of which nothing is known yet.
@@ -151,10 +152,14 @@
 func (h *Holder) apply(e *Events) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if e.Whole && h.next > 0 {
-		return // the holder itself has answered meanwhile
+	if e.Whole != nil {
+		h.copyPage(e)
+		return
 	}
 	h.lost = false
+	if h.copied.Pages > 0 {
+		h.clearParts() // the holder itself tells all, and what was told so far may be older
+	}
 	if e.Epoch != h.epoch {
 		h.epoch = e.Epoch
 		if h.next > 0 {
@@ -164,7 +169,11 @@
 	}
 	h.recent.note(h.next, e)
 	h.next = e.Next
-	for _, c := range e.Changes {
+	h.setAll(e.Changes)
+}
+
+func (h *Holder) setAll(changes []Change) {
+	for _, c := range changes {
 		h.set(c.Part, c.Tokens)
 		delete(h.saving, c.Part)
 	}
@@ -173,14 +182,19 @@
 // restarted forgets what was kept. Events are numbered anew, so all are asked for. On
 // the first contact there is nothing to forget, and saves may be under way already.
 func (h *Holder) restarted() {
-	clear(h.parts)
-	clear(h.salts)
+	h.clearParts()
 	clear(h.saving)
 	h.recent = journal{}
-	h.used = 0
 	h.next = 0
 }
 
+func (h *Holder) clearParts() {
+	clear(h.parts)
+	clear(h.salts)
+	h.used = 0
+	h.copied = copied{}
+}
+
 func (h *Holder) set(p Part, tokens int) {
 	before, known := h.parts[p]
 	h.used += tokens - before
--- a/internal/kept/peers.go
+++ b/internal/kept/peers.go
@@ -34,8 +34,8 @@
 	// around them.
 	wholeBytes = datagram.MaxBytes * 7 / 8
 	storeBytes = 100
-	// mostAnswers bounds the answers to one look, one for each of so many stores.
-	mostAnswers = 64
+	// mostAnswers bounds the answers to one look: 100,000 parts in half as many pages.
+	mostAnswers = 500
 )
 
 // Peers has few nodes of a large system ask the stores for their events, and the others
@@ -64,8 +64,10 @@
 type toldStore struct {
 	Position
 	Changes packed `json:"changes,omitempty"`
-	// Whole is all that the store kept before Next, packed and compressed, in place of Changes.
+	// Whole is a page of all that the store kept before Next, as pagesOf makes them, in place of
+	// Changes.
 	Whole []byte `json:"whole,omitempty"`
+	Page  *Page  `json:"page,omitempty"` // which one it is
 }
 
 // Serve answers other nodes. It must be called before the connection runs.
@@ -106,19 +108,22 @@
 		if store == nil || !asked[i].unknown() {
 			continue
 		}
-		s, ok := store.whole()
-		needs := base64.StdEncoding.EncodedLen(len(s.data)) + storeBytes
-		if !ok || needs > wholeBytes {
+		s, ok := store.snapshot()
+		if !ok {
 			continue // only the store itself can tell
 		}
-		if needs > room {
-			answer.More = len(answer.Events) > 0
-			return
+		for number := s.after(asked[i].Copied); number < len(s.pages); number++ {
+			page := s.pages[number]
+			room -= base64.StdEncoding.EncodedLen(len(page)) + storeBytes
+			if room < 0 {
+				answer.More = len(answer.Events) > 0
+				return
+			}
+			answer.Events = append(answer.Events, toldStore{
+				Position: Position{Addr: store.Addr, Epoch: s.epoch, Next: s.next},
+				Whole:    page, Page: &Page{Number: number, Of: len(s.pages)},
+			})
 		}
-		room -= needs
-		answer.Events = append(answer.Events, toldStore{
-			Position: Position{Addr: store.Addr, Epoch: s.epoch, Next: s.next}, Whole: s.data,
-		})
 	}
 }
 
@@ -140,9 +145,6 @@
 	}
 }
 
-// unknown reports whether the node knows nothing of the store yet.
-func (p *Position) unknown() bool { return p.Epoch == 0 && p.Next == 0 }
-
 // store returns the store at an address, or nil.
 func (x *Index) store(addr string) *Holder {
 	for _, h := range x.Stores() {
@@ -217,12 +219,17 @@
 
 // events returns what a node tells of a store.
 func (t *toldStore) events() (*Events, error) {
-	if len(t.Whole) > 0 {
-		s := snapshot{epoch: t.Epoch, next: t.Next, data: t.Whole}
-		return s.events()
+	e := &Events{Epoch: t.Epoch, Next: t.Next, Whole: t.Page}
+	var err error
+	switch {
+	case t.Page == nil:
+		e.Changes, err = t.Changes.unpack()
+	case t.Page.Number < 0 || t.Page.Number >= t.Page.Of:
+		err = eris.Errorf("page %d of %d", t.Page.Number, t.Page.Of)
+	default:
+		e.Changes, err = inflatePage(t.Whole)
 	}
-	changes, err := t.Changes.unpack()
-	return &Events{Epoch: t.Epoch, Next: t.Next, Changes: changes}, err
+	return e, err
 }
 
 // Told reports whether other nodes have told of all stores, which are not to be asked then.
--- a/internal/kept/snapshot_test.go
+++ b/internal/kept/snapshot_test.go
@@ -51,7 +51,7 @@
 	reader.Index.view.Store(&view{stores: siteStores()})
 	asker.Index.view.Store(&view{stores: siteStores()})
 	for i, h := range reader.Index.Stores() {
-		h.apply(siteParts(i, 500))
+		h.apply(siteParts(i, 300+50*i))
 	}
 	answers := 0
 	for more := true; more; answers++ {
@@ -59,7 +59,7 @@
 		more, err = asker.askOnce(t.Context(), addr)
 		must.NoError(t, err)
 	}
-	test.LessEq(t, 41, answers, test.Sprint("of ", datagram.MaxBytes, " bytes at most"))
+	test.LessEq(t, 150, answers, test.Sprint("of ", datagram.MaxBytes, " bytes at most"))
 	test.True(t, asker.Index.Told(time.Now()))
 	for i, h := range asker.Index.Stores() {
 		want := reader.Index.Stores()[i]
@@ -119,57 +119,125 @@
 	}
 }
 
-// TestStoreAnswersFirst keeps what the store itself told meanwhile.
+// pagesOfStore returns what a node tells of a store as a whole, a page each.
+func pagesOfStore(t *testing.T, h *Holder) []*Events {
+	t.Helper()
+	s, ok := h.snapshot()
+	must.True(t, ok)
+	var list []*Events
+	for i := range s.pages {
+		told := toldStore{Position: Position{Epoch: s.epoch, Next: s.next}, Whole: s.pages[i], Page: &Page{Number: i, Of: len(s.pages)}}
+		e, err := told.events()
+		must.NoError(t, err)
+		list = append(list, e)
+	}
+	return list
+}
+
+// TestStoreAnswersFirst keeps what the store itself tells before or between the pages of another
+// node's snapshot, which may be older.
 func TestStoreAnswersFirst(t *testing.T) {
+	for told := range 4 {
+		reader, asker := newStore(), newStore()
+		reader.apply(siteParts(1, 3*pageParts-9))
+		pages := pagesOfStore(t, reader)
+		must.Len(t, 3, pages)
+		for _, e := range pages[:told] {
+			asker.apply(e)
+		}
+		later := siteParts(1, 20)
+		if told == len(pages) {
+			test.Eq(t, reader.parts, asker.parts)
+			test.Eq(t, reader.Position(), asker.Position())
+			later = &Events{Epoch: 8, Next: reader.next + 1}
+		}
+		asker.apply(later)
+		position, parts := asker.Position(), len(asker.parts)
+		if told < len(pages) {
+			test.Eq(t, 20, parts)
+			test.Eq(t, 20*400+19*10, asker.used)
+		}
+		for _, e := range pages {
+			asker.apply(e)
+		}
+		test.Eq(t, position, asker.Position())
+		test.MapLen(t, parts, asker.parts)
+	}
+}
+
+// TestPagesThatDontFollow drops pages that aren't the next ones of the same snapshot, and begins
+// anew with the first one of another.
+func TestPagesThatDontFollow(t *testing.T) {
 	reader, asker := newStore(), newStore()
-	reader.apply(&Events{Epoch: 5, Next: 3, Changes: changes(1, 3)})
-	s, ok := reader.whole()
-	must.True(t, ok)
-	asker.apply(&Events{Epoch: 5, Next: 9, Changes: changes(1, 9)})
-	e, err := s.events()
-	must.NoError(t, err)
-	before := asker.Position()
-	asker.apply(e)
-	test.Eq(t, before, asker.Position())
-	test.MapLen(t, 7, asker.parts)
+	reader.apply(siteParts(1, 3*pageParts))
+	old := pagesOfStore(t, reader)
+	reader.apply(&Events{Epoch: 8, Next: reader.next + toldSlack + 1})
+	s, _ := reader.snapshot()
+	pages := pagesOfStore(t, reader)
+	asker.apply(old[1])
+	test.Nil(t, asker.Position().Copied)
+	asker.apply(old[0])
+	test.Eq(t, 0, s.after(asker.Position().Copied), test.Sprint("of another snapshot"))
+	asker.apply(pages[1])
+	test.MapLen(t, pageParts, asker.parts)
+	asker.apply(pages[0])
+	asker.apply(pages[0])
+	test.Eq(t, 1, s.after(asker.Position().Copied))
+	asker.apply(pages[1])
+	position := asker.Position()
+	test.True(t, position.unknown())
+	asker.apply(pages[2])
+	test.Eq(t, reader.Position(), asker.Position())
+	test.Eq(t, reader.parts, asker.parts)
+	test.Eq(t, reader.used, asker.used)
+	_, ok := asker.Since(Position{Epoch: 8, Next: 5}, 9)
+	test.False(t, ok, test.Sprint("it doesn't know what happened before"))
 }
 
 // TestSnapshotIsMadeOnce tells the same snapshot for some events, for it to be made once for many
 // nodes, and another one after more, after a restart of the store, and none of a lost store.
 func TestSnapshotIsMadeOnce(t *testing.T) {
 	h := newStore()
-	_, ok := h.whole()
+	_, ok := h.snapshot()
 	test.False(t, ok, test.Sprint("nothing is known"))
-	for n := int64(1); n <= copiedSlack+1; n++ {
+	for n := int64(1); n <= toldSlack+1; n++ {
 		h.apply(&Events{Epoch: 5, Next: n + 1, Changes: changes(n, n+1)})
-		s, ok := h.whole()
+		s, ok := h.snapshot()
 		must.True(t, ok)
 		test.Eq(t, 2, s.next)
 	}
-	h.apply(&Events{Epoch: 5, Next: copiedSlack + 3, Changes: changes(copiedSlack+2, copiedSlack+3)})
-	s, _ := h.whole()
-	test.Eq(t, copiedSlack+3, s.next)
+	h.apply(&Events{Epoch: 5, Next: toldSlack + 3, Changes: changes(toldSlack+2, toldSlack+3)})
+	s, _ := h.snapshot()
+	test.Eq(t, toldSlack+3, s.next)
 	h.apply(&Events{Epoch: 6, Next: 2})
-	_, ok = h.whole()
+	_, ok = h.snapshot()
 	test.False(t, ok, test.Sprint("all events are to be asked for anew"))
 	h.apply(&Events{Epoch: 6, Next: 2, Changes: changes(1, 2)})
-	s, ok = h.whole()
+	s, ok = h.snapshot()
 	test.True(t, ok)
 	test.Eq(t, 6, s.epoch)
 	h.failed()
-	_, ok = h.whole()
+	_, ok = h.snapshot()
 	test.False(t, ok)
 }
 
-// TestSnapshotThatIsNone refuses what whole doesn't make.
-func TestSnapshotThatIsNone(t *testing.T) {
-	long, err := deflate(make([]byte, mostWhole+1))
+// TestPageThatIsNone refuses what pagesOf doesn't make.
+func TestPageThatIsNone(t *testing.T) {
+	long, err := deflate(make([]byte, mostPage+1))
 	must.NoError(t, err)
 	short, err := deflate([]byte{1, 9})
 	must.NoError(t, err)
-	for _, data := range [][]byte{{1, 2, 3}, long, short} {
-		s := snapshot{data: data}
-		_, err := s.events()
+	good, err := deflate(packChanges(nil))
+	must.NoError(t, err)
+	for _, told := range []toldStore{
+		{Whole: []byte{1, 2, 3}, Page: &Page{Of: 1}},
+		{Whole: long, Page: &Page{Of: 1}},
+		{Whole: short, Page: &Page{Of: 1}},
+		{Page: &Page{Of: 1}},
+		{Whole: good, Page: &Page{Number: 1, Of: 1}},
+		{Whole: good, Page: &Page{Number: -1, Of: 1}},
+	} {
+		_, err := told.events()
 		test.Error(t, err)
 	}
 }
@@ -226,16 +294,20 @@
 
 func (*refusing) Free(context.Context, string, []Part, int64) error { return nil }
 
-// FuzzSnapshot takes any bytes for what a store keeps.
-func FuzzSnapshot(f *testing.F) {
+// FuzzPage takes any bytes for a page of what a store keeps.
+func FuzzPage(f *testing.F) {
 	data, err := deflate(packChanges(siteChanges(2)))
 	must.NoError(f, err)
-	f.Add(data)
-	f.Add([]byte{0, 0})
-	f.Fuzz(func(t *testing.T, data []byte) {
-		s := snapshot{data: data}
-		if e, err := s.events(); err == nil {
-			newStore().apply(e)
+	f.Add(data, 0, 1)
+	f.Add([]byte{0, 0}, 1, 2)
+	f.Fuzz(func(t *testing.T, data []byte, number, of int) {
+		told := toldStore{Position: Position{Epoch: 3, Next: 4}, Whole: data, Page: &Page{Number: number, Of: of}}
+		e, err := told.events()
+		if err != nil {
+			return
 		}
+		h := newStore()
+		h.apply(e)
+		test.True(t, h.next == 4 == (number == 0 && of == 1))
 	})
 }
