--- a/internal/kept/snapshot_test.go
+++ b/internal/kept/snapshot_test.go
@@ -272,7 +272,7 @@
 			x.Relayed = func() bool { return relayed }
 			ctx, cancel := context.WithCancel(t.Context())
 			x.Follow(ctx, nil, []*Holder{newStore()})
-			time.Sleep(20 * time.Second)
+			time.Sleep(20*time.Second - eventsRetry/2)
 			cancel()
 			x.Wait()
 			if relayed {
