--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -172,6 +172,7 @@
 	h.setAll(e.Changes)
 }
 
+// setAll notes what is kept of parts now. A save of them is no longer under way.
 func (h *Holder) setAll(changes []Change) {
 	for _, c := range changes {
 		h.set(c.Part, c.Tokens)
@@ -188,6 +189,7 @@
 	h.next = 0
 }
 
+// clearParts forgets what is kept, but not what was sent to be saved.
 func (h *Holder) clearParts() {
 	clear(h.parts)
 	clear(h.salts)
--- a/internal/kept/peers.go
+++ b/internal/kept/peers.go
@@ -33,7 +33,7 @@
 	// takes in it beyond its changes or pages.
 	answerBytes = datagram.MaxBytes - 1<<10
 	storeBytes  = 100
-	// mostAnswers bounds the answers to one look: 100,000 parts in half as many pages.
+	// mostAnswers bounds the answers to one look: 41 stores of 1,300 parts each take 119.
 	mostAnswers = 500
 )
 
@@ -80,7 +80,8 @@
 
 // tell returns what this node knows beyond the positions: all of the stores of which the asker knows
 // nothing, as far as there is room, and what happened at the others, which are not asked for as long
-// as each answer speaks of them. Of so many bytes to spare it takes few more.
+// as each answer speaks of them. It takes about as many bytes as there are to spare, but
+// leastChanges in any case.
 func (x *Index) tell(asked []Position, spare int) told {
 	answer := told{ClockMS: x.ClockMS()}
 	room := min(spare, answerBytes)
@@ -228,7 +229,7 @@
 	return &Events{Epoch: t.Epoch, Next: t.Next, Whole: t.Page, Changes: changes}, err
 }
 
-// Told reports whether other nodes have told of all stores, which are not to be asked then.
+// Told reports whether other nodes told of all stores lately, so that none is to be asked.
 func (x *Index) Told(now time.Time) bool {
 	for _, h := range x.Stores() {
 		if h.relayedFor(now) <= 0 {
