Decode settings and experiment files by one method

Cause: settings.Parse and experiment.Parse wrote out the same check and strict decoding.

Change: Checker.Decode serves both. No behaviour changes.

--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -1,15 +1,12 @@
 package experiment
 
 import (
-	"bytes"
 	_ "embed"
-	"encoding/json"
 	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/settings"
 )
 
@@ -107,14 +104,9 @@
 
 // Parse checks data and returns the experiment that it describes, with defaults applied.
 func Parse(data []byte) (*File, error) {
-	if problems := checker.Check(data); len(problems) > 0 {
-		return nil, problems
-	}
 	f := &File{Fleet: Fleet{EventsLate: settings.Duration(300 * time.Millisecond)}}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(f); err != nil {
-		return nil, settings.Problems{{Code: result.SettingInvalid, Path: "/", Message: err.Error()}}
+	if problems := checker.Decode(data, f); len(problems) > 0 {
+		return nil, problems
 	}
 	f.applyDefaults()
 	if problems := f.check(); len(problems) > 0 {
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
@@ -73,6 +74,19 @@
 	return nil
 }
 
+// Decode decodes a file that satisfies the schema into a value, which holds the defaults before.
+func (c *Checker) Decode(data []byte, into any) Problems {
+	if problems := c.Check(data); len(problems) > 0 {
+		return problems
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return Problems{{Code: result.SettingInvalid, Path: "/", Message: err.Error()}}
+	}
+	return nil
+}
+
 // leaves collects the innermost errors: they name the field that is wrong.
 func leaves(e *jsonschema.ValidationError, to Problems) Problems {
 	if len(e.Causes) == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,16 +7,13 @@
 package settings
 
 import (
-	"bytes"
 	_ "embed"
-	"encoding/json"
 	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/placement"
-	"github.com/cherryward/cherryward/internal/result"
 )
 
 // Settings are the settings of one node.
@@ -160,14 +157,9 @@
 
 // Parse checks data and returns the settings it holds, with defaults applied.
 func Parse(data []byte) (*Settings, error) {
-	if problems := checker.Check(data); len(problems) > 0 {
-		return nil, problems
-	}
 	s := Default()
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return nil, Problems{{Code: result.SettingInvalid, Path: "/", Message: err.Error()}}
+	if problems := checker.Decode(data, &s); len(problems) > 0 {
+		return nil, problems
 	}
 	if problems := checkValues(&s); len(problems) > 0 {
 		return nil, problems
