Give the measured size of a packed change

Figures: 300 changes with ids of 8 digits take 3,706 bytes of a message (5,306 before ids stood as bytes), 23,529 as JSON (TestPackedTravelsWhole -v). Unpacking 100: 9.8 µs (9.2 µs before), 161 µs as JSON (BenchmarkUnpack, one run each). Comments only; tests of kept, gofmt and vet passed.

--- a/internal/kept/packed.go
+++ b/internal/kept/packed.go
@@ -14,8 +14,8 @@
 // and the salts; then for each change how much its number is above the one before, which of the
 // salts, the part's id and its tokens. Numbers are unsigned varints, and texts have their length
 // before them. An id has twice the length before it, and one more where it is hexadecimal and stands
-// as bytes. A change takes some 10 bytes, a tenth of its JSON: each of 295 nodes hears of all parts
-// that are saved.
+// as bytes. A change takes 12 bytes of a message, 18 with ids as text, 78 as JSON (300 changes with
+// ids of 8 digits): each of 295 nodes hears of all parts that are saved.
 type packed []byte
 
 // packChanges packs changes whose numbers rise.
--- a/internal/kept/packed_test.go
+++ b/internal/kept/packed_test.go
@@ -76,7 +76,7 @@
 	})
 }
 
-// BenchmarkUnpack unpacks 100 changes: 11 µs, 205 µs as JSON.
+// BenchmarkUnpack unpacks 100 changes: 9.8 µs, 161 µs as JSON; 9.2 µs with ids as text.
 func BenchmarkUnpack(b *testing.B) {
 	changes := siteChanges(100)
 	short := packChanges(changes)
