Log each run that is lost with its connection, and whether its endpoint ended

The end is looked for by one new connection, shared by all runs that break in the same instant, 100 ms at most; one that comes about is kept for the next request. Nothing decides by it.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
@@ -21,6 +24,7 @@
 	// Load is what this node has under way at this start of the endpoint, whatever its address.
 	Load *Load
 
+	looks  singleflight.Group // whether the endpoint ended
 	entry  atomic.Pointer[Endpoint]
 	lapsed time.Time // until when it stays without an entry; guarded by Fleet.mu; zero while listed
 
@@ -55,3 +59,17 @@
 
 // Endpoint returns the newest entry.
 func (m *Member) Endpoint() *Endpoint { return m.entry.Load() }
+
+// endedTimeout bounds the look whether an endpoint ended, for which a repeat may wait.
+const endedTimeout = 100 * time.Millisecond
+
+// Ended reports whether the endpoint has ended, as far as that shows at its address. When it ends
+// all its runs break off at once: these share one look.
+func (m *Member) Ended() bool {
+	ended, _, _ := m.looks.Do("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+		defer cancel()
+		return m.Pool.Refuses(ctx), nil
+	})
+	return ended.(bool)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -57,6 +57,9 @@
 		x.outcome.Attempts++
 		v := x.attempt(ctx, query, &placement)
 		x.judge(&placement, v)
+		if x.lost && ctx.Err() == nil {
+			x.noteLoss(&placement)
+		}
 		if v == delivered {
 			return nil
 		}
@@ -152,7 +155,7 @@
 
 // attempt sends the request once. The cause is this attempt's afterwards, nil where it delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
-	x.cause = nil
+	x.cause, x.lost = nil, false
 	p.Attempt.Remaining = time.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := p.Member.Load
@@ -227,6 +230,8 @@
 		return notRun
 	case errors.Is(context.Cause(ctx), errWithdrawn):
 		x.cause = errWithdrawn
+	default:
+		x.lost = true
 	}
 	return failed
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -71,6 +71,7 @@
 	outcome Outcome
 	placed  *Placement // the newest one
 	cause   error      // of the newest failed attempt
+	lost    bool       // the newest attempt ended with its connection, before the answer's end
 	written bool       // the head of the answer was written
 	at      position   // of the caller's stream
 	unread  bool       // the caller could not be written to
--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine tells which requests end the endpoints that run them.
+package quarantine
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -107,6 +107,17 @@
 	return c, nil
 }
 
+// Refuses reports whether nothing listens at the endpoint's address any more, as after it ended. It
+// opens a connection, which is kept where one comes about. An endpoint that doesn't answer may live.
+func (p *Pool) Refuses(ctx context.Context) bool {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c, idleLimit)
+	return false
+}
+
 // put keeps a connection for the next request.
 func (p *Pool) put(c *conn, limit time.Duration) {
 	c.usable = time.Now().Add(limit)
