--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -49,6 +49,9 @@
 	s.mu.Unlock()
 	w.Header().Set("X-Server-Seal", "seal-"+s.cfg.ID)
 	switch {
+	case faults.EndOn != "" && strings.HasSuffix(r.URL.Path, faults.EndOn):
+		s.cfg.End()
+		panic(http.ErrAbortHandler)
 	case faults.Hang:
 		<-r.Context().Done()
 		s.clientLeft()
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -33,6 +33,8 @@
 	LateOrders time.Duration
 	// HoldOrders leaves orders without an answer and carries them out at ReleaseOrders.
 	HoldOrders bool
+	// EndOn is the end of a path. A request for such a path ends the server that begins to run it.
+	EndOn string
 }
 
 // Config sizes a server.
@@ -43,6 +45,8 @@
 	Model   string // empty for a plain server
 	Pieces  int    // events of a stream
 	Gap     time.Duration
+	// End ends the server: nothing listens at its address any more, and its connections are cut.
+	End func()
 }
 
 // Run is one request that the server ran.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -117,13 +117,31 @@
 }
 
 func (s *Site) add(cfg modelserver.Config) (*modelserver.Server, error) {
-	m := modelserver.New(cfg)
-	at, err := s.listen(m.Handler())
+	added := &server{id: cfg.ID, state: stateReady}
+	cfg.End = added.end
+	added.Server = modelserver.New(cfg)
+	at, err := s.listen(added.Handler())
 	if err != nil {
 		return nil, err
 	}
-	s.servers = append(s.servers, &server{Server: m, id: cfg.ID, at: at, state: stateReady})
-	return m, nil
+	added.at = at
+	s.servers = append(s.servers, added)
+	return added.Server, nil
+}
+
+// end has the server crash: it says nothing more, and its entry stays until it starts again.
+func (s *server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = ""
+	s.at.close()
+}
+
+// Up reports whether the i-th model server is there.
+func (s *Site) Up(i int) bool {
+	s.servers[i].mu.Lock()
+	defer s.servers[i].mu.Unlock()
+	return s.servers[i].state == stateReady
 }
 
 // listen serves at a port of its own, which others reach by the proxy.
