--- a/internal/forward/answer_once_test.go
+++ b/internal/forward/answer_once_test.go
@@ -39,6 +39,7 @@
 		{name: "cut, then an error of the caller", path: resumePath, first: cut, second: modelserver.Faults{Status: http.StatusBadRequest}, status: http.StatusOK, body: events(1, 2)},
 		{name: "cut, then an answer that is no stream", path: resumePath, first: cut, second: modelserver.Faults{Status: http.StatusCreated}, status: http.StatusOK, body: events(1, 2)},
 		{name: "cut, then refused", path: resumePath, first: cut, second: modelserver.Faults{Shed: true}, status: http.StatusOK, body: events(1, 2)},
+		{name: "cut within the first event, then an error", path: resumePath, first: modelserver.Faults{CutAfter: -1}, second: failing, status: http.StatusInternalServerError, body: failure, whole: true},
 		{name: "error, then a stream", path: resumePath, first: failing, status: http.StatusOK, body: events(1, streamSize), whole: true},
 		{name: "error twice", path: resumePath, first: failing, second: failing, status: http.StatusInternalServerError, body: failure, whole: true},
 		{name: "error, not resumable", path: streamPath, first: failing, status: http.StatusInternalServerError, body: "s0 answers r1", whole: true},
@@ -62,3 +63,33 @@
 		})
 	}
 }
+
+// TestCallerResumesAtFailingEndpoints: a caller whose stream broke off goes on with it at endpoints
+// that fail. It gets the rest of its stream, or one endpoint's error whole, and never an error
+// behind events.
+func TestCallerResumesAtFailingEndpoints(t *testing.T) {
+	failing := modelserver.Faults{Status: http.StatusInternalServerError}
+	tests := []struct {
+		name          string
+		first, second modelserver.Faults
+		status        int
+		body          string
+		whole         bool
+	}{
+		{name: "both fail", first: failing, second: failing, status: http.StatusInternalServerError, body: "s1 answers r1", whole: true},
+		{name: "the first fails", first: failing, status: http.StatusOK, body: events(3, streamSize), whole: true},
+		{name: "cut again, then an error", first: modelserver.Faults{CutAfter: 3}, second: failing, status: http.StatusOK, body: events(3, 3)},
+		{name: "cut again, then the rest", first: modelserver.Faults{CutAfter: 3}, status: http.StatusOK, body: events(3, streamSize), whole: true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, model, model)
+			w.servers[0].SetFaults(tc.first)
+			w.servers[1].SetFaults(tc.second)
+			got := w.do(t, http.MethodPost, resumePath, "prompt", func(r *http.Request) { r.Header.Set("Last-Event-Id", "2") })
+			test.Eq(t, tc.status, got.status)
+			test.Eq(t, tc.whole, got.err == nil, test.Sprint(got.err))
+			test.Eq(t, tc.body, got.body)
+		})
+	}
+}
