Avoid an endpoint at once that ended

Callers' prompts were sent to engines that had ended until a connection was refused, one of the few sends that each has; the look behind a lost run knows before. It gets no requests for 3 s, by when its entry has lapsed; a new start is another member.

Test: fleet TestEndedEndpointIsAvoided.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -76,3 +76,12 @@
 	test.True(t, h.Usable(at(10*time.Second)))
 	test.Less(t, 0.35/4, h.FailureRate(at(20*time.Second)), test.Sprint("nothing was heard of it for long"))
 }
+
+// TestEndedEndpointIsAvoided: an endpoint that ended under a request gets none until its entry has
+// lapsed, 3 s to 4 s later.
+func TestEndedEndpointIsAvoided(t *testing.T) {
+	var h fleet.Health
+	h.Ended(at(0))
+	test.False(t, h.Usable(at(2900*time.Millisecond)))
+	test.True(t, h.Usable(at(3*time.Second)))
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -62,6 +62,14 @@
 	return usable
 }
 
+// Ended notes that the endpoint ended: it gets no requests until its entry is gone. A refused
+// connection would tell as much, at the price of one of each request's few sends.
+func (h *Health) Ended(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.eject(now, ejectMax)
+}
+
 // Refused notes that the endpoint would not take a request for now.
 func (h *Health) Refused(now time.Time, pause time.Duration) {
 	h.mu.Lock()
