--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,8 @@
 	metricReady       = "cherryward_gateway_ready"
 	metricCollects    = "cherryward_gateway_collects"
 	metricLoadAge     = "cherryward_gateway_load_age_seconds"
+	metricHeld        = "cherryward_gateway_held_requests"
+	metricSuspects    = "cherryward_gateway_suspected_requests"
 )
 
 // secondsBounds are the upper bounds of the buckets, the same on all nodes so that
@@ -78,6 +80,8 @@
 		age, _ := n.peers.Table.CollectedAge(time.Now())
 		return age.Seconds()
 	})
+	set.NewGauge(metricHeld, func() float64 { return float64(n.quarantine.Held()) })
+	set.NewGauge(metricSuspects, func() float64 { return float64(n.quarantine.Suspects()) })
 	return &recorder{set: set}
 }
 
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -15,6 +15,7 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -23,6 +24,7 @@
 	n := &Node{
 		state: newState(noBounds, zerolog.Nop()), fleet: fleet.New(zerolog.Nop()), peers: &peerload.Exchange{Table: peerload.NewTable()},
 		roster: newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
+		quarantine: &quarantine.Service{Table: quarantine.NewTable(time.Now)},
 	}
 	n.boot.Store(bootOf(t))
 	r := newRecorder(n)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -194,6 +194,24 @@
 	return holds
 }
 
+// Held returns the number of requests that are held now.
+func (t *Table) Held() (count int) {
+	now := t.now()
+	for _, h := range t.Holds() {
+		if now.Before(h.Until) {
+			count++
+		}
+	}
+	return count
+}
+
+// Suspects returns the number of requests under which endpoints ended, too few to hold them.
+func (t *Table) Suspects() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Len()
+}
+
 // Expired reports whether a hold ended so long ago that it is to be forgotten.
 func (h *Hold) Expired(now time.Time) bool { return now.Sub(h.Until) > memory }
 
