--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -23,7 +23,7 @@
 func TestMetricsAreDescribed(t *testing.T) {
 	n := &Node{
 		state: newState(noBounds, zerolog.Nop()), fleet: fleet.New(zerolog.Nop()), peers: &peerload.Exchange{Table: peerload.NewTable()},
-		roster: newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
+		roster:     newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
 		quarantine: &quarantine.Service{Table: quarantine.NewTable(time.Now)},
 	}
 	n.boot.Store(bootOf(t))
