Date what a node believes by a clock that counts suspension

What callers would see: a host is suspended for seconds, and wakes with a configuration, a claim on orders, copies, loads and deadlines that it takes for as many seconds younger than they are. Keys that were revoked meanwhile are accepted, orders given under a claim that another node may hold by then, parts named that were freed, engines told of more time than the caller has.

Cause: every age was taken by Go's steady clock, which does not count a suspension. Class: a clock that is taken for the time of others.

The time of a request is looked at again before each send, as its timer is late. A line and a gauge tell of suspensions.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 )
 
 // ErrCompacted is returned by Topic.Read where the records from the offset on are
@@ -97,7 +98,9 @@
 	Retry, RetryMost time.Duration
 	// Reject takes the records that can't be read, each once. Nil means that nobody does.
 	Reject func(r *Record, cause error)
-	Log    zerolog.Logger
+	// Clock dates what was read. Nil is the steady clock.
+	Clock *clock.Clock
+	Log   zerolog.Logger
 
 	next    int64 // offset to read from, or unknown
 	proven  time.Time
@@ -121,16 +124,16 @@
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	f.next = unknown
-	f.proven = time.Now()
+	f.proven = f.Clock.Now()
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := f.Clock.Now()
 		pause := now(f.Pause)
 		if err := f.step(ctx, begun); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			f.pause = min(max(2*f.pause, f.Retry), max(f.Retry, f.RetryMost))
 			pause = f.pause
 		}
-		retry.Sleep(ctx, pause-time.Since(begun))
+		retry.Sleep(ctx, pause-f.Clock.Since(begun))
 	}
 	return nil
 }
@@ -148,7 +151,7 @@
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("event", "history_gone").Str("topic", f.Name).Int64("offset", f.next).Send()
 		f.next = unknown
-		return f.step(ctx, time.Now())
+		return f.step(ctx, f.Clock.Now())
 	}
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/follow/suspended_test.go
@@ -0,0 +1,56 @@
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/clock/clocktest"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// sleepyTopic has the host suspended while the first read waits for its answer.
+type sleepyTopic struct {
+	host *clocktest.Host
+	once sync.Once
+	d    time.Duration
+}
+
+func (s *sleepyTopic) Newest(context.Context) (follow.Page, error) {
+	return follow.Page{Next: 1}, nil
+}
+
+func (s *sleepyTopic) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	time.Sleep(time.Second)
+	s.once.Do(func() { s.host.Suspend(s.d) })
+	return follow.Page{Next: from}, nil
+}
+
+// ages notes how old each batch's proof was when it came.
+type ages struct {
+	host *clocktest.Host
+	list []time.Duration
+}
+
+func (a *ages) Apply(b follow.Batch) { a.list = append(a.list, a.host.Since(b.ProvenAt)) }
+
+// TestReadDuringASuspension: an answer that waited in the host's buffers proves what was current when
+// the read was sent, before the suspension.
+func TestReadDuringASuspension(t *testing.T) {
+	for _, d := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 5 * time.Second, 30 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			host := clocktest.New()
+			got := &ages{host: host}
+			f := &follow.Follower{Topic: &sleepyTopic{host: host, d: d}, Sink: got, Clock: host.Clock, Log: zerolog.Nop()}
+			ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+			defer cancel()
+			_ = f.Run(ctx) // it returns nil
+			test.Eq(t, []time.Duration{0, time.Second + d, time.Second}, got.list[:3])
+		})
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,7 +45,7 @@
 	ctx, cancel := x.contextOf()
 	defer cancel()
 	budget := x.Budgets.Of(x.service.Name)
-	budget.Request(time.Now())
+	budget.Request(x.Clock.Now())
 	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Age: x.age}
 	runs := 0
 	for {
@@ -57,6 +57,9 @@
 		if !ok {
 			return x.giveUp(ctx, runs, declined(&placement))
 		}
+		if x.timeOver(ctx) {
+			return x.giveUp(ctx, runs, result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryElsewhere)))
+		}
 		x.outcome.Attempts++
 		v := x.attempt(ctx, query, &placement)
 		x.judge(&placement, v)
@@ -71,12 +74,12 @@
 		if v != notRun {
 			runs++
 		}
-		if ctx.Err() != nil || !x.mayRepeat(v, runs) || !budget.Repeat(time.Now()) {
+		if x.timeOver(ctx) || !x.mayRepeat(v, runs) || !budget.Repeat(x.Clock.Now()) {
 			return x.conclude(ctx, v, runs)
 		}
 		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
 			Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.attrs.ResumeAfter).
-			Dur("after_ms", time.Since(x.arrived)).Send()
+			Dur("after_ms", x.Clock.Since(x.arrived)).Send()
 	}
 }
 
@@ -109,7 +112,7 @@
 	if x.unread || x.r.Context().Err() != nil || errors.Is(x.cause, errWithdrawn) {
 		return // the caller left, or this node withdrew it, which says nothing of the endpoint
 	}
-	now := time.Now()
+	now := x.Clock.Now()
 	health := &p.Member.Health
 	unreachable := v == notRun && x.unreachable()
 	switch {
@@ -138,17 +141,23 @@
 	return x.giveUp(ctx, runs, result.New(result.Overloaded, result.WithRetryAfter(retryNoEndpoint)))
 }
 
+// timeOver reports whether the request's time is over. A context's timer is late by as much as the
+// host was suspended.
+func (x *exchange) timeOver(ctx context.Context) bool {
+	return ctx.Err() != nil || x.Clock.Until(x.deadline()) <= 0
+}
+
 // giveUp returns unrun where the request has not run, and else an error that
 // promises nothing.
 func (x *exchange) giveUp(ctx context.Context, runs int, unrun *result.Error) *result.Error {
 	switch {
 	case x.unread, x.r.Context().Err() != nil:
 		return result.New(result.CallerGone)
-	case runs == 0 && ctx.Err() != nil:
+	case runs == 0 && x.timeOver(ctx):
 		return result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryElsewhere))
 	case runs == 0:
 		return unrun
-	case ctx.Err() != nil:
+	case x.timeOver(ctx):
 		return result.New(result.DeadlinePassed)
 	}
 	return result.New(result.EndpointBrokeOff, result.WithRunState(result.MayHaveRun))
@@ -157,14 +166,16 @@
 // attempt sends the request once. The cause is this attempt's afterwards, nil where it delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
 	x.cause, x.lost = nil, false
-	p.Attempt.Remaining = time.Until(x.deadline())
+	p.Attempt.Remaining = x.Clock.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := p.Member.Load
 	load.Begin(p.Reading, p.Holding)
 	defer load.End(p.Holding)
 	reading := true
-	begun := time.Now()
-	ctx, began := withdrawUnbegun(ctx, p.BeginBy)
+	// How long an endpoint takes is measured by the steady clock, as this host's suspension is no
+	// slowness of the endpoint.
+	begun, sent := time.Now(), x.Clock.Now()
+	ctx, began := withdrawUnbegun(ctx, x.steady(p.BeginBy))
 	read := func() {
 		if reading {
 			reading = false
@@ -187,7 +198,7 @@
 	if !info.Events {
 		began() // only its end, which may be far, is told to first
 	}
-	x.noteVersion(answer.StatusCode, &info, p, begun)
+	x.noteVersion(answer.StatusCode, &info, p, sent)
 	v := x.deliver(answer, &info, first)
 	if v == failed && errors.Is(context.Cause(ctx), errWithdrawn) {
 		x.cause = errWithdrawn
@@ -220,7 +231,7 @@
 		p.Member.Saw(fleet.Statement{Weights: fleet.Weights{Model: model, Version: info.Version}, At: sent})
 	case status == http.StatusMisdirectedRequest && p.Attempt.Version > 0 && (info.Instance == "" || info.Instance == p.Member.ID):
 		// It is the right endpoint, so its weights are other than believed.
-		p.Member.Refuted(model, p.Attempt.Version, time.Now())
+		p.Member.Refuted(model, p.Attempt.Version, x.Clock.Now())
 	}
 }
 
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -6,6 +6,7 @@
 
 	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/clock"
 )
 
 const (
@@ -33,6 +34,8 @@
 	// Held reports whether the other nodes count this one; nil means always. A node that
 	// they may not count has no share of the fixed part, as others have it.
 	Held func() bool
+	// Clock dates what a budget earns. Nil is the steady clock.
+	Clock *clock.Clock
 
 	bounds bootstrap.Bounds
 	nodes  func() int
@@ -78,12 +81,12 @@
 
 func (b *Budgets) newBudget() *Budget {
 	config := retry.BudgetConfig{Ratio: b.bounds.RetryRatio * budgetShare, Reserve: b.reserve}
-	budget := &Budget{tokens: retry.NewBudget(time.Now(), config)}
+	budget := &Budget{tokens: retry.NewBudget(b.Clock.Now(), config)}
 	if config.Ratio <= 0 {
 		return budget
 	}
 	for range int(firstRepeats / config.Ratio) {
-		budget.Request(time.Now())
+		budget.Request(b.Clock.Now())
 	}
 	return budget
 }
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -164,7 +163,7 @@
 		setLength(header, resp.StatusCode, length)
 	}
 	x.outcome.Status = resp.StatusCode
-	x.outcome.First = time.Since(x.arrived)
+	x.outcome.First = x.Clock.Since(x.arrived)
 	x.written = true
 	x.w.WriteHeader(resp.StatusCode)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
@@ -30,7 +31,9 @@
 	// Patience tells callers' first tries from later ones.
 	Patience   *Patience
 	Quarantine Quarantine
-	Bounds     func() bootstrap.Bounds
+	// Clock dates requests, and what is learned from them of endpoints. Nil is the steady clock.
+	Clock  *clock.Clock
+	Bounds func() bootstrap.Bounds
 	Recorder
 	Log zerolog.Logger
 }
@@ -82,7 +85,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Handler: h, w: w, r: r, arrived: time.Now()}
+	x := &exchange{Handler: h, w: w, r: r, arrived: h.Clock.Now()}
 	x.attrs = h.Dialect.ReadRequest(r.Header)
 	x.at = positionAt(x.attrs.ResumeAfter)
 	err := x.admit()
@@ -176,7 +179,7 @@
 	}
 	control := http.NewResponseController(x.w)
 	// Without support for deadlines, as in tests, a body may take as long as it likes.
-	_ = control.SetReadDeadline(x.arrived.Add(x.route.Timeout))
+	_ = control.SetReadDeadline(x.steady(x.arrived.Add(x.route.Timeout)))
 	data, err := readAll(body, x.r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
@@ -212,7 +215,7 @@
 
 // finish answers where nothing was delivered, and leaves one line in the log.
 func (x *exchange) finish(err *result.Error) {
-	x.outcome.Total = time.Since(x.arrived)
+	x.outcome.Total = x.Clock.Since(x.arrived)
 	x.outcome.Route = x.route
 	if x.account != nil {
 		x.outcome.Account = x.account.Name
@@ -245,7 +248,7 @@
 		event = event.Str("route", x.route.Name).Str("account", x.outcome.Account)
 	}
 	if x.placed != nil {
-		event = x.placed.log(event)
+		event = x.placed.log(event, x.Clock)
 	}
 	if x.age > 0 {
 		event = event.Int64("age_ms", x.age.Milliseconds())
@@ -279,7 +282,15 @@
 	return r.URL.RequestURI()
 }
 
+// steady returns a time by the steady clock, which timers follow; zero stays zero.
+func (x *exchange) steady(at time.Time) time.Time {
+	if at.IsZero() {
+		return at
+	}
+	return time.Now().Add(x.Clock.Until(at))
+}
+
 // contextOf returns a context that ends with the request's time and with the caller.
 func (x *exchange) contextOf() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(x.r.Context(), x.deadline())
+	return context.WithDeadline(x.r.Context(), x.steady(x.deadline()))
 }
--- a/internal/forward/help_test.go
+++ b/internal/forward/help_test.go
@@ -95,6 +95,7 @@
 	bounds  bootstrap.Bounds
 	servers []*modelserver.Server
 	order   *inOrder
+	handler *forward.Handler
 	front   *httptest.Server
 }
 
@@ -128,11 +129,12 @@
 	slices.SortFunc(members, func(a, b *fleet.Member) int { return strings.Compare(a.ID, b.ID) })
 	w.order = &inOrder{members: members}
 	w.bounds = bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
-	w.front = httptest.NewServer(&forward.Handler{
+	w.handler = &forward.Handler{
 		Dialect: platform.Dialect{}, State: w.state, Placer: w.order, Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }), Patience: &forward.Patience{},
 		Quarantine: quarantine.NewTable(time.Now),
 		Bounds:     func() bootstrap.Bounds { return w.bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
-	})
+	}
+	w.front = httptest.NewServer(w.handler)
 	t.Cleanup(w.front.Close)
 }
 
--- a/internal/forward/loss.go
+++ b/internal/forward/loss.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/result"
@@ -19,7 +18,7 @@
 	if until.IsZero() {
 		return nil
 	}
-	return result.New(result.Quarantined, result.WithRetryAfter(time.Until(until)))
+	return result.New(result.Quarantined, result.WithRetryAfter(x.Clock.Until(until)))
 }
 
 // assess learns from the newest attempt whether endpoints end under this request. A caller that
@@ -41,7 +40,7 @@
 	x.Log.Warn().Str("event", "run_lost").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).
 		Stringer("fingerprint", f).Bool("ended", ended).AnErr("cause", x.cause).Send()
 	if ended {
-		p.Member.Health.Ended(time.Now())
+		p.Member.Health.Ended(x.Clock.Now())
 		x.Quarantine.Note(quarantine.Ending{Fingerprint: f, Endpoint: p.Member.Start()})
 	}
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/result"
 )
 
@@ -27,7 +28,7 @@
 func (x *exchange) place(ctx context.Context, q *Query) (Placement, bool) {
 	for {
 		placement, ok := x.Placer.Place(q)
-		placement.Waited = time.Since(x.arrived)
+		placement.Waited = x.Clock.Since(x.arrived)
 		pause := placement.Pause(x.route.Objective)
 		if ok || pause <= 0 || ctx.Err() != nil {
 			return placement, ok
@@ -63,13 +64,13 @@
 }
 
 // log adds what decided, and what was predicted, to the request's line.
-func (p *Placement) log(event *zerolog.Event) *zerolog.Event {
+func (p *Placement) log(event *zerolog.Event, c *clock.Clock) *zerolog.Event {
 	event = event.Str("why", p.Reason).Int64("wait_ms", p.Wait.Milliseconds()).Int64("waited_ms", p.Waited.Milliseconds())
 	if p.Member == nil {
 		return event.Int64("retry_after_ms", p.RetryAfter.Milliseconds())
 	}
 	if !p.BeginBy.IsZero() {
-		event = event.Int64("begin_left_ms", time.Until(p.BeginBy).Milliseconds())
+		event = event.Int64("begin_left_ms", c.Until(p.BeginBy).Milliseconds())
 	}
 	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
 		Int("read", p.Reading).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -29,17 +29,17 @@
 	follower := func(name, topic string, held *relay.Copy) (*follow.Follower, *relay.Topic) {
 		copies.Serve(name, held)
 		from := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Fallback: n.fallbackPause, Log: n.log}
-		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Reject: n.state.rejected.record, Log: n.log}, from
+		return &follow.Follower{Name: name, Topic: from, Sink: held, Retry: storeRetry, RetryMost: storeRetryMost, Reject: n.state.rejected.record, Clock: n.clock, Log: n.log}, from
 	}
 	var f followers
 	var from *relay.Topic
-	f.config, from = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state})
+	f.config, from = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock})
 	f.config.Wait, f.config.Pause = unless(from.Relayed, n.configWait), either(from.Relayed, askPause, nil)
-	f.endpoints, from = follower("registry", platform.TopicEndpoints, &relay.Copy{Sink: n.registry, Same: platform.SameEndpoint, Brief: platform.BriefEndpoint})
+	f.endpoints, from = follower("registry", platform.TopicEndpoints, &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.BriefEndpoint})
 	// Each heartbeat is a record, so a read that waits for one would end many times a
 	// second.
 	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
-	f.nodes, from = follower("nodes", nodesTopic, &relay.Copy{Sink: n.roster})
+	f.nodes, from = follower("nodes", nodesTopic, &relay.Copy{Sink: n.roster, Clock: n.clock})
 	from.MaxAge = oldestNodes
 	f.nodes.Wait, f.nodes.Pause = unless(from.Relayed, n.nodesWait), either(from.Relayed, nodesAskPause, n.rosterPause)
 	return f
@@ -113,7 +113,7 @@
 
 // rosterPause is the time between two reads of the nodes' addresses.
 func (n *Node) rosterPause() time.Duration {
-	if time.Since(n.started) < gatherTime {
+	if n.clock.Since(n.started) < gatherTime {
 		return gatherPause
 	}
 	return pace.Roster(n.nodes())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
@@ -53,6 +54,7 @@
 // Node is a gateway node, listening but not yet running.
 type Node struct {
 	kernel     *kernel.Kernel
+	clock      *clock.Clock
 	boot       atomic.Pointer[bootstrap.Node]
 	state      *state
 	fleet      *fleet.Fleet
@@ -76,17 +78,26 @@
 // New opens the node's listeners and puts its services together. load reads the
 // boot file anew, in case it changes.
 func New(boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
+	return NewOn(clock.System(), boot, load, log)
+}
+
+// NewOn does so on a host whose clock counts the time in which it is suspended.
+func NewOn(host *clock.Clock, boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
 	limitMemory(boot.MemoryBytes)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.Grace - stopMargin),
 		fleet:  fleet.New(log),
 		log:    log,
 
-		started: time.Now(),
+		clock: host,
+
+		started: host.Now(),
 	}
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
+	n.state.clock = host
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
+	n.registry.clock = host
 	n.state.configured = n.registry.reconsider
 	store := platform.NewStore(boot.StoreAddr)
 	if err := n.addParts(store); err != nil {
@@ -105,6 +116,7 @@
 	n.keeping = &keeping{node: n}
 	n.keeping.index = kept.NewIndex(engines, n.keeping.pace, n.log)
 	n.keeping.index.Relayed = n.relayed
+	n.keeping.index.Clock = n.clock
 	n.conn, err = datagram.Listen(peerAddr(boot), n.log)
 	if err != nil {
 		return err
@@ -123,13 +135,15 @@
 		Neighbours: n.neighbours,
 		Role:       func() peerload.Role { return n.roster.role() },
 		LinkBytes:  boot.LinkBytes,
+		Clock:      n.clock,
 		Log:        n.log,
 	})
 	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain, MilliCores: boot.MilliCores}
 	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
+	n.roster.clock = n.clock
 	n.roster.rejected = n.state.rejected
 	n.quarantine = quarantine.New(quarantine.Config{
-		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(nodesTopic), Now: time.Now, Log: n.log,
+		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(nodesTopic), Now: n.clock.Now, Log: n.log,
 	})
 	n.roster.holds, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
 	n.roster.lease.grace = goneGrace(boot.Bounds.RetryWindow)
@@ -142,6 +156,7 @@
 		Peers:   n,
 		Lease:   boot.Bounds.Lease + leaseMargin,
 		Changed: n.state.changed,
+		Clock:   n.clock,
 		Log:     n.log,
 	})
 	if err != nil {
@@ -157,7 +172,7 @@
 func (n *Node) Standby() bool { return n.roster.Standby() }
 
 // Led implements weights.Peers.
-func (n *Node) Led() bool { return n.peers.Table.Led(time.Now(), takeoverTime) }
+func (n *Node) Led() bool { return n.peers.Table.Led(n.clock.Now(), takeoverTime) }
 
 // givenOrders is what peers are told of the orders that this node gives.
 func (n *Node) givenOrders() (closed []weights.Closed, leads bool) {
@@ -166,7 +181,7 @@
 
 // heard reports whether another node of the failure domain was heard lately.
 func (n *Node) heard(node string) bool {
-	return n.peers.Table.Heard(node, time.Now(), heardTime)
+	return n.peers.Table.Heard(node, n.clock.Now(), heardTime)
 }
 
 // neighbours returns the other nodes of the failure domain. Those speak for it that read the
@@ -182,7 +197,7 @@
 	if !n.roster.Read() {
 		return n.peers.Table.Nodes()
 	}
-	return max(n.roster.Nodes(), n.peers.Table.Lately(time.Now()))
+	return max(n.roster.Nodes(), n.peers.Table.Lately(n.clock.Now()))
 }
 
 // listen opens the listeners for callers and for the balancer.
@@ -210,6 +225,7 @@
 		&task{name: "peers", run: n.peers.Run},
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "quarantine", run: n.quarantine.Run},
+		&task{name: "suspension", run: n.watchSuspension},
 		&task{name: "sweep", run: newSweeper(n).run},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.keeping.follow},
@@ -231,6 +247,7 @@
 	boot := n.boot.Load()
 	budgets := forward.NewBudgets(boot.Bounds, n.nodes)
 	budgets.Held = n.roster.Counted
+	budgets.Clock = n.clock
 	return &forward.Handler{
 		Dialect:    platform.Dialect{},
 		State:      n.state,
@@ -238,6 +255,7 @@
 		Budgets:    budgets,
 		Patience:   &forward.Patience{},
 		Quarantine: n.quarantine,
+		Clock:      n.clock,
 		Bounds:     n.bounds,
 		Recorder:   n.recorder,
 		Log:        n.log,
@@ -260,7 +278,7 @@
 		Excused:      n.state.excused,
 		Services:     &placer.Services{},
 		Nodes:        n.nodes,
-		Now:          time.Now,
+		Now:          n.clock.Now,
 		Random:       rand.Float64,
 	}
 }
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -128,7 +128,7 @@
 // late returns the stores from which this node's fetches come late.
 func (k *keeping) late() []peerload.Late {
 	var list []peerload.Late
-	now := time.Now()
+	now := k.node.clock.Now()
 	for _, store := range k.index.Stores() {
 		if ms := store.Late.MS(now); ms >= toldLateMs {
 			list = append(list, peerload.Late{Addr: store.Addr, MS: int(ms)})
--- a/internal/gateway/keptstart.go
+++ b/internal/gateway/keptstart.go
@@ -29,11 +29,11 @@
 // It guards against nodes that start together and ask each store: 295 nodes opened 12,948
 // connections and asked 31,429 times before a common start was over.
 func (k *keeping) awaitTold(ctx context.Context) {
-	for ctx.Err() == nil && !k.index.Told(time.Now()) && k.mayBeTold(time.Since(k.node.started)) {
+	for ctx.Err() == nil && !k.index.Told(k.node.clock.Now()) && k.mayBeTold(k.node.clock.Since(k.node.started)) {
 		retry.Sleep(ctx, tellPause)
 	}
-	k.node.log.Info().Str("event", "kept_begins").Bool("told", k.index.Told(time.Now())).Int("stores", len(k.index.Stores())).
-		Int("nodes", k.node.roster.Nodes()).Int64("age_ms", time.Since(k.node.started).Milliseconds()).Send()
+	k.node.log.Info().Str("event", "kept_begins").Bool("told", k.index.Told(k.node.clock.Now())).Int("stores", len(k.index.Stores())).
+		Int("nodes", k.node.roster.Nodes()).Int64("age_ms", k.node.clock.Since(k.node.started).Milliseconds()).Send()
 }
 
 // mayBeTold reports whether a node that started so long ago may expect others to tell it what the
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -27,6 +26,7 @@
 	metricCollects    = "cherryward_gateway_collects"
 	metricLoadAge     = "cherryward_gateway_load_age_seconds"
 	metricHeld        = "cherryward_gateway_held_requests"
+	metricSuspended   = "cherryward_gateway_suspended_seconds"
 	metricSuspects    = "cherryward_gateway_suspected_requests"
 )
 
@@ -77,10 +77,11 @@
 		return 0
 	})
 	set.NewGauge(metricLoadAge, func() float64 {
-		age, _ := n.peers.Table.CollectedAge(time.Now())
+		age, _ := n.peers.Table.CollectedAge(n.clock.Now())
 		return age.Seconds()
 	})
 	set.NewGauge(metricHeld, func() float64 { return float64(n.quarantine.Held()) })
+	set.NewGauge(metricSuspended, func() float64 { return n.clock.Suspended().Seconds() })
 	set.NewGauge(metricSuspects, func() float64 { return float64(n.quarantine.Suspects()) })
 	return &recorder{set: set}
 }
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -66,7 +66,7 @@
 // names returns the oldest weights whose parts this node names, after it looked whether
 // engines have moved on. What it returns is a promise: other nodes may free older parts.
 func (k *keeping) names() []peerload.Named {
-	now := time.Now()
+	now := k.node.clock.Now()
 	for model, version := range k.oldestAtEngines() {
 		wanted, _ := k.node.state.Wanted(model)
 		k.named.raise(model, min(version, wanted), now)
@@ -106,7 +106,7 @@
 		return false
 	}
 	if by, replaced := k.node.state.replaced(model, version); replaced {
-		return by.prompt && time.Since(by.seen) < nameOldFor
+		return by.prompt && k.node.clock.Since(by.seen) < nameOldFor
 	}
 	_, age := k.node.state.Config()
 	return age < staleNaming
@@ -123,7 +123,7 @@
 		return false
 	}
 	turn := k.turn()
-	return time.Since(by.seen) > freeAfter+turn || k.unnamed(salt.Model, salt.Version, turn)
+	return k.node.clock.Since(by.seen) > freeAfter+turn || k.unnamed(salt.Model, salt.Version, turn)
 }
 
 // unnamed reports whether all nodes have said for long enough that they don't name a version.
@@ -136,11 +136,11 @@
 	if !k.node.roster.Counted() {
 		return false // its own knowledge of who must promise is old, or may be
 	}
-	if own.version <= version || time.Since(own.since) < unnamedFor+turn {
+	if own.version <= version || k.node.clock.Since(own.since) < unnamedFor+turn {
 		return false
 	}
 	since, all := k.unnamedByOthers(model, version)
-	return all && time.Since(since) >= unnamedFor+turn
+	return all && k.node.clock.Since(since) >= unnamedFor+turn
 }
 
 // unnamedByOthers returns since when all other nodes have named only newer versions. In a large
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -30,7 +30,7 @@
 func (n *Node) current(age time.Duration) bool {
 	bounds := n.bounds()
 	limit := max(time.Duration(readyShare*float64(bounds.Revoke)), 2*n.configWait()+askPause+readyMargin)
-	return age < limit || bounds.AcceptStaleKeys && n.peers.Table.Hears(time.Now(), heardTime)
+	return age < limit || bounds.AcceptStaleKeys && n.peers.Table.Hears(n.clock.Now(), heardTime)
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/routing"
@@ -47,6 +48,7 @@
 	config   func() *routing.Config // nil before the first
 	bounds   func() bootstrap.Bounds
 	rejected *rejected
+	clock    *clock.Clock // nil is the steady clock
 
 	mu         sync.Mutex
 	doubtUntil time.Time // entries that are missing until then may only have lapsed
@@ -64,7 +66,7 @@
 func (r *registry) Apply(b follow.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := r.clock.Now()
 	if b.Failed && b.Gap > lapseOutage {
 		r.doubt(now)
 	}
@@ -81,7 +83,7 @@
 		}
 	}
 	// The doubt's timer may have run since now was taken, before what was found missing.
-	r.fleet.Expire(time.Now())
+	r.fleet.Expire(r.clock.Now())
 }
 
 // doubt has entries that are missing count as lapsed for a while. All holds end with it, by a
@@ -91,7 +93,7 @@
 func (r *registry) doubt(now time.Time) {
 	hold := lapseHold(r.bounds())
 	r.doubtUntil = now.Add(hold)
-	time.AfterFunc(hold, func() { r.fleet.EndLapses(time.Now()) })
+	time.AfterFunc(hold, func() { r.fleet.EndLapses(r.clock.Now()) })
 }
 
 // remove takes an endpoint off whose entry is missing.
@@ -146,7 +148,7 @@
 func (r *registry) reconsider() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := r.clock.Now()
 	config := r.config()
 	for _, endpoint := range r.entries {
 		r.use(endpoint, config, now)
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/pace"
 	"github.com/cherryward/cherryward/internal/peerload"
@@ -49,6 +50,7 @@
 // roster knows the addresses of all nodes, and makes this one known.
 type roster struct {
 	node  string
+	clock *clock.Clock // nil is the steady clock
 	own   nodeEntry
 	topic putter
 	set   func(peers []peerload.Peer)
@@ -148,7 +150,7 @@
 
 // noteWritten notes whose records were read, and what they say of this node's own entry.
 func (r *roster) noteWritten(b *follow.Batch) {
-	now := time.Now()
+	now := r.clock.Now()
 	touched := b.Snapshot
 	for i := range b.Records {
 		key := b.Records[i].Key
@@ -246,7 +248,7 @@
 func (r *roster) Counted() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lease.holds(time.Now())
+	return r.lease.holds(r.clock.Now())
 }
 
 // Standby reports whether this node follows the claim on orders while another holds it.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/placer"
@@ -22,7 +23,8 @@
 // Guarantee: the configuration's version never falls while the process runs.
 type state struct {
 	log      zerolog.Logger
-	started  time.Time // of the process
+	clock    *clock.Clock // nil is the steady clock
+	started  time.Time    // of the process
 	bounds   func() bootstrap.Bounds
 	rejected *rejected
 	config   atomic.Pointer[routing.Config]
@@ -89,7 +91,7 @@
 // which it was current, so that a reader who takes them the other way round never
 // finds it fresher than it is.
 func (s *state) Apply(b follow.Batch) {
-	sight := sight{at: time.Now(), notBefore: s.namedBeforeStart()}
+	sight := sight{at: s.clock.Now(), notBefore: s.namedBeforeStart()}
 	if before := s.proven.Load(); before != nil {
 		sight.notBefore = *before
 		sight.prompt = b.ProvenAt.Sub(*before) < namingAge
@@ -172,7 +174,7 @@
 	if proven == nil {
 		return nil, 0
 	}
-	return s.config.Load(), time.Since(*proven)
+	return s.config.Load(), s.clock.Since(*proven)
 }
 
 // Wanted implements placer.Versions.
--- a/internal/gateway/sweep.go
+++ b/internal/gateway/sweep.go
@@ -61,11 +61,11 @@
 	return &sweeper{
 		roster: n.roster,
 		alive: func(name, domain string, within time.Duration) bool {
-			now := time.Now()
+			now := n.clock.Now()
 			return table.Heard(name, now, within) || domain != n.roster.own.Domain && table.HeardOf(domain, now, within)
 		},
 		hears: func(within time.Duration) bool {
-			now := time.Now()
+			now := n.clock.Now()
 			return table.Hears(now, within) || table.HearsAfar(now, within)
 		},
 	}
@@ -75,7 +75,7 @@
 func (s *sweeper) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		retry.Sleep(ctx, sweepPause)
-		s.sweep(ctx, time.Now())
+		s.sweep(ctx, s.roster.clock.Now())
 	}
 	return nil
 }
--- a/internal/gatewaydemo/gatewaydemo.go
+++ b/internal/gatewaydemo/gatewaydemo.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/gateway"
 	"github.com/cherryward/cherryward/platform"
 	"github.com/cherryward/cherryward/standin/site"
@@ -45,14 +46,19 @@
 	return <-m.done
 }
 
-// StartNode starts a node of the site.
+// StartNode starts a node of the site on this host.
 func StartNode(s *site.Site, name string, log zerolog.Logger) (*Member, error) {
+	return StartNodeOn(clock.System(), s, name, log)
+}
+
+// StartNodeOn starts a node on a host of its own.
+func StartNodeOn(host *clock.Clock, s *site.Site, name string, log zerolog.Logger) (*Member, error) {
 	load := func() (*bootstrap.Node, error) { return platform.ParseBoot([]byte(s.BootFile(name))) }
 	boot, err := load()
 	if err != nil {
 		return nil, err
 	}
-	n, err := gateway.New(boot, load, log)
+	n, err := gateway.NewOn(host, boot, load, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 )
 
 const (
@@ -33,6 +34,8 @@
 	// a store that fails ever more seldom: stores that were not up yet were dialled twice a second
 	// by each of 295 nodes, 23,600 times a second, and answer few readers at once.
 	Relayed func() bool
+	// Clock dates what holders and nodes tell. Nil is the steady clock.
+	Clock *clock.Clock
 
 	view atomic.Pointer[view]
 
@@ -78,7 +81,7 @@
 	if r == nil {
 		return 0
 	}
-	return r.ms + time.Since(r.at).Milliseconds()
+	return r.ms + x.Clock.Since(r.at).Milliseconds()
 }
 
 // Follow replaces the holders, and asks them for their events. Known ones, by id, start and
@@ -89,6 +92,7 @@
 	x.Replace(engines, stores)
 	if x.lapses == nil {
 		x.lapses = newLapses()
+		x.lapses.clock = x.Clock
 		x.wg.Go(func() { x.lapses.run(ctx) })
 	}
 	next := x.view.Load()
@@ -154,7 +158,7 @@
 func (x *Index) follow(ctx context.Context, h *Holder) {
 	failures := 0
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := x.Clock.Now()
 		if h.relayedFor(begun) > 0 {
 			x.lapses.wait(ctx, h)
 			continue
@@ -174,7 +178,7 @@
 			failures = 0
 			x.Take(h, &events)
 		}
-		retry.Sleep(ctx, pause-time.Since(begun))
+		retry.Sleep(ctx, pause-x.Clock.Since(begun))
 	}
 }
 
@@ -189,7 +193,7 @@
 // Take notes a holder's events.
 func (x *Index) Take(h *Holder, e *Events) {
 	if e.ClockMS > 0 {
-		x.clock.Store(&clockReading{ms: e.ClockMS, at: time.Now()})
+		x.clock.Store(&clockReading{ms: e.ClockMS, at: x.Clock.Now()})
 	}
 	if e.Gap {
 		x.Log.Info().Str("event", "events_gap").Str("holder", h.ID).Int64("next", e.Next).Send()
--- a/internal/kept/lapse.go
+++ b/internal/kept/lapse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 )
 
 const (
@@ -22,11 +23,14 @@
 // 28% of the processor time that a node at rest spends in its own code, as 59 nodes in one process
 // were profiled.
 type lapses struct {
+	clock   *clock.Clock // nil is the steady clock
 	mu      sync.Mutex
 	waiting map[*Holder]chan struct{}
 }
 
-func newLapses() *lapses { return &lapses{waiting: make(map[*Holder]chan struct{})} }
+func newLapses() *lapses {
+	return &lapses{waiting: make(map[*Holder]chan struct{})}
+}
 
 // wait returns when no other node's word stands for the holder any more, or ctx is done.
 func (l *lapses) wait(ctx context.Context, h *Holder) {
@@ -46,7 +50,7 @@
 // run wakes followers until ctx is done.
 func (l *lapses) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		retry.Sleep(ctx, l.wake(time.Now()))
+		retry.Sleep(ctx, l.wake(l.clock.Now()))
 	}
 }
 
--- a/internal/kept/peers.go
+++ b/internal/kept/peers.go
@@ -201,7 +201,7 @@
 	if err := p.Conn.Call(ctx, reader, eventsMethod, asked, &answer); err != nil {
 		return false, err
 	}
-	until := time.Now().Add(relayedFor)
+	until := p.Index.Clock.Now().Add(relayedFor)
 	for i := range answer.Events {
 		t := &answer.Events[i]
 		store := p.Index.store(t.Addr)
--- a/internal/peerload/domain.go
+++ b/internal/peerload/domain.go
@@ -142,7 +142,7 @@
 // node speaks for it: in a large system they don't hear one another, in their own domain
 // neither. It returns the bytes of all messages.
 func (e *Exchange) sendDomain(peers *audience) (bytes int) {
-	now := time.Now()
+	now := e.config.Clock.Now()
 	all := len(peers.near) + len(peers.far)
 	if len(peers.far) == 0 || !e.speaks(now) || now.Sub(e.toldDomain) < pace.DomainDigests(all) {
 		return 0
@@ -180,6 +180,6 @@
 	if err := json.Unmarshal(params, &d); err != nil {
 		return nil, eris.Wrap(err, "decode a failure domain's digest")
 	}
-	e.Table.TakeDomain(d, time.Now())
+	e.Table.TakeDomain(d, e.config.Clock.Now())
 	return nil, nil
 }
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/pace"
@@ -72,7 +73,9 @@
 	Role func() Role
 	// LinkBytes is what the host's link carries, in bytes a second; 0 if not known.
 	LinkBytes int
-	Log       zerolog.Logger
+	// Clock dates what peers tell. Nil is the steady clock.
+	Clock *clock.Clock
+	Log   zerolog.Logger
 }
 
 // Role is a node's part in telling loads within the failure domain of a large system. With its
@@ -178,13 +181,13 @@
 	e.seq++
 	members := e.config.Members()
 	digest := e.orders(members)
-	if len(peers.far) > 0 && time.Since(e.toldFar) >= farSpacing {
+	if len(peers.far) > 0 && e.config.Clock.Since(e.toldFar) >= farSpacing {
 		bytes += e.sendFar(peers, digest, members)
 	}
 	bytes += e.sendDomain(peers)
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
-	digest.setLoads(members, e.longest(len(peers.near)), time.Now())
+	digest.setLoads(members, e.longest(len(peers.near)), e.config.Clock.Now())
 	return bytes + e.sendNear(peers, digest, members)
 }
 
@@ -194,7 +197,7 @@
 	if len(peers.far) == 0 || e.config.Role == nil {
 		return e.config.Conn.Notify(peers.near, method, digest)
 	}
-	now := time.Now()
+	now := e.config.Clock.Now()
 	before := e.role.Collects
 	e.role = e.config.Role()
 	if e.role.Collects != before {
@@ -231,10 +234,10 @@
 // it is a promise, which needs no message to last.
 func (e *Exchange) newNames() []Named {
 	names := e.config.Names()
-	if slices.Equal(names, e.names) && time.Since(e.toldNames) < namesSpacing {
+	if slices.Equal(names, e.names) && e.config.Clock.Since(e.toldNames) < namesSpacing {
 		return nil
 	}
-	e.names, e.toldNames = names, time.Now()
+	e.names, e.toldNames = names, e.config.Clock.Now()
 	return names
 }
 
@@ -242,14 +245,14 @@
 // there are none, of this node's load at engines there. Once both have ended they are told so.
 func (e *Exchange) sendFar(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
 	far := *digest
-	to := peers.collectors(e.Table, time.Now())
+	to := peers.collectors(e.Table, e.config.Clock.Now())
 	if e.config.Role == nil { // else the collectors tell of it
-		far.setLoads(outside(members, e.config.Domain), e.longest(len(to)), time.Now())
+		far.setLoads(outside(members, e.config.Domain), e.longest(len(to)), e.config.Clock.Now())
 	}
 	news := far.Leads || len(far.Loads) > 0
 	if news || e.news {
 		bytes = e.config.Conn.Notify(to, method, &far)
-		e.toldFar = time.Now()
+		e.toldFar = e.config.Clock.Now()
 	}
 	e.news = news
 	return bytes
@@ -267,7 +270,7 @@
 // orders returns a digest of the orders that this node gives, and of the weights that
 // it saw.
 func (e *Exchange) orders(members []*fleet.Member) *Digest {
-	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, Seen: SeenOf(members, time.Now())}
+	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, Seen: SeenOf(members, e.config.Clock.Now())}
 	var closed []weights.Closed
 	closed, d.Leads = e.config.Orders()
 	for _, c := range closed {
--- a/internal/peerload/hear.go
+++ b/internal/peerload/hear.go
@@ -37,7 +37,7 @@
 	if err := d.check(); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := e.config.Clock.Now()
 	e.Table.Take(d, now)
 	e.learnVersions(d.Seen, now)
 	if d.Collected != nil {
--- a/internal/peerload/outer.go
+++ b/internal/peerload/outer.go
@@ -123,7 +123,7 @@
 // load of 0.4 s ago all would choose the same one. With it the median of their answers rose from 27
 // to 35 ms, and twice as many were late.
 func (e *Exchange) sendOuter(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
-	now := time.Now()
+	now := e.config.Clock.Now()
 	if !e.speaks(now) || now.Sub(e.toldOuter) < farSpacing {
 		return 0
 	}
@@ -143,5 +143,5 @@
 	if err := json.Unmarshal(params, &o); err != nil {
 		return nil, eris.Wrap(err, "decode a failure domain's load")
 	}
-	return nil, e.Table.TakeOuter(&o, time.Now())
+	return nil, e.Table.TakeOuter(&o, e.config.Clock.Now())
 }
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -2,7 +2,7 @@
 // others ask those.
 //
 // Guarantee: what is read from a node's copy proves no more than the copy did. Its age is
-// measured by the copy's own monotonic clock when it answers, and counts back from before
+// measured by the copy's own clock when it answers, and counts back from before
 // the question was sent, so that neither a slow answer nor a frozen process on either side
 // makes a copy seem fresher than it is.
 package relay
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
 )
 
@@ -29,6 +30,8 @@
 	Same func(before, after []byte) bool
 	// Brief returns what is kept and told of a value, which may be long; nil means the value.
 	Brief func(value []byte) []byte
+	// Clock is the one that batches are dated by. Nil is the steady clock.
+	Clock *clock.Clock
 
 	mu     sync.Mutex
 	known  map[string]follow.Record // with removed keys, by key
@@ -85,7 +88,7 @@
 	if c.proven.IsZero() || from < c.first {
 		return page{}, ErrUnknown
 	}
-	p := page{next: c.next, age: time.Since(c.proven)}
+	p := page{next: c.next, age: c.Clock.Since(c.proven)}
 	for _, r := range c.known {
 		if r.Offset >= from {
 			p.records = append(p.records, c.told(r))
--- a/internal/weights/help_test.go
+++ b/internal/weights/help_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cherryward/cherryward/coord/claim"
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -177,6 +178,7 @@
 	// reporter and claims stand in for engines and log; nil means these themselves.
 	reporter Engines
 	claims   claim.Log
+	clock    *clock.Clock // of all nodes
 
 	mu       sync.Mutex
 	services map[string]*Service // running
@@ -229,7 +231,7 @@
 	}
 	s, err := New(Config{
 		Node: name, Fleet: f, Wanted: w.wanted, Engines: reporter, Claims: claims, Peers: view{w, name},
-		Lease: lease, Changed: make(chan struct{}), Log: zerolog.Nop(),
+		Lease: lease, Changed: make(chan struct{}), Clock: w.clock, Log: zerolog.Nop(),
 	})
 	must.NoError(t, err)
 	w.mu.Lock()
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -109,7 +109,7 @@
 // are gone or take too long.
 func (s *Service) due(members []*fleet.Member) []look {
 	var looks []look
-	now := time.Now()
+	now := s.Clock.Now()
 	for id, j := range s.jobs {
 		m := find(members, id)
 		if m == nil || j.born < m.Born {
@@ -136,7 +136,7 @@
 	var wg sync.WaitGroup
 	for i := range looks {
 		l := &looks[i]
-		l.asked = time.Now()
+		l.asked = s.Clock.Now()
 		wg.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
@@ -150,7 +150,7 @@
 func (s *Service) announce() {
 	closed := make([]Closed, 0, len(s.jobs))
 	for id, j := range s.jobs {
-		loads := !j.ordered.IsZero() || time.Since(j.begun) > emptyTime-closedEarly
+		loads := !j.ordered.IsZero() || s.Clock.Since(j.begun) > emptyTime-closedEarly
 		closed = append(closed, Closed{Endpoint: id, Loads: loads})
 	}
 	s.closed.Store(&closed)
@@ -179,7 +179,7 @@
 			return
 		}
 		if _, under := s.jobs[m.ID]; !under {
-			now := time.Now()
+			now := s.Clock.Now()
 			s.jobs[m.ID] = &job{model: model, born: m.Born, version: version, loads: loads, begun: now, heard: now}
 		}
 	}
@@ -202,21 +202,21 @@
 	if has >= j.version {
 		delete(s.jobs, m.ID)
 		s.Log.Info().Str("event", "weights_loaded").Str("endpoint", m.ID).Int64("born", j.born).Int64("version", has).
-			Dur("took_ms", time.Since(j.begun)).Send()
+			Dur("took_ms", s.Clock.Since(j.begun)).Send()
 		return false
 	}
-	if report.Busy || time.Since(j.ordered) < lostOrder {
+	if report.Busy || s.Clock.Since(j.ordered) < lostOrder {
 		return false
 	}
 	j.ordered = time.Time{} // an order without effect is given again
 	if s.loads() >= j.loads {
 		return false
 	}
-	empty := report.Running+report.Waiting == 0 && time.Since(j.begun) > closedEarly
-	if !empty && time.Since(j.begun) < emptyTime {
+	empty := report.Running+report.Waiting == 0 && s.Clock.Since(j.begun) > closedEarly
+	if !empty && s.Clock.Since(j.begun) < emptyTime {
 		return false
 	}
-	j.ordered = time.Now()
+	j.ordered = s.Clock.Now()
 	return true
 }
 
@@ -259,7 +259,7 @@
 func (s *Service) give(ctx context.Context, held *claim.Claim, looks []look) {
 	for i := range looks {
 		l := &looks[i]
-		s.ordered = time.Now()
+		s.ordered = s.Clock.Now()
 		order := s.orderFor(held, l)
 		at := target{endpoint: l.member.Endpoint(), born: l.job.born}
 		s.underWay.Go(func() { s.order(ctx, held, at, order) })
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cherryward/cherryward/coord/claim"
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -63,7 +64,9 @@
 	Lease time.Duration
 	// Changed is signalled when a version was named.
 	Changed <-chan struct{}
-	Log     zerolog.Logger
+	// Clock dates claims, orders and reports. Nil is the steady clock.
+	Clock *clock.Clock
+	Log   zerolog.Logger
 }
 
 // Service gives the orders of one node.
@@ -85,7 +88,7 @@
 func New(c Config) (*Service, error) {
 	claimer, err := claim.New(claim.Config{
 		Log:          c.Claims,
-		Clock:        claim.NewSystemClock(),
+		Clock:        newClaimClock(c.Clock),
 		Holder:       c.Node,
 		OrderTimeout: orderTimeout,
 		Grace:        c.Lease,
@@ -220,7 +223,7 @@
 // first read of the claim. With six nodes that stop and start in turn, each taking 8 s, nobody gave
 // orders for 9.3 s of a simulated day, and engines kept replaced weights past the bound.
 func (s *Service) giveBack(held *claim.Claim) {
-	time.Sleep(time.Until(s.ordered.Add(orderTimeout + s.Lease)))
+	time.Sleep(s.Clock.Until(s.ordered.Add(orderTimeout + s.Lease)))
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	if err := held.Release(ctx); err != nil {
