Tell all nodes of a held request, once

A node of a large system that reads the nodes' topic by others learned of a hold up to 3 s after the third ending, or 6 s where the node that it asks was lost, and sent the request on meanwhile. The node that records the hold tells all its endings, one message to each.

--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -303,9 +303,20 @@
 		return false
 	}
 	s.Recorded(h.Fingerprint)
+	s.spread(h)
 	return true
 }
 
+// spread tells all nodes of a held request, once: those of a large system that read the topic by
+// others learn of it some seconds later else.
+func (s *Service) spread(h *Hold) {
+	peers := slices.Collect(maps.Values(s.config.Peers()))
+	n := news{endings: h.endings()}
+	for m := range n.messages() {
+		s.config.Conn.Notify(peers, method, m)
+	}
+}
+
 // removeRecords removes the records of requests that ran to a good end, and reports whether any is
 // left.
 func (s *Service) removeRecords(ctx context.Context) (more bool) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -212,6 +212,14 @@
 	return t.suspects.Len()
 }
 
+// endings returns what the hold rests on.
+func (h *Hold) endings() (list []Ending) {
+	for _, endpoint := range h.Endpoints {
+		list = append(list, Ending{h.Fingerprint, endpoint})
+	}
+	return list
+}
+
 // Expired reports whether a hold ended so long ago that it is to be forgotten.
 func (h *Hold) Expired(now time.Time) bool { return now.Sub(h.Until) > memory }
 
