Let operators list held requests and release them

cherryctl quarantine list and release read and remove the records in the platform's metadata store. The topic's name moves to platform, beside that of the claims.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -39,7 +39,7 @@
 	// Each heartbeat is a record, so a read that waits for one would end many times a
 	// second.
 	f.endpoints.Pause = either(from.Relayed, askPause, n.registryPause)
-	f.nodes, from = follower("nodes", nodesTopic, &relay.Copy{Sink: n.roster, Clock: n.clock})
+	f.nodes, from = follower("nodes", platform.NodesTopic, &relay.Copy{Sink: n.roster, Clock: n.clock})
 	from.MaxAge = oldestNodes
 	f.nodes.Wait, f.nodes.Pause = unless(from.Relayed, n.nodesWait), either(from.Relayed, nodesAskPause, n.rosterPause)
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,11 +139,11 @@
 		Log:        n.log,
 	})
 	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain, MilliCores: boot.MilliCores}
-	n.roster = newRoster(boot.Name, own, store.Topic(nodesTopic), n.peers.SetPeers, n.heard, n.log)
+	n.roster = newRoster(boot.Name, own, store.Topic(platform.NodesTopic), n.peers.SetPeers, n.heard, n.log)
 	n.roster.clock = n.clock
 	n.roster.rejected = n.state.rejected
 	n.quarantine = quarantine.New(quarantine.Config{
-		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(nodesTopic), Now: n.clock.Now, Log: n.log,
+		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(platform.NodesTopic), Now: n.clock.Now, Log: n.log,
 	})
 	n.roster.holds, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
 	n.roster.lease.grace = goneGrace(boot.Bounds.RetryWindow)
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// nodesTopic holds the peers' address of each node under its name.
-	nodesTopic = "keyed.cherryward-nodes"
 	// nodesWait is how long a read waits for a node to come.
 	nodesWait = 10 * time.Second
 	// readerNodesWait is the same at a node of a large system that reads for others, and oldestNodes
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -294,7 +294,7 @@
 
 // record writes a held request, and reports whether it is there.
 func (s *Service) record(ctx context.Context, h *Hold) bool {
-	value, err := h.encode()
+	value, err := h.encode(s.config.Node)
 	if err == nil {
 		err = s.put(ctx, h.Fingerprint, value)
 	}
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -393,3 +393,27 @@
 		}
 	})
 }
+
+// TestReleased: an operator removes the record of a held request. No node holds it any more, nor
+// records it again, and what is known of it begins anew.
+func TestReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t, 1)
+		nodes := w.startAll(4)
+		f := print("guilty")
+		for i := range 3 {
+			nodes[i].Note(Ending{f, fmt.Sprint("e", i)})
+		}
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 4, holding(nodes, f))
+		must.NoError(t, Release(t.Context(), w, f))
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		test.Eq(t, 0, holding(nodes, f))
+		test.Eq(t, 2, w.written())
+		test.False(t, nodes[0].Note(Ending{f, "e4"}))
+		for _, n := range nodes {
+			n.stop()
+		}
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -38,7 +38,8 @@
 	Endpoints   []string  // starts of endpoints that ended under it
 	Since       time.Time // when this node knew
 	Until       time.Time
-	Recorded    bool // on the platform
+	Recorded    bool   // on the platform
+	Node        string // that recorded it; empty if not known
 }
 
 // Table is what a node knows of endpoints that ended, and of requests that are held. It is safe for
