--- a/internal/admission/needs.go
+++ b/internal/admission/needs.go
@@ -12,8 +12,7 @@
 	// node's.
 	needSamples = 40
 	// usualPercent is the percentile of the sizes up to which prompts ask for the same room
-	// while few are refused. The 90th left engines a third empty: worth was 0.709 instead of
-	// 0.720 (means of five days with faults, two seeds each).
+	// while few are refused. A higher one leaves engines partly empty.
 	usualPercent = 75
 	// pressedPercent is the same while many are refused: then most of the largest tenth ask
 	// for the same room as all others, and are refused no more often.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -210,9 +210,8 @@
 }
 
 // withdrawUnbegun returns a context that ends at a time, unless began is called before. Zero
-// means that it doesn't. Where a caller waits 4.8 s for its first event, engines that turned slow
-// began with prompts on replaced weights up to 3.6 s after the placement, within 0.4 s of the
-// operators' bound (a simulated day with engines 12 times slower).
+// means that it doesn't. It guards against engines that turned slow and begin with prompts on
+// replaced weights seconds after the placement, past the operators' bound.
 func withdrawUnbegun(ctx context.Context, at time.Time) (_ context.Context, began func()) {
 	if at.IsZero() {
 		return ctx, func() {}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -14,9 +14,8 @@
 const (
 	// WaitShare is the part of the objective for which a request waits here for an endpoint:
 	// a caller that is refused later than that has lost time that it could have used.
-	// Callers that were refused before wait no longer: those that waited for an eighth of
-	// their time left took room from prompts that could still be in time (0.637 instead of
-	// 0.658 on a heavy day).
+	// Callers that were refused before wait no longer: they would take room from prompts that
+	// can still be in time.
 	WaitShare = 0.125
 	// lookAgain is the time between two looks while a request waits. Places come free, and
 	// peers tell so, some dozens of times a second.
--- a/internal/gateway/keptstart.go
+++ b/internal/gateway/keptstart.go
@@ -26,8 +26,7 @@
 // awaitTold returns when other nodes have told what all stores keep, or when that isn't to be
 // waited for.
 //
-// It guards against nodes that start together and ask each store: 295 nodes opened 12,948
-// connections and asked 31,429 times before a common start was over.
+// It guards against nodes that start together and ask each store, which answers few readers at once.
 func (k *keeping) awaitTold(ctx context.Context) {
 	for ctx.Err() == nil && !k.index.Told(k.node.clock.Now()) && k.mayBeTold(k.node.clock.Since(k.node.started)) {
 		retry.Sleep(ctx, tellPause)
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -21,14 +21,13 @@
 	// nodesWait is how long a read waits for a node to come.
 	nodesWait = 10 * time.Second
 	// readerNodesWait is the same at a node of a large system that reads for others, and oldestNodes
-	// the oldest copy of it that these believe: twice that, with a margin. With the bound of the
-	// other topics, 2.5 s, each of 295 nodes read the addresses itself, 1,400 calls a day.
+	// the oldest copy of it that these believe: twice that, with a margin. With the shorter bound of
+	// the other topics all nodes would find each copy too old, and read the addresses themselves.
 	readerNodesWait = 5 * time.Second
 	oldestNodes     = 12 * time.Second
 	// gatherTime is how long after its start a node expects others to come up with it, as after
 	// a loss of power, and gatherPause the time between two reads of the nodes' addresses
-	// meanwhile: each node's coming ends a waiting read of all others. 82 nodes made 1,550 calls
-	// in the first 3 s, half of them for want of knowing the nodes that read for others.
+	// meanwhile: each node's coming ends a waiting read of all others.
 	gatherTime  = 4 * time.Second
 	gatherPause = 300 * time.Millisecond
 )
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -31,8 +31,7 @@
 	// between the start of two. Events come in batches then.
 	Pace func(h *Holder) (wait, pause time.Duration)
 	// Relayed reports whether other nodes ask the stores for this one; nil for never. It then asks
-	// a store that fails ever more seldom: stores that were not up yet were dialled twice a second
-	// by each of 295 nodes, 23,600 times a second, and answer few readers at once.
+	// a store that fails ever more seldom: one that comes up answers few readers at once.
 	Relayed func() bool
 	// Clock dates what holders and nodes tell. Nil is the steady clock.
 	Clock *clock.Clock
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -231,8 +231,7 @@
 }
 
 // under returns the parts under salts that match, of which there are few, and the epoch in which
-// they were kept. Most looks find none: 295 nodes that matched each of 20,000 parts every second
-// took a core and more together (worked out).
+// they were kept. Most looks find none, and there are many more parts than salts.
 func (h *Holder) under(match func(salt string) bool) (parts []Part, epoch int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/kept/lapse.go
+++ b/internal/kept/lapse.go
@@ -19,9 +19,8 @@
 
 // lapses wakes the followers of stores of which other nodes have fallen silent.
 //
-// It gains wake-ups: where the follower of each of 40 stores waited on a timer of its own, they took
-// 28% of the processor time that a node at rest spends in its own code, as 59 nodes in one process
-// were profiled.
+// It spares wake-ups, which a timer for each store's follower would make a large part of what a node
+// at rest does.
 type lapses struct {
 	clock   *clock.Clock // nil is the steady clock
 	mu      sync.Mutex
--- a/internal/kept/snapshot.go
+++ b/internal/kept/snapshot.go
@@ -10,8 +10,8 @@
 
 // snapshot is all that a store kept before an event, in pages.
 //
-// Compressed by DEFLATE they were as long as with ids packed as bytes, but took a node of 0.12 core
-// longer to make than others wait for an answer, 150 ms: these were told nothing for 2.6 s.
+// Ids are packed as bytes. DEFLATE makes them no shorter, and takes a small host longer than others
+// wait for an answer.
 type snapshot struct {
 	epoch int64
 	next  int64
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -148,8 +148,7 @@
 }
 
 // Fallback returns the time between two reads of a store that fails, for a node of a large
-// system: all nodes would else ask it for three topics several times a second. An outage of 8 s
-// cost 82 nodes some 8,000 calls, 0.1 of what callers were worth.
+// system: all nodes would else ask it for three topics several times a second.
 func Fallback(nodes int) time.Duration {
 	if Whole(nodes) {
 		return 0
--- a/internal/peerload/collected.go
+++ b/internal/peerload/collected.go
@@ -27,9 +27,7 @@
 // Collected is what a collector, one of the few nodes that all of a failure domain tell of
 // their load, tells these of all others together. Its own digest comes with it.
 //
-// Where each node told each other one, 295 nodes in five failure domains heard 118,000 messages
-// a second (worked out). A simulated day took 15.6 s of processor time for each of its seconds;
-// with collectors, and with fewer looks at what stores keep, it takes 6.2 s.
+// Where each node tells each other one, the messages that are heard rise with the square of the nodes.
 type Collected struct {
 	// Nodes is the number of nodes whose digests are in it.
 	Nodes int `json:"nodes"`
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -73,8 +73,7 @@
 	collected := t.takeCollected(&d, now)
 	d.Collected = nil // what it says is kept there
 	t.peers[d.Node] = heard{digest: d, at: now, names: promises(known.names, d.Names, now), collected: collected}
-	// Only a new node can make them more: counted at each message, they were a seventh of the
-	// processor time of what nodes do beside requests, as 59 nodes in one process were profiled.
+	// Only a new node can make them more. Messages come too often to count the nodes at each.
 	if !listed {
 		t.most = max(t.most, t.count(now))
 	}
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -49,8 +49,7 @@
 
 // unseenShare is the part of an engine's memory that nodes of a large system leave to what the others
 // have placed there since they told: an engine of 12 slots gets 8 prompts a second, of which
-// two are not told yet. With a quarter of 204 engines dark, 0.68 instead of 0.64 of the worth was
-// served in 4 s of a simulated day (one play each; no other share was tried).
+// two are not told yet.
 const unseenShare = 0.15
 
 // memory returns what is believed of an engine's memory.
--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -37,10 +37,8 @@
 
 // reach returns the engines among which the prompt is placed: in a large system those of this
 // node's failure domain, but for a share of the prompts that rises with how much fuller they are
-// than the others'. Callers and engines are spread unequally: with 1.2 times the mean of callers
-// in one of five domains and 0.85 times in another, and two thirds of all slots in use, callers of
-// the former got 0.71 of the worth that they could, of the latter 0.88; with it 0.80 and 0.82 (a
-// simulated day of 295 nodes, one play each).
+// than the others'. Callers and engines are spread unequally: without it, callers of a fuller domain
+// get worse answers than those of another.
 func (s *search) reach(candidates []*fleet.Member) []*fleet.Member {
 	if s.Whole() {
 		return candidates
@@ -57,9 +55,7 @@
 // choices returns the engines to which this node keeps a connection, and a few random others. An
 // engine that is new, or back empty, looks the least busy to all nodes between two messages: with
 // all of them choosing among all, it gets what they all place in that time. And a node that uses
-// few engines often opens fewer connections than one that uses all seldom. On a simulated day of 295
-// nodes callers got 0.86 instead of 0.81 of the worth that they could, and 43,334 connections were
-// opened instead of 58,547 (one play each).
+// few engines often opens fewer connections than one that uses all seldom.
 func (s *search) choices(near []*fleet.Member) []*fleet.Member {
 	var kept, others []*fleet.Member
 	for _, m := range near {
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -157,8 +157,7 @@
 // reusable returns how many of the first parts the engine is not to read: as many as make
 // fetching them and reading the rest cost least, together. A small part whose fetch costs more
 // than reading it is fetched if that spares reading a large one behind it: judged by
-// itself, it had the whole prompt read. With the marks of failed saves taken back, worth rose by
-// 0.01 on three small deployments (one score each, within noise), and not on one of 60 engines.
+// itself, it would have the whole prompt read.
 // s.sources is set for those that are fetched.
 func (s *search) reusable(m *fleet.Member, l *located) int {
 	s.sources = s.sources[:0]
@@ -188,9 +187,7 @@
 
 // backUp names a store for part i, which the engine is believed to keep: an engine fetches
 // only what it lacks, and its memory may have turned over since its events were read, up to
-// 0.4 s ago. Without it, shared tokens that are read again cost 0.102 of what callers are worth
-// instead of 0.054 on a deployment whose engines hold six long prompts (means of five days with
-// faults), and worth falls by 0.04 to 0.05 on all.
+// 0.4 s ago. It gains most where engines hold few long prompts.
 func (s *search) backUp(m *fleet.Member, p *plan, i int, part *locatedPart) {
 	if from := s.quickest(m, part, part.stores); from.holder != nil && from.ms < s.readMs(part) {
 		p.name(i, len(s.q.Attributes.Parts), from.holder.Addr)
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -43,8 +43,8 @@
 	// reportTimeout bounds a report, which takes some ms: all looks wait for the slowest one.
 	reportTimeout = 250 * time.Millisecond
 	// muteTime is how long an engine that was not ordered yet may fail to report before it makes
-	// room for another. With one of 9 engines silent, jobTimeout and calls of 700 ms had the others
-	// take 15 s to new weights, of a bound of 12 s; now they take 9 s (simulated).
+	// room for another: with jobTimeout alone one silent engine of nine holds the others up beyond
+	// the operators' bound.
 	muteTime = time.Second
 )
 
@@ -254,8 +254,7 @@
 // its own.
 //
 // One after the other, an order that nobody answers held up the next by its timeout of 500 ms;
-// side by side but waited for, it held up the next look at all engines. With every second one
-// unanswered 90 engines of a simulated day took 20 s, of the operators' bound of 15 s.
+// side by side but waited for, it held up the next look at all engines.
 func (s *Service) give(ctx context.Context, held *claim.Claim, looks []look) {
 	for i := range looks {
 		l := &looks[i]
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -220,8 +220,8 @@
 // as it would have before the claim ran out by itself.
 //
 // Without it a node that starts meanwhile waits for the whole claim and the lease bound from when it
-// first read of the claim. With six nodes that stop and start in turn, each taking 8 s, nobody gave
-// orders for 9.3 s of a simulated day, and engines kept replaced weights past the bound.
+// first read of the claim: where nodes stop and start in turn, engines keep replaced weights past the
+// operators' bound.
 func (s *Service) giveBack(held *claim.Claim) {
 	time.Sleep(s.Clock.Until(s.ordered.Add(orderTimeout + s.Lease)))
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -104,9 +104,7 @@
 
 // Behind returns the engines that lack the wanted version of the model, in the order in which
 // they are brought to it: those with the oldest weights first, whose time for requests runs out
-// soonest, and among equals in an order that all holders share. With two versions named 4 s apart
-// worth is higher on each of nine simulated days (three seeds on three small deployments), by 0.015 in
-// the mean, and 0.008 more requests are served.
+// soonest, and among equals in an order that all holders share.
 func Behind(members []*fleet.Member, model string, version int64) []*fleet.Member {
 	var list []*fleet.Member
 	for _, m := range members {
