--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -39,8 +39,13 @@
 	conns    map[net.Conn]bool
 }
 
+// newProxy returns a proxy at the IP of its target.
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip, _, err := net.SplitHostPort(target)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -66,7 +66,7 @@
 	var err error
 	w.log, err = os.Create(filepath.Join(t.TempDir(), "nodes.log"))
 	must.NoError(t, err)
-	w.site, err = site.Start(site.Config{Beat: beat, Gap: gap, Proxy: func(addr string) (string, error) {
+	w.site, err = site.Start(site.Config{Beat: beat, Gap: gap, IP: ownIP(), Proxy: func(addr string) (string, error) {
 		p, err := newProxy(addr)
 		if err != nil {
 			return "", err
@@ -87,6 +87,14 @@
 	return w
 }
 
+// ownIP returns an address of the loopback network that no other run on this host has, as far as their
+// processes' ids differ in the last 16 bits: a port of a node that ended may be given to a server of
+// another run, whose clients would still use it.
+func ownIP() string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.77.%d.%d", id>>8&0xff, max(id&0xff, 1))
+}
+
 // configure replaces the keys.
 func (w *world) configure(keys ...string) {
 	w.mu.Lock()
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -44,6 +45,9 @@
 type Config struct {
 	Beat time.Duration // between the servers' entries in the registry
 	Gap  time.Duration // between the events of a stream
+	// IP is where all stand-ins and nodes listen; empty for 127.0.0.1. Sites with an address each on the
+	// same host don't get one another's ports.
+	IP string
 	// Proxy returns the address that others are told in place of a stand-in's own;
 	// nil leaves them.
 	Proxy func(addr string) (string, error)
@@ -60,6 +64,7 @@
 	// Foreign writes to the store when a test has it do so.
 	Foreign *Foreign
 
+	ip                  string
 	storeAddr, keepAddr string
 	servers             []*server
 	ctx                 context.Context // ends with Close
@@ -89,7 +94,7 @@
 // Start starts a site whose servers are registered and which is not configured yet.
 func Start(c Config) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Site{Store: metastore.New(), ctx: ctx, stop: cancel, proxy: c.Proxy, ended: c.Ended}
+	s := &Site{ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, proxy: c.Proxy, ended: c.Ended}
 	store, err := s.listen(s.Store.Handler())
 	if err != nil {
 		return nil, err
@@ -140,7 +145,7 @@
 
 // listen serves at a port of its own, which others reach by the proxy.
 func (s *Site) listen(h http.Handler) (listener, error) {
-	at, err := s.serve("127.0.0.1:0", h)
+	at, err := s.serve(s.ip+":0", h)
 	if err == nil && s.proxy != nil {
 		at.addr, err = s.proxy(at.own)
 	}
@@ -250,36 +255,6 @@
 	s.Store.Put(topic, key, data)
 }
 
-// BootFile returns the boot file of a node on loopback, with ports of its own.
-func (s *Site) BootFile(node string) string {
-	return fmt.Sprintf(`node-name = %q
-zone = "north"
-region = "loopback"
-ip = "127.0.0.1"
-internal-ports = [0, 0]
-[listen]
-front = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-[limits]
-memory-mb = 256
-max-fds = 1024
-[bounds]
-drain-ms = 2000
-grace-s = 8
-config-apply-ms = 2000
-revoke-ms = 5000
-stable-window-ms = 3000
-retry-budget-ratio = 0.2
-budget-slack = 50
-budget-window-s = 10
-lease-ms = 500
-version-ms = 12000
-require-fence = true
-[platform]
-address = %q
-`, node, s.storeAddr)
-}
-
 // Request returns a client's request to a node. session is the shared part of a
 // prompt; empty for plain requests.
 func Request(ctx context.Context, node, method, path, key, id, session string) (*http.Request, error) {
