Tell assessors that a held request is recorded

Nodes of a large system read the topic by others, up to 3 s late: the next assessors did not see the record and wrote it again, 20, 18 and 15 times for five holds with 82, 295 and 1,000 nodes, each of which ends all readers' waits and is told to all nodes. Found by reading.

--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -22,6 +22,8 @@
 	Endings []toldEnding `json:"endings,omitempty"`
 	// Served are requests that an endpoint ran to a good end.
 	Served []string `json:"served,omitempty"`
+	// Recorded is true where the endings hold a request and its record was written.
+	Recorded bool `json:"recorded,omitempty"`
 }
 
 type toldEnding struct {
@@ -31,15 +33,16 @@
 
 // news is a decoded message.
 type news struct {
-	endings []Ending
-	served  []Fingerprint
+	endings  []Ending
+	served   []Fingerprint
+	recorded bool
 }
 
 // messages returns the news in messages that fit into datagrams.
 func (n *news) messages() iter.Seq[message] {
 	return func(yield func(message) bool) {
 		for endings := range slices.Chunk(n.endings, maxNews) {
-			var m message
+			m := message{Recorded: n.recorded}
 			for _, e := range endings {
 				m.Endings = append(m.Endings, toldEnding{e.Fingerprint.String(), e.Endpoint})
 			}
@@ -68,7 +71,7 @@
 	if len(m.Endings)+len(m.Served) > maxNews {
 		return news{}, eris.Errorf("%d endings in a message", len(m.Endings)+len(m.Served))
 	}
-	var n news
+	n := news{recorded: m.Recorded}
 	for _, told := range m.Endings {
 		f, err := ParseFingerprint(told.Fingerprint)
 		if err != nil {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -145,6 +145,9 @@
 	}
 	for _, e := range n.endings {
 		s.note(e)
+		if n.recorded {
+			s.Recorded(e.Fingerprint)
+		}
 	}
 	for _, f := range n.served {
 		s.Table.Clear(f)
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -50,10 +50,10 @@
 }
 
 // spread tells all nodes of a held request: those of a large system that read the topic by others
-// learn of it some seconds later else.
+// learn of it some seconds later else, and the next assessors write another record.
 func (s *Service) spread(h *Hold) {
 	peers := slices.Collect(maps.Values(s.config.Peers()))
-	n := news{endings: h.endings()}
+	n := news{endings: h.endings(), recorded: true}
 	for m := range n.messages() {
 		s.config.Conn.Notify(peers, method, m)
 	}
