Encode fingerprints by themselves, and read the peers once a step

Messages on endings had two types and loops that copied one into the other, as fingerprints were texts in one of them: Fingerprint encodes itself now, and the message is what is decoded. The wire is the same; a fingerprint that is missing is refused as before. Peers were made anew for each held request of a step, and parsed beside the roster's own list: once a step now, from that list. Whether a cleared request had a record was asked before it was cleared, under another lock: one call tells both. The roster's default for held records stood beside the check for none: one of them is gone. Tests end their nodes with their own context. No behaviour changes; the package's tests, also under the race detector, and the gateway's pass.

--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -83,7 +83,6 @@
 func newRoster(node string, own nodeEntry, topic putter, set func([]peerload.Peer), heard func(string) bool, log zerolog.Logger) *roster {
 	r := &roster{
 		node: node, own: own, topic: topic, set: set, heard: heard, log: log, rejected: newRejected(log),
-		holds:   func(*follow.Record) error { return nil },
 		lease:   lease{proven: time.Now(), grace: goneGrace(0)},
 		entries: make(map[string]nodeEntry), written: make(map[string]time.Time),
 	}
@@ -202,9 +201,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	peers := make(map[string]netip.AddrPort, len(r.entries))
-	for name, e := range r.entries {
-		if addr, err := netip.ParseAddrPort(e.Addr); err == nil && name != r.node {
-			peers[name] = addr
+	for _, n := range r.sorted(func(nodeEntry) bool { return true }) {
+		if n.name != r.node {
+			peers[n.name] = n.addr
 		}
 	}
 	return peers
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -34,6 +34,15 @@
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) (err error) {
+	*f, err = ParseFingerprint(string(text))
+	return err
+}
+
 // ParseFingerprint reads what String returns.
 func ParseFingerprint(s string) (Fingerprint, error) {
 	data, err := hex.DecodeString(s)
--- a/internal/quarantine/network_test.go
+++ b/internal/quarantine/network_test.go
@@ -135,7 +135,7 @@
 	return &network{t: t, seed: seed, sent: make(map[string]int), nodes: make(map[netip.AddrPort]*node), records: make(map[string][]byte)}
 }
 
-// start starts a node, which reads the topic, or one anew that is there.
+// start starts a node, which reads the topic, or one anew that is there. It ends with the test.
 func (w *network) start(i int) *node {
 	n := &node{net: w, name: fmt.Sprint("n", i), addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7700)}
 	n.Service = New(Config{
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -96,8 +96,8 @@
 // Clear forgets a request that an endpoint ran to a good end for this node, and tells its peers if
 // anything was known of it.
 func (s *Service) Clear(f Fingerprint) (known bool) {
-	recorded := s.isRecorded(f)
-	if known = s.Table.Clear(f); !known {
+	known, recorded := s.remove(f)
+	if !known {
 		return false
 	}
 	if recorded {
@@ -143,13 +143,13 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, e := range n.endings {
+	for _, e := range n.Endings {
 		s.note(e)
-		if n.recorded {
+		if n.Recorded {
 			s.Recorded(e.Fingerprint)
 		}
 	}
-	for _, f := range n.served {
+	for _, f := range n.Served {
 		s.Table.Clear(f)
 	}
 	return nil, nil
@@ -202,8 +202,13 @@
 // step tells and records once, and reports whether there is more to do soon.
 func (s *Service) step(ctx context.Context) (more bool) {
 	s.spreadAgain()
-	telling := s.sendNews()
-	recording := s.recordHolds(ctx)
+	told := s.due()
+	if len(told) == 0 && s.Empty() {
+		return s.removeRecords(ctx)
+	}
+	peers := s.config.Peers()
+	telling := s.sendNews(told, peers)
+	recording := s.recordHolds(ctx, peers)
 	removing := s.removeRecords(ctx)
 	return telling || recording || removing || len(s.recorded) > 0
 }
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -34,9 +34,6 @@
 				test.Eq(t, size, holding(nodes, f), test.Sprint(size, seed))
 				test.LessEq(t, int(bound/recordPause)+1, w.written())
 				test.LessEq(t, 3*assessors*4+2*w.written()*size, w.messages) // each writer tells all twice
-				for _, n := range nodes {
-					n.stop()
-				}
 			})
 		}
 	}
@@ -61,9 +58,6 @@
 		synctest.Wait()
 		test.MapLen(t, 1, w.records)
 		test.LessEq(t, len(nodes), w.written()) // each once at most
-		for _, n := range nodes {
-			n.stop()
-		}
 	})
 }
 
@@ -91,9 +85,6 @@
 		}
 		nodes = w.startAll(3)
 		test.Eq(t, 3, holding(nodes, f))
-		for _, n := range nodes {
-			n.stop()
-		}
 	})
 }
 
@@ -113,9 +104,6 @@
 		time.Sleep(tellPause)
 		synctest.Wait()
 		test.Eq(t, 3, holding(nodes, f))
-		for _, n := range nodes {
-			n.stop()
-		}
 	})
 }
 
@@ -143,9 +131,6 @@
 		for _, value := range w.records {
 			test.SliceEmpty(t, value)
 		}
-		for _, n := range nodes {
-			n.stop()
-		}
 	})
 }
 
@@ -166,7 +151,6 @@
 		test.SliceEmpty(t, w.records[keyOf(f)])
 		for _, n := range nodes {
 			test.True(t, n.Empty())
-			n.stop()
 		}
 	})
 }
@@ -184,9 +168,6 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 		test.Eq(t, 4, holding(nodes, f))
-		for _, n := range nodes {
-			n.stop()
-		}
 	})
 }
 
@@ -216,7 +197,7 @@
 		if err != nil {
 			return
 		}
-		must.LessEq(t, maxNews, len(n.endings)+len(n.served))
+		must.LessEq(t, maxNews, len(n.Endings)+len(n.Served))
 		for m := range n.messages() {
 			encoded, err := json.Marshal(m)
 			must.NoError(t, err)
@@ -244,8 +225,5 @@
 		test.Eq(t, 0, holding(nodes, f))
 		test.Eq(t, 2, w.written())
 		test.False(t, nodes[0].Note(Ending{f, "e4"}))
-		for _, n := range nodes {
-			n.stop()
-		}
 	})
 }
--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -62,9 +62,6 @@
 				time.Sleep(time.Until(begun.Add(inTouch + asks)))
 				test.False(t, deaf.HeldUntil(f).IsZero())
 				written += w.written()
-				for _, n := range nodes {
-					n.stop()
-				}
 			})
 		}
 		t.Logf("%d nodes: half know after %v at most, all after %v; %d bytes a node", size, slices.Max(half), slices.Max(all), bytes/seeds/size)
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 )
 
 // recordHolds records what this node holds and the topic doesn't, and reports whether any is left.
-func (s *Service) recordHolds(ctx context.Context) (more bool) {
+func (s *Service) recordHolds(ctx context.Context, peers map[string]netip.AddrPort) (more bool) {
 	now := s.config.Now()
 	for _, h := range s.Holds() {
 		if h.Recorded || !now.Before(h.Until) {
 			continue
 		}
-		rank := slices.Index(s.assessors(h.Fingerprint, s.config.Peers()), s.config.Node)
+		rank := slices.Index(s.assessors(h.Fingerprint, peers), s.config.Node)
 		if rank < 0 {
 			continue
 		}
@@ -53,7 +54,7 @@
 // learn of it some seconds later else, and the next assessors write another record.
 func (s *Service) spread(h *Hold) {
 	peers := slices.Collect(maps.Values(s.config.Peers()))
-	n := news{endings: h.endings(), recorded: true}
+	n := news{Endings: h.endings(), Recorded: true}
 	for m := range n.messages() {
 		s.config.Conn.Notify(peers, method, m)
 	}
@@ -90,12 +91,12 @@
 
 // forget drops holds that ended long ago. The first assessor removes their records.
 func (s *Service) forget(ctx context.Context) {
-	now := s.config.Now()
+	now, peers := s.config.Now(), s.config.Peers()
 	for _, h := range s.Holds() {
 		if !h.Expired(now) {
 			continue
 		}
-		if s.assessors(h.Fingerprint, s.config.Peers())[0] == s.config.Node && s.put(ctx, h.Fingerprint, nil) != nil {
+		if s.assessors(h.Fingerprint, peers)[0] == s.config.Node && s.put(ctx, h.Fingerprint, nil) != nil {
 			continue
 		}
 		s.Table.Clear(h.Fingerprint)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,9 +27,9 @@
 
 // Ending is the end of an endpoint while it had a request.
 type Ending struct {
-	Fingerprint Fingerprint
+	Fingerprint Fingerprint `json:"fingerprint"`
 	// Endpoint names one start of an endpoint.
-	Endpoint string
+	Endpoint string `json:"endpoint"`
 }
 
 // Hold is a request that is held.
@@ -147,19 +147,20 @@
 // Clear forgets what is known of a request, as an endpoint ran it to a good end, and reports
 // whether anything was.
 func (t *Table) Clear(f Fingerprint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	defer t.count()
-	suspected := t.suspects.Remove(f)
-	return t.held.Remove(f) || suspected
+	known, _ := t.remove(f)
+	return known
 }
 
-// isRecorded reports whether a request is held by a record on the platform.
-func (t *Table) isRecorded(f Fingerprint) bool {
+// remove does what Clear does, and reports whether the request was held by a record on the platform.
+func (t *Table) remove(f Fingerprint) (known, recorded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h, known := t.held.Peek(f)
-	return known && h.Recorded
+	defer t.count()
+	if h, held := t.held.Peek(f); held {
+		t.held.Remove(f)
+		return true, h.Recorded
+	}
+	return t.suspects.Remove(f), false
 }
 
 // Recorded notes that a hold is recorded on the platform.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -8,13 +8,9 @@
 	"github.com/cherryward/cherryward/coord/rendezvous"
 )
 
-// sendNews tells each assessor what it is to know, and reports whether it is to be told again.
-func (s *Service) sendNews() (more bool) {
-	told := s.due()
-	if len(told) == 0 && s.Empty() {
-		return false
-	}
-	peers := s.config.Peers()
+// sendNews tells each assessor what is due and what it is to know if it came, and reports whether
+// that is to be told again.
+func (s *Service) sendNews(told []telling, peers map[string]netip.AddrPort) (more bool) {
 	if s.peers != nil && !maps.Equal(peers, s.peers) {
 		told = append(told, s.known()...)
 	}
@@ -63,10 +59,10 @@
 
 func (n *news) add(t telling) {
 	if t.Endpoint == "" {
-		n.served = append(n.served, t.Fingerprint)
+		n.Served = append(n.Served, t.Fingerprint)
 		return
 	}
-	n.endings = append(n.endings, t.Ending)
+	n.Endings = append(n.Endings, t.Ending)
 }
 
 // assessors returns the nodes that are told of a request, this one perhaps included, in the order
