Name what stood several times: wrong usage, lost attempts, the engines' clock

Four commands made the same error of a wrong command line in a closure each; four places noted a lost attempt in two lines; and the index of kept parts had a Clock and a clock, its host's and the engines'. No behaviour changes; the packages' tests pass.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -86,7 +86,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	for _, c := range append(cmd.Commands, cmd) {
-		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} }
+		c.OnUsageError = wrongUsage
 	}
 	return cmd
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -1,11 +1,14 @@
 package ctl
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"slices"
 
+	"github.com/urfave/cli/v3"
+
 	"github.com/cherryward/cherryward/internal/result"
 )
 
@@ -31,6 +34,9 @@
 	return &usageError{fmt.Errorf(format, args...)}
 }
 
+// wrongUsage makes the error of a command line that can't be parsed one of usage.
+func wrongUsage(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} }
+
 // inputCodes are the results that blame the input.
 var inputCodes = []result.Code{result.InvalidObject, result.MalformedBody, result.BodyTooLarge, result.UnknownField}
 
--- a/internal/ctl/experiment.go
+++ b/internal/ctl/experiment.go
@@ -47,7 +47,7 @@
 			&cli.StringFlag{Name: flagOut, Value: ".", Usage: "`DIRECTORY` for NAME.jsonl and NAME.svg"},
 			&cli.StringFlag{Name: flagCompare, Usage: "`FIRST,SECOND` policy to compare; the first two if not given"},
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} },
+		OnUsageError: wrongUsage,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if err := wantArgs(cmd, 1, 1); err != nil {
 				return err
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -39,7 +39,7 @@
 		Name:         "list",
 		Usage:        "show which requests are held, until when, and which endpoints ended under them",
 		Flags:        []cli.Flag{storeFlag(), outputFlag()},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} },
+		OnUsageError: wrongUsage,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if err := wantArgs(cmd, 0, 0); err != nil {
 				return err
@@ -66,7 +66,7 @@
 		Usage:        "have a held request sent again, at all nodes",
 		ArgsUsage:    "FINGERPRINT",
 		Flags:        []cli.Flag{storeFlag()},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} },
+		OnUsageError: wrongUsage,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if err := wantArgs(cmd, 1, 1); err != nil {
 				return err
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -242,7 +242,7 @@
 	case errors.Is(context.Cause(ctx), errWithdrawn):
 		x.cause = errWithdrawn
 	default:
-		x.lost = true
+		x.lose(err)
 	}
 	return failed
 }
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -83,8 +83,7 @@
 	}
 	if err != nil {
 		answer.Abort()
-		x.lost = true
-		x.cause = eris.Wrap(err, "read the answer")
+		x.lose(eris.Wrap(err, "read the answer"))
 		return failed
 	}
 	if x.rejects(answer.StatusCode) {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -38,8 +38,7 @@
 			return x.endEvents(answer, d)
 		}
 		if err != nil {
-			x.lost = true
-			x.cause = eris.Wrap(err, "read the stream")
+			x.lose(eris.Wrap(err, "read the stream"))
 			return x.brokenStream(answer)
 		}
 	}
@@ -76,8 +75,7 @@
 func (x *exchange) endEvents(answer *upstream.Answer, d *delivery) verdict {
 	rest := d.rest()
 	if d.unframed && (len(rest) > 0 || d.empty) {
-		x.lost = true
-		x.cause = eris.New("the connection ended within an event")
+		x.lose(eris.New("the connection ended within an event"))
 		return x.brokenStream(answer)
 	}
 	if d.unchecked && len(rest) > 0 {
--- a/internal/forward/loss.go
+++ b/internal/forward/loss.go
@@ -21,6 +21,9 @@
 	return result.New(result.Quarantined, result.WithRetryAfter(x.Clock.Until(until)))
 }
 
+// lose notes that the newest attempt ended with its connection.
+func (x *exchange) lose(cause error) { x.cause, x.lost = cause, true }
+
 // assess learns from the newest attempt whether endpoints end under this request. A caller that
 // left, or whose time was over, has had the connection closed, which tells nothing.
 func (x *exchange) assess(ctx context.Context, p *Placement, v verdict) {
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -42,7 +42,8 @@
 	cancel map[*Holder]context.CancelFunc
 	lapses *lapses // nil until the first Follow
 	wg     sync.WaitGroup
-	clock  atomic.Pointer[clockReading]
+	// engineClock is the newest reading of the engines' clock.
+	engineClock atomic.Pointer[clockReading]
 }
 
 // view is the immutable list of holders.
@@ -76,7 +77,7 @@
 // ClockMS returns the engines' clock, at least as late as it was read; 0 while it
 // is not known.
 func (x *Index) ClockMS() int64 {
-	r := x.clock.Load()
+	r := x.engineClock.Load()
 	if r == nil {
 		return 0
 	}
@@ -192,7 +193,7 @@
 // Take notes a holder's events.
 func (x *Index) Take(h *Holder, e *Events) {
 	if e.ClockMS > 0 {
-		x.clock.Store(&clockReading{ms: e.ClockMS, at: x.Clock.Now()})
+		x.engineClock.Store(&clockReading{ms: e.ClockMS, at: x.Clock.Now()})
 	}
 	if e.Gap {
 		x.Log.Info().Str("event", "events_gap").Str("holder", h.ID).Int64("next", e.Next).Send()
