Wait for a port that was given away in one place

The soak's proxies had the loop of the stand-in's servers once more. Serving takes a listener now, and both call site.ListenAgain. The stand-ins' tests pass.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,12 +1,12 @@
 package soak
 
 import (
-	"errors"
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/cherryward/cherryward/standin/site"
 )
 
 // trouble is what a proxy does to the connections through it.
@@ -21,12 +21,7 @@
 	troubles
 )
 
-const (
-	proxyDelay = 40 * time.Millisecond
-	// portTime is how long a port is waited for that the system gave away, looking each portPause.
-	portTime  = 20 * time.Second
-	portPause = 20 * time.Millisecond
-)
+const proxyDelay = 40 * time.Millisecond
 
 // proxy passes connections on to one stand-in, and does them harm when told to.
 type proxy struct {
@@ -71,11 +66,7 @@
 
 // reopen ends end. The system may have given the port away meanwhile.
 func (p *proxy) reopen() error {
-	l, err := net.Listen("tcp", p.at)
-	for limit := time.Now().Add(portTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(limit); {
-		time.Sleep(portPause)
-		l, err = net.Listen("tcp", p.at)
-	}
+	l, err := site.ListenAgain(p.at)
 	if err != nil {
 		return err
 	}
--- a/standin/site/foreign.go
+++ b/standin/site/foreign.go
@@ -17,7 +17,7 @@
 
 func newForeign(s *Site) (*Foreign, error) {
 	f := &Foreign{site: s}
-	at, err := s.serve(s.ip+":0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	at, err := s.serveAnew(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		f.calls.Add(1)
 		w.WriteHeader(http.StatusInternalServerError)
 	}))
--- a/standin/site/restart.go
+++ b/standin/site/restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -52,11 +53,21 @@
 	if moves {
 		return s.listen(h)
 	}
-	at, err := s.serve(before.own, h)
+	l, err := ListenAgain(before.own)
+	if err != nil {
+		return listener{}, err
+	}
+	at := s.serve(l, h)
+	at.addr = before.addr
+	return at, nil
+}
+
+// ListenAgain listens at an address that was listened at before.
+func ListenAgain(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
 	for limit := time.Now().Add(portTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(limit); {
 		time.Sleep(portPause)
-		at, err = s.serve(before.own, h)
+		l, err = net.Listen("tcp", addr)
 	}
-	at.addr = before.addr
-	return at, err
+	return l, err
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -145,24 +145,29 @@
 
 // listen serves at a port of its own, which others reach by the proxy.
 func (s *Site) listen(h http.Handler) (listener, error) {
-	at, err := s.serve(s.ip+":0", h)
+	at, err := s.serveAnew(h)
 	if err == nil && s.proxy != nil {
 		at.addr, err = s.proxy(at.own)
 	}
 	return at, err
 }
 
-// serve serves at an address until it is closed, or the site is.
-func (s *Site) serve(addr string, h http.Handler) (listener, error) {
-	l, err := net.Listen("tcp", addr)
+// serveAnew serves at a port that nobody has.
+func (s *Site) serveAnew(h http.Handler) (listener, error) {
+	l, err := net.Listen("tcp", s.ip+":0")
 	if err != nil {
 		return listener{}, err
 	}
+	return s.serve(l, h), nil
+}
+
+// serve serves at an address until it is closed, or the site is.
+func (s *Site) serve(l net.Listener, h http.Handler) listener {
 	served := &http.Server{Handler: h, ReadHeaderTimeout: headerTime}
 	s.wg.Go(func() { _ = served.Serve(l) }) // ends with Close
 	context.AfterFunc(s.ctx, func() { _ = served.Close() })
 	own := l.Addr().String()
-	return listener{own: own, addr: own, close: func() { _ = served.Close() }}, nil
+	return listener{own: own, addr: own, close: func() { _ = served.Close() }}
 }
 
 // Close stops all stand-ins.
