Send nothing to failure domains that the operators evacuate

Cause: the operators' orders lie in the topic of the configuration under keys of their own, and nodes passed over all keys but the configuration and the versions of weights.

Change: the state keeps the orders in force, by failure domain, taken from the same batches as the configuration: a node that has a configuration has the orders of the same read, so that one which starts, reloads, wakes or is back from a cut takes no request without them. The placer leaves endpoints of evacuated domains out before anything else is judged, also where all others are avoided, and names none of them as a source of KV cache. Every send, first or repeated, of a prompt, a resumed stream or a plain call, asks the placer. Stores of KV cache are no endpoints: they are read and written as before.

Ruled out: treating an order whose value can't be read as none. Only operators write there, and sending nothing is the safe side.

The placer's tests fail without its change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,6 +241,7 @@
 		Whole:        n.peers.Whole,
 		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
+		Evacuated:    n.state.Evacuated,
 		Excused:      n.state.excused,
 		Services:     &placer.Services{},
 		Nodes:        n.nodes,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -20,7 +20,8 @@
 // state is what the operators want: the configuration and the versions of
 // weights, with the time at which both were certainly current.
 //
-// Guarantee: the configuration's version never falls while the process runs.
+// Guarantees: the configuration's version never falls while the process runs. A node without a
+// configuration has no evacuations either, and takes no requests.
 type state struct {
 	log      zerolog.Logger
 	clock    *clock.Clock // nil is the steady clock
@@ -29,8 +30,9 @@
 	rejected *rejected
 	config   atomic.Pointer[routing.Config]
 	// configured is called when another configuration is in force; nil for nothing.
-	configured func()
-	proven     atomic.Pointer[time.Time]
+	configured  func()
+	evacuations evacuations
+	proven      atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	versions map[string][]namedVersion // by model, rising
@@ -87,8 +89,8 @@
 	return s.started, s.started.Add(s.bounds().StableWindow)
 }
 
-// Apply implements follow.Sink. The configuration is stored before the time at
-// which it was current, so that a reader who takes them the other way round never
+// Apply implements follow.Sink. The configuration and the evacuations are stored before the time at
+// which they were current, so that a reader who takes them the other way round never
 // finds it fresher than it is.
 func (s *state) Apply(b follow.Batch) {
 	sight := sight{at: s.clock.Now(), notBefore: s.namedBeforeStart()}
@@ -96,6 +98,9 @@
 		sight.notBefore = *before
 		sight.prompt = b.ProvenAt.Sub(*before) < namingAge
 	}
+	for _, change := range s.evacuations.apply(&b, sight.at) {
+		s.log.Info().Str("event", "evacuation").Str("domain", change.domain).Bool("in_force", change.begun).Int64("offset", change.offset).Send()
+	}
 	for i := range b.Records {
 		s.applyRecord(&b.Records[i], &sight)
 	}
@@ -177,6 +182,9 @@
 	return s.config.Load(), s.clock.Since(*proven)
 }
 
+// Evacuated reports whether the operators asked that a failure domain's endpoints get nothing.
+func (s *state) Evacuated(domain string) bool { return s.evacuations.inForce(domain) }
+
 // Wanted implements placer.Versions.
 func (s *state) Wanted(model string) (int64, time.Time) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/placer/evacuated_test.go
@@ -0,0 +1,76 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/routing"
+)
+
+// evacuate has the world's operators evacuate failure domains.
+func (w *world) evacuate(domains ...string) {
+	gone := make(map[string]bool)
+	for _, d := range domains {
+		gone[d] = true
+	}
+	w.Placer.Evacuated = func(domain string) bool { return gone[domain] }
+}
+
+// spread puts the world's endpoints into failure domains, in their order.
+func (w *world) spread(domains ...string) {
+	f := fleet.New(zerolog.Nop())
+	for i, m := range w.members {
+		e := *m.Endpoint()
+		e.Domain = domains[i]
+		w.Kept.Engines()[m.ID].Domain = domains[i]
+		f.Update(&e, time.Now())
+	}
+	w.Fleet = f
+}
+
+// TestEvacuatedGetNothing sends no request to an evacuated failure domain, whether it is a first try
+// or a repeat, and also where everything else fails.
+func TestEvacuatedGetNothing(t *testing.T) {
+	w := newWorld(t, source{addr(2): shared(1, "")}, 1, 1, 1)
+	w.spread("north", "north", "east")
+	w.evacuate("east")
+	plain := &forward.Query{Route: &routing.Route{}, Service: &routing.Service{Name: "s"}, Attributes: &forward.Attributes{}}
+	for _, q := range []*forward.Query{query(), plain} {
+		for _, tried := range [][]string{nil, {"e0"}, {"e0", "e1"}} {
+			q.Tried = tried
+			p, ok := w.Place(q)
+			must.Eq(t, len(tried) < 2, ok)
+			if ok {
+				test.NotEq(t, "e2", p.Member.ID)
+				test.SliceNotContains(t, p.Attempt.Sources, addr(2), test.Sprint("asked for KV cache"))
+			}
+		}
+		q.Tried = nil
+		for _, m := range w.Fleet.Members("s") {
+			m.Health.Failed(time.Now(), true)
+		}
+		p, ok := w.Place(q)
+		must.True(t, ok, must.Sprint("endpoints that fail are used where no other may be"))
+		test.NotEq(t, "e2", p.Member.ID)
+	}
+}
+
+// TestAllEvacuated refuses at once where every failure domain is evacuated, and goes on as soon as
+// one is given back. An unknown domain changes nothing.
+func TestAllEvacuated(t *testing.T) {
+	w := newWorld(t, source{}, 1, 1, 1)
+	w.evacuate("north", "nowhere")
+	p, ok := w.Place(query())
+	test.False(t, ok)
+	test.Zero(t, p.Pause(time.Second), test.Sprint("it is not kept waiting"))
+	test.Eq(t, "evacuated", p.Reason)
+	w.evacuate("nowhere")
+	_, ok = w.Place(query())
+	test.True(t, ok)
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -49,6 +49,9 @@
 	Closed func() []weights.Closed
 	// VersionApply is the operators' bound on new weights.
 	VersionApply func() time.Duration
+	// Evacuated reports whether the endpoints of a failure domain are to get nothing. Nil means that
+	// none is evacuated.
+	Evacuated func(domain string) bool
 	// Excused returns when this process started, and until when that excuses runs on weights that
 	// were replaced before. Nil means that nothing does.
 	Excused func() (started, until time.Time)
@@ -65,9 +68,17 @@
 
 var _ forward.Placer = (*Placer)(nil)
 
+// evacuated is the reason of a refusal where every endpoint's failure domain is evacuated.
+const evacuated = "evacuated"
+
 // Place implements forward.Placer.
 func (p *Placer) Place(q *forward.Query) (forward.Placement, bool) {
-	candidates := usable(p.Fleet.Members(q.Service.Name), q.Tried, p.Now())
+	all := p.Fleet.Members(q.Service.Name)
+	staying := p.staying(all)
+	if len(staying) == 0 && len(all) > 0 {
+		return forward.Placement{Reason: evacuated}, false
+	}
+	candidates := usable(staying, q.Tried, p.Now())
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
@@ -77,6 +88,18 @@
 	return p.placePrompt(q, candidates)
 }
 
+// staying returns the endpoints whose failure domain is not evacuated.
+func (p *Placer) staying(members []*fleet.Member) []*fleet.Member {
+	if p.Evacuated == nil {
+		return members
+	}
+	leaving := func(m *fleet.Member) bool { return p.Evacuated(m.Endpoint().Domain) }
+	if !slices.ContainsFunc(members, leaving) {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), leaving)
+}
+
 // usable returns the endpoints that were not tried and are not avoided. Where all
 // are avoided, none is: a judgement that leaves no endpoint helps nobody.
 func usable(members []*fleet.Member, tried []string, now time.Time) []*fleet.Member {
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -105,7 +105,7 @@
 	if len(parts) < 2 || !p.Whole() {
 		return nil
 	}
-	members := p.near(p.Fleet.Members(q.Service.Name))
+	members := p.near(p.staying(p.Fleet.Members(q.Service.Name)))
 	nodes := make([]rendezvous.Node, len(members))
 	for i, m := range members {
 		nodes[i] = rendezvous.Node{ID: m.ID, Weight: 1}
