Share out the requests that a cold endpoint gets among few nodes

Cause: nobody did anything about a cold endpoint. It looks the least busy to all nodes between two messages on loads, which are 0.4 s apart.

Change: a cold endpoint gets requests from four nodes only, chosen by rendezvous hashing over the nodes that are listed in the platform's store, with an eighth of the bound for each in any second (internal/slowstart). Two views of the list, as while nodes come and go, keep to the bound together; a node whose entry isn't listed, or whose copy of the list is older than 25 s, sends nothing. No message is needed, so that nodes which are cut off, frozen or new keep to it too. Cold is what the entry says, counted down from when it was first read; what was down and answers again under its id; and the endpoints of a failure domain whose evacuation was taken back. That an endpoint turned cold, or warm, is told on by nodes that read for others.

Ruled out: an equal share for each node, which is under one request a second with 71 nodes, so that a window of a second can't be kept; no bound for small systems alone, as the load of a domain's return breaks it at any size.

In virtual time at 7, 71, 295 and 1,000 nodes, under three times the usual load and with a third of the nodes just joining, no endpoint gets more than the bound; at the usual load 13 to 14 requests a second of 16 are used.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -59,6 +59,12 @@
 	// VersionApply is the longest time from the acknowledgement of new weights
 	// until no request begins on older ones.
 	VersionApply time.Duration
+	// Evacuate is the longest time from the acknowledgement that a failure domain is evacuated until
+	// its endpoints get no more requests.
+	Evacuate time.Duration
+	// A cold endpoint gets at most ColdOverage times the requests that it stands in a second, plus
+	// ColdTolerance, from all nodes together.
+	ColdOverage, ColdTolerance float64
 	// OrdersFenced is true where engines refuse an old fencing token.
 	OrdersFenced bool
 }
--- a/internal/fleet/belief.go
+++ b/internal/fleet/belief.go
@@ -115,6 +115,7 @@
 	defer m.mu.Unlock()
 	before := m.Endpoint()
 	m.entry.Store(e)
+	m.heed(before, e, now)
 	if !slices.Equal(before.Weights, e.Weights) {
 		m.listed = now
 	}
--- /dev/null
+++ b/internal/fleet/cold.go
@@ -0,0 +1,48 @@
+package fleet
+
+import "time"
+
+// ColdUntil returns until when the endpoint is known to be cold: it has just started and takes few
+// requests.
+func (m *Member) ColdUntil() time.Time {
+	if until := m.cold.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
+
+// Cold reports whether the endpoint is cold, or may be: it was down when this node last looked, and
+// may be a new start by now.
+func (m *Member) Cold(now time.Time) bool { return m.down.Load() || now.Before(m.ColdUntil()) }
+
+// Chill has the endpoint count as cold until a time, and for no shorter time than before.
+func (m *Member) Chill(until time.Time) {
+	for {
+		known := m.cold.Load()
+		if known != nil && !until.After(*known) || m.cold.CompareAndSwap(known, &until) {
+			return
+		}
+	}
+}
+
+// Down notes that nothing listens at the endpoint's address. Whatever answers there under its id
+// later has started since.
+func (m *Member) Down() { m.down.Store(true) }
+
+// Answered notes that the endpoint answered. If it was down it is cold from now on, for as long as
+// its service's endpoints are after a start.
+func (m *Member) Answered(now time.Time, coldStart time.Duration) {
+	if m.down.Load() {
+		m.Chill(now.Add(coldStart))
+		m.down.Store(false)
+	}
+}
+
+// heed takes what an entry says of how long the endpoint is cold. That counts down from when it was
+// first said: the same or a smaller time is the countdown itself, told late or once more.
+func (m *Member) heed(before, e *Endpoint, now time.Time) {
+	if e.ColdLeft <= 0 || before != nil && before.ColdLeft >= e.ColdLeft {
+		return
+	}
+	m.Chill(now.Add(e.ColdLeft))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,7 +30,7 @@
 	Domain   string // failure domain
 	Slots    int
 	Draining bool
-	ColdLeft time.Duration // how much longer it is slow after its start
+	ColdLeft time.Duration // how much longer it is cold: it takes few requests, and may be slow
 	// Born is its start in Unix milliseconds, 0 if not said. A restart under the same ID has a
 	// later one: it holds and knows nothing of before.
 	Born    int64
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -25,6 +25,9 @@
 	// Load is what this node has under way at this start of the endpoint, whatever its address.
 	Load *Load
 
+	cold atomic.Pointer[time.Time] // until when it is cold; nil where it was never
+	down atomic.Bool               // nothing listened at its address when this node last looked
+
 	looks  singleflight.Group // whether the endpoint ended
 	entry  atomic.Pointer[Endpoint]
 	lapsed time.Time // until when it stays without an entry; guarded by Fleet.mu; zero while listed
@@ -38,6 +41,7 @@
 func newMember(e *Endpoint, now time.Time) *Member {
 	m := &Member{ID: e.ID, Service: e.Service, Born: e.Born, Pool: upstream.NewPool(e.Addr), Load: &Load{}, listed: now}
 	m.entry.Store(e)
+	m.heed(nil, e, now)
 	return m
 }
 
@@ -48,6 +52,7 @@
 	next.Load = m.Load
 	next.entry.Store(m.Endpoint())
 	next.belief.Store(m.belief.Load())
+	next.Chill(m.ColdUntil())
 	next.take(e, now)
 	return next
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -115,6 +115,9 @@
 	now := x.Clock.Now()
 	health := &p.Member.Health
 	unreachable := v == notRun && x.unreachable()
+	if unreachable && x.refused() {
+		p.Member.Down()
+	}
 	switch {
 	case v == delivered:
 		health.Succeeded(now)
@@ -132,6 +135,12 @@
 	return errors.As(x.cause, &failure) && failure.NotRun()
 }
 
+// refused reports whether nothing listened where the newest attempt was sent.
+func (x *exchange) refused() bool {
+	var failure *upstream.Error
+	return errors.As(x.cause, &failure) && failure.Refused()
+}
+
 // conclude returns the error for a request that is not sent again. An endpoint's
 // own error has been delivered already.
 func (x *exchange) conclude(ctx context.Context, v verdict, runs int) *result.Error {
@@ -199,6 +208,9 @@
 		began() // only its end, which may be far, is told to first
 	}
 	x.noteVersion(answer.StatusCode, &info, p, sent)
+	if answer.StatusCode != http.StatusMisdirectedRequest { // which another endpoint may have answered
+		p.Member.Answered(x.Clock.Now(), x.service.ColdStart)
+	}
 	v := x.deliver(answer, &info, first)
 	if v == failed && errors.Is(context.Cause(ctx), errWithdrawn) {
 		x.cause = errWithdrawn
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/quarantine"
+	"github.com/cherryward/cherryward/internal/slowstart"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
 )
@@ -99,6 +100,7 @@
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
 	n.registry.clock = host
 	n.state.configured = n.registry.reconsider
+	n.state.evacuations.ending = n.registry.chill
 	store := platform.NewStore(boot.StoreAddr)
 	if err := n.addParts(store); err != nil {
 		return nil, err
@@ -242,6 +244,8 @@
 		Closed:       n.orders.Closed,
 		VersionApply: func() time.Duration { return n.bounds().VersionApply },
 		Evacuated:    n.state.Evacuated,
+		SlowStart:    &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
+		MostCold:     n.mostCold,
 		Excused:      n.state.excused,
 		Services:     &placer.Services{},
 		Nodes:        n.nodes,
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -155,6 +155,24 @@
 	}
 }
 
+// chill has the endpoints of a failure domain count as cold, as after they started: they may have
+// turned cold while nothing was sent to them, without a new start and before an entry says so.
+func (r *registry) chill(domain string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	config := r.config()
+	if config == nil {
+		return
+	}
+	now := r.clock.Now()
+	for _, m := range r.fleet.All() {
+		service := config.Service(m.Service)
+		if service != nil && m.Endpoint().Domain == domain {
+			m.Chill(now.Add(service.ColdStart))
+		}
+	}
+}
+
 // use has the fleet hold an endpoint whose service is named, and no other.
 func (r *registry) use(endpoint *fleet.Endpoint, config *routing.Config, now time.Time) {
 	usable := served(endpoint, config)
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -75,6 +75,7 @@
 	others  []netip.AddrPort     // what backups returns
 	// byDomain is what othersByDomain returns.
 	byDomain map[string][]string
+	members  members // who may send to cold endpoints
 	read     bool
 }
 
@@ -102,6 +103,7 @@
 	}
 	r.noteWritten(&b)
 	r.read, r.end = true, b.Next
+	r.members.proven = b.ProvenAt
 	r.summarize()
 	peers := make([]peerload.Peer, 0, len(r.entries))
 	for name, e := range r.entries {
@@ -179,6 +181,7 @@
 	r.near = r.neighbours()
 	r.others = r.readersElsewhere()
 	r.byDomain = r.groupOthers()
+	r.members.take(r.entries)
 	r.count.Store(int64(nodes))
 	r.standby.Store(pace.Whole(nodes) || before < standbys)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,6 +14,8 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
 	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/slowstart"
 	"github.com/cherryward/cherryward/internal/weights"
 )
 
@@ -52,6 +54,11 @@
 	// Evacuated reports whether the endpoints of a failure domain are to get nothing. Nil means that
 	// none is evacuated.
 	Evacuated func(domain string) bool
+	// SlowStart shares out what cold endpoints may get, and MostCold returns the requests in a second
+	// that a cold endpoint of a service may get, 0 where any number. Nil means that cold endpoints
+	// get as many as others.
+	SlowStart *slowstart.Limiter
+	MostCold  func(s *routing.Service) int
 	// Excused returns when this process started, and until when that excuses runs on weights that
 	// were replaced before. Nil means that nothing does.
 	Excused func() (started, until time.Time)
@@ -78,14 +85,20 @@
 	if len(staying) == 0 && len(all) > 0 {
 		return forward.Placement{Reason: evacuated}, false
 	}
-	candidates := usable(staying, q.Tried, p.Now())
+	now := p.Now()
+	cold := p.cold(q.Service)
+	warm := cold.allowed(staying, now)
+	if len(warm) == 0 && len(staying) > 0 {
+		return cold.decline(staying, now), false
+	}
+	candidates := usable(warm, q.Tried, now)
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
 	if q.Service.Engine == nil || q.Attributes.Model == "" {
-		return p.placePlain(q, candidates), true
+		return p.placePlain(q, candidates, cold)
 	}
-	return p.placePrompt(q, candidates)
+	return p.placePrompt(q, candidates, cold)
 }
 
 // staying returns the endpoints whose failure domain is not evacuated.
@@ -130,22 +143,25 @@
 )
 
 // placePlain picks the endpoint with the fewest requests under way.
-func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member) forward.Placement {
+func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member, cold *cold) (forward.Placement, bool) {
 	now := p.Now()
 	others := p.Peers.Loads(now)
-	best := slices.MinFunc(score(candidates, func(m *fleet.Member) float64 {
+	best := cold.take(score(candidates, func(m *fleet.Member) float64 {
 		seen := others.Of(m.ID, m.Born)
 		cost := float64(m.Load.Running()+seen.Running) + failurePenalty*failureRate(m, seen, now) + tieSpread*p.Random()
 		if m.Endpoint().Domain != p.Domain {
 			cost += foreignDomain
 		}
 		return cost
-	}), byCost)
+	}), now)
+	if best == nil {
+		return cold.decline(candidates, now), false
+	}
 	return forward.Placement{
-		Member:  best.member,
-		Attempt: forward.Attempt{Instance: best.member.ID, Account: accountName(q), Priority: priorityOf(q)},
+		Member:  best,
+		Attempt: forward.Attempt{Instance: best.ID, Account: accountName(q), Priority: priorityOf(q)},
 		Reason:  "least_running",
-	}
+	}, true
 }
 
 // failureRate is the share of failed attempts that this node or its peers saw.
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -23,7 +23,7 @@
 
 // placePrompt picks the engine with the least predicted time to the first event,
 // and names where it gets the parts from that it lacks.
-func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member) (forward.Placement, bool) {
+func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member, cold *cold) (forward.Placement, bool) {
 	rollout := p.rollout(q)
 	candidates = rollout.filter(candidates)
 	if len(candidates) == 0 {
@@ -35,13 +35,17 @@
 	if len(open) == 0 {
 		return s.decline(candidates, noRoom), false
 	}
-	best := slices.MinFunc(score(open, s.cost), byCost).member
+	costs := score(open, s.cost)
+	best := slices.MinFunc(costs, byCost).member
 	if s.plan(best).version == 0 && rollout.versioned(best) {
 		return forward.Placement{}, false // it refused the version that was believed, just now
 	}
 	if s.comesTooLate(best) {
 		return s.decline([]*fleet.Member{best}, tooLate), false
 	}
+	if best = cold.take(costs, s.now); best == nil {
+		return cold.decline(open, s.now), false
+	}
 	s.service.needs.Decided(false)
 	p.Kick()
 	return s.placement(best), true
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -83,8 +83,12 @@
 	Name       string
 	HealthPath string
 	MaxConns   int // connections to one endpoint, from all nodes together
-	Engine     *Engine
-	Store      *Store
+	// ColdStart is how long an endpoint is cold after it started, and ColdPerSecond the requests in
+	// a second that a cold one stands, from all nodes together; 0 where it stands any number.
+	ColdStart     time.Duration
+	ColdPerSecond float64
+	Engine        *Engine
+	Store         *Store
 }
 
 // Engine describes the model engines of a service.
--- /dev/null
+++ b/internal/slowstart/limiter_test.go
@@ -0,0 +1,62 @@
+package slowstart_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"pgregory.net/rapid"
+
+	"github.com/cherryward/cherryward/internal/slowstart"
+)
+
+// TestShares keeps two sets of senders within the bound, and uses most of half of it.
+func TestShares(t *testing.T) {
+	for _, tc := range []struct {
+		most int
+		want slowstart.Share
+	}{
+		{0, slowstart.Share{}}, {1, slowstart.Share{Senders: 1, Each: 1}}, {2, slowstart.Share{Senders: 1, Each: 1}},
+		{5, slowstart.Share{Senders: 2, Each: 1}}, {16, slowstart.Share{Senders: 4, Each: 2}}, {32, slowstart.Share{Senders: 4, Each: 4}},
+	} {
+		test.Eq(t, tc.want, slowstart.ShareOf(tc.most), test.Sprint(tc.most))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(2, 10_000).Draw(t, "most")
+		s := slowstart.ShareOf(most)
+		test.LessEq(t, most, 2*s.Senders*s.Each)
+		test.GreaterEq(t, most/2-s.Senders+1, s.Senders*s.Each)
+	})
+}
+
+func limiter(node string, nodes ...string) (*slowstart.Limiter, *slowstart.View) {
+	view := &slowstart.View{Generation: 1, Nodes: nodes}
+	return &slowstart.Limiter{Node: node, View: func(string, int) slowstart.View { return *view }}, view
+}
+
+// TestWindow sends its share in any second, and again when that is over.
+func TestWindow(t *testing.T) {
+	l, _ := limiter("a", "a")
+	e := &slowstart.Endpoint{ID: "e", Most: 16}
+	now := time.Now()
+	for i := range 5 {
+		test.Eq(t, i < 2, l.Allows(e, now))
+		test.Eq(t, i < 2, l.Take(e, now.Add(time.Duration(i)*100*time.Millisecond)))
+	}
+	test.False(t, l.Take(e, now.Add(time.Second)))
+	test.True(t, l.Take(e, now.Add(1150*time.Millisecond)))
+	test.False(t, l.Take(e, now.Add(1150*time.Millisecond)))
+	test.True(t, l.Take(&slowstart.Endpoint{ID: "f", Most: 16}, now), test.Sprint("another endpoint"))
+}
+
+// TestNotCounted sends nothing where the others may not count this node, and follows its view.
+func TestNotCounted(t *testing.T) {
+	l, view := limiter("a", "b", "c")
+	e := &slowstart.Endpoint{ID: "e", Most: 16}
+	now := time.Now()
+	test.False(t, l.Take(e, now))
+	*view = slowstart.View{Generation: 2, Nodes: []string{"a", "b", "c"}}
+	test.True(t, l.Take(e, now))
+	*view = slowstart.View{Generation: -1}
+	test.False(t, l.Take(e, now))
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -66,6 +67,9 @@
 // NotRun reports whether the request certainly did not reach the endpoint.
 func (e *Error) NotRun() bool { return e.Stage == StageConnect }
 
+// Refused reports whether nothing listened at the endpoint's address.
+func (e *Error) Refused() bool { return e.NotRun() && errors.Is(e.Err, syscall.ECONNREFUSED) }
+
 // Request is a request as it is sent. Target is the path and query as the caller
 // wrote them.
 type Request struct {
