Avoid an endpoint as soon as it is known to have ended

Cause: a 421 in another endpoint's name was taken for the refusal of one that is full (avoided for 50 ms), a refused connection for a failure (300 ms), and an entry of another endpoint at the same address for nothing at all.

Change: all three say that the endpoint ended. The stand-in's 421 for another instance says that the request was not run, as the protocol has it.

Ruled out: dropping the endpoint, since a late entry of one that ended before looks the same as one of a successor; it would be gone until its next change.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -11,7 +11,7 @@
 	return time.Time{}
 }
 
-// Cold reports whether the endpoint is cold, or may be: it was down when this node last looked, and
+// Cold reports whether the endpoint is cold, or may be: it had ended when this node last looked, and
 // may be a new start by now.
 func (m *Member) Cold(now time.Time) bool { return m.down.Load() || now.Before(m.ColdUntil()) }
 
@@ -25,9 +25,13 @@
 	}
 }
 
-// Down notes that nothing listens at the endpoint's address. Whatever answers there under its id
-// later has started since.
-func (m *Member) Down() { m.down.Store(true) }
+// Ends notes that the endpoint ended: nothing listens at its address any more, or another one answers
+// there. It gets no requests until its entry is gone, and whatever answers under its id later has
+// started since.
+func (m *Member) Ends(now time.Time) {
+	m.down.Store(true)
+	m.Health.Ended(now)
+}
 
 // Answered notes that the endpoint answered. If it was down it is cold from now on, for as long as
 // its service's endpoints are after a start.
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -43,7 +43,7 @@
 	m := only(t, f, "s")
 	m.Answered(at(0), 3*time.Second)
 	test.False(t, m.Cold(at(0)), test.Sprint("it was never down"))
-	m.Down()
+	m.Ends(at(0))
 	test.True(t, m.Cold(at(time.Minute)), test.Sprint("nothing is known of it since"))
 	m.Answered(at(time.Minute), 3*time.Second)
 	test.True(t, m.Cold(at(time.Minute+2900*time.Millisecond)))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,7 +59,8 @@
 
 	mu      sync.Mutex
 	members map[string]*Member
-	newest  map[string]start // by endpoint, also of those that are gone
+	atAddr  map[string]*Member // the member that was known last at each address
+	newest  map[string]start   // by endpoint, also of those that are gone
 	view    atomic.Pointer[view]
 }
 
@@ -80,7 +81,7 @@
 
 // New returns an empty fleet.
 func New(log zerolog.Logger) *Fleet {
-	f := &Fleet{log: log, members: make(map[string]*Member), newest: make(map[string]start)}
+	f := &Fleet{log: log, members: make(map[string]*Member), atAddr: make(map[string]*Member), newest: make(map[string]start)}
 	f.view.Store(&view{})
 	return f
 }
@@ -106,10 +107,14 @@
 func (f *Fleet) Update(e *Endpoint, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	_, known := f.newest[e.ID]
 	e, current := f.date(e, now)
 	if !current {
 		return
 	}
+	if !known {
+		f.succeed(e, now)
+	}
 	m := f.members[e.ID]
 	if m != nil && m.at(e) {
 		before := m.Endpoint()
@@ -171,9 +176,23 @@
 			m = before.moved(e, now)
 		}
 		before.Pool.CloseIdle()
+		f.leave(before)
 	}
 	m.Load = f.newest[e.ID].load
 	f.members[e.ID] = m
+	f.atAddr[e.Addr] = m
+}
+
+// succeed has the endpoint be avoided whose address an endpoint that was never known has now: it has
+// ended, though its entry stays for some heartbeats. It isn't dropped, as a late entry of one that
+// ended before may look the same.
+func (f *Fleet) succeed(e *Endpoint, now time.Time) {
+	before := f.atAddr[e.Addr]
+	if before == nil || f.members[before.ID] != before {
+		return
+	}
+	before.Ends(now)
+	f.log.Info().Str("event", "endpoint_succeeded").Str("endpoint", before.ID).Str("by", e.ID).Str("addr", e.Addr).Send()
 }
 
 // Remove takes an endpoint off at once.
@@ -203,9 +222,17 @@
 	}
 }
 
+// leave notes that a member is no more what is known at its address.
+func (f *Fleet) leave(m *Member) {
+	if addr := m.Endpoint().Addr; f.atAddr[addr] == m {
+		delete(f.atAddr, addr)
+	}
+}
+
 // drop forgets a member. Requests that are under way at it go on.
 func (f *Fleet) drop(m *Member) {
 	delete(f.members, m.ID)
+	f.leave(m)
 	m.Pool.CloseIdle()
 	f.log.Info().Str("event", "endpoint_gone").Str("endpoint", m.ID).Str("service", m.Service).Send()
 }
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -159,3 +159,26 @@
 	test.SliceEmpty(t, f.Members("s"))
 	only(t, f, "other")
 }
+
+// Requests went to endpoints that had ended until their entries were dropped, 3.6 s later, though an
+// entry told of another endpoint at the same address: those of a failure domain that had come back.
+
+// TestAddressTaken avoids an endpoint from when another one has its address, and uses the other.
+func TestAddressTaken(t *testing.T) {
+	f := fleet.New(zerolog.Nop())
+	f.Update(born(0, 1), at(0))
+	next := born(0, 1)
+	next.ID = "f"
+	f.Update(next, at(time.Second))
+	members := f.Members("s")
+	must.Len(t, 2, members)
+	test.False(t, members[0].Health.Usable(at(3*time.Second)))
+	test.True(t, members[1].Health.Usable(at(time.Second)))
+	f.Update(born(0, 1), at(2*time.Second))
+	f.Update(next, at(2*time.Second))
+	test.True(t, members[1].Health.Usable(at(2*time.Second)), test.Sprint("late heartbeats of the one before"))
+	f.Remove("e")
+	f.Remove("f")
+	f.Update(born(0, 1), at(4*time.Second))
+	test.True(t, only(t, f, "s").Health.Usable(at(4*time.Second)), test.Sprint("nothing is there before it"))
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -114,14 +114,15 @@
 	}
 	now := x.Clock.Now()
 	health := &p.Member.Health
+	ended := v == notRun && (x.replaced || x.refused())
 	unreachable := v == notRun && x.unreachable()
-	if unreachable && x.refused() {
-		p.Member.Down()
+	if ended {
+		p.Member.Ends(now)
 	}
 	switch {
 	case v == delivered:
 		health.Succeeded(now)
-	case v == notRun && !unreachable:
+	case v == notRun && !unreachable && !ended:
 		health.Refused(now, refusedPause)
 	case health.Failed(now, unreachable):
 		x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
@@ -174,7 +175,7 @@
 
 // attempt sends the request once. The cause is this attempt's afterwards, nil where it delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
-	x.cause, x.lost = nil, false
+	x.cause, x.lost, x.replaced = nil, false, false
 	p.Attempt.Remaining = x.Clock.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := p.Member.Load
@@ -208,7 +209,9 @@
 		began() // only its end, which may be far, is told to first
 	}
 	x.noteVersion(answer.StatusCode, &info, p, sent)
-	if answer.StatusCode != http.StatusMisdirectedRequest { // which another endpoint may have answered
+	misdirected := answer.StatusCode == http.StatusMisdirectedRequest
+	x.replaced = misdirected && info.Instance != "" && info.Instance != p.Member.ID
+	if !misdirected { // another endpoint may have said it
 		p.Member.Answered(x.Clock.Now(), x.service.ColdStart)
 	}
 	v := x.deliver(answer, &info, first)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -78,9 +78,11 @@
 	cause   error                   // of the newest failed attempt
 	print   *quarantine.Fingerprint // nil until it is needed
 	lost    bool                    // the newest attempt ended with its connection, before the answer's end
-	written bool                    // the head of the answer was written
-	at      position                // of the caller's stream
-	unread  bool                    // the caller could not be written to
+	// replaced is true where another endpoint answered the newest attempt.
+	replaced bool
+	written  bool     // the head of the answer was written
+	at       position // of the caller's stream
+	unread   bool     // the caller could not be written to
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forward/loss.go
+++ b/internal/forward/loss.go
@@ -43,8 +43,7 @@
 	x.Log.Warn().Str("event", "run_lost").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).
 		Stringer("fingerprint", f).Bool("ended", ended).AnErr("cause", x.cause).Send()
 	if ended {
-		p.Member.Down()
-		p.Member.Health.Ended(x.Clock.Now())
+		p.Member.Ends(x.Clock.Now())
 		x.Quarantine.Note(quarantine.Ending{Fingerprint: f, Endpoint: p.Member.Start()})
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,8 @@
 	metricHeld        = "cherryward_gateway_held_requests"
 	metricSuspended   = "cherryward_gateway_suspended_seconds"
 	metricSuspects    = "cherryward_gateway_suspected_requests"
+	metricEvacuated   = "cherryward_gateway_evacuated_domains"
+	metricCold        = "cherryward_gateway_cold_endpoints"
 )
 
 // secondsBounds are the upper bounds of the buckets, the same on all nodes so that
@@ -83,6 +85,8 @@
 	set.NewGauge(metricHeld, func() float64 { return float64(n.quarantine.Held()) })
 	set.NewGauge(metricSuspended, func() float64 { return n.clock.Suspended().Seconds() })
 	set.NewGauge(metricSuspects, func() float64 { return float64(n.quarantine.Suspects()) })
+	set.NewGauge(metricEvacuated, func() float64 { return float64(len(n.state.evacuations.all())) })
+	set.NewGauge(metricCold, func() float64 { return float64(n.coldEndpoints()) })
 	return &recorder{set: set}
 }
 
--- a/internal/gateway/senders.go
+++ b/internal/gateway/senders.go
@@ -59,6 +59,17 @@
 	return slowstart.View{Generation: r.members.generation, Nodes: r.members.of(domain, senders)}
 }
 
+// coldEndpoints returns the number of endpoints that are cold, or may be.
+func (n *Node) coldEndpoints() int {
+	now, count := n.clock.Now(), 0
+	for _, m := range n.fleet.All() {
+		if m.Cold(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // mostCold returns the requests in a second that a cold endpoint of a service may get from all nodes
 // together; 0 where it stands any number.
 func (n *Node) mostCold(s *routing.Service) int {
--- a/internal/placer/cold_test.go
+++ b/internal/placer/cold_test.go
@@ -53,7 +53,7 @@
 	w.members[0].Chill(time.Now().Add(time.Hour))
 	test.Zero(t, w.count(40, query())["e0"])
 	w.members[1].Chill(time.Now().Add(2 * time.Second))
-	w.members[2].Down()
+	w.members[2].Ends(time.Now())
 	w.members[2].Chill(time.Now().Add(time.Hour))
 	p, ok := w.Place(query())
 	must.False(t, ok)
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -14,6 +14,7 @@
 	w.Header().Set("X-Attempt-Id", id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.cfg.ID {
 		w.Header().Set("X-Instance-Id", s.cfg.ID)
+		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
