Take a repeat from the budget only for a send behind one that arrived

Cause: each send that found no connection took one of the node's few repeats (a node of 71 saves up two), though nothing of the request had arrived anywhere; what the operators bound is the arrivals beyond the first of each request.

Change: sends that found no connection cost no repeat, and are bounded by themselves, four for a request. A repeat that was paid for and found nobody pays for the next send.

Ruled out: a larger share of the budget for a node, which the operators' bound on all nodes together doesn't allow.

Test: a request goes on from up to four gone endpoints without a repeat, not from one that refused it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// maxSends bounds the sends of one request, refused ones included: beyond a
-	// few refusals the whole service is full, and the caller should know.
+	// maxSends bounds the sends of one request that reach an endpoint, refused ones included: beyond
+	// a few refusals the whole service is full, and the caller should know.
 	maxSends = 3
+	// maxUnreached bounds those that find no connection. Each has its endpoint avoided, and where
+	// many end at once the next one may be among them, too.
+	maxUnreached = 4
 	// refusedPause keeps other requests from an endpoint that refused one: about
 	// the time in which one of its requests ends.
 	refusedPause = 50 * time.Millisecond
@@ -74,7 +77,8 @@
 		if v != notRun {
 			runs++
 		}
-		if x.timeOver(ctx) || !x.mayRepeat(v, runs) || !budget.Repeat(x.Clock.Now()) {
+		x.sends.note(v == notRun && x.unreachable())
+		if x.timeOver(ctx) || !x.mayRepeat(v, runs) || !x.sends.pay(budget, x.Clock.Now()) {
 			return x.conclude(ctx, v, runs)
 		}
 		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
@@ -86,7 +90,7 @@
 // mayRepeat reports whether the request may be sent to another endpoint. A caller that has an
 // endpoint's whole answer gets nothing more: a second one behind it would read as its end.
 func (x *exchange) mayRepeat(v verdict, runs int) bool {
-	if x.unread || x.outcome.Attempts >= maxSends || runs >= x.route.MaxAttempts {
+	if x.unread || x.sends.over() || runs >= x.route.MaxAttempts {
 		return false
 	}
 	switch v {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -74,6 +74,7 @@
 	body      []byte
 
 	outcome Outcome
+	sends   sends
 	placed  *Placement              // the newest one
 	cause   error                   // of the newest failed attempt
 	print   *quarantine.Fingerprint // nil until it is needed
