--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -26,10 +26,12 @@
 	for _, domain := range []string{"south", "west"} {
 		must.NoError(t, w.Peers.TakeOuter(&peerload.OuterLoad{Node: "n", Domain: domain, Incarnation: 1, Seq: 1}, time.Now()))
 	}
+	number := 0
 	for domain, running := range map[string]int{"north": north, "south": south, "west": west} {
 		for i := range 4 {
+			number++
 			w.Fleet.Update(&fleet.Endpoint{
-				ID: fmt.Sprint(domain, i), Service: "s", Addr: addr(i), Domain: domain, Slots: slotsEach,
+				ID: fmt.Sprint(domain, i), Service: "s", Addr: addr(number), Domain: domain, Slots: slotsEach,
 				Weights: []fleet.Weights{{Model: model, Version: 1}},
 			}, time.Now())
 		}
