Save nothing to a store that restarted while others may name what it had

Order of events: at 25.0 s the stores of a failure domain fall silent. Nodes that read for others note them as lost at 26.3 to 26.7 s and tell nothing more of them; the others ask by themselves and give up at 27.6 to 28.2 s. At 27.5 s the stores are back empty. Nodes that learn it send parts there at once, and others still name what the stores had: a part that is missing is read, one that is being written is taken though it isn't whole.

Change: what a store keeps is named for 2.5 s after it was certainly in the epoch in which it kept it, dated before the question, and through the age of the word where another node told. Nothing is sent to a store for 4.3 s after this node saw it restart, which is that time, the longest fetch and a margin: whoever knew it before stops naming its parts before the first new one is written. A node that starts waits so for a store that keeps nothing, unless it is told that it has been waited for. Parts go to other stores meanwhile.

Why it holds: a proof of the old epoch is from before the restart, and the wait begins after it. Left: a save that was sent before the restart and written behind it, of a part that another node believes to be there. It needs a store that is away for under 2.5 s and two nodes that differ about one part.

Ruled out: longer memory of lost stores alone (the others' dial timeouts would decide), and asking a store before each fetch (a priced call for each prompt).

The placer's world and the model get a store that has kept something, as one that is empty at the first contact is waited for now. TestFirstContactKeepsSaves asked for a save at the instant of a restart; it asks for it at the end of the wait, and for none before.

--- a/internal/fleetmodel/callers.go
+++ b/internal/fleetmodel/callers.go
@@ -124,6 +124,7 @@
 // place looks for an engine, waits, or is refused.
 func (c *call) place() {
 	w := c.world
+	w.proveStore()
 	placement, ok := w.placer.Place(c.query())
 	placement.Waited = w.now.Sub(c.arrived)
 	if !ok {
--- a/internal/fleetmodel/world.go
+++ b/internal/fleetmodel/world.go
@@ -86,7 +86,8 @@
 	}
 	w.store.Mbps, w.store.Tokens = linkMbps, c.StoreTokens
 	w.placer = w.newPlacer(w.addEngines())
-	w.index.Take(w.store, &kept.Events{Epoch: 1, Next: 1, ClockMS: 1})
+	// It has been up for long, as its oldest events are gone.
+	w.index.Take(w.store, &kept.Events{Epoch: 1, Next: 1, Gap: true, ClockMS: 1, ProvenAt: w.now})
 	return w
 }
 
@@ -147,10 +148,16 @@
 // tell has nodes hear of a change.
 func (w *World) tell(h *kept.Holder, c kept.Change) {
 	w.after(w.EventsLate, func() {
-		w.index.Take(h, &kept.Events{Epoch: 1, Next: c.Number + 1, Changes: []kept.Change{c}, ClockMS: 1})
+		w.index.Take(h, &kept.Events{Epoch: 1, Next: c.Number + 1, Changes: []kept.Change{c}, ClockMS: 1, ProvenAt: w.now})
 	})
 }
 
+// proveStore has the node know that the store is still the one that it heard of, as its questions for
+// events do several times a second.
+func (w *World) proveStore() {
+	w.index.Take(w.store, &kept.Events{Epoch: 1, Next: w.store.Position().Next, ClockMS: 1, ProvenAt: w.now})
+}
+
 // holds reports whether the store or another engine keeps a part.
 func (w *World) holds(addr string, key kept.Part) bool {
 	if addr == storeAddr {
--- a/internal/kept/index.go
+++ b/internal/kept/index.go
@@ -176,6 +176,7 @@
 			}
 		default:
 			failures = 0
+			events.ProvenAt = begun
 			x.Take(h, &events)
 		}
 		retry.Sleep(ctx, pause-x.Clock.Since(begun))
@@ -201,7 +202,7 @@
 	if e.Unread > 0 {
 		x.Log.Warn().Str("event", "events_unread").Str("holder", h.ID).Int("events", e.Unread).Send()
 	}
-	h.apply(e)
+	h.apply(e, x.Clock.Now())
 }
 
 // Wait returns when all following has ended.
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -36,6 +36,12 @@
 	Changes []Change
 	Unread  int   // events that could not be read, which are not among Changes
 	ClockMS int64 // the engines' clock, which all share
+	// ProvenAt is when the holder was certainly in this epoch: before it, or the node that was told
+	// so, was asked. Zero is when they are taken.
+	ProvenAt time.Time
+	// SavesIn is how much longer nothing is to be sent there, where another node tells all that is
+	// kept.
+	SavesIn time.Duration
 }
 
 // Source asks engines and stores what they keep. Its calls may be repeated.
@@ -71,9 +77,12 @@
 	used   int                // tokens in parts
 	saving map[Part]time.Time // that this node had sent to a store
 	lost   bool               // the last question failed
-	recent journal            // what other nodes may ask for
-	told   snapshot           // what nodes that start were told last
-	copied copied             // what another node told of a snapshot so far
+	proven time.Time          // when it was certainly in this epoch
+	// savesFrom is from when on parts may be sent to a store.
+	savesFrom time.Time
+	recent    journal  // what other nodes may ask for
+	told      snapshot // what nodes that start were told last
+	copied    copied   // what another node told of a snapshot so far
 }
 
 // NewHolder returns a holder of which nothing is known yet.
@@ -123,7 +132,7 @@
 func (h *Holder) BeginSave(p Part, tokens int, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.parts[p] > 0 || h.lost || h.used+tokens > h.Tokens {
+	if h.parts[p] > 0 || h.lost || h.used+tokens > h.Tokens || now.Before(h.savesFrom) {
 		return false
 	}
 	if sent, under := h.saving[p]; under && now.Sub(sent) < savePatience {
@@ -149,17 +158,22 @@
 }
 
 // apply takes a batch of events.
-func (h *Holder) apply(e *Events) {
+func (h *Holder) apply(e *Events, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if e.ProvenAt.IsZero() {
+		e.ProvenAt = now
+	}
 	if e.Whole != nil {
-		h.copyPage(e)
+		h.copyPage(e, now)
 		return
 	}
 	h.lost = false
 	if h.copied.Pages > 0 {
 		h.clearParts() // the holder itself tells all, and what was told so far may be older
 	}
+	first := h.epoch == 0
+	h.prove(e, now)
 	if e.Epoch != h.epoch {
 		h.epoch = e.Epoch
 		if h.next > 0 {
@@ -170,6 +184,9 @@
 	h.recent.note(h.next, e)
 	h.next = e.Next
 	h.setAll(e.Changes)
+	if first && (e.Gap || len(h.parts) > 0) {
+		h.savesFrom = now
+	}
 }
 
 // setAll notes what is kept of parts now. A save of them is no longer under way.
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -22,9 +22,9 @@
 
 func TestEvents(t *testing.T) {
 	h := newStore()
-	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}, {Part: other, Tokens: 16}}})
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}, {Part: other, Tokens: 16}}}, time.Now())
 	test.Eq(t, 40, h.Has(part))
-	h.apply(&Events{Epoch: 5, Next: 3, Changes: []Change{{Part: part, Tokens: 0}}})
+	h.apply(&Events{Epoch: 5, Next: 3, Changes: []Change{{Part: part, Tokens: 0}}}, time.Now())
 	test.Eq(t, 0, h.Has(part))
 	test.Eq(t, 16, h.used)
 	test.Eq(t, 3, h.since())
@@ -33,11 +33,11 @@
 // TestRestart asks for all events of a holder that came back empty.
 func TestRestart(t *testing.T) {
 	h := newStore()
-	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}})
-	h.apply(&Events{Epoch: 6, Next: 1})
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}}, time.Now())
+	h.apply(&Events{Epoch: 6, Next: 1}, time.Now())
 	test.Eq(t, 0, h.Has(part))
 	test.Eq(t, 0, h.since())
-	h.apply(&Events{Epoch: 6, Next: 1, Changes: []Change{{Part: part, Tokens: 16}}})
+	h.apply(&Events{Epoch: 6, Next: 1, Changes: []Change{{Part: part, Tokens: 16}}}, time.Now())
 	test.Eq(t, 16, h.Has(part))
 	test.Eq(t, 1, h.since())
 }
@@ -48,7 +48,7 @@
 	test.False(t, h.BeginSave(part, 40, now.Add(time.Second)), test.Sprint("under way"))
 	test.True(t, h.BeginSave(part, 40, now.Add(savePatience)), test.Sprint("never arrived"))
 	test.False(t, h.BeginSave(other, 101, now), test.Sprint("no room"))
-	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}})
+	h.apply(&Events{Epoch: 5, Next: 2, Changes: []Change{{Part: part, Tokens: 40}}}, time.Now())
 	test.False(t, h.BeginSave(part, 40, now.Add(time.Minute)), test.Sprint("kept"))
 	h.failed()
 	test.False(t, h.BeginSave(other, 16, now), test.Sprint("out of reach"))
@@ -70,10 +70,11 @@
 func TestFirstContactKeepsSaves(t *testing.T) {
 	h := newStore()
 	test.True(t, h.BeginSave(part, 40, now))
-	h.apply(&Events{Epoch: 7, Next: 1})
+	h.apply(&Events{Epoch: 7, Next: 1}, now)
 	test.False(t, h.BeginSave(part, 40, now), test.Sprint("the save is under way"))
-	h.apply(&Events{Epoch: 8, Next: 1})
-	test.True(t, h.BeginSave(part, 40, now), test.Sprint("a restart lost it"))
+	h.apply(&Events{Epoch: 8, Next: 1}, now)
+	test.False(t, h.BeginSave(part, 40, now.Add(emptyFor-time.Millisecond)), test.Sprint("others may still name what the store had"))
+	test.True(t, h.BeginSave(part, 40, now.Add(emptyFor)), test.Sprint("a restart lost it"))
 }
 
 // TestPartsAreMatchedBySalt asks once for each salt of a store, whatever the number of parts
@@ -84,7 +85,7 @@
 	for i := range 100 {
 		changes = append(changes, Change{Part: Part{Salt: part.Salt, ID: fmt.Sprint(i)}, Tokens: 1})
 	}
-	h.apply(&Events{Epoch: 5, Next: 102, Changes: append(changes, Change{Part: other, Tokens: 16})})
+	h.apply(&Events{Epoch: 5, Next: 102, Changes: append(changes, Change{Part: other, Tokens: 16})}, time.Now())
 	asked := 0
 	of := func(want string) func(string) bool {
 		return func(salt string) bool {
@@ -109,12 +110,12 @@
 // TestJournalIsCopiedSeldom drops the oldest changes of a full journal many at a time.
 func TestJournalIsCopiedSeldom(t *testing.T) {
 	h := newStore()
-	h.apply(&Events{Epoch: 5, Next: 1})
+	h.apply(&Events{Epoch: 5, Next: 1}, time.Now())
 	next := int64(1)
 	copies := 0
 	for range 3 * journalLength {
 		before := h.recent.first
-		h.apply(&Events{Epoch: 5, Next: next + 1, Changes: []Change{change(next, 1)}})
+		h.apply(&Events{Epoch: 5, Next: next + 1, Changes: []Change{change(next, 1)}}, time.Now())
 		next++
 		if h.recent.first != before {
 			copies++
--- a/internal/kept/peers.go
+++ b/internal/kept/peers.go
@@ -33,6 +33,8 @@
 	// takes in it beyond its changes or pages.
 	answerBytes = datagram.MaxBytes - 1<<10
 	storeBytes  = 100
+	// mostAgeMs bounds the ages that nodes tell, in ms: an older word is worth no more.
+	mostAgeMs = 3600_000
 	// mostAnswers bounds the answers to one look: 41 stores of 1,300 parts each take 119.
 	mostAnswers = 500
 )
@@ -63,6 +65,10 @@
 type toldStore struct {
 	Position
 	Changes packed `json:"changes,omitempty"`
+	// AgeMs is how long ago the store was certainly in its epoch, and SavesInMs how much longer
+	// nothing is to be sent there.
+	AgeMs     int64 `json:"age_ms"`
+	SavesInMs int64 `json:"saves_in_ms,omitempty"`
 	// Page is nil, or says that Changes are a page of all that the store kept before Next.
 	Page *Page `json:"page,omitempty"`
 }
@@ -119,10 +125,9 @@
 				return taken
 			}
 			taken += needs
-			answer.Events = append(answer.Events, toldStore{
-				Position: Position{Addr: store.Addr, Epoch: s.epoch, Next: s.next},
-				Changes:  s.pages[number], Page: &Page{Number: number, Of: len(s.pages)},
-			})
+			told := x.newTold(store, s.epoch, s.next, s.pages[number])
+			told.Page = &Page{Number: number, Of: len(s.pages)}
+			answer.Events = append(answer.Events, told)
 		}
 	}
 	return taken
@@ -142,9 +147,16 @@
 		}
 		most -= len(events.Changes)
 		room -= storeBytes + len(events.Changes)*changeBytes
-		answer.Events = append(answer.Events, toldStore{
-			Position: Position{Addr: store.Addr, Epoch: events.Epoch, Next: events.Next}, Changes: packChanges(events.Changes),
-		})
+		answer.Events = append(answer.Events, x.newTold(store, events.Epoch, events.Next, packChanges(events.Changes)))
+	}
+}
+
+// newTold returns changes of a store up to a number, as they are told.
+func (x *Index) newTold(store *Holder, epoch, next int64, changes packed) toldStore {
+	age, savesIn := store.ages(x.Clock.Now())
+	return toldStore{
+		Position: Position{Addr: store.Addr, Epoch: epoch, Next: next}, Changes: changes,
+		AgeMs: age.Milliseconds() + 1, SavesInMs: savesIn.Milliseconds(),
 	}
 }
 
@@ -198,6 +210,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var answer told
+	asking := p.Index.Clock.Now()
 	if err := p.Conn.Call(ctx, reader, eventsMethod, asked, &answer); err != nil {
 		return false, err
 	}
@@ -214,6 +227,7 @@
 		}
 		// The clock is as old as the answer, so that fetches end early rather than late.
 		events.ClockMS = answer.ClockMS
+		events.ProvenAt = asking.Add(-time.Duration(t.AgeMs) * time.Millisecond)
 		p.Index.Take(store, events)
 		store.relayed.Store(&until)
 	}
@@ -225,8 +239,11 @@
 	if t.Page != nil && (t.Page.Number < 0 || t.Page.Number >= t.Page.Of) {
 		return nil, eris.Errorf("page %d of %d", t.Page.Number, t.Page.Of)
 	}
+	if t.AgeMs < 0 || t.SavesInMs < 0 || max(t.AgeMs, t.SavesInMs) > mostAgeMs {
+		return nil, eris.Errorf("ages of %d and %d ms", t.AgeMs, t.SavesInMs)
+	}
 	changes, err := t.Changes.unpack()
-	return &Events{Epoch: t.Epoch, Next: t.Next, Whole: t.Page, Changes: changes}, err
+	return &Events{Epoch: t.Epoch, Next: t.Next, Whole: t.Page, Changes: changes, SavesIn: time.Duration(t.SavesInMs) * time.Millisecond}, err
 }
 
 // Told reports whether other nodes told of all stores lately, so that none is to be asked.
--- a/internal/kept/peers_test.go
+++ b/internal/kept/peers_test.go
@@ -32,24 +32,24 @@
 // in answers of any length, and nothing of another epoch or across a gap.
 func TestJournalTellsTheSame(t *testing.T) {
 	reader, asker := newStore(), newStore()
-	reader.apply(&Events{Epoch: 5, Next: 40, Changes: changes(1, 40)})
-	asker.apply(&Events{Epoch: 5, Next: 20, Changes: changes(1, 20)})
+	reader.apply(&Events{Epoch: 5, Next: 40, Changes: changes(1, 40)}, time.Now())
+	asker.apply(&Events{Epoch: 5, Next: 20, Changes: changes(1, 20)}, time.Now())
 	for range 10 {
 		e, ok := reader.Since(asker.Position(), 3)
 		must.True(t, ok)
-		asker.apply(&e)
+		asker.apply(&e, time.Now())
 	}
 	test.Eq(t, reader.parts, asker.parts)
 	test.Eq(t, reader.Position(), asker.Position())
 
-	reader.apply(&Events{Epoch: 5, Next: 90, Gap: true, Changes: changes(80, 90)})
+	reader.apply(&Events{Epoch: 5, Next: 90, Gap: true, Changes: changes(80, 90)}, time.Now())
 	_, ok := reader.Since(asker.Position(), 3)
 	test.False(t, ok, test.Sprint("events are missing"))
 	_, ok = reader.Since(Position{Epoch: 5, Next: 90}, 3)
 	test.True(t, ok)
 	_, ok = reader.Since(Position{Epoch: 4, Next: 90}, 3)
 	test.False(t, ok, test.Sprint("another epoch"))
-	reader.apply(&Events{Epoch: 6, Next: 2})
+	reader.apply(&Events{Epoch: 6, Next: 2}, time.Now())
 	_, ok = reader.Since(Position{Epoch: 6, Next: 1}, 3)
 	test.False(t, ok, test.Sprint("all events are to be asked for"))
 	reader.failed()
@@ -60,7 +60,7 @@
 // TestJournalIsBounded forgets the oldest changes.
 func TestJournalIsBounded(t *testing.T) {
 	h := newStore()
-	h.apply(&Events{Epoch: 5, Next: 3000, Changes: changes(1, 3000)})
+	h.apply(&Events{Epoch: 5, Next: 3000, Changes: changes(1, 3000)}, time.Now())
 	_, ok := h.Since(Position{Epoch: 5, Next: 1}, 10)
 	test.False(t, ok)
 	e, ok := h.Since(Position{Epoch: 5, Next: 2500}, 2000)
--- a/internal/kept/snapshot.go
+++ b/internal/kept/snapshot.go
@@ -1,5 +1,7 @@
 package kept
 
+import "time"
+
 const (
 	// pageParts is the number of parts in a page of a snapshot: some 4 KB, of which a message holds two.
 	pageParts = 400
@@ -70,7 +72,7 @@
 
 // copyPage takes a page of a snapshot. The first one begins anew; with the last one the holder is
 // known. Pages are dropped that don't follow, or come after the holder itself has answered.
-func (h *Holder) copyPage(e *Events) {
+func (h *Holder) copyPage(e *Events, now time.Time) {
 	if h.next > 0 {
 		return
 	}
@@ -88,5 +90,6 @@
 	}
 	h.copied = copied{}
 	h.epoch, h.next = e.Epoch, e.Next
+	h.proven, h.savesFrom = e.ProvenAt, now.Add(e.SavesIn)
 	h.recent = journal{begun: true, first: e.Next}
 }
--- a/internal/kept/snapshot_test.go
+++ b/internal/kept/snapshot_test.go
@@ -47,7 +47,7 @@
 	reader.Index.view.Store(&view{stores: siteStores()})
 	asker.Index.view.Store(&view{stores: siteStores()})
 	for i, h := range reader.Index.Stores() {
-		h.apply(siteParts(i, 300+50*i))
+		h.apply(siteParts(i, 300+50*i), time.Now())
 	}
 	answers := 0
 	for more := true; more; answers++ {
@@ -65,7 +65,7 @@
 
 	store := reader.Index.Stores()[5]
 	next := store.Position().Next
-	store.apply(&Events{Epoch: 12, Next: next + 1, Changes: []Change{{Number: next, Part: Part{Salt: "18/m/t", ID: "new"}, Tokens: 9}}})
+	store.apply(&Events{Epoch: 12, Next: next + 1, Changes: []Change{{Number: next, Part: Part{Salt: "18/m/t", ID: "new"}, Tokens: 9}}}, time.Now())
 	must.NoError(t, asker.ask(t.Context(), addr))
 	test.Eq(t, 9, asker.Index.Stores()[5].Has(Part{Salt: "18/m/t", ID: "new"}))
 	test.Eq(t, 0, source.questions())
@@ -81,7 +81,7 @@
 	must.NoError(t, asker.ask(t.Context(), addr))
 	test.False(t, asker.Index.Told(time.Now()), test.Sprint("the other knows nothing either"))
 	for i, h := range reader.Index.Stores() {
-		h.apply(&Events{Epoch: int64(i + 7), Next: 1})
+		h.apply(&Events{Epoch: int64(i + 7), Next: 1}, time.Now())
 	}
 	more, err := asker.askOnce(t.Context(), addr)
 	must.NoError(t, err)
@@ -97,7 +97,7 @@
 	stores := siteStores()
 	asker.view.Store(&view{stores: stores})
 	for i, h := range reader.Stores() {
-		h.apply(siteParts(i, 300))
+		h.apply(siteParts(i, 300), time.Now())
 		var asked []Position
 		for _, s := range stores {
 			asked = append(asked, s.Position())
@@ -135,11 +135,11 @@
 func TestStoreAnswersFirst(t *testing.T) {
 	for told := range 4 {
 		reader, asker := newStore(), newStore()
-		reader.apply(siteParts(1, 3*pageParts-9))
+		reader.apply(siteParts(1, 3*pageParts-9), time.Now())
 		pages := pagesOfStore(t, reader)
 		must.Len(t, 3, pages)
 		for _, e := range pages[:told] {
-			asker.apply(e)
+			asker.apply(e, time.Now())
 		}
 		later := siteParts(1, 20)
 		if told == len(pages) {
@@ -147,14 +147,14 @@
 			test.Eq(t, reader.Position(), asker.Position())
 			later = &Events{Epoch: 8, Next: reader.next + 1}
 		}
-		asker.apply(later)
+		asker.apply(later, time.Now())
 		position, parts := asker.Position(), len(asker.parts)
 		if told < len(pages) {
 			test.Eq(t, 20, parts)
 			test.Eq(t, 20*400+19*10, asker.used)
 		}
 		for _, e := range pages {
-			asker.apply(e)
+			asker.apply(e, time.Now())
 		}
 		test.Eq(t, position, asker.Position())
 		test.MapLen(t, parts, asker.parts)
@@ -165,24 +165,24 @@
 // anew with the first one of another.
 func TestPagesThatDontFollow(t *testing.T) {
 	reader, asker := newStore(), newStore()
-	reader.apply(siteParts(1, 3*pageParts))
+	reader.apply(siteParts(1, 3*pageParts), time.Now())
 	old := pagesOfStore(t, reader)
-	reader.apply(&Events{Epoch: 8, Next: reader.next + toldSlack + 1})
+	reader.apply(&Events{Epoch: 8, Next: reader.next + toldSlack + 1}, time.Now())
 	s, _ := reader.snapshot()
 	pages := pagesOfStore(t, reader)
-	asker.apply(old[1])
+	asker.apply(old[1], time.Now())
 	test.Nil(t, asker.Position().Copied)
-	asker.apply(old[0])
+	asker.apply(old[0], time.Now())
 	test.Eq(t, 0, s.after(asker.Position().Copied), test.Sprint("of another snapshot"))
-	asker.apply(pages[1])
+	asker.apply(pages[1], time.Now())
 	test.MapLen(t, pageParts, asker.parts)
-	asker.apply(pages[0])
-	asker.apply(pages[0])
+	asker.apply(pages[0], time.Now())
+	asker.apply(pages[0], time.Now())
 	test.Eq(t, 1, s.after(asker.Position().Copied))
-	asker.apply(pages[1])
+	asker.apply(pages[1], time.Now())
 	position := asker.Position()
 	test.True(t, position.unknown())
-	asker.apply(pages[2])
+	asker.apply(pages[2], time.Now())
 	test.Eq(t, reader.Position(), asker.Position())
 	test.Eq(t, reader.parts, asker.parts)
 	test.Eq(t, reader.used, asker.used)
@@ -197,18 +197,18 @@
 	_, ok := h.snapshot()
 	test.False(t, ok, test.Sprint("nothing is known"))
 	for n := int64(1); n <= toldSlack+1; n++ {
-		h.apply(&Events{Epoch: 5, Next: n + 1, Changes: changes(n, n+1)})
+		h.apply(&Events{Epoch: 5, Next: n + 1, Changes: changes(n, n+1)}, time.Now())
 		s, ok := h.snapshot()
 		must.True(t, ok)
 		test.Eq(t, 2, s.next)
 	}
-	h.apply(&Events{Epoch: 5, Next: toldSlack + 3, Changes: changes(toldSlack+2, toldSlack+3)})
+	h.apply(&Events{Epoch: 5, Next: toldSlack + 3, Changes: changes(toldSlack+2, toldSlack+3)}, time.Now())
 	s, _ := h.snapshot()
 	test.Eq(t, toldSlack+3, s.next)
-	h.apply(&Events{Epoch: 6, Next: 2})
+	h.apply(&Events{Epoch: 6, Next: 2}, time.Now())
 	_, ok = h.snapshot()
 	test.False(t, ok, test.Sprint("all events are to be asked for anew"))
-	h.apply(&Events{Epoch: 6, Next: 2, Changes: changes(1, 2)})
+	h.apply(&Events{Epoch: 6, Next: 2, Changes: changes(1, 2)}, time.Now())
 	s, ok = h.snapshot()
 	test.True(t, ok)
 	test.Eq(t, 6, s.epoch)
@@ -238,7 +238,7 @@
 	var asked, fresh []Position
 	for i := range 500 {
 		h := NewHolder(fmt.Sprint("store-", i), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1), "north")
-		h.apply(siteParts(i, 500))
+		h.apply(siteParts(i, 500), time.Now())
 		stores = append(stores, h)
 		p := h.Position()
 		p.Next -= 9
@@ -266,7 +266,7 @@
 			return
 		}
 		h := newStore()
-		h.apply(e)
+		h.apply(e, time.Now())
 		test.True(t, h.next == 4 == (number == 0 && of == 1))
 	})
 }
--- a/internal/placer/help_test.go
+++ b/internal/placer/help_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -62,9 +63,14 @@
 
 func addr(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 
-// newWorld has three engines with the given versions of their weights.
+// newWorld has three engines with the given versions of their weights, and a store that keeps a part of
+// some other prompt if nothing else.
 func newWorld(t *testing.T, kept3 source, has ...int64) *world {
 	t.Helper()
+	if kept3[store] == nil {
+		kept3 = maps.Clone(kept3)
+		kept3[store] = []kept.Change{{Part: kept.Part{Salt: salt(1, ""), ID: "another's"}, Tokens: 64}}
+	}
 	w := &world{versions: &versions{wanted: 1}, mayName: true}
 	f := fleet.New(zerolog.Nop())
 	index := kept.NewIndex(kept3, func(*kept.Holder) (time.Duration, time.Duration) { return time.Second, time.Second }, zerolog.Nop())
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -126,19 +126,20 @@
 	if tokens < minSaved {
 		return ""
 	}
+	now := p.Now()
 	stores := p.Kept.Stores()
 	nodes := make([]rendezvous.Node, 0, len(stores))
 	for _, s := range stores {
 		if s.Has(key) > 0 {
 			return ""
 		}
-		if s.Reachable() && s.Room() >= tokens {
+		if s.Saves(now) && s.Room() >= tokens {
 			nodes = append(nodes, rendezvous.Node{ID: s.Addr, Weight: float64(s.Tokens)})
 		}
 	}
 	owner, _ := rendezvous.Owner(key.ID, nodes)
 	for _, s := range stores {
-		if s.Addr == owner && s.BeginSave(key, tokens, p.Now()) {
+		if s.Addr == owner && s.BeginSave(key, tokens, now) {
 			return s.Addr
 		}
 	}
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -116,7 +116,7 @@
 		return at
 	}
 	for _, h := range s.Kept.Stores() {
-		if h.Has(key) >= part.Tokens && h.Reachable() {
+		if h.Names(s.now) && h.Has(key) >= part.Tokens {
 			at.stores = append(at.stores, h)
 			at.holders = append(at.holders, h)
 		}
