Evacuate a failure domain in the soak, and let the stand-in's servers be cold

The soak had no evacuations and no cold servers. The last model server of the stand-in's site is in a failure domain of its own now, its operator evacuates it and takes that back, at times to give the order again at once, and a server that starts again says in its entry how long it is cold, under a service that states what a cold one stands.

The soak checks that nothing runs in an evacuated domain later than the bound, sent by a node in touch while the store is stable; TestRunsInEvacuatedDomains- AreFound gives the check runs that break it, and runs that something excuses.

Not checked by the soak: the bound on cold servers.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -109,6 +109,45 @@
 	}
 }
 
+// TestRunsInEvacuatedDomainsAreFound has the last model server run a request long after, and shortly
+// after, its failure domain was evacuated, and with what excuses the node.
+func TestRunsInEvacuatedDomainsAreFound(t *testing.T) {
+	long := span{from: time.Now().Add(-evacuateBound - time.Second)}
+	tests := []struct {
+		name      string
+		evacuated span
+		excuse    func(w *world)
+		want      int
+	}{
+		{"for long", long, func(*world) {}, 1},
+		{"just now", span{from: time.Now()}, func(*world) {}, 0},
+		{"taken back", span{from: long.from, to: time.Now()}, func(*world) {}, 0},
+		{"store in trouble", long, func(w *world) { w.core.open()() }, 0},
+		{"node in trouble", long, func(w *world) { w.nodes[0].harmed.open()() }, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var addrs []string
+			s, err := site.Start(site.Config{Beat: time.Second, Proxy: func(addr string) (string, error) {
+				addrs = append(addrs, addr)
+				return addr, nil
+			}})
+			must.NoError(t, err)
+			defer s.Close()
+			w := &world{site: s, seen: newSeen(), nodes: []*process{{}}}
+			w.evacuated.list = []*span{&tc.evacuated}
+			tc.excuse(w)
+			last := addrs[modelProxy+len(s.Models)-1]
+			req, err := site.Request(context.Background(), last, http.MethodPost, site.PathQuery, "k", "a", "session")
+			must.NoError(t, err)
+			resp, err := http.DefaultClient.Do(req)
+			must.NoError(t, err)
+			resp.Body.Close()
+			test.Len(t, tc.want, w.ranEvacuated())
+		})
+	}
+}
+
 // replacedWeights names a version longer ago than the bound.
 func replacedWeights(now time.Time) func(w *world) {
 	return func(w *world) { w.named = []naming{{version: 2, at: now.Add(-versionBound - time.Second)}} }
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -14,7 +14,9 @@
 	drainBound   = 2 * time.Second
 	revokeBound  = 5 * time.Second
 	versionBound = 12 * time.Second
-	stableWindow = 3 * time.Second
+	// evacuateBound is the same for evacuations.
+	evacuateBound = 5 * time.Second
+	stableWindow  = 3 * time.Second
 )
 
 // brokenPromises compares what servers ran with what clients sent and were told.
@@ -24,6 +26,7 @@
 	for i := range w.away {
 		broken = append(broken, w.ranAway(i)...)
 	}
+	broken = append(broken, w.ranEvacuated()...)
 	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
 			if why := w.brokenBy(&r); why != "" {
@@ -79,6 +82,20 @@
 	return broken
 }
 
+// ranEvacuated returns the requests that a server of an evacuated failure domain ran later than the bound
+// allows, sent on by a node in touch while the metadata store was stable.
+func (w *world) ranEvacuated() []string {
+	var broken []string
+	for _, r := range w.site.Models[len(w.site.Models)-1].Runs() {
+		calm := r.At.Add(-stableWindow)
+		node := w.nodes[w.seen.sent[r.Request].node]
+		if w.evacuated.covers(r.At.Add(-evacuateBound), r.At) && w.core.calm(calm, r.At) && node.harmed.calm(calm, r.At) {
+			broken = append(broken, fmt.Sprintf("%s ran in a failure domain that had been evacuated for %v", r.Request, evacuateBound))
+		}
+	}
+	return broken
+}
+
 // replacedFor returns for how long the weights of a run had been replaced, counted while
 // the metadata store was stable, where the node that sent it on was in touch.
 func (w *world) replacedFor(r *modelserver.Run, node int) time.Duration {
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cherryward/cherryward/standin/metastore"
 	"github.com/cherryward/cherryward/standin/modelserver"
+	"github.com/cherryward/cherryward/standin/site"
 )
 
 const (
@@ -44,7 +45,7 @@
 		(*world).harmServerLink, (*world).harmServerLink,
 		(*world).harmServer, (*world).harmServer, (*world).harmAllServers,
 		(*world).restartServer, (*world).restartServer, (*world).delayOrders, (*world).leave,
-		(*world).changeKey, (*world).nameVersions, (*world).putForeignEntries,
+		(*world).changeKey, (*world).nameVersions, (*world).putForeignEntries, (*world).evacuate,
 	}
 	coreTroubles = []cause{(*world).harmStoreLink, (*world).harmStore, (*world).forget}
 )
@@ -200,6 +201,25 @@
 	test.NoError(w.t, w.site.Restart(i, false))
 }
 
+// evacuate has a failure domain evacuated for longer than its bound, and now and then taken back and
+// given again at once.
+func (w *world) evacuate(target int, lasts time.Duration) {
+	if !w.evacuating.TryLock() {
+		return
+	}
+	defer w.evacuating.Unlock()
+	w.site.Evacuate(site.ZoneAside, true)
+	end := w.evacuated.open()
+	w.pause(evacuateBound + lasts)
+	end()
+	w.site.Evacuate(site.ZoneAside, false)
+	if target%2 == 0 {
+		w.site.Evacuate(site.ZoneAside, true)
+		w.pause(lasts)
+		w.site.Evacuate(site.ZoneAside, false)
+	}
+}
+
 // leaveAfterOutage has a server leave soon after the metadata store came back, when nodes
 // can't know yet whose entries only lapsed.
 func (w *world) leaveAfterOutage(target int, lasts time.Duration) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -39,8 +39,11 @@
 	core    spans   // troubles of the metadata store and of the way to it
 	away    []spans // of each model server: its entry is gone
 	leaving sync.Mutex
-	log     *os.File
-	over    chan struct{} // closed once no more troubles are caused
+	// evacuated are the times in which the failure domain of the last model server is evacuated.
+	evacuated  spans
+	evacuating sync.Mutex
+	log        *os.File
+	over       chan struct{} // closed once no more troubles are caused
 
 	mu      sync.Mutex
 	version int64                // of the configuration
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -61,22 +61,27 @@
 	Born    int64     // start of the server, Unix milliseconds
 }
 
+// ColdStart is how long a server is cold after it has started again.
+const ColdStart = 3 * time.Second
+
 // Server is the service. It is safe for concurrent use.
 type Server struct {
 	cfg Config
 
-	mu      sync.Mutex
-	faults  Faults
-	born    int64 // Unix milliseconds of its start
-	epoch   int64 // of its events
-	version int64
-	orders  int64
-	fence   int64
-	held    []order // orders to carry out later
-	runs    []Run
-	left    int // requests whose client left
-	parts   map[[2]string]int
-	events  [][]any
+	mu     sync.Mutex
+	faults Faults
+	born   int64 // Unix milliseconds of its start
+	// restarted is true where it has started anew since.
+	restarted bool
+	epoch     int64 // of its events
+	version   int64
+	orders    int64
+	fence     int64
+	held      []order // orders to carry out later
+	runs      []Run
+	left      int // requests whose client left
+	parts     map[[2]string]int
+	events    [][]any
 }
 
 // New returns a server with version 1 of its model.
@@ -90,7 +95,7 @@
 func (s *Server) Restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.born = max(time.Now().UnixMilli(), s.born+1)
+	s.born, s.restarted = max(time.Now().UnixMilli(), s.born+1), true
 	s.epoch++
 	s.orders, s.fence = 0, 0
 	s.parts = make(map[[2]string]int)
@@ -127,7 +132,7 @@
 
 // Entry returns the server's entry in the registry.
 func (s *Server) Entry(addr, state string) []byte {
-	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1, "born": s.Born()}
+	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": s.coldLeft().Milliseconds(), "seq": 1, "born": s.Born()}
 	if s.cfg.Model != "" {
 		entry["models"] = s.models()
 	}
@@ -138,6 +143,16 @@
 	return data
 }
 
+// coldLeft returns how much longer the server is cold after a restart.
+func (s *Server) coldLeft() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.restarted {
+		return 0
+	}
+	return max(ColdStart-time.Since(time.UnixMilli(s.born)), 0)
+}
+
 // Born returns the start of the server in Unix milliseconds.
 func (s *Server) Born() int64 {
 	s.mu.Lock()
--- a/standin/site/boot.go
+++ b/standin/site/boot.go
@@ -26,6 +26,9 @@
 budget-window-s = 10
 lease-ms = 500
 version-ms = 12000
+evacuate-ms = 5000
+cold-overage = 1.5
+cold-tolerance = 5
 require-fence = true
 [platform]
 address = %[3]q
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -32,8 +32,10 @@
 	// Pieces is the number of events of a whole stream.
 	Pieces = 8
 
-	models     = 3
-	headerTime = 5 * time.Second
+	models = 3
+	// coldPerSecond is the number of requests a second that a cold model server stands.
+	coldPerSecond = 18
+	headerTime    = 5 * time.Second
 
 	registry = "keyed.servers" // the topic of the servers' entries
 
@@ -109,7 +111,7 @@
 	}
 	s.storeAddr, s.keepAddr = store.addr, keep.addr
 	for i := range models {
-		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: "north", Model: Model, Pieces: Pieces, Gap: c.Gap}
+		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: zoneOf(i), Model: Model, Pieces: Pieces, Gap: c.Gap}
 		added, err := s.add(cfg)
 		if err != nil {
 			return nil, err
@@ -238,7 +240,10 @@
 			route(PathUpload, "non_idempotent", "plain", 1, false),
 		},
 		"services": []any{
-			map[string]any{"name": "models", "health-path": "/healthz", "max-connections": 100, "engine": engine},
+			map[string]any{
+				"name": "models", "health-path": "/healthz", "max-connections": 100, "engine": engine,
+				"cold-start-s": modelserver.ColdStart.Seconds(), "cold-per-s": coldPerSecond,
+			},
 			map[string]any{"name": "plain", "health-path": "/healthz", "max-connections": 100},
 			map[string]any{"name": "keep", "kv-store-addr": s.keepAddr, "zone": "north", "kv-capacity-tokens": 100000, "link-mbps": 3e5, "managed": true, "first_ms": 0.5},
 		},
@@ -247,6 +252,28 @@
 	})
 }
 
+// ZoneAside is the failure domain of the last model server; all else is in another one.
+const ZoneAside = "east"
+
+// zoneOf returns the failure domain of the i-th model server.
+func zoneOf(i int) string {
+	if i == models-1 {
+		return ZoneAside
+	}
+	return "north"
+}
+
+// Evacuate has the operator ask that nothing more be sent to the servers of a failure domain, or take
+// that back.
+func (s *Site) Evacuate(zone string, inForce bool) {
+	key := "evacuate/" + zone
+	if inForce {
+		s.put("keyed.op", key, struct{}{})
+		return
+	}
+	s.Store.Put("keyed.op", key, nil)
+}
+
 // NameVersion writes the version of the model's weights that the operator wants.
 func (s *Site) NameVersion(version int64) {
 	s.put("keyed.op", "version/"+Model, map[string]any{"model": Model, "version": version})
