Make the list of endpoints once for each read of the registry

Cause, by a benchmark of a node's registry (3,000 engines): at a start, and whenever many endpoints come or go, the list that requests read was made and sorted anew for each entry. 300 nodes so take 360 s together to learn 3,000 endpoints. And a node that reads for others decoded each heartbeat, 2,500 a second, though most say what the one before said.

Change: all that a read or a new configuration brings makes one list, and an entry that is the same to the byte isn't decoded again.

Ruled out as the first cause: heartbeats at ordinary nodes (they hear changes alone), placement (0.52 ms and 242 KB a prompt at 3,000 engines, 5 ms a second at a node's 10 prompts; BenchmarkPlace).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,7 +61,12 @@
 	members map[string]*Member
 	atAddr  map[string]*Member // the member that was known last at each address
 	newest  map[string]start   // by endpoint, also of those that are gone
-	view    atomic.Pointer[view]
+	// together is the number of Together calls under way, and stale is true where the view lacks
+	// what they changed.
+	together int
+	stale    bool
+	rebuilds int // views ever made
+	view     atomic.Pointer[view]
 }
 
 // start is the newest start of an endpoint.
@@ -102,6 +107,30 @@
 // Empty reports whether no endpoint is known.
 func (f *Fleet) Empty() bool { return len(f.view.Load().byService) == 0 }
 
+// Together makes one new list of what change does to the fleet by the other methods, when it is done.
+// Made after each of 3,000 entries that a node reads when it starts, the lists take a small host
+// seconds.
+func (f *Fleet) Together(change func()) {
+	f.mu.Lock()
+	f.together++
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.together--; f.together == 0 && f.stale {
+			f.rebuild()
+		}
+	}()
+	change()
+}
+
+// Rebuilds returns how often the list that requests read was made.
+func (f *Fleet) Rebuilds() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rebuilds
+}
+
 // Update takes an endpoint's entry. One of an earlier start than the newest known is dropped,
 // as it arrived late, and so is one that names no start though the endpoint does.
 func (f *Fleet) Update(e *Endpoint, now time.Time) {
@@ -288,8 +317,13 @@
 	}
 }
 
-// rebuild makes the list that requests read, in the order of the endpoints' ids.
+// rebuild makes the list that requests read, in the order of the endpoints' ids. Within Together it
+// leaves that to its end.
 func (f *Fleet) rebuild() {
+	if f.stale = f.together > 0; f.stale {
+		return
+	}
+	f.rebuilds++
 	v := &view{byService: make(map[string][]*Member)}
 	for _, m := range f.members {
 		if !m.Endpoint().Draining {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -53,13 +54,19 @@
 	mu         sync.Mutex
 	doubtUntil time.Time // entries that are missing until then may only have lapsed
 	// entries are the newest readable ones, by id.
-	entries map[string]*fleet.Endpoint
+	entries map[string]entry
+}
+
+// entry is an endpoint's entry as it was read.
+type entry struct {
+	value    []byte
+	endpoint *fleet.Endpoint
 }
 
 var _ follow.Sink = (*registry)(nil)
 
 func newRegistry(f *fleet.Fleet, config func() *routing.Config, bounds func() bootstrap.Bounds, rejected *rejected) *registry {
-	return &registry{fleet: f, config: config, bounds: bounds, rejected: rejected, entries: make(map[string]*fleet.Endpoint)}
+	return &registry{fleet: f, config: config, bounds: bounds, rejected: rejected, entries: make(map[string]entry)}
 }
 
 // Apply implements follow.Sink.
@@ -70,6 +77,13 @@
 	if b.Failed && b.Gap > lapseOutage {
 		r.doubt(now)
 	}
+	r.fleet.Together(func() { r.applyAll(&b, now) })
+	// The doubt's timer may have run since now was taken, before what was found missing.
+	r.fleet.Expire(r.clock.Now())
+}
+
+// applyAll takes the records of a batch.
+func (r *registry) applyAll(b *follow.Batch, now time.Time) {
 	present := make(map[string]bool, len(b.Records))
 	for i := range b.Records {
 		record := &b.Records[i]
@@ -82,8 +96,6 @@
 			r.remove(id, now)
 		}
 	}
-	// The doubt's timer may have run since now was taken, before what was found missing.
-	r.fleet.Expire(r.clock.Now())
 }
 
 // doubt has entries that are missing count as lapsed for a while. All holds end with it, by a
@@ -111,7 +123,7 @@
 		r.remove(record.Key, now)
 		return
 	}
-	endpoint, err := platform.DecodeEndpoint(record.Key, record.Value)
+	endpoint, err := r.decode(record)
 	if err == nil && endpoint.Born > now.Add(mostAhead).UnixMilli() {
 		err = eris.Errorf("a start in the future: %d", endpoint.Born)
 	}
@@ -127,13 +139,30 @@
 	if r.fleet.Outdated(endpoint) {
 		return // it arrived late, or isn't the endpoint's own
 	}
-	if before := r.entries[record.Key]; before != nil && before.Service != endpoint.Service {
+	if before := r.entries[record.Key].endpoint; before != nil && before.Service != endpoint.Service {
 		r.fleet.Remove(record.Key) // what was learned is of another service
 	}
-	r.entries[record.Key] = endpoint
+	r.entries[record.Key] = entry{r.value(record), endpoint}
 	r.use(endpoint, r.config(), now)
 }
 
+// decode decodes an entry. Most are heartbeats that say the same as the one before: decoded anew, those
+// of 3,000 endpoints take a small host that reads them a tenth of its processor.
+func (r *registry) decode(record *follow.Record) (*fleet.Endpoint, error) {
+	if known := r.entries[record.Key]; known.endpoint != nil && bytes.Equal(known.value, record.Value) {
+		return known.endpoint, nil
+	}
+	return platform.DecodeEndpoint(record.Key, record.Value)
+}
+
+// value returns a copy of an entry, as the record's own is a part of all that was read with it.
+func (r *registry) value(record *follow.Record) []byte {
+	if known := r.entries[record.Key].value; bytes.Equal(known, record.Value) {
+		return known
+	}
+	return bytes.Clone(record.Value)
+}
+
 // retain forgets the entries that are not present.
 func (r *registry) retain(present map[string]bool) {
 	for id := range r.entries {
@@ -150,9 +179,11 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	config := r.config()
-	for _, endpoint := range r.entries {
-		r.use(endpoint, config, now)
-	}
+	r.fleet.Together(func() {
+		for _, e := range r.entries {
+			r.use(e.endpoint, config, now)
+		}
+	})
 }
 
 // chill has the endpoints of a failure domain count as cold, as after they started: they may have
