Ask for no spare room where an engine holds many prompts, and price connections

What was seen: on the shifted work, large prompts are refused for want of room while a part of the engines is dark, and come late when they return. An engine holds twelve of them, and each asked for the room of the 75th percentile.

What small prompts leave free of a roomy memory is soon enough for a large one; engines that hold few keep it, and so does overload.

BenchmarkPlace places a prompt among 10 to 3,000 engines.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -43,18 +43,20 @@
 		n.Note(1, 100*(i+1))
 		n.Note(2, 50_000)
 	}
-	test.Eq(t, 3100, n.Reserve(1, false))
-	test.Eq(t, 0, n.Reserve(1, true))
-	test.Eq(t, 0, n.Reserve(0, false), test.Sprint("no prompt of that rank came"))
+	test.Eq(t, 3100, n.Reserve(1, false, 30_000))
+	test.Eq(t, 0, n.Reserve(1, true, 30_000))
+	test.Eq(t, 3100, n.Reserve(1, false, 30_999), test.Sprint("nine prompts fit"))
+	test.Eq(t, 0, n.Reserve(1, false, 31_000), test.Sprint("ten do"))
+	test.Eq(t, 0, n.Reserve(0, false, 30_000), test.Sprint("no prompt of that rank came"))
 	for range 15 {
 		n.Decided(true)
 	}
-	test.Eq(t, 3900, n.Reserve(1, false))
-	test.Eq(t, 3900, n.Reserve(1, true))
+	test.Eq(t, 3900, n.Reserve(1, false, 30_000))
+	test.Eq(t, 3900, n.Reserve(1, true, 30_000))
 	for range 60 {
 		n.Decided(false)
 	}
-	test.Eq(t, 3100, n.Reserve(1, false))
+	test.Eq(t, 3100, n.Reserve(1, false, 30_000))
 }
 
 // TestReturnsAreSpread gives each caller a time of its own, within what callers honour.
--- a/internal/admission/needs.go
+++ b/internal/admission/needs.go
@@ -19,6 +19,10 @@
 	pressedPercent = 95
 	// pressedShare is the share of refusals, lately, from which many are refused.
 	pressedShare = 0.2
+	// roomyMemory is the number of usual prompts of a rank from which an engine's memory is roomy:
+	// what small ones leave free then is soon enough for a large one, and asking for more room than
+	// they need has callers refused whom the engine could take.
+	roomyMemory = 10
 	// pressureWeight is the weight of the newest decision: some fifty are remembered.
 	pressureWeight = 0.02
 )
@@ -56,18 +60,19 @@
 	n.pressure += pressureWeight * (outcome - n.pressure)
 }
 
-// Reserve returns the room that a prompt of this rank asks for at least, in tokens: that of a
-// usual one of its rank, or of a large one while many are refused. Prompts of other ranks
-// count for nothing, as room is kept for them by their urgency. A caller that was refused
-// before asks for its own size alone while few are refused, as it doesn't come back again.
-func (n *Needs) Reserve(rank int, returned bool) int {
+// Reserve returns the room that a prompt of this rank asks for at least, in tokens, at an engine of such
+// a memory: that of a usual one of its rank, or of a large one while many are refused. Prompts of other
+// ranks count for nothing, as room is kept for them by their urgency. A caller that was refused
+// before asks for its own size alone while few are refused, as it doesn't come back again; and so
+// does everybody where the memory holds many.
+func (n *Needs) Reserve(rank int, returned bool, memory int) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := &n.byRank[clamp(rank)]
 	switch {
 	case n.pressure >= pressedShare:
 		return r.pressed
-	case returned:
+	case returned, roomyMemory*r.usual <= memory:
 		return 0
 	}
 	return r.usual
--- /dev/null
+++ b/internal/placer/bench_test.go
@@ -0,0 +1,73 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kept"
+	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/weights"
+)
+
+// largeWorld is a node of a large system with so many engines in three failure domains, and a store for
+// each fifteenth of them.
+func largeWorld(engines int) (*placer.Placer, *forward.Query) {
+	f := fleet.New(zerolog.Nop())
+	index := kept.NewIndex(nil, nil, zerolog.Nop())
+	now := time.Now()
+	for i := range engines {
+		f.Update(&fleet.Endpoint{
+			ID: fmt.Sprintf("i-%010x", i), Service: "s", Addr: fmt.Sprintf("10.%d.%d.%d:1", i%3, i>>8, i&0xff), Domain: fmt.Sprint("d", i%3), Slots: 64,
+			Weights: []fleet.Weights{{Model: model, Version: 1}},
+		}, now)
+	}
+	var stores []*kept.Holder
+	for i := range max(engines/15, 1) {
+		addr := fmt.Sprintf("172.20.%d.%d:1", i>>8, i&0xff)
+		h := kept.NewHolder(addr, addr, fmt.Sprint("d", i%3))
+		h.Mbps, h.Tokens = 300_000, 1_000_000
+		stores = append(stores, h)
+	}
+	index.Replace(nil, stores)
+	for i, h := range stores {
+		events := &kept.Events{Epoch: 1, Next: 2, ClockMS: 1, ProvenAt: now.Add(time.Hour)}
+		if i == 0 {
+			events.Changes = shared(1, "")
+		}
+		index.Take(h, events)
+	}
+	p := &placer.Placer{
+		Domain: "d0", Fleet: f, Versions: &versions{wanted: 1}, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{},
+		Whole: func() bool { return engines <= 12 }, MayName: func(string, int64) bool { return true },
+		Closed: func() []weights.Closed { return nil }, VersionApply: func() time.Duration { return limit },
+		Evacuated: func(string) bool { return false }, MostCold: func(*routing.Service) int { return 0 },
+		Services: &placer.Services{}, Nodes: func() int { return engines }, Now: time.Now, Random: rand.Float64,
+	}
+	q := query()
+	q.Service.Engine.KVTokens = 150_000
+	return p, q
+}
+
+// BenchmarkPlace places a prompt of a session that a store keeps, at a node of a system of so many
+// engines.
+func BenchmarkPlace(b *testing.B) {
+	for _, engines := range []int{10, 60, 204, 1000, 3000} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			p, q := largeWorld(engines)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := p.Place(q); !ok {
+					b.Fatal("no place")
+				}
+			}
+		})
+	}
+}
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -15,6 +15,9 @@
 	failureMs = 400.0
 	// foreignDomainMs is the cost of another failure domain.
 	foreignDomainMs = 2.0
+	// connectMs is the cost of opening a connection, beyond its time: its price against that of a
+	// late answer.
+	connectMs = 25.0
 	// movedMsPerGB is the cost of moving KV cache, beyond its time: its price
 	// against that of a late answer.
 	movedMsPerGB = 40.0
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -49,7 +49,7 @@
 		service: service, figures: service.model.Figures(),
 		until: p.Kept.ClockMS() + FetchLimit.Milliseconds(),
 	}
-	s.reserve = s.tuning().reserve(service.needs.Reserve(rank, q.Returned()), q.Service.Engine.KVTokens)
+	s.reserve = s.tuning().reserve(service.needs.Reserve(rank, q.Returned(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
 	return s
 }
 
@@ -62,6 +62,9 @@
 	if m == s.home {
 		cost -= homeMs
 	}
+	if !m.Pool.Kept(s.now) {
+		cost += connectMs
+	}
 	return cost
 }
 
