--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -107,11 +106,11 @@
 
 // nodesTopic returns the topic that holds the records, at the store that the flags name.
 func nodesTopic(cmd *cli.Command) (*platform.Topic, error) {
-	addr, err := netip.ParseAddrPort(cmd.String(flagStore))
-	if err != nil || addr.Port() == 0 {
-		return nil, usagef("--store or CHERRYCTL_STORE: %q: want IP:PORT", cmd.String(flagStore))
+	store, err := storeOf(cmd)
+	if err != nil {
+		return nil, err
 	}
-	return platform.NewStore(addr.String()).Topic(platform.NodesTopic), nil
+	return store.Topic(platform.NodesTopic), nil
 }
 
 // shownHold is a held request as JSON.
