--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -26,7 +26,7 @@
 	Load *Load
 
 	cold atomic.Pointer[time.Time] // until when it is cold; nil where it was never
-	down atomic.Bool               // nothing listened at its address when this node last looked
+	down atomic.Bool               // it had ended when this node last looked
 
 	looks  singleflight.Group // whether the endpoint ended
 	entry  atomic.Pointer[Endpoint]
--- a/internal/placer/cold.go
+++ b/internal/placer/cold.go
@@ -13,29 +13,29 @@
 // allCold is the reason of a refusal where every endpoint is cold and this node may send nothing to it.
 const allCold = "cold"
 
-// cold decides how much this node may send to the cold endpoints of a service.
-type cold struct {
+// coldLimit decides how much this node may send to the cold endpoints of a service.
+type coldLimit struct {
 	limiter *slowstart.Limiter
 	most    int // requests in a second that a cold endpoint may get; 0 where any number
 }
 
-func (p *Placer) cold(s *routing.Service) *cold {
+func (p *Placer) cold(s *routing.Service) *coldLimit {
 	if p.SlowStart == nil || p.MostCold == nil {
-		return &cold{}
+		return &coldLimit{}
 	}
-	return &cold{limiter: p.SlowStart, most: p.MostCold(s)}
+	return &coldLimit{limiter: p.SlowStart, most: p.MostCold(s)}
 }
 
 // bounds reports whether an endpoint is cold and its requests are bounded.
-func (c *cold) bounds(m *fleet.Member, now time.Time) bool { return c.most > 0 && m.Cold(now) }
+func (c *coldLimit) bounds(m *fleet.Member, now time.Time) bool { return c.most > 0 && m.Cold(now) }
 
-func (c *cold) endpoint(m *fleet.Member) *slowstart.Endpoint {
+func (c *coldLimit) endpoint(m *fleet.Member) *slowstart.Endpoint {
 	return &slowstart.Endpoint{ID: m.ID, Domain: m.Endpoint().Domain, Most: c.most}
 }
 
 // allowed returns the endpoints that a request may be sent to now: the warm ones, and those cold ones
 // that may get one from this node.
-func (c *cold) allowed(members []*fleet.Member, now time.Time) []*fleet.Member {
+func (c *coldLimit) allowed(members []*fleet.Member, now time.Time) []*fleet.Member {
 	if c.most == 0 {
 		return members
 	}
@@ -48,7 +48,7 @@
 
 // take returns the endpoint of least cost, with the request counted where that is cold; nil where
 // requests that were placed meanwhile left nothing.
-func (c *cold) take(list []scored, now time.Time) *fleet.Member {
+func (c *coldLimit) take(list []scored, now time.Time) *fleet.Member {
 	for len(list) > 0 {
 		best := slices.MinFunc(list, byCost).member
 		if !c.bounds(best, now) || c.limiter.Take(c.endpoint(best), now) {
@@ -60,7 +60,7 @@
 }
 
 // decline returns why there is no place, with the time until the first of the endpoints is warm.
-func (c *cold) decline(members []*fleet.Member, now time.Time) forward.Placement {
+func (c *coldLimit) decline(members []*fleet.Member, now time.Time) forward.Placement {
 	first := slices.MinFunc(members, func(a, b *fleet.Member) int { return a.ColdUntil().Compare(b.ColdUntil()) })
 	wait := max(first.ColdUntil().Sub(now), 0)
 	return forward.Placement{Reason: allCold, Wait: wait, Refuse: func() time.Duration { return wait }}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -143,7 +143,7 @@
 )
 
 // placePlain picks the endpoint with the fewest requests under way.
-func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member, cold *cold) (forward.Placement, bool) {
+func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member, cold *coldLimit) (forward.Placement, bool) {
 	now := p.Now()
 	others := p.Peers.Loads(now)
 	best := cold.take(score(candidates, func(m *fleet.Member) float64 {
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -23,7 +23,7 @@
 
 // placePrompt picks the engine with the least predicted time to the first event,
 // and names where it gets the parts from that it lacks.
-func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member, cold *cold) (forward.Placement, bool) {
+func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member, cold *coldLimit) (forward.Placement, bool) {
 	rollout := p.rollout(q)
 	candidates = rollout.filter(candidates)
 	if len(candidates) == 0 {
