--- a/internal/ctl/domains.go
+++ b/internal/ctl/domains.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -108,9 +107,7 @@
 
 func showDomains(w io.Writer, domains []*shownDomain, format string) error {
 	if format == formatJSON {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(domains)
+		return writeJSON(w, domains)
 	}
 	rows := make([]string, 0, len(domains))
 	for _, d := range domains {
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -132,9 +131,7 @@
 		})
 	}
 	if format == formatJSON {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(shown)
+		return writeJSON(w, shown)
 	}
 	rows := make([]string, 0, len(shown))
 	for _, h := range shown {
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"sync/atomic"
-	"time"
 
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/platform"
@@ -12,8 +11,8 @@
 // evacuations are the failure domains that the operators have evacuated: nothing is to be sent to the
 // endpoints there. Its zero value has none. Requests read it at every look for an endpoint.
 type evacuations struct {
-	// since is when each order was first seen, by failure domain. The map is never changed in place.
-	since atomic.Pointer[map[string]time.Time]
+	// domains are those of the orders in force. The map is never changed in place.
+	domains atomic.Pointer[map[string]bool]
 	// ending is called before a failure domain's endpoints may get requests again; nil for nothing.
 	ending func(domain string)
 }
@@ -26,16 +25,12 @@
 }
 
 // inForce reports whether a failure domain is evacuated.
-func (e *evacuations) inForce(domain string) bool {
-	_, ok := e.all()[domain]
-	return ok
-}
+func (e *evacuations) inForce(domain string) bool { return e.all()[domain] }
 
-// all returns since when each failure domain has been evacuated, as far as this node saw. It is not
-// to be changed.
-func (e *evacuations) all() map[string]time.Time {
-	if since := e.since.Load(); since != nil {
-		return *since
+// all returns the failure domains that are evacuated, as far as this node saw. It is not to be changed.
+func (e *evacuations) all() map[string]bool {
+	if domains := e.domains.Load(); domains != nil {
+		return *domains
 	}
 	return nil
 }
@@ -43,12 +38,12 @@
 // apply takes the orders of a batch and returns what changed. An order that a snapshot lacks was taken
 // back, whether the record of that was read or not. One that was taken back and given again within a
 // batch stays in force throughout, but its endpoints count as given back: they may be cold.
-func (e *evacuations) apply(b *follow.Batch, now time.Time) []evacuationChange {
-	before := e.all()
-	next := maps.Clone(before)
-	if next == nil {
-		next = make(map[string]time.Time)
+func (e *evacuations) apply(b *follow.Batch) []evacuationChange {
+	if !b.Snapshot && len(b.Records) == 0 {
+		return nil
 	}
+	next := make(map[string]bool)
+	maps.Copy(next, e.all())
 	present := make(map[string]bool)
 	var changes []evacuationChange
 	for i := range b.Records {
@@ -57,14 +52,13 @@
 		if !ok {
 			continue
 		}
-		_, known := next[domain]
 		begun := r.Value != nil
 		present[domain] = begun
-		if begun == known {
+		if begun == next[domain] {
 			continue
 		}
 		if begun {
-			next[domain] = now
+			next[domain] = true
 		} else {
 			delete(next, domain)
 		}
@@ -82,7 +76,7 @@
 		return nil
 	}
 	e.tellEnding(changes)
-	e.since.Store(&next)
+	e.domains.Store(&next)
 	return changes
 }
 
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -123,7 +123,8 @@
 		r.remove(record.Key, now)
 		return
 	}
-	endpoint, err := r.decode(record)
+	e, err := r.decode(record)
+	endpoint := e.endpoint
 	if err == nil && endpoint.Born > now.Add(mostAhead).UnixMilli() {
 		err = eris.Errorf("a start in the future: %d", endpoint.Born)
 	}
@@ -142,25 +143,19 @@
 	if before := r.entries[record.Key].endpoint; before != nil && before.Service != endpoint.Service {
 		r.fleet.Remove(record.Key) // what was learned is of another service
 	}
-	r.entries[record.Key] = entry{r.value(record), endpoint}
+	r.entries[record.Key] = e
 	r.use(endpoint, r.config(), now)
 }
 
 // decode decodes an entry. Most are heartbeats that say the same as the one before: decoded anew, those
 // of 3,000 endpoints take a small host that reads them a tenth of its processor.
-func (r *registry) decode(record *follow.Record) (*fleet.Endpoint, error) {
+// A value is kept as a copy: the record's own is a part of all that was read with it.
+func (r *registry) decode(record *follow.Record) (entry, error) {
 	if known := r.entries[record.Key]; known.endpoint != nil && bytes.Equal(known.value, record.Value) {
-		return known.endpoint, nil
+		return known, nil
 	}
-	return platform.DecodeEndpoint(record.Key, record.Value)
-}
-
-// value returns a copy of an entry, as the record's own is a part of all that was read with it.
-func (r *registry) value(record *follow.Record) []byte {
-	if known := r.entries[record.Key].value; bytes.Equal(known, record.Value) {
-		return known
-	}
-	return bytes.Clone(record.Value)
+	endpoint, err := platform.DecodeEndpoint(record.Key, record.Value)
+	return entry{bytes.Clone(record.Value), endpoint}, err
 }
 
 // retain forgets the entries that are not present.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -98,7 +98,7 @@
 		sight.notBefore = *before
 		sight.prompt = b.ProvenAt.Sub(*before) < namingAge
 	}
-	for _, change := range s.evacuations.apply(&b, sight.at) {
+	for _, change := range s.evacuations.apply(&b) {
 		s.log.Info().Str("event", "evacuation").Str("domain", change.domain).Bool("in_force", change.begun).Int64("offset", change.offset).Send()
 	}
 	for i := range b.Records {
--- a/internal/kept/epoch.go
+++ b/internal/kept/epoch.go
@@ -3,21 +3,23 @@
 import "time"
 
 const (
-	// NamedFor is how long after a store was certainly in the epoch in which it kept a part the part
+	// FetchLimit is the longest time that a fetch from a store may take.
+	FetchLimit = 1500 * time.Millisecond
+	// namedFor is how long after a store was certainly in the epoch in which it kept a part the part
 	// is named for a fetch: a question that waits for events takes up to 0.8 s, the next one begins
 	// 0.25 s later, and other nodes hear of its answer after 0.5 s.
-	NamedFor = 2500 * time.Millisecond
+	namedFor = 2500 * time.Millisecond
 	// fetchTime is the longest time from when a part is named until its fetch has ended, with a
 	// margin for clocks.
-	fetchTime = 1800 * time.Millisecond
+	fetchTime = FetchLimit + 300*time.Millisecond
 	// emptyFor is how long after this node has seen a store empty no part is sent there.
-	emptyFor = NamedFor + fetchTime
+	emptyFor = namedFor + fetchTime
 )
 
 // A store that restarts has lost its parts, and whoever doesn't know that yet has them fetched from it:
 // parts that are missing are read, but one that is being saved anew is taken though it isn't whole. So
 // nobody saves to a store that was seen to restart until everybody else has stopped naming what it had:
-// each names a part only for NamedFor after the store was certainly in that part's epoch, which was
+// each names a part only for namedFor after the store was certainly in that part's epoch, which was
 // before the restart. A node that starts waits in the same way for a store that keeps nothing.
 
 // prove notes when the holder was certainly in the epoch of its events, and waits with saves where that
@@ -37,16 +39,18 @@
 func (h *Holder) Names(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.lost && now.Sub(h.proven) < NamedFor
+	return !h.lost && now.Sub(h.proven) < namedFor
 }
 
 // Saves reports whether parts may be sent to a store.
 func (h *Holder) Saves(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.lost && !now.Before(h.savesFrom)
+	return h.saves(now)
 }
 
+func (h *Holder) saves(now time.Time) bool { return !h.lost && !now.Before(h.savesFrom) }
+
 // ages returns how long ago the holder was certainly in its epoch, and how much longer nothing is to
 // be sent there.
 func (h *Holder) ages(now time.Time) (proven, savesIn time.Duration) {
--- a/internal/kept/epoch_test.go
+++ b/internal/kept/epoch_test.go
@@ -23,7 +23,7 @@
 	restart := now.Add(time.Millisecond)
 	h.apply(&Events{Epoch: 6, Next: 1, ProvenAt: restart}, restart) // the soonest that anybody can know
 	test.True(t, other.Names(restart))
-	from := restart.Add(NamedFor)
+	from := restart.Add(namedFor)
 	test.False(t, other.Names(from), test.Sprint("nobody else confirms what the store had"))
 	test.False(t, h.Saves(from.Add(fetchTime-time.Millisecond)), test.Sprint("the last fetch is under way"))
 	test.True(t, h.Saves(from.Add(fetchTime)))
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -132,7 +132,7 @@
 func (h *Holder) BeginSave(p Part, tokens int, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.parts[p] > 0 || h.lost || h.used+tokens > h.Tokens || now.Before(h.savesFrom) {
+	if h.parts[p] > 0 || !h.saves(now) || h.used+tokens > h.Tokens {
 		return false
 	}
 	if sent, under := h.saving[p]; under && now.Sub(sent) < savePatience {
--- a/internal/placer/cold.go
+++ b/internal/placer/cold.go
@@ -39,11 +39,7 @@
 	if c.most == 0 {
 		return members
 	}
-	closed := func(m *fleet.Member) bool { return c.bounds(m, now) && !c.limiter.Allows(c.endpoint(m), now) }
-	if !slices.ContainsFunc(members, closed) {
-		return members
-	}
-	return slices.DeleteFunc(slices.Clone(members), closed)
+	return without(members, func(m *fleet.Member) bool { return c.bounds(m, now) && !c.limiter.Allows(c.endpoint(m), now) })
 }
 
 // take returns the endpoint of least cost, with the request counted where that is cold; nil where
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -75,15 +75,15 @@
 
 var _ forward.Placer = (*Placer)(nil)
 
-// evacuated is the reason of a refusal where every endpoint's failure domain is evacuated.
-const evacuated = "evacuated"
+// allEvacuated is the reason of a refusal where every endpoint's failure domain is evacuated.
+const allEvacuated = "evacuated"
 
 // Place implements forward.Placer.
 func (p *Placer) Place(q *forward.Query) (forward.Placement, bool) {
 	all := p.Fleet.Members(q.Service.Name)
 	staying := p.staying(all)
 	if len(staying) == 0 && len(all) > 0 {
-		return forward.Placement{Reason: evacuated}, false
+		return forward.Placement{Reason: allEvacuated}, false
 	}
 	now := p.Now()
 	cold := p.cold(q.Service)
@@ -103,14 +103,26 @@
 
 // staying returns the endpoints whose failure domain is not evacuated.
 func (p *Placer) staying(members []*fleet.Member) []*fleet.Member {
-	if p.Evacuated == nil {
+	return without(members, func(m *fleet.Member) bool { return p.evacuated(m.Endpoint().Domain) })
+}
+
+// evacuated reports whether nothing is to be sent to the endpoints of a failure domain.
+func (p *Placer) evacuated(domain string) bool { return p.Evacuated != nil && p.Evacuated(domain) }
+
+// without returns the endpoints but for some, without a copy where none is left out. It asks once for
+// each.
+func without(members []*fleet.Member, drop func(*fleet.Member) bool) []*fleet.Member {
+	first := slices.IndexFunc(members, drop)
+	if first < 0 {
 		return members
 	}
-	leaving := func(m *fleet.Member) bool { return p.Evacuated(m.Endpoint().Domain) }
-	if !slices.ContainsFunc(members, leaving) {
-		return members
+	left := append(make([]*fleet.Member, 0, len(members)-1), members[:first]...)
+	for _, m := range members[first+1:] {
+		if !drop(m) {
+			left = append(left, m)
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(members), leaving)
+	return left
 }
 
 // usable returns the endpoints that were not tried and are not avoided. Where all
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -12,7 +12,7 @@
 	// FetchLimit is the longest time that a fetch from a store may take; what
 	// comes later is thrown away, and the engine reads the prompt. Outdated parts
 	// are freed only when this has passed since the last node named them.
-	FetchLimit = 1500 * time.Millisecond
+	FetchLimit = kept.FetchLimit
 	// lostFetchMs is the time from which a fetch is likely to be thrown away, so that
 	// reading the part costs the same and comes sooner.
 	lostFetchMs = 800.0
--- a/internal/placer/rollout.go
+++ b/internal/placer/rollout.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/fleet"
@@ -104,8 +103,8 @@
 // filter removes the engines whose weights are too old or not known, and those that load now
 // unless no other is left.
 func (r *rollout) filter(candidates []*fleet.Member) []*fleet.Member {
-	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m *fleet.Member) bool { return r.isUnknown(m) || r.isOld(m) })
-	open := slices.DeleteFunc(slices.Clone(candidates), r.isClosed)
+	candidates = without(candidates, func(m *fleet.Member) bool { return r.isUnknown(m) || r.isOld(m) })
+	open := without(candidates, r.isClosed)
 	if len(open) == 0 {
 		return candidates
 	}
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -107,6 +107,8 @@
 	key := kept.Part{Salt: salt, ID: part.ID}
 	at := locatedPart{Part: part}
 	for id, h := range s.Kept.Engines() {
+		// Engines of evacuated failure domains are not asked for KV cache either. Stores, which are no
+		// endpoints, are.
 		if h.Has(key) >= part.Tokens && !s.evacuated(h.Domain) {
 			if at.engines == nil {
 				at.engines = make(map[string]*kept.Holder)
@@ -127,10 +129,6 @@
 	return at
 }
 
-// evacuated reports whether nothing is to be sent to the endpoints of a failure domain: these are
-// not asked for KV cache either. Stores, which are no endpoints, are.
-func (s *search) evacuated(domain string) bool { return s.Evacuated != nil && s.Evacuated(domain) }
-
 // plan works out how an engine would come by the parts, one after the other: it can use
 // a part only if it has all before it.
 func (s *search) plan(m *fleet.Member) *plan {
