Make nodes' entries and the placer of tests in one place

The gateway's tests of senders built nodes' entries as those of the roster do, and the placer's benchmark the whole placer of its other tests. Assertions and worlds are the same.

--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -28,6 +28,14 @@
 	`{"addr":"224.0.0.1:7"}`, `{"addr":"node.example:7"}`, `{"addr":"10.0.0.1:7","domain":3}`, "\xff\xfe",
 }
 
+// nodeRecord returns the entry of the i-th node, which is in one of three failure domains.
+func nodeRecord(t *testing.T, i int, gone bool) follow.Record {
+	t.Helper()
+	value, err := json.Marshal(nodeEntry{Addr: fmt.Sprintf("10.0.0.%d:7", i+1), Domain: fmt.Sprint("d", i%3), Gone: gone})
+	must.NoError(t, err)
+	return follow.Record{Key: fmt.Sprint("n", i), Value: value}
+}
+
 // rosterOf returns the roster of a node that has read the entries of so many nodes, and
 // what it told of its peers.
 func rosterOf(t *testing.T, node string, nodes int) (*roster, *[]peerload.Peer) {
@@ -36,9 +44,7 @@
 	r := newRoster(node, nodeEntry{Addr: "10.0.1.1:7", Domain: "d0"}, noTopic{}, func(peers []peerload.Peer) { *told = peers }, func(string) bool { return true }, zerolog.Nop())
 	var batch follow.Batch
 	for i := range nodes {
-		value, err := json.Marshal(nodeEntry{Addr: fmt.Sprintf("10.0.0.%d:7", i+1), Domain: fmt.Sprint("d", i%3)})
-		must.NoError(t, err)
-		batch.Records = append(batch.Records, follow.Record{Key: fmt.Sprint("n", i), Value: value})
+		batch.Records = append(batch.Records, nodeRecord(t, i, false))
 	}
 	for i, value := range foreignNodes {
 		batch.Records = append(batch.Records, follow.Record{Key: fmt.Sprint("of another writer ", i), Value: []byte(value)})
--- a/internal/gateway/senders_test.go
+++ b/internal/gateway/senders_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -9,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
-	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/fleet"
@@ -23,9 +21,7 @@
 	t.Helper()
 	batch := follow.Batch{Snapshot: true, ProvenAt: time.Now().Add(-ago)}
 	for i := range nodes {
-		value, err := json.Marshal(nodeEntry{Addr: fmt.Sprintf("10.0.0.%d:7", i+1), Domain: fmt.Sprint("d", i%3), Gone: i == 3})
-		must.NoError(t, err)
-		batch.Records = append(batch.Records, follow.Record{Key: fmt.Sprint("n", i), Value: value})
+		batch.Records = append(batch.Records, nodeRecord(t, i, i == 3))
 	}
 	r.Apply(batch)
 }
--- a/internal/placer/bench_test.go
+++ b/internal/placer/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,10 +10,8 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kept"
-	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/routing"
-	"github.com/cherryward/cherryward/internal/weights"
 )
 
 // largeWorld is a node of a large system with so many engines in three failure domains, and a store for
@@ -44,13 +41,9 @@
 		}
 		index.Take(h, events)
 	}
-	p := &placer.Placer{
-		Domain: "d0", Fleet: f, Versions: &versions{wanted: 1}, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{},
-		Whole: func() bool { return engines <= 12 }, MayName: func(string, int64) bool { return true },
-		Closed: func() []weights.Closed { return nil }, VersionApply: func() time.Duration { return limit },
-		Evacuated: func(string) bool { return false }, MostCold: func(*routing.Service) int { return 0 },
-		Services: &placer.Services{}, Nodes: func() int { return engines }, Now: time.Now, Random: rand.Float64,
-	}
+	p := newPlacer(f, index)
+	p.Domain, p.Whole, p.Nodes = "d0", func() bool { return engines <= 12 }, func() int { return engines }
+	p.Evacuated, p.MostCold = func(string) bool { return false }, func(*routing.Service) int { return 0 }
 	q := query()
 	q.Service.Engine.KVTokens = 150_000
 	return p, q
--- a/internal/placer/help_test.go
+++ b/internal/placer/help_test.go
@@ -88,15 +88,24 @@
 	index.Follow(ctx, engines, []*kept.Holder{keep})
 	t.Cleanup(func() { cancel(); index.Wait() })
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return told(index, kept3) }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
-	w.Placer = &placer.Placer{
-		Domain: "north", Fleet: f, Versions: w.versions, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{}, Whole: func() bool { return true },
-		MayName:      func(string, int64) bool { return w.mayName },
-		Closed:       func() []weights.Closed { return w.closed },
+	w.Placer = newPlacer(f, index)
+	w.Versions = w.versions
+	w.MayName = func(string, int64) bool { return w.mayName }
+	w.Closed = func() []weights.Closed { return w.closed }
+	w.members = f.Members("s")
+	return w
+}
+
+// newPlacer returns the placer of a node in a small system of three, with the first version of the
+// weights.
+func newPlacer(f *fleet.Fleet, index *kept.Index) *placer.Placer {
+	return &placer.Placer{
+		Domain: "north", Fleet: f, Versions: &versions{wanted: 1}, Kept: index, Peers: peerload.NewTable(), Kick: func() {}, Usual: &kept.Lateness{}, Whole: func() bool { return true },
+		MayName:      func(string, int64) bool { return true },
+		Closed:       func() []weights.Closed { return nil },
 		VersionApply: func() time.Duration { return limit },
 		Services:     &placer.Services{}, Nodes: func() int { return 3 }, Now: time.Now, Random: rand.Float64,
 	}
-	w.members = f.Members("s")
-	return w
 }
 
 // told reports whether the index has all events.
