Take an engine's memory for what is waited for there

Cause, by the logs of all nodes: at engines with the newest weights 11 prompts with 50,000 tokens lay before each new one, at the others 4,300. The wait that placement reckoned with at those others was 600 to 1,300 ms, nearly all of it memory: from 0.6 of the memory on, a full engine was taken for a wait of a whole run. It had room, and nothing was waited for there.

Change: memory costs the time until runs have freed what the prompt would lack if an engine held 0.15 more than is believed.

--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -22,8 +22,8 @@
 	// against that of a late answer.
 	movedMsPerGB = 40.0
 	// roomyShare is the part of an engine's memory that running requests may hold
-	// at no cost. Beyond it, requests wait for memory.
-	roomyShare = 0.6
+	// at no cost. The rest is what belief may be short of.
+	roomyShare = 0.85
 )
 
 // engineCost is the time, in ms, that a request waits at the engine for others.
@@ -54,15 +54,16 @@
 	return s.figures.RunMs * float64(running+1-slots) / float64(slots)
 }
 
-// memoryMs is what speaks against an engine whose memory is nearly full, in ms: that of a
-// full one is about the time until a run ends there.
+// memoryMs is the time, in ms, until an engine has room for the prompt if it holds more than is
+// believed: runs end evenly spread over the time of one, and free what they hold. More would have
+// prompts queue for the time of engines that are empty, beside others with room and nothing to read.
 func (s *search) memoryMs(m *fleet.Member) float64 {
 	memory := s.memory(m)
 	if memory.Capacity <= 0 {
 		return 0
 	}
 	share := float64(memory.Held+holding(s.q)) / float64(memory.Capacity)
-	return s.figures.RunMs * max(share-roomyShare, 0) / (1 - roomyShare)
+	return s.figures.RunMs * max(share-roomyShare, 0)
 }
 
 // firstMs is the predicted time to the first event at an engine, in ms.
