Look at the whole failure domain before a prompt is refused

Cause: a node of a large system looks at the engines to which it keeps connections and at two others. Where these were full, the caller was refused, whatever room the rest of the failure domain had.

Change: the other engines whose load is known are looked at before the refusal, which then also predicts the wait from all of them.

--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -148,6 +148,34 @@
 	test.Between(t, prompts/engines, went["e0"], 3*prompts/engines, test.Sprint("neither all nor unused"))
 }
 
+// TestRoomAnywhereNearIsFound has the only engine of the failure domain with room take every prompt.
+// A node looks at those to which it keeps connections and two others; callers were refused and came
+// back late where these were full, though others had room: 105 of 480 tries of the largest prompts
+// in the 4 s after new weights were named.
+func TestRoomAnywhereNearIsFound(t *testing.T) {
+	w := newWorld(t, source{})
+	w.Whole = func() bool { return false }
+	q := query()
+	q.Service.Engine.KVTokens = 100_000
+	const engines = 40
+	for i := range engines {
+		w.Fleet.Update(&fleet.Endpoint{
+			ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: slotsEach,
+			Weights: []fleet.Weights{{Model: model, Version: 1}},
+		}, time.Now())
+	}
+	for _, m := range w.Fleet.Members("s") {
+		if m.ID != "e7" {
+			m.Load.Begin(0, 100_000)
+		}
+	}
+	for range 20 {
+		p, ok := w.Place(q)
+		must.True(t, ok)
+		test.Eq(t, "e7", p.Member.ID)
+	}
+}
+
 // TestRoomIsLeftForWhatIsNotTold refuses a prompt at an engine that it would fill to more than 0.85,
 // in a large system, and takes it in a small one.
 func TestRoomIsLeftForWhatIsNotTold(t *testing.T) {
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -30,8 +30,12 @@
 		return forward.Placement{}, false
 	}
 	s := p.search(q, rollout)
-	candidates = s.reach(candidates)
-	open := s.admitting(candidates)
+	open := s.admitting(s.reach(candidates))
+	if len(open) == 0 {
+		// Others of which load is known may have room: a refused caller comes back late.
+		candidates = s.near(candidates)
+		open = s.admitting(candidates)
+	}
 	if len(open) == 0 {
 		return s.decline(candidates, noRoom), false
 	}
