Fill engines whose memory holds many prompts

Change: no room is left where memory holds ten usual prompts of the rank, the bound that there is for what small ones leave to large ones.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -47,6 +47,8 @@
 	test.Eq(t, 0, n.Reserve(1, true, 30_000))
 	test.Eq(t, 3100, n.Reserve(1, false, 30_999), test.Sprint("nine prompts fit"))
 	test.Eq(t, 0, n.Reserve(1, false, 31_000), test.Sprint("ten do"))
+	test.False(t, n.Roomy(1, 30_999))
+	test.True(t, n.Roomy(1, 31_000))
 	test.Eq(t, 0, n.Reserve(0, false, 30_000), test.Sprint("no prompt of that rank came"))
 	for range 15 {
 		n.Decided(true)
--- a/internal/admission/needs.go
+++ b/internal/admission/needs.go
@@ -72,12 +72,22 @@
 	switch {
 	case n.pressure >= pressedShare:
 		return r.pressed
-	case returned, roomyMemory*r.usual <= memory:
+	case returned, r.roomy(memory):
 		return 0
 	}
 	return r.usual
 }
 
+// Roomy reports whether an engine's memory, in tokens, holds many usual prompts of this rank. What it
+// holds is then near what is believed, as single prompts count for little.
+func (n *Needs) Roomy(rank, memory int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.byRank[clamp(rank)].roomy(memory)
+}
+
+func (r *recent) roomy(memory int) bool { return roomyMemory*r.usual <= memory }
+
 func clamp(rank int) int { return min(max(rank, 0), ranks-1) }
 
 func (r *recent) add(tokens int) {
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -49,13 +49,14 @@
 
 // unseenShare is the part of an engine's memory that nodes of a large system leave to what the others
 // have placed there since they told: an engine of 12 slots gets 8 prompts a second, of which
-// two are not told yet.
+// two are not told yet. Where memory holds many, those balance what is believed to be held by
+// prompts that are on their way or only half read.
 const unseenShare = 0.15
 
 // memory returns what is believed of an engine's memory.
 func (s *search) memory(m *fleet.Member) admission.Memory {
 	capacity := s.q.Service.Engine.KVTokens
-	if !s.Whole() {
+	if !s.Whole() && !s.roomy {
 		capacity -= int(unseenShare * float64(capacity))
 	}
 	return admission.Memory{
--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -193,3 +193,22 @@
 		}
 	}
 }
+
+// TestRoomyMemoryIsFilled takes a prompt at an engine that it fills to more than 0.85 where engines hold
+// many such prompts. Callers of the largest were refused for want of room, and came back late, by
+// engines that held 94,000 of 149,000 tokens by their own reports: the nodes believed in 131,000, as
+// prompts that are on their way or half read hold less than they will.
+func TestRoomyMemoryIsFilled(t *testing.T) {
+	w := newWorld(t, source{}, 1)
+	w.Whole = func() bool { return false }
+	q := query()
+	q.Service.Engine.KVTokens = 100_000
+	q.Attributes.PromptTokens = 5000
+	w.members[0].Load.Begin(0, 90_000)
+	_, ok := w.Place(q)
+	test.True(t, ok)
+	w.members[0].Load.Begin(0, 5000)
+	p, ok := w.Place(q)
+	test.False(t, ok)
+	test.Eq(t, "no_room", p.Reason)
+}
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -31,6 +31,7 @@
 	service *service
 	figures enginemodel.Figures
 	reserve int      // tokens that the prompt asks for at least
+	roomy   bool     // engines' memory holds many usual prompts
 	sources []source // of the parts that reusable last looked at
 	// until is when fetches are thrown away, on the engines' clock in ms. It is read before
 	// it is asked which parts may be named, so that a node which freezes in between names
@@ -49,6 +50,7 @@
 		service: service, figures: service.model.Figures(),
 		until: p.Kept.ClockMS() + FetchLimit.Milliseconds(),
 	}
+	s.roomy = service.needs.Roomy(rank, q.Service.Engine.KVTokens)
 	s.reserve = s.tuning().reserve(service.needs.Reserve(rank, q.Returned(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
 	return s
 }
