Share engines that look the least busy to all nodes

What callers saw, shifted work at Darkhan: prompts at engines that had just loaded new weights answered after 600 to 900 ms, where 230 were predicted.

Cause: such an engine looks the least busy to all nodes of its failure domain at once.

Change: what the others are likely to have placed since they told, by how much this node places, their number and the age of their word, fills the least busy engines up to a level; each node draws its part of that for each engine. In a small system it is a few ms.

--- a/internal/decay/decay.go
+++ b/internal/decay/decay.go
@@ -29,3 +29,27 @@
 	}
 	return a.value * math.Exp2(-now.Sub(a.noted).Seconds()/halfLife.Seconds())
 }
+
+// Rate is how much comes in a second, lately. Its zero value is 0. It is not safe for concurrent use.
+type Rate struct {
+	sum   float64
+	noted time.Time
+}
+
+// Note takes an amount, after what came before counts half for each halfLife since.
+func (r *Rate) Note(amount float64, halfLife time.Duration, now time.Time) {
+	r.sum = r.left(halfLife, now) + amount
+	r.noted = now
+}
+
+// At returns the amount that comes in a second.
+func (r *Rate) At(halfLife time.Duration, now time.Time) float64 {
+	return r.left(halfLife, now) * math.Ln2 / halfLife.Seconds()
+}
+
+func (r *Rate) left(halfLife time.Duration, now time.Time) float64 {
+	if r.sum == 0 {
+		return 0
+	}
+	return r.sum * math.Exp2(-now.Sub(r.noted).Seconds()/halfLife.Seconds())
+}
--- a/internal/decay/decay_test.go
+++ b/internal/decay/decay_test.go
@@ -19,3 +19,16 @@
 	a.Note(0, 0.5, halfLife, now)
 	test.InDelta(t, 10, a.At(halfLife, now), 1e-9)
 }
+
+func TestRate(t *testing.T) {
+	const halfLife = 2 * time.Second
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var r Rate
+	test.Eq(t, 0.0, r.At(halfLife, now))
+	for range 1000 {
+		now = now.Add(50 * time.Millisecond)
+		r.Note(3, halfLife, now)
+	}
+	test.InDelta(t, 60, r.At(halfLife, now), 1)
+	test.InDelta(t, 30, r.At(halfLife, now.Add(halfLife)), 0.5)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,6 +249,7 @@
 		Excused:      n.state.excused,
 		Services:     &placer.Services{},
 		Nodes:        n.nodes,
+		Unheard:      n.peers.Unheard,
 		Now:          n.clock.Now,
 		Random:       rand.Float64,
 	}
--- a/internal/peerload/audience.go
+++ b/internal/peerload/audience.go
@@ -85,3 +85,14 @@
 	}
 	return 0
 }
+
+// lagSpacings is how old what peers told is in the mean, in shortest times between two messages: each
+// holds its word back for up to one, and in a large system a collector for another.
+const lagSpacings = 3
+
+// Unheard returns how many nodes tell this one of their load, and how old that is.
+func (e *Exchange) Unheard() (nodes int, lag time.Duration) {
+	nodes = e.listeners()
+	spacing, _ := pace.Digests(nodes)
+	return nodes, lagSpacings * spacing
+}
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -31,6 +31,7 @@
 	model   *enginemodel.Model
 	needs   admission.Needs
 	returns admission.Returns
+	placed  placed
 }
 
 func (s *Services) of(name string) *service {
--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -40,10 +40,12 @@
 // than the others'. Callers and engines are spread unequally: without it, callers of a fuller domain
 // get worse answers than those of another.
 func (s *search) reach(candidates []*fleet.Member) []*fleet.Member {
+	s.among = len(candidates)
 	if s.Whole() {
 		return candidates
 	}
 	near := s.near(candidates)
+	s.among = len(near)
 	if len(near) < len(candidates) {
 		if away := s.away(candidates); len(away) > 0 {
 			return away
--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -148,6 +148,54 @@
 	test.Between(t, prompts/engines, went["e0"], 3*prompts/engines, test.Sprint("neither all nor unused"))
 }
 
+// TestEnginesThatLookIdleToAllAreShared has nodes place prompts before they hear of each other's, where
+// two of twenty engines have just loaded new weights. These get more than the others, but not all:
+// before, each node sent all its prompts there, and 11 with 50,000 tokens lay before each new one.
+func TestEnginesThatLookIdleToAllAreShared(t *testing.T) {
+	const engines, prompts = 20, 2000
+	for _, tc := range []struct {
+		name        string
+		others      int // nodes
+		least, most int // prompts on new weights
+	}{
+		{"a node alone", 0, prompts, prompts},
+		{"among 24 nodes", 23, 3 * prompts / engines, prompts / 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, source{})
+			w.versions.wanted, w.versions.age = 2, 5*time.Second
+			w.VersionApply = func() time.Duration { return time.Hour }
+			random := rand.New(rand.NewPCG(5, 6))
+			w.Random = random.Float64
+			now := time.Now()
+			w.Now = func() time.Time { return now }
+			w.Unheard = func() (int, time.Duration) { return tc.others, 200 * time.Millisecond }
+			for i := range engines {
+				version := int64(1)
+				if i < 2 {
+					version = 2
+				}
+				w.Fleet.Update(&fleet.Endpoint{
+					ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: 64,
+					Weights: []fleet.Weights{{Model: model, Version: version}},
+				}, now)
+			}
+			q := query()
+			q.Attributes.Parts, q.Attributes.PromptTokens = nil, 8000
+			onNew := 0
+			for range prompts {
+				now = now.Add(100 * time.Millisecond) // 10 a second of each node
+				p, ok := w.Place(q)
+				must.True(t, ok)
+				if p.Member.ID == "e0" || p.Member.ID == "e1" {
+					onNew++
+				}
+			}
+			test.Between(t, tc.least, onNew, tc.most)
+		})
+	}
+}
+
 // TestRoomAnywhereNearIsFound has the only engine of the failure domain with room take every prompt.
 // A node looks at those to which it keeps connections and two others; callers were refused and came
 // back late where these were full, though others had room: 105 of 480 tries of the largest prompts
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -66,6 +66,9 @@
 	Services *Services
 	// Nodes returns the number of nodes that place requests.
 	Nodes func() int
+	// Unheard returns how many other nodes tell of their load what Peers sums up, and how old that
+	// is. Nil means that it is never old.
+	Unheard func() (nodes int, lag time.Duration)
 	// Now and Random are the clock, and a source of numbers from 0 to below 1.
 	Now    func() time.Time
 	Random func() float64
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -40,6 +40,7 @@
 		return s.decline(candidates, noRoom), false
 	}
 	costs := score(open, s.cost)
+	s.addUnseen(costs, s.among)
 	best := slices.MinFunc(costs, byCost).member
 	if s.plan(best).version == 0 && rollout.versioned(best) {
 		return forward.Placement{}, false // it refused the version that was believed, just now
@@ -51,6 +52,7 @@
 		return cold.decline(open, s.now), false
 	}
 	s.service.needs.Decided(false)
+	s.service.placed.note(s.plan(best).reading, s.now)
 	p.Kick()
 	return s.placement(best), true
 }
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -30,6 +30,7 @@
 	plans   map[*fleet.Member]*plan
 	service *service
 	figures enginemodel.Figures
+	among   int      // engines, of which the prompt is placed on one
 	reserve int      // tokens that the prompt asks for at least
 	roomy   bool     // engines' memory holds many usual prompts
 	sources []source // of the parts that reusable last looked at
