Tell a memory that holds many prompts by their mean size

Cause: that decision left no room where memory holds ten prompts of the usual size of the prompt's own rank. The largest prompts' memory holds eight of theirs, so small ones filled engines and large ones were held back.

Change: whether a memory holds many is one answer for all prompts of a service, by their mean size; thirty, as errors on single ones even out.

--- a/internal/admission/needs.go
+++ b/internal/admission/needs.go
@@ -23,6 +23,11 @@
 	// what small ones leave free then is soon enough for a large one, and asking for more room than
 	// they need has callers refused whom the engine could take.
 	roomyMemory = 10
+	// manyPrompts is the number of prompts of mean size from which an engine's memory holds many: errors
+	// on single ones come to less than a fifth of it.
+	manyPrompts = 30
+	// sizeWeight is the weight of the newest prompt in the mean size: some hundred are remembered.
+	sizeWeight = 0.01
 	// pressureWeight is the weight of the newest decision: some fifty are remembered.
 	pressureWeight = 0.02
 )
@@ -33,6 +38,7 @@
 	mu       sync.Mutex
 	byRank   [ranks]recent
 	pressure float64 // share of prompts refused, recent ones weighted most
+	mean     float64 // size of prompts, in tokens, recent ones weighted most
 }
 
 // recent are the sizes of the newest prompts of a rank, in tokens.
@@ -47,6 +53,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.byRank[clamp(rank)].add(tokens)
+	if n.mean == 0 {
+		n.mean = float64(tokens)
+	}
+	n.mean += sizeWeight * (float64(tokens) - n.mean)
 }
 
 // Decided takes whether a prompt was refused for want of room or time.
@@ -78,12 +88,12 @@
 	return r.usual
 }
 
-// Roomy reports whether an engine's memory, in tokens, holds many usual prompts of this rank. What it
-// holds is then near what is believed, as single prompts count for little.
-func (n *Needs) Roomy(rank, memory int) bool {
+// Many reports whether an engine's memory, in tokens, holds many prompts as they come, of all ranks. What
+// it holds is then near what is believed, as single prompts count for little.
+func (n *Needs) Many(memory int) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.byRank[clamp(rank)].roomy(memory)
+	return manyPrompts*n.mean <= float64(memory)
 }
 
 func (r *recent) roomy(memory int) bool { return roomyMemory*r.usual <= memory }
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -57,7 +57,7 @@
 // memory returns what is believed of an engine's memory.
 func (s *search) memory(m *fleet.Member) admission.Memory {
 	capacity := s.q.Service.Engine.KVTokens
-	if !s.Whole() && !s.roomy {
+	if !s.Whole() && !s.many {
 		capacity -= int(unseenShare * float64(capacity))
 	}
 	return admission.Memory{
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -32,7 +32,7 @@
 	figures enginemodel.Figures
 	among   int      // engines, of which the prompt is placed on one
 	reserve int      // tokens that the prompt asks for at least
-	roomy   bool     // engines' memory holds many usual prompts
+	many    bool     // engines' memory holds many prompts
 	sources []source // of the parts that reusable last looked at
 	// until is when fetches are thrown away, on the engines' clock in ms. It is read before
 	// it is asked which parts may be named, so that a node which freezes in between names
@@ -51,7 +51,7 @@
 		service: service, figures: service.model.Figures(),
 		until: p.Kept.ClockMS() + FetchLimit.Milliseconds(),
 	}
-	s.roomy = service.needs.Roomy(rank, q.Service.Engine.KVTokens)
+	s.many = service.needs.Many(q.Service.Engine.KVTokens)
 	s.reserve = s.tuning().reserve(service.needs.Reserve(rank, q.Returned(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
 	return s
 }
