Free the largest outdated parts first

In a large system each node frees 40 parts of a store in a second, in no order, as every freed part is told to all.

Change: the largest first, which makes most room for what is told.

--- a/internal/kept/free.go
+++ b/internal/kept/free.go
@@ -49,7 +49,7 @@
 	if len(parts) == 0 || !store.Reachable() {
 		return
 	}
-	parts = parts[:min(len(parts), most)]
+	parts = parts[:min(len(parts), most)] // the largest, as each freed part is told once, whatever its size
 	err := x.Source.Free(ctx, store.Addr, parts, epoch)
 	x.Log.Info().Str("event", "parts_freed").Str("store", store.Addr).Int("parts", len(parts)).
 		Str("salt", parts[0].Salt).AnErr("error", err).Send()
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -8,8 +8,10 @@
 package kept
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -267,8 +269,8 @@
 	return first
 }
 
-// under returns the parts under salts that match, of which there are few, and the epoch in which
-// they were kept. Most looks find none, and there are many more parts than salts.
+// under returns the parts under salts that match, of which there are few, the largest first, and the
+// epoch in which they were kept. Most looks find none, and there are many more parts than salts.
 func (h *Holder) under(match func(salt string) bool) (parts []Part, epoch int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -286,5 +288,8 @@
 			parts = append(parts, p)
 		}
 	}
+	slices.SortFunc(parts, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(h.parts[b], h.parts[a]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Salt, b.Salt))
+	})
 	return parts, h.epoch
 }
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -130,6 +130,23 @@
 	test.Eq(t, 1, asked)
 }
 
+// TestLargestOutdatedPartsComeFirst has the parts that make the most room freed first: as few are freed in
+// a second, stores were full of replaced parts for 5 s after new weights.
+func TestLargestOutdatedPartsComeFirst(t *testing.T) {
+	h := newStore()
+	var changes []Change
+	for i, tokens := range []int{40, 900, 16, 5000, 900} {
+		changes = append(changes, Change{Part: Part{Salt: other.Salt, ID: fmt.Sprint(i)}, Tokens: tokens})
+	}
+	h.apply(&Events{Epoch: 5, Next: 6, Changes: append(changes, Change{Part: part, Tokens: 9000})}, time.Now())
+	parts, _ := h.under(func(salt string) bool { return salt == other.Salt })
+	var ids []string
+	for _, p := range parts {
+		ids = append(ids, p.ID)
+	}
+	test.Eq(t, []string{"3", "1", "4", "0", "2"}, ids)
+}
+
 // TestJournalIsCopiedSeldom drops the oldest changes of a full journal many at a time.
 func TestJournalIsCopiedSeldom(t *testing.T) {
 	h := newStore()
