Balance memory as before where it holds few prompts

Where an engine holds five or six large prompts whose answers grow by 380 tokens, one prompt is a sixth of the memory, and engines near 0.8 of it are soon overfilled; the balance that the former cost kept was needed.

Change: the new cost holds where memory holds thirty mean prompts, the former one elsewhere. The shifted deployment holds 44 and Darkhan's small one about as many; those of 12 and 16 slots hold 22 to 26.

--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -22,8 +22,9 @@
 	// against that of a late answer.
 	movedMsPerGB = 40.0
 	// roomyShare is the part of an engine's memory that running requests may hold
-	// at no cost. The rest is what belief may be short of.
-	roomyShare = 0.85
+	// at no cost, and manyShare the same where it holds many: the rest is what belief may be short of.
+	roomyShare = 0.6
+	manyShare  = 0.85
 )
 
 // engineCost is the time, in ms, that a request waits at the engine for others.
@@ -54,16 +55,20 @@
 	return s.figures.RunMs * float64(running+1-slots) / float64(slots)
 }
 
-// memoryMs is the time, in ms, until an engine has room for the prompt if it holds more than is
-// believed: runs end evenly spread over the time of one, and free what they hold. More would have
-// prompts queue for the time of engines that are empty, beside others with room and nothing to read.
+// memoryMs is what speaks against an engine whose memory is nearly full, in ms: that of a full one is
+// about the time until a run ends there. Where memory holds many, runs end evenly spread over the time
+// of one, and it is the time until they make room if the engine holds more than is believed: with more,
+// prompts would queue for the time of engines that are empty, beside others with room and nothing to read.
 func (s *search) memoryMs(m *fleet.Member) float64 {
 	memory := s.memory(m)
 	if memory.Capacity <= 0 {
 		return 0
 	}
 	share := float64(memory.Held+holding(s.q)) / float64(memory.Capacity)
-	return s.figures.RunMs * max(share-roomyShare, 0)
+	if s.many {
+		return s.figures.RunMs * max(share-manyShare, 0)
+	}
+	return s.figures.RunMs * max(share-roomyShare, 0) / (1 - roomyShare)
 }
 
 // firstMs is the predicted time to the first event at an engine, in ms.
