--- a/internal/placer/balance_test.go
+++ b/internal/placer/balance_test.go
@@ -46,6 +46,16 @@
 	return w
 }
 
+// addEngines adds engines e0, e1 and so on to this node's failure domain, with a version of the weights each.
+func (w *world) addEngines(n int, version func(i int) int64) {
+	for i := range n {
+		w.Fleet.Update(&fleet.Endpoint{
+			ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: slotsEach,
+			Weights: []fleet.Weights{{Model: model, Version: version(i)}},
+		}, time.Now())
+	}
+}
+
 // TestPromptsGoWhereEnginesAreEmptier sends a share of the prompts to other failure domains that
 // rises with how much fuller the engines of the own one are, to each by what it has to spare, and
 // none where they are emptier or equally full. Before, all stayed while four engines were left.
@@ -126,12 +136,7 @@
 	random := rand.New(rand.NewPCG(3, 4))
 	w.Random = random.Float64
 	const engines, prompts = 40, 2000
-	for i := range engines {
-		w.Fleet.Update(&fleet.Endpoint{
-			ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: slotsEach,
-			Weights: []fleet.Weights{{Model: model, Version: 1}},
-		}, time.Now())
-	}
+	w.addEngines(engines, func(int) int64 { return 1 })
 	for _, m := range w.Fleet.Members("s") {
 		for range 9 {
 			if m.ID != "e0" {
@@ -170,16 +175,12 @@
 			now := time.Now()
 			w.Now = func() time.Time { return now }
 			w.Unheard = func() (int, time.Duration) { return tc.others, 200 * time.Millisecond }
-			for i := range engines {
-				version := int64(1)
+			w.addEngines(engines, func(i int) int64 {
 				if i < 2 {
-					version = 2
+					return 2
 				}
-				w.Fleet.Update(&fleet.Endpoint{
-					ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: 64,
-					Weights: []fleet.Weights{{Model: model, Version: version}},
-				}, now)
-			}
+				return 1
+			})
 			q := query()
 			q.Attributes.Parts, q.Attributes.PromptTokens = nil, 8000
 			onNew := 0
@@ -206,12 +207,7 @@
 	q := query()
 	q.Service.Engine.KVTokens = 100_000
 	const engines = 40
-	for i := range engines {
-		w.Fleet.Update(&fleet.Endpoint{
-			ID: fmt.Sprint("e", i), Service: "s", Addr: addr(i), Domain: "north", Slots: slotsEach,
-			Weights: []fleet.Weights{{Model: model, Version: 1}},
-		}, time.Now())
-	}
+	w.addEngines(engines, func(int) int64 { return 1 })
 	for _, m := range w.Fleet.Members("s") {
 		if m.ID != "e7" {
 			m.Load.Begin(0, 100_000)
