Write the decay and an engine's reading time once

Behaviour and tests are as they were; the products keep their order.

Not mended: kvcache/link's budget keeps such a rate by itself. With decay.Rate its sums would be rounded otherwise, and it ignores a clock that goes back.

--- a/internal/decay/decay.go
+++ b/internal/decay/decay.go
@@ -24,10 +24,7 @@
 
 // At returns the average, which fell by half in each halfLife since the last outcome.
 func (a *Average) At(halfLife time.Duration, now time.Time) float64 {
-	if a.value == 0 {
-		return 0
-	}
-	return a.value * math.Exp2(-now.Sub(a.noted).Seconds()/halfLife.Seconds())
+	return left(a.value, a.noted, halfLife, now)
 }
 
 // Rate is how much comes in a second, lately. Its zero value is 0. It is not safe for concurrent use.
@@ -38,18 +35,19 @@
 
 // Note takes an amount, after what came before counts half for each halfLife since.
 func (r *Rate) Note(amount float64, halfLife time.Duration, now time.Time) {
-	r.sum = r.left(halfLife, now) + amount
+	r.sum = left(r.sum, r.noted, halfLife, now) + amount
 	r.noted = now
 }
 
 // At returns the amount that comes in a second.
 func (r *Rate) At(halfLife time.Duration, now time.Time) float64 {
-	return r.left(halfLife, now) * math.Ln2 / halfLife.Seconds()
+	return left(r.sum, r.noted, halfLife, now) * math.Ln2 / halfLife.Seconds()
 }
 
-func (r *Rate) left(halfLife time.Duration, now time.Time) float64 {
-	if r.sum == 0 {
+// left returns what is left of a value that falls by half in each halfLife since it was noted.
+func left(value float64, noted time.Time, halfLife time.Duration, now time.Time) float64 {
+	if value == 0 {
 		return 0
 	}
-	return r.sum * math.Exp2(-now.Sub(r.noted).Seconds()/halfLife.Seconds())
+	return value * math.Exp2(-now.Sub(noted).Seconds()/halfLife.Seconds())
 }
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -42,8 +42,7 @@
 func (s *search) queueMs(m *fleet.Member) float64 {
 	others := s.others.Of(m.ID, m.Born)
 	running := m.Load.Running() + others.Running
-	ms := s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(m.Load.Reading()+others.Reading)
-	return ms + runningMs*float64(running) + s.slotMs(m, running)
+	return s.readingMs(m, m.Load.Reading()+others.Reading) + runningMs*float64(running) + s.slotMs(m, running)
 }
 
 // slotMs is the time, in ms, until one of the engine's slots is free.
@@ -74,8 +73,12 @@
 // firstMs is the predicted time to the first event at an engine, in ms.
 func (s *search) firstMs(m *fleet.Member) float64 {
 	plan := s.plan(m)
-	reading := s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(plan.reading)
-	return s.queueMs(m) + plan.fetchMs + reading + s.figures.FirstMs
+	return s.queueMs(m) + plan.fetchMs + s.readingMs(m, plan.reading) + s.figures.FirstMs
+}
+
+// readingMs is the time, in ms, that an engine takes to read so many tokens.
+func (s *search) readingMs(m *fleet.Member, tokens int) float64 {
+	return s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(tokens)
 }
 
 // holding estimates the tokens that a request holds while it runs: its prompt, and
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -66,8 +66,7 @@
 		return FetchLimit
 	}
 	p := s.plan(m)
-	reading := s.service.model.Slowdown(m.ID, s.now) * s.figures.TokenMs * float64(p.reading+p.fetched)
-	left := (1-queueShare)*objective - millis(s.q.Age) - s.queueMs(m) - reading - s.figures.FirstMs
+	left := (1-queueShare)*objective - millis(s.q.Age) - s.queueMs(m) - s.readingMs(m, p.reading+p.fetched) - s.figures.FirstMs
 	again := againMsPerK / 1000 * float64(p.fetched)
 	return min(duration(max(left, again, usualFetch*p.fetchMs, leastFetchMs)), FetchLimit)
 }
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -40,7 +40,7 @@
 		return s.decline(candidates, noRoom), false
 	}
 	costs := score(open, s.cost)
-	s.addUnseen(costs, s.among)
+	s.addUnseen(costs)
 	best := slices.MinFunc(costs, byCost).member
 	if s.plan(best).version == 0 && rollout.versioned(best) {
 		return forward.Placement{}, false // it refused the version that was believed, just now
--- a/internal/placer/unseen.go
+++ b/internal/placer/unseen.go
@@ -37,8 +37,8 @@
 // told: an engine that has become the least busy, as it is new, back or has just loaded weights,
 // looks so to all of them at the same time. They fill the least busy engines up to a level, each
 // drawing by itself: with what is expected added to all alike, they would all choose the same one.
-func (s *search) addUnseen(costs []scored, among int) {
-	amount := s.unseenMs() * float64(len(costs)) / float64(max(among, 1))
+func (s *search) addUnseen(costs []scored) {
+	amount := s.unseenMs() * float64(len(costs)) / float64(max(s.among, 1))
 	if amount <= 0 {
 		return
 	}
