LIMIT: log, count and show the limits that endpoints name

What was missing to tell the hypotheses apart: no line said what an endpoint's answer said. The adapter decodes Server-Limit, a start of an endpoint keeps its newest word with its age, the first answer that names, changes or ends a limit leaves a line, the line of each request shows the limit of its endpoint, and a gauge counts them.

Nothing decides by it yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,8 @@
 	// load is what this node has under way there, also while its entry is missing: one that is
 	// back after a lapse has the same runs.
 	load *Load
+	// word is what it said of itself, for the same reason.
+	word *Word
 }
 
 // New returns an empty fleet.
@@ -138,7 +140,7 @@
 	newest.draining = newest.draining || e.Draining
 	newest.seen = now
 	if newest.load == nil {
-		newest.load = &Load{}
+		newest.load, newest.word = &Load{}, &Word{}
 	}
 	f.newest[e.ID] = newest
 	if e.Draining == newest.draining {
@@ -160,7 +162,7 @@
 		before.Pool.CloseIdle()
 		f.leave(before)
 	}
-	m.Load = f.newest[e.ID].load
+	m.Load, m.Word = f.newest[e.ID].load, f.newest[e.ID].word
 	f.members[e.ID] = m
 	f.atAddr[e.Addr] = m
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -71,6 +71,9 @@
 	if !p.BeginBy.IsZero() {
 		event = event.Int64("begin_left_ms", c.Until(p.BeginBy).Milliseconds())
 	}
+	if limit, known := p.Member.Word.RateLimit(); known && limit.InForce {
+		event = event.Float64("limit", limit.PerSecond).Int64("limit_age_ms", c.Since(limit.At).Milliseconds()).Bool("limit_own", limit.Own)
+	}
 	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
 		Int("read", p.Reading).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
 		Int64("predicted_ms", p.First.Milliseconds()).Int("held", p.Held)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -71,6 +71,15 @@
 	Version int64  // of the weights; 0 if not said
 	// Instance is the endpoint that answered; empty if not said.
 	Instance string
+	// Limited is true where the endpoint names the number of requests in a second that it takes from all
+	// nodes together, Limit.
+	Limited bool
+	Limit   float64
+	// LimitUnread is true where it names one that could not be read.
+	LimitUnread bool
+	// Unreadable are headers on the endpoint itself that could not be read, as NAME: VALUE. They count
+	// as missing.
+	Unreadable []string
 }
 
 // Dialect speaks the headers of the platform.
--- /dev/null
+++ b/internal/forward/word.go
@@ -0,0 +1,36 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// noteWord learns what the endpoint says of itself in its answer to a request that was sent at a time.
+// A misdirected request may have reached another endpoint, whose word says nothing of this one.
+func (x *exchange) noteWord(status int, info *AnswerInfo, m *fleet.Member, sent time.Time) {
+	if status == http.StatusMisdirectedRequest || info.Instance != "" && info.Instance != m.ID {
+		return
+	}
+	for _, word := range info.Unreadable {
+		if m.Word.Unreadable(word) {
+			x.Log.Warn().Str("event", "answer_unreadable").Str("endpoint", m.ID).Str("id", x.attrs.ID).Str("header", word).Send()
+		}
+	}
+	x.noteLimit(info, m, sent)
+}
+
+// noteLimit learns the limit that the endpoint names, or that it names none any more. A word that could
+// not be read is neither.
+func (x *exchange) noteLimit(info *AnswerInfo, m *fleet.Member, sent time.Time) {
+	now := x.Clock.Now()
+	switch {
+	case info.Limited:
+		if m.Word.NamesLimit(info.Limit, now) {
+			x.Log.Info().Str("event", "endpoint_limited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Float64("per_s", info.Limit).Send()
+		}
+	case !info.LimitUnread && m.Word.NamesNoLimit(sent, now):
+		x.Log.Info().Str("event", "endpoint_unlimited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	metricSuspects    = "cherryward_gateway_suspected_requests"
 	metricEvacuated   = "cherryward_gateway_evacuated_domains"
 	metricCold        = "cherryward_gateway_cold_endpoints"
+	metricLimited     = "cherryward_gateway_limited_endpoints"
 )
 
 // secondsBounds are the upper bounds of the buckets, the same on all nodes so that
@@ -87,6 +88,7 @@
 	set.NewGauge(metricSuspects, func() float64 { return float64(n.quarantine.Suspects()) })
 	set.NewGauge(metricEvacuated, func() float64 { return float64(len(n.state.evacuations.all())) })
 	set.NewGauge(metricCold, func() float64 { return float64(n.coldEndpoints()) })
+	set.NewGauge(metricLimited, func() float64 { return float64(n.limitedEndpoints()) })
 	return &recorder{set: set}
 }
 
--- a/internal/gateway/senders.go
+++ b/internal/gateway/senders.go
@@ -59,6 +59,17 @@
 	return slowstart.View{Generation: r.members.generation, Nodes: r.members.of(domain, senders)}
 }
 
+// limitedEndpoints returns the number of endpoints that name a limit, as far as this node knows.
+func (n *Node) limitedEndpoints() int {
+	count := 0
+	for _, m := range n.fleet.All() {
+		if limit, known := m.Word.RateLimit(); known && limit.InForce {
+			count++
+		}
+	}
+	return count
+}
+
 // coldEndpoints returns the number of endpoints that are cold, or may be.
 func (n *Node) coldEndpoints() int {
 	now, count := n.clock.Now(), 0
