--- a/internal/gatewaydemo/gateway_test.go
+++ b/internal/gatewaydemo/gateway_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,13 +42,24 @@
 	for i := range nodes {
 		m, err := gatewaydemo.StartNode(s, fmt.Sprint("n", i), zerolog.Nop())
 		must.NoError(t, err)
-		t.Cleanup(func() { _ = m.Stop() })
-		must.NoError(t, m.WaitReady(t.Context()))
 		members = append(members, m)
 	}
+	t.Cleanup(func() { stopAll(members) })
+	for _, m := range members {
+		must.NoError(t, m.WaitReady(t.Context()))
+	}
 	return s, members
 }
 
+// stopAll stops nodes beside one another, each of which gives its callers time.
+func stopAll(members []*gatewaydemo.Member) {
+	var wg sync.WaitGroup
+	for _, m := range members {
+		wg.Go(func() { _ = m.Stop() })
+	}
+	wg.Wait()
+}
+
 // ask returns the status and body of a request.
 func ask(t *testing.T, m *gatewaydemo.Member, path, key, id, session string) (int, string) {
 	t.Helper()
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -21,6 +21,9 @@
 	s.mu.Lock()
 	faults, version := s.faults, s.version
 	s.mu.Unlock()
+	if faults.Limit != "" {
+		w.Header().Set("Server-Limit", faults.Limit)
+	}
 	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.FormatInt(version, 10) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -33,6 +33,9 @@
 	LateOrders time.Duration
 	// HoldOrders leaves orders without an answer and carries them out at ReleaseOrders.
 	HoldOrders bool
+	// Limit is the number of requests in a second that the server says it takes from all nodes together;
+	// empty for none.
+	Limit string
 	// EndOn is the end of a path. A request for such a path ends the server that begins to run it.
 	EndOn string
 }
