LIMIT: share out what endpoints that name a limit get

Callers saw nothing; an endpoint that had named a limit of 2.8 requests a second got 37 in 4 s from nodes that it had told, where 22 are allowed.

Cause: no node read the word. Each endpoint's health, coldness and weights were learned, what it asked for was passed on to callers and forgotten. Class: a demand that holds over all nodes, said by the one that is harmed, which nobody hears.

Ruled out, each by the records: nodes that keep to the limit one by one (one node alone sent 14 where that would be 11.6), repeats and waiting requests (none), late news (all nodes had it within 2.5 s, and nothing changed for 30 s).

Change: internal/throttle decides which nodes send to such an endpoint, and how much in a window; placer asks it before an endpoint is chosen and counts the choice. Where nothing is left, the request is refused at once with when to come back. What slowstart had of its own, the choice of senders by rendezvous hashing and what was sent, both have from internal/senders now; slowstart's bounds and tests are as they were.

Why it holds: nothing is told or agreed on. A set of senders has shares that add up to the limit at most; two sets and their trial requests are within the bound. In virtual time with 6, 71, 295 and 1,000 nodes, while a third joins and half haven't read of it, while limits change, nodes restart, and for limits from 0 to 4 a second: never above. From 1.67 to 2.06 requests a second of 2.8 are used. Without it the same load breaks the bound.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/slowstart"
+	"github.com/cherryward/cherryward/internal/throttle"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
 )
@@ -246,6 +247,7 @@
 		Evacuated:    n.state.Evacuated,
 		SlowStart:    &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
 		MostCold:     n.mostCold,
+		Throttle:     &throttle.Limiter{Node: n.boot.Load().Name, View: n.roster.throttlers},
 		Excused:      n.state.excused,
 		Services:     &placer.Services{},
 		Nodes:        n.nodes,
--- a/internal/gateway/senders.go
+++ b/internal/gateway/senders.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cherryward/cherryward/internal/routing"
-	"github.com/cherryward/cherryward/internal/slowstart"
+	"github.com/cherryward/cherryward/internal/senders"
 )
 
 // oldestView is the oldest copy of the nodes' addresses by which a node sends to cold endpoints. A copy
@@ -14,7 +14,7 @@
 // that they differ by what changed meanwhile.
 const oldestView = 25 * time.Second
 
-// members are the nodes that may send to cold endpoints. Nodes that are gone stay among them until
+// members are the nodes that may send to endpoints which all together may send little. Nodes that are gone stay among them until
 // their entries are removed: all nodes read the same, where what each hears differs.
 type members struct {
 	generation int64
@@ -47,16 +47,28 @@
 	return m.all
 }
 
-// senders returns the nodes that may send to cold endpoints of a failure domain: none where this
-// node's own entry is not there, or its copy of the list is too old, as others may not count it.
-func (r *roster) senders(domain string, senders int) slowstart.View {
+// senders returns the nodes that may send to cold endpoints of a failure domain.
+func (r *roster) senders(domain string, most int) senders.View {
+	return r.view(domain, most, oldestView)
+}
+
+// throttlers returns the nodes that may send to endpoints of a failure domain that name a limit. Their
+// copy of the list may be as old as others count a node for: while the store is away no node comes, and a
+// service whose endpoints all name limits would be served by nobody.
+func (r *roster) throttlers(domain string, most int) senders.View {
+	return r.view(domain, most, entryProof)
+}
+
+// view returns the nodes that may send to endpoints of a failure domain: none where this node's own entry
+// is not there, or its copy of the list is too old, as others may not count it.
+func (r *roster) view(domain string, most int, oldest time.Duration) senders.View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, listed := r.entries[r.node]
-	if !listed || r.clock.Since(r.members.proven) > oldestView {
-		return slowstart.View{Generation: -1}
+	if !listed || r.clock.Since(r.members.proven) > oldest {
+		return senders.View{Generation: -1}
 	}
-	return slowstart.View{Generation: r.members.generation, Nodes: r.members.of(domain, senders)}
+	return senders.View{Generation: r.members.generation, Nodes: r.members.of(domain, most)}
 }
 
 // limitedEndpoints returns the number of endpoints that name a limit, as far as this node knows.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -16,6 +16,7 @@
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/slowstart"
+	"github.com/cherryward/cherryward/internal/throttle"
 	"github.com/cherryward/cherryward/internal/weights"
 )
 
@@ -59,6 +60,9 @@
 	// get as many as others.
 	SlowStart *slowstart.Limiter
 	MostCold  func(s *routing.Service) int
+	// Throttle shares out what endpoints that name a limit may get. Nil means that they get as many
+	// requests as others.
+	Throttle *throttle.Limiter
 	// Excused returns when this process started, and until when that excuses runs on weights that
 	// were replaced before. Nil means that nothing does.
 	Excused func() (started, until time.Time)
@@ -88,20 +92,19 @@
 	if len(staying) == 0 && len(all) > 0 {
 		return forward.Placement{Reason: allEvacuated}, false
 	}
-	now := p.Now()
-	cold := p.cold(q.Service)
-	warm := cold.allowed(staying, now)
-	if len(warm) == 0 && len(staying) > 0 {
-		return cold.decline(staying, now), false
+	gate := p.gate(q)
+	ready := gate.open(staying)
+	if len(ready) == 0 && len(staying) > 0 {
+		return gate.decline(staying), false
 	}
-	candidates := usable(warm, q.Tried, now)
+	candidates := usable(ready, q.Tried, gate.now)
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
 	if q.Service.Engine == nil || q.Attributes.Model == "" {
-		return p.placePlain(q, candidates, cold)
+		return p.placePlain(q, candidates, gate)
 	}
-	return p.placePrompt(q, candidates, cold)
+	return p.placePrompt(q, candidates, gate)
 }
 
 // staying returns the endpoints whose failure domain is not evacuated.
@@ -158,19 +161,19 @@
 )
 
 // placePlain picks the endpoint with the fewest requests under way.
-func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member, cold *coldLimit) (forward.Placement, bool) {
+func (p *Placer) placePlain(q *forward.Query, candidates []*fleet.Member, gate *gate) (forward.Placement, bool) {
 	now := p.Now()
 	others := p.Peers.Loads(now)
-	best := cold.take(score(candidates, func(m *fleet.Member) float64 {
+	best := gate.take(score(candidates, func(m *fleet.Member) float64 {
 		seen := others.Of(m.ID, m.Born)
 		cost := float64(m.Load.Running()+seen.Running) + failurePenalty*failureRate(m, seen, now) + tieSpread*p.Random()
 		if m.Endpoint().Domain != p.Domain {
 			cost += foreignDomain
 		}
 		return cost
-	}), now)
+	}))
 	if best == nil {
-		return cold.decline(candidates, now), false
+		return gate.decline(candidates), false
 	}
 	return forward.Placement{
 		Member:  best,
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -23,7 +23,7 @@
 
 // placePrompt picks the engine with the least predicted time to the first event,
 // and names where it gets the parts from that it lacks.
-func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member, cold *coldLimit) (forward.Placement, bool) {
+func (p *Placer) placePrompt(q *forward.Query, candidates []*fleet.Member, gate *gate) (forward.Placement, bool) {
 	rollout := p.rollout(q)
 	candidates = rollout.filter(candidates)
 	if len(candidates) == 0 {
@@ -48,8 +48,8 @@
 	if s.comesTooLate(best) {
 		return s.decline([]*fleet.Member{best}, tooLate), false
 	}
-	if best = cold.take(costs, s.now); best == nil {
-		return cold.decline(open, s.now), false
+	if best = gate.take(costs); best == nil {
+		return gate.decline(open), false
 	}
 	s.service.needs.Decided(false)
 	s.service.placed.note(s.plan(best).reading, s.now)
