LIMIT: tell other nodes what endpoints say of their limits

A node that sends nothing to an endpoint hears nothing of it: after a limit had ended it would have waited for its turn at a trial request, one node each 8 s once the word was older than 10 s.

Nodes tell in the messages that exist what endpoints said to themselves in the last 5 s, with its age; collectors pass it on in a large system, and to the collectors of other failure domains with their load. The newest word counts, hearsay isn't told on. The bound on what an endpoint gets rests on none of it.

Endpoints are looked up by their id, where a map of all of them was made for each message that tells of weights.

--- a/internal/fleet/ratelimit.go
+++ b/internal/fleet/ratelimit.go
@@ -48,3 +48,17 @@
 	w.limit.Store(&RateLimit{At: at, Own: true})
 	return before.InForce
 }
+
+// HeardLimit notes what another node tells of the endpoint's word. It reports whether that differs from what
+// was known; an older word than the known one changes nothing.
+func (w *Word) HeardLimit(l RateLimit) (changed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.limit.Load()
+	switch {
+	case before == nil && !l.InForce, before != nil && !l.At.After(before.At):
+		return false
+	}
+	w.limit.Store(&l)
+	return before == nil || before.InForce != l.InForce || l.InForce && before.PerSecond != l.PerSecond
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -14,6 +14,16 @@
 // not change the slice.
 func (f *Fleet) Members(service string) []*Member { return f.view.Load().byService[service] }
 
+// Member returns the endpoint of an id, nil where there is none that takes requests.
+func (f *Fleet) Member(id string) *Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil && !m.Endpoint().Draining {
+		return m
+	}
+	return nil
+}
+
 // All returns every endpoint that takes requests.
 func (f *Fleet) All() []*Member {
 	var all []*Member
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 		Domain:     boot.Domain,
 		Conn:       n.conn,
 		Members:    n.fleet.All,
+		Member:     n.fleet.Member,
 		Late:       n.keeping.late,
 		Orders:     n.givenOrders,
 		Names:      n.keeping.names,
--- a/internal/gatewaydemo/limit_test.go
+++ b/internal/gatewaydemo/limit_test.go
@@ -95,4 +95,17 @@
 	for i := range answered {
 		test.Positive(t, answered[i])
 	}
+	limited.SetFaults(modelserver.Faults{})
+	before := len(limited.Runs())
+	until(t, "all nodes use the server again", func() bool {
+		for i, m := range members {
+			served(t, s, m, site.PathQuery, fmt.Sprintf("n%d-again", i), fmt.Sprint("5e55", i))
+		}
+		senders := make(map[string]bool)
+		for _, r := range limited.Runs()[before:] {
+			node, _, _ := strings.Cut(r.Request, "-")
+			senders[node] = true
+		}
+		return len(senders) == limitNodes
+	})
 }
--- a/internal/peerload/check.go
+++ b/internal/peerload/check.go
@@ -38,6 +38,9 @@
 	if err := checkSeen(d.Seen); err != nil {
 		return err
 	}
+	if err := checkLimits(d.Limits); err != nil {
+		return err
+	}
 	return d.Collected.check()
 }
 
@@ -52,6 +55,9 @@
 	if err := checkSums(c.Outer, coarseFields); err != nil {
 		return err
 	}
+	if err := checkLimits(c.Limits); err != nil {
+		return err
+	}
 	if c.Nodes < 0 || len(c.Told) != c.Nodes*toldBytes {
 		return eris.Errorf("a collector tells of %d nodes in %d bytes", c.Nodes, len(c.Told))
 	}
--- a/internal/peerload/collected.go
+++ b/internal/peerload/collected.go
@@ -49,6 +49,8 @@
 	Orders []ToldOrders `json:"orders,omitempty"`
 	// Seen are the weights that nodes saw.
 	Seen []Seen `json:"seen,omitempty"`
+	// Limits are what endpoints said to nodes of limits lately, of all failure domains.
+	Limits []Limit `json:"limits,omitempty"`
 }
 
 // ToldOrders is what one node that gives orders told, some time ago.
@@ -143,6 +145,7 @@
 	c.Loads = sums.encode()
 	outer, domains := t.outer(now)
 	c.Outer, c.Domains = outer.encodeCoarse(), domains
+	c.Limits = t.collectLimits(now)
 	for addr, ms := range t.directLate(now) {
 		c.Late = append(c.Late, Late{Addr: addr, MS: int(ms)})
 	}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -59,6 +59,8 @@
 	Conn   Conn
 	// Members are the endpoints whose load is told.
 	Members func() []*fleet.Member
+	// Member returns one of them by its id, nil for none. Nil has them looked through.
+	Member func(id string) *fleet.Member
 	// Late are the holders from which fetches come late.
 	Late func() []Late
 	// Orders are the engines that this node has loaded now, and whether it holds the
@@ -187,6 +189,7 @@
 	bytes += e.sendDomain(peers)
 	digest.Late = e.config.Late()
 	digest.Names = e.newNames()
+	digest.Limits = LimitsOf(members, e.config.Clock.Now())
 	digest.setLoads(members, e.longest(len(peers.near)), e.config.Clock.Now())
 	return bytes + e.sendNear(peers, digest, members)
 }
--- a/internal/peerload/network_test.go
+++ b/internal/peerload/network_test.go
@@ -194,7 +194,7 @@
 			}, time.Now())
 		}
 		n.Exchange = New(Config{
-			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All,
+			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All, Member: n.fleet.Member,
 			Late: func() []Late { return nil }, Names: func() []Named { return []Named{{Model: "m", Oldest: 1}} },
 			Neighbours: n.neighbours, Orders: n.orders, Role: n.role,
 		})
--- a/internal/peerload/outer.go
+++ b/internal/peerload/outer.go
@@ -28,6 +28,8 @@
 	Seq         int64  `json:"seq"`
 	Nodes       int    `json:"nodes"` // that it hears
 	Loads       []byte `json:"loads"` // as Sums.encodeCoarse writes them
+	// Limits are what endpoints said to the nodes of limits lately.
+	Limits []Limit `json:"limits,omitempty"`
 }
 
 // heardOuter is the newest load of a failure domain.
@@ -133,7 +135,7 @@
 	sums.keep(engineKeys(members))
 	return e.config.Conn.Notify(peers.collectors(e.Table, now), outerMethod, &OuterLoad{
 		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
-		Nodes: nodes, Loads: sums.encodeCoarse(),
+		Nodes: nodes, Loads: sums.encodeCoarse(), Limits: e.Table.domainLimits(digest.Limits, now),
 	})
 }
 
@@ -143,5 +145,10 @@
 	if err := json.Unmarshal(params, &o); err != nil {
 		return nil, eris.Wrap(err, "decode a failure domain's load")
 	}
-	return nil, e.Table.TakeOuter(&o, e.config.Clock.Now())
+	if err := checkLimits(o.Limits); err != nil {
+		return nil, err
+	}
+	now := e.config.Clock.Now()
+	e.learnLimits(o.Limits, now)
+	return nil, e.Table.TakeOuter(&o, now)
 }
