--- a/internal/gatewaydemo/limit_test.go
+++ b/internal/gatewaydemo/limit_test.go
@@ -97,9 +97,11 @@
 	}
 	limited.SetFaults(modelserver.Faults{})
 	before := len(limited.Runs())
+	turn := 0
 	until(t, "all nodes use the server again", func() bool {
+		turn++ // each prompt is of a session that no server keeps anything of
 		for i, m := range members {
-			served(t, s, m, site.PathQuery, fmt.Sprintf("n%d-again", i), fmt.Sprint("5e55", i))
+			served(t, s, m, site.PathQuery, fmt.Sprintf("n%d-again-%d", i, turn), fmt.Sprint("ae", turn*limitNodes+i))
 		}
 		senders := make(map[string]bool)
 		for _, r := range limited.Runs()[before:] {
