DRAIN: log and show that endpoints say they leave

What was missing to tell the hypotheses apart: no line said that an answer had said so.

Nothing decides by it yet.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -74,6 +74,9 @@
 	if limit, known := p.Member.Word.RateLimit(); known && limit.InForce {
 		event = event.Float64("limit", limit.PerSecond).Int64("limit_age_ms", c.Since(limit.At).Milliseconds()).Bool("limit_own", limit.Own)
 	}
+	if since, leaving := p.Member.Word.Leaving(); leaving {
+		event = event.Int64("leaving_for_ms", c.Since(since).Milliseconds())
+	}
 	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
 		Int("read", p.Reading).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
 		Int64("predicted_ms", p.First.Milliseconds()).Int("held", p.Held)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -77,6 +77,8 @@
 	Limit   float64
 	// LimitUnread is true where it names one that could not be read.
 	LimitUnread bool
+	// Leaving is true where the endpoint says that it leaves.
+	Leaving bool
 	// Unreadable are headers on the endpoint itself that could not be read, as NAME: VALUE. They count
 	// as missing.
 	Unreadable []string
--- a/internal/forward/word.go
+++ b/internal/forward/word.go
@@ -19,6 +19,9 @@
 		}
 	}
 	x.noteLimit(info, m, sent)
+	if info.Leaving && m.Word.Leaves(x.Clock.Now()) {
+		x.Log.Info().Str("event", "endpoint_leaving").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
+	}
 }
 
 // noteLimit learns the limit that the endpoint names, or that it names none any more. A word that could
