--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -21,8 +21,10 @@
 	s.mu.Lock()
 	faults, version := s.faults, s.version
 	s.mu.Unlock()
-	if faults.Limit != "" {
-		w.Header().Set("Server-Limit", faults.Limit)
+	for name, value := range map[string]string{"Server-Limit": faults.Limit, "Server-Leaving": faults.Leaving} {
+		if value != "" {
+			w.Header().Set(name, value)
+		}
 	}
 	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.FormatInt(version, 10) {
 		w.Header().Set("X-Not-Executed", "1")
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -36,6 +36,8 @@
 	// Limit is the number of requests in a second that the server says it takes from all nodes together;
 	// empty for none.
 	Limit string
+	// Leaving is what the server says of whether it leaves; empty for nothing.
+	Leaving string
 	// EndOn is the end of a path. A request for such a path ends the server that begins to run it.
 	EndOn string
 }
