DRAIN: send nothing more to an endpoint whose answers say that it leaves

Callers on public routes were sent to an endpoint 2.2 s and 3.2 s after it had told the node in an answer that it leaves (bound 2 s), while the store was away; one of them got 504 when it ended its runs.

Cause: only an entry of the registry could say that an endpoint leaves, and while the store is away none comes; the word in the answers was passed on to callers and forgotten.

Ruled out: requests chosen before the word (both came 2.2 s and 3.2 s after it), an older entry that undoes it (none could be read).

Change: what an entry and what an answer says meet in fleet, in one state of one start of the endpoint. It holds for good, over a lapse of the entry and a change of its address. A later start under the same id and another endpoint at the address begin anew, also where the answer comes after the later start's entry.

Why it holds: the endpoint leaves the list that requests are placed by in the moment in which the answer's head is read, before any drain bound, and no entry of that start brings it back.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,7 +1,7 @@
 // Package fleet holds the endpoints that a node may send requests to, and what the
 // node itself has seen of each.
 //
-// Guarantees: an endpoint that was seen draining is never picked again before it has
+// Guarantees: an endpoint that was seen draining, or said that it leaves, is never picked again before it has
 // started anew, whatever older entries say later; nor is a start of an endpoint that a
 // later one under the same id has replaced. Nothing that was seen of an earlier start
 // counts for a later one.
@@ -51,6 +51,13 @@
 	return 0
 }
 
+// drained returns the entry as that of an endpoint that drains.
+func (e *Endpoint) drained() *Endpoint {
+	drained := *e
+	drained.Draining = true
+	return &drained
+}
+
 // Fleet is the set of known endpoints. It is safe for concurrent use.
 type Fleet struct {
 	log zerolog.Logger
@@ -70,7 +77,7 @@
 // start is the newest start of an endpoint.
 type start struct {
 	born     int64 // Unix milliseconds, 0 if not said
-	draining bool  // it was seen draining
+	draining bool  // it was seen draining, or said that it leaves
 	seen     time.Time
 	// load is what this node has under way there, also while its entry is missing: one that is
 	// back after a lapse has the same runs.
@@ -146,9 +153,7 @@
 	if e.Draining == newest.draining {
 		return e, true
 	}
-	drained := *e
-	drained.Draining = true
-	return &drained, true
+	return e.drained(), true
 }
 
 // replace puts the member of an entry in the place of the one before, which may be nil.
@@ -179,6 +184,28 @@
 	f.log.Info().Str("event", "endpoint_succeeded").Str("endpoint", before.ID).Str("by", e.ID).Str("addr", e.Addr).Send()
 }
 
+// Leaves notes that an endpoint said that it leaves, in an answer to this node. It counts as draining for the
+// rest of this start, whatever its entry says, now or once the registry is back. It reports whether that is
+// news.
+func (f *Fleet) Leaves(m *Member, now time.Time) (news bool) {
+	if !m.Word.Leaves(now) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, known := f.newest[m.ID]
+	if !known || s.born != m.Born {
+		return true // a later start has taken its place, which said nothing
+	}
+	s.draining = true
+	f.newest[m.ID] = s
+	if listed := f.members[m.ID]; listed != nil && listed.Born == m.Born {
+		listed.drain()
+		f.rebuild()
+	}
+	return true
+}
+
 // Remove takes an endpoint off at once.
 func (f *Fleet) Remove(id string) {
 	f.mu.Lock()
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -68,6 +68,13 @@
 // Endpoint returns the newest entry.
 func (m *Member) Endpoint() *Endpoint { return m.entry.Load() }
 
+// drain has the newest entry be that of an endpoint that drains.
+func (m *Member) drain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entry.Store(m.Endpoint().drained())
+}
+
 // Start returns a name of this start of the endpoint, the same at all nodes.
 func (m *Member) Start() string { return m.ID + "@" + strconv.FormatInt(m.Born, 10) }
 
--- a/internal/forward/help_test.go
+++ b/internal/forward/help_test.go
@@ -131,8 +131,8 @@
 	w.bounds = bootstrap.Bounds{Revoke: 5 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	w.handler = &forward.Handler{
 		Dialect: platform.Dialect{}, State: w.state, Placer: w.order, Budgets: forward.NewBudgets(w.bounds, func() int { return 1 }), Patience: &forward.Patience{},
-		Quarantine: quarantine.NewTable(time.Now),
-		Bounds:     func() bootstrap.Bounds { return w.bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
+		Quarantine: quarantine.NewTable(time.Now), Fleet: f,
+		Bounds: func() bootstrap.Bounds { return w.bounds }, Recorder: &outcomes{}, Log: zerolog.Nop(),
 	}
 	w.front = httptest.NewServer(w.handler)
 	t.Cleanup(w.front.Close)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -175,6 +175,13 @@
 	Clear(f quarantine.Fingerprint) (known bool)
 }
 
+// Fleet holds the endpoints.
+type Fleet interface {
+	// Leaves notes that an endpoint said that it leaves, and reports whether that is news. It gets nothing
+	// more.
+	Leaves(m *fleet.Member, now time.Time) (news bool)
+}
+
 // Placer chooses endpoints.
 type Placer interface {
 	// Place returns a placement, or false where no endpoint takes the request now. Then
--- a/internal/forward/word.go
+++ b/internal/forward/word.go
@@ -19,7 +19,7 @@
 		}
 	}
 	x.noteLimit(info, m, sent)
-	if info.Leaving && m.Word.Leaves(x.Clock.Now()) {
+	if info.Leaving && x.Fleet.Leaves(m, x.Clock.Now()) {
 		x.Log.Info().Str("event", "endpoint_leaving").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,6 +225,7 @@
 		Budgets:    budgets,
 		Patience:   &forward.Patience{},
 		Quarantine: n.quarantine,
+		Fleet:      n.fleet,
 		Clock:      n.clock,
 		Bounds:     n.bounds,
 		Recorder:   n.recorder,
