BUDGET: log, count and show the rests that endpoints ask for

What was missing to tell the hypotheses apart: no line said that a refusal asked for rest. The gauges of cold, limited and resting endpoints are counted by one loop.

--- a/internal/fleet/word.go
+++ b/internal/fleet/word.go
@@ -12,6 +12,7 @@
 	mu     sync.Mutex
 	limit  atomic.Pointer[RateLimit] // written under mu; nil where it never named one
 	leaves atomic.Pointer[time.Time] // when it first said that it leaves; nil where it never did
+	rest   atomic.Pointer[Rest]      // written under mu; nil where it never asked for one
 	// unread is the newest header that could not be read; nil for none.
 	unread atomic.Pointer[string]
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -77,6 +77,9 @@
 	if since, leaving := p.Member.Word.Leaving(); leaving {
 		event = event.Int64("leaving_for_ms", c.Since(since).Milliseconds())
 	}
+	if rest, resting := p.Member.Word.Resting(c.Now()); resting {
+		event = event.Int64("rest_left_ms", c.Until(rest.Until).Milliseconds())
+	}
 	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
 		Int("read", p.Reading).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
 		Int64("predicted_ms", p.First.Milliseconds()).Int("held", p.Held)
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -79,6 +79,9 @@
 	LimitUnread bool
 	// Leaving is true where the endpoint says that it leaves.
 	Leaving bool
+	// Rest is the time for which the endpoint, where it refuses the request, wants none of this node; 0 if
+	// not said.
+	Rest time.Duration
 	// Unreadable are headers on the endpoint itself that could not be read, as NAME: VALUE. They count
 	// as missing.
 	Unreadable []string
--- a/internal/forward/word.go
+++ b/internal/forward/word.go
@@ -22,6 +22,15 @@
 	if info.Leaving && x.Fleet.Leaves(m, x.Clock.Now()) {
 		x.Log.Info().Str("event", "endpoint_leaving").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
+	if refuses(status) && info.Rest > 0 && m.Word.Rests(info.Rest, x.Clock.Now()) {
+		x.Log.Info().Str("event", "endpoint_resting").Str("endpoint", m.ID).Str("id", x.attrs.ID).
+			Int64("asked_ms", info.Rest.Milliseconds()).Int64("for_ms", min(info.Rest, fleet.MostRest).Milliseconds()).Send()
+	}
+}
+
+// refuses reports whether an endpoint with an answer of this status turns a request away for want of room.
+func refuses(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
 // noteLimit learns the limit that the endpoint names, or that it names none any more. A word that could
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/routing"
 )
@@ -31,6 +33,7 @@
 	metricEvacuated   = "cherryward_gateway_evacuated_domains"
 	metricCold        = "cherryward_gateway_cold_endpoints"
 	metricLimited     = "cherryward_gateway_limited_endpoints"
+	metricResting     = "cherryward_gateway_resting_endpoints"
 )
 
 // secondsBounds are the upper bounds of the buckets, the same on all nodes so that
@@ -87,11 +90,33 @@
 	set.NewGauge(metricSuspended, func() float64 { return n.clock.Suspended().Seconds() })
 	set.NewGauge(metricSuspects, func() float64 { return float64(n.quarantine.Suspects()) })
 	set.NewGauge(metricEvacuated, func() float64 { return float64(len(n.state.evacuations.all())) })
-	set.NewGauge(metricCold, func() float64 { return float64(n.coldEndpoints()) })
-	set.NewGauge(metricLimited, func() float64 { return float64(n.limitedEndpoints()) })
+	set.NewGauge(metricCold, func() float64 { return n.countEndpoints((*fleet.Member).Cold) })
+	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
+	set.NewGauge(metricResting, func() float64 { return n.countEndpoints(isResting) })
 	return &recorder{set: set}
 }
 
+// countEndpoints returns the number of endpoints of which something holds now.
+func (n *Node) countEndpoints(is func(m *fleet.Member, now time.Time) bool) float64 {
+	now, count := n.clock.Now(), 0
+	for _, m := range n.fleet.All() {
+		if is(m, now) {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+func isLimited(m *fleet.Member, _ time.Time) bool {
+	limit, known := m.Word.RateLimit()
+	return known && limit.InForce
+}
+
+func isResting(m *fleet.Member, now time.Time) bool {
+	_, resting := m.Word.Resting(now)
+	return resting
+}
+
 // Forwarded implements forward.Recorder.
 func (r *recorder) Forwarded(o *forward.Outcome) {
 	labels := `{class="` + classOf(o.Route) + `"`
--- a/internal/gateway/senders.go
+++ b/internal/gateway/senders.go
@@ -71,28 +71,6 @@
 	return senders.View{Generation: r.members.generation, Nodes: r.members.of(domain, most)}
 }
 
-// limitedEndpoints returns the number of endpoints that name a limit, as far as this node knows.
-func (n *Node) limitedEndpoints() int {
-	count := 0
-	for _, m := range n.fleet.All() {
-		if limit, known := m.Word.RateLimit(); known && limit.InForce {
-			count++
-		}
-	}
-	return count
-}
-
-// coldEndpoints returns the number of endpoints that are cold, or may be.
-func (n *Node) coldEndpoints() int {
-	now, count := n.clock.Now(), 0
-	for _, m := range n.fleet.All() {
-		if m.Cold(now) {
-			count++
-		}
-	}
-	return count
-}
-
 // mostCold returns the requests in a second that a cold endpoint of a service may get from all nodes
 // together; 0 where it stands any number.
 func (n *Node) mostCold(s *routing.Service) int {
