--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -32,6 +32,10 @@
 		return
 	}
 	if faults.Shed {
+		s.refuse(id)
+		if faults.Rest != "" {
+			w.Header().Set("Retry-After", faults.Rest)
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -39,6 +43,12 @@
 	s.run(w, r, id, version, faults)
 }
 
+func (s *Server) refuse(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals = append(s.refusals, Refusal{Request: id, At: time.Now()})
+}
+
 func (s *Server) run(w http.ResponseWriter, r *http.Request, id string, version int64, faults Faults) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -15,7 +15,9 @@
 
 // Faults are switched by tests.
 type Faults struct {
-	Shed       bool // requests are refused as not run
+	Shed bool // requests are refused as not run
+	// Rest is what refusals of Shed ask for, in seconds; empty for nothing.
+	Rest       string
 	LoseAnswer bool // requests run, and the connection is closed without an answer
 	// CutAfter closes a stream after so many events, within the next one; -1 within the first.
 	CutAfter int
@@ -66,6 +68,12 @@
 	Born    int64     // start of the server, Unix milliseconds
 }
 
+// Refusal is one request that the server refused for want of room.
+type Refusal struct {
+	Request string // its id
+	At      time.Time
+}
+
 // ColdStart is how long a server is cold after it has started again.
 const ColdStart = 3 * time.Second
 
@@ -84,6 +92,7 @@
 	fence     int64
 	held      []order // orders to carry out later
 	runs      []Run
+	refusals  []Refusal
 	left      int // requests whose client left
 	parts     map[[2]string]int
 	events    [][]any
@@ -121,6 +130,13 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Refusals returns the requests that the server refused for want of room.
+func (s *Server) Refusals() []Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Refusal(nil), s.refusals...)
+}
+
 // Left returns the number of requests whose client left before the end.
 func (s *Server) Left() int {
 	s.mu.Lock()
