BUDGET: send nothing to an endpoint that asked for rest until it is over

An endpoint that had refused a request and asked a node for 3 s of rest got 7 and 8 requests of it meanwhile (2 allowed); 20 callers a second were refused after two sends in vain.

Cause: a refusal paused an endpoint for 50 ms, whatever time it named; the word was dropped with the answer.

Ruled out: repeats (most were first attempts), avoided endpoints used for want of others (six of nine engines turned none away).

Change: placer's gate, which knows of cold and limited endpoints, leaves out those that rest before health is looked at, so that no fallback brings them back. Where all rest, requests are refused at once, with when the first one is back, 10 ms after one another.

Why it holds: every send is placed by that gate, also repeats and requests that wait at the node; none is sent from the answer's head on until the time is over.

--- a/internal/placer/gate.go
+++ b/internal/placer/gate.go
@@ -14,8 +14,13 @@
 const (
 	allCold    = "cold"    // they have just started
 	allLimited = "limited" // they name limits, and this node's share is used up
+	allResting = "resting" // they refused requests, and want none of this node
 )
 
+// restSpacing is the time between the returns of two callers that are refused while all endpoints rest: those of
+// some seconds would come back at once.
+const restSpacing = 10 * time.Millisecond
+
 // gate is what this node may send to the endpoints of a service at all now, whatever speaks for them.
 type gate struct {
 	*Placer
@@ -51,6 +56,9 @@
 // closed returns why nothing may be sent to an endpoint now, and for how long; an empty reason where a
 // request may be.
 func (g *gate) closed(m *fleet.Member) (reason string, wait time.Duration) {
+	if rest, resting := m.Word.Resting(g.now); resting {
+		return allResting, rest.Until.Sub(g.now)
+	}
 	if g.isCold(m) && !g.SlowStart.Allows(g.cold(m), g.now) {
 		return allCold, m.ColdUntil().Sub(g.now)
 	}
@@ -100,8 +108,11 @@
 			reason, least = why, wait
 		}
 	}
-	if reason == allLimited {
+	switch reason {
+	case allLimited:
 		return g.declineLimited(members, least)
+	case allResting:
+		return forward.Placement{Reason: reason, Wait: least, Refuse: func() time.Duration { return g.comeBack(least, restSpacing) }}
 	}
 	return forward.Placement{Reason: reason, Wait: least, Refuse: func() time.Duration { return least }}
 }
@@ -120,13 +131,16 @@
 				perSecond += throttle.ShareOf(e.PerSecond).PerSecond()
 			}
 		}
-		return g.comeBack(wait, float64(time.Second)*float64(g.Nodes())/perSecond)
+		if perSecond <= 0 { // the limits have ended meanwhile
+			return wait
+		}
+		return g.comeBack(wait, duration(1000*float64(g.Nodes())/perSecond))
 	}}
 }
 
-// comeBack returns when the caller may come back: after a wait, and so many nanoseconds after the one that was
-// refused before, but within the time for which callers wait.
-func (g *gate) comeBack(wait time.Duration, spacing float64) time.Duration {
+// comeBack returns when the caller may come back: after a wait, and a spacing after the one that was refused
+// before, but within the time for which callers wait.
+func (g *gate) comeBack(wait, spacing time.Duration) time.Duration {
 	most := time.Duration(honoured * float64(g.q.Attributes.Deadline))
-	return g.Services.of(g.q.Service.Name).returns.After(g.now, wait, time.Duration(spacing), most)
+	return g.Services.of(g.q.Service.Name).returns.After(g.now, wait, spacing, most)
 }
