Soak: servers that name limits, say they leave and ask for rest

Checked are arrivals at servers beside what clients had been passed on: the limit in any 4 s from the stable window on, nothing after the drain bound, two requests of a node in a rest.

The checks find each word unheeded once, and none where a trouble of the node, or a word just said, excuses it.

--- a/internal/gatewaydemo/resting_test.go
+++ b/internal/gatewaydemo/resting_test.go
@@ -19,11 +19,11 @@
 	restAllowed = 2                      // requests of a node meanwhile
 )
 
-// restless returns the most requests of one node that a server refused within a rest that it had asked that
+// restless returns the most requests of one node that reached a server within a rest that it had asked that
 // node for.
-func restless(refusals []modelserver.Refusal) (most int) {
+func restless(arrivals []modelserver.Arrival) (most int) {
 	byNode := make(map[string][]time.Time)
-	for _, r := range refusals {
+	for _, r := range arrivals {
 		node, _, _ := strings.Cut(r.Request, "-")
 		byNode[node] = append(byNode[node], r.At)
 	}
@@ -57,8 +57,8 @@
 	}
 	wg.Wait()
 	for i, m := range resting {
-		must.Positive(t, len(m.Refusals()), must.Sprint(i))
-		test.LessEq(t, restAllowed, restless(m.Refusals()), test.Sprint(i))
+		must.Positive(t, len(m.Arrivals()), must.Sprint(i))
+		test.LessEq(t, restAllowed, restless(m.Arrivals()), test.Sprint(i))
 	}
 	for i := range answered {
 		test.Positive(t, answered[i])
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -87,7 +87,13 @@
 // runAt has a model server run a request that no node sent on.
 func runAt(t *testing.T, addr string) {
 	t.Helper()
-	req, err := site.Request(context.Background(), addr, http.MethodPost, site.PathQuery, "k", "a", "session")
+	runAtAs(t, addr, "a")
+}
+
+// runAtAs does so with a request of an id.
+func runAtAs(t *testing.T, addr, id string) {
+	t.Helper()
+	req, err := site.Request(context.Background(), addr, http.MethodPost, site.PathQuery, "k", id, "session")
 	must.NoError(t, err)
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(t, err)
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -20,6 +20,7 @@
 	refused  map[string]bool     // ids that were answered "not run"
 	answered int                 // with success
 	sent     map[string]sentWith // by id
+	heard    map[string]heard    // by id
 	goals    map[chan struct{}]int
 }
 
@@ -31,8 +32,14 @@
 	node                 int
 }
 
+// heard is whose answer a client got to a request, and when its head came.
+type heard struct {
+	server string
+	at     time.Time
+}
+
 func newSeen() *seen {
-	return &seen{refused: make(map[string]bool), sent: make(map[string]sentWith), goals: make(map[chan struct{}]int)}
+	return &seen{refused: make(map[string]bool), heard: make(map[string]heard), sent: make(map[string]sentWith), goals: make(map[chan struct{}]int)}
 }
 
 func (s *seen) fail(format string, args ...any) {
@@ -156,9 +163,16 @@
 
 // check looks at one answer.
 func (c *client) check(id, path string, resp *http.Response) {
+	at := time.Now()
 	body, err := io.ReadAll(resp.Body)
 	whole := err == nil
-	sealed := resp.Header.Get("X-Server-Seal") != ""
+	server, sealed := strings.CutPrefix(resp.Header.Get("X-Server-Seal"), "seal-")
+	sealed = sealed || server != ""
+	if sealed {
+		c.seen.mu.Lock()
+		c.seen.heard[id] = heard{server, at}
+		c.seen.mu.Unlock()
+	}
 	if sealed && resp.Header.Get("X-Attempt-Id") != id {
 		c.seen.fail("%s: got the answer to %q", id, resp.Header.Get("X-Attempt-Id"))
 	}
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -27,6 +27,7 @@
 		broken = append(broken, w.ranAway(i)...)
 	}
 	broken = append(broken, w.ranEvacuated()...)
+	broken = append(broken, w.unheeded()...)
 	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
 			if why := w.brokenBy(&r); why != "" {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -27,6 +27,7 @@
 type proxy struct {
 	at     string // IP:PORT
 	target string
+	harmed spans
 
 	mu       sync.Mutex
 	listener net.Listener
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -46,6 +46,7 @@
 		(*world).harmServer, (*world).harmServer, (*world).harmAllServers,
 		(*world).restartServer, (*world).restartServer, (*world).delayOrders, (*world).leave,
 		(*world).changeKey, (*world).nameVersions, (*world).putForeignEntries, (*world).evacuate,
+		(*world).nameLimit, (*world).nameLimit, (*world).sayBadWords, (*world).sayLeaving, (*world).sayLeaving,
 	}
 	coreTroubles = []cause{(*world).harmStoreLink, (*world).harmStore, (*world).forget}
 )
@@ -102,6 +103,7 @@
 }
 
 func (w *world) harmLink(p *proxy, target int, lasts time.Duration) {
+	defer p.harmed.open()()
 	p.set(trouble(1 + target%int(troubles-1)))
 	w.pause(lasts)
 	p.set(none)
@@ -134,6 +136,7 @@
 	func(f *modelserver.Faults, target int) { f.Unframed, f.CutAfter = true, 1+target%6 },
 	func(f *modelserver.Faults, _ int) { f.Hang = true },
 	func(f *modelserver.Faults, _ int) { f.CutAfter = -1 },
+	func(f *modelserver.Faults, _ int) { f.Shed, f.Rest = true, askedRest },
 }
 
 // misbehave gives a server a fault for a time.
@@ -166,6 +169,15 @@
 	w.misbehave(list[target%len(list)], lasts, func(f *modelserver.Faults) { apply(f, choice/len(serverFaults)) })
 }
 
+// misbehaveAll gives servers the same fault for a time.
+func (w *world) misbehaveAll(servers []*modelserver.Server, lasts time.Duration, apply func(*modelserver.Faults)) {
+	var wg sync.WaitGroup
+	for _, s := range servers {
+		wg.Go(func() { w.misbehave(s, lasts, apply) })
+	}
+	wg.Wait()
+}
+
 // harmAllServers gives the servers different faults at the same time.
 func (w *world) harmAllServers(target int, lasts time.Duration) {
 	var wg sync.WaitGroup
@@ -180,6 +192,7 @@
 func (w *world) restartServer(target int, lasts time.Duration) {
 	i := target % len(w.site.Models)
 	link := w.proxies[modelProxy+i]
+	defer link.harmed.open()()
 	link.set([]trouble{reset, silent}[target/len(w.site.Models)%2])
 	w.site.Models[i].Restart()
 	w.pause(lasts / 2)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -42,6 +42,8 @@
 	// evacuated are the times in which the failure domain of the last model server is evacuated.
 	evacuated  spans
 	evacuating sync.Mutex
+	limited    spans // the times in which model servers name limits
+	limiting   sync.Mutex
 	log        *os.File
 	over       chan struct{} // closed once no more troubles are caused
 
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -31,8 +31,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.arrive(id, faults)
 	if faults.Shed {
-		s.refuse(id)
 		if faults.Rest != "" {
 			w.Header().Set("Retry-After", faults.Rest)
 		}
@@ -43,10 +43,15 @@
 	s.run(w, r, id, version, faults)
 }
 
-func (s *Server) refuse(id string) {
+// arrive notes a request that is meant for this server.
+func (s *Server) arrive(id string, faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refusals = append(s.refusals, Refusal{Request: id, At: time.Now()})
+	a := Arrival{Request: id, At: time.Now(), Born: s.born, Refused: faults.Shed, Limit: faults.Limit, Leaving: faults.Leaving}
+	if faults.Shed {
+		a.Rest = faults.Rest
+	}
+	s.arrivals = append(s.arrivals, a)
 }
 
 func (s *Server) run(w http.ResponseWriter, r *http.Request, id string, version int64, faults Faults) {
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -68,10 +68,15 @@
 	Born    int64     // start of the server, Unix milliseconds
 }
 
-// Refusal is one request that the server refused for want of room.
-type Refusal struct {
+// Arrival is one request that reached the server and was meant for it, run or refused, with what the server said
+// of itself in its answer.
+type Arrival struct {
 	Request string // its id
 	At      time.Time
+	Born    int64 // start of the server, Unix milliseconds
+	Refused bool
+	// Limit, Leaving and Rest are as in Faults.
+	Limit, Leaving, Rest string
 }
 
 // ColdStart is how long a server is cold after it has started again.
@@ -92,7 +97,7 @@
 	fence     int64
 	held      []order // orders to carry out later
 	runs      []Run
-	refusals  []Refusal
+	arrivals  []Arrival
 	left      int // requests whose client left
 	parts     map[[2]string]int
 	events    [][]any
@@ -103,6 +108,9 @@
 	return &Server{cfg: cfg, born: time.Now().UnixMilli(), epoch: 1, version: 1, parts: make(map[[2]string]int)}
 }
 
+// ID returns the server's id.
+func (s *Server) ID() string { return s.cfg.ID }
+
 // Restart has the server start anew under its id: it holds and knows nothing of before but the
 // version of its weights. What tests have noted of it stays, and so do held orders, which are on
 // their way.
@@ -130,11 +138,11 @@
 	return append([]Run(nil), s.runs...)
 }
 
-// Refusals returns the requests that the server refused for want of room.
-func (s *Server) Refusals() []Refusal {
+// Arrivals returns the requests that reached the server and were meant for it.
+func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Refusal(nil), s.refusals...)
+	return append([]Arrival(nil), s.arrivals...)
 }
 
 // Left returns the number of requests whose client left before the end.
