Show operators which endpoints are limited, resting or leaving

By whose word and how old: cherryctl endpoints asks a gateway node at its ready address, which lists what endpoints have said in JSON. Whoever is on call had the log lines of each node and the gauges, which count but don't name.

A node that can't be asked ends the command with 4001.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -75,7 +75,7 @@
 		Commands: []*cli.Command{
 			applyCommand(s), getCommand(s), deleteCommand(s), watchCommand(s), statusCommand(s),
 			explainCommand(s), explainRequestCommand(s), loadCommand(s), codesCommand(s), capacityCommand(s),
-			experimentCommand(s), quarantineCommand(s), domainsCommand(s),
+			experimentCommand(s), quarantineCommand(s), domainsCommand(s), endpointsCommand(s),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if name := cmd.Args().First(); name != "" {
--- /dev/null
+++ b/internal/ctl/endpoints_test.go
@@ -0,0 +1,76 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/tidwall/gjson"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// saidFleet has an endpoint of each kind, and one that takes any number of requests.
+func saidFleet(now time.Time) *fleet.Fleet {
+	f := fleet.New(zerolog.Nop())
+	for i, id := range []string{"any", "cold", "drains", "leaves", "limited", "rests", "told"} {
+		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Domain: "north", Draining: id == "drains"}, now)
+	}
+	f.Member("cold").Chill(now.Add(time.Minute))
+	f.Leaves(f.Member("leaves"), now.Add(-2*time.Second))
+	f.Member("limited").Word.NamesLimit(2.8, now.Add(-time.Second))
+	f.Member("rests").Word.Rests(3*time.Second, now.Add(-time.Second))
+	f.Member("told").Word.HeardLimit(fleet.RateLimit{PerSecond: 1, InForce: true, At: now})
+	return f
+}
+
+// TestEndpoints shows what endpoints have said, by whose word and how old.
+func TestEndpoints(t *testing.T) {
+	now := time.Now()
+	served := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/endpoints" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(saidFleet(now).Said(now)) // the command sees what is missing
+	}))
+	defer served.Close()
+	run := func(args ...string) (int, string) {
+		var out, errs bytes.Buffer
+		code := Run(t.Context(), append([]string{"cherryctl", "endpoints"}, args...), Streams{In: strings.NewReader(""), Out: &out, Err: &errs})
+		return code, out.String() + errs.String()
+	}
+	addr := strings.TrimPrefix(served.URL, "http://")
+	code, out := run("--ready", addr)
+	must.Eq(t, 0, code, must.Sprint(out))
+	var rows []string
+	for line := range strings.Lines(out) {
+		rows = append(rows, strings.Join(strings.Fields(line), " "))
+	}
+	test.Eq(t, []string{
+		"ENDPOINT SERVICE DOMAIN LIMIT REST LEAVING COLD",
+		"cold s north - - - true",
+		"drains s north - - entry false",
+		"leaves s north - - answer 2s ago false",
+		"limited s north 2.8/s (answer 1s ago) - - false",
+		"rests s north - 2s (asked 1s ago) - false",
+		"told s north 1/s (told 0s ago) - - false",
+	}, rows)
+	code, out = run("--ready", addr, "-o", "json")
+	must.Eq(t, 0, code, must.Sprint(out))
+	test.Eq(t, 2.8, gjson.Get(out, `#(endpoint=="limited").limit.per_s`).Float())
+	code, out = run("--ready", "nowhere")
+	test.Eq(t, 2, code, test.Sprint(out))
+	served.Close()
+	code, out = run("--ready", addr)
+	test.NotEq(t, 0, code)
+	test.StrContains(t, out, "4001")
+}
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"net/http"
 	"time"
 )
@@ -16,6 +17,8 @@
 
 	pathReady   = "/-/readyz"
 	pathMetrics = "/metrics"
+	// pathEndpoints tells what endpoints have said of themselves, in JSON.
+	pathEndpoints = "/endpoints"
 )
 
 // ready reports whether callers are well served here.
@@ -37,6 +40,8 @@
 	switch {
 	case r.URL.Path == pathMetrics:
 		n.recorder.ServeHTTP(w, r)
+	case r.URL.Path == pathEndpoints:
+		n.serveEndpoints(w)
 	case r.URL.Path != pathReady:
 		w.WriteHeader(http.StatusNotFound)
 	case n.tellReady():
@@ -46,6 +51,20 @@
 	}
 }
 
+// serveEndpoints answers with a list of fleet.Said.
+func (n *Node) serveEndpoints(w http.ResponseWriter) {
+	data, err := json.Marshal(n.fleet.Said(n.clock.Now()))
+	if err != nil {
+		n.log.Error().Str("event", "encode_endpoints").Err(err).Send()
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(data); err != nil {
+		n.log.Debug().Str("event", "answer_unread").Err(err).Send()
+	}
+}
+
 // Ready reports whether the node tells the balancer to send callers.
 func (n *Node) Ready() bool { return n.ready() }
 
