Leave the log to its readers for two rounds at a common start

coord/changelog TestSpread failed once in 61 runs: 40 reads of the log until 100 nodes that start together are ready, fewer than 40 allowed.

Cause: nodes that are no readers may read the log at a random time within 5 s, and half a second after the start nobody has a state to give: in the first round of questions there is none, in the second four of 100 nodes have one, so that those whose time had come by then all read.

They wait for two rounds of questions first. A node alone without a state anywhere reads 2 s later.

--- a/coord/changelog/start.go
+++ b/coord/changelog/start.go
@@ -5,12 +5,16 @@
 	"time"
 )
 
+// startRounds is the number of rounds of questions to peers in which a node that is no reader leaves the
+// log to others: when all nodes start at once, nobody has a state in the first, and few in the second.
+const startRounds = 2
+
 // start gets a first state. When all nodes start at once, a few read the log and
 // the others mostly get theirs from them. It returns false if the context ended.
 func (f *Follower[V]) start(ctx context.Context) bool {
 	logFrom := time.Now()
 	if !f.isReader() {
-		logFrom = logFrom.Add(f.spreadOver(f.fallbackSpan()))
+		logFrom = logFrom.Add(startRounds*loadRetry + f.spreadOver(f.fallbackSpan()))
 	}
 	for !f.store.Ready() {
 		if f.loadFromPeers(ctx) != nil && !time.Now().Before(logFrom) {
