--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -37,8 +37,8 @@
 func (f *Fleet) Empty() bool { return len(f.view.Load().byService) == 0 }
 
 // Together makes one new list of what change does to the fleet by the other methods, when it is done.
-// Made after each of 3,000 entries that a node reads when it starts, the lists take a small host
-// seconds.
+// Made after each of the thousands of entries that a node reads when it starts, the lists take a small
+// host seconds.
 func (f *Fleet) Together(change func()) {
 	f.mu.Lock()
 	f.together++
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -6,9 +6,8 @@
 	// memoryShare is the part of the host's memory from which the collector works
 	// harder; stacks, buffers in the kernel and the program itself need the rest.
 	memoryShare = 0.6
-	// collectAt is how much the heap grows, in percent, until it is collected. A node holds 2 to 8 MB,
-	// which at 100 were collected each 1 to 2 s, a seventh of its processor time; a host has 112 MB
-	// and more.
+	// collectAt is how much the heap grows, in percent, until it is collected. A node holds little, which
+	// at the runtime's own 100 is collected so often that it takes a good part of a small host's processor.
 	collectAt = 200
 )
 
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -128,9 +128,8 @@
 
 // unnamed reports whether all nodes have said for long enough that they don't name a version.
 //
-// It makes room for the parts of new weights some 10 s sooner than the time alone: with two
-// versions named 4 s apart, stores that were full of the first let a third of the shared
-// tokens be read again for 15 s.
+// It makes room for the parts of new weights sooner than the time alone: stores that are full of those of
+// the version before have shared parts be read again.
 func (k *keeping) unnamed(model string, version int64, turn time.Duration) bool {
 	own := k.named.of(model)
 	if !k.node.roster.Counted() {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -99,9 +99,8 @@
 }
 
 // doubt has entries that are missing count as lapsed for a while. All holds end with it, by a
-// timer: each entry's own, counted from when it was found missing, which may be at the end of
-// the doubt, and ended by the next read, had requests reach an endpoint 2.03 s after it had
-// left, of a bound of 2 s.
+// timer: holds that are counted from when each entry was found missing, which may be at the end of
+// the doubt, and that end with the next read, are longer than the drain bound.
 func (r *registry) doubt(now time.Time) {
 	hold := lapseHold(r.bounds())
 	r.doubtUntil = now.Add(hold)
@@ -148,7 +147,7 @@
 }
 
 // decode decodes an entry. Most are heartbeats that say the same as the one before: decoded anew, those
-// of 3,000 endpoints take a small host that reads them a tenth of its processor.
+// of thousands of endpoints take a good part of a small host's processor.
 // A value is kept as a copy: the record's own is a part of all that was read with it.
 func (r *registry) decode(record *follow.Record) (entry, error) {
 	if known := r.entries[record.Key]; known.endpoint != nil && bytes.Equal(known.value, record.Value) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -76,9 +76,8 @@
 
 // namedBeforeStart returns when a version counts as named that the first read finds, as it may
 // have been at any time before. Engines with older weights get prompts until the start excuses
-// the node no more. The time counts from the start, not from the read, and follows the bounds:
-// 7 s before the read kept one deployment's bounds, and on one with a bound of 15 s had prompts
-// placed on replaced weights for 2 s after the node's excuse had ended.
+// the node no more. The time counts from the start, not from the read, and follows the bounds: one
+// that is fixed keeps those of some deployments alone.
 func (s *state) namedBeforeStart() time.Time {
 	bounds := s.bounds()
 	return s.started.Add(bounds.StableWindow - startMargin - placer.ReplacedLimit(bounds.VersionApply))
--- a/internal/peerload/collected.go
+++ b/internal/peerload/collected.go
@@ -77,7 +77,7 @@
 	starts []Start
 	own    *ownDigest
 	// sums are what it comes to without this node's own loads; nil until they are asked for,
-	// which most messages are never. Made from each, they were half of what a node allocates.
+	// which most messages are never: made from each, they are most of what a node allocates.
 	sums Sums
 }
 
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -33,7 +33,7 @@
 	// countTime is the time for the request that a message is sent for to be counted.
 	countTime = time.Millisecond
 	// settleTime is how long a node has collected before it speaks to other failure domains. At a
-	// common start all collect until they hear the others: 295 nodes told each other one.
+	// common start all collect until they hear the others, and would all tell each other.
 	settleTime = time.Second
 	// aliveSpacing is the time between two messages to all of a node that stands by to
 	// collect: a few may be lost before it counts as gone.
--- a/internal/peerload/outer.go
+++ b/internal/peerload/outer.go
@@ -122,8 +122,7 @@
 // this node collects. It returns the bytes of all messages.
 //
 // Plain services are left out: all nodes of all domains use the same few endpoints, and with
-// load of 0.4 s ago all would choose the same one. With it the median of their answers rose from 27
-// to 35 ms, and twice as many were late.
+// old load all would choose the same one.
 func (e *Exchange) sendOuter(peers *audience, digest *Digest, members []*fleet.Member) (bytes int) {
 	now := e.config.Clock.Now()
 	if !e.speaks(now) || now.Sub(e.toldOuter) < farSpacing {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -185,8 +185,8 @@
 
 // ask asks one node, as often as its answers are cut.
 //
-// An answer that was too long had the store asked: at a common start of 295 nodes each did so for
-// the registry and for the nodes' addresses, 560 calls.
+// A long answer comes in several, as at a common start of a large system each node would ask the store for
+// it else.
 func (t *Topic) ask(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
 	var whole follow.Page
 	for range mostAnswers {
