--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,12 +155,6 @@
 	return x.giveUp(ctx, runs, result.New(result.Overloaded, result.WithRetryAfter(retryNoEndpoint)))
 }
 
-// timeOver reports whether the request's time is over. A context's timer is late by as much as the
-// host was suspended.
-func (x *exchange) timeOver(ctx context.Context) bool {
-	return ctx.Err() != nil || x.Clock.Until(x.deadline()) <= 0
-}
-
 // giveUp returns unrun where the request has not run, and else an error that
 // promises nothing.
 func (x *exchange) giveUp(ctx context.Context, runs int, unrun *result.Error) *result.Error {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -208,16 +207,6 @@
 	return data, err
 }
 
-// deadline returns when the caller's or the route's time is over, whichever is
-// first.
-func (x *exchange) deadline() time.Time {
-	limit := x.route.Timeout
-	if x.attrs.HasDeadline {
-		limit = min(limit, x.attrs.Deadline)
-	}
-	return x.arrived.Add(limit)
-}
-
 // finish answers where nothing was delivered, and leaves one line in the log.
 func (x *exchange) finish(err *result.Error) {
 	x.outcome.Total = x.Clock.Since(x.arrived)
@@ -286,16 +275,3 @@
 	}
 	return r.URL.RequestURI()
 }
-
-// steady returns a time by the steady clock, which timers follow; zero stays zero.
-func (x *exchange) steady(at time.Time) time.Time {
-	if at.IsZero() {
-		return at
-	}
-	return time.Now().Add(x.Clock.Until(at))
-}
-
-// contextOf returns a context that ends with the request's time and with the caller.
-func (x *exchange) contextOf() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(x.r.Context(), x.steady(x.deadline()))
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -277,26 +277,3 @@
 
 // Run serves until ctx is done, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error { return n.kernel.Run(ctx) }
-
-// task is a loop as a service of the kernel.
-type task struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-var (
-	_ kernel.Service = (*task)(nil)
-	_ kernel.Runner  = (*task)(nil)
-)
-
-// Name implements kernel.Service.
-func (t *task) Name() string { return t.name }
-
-// Needs implements kernel.Service.
-func (t *task) Needs() []string { return nil }
-
-// Start implements kernel.Service.
-func (t *task) Start(context.Context, *kernel.Kernel) error { return nil }
-
-// Run implements kernel.Runner.
-func (t *task) Run(ctx context.Context) error { return t.run(ctx) }
--- a/internal/slowstart/network_test.go
+++ b/internal/slowstart/network_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 
+	"github.com/cherryward/cherryward/internal/senders/senderstest"
 	"github.com/cherryward/cherryward/internal/slowstart"
 )
 
@@ -36,10 +36,7 @@
 	placed    int
 }
 
-type node struct {
-	limiter *slowstart.Limiter
-	view    slowstart.View
-}
+type node struct{ limiter *slowstart.Limiter }
 
 // newNetwork has so many nodes, of which a share joins during the play; each reads of it at its own
 // time.
@@ -48,20 +45,8 @@
 	for i := range coldNodes {
 		n.endpoints = append(n.endpoints, &slowstart.Endpoint{ID: fmt.Sprint("e", i), Domain: "d", Most: most})
 	}
-	var old, all []string
-	for i := range nodes {
-		name := fmt.Sprint("n", i)
-		all = append(all, name)
-		if n.random.Float64() >= joining {
-			old = append(old, name)
-		}
-	}
-	for _, name := range all {
-		member := &node{view: slowstart.View{Generation: 1, Nodes: old}}
-		if n.random.Float64() < 0.5 || !slices.Contains(old, name) {
-			member.view = slowstart.View{Generation: 2, Nodes: all}
-		}
-		member.limiter = &slowstart.Limiter{Node: name, View: func(string, int) slowstart.View { return member.view }}
+	for _, m := range senderstest.Members(n.random, nodes, joining) {
+		member := &node{limiter: &slowstart.Limiter{Node: m.Name, View: func(string, int) slowstart.View { return m.View }}}
 		n.nodes = append(n.nodes, member)
 	}
 	return n
--- a/internal/throttle/network_test.go
+++ b/internal/throttle/network_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test"
 
 	"github.com/cherryward/cherryward/internal/senders"
+	"github.com/cherryward/cherryward/internal/senders/senderstest"
 	"github.com/cherryward/cherryward/internal/throttle"
 )
 
@@ -51,9 +52,9 @@
 }
 
 type node struct {
+	*senderstest.Member
 	limiter *throttle.Limiter
 	starts  int
-	view    senders.View
 	word    [limited]word
 	told    [limited]time.Duration // when it was first told by an answer; 0 for never
 }
@@ -69,20 +70,9 @@
 func newNetwork(seed uint64, size int, joining float64) *network {
 	n := &network{random: rand.New(rand.NewPCG(seed, 1)), due: make(map[time.Duration][]answer), start: time.Unix(1_700_000_000, 0)}
 	n.limit = func(int, time.Duration) (float64, bool) { return 2.8, true }
-	var old, all []string
-	for i := range size {
-		name := fmt.Sprint("n", i)
-		all = append(all, name)
-		if n.random.Float64() >= joining {
-			old = append(old, name)
-		}
-	}
-	for _, name := range all {
-		member := &node{view: senders.View{Generation: 1, Nodes: old}}
-		if n.random.Float64() < 0.5 || !slices.Contains(old, name) {
-			member.view = senders.View{Generation: 2, Nodes: all}
-		}
-		member.limiter = &throttle.Limiter{Node: name, View: func(string, int) senders.View { return member.view }}
+	for _, m := range senderstest.Members(n.random, size, joining) {
+		member := &node{Member: m}
+		member.limiter = &throttle.Limiter{Node: m.Name, View: func(string, int) senders.View { return m.View }}
 		n.nodes = append(n.nodes, member)
 	}
 	return n
@@ -142,8 +132,7 @@
 
 // restart has a node start anew, which knows nothing; what it was told before counts no more.
 func (n *network) restart(m *node) {
-	name := m.limiter.Node
-	m.limiter = &throttle.Limiter{Node: name, View: func(string, int) senders.View { return m.view }}
+	m.limiter = &throttle.Limiter{Node: m.Name, View: func(string, int) senders.View { return m.View }}
 	m.starts++
 	m.word, m.told = [limited]word{}, [limited]time.Duration{}
 }
