LIMIT: only a signed success ends a limit

Found by reading: one answer without the word ended a limit, and the node told all others so. An error or a refusal may come from a part of the endpoint that knows nothing of its limit; one such answer among many would have all nodes send as before until the next that names it.

The stand-in says its words in all answers, also where it is not the one that was meant.

--- a/internal/forward/word.go
+++ b/internal/forward/word.go
@@ -18,7 +18,7 @@
 			x.Log.Warn().Str("event", "answer_unreadable").Str("endpoint", m.ID).Str("id", x.attrs.ID).Str("header", word).Send()
 		}
 	}
-	x.noteLimit(info, m, sent)
+	x.noteLimit(status, info, m, sent)
 	if info.Leaving && x.Fleet.Leaves(m, x.Clock.Now()) {
 		x.Log.Info().Str("event", "endpoint_leaving").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
@@ -33,16 +33,18 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
-// noteLimit learns the limit that the endpoint names, or that it names none any more. A word that could
-// not be read is neither.
-func (x *exchange) noteLimit(info *AnswerInfo, m *fleet.Member, sent time.Time) {
+// noteLimit learns the limit that the endpoint names, or that it names none any more. Only a signed success
+// tells the latter: errors and refusals may come from where the endpoint knows nothing of it. A word that
+// could not be read is neither.
+func (x *exchange) noteLimit(status int, info *AnswerInfo, m *fleet.Member, sent time.Time) {
 	now := x.Clock.Now()
+	ends := status < http.StatusMultipleChoices && info.Sealed && !info.LimitUnread
 	switch {
 	case info.Limited:
 		if m.Word.NamesLimit(info.Limit, now) {
 			x.Log.Info().Str("event", "endpoint_limited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Float64("per_s", info.Limit).Send()
 		}
-	case !info.LimitUnread && m.Word.NamesNoLimit(sent, now):
+	case ends && m.Word.NamesNoLimit(sent, now):
 		x.Log.Info().Str("event", "endpoint_unlimited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
 }
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -12,12 +12,6 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.cfg.ID {
-		w.Header().Set("X-Instance-Id", s.cfg.ID)
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
 	s.mu.Lock()
 	faults, version := s.faults, s.version
 	s.mu.Unlock()
@@ -26,6 +20,12 @@
 			w.Header().Set(name, value)
 		}
 	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.cfg.ID {
+		w.Header().Set("X-Instance-Id", s.cfg.ID)
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.FormatInt(version, 10) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
