Copy no list of all endpoints for each placement

A placement copied the list of all endpoints twice, growing it by halves, asked each endpoint's health under a lock, and gathered all stores for parts that a store had already.

Now lists are copied only where one is left out, health is read without a lock, and a part that is kept ends the look for a store first. What is chosen is the same.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/decay"
@@ -29,9 +30,9 @@
 // that of an endpoint nothing is known of. It is safe for concurrent use.
 type Health struct {
 	mu      sync.Mutex
-	rate    decay.Average // of failures
-	inRow   int           // connection failures
-	ejected time.Time
+	rate    decay.Average             // of failures
+	inRow   int                       // connection failures
+	ejected atomic.Pointer[time.Time] // until when it gets no requests; written under mu; nil where it never was
 }
 
 // Succeeded notes an answer that was sound.
@@ -48,7 +49,7 @@
 func (h *Health) Failed(now time.Time, broken bool) (avoided bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	usable := !now.Before(h.ejected)
+	usable := h.Usable(now)
 	h.note(now, 1)
 	switch {
 	case broken:
@@ -78,16 +79,16 @@
 }
 
 func (h *Health) eject(now time.Time, d time.Duration) {
-	if until := now.Add(d); until.After(h.ejected) {
-		h.ejected = until
+	until := now.Add(d)
+	if before := h.ejected.Load(); before == nil || until.After(*before) {
+		h.ejected.Store(&until)
 	}
 }
 
-// Usable reports whether the endpoint should get requests.
+// Usable reports whether the endpoint should get requests. Each request asks it of each endpoint.
 func (h *Health) Usable(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return !now.Before(h.ejected)
+	until := h.ejected.Load()
+	return until == nil || !now.Before(*until)
 }
 
 // FailureRate returns the recent share of failed attempts, 0 to 1.
--- a/internal/placer/alloc_test.go
+++ b/internal/placer/alloc_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"runtime"
 	"testing"
 
 	"github.com/shoenig/test"
@@ -23,3 +24,20 @@
 	t.Logf("%.0f allocations", allocs)
 	test.LessEq(t, mostAllocs, allocs)
 }
+
+// TestPlacementCopiesNoListOfAll has a node of a large system place prompts without a copy of the list of all engines:
+// with one or more for each, small hosts spend their time on them.
+func TestPlacementCopiesNoListOfAll(t *testing.T) {
+	const engines, runs, pointer = 3000, 50, 8
+	p, q := largeWorld(engines)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range runs {
+		_, ok := p.Place(q)
+		must.True(t, ok)
+	}
+	runtime.ReadMemStats(&after)
+	bytes := (after.TotalAlloc - before.TotalAlloc) / runs
+	t.Logf("%d bytes", bytes)
+	test.Less(t, engines*pointer, bytes)
+}
--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -59,7 +59,8 @@
 // all of them choosing among all, it gets what they all place in that time. And a node that uses
 // few engines often opens fewer connections than one that uses all seldom.
 func (s *search) choices(near []*fleet.Member) []*fleet.Member {
-	var kept, others []*fleet.Member
+	var kept []*fleet.Member
+	others := make([]*fleet.Member, 0, len(near))
 	for _, m := range near {
 		if m.Pool.Kept(s.now) {
 			kept = append(kept, m)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -134,16 +134,8 @@
 // usable returns the endpoints that were not tried and are not avoided. Where all
 // are avoided, none is: a judgement that leaves no endpoint helps nobody.
 func usable(members []*fleet.Member, tried []string, now time.Time) []*fleet.Member {
-	var left, sound []*fleet.Member
-	for _, m := range members {
-		if slices.Contains(tried, m.ID) {
-			continue
-		}
-		left = append(left, m)
-		if m.Health.Usable(now) {
-			sound = append(sound, m)
-		}
-	}
+	left := without(members, func(m *fleet.Member) bool { return slices.Contains(tried, m.ID) })
+	sound := without(left, func(m *fleet.Member) bool { return !m.Health.Usable(now) })
 	if len(sound) > 0 {
 		return sound
 	}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cherryward/cherryward/coord/rendezvous"
@@ -148,12 +149,12 @@
 	}
 	now := p.Now()
 	stores := p.Kept.Stores()
+	if slices.ContainsFunc(stores, func(s *kept.Holder) bool { return s.Has(key) > 0 }) {
+		return ""
+	}
 	nodes := make([]rendezvous.Node, 0, len(stores))
 	var inVain []rendezvous.Node
 	for _, s := range stores {
-		if s.Has(key) > 0 {
-			return ""
-		}
 		if !s.Saves(now) || s.Room() < tokens {
 			continue
 		}
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -64,15 +64,21 @@
 	if p.Whole() {
 		return candidates
 	}
-	var near []*fleet.Member
+	count := 0
 	for _, m := range candidates {
 		if m.Endpoint().Domain == p.Domain {
-			near = append(near, m)
+			count++
 		}
 	}
-	if len(near) < fewestNear {
+	if count < fewestNear {
 		return candidates
 	}
+	near := make([]*fleet.Member, 0, count)
+	for _, m := range candidates {
+		if m.Endpoint().Domain == p.Domain {
+			near = append(near, m)
+		}
+	}
 	return near
 }
 
