--- a/internal/ctl/endpoints.go
+++ b/internal/ctl/endpoints.go
@@ -18,14 +18,14 @@
 
 const (
 	flagNodeReady = "ready"
-	// pathEndpoints is where a gateway node tells what endpoints have said, at its ready address.
+	// pathEndpoints is where a gateway node lists restricted endpoints, at its ready address.
 	pathEndpoints = "/endpoints"
 )
 
 func endpointsCommand(s Streams) *cli.Command {
 	return &cli.Command{
 		Name:  "endpoints",
-		Usage: "show the endpoints that are limited, resting, leaving or cold, as a gateway node knows them",
+		Usage: "show the endpoints that are limited, draining, cold or backing off, as a gateway node knows them",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagNodeReady, Sources: cli.EnvVars("CHERRYCTL_READY"), Usage: "`IP:PORT` where the node answers the balancer"},
 			outputFlag(),
@@ -41,17 +41,17 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
 			defer cancel()
-			said, err := readEndpoints(ctx, addr)
+			listed, err := readEndpoints(ctx, addr)
 			if err != nil {
 				return result.Wrap(err, result.EndpointUnreachable)
 			}
-			return showEndpoints(s.Out, said, cmd.String(flagOutput))
+			return showEndpoints(s.Out, listed, cmd.String(flagOutput))
 		},
 	}
 }
 
-// readEndpoints asks a node what endpoints have said.
-func readEndpoints(ctx context.Context, node netip.AddrPort) ([]fleet.Said, error) {
+// readEndpoints asks a node which endpoints are restricted.
+func readEndpoints(ctx context.Context, node netip.AddrPort) ([]fleet.Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.String()+pathEndpoints, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "make a request")
@@ -64,27 +64,27 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("the node answered with status %d", resp.StatusCode)
 	}
-	var said []fleet.Said
-	return said, eris.Wrap(json.NewDecoder(resp.Body).Decode(&said), "read a node's answer")
+	var listed []fleet.Status
+	return listed, eris.Wrap(json.NewDecoder(resp.Body).Decode(&listed), "read a node's answer")
 }
 
-func showEndpoints(w io.Writer, said []fleet.Said, format string) error {
+func showEndpoints(w io.Writer, listed []fleet.Status, format string) error {
 	if format == formatJSON {
-		return writeJSON(w, said)
+		return writeJSON(w, listed)
 	}
-	rows := make([]string, 0, len(said))
-	for i := range said {
-		s := &said[i]
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%t", s.Endpoint, s.Service, s.Domain, limitText(s.Limit), restText(s.Rest), leavingText(s), s.Cold))
+	rows := make([]string, 0, len(listed))
+	for i := range listed {
+		s := &listed[i]
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%t", s.Endpoint, s.Service, s.Domain, limitText(s.Limit), backoffText(s.Backoff), drainingText(s), s.Cold))
 	}
-	return table(w, "ENDPOINT\tSERVICE\tDOMAIN\tLIMIT\tREST\tLEAVING\tCOLD", rows)
+	return table(w, "ENDPOINT\tSERVICE\tDOMAIN\tLIMIT\tBACKOFF\tDRAINING\tCOLD", rows)
 }
 
-const nothingSaid = "-"
+const none = "-"
 
-func limitText(l *fleet.SaidLimit) string {
+func limitText(l *fleet.LimitStatus) string {
 	if l == nil {
-		return nothingSaid
+		return none
 	}
 	by := "told"
 	if l.Own {
@@ -93,21 +93,21 @@
 	return fmt.Sprintf("%g/s (%s %s ago)", l.PerSecond, by, ms(l.AgeMs))
 }
 
-func restText(r *fleet.SaidRest) string {
-	if r == nil {
-		return nothingSaid
+func backoffText(b *fleet.BackoffStatus) string {
+	if b == nil {
+		return none
 	}
-	return fmt.Sprintf("%s (asked %s ago)", ms(r.LeftMs), ms(r.AgeMs))
+	return fmt.Sprintf("%s (asked %s ago)", ms(b.LeftMs), ms(b.AgeMs))
 }
 
-func leavingText(s *fleet.Said) string {
+func drainingText(s *fleet.Status) string {
 	switch {
-	case s.LeavingForMs != nil:
-		return fmt.Sprintf("answer %s ago", ms(*s.LeavingForMs))
+	case s.DrainingForMs != nil:
+		return fmt.Sprintf("answer %s ago", ms(*s.DrainingForMs))
 	case s.Draining:
 		return "entry"
 	}
-	return nothingSaid
+	return none
 }
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/ctl/endpoints_test.go
+++ b/internal/ctl/endpoints_test.go
@@ -18,21 +18,21 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
-// saidFleet has an endpoint of each kind, and one that takes any number of requests.
-func saidFleet(now time.Time) *fleet.Fleet {
+// restrictedFleet has an endpoint of each kind, and one that takes any number of requests.
+func restrictedFleet(now time.Time) *fleet.Fleet {
 	f := fleet.New(zerolog.Nop())
-	for i, id := range []string{"any", "cold", "drains", "leaves", "limited", "rests", "told"} {
+	for i, id := range []string{"any", "cold", "drains", "answers", "limited", "backs-off", "told"} {
 		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Domain: "north", Draining: id == "drains"}, now)
 	}
 	f.Member("cold").Chill(now.Add(time.Minute))
-	f.Leaves(f.Member("leaves"), now.Add(-2*time.Second))
-	f.Member("limited").Word.NamesLimit(2.8, now.Add(-time.Second))
-	f.Member("rests").Word.Rests(3*time.Second, now.Add(-time.Second))
-	f.Member("told").Word.HeardLimit(fleet.RateLimit{PerSecond: 1, InForce: true, At: now})
+	f.Drain(f.Member("answers"), now.Add(-2*time.Second))
+	f.Member("limited").Signals.SetLimit(2.8, now.Add(-time.Second))
+	f.Member("backs-off").Signals.BackOff(3*time.Second, now.Add(-time.Second))
+	f.Member("told").Signals.HearLimit(fleet.RateLimit{PerSecond: 1, InForce: true, At: now})
 	return f
 }
 
-// TestEndpoints shows what endpoints have said, by whose word and how old.
+// TestEndpoints shows what keeps requests from endpoints, told by whom and how long ago.
 func TestEndpoints(t *testing.T) {
 	now := time.Now()
 	served := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +40,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(saidFleet(now).Said(now)) // the command sees what is missing
+		_ = json.NewEncoder(w).Encode(restrictedFleet(now).Restricted(now)) // the command sees what is missing
 	}))
 	defer served.Close()
 	run := func(args ...string) (int, string) {
@@ -56,12 +56,12 @@
 		rows = append(rows, strings.Join(strings.Fields(line), " "))
 	}
 	test.Eq(t, []string{
-		"ENDPOINT SERVICE DOMAIN LIMIT REST LEAVING COLD",
+		"ENDPOINT SERVICE DOMAIN LIMIT BACKOFF DRAINING COLD",
+		"answers s north - - answer 2s ago false",
+		"backs-off s north - 2s (asked 1s ago) - false",
 		"cold s north - - - true",
 		"drains s north - - entry false",
-		"leaves s north - - answer 2s ago false",
 		"limited s north 2.8/s (answer 1s ago) - - false",
-		"rests s north - 2s (asked 1s ago) - false",
 		"told s north 1/s (told 0s ago) - - false",
 	}, rows)
 	code, out = run("--ready", addr, "-o", "json")
--- /dev/null
+++ b/internal/fleet/backoff_test.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// TestBackoff keeps the longest backoff that was asked for, and no longer than MaxBackoff.
+func TestBackoff(t *testing.T) {
+	s := &Signals{}
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	_, backsOff := s.Backoff(start)
+	test.False(t, backsOff)
+	test.True(t, s.BackOff(3*time.Second, at(0)))
+	test.False(t, s.BackOff(time.Second, at(0.1)), test.Sprint("it backs off"))
+	b, backsOff := s.Backoff(at(2.9))
+	test.True(t, backsOff)
+	test.Eq(t, Backoff{Until: at(3), At: at(0.1)}, b)
+	_, backsOff = s.Backoff(at(3))
+	test.False(t, backsOff)
+	test.True(t, s.BackOff(24*time.Hour, at(4)))
+	b, _ = s.Backoff(at(5))
+	test.Eq(t, at(4).Add(MaxBackoff), b.Until)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,7 +1,7 @@
 // Package fleet holds the endpoints that a node may send requests to, and what the
 // node itself has seen of each.
 //
-// Guarantees: an endpoint that was seen draining, or said that it leaves, is never picked again before it has
+// Guarantees: an endpoint that was seen draining, or told that it drains, is never picked again before it has
 // started anew, whatever older entries say later; nor is a start of an endpoint that a
 // later one under the same id has replaced. Nothing that was seen of an earlier start
 // counts for a later one.
@@ -77,13 +77,13 @@
 // start is the newest start of an endpoint.
 type start struct {
 	born     int64 // Unix milliseconds, 0 if not said
-	draining bool  // it was seen draining, or said that it leaves
+	draining bool  // it was seen draining, or told that it drains
 	seen     time.Time
 	// load is what this node has under way there, also while its entry is missing: one that is
 	// back after a lapse has the same runs.
 	load *Load
-	// word is what it said of itself, for the same reason.
-	word *Word
+	// signals are what it told of itself, for the same reason.
+	signals *Signals
 }
 
 // New returns an empty fleet.
@@ -147,7 +147,7 @@
 	newest.draining = newest.draining || e.Draining
 	newest.seen = now
 	if newest.load == nil {
-		newest.load, newest.word = &Load{}, &Word{}
+		newest.load, newest.signals = &Load{}, &Signals{}
 	}
 	f.newest[e.ID] = newest
 	if e.Draining == newest.draining {
@@ -167,7 +167,7 @@
 		before.Pool.CloseIdle()
 		f.leave(before)
 	}
-	m.Load, m.Word = f.newest[e.ID].load, f.newest[e.ID].word
+	m.Load, m.Signals = f.newest[e.ID].load, f.newest[e.ID].signals
 	f.members[e.ID] = m
 	f.atAddr[e.Addr] = m
 }
@@ -184,18 +184,18 @@
 	f.log.Info().Str("event", "endpoint_succeeded").Str("endpoint", before.ID).Str("by", e.ID).Str("addr", e.Addr).Send()
 }
 
-// Leaves notes that an endpoint said that it leaves, in an answer to this node. It counts as draining for the
-// rest of this start, whatever its entry says, now or once the registry is back. It reports whether that is
+// Drain notes that an endpoint told in an answer to this node that it drains. It counts as draining until it
+// starts anew, whatever its entry says, now or once the registry is back. It reports whether that is
 // news.
-func (f *Fleet) Leaves(m *Member, now time.Time) (news bool) {
-	if !m.Word.Leaves(now) {
+func (f *Fleet) Drain(m *Member, now time.Time) (news bool) {
+	if !m.Signals.SetDraining(now) {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, known := f.newest[m.ID]
 	if !known || s.born != m.Born {
-		return true // a later start has taken its place, which said nothing
+		return true // a later start has taken its place, which told nothing
 	}
 	s.draining = true
 	f.newest[m.ID] = s
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -24,8 +24,8 @@
 	Health Health
 	// Load is what this node has under way at this start of the endpoint, whatever its address.
 	Load *Load
-	// Word is what this start of the endpoint has said of itself, whatever its address.
-	Word *Word
+	// Signals are what this start of the endpoint has told of itself, whatever its address.
+	Signals *Signals
 
 	cold atomic.Pointer[time.Time] // until when it is cold; nil where it was never
 	down atomic.Bool               // it had ended when this node last looked
@@ -41,7 +41,7 @@
 
 // newMember returns a member that nothing but its entry is known of.
 func newMember(e *Endpoint, now time.Time) *Member {
-	m := &Member{ID: e.ID, Service: e.Service, Born: e.Born, Pool: upstream.NewPool(e.Addr), Load: &Load{}, Word: &Word{}, listed: now}
+	m := &Member{ID: e.ID, Service: e.Service, Born: e.Born, Pool: upstream.NewPool(e.Addr), Load: &Load{}, Signals: &Signals{}, listed: now}
 	m.entry.Store(e)
 	m.heed(nil, e, now)
 	return m
@@ -51,7 +51,7 @@
 // under way at the server and the weights that it has stay as they are.
 func (m *Member) moved(e *Endpoint, now time.Time) *Member {
 	next := newMember(e, now)
-	next.Load, next.Word = m.Load, m.Word
+	next.Load, next.Signals = m.Load, m.Signals
 	next.entry.Store(m.Endpoint())
 	next.belief.Store(m.belief.Load())
 	next.Chill(m.ColdUntil())
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -207,7 +207,7 @@
 		began() // only its end, which may be far, is told to first
 	}
 	x.noteVersion(answer.StatusCode, &info, p, sent)
-	x.noteWord(answer.StatusCode, &info, p.Member, sent)
+	x.noteSignals(answer.StatusCode, &info, p.Member, sent)
 	misdirected := answer.StatusCode == http.StatusMisdirectedRequest
 	x.replaced = misdirected && info.Instance != "" && info.Instance != p.Member.ID
 	if !misdirected { // another endpoint may have said it
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -30,7 +30,7 @@
 	// Patience tells callers' first tries from later ones.
 	Patience   *Patience
 	Quarantine Quarantine
-	// Fleet is told which endpoints say that they leave.
+	// Fleet is told which endpoints drain.
 	Fleet Fleet
 	// Clock dates requests, and what is learned from them of endpoints. Nil is the steady clock.
 	Clock  *clock.Clock
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -71,14 +71,14 @@
 	if !p.BeginBy.IsZero() {
 		event = event.Int64("begin_left_ms", c.Until(p.BeginBy).Milliseconds())
 	}
-	if limit, known := p.Member.Word.RateLimit(); known && limit.InForce {
+	if limit, known := p.Member.Signals.RateLimit(); known && limit.InForce {
 		event = event.Float64("limit", limit.PerSecond).Int64("limit_age_ms", c.Since(limit.At).Milliseconds()).Bool("limit_own", limit.Own)
 	}
-	if since, leaving := p.Member.Word.Leaving(); leaving {
-		event = event.Int64("leaving_for_ms", c.Since(since).Milliseconds())
+	if since, draining := p.Member.Signals.Draining(); draining {
+		event = event.Int64("draining_for_ms", c.Since(since).Milliseconds())
 	}
-	if rest, resting := p.Member.Word.Resting(c.Now()); resting {
-		event = event.Int64("rest_left_ms", c.Until(rest.Until).Milliseconds())
+	if b, backsOff := p.Member.Signals.Backoff(c.Now()); backsOff {
+		event = event.Int64("backoff_left_ms", c.Until(b.Until).Milliseconds())
 	}
 	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
 		Int("read", p.Reading).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
--- a/internal/forward/word_test.go
+++ b/internal/forward/signals_test.go
@@ -12,14 +12,14 @@
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
 
-// TestWhatEndsALimit takes only a success without a limit for its end, no error, refusal or word that can't be read.
+// TestWhatEndsALimit takes only a success without a limit for its end, no error, refusal or limit that can't be read.
 func TestWhatEndsALimit(t *testing.T) {
 	w := newWorld(t, "")
-	word := w.order.members[0].Word
+	signals := w.order.members[0].Signals
 	asked := func(f modelserver.Faults) (limited bool) {
 		w.servers[0].SetFaults(f)
 		w.do(t, http.MethodGet, recordPath, "", nil)
-		limit, known := word.RateLimit()
+		limit, known := signals.RateLimit()
 		return known && limit.InForce
 	}
 	test.False(t, asked(modelserver.Faults{}))
@@ -32,15 +32,15 @@
 	test.True(t, asked(modelserver.Faults{Shed: true, Limit: "1"}), test.Sprint("named in a refusal"))
 }
 
-// TestWhoseWordCounts learns nothing of an endpoint from the refusal of another one at its address.
-func TestWhoseWordCounts(t *testing.T) {
+// TestWhoseSignalsCount learns nothing of an endpoint from the refusal of another one at its address.
+func TestWhoseSignalsCount(t *testing.T) {
 	w := newWorld(t, "", "")
 	w.servers[0].SetFaults(modelserver.Faults{Leaving: "1", Limit: "1"})
 	m := w.order.members[0]
 	w.order.members = w.order.members[:1]
 	w.do(t, http.MethodGet, recordPath, "", func(r *http.Request) { r.Header.Set("X-Attempt-Id", "r2") })
-	_, leaving := m.Word.Leaving()
-	test.True(t, leaving)
+	_, draining := m.Signals.Draining()
+	test.True(t, draining)
 
 	server := modelserver.New(modelserver.Config{ID: "another", Service: "servers"})
 	server.SetFaults(modelserver.Faults{Leaving: "1", Limit: "1"})
@@ -50,26 +50,26 @@
 	misled.open(t, []string{strings.TrimPrefix(back.URL, "http://")})
 	a := misled.do(t, http.MethodGet, recordPath, "", nil)
 	test.NotEq(t, http.StatusOK, a.status)
-	word := misled.order.members[0].Word
-	_, limited := word.RateLimit()
-	_, leaving = word.Leaving()
-	test.False(t, limited || leaving)
+	signals := misled.order.members[0].Signals
+	_, limited := signals.RateLimit()
+	_, draining = signals.Draining()
+	test.False(t, limited || draining)
 }
 
-// TestRefusalsAskForRest learns how long an endpoint wants nothing from its refusals alone.
-func TestRefusalsAskForRest(t *testing.T) {
+// TestRefusalsAskForBackoff learns how long an endpoint wants nothing from its refusals alone.
+func TestRefusalsAskForBackoff(t *testing.T) {
 	w := newWorld(t, "")
-	word := w.order.members[0].Word
-	for _, rest := range []string{"soon", "-3", "NaN", ""} {
-		w.servers[0].SetFaults(modelserver.Faults{Shed: true, Rest: rest})
+	signals := w.order.members[0].Signals
+	for _, after := range []string{"soon", "-3", "NaN", ""} {
+		w.servers[0].SetFaults(modelserver.Faults{Shed: true, Rest: after})
 		w.do(t, http.MethodGet, recordPath, "", nil)
-		_, resting := word.Resting(time.Now())
-		test.False(t, resting, test.Sprint(rest))
+		_, backsOff := signals.Backoff(time.Now())
+		test.False(t, backsOff, test.Sprint(after))
 	}
 	w.servers[0].SetFaults(modelserver.Faults{Shed: true, Rest: "1e300"})
 	w.do(t, http.MethodGet, recordPath, "", nil)
-	_, resting := word.Resting(time.Now().Add(9 * time.Minute))
-	test.True(t, resting)
-	_, resting = word.Resting(time.Now().Add(11 * time.Minute))
-	test.False(t, resting, test.Sprint("not for ever"))
+	_, backsOff := signals.Backoff(time.Now().Add(9 * time.Minute))
+	test.True(t, backsOff)
+	_, backsOff = signals.Backoff(time.Now().Add(11 * time.Minute))
+	test.False(t, backsOff, test.Sprint("not for ever"))
 }
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -77,11 +77,11 @@
 	Limit   float64
 	// LimitUnread is true where it names one that could not be read.
 	LimitUnread bool
-	// Leaving is true where the endpoint says that it leaves.
-	Leaving bool
-	// Rest is the time for which the endpoint, where it refuses the request, wants none of this node; 0 if
-	// not said.
-	Rest time.Duration
+	// Draining is true where the endpoint says that it drains.
+	Draining bool
+	// RetryAfter is the time for which the endpoint, where it refuses the request, wants none of this node;
+	// 0 if not said.
+	RetryAfter time.Duration
 	// Unreadable are headers on the endpoint itself that could not be read, as NAME: VALUE. They count
 	// as missing.
 	Unreadable []string
@@ -180,9 +180,9 @@
 
 // Fleet holds the endpoints.
 type Fleet interface {
-	// Leaves notes that an endpoint said that it leaves, and reports whether that is news. It gets nothing
+	// Drain notes that an endpoint told that it drains, and reports whether that is news. It gets nothing
 	// more.
-	Leaves(m *fleet.Member, now time.Time) (news bool)
+	Drain(m *fleet.Member, now time.Time) (news bool)
 }
 
 // Placer chooses endpoints.
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -14,20 +14,20 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
-// TestEndpointsAreServed tells operators what endpoints have said, and an empty list where none has.
+// TestEndpointsAreServed tells operators which endpoints are restricted, and an empty list where none is.
 func TestEndpointsAreServed(t *testing.T) {
 	n := &Node{fleet: fleet.New(zerolog.Nop()), log: zerolog.Nop()}
-	ask := func() (said []fleet.Said) {
+	ask := func() (listed []fleet.Status) {
 		w := httptest.NewRecorder()
 		n.serveReady(w, httptest.NewRequest(http.MethodGet, pathEndpoints, nil))
 		must.Eq(t, http.StatusOK, w.Code)
-		must.NoError(t, json.Unmarshal(w.Body.Bytes(), &said))
-		return said
+		must.NoError(t, json.Unmarshal(w.Body.Bytes(), &listed))
+		return listed
 	}
-	test.Eq(t, []fleet.Said{}, ask())
+	test.Eq(t, []fleet.Status{}, ask())
 	n.fleet.Update(&fleet.Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1"}, time.Now())
-	n.fleet.Member("e").Word.Rests(time.Minute, time.Now())
-	said := ask()
-	must.Len(t, 1, said)
-	test.Between(t, 59_000, said[0].Rest.LeftMs, 60_000)
+	n.fleet.Member("e").Signals.BackOff(time.Minute, time.Now())
+	listed := ask()
+	must.Len(t, 1, listed)
+	test.Between(t, 59_000, listed[0].Backoff.LeftMs, 60_000)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,7 +33,7 @@
 	metricEvacuated   = "cherryward_gateway_evacuated_domains"
 	metricCold        = "cherryward_gateway_cold_endpoints"
 	metricLimited     = "cherryward_gateway_limited_endpoints"
-	metricResting     = "cherryward_gateway_resting_endpoints"
+	metricBackoff     = "cherryward_gateway_backoff_endpoints"
 )
 
 // secondsBounds are the upper bounds of the buckets, the same on all nodes so that
@@ -92,7 +92,7 @@
 	set.NewGauge(metricEvacuated, func() float64 { return float64(len(n.state.evacuations.all())) })
 	set.NewGauge(metricCold, func() float64 { return n.countEndpoints((*fleet.Member).Cold) })
 	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
-	set.NewGauge(metricResting, func() float64 { return n.countEndpoints(isResting) })
+	set.NewGauge(metricBackoff, func() float64 { return n.countEndpoints(isBackingOff) })
 	return &recorder{set: set}
 }
 
@@ -108,13 +108,13 @@
 }
 
 func isLimited(m *fleet.Member, _ time.Time) bool {
-	limit, known := m.Word.RateLimit()
+	limit, known := m.Signals.RateLimit()
 	return known && limit.InForce
 }
 
-func isResting(m *fleet.Member, now time.Time) bool {
-	_, resting := m.Word.Resting(now)
-	return resting
+func isBackingOff(m *fleet.Member, now time.Time) bool {
+	_, backsOff := m.Signals.Backoff(now)
+	return backsOff
 }
 
 // Forwarded implements forward.Recorder.
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -17,7 +17,7 @@
 
 	pathReady   = "/-/readyz"
 	pathMetrics = "/metrics"
-	// pathEndpoints tells what endpoints have said of themselves, in JSON.
+	// pathEndpoints lists the endpoints that don't take any number of requests, in JSON.
 	pathEndpoints = "/endpoints"
 )
 
@@ -51,9 +51,9 @@
 	}
 }
 
-// serveEndpoints answers with a list of fleet.Said.
+// serveEndpoints answers with a list of fleet.Status.
 func (n *Node) serveEndpoints(w http.ResponseWriter) {
-	data, err := json.Marshal(n.fleet.Said(n.clock.Now()))
+	data, err := json.Marshal(n.fleet.Restricted(n.clock.Now()))
 	if err != nil {
 		n.log.Error().Str("event", "encode_endpoints").Err(err).Send()
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/peerload/collected.go
+++ b/internal/peerload/collected.go
@@ -49,7 +49,7 @@
 	Orders []ToldOrders `json:"orders,omitempty"`
 	// Seen are the weights that nodes saw.
 	Seen []Seen `json:"seen,omitempty"`
-	// Limits are what endpoints said to nodes of limits lately, of all failure domains.
+	// Limits are what endpoints told nodes of limits lately, of all failure domains.
 	Limits []Limit `json:"limits,omitempty"`
 }
 
--- a/internal/peerload/limits.go
+++ b/internal/peerload/limits.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// limitsToldFor is how long a node tells of what an endpoint said to it. Nodes that use the endpoint hear
+	// limitsToldFor is how long a node tells of what an endpoint told it. Nodes that use the endpoint hear
 	// it anew with each answer.
 	limitsToldFor = 5 * time.Second
 	// mostLimits bounds the limits in one message, of some 90 bytes each: the newest.
 	mostLimits = 64
 	// mostPerSecond bounds a limit; one above it bounds nothing.
 	mostPerSecond = 1e6
-	// heardMargin is how much older a word counts that another node tells, than it says: a message takes some
-	// ms, and must not outdate what the endpoint has said to this node since.
+	// heardMargin is added to the age of a limit that another node tells: a message takes some ms, and must not
+	// outdate what the endpoint has told this node since.
 	heardMargin = 10 * time.Millisecond
 )
 
-// Limit is what an endpoint said of a limit to a node, so long ago.
+// Limit is what an endpoint told a node of a limit, so long ago.
 type Limit struct {
 	Endpoint  string  `json:"endpoint"`
 	Born      int64   `json:"born,omitempty"` // its start in Unix milliseconds, 0 if not known
@@ -32,12 +32,12 @@
 	AgeMs     int64   `json:"age_ms"`
 }
 
-// LimitsOf returns what endpoints said lately to this node of limits. What other nodes told is left out, or
+// LimitsOf returns what endpoints told this node lately of limits. What other nodes told is left out, or
 // two nodes would keep an error alive.
 func LimitsOf(members []*fleet.Member, now time.Time) []Limit {
 	var list []Limit
 	for _, m := range members {
-		limit, known := m.Word.RateLimit()
+		limit, known := m.Signals.RateLimit()
 		if !known || !limit.Own || now.Sub(limit.At) > limitsToldFor {
 			continue
 		}
@@ -49,7 +49,7 @@
 	return newestLimits(list)
 }
 
-// newestLimits returns the newest word on each start of an endpoint, and no more than a message holds.
+// newestLimits returns what each start of an endpoint told last, and no more than a message holds.
 func newestLimits(list []Limit) []Limit {
 	slices.SortStableFunc(list, func(a, b Limit) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
 	type start struct {
@@ -103,7 +103,7 @@
 	return newestLimits(append(t.nearLimits(now), own...))
 }
 
-// learnLimits takes over what endpoints said to other nodes.
+// learnLimits takes over what endpoints told other nodes.
 func (e *Exchange) learnLimits(limits []Limit, now time.Time) {
 	if len(limits) == 0 {
 		return
@@ -115,8 +115,8 @@
 		if m == nil || l.Born != 0 && m.Born != 0 && l.Born != m.Born {
 			continue
 		}
-		said := now.Add(-time.Duration(l.AgeMs)*time.Millisecond - heardMargin)
-		changed := m.Word.HeardLimit(fleet.RateLimit{PerSecond: l.PerSecond, InForce: !l.Ended, At: said})
+		at := now.Add(-time.Duration(l.AgeMs)*time.Millisecond - heardMargin)
+		changed := m.Signals.HearLimit(fleet.RateLimit{PerSecond: l.PerSecond, InForce: !l.Ended, At: at})
 		if changed {
 			e.log.Info().Str("event", "endpoint_limit_heard").Str("endpoint", m.ID).Float64("per_s", l.PerSecond).
 				Bool("in_force", !l.Ended).Int64("age_ms", l.AgeMs).Send()
--- a/internal/peerload/limits_test.go
+++ b/internal/peerload/limits_test.go
@@ -13,7 +13,7 @@
 
 // limitAt returns what a node knows of the limit of an engine.
 func (n *networkNode) limitAt() (fleet.RateLimit, bool) {
-	return n.fleet.Member(limitedEngine).Word.RateLimit()
+	return n.fleet.Member(limitedEngine).Signals.RateLimit()
 }
 
 // count returns at how many nodes a limit is in force.
@@ -31,22 +31,22 @@
 func TestLimitsReachAll(t *testing.T) {
 	for _, size := range []struct{ nodes, domains int }{{6, 3}, {71, 3}, {295, 5}} {
 		play(t, size.nodes, size.domains, 2, func(t *testing.T, w *network) {
-			first := w.nodes[addrOf(7%size.nodes)].fleet.Member(limitedEngine).Word
-			first.NamesLimit(2.8, time.Now())
+			first := w.nodes[addrOf(7%size.nodes)].fleet.Member(limitedEngine).Signals
+			first.SetLimit(2.8, time.Now())
 			time.Sleep(time.Second)
 			test.Eq(t, size.nodes, w.countLimited(), test.Sprint(size))
-			first.NamesNoLimit(time.Now(), time.Now())
+			first.ClearLimit(time.Now(), time.Now())
 			time.Sleep(time.Second)
 			test.Zero(t, w.countLimited(), test.Sprint(size))
 		})
 	}
 }
 
-// TestLimitsAreToldForAWhile stops to tell of a word that isn't said anew, and doesn't tell what others told.
+// TestLimitsAreToldForAWhile stops to tell of a limit that isn't named anew, and doesn't tell what others told.
 func TestLimitsAreToldForAWhile(t *testing.T) {
 	play(t, 6, 3, 2, func(t *testing.T, w *network) {
 		n := w.nodes[addrOf(0)]
-		n.fleet.Member(limitedEngine).Word.NamesLimit(1, time.Now())
+		n.fleet.Member(limitedEngine).Signals.SetLimit(1, time.Now())
 		time.Sleep(time.Second)
 		test.Len(t, 1, LimitsOf(n.fleet.All(), time.Now()))
 		test.Len(t, 0, LimitsOf(w.nodes[addrOf(1)].fleet.All(), time.Now()), test.Sprint("hearsay"))
@@ -55,21 +55,21 @@
 	})
 }
 
-// TestOlderLimitsAreDropped keeps what an endpoint said to this node itself in the same moment or later.
+// TestOlderLimitsAreDropped keeps what an endpoint told this node itself in the same moment or later.
 func TestOlderLimitsAreDropped(t *testing.T) {
 	play(t, 6, 3, 2, func(t *testing.T, w *network) {
 		n := w.nodes[addrOf(0)]
-		word := n.fleet.Member(limitedEngine).Word
+		signals := n.fleet.Member(limitedEngine).Signals
 		now := time.Now()
-		word.NamesLimit(5, now)
+		signals.SetLimit(5, now)
 		n.learnLimits([]Limit{{Endpoint: limitedEngine, PerSecond: 1}}, now)
-		l, _ := word.RateLimit()
+		l, _ := signals.RateLimit()
 		test.Eq(t, 5, l.PerSecond)
 		n.learnLimits([]Limit{{Endpoint: limitedEngine, PerSecond: 1}, {Endpoint: "none"}}, now.Add(time.Second))
-		l, _ = word.RateLimit()
+		l, _ = signals.RateLimit()
 		test.Eq(t, fleet.RateLimit{PerSecond: 1, InForce: true, At: now.Add(time.Second - heardMargin)}, l)
 		n.learnLimits([]Limit{{Endpoint: limitedEngine, Born: 7, PerSecond: 3, AgeMs: 0}}, now.Add(2*time.Second))
-		l, _ = word.RateLimit()
+		l, _ = signals.RateLimit()
 		test.Eq(t, 3, l.PerSecond, test.Sprint("a start that isn't known here may be this one"))
 	})
 }
--- a/internal/peerload/outer.go
+++ b/internal/peerload/outer.go
@@ -28,7 +28,7 @@
 	Seq         int64  `json:"seq"`
 	Nodes       int    `json:"nodes"` // that it hears
 	Loads       []byte `json:"loads"` // as Sums.encodeCoarse writes them
-	// Limits are what endpoints said to the nodes of limits lately.
+	// Limits are what endpoints told the nodes of limits lately.
 	Limits []Limit `json:"limits,omitempty"`
 }
 
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -21,7 +21,7 @@
 	// Seen are weights that the node saw in answers or reports before the registry told
 	// of them.
 	Seen []Seen `json:"seen,omitempty"`
-	// Limits are what endpoints said to the node of limits lately.
+	// Limits are what endpoints told the node of limits lately.
 	Limits []Limit `json:"limits,omitempty"`
 	// Emptied and Loading are the engines that this node has loaded now: the former take
 	// short requests yet. Both count for ForMs.
--- a/internal/placer/gate.go
+++ b/internal/placer/gate.go
@@ -12,14 +12,14 @@
 
 // Reasons of a refusal where this node may send nothing to any endpoint now.
 const (
-	allCold    = "cold"    // they have just started
-	allLimited = "limited" // they name limits, and this node's share is used up
-	allResting = "resting" // they refused requests, and want none of this node
+	allCold       = "cold"        // they have just started
+	allLimited    = "limited"     // they name limits, and this node's share is used up
+	allBackingOff = "backing_off" // they refused requests, and want none of this node for now
 )
 
-// restSpacing is the time between the returns of two callers that are refused while all endpoints rest: those of
+// backoffSpacing is the time between the returns of two callers that are refused while all endpoints back off: those of
 // some seconds would come back at once.
-const restSpacing = 10 * time.Millisecond
+const backoffSpacing = 10 * time.Millisecond
 
 // gate is what this node may send to the endpoints of a service at all now, whatever speaks for them.
 type gate struct {
@@ -46,7 +46,7 @@
 
 // limited returns an endpoint as one that names a limit; nil for one that names none.
 func (g *gate) limited(m *fleet.Member) *throttle.Endpoint {
-	limit, known := m.Word.RateLimit()
+	limit, known := m.Signals.RateLimit()
 	if !known || !limit.InForce || g.Throttle == nil {
 		return nil
 	}
@@ -56,8 +56,8 @@
 // closed returns why nothing may be sent to an endpoint now, and for how long; an empty reason where a
 // request may be.
 func (g *gate) closed(m *fleet.Member) (reason string, wait time.Duration) {
-	if rest, resting := m.Word.Resting(g.now); resting {
-		return allResting, rest.Until.Sub(g.now)
+	if b, backsOff := m.Signals.Backoff(g.now); backsOff {
+		return allBackingOff, b.Until.Sub(g.now)
 	}
 	if g.isCold(m) && !g.SlowStart.Allows(g.cold(m), g.now) {
 		return allCold, m.ColdUntil().Sub(g.now)
@@ -111,8 +111,8 @@
 	switch reason {
 	case allLimited:
 		return g.declineLimited(members, least)
-	case allResting:
-		return forward.Placement{Reason: reason, Wait: least, Refuse: func() time.Duration { return g.comeBack(least, restSpacing) }}
+	case allBackingOff:
+		return forward.Placement{Reason: reason, Wait: least, Refuse: func() time.Duration { return g.comeBack(least, backoffSpacing) }}
 	}
 	return forward.Placement{Reason: reason, Wait: least, Refuse: func() time.Duration { return least }}
 }
--- a/internal/placer/limited_test.go
+++ b/internal/placer/limited_test.go
@@ -27,7 +27,7 @@
 func TestLimitedGetsItsShare(t *testing.T) {
 	w := newWorld(t, source{}, 1, 1, 1)
 	w.throttled("n")
-	w.members[1].Word.NamesLimit(3, time.Now())
+	w.members[1].Signals.SetLimit(3, time.Now())
 	for _, m := range []int{0, 2} {
 		w.members[m].Load.Begin(100_000, 0)
 	}
@@ -43,7 +43,7 @@
 	w := newWorld(t, source{}, 1, 1, 1)
 	w.throttled("a", "b", "c", "d", "e", "f", "g", "h")
 	for _, m := range w.members {
-		m.Word.NamesLimit(3, time.Now())
+		m.Signals.SetLimit(3, time.Now())
 	}
 	p, ok := w.Place(plainQuery())
 	must.False(t, ok)
@@ -57,7 +57,7 @@
 	for range 40 {
 		test.LessEq(t, 2*time.Second, p.Refuse(), test.Sprint("no later than callers wait"))
 	}
-	w.members[0].Word.NamesNoLimit(time.Now(), time.Now())
+	w.members[0].Signals.ClearLimit(time.Now(), time.Now())
 	p, ok = w.Place(plainQuery())
 	must.True(t, ok)
 	test.Eq(t, "e0", p.Member.ID)
@@ -67,7 +67,7 @@
 func TestLimitedWaitsForItsTurn(t *testing.T) {
 	w := newWorld(t, source{}, 1)
 	w.throttled("n")
-	w.members[0].Word.NamesLimit(500, time.Now())
+	w.members[0].Signals.SetLimit(500, time.Now())
 	_, ok := w.Place(plainQuery())
 	must.True(t, ok)
 	p, ok := w.Place(plainQuery())
--- a/internal/throttle/limiter.go
+++ b/internal/throttle/limiter.go
@@ -5,7 +5,7 @@
 // for it, so that it holds at any number of nodes, while messages are lost, and for nodes that are cut off
 // or just started. A node that isn't among them leaves the endpoint to the others.
 //
-// Where the endpoint's newest word is old, as its senders are gone or have no callers, nodes take turns at a
+// Where an endpoint has told nothing for long, as its senders are gone or have no callers, nodes take turns at a
 // trial request, one for all nodes in each turn: a node that sends nothing would never hear that a limit
 // ended.
 //
@@ -23,8 +23,8 @@
 )
 
 const (
-	// staleAfter is the age of an endpoint's word from which nodes try it in turn. Of endpoints that get a
-	// request less often, it is staleWindows of their windows.
+	// staleAfter is the age of what an endpoint told last from which nodes try it in turn. Of endpoints that get
+	// a request less often, it is staleWindows of their windows.
 	staleAfter   = 10 * time.Second
 	staleWindows = 2
 	// turnTime is the time for which a node has its turn. It uses the first half alone, so that the trials
@@ -48,7 +48,7 @@
 type Endpoint struct {
 	ID, Domain string
 	PerSecond  float64       // requests that it takes from all nodes together
-	Age        time.Duration // of its newest word
+	Age        time.Duration // of what it told last
 }
 
 // Allows reports whether a request may be sent to the endpoint now.
