--- a/internal/gateway/senders_test.go
+++ b/internal/gateway/senders_test.go
@@ -93,3 +93,17 @@
 	test.True(t, members[0].Cold(now.Add(2900*time.Millisecond)))
 	test.False(t, members[1].Cold(now))
 }
+
+// TestThrottlersOutliveAnOutage has nodes go on sending to limited endpoints during an outage of the store in which
+// they send nothing to cold ones, as long as others count them, and not for longer.
+func TestThrottlersOutliveAnOutage(t *testing.T) {
+	r := newSenders(t, "n0")
+	rosterReads(t, r, 12, oldestView+time.Second)
+	test.SliceEmpty(t, r.senders("d0", 4).Nodes)
+	test.Len(t, 4, r.throttlers("d0", 4).Nodes)
+	rosterReads(t, r, 12, entryProof+time.Second)
+	test.SliceEmpty(t, r.throttlers("d0", 4).Nodes)
+	r = newSenders(t, "other")
+	rosterReads(t, r, 12, 0)
+	test.SliceEmpty(t, r.throttlers("d0", 4).Nodes, test.Sprint("others don't count it"))
+}
