--- a/internal/placer/gate.go
+++ b/internal/placer/gate.go
@@ -17,8 +17,8 @@
 	allBackingOff = "backing_off" // they refused requests, and want none of this node for now
 )
 
-// backoffSpacing is the time between the returns of two callers that are refused while all endpoints back off: those of
-// some seconds would come back at once.
+// backoffSpacing is the time between the returns of two callers that are refused as all endpoints asked for a
+// backoff: those of some seconds would come back at once.
 const backoffSpacing = 10 * time.Millisecond
 
 // gate is what this node may send to the endpoints of a service at all now, whatever speaks for them.
