Tests: prompts of different phases have different ids

TestRestartedServer now and then reported that a prompt was answered 503 as not run and had run. That would break the promise of a refusal, so it was traced first of all.

Cause: of the test, not of the product. sendUntilTrue counted its prompts from 1 in each phase of a test, so the first prompt of each phase bore the id "TestRestartedServer/...-1.1". When a node refused it, as it may while all servers load weights, the check looked for a run with that id and found the one of an earlier phase. A trace with forced refusals, all servers rejecting from the second phase on:

sent 15:48:04.949116, answered 503 15:48:04.950656, run with the same id 15:48:04.939247, 10 ms before it was sent

Change: prompts are numbered over all tests; a prompt whose id has run before ends the test, and a failed check names when the prompt was sent, answered and run.

Ruled out by reading: that a refusal of the product is untrue. Not-run verdicts rest on a send of which no byte was written, or on the endpoint's own statement; all other ends count as may-have-run.

--- a/internal/gatewaydemo/gateway_test.go
+++ b/internal/gatewaydemo/gateway_test.go
@@ -73,6 +73,20 @@
 	return resp.StatusCode, string(body)
 }
 
+// neverRan reports whether no server has run a request with the given id.
+func neverRan(s *site.Site, id string) bool {
+	return !slices.ContainsFunc(runs(s), func(r modelserver.Run) bool { return r.Request == id })
+}
+
+// checkNotRun verifies that a refused prompt was run by no server. sent is when it was sent.
+func checkNotRun(t *testing.T, s *site.Site, id string, sent time.Time) {
+	t.Helper()
+	for _, r := range runs(s) {
+		test.NotEq(t, id, r.Request, test.Sprintf("the prompt was refused but ran: sent %s, answered %s, run %s, server started %s",
+			sent.Format(time.StampMicro), time.Now().Format(time.StampMicro), r.At.Format(time.StampMicro), time.UnixMilli(r.StartedMs).Format(time.StampMicro)))
+	}
+}
+
 // retryUntilServed retries a prompt until it is served, and returns the body of the response. While
 // servers load new weights, a node that finds no server with the version it expects refuses the
 // prompt. A refused prompt must not have run, and callers retry it.
@@ -83,9 +97,11 @@
 		try++
 		var status int
 		tryID := fmt.Sprintf("%s.%d", id, try)
+		must.True(t, neverRan(s, tryID), must.Sprint("the id was used before: ", tryID))
+		sent := time.Now()
 		status, body = sendRequest(t, m, path, key, tryID, session)
 		if status == http.StatusServiceUnavailable {
-			test.False(t, slices.ContainsFunc(runs(s), func(r modelserver.Run) bool { return r.Request == tryID }), test.Sprint("the prompt was refused but ran"))
+			checkNotRun(t, s, tryID, sent)
 			return false
 		}
 		must.Eq(t, http.StatusOK, status, must.Sprint(path))
--- a/internal/gatewaydemo/restart_test.go
+++ b/internal/gatewaydemo/restart_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -21,17 +23,56 @@
 	return slices.DeleteFunc(m.Runs(), func(r modelserver.Run) bool { return r.StartedMs != startedAt })
 }
 
+// promptsSent numbers the prompts of all tests. A number that was used twice would let a prompt that
+// was refused be taken for an earlier one that ran.
+var promptsSent atomic.Int64
+
 // sendUntilTrue sends prompts until a condition holds.
 func sendUntilTrue(t *testing.T, s *site.Site, m *gatewaydemo.Member, condition string, ok func() bool) {
 	t.Helper()
-	sent := 0
 	waitUntil(t, condition, func() bool {
-		sent++
-		retryUntilServed(t, s, m, site.PathQuery, fmt.Sprintf("%s-%d", t.Name(), sent), fmt.Sprint("5e55", sent))
+		n := promptsSent.Add(1)
+		retryUntilServed(t, s, m, site.PathQuery, fmt.Sprint("prompt-", n), fmt.Sprint("5e55", n))
 		return ok()
 	})
 }
 
+// TestRefusedPromptDidNotRun verifies that a prompt that all servers reject is refused, that no
+// server runs it, and that it is served once they accept requests again.
+func TestRefusedPromptDidNotRun(t *testing.T) {
+	s, members := startSite(t, 1)
+	served := func() bool { return true }
+	sendUntilTrue(t, s, members[0], "a prompt is served", served)
+	setFaults(s, modelserver.Faults{RejectRequests: true})
+	go func() {
+		for t.Context().Err() == nil && rejections(s) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		setFaults(s, modelserver.Faults{})
+	}()
+	sendUntilTrue(t, s, members[0], "a rejected prompt is served", served)
+	test.Positive(t, rejections(s))
+}
+
+func setFaults(s *site.Site, f modelserver.Faults) {
+	for _, m := range s.Models {
+		m.SetFaults(f)
+	}
+}
+
+// rejections returns the number of requests that the model servers rejected.
+func rejections(s *site.Site) int {
+	count := 0
+	for _, m := range s.Models {
+		for _, a := range m.Arrivals() {
+			if a.Refused {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // checkVersions verifies that each prompt was sent with the expected version of the weights, and
 // with a cache salt for it, and that this was the version of the server that ran it.
 func checkVersions(t *testing.T, s *site.Site) {
