Relay, kvindex: tests set the timeout of requests between nodes

TestLongConfigurationsAreRelayed and TestSnapshotForStartingNode failed on a busy machine: a request between nodes ends after 150 ms of wall time, and the tests, which check what is relayed, not how fast, treated that as an error.

Change: the timeout is a field whose zero value is the constant.

--- a/internal/kvindex/peers.go
+++ b/internal/kvindex/peers.go
@@ -1,6 +1,7 @@
 package kvindex
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -19,8 +20,8 @@
 	eventsMethod = "node.kept"
 	// relayRequestInterval is the time between two requests to another node.
 	relayRequestInterval = 300 * time.Millisecond
-	// relayRequestTimeout is the timeout of a request to a node of the same failure domain.
-	relayRequestTimeout = 150 * time.Millisecond
+	// defaultRelayTimeout is the timeout of a request to a node of the same failure domain.
+	defaultRelayTimeout = 150 * time.Millisecond
 	// relayRetryDelay is the time until another node is tried after a failed request. Meanwhile the
 	// stores are requested directly.
 	relayRetryDelay = time.Second
@@ -53,8 +54,10 @@
 	Conn  *datagram.Conn
 	// Readers returns the nodes that request the stores' events for others. If it is empty, this
 	// node requests them itself.
-	Readers    func() []netip.AddrPort
-	nextReader int
+	Readers func() []netip.AddrPort
+	// RequestTimeout is the timeout of a request to another node. 0 means defaultRelayTimeout.
+	RequestTimeout time.Duration
+	nextReader     int
 }
 
 // relayResponse is the response to a request for relayed events.
@@ -213,7 +216,7 @@
 	if len(positions) == 0 {
 		return false, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayRequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.RequestTimeout, defaultRelayTimeout))
 	defer cancel()
 	var response relayResponse
 	sentAt := p.Index.Clock.Now()
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,9 +22,9 @@
 	// response format becomes incompatible: a node that does not support partial responses would treat
 	// one as complete.
 	methodRecords = "node.records"
-	// requestTimeout is the timeout of a request to a node. The network delay is about 1 ms, and a small
-	// host under load responds within a few tens of ms.
-	requestTimeout = 150 * time.Millisecond
+	// defaultRequestTimeout is the timeout of a request to a node. The network delay is about 1 ms, and a
+	// small host under load responds within a few tens of ms.
+	defaultRequestTimeout = 150 * time.Millisecond
 	// MaxAge is the default maximum age of a copy that is used. It is twice the wait time of a read of
 	// the store, which is the normal age of a copy, plus a margin. A copy is older if its node has lost the
 	// connection to the store.
@@ -108,7 +109,9 @@
 	// MaxAge is the maximum age of a copy that is used, for topics whose reads wait longer. 0 means the
 	// package's MaxAge.
 	MaxAge time.Duration
-	Log    zerolog.Logger
+	// RequestTimeout is the timeout of a request to a node. 0 means defaultRequestTimeout.
+	RequestTimeout time.Duration
+	Log            zerolog.Logger
 
 	nodeIndex     int       // index of the reader or backup to use
 	storeFailedAt time.Time // time of the last failed read of the store
@@ -171,12 +174,7 @@
 func (t *Topic) Relayed() bool { return t.relayed.Load() }
 
 // maxAge returns the maximum age of a copy that is used.
-func (t *Topic) maxAge() time.Duration {
-	if t.MaxAge > 0 {
-		return t.MaxAge
-	}
-	return MaxAge
-}
+func (t *Topic) maxAge() time.Duration { return cmp.Or(t.MaxAge, MaxAge) }
 
 // setRelayed records whether the topic is read from another node and logs changes.
 func (t *Topic) setRelayed(relayed bool, cause error) {
@@ -206,7 +204,7 @@
 }
 
 func (t *Topic) readOnce(ctx context.Context, reader netip.AddrPort, from int64) (page follow.Page, more bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
 	defer cancel()
 	var r recordsResponse
 	err = t.Relay.conn.Call(ctx, reader, methodRecords, recordsRequest{Topic: t.Name, From: from}, &r)
