Residency: routes and accounts that are confined to regions

Change: internal/residency holds the policy (a set of regions), the region of each failure domain, and when parts of a policy may be named and freed. The adapter reads a list on routes and on accounts, of which both apply, and the boot file's zones. The placer leaves endpoints, sources and stores of other regions out, for first attempts, repeats and resumed streams alike, also where all allowed ones fail. A confined prompt has a salt of its own for each list, so it shares no part with others. A request that may be served nowhere is refused at once with a code of its own, 3012, and when to come back. Parts of a list that is no longer in force are freed at the stores.

Why it holds: where a confined prompt's parts can be is decided by the salt, not by bookkeeping. Lists may come back, which versions of weights never do; two rules (doc comment of Tracker) keep a part that one node names from being freed by another.

Ruled out: shared parts of confined and free prompts, and a salt for each account (docs/design/platform.md). Bad input: an empty name or a list that is none makes the configuration invalid, the former one stays in force; an unknown region is logged once a version; an empty list is no restriction.

Tests: residency, routing, platform, placer, and over a node and the stand-in of the platform in gatewaydemo.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -2,7 +2,11 @@
 // identity, its addresses, its resource limits and the bounds that it must meet.
 package bootstrap
 
-import "time"
+import (
+	"time"
+
+	"github.com/cherryward/cherryward/internal/residency"
+)
 
 // Node is the start-up information of one node. It is immutable: a reload creates a
 // new Node.
@@ -10,7 +14,9 @@
 	Name   string
 	Domain string // failure domain
 	Region string
-	IP     string
+	// Regions holds the region of each failure domain; empty if none is specified.
+	Regions residency.Map
+	IP      string
 
 	CallersAddr string // address that callers connect to, IP:PORT
 	ReadyAddr   string // address of the readiness endpoint, IP:PORT
--- a/internal/fleetmodel/world.go
+++ b/internal/fleetmodel/world.go
@@ -115,7 +115,7 @@
 func (w *World) newPlacer(f *fleet.Fleet) *placer.Placer {
 	return &placer.Placer{
 		Domain: domain, Fleet: f, Versions: versions{}, KVIndex: w.index, PeerLoads: peerload.NewTable(), RequestReport: func() {},
-		CommonDelay: &kvindex.Lateness{}, FullMesh: func() bool { return true }, MayReference: func(string, int64) bool { return true },
+		CommonDelay: &kvindex.Lateness{}, FullMesh: func() bool { return true }, MayReference: func(kvindex.Salt) bool { return true },
 		Closed:            func() []weights.Closed { return nil },
 		VersionApplyLimit: func() time.Duration { return time.Minute },
 		Services:          &placer.Services{}, Nodes: func() int { return 1 },
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,7 +53,7 @@
 	defer cancel()
 	budget := x.Budgets.ForService(x.service.Name)
 	budget.RecordRequest(x.Clock.Now())
-	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Age: x.age}
+	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Residency: x.residency(), Age: x.age}
 	mayHaveRunCount := 0
 	for {
 		if refusal := x.quarantineRefusal(); refusal != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/quarantine"
+	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 )
@@ -130,6 +131,14 @@
 	return x.readBody()
 }
 
+// residency returns the policy for where the request may be served.
+func (x *exchange) residency() residency.Policy {
+	if x.route == nil {
+		return residency.Policy{}
+	}
+	return routing.Residency(x.route, x.account)
+}
+
 // staleErrorOr returns NodeStale if the configuration is stale, and otherwise an error with the given
 // code.
 func staleErrorOr(stale bool, code result.Code) *result.Error {
@@ -249,6 +258,9 @@
 	if x.placement != nil {
 		event = x.placement.log(event, x.Clock)
 	}
+	if policy := x.residency(); policy.Confined() {
+		event = event.Strs("regions", policy.Regions())
+	}
 	if x.age > 0 {
 		event = event.Int64("age_ms", x.age.Milliseconds())
 	}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -60,7 +61,7 @@
 	if p.RetryAfter <= 0 {
 		p.RetryAfter = retryAfterNoEndpoint
 	}
-	return result.New(result.NoEndpoint, result.WithRetryAfter(p.RetryAfter))
+	return result.New(cmp.Or(p.RefusalCode, result.NoEndpoint), result.WithRetryAfter(p.RetryAfter))
 }
 
 // log adds the reason for the placement and its predictions to the request's log event.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -19,6 +19,8 @@
 
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/quarantine"
+	"github.com/cherryward/cherryward/internal/residency"
+	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -114,7 +116,9 @@
 	Service    *routing.Service
 	Account    *routing.Account // nil on public routes
 	Attributes *Attributes
-	Tried      []string // ids of endpoints to which the request was sent already
+	// Residency is the policy for where the request may be served and its KV cache kept.
+	Residency residency.Policy
+	Tried     []string // ids of endpoints to which the request was sent already
 	// Age is the time since the caller first tried, estimated from its deadline.
 	Age time.Duration
 }
@@ -155,6 +159,8 @@
 	OnRefusal func() time.Duration
 	// RetryAfter is what OnRefusal returned.
 	RetryAfter time.Duration
+	// RefusalCode is the result code if the request is refused; 0 means result.NoEndpoint.
+	RefusalCode result.Code
 	// Reason is a short name of the reason for the decision.
 	Reason string
 	// RecordFirstEvent, if not nil, is called with the time from the send to the first event.
@@ -190,6 +196,6 @@
 // Placer selects endpoints.
 type Placer interface {
 	// Place returns a placement, or false if no endpoint accepts the request now. In that case only
-	// Reason, PredictedWait and OnRefusal are set, as far as they are known.
+	// Reason, RefusalCode, PredictedWait and OnRefusal are set, as far as they are known.
 	Place(q *Query) (Placement, bool)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
 	n.state.clock = host
+	n.state.regions = boot.Regions
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
 	n.registry.clock = host
 	n.state.onConfig = n.registry.reevaluate
@@ -239,7 +240,8 @@
 		Fleet:             n.fleet,
 		Versions:          n.state,
 		KVIndex:           n.cacheTracker.index,
-		MayReference:      n.cacheTracker.mayReference,
+		Regions:           n.boot.Load().Regions,
+		MayReference:      n.cacheTracker.mayReferenceSalt,
 		PeerLoads:         n.peers.Table,
 		RequestReport:     n.peers.RequestReport,
 		CommonDelay:       &kvindex.Lateness{},
--- a/internal/gateway/references.go
+++ b/internal/gateway/references.go
@@ -118,12 +118,21 @@
 	return age < maxReferenceConfigAge
 }
 
+// mayReferenceSalt reports whether this node may reference parts under a salt at stores: their
+// version and their residency policy must both allow it.
+func (c *cacheTracker) mayReferenceSalt(salt kvindex.Salt) bool {
+	return c.node.state.residencies.MayReference(salt.Residency, c.node.clock.Now()) && c.mayReference(salt.Model, salt.Version)
+}
+
 // Outdated implements kvindex.SaltFilter.
 func (c *cacheTracker) Outdated(text string) bool {
 	salt, ok := kvindex.ParseSalt(text)
 	if !ok {
 		return false
 	}
+	if c.node.state.residencies.Outdated(salt.Residency, c.node.clock.Now(), c.freeStagger()) {
+		return true
+	}
 	by, replaced := c.node.state.replaced(salt.Model, salt.Version)
 	if !replaced {
 		return false
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -35,7 +35,7 @@
 	s.placer = &placer.Placer{
 		Fleet: engines, Versions: s.state, KVIndex: index, PeerLoads: peerload.NewTable(), RequestReport: func() {}, CommonDelay: &kvindex.Lateness{},
 		ReplacedGrace: s.state.startupGrace,
-		MayReference:  func(string, int64) bool { return false }, FullMesh: func() bool { return true }, Closed: func() []weights.Closed { return nil },
+		MayReference:  func(kvindex.Salt) bool { return false }, FullMesh: func() bool { return true }, Closed: func() []weights.Closed { return nil },
 		VersionApplyLimit: func() time.Duration { return bounds.VersionApplyLimit }, Services: &placer.Services{}, Nodes: func() int { return 1 },
 		Now: time.Now, Random: rand.Float64,
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +12,9 @@
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
@@ -32,6 +35,8 @@
 	// onConfig, if not nil, is called after a new configuration takes effect.
 	onConfig    func()
 	evacuations evacuations
+	residencies residency.Tracker
+	regions     residency.Map // the region of each failure domain
 	confirmedAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
@@ -62,6 +67,9 @@
 	return &state{
 		log: log, started: time.Now(), bounds: bounds, rejected: newRejected(log),
 		versions: make(map[string][]announcedVersion), changed: make(chan struct{}, 1),
+		residencies: residency.Tracker{Limits: residency.Limits{
+			MaxFreshAge: maxFreshConfigAge, MaxFreeTime: kvindex.MaxFreeTime, ReferenceTime: replacedReferenceTime, FreeDelay: freeDelay,
+		}},
 	}
 }
 
@@ -115,7 +123,7 @@
 		return // operators never remove a configuration
 	}
 	if platform.IsConfig(r.Key) {
-		s.applyConfig(r)
+		s.applyConfig(r, obs)
 		return
 	}
 	if model, ok := platform.ModelOf(r.Key); ok {
@@ -123,7 +131,7 @@
 	}
 }
 
-func (s *state) applyConfig(r *follow.Record) {
+func (s *state) applyConfig(r *follow.Record, obs *observation) {
 	config, err := platform.DecodeConfig(r.Value)
 	if err != nil {
 		s.rejected.record(r, err) // the previous configuration stays in effect
@@ -133,7 +141,10 @@
 	if before != nil && config.Version <= before.Version {
 		return
 	}
+	policies := config.Residencies()
+	s.residencies.Update(policies, obs.at, obs.readPromptly)
 	s.config.Store(config)
+	s.logUnknownRegions(config.Version, policies)
 	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Ints("ranks", priorities(config)).Send()
 	if s.onConfig != nil {
@@ -141,6 +152,20 @@
 	}
 }
 
+// logUnknownRegions logs the regions in which requests may be served although no failure domain is
+// there: requests that may be served nowhere else are refused.
+func (s *state) logUnknownRegions(version int64, policies []residency.Policy) {
+	var unknown []string
+	for _, p := range policies {
+		unknown = append(unknown, s.regions.Unknown(p)...)
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	slices.Sort(unknown)
+	s.log.Warn().Str("event", "regions_unknown").Int64("version", version).Strs("regions", slices.Compact(unknown)).Send()
+}
+
 // priorities returns the priorities of the client accounts that have one.
 func priorities(c *routing.Config) []int {
 	var list []int
--- a/internal/gatewaydemo/gateway_test.go
+++ b/internal/gatewaydemo/gateway_test.go
@@ -34,7 +34,14 @@
 
 func startSite(t *testing.T, nodes int) (*site.Site, []*gatewaydemo.Member) {
 	t.Helper()
-	s, err := site.Start(site.Config{HeartbeatInterval: 50 * time.Millisecond, EventInterval: time.Millisecond})
+	return startSiteWith(t, site.Config{}, nodes)
+}
+
+// startSiteWith starts a site with the given configuration, whose intervals it sets.
+func startSiteWith(t *testing.T, c site.Config, nodes int) (*site.Site, []*gatewaydemo.Member) {
+	t.Helper()
+	c.HeartbeatInterval, c.EventInterval = 50*time.Millisecond, time.Millisecond
+	s, err := site.Start(c)
 	must.NoError(t, err)
 	t.Cleanup(s.Close)
 	s.Configure(1, key)
@@ -91,6 +98,12 @@
 // servers load new weights, a node that finds no server with the version it expects refuses the
 // prompt. A refused prompt must not have run, and callers retry it.
 func retryUntilServed(t *testing.T, s *site.Site, m *gatewaydemo.Member, path, id, session string) (body string) {
+	t.Helper()
+	return retryWithKey(t, s, m, key, path, id, session)
+}
+
+// retryWithKey is retryUntilServed with the given API key.
+func retryWithKey(t *testing.T, s *site.Site, m *gatewaydemo.Member, key, path, id, session string) (body string) {
 	t.Helper()
 	try := 0
 	waitUntil(t, "a prompt is served", func() bool {
--- a/internal/kvindex/free.go
+++ b/internal/kvindex/free.go
@@ -15,8 +15,20 @@
 	// each freed part: with 22 stores, up to 45 KB of events per second.
 	freeBatch            = 500
 	largeSystemFreeBatch = 40
+	// MaxFreeTime is the maximum time from the decision to free parts until a store frees them. A
+	// later request has no effect, so that a node that was suspended in between frees no part that is
+	// in use again.
+	MaxFreeTime = 1500 * time.Millisecond
 )
 
+// FreeOrder is a request to a store to free parts.
+type FreeOrder struct {
+	Parts []Part
+	Epoch int64 // the store's epoch in which the parts were kept; in another one nothing is freed
+	// UntilMS is the time, in ms on the stores' clock, after which nothing is freed.
+	UntilMS int64
+}
+
 // SaltFilter decides which salts are no longer in use.
 type SaltFilter interface {
 	// Outdated reports whether parts under the salt may be freed: every node has stopped referencing
@@ -46,12 +58,13 @@
 
 // freeOutdated frees up to limit outdated parts of one store.
 func (x *Index) freeOutdated(ctx context.Context, store *Holder, filter SaltFilter, limit int) {
+	until := x.ClockMS() + MaxFreeTime.Milliseconds() // read before the decision
 	parts, epoch := store.partsMatching(filter.Outdated)
 	if len(parts) == 0 || !store.Reachable() {
 		return
 	}
 	parts = parts[:min(len(parts), limit)] // the largest first: a freed part costs one event whatever its size
-	err := x.Source.Free(ctx, store.Addr, parts, epoch)
+	err := x.Source.Free(ctx, store.Addr, FreeOrder{Parts: parts, Epoch: epoch, UntilMS: until})
 	x.Log.Info().Str("event", "parts_freed").Str("store", store.Addr).Int("parts", len(parts)).
 		Str("salt", parts[0].Salt).AnErr("error", err).Send()
 	if err != nil {
--- a/internal/kvindex/index_test.go
+++ b/internal/kvindex/index_test.go
@@ -62,4 +62,4 @@
 	return Events{}, errors.New("connection refused")
 }
 
-func (*refusingSource) Free(context.Context, string, []Part, int64) error { return nil }
+func (*refusingSource) Free(context.Context, string, FreeOrder) error { return nil }
--- a/internal/kvindex/kvindex.go
+++ b/internal/kvindex/kvindex.go
@@ -53,8 +53,8 @@
 type Source interface {
 	// Events returns the events from a number on, waiting up to wait for the first one.
 	Events(ctx context.Context, addr string, since int64, wait time.Duration) (Events, error)
-	// Free removes parts from a store if it is still in the given epoch.
-	Free(ctx context.Context, addr string, parts []Part, epoch int64) error
+	// Free removes parts from a store.
+	Free(ctx context.Context, addr string, order FreeOrder) error
 }
 
 // Holder is an engine or a store that keeps parts. It is safe for concurrent use.
--- a/internal/kvindex/peers_test.go
+++ b/internal/kvindex/peers_test.go
@@ -87,7 +87,7 @@
 	return e, nil
 }
 
-func (*countingSource) Free(context.Context, string, []Part, int64) error { return nil }
+func (*countingSource) Free(context.Context, string, FreeOrder) error { return nil }
 
 func (c *countingSource) count() int {
 	c.mu.Lock()
--- a/internal/kvindex/salt.go
+++ b/internal/kvindex/salt.go
@@ -7,40 +7,49 @@
 )
 
 // Salt identifies the requests that share kept parts: those for the same version of a model's
-// weights and, for an isolated client account, of that account only.
+// weights, for an isolated client account of that account only, and for confined requests only those
+// that are confined to the same regions.
 type Salt struct {
 	Model   string
 	Version int64
 	Account string // set for an isolated client account only
+	// Residency is the key of the residency policy of confined requests; empty for others.
+	Residency string
 }
 
-// saltFields is the number of fields in the text form of a salt.
-const saltFields = 3
+// The text form of a salt has minSaltFields fields, and one more for confined requests.
+const (
+	minSaltFields = 3
+	maxSaltFields = 4
+)
 
 // String returns the text form, under which engines and stores keep the parts. Names are escaped,
 // so that different salts have different texts.
 func (s Salt) String() string {
-	return strconv.FormatInt(s.Version, 10) + "/" + url.PathEscape(s.Model) + "/" + url.PathEscape(s.Account)
+	text := strconv.FormatInt(s.Version, 10) + "/" + url.PathEscape(s.Model) + "/" + url.PathEscape(s.Account)
+	if s.Residency == "" {
+		return text
+	}
+	return text + "/" + url.PathEscape(s.Residency)
 }
 
 // ParseSalt parses the text form of a salt, and reports false for a text that String can't have
 // written.
 func ParseSalt(text string) (Salt, bool) {
-	fields := strings.SplitN(text, "/", saltFields)
-	if len(fields) != saltFields {
+	fields := strings.Split(text, "/")
+	if len(fields) < minSaltFields || len(fields) > maxSaltFields {
 		return Salt{}, false
 	}
 	version, err := strconv.ParseInt(fields[0], 10, 64)
 	if err != nil {
 		return Salt{}, false
 	}
-	model, err := url.PathUnescape(fields[1])
-	if err != nil {
-		return Salt{}, false
-	}
-	account, err := url.PathUnescape(fields[2])
-	if err != nil {
-		return Salt{}, false
+	names := make([]string, maxSaltFields)
+	for i, field := range fields[1:] {
+		if names[i], err = url.PathUnescape(field); err != nil {
+			return Salt{}, false
+		}
 	}
-	return Salt{Model: model, Version: version, Account: account}, true
+	salt := Salt{Model: names[0], Version: version, Account: names[1], Residency: names[2]}
+	return salt, len(fields) == minSaltFields || salt.Residency != ""
 }
--- a/internal/placer/fixture_test.go
+++ b/internal/placer/fixture_test.go
@@ -39,7 +39,7 @@
 	return e, nil
 }
 
-func (fakeEvents) Free(context.Context, string, []kvindex.Part, int64) error { return nil }
+func (fakeEvents) Free(context.Context, string, kvindex.FreeOrder) error { return nil }
 
 // versions returns the version of the weights that the operators want, and how long ago it was
 // published.
@@ -92,7 +92,7 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return indexComplete(index, events) }), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
 	fx.Placer = newPlacer(f, index)
 	fx.Versions = fx.versions
-	fx.MayReference = func(string, int64) bool { return fx.mayReference }
+	fx.MayReference = func(kvindex.Salt) bool { return fx.mayReference }
 	fx.Closed = func() []weights.Closed { return fx.closed }
 	fx.members = f.Members("s")
 	return fx
@@ -103,7 +103,7 @@
 func newPlacer(f *fleet.Fleet, index *kvindex.Index) *placer.Placer {
 	return &placer.Placer{
 		Domain: "north", Fleet: f, Versions: &versions{wanted: 1}, KVIndex: index, PeerLoads: peerload.NewTable(), RequestReport: func() {}, CommonDelay: &kvindex.Lateness{}, FullMesh: func() bool { return true },
-		MayReference:      func(string, int64) bool { return true },
+		MayReference:      func(kvindex.Salt) bool { return true },
 		Closed:            func() []weights.Closed { return nil },
 		VersionApplyLimit: func() time.Duration { return limit },
 		Services:          &placer.Services{}, Nodes: func() int { return 3 }, Now: time.Now, Random: rand.Float64,
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -14,6 +14,8 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/residency"
+	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/slowstart"
 	"github.com/cherryward/cherryward/internal/throttle"
@@ -36,9 +38,11 @@
 	Fleet    *fleet.Fleet
 	Versions Versions
 	KVIndex  *kvindex.Index
-	// MayReference reports whether requests may reference parts of a version of a model at stores.
-	// Stores free these some time after the version was replaced.
-	MayReference func(model string, version int64) bool
+	// Regions holds the region of each failure domain. Nil means that no regions are known.
+	Regions residency.Map
+	// MayReference reports whether requests may reference parts under a salt at stores. Stores free
+	// these some time after the version was replaced, or after the residency policy ended.
+	MayReference func(salt kvindex.Salt) bool
 	// PeerLoads holds the load reports of the other nodes.
 	PeerLoads *peerload.Table
 	// RequestReport requests an early load report to the other nodes after a placement.
@@ -83,15 +87,28 @@
 
 var _ forward.Placer = (*Placer)(nil)
 
-// reasonEvacuated is the reason of a refusal because the failure domains of all endpoints are
-// evacuated.
-const reasonEvacuated = "evacuated"
+const (
+	// reasonEvacuated is the reason of a refusal because the failure domains of all endpoints are
+	// evacuated.
+	reasonEvacuated = "evacuated"
+	// reasonRegion is the reason of a refusal because no endpoint is in an allowed region.
+	reasonRegion = "region"
+	// regionRetryAfter is when callers may retry after such a refusal: endpoints must start there, or
+	// operators must change the configuration.
+	regionRetryAfter = 5 * time.Second
+)
 
 // Place implements forward.Placer.
 func (p *Placer) Place(q *forward.Query) (forward.Placement, bool) {
-	all := p.Fleet.Members(q.Service.Name)
-	available := p.notEvacuated(all)
-	if len(available) == 0 && len(all) > 0 {
+	allowed := p.inScope(q, p.Fleet.Members(q.Service.Name))
+	if len(allowed) == 0 && q.Residency.Confined() {
+		return forward.Placement{
+			Reason: reasonRegion, RefusalCode: result.NoEndpointInRegion,
+			OnRefusal: func() time.Duration { return regionRetryAfter },
+		}, false
+	}
+	available := p.notEvacuated(allowed)
+	if len(available) == 0 && len(allowed) > 0 {
 		return forward.Placement{Reason: reasonEvacuated}, false
 	}
 	gate := p.gate(q)
@@ -109,6 +126,15 @@
 	return p.placePrompt(q, candidates, gate)
 }
 
+// inScope returns the endpoints in regions that the request's residency policy allows.
+func (p *Placer) inScope(q *forward.Query, members []*fleet.Member) []*fleet.Member {
+	if !q.Residency.Confined() {
+		return members
+	}
+	scope := p.Regions.Scope(q.Residency)
+	return without(members, func(m *fleet.Member) bool { return !scope.Contains(m.Endpoint().Domain) })
+}
+
 // notEvacuated returns the endpoints whose failure domain is not evacuated.
 func (p *Placer) notEvacuated(members []*fleet.Member) []*fleet.Member {
 	return without(members, func(m *fleet.Member) bool { return p.evacuated(m.Endpoint().Domain) })
@@ -234,11 +260,11 @@
 }
 
 // saltOf returns the salt of the request's parts. The salt separates the parts of different models,
-// versions and isolated accounts in engines, stores and the index.
-func saltOf(q *forward.Query, version int64) string {
-	salt := kvindex.Salt{Model: q.Attributes.Model, Version: version}
+// versions, isolated accounts and residency policies in engines, stores and the index.
+func saltOf(q *forward.Query, version int64) kvindex.Salt {
+	salt := kvindex.Salt{Model: q.Attributes.Model, Version: version, Residency: q.Residency.Key()}
 	if q.Account != nil && q.Account.Isolated {
 		salt.Account = q.Account.Name
 	}
-	return salt.String()
+	return salt
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -237,7 +237,7 @@
 // cache computed with other weights.
 func TestVersionIsReadOnce(t *testing.T) {
 	fx := newFixture(t, fakeEvents{}, 1)
-	fx.MayReference = func(string, int64) bool {
+	fx.MayReference = func(kvindex.Salt) bool {
 		fx.members[0].RecordWeights(fleet.WeightsReport{Weights: fleet.Weights{Model: model, Version: 2}, At: time.Now()})
 		return true
 	}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -110,14 +110,14 @@
 
 // saveTargets returns a store for each shared part that no store keeps yet. The last part is not
 // shared between requests.
-func (p *Placer) saveTargets(q *forward.Query, plan *plan) []string {
-	parts := q.Attributes.Parts
+func (s *selection) saveTargets(plan *plan) []string {
+	parts := s.q.Attributes.Parts
 	if len(parts) < 2 || !plan.current || plan.version == 0 {
 		return nil
 	}
 	var targets []string
 	for i, part := range parts[:len(parts)-1] {
-		store := p.chooseSaveStore(kvindex.Part{Salt: plan.salt, ID: part.ID}, part.Tokens)
+		store := s.chooseSaveStore(kvindex.Part{Salt: plan.salt, ID: part.ID}, part.Tokens)
 		if store == "" {
 			continue
 		}
@@ -146,23 +146,23 @@
 // full. A store without room is skipped, and so is one that has not confirmed the part after it was
 // sent there: otherwise no store would keep the part, and all prompts that begin with it would be
 // read.
-func (p *Placer) chooseSaveStore(key kvindex.Part, tokens int) string {
+func (s *selection) chooseSaveStore(key kvindex.Part, tokens int) string {
 	if tokens < minSaveTokens {
 		return ""
 	}
-	now := p.Now()
-	stores := p.KVIndex.Stores()
-	if slices.ContainsFunc(stores, func(s *kvindex.Holder) bool { return s.Has(key) > 0 }) {
+	now := s.Now()
+	stores := s.KVIndex.Stores()
+	if slices.ContainsFunc(stores, func(h *kvindex.Holder) bool { return h.Has(key) > 0 }) {
 		return ""
 	}
 	nodes := make([]rendezvous.Node, 0, len(stores))
 	var unconfirmed []rendezvous.Node
-	for _, s := range stores {
-		if !s.AcceptsSaves(now) || s.FreeTokens() < tokens {
+	for _, h := range stores {
+		if !s.scope.Contains(h.Domain) || !h.AcceptsSaves(now) || h.FreeTokens() < tokens {
 			continue
 		}
-		node := rendezvous.Node{ID: s.Addr, Weight: float64(s.Tokens)}
-		if s.SaveOverdue(key, now) {
+		node := rendezvous.Node{ID: h.Addr, Weight: float64(h.Tokens)}
+		if h.SaveOverdue(key, now) {
 			unconfirmed = append(unconfirmed, node)
 		} else {
 			nodes = append(nodes, node)
@@ -172,9 +172,9 @@
 		nodes = unconfirmed
 	}
 	owner, _ := rendezvous.Owner(key.ID, nodes)
-	for _, s := range stores {
-		if s.Addr == owner && s.BeginSave(key, tokens, now) {
-			return s.Addr
+	for _, h := range stores {
+		if h.Addr == owner && h.BeginSave(key, tokens, now) {
+			return h.Addr
 		}
 	}
 	return ""
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -93,7 +93,7 @@
 			Version:  plan.version,
 			Salt:     plan.salt,
 			Sources:  plan.sources,
-			Targets:  p.saveTargets(q, plan),
+			Targets:  s.saveTargets(plan),
 		},
 		PrefillTokens:       plan.reading,
 		Cached:              plan.cached,
@@ -121,7 +121,7 @@
 	if len(parts) < 2 || !p.FullMesh() {
 		return nil
 	}
-	members := p.localCandidates(p.notEvacuated(p.Fleet.Members(q.Service.Name)))
+	members := p.localCandidates(p.notEvacuated(p.inScope(q, p.Fleet.Members(q.Service.Name))))
 	nodes := make([]rendezvous.Node, len(members))
 	for i, m := range members {
 		nodes[i] = rendezvous.Node{ID: m.ID, Weight: 1}
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -8,6 +8,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/internal/residency"
 )
 
 const (
@@ -25,6 +26,7 @@
 	rollout        *rollout
 	peerLoads      peerload.Sums
 	peerDelays     map[string]float64 // average delay of peers' fetches in ms, by the holder's address
+	scope          residency.Scope    // failure domains in which KV cache of the prompt may be kept
 	home           *fleet.Member      // may be nil
 	located        map[int64]*located
 	plans          map[*fleet.Member]*plan
@@ -47,6 +49,7 @@
 	service.demand.RecordSize(priority, averageHeldTokens(q))
 	s := &selection{
 		Placer: p, q: q, now: now, rollout: r, peerLoads: p.PeerLoads.Loads(now), peerDelays: p.PeerLoads.Late(now), home: p.home(q),
+		scope:   p.Regions.Scope(q.Residency),
 		located: make(map[int64]*located), plans: make(map[*fleet.Member]*plan),
 		service: service, estimates: service.model.Estimates(),
 		fetchUntil: p.KVIndex.ClockMS() + FetchLimit.Milliseconds(),
@@ -95,8 +98,9 @@
 	if l := s.located[version]; l != nil {
 		return l
 	}
-	l := &located{version: version, salt: saltOf(s.q, version), current: version >= s.rollout.wanted}
-	mayReference := s.KVIndex.ClockMS() > 0 && s.MayReference(s.q.Attributes.Model, version)
+	salt := saltOf(s.q, version)
+	l := &located{version: version, salt: salt.String(), current: version >= s.rollout.wanted}
+	mayReference := s.KVIndex.ClockMS() > 0 && s.MayReference(salt)
 	for _, part := range s.q.Attributes.Parts {
 		p := s.locatePart(part, l.salt, mayReference)
 		if version == 0 {
@@ -114,7 +118,7 @@
 	for id, h := range s.KVIndex.Engines() {
 		// KV cache is not fetched from engines of evacuated failure domains. It is fetched from
 		// stores there, as stores are not endpoints.
-		if h.Has(key) >= part.Tokens && !s.evacuated(h.Domain) {
+		if h.Has(key) >= part.Tokens && !s.evacuated(h.Domain) && s.scope.Contains(h.Domain) {
 			if result.engines == nil {
 				result.engines = make(map[string]*kvindex.Holder)
 			}
@@ -126,7 +130,7 @@
 		return result
 	}
 	for _, h := range s.KVIndex.Stores() {
-		if h.ConfirmedRecently(s.now) && h.Has(key) >= part.Tokens {
+		if h.ConfirmedRecently(s.now) && h.Has(key) >= part.Tokens && s.scope.Contains(h.Domain) {
 			result.stores = append(result.stores, h)
 			result.holders = append(result.holders, h)
 		}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -57,6 +57,7 @@
 	ExecutorGone       Code = 3009
 	CallerDisconnected Code = 3010
 	Quarantined        Code = 3011
+	NoEndpointInRegion Code = 3012
 )
 
 // Failures of endpoints and of their answers.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -82,6 +82,9 @@
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, NotRun, true,
 		"Several endpoints ended while they had this request; it is sent to none for some time.",
 		"Change the request, or retry after the time given; operators look for its fingerprint in the logs."},
+	{NoEndpointInRegion, "no_endpoint_in_region", http.StatusServiceUnavailable, NotRun, true,
+		"The request may be served in certain regions only, and no endpoint of its service is there.",
+		"Retry after the time given; operators compare the allowed regions with the endpoints'."},
 
 	{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, true,
 		"The endpoint failed before any byte of the request could reach it.", "Retry."},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,7 +5,12 @@
 // configuration from beginning to end. All lookups are pure.
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/residency"
+)
 
 // Kind states whether the requests of a route may run more than once, and whether the response is a
 // stream.
@@ -67,6 +72,8 @@
 	DescribesPrompts bool
 	// Resumable is true if a stream may be continued at another endpoint.
 	Resumable bool
+	// Residency is the policy for the route's requests; see also Account.
+	Residency residency.Policy
 }
 
 // Repeatable reports whether a request can be sent again after an attempt that may have run.
@@ -123,6 +130,46 @@
 	Keys     []string
 	Priority *int // takes precedence over the route's, if set
 	Isolated bool // shares no KV cache with other accounts
+	// Residency is the policy for the account's requests. Where the route has one too, both apply.
+	Residency residency.Policy
+}
+
+// Residency returns the policy for the requests of an account on a route. account is nil on public
+// routes.
+func Residency(route *Route, account *Account) residency.Policy {
+	if account == nil {
+		return route.Residency
+	}
+	return route.Residency.Intersect(account.Residency)
+}
+
+// Residencies returns the policies of all requests that the configuration allows, without those
+// that are not confined.
+func (c *Config) Residencies() []residency.Policy {
+	routes, accounts := []residency.Policy{{}}, []residency.Policy{{}}
+	for i := range c.Routes {
+		routes = addPolicy(routes, c.Routes[i].Residency)
+	}
+	for i := range c.Accounts {
+		accounts = addPolicy(accounts, c.Accounts[i].Residency)
+	}
+	var list []residency.Policy
+	for _, route := range routes {
+		for _, account := range accounts {
+			if both := route.Intersect(account); both.Confined() {
+				list = addPolicy(list, both)
+			}
+		}
+	}
+	return list
+}
+
+// addPolicy adds a policy to a list unless it is there already.
+func addPolicy(list []residency.Policy, p residency.Policy) []residency.Policy {
+	if slices.Contains(list, p) {
+		return list
+	}
+	return append(list, p)
 }
 
 // Limits bound the size and duration of callers' requests. Zero means no limit.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -56,3 +57,18 @@
 		test.Eq(t, want, r.Choose(draw))
 	}
 }
+
+// TestResidency checks that the stricter policy applies where both the route and the account have
+// one, and that the policies of a configuration are those of all such pairs.
+func TestResidency(t *testing.T) {
+	both, south := residency.Confine("north", "south"), residency.Confine("south")
+	free, confined := routing.Route{Name: "free"}, routing.Route{Name: "confined", Residency: both}
+	account := routing.Account{Residency: south}
+	test.Eq(t, residency.Policy{}, routing.Residency(&free, nil))
+	test.Eq(t, both, routing.Residency(&confined, &routing.Account{}))
+	test.Eq(t, south, routing.Residency(&free, &account))
+	test.Eq(t, south, routing.Residency(&confined, &account))
+	c := routing.Config{Routes: []routing.Route{free, confined}, Accounts: []routing.Account{account, {}}}
+	test.SliceContainsAll(t, []residency.Policy{both, south}, c.Residencies())
+	test.SliceEmpty(t, (&routing.Config{Routes: []routing.Route{free}}).Residencies())
+}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -227,7 +227,9 @@
 
 func (s *Server) serveFree(w http.ResponseWriter, r *http.Request) {
 	var request struct {
-		Parts [][2]string `json:"parts"`
+		Parts   [][2]string `json:"parts"`
+		Epoch   *int64      `json:"boot-epoch"`
+		UntilMS *int64      `json:"until_ms"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -235,6 +237,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if request.Epoch != nil && *request.Epoch != s.epoch || request.UntilMS != nil && *request.UntilMS < time.Now().UnixMilli() {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	for _, part := range request.Parts {
 		s.setPart(part, 0)
 	}
--- a/standin/site/boot.go
+++ b/standin/site/boot.go
@@ -1,15 +1,32 @@
 package site
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
+
+// Region is the region of the nodes and of all servers but those in SecondZone, if that is in
+// another one.
+const Region = "loopback"
+
+// OtherRegion is the region of SecondZone if Config.SecondRegion is true.
+const OtherRegion = "coast"
 
 // BootFile returns the boot file of a node at the site's IP, with ports that the operating system
 // assigns.
 func (s *Site) BootFile(node string) string {
+	second := ""
+	if s.secondRegion {
+		second = OtherRegion
+	}
 	return fmt.Sprintf(`node-name = %[1]q
 zone = "north"
-region = "loopback"
+region = %[4]q
 ip = %[2]q
 internal-ports = [0, 0]
+[zones]
+north = %[4]q
+east = %[5]q
 [listen]
 front = "%[2]s:0"
 ready = "%[2]s:0"
@@ -33,5 +50,5 @@
 require-fence = true
 [platform]
 address = %[3]q
-`, node, s.ip, s.storeAddr)
+`, node, s.ip, s.storeAddr, Region, cmp.Or(second, Region))
 }
--- a/standin/site/operator.go
+++ b/standin/site/operator.go
@@ -22,13 +22,29 @@
 }
 
 // Configure writes a version of the configuration, with the given API keys of the account.
-func (s *Site) Configure(version int64, keys ...string) {
+func (s *Site) Configure(version int64, keys ...string) { s.configure(version, nil, nil, keys) }
+
+// ConfigureRegions writes a version of the configuration in which the routes of prompts, or the
+// account, may be served in the given regions only. No regions mean no restriction.
+func (s *Site) ConfigureRegions(version int64, routes, account []string, keys ...string) {
+	s.configure(version, routes, account, keys)
+}
+
+func (s *Site) configure(version int64, routeRegions, accountRegions, keys []string) {
 	route := func(prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
+		r := map[string]any{
 			"name": prefix, "hostname": Host, "path-prefix": prefix, "route-kind": kind, "service": service,
 			"timeout-ms": 10000, "target-latency-ms": 500, "gap-target-ms": 300, "priority": 1,
 			"max-attempts": attempts, "sticky": kind == "streaming", "resumable": resumable,
 		}
+		if service == "models" && routeRegions != nil {
+			r["allowed-regions"] = routeRegions
+		}
+		return r
+	}
+	account := map[string]any{"name": Account, "api-keys": keys, "priority": 1}
+	if accountRegions != nil {
+		account["allowed-regions"] = accountRegions
 	}
 	engine := map[string]any{
 		"slots": 8, "kv-capacity-tokens": 100000, "kv-token-bytes": 35136, "link-mbps": 1e6,
@@ -51,7 +67,7 @@
 			map[string]any{"name": "keep", "kv-store-addr": s.kvStoreAddr, "zone": "north", "kv-capacity-tokens": 100000, "link-mbps": 3e5, "managed": true, "first_ms": 0.5},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": Account, "api-keys": keys, "priority": 1}},
+		"tenants": []any{account},
 	})
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -47,6 +47,8 @@
 	// IP is the address at which all stand-ins and nodes listen; empty means 127.0.0.1. Sites on the
 	// same host that use different addresses don't reuse each other's ports.
 	IP string
+	// SecondRegion is true if SecondZone is in another region than the other servers and the nodes.
+	SecondRegion bool
 	// Proxy returns the address that is published in place of a stand-in's own address. If it is
 	// nil, the own addresses are published.
 	Proxy func(addr string) (string, error)
@@ -68,6 +70,7 @@
 	storeAddr, kvStoreAddr string
 	servers                []*server
 	ctx                    context.Context // cancelled by Close
+	secondRegion           bool
 	proxy                  func(addr string) (string, error)
 	onCrash                func(i int)
 	stop                   context.CancelFunc
@@ -95,7 +98,7 @@
 // written with Configure.
 func Start(c Config) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Site{ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, proxy: c.Proxy, onCrash: c.OnCrash}
+	s := &Site{ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, secondRegion: c.SecondRegion, proxy: c.Proxy, onCrash: c.OnCrash}
 	store, err := s.listen(s.Store.Handler())
 	if err != nil {
 		return nil, err
