Relay: requests search the changes, not all records

Each node of a large system asks a reader for the changes of the registry each 0.4 s. The reader went through all records of its copy for each request: some 10,000 at the whole fleet, where a reader gets a few hundred requests a second.

Change: the copy lists its changes by offset; a request takes the end of the list. Entries of keys that changed again are dropped once they are half of it.

--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -9,7 +9,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +35,7 @@
 
 	mu          sync.Mutex
 	latest      map[string]follow.Record // latest record of each key, including removed keys
+	changes     changeList               // of latest
 	compressed  map[string]relayedRecord // records relayed in compressed form, by key
 	firstOffset int64                    // the copy has all changes from this offset on
 	next        int64
@@ -57,6 +57,7 @@
 		// Which keys were removed before the snapshot is unknown.
 		c.latest = make(map[string]follow.Record, len(b.Records))
 		c.compressed = make(map[string]relayedRecord)
+		c.changes = changeList{}
 		c.firstOffset = b.Next
 	}
 	for _, r := range b.Records {
@@ -68,13 +69,15 @@
 			continue
 		}
 		c.latest[r.Key] = r
+		c.changes.add(r.Key, r.Offset)
 	}
+	c.changes.settle(c.latest)
 	c.next = b.Next
 	c.confirmedAt = b.ConfirmedAt
 }
 
-// changes is the result of a request to a copy.
-type changes struct {
+// changedRecords is the result of a request to a copy.
+type changedRecords struct {
 	records []relayedRecord
 	next    int64
 	age     time.Duration
@@ -84,19 +87,18 @@
 // Since returns the records that changed at or after an offset, ordered by offset. If they exceed
 // maxBytes, it returns the first ones, at least one, and sets more. It returns ErrUnknown if the copy may
 // lack changes since the offset.
-func (c *Copy) Since(from int64, maxBytes int) (changes, error) {
+func (c *Copy) Since(from int64, maxBytes int) (changedRecords, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.confirmedAt.IsZero() || from < c.firstOffset {
-		return changes{}, ErrUnknown
+		return changedRecords{}, ErrUnknown
 	}
-	result := changes{next: c.next, age: c.Clock.Since(c.confirmedAt)}
-	for _, r := range c.latest {
-		if r.Offset >= from {
+	result := changedRecords{next: c.next, age: c.Clock.Since(c.confirmedAt)}
+	for _, change := range c.changes.since(from) {
+		if r := c.latest[change.key]; r.Offset == change.offset {
 			result.records = append(result.records, c.newRelayedRecord(r))
 		}
 	}
-	slices.SortFunc(result.records, func(a, b relayedRecord) int { return int(a.Offset - b.Offset) })
 	if n := countFitting(result.records, maxBytes); n < len(result.records) {
 		result.next, result.records, result.more = result.records[n].Offset, result.records[:n], true
 	}
