Large systems: nodes spread over the readers of their failure domain

The nodes of a failure domain asked its readers in the same order, so that one of the two answered all of them until a request failed.

Change: a hash of the node's name decides which reader it asks first; after a failure it moves on to the next one as before. Test: nodes with different preferences ask different readers, and the other one after a failure.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/relay"
@@ -28,7 +30,10 @@
 	copies := relay.New(n.conn)
 	follower := func(name, topic string, replica *relay.Copy) (*follow.Follower, *relay.Topic) {
 		copies.Serve(name, replica)
-		source := &relay.Topic{Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Backups: n.roster.backups, Fallback: n.fallbackInterval, Log: n.log}
+		source := &relay.Topic{
+			Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Preference: n.readerPreference(),
+			Backups: n.roster.backups, Fallback: n.fallbackInterval, Log: n.log,
+		}
 		return &follow.Follower{Name: name, Topic: source, Sink: replica, Retry: storeRetry, MaxRetryDelay: maxStoreRetry, Reject: n.state.rejected.record, Clock: n.clock, Log: n.log}, source
 	}
 	var f followers
@@ -77,6 +82,10 @@
 	return addrs
 }
 
+// readerPreference returns a number that differs between nodes, so that they spread over the nodes that
+// read for them.
+func (n *Node) readerPreference() uint64 { return xxhash.Sum64String(n.boot.Load().Name) }
+
 // readsThroughOthers reports whether other nodes read the metadata store and poll the KV-cache
 // stores on behalf of this node.
 func (n *Node) readsThroughOthers() bool { return len(n.readers()) > 0 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 		return err
 	}
 	n.conn.LimitResponses(intervals.AnswerRate(boot.LinkBytes))
-	n.cachePeers = &kvindex.Peers{Index: n.cacheTracker.index, Conn: n.conn, Readers: n.readers}
+	n.cachePeers = &kvindex.Peers{Index: n.cacheTracker.index, Conn: n.conn, Readers: n.readers, Preference: n.readerPreference()}
 	n.cachePeers.Serve()
 	n.peers = peerload.New(peerload.Config{
 		Node:       boot.Name,
--- a/internal/kvindex/peers.go
+++ b/internal/kvindex/peers.go
@@ -57,7 +57,9 @@
 	Readers func() []netip.AddrPort
 	// RequestTimeout is the timeout of a request to another node. 0 means defaultRelayTimeout.
 	RequestTimeout time.Duration
-	nextReader     int
+	// Preference determines which reader is used first. Nodes with different values spread over them.
+	Preference uint64
+	failures   uint64 // failed requests, each of which moves on to the next reader
 }
 
 // relayResponse is the response to a request for relayed events.
@@ -184,9 +186,9 @@
 	for ctx.Err() == nil {
 		pause := relayRequestInterval
 		if readers := p.Readers(); len(readers) > 0 {
-			if err := p.request(ctx, readers[p.nextReader%len(readers)]); err != nil && ctx.Err() == nil {
+			if err := p.request(ctx, readers[(p.Preference+p.failures)%uint64(len(readers))]); err != nil && ctx.Err() == nil {
 				p.Index.Log.Info().Str("event", "events_unrelayed").AnErr("cause", err).Send()
-				p.nextReader++
+				p.failures++
 				pause = relayRetryDelay
 			}
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync"
 	"testing"
@@ -190,6 +191,25 @@
 	test.Eq(t, 1, store.reads)
 }
 
+// TestNodesSpreadOverReaders checks that nodes with different preferences read from different readers,
+// and that each moves on to the next one after a failure.
+func TestNodesSpreadOverReaders(t *testing.T) {
+	own, _ := startRelay(t, nil)
+	_, bad := startRelay(t, nil)
+	_, good := startRelay(t, filledCopy(time.Now()))
+	for preference, want := range map[uint64]int{0: 1, 1: 0, 2: 1, math.MaxUint64: 0} {
+		store := &storeTopic{}
+		topic := topicWithFallback(own, store, bad)
+		topic.Readers = func() []netip.AddrPort { return []netip.AddrPort{bad, good} }
+		topic.Preference = preference
+		for range 2 {
+			_, err := topic.Read(t.Context(), 10, 0)
+			must.NoError(t, err)
+		}
+		test.Eq(t, want, store.reads, test.Sprint("reads of the store after failures of the reader: ", preference))
+	}
+}
+
 // TestConfirmedAtOfRelayedCopy checks that a follower that reads from a copy never has a later ConfirmedAt
 // than the copy.
 func TestConfirmedAtOfRelayedCopy(t *testing.T) {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -99,6 +99,9 @@
 	Relay *Relay
 	// Readers returns the nodes that read the store. If it returns none, this node reads the store.
 	Readers func() []netip.AddrPort
+	// Preference determines which reader or backup is used first. Nodes with different values spread
+	// over them.
+	Preference uint64
 	// Backups returns nodes that read the store themselves. They may still reach the store when this node
 	// does not.
 	Backups func() []netip.AddrPort
@@ -113,7 +116,7 @@
 	RequestTimeout time.Duration
 	Log            zerolog.Logger
 
-	nodeIndex     int       // index of the reader or backup to use
+	failures      uint64    // failed reads from readers or backups, each of which moves on to the next
 	storeFailedAt time.Time // time of the last failed read of the store
 	relayed       atomic.Bool
 }
@@ -163,9 +166,9 @@
 
 // readFromCurrent reads from the current node and switches to the next one if the read fails.
 func (t *Topic) readFromCurrent(ctx context.Context, nodes []netip.AddrPort, from int64) (follow.Page, error) {
-	page, err := t.readFrom(ctx, nodes[t.nodeIndex%len(nodes)], from)
+	page, err := t.readFrom(ctx, nodes[(t.Preference+t.failures)%uint64(len(nodes))], from)
 	if err != nil {
-		t.nodeIndex++
+		t.failures++
 	}
 	return page, err
 }
