Follow: a first page keeps the age that it has

A follower's first page counted as current at the start of Run if it was older, as a page of another node's copy may be. A proof that keys and configuration are current would then have been younger than the copy was.

Change: what was confirmed begins as unknown. The gap before the first page still counts from the start.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -66,8 +66,7 @@
 	Records []Record
 	// Snapshot is true if Records holds all existing keys.
 	Snapshot bool
-	// ConfirmedAt is a time at which the copy was certainly current. It is never before the start
-	// of Run, however: if the first page has an Age, ConfirmedAt is the start.
+	// ConfirmedAt is a time at which the copy was certainly current.
 	ConfirmedAt time.Time
 	// Next is the offset after the newest record in the copy.
 	Next int64
@@ -104,7 +103,8 @@
 	Log   zerolog.Logger
 
 	nextOffset  int64 // offset of the next read, or unknownOffset
-	confirmedAt time.Time
+	startedAt   time.Time // of Run
+	confirmedAt time.Time // zero before the first page
 	failing     bool
 	backoff     time.Duration // pause after the latest failed read
 	// rejectedUpTo is the offset after the newest record passed to Reject.
@@ -126,7 +126,7 @@
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	f.nextOffset = unknownOffset
-	f.confirmedAt = f.Clock.Now()
+	f.startedAt = f.Clock.Now()
 	for ctx.Err() == nil {
 		started := f.Clock.Now()
 		pause := settingValue(f.Pause)
@@ -161,7 +161,7 @@
 	}
 	f.nextOffset = max(f.nextOffset, page.Next)
 	batch := Batch{Records: page.Records, Snapshot: snapshot, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset}
-	batch.Gap = max(batch.ConfirmedAt.Sub(f.confirmedAt), 0)
+	batch.Gap = max(batch.ConfirmedAt.Sub(later(f.confirmedAt, f.startedAt)), 0)
 	batch.Failed = f.failing
 	f.recordSuccess(&batch)
 	f.reportRejected(page.Rejected)
