Large systems: nodes obtain the registry from others, also as a whole

Change: - A reader gives its whole copy in compressed form: a tenth of the bytes, some twenty messages, made at most once a second for all that ask. A node that starts, or is many changes behind, takes that, with the removed keys. - Two root readers of the whole system read the registry from the store; the two readers of each failure domain obtain it from them, all other nodes from these. What is read of the store no longer grows with the failure domains. - A node that starts reads the registry from the store only if no reader has it after 4 s, 10 s at the first start of the whole system, and up to 4 s more by its name; the readers of a failure domain after 3 s. A copy that is too old is no reason any more: each node would read the store for it, just when that is slow. The age up to which a copy is used is 0.7 of the drain bound, as copies pass two nodes.

Weighed: following a part of the endpoints only.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -102,7 +102,7 @@
 	Clock *clock.Clock
 	Log   zerolog.Logger
 
-	nextOffset  int64 // offset of the next read, or unknownOffset
+	nextOffset  int64     // offset of the next read, or unknownOffset
 	startedAt   time.Time // of Run
 	confirmedAt time.Time // zero before the first page
 	failing     bool
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -20,6 +20,17 @@
 // nodesRelayPollInterval is relayPollInterval for the list of nodes, which rarely changes.
 const nodesRelayPollInterval = 3 * time.Second
 
+const (
+	// maxRegistryAgeShare is the fraction of the drain bound up to which another node's copy of the
+	// registry is used. A copy passes two nodes, so it is older than that of another topic.
+	maxRegistryAgeShare = 0.7
+	// rootTimeout is how long a starting node that reads for its failure domain waits for the root
+	// readers before it reads the registry from the store.
+	rootTimeout = 3 * time.Second
+	// maxRegistryStagger spreads the nodes that no reader provides with the registry.
+	maxRegistryStagger = 4 * time.Second
+)
+
 // followers keep this node's copies of the store's topics current.
 type followers struct {
 	config, endpoints, nodes *follow.Follower
@@ -41,6 +52,8 @@
 	f.config, source = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock})
 	f.config.Wait, f.config.Pause = zeroIfRelayed(source.Relayed, n.configWait), intervalIfRelayed(source.Relayed, relayPollInterval, nil)
 	f.endpoints, source = follower("registry", platform.TopicEndpoints, &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenInvalidEndpoint})
+	source.MayReadAll, source.Readers = n.mayReadRegistry, n.registryReaders
+	source.MaxAge = max(relay.MaxAge, time.Duration(maxRegistryAgeShare*float64(n.bounds().DrainLimit)))
 	// Each heartbeat is a record, so a read that waits for a change would end many times per
 	// second.
 	f.endpoints.Pause = intervalIfRelayed(source.Relayed, relayPollInterval, n.registryInterval)
@@ -50,6 +63,31 @@
 	return f
 }
 
+// registryReaders returns the nodes from which this node obtains the registry: the readers of its
+// failure domain or, if it is one of them, the root readers. It returns none if this node reads the
+// registry from the store.
+func (n *Node) registryReaders() []netip.AddrPort {
+	if readers := n.readers(); len(readers) > 0 {
+		return readers
+	}
+	return n.roster.rootReaders()
+}
+
+// mayReadRegistry reports whether this node may read the whole registry from the store, rather than
+// from a node that reads it for others. The registry of a large system takes megabytes, so nodes that
+// start wait for those nodes first, each for a different time: they would else all ask at once.
+func (n *Node) mayReadRegistry() bool {
+	age := n.clock.Since(n.started)
+	switch {
+	case n.roster.rootCandidate() || !n.roster.Loaded() || intervals.FullMesh(n.roster.Nodes()):
+	case n.roster.readerCandidate():
+		return age >= rootTimeout
+	default:
+		age -= time.Duration(n.readerPreference() % uint64(maxRegistryStagger))
+	}
+	return !n.cacheTracker.shouldAwaitReports(age)
+}
+
 // zeroIfRelayed returns a function that returns 0 while a topic is read from another node, and the
 // value of ifDirect otherwise.
 func zeroIfRelayed(relayed func() bool, ifDirect func() time.Duration) func() time.Duration {
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -17,6 +17,12 @@
 // store, the other one reads for all. domainStandbys is the number of further nodes that all others
 // report to, so that they can replace a reader at once.
 const (
+	// rootReaders is the number of nodes of a large system that read the registry from the store; the
+	// readers of the failure domains obtain it from them. Every endpoint's heartbeat is a record, so what
+	// each of them reads grows with the number of endpoints. Of the next rootStandbys nodes, one takes a
+	// lost one's place.
+	rootReaders    = 2
+	rootStandbys   = 2
 	domainReaders  = 2
 	domainStandbys = 2
 )
@@ -82,6 +88,43 @@
 	return own >= 0 && own < domainReaders+domainStandbys
 }
 
+// rootReaders returns the addresses of the nodes of a large system that read the registry from the
+// store. It returns none if this node is one of them, or if it knows fewer.
+func (r *roster) rootReaders() []netip.AddrPort {
+	if intervals.FullMesh(r.Nodes()) {
+		return nil
+	}
+	r.mu.Lock()
+	candidates := r.rootCandidates
+	r.mu.Unlock()
+	var addrs []netip.AddrPort
+	for _, n := range candidates {
+		if n.name == r.node {
+			return nil
+		}
+		if r.peerAlive(n.name) {
+			if addrs = append(addrs, n.addr); len(addrs) == rootReaders {
+				return addrs
+			}
+		}
+	}
+	return nil
+}
+
+// rootCandidate reports whether this node is a root reader or may become one.
+func (r *roster) rootCandidate() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.rootCandidates, func(n rosterNode) bool { return n.name == r.node })
+}
+
+// listRootCandidates returns the root readers and their standbys: the nodes with the most processor
+// capacity.
+func (r *roster) listRootCandidates() []rosterNode {
+	all := r.sortedNodes(func(nodeEntry) bool { return true })
+	return all[:min(rootReaders+rootStandbys, len(all))]
+}
+
 // role returns this node's role in the exchange of loads: the readers collect them. Until its own
 // entry is listed, a node sends its loads to all others itself.
 func (r *roster) role() peerload.Role {
--- a/internal/gateway/role_test.go
+++ b/internal/gateway/role_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -13,9 +14,9 @@
 	"github.com/cherryward/cherryward/internal/peerload"
 )
 
-// rolesOf returns the roles of the nodes of one failure domain, without those in lost, whose
+// rostersOf returns the rosters of the nodes of one failure domain, without those in lost, whose
 // messages do not arrive. Every tenth node has more processor capacity than the rest.
-func rolesOf(t *testing.T, nodes int, lost map[string]bool) map[string]peerload.Role {
+func rostersOf(t *testing.T, nodes int, lost map[string]bool) map[string]*roster {
 	t.Helper()
 	var batch follow.Batch
 	for i := range nodes {
@@ -27,14 +28,24 @@
 		must.NoError(t, err)
 		batch.Records = append(batch.Records, follow.Record{Key: fmt.Sprint("n", i), Value: value})
 	}
-	roles := make(map[string]peerload.Role)
+	rosters := make(map[string]*roster)
 	for i := range nodes {
 		name := fmt.Sprint("n", i)
+		if lost[name] {
+			continue
+		}
 		r := newRoster(name, nodeEntry{Domain: "d0"}, noTopic{}, func([]peerload.Peer) {}, func(other string) bool { return !lost[other] }, zerolog.Nop())
 		r.Apply(batch)
-		if !lost[name] {
-			roles[name] = r.role()
-		}
+		rosters[name] = r
+	}
+	return rosters
+}
+
+func rolesOf(t *testing.T, nodes int, lost map[string]bool) map[string]peerload.Role {
+	t.Helper()
+	roles := make(map[string]peerload.Role)
+	for name, r := range rostersOf(t, nodes, lost) {
+		roles[name] = r.role()
 	}
 	return roles
 }
@@ -74,3 +85,34 @@
 	r, _ := rosterWith(t, "stranger", 30)
 	test.Eq(t, peerload.Role{}, r.role())
 }
+
+// TestRootReaders checks that two nodes of a large system read the registry from the store, that all
+// others obtain it from these two, and that standbys take over from lost ones.
+func TestRootReaders(t *testing.T) {
+	lost := make(map[string]bool)
+	for step := range 3 {
+		readsStore := 0
+		sources := make(map[netip.AddrPort]bool)
+		last := ""
+		for name, r := range rostersOf(t, 60, lost) {
+			addrs := r.rootReaders()
+			for _, addr := range addrs {
+				sources[addr] = true
+			}
+			if len(addrs) == 0 {
+				readsStore++
+			} else {
+				test.Len(t, rootReaders, addrs)
+			}
+			if r.rootCandidate() && len(addrs) == 0 {
+				last = name
+			}
+		}
+		test.LessEq(t, rootReaders+rootStandbys-step, readsStore)
+		test.MapLen(t, min(rootReaders, rootReaders+rootStandbys-step), sources, test.Sprint(step))
+		lost[last] = true
+	}
+	for name, r := range rostersOf(t, 7, nil) {
+		test.SliceEmpty(t, r.rootReaders(), test.Sprint(name, ": a small system"))
+	}
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -76,6 +76,8 @@
 	end         int64                // offset up to which the topic was read
 	domainNodes []rosterNode         // nodes of this failure domain, as returned by listDomainNodes
 	backupAddrs []netip.AddrPort     // result of backups
+	// rootCandidates is the result of listRootCandidates.
+	rootCandidates []rosterNode
 	// byDomain is the result of othersByDomain.
 	byDomain map[string][]string
 	members  members // nodes that may send to cold endpoints
@@ -186,6 +188,7 @@
 	}
 	r.domainNodes = r.listDomainNodes()
 	r.backupAddrs = r.listBackups()
+	r.rootCandidates = r.listRootCandidates()
 	r.byDomain = r.groupOthersByDomain()
 	r.members.update(r.entries)
 	r.count.Store(int64(nodes))
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -39,7 +39,8 @@
 	compressed  map[string]relayedRecord // records relayed in compressed form, by key
 	firstOffset int64                    // the copy has all changes from this offset on
 	next        int64
-	confirmedAt time.Time // zero before the first batch
+	confirmedAt time.Time    // zero before the first batch
+	snapshots   [2]*snapshot // the newest one and the one before it; nil if not made yet
 }
 
 var _ follow.Sink = (*Copy)(nil)
@@ -58,6 +59,7 @@
 		c.latest = make(map[string]follow.Record, len(b.Records))
 		c.compressed = make(map[string]relayedRecord)
 		c.changes = changeList{}
+		c.snapshots = [2]*snapshot{}
 		c.firstOffset = b.Next
 	}
 	for _, r := range b.Records {
--- /dev/null
+++ b/internal/relay/snapshot.go
@@ -0,0 +1,272 @@
+package relay
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+const (
+	// methodSnapshot is the name of the method. Calls may be repeated.
+	methodSnapshot = "node.snapshot"
+	// snapshotChunkBytes is the size of the compressed snapshot in one response. Encoded it takes four
+	// thirds of that in a message.
+	snapshotChunkBytes = 11 << 10
+	// snapshotLifetime is how long a snapshot is served before a newer one is made. Making one for
+	// thousands of records takes some tens of ms.
+	snapshotLifetime = time.Second
+	// snapshotRetry is the time between two attempts to get a snapshot.
+	snapshotRetry = 250 * time.Millisecond
+	// chunkAttempts is how often each part of a snapshot is requested: responses may be lost, or refused
+	// while their sender's share of its link is used up.
+	chunkAttempts = 4
+	// maxSnapshotBytes bounds a decompressed snapshot.
+	maxSnapshotBytes = 64 << 20
+)
+
+// errOtherSnapshot is returned if a part belongs to another snapshot than the parts before it.
+var errOtherSnapshot = errors.New("relay: snapshot was replaced")
+
+// snapshotRequest requests a part of the newest snapshot of a topic, or of the one that ends at Next.
+type snapshotRequest struct {
+	Topic string `json:"topic"`
+	Part  int    `json:"part"`
+	Next  int64  `json:"next,omitempty"`
+}
+
+// snapshotResponse is a part of a snapshot.
+type snapshotResponse struct {
+	Next  int64 `json:"next"`
+	Parts int   `json:"parts"`
+	// First is the offset from which on the snapshot shows removed keys.
+	First int64  `json:"first"`
+	AgeUS int64  `json:"age_us"` // microseconds since the snapshot was current
+	Data  []byte `json:"data"`
+}
+
+// snapshot is the compressed state of a copy.
+type snapshot struct {
+	first, next int64
+	confirmedAt time.Time
+	madeAt      time.Time
+	data        []byte
+}
+
+func (s *snapshot) parts() int {
+	return max((len(s.data)+snapshotChunkBytes-1)/snapshotChunkBytes, 1)
+}
+
+// part returns one part of the compressed state.
+func (s *snapshot) part(number int) []byte {
+	from := number * snapshotChunkBytes
+	return s.data[from:min(from+snapshotChunkBytes, len(s.data))]
+}
+
+func (r *Relay) serveSnapshot(params json.RawMessage) (any, error) {
+	var req snapshotRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, eris.Wrap(err, "decode snapshot request")
+	}
+	c := r.copies[req.Topic]
+	if c == nil {
+		return nil, eris.Errorf("unknown topic %q", req.Topic)
+	}
+	s, err := c.snapshotAt(req.Next)
+	if err != nil {
+		return nil, err
+	}
+	if req.Part < 0 || req.Part >= s.parts() {
+		return nil, eris.Errorf("snapshot has no part %d", req.Part)
+	}
+	return snapshotResponse{First: s.first, Next: s.next, Parts: s.parts(), AgeUS: c.Clock.Since(s.confirmedAt).Microseconds(), Data: s.part(req.Part)}, nil
+}
+
+// snapshotAt returns the snapshot that ends at an offset, or the newest one for 0. The one before the
+// newest is kept for nodes that have some of its parts.
+func (c *Copy) snapshotAt(next int64) (*snapshot, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmedAt.IsZero() {
+		return nil, ErrUnknown
+	}
+	for _, s := range c.snapshots {
+		if next != 0 && s != nil && s.next == next {
+			return s, nil
+		}
+	}
+	if next != 0 {
+		return nil, errOtherSnapshot
+	}
+	newest := c.snapshots[0]
+	if newest != nil && c.Clock.Since(newest.madeAt) < snapshotLifetime {
+		return newest, nil
+	}
+	data, err := encodeSnapshot(c.latest)
+	if err != nil {
+		return nil, err
+	}
+	made := &snapshot{first: c.firstOffset, next: c.next, confirmedAt: c.confirmedAt, madeAt: c.Clock.Now(), data: data}
+	if newest != nil && newest.next != made.next {
+		c.snapshots[1] = newest
+	}
+	c.snapshots[0] = made
+	return made, nil
+}
+
+// encodeSnapshot compresses the records: for each its key with its length, its value with its length
+// plus 1, or 0 for a removed key, and its offset.
+func encodeSnapshot(latest map[string]follow.Record) ([]byte, error) {
+	var buffer bytes.Buffer
+	w, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress snapshot")
+	}
+	var record []byte
+	for _, r := range latest {
+		record = binary.AppendUvarint(record[:0], uint64(len(r.Key)))
+		record = append(record, r.Key...)
+		if r.Value == nil {
+			record = append(record, 0)
+		} else {
+			record = binary.AppendUvarint(record, uint64(len(r.Value))+1)
+			record = append(record, r.Value...)
+		}
+		record = binary.AppendUvarint(record, uint64(r.Offset))
+		if _, err := w.Write(record); err != nil {
+			return nil, eris.Wrap(err, "compress snapshot")
+		}
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress snapshot")
+	}
+	return buffer.Bytes(), nil
+}
+
+// decodeSnapshot decodes the records of a snapshot that ends at offset next.
+func decodeSnapshot(data []byte, next int64) ([]follow.Record, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxSnapshotBytes+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress snapshot")
+	}
+	if len(raw) > maxSnapshotBytes {
+		return nil, eris.Errorf("snapshot exceeds %d bytes", maxSnapshotBytes)
+	}
+	var records []follow.Record
+	for len(raw) > 0 {
+		var r follow.Record
+		var key []byte
+		var offset uint64
+		var ok bool
+		if key, raw, ok = cutField(raw, 0); !ok {
+			return nil, eris.New("key in snapshot is cut off")
+		}
+		if r.Value, raw, ok = cutField(raw, 1); !ok {
+			return nil, eris.New("value in snapshot is cut off")
+		}
+		n := 0
+		if offset, n = binary.Uvarint(raw); n <= 0 || offset >= uint64(next) {
+			return nil, eris.Errorf("offset in snapshot is cut off, or not below %d", next)
+		}
+		r.Key, r.Offset, raw = string(key), int64(offset), raw[n:]
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// cutField splits off a field with its length, to which added was added. A length of less than added
+// stands for no field.
+func cutField(data []byte, added uint64) (field, rest []byte, ok bool) {
+	length, n := binary.Uvarint(data)
+	if n <= 0 || length > uint64(len(data)-n)+added {
+		return nil, nil, false
+	}
+	if length < added {
+		return nil, data[n:], true
+	}
+	end := n + int(length-added)
+	return data[n:end:end], data[end:], true
+}
+
+// allFromReaders returns all records that another node's copy holds, from the first reader that has
+// them. If from is not 0, the removed keys since that offset are among them. It fails if there is no
+// reader or none has them.
+func (t *Topic) allFromReaders(ctx context.Context, from int64) (follow.Page, error) {
+	readers := t.Readers()
+	err := error(ErrUnknown)
+	for range readers {
+		var page follow.Page
+		if page, err = t.readSnapshot(ctx, t.preferred(readers), from); err == nil {
+			return page, nil
+		}
+		t.failures++
+	}
+	return follow.Page{}, err
+}
+
+// readSnapshot reads a snapshot from one node. Its age is that of the first part, which the node
+// measured after the request was sent.
+func (t *Topic) readSnapshot(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
+	first, err := t.readPart(ctx, reader, snapshotRequest{Topic: t.Name})
+	if err != nil {
+		return follow.Page{}, err
+	}
+	if first.AgeUS < 0 || first.Next < 0 || first.Parts < 1 || first.Parts > maxSnapshotBytes/snapshotChunkBytes {
+		return follow.Page{}, eris.Errorf("invalid snapshot: age %d µs, next offset %d, %d parts", first.AgeUS, first.Next, first.Parts)
+	}
+	if from != 0 && from < first.First {
+		return follow.Page{}, ErrUnknown
+	}
+	data := first.Data
+	for part := 1; part < first.Parts; part++ {
+		response, err := t.readPart(ctx, reader, snapshotRequest{Topic: t.Name, Part: part, Next: first.Next})
+		if err != nil {
+			return follow.Page{}, err
+		}
+		if response.Next != first.Next {
+			return follow.Page{}, errOtherSnapshot
+		}
+		data = append(data, response.Data...)
+	}
+	records, err := decodeSnapshot(data, first.Next)
+	if err != nil {
+		return follow.Page{}, err
+	}
+	return follow.Page{Records: records, Next: first.Next, Age: time.Duration(first.AgeUS+1) * time.Microsecond}, nil
+}
+
+// readPart reads one part of a snapshot, again if the response does not arrive or the node is busy.
+func (t *Topic) readPart(ctx context.Context, reader netip.AddrPort, request snapshotRequest) (response snapshotResponse, err error) {
+	for range chunkAttempts {
+		if response, err = t.callSnapshot(ctx, reader, request); err == nil || ctx.Err() != nil {
+			return response, err
+		}
+		var rpcErr *jsonrpc2.Error
+		if errors.As(err, &rpcErr) {
+			if request.Part == 0 {
+				return response, err // the node has no records yet
+			}
+			retry.Sleep(ctx, snapshotRetry) // busy
+		}
+	}
+	return response, err
+}
+
+func (t *Topic) callSnapshot(ctx context.Context, reader netip.AddrPort, request snapshotRequest) (response snapshotResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
+	defer cancel()
+	err = t.Relay.conn.Call(ctx, reader, methodSnapshot, request, &response)
+	return response, err
+}
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/follow"
 )
@@ -38,8 +40,14 @@
 	// maxResponses is the maximum number of responses for one read. The changes between two reads need far
 	// fewer.
 	maxResponses = 32
+	// maxChangeResponses replaces maxResponses for topics of which all records can be obtained from
+	// another node in compressed form, which takes less than as many responses.
+	maxChangeResponses = 8
 )
 
+// errNoReader is returned while this node waits for a reader instead of reading the store.
+var errNoReader = errors.New("relay: no reader has the topic yet")
+
 // errStale is returned for a copy that is older than the topic's maximum age.
 var errStale = errors.New("relay: copy is too old")
 
@@ -69,6 +77,7 @@
 func New(conn *datagram.Conn) *Relay {
 	r := &Relay{conn: conn, copies: make(map[string]*Copy)}
 	conn.Handle(methodRecords, r.serve)
+	conn.Handle(methodSnapshot, r.serveSnapshot)
 	return r
 }
 
@@ -112,6 +121,10 @@
 	// MaxAge is the maximum age of a copy that is used, for topics whose reads wait longer. 0 means the
 	// package's MaxAge.
 	MaxAge time.Duration
+	// MayReadAll reports whether this node may read the store if no reader responds. Until then it waits for
+	// a reader, and it doesn't read the store for copies that are too old. Nil means that the store is read
+	// in all these cases, and that all records are always read from it.
+	MayReadAll func() bool
 	// RequestTimeout is the timeout of a request to a node. 0 means defaultRequestTimeout.
 	RequestTimeout time.Duration
 	Log            zerolog.Logger
@@ -123,22 +136,46 @@
 
 var _ follow.Topic = (*Topic)(nil)
 
-// Newest implements follow.Topic. It always reads the store, because the first page is long.
-func (t *Topic) Newest(ctx context.Context) (follow.Page, error) { return t.Store.Newest(ctx) }
+// Newest implements follow.Topic. If MayReadAll is set, the readers' copies are used first: when all
+// nodes of a large system start together, the store would have to send each of them everything.
+func (t *Topic) Newest(ctx context.Context) (follow.Page, error) {
+	if t.MayReadAll == nil {
+		return t.Store.Newest(ctx)
+	}
+	for {
+		page, err := t.allFromReaders(ctx, 0)
+		if err == nil {
+			page.Records = slices.DeleteFunc(page.Records, func(r follow.Record) bool { return r.Value == nil })
+			t.setRelayed(true, nil)
+			return page, nil
+		}
+		if t.MayReadAll() {
+			t.setRelayed(false, err)
+			return t.Store.Newest(ctx)
+		}
+		retry.Sleep(ctx, snapshotRetry)
+		if ctx.Err() != nil {
+			return follow.Page{}, ctx.Err()
+		}
+	}
+}
 
 // Read implements follow.Topic.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
 	readers := t.Readers()
 	if len(readers) > 0 {
-		page, err := t.readFromCurrent(ctx, readers, from)
+		page, err := t.readFromReaders(ctx, readers, from)
 		t.setRelayed(err == nil, err)
 		if err == nil {
 			return page, nil
 		}
-		if errors.Is(err, errStale) && t.Fallback != nil && time.Since(t.storeFailedAt) < t.Fallback() {
+		if errors.Is(err, errStale) && (t.MayReadAll != nil || t.Fallback != nil && time.Since(t.storeFailedAt) < t.Fallback()) {
 			return t.readBackup(ctx, from, err)
 		}
 	}
+	if t.MayReadAll != nil && !t.MayReadAll() {
+		return follow.Page{}, errNoReader
+	}
 	page, err := t.Store.Read(ctx, from, wait)
 	if err == nil || errors.Is(err, follow.ErrCompacted) {
 		t.setRelayed(false, nil)
@@ -148,6 +185,28 @@
 	return t.readBackup(ctx, from, err)
 }
 
+// readFromReaders reads the changes from a reader. Where all records may be obtained from readers, it
+// tries each of them, and obtains all records if there are too many changes for a few responses.
+func (t *Topic) readFromReaders(ctx context.Context, readers []netip.AddrPort, from int64) (page follow.Page, err error) {
+	if t.MayReadAll == nil {
+		return t.readFromCurrent(ctx, readers, from)
+	}
+	for range readers {
+		if page, err = t.readFromCurrent(ctx, readers, from); err == nil {
+			return page, nil
+		}
+	}
+	if errors.Is(err, ErrUnknown) {
+		return t.allFromReaders(ctx, from)
+	}
+	return follow.Page{}, err
+}
+
+// preferred returns the reader to use now.
+func (t *Topic) preferred(nodes []netip.AddrPort) netip.AddrPort {
+	return nodes[(t.Preference+t.failures)%uint64(len(nodes))]
+}
+
 // readBackup reads from a backup after this node's read failed with cause. It returns cause if there is no
 // backup or the backup fails.
 func (t *Topic) readBackup(ctx context.Context, from int64, cause error) (follow.Page, error) {
@@ -166,7 +225,7 @@
 
 // readFromCurrent reads from the current node and switches to the next one if the read fails.
 func (t *Topic) readFromCurrent(ctx context.Context, nodes []netip.AddrPort, from int64) (follow.Page, error) {
-	page, err := t.readFrom(ctx, nodes[(t.Preference+t.failures)%uint64(len(nodes))], from)
+	page, err := t.readFrom(ctx, t.preferred(nodes), from)
 	if err != nil {
 		t.failures++
 	}
@@ -192,7 +251,11 @@
 // same time, each of them would read such results from the store.
 func (t *Topic) readFrom(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
 	var result follow.Page
-	for range maxResponses {
+	limit := maxResponses
+	if t.MayReadAll != nil {
+		limit = maxChangeResponses
+	}
+	for range limit {
 		page, more, err := t.readOnce(ctx, reader, from)
 		if err != nil {
 			return follow.Page{}, err
@@ -203,7 +266,7 @@
 		}
 		from = page.Next
 	}
-	return follow.Page{}, eris.Wrapf(ErrUnknown, "result exceeds %d responses", maxResponses)
+	return follow.Page{}, eris.Wrapf(ErrUnknown, "result exceeds %d responses", limit)
 }
 
 func (t *Topic) readOnce(ctx context.Context, reader netip.AddrPort, from int64) (page follow.Page, more bool, err error) {
