Canary: a service is moved to another release by traffic, or back

Change: internal/canary. An order has a trial, in which each node sends at most the exposure share of its own requests to the new release, so that the bound holds over all nodes without a message; a decision of three judges from cumulative counts of all nodes, by route, on failures and slow answers with intervals; and records of its phases, each written on condition that nothing was written since its writer read the topic, so that it ends once. The adapter reads the order and writes its state; a registry entry's version is the release. Bad input: an order without a release, with no time or for another service is rejected with a log line, and the order before stays.

A node that knows an order but not its phase sends nothing to the new release.

The first form of the test under faults left judges dead for good: an order whose three judges are all lost waits until one is back.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -73,6 +73,9 @@
 	// second to a cold endpoint, one that started recently, to ColdOverage times its
 	// capacity plus ColdTolerance.
 	ColdOverage, ColdTolerance float64
+	// ExposureShare is the maximum share of a service's requests that all nodes together send to a
+	// release on trial; 0 if not specified.
+	ExposureShare float64
 	// OrdersFenced reports whether engines reject outdated fencing tokens.
 	OrdersFenced bool
 }
--- /dev/null
+++ b/internal/canary/service.go
@@ -0,0 +1,381 @@
+package canary
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/coord/rendezvous"
+	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+const (
+	// judges is the number of nodes that judge an order, so that one is left after the loss of two.
+	judges = 3
+	// judgeDelay is by how much each of them waits longer than the one before until it acts.
+	judgeDelay = 1500 * time.Millisecond
+	// stepInterval is the time between two looks at the orders.
+	stepInterval = 250 * time.Millisecond
+	// minReportInterval is the time between two reports with nothing new on the release on trial.
+	// maxReports is the maximum number of such reports per second that a judge receives.
+	minReportInterval = time.Second
+	maxReports        = 200
+	// noticeRepeats is how often a notice is sent, as messages may be lost; nodes that get none of them
+	// read the record.
+	noticeRepeats = 3
+	writeTimeout  = time.Second
+	// peersLifetime is how long the list of nodes is used: making it takes time in a large system.
+	peersLifetime = 2 * time.Second
+	// silenceMargin is added to two report intervals before a silent node counts as gone.
+	silenceMargin = 2 * time.Second
+)
+
+// Conn carries notifications between nodes. It does not retransmit them.
+type Conn interface {
+	// Handle registers the handler of a method. It must be called before messages arrive.
+	Handle(method string, h datagram.Handler)
+	// Notify sends a notification to each peer, and returns the total number of bytes sent.
+	Notify(peers []netip.AddrPort, method string, params any) (bytes int)
+}
+
+// Topic stores the recorded phases.
+type Topic interface {
+	// PutIf writes the newest record of a key on condition that the topic still ends at the given
+	// offset; otherwise it fails with follow.ErrChanged.
+	PutIf(ctx context.Context, key string, value []byte, end int64) error
+}
+
+// Status tells operators how far an order has got.
+type Status struct {
+	Service, Release string
+	Phase            Phase
+}
+
+// Config holds the dependencies of a Service. All fields must be set.
+type Config struct {
+	Node string
+	Gate *Gate
+	Conn Conn
+	// Peers returns the addresses of the other nodes by node name.
+	Peers func() map[string]netip.AddrPort
+	Topic Topic
+	// TopicEnd returns the offset up to which this node has read the topic.
+	TopicEnd func() int64
+	// WriteStatus tells operators the state of an order. It may be repeated.
+	WriteStatus func(ctx context.Context, s Status) error
+	// InFlight returns the number of this node's requests at endpoints of a service whose release is not
+	// the given one.
+	InFlight func(service, release string) int
+	Now      func() time.Time
+	Log      zerolog.Logger
+}
+
+// Service counts answers for orders together with the other nodes, judges them, and records their
+// phases.
+type Service struct {
+	config      Config
+	incarnation int64
+
+	mu      sync.Mutex
+	reports map[string]map[string]receivedReport // newest report by service and node
+
+	// The fields below are used only by Run.
+	seq     int64
+	peers   map[string]netip.AddrPort // as of peersAt
+	peersAt time.Time
+	work    map[string]*orderWork // by service
+	notices []outgoingNotice
+}
+
+type receivedReport struct {
+	*report
+	at time.Time
+}
+
+type outgoingNotice struct {
+	notice
+	left int
+}
+
+// orderWork is what Run remembers of an order.
+type orderWork struct {
+	order       int64
+	reportedAt  time.Time
+	wanted      Phase     // phase that the order should have by this node's judgement
+	wantedSince time.Time // since when it should
+	statusPhase Phase     // phase that this node told operators
+	statusKnown bool
+	phaseAt     time.Time // since when the present phase is known
+	phase       Phase
+	judges      []string // as of judgesAt
+	judgesAt    time.Time
+}
+
+// New returns a service that receives messages once c.Conn runs.
+func New(c Config) *Service {
+	s := &Service{config: c, incarnation: c.Now().UnixNano(), reports: make(map[string]map[string]receivedReport), work: make(map[string]*orderWork)}
+	c.Conn.Handle(reportMethod, s.handleReport)
+	c.Conn.Handle(noticeMethod, s.handleNotice)
+	return s
+}
+
+// Apply applies a record of the topic whose key IsRecord accepts. It fails if the record is invalid.
+func (s *Service) Apply(r *follow.Record) error {
+	if r.Value == nil {
+		return nil
+	}
+	service, order, phase, err := decodeRecord(r)
+	if err != nil {
+		return err
+	}
+	s.config.Gate.setRecorded(service, order, phase, s.config.Now())
+	return nil
+}
+
+func (s *Service) handleReport(params json.RawMessage) (any, error) {
+	r, err := decodeReport(params)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nodes := s.reports[r.Service]
+	if nodes == nil {
+		nodes = make(map[string]receivedReport)
+		s.reports[r.Service] = nodes
+	}
+	before := nodes[r.Node].report
+	if before != nil && (before.Order > r.Order || before.Order == r.Order &&
+		(before.Incarnation > r.Incarnation || before.Incarnation == r.Incarnation && before.Seq >= r.Seq)) {
+		return nil, nil // it arrived late
+	}
+	nodes[r.Node] = receivedReport{r, s.config.Now()}
+	return nil, nil
+}
+
+func (s *Service) handleNotice(params json.RawMessage) (any, error) {
+	n, phase, err := decodeNotice(params)
+	switch {
+	case err != nil:
+		return nil, err
+	case n.Held:
+		s.config.Gate.hold(n.Service, n.Order)
+	case phase != Trial:
+		s.config.Gate.setRecorded(n.Service, n.Order, phase, s.config.Now())
+	}
+	return nil, nil
+}
+
+// Run reports, judges and records until ctx is done.
+func (s *Service) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s.step(ctx)
+		retry.Sleep(ctx, stepInterval)
+	}
+	return nil
+}
+
+// step does once what is due for all orders.
+func (s *Service) step(ctx context.Context) {
+	orders := s.config.Gate.orders()
+	maps.DeleteFunc(s.work, func(service string, _ *orderWork) bool {
+		return !slices.ContainsFunc(orders, func(o orderState) bool { return o.Service == service })
+	})
+	if len(orders) == 0 {
+		return
+	}
+	if now := s.config.Now(); s.peers == nil || now.Sub(s.peersAt) >= peersLifetime {
+		s.peers, s.peersAt = s.config.Peers(), now
+	}
+	peers := s.peers
+	for i := range orders {
+		s.stepOrder(ctx, &orders[i], peers)
+	}
+	s.sendNotices(peers)
+}
+
+func (s *Service) stepOrder(ctx context.Context, o *orderState, peers map[string]netip.AddrPort) {
+	now := s.config.Now()
+	w := s.work[o.Service]
+	if w == nil || w.order != o.ID {
+		w = &orderWork{order: o.ID, wanted: o.phase, wantedSince: now, phase: o.phase, phaseAt: now}
+		s.work[o.Service] = w
+	}
+	if w.phase != o.phase {
+		w.phase, w.phaseAt = o.phase, now
+		s.config.Log.Info().Str("event", "release_order").Str("service", o.Service).Str("release", o.Release).
+			Int64("order", o.ID).Stringer("phase", o.phase).Send()
+	}
+	if w.judges == nil || w.judgesAt != s.peersAt {
+		w.judges, w.judgesAt = s.judges(o.Service, peers), s.peersAt
+	}
+	names := w.judges
+	rank := slices.Index(names, s.config.Node)
+	if !o.phase.Final() {
+		s.report(o, w, names, peers, now)
+	}
+	if rank < 0 {
+		return
+	}
+	if !o.phase.Final() {
+		s.judge(ctx, o, w, rank, now)
+	}
+	s.tellOperators(ctx, o, w, rank, now)
+}
+
+// judges returns the nodes that judge an order, in the order in which they act. This node may be one.
+func (s *Service) judges(service string, peers map[string]netip.AddrPort) []string {
+	nodes := make([]rendezvous.Node, 0, len(peers)+1)
+	nodes = append(nodes, rendezvous.Node{ID: s.config.Node, Weight: 1})
+	for name := range peers {
+		if name != s.config.Node {
+			nodes = append(nodes, rendezvous.Node{ID: name, Weight: 1})
+		}
+	}
+	return rendezvous.Top(judges, service, nodes)
+}
+
+// reportInterval returns the time between two reports of a node with nothing new on the release on trial.
+func reportInterval(nodes int) time.Duration {
+	return max(minReportInterval, time.Duration(nodes)*time.Second/maxReports)
+}
+
+// report sends what this node counted to the judges: soon after an answer of the release on trial, and
+// now and then otherwise.
+func (s *Service) report(o *orderState, w *orderWork, names []string, peers map[string]netip.AddrPort, now time.Time) {
+	if !o.dirty && now.Sub(w.reportedAt) < reportInterval(len(peers)) {
+		return
+	}
+	w.reportedAt = now
+	s.config.Gate.markReported(o.Service)
+	s.seq++
+	r := &report{
+		Service: o.Service, Order: o.ID, Node: s.config.Node, Incarnation: s.incarnation, Seq: s.seq,
+		AgeMS: min(now.Sub(o.ReadAt), maxAge).Milliseconds(), OldInFlight: s.config.InFlight(o.Service, o.Release), Rows: o.rows,
+	}
+	for _, name := range names {
+		if addr, known := peers[name]; known && name != s.config.Node {
+			s.config.Conn.Notify([]netip.AddrPort{addr}, reportMethod, r)
+		}
+	}
+}
+
+// judge judges an order and, if this node is to act, records its next phase.
+func (s *Service) judge(ctx context.Context, o *orderState, w *orderWork, rank int, now time.Time) {
+	verdict := Judge(s.evidence(o, w, now))
+	if verdict.Phase != w.wanted {
+		w.wanted, w.wantedSince = verdict.Phase, now
+	}
+	if verdict.Phase == o.phase || now.Sub(w.wantedSince) < time.Duration(rank)*judgeDelay {
+		return
+	}
+	if verdict.Phase == RolledBack && !o.held {
+		s.config.Gate.hold(o.Service, o.ID)
+		s.notify(notice{Service: o.Service, Order: o.ID, Held: true})
+	}
+	if !verdict.Phase.mayFollow(o.phase) {
+		return
+	}
+	err := s.recordPhase(ctx, o, verdict.Phase)
+	s.config.Log.Info().Str("event", "release_order_judged").Str("service", o.Service).Str("release", o.Release).Int64("order", o.ID).
+		Stringer("phase", verdict.Phase).Str("why", verdict.Reason).Int64("after_ms", now.Sub(o.ReadAt).Milliseconds()).AnErr("error", err).Send()
+	if err != nil {
+		return // another record was written meanwhile, or the store failed: the next step tries again
+	}
+	s.config.Gate.setRecorded(o.Service, o.ID, verdict.Phase, now)
+	s.notify(notice{Service: o.Service, Order: o.ID, Phase: verdict.Phase.String()})
+}
+
+// recordPhase writes an order's phase on condition that the topic has no records that this node has not
+// read.
+func (s *Service) recordPhase(ctx context.Context, o *orderState, phase Phase) error {
+	value, err := encodeRecord(o.ID, phase, s.config.Node)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return s.config.Topic.PutIf(ctx, keyPrefix+o.Service, value, s.config.TopicEnd())
+}
+
+// evidence returns what this node and the reports of the others say about an order.
+func (s *Service) evidence(o *orderState, w *orderWork, now time.Time) *Evidence {
+	e := &Evidence{
+		Phase: o.phase, Held: o.held, Elapsed: now.Sub(o.ReadAt), Within: o.Within,
+		OldInFlight: s.config.InFlight(o.Service, o.Release),
+	}
+	if o.phase == Promoting {
+		e.Promoted = now.Sub(w.phaseAt)
+	}
+	rows := make(map[string]*Row)
+	addRows(rows, o.rows)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.reports[o.Service] {
+		if r.Order != o.ID || r.Node == s.config.Node {
+			continue
+		}
+		addRows(rows, r.Rows)
+		sinceReport := now.Sub(r.at)
+		e.Elapsed = max(e.Elapsed, time.Duration(r.AgeMS)*time.Millisecond+sinceReport) // this node may have restarted
+		if sinceReport < 2*reportInterval(len(s.reports[o.Service]))+silenceMargin {    // else that node is gone
+			e.OldInFlight += r.OldInFlight
+		}
+	}
+	for _, route := range slices.Sorted(maps.Keys(rows)) {
+		e.Rows = append(e.Rows, *rows[route])
+	}
+	return e
+}
+
+func addRows(sums map[string]*Row, rows []Row) {
+	for i := range rows {
+		sum := sums[rows[i].Route]
+		if sum == nil {
+			sum = &Row{Route: rows[i].Route}
+			sums[rows[i].Route] = sum
+		}
+		sum.Old.sum(&rows[i].Old)
+		sum.New.sum(&rows[i].New)
+	}
+}
+
+// tellOperators writes the status of an order after each change of its recorded phase. The judges write
+// it one after the other: the first may have been lost between the record and the status.
+func (s *Service) tellOperators(ctx context.Context, o *orderState, w *orderWork, rank int, now time.Time) {
+	if w.statusKnown && w.statusPhase == o.phase || now.Sub(w.phaseAt) < time.Duration(rank)*judgeDelay {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := s.config.WriteStatus(ctx, Status{Service: o.Service, Release: o.Release, Phase: o.phase}); err != nil {
+		s.config.Log.Warn().Str("event", "release_status_unwritten").Str("service", o.Service).AnErr("error", err).Send()
+		return
+	}
+	w.statusKnown, w.statusPhase = true, o.phase
+}
+
+func (s *Service) notify(n notice) {
+	s.notices = append(s.notices, outgoingNotice{n, noticeRepeats})
+}
+
+// sendNotices sends the notices of the last steps to all nodes.
+func (s *Service) sendNotices(peers map[string]netip.AddrPort) {
+	if len(s.notices) == 0 {
+		return
+	}
+	all := slices.Collect(maps.Values(peers))
+	for i := range s.notices {
+		s.config.Conn.Notify(all, noticeMethod, s.notices[i].notice)
+		s.notices[i].left--
+	}
+	s.notices = slices.DeleteFunc(s.notices, func(n outgoingNotice) bool { return n.left <= 0 })
+}
--- /dev/null
+++ b/internal/canary/system_test.go
@@ -0,0 +1,335 @@
+package canary
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+const (
+	service       = "s"
+	share         = 0.1
+	tolerance     = 50 // requests to a bad release beyond its share
+	rollbackBound = 5 * time.Second
+	within        = 40 * time.Second
+	followDelay   = 3500 * time.Millisecond // of a node of a large system
+)
+
+// system is a system of nodes that move a service to another release, with a clock of its own.
+type system struct {
+	now      time.Time
+	random   *rand.Rand
+	nodes    []*simulated
+	records  []follow.Record // of the topic
+	storeUp  bool
+	statuses []Status
+	old, new []*fleet.Member
+	lossRate float64
+	all      map[string]netip.AddrPort // all nodes by name
+
+	requests, exposed, bad int
+	fiftiethBadAt          time.Time
+	lateExposures          int
+}
+
+// simulated is one node.
+type simulated struct {
+	*Service
+	system   *system
+	addr     netip.AddrPort
+	handlers map[string]datagram.Handler
+	readUpTo int // records of the topic that it has read
+	readAt   []time.Time
+	alive    bool
+	cutOff   bool // from the other nodes and the topic
+	inFlight int  // at old endpoints
+}
+
+func newSystem(seed uint64, nodes int) *system {
+	s := &system{now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 5)), storeUp: true}
+	f := fleet.New(zerolog.Nop())
+	for i := range 20 {
+		e := &fleet.Endpoint{ID: fmt.Sprint("e", i), Service: service, Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Slots: 12, Release: "v1"}
+		if i >= 10 {
+			e.Release = "v2"
+		}
+		f.Update(e, s.now)
+	}
+	for _, m := range f.Members(service) {
+		if m.Endpoint().Release == "v2" {
+			s.new = append(s.new, m)
+		} else {
+			s.old = append(s.old, m)
+		}
+	}
+	for i := range nodes {
+		n := &simulated{system: s, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7)}
+		s.nodes = append(s.nodes, n)
+		n.start()
+	}
+	return s
+}
+
+// start starts a node, which reads the order.
+func (n *simulated) start() {
+	n.handlers = make(map[string]datagram.Handler)
+	n.alive, n.inFlight = true, 0
+	gate := &Gate{ExposureShare: share}
+	n.Service = New(Config{
+		Node: n.addr.String(), Gate: gate, Conn: n, Topic: n, Peers: n.peers,
+		TopicEnd: func() int64 { return int64(n.readUpTo) },
+		WriteStatus: func(_ context.Context, status Status) error {
+			n.system.statuses = append(n.system.statuses, status)
+			return nil
+		},
+		InFlight: func(string, string) int { return n.inFlight },
+		Now:      func() time.Time { return n.system.now },
+		Log:      zerolog.Nop(),
+	})
+	n.readUpTo = 0
+	n.readTopic(true)
+	gate.SetOrder(Order{Service: service, Release: "v2", Within: within, ID: 7, ReadAt: n.system.now})
+}
+
+// Handle implements Conn.
+func (n *simulated) Handle(method string, h datagram.Handler) { n.handlers[method] = h }
+
+// Notify implements Conn.
+func (n *simulated) Notify(peers []netip.AddrPort, method string, params any) int {
+	data, err := json.Marshal(params)
+	if err != nil {
+		panic(err) // can't fail for the messages
+	}
+	if n.cutOff {
+		return 0
+	}
+	for _, to := range peers {
+		other := n.system.at(to)
+		if !other.alive || other.cutOff || n.system.random.Float64() < n.system.lossRate {
+			continue
+		}
+		if _, err := other.handlers[method](data); err != nil {
+			panic(err)
+		}
+	}
+	return 0
+}
+
+var errStoreDown = errors.New("store is down")
+
+// PutIf implements Topic.
+func (n *simulated) PutIf(_ context.Context, key string, value []byte, end int64) error {
+	s := n.system
+	switch {
+	case !s.storeUp || n.cutOff:
+		return errStoreDown
+	case end != int64(len(s.records)):
+		return follow.ErrChanged
+	}
+	s.records = append(s.records, follow.Record{Key: key, Value: value, Offset: end})
+	for _, other := range s.nodes {
+		other.readAt = append(other.readAt, s.now.Add(time.Duration(s.random.Float64()*float64(followDelay))))
+	}
+	return nil
+}
+
+// readTopic reads what has arrived of the topic, or all of it.
+func (n *simulated) readTopic(all bool) {
+	for !n.cutOff && n.readUpTo < len(n.system.records) && (all || !n.system.now.Before(n.readAt[n.readUpTo])) {
+		r := n.system.records[n.readUpTo]
+		n.readUpTo++
+		if err := n.Apply(&r); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// peers returns all nodes, this one included, which makes no difference to a service.
+func (n *simulated) peers() map[string]netip.AddrPort {
+	if len(n.system.all) != len(n.system.nodes) {
+		n.system.all = make(map[string]netip.AddrPort)
+		for _, node := range n.system.nodes {
+			n.system.all[node.addr.String()] = node.addr
+		}
+	}
+	return n.system.all
+}
+
+func (s *system) at(addr netip.AddrPort) *simulated {
+	b := addr.Addr().As4()
+	return s.nodes[int(b[2])<<8|int(b[3])]
+}
+
+// request has a node send one request.
+func (s *system) request(n *simulated, released behavior) {
+	gate := n.config.Gate
+	all := append(append([]*fleet.Member{}, s.old...), s.new...)
+	route := []string{"a", "a", "a", "b", "b", "c"}[s.random.IntN(6)]
+	first, then := gate.Split(service, route, all, s.now)
+	candidates := append(first, then...)
+	if len(candidates) == 0 {
+		return
+	}
+	m := candidates[s.random.IntN(max(len(first), 1))]
+	gate.RecordSend(service, m, true)
+	s.requests++
+	b := usual
+	if m.Endpoint().Release == "v2" {
+		b = released
+		s.exposed++
+		if !s.fiftiethBadAt.IsZero() && s.now.Sub(s.fiftiethBadAt) > rollbackBound && !n.cutOff {
+			s.lateExposures++
+		}
+	}
+	bad, took := b.answer(s.random)
+	if bad && m.Endpoint().Release == "v2" {
+		if s.bad++; s.bad == 50 {
+			s.fiftiethBadAt = s.now
+		}
+	}
+	gate.RecordAnswer(service, route, m, bad, took)
+}
+
+// play plays the order until its end and a while longer. disturb, if not nil, is called before each
+// step. It returns the recorded phases, after checking that they are in order.
+func (s *system) play(t *testing.T, perSecond float64, released func(elapsed time.Duration) behavior, disturb func(elapsed time.Duration)) []Phase {
+	t.Helper()
+	started := s.now
+	for elapsed := time.Duration(0); elapsed < within+5*time.Second; elapsed += stepInterval {
+		s.now = started.Add(elapsed)
+		if disturb != nil {
+			disturb(elapsed)
+		}
+		for _, n := range s.nodes {
+			if !n.alive {
+				continue
+			}
+			n.readTopic(false)
+			for rate := perSecond * stepInterval.Seconds() / float64(len(s.nodes)); rate > 0; rate-- {
+				if s.random.Float64() < rate {
+					s.request(n, released(elapsed))
+				}
+			}
+			n.step(t.Context())
+		}
+	}
+	var phases []Phase
+	previous := Trial
+	for i := range s.records {
+		_, order, phase, err := decodeRecord(&s.records[i])
+		must.NoError(t, err)
+		must.Eq(t, 7, order)
+		must.True(t, phase.mayFollow(previous), must.Sprint(phases, phase))
+		previous = phase
+		phases = append(phases, phase)
+	}
+	return phases
+}
+
+func always(b behavior) func(time.Duration) behavior {
+	return func(time.Duration) behavior { return b }
+}
+
+// TestReleases plays orders of good and bad releases in systems of all sizes. A good one gets all
+// requests in time; a bad one gets its share of them at most, is rolled back, and gets none later than
+// the bound after its fiftieth bad answer.
+func TestReleases(t *testing.T) {
+	later := func(elapsed time.Duration) behavior {
+		if elapsed < 12*time.Second {
+			return usual
+		}
+		return behavior{0.6, usual.took}
+	}
+	for _, nodes := range []int{7, 86, 295, 1000} {
+		perSecond := 400 + 1.2*float64(nodes)
+		for name, tc := range map[string]struct {
+			released func(time.Duration) behavior
+			want     []Phase
+		}{
+			"good":        {always(usual), []Phase{Promoting, Succeeded}},
+			"fails":       {always(behavior{0.4, usual.took}), []Phase{RolledBack}},
+			"slow":        {always(behavior{0.01, 6 * usual.took}), []Phase{RolledBack}},
+			"fails later": {later, []Phase{RolledBack}},
+		} {
+			if nodes == 1000 && name != "good" && name != "fails" {
+				continue // the others take long at this size
+			}
+			s := newSystem(uint64(nodes), nodes)
+			s.lossRate = 0.03
+			phases := s.play(t, perSecond, tc.released, nil)
+			must.Eq(t, tc.want, phases, must.Sprint(nodes, " nodes, ", name))
+			last := s.statuses[len(s.statuses)-1]
+			test.Eq(t, Status{Service: service, Release: "v2", Phase: tc.want[len(tc.want)-1]}, last)
+			if name != "good" {
+				test.LessEq(t, share*float64(s.requests)+tolerance, float64(s.exposed), test.Sprint(nodes, " nodes, ", name))
+				test.Eq(t, 0, s.lateExposures, test.Sprint(nodes, " nodes, ", name))
+			}
+		}
+	}
+}
+
+// TestReleasesUnderFaults plays orders while nodes are killed and restarted, judges first of all, are cut
+// off, and the store is down: an order goes on or back, never both, no bad release gets more than its
+// share, and nodes that see the others send it nothing later than the bound.
+func TestReleasesUnderFaults(t *testing.T) {
+	ended := make(map[Phase]int)
+	for seed := range uint64(30) {
+		const nodes = 24
+		s := newSystem(seed, nodes)
+		s.lossRate = 0.05
+		released := usual
+		if seed%2 == 0 {
+			released = behavior{0.4, usual.took}
+		}
+		judges := s.nodes[0].judges(service, s.nodes[0].peers())
+		phases := s.play(t, 600, always(released), func(elapsed time.Duration) {
+			if elapsed > 35*time.Second {
+				for _, n := range s.nodes {
+					n.cutOff = false
+					if !n.alive {
+						n.start()
+					}
+				}
+				s.storeUp = true
+				return
+			}
+			if s.random.IntN(40) == 0 {
+				s.storeUp = !s.storeUp
+			}
+			for i, n := range s.nodes {
+				isJudge := n.addr.String() == judges[0] || n.addr.String() == judges[1]
+				switch chance := s.random.IntN(400); {
+				case chance == 0 || isJudge && chance < 8:
+					n.alive = !n.alive
+					if n.alive {
+						s.nodes[i].start()
+					}
+				case chance == 9:
+					n.cutOff = !n.cutOff
+				}
+			}
+		})
+		must.SliceNotEmpty(t, phases, must.Sprint(seed))
+		last := phases[len(phases)-1]
+		must.True(t, last.Final(), must.Sprint(seed, phases))
+		ended[last]++
+		if seed%2 == 0 {
+			test.Eq(t, RolledBack, last, test.Sprint(seed))
+			test.LessEq(t, share*float64(s.requests)+tolerance, float64(s.exposed), test.Sprint(seed))
+		}
+	}
+	test.Positive(t, ended[Succeeded], test.Sprint(ended))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,7 @@
 	Domain   string // failure domain
 	Slots    int
 	Draining bool
+	Release  string        // version of its software
 	ColdLeft time.Duration // remaining cold period, in which it accepts few requests and may be slow
 	// StartedMs is the start time in Unix milliseconds, 0 if not reported. A restart under the same
 	// ID has a later one and shares no state with the previous start.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -121,6 +121,9 @@
 	if x.callerWriteFailed || x.r.Context().Err() != nil || errors.Is(x.cause, errWithdrawn) {
 		return // the caller left or this node withdrew the attempt: neither depends on the endpoint's health
 	}
+	if p.RecordAnswer != nil && v != notRun {
+		p.RecordAnswer(v != delivered, max(x.attemptTook-p.PredictedFirstEvent, 0))
+	}
 	now := x.Clock.Now()
 	health := &p.Member.Health
 	endpointEnded := v == notRun && (x.endpointReplaced || x.connectionRefused())
@@ -200,6 +203,7 @@
 		}
 	}
 	defer releasePrefill()
+	defer func() { x.attemptTook = time.Since(started) }()
 	onFirstEvent := func() {
 		if prefilling && p.RecordFirstEvent != nil {
 			p.RecordFirstEvent(time.Since(started))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -82,6 +82,7 @@
 	cause             error                   // reason for which the latest attempt failed
 	cachedFingerprint *quarantine.Fingerprint // computed on first use
 	answerBroken      bool                    // the latest attempt ended without a complete answer
+	attemptTook       time.Duration           // duration of the latest attempt
 	// endpointReplaced is true if another endpoint answered the latest attempt.
 	endpointReplaced  bool
 	written           bool     // the header of the answer was written
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -168,6 +168,9 @@
 	// RecordFailure, if not nil, is called if the attempt ended before its first event without an
 	// answer from the endpoint: the KV cache that it was to store will probably not be stored.
 	RecordFailure func()
+	// RecordAnswer, if not nil, is called with the outcome of an attempt that the endpoint did not
+	// refuse: whether it failed, and the time that it took beyond the predicted first event.
+	RecordAnswer func(bad bool, took time.Duration)
 	// RecordRun, if not nil, is called with the time that the endpoint took for the complete answer.
 	RecordRun func(took time.Duration)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/fleet"
@@ -70,6 +71,7 @@
 	peers         *peerload.Exchange
 	roster        *roster
 	quarantine    *quarantine.Service
+	releases      *canary.Service
 	recorder      *recorder
 	started       time.Time
 	shuttingDown  atomic.Bool
@@ -151,6 +153,7 @@
 		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(platform.TopicNodes), Now: n.clock.Now, Log: n.log,
 	})
 	n.roster.applyHoldRecord, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
+	n.buildReleases(store)
 	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
 		Node:    boot.Name,
@@ -196,6 +199,7 @@
 		&task{name: "peers", run: n.peers.Run},
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "quarantine", run: n.quarantine.Run},
+		&task{name: "releases", run: n.releases.Run},
 		&task{name: "suspension", run: n.watchSuspension},
 		&task{name: "sweep", run: newSweeper(n).run},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
@@ -249,6 +253,7 @@
 		Closed:            n.orders.Closed,
 		VersionApplyLimit: func() time.Duration { return n.bounds().VersionApplyLimit },
 		Evacuated:         n.state.Evacuated,
+		Releases:          n.state.releases,
 		SlowStart:         &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
 		MaxColdPerSecond:  n.maxColdRate,
 		Throttle:          &throttle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/intervals"
@@ -66,6 +67,8 @@
 	// applyHoldRecord, if not nil, receives the records of held requests. They share the topic with
 	// the nodes' entries, since every node follows it.
 	applyHoldRecord func(record *follow.Record) error
+	// applyPhaseRecord, if not nil, receives the recorded phases of release orders, for the same reason.
+	applyPhaseRecord func(record *follow.Record) error
 	// changed, if not nil, is called after each batch of records.
 	changed func()
 
@@ -121,8 +124,12 @@
 }
 
 func (r *roster) apply(record *follow.Record) {
-	if quarantine.IsRecord(record.Key) {
-		r.applyHold(record)
+	switch {
+	case quarantine.IsRecord(record.Key):
+		r.pass(record, r.applyHoldRecord)
+		return
+	case canary.IsRecord(record.Key):
+		r.pass(record, r.applyPhaseRecord)
 		return
 	}
 	if record.Value == nil {
@@ -142,12 +149,12 @@
 	r.entries[record.Key] = e
 }
 
-// applyHold passes a record of a held request to applyHoldRecord.
-func (r *roster) applyHold(record *follow.Record) {
-	if r.applyHoldRecord == nil {
+// pass passes a record to apply, which may be nil.
+func (r *roster) pass(record *follow.Record, apply func(*follow.Record) error) {
+	if apply == nil {
 		return
 	}
-	if err := r.applyHoldRecord(record); err != nil {
+	if err := apply(record); err != nil {
 		r.rejected.record(record, err)
 	}
 }
@@ -245,6 +252,13 @@
 // until silenceTimeout and removalGrace have passed.
 func (r *roster) Nodes() int { return int(r.count.Load()) }
 
+// End returns the offset up to which the topic has been read.
+func (r *roster) End() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end
+}
+
 // Loaded reports whether the topic has been read.
 func (r *roster) Loaded() bool {
 	r.mu.Lock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/forward"
@@ -36,6 +37,7 @@
 	onConfig    func()
 	evacuations evacuations
 	residencies residency.Tracker
+	releases    *canary.Gate
 	regions     residency.Map // the region of each failure domain
 	confirmedAt atomic.Pointer[time.Time]
 
@@ -65,7 +67,7 @@
 
 func newState(bounds func() bootstrap.Bounds, log zerolog.Logger) *state {
 	return &state{
-		log: log, started: time.Now(), bounds: bounds, rejected: newRejected(log),
+		log: log, started: time.Now(), bounds: bounds, rejected: newRejected(log), releases: &canary.Gate{},
 		versions: make(map[string][]announcedVersion), changed: make(chan struct{}, 1),
 		residencies: residency.Tracker{Limits: residency.Limits{
 			MaxFreshAge: maxFreshConfigAge, MaxFreeTime: kvindex.MaxFreeTime, ReferenceTime: replacedReferenceTime, FreeDelay: freeDelay,
@@ -119,6 +121,10 @@
 }
 
 func (s *state) applyRecord(r *follow.Record, obs *observation) {
+	if service, ok := platform.ReleaseService(r.Key); ok {
+		s.applyReleaseOrder(service, r, obs)
+		return
+	}
 	if r.Value == nil {
 		return // operators never remove a configuration
 	}
@@ -166,6 +172,24 @@
 	s.log.Warn().Str("event", "regions_unknown").Int64("version", version).Strs("regions", slices.Compact(unknown)).Send()
 }
 
+// applyReleaseOrder applies an order to move a service to another release, or its withdrawal. After an
+// invalid record the order before stays in force.
+func (s *state) applyReleaseOrder(service string, r *follow.Record, obs *observation) {
+	if r.Value == nil {
+		s.releases.Withdraw(service)
+		return
+	}
+	order, err := platform.DecodeReleaseOrder(service, r.Value)
+	if err != nil {
+		s.rejected.record(r, err)
+		return
+	}
+	order.ID, order.ReadAt = r.Offset, obs.at
+	s.releases.SetOrder(order)
+	s.log.Info().Str("event", "release_ordered").Str("service", service).Str("release", order.Release).
+		Int64("order", order.ID).Int64("within_ms", order.Within.Milliseconds()).Send()
+}
+
 // priorities returns the priorities of the client accounts that have one.
 func priorities(c *routing.Config) []int {
 	var list []int
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
@@ -59,6 +60,9 @@
 	// Evacuated reports whether the endpoints of a failure domain must get no requests. Nil means
 	// that no domain is evacuated.
 	Evacuated func(domain string) bool
+	// Releases decides which endpoints may get requests while a service is moved to another release. Nil
+	// means that no service is.
+	Releases *canary.Gate
 	// SlowStart shares out the requests to cold endpoints between nodes. MaxColdPerSecond returns
 	// the maximum number of requests per second to a cold endpoint of a service, 0 for no limit.
 	// Nil means that cold endpoints get as many requests as others.
@@ -111,6 +115,35 @@
 	if len(available) == 0 && len(allowed) > 0 {
 		return forward.Placement{Reason: reasonEvacuated}, false
 	}
+	if p.Releases == nil {
+		return p.placeAmong(q, available)
+	}
+	placement, ok := forward.Placement{}, false
+	first, then := p.Releases.Split(q.Service.Name, q.Route.Name, available, p.Now())
+	if len(first) > 0 {
+		placement, ok = p.placeAmong(q, first)
+	}
+	if !ok && (len(then) > 0 || len(first) == 0) {
+		placement, ok = p.placeAmong(q, then)
+	}
+	if ok {
+		p.recordRelease(q, &placement)
+	}
+	return placement, ok
+}
+
+// recordRelease counts a placement while the service is moved to another release, and has its answer
+// counted.
+func (p *Placer) recordRelease(q *forward.Query, placement *forward.Placement) {
+	service, route, m := q.Service.Name, q.Route.Name, placement.Member
+	if !p.Releases.RecordSend(service, m, len(q.Tried) == 0) {
+		return
+	}
+	placement.RecordAnswer = func(bad bool, took time.Duration) { p.Releases.RecordAnswer(service, route, m, bad, took) }
+}
+
+// placeAmong selects one of the given endpoints.
+func (p *Placer) placeAmong(q *forward.Query, available []*fleet.Member) (forward.Placement, bool) {
 	gate := p.gate(q)
 	ready := gate.unblocked(available)
 	if len(ready) == 0 && len(available) > 0 {
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -128,6 +128,17 @@
 	})
 }
 
+// Newest returns the newest value of a key, or nil.
+func (s *Store) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, err := base64.StdEncoding.DecodeString(s.topic(name).newest[key].value)
+	if err != nil || len(value) == 0 {
+		return nil
+	}
+	return value
+}
+
 // topic returns a topic, which it creates on first use. s.mu is held.
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -6,6 +6,7 @@
 package modelserver
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -51,6 +52,7 @@
 	ID            string
 	Service       string
 	Zone          string
+	Release       string        // version of the server's software; empty for "v1"
 	Model         string        // empty for a plain server
 	StreamEvents  int           // number of events of a stream
 	EventInterval time.Duration // between events
@@ -162,7 +164,7 @@
 
 // Entry returns the server's registry entry for an address and state.
 func (s *Server) Entry(addr, state string) []byte {
-	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": "v1", "slots": 8, "state": state, "cold-left-ms": s.coldLeft().Milliseconds(), "seq": 1, "born": s.StartedMs()}
+	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": cmp.Or(s.cfg.Release, "v1"), "slots": 8, "state": state, "cold-left-ms": s.coldLeft().Milliseconds(), "seq": 1, "born": s.StartedMs()}
 	if s.cfg.Model != "" {
 		entry["models"] = s.models()
 	}
--- a/standin/site/operator.go
+++ b/standin/site/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
@@ -82,6 +83,28 @@
 	s.Store.Put("keyed.op", key, nil)
 }
 
+// OrderRelease writes the order to move the model service to another release of its servers' software.
+func (s *Site) OrderRelease(release string, within time.Duration) {
+	s.put("keyed.op", "rollout/models", map[string]any{"service": "models", "destination": release, "within-s": within.Seconds()})
+}
+
+// ReleaseState returns the state that the nodes last wrote about the order, and its release; empty if
+// they wrote none.
+func (s *Site) ReleaseState() (state, release string) {
+	var status struct {
+		State       string `json:"state"`
+		Destination string `json:"destination"`
+	}
+	value := s.Store.Newest("keyed.status", "rollout/models")
+	if value == nil {
+		return "", ""
+	}
+	if err := json.Unmarshal(value, &status); err != nil {
+		return "", ""
+	}
+	return status.State, status.Destination
+}
+
 // SetTargetVersion writes the target version of the model's weights.
 func (s *Site) SetTargetVersion(version int64) {
 	s.put("keyed.op", "version/"+Model, map[string]any{"model": Model, "version": version})
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,7 +69,9 @@
 
 	ip                     string
 	storeAddr, kvStoreAddr string
+	serversMu              sync.Mutex
 	servers                []*server
+	eventInterval          time.Duration
 	ctx                    context.Context // cancelled by Close
 	secondRegion           bool
 	proxy                  func(addr string) (string, error)
@@ -98,7 +101,7 @@
 // written with Configure.
 func Start(c Config) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Site{ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, secondRegion: c.SecondRegion, proxy: c.Proxy, onCrash: c.OnCrash}
+	s := &Site{ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, secondRegion: c.SecondRegion, eventInterval: c.EventInterval, proxy: c.Proxy, onCrash: c.OnCrash}
 	store, err := s.listen(s.Store.Handler())
 	if err != nil {
 		return nil, err
@@ -128,6 +131,21 @@
 	return s, nil
 }
 
+// AddModel starts another model server with the given release of its software. It is registered with
+// the next heartbeats.
+func (s *Site) AddModel(release string) (*modelserver.Server, error) {
+	number := len(s.Models) + 1
+	added, err := s.add(modelserver.Config{
+		ID: fmt.Sprint("model-", number), Service: "models", Zone: "north", Model: Model, Release: release,
+		StreamEvents: StreamEvents, EventInterval: s.eventInterval,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.Models = append(s.Models, added)
+	return added, nil
+}
+
 func (s *Site) add(cfg modelserver.Config) (*modelserver.Server, error) {
 	added := &server{id: cfg.ID, state: stateReady}
 	i := len(s.servers)
@@ -143,6 +161,8 @@
 		return nil, err
 	}
 	added.at = at
+	s.serversMu.Lock()
+	defer s.serversMu.Unlock()
 	s.servers = append(s.servers, added)
 	return added.Server, nil
 }
@@ -196,7 +216,10 @@
 
 // register writes the entry of each running server.
 func (s *Site) register() {
-	for _, server := range s.servers {
+	s.serversMu.Lock()
+	servers := slices.Clone(s.servers)
+	s.serversMu.Unlock()
+	for _, server := range servers {
 		server.mu.Lock()
 		if server.state != "" {
 			s.Store.Put(registryTopic, server.id, server.Entry(server.at.addr, server.state))
