Large systems: nodes follow the engines of their failure domain

Each of 985 nodes kept 9,762 engines: their state, connections' pools and the look through all of them at each message and request, though a node sends less than two requests a second.

Change: of a service with over 1,000 endpoints a node follows those of its own failure domain, if these are at least 100; all endpoints of smaller services. A node follows all where it may read for others or give orders, or while its own domain is evacuated or has too few left; what it then needs it takes from its copy of the registry, without a question.

Weighed: a subset by rendezvous hashing for each node (other nodes of the domain collect load by the domain's engines, and look after cold and limited ones together, so a common subset is needed); asking for a part only (changes are few, and a node that must follow all again would have to wait for them).

Left: a domain whose engines are all busy sends nothing to others at this size.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -51,7 +51,9 @@
 	var source *relay.Topic
 	f.config, source = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock})
 	f.config.Wait, f.config.Pause = zeroIfRelayed(source.Relayed, n.configWait), intervalIfRelayed(source.Relayed, relayPollInterval, nil)
-	f.endpoints, source = follower("registry", platform.TopicEndpoints, &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenInvalidEndpoint})
+	entries := &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenInvalidEndpoint}
+	n.registry.records = entries.Records
+	f.endpoints, source = follower("registry", platform.TopicEndpoints, entries)
 	source.MayReadAll, source.Readers = n.mayReadRegistry, n.registryReaders
 	source.MaxAge = max(relay.MaxAge, time.Duration(maxRegistryAgeShare*float64(n.bounds().DrainLimit)))
 	// Each heartbeat is a record, so a read that waits for a change would end many times per
@@ -63,6 +65,13 @@
 	return f
 }
 
+// followsAllEndpoints reports whether this node must follow all endpoints: it may read the registry for
+// others or give orders to all engines, or its own failure domain is evacuated.
+func (n *Node) followsAllEndpoints() bool {
+	return intervals.FullMesh(n.nodes()) || n.roster.readerCandidate() || n.roster.rootCandidate() || n.roster.Standby() ||
+		n.state.Evacuated(n.boot.Load().Domain)
+}
+
 // registryReaders returns the nodes from which this node obtains the registry: the readers of its
 // failure domain or, if it is one of them, the root readers. It returns none if this node reads the
 // registry from the store.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	n.state.regions = boot.Regions
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
 	n.registry.clock = host
+	n.registry.scope = scope{domain: boot.Domain, followsAll: n.followsAllEndpoints}
 	n.state.onConfig = n.registry.reevaluate
 	n.state.evacuations.onEnd = n.registry.markDomainCold
 	store := platform.NewStore(boot.StoreAddr)
@@ -200,6 +201,7 @@
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "quarantine", run: n.quarantine.Run},
 		&task{name: "releases", run: n.releases.Run},
+		&task{name: "memory", run: tuneCollections},
 		&task{name: "suspension", run: n.watchSuspension},
 		&task{name: "sweep", run: newSweeper(n).run},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -41,8 +41,8 @@
 
 // registry transfers the endpoints' entries to the fleet.
 //
-// Guarantee: the fleet contains exactly the endpoints of services that the configuration names. An
-// endpoint in the fleet receives requests and orders, and counts toward the endpoints that load
+// Guarantee: the fleet contains exactly the endpoints of services that the configuration names, within
+// the node's scope. An endpoint in the fleet receives requests and orders, and counts toward the endpoints that load
 // weights. Entries and configuration may arrive in any order.
 type registry struct {
 	fleet    *fleet.Fleet
@@ -53,8 +53,11 @@
 
 	mu              sync.Mutex
 	expiryHoldUntil time.Time // entries missing before this time may merely have expired
-	// entries holds the newest valid entries by endpoint id.
+	// entries holds the newest valid entries in the scope by endpoint id.
 	entries map[string]entry
+	scope   scope
+	// records returns the newest records of all entries, whatever the scope.
+	records func() []follow.Record
 }
 
 // entry is an endpoint's entry with its encoded form.
@@ -77,7 +80,12 @@
 	if b.Failed && b.Gap > minExpiryOutage {
 		r.beginExpiryHold(now)
 	}
-	r.fleet.UpdateBatch(func() { r.applyRecords(&b, now) })
+	r.fleet.UpdateBatch(func() {
+		r.applyRecords(&b, now)
+		if r.scope.update() {
+			r.rescope(r.records())
+		}
+	})
 	// The timer that ends the hold may have fired after now was read and before the missing entries
 	// were found.
 	r.fleet.Expire(r.clock.Now())
@@ -122,6 +130,7 @@
 func (r *registry) apply(record *follow.Record, now time.Time) {
 	if record.Value == nil {
 		delete(r.entries, record.Key)
+		r.scope.unlist(record.Key)
 		r.remove(record.Key, now)
 		return
 	}
@@ -136,12 +145,19 @@
 		// held; if it is alive, its next heartbeat restores it. The fleet keeps the record that the
 		// id was draining, and requests in progress continue.
 		delete(r.entries, record.Key)
+		r.scope.unlist(record.Key)
 		r.fleet.Remove(record.Key)
 		return
 	}
 	if r.fleet.Outdated(endpoint) {
 		return // it arrived late, or another writer wrote it
 	}
+	r.scope.list(endpoint)
+	if !r.scope.follows(endpoint) {
+		delete(r.entries, record.Key)
+		r.fleet.Remove(record.Key)
+		return
+	}
 	if before := r.entries[record.Key].endpoint; before != nil && before.Service != endpoint.Service {
 		r.fleet.Remove(record.Key) // the recorded state belongs to another service
 	}
@@ -167,6 +183,11 @@
 			delete(r.entries, id)
 		}
 	}
+	for id := range r.scope.listed {
+		if !present[id] {
+			r.scope.unlist(id)
+		}
+	}
 }
 
 // reevaluate adds the endpoints of services that the configuration now names, and removes those of
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -78,6 +78,20 @@
 	c.confirmedAt = b.ConfirmedAt
 }
 
+// Records returns the latest record of each key, without the removed ones. A copy applies a batch to its
+// sink after it has taken it over itself, so the sink may call Records.
+func (c *Copy) Records() []follow.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	records := make([]follow.Record, 0, len(c.latest))
+	for _, r := range c.latest {
+		if r.Value != nil {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
 // changedRecords is the result of a request to a copy.
 type changedRecords struct {
 	records []relayedRecord
