Placer: what another region costs

Transfers, requests and prompts between regions cost the same as between failure domains of one region: two times the time of a transfer, 2 ms a request.

Change: transfers between regions count ten times; an engine there costs 60 ms, a plain endpoint four requests in flight. In a large system prompts move between failure domains of a region as before, and to another region only where this one is fuller than all by 0.2. A node without engines in its domain uses its region's. Where no regions are known, or there is one, nothing changes.

--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -12,6 +12,9 @@
 	// value closes most of the difference without oscillating, because the age of load reports is
 	// shorter than the duration of a run.
 	remoteGain = 3.0
+	// regionMargin is by how much the utilization of a region may exceed that of all engines before
+	// prompts are sent to other regions, whose answers arrive later and over a shared link.
+	regionMargin = 0.2
 	// maxRemoteShare bounds that share, as load reports of other domains are old and coarse.
 	maxRemoteShare = 0.5
 	// remoteChoices is the number of random engines of another domain among which a prompt is
@@ -84,25 +87,63 @@
 	if len(reported) == 0 {
 		return nil
 	}
-	uses, all := s.domainUses(candidates, reported)
+	uses := s.domainUses(candidates, reported)
 	own := slices.IndexFunc(uses, func(u *domainUse) bool { return u.domain == s.Domain })
 	if own < 0 {
 		return nil
 	}
-	share := min(remoteGain*(uses[own].share()-all.share()), maxRemoteShare)
-	if share <= 0 || s.Random() >= share {
-		return nil
+	near, far := s.byRegion(uses)
+	all, region := sum(uses), sum(near)
+	target := s.lessUtilizedDomain(near, uses[own].share(), region.share())
+	if len(far) > 0 && s.moves(region.share()-all.share()-regionMargin) {
+		target = s.randomDomain(far, all.share())
 	}
-	target := s.lessUtilizedDomain(uses, all.share())
 	if target == nil {
 		return nil
 	}
 	return s.sample(target.engines, remoteChoices)
 }
 
-// domainUses returns the utilization of each failure domain, and of all of them together. Domains
-// other than this one and the reported ones are left out.
-func (s *selection) domainUses(candidates []*fleet.Member, reported []string) (byDomain []*domainUse, all domainUse) {
+// byRegion splits failure domains into those of this node's region and others.
+func (s *selection) byRegion(uses []*domainUse) (near, far []*domainUse) {
+	for _, u := range uses {
+		if s.Regions.SameRegion(u.domain, s.Domain) {
+			near = append(near, u)
+		} else {
+			far = append(far, u)
+		}
+	}
+	return near, far
+}
+
+// sum returns the utilization of all given failure domains together.
+func sum(uses []*domainUse) domainUse {
+	var all domainUse
+	for _, u := range uses {
+		all.running, all.slots = all.running+u.running, all.slots+u.slots
+	}
+	return all
+}
+
+// moves decides at random whether a prompt is sent elsewhere, where the utilization here exceeds the
+// other one by the given difference.
+func (s *selection) moves(difference float64) bool {
+	share := min(remoteGain*difference, maxRemoteShare)
+	return share > 0 && s.Random() < share
+}
+
+// lessUtilizedDomain returns the failure domain to which a prompt is sent because the utilization of
+// this node's domain exceeds that of all, or nil if the prompt stays.
+func (s *selection) lessUtilizedDomain(uses []*domainUse, own, all float64) *domainUse {
+	if !s.moves(own - all) {
+		return nil
+	}
+	return s.randomDomain(uses, all)
+}
+
+// domainUses returns the utilization of each failure domain. Domains other than this one and the
+// reported ones are left out.
+func (s *selection) domainUses(candidates []*fleet.Member, reported []string) (byDomain []*domainUse) {
 	for _, m := range candidates {
 		endpoint := m.Endpoint()
 		if endpoint.Domain != s.Domain && !slices.Contains(reported, endpoint.Domain) {
@@ -117,14 +158,13 @@
 		running := m.Load.Running() + s.peerLoads.At(m.ID, m.StartedMs).Running
 		u.engines = append(u.engines, m)
 		u.running, u.slots = u.running+running, u.slots+endpoint.Slots
-		all.running, all.slots = all.running+running, all.slots+endpoint.Slots
 	}
-	return byDomain, all
+	return byDomain
 }
 
-// lessUtilizedDomain returns a random failure domain whose utilization is below that of all
-// engines, weighted by its spare requests. It returns nil if there is none.
-func (s *selection) lessUtilizedDomain(uses []*domainUse, all float64) *domainUse {
+// randomDomain returns a random failure domain whose utilization is below that of all engines,
+// weighted by its spare requests. It returns nil if there is none.
+func (s *selection) randomDomain(uses []*domainUse, all float64) *domainUse {
 	sum := 0.0
 	for _, u := range uses {
 		sum += u.spareRequests(all)
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -13,8 +13,10 @@
 	runningMs = 0.5
 	// failureMs is the cost of a failure rate of 1.
 	failureMs = 400.0
-	// crossDomainMs is the cost of using another failure domain.
+	// crossDomainMs is the cost of using another failure domain of this region, crossRegionMs that of
+	// using another region: a round trip takes some tens of ms, and all its traffic shares one link.
 	crossDomainMs = 2.0
+	crossRegionMs = 60.0
 	// connectMs is the cost of opening a connection in addition to the time it takes: a surcharge
 	// that weighs it against late answers.
 	connectMs = 25.0
@@ -34,10 +36,20 @@
 	peerLoad := s.peerLoads.At(m.ID, m.StartedMs)
 	cost := s.queueMs(m) + s.memoryMs(m)
 	cost += failureMs * failureRate(m, peerLoad, s.now)
-	if m.Endpoint().Domain != s.Domain {
-		cost += crossDomainMs
+	return cost + s.distance(m, crossDomainMs, crossRegionMs)
+}
+
+// distance returns 0 for an endpoint in this node's failure domain, otherDomain for one elsewhere in
+// its region, and otherRegion for one in another region.
+func (p *Placer) distance(m *fleet.Member, otherDomain, otherRegion float64) float64 {
+	domain := m.Endpoint().Domain
+	switch {
+	case domain == p.Domain:
+		return 0
+	case p.Regions.SameRegion(domain, p.Domain):
+		return otherDomain
 	}
-	return cost
+	return otherRegion
 }
 
 // queueMs returns the time, in ms, until the engine has read the prompts queued before this one and
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -205,8 +205,10 @@
 
 const (
 	// crossDomainCost is the cost of another failure domain, in requests in flight: a round trip
-	// takes 2 ms longer, and its bytes are billed.
+	// takes 2 ms longer, and its bytes are billed. crossRegionCost is that of another region, where a
+	// round trip takes as long as a few short requests.
 	crossDomainCost = 0.5
+	crossRegionCost = 4
 	// failurePenalty is the cost of a failure rate of 1, in requests in flight.
 	failurePenalty = 8
 	// tieJitter is the maximum random part of the cost, in requests in flight. It spreads requests
@@ -222,10 +224,7 @@
 	best := gate.takeCheapest(score(candidates, func(m *fleet.Member) float64 {
 		peerLoad := peerLoads.At(m.ID, m.StartedMs)
 		cost := float64(m.Load.Running()+peerLoad.Running) + failurePenalty*failureRate(m, peerLoad, now) + tieJitter*p.Random()
-		if m.Endpoint().Domain != p.Domain {
-			cost += crossDomainCost
-		}
-		return cost
+		return cost + p.distance(m, crossDomainCost, crossRegionCost)
 	}))
 	if best == nil {
 		return gate.decline(candidates), false
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -8,6 +8,7 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
+	"github.com/cherryward/cherryward/internal/residency"
 )
 
 const (
@@ -22,8 +23,10 @@
 	// maxFetchMs is the predicted duration from which a fetch is likely to be discarded. Reading
 	// the part instead then costs the same and finishes sooner.
 	maxFetchMs = 800.0
-	// crossDomainFactor is how much longer a transfer between failure domains takes.
+	// crossDomainFactor and crossRegionFactor are how much longer a transfer takes between the failure
+	// domains of a region, and between regions.
 	crossDomainFactor = 2.0
+	crossRegionFactor = 10.0
 	// assumedMbps is the link speed assumed for holders whose configuration states none.
 	assumedMbps = 100_000.0
 	// minSaveTokens is the size of the smallest part that is sent to a store: a smaller part is
@@ -95,15 +98,19 @@
 }
 
 // transferMs returns the time of a transfer to a failure domain, in ms.
-func transferMs(h *kvindex.Holder, bytes float64, domain string) float64 {
+func transferMs(h *kvindex.Holder, bytes float64, domain string, regions residency.Map) float64 {
 	const bitsPerByte = 8
 	mbps := h.Mbps
 	if mbps <= 0 {
 		mbps = assumedMbps
 	}
 	ms := bytes * bitsPerByte / (mbps * 1e3)
-	if h.Domain != domain {
+	switch {
+	case h.Domain == domain:
+	case regions.SameRegion(h.Domain, domain):
 		ms *= crossDomainFactor
+	default:
+		ms *= crossRegionFactor
 	}
 	return ms + float64(h.TransferDelay)/float64(time.Millisecond)
 }
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -58,28 +58,38 @@
 }
 
 // localCandidates returns the engines whose load is reported to this node: in a large system those
-// of its own failure domain, if enough of them are usable. Engines of other domains appear idle to
-// this node, so that a busy domain could overload them without any node there detecting it.
+// of its own failure domain, if enough of them are usable, else those of its region. Engines of other
+// domains appear idle to this node, so that a busy domain could overload them without any node there
+// detecting it.
 func (p *Placer) localCandidates(candidates []*fleet.Member) []*fleet.Member {
 	if p.FullMesh() {
 		return candidates
 	}
+	if local := within(candidates, func(domain string) bool { return domain == p.Domain }); len(local) >= minLocal {
+		return local
+	}
+	if region := within(candidates, func(domain string) bool { return p.Regions.SameRegion(domain, p.Domain) }); len(region) >= minLocal {
+		return region
+	}
+	return candidates
+}
+
+// within returns the engines in the failure domains for which contains reports true, in a list of
+// exactly their number: most engines of a large system are elsewhere.
+func within(engines []*fleet.Member, contains func(domain string) bool) []*fleet.Member {
 	count := 0
-	for _, m := range candidates {
-		if m.Endpoint().Domain == p.Domain {
+	for _, m := range engines {
+		if contains(m.Endpoint().Domain) {
 			count++
 		}
 	}
-	if count < minLocal {
-		return candidates
-	}
-	local := make([]*fleet.Member, 0, count)
-	for _, m := range candidates {
-		if m.Endpoint().Domain == p.Domain {
-			local = append(local, m)
+	list := make([]*fleet.Member, 0, count)
+	for _, m := range engines {
+		if contains(m.Endpoint().Domain) {
+			list = append(list, m)
 		}
 	}
-	return local
+	return list
 }
 
 func (s *selection) placement(best *fleet.Member) forward.Placement {
--- a/internal/placer/residency_test.go
+++ b/internal/placer/residency_test.go
@@ -108,3 +108,17 @@
 	must.True(t, ok)
 	test.Eq(t, []string{coastStore, coastStore, ""}, p.Attempt.Targets)
 }
+
+// TestPartsInOtherRegionAreReadAgain checks that a large part is fetched from a store of this region,
+// and read rather than fetched from one in another region, whose transfer would take too long.
+func TestPartsInOtherRegionAreReadAgain(t *testing.T) {
+	for domain, want := range map[string]bool{"north": true, "east": false} {
+		fx := newFixture(t, fakeEvents{store: shared(1, "")}, 1)
+		keep := fx.KVIndex.Stores()[0]
+		keep.Domain, keep.Mbps = domain, 20_000
+		fx.Regions = twoRegions
+		p, ok := fx.Place(query())
+		must.True(t, ok)
+		test.Eq(t, want, p.Fetched >= 9000, test.Sprint(domain))
+	}
+}
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -236,7 +236,7 @@
 func (s *selection) fastestSource(m *fleet.Member, part *locatedPart, holders []*kvindex.Holder) source {
 	fastest := source{ms: maxFetchMs}
 	for _, h := range holders {
-		ms := transferMs(h, s.bytes(part), m.Endpoint().Domain) + s.fetchDelayMs(h)
+		ms := transferMs(h, s.bytes(part), m.Endpoint().Domain, s.Regions) + s.fetchDelayMs(h)
 		equal := fastest.holder != nil && ms == fastest.ms && h.ID < fastest.holder.ID
 		if h.ID != m.ID && (ms < fastest.ms || equal) && h.Reachable() {
 			fastest = source{holder: h, ms: ms}
