Large systems: nodes follow all endpoints where requests are confined elsewhere

From reading: a node that follows the engines of its failure domain only would find none for a request that is confined to another region, and refuse it as one that may be served nowhere, which isn't true.

Change: a node follows all endpoints while the configuration confines any requests to regions without its own.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -66,10 +66,11 @@
 }
 
 // followsAllEndpoints reports whether this node must follow all endpoints: it may read the registry for
-// others or give orders to all engines, or its own failure domain is evacuated.
+// others or give orders to all engines, its own failure domain is evacuated, or some requests may be
+// served in other regions only.
 func (n *Node) followsAllEndpoints() bool {
 	return intervals.FullMesh(n.nodes()) || n.roster.readerCandidate() || n.roster.rootCandidate() || n.roster.Standby() ||
-		n.state.Evacuated(n.boot.Load().Domain)
+		n.state.Evacuated(n.boot.Load().Domain) || n.state.confinedElsewhere.Load()
 }
 
 // registryReaders returns the nodes from which this node obtains the registry: the readers of its
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
 	n.state.clock = host
-	n.state.regions = boot.Regions
+	n.state.regions, n.state.domain = boot.Regions, boot.Domain
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
 	n.registry.clock = host
 	n.registry.scope = scope{domain: boot.Domain, followsAll: n.followsAllEndpoints}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -39,7 +39,10 @@
 	residencies residency.Tracker
 	releases    *canary.Gate
 	regions     residency.Map // the region of each failure domain
-	confirmedAt atomic.Pointer[time.Time]
+	domain      string        // failure domain of this node
+	// confinedElsewhere is true if the configuration confines requests to regions of other nodes.
+	confinedElsewhere atomic.Bool
+	confirmedAt       atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	versions map[string][]announcedVersion // by model, in increasing order
@@ -149,6 +152,7 @@
 	}
 	policies := config.Residencies()
 	s.residencies.Update(policies, obs.at, obs.readPromptly)
+	s.confinedElsewhere.Store(slices.ContainsFunc(policies, func(p residency.Policy) bool { return !s.regions.Scope(p).Contains(s.domain) }))
 	s.config.Store(config)
 	s.logUnknownRegions(config.Version, policies)
 	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -16,7 +16,6 @@
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/residency"
-	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/slowstart"
 	"github.com/cherryward/cherryward/internal/throttle"
@@ -91,83 +90,6 @@
 
 var _ forward.Placer = (*Placer)(nil)
 
-const (
-	// reasonEvacuated is the reason of a refusal because the failure domains of all endpoints are
-	// evacuated.
-	reasonEvacuated = "evacuated"
-	// reasonRegion is the reason of a refusal because no endpoint is in an allowed region.
-	reasonRegion = "region"
-	// regionRetryAfter is when callers may retry after such a refusal: endpoints must start there, or
-	// operators must change the configuration.
-	regionRetryAfter = 5 * time.Second
-)
-
-// Place implements forward.Placer.
-func (p *Placer) Place(q *forward.Query) (forward.Placement, bool) {
-	allowed := p.inScope(q, p.Fleet.Members(q.Service.Name))
-	if len(allowed) == 0 && q.Residency.Confined() {
-		return forward.Placement{
-			Reason: reasonRegion, RefusalCode: result.NoEndpointInRegion,
-			OnRefusal: func() time.Duration { return regionRetryAfter },
-		}, false
-	}
-	available := p.notEvacuated(allowed)
-	if len(available) == 0 && len(allowed) > 0 {
-		return forward.Placement{Reason: reasonEvacuated}, false
-	}
-	if p.Releases == nil {
-		return p.placeAmong(q, available)
-	}
-	placement, ok := forward.Placement{}, false
-	first, then := p.Releases.Split(q.Service.Name, q.Route.Name, available, p.Now())
-	if len(first) > 0 {
-		placement, ok = p.placeAmong(q, first)
-	}
-	if !ok && (len(then) > 0 || len(first) == 0) {
-		placement, ok = p.placeAmong(q, then)
-	}
-	if ok {
-		p.recordRelease(q, &placement)
-	}
-	return placement, ok
-}
-
-// recordRelease counts a placement while the service is moved to another release, and has its answer
-// counted.
-func (p *Placer) recordRelease(q *forward.Query, placement *forward.Placement) {
-	service, route, m := q.Service.Name, q.Route.Name, placement.Member
-	if !p.Releases.RecordSend(service, m, len(q.Tried) == 0) {
-		return
-	}
-	placement.RecordAnswer = func(bad bool, took time.Duration) { p.Releases.RecordAnswer(service, route, m, bad, took) }
-}
-
-// placeAmong selects one of the given endpoints.
-func (p *Placer) placeAmong(q *forward.Query, available []*fleet.Member) (forward.Placement, bool) {
-	gate := p.gate(q)
-	ready := gate.unblocked(available)
-	if len(ready) == 0 && len(available) > 0 {
-		return gate.decline(available), false
-	}
-	candidates := usable(ready, q.Tried, gate.now)
-	if len(candidates) == 0 {
-		return forward.Placement{}, false
-	}
-	if q.Service.Engine == nil || q.Attributes.Model == "" {
-		return p.placePlain(q, candidates, gate)
-	}
-	return p.placePrompt(q, candidates, gate)
-}
-
-// inScope returns the endpoints in regions that the request's residency policy allows.
-func (p *Placer) inScope(q *forward.Query, members []*fleet.Member) []*fleet.Member {
-	if !q.Residency.Confined() {
-		return members
-	}
-	scope := p.Regions.Scope(q.Residency)
-	return without(members, func(m *fleet.Member) bool { return !scope.Contains(m.Endpoint().Domain) })
-}
-
 // notEvacuated returns the endpoints whose failure domain is not evacuated.
 func (p *Placer) notEvacuated(members []*fleet.Member) []*fleet.Member {
 	return without(members, func(m *fleet.Member) bool { return p.evacuated(m.Endpoint().Domain) })
