Large systems: root readers and scopes only where the registry is large

Change: root readers where a service has over 1,000 endpoints; a node that finds itself in the list at its start reads at once in a small system; only nodes that do follow a part leave orders to others. Tests: a table of starts, and the scope's two flags.

--- a/internal/gateway/cachestart_test.go
+++ b/internal/gateway/cachestart_test.go
@@ -18,6 +18,7 @@
 	v := newView(name)
 	v.node.boot.Store(&bootstrap.Node{Name: name, FirstStart: first})
 	v.node.log = zerolog.Nop()
+	v.node.cacheTracker, v.node.started = v.cacheTracker, v.node.clock.Now()
 	var names []string
 	for i := range nodes {
 		names = append(names, fmt.Sprint("n", i))
@@ -61,3 +62,31 @@
 		test.False(t, tracker.shouldAwaitReports(c.until), test.Sprint(c.name))
 	}
 }
+
+// TestMayReadRegistry checks which starting nodes read the whole registry from the store: all nodes of
+// a small system that ran before, the readers of a large one, and others only if no reader provides it.
+func TestMayReadRegistry(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		node  string
+		nodes int
+		first bool
+		want  bool
+	}{
+		{"small, after a restart", "n5", 7, true, true},
+		{"small, new node", "stranger", 7, false, true},
+		{"small, all start for the first time", "stranger", 7, true, false},
+		{"large, after a restart", "n5", 590, false, false},
+		{"the list has not been read", "n5", 0, false, false},
+	} {
+		tracker := startedTracker(t, c.node, c.nodes, c.first)
+		test.Eq(t, c.want, tracker.node.mayReadRegistry(), test.Sprint(c.name))
+	}
+	readers := 0
+	for i := range 59 {
+		if startedTracker(t, fmt.Sprint("n", i), 59, true).node.mayReadRegistry() {
+			readers++
+		}
+	}
+	test.Eq(t, domainReaders+domainStandbys, readers)
+}
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -24,9 +24,6 @@
 	// maxRegistryAgeShare is the fraction of the drain bound up to which another node's copy of the
 	// registry is used. A copy passes two nodes, so it is older than that of another topic.
 	maxRegistryAgeShare = 0.7
-	// rootTimeout is how long a starting node that reads for its failure domain waits for the root
-	// readers before it reads the registry from the store.
-	rootTimeout = 3 * time.Second
 	// maxRegistryStagger spreads the nodes that no reader provides with the registry.
 	maxRegistryStagger = 4 * time.Second
 )
@@ -74,10 +71,10 @@
 }
 
 // registryReaders returns the nodes from which this node obtains the registry: the readers of its
-// failure domain or, if it is one of them, the root readers. It returns none if this node reads the
-// registry from the store.
+// failure domain or, if it is one of them and the registry is large, the root readers. It returns none
+// if this node reads the registry from the store.
 func (n *Node) registryReaders() []netip.AddrPort {
-	if readers := n.readers(); len(readers) > 0 {
+	if readers := n.readers(); len(readers) > 0 || !n.registry.scope.isLarge.Load() {
 		return readers
 	}
 	return n.roster.rootReaders()
@@ -89,10 +86,9 @@
 func (n *Node) mayReadRegistry() bool {
 	age := n.clock.Since(n.started)
 	switch {
-	case n.roster.rootCandidate() || !n.roster.Loaded() || intervals.FullMesh(n.roster.Nodes()):
-	case n.roster.readerCandidate():
-		return age >= rootTimeout
-	default:
+	case n.roster.readerCandidate() || intervals.FullMesh(n.roster.Nodes()) && n.roster.listedAtStart():
+		return true
+	case n.roster.Loaded() && !intervals.FullMesh(n.roster.Nodes()):
 		age -= time.Duration(n.readerPreference() % uint64(maxRegistryStagger))
 	}
 	return !n.cacheTracker.shouldAwaitReports(age)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 	n.state.regions, n.state.domain = boot.Regions, boot.Domain
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
 	n.registry.clock = host
-	n.registry.scope = scope{domain: boot.Domain, followsAll: n.followsAllEndpoints}
+	n.registry.scope.domain, n.registry.scope.followsAll = boot.Domain, n.followsAllEndpoints
 	n.state.onConfig = n.registry.reevaluate
 	n.state.evacuations.onEnd = n.registry.markDomainCold
 	store := platform.NewStore(boot.StoreAddr)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,7 +13,7 @@
 // Led implements weights.Peers. It reports whether another node has reported within takeoverDelay
 // that it holds the claim on orders, or must do so: a node that follows a part of the endpoints can't.
 func (n *Node) Led() bool {
-	return !n.followsAllEndpoints() || n.peers.Table.ClaimHeld(n.clock.Now(), takeoverDelay)
+	return n.registry.scope.isNarrow.Load() || n.peers.Table.ClaimHeld(n.clock.Now(), takeoverDelay)
 }
 
 // orderStatus returns the status that is reported to peers: the engines that will load or are
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -85,6 +85,9 @@
 	byDomain map[string][]string
 	members  members // nodes that may send to cold endpoints
 	loaded   bool
+	// knownBefore is true if the first read of the topic returned this node's entry: the node, and so
+	// the system, was started before.
+	knownBefore bool
 }
 
 var _ follow.Sink = (*roster)(nil)
@@ -110,6 +113,9 @@
 		r.apply(&b.Records[i])
 	}
 	r.recordWrites(&b)
+	if _, listed := r.entries[r.node]; !r.loaded {
+		r.knownBefore = listed
+	}
 	r.loaded, r.end = true, b.Next
 	r.members.confirmedAt = b.ConfirmedAt
 	r.recompute()
@@ -266,6 +272,14 @@
 	return r.loaded
 }
 
+// listedAtStart reports whether this node's entry was listed when the node first read the topic. If so,
+// the list is that of a system that ran before, and shows its size.
+func (r *roster) listedAtStart() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.knownBefore
+}
+
 // HoldsLease reports whether the other nodes are certain to count this one, so that it may use its
 // share of common limits.
 func (r *roster) HoldsLease() bool {
--- a/internal/gateway/scope.go
+++ b/internal/gateway/scope.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"sync/atomic"
+
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
 )
@@ -29,6 +31,10 @@
 	listed map[string]listedEndpoint // all valid entries, by endpoint id
 	counts map[string]serviceCount   // by service
 	narrow map[string]bool           // services of which only endpoints of the own domain are followed
+
+	// isNarrow is true if narrow has any service, and isLarge if any service has more than
+	// maxFollowedEndpoints. They may be read without the registry's lock.
+	isNarrow, isLarge atomic.Bool
 }
 
 // listedEndpoint is what the scope needs to know of an entry.
@@ -80,13 +86,19 @@
 // reports whether that has changed.
 func (s *scope) update() (changed bool) {
 	narrow := make(map[string]bool)
-	if s.followsAll != nil && !s.followsAll() {
-		for service, count := range s.counts {
-			if count.all > maxFollowedEndpoints && count.local >= minDomainEndpoints {
-				narrow[service] = true
-			}
+	followsAll := s.followsAll == nil || s.followsAll()
+	isLarge := false
+	for service, count := range s.counts {
+		if count.all <= maxFollowedEndpoints {
+			continue
+		}
+		isLarge = true
+		if !followsAll && count.local >= minDomainEndpoints {
+			narrow[service] = true
 		}
 	}
+	s.isLarge.Store(isLarge)
+	s.isNarrow.Store(len(narrow) > 0)
 	changed = len(narrow) != len(s.narrow)
 	for service := range narrow {
 		changed = changed || !s.narrow[service]
--- a/internal/gateway/scope_test.go
+++ b/internal/gateway/scope_test.go
@@ -27,7 +27,7 @@
 	config := (&routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{}}, {Name: "plain"}}}).Index()
 	s := &scopedRegistry{registry: newRegistry(fleet.New(zerolog.Nop()), func() *routing.Config { return config }, noBounds, newRejected(zerolog.Nop()))}
 	s.Copy = &relay.Copy{Sink: s.registry}
-	s.scope = scope{domain: "d0", followsAll: func() bool { return s.followsAll }}
+	s.scope.domain, s.scope.followsAll = "d0", func() bool { return s.followsAll }
 	s.records = s.Copy.Records
 	s.Copy.Apply(follow.Batch{Snapshot: true, ConfirmedAt: time.Now()})
 	return s
@@ -76,10 +76,12 @@
 	s.read(engineEntries(900, 1200)...)
 	test.Eq(t, own, s.byDomain("s"))
 	test.Eq(t, map[string]int{"d1": 1}, s.byDomain("plain"))
+	test.True(t, s.scope.isLarge.Load() && s.scope.isNarrow.Load())
 
 	s.followsAll = true // its failure domain is evacuated, or it reads for others
 	s.read()
 	test.Eq(t, all, s.byDomain("s"))
+	test.True(t, s.scope.isLarge.Load() && !s.scope.isNarrow.Load())
 	s.followsAll = false
 	s.read()
 	test.Eq(t, own, s.byDomain("s"))
@@ -96,6 +98,7 @@
 	test.Eq(t, own, s.byDomain("s"))
 	s.read(removed(engineEntries(0, 300))...)
 	test.Eq(t, map[string]int{"d0": 300, "d1": 300, "d2": 300}, s.byDomain("s"))
+	test.False(t, s.scope.isLarge.Load() || s.scope.isNarrow.Load())
 }
 
 // TestScopeAfterSnapshot checks that entries that a snapshot of the topic lacks no longer count.
--- a/internal/gateway/views_test.go
+++ b/internal/gateway/views_test.go
@@ -25,7 +25,7 @@
 func noBounds() bootstrap.Bounds { return bootstrap.Bounds{} }
 
 func newView(name string) view {
-	n := &Node{state: newState(noBounds, zerolog.Nop())}
+	n := &Node{state: newState(noBounds, zerolog.Nop()), registry: &registry{}}
 	n.boot.Store(&bootstrap.Node{Name: name})
 	n.roster = newRoster(name, nodeEntry{}, nil, nil, nil, zerolog.Nop())
 	n.fleet = fleet.New(zerolog.Nop())
