--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -188,8 +188,9 @@
 		test.True(t, slices.ContainsFunc(page.Records, func(r follow.Record) bool { return r.Key == "i-0" && r.Value == nil }))
 		test.Eq(t, 0, store.newest+store.reads)
 	}
-	source.firstOffset = 9
-	source.snapshots = [2]*snapshot{}
+	source.mu.Lock() // the reader serves requests meanwhile
+	source.firstOffset, source.snapshots = 9, [2]*snapshot{}
+	source.mu.Unlock()
 	topic := snapshotTopic(own, &newestTopic{}, reader)
 	_, err := topic.Read(t.Context(), 5, 0)
 	test.ErrorIs(t, err, errNoReader, test.Sprint("keys may have been removed that the copy doesn't know"))
