Relay: one bounded decompression

Change: inflate serves both. The error for too many bytes no longer differs between them; no test or caller distinguishes it. Behaviour is as before.

--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -59,14 +59,23 @@
 	if r.Value != nil {
 		return follow.Record{}, eris.Errorf("record %q has both a value and a compressed value", r.Key)
 	}
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Deflated)), maxValueBytes+1))
+	value, err := inflate(r.Deflated, maxValueBytes)
 	if err != nil {
 		return follow.Record{}, eris.Wrapf(err, "decompress record %q", r.Key)
 	}
-	if len(value) > maxValueBytes {
-		return follow.Record{}, eris.Errorf("value of record %q exceeds %d bytes", r.Key, maxValueBytes)
-	}
 	record := r.Record
 	record.Value = value
 	return record, nil
 }
+
+// inflate decompresses data. It fails for invalid data and for more than maxBytes.
+func inflate(data []byte, maxBytes int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(raw)) > maxBytes {
+		return nil, eris.Errorf("more than %d bytes", maxBytes)
+	}
+	return raw, nil
+}
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/netip"
 	"time"
 
@@ -157,13 +156,10 @@
 
 // decodeSnapshot decodes the records of a snapshot that ends at offset next.
 func decodeSnapshot(data []byte, next int64) ([]follow.Record, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxSnapshotBytes+1))
+	raw, err := inflate(data, maxSnapshotBytes)
 	if err != nil {
 		return nil, eris.Wrap(err, "decompress snapshot")
 	}
-	if len(raw) > maxSnapshotBytes {
-		return nil, eris.Errorf("snapshot exceeds %d bytes", maxSnapshotBytes)
-	}
 	var records []follow.Record
 	for len(raw) > 0 {
 		var r follow.Record
