Canary: dead state, and a sort for each request in a trial

Cause, from the last reading: the gate kept when an order was promoted, which nobody read (judges use the time of their own); whether an order is under way stood twice; and each request that might go to the release on trial made a sorted list of the routes to find the smallest count.

Change: the time and its parameters are gone, underWay serves both, the smallest count is taken in one pass, and only where it decides. Decisions are as before; the tests of the package pass unchanged.

--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return // another record was written meanwhile, or the store failed: the next step tries again
 	}
-	s.config.Gate.setRecorded(o.Service, o.ID, verdict.Phase, now)
+	s.config.Gate.setRecorded(o.Service, o.ID, verdict.Phase)
 	s.notify(notice{Service: o.Service, Order: o.ID, Phase: verdict.Phase.String()})
 }
 
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -26,13 +26,12 @@
 
 // serviceState is the state of a service's newest order.
 type serviceState struct {
-	order      Order
-	phase      Phase
-	held       bool      // the release was found to be worse, and gets nothing until that is recorded
-	promotedAt time.Time // when this node read that the phase is Promoting
-	requests   int       // first sends since the order, of this node
-	exposed    int       // sends to the release on trial, of this node
-	rows       map[string]*Row
+	order    Order
+	phase    Phase
+	held     bool // the release was found to be worse, and gets nothing until that is recorded
+	requests int  // first sends since the order, of this node
+	exposed  int  // sends to the release on trial, of this node
+	rows     map[string]*Row
 	// recorded holds the newest recorded phase, which may be of an order that was not read yet.
 	recorded struct {
 		order int64
@@ -65,7 +64,7 @@
 	*s = serviceState{order: o, rows: make(map[string]*Row)}
 	s.recorded = recorded
 	if recorded.order == o.ID {
-		s.setPhase(recorded.phase, o.ReadAt)
+		s.setPhase(recorded.phase)
 	}
 }
 
@@ -77,25 +76,22 @@
 }
 
 // setRecorded applies a recorded phase.
-func (g *Gate) setRecorded(service string, order int64, phase Phase, now time.Time) {
+func (g *Gate) setRecorded(service string, order int64, phase Phase) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.state(service)
 	s.recorded.order, s.recorded.phase = order, phase
 	if s.order.ID == order && s.order.Release != "" {
-		s.setPhase(phase, now)
+		s.setPhase(phase)
 	}
 }
 
 // setPhase moves on to a phase that may follow the present one.
-func (s *serviceState) setPhase(phase Phase, now time.Time) {
+func (s *serviceState) setPhase(phase Phase) {
 	if phase == s.phase || !phase.mayFollow(s.phase) && !(s.phase == Trial && phase == Succeeded) {
 		return
 	}
 	s.phase = phase
-	if phase == Promoting {
-		s.promotedAt = now
-	}
 }
 
 // hold stops all requests to a release that was found to be worse, until that is recorded.
@@ -148,14 +144,15 @@
 	if left < 1 {
 		return false
 	}
-	fewest := 0
-	for i, r := range s.sortedRows() {
-		if i == 0 || r.New.Answers < fewest {
-			fewest = r.New.Answers
-		}
-	}
 	row := s.rows[route]
-	return left > 1 || row == nil || row.New.Answers <= 2*fewest
+	if left > 1 || row == nil {
+		return true
+	}
+	fewest := row.New.Answers
+	for _, r := range s.rows {
+		fewest = min(fewest, r.New.Answers)
+	}
+	return row.New.Answers <= 2*fewest
 }
 
 func (s *serviceState) sortedRows() []*Row {
@@ -179,13 +176,22 @@
 	return warm[:min(max(count, 1), len(warm))]
 }
 
+// underWay returns the state of a service whose order has not ended, or nil. g.mu is held.
+func (g *Gate) underWay(service string) *serviceState {
+	s := g.services[service]
+	if s == nil || s.order.Release == "" || s.phase.Final() {
+		return nil
+	}
+	return s
+}
+
 // RecordSend counts a request that is sent to an endpoint; isFirst is true for its first send. It
 // reports whether an order of the service is under way, so that the answer must be recorded.
 func (g *Gate) RecordSend(service string, m *fleet.Member, isFirst bool) (underWay bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.services[service]
-	if s == nil || s.order.Release == "" || s.phase.Final() {
+	s := g.underWay(service)
+	if s == nil {
 		return false
 	}
 	if isFirst {
@@ -201,8 +207,8 @@
 func (g *Gate) RecordAnswer(service, route string, m *fleet.Member, bad bool, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.services[service]
-	if s == nil || s.order.Release == "" || s.phase.Final() {
+	s := g.underWay(service)
+	if s == nil {
 		return
 	}
 	row := s.rows[route]
--- a/internal/canary/order.go
+++ b/internal/canary/order.go
@@ -43,6 +43,12 @@
 	return p > previous && !previous.Final() && (p != Succeeded || previous == Promoting)
 }
 
+// Status tells operators how far an order has got.
+type Status struct {
+	Service, Release string
+	Phase            Phase
+}
+
 // keyPrefix is the prefix of the keys of orders' phases, which distinguishes them from node entries in
 // the same topic. A service's name follows.
 const keyPrefix = "canary/"
--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -53,12 +53,6 @@
 	PutIf(ctx context.Context, key string, value []byte, end int64) error
 }
 
-// Status tells operators how far an order has got.
-type Status struct {
-	Service, Release string
-	Phase            Phase
-}
-
 // Config holds the dependencies of a Service. All fields must be set.
 type Config struct {
 	Node string
@@ -136,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	s.config.Gate.setRecorded(service, order, phase, s.config.Now())
+	s.config.Gate.setRecorded(service, order, phase)
 	return nil
 }
 
@@ -169,7 +163,7 @@
 	case n.Held:
 		s.config.Gate.hold(n.Service, n.Order)
 	case phase != Trial:
-		s.config.Gate.setRecorded(n.Service, n.Order, phase, s.config.Now())
+		s.config.Gate.setRecorded(n.Service, n.Order, phase)
 	}
 	return nil, nil
 }
