Registry: no second check for removed records

A copy's Records leaves removed records out; rescope, its only reader, checked for them again. The comment says what the list holds. Behaviour is as before.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -56,7 +56,7 @@
 	// entries holds the newest valid entries in the scope by endpoint id.
 	entries map[string]entry
 	scope   scope
-	// records returns the newest records of all entries, whatever the scope.
+	// records returns the newest records of all entries that exist, whatever the scope.
 	records func() []follow.Record
 }
 
--- a/internal/gateway/scope.go
+++ b/internal/gateway/scope.go
@@ -108,7 +108,7 @@
 }
 
 // rescope follows what the scope has come to contain, and drops what it no longer contains. all are the
-// newest records of all entries.
+// newest records of all entries that exist.
 func (r *registry) rescope(all []follow.Record) {
 	now := r.clock.Now()
 	for id, e := range r.entries {
@@ -118,7 +118,7 @@
 		}
 	}
 	for i := range all {
-		if _, followed := r.entries[all[i].Key]; !followed && all[i].Value != nil {
+		if _, followed := r.entries[all[i].Key]; !followed {
 			r.apply(&all[i], now)
 		}
 	}
