--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -35,11 +35,12 @@
 	pressureWeight = 0.02
 )
 
-// Demand tracks the recent prompt sizes of each priority and the recent share of refusals. It is
-// safe for concurrent use.
+// Demand tracks the recent prompt sizes and arrivals of each priority, and the recent share of
+// refusals. It is safe for concurrent use.
 type Demand struct {
 	mu         sync.Mutex
 	byPriority [priorities]recentSizes
+	arrivals   [priorities]arrivals
 	pressure   float64 // share of prompts refused, weighted towards recent ones
 	mean       float64 // prompt size in tokens, weighted towards recent ones
 }
