Placer: refuse as too late only what the caller would not wait for

Cause: prompts were refused as too late where their first event would miss the objective. Change: the limit is three quarters of the time until the caller gives up, or of its deadline if that is shorter. Not played on a whole deployment.

--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -13,9 +13,13 @@
 // Reasons for which no engine can take a prompt now.
 const (
 	reasonNoRoom  = "no_room"  // no engine has enough free memory
-	reasonTooLate = "too_late" // the queue at the engine would delay the first event past the objective
+	reasonTooLate = "too_late" // the queue at the engine would delay the first event past most of the time for which the caller waits
 )
 
+// lateShare is the share of the time until the caller gives up, or of its deadline, after which a
+// predicted first event is too late. The rest is a margin for the error of the prediction.
+const lateShare = 0.75
+
 // maxRetryShare bounds the retry delay that a refused caller gets, as a share of the time left
 // until its deadline.
 const maxRetryShare = 1.0 / 3
@@ -82,14 +86,32 @@
 }
 
 // isTooLate reports whether the prompt should be refused because queueing at the engine would delay
-// its first event past the objective. Such a prompt would also delay others. A caller that was
-// refused before is served, since callers retry only once.
+// its first event past lateMs. Such a prompt would also delay others. A caller that was refused before
+// is served, since callers retry only once.
 func (s *selection) isTooLate(m *fleet.Member) bool {
 	objective := millis(s.q.Route.Objective)
 	if objective <= 0 || s.q.IsRetry() {
 		return false
 	}
-	return s.firstMs(m) > objective && s.queueMs(m) > s.tuning().QueueShare*objective
+	return s.firstMs(m) > s.lateMs() && s.queueMs(m) > s.tuning().QueueShare*objective
+}
+
+// lateMs returns the predicted time to the first event, in ms, from which a prompt is refused as too
+// late: lateShare of the time until its caller gives up or its deadline passes. A refused caller
+// retries a second or more later, so that a refusal at the objective replaces an answer that is
+// slightly late by one that is later still, or by none.
+//
+// Where the configuration states no slots, this refusal may be the only limit on an engine's queue.
+// The objective applies there, as longer queues would make nearly all answers late.
+func (s *selection) lateMs() float64 {
+	if s.q.Service.Engine.Slots <= 0 {
+		return millis(s.q.Route.Objective)
+	}
+	limit := s.q.GiveUpAfter()
+	if s.q.Attributes.HasDeadline {
+		limit = min(limit, s.q.Attributes.Deadline)
+	}
+	return lateShare * millis(limit)
 }
 
 // decline returns why the prompt can't be placed, with the time until one of the engines may have
