Placer: slots limit placement

Cause: engines whose slots run out before their memory got up to 25 requests for 16 slots while others ran 9, since admission considers only memory (docs/design/contended-engines.md). Change: a prompt is placed only where a slot is free beyond the reserve for more urgent ones, else it waits or is refused as no_slot. The most urgent prompts are placed as before, and don't wait for a slot where less urgent ones run; a full engine keeps its cost. The rule is off where the configuration states no slots, or where the memory holds fewer requests than slots; their size is the mean over the running requests as reported, over the last seconds, as that weighs each by the time for which it holds memory. The request line gets running, slots, slot_reserve and spilled. Result: go test ./internal/placer ./internal/fleetmodel passes; fleetmodel states no slots, so that its loads are placed as before. Not played on a whole deployment.

--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -67,6 +67,7 @@
 // log adds the reason for the placement and its predictions to the request's log event.
 func (p *Placement) log(event *zerolog.Event, c *clock.Clock) *zerolog.Event {
 	event = event.Str("why", p.Reason).Int64("wait_ms", p.PredictedWait.Milliseconds()).Int64("waited_ms", p.Waited.Milliseconds())
+	event = p.SlotState.log(event)
 	if p.Member == nil {
 		return event.Int64("retry_after_ms", p.RetryAfter.Milliseconds())
 	}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -152,6 +152,8 @@
 	// until the first event, and the tokens occupied by requests running there.
 	PredictedWait, PredictedFirstEvent time.Duration
 	OccupiedTokens                     int
+	// SlotState holds the slots behind the decision.
+	SlotState SlotState
 	// Waited is the time between the request's arrival and its placement.
 	Waited time.Duration
 	// OnRefusal is called once if the request is refused because no endpoint accepts it. It returns
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -37,6 +37,7 @@
 	demand  admission.Demand
 	retries admission.RetrySchedule
 	placed  placedRate
+	slotUse slotUse
 }
 
 // forName returns the state of a service, and creates it on first use.
@@ -73,18 +74,23 @@
 	}
 }
 
-// withRoom returns the engines that have enough free memory for the prompt.
+// withRoom returns the engines that have enough free memory and, where slots limit placement, a free
+// slot for the prompt.
 func (s *selection) withRoom(candidates []*fleet.Member) []*fleet.Member {
-	need := averageHeldTokens(s.q)
 	fitting := make([]*fleet.Member, 0, len(candidates))
 	for _, m := range candidates {
-		if s.memory(m).Fits(need, s.reserve) {
+		if s.hasMemory(m) && s.hasSlot(m) {
 			fitting = append(fitting, m)
 		}
 	}
 	return fitting
 }
 
+// hasMemory reports whether the engine has enough free memory for the prompt.
+func (s *selection) hasMemory(m *fleet.Member) bool {
+	return s.memory(m).Fits(averageHeldTokens(s.q), s.reserve)
+}
+
 // isTooLate reports whether the prompt should be refused because queueing at the engine would delay
 // its first event past lateMs. Such a prompt would also delay others. A caller that was refused before
 // is served, since callers retry only once.
@@ -118,9 +124,10 @@
 // room. A waiting prompt is declined at each attempt to place it; only OnRefusal records a refusal
 // and assigns a retry time.
 func (s *selection) decline(engines []*fleet.Member, reason string) forward.Placement {
-	wait := s.expectedWait(engines)
-	return forward.Placement{Reason: reason, PredictedWait: wait, OnRefusal: func() time.Duration {
+	wait, first := s.expectedWait(engines)
+	return forward.Placement{Reason: reason, PredictedWait: wait, SlotState: s.slotState(first), OnRefusal: func() time.Duration {
 		s.service.demand.RecordDecision(true)
+		s.service.demand.RecordArrival(*priorityOf(s.q), s.Now())
 		capacity := len(engines) * max(s.q.Service.Engine.KVTokens/max(averageHeldTokens(s.q), 1), 1)
 		spacing := duration(s.estimates.RunMs * float64(s.Nodes()) / float64(capacity))
 		maxDelay := time.Duration(maxRetryShare * float64(s.q.Attributes.Deadline))
@@ -128,18 +135,17 @@
 	}}
 }
 
-// expectedWait predicts the time until one of the engines has free memory and a short enough queue
-// for the prompt.
-func (s *selection) expectedWait(engines []*fleet.Member) time.Duration {
-	var shortest time.Duration
+// expectedWait predicts the time until one of the engines has free memory, a slot and a short enough
+// queue for the prompt, and returns that engine.
+func (s *selection) expectedWait(engines []*fleet.Member) (shortest time.Duration, first *fleet.Member) {
 	for i, m := range engines {
 		wait := s.memory(m).Wait(averageHeldTokens(s.q), s.reserve, duration(s.estimates.RunMs))
-		wait = max(wait, duration(s.queueMs(m)))
+		wait = max(wait, s.slotWait(m), duration(s.queueMs(m)))
 		if i == 0 || wait < shortest {
-			shortest = wait
+			shortest, first = wait, m
 		}
 	}
-	return shortest
+	return shortest, first
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -34,7 +34,7 @@
 // queue, memory, failure rate and failure domain.
 func (s *selection) engineCost(m *fleet.Member) float64 {
 	peerLoad := s.peerLoads.At(m.ID, m.StartedMs)
-	cost := s.queueMs(m) + s.memoryMs(m)
+	cost := s.queueMs(m) + s.memoryMs(m) + s.preemptionMs(m)
 	cost += failureMs * failureRate(m, peerLoad, s.now)
 	return cost + s.distance(m, crossDomainMs, crossRegionMs)
 }
@@ -60,8 +60,26 @@
 	return s.readingMs(m, m.Load.PendingPromptTokens()+peerLoad.PendingPromptTokens) + runningMs*float64(running) + s.slotMs(m, running)
 }
 
-// slotMs returns the time, in ms, until one of the engine's slots is free.
+// slotMs returns the time, in ms, until the engine runs the prompt because one of its slots is free.
+// Engines admit the most urgent prompts at once.
 func (s *selection) slotMs(m *fleet.Member, running int) float64 {
+	if s.slotRule.overtakes {
+		return 0
+	}
+	return s.fullSlotsMs(m, running)
+}
+
+// preemptionMs returns the cost, in ms, of an engine that preempts a run to admit the prompt at once:
+// the time until one of its slots is free, by which the preempted run is delayed at least.
+func (s *selection) preemptionMs(m *fleet.Member) float64 {
+	if !s.slotRule.overtakes {
+		return 0
+	}
+	return s.fullSlotsMs(m, s.slots(m).Running)
+}
+
+// fullSlotsMs returns the time, in ms, until one of the engine's slots is free.
+func (s *selection) fullSlotsMs(m *fleet.Member, running int) float64 {
 	slots := m.Endpoint().Slots
 	if slots <= 0 || running < slots {
 		return 0
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -37,7 +37,7 @@
 		withRoom = s.withRoom(candidates)
 	}
 	if len(withRoom) == 0 {
-		return s.decline(candidates, reasonNoRoom), false
+		return s.decline(candidates, s.lackReason(candidates)), false
 	}
 	costs := score(withRoom, s.cost)
 	s.addUnreported(costs)
@@ -52,6 +52,7 @@
 		return gate.decline(withRoom), false
 	}
 	s.service.demand.RecordDecision(false)
+	s.service.demand.RecordArrival(*priorityOf(q), s.now)
 	s.service.placed.add(s.plan(best).reading, s.now)
 	p.RequestReport()
 	return s.placement(best), true
@@ -113,6 +114,7 @@
 		PredictedWait:       duration(plan.waitMs),
 		PredictedFirstEvent: duration(s.firstMs(best)),
 		OccupiedTokens:      s.memory(best).OccupiedTokens,
+		SlotState:           s.slotState(best),
 		Reason:              plan.reason(),
 		RecordFirstEvent:    s.firstEventObserver(best),
 		RecordRun:           func(took time.Duration) { s.service.model.RecordRun(averageHeldTokens(q), took) },
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -35,6 +35,7 @@
 	candidateCount int      // number of engines among which the prompt is placed
 	reserve        int      // free memory that the prompt requires, in tokens
 	holdsMany      bool     // an engine's memory holds many prompts
+	slotRule       slotRule // how slots limit the placement
 	sources        []source // sources of the first parts, set by reusedParts
 	// fetchUntil is the time after which the results of fetches are discarded, on the engines'
 	// clock in ms. The clock is read before the check of which parts may be referenced, so that a
@@ -56,6 +57,7 @@
 	}
 	s.holdsMany = service.demand.HoldsMany(q.Service.Engine.KVTokens)
 	s.reserve = s.tuning().reserve(service.demand.Reserve(priority, q.IsRetry(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
+	s.slotRule = s.newSlotRule()
 	return s
 }
 
