Placer: spill to other failure domains before a refusal

Change: before a prompt is refused for lack of room, three random engines of other domains of the region with reported load are tried. One is used only if a fifth of its slots and memory is free, as these loads are up to 0.5 s old. Outside full mesh only; filters, limits and costs are those of any placement.

--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -30,14 +30,9 @@
 		return forward.Placement{}, false
 	}
 	s := p.selection(q, rollout)
-	withRoom := s.withRoom(s.selectCandidates(candidates))
+	withRoom, local, spilled := s.findRoom(candidates)
 	if len(withRoom) == 0 {
-		// Other engines whose load is reported may have room, and a refused caller retries late.
-		candidates = s.localCandidates(candidates)
-		withRoom = s.withRoom(candidates)
-	}
-	if len(withRoom) == 0 {
-		return s.decline(candidates, s.lackReason(candidates)), false
+		return s.decline(local, s.lackReason(local)), false
 	}
 	costs := score(withRoom, s.cost)
 	s.addUnreported(costs)
@@ -55,7 +50,9 @@
 	s.service.demand.RecordArrival(*priorityOf(q), s.now)
 	s.service.placed.add(s.plan(best).reading, s.now)
 	p.RequestReport()
-	return s.placement(best), true
+	placement := s.placement(best)
+	placement.SlotState.Spilled = spilled
+	return placement, true
 }
 
 // localCandidates returns the engines whose load is reported to this node: in a large system those
