Gateway: count refusals by reason, and prompts placed in other domains

Cause: the metrics count result codes, and one code stands for all reasons for which no endpoint takes a request. Change: the placer reports each refusal, once for a prompt that waited, and each prompt placed in another failure domain to a Recorder, which gateway mode implements: cherryward_gateway_refusals_total and cherryward_gateway_other_domain_prompts_total. Result: go test ./internal/placer ./internal/gateway passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,6 +265,7 @@
 		ReportLag:         n.peers.ReportLag,
 		Now:               n.clock.Now,
 		Random:            rand.Float64,
+		Recorder:          n.recorder,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -34,6 +35,8 @@
 	metricCold             = "cherryward_gateway_cold_endpoints"
 	metricLimited          = "cherryward_gateway_limited_endpoints"
 	metricBackoff          = "cherryward_gateway_backoff_endpoints"
+	metricRefusals         = "cherryward_gateway_refusals_total"
+	metricOtherDomain      = "cherryward_gateway_other_domain_prompts_total"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -44,7 +47,10 @@
 // priorities and the result codes; it does not depend on the number of routes and accounts.
 type recorder struct{ set *metrics.Set }
 
-var _ forward.Recorder = (*recorder)(nil)
+var (
+	_ forward.Recorder = (*recorder)(nil)
+	_ placer.Recorder  = (*recorder)(nil)
+)
 
 // newRecorder returns a recorder with gauges that read the node's state.
 func newRecorder(n *Node) *recorder {
@@ -129,6 +135,16 @@
 	r.set.GetOrCreatePrometheusHistogramExt(metricRequestSeconds+labels+`}`, secondsBounds).Update(o.Total.Seconds())
 }
 
+// Refused implements placer.Recorder.
+func (r *recorder) Refused(route *routing.Route, reason string) {
+	r.set.GetOrCreateCounter(metricRefusals + `{class="` + classOf(route) + `",why="` + reason + `"}`).Inc()
+}
+
+// PlacedInOtherDomain implements placer.Recorder.
+func (r *recorder) PlacedInOtherDomain(route *routing.Route, spilled bool) {
+	r.set.GetOrCreateCounter(metricOtherDomain + `{class="` + classOf(route) + `",spilled="` + strconv.FormatBool(spilled) + `"}`).Inc()
+}
+
 // classOf returns a route's class label: its kind and priority, or "none" without a route.
 func classOf(route *routing.Route) string {
 	if route == nil {
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -30,6 +30,8 @@
 	n.boot.Store(testBoot(t))
 	r := newRecorder(n)
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{}, TimeToFirstByte: time.Second, Total: time.Second})
+	r.Refused(&routing.Route{}, "no_slot")
+	r.PlacedInOtherDomain(&routing.Route{}, true)
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, nil)
 	names := func(text string) []string {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -21,6 +21,14 @@
 
 // Place implements forward.Placer.
 func (p *Placer) Place(q *forward.Query) (forward.Placement, bool) {
+	placement, ok := p.place(q)
+	if !ok {
+		p.countRefusal(q, &placement)
+	}
+	return placement, ok
+}
+
+func (p *Placer) place(q *forward.Query) (forward.Placement, bool) {
 	allowed := p.inScope(q, p.Fleet.Members(q.Service.Name))
 	if len(allowed) == 0 && q.Residency.Confined() {
 		return forward.Placement{
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -84,6 +84,9 @@
 	// Now is the clock. Random returns a random number in [0, 1).
 	Now    func() time.Time
 	Random func() float64
+	// Recorder counts refusals and prompts placed in other failure domains. Nil means that they are not
+	// counted.
+	Recorder Recorder
 	// Tuning holds the refusal thresholds; nil means DefaultTuning.
 	Tuning *Tuning
 }
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -48,6 +48,7 @@
 	}
 	s.service.demand.RecordDecision(false)
 	s.service.demand.RecordArrival(*priorityOf(q), s.now)
+	p.countPlacement(q, best, spilled)
 	s.service.placed.add(s.plan(best).reading, s.now)
 	p.RequestReport()
 	placement := s.placement(best)
