Placer, peerload: seams for a simulation of several nodes

Cause: internal/fleetmodel is to simulate the nodes of several failure domains. The placer asked the connection pool, which has no connections in a simulation, so that a node of a large system chose among two random engines; and the load of a failure domain could be built only by an Exchange.

Change: Placer.Connected replaces the question to the pool; nil asks it as before. Table.CollectDomainLoad is split from Exchange.sendDomainLoad without a change of the message.

Result: go test ./internal/placer ./internal/peerload passes.

--- a/internal/peerload/domain_load.go
+++ b/internal/peerload/domain_load.go
@@ -131,13 +131,18 @@
 		return 0
 	}
 	e.domainLoadSentAt = now
-	sums, nodes := e.Table.directLoads(now)
-	sums.add(digest.Loads, digest.Starts)
+	load := e.Table.CollectDomainLoad(digest, members, now)
+	load.Node, load.Domain, load.Incarnation, load.Seq = e.config.Node, e.config.Domain, e.incarnation, e.seq
+	return e.config.Conn.Notify(peers.representatives(e.Table, now), domainLoadMethod, load)
+}
+
+// CollectDomainLoad returns the load that the peers' current digests and this node's own digest
+// report for the engines among the members. The caller sets the sender's fields.
+func (t *Table) CollectDomainLoad(own *Digest, members []*fleet.Member, now time.Time) *DomainLoad {
+	sums, nodes := t.directLoads(now)
+	sums.add(own.Loads, own.Starts)
 	sums.retain(engineKeys(members))
-	return e.config.Conn.Notify(peers.representatives(e.Table, now), domainLoadMethod, &DomainLoad{
-		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
-		Nodes: nodes, Loads: sums.encodeCoarse(), Limits: e.Table.domainLimits(digest.Limits, now),
-	})
+	return &DomainLoad{Nodes: nodes, Loads: sums.encodeCoarse(), Limits: t.domainLimits(own.Limits, now)}
 }
 
 // receiveDomainLoad handles the load of another failure domain.
--- a/internal/placer/balance.go
+++ b/internal/placer/balance.go
@@ -71,7 +71,7 @@
 	var connected []*fleet.Member
 	unconnected := make([]*fleet.Member, 0, len(local))
 	for _, m := range local {
-		if m.Pool.HasIdle(s.now) {
+		if s.connected(m, s.now) {
 			connected = append(connected, m)
 		} else {
 			unconnected = append(unconnected, m)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -81,6 +81,9 @@
 	// ReportLag returns the number of other nodes whose load reports are summed in PeerLoads, and the
 	// age of these reports. Nil means that the reports are always current.
 	ReportLag func() (nodes int, lag time.Duration)
+	// Connected reports whether this node has an open connection to an endpoint. Nil means that the
+	// endpoint's connection pool is asked; simulations have no connections.
+	Connected func(m *fleet.Member, now time.Time) bool
 	// Now is the clock. Random returns a random number in [0, 1).
 	Now    func() time.Time
 	Random func() float64
@@ -90,6 +93,14 @@
 
 var _ forward.Placer = (*Placer)(nil)
 
+// connected reports whether this node has an open connection to an endpoint.
+func (p *Placer) connected(m *fleet.Member, now time.Time) bool {
+	if p.Connected != nil {
+		return p.Connected(m, now)
+	}
+	return m.Pool.HasIdle(now)
+}
+
 // notEvacuated returns the endpoints whose failure domain is not evacuated.
 func (p *Placer) notEvacuated(members []*fleet.Member) []*fleet.Member {
 	return without(members, func(m *fleet.Member) bool { return p.evacuated(m.Endpoint().Domain) })
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -68,7 +68,7 @@
 	if m == s.home {
 		cost -= homeBonusMs
 	}
-	if !m.Pool.HasIdle(s.now) {
+	if !s.connected(m, s.now) {
 		cost += connectMs
 	}
 	return cost
