Fleet model: virtual time begins after the real clock's last reading

Cause: the index reads the real clock for the time from which the store accepts parts, after the model had set the beginning of virtual time. Callers that arrived within the time that New took saved nothing.

Change: virtual time begins at the end of New.

--- a/internal/fleetmodel/world.go
+++ b/internal/fleetmodel/world.go
@@ -89,6 +89,10 @@
 	// The gap marks the store as one that has been running for a long time, whose oldest events
 	// have been discarded.
 	w.index.Apply(w.store, &kvindex.Events{Epoch: 1, Next: 1, Gap: true, ClockMS: 1, ConfirmedAt: w.now})
+	// The index has read the real clock for the time from which the store accepts parts. Virtual time
+	// begins after it, as the first placements would otherwise depend on how long New took.
+	w.now = time.Now()
+	w.start = w.now
 	return w
 }
 
