Fleet model: several nodes with old load reports

The model had one node that knew all loads, and could not show several nodes that choose by the same old load reports, long pauses of streams, or slots that run out.

Change: Config has nodes and failure domains, the age of load reports within and between domains, notices of placements with a delay and loss, slots stated in the configuration, slow spells, demand that shifts between domains, surges, and engines that preempt for slots. Classes have a longest pause and callers that give up. Results have streams late by a pause, callers that gave up, outcomes by failure domain, refusals by reason and samples of the engines' loads every 2 s. Notices are modeled as earlier load reports until internal/peerload has them.

--- a/internal/fleetmodel/callers.go
+++ b/internal/fleetmodel/callers.go
@@ -28,6 +28,15 @@
 	// AccountTokens that all sessions of its account share.
 	Accounts, AccountTokens int
 	Objective, Deadline     time.Duration
+	// MaxPause is the longest pause between the events of a stream that counts as in time; 0 if
+	// pauses don't count.
+	MaxPause time.Duration
+	// GiveUp is the time without an event after which a caller gives up; 0 for never.
+	GiveUp time.Duration
+	// Resumable states in the route that a stream may be continued at another engine. The model's
+	// callers don't resume.
+	Resumable bool
+	Surges    []Surge
 }
 
 // noEngineRetryDelay is the delay before a refused caller retries if no engine was available.
@@ -54,6 +63,7 @@
 type call struct {
 	world     *World
 	class     *Class
+	node      *node // that received the current attempt
 	request   request
 	first     time.Time // when the caller first arrived
 	arrived   time.Time // when the current attempt arrived
@@ -64,21 +74,11 @@
 	tried     []string // engines that failed during this attempt
 	started   bool     // the first token was received
 	late      bool     // the first token was received after the objective
-}
-
-// scheduleClass schedules the arrivals of a class's callers.
-func (w *World) scheduleClass(c *Class) {
-	burst := max(c.Burst, 1)
-	gap := float64(burst) / c.PerSecond
-	draw := w.sessions(c)
-	for at := w.random.ExpFloat64() * gap; at < w.Length.Seconds(); at += w.random.ExpFloat64() * gap {
-		for range burst {
-			request := w.newRequest(c, draw())
-			w.after(time.Duration(at*float64(time.Second)), func() {
-				(&call{world: w, class: c, request: request, first: w.now, arrived: w.now}).place()
-			})
-		}
-	}
+	ended     bool
+	attempts  int       // attempts begun or ended
+	run       *run      // at an engine; nil if there is none
+	lastEvent time.Time // or the arrival of the attempt, before its first event
+	maxPause  time.Duration
 }
 
 func (w *World) newRequest(c *Class, session int) request {
@@ -113,7 +113,9 @@
 	parts := append(append([]forward.Part(nil), c.request.Shared...), forward.Part{ID: "own", Tokens: c.request.Own})
 	age := c.world.now.Sub(c.first)
 	return &forward.Query{
-		Route:   &routing.Route{Priority: c.class.Rank, Objective: c.class.Objective},
+		Route: &routing.Route{
+			Priority: c.class.Rank, Objective: c.class.Objective, GapObjective: c.class.MaxPause, Resumable: c.class.Resumable,
+		},
 		Service: c.world.service,
 		Account: c.request.Account,
 		Tried:   c.tried,
@@ -125,11 +127,22 @@
 	}
 }
 
+// arrive begins an attempt: the caller's first one or the one after a refusal.
+func (c *call) arrive() {
+	c.arrived, c.lastEvent, c.tried = c.world.now, c.world.now, nil
+	c.attempts++
+	c.watch(c.attempts, c.class.GiveUp)
+	c.place()
+}
+
 // place sends the request to an engine, or waits or is refused if no engine can take it.
 func (c *call) place() {
+	if c.ended {
+		return
+	}
 	w := c.world
 	w.confirmStore()
-	placement, ok := w.placer.Place(c.query())
+	placement, ok := c.node.placer.Place(c.query())
 	placement.Waited = w.now.Sub(c.arrived)
 	if !ok {
 		c.waitOrRefuse(&placement)
@@ -138,12 +151,12 @@
 	c.placement = placement
 	c.rank = *placement.Attempt.Priority
 	c.sent = w.now
-	placement.Member.Load.Begin(placement.PrefillTokens, placement.MemoryTokens)
+	c.node.send(placement.Member, placement.PrefillTokens, placement.MemoryTokens)
 	w.engines[placement.Member.ID].send(c)
 }
 
 // waitOrRefuse schedules the next placement while the request may wait. Otherwise it refuses the
-// caller, who retries once.
+// caller, who retries once, at any node of the failure domain.
 func (c *call) waitOrRefuse(p *forward.Placement) {
 	w := c.world
 	if pause := w.retryDelay(p, c.class.Objective); pause > 0 {
@@ -151,56 +164,30 @@
 		return
 	}
 	w.Result.MaxWait = max(w.Result.MaxWait, p.Waited)
-	w.Result.countRefusal(w.elapsed())
+	w.Result.countRefusal(w.elapsed(), p.Reason)
+	if c.class.Rank == 0 && w.idleShare() >= idleShare {
+		w.Result.IdleRefusals++
+	}
 	after := refusalDelay(p)
 	if c.retried {
-		w.Result.outcome(c).Refused++
+		c.end()
+		w.Result.count(c, func(o *Outcome) { o.Refused++ })
 		return
 	}
 	w.Result.FirstRefusals++
-	w.Result.outcome(c).Retries++
+	w.Result.count(c, func(o *Outcome) { o.Retries++ })
 	c.retried = true
+	c.attempts++ // ends the watch of this attempt
 	w.after(after, func() {
-		c.arrived, c.tried = w.now, nil
-		c.place()
+		c.node = w.drawNode(c.node.domain)
+		c.arrive()
 	})
 }
 
-// onFirstToken records the first token.
-func (c *call) onFirstToken() {
-	after := c.world.now.Sub(c.sent)
-	c.placement.Member.Load.FirstEvent(c.placement.PrefillTokens)
-	c.placement.RecordFirstEvent(after)
-	c.placement.Member.Health.RecordSuccess(c.world.now)
-	c.started = true
-	took := c.world.now.Sub(c.first)
-	c.late = took > c.class.Objective
-	c.world.Result.countFirstToken(c, took)
-}
-
-// onComplete records the last token.
-func (c *call) onComplete() {
-	c.placement.Member.Load.End(c.placement.MemoryTokens)
-	c.placement.RecordRun(c.world.now.Sub(c.sent))
-}
-
-// onEngineFailure handles a crash of the engine. A request without a first token is placed at
-// another engine; one that had a first token is aborted.
-func (c *call) onEngineFailure() {
-	member := c.placement.Member
-	member.Load.End(c.placement.MemoryTokens)
-	member.Health.RecordFailure(c.world.now, true)
-	if c.started {
-		c.world.Result.countAborted(c)
-		return
-	}
-	member.Load.FirstEvent(c.placement.PrefillTokens)
-	if c.placement.RecordFailure != nil {
-		c.placement.RecordFailure()
-	}
-	c.world.Result.FailedOver++
-	c.tried = append(c.tried, member.ID)
-	c.place()
+// end records that the request ended.
+func (c *call) end() {
+	c.ended = true
+	c.world.open--
 }
 
 // retryDelay returns the time until the next attempt to place a request that could not be placed;
--- a/internal/fleetmodel/engine.go
+++ b/internal/fleetmodel/engine.go
@@ -16,6 +16,7 @@
 	StepMs       float64 // of a batch of one
 	RunStepMs    float64 // that each further run adds to a step
 	ChunkTokens  int     // read in one step at most
+	EventTokens  int     // output tokens in an event of a stream; 0 counts as 1
 }
 
 // run is the state of a request at an engine.
@@ -47,6 +48,8 @@
 	slowFactor float64 // by which steps take longer; 0 for 1
 	down       bool
 	crashes    int
+	cacheSize  int // tokens of all cached parts
+	maxRunning int // largest number of running requests
 }
 
 // send queues a request. It fails at once while the engine is down.
@@ -55,7 +58,8 @@
 		c.onEngineFailure()
 		return
 	}
-	e.enqueue(&run{call: c, pendingOutput: c.request.Output})
+	c.run = &run{call: c, pendingOutput: c.request.Output}
+	e.enqueue(c.run)
 	e.step()
 }
 
@@ -79,16 +83,17 @@
 
 // admit starts queued requests while slots and memory are available.
 func (e *engine) admit() {
-	for len(e.waiting) > 0 && len(e.running) < e.Slots {
+	for len(e.waiting) > 0 {
 		r := e.waiting[0]
 		need := r.call.request.prompt() + r.call.request.Output - r.pendingOutput
-		if e.runTokens()+need > e.Memory {
+		if len(e.running) >= e.Slots && !e.preemptForSlot(r, need) || e.runTokens()+need > e.Memory {
 			return
 		}
 		e.waiting = e.waiting[1:]
 		r.tokens = need
 		r.pendingPrompt = need - e.reusePrefix(r.call)
 		e.running = append(e.running, r)
+		e.maxRunning = max(e.maxRunning, len(e.running))
 		e.evict()
 	}
 }
@@ -119,15 +124,13 @@
 	if e.cache[key].tokens == 0 {
 		e.publishChange(key, tokens)
 	}
+	e.cacheSize += tokens - e.cache[key].tokens
 	e.cache[key] = cached{tokens: tokens, used: e.world.elapsed()}
 }
 
 // evict evicts the least recently used parts until runs and cached parts fit in memory.
 func (e *engine) evict() {
-	used := e.runTokens()
-	for _, c := range e.cache {
-		used += c.tokens
-	}
+	used := e.runTokens() + e.cacheSize
 	for used > e.Memory && len(e.cache) > 0 {
 		var oldest kvindex.Part
 		first := true
@@ -137,6 +140,7 @@
 			}
 		}
 		used -= e.cache[oldest].tokens
+		e.cacheSize -= e.cache[oldest].tokens
 		delete(e.cache, oldest)
 		e.publishChange(oldest, 0)
 	}
@@ -199,10 +203,7 @@
 		}
 		r.tokens++
 		r.pendingOutput--
-		if !r.started {
-			r.started = true
-			r.call.onFirstToken()
-		}
+		e.sendEvent(r)
 		if r.pendingOutput <= 0 {
 			e.remove(r)
 			r.call.onComplete()
@@ -221,15 +222,58 @@
 func (e *engine) preempt() {
 	e.evict()
 	for e.runTokens() > e.Memory && len(e.running) > 1 {
-		last := e.running[0]
-		for _, r := range e.running {
-			if r.call.rank >= last.call.rank {
-				last = r
-			}
+		e.requeue(e.leastUrgent())
+	}
+}
+
+// preemptForSlot returns the newest run of the least urgent rank to the queue if r is more urgent and
+// its tokens then fit in memory. It reports whether it did.
+func (e *engine) preemptForSlot(r *run, need int) bool {
+	if !e.world.PreemptForSlots {
+		return false
+	}
+	last := e.leastUrgent()
+	if last.call.rank <= r.call.rank || e.runTokens()-last.tokens+need > e.Memory {
+		return false
+	}
+	e.requeue(last)
+	e.world.Result.PreemptedForSlots++
+	return true
+}
+
+// leastUrgent returns the newest run of the least urgent rank.
+func (e *engine) leastUrgent() *run {
+	last := e.running[0]
+	for _, r := range e.running {
+		if r.call.rank >= last.call.rank {
+			last = r
 		}
-		e.remove(last)
-		e.enqueue(last)
-		e.world.Result.Preempted++
+	}
+	return last
+}
+
+// requeue returns a run to the queue.
+func (e *engine) requeue(r *run) {
+	e.remove(r)
+	e.enqueue(r)
+	e.world.Result.Preempted++
+}
+
+// cancel removes the request of a caller that has gone away.
+func (e *engine) cancel(r *run) {
+	e.remove(r)
+	e.waiting = slices.DeleteFunc(e.waiting, func(other *run) bool { return other == r })
+}
+
+// sendEvent sends an event to the caller if the run's newest token is its first or last one or
+// completes an event.
+func (e *engine) sendEvent(r *run) {
+	switch tokens := r.call.request.Output - r.pendingOutput; {
+	case !r.started:
+		r.started = true
+		r.call.onFirstToken()
+	case r.pendingOutput <= 0 || e.EventTokens <= 1 || (tokens-1)%e.EventTokens == 0:
+		r.call.onEvent()
 	}
 }
 
--- a/internal/fleetmodel/faults.go
+++ b/internal/fleetmodel/faults.go
@@ -20,7 +20,7 @@
 
 // scheduleFaults schedules the begin and the end of each fault.
 func (w *World) scheduleFaults() {
-	for _, f := range w.Faults {
+	for _, f := range append(w.slowSpells(), w.Faults...) {
 		e := w.engines[engineID(f.Engine)]
 		w.after(f.At, func() { e.beginFault(f) })
 		w.after(f.At+f.Length, func() { e.recover(f) })
@@ -47,6 +47,7 @@
 func (e *engine) crash() {
 	e.down, e.busy = true, false
 	e.crashes++
+	e.world.closeConnections(e.member.ID)
 	lost := append(e.running, e.waiting...)
 	e.running, e.waiting = nil, nil
 	keys := make([]kvindex.Part, 0, len(e.cache))
@@ -57,6 +58,7 @@
 		return strings.Compare(a.Salt+" "+a.ID, b.Salt+" "+b.ID)
 	})
 	for _, key := range keys {
+		e.cacheSize -= e.cache[key].tokens
 		delete(e.cache, key)
 		e.publishChange(key, 0)
 	}
--- a/internal/fleetmodel/result.go
+++ b/internal/fleetmodel/result.go
@@ -11,19 +11,24 @@
 // Outcome counts callers by how their request ended.
 type Outcome struct {
 	InTime, Late, Refused int
+	LatePause             int // first token in time, but a pause longer than the class's MaxPause
+	GivenUp               int // by callers that had no event for too long
 	Aborted               int // by an engine's crash after the first token
 	Retries               int // after a first refusal; also counted in one of the fields above
 }
 
 // Total returns the number of callers.
-func (o Outcome) Total() int { return o.InTime + o.Late + o.Refused + o.Aborted }
+func (o Outcome) Total() int { return o.Served() + o.Refused + o.GivenUp + o.Aborted }
+
+// Served returns the number of callers that received all of their answer, in time or late.
+func (o Outcome) Served() int { return o.InTime + o.Late + o.LatePause }
 
 // ShareInTime returns the share of callers who received the first token within the objective.
 func (o Outcome) ShareInTime() float64 { return float64(o.InTime) / float64(max(o.Total(), 1)) }
 
 // ShareServed returns the share of callers who were served, in time or late.
 func (o Outcome) ShareServed() float64 {
-	return float64(o.InTime+o.Late) / float64(max(o.Total(), 1))
+	return float64(o.Served()) / float64(max(o.Total(), 1))
 }
 
 // Result holds the outcome of a simulation.
@@ -33,8 +38,21 @@
 	Classes map[string]*[sizeClasses]Outcome
 	// FirstRefusals counts first refusals, after which callers retry.
 	FirstRefusals int
-	// Preempted counts runs that engines returned to the queue for lack of memory.
-	Preempted int
+	// Domains holds the outcomes of the callers that first arrived in each interval of DomainInterval,
+	// by failure domain and class.
+	Domains []map[DomainClass]*Outcome
+	// Preempted counts runs that engines returned to the queue for lack of memory or slots, and
+	// PreemptedForSlots those for lack of slots.
+	Preempted, PreemptedForSlots int
+	// Samples holds the load of the engines over time.
+	Samples []Sample
+	// Callers counts all callers.
+	Callers int
+	// IdleRefusals counts refusals of the most urgent rank, including first ones, while at least a
+	// tenth of the engines had no prompt to prefill.
+	IdleRefusals int
+	// RefusalReasons counts all refusals, including first ones, by the placer's reason.
+	RefusalReasons map[string]int
 	// RecomputedTokens counts the tokens of shared parts that were prefilled although an engine had
 	// prefilled them before.
 	RecomputedTokens int
@@ -59,30 +77,61 @@
 	return &r.Classes[c.class.Name][c.sizeClass()]
 }
 
-// countFirstToken counts a caller who received the first token.
+// count changes the counters of a caller.
+func (r *Result) count(c *call, change func(*Outcome)) {
+	change(r.outcome(c))
+	change(r.domainOutcome(c))
+}
+
+// countFirstToken counts a caller who received the first token as served.
 func (r *Result) countFirstToken(c *call, took time.Duration) {
-	if c.late {
-		r.outcome(c).Late++
-	} else {
-		r.outcome(c).InTime++
-	}
+	r.countServed(c, 1)
 	if r.FirstEvents == nil {
 		r.FirstEvents = make(map[string][]time.Duration)
 	}
 	r.FirstEvents[c.class.Name] = append(r.FirstEvents[c.class.Name], took)
 }
 
+// countServed adds n to the callers served in time or late by the first token.
+func (r *Result) countServed(c *call, n int) {
+	r.count(c, func(o *Outcome) {
+		if c.late {
+			o.Late += n
+		} else {
+			o.InTime += n
+		}
+	})
+}
+
+// countComplete moves a caller whose stream paused for too long from in time to late.
+func (r *Result) countComplete(c *call) {
+	if c.late || c.class.MaxPause <= 0 || c.maxPause <= c.class.MaxPause {
+		return
+	}
+	r.countServed(c, -1)
+	r.count(c, func(o *Outcome) { o.LatePause++ })
+}
+
 // countAborted moves a caller from served to aborted.
 func (r *Result) countAborted(c *call) {
-	if c.late {
-		r.outcome(c).Late--
-	} else {
-		r.outcome(c).InTime--
+	r.countServed(c, -1)
+	r.count(c, func(o *Outcome) { o.Aborted++ })
+}
+
+// countGivenUp counts a caller who gave up. It was counted as served if it had received the first
+// token.
+func (r *Result) countGivenUp(c *call) {
+	if c.started {
+		r.countServed(c, -1)
 	}
-	r.outcome(c).Aborted++
+	r.count(c, func(o *Outcome) { o.GivenUp++ })
 }
 
-func (r *Result) countRefusal(at time.Duration) {
+func (r *Result) countRefusal(at time.Duration, reason string) {
+	if r.RefusalReasons == nil {
+		r.RefusalReasons = make(map[string]int)
+	}
+	r.RefusalReasons[reason]++
 	second := int(at / time.Second)
 	for len(r.Refusals) <= second {
 		r.Refusals = append(r.Refusals, 0)
@@ -110,14 +159,21 @@
 		return sum
 	}
 	for _, o := range r.Classes[class] {
-		sum.InTime += o.InTime
-		sum.Late += o.Late
-		sum.Refused += o.Refused
-		sum.Aborted += o.Aborted
-		sum.Retries += o.Retries
+		sum.add(&o)
 	}
 	return sum
 }
 
+// add adds the counters of another outcome.
+func (o *Outcome) add(other *Outcome) {
+	o.InTime += other.InTime
+	o.Late += other.Late
+	o.Refused += other.Refused
+	o.LatePause += other.LatePause
+	o.GivenUp += other.GivenUp
+	o.Aborted += other.Aborted
+	o.Retries += other.Retries
+}
+
 // LargestTenth returns the outcome of the tenth of a class with the largest sessions.
 func (r *Result) LargestTenth(class string) Outcome { return r.Classes[class][sizeClasses-1] }
--- a/internal/fleetmodel/world.go
+++ b/internal/fleetmodel/world.go
@@ -1,19 +1,16 @@
 package fleetmodel
 
 import (
+	"cmp"
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/kvindex"
-	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/routing"
-	"github.com/cherryward/cherryward/internal/weights"
 )
 
 const (
@@ -21,10 +18,10 @@
 	service   = "engines"
 	storeAddr = "10.1.0.1:1"
 	domain    = "north"
-	// tokenBytes is the size of the KV cache for a token, that of a model with 120 billion
+	// defaultTokenBytes is the size of the KV cache for a token, that of a model with 120 billion
 	// parameters.
-	tokenBytes = 18_432
-	linkMbps   = 100_000
+	defaultTokenBytes = 18_432
+	linkMbps          = 100_000
 )
 
 // Config describes a simulated fleet and its load.
@@ -45,6 +42,26 @@
 	// which a request may wait for capacity. Nil keeps the defaults.
 	Tuning       *placer.Tuning
 	MaxWaitShare *float64
+
+	// Nodes is the number of nodes that place requests, and Domains the number of failure domains
+	// over which nodes and engines are spread; 0 counts as 1.
+	Nodes, Domains int
+	// ReportAge is the largest age of the loads that a node knows of the other nodes of its failure
+	// domain, or of all nodes of a small system. RemoteReportAge is the additional age of those of
+	// other failure domains; with 0 they are unknown. With a ReportAge of 0, all nodes know all
+	// loads at once, as a single node does.
+	ReportAge, RemoteReportAge time.Duration
+	Notices                    Notices
+	Swing                      Swing
+	SlowSpells                 SlowSpells
+	// StatedSlots is the number of slots that the configuration of the service states for each
+	// engine; 0 for none.
+	StatedSlots int
+	// TokenBytes is the size of the KV cache for a token; 0 for the default.
+	TokenBytes int
+	// PreemptForSlots lets a request that finds all slots of its engine taken preempt the newest of
+	// the least urgent runs there, if that is less urgent.
+	PreemptForSlots bool
 }
 
 // World is the state of a simulation.
@@ -57,14 +74,20 @@
 	random      *rand.Rand
 	events      eventQueue
 	order       int64
+	nodes       []*node
+	domains     []*failureDomain
+	open        int        // callers whose request has not ended
+	nodeDraw    *rand.Rand // draws the node of a caller
+	spellDraw   *rand.Rand // draws slow spells
+	lossDraw    *rand.Rand // draws lost notices
 	engines     map[string]*engine
+	byAddr      map[string]*engine
 	index       *kvindex.Index
 	store       *kvindex.Holder
 	stored      map[kvindex.Part]int
 	storeRoom   int
 	storeEvents int64                 // number of the store's newest event
 	prefilled   map[kvindex.Part]bool // by some engine
-	placer      *placer.Placer
 	service     *routing.Service
 }
 
@@ -79,13 +102,16 @@
 	start := time.Now()
 	w := &World{
 		Config: c, now: start, start: start, random: rand.New(rand.NewPCG(c.Seed, 1)),
-		engines: make(map[string]*engine), stored: make(map[kvindex.Part]int), storeRoom: c.StoreTokens, prefilled: make(map[kvindex.Part]bool),
+		nodeDraw: rand.New(rand.NewPCG(c.Seed, 2)), spellDraw: rand.New(rand.NewPCG(c.Seed, 3)), lossDraw: rand.New(rand.NewPCG(c.Seed, 4)),
+		engines: make(map[string]*engine), byAddr: make(map[string]*engine), stored: make(map[kvindex.Part]int), storeRoom: c.StoreTokens, prefilled: make(map[kvindex.Part]bool),
 		index:   kvindex.NewIndex(nil, nil, zerolog.Nop()),
 		store:   kvindex.NewHolder(storeAddr, storeAddr, domain),
-		service: &routing.Service{Name: service, Engine: &routing.Engine{KVTokens: c.StatedMemory, TokenBytes: tokenBytes}},
+		service: &routing.Service{Name: service, Engine: &routing.Engine{Slots: c.StatedSlots, KVTokens: c.StatedMemory, TokenBytes: cmp.Or(c.TokenBytes, defaultTokenBytes)}},
 	}
 	w.store.Mbps, w.store.Tokens = linkMbps, c.StoreTokens
-	w.placer = w.newPlacer(w.addEngines())
+	w.addDomains()
+	w.addEngines()
+	w.addNodes()
 	// The gap marks the store as one that has been running for a long time, whose oldest events
 	// have been discarded.
 	w.index.Apply(w.store, &kvindex.Events{Epoch: 1, Next: 1, Gap: true, ClockMS: 1, ConfirmedAt: w.now})
@@ -96,35 +122,18 @@
 	return w
 }
 
-func (w *World) addEngines() *fleet.Fleet {
-	f := fleet.New(zerolog.Nop())
+// addEngines creates the engines.
+func (w *World) addEngines() {
 	var holders []*kvindex.Holder
 	for i, c := range w.Engines {
-		id, addr := engineID(i), fmt.Sprintf("10.0.0.%d:1", i+1)
-		f.Update(&fleet.Endpoint{ID: id, Service: service, Addr: addr, Domain: domain, Slots: c.Slots, Weights: []fleet.Weights{{Model: model, Version: 1}}}, w.now)
-		h := kvindex.NewHolder(id, addr, domain)
+		id, addr := engineID(i), engineAddr(i)
+		h := kvindex.NewHolder(id, addr, w.domains[i%len(w.domains)].name)
 		h.Mbps = linkMbps
 		holders = append(holders, h)
-		w.engines[id] = &engine{EngineConfig: c, world: w, holder: h, cache: make(map[kvindex.Part]cached)}
-	}
-	for _, m := range f.Members(service) {
-		w.engines[m.ID].member = m
+		e := &engine{EngineConfig: c, world: w, holder: h, cache: make(map[kvindex.Part]cached)}
+		w.engines[id], w.byAddr[addr] = e, e
 	}
 	w.index.Replace(holders, []*kvindex.Holder{w.store})
-	return f
-}
-
-func engineID(i int) string { return fmt.Sprintf("e%02d", i) }
-
-func (w *World) newPlacer(f *fleet.Fleet) *placer.Placer {
-	return &placer.Placer{
-		Domain: domain, Fleet: f, Versions: versions{}, KVIndex: w.index, PeerLoads: peerload.NewTable(), RequestReport: func() {},
-		CommonDelay: &kvindex.Lateness{}, FullMesh: func() bool { return true }, MayReference: func(kvindex.Salt) bool { return true },
-		Closed:            func() []weights.Closed { return nil },
-		VersionApplyLimit: func() time.Duration { return time.Minute },
-		Services:          &placer.Services{}, Nodes: func() int { return 1 },
-		Now: func() time.Time { return w.now }, Random: w.random.Float64, Tuning: w.Tuning,
-	}
 }
 
 // Simulate simulates the whole load and returns the result.
@@ -133,6 +142,8 @@
 		w.scheduleClass(&w.Classes[i])
 	}
 	w.scheduleFaults()
+	w.scheduleReports()
+	w.scheduleSamples()
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
@@ -168,12 +179,8 @@
 	if addr == storeAddr {
 		return w.stored[key] > 0
 	}
-	for _, e := range w.engines {
-		if e.holder.Addr == addr {
-			return e.cache[key].tokens > 0
-		}
-	}
-	return false
+	e := w.byAddr[addr]
+	return e != nil && e.cache[key].tokens > 0
 }
 
 // save stores a part if addr is the store's and it has room.
