Datagram: an unknown method is logged once

Cause: each message with a method that this build doesn't know writes a warning line.

Calls are still answered with an error, and errors of known methods are still logged each time.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -42,6 +42,9 @@
 	limiter  *rate.Limiter // limits the bytes of responses; nil for no limit
 	sent     atomic.Int64
 
+	// unknownMethods are the methods without a handler that were logged. Run uses it only.
+	unknownMethods map[string]bool
+
 	mu      sync.Mutex
 	nextID  uint64
 	pending map[uint64]*call // by request ID
@@ -72,7 +75,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peer datagrams")
 	}
-	return &Conn{udp: udp, log: log, handlers: make(map[string]Handler), pending: make(map[uint64]*call)}, nil
+	return &Conn{udp: udp, log: log, handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call)}, nil
 }
 
 // Addr returns the address that peers send to.
@@ -136,7 +139,7 @@
 		return
 	}
 	result, err := c.callHandler(&m)
-	if err != nil {
+	if err != nil && !c.loggedUnknownMethod(m.Method) {
 		c.log.Warn().Str("event", "datagram_rejected").Stringer("from", from).Str("method", m.Method).AnErr("error", err).Send()
 	}
 	if m.ID != nil {
