Peerload: nodes announce the prompts that they send

Cause: the nodes of a failure domain choose engines by load reports that are 40 to 120 ms old. With 221 prompts per second in a domain of 16 nodes and 22 engines, some 24 prompts are in no report at any time, and the fullest engine had 25 runs at a mean of 15 (docs/design/contended-engines.md, part A).

Change: a node announces each prompt to the nodes of its failure domain (node.placed). Table.Loads returns a view that adds the announced prompts until the digest or aggregate in use has a later number of that node, for at most 800 ms. The number is raised before a digest's loads are read. While notices are in use, 2% instead of 15% of an engine's memory is left free for unreported prompts, and ReportLag is 5 ms. Counters, a histogram of the age of loads at placement, and two fields of the request line are added.

A prompt is known at the other nodes after the latency of one message.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -189,6 +189,9 @@
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := p.Member.Load
 	load.Begin(p.PrefillTokens, p.MemoryTokens)
+	if p.OnSend != nil {
+		p.OnSend()
+	}
 	defer load.End(p.MemoryTokens)
 	prefilling := true
 	// The duration is measured by the monotonic clock: a suspension of this host must not count as
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -163,6 +163,13 @@
 	RefusalCode result.Code
 	// Reason is a short name of the reason for the decision.
 	Reason string
+	// LoadAge is the age of the load reports behind the decision, and Noticed the number of prompts at
+	// the endpoint that other nodes announced since.
+	LoadAge time.Duration
+	Noticed int
+	// OnSend, if not nil, is called when the request is sent, after it was counted at the endpoint.
+	// It must not block.
+	OnSend func()
 	// RecordFirstEvent, if not nil, is called with the time from the send to the first event.
 	RecordFirstEvent func(after time.Duration)
 	// RecordFailure, if not nil, is called if the attempt ended before its first event without an
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -263,6 +263,9 @@
 		Services:          &placer.Services{},
 		Nodes:             n.nodes,
 		ReportLag:         n.peers.ReportLag,
+		AnnouncePlacement: n.peers.AnnouncePlacement,
+		NoticesInUse:      n.peers.NoticesInUse,
+		RecordLoadAge:     n.recorder.recordLoadAge,
 		Now:               n.clock.Now,
 		Random:            rand.Float64,
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -34,6 +35,12 @@
 	metricCold             = "cherryward_gateway_cold_endpoints"
 	metricLimited          = "cherryward_gateway_limited_endpoints"
 	metricBackoff          = "cherryward_gateway_backoff_endpoints"
+	metricPlacementLoadAge = "cherryward_gateway_placement_load_age_seconds"
+	metricNoticesInUse     = "cherryward_gateway_notices_in_use"
+	metricNoticesSent      = "cherryward_gateway_notices_sent_total"
+	metricNoticesSentBytes = "cherryward_gateway_notices_sent_bytes_total"
+	metricNoticesWithheld  = "cherryward_gateway_notices_withheld_total"
+	metricNoticesReceived  = "cherryward_gateway_notices_received_total"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -92,9 +99,33 @@
 	set.NewGauge(metricCold, func() float64 { return n.countEndpoints((*fleet.Member).Cold) })
 	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
 	set.NewGauge(metricBackoff, func() float64 { return n.countEndpoints(isBackingOff) })
+	addNoticeMetrics(set, n.peers)
 	return &recorder{set: set}
 }
 
+// addNoticeMetrics adds the gauges of placement notices.
+func addNoticeMetrics(set *metrics.Set, peers *peerload.Exchange) {
+	set.NewGauge(metricNoticesInUse, func() float64 {
+		if peers.NoticesInUse() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge(metricNoticesSent, func() float64 { return float64(peers.NoticeStats().Sent) })
+	set.NewGauge(metricNoticesSentBytes, func() float64 { return float64(peers.NoticeStats().SentBytes) })
+	set.NewGauge(metricNoticesWithheld, func() float64 { return float64(peers.NoticeStats().Withheld) })
+	for i := range peers.NoticeStats().Received {
+		set.NewGauge(metricNoticesReceived+`{result="`+peerload.NoticeResult(i).String()+`"}`, func() float64 {
+			return float64(peers.NoticeStats().Received[i])
+		})
+	}
+}
+
+// recordLoadAge records the age of the collected load reports at a placement.
+func (r *recorder) recordLoadAge(age time.Duration) {
+	r.set.GetOrCreatePrometheusHistogramExt(metricPlacementLoadAge, secondsBounds).Update(age.Seconds())
+}
+
 // countEndpoints returns the number of endpoints for which match returns true now.
 func (n *Node) countEndpoints(match func(m *fleet.Member, now time.Time) bool) float64 {
 	now, count := n.clock.Now(), 0
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -29,6 +29,7 @@
 	}
 	n.boot.Store(testBoot(t))
 	r := newRecorder(n)
+	r.recordLoadAge(time.Second)
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{}, TimeToFirstByte: time.Second, Total: time.Second})
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, nil)
--- a/internal/intervals/intervals.go
+++ b/internal/intervals/intervals.go
@@ -63,6 +63,11 @@
 	// takes about 40 microseconds of processor time.
 	maxDigestsReceived = 400
 
+	// maxNoticesReceived is the maximum number of placement notices that a node receives per second.
+	// With the digests of collectors and the messages of other failure domains, about 80 per second,
+	// it receives at most 400 messages per second.
+	maxNoticesReceived = 320
+
 	// minLinkRate is the rate of the slowest supported link in bytes per second: 10 Mbit/s.
 	minLinkRate = 10_000_000 / 8
 	// messageLinkDivisor sets the part of its host's link that a node uses for unsolicited messages
@@ -146,6 +151,17 @@
 	return int(within.Seconds() * float64(messageRate(link)) / float64(max(peers, 1)))
 }
 
+// NoticeRate returns the maximum number of placement notices per second that a node sends to each of
+// the given number of peers, if each message has the given number of bytes. They take at most half of
+// the link's part for messages. link is the rate of the link in bytes per second; 0 if unknown.
+func NoticeRate(peers, link, bytes int) float64 {
+	if peers <= 0 {
+		return 0
+	}
+	byLink := float64(messageRate(link)) / 2 / float64(peers*bytes)
+	return min(maxNoticesReceived/float64(peers), byLink)
+}
+
 // AnswerRate returns the rate of responses to other nodes in bytes per second. link is the rate of
 // the link in bytes per second; 0 if unknown.
 func AnswerRate(link int) int { return max(link/100*responseLinkPercent, MinAnswerRate) }
--- a/internal/intervals/intervals_test.go
+++ b/internal/intervals/intervals_test.go
@@ -96,3 +96,16 @@
 	test.True(t, intervals.FullMesh(7))
 	test.False(t, intervals.FullMesh(85))
 }
+
+// TestNoticeRate checks that the notices of all nodes of a failure domain stay within the limit on
+// received messages and within half of the link's part for messages.
+func TestNoticeRate(t *testing.T) {
+	const bytes = 270
+	for _, peers := range []int{1, 7, 15, 58, 200, 999} {
+		perSecond := intervals.NoticeRate(peers, 0, bytes)
+		test.Positive(t, perSecond)
+		test.LessEq(t, 320.0001, perSecond*float64(peers))
+		test.LessEq(t, intervals.MinMessageRate/2+1, perSecond*float64(peers)*bytes)
+	}
+	test.Eq(t, 0, intervals.NoticeRate(0, 0, bytes))
+}
--- a/internal/peerload/aggregate.go
+++ b/internal/peerload/aggregate.go
@@ -75,6 +75,10 @@
 	orders  []RelayedOrders
 	domains []string // other failure domains included
 	at      time.Time
+	// included is Aggregate.Included. The collector's own digest is not in it: key identifies the
+	// collector's start, and seq its digest.
+	included []byte
+	key, seq uint32
 
 	// encoded is the aggregate as received; nil once decoded. loads and starts are the collector's
 	// own loads, which the aggregate doesn't include, and own is this node's included digest, or
@@ -205,10 +209,13 @@
 	}
 }
 
-// includes returns the sequence number of the node's included digest, and false if none is
+// includedSeq returns the sequence number of the node's included digest, and false if none is
 // included.
-func (a *Aggregate) includes(node uint32) (seq uint32, ok bool) {
-	for rest := a.Included; len(rest) >= includedEntryBytes; rest = rest[includedEntryBytes:] {
+func (a *receivedAggregate) includedSeq(node uint32) (seq uint32, ok bool) {
+	if node == a.key {
+		return a.seq, true
+	}
+	for rest := a.included; len(rest) >= includedEntryBytes; rest = rest[includedEntryBytes:] {
 		if binary.LittleEndian.Uint32(rest) == node {
 			return binary.LittleEndian.Uint32(rest[4:]), true
 		}
@@ -223,7 +230,8 @@
 		return nil
 	}
 	received := &receivedAggregate{nodes: a.Nodes, late: a.Late, orders: a.Orders, domains: a.Domains, at: now, encoded: a, loads: d.Loads, starts: d.Starts}
-	if seq, ok := a.includes(t.own); ok {
+	received.included, received.key, received.seq = a.Included, nodeKey(d.Node, d.Incarnation), uint32(d.Seq)
+	if seq, ok := received.includedSeq(t.own); ok {
 		received.own = t.ownDigest(seq)
 	}
 	return received
--- a/internal/peerload/check_test.go
+++ b/internal/peerload/check_test.go
@@ -30,7 +30,7 @@
 		_, err := e.receiveDigest(json.RawMessage(text))
 		test.Error(t, err, test.Sprint(text))
 		test.Eq(t, 1, e.Table.Nodes(), test.Sprint(text))
-		test.MapEmpty(t, e.Table.Loads(time.Now()))
+		test.MapEmpty(t, e.Table.Loads(time.Now()).reported)
 	}
 }
 
@@ -58,7 +58,7 @@
 			return
 		}
 		now := time.Now()
-		for _, sum := range e.Table.Loads(now) {
+		for _, sum := range e.Table.Loads(now).reported {
 			test.True(t, sum.Running >= 0 && sum.PendingPromptTokens >= 0 && sum.HeldTokens >= 0 && sum.FailureRate() >= 0)
 		}
 		test.MapEmpty(t, e.Table.Closed(now.Add(maxClosedMs*time.Millisecond)))
--- a/internal/peerload/domain.go
+++ b/internal/peerload/domain.go
@@ -158,7 +158,7 @@
 	}
 	e.domainDigestSentAt = now
 	return e.config.Conn.Notify(slices.Concat(peers.local, peers.remote), domainMethod, DomainDigest{
-		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
+		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq.Load(),
 		References: e.Table.DomainReferences(e.config.References(), neighbours.Others),
 		Members:    MembersOf(neighbours.Others...) + MembersOf(e.config.Node),
 	})
--- a/internal/peerload/domain_load.go
+++ b/internal/peerload/domain_load.go
@@ -135,7 +135,7 @@
 	sums.add(digest.Loads, digest.Starts)
 	sums.retain(engineKeys(members))
 	return e.config.Conn.Notify(peers.representatives(e.Table, now), domainLoadMethod, &DomainLoad{
-		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq,
+		Node: e.config.Node, Domain: e.config.Domain, Incarnation: e.incarnation, Seq: e.seq.Load(),
 		Nodes: nodes, Loads: sums.encodeCoarse(), Limits: e.Table.domainLimits(digest.Limits, now),
 	})
 }
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,19 +83,6 @@
 	Log   zerolog.Logger
 }
 
-// Role is a node's role in distributing loads within the failure domain of a large system. With
-// the zero value, the node sends its load to all nodes there.
-type Role struct {
-	// Collects is true for a collector, which sends the aggregate of all digests to all nodes
-	// there.
-	Collects bool
-	// StandsBy is true for a node that is next to become a collector. It sends to all nodes, which
-	// shows that it is alive.
-	StandsBy bool
-	// Collectors are the other collectors.
-	Collectors []netip.AddrPort
-}
-
 // Exchange sends this node's digests and receives those of its peers.
 type Exchange struct {
 	Table *Table
@@ -105,9 +93,11 @@
 	peers           atomic.Pointer[recipients]
 	collecting      atomic.Bool
 	reportRequested chan struct{}
+	// seq is the number of the newest digest. Run raises it before it reads the loads for a digest.
+	seq     atomic.Int64
+	notices noticeState
 
 	// The remaining fields are used by Run only.
-	seq                int64
 	role               Role
 	collectingSince    time.Time // when this node became a collector
 	remoteDigestSentAt time.Time // last Digest to remote nodes
@@ -125,22 +115,27 @@
 func New(c Config) *Exchange {
 	e := &Exchange{
 		Table: NewTable(), config: c, incarnation: time.Now().UnixNano(),
-		log: c.Log, reportRequested: make(chan struct{}, 1),
+		log: c.Log, reportRequested: make(chan struct{}, 1), notices: newNoticeState(),
 	}
 	c.Conn.Handle(digestMethod, e.receiveDigest)
 	c.Conn.Handle(domainMethod, e.receiveDomainDigest)
 	c.Conn.Handle(domainLoadMethod, e.receiveDomainLoad)
+	c.Conn.Handle(noticeMethod, e.receiveNotice)
 	return e
 }
 
-// Run sends digests until ctx is done.
+// Run sends digests and notices until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
+	var notices sync.WaitGroup
+	notices.Go(func() { e.sendNotices(ctx) })
+	defer notices.Wait()
 	sent := 0
 	for ctx.Err() == nil {
 		spacing, interval := intervals.DigestIntervals(e.localCount())
 		if e.role.Collects {
 			interval = spacing // the aggregate changes all the time
 		}
+		sent += int(e.notices.unpacedBytes.Swap(0))
 		spacing = max(spacing, intervals.SendPause(sent, e.config.LinkBytes))
 		retry.Sleep(ctx, spacing)
 		e.awaitReportRequest(ctx, interval-spacing)
@@ -184,9 +179,10 @@
 	if peers == nil {
 		return 0
 	}
-	e.seq++
 	members := e.config.Members()
-	digest := e.ordersDigest(members)
+	e.notices.domainEngines.Store(countDomainEngines(members, e.config.Domain))
+	seq, loads := e.readLoads(members)
+	digest := e.ordersDigest(members, seq)
 	if len(peers.remote) > 0 && e.config.Clock.Since(e.remoteDigestSentAt) >= remoteInterval {
 		bytes += e.sendRemote(peers, digest, members)
 	}
@@ -194,7 +190,7 @@
 	digest.Late = e.config.Late()
 	digest.References = e.referencesToSend()
 	digest.Limits = LimitsOf(members, e.config.Clock.Now())
-	digest.setLoads(members, e.maxMessageBytes(len(peers.local)), e.config.Clock.Now())
+	digest.Loads, digest.Starts = fitLoads(loads, e.maxMessageBytes(len(peers.local)))
 	return bytes + e.sendLocal(peers, digest, members)
 }
 
@@ -212,6 +208,7 @@
 		e.collecting.Store(e.role.Collects)
 		e.log.Info().Str("event", "collects").Bool("collects", e.role.Collects).Int("heard", e.Table.LiveNodes(now)).Send()
 	}
+	e.notices.setRecipients(peers.local, e.role.Collectors)
 	e.Table.RecordOwnDigest(digest)
 	switch {
 	case e.role.Collects:
@@ -278,10 +275,10 @@
 	})
 }
 
-// ordersDigest returns a digest with the orders that this node gives and the weight versions that
+// ordersDigest returns the digest with the given number, with the orders that this node gives and the weight versions that
 // engines reported to it.
-func (e *Exchange) ordersDigest(members []*fleet.Member) *Digest {
-	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: e.seq, UnlistedWeights: UnlistedWeightsOf(members, e.config.Clock.Now())}
+func (e *Exchange) ordersDigest(members []*fleet.Member, seq int64) *Digest {
+	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: seq, UnlistedWeights: UnlistedWeightsOf(members, e.config.Clock.Now())}
 	var closed []weights.Closed
 	closed, d.Leads = e.config.Orders()
 	for _, c := range closed {
--- a/internal/peerload/network_test.go
+++ b/internal/peerload/network_test.go
@@ -45,6 +45,9 @@
 	represented []string // the nodes that it represents, if set by the test
 	received    int      // messages received
 	sent        int      // messages sent
+	sentBytes   int      // bytes of these messages
+	maxSend     int      // bytes of the largest send to several nodes
+	loses       string   // the method whose messages to this node are lost, if set by the test
 }
 
 var _ Conn = (*networkNode)(nil)
@@ -68,6 +71,8 @@
 	}
 	n.mu.Lock()
 	n.sent += len(peers)
+	n.sentBytes += len(peers) * len(data)
+	n.maxSend = max(n.maxSend, len(peers)*len(data))
 	n.mu.Unlock()
 	time.AfterFunc(messageLatency, func() {
 		for _, to := range peers {
@@ -89,7 +94,11 @@
 	}
 	n.mu.Lock()
 	n.received++
+	lost := n.loses == method
 	n.mu.Unlock()
+	if lost {
+		return
+	}
 	_, _ = n.handlers[method](data)
 }
 
@@ -189,12 +198,14 @@
 	var peers []Peer
 	for i := range nodes {
 		n := &networkNode{net: w, addr: addrOf(i), fleet: fleet.New(zerolog.Nop()), domain: fmt.Sprint("d", i%domains), index: i}
-		for j := range engines {
-			n.fleet.Update(&fleet.Endpoint{
-				ID: fmt.Sprintf("i-%010d", j), Service: "s", Addr: "127.0.0.1:1", Domain: fmt.Sprint("d", j%domains),
-				Weights: []fleet.Weights{{Model: "m", Version: 1}},
-			}, time.Now())
-		}
+		n.fleet.UpdateBatch(func() {
+			for j := range engines {
+				n.fleet.Update(&fleet.Endpoint{
+					ID: fmt.Sprintf("i-%010d", j), Service: "s", Addr: "127.0.0.1:1", Domain: fmt.Sprint("d", j%domains),
+					Weights: []fleet.Weights{{Model: "m", Version: 1}},
+				}, time.Now())
+			}
+		})
 		n.Exchange = New(Config{
 			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All, Member: n.fleet.Member,
 			Late: func() []Late { return nil }, References: func() []OldestReferenced { return []OldestReferenced{{Model: "m", Oldest: 1}} },
--- a/internal/peerload/recipients.go
+++ b/internal/peerload/recipients.go
@@ -14,12 +14,27 @@
 	Domain string // failure domain; empty if not known
 }
 
+// Role is a node's role in distributing loads within the failure domain of a large system. With
+// the zero value, the node sends its load to all nodes there.
+type Role struct {
+	// Collects is true for a collector, which sends the aggregate of all digests to all nodes
+	// there.
+	Collects bool
+	// StandsBy is true for a node that is next to become a collector. It sends to all nodes, which
+	// shows that it is alive.
+	StandsBy bool
+	// Collectors are the other collectors.
+	Collectors []netip.AddrPort
+}
+
 // recipients are the nodes that messages are sent to.
 type recipients struct {
 	// local are the nodes for which this node's load is intended: all nodes of a small system, else
 	// those of its failure domain.
-	local  []netip.AddrPort
-	remote []netip.AddrPort // the other nodes
+	local []netip.AddrPort
+	// localNames are the names of these nodes.
+	localNames map[string]bool
+	remote     []netip.AddrPort // the other nodes
 	// remoteByDomain holds the remote nodes with their names, by failure domain.
 	remoteByDomain map[string][]namedAddr
 }
@@ -53,7 +68,7 @@
 func (e *Exchange) SetPeers(peers []Peer) {
 	own := e.config.Conn.Addr()
 	fullMesh := intervals.FullMesh(len(peers))
-	next := &recipients{remoteByDomain: make(map[string][]namedAddr)}
+	next := &recipients{localNames: make(map[string]bool), remoteByDomain: make(map[string][]namedAddr)}
 	for _, p := range peers {
 		if p.Addr == own {
 			continue
@@ -65,6 +80,7 @@
 		}
 		if fullMesh || p.Domain == "" || p.Domain == e.config.Domain {
 			next.local = append(next.local, addr)
+			next.localNames[p.Node] = true
 		} else {
 			next.remote = append(next.remote, addr)
 			next.remoteByDomain[p.Domain] = append(next.remoteByDomain[p.Domain], namedAddr{p.Node, addr})
@@ -95,8 +111,21 @@
 const digestAgeIntervals = 3
 
 // ReportLag returns the number of nodes for which this node's load is intended, whose loads this
-// node receives directly or in an aggregate, and the estimated mean age of these loads.
+// node receives directly or in an aggregate, and the estimated time after which it knows of a prompt
+// that they placed.
 func (e *Exchange) ReportLag() (nodes int, lag time.Duration) {
+	nodes, lag = e.reportAge()
+	switch {
+	case !e.NoticesInUse():
+		return nodes, lag
+	case e.IsCollector():
+		return nodes, lag / digestAgeIntervals // receives the digests without a detour
+	}
+	return nodes, min(lag, noticeDelay)
+}
+
+// reportAge is ReportLag without notices: the estimated mean age of the nodes' loads.
+func (e *Exchange) reportAge() (nodes int, age time.Duration) {
 	nodes = e.localCount()
 	spacing, _ := intervals.DigestIntervals(nodes)
 	return nodes, digestAgeIntervals * spacing
--- a/internal/peerload/sum.go
+++ b/internal/peerload/sum.go
@@ -76,29 +76,13 @@
 // Sums holds the combined load that all peers report, by endpoint and start.
 type Sums map[loadKey]Sum
 
-// At returns the load at one start of an endpoint, given in Unix milliseconds. Reports without a
-// start count for each start.
-func (s Sums) At(id string, startedMs int64) Sum {
-	sum := s[keyOf(id, 0)]
-	if startedMs == 0 {
-		return sum
+// at returns the load at one start of an endpoint, given the keys for an unknown start and for this
+// one.
+func (s Sums) at(unknown, started loadKey) Sum {
+	if started == unknown {
+		return s[unknown]
 	}
-	return sum.plus(s[keyOf(id, startTagOf(startedMs))])
-}
-
-// Loads returns the load that the peers report; the result must not be modified. It is based on a
-// collector's aggregate if that covers more, or nearly as many, nodes as send digests to this node
-// directly, else on these digests.
-func (t *Table) Loads(now time.Time) Sums {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if best := t.bestAggregate(now); best != nil {
-		return best.loadSums()
-	}
-	sums, _ := t.directLoadsLocked(now)
-	domainSums, _ := t.domainLoadSums(now)
-	sums.merge(domainSums)
-	return sums
+	return s[unknown].plus(s[started])
 }
 
 // directLoads returns the sums of the peers' own digests, and the number of these peers.
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -29,6 +29,7 @@
 	own         uint32
 	isCollector bool // this node is a collector
 	ownDigests  []*ownDigest
+	notices     noticeTable
 }
 
 type peerState struct {
@@ -72,6 +73,7 @@
 	if d.Incarnation < known.digest.Incarnation || d.Incarnation == known.digest.Incarnation && d.Seq <= known.digest.Seq {
 		return
 	}
+	t.notices.removeBefore(d.Node, d.Incarnation)
 	aggregate := t.receiveAggregate(&d, now)
 	d.Aggregate = nil // held in peerState.aggregate
 	t.peers[d.Node] = peerState{digest: d, at: now, watermarks: updateWatermarks(known.watermarks, d.References, now), aggregate: aggregate}
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -57,12 +57,25 @@
 // in transit or only partly read, whose memory is already counted in full.
 const unreportedShare = 0.15
 
+// unreportedNoticedShare replaces unreportedShare while nodes announce their prompts. Only those
+// placed within the delay of a notice, about 5 of 120 ms, are then unreported.
+const unreportedNoticedShare = 0.02
+
+// unreportedMemory returns the share of an engine's memory that is left free for unreported prompts.
+func (s *selection) unreportedMemory() float64 {
+	switch {
+	case s.FullMesh() || s.holdsMany:
+		return 0
+	case s.NoticesInUse != nil && s.NoticesInUse():
+		return unreportedNoticedShare
+	}
+	return unreportedShare
+}
+
 // memory returns the estimated memory use of an engine.
 func (s *selection) memory(m *fleet.Member) admission.Memory {
 	capacity := s.q.Service.Engine.KVTokens
-	if !s.FullMesh() && !s.holdsMany {
-		capacity -= int(unreportedShare * float64(capacity))
-	}
+	capacity -= int(s.unreported * float64(capacity))
 	return admission.Memory{
 		Capacity:       capacity,
 		OccupiedTokens: m.Load.HeldTokens() + s.peerLoads.At(m.ID, m.StartedMs).HeldTokens,
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -81,6 +81,14 @@
 	// ReportLag returns the number of other nodes whose load reports are summed in PeerLoads, and the
 	// age of these reports. Nil means that the reports are always current.
 	ReportLag func() (nodes int, lag time.Duration)
+	// AnnouncePlacement announces a prompt that was sent to an engine to the other nodes of the
+	// failure domain. Nil means that prompts are not announced. NoticesInUse reports whether the nodes
+	// there currently announce all prompts; nil means that they don't.
+	AnnouncePlacement func(m *fleet.Member, promptTokens, heldTokens int)
+	NoticesInUse      func() bool
+	// RecordLoadAge, if not nil, receives the age of the collected load reports at each placement of a
+	// prompt that is based on them.
+	RecordLoadAge func(age time.Duration)
 	// Now is the clock. Random returns a random number in [0, 1).
 	Now    func() time.Time
 	Random func() float64
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -114,9 +114,17 @@
 		PredictedFirstEvent: duration(s.firstMs(best)),
 		OccupiedTokens:      s.memory(best).OccupiedTokens,
 		Reason:              plan.reason(),
+		LoadAge:             s.peerLoads.Age(),
+		Noticed:             s.peerLoads.Noticed(best.ID, best.StartedMs),
 		RecordFirstEvent:    s.firstEventObserver(best),
 		RecordRun:           func(took time.Duration) { s.service.model.RecordRun(averageHeldTokens(q), took) },
 	}
+	if p.AnnouncePlacement != nil {
+		placement.OnSend = func() { p.AnnouncePlacement(best, placement.PrefillTokens, placement.MemoryTokens) }
+	}
+	if placement.LoadAge > 0 && p.RecordLoadAge != nil {
+		p.RecordLoadAge(placement.LoadAge)
+	}
 	placement.RecordFailure = func() { p.cancelSaves(q, &placement.Attempt) }
 	if plan.fromStore {
 		placement.Attempt.FetchUntil = s.fetchUntil - (FetchLimit - s.fetchTimeout(best)).Milliseconds()
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -24,7 +24,7 @@
 	q              *forward.Query
 	now            time.Time
 	rollout        *rollout
-	peerLoads      peerload.Sums
+	peerLoads      peerload.LoadView
 	peerDelays     map[string]float64 // average delay of peers' fetches in ms, by the holder's address
 	scope          residency.Scope    // failure domains in which KV cache of the prompt may be kept
 	home           *fleet.Member      // may be nil
@@ -35,6 +35,7 @@
 	candidateCount int      // number of engines among which the prompt is placed
 	reserve        int      // free memory that the prompt requires, in tokens
 	holdsMany      bool     // an engine's memory holds many prompts
+	unreported     float64  // share of each engine's memory that is left free for unreported prompts
 	sources        []source // sources of the first parts, set by reusedParts
 	// fetchUntil is the time after which the results of fetches are discarded, on the engines'
 	// clock in ms. The clock is read before the check of which parts may be referenced, so that a
@@ -55,6 +56,7 @@
 		fetchUntil: p.KVIndex.ClockMS() + FetchLimit.Milliseconds(),
 	}
 	s.holdsMany = service.demand.HoldsMany(q.Service.Engine.KVTokens)
+	s.unreported = s.unreportedMemory()
 	s.reserve = s.tuning().reserve(service.demand.Reserve(priority, q.IsRetry(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
 	return s
 }
