--- a/internal/intervals/intervals_test.go
+++ b/internal/intervals/intervals_test.go
@@ -100,7 +100,7 @@
 // TestNoticeRate checks that the notices of all nodes of a failure domain stay within the limit on
 // received messages and within half of the link's part for messages.
 func TestNoticeRate(t *testing.T) {
-	const bytes = 270
+	const bytes = 240
 	for _, peers := range []int{1, 7, 15, 58, 200, 999} {
 		perSecond := intervals.NoticeRate(peers, 0, bytes)
 		test.Positive(t, perSecond)
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -208,7 +208,7 @@
 		e.collecting.Store(e.role.Collects)
 		e.log.Info().Str("event", "collects").Bool("collects", e.role.Collects).Int("heard", e.Table.LiveNodes(now)).Send()
 	}
-	e.notices.setRecipients(peers.local, e.role.Collectors)
+	e.notices.setRecipients(peers.local, &e.role)
 	e.Table.RecordOwnDigest(digest, e.role.Collects)
 	switch {
 	case e.role.Collects:
--- a/internal/peerload/notice.go
+++ b/internal/peerload/notice.go
@@ -51,20 +51,25 @@
 	// unpacedBytes are the bytes of notices since the last digest. They delay the next digest, so that
 	// notices and digests together stay within the limit on the host's link.
 	unpacedBytes atomic.Int64
-	recipients   atomic.Pointer[[]netip.AddrPort]
+	recipients   atomic.Pointer[[]netip.AddrPort] // nil while no notices are sent
 }
 
 func newNoticeState() noticeState {
 	return noticeState{queue: make(chan *Notice, noticeQueueLength), unknownNode: rate.Sometimes{Interval: time.Second}}
 }
 
-// setRecipients sets the nodes that notices are sent to: those of the failure domain, without the
-// collectors. They receive this node's digest as soon after a placement as the limit of 400 digests
-// per second allows, and notices to them would exceed it.
-func (s *noticeState) setRecipients(local, collectors []netip.AddrPort) {
+// setRecipients sets the nodes that notices are sent to, given this node's role: those of the failure
+// domain, without the collectors. They receive this node's digest as soon after a placement as the
+// limit of 400 digests per second allows, and notices to them would exceed it. As long as no collector
+// is known, this holds for all nodes.
+func (s *noticeState) setRecipients(local []netip.AddrPort, role *Role) {
+	if !role.Collects && len(role.Collectors) == 0 {
+		s.recipients.Store(nil)
+		return
+	}
 	recipients := make([]netip.AddrPort, 0, len(local))
 	for _, addr := range local {
-		if !slices.Contains(collectors, addr) {
+		if !slices.Contains(role.Collectors, addr) {
 			recipients = append(recipients, addr)
 		}
 	}
@@ -122,7 +127,9 @@
 
 // noticesSupported reports whether digests go through collectors. Nodes of a smaller system receive
 // each other's digests directly, and so within some 15 ms.
-func (e *Exchange) noticesSupported() bool { return e.config.Role != nil && !e.FullMesh() }
+func (e *Exchange) noticesSupported() bool {
+	return !e.FullMesh() && e.notices.recipients.Load() != nil
+}
 
 // noticeLimits returns the failure domain's size, on which the limits on notices depend.
 func (e *Exchange) noticeLimits() noticeLimits {
--- a/internal/peerload/notice_pacer.go
+++ b/internal/peerload/notice_pacer.go
@@ -25,7 +25,7 @@
 	maxPlacedPerNotice = 1.25
 	// noticeBytes is the length of a notice with names of 20 bytes and token counts of seven
 	// digits, with its headers.
-	noticeBytes = 270
+	noticeBytes = 240
 	// noticeBurst is the time whose notices may be sent at once, and minNoticeBurst their minimum
 	// number: callers arrive in small groups.
 	noticeBurst    = time.Second
--- a/internal/peerload/notice_test.go
+++ b/internal/peerload/notice_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -195,6 +196,55 @@
 	test.True(t, pacer.inUse(limits, at))
 }
 
+// TestNoticeBytes checks the length on which the limit on bytes rests.
+func TestNoticeBytes(t *testing.T) {
+	const headers = 28
+	longest := &Notice{
+		Node: strings.Repeat("n", 20), Incarnation: time.Now().UnixNano(), Seq: 9_999_999, Endpoint: strings.Repeat("e", 20), Start: startTagCount,
+		PromptTokens: 9_999_999, HeldTokens: 9_999_999,
+	}
+	params, err := json.Marshal(longest)
+	must.NoError(t, err)
+	data, err := json.Marshal(map[string]any{"jsonrpc": "2.0", "method": noticeMethod, "params": json.RawMessage(params)})
+	must.NoError(t, err)
+	t.Logf("%d bytes", len(data)+headers)
+	test.Between(t, noticeBytes*9/10, len(data)+headers, noticeBytes)
+}
+
+// TestNoNoticesWithoutCollectors checks that nodes that send their digests to all others, because no
+// collector is known, send no notices beside them.
+func TestNoNoticesWithoutCollectors(t *testing.T) {
+	e, m := newAnnouncer(t, 15)
+	announce := func() int {
+		for range 20 {
+			e.AnnouncePlacement(m, 10, 100)
+		}
+		return len(e.notices.queue)
+	}
+	e.notices.setRecipients(e.peers.Load().local, &Role{})
+	test.Eq(t, 0, announce())
+	e.notices.setRecipients(e.peers.Load().local, &Role{Collectors: []netip.AddrPort{addrOf(1)}})
+	test.Positive(t, announce())
+}
+
+// BenchmarkRecordNotice measures the time to decode and record one of 320 notices per second, and to
+// look up a load afterwards, without load reports that include the prompts.
+func BenchmarkRecordNotice(b *testing.B) {
+	table, at := NewTable(), now
+	data, err := json.Marshal(notice("n", 1, 7))
+	must.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		var n Notice
+		if err := json.Unmarshal(data, &n); err != nil || n.check() != nil {
+			b.Fatal(err)
+		}
+		at = at.Add(time.Second / 320)
+		table.RecordNotice(&n, at)
+		table.Loads(at).At("e", 0)
+	}
+}
+
 // blockedConn is a connection whose sends take until it is released.
 type blockedConn struct{ released chan struct{} }
 
@@ -217,7 +267,7 @@
 	e.notices.domainEngines.Store(1)
 	local := make([]netip.AddrPort, peers)
 	e.peers.Store(&recipients{local: local, remote: local})
-	e.notices.setRecipients(local, nil)
+	e.notices.setRecipients(local, &Role{Collects: true})
 	return e, f.All()[0]
 }
 
