Peerload: notices count as in use only if the peers send them

Cause: one notice within 800 ms was enough for a node to rely on notices, and to leave 2% instead of 15% of an engine's memory free. During an upgrade, or where most notices are lost or withheld, most prompts of other nodes would then be neither announced nor allowed for.

Change: the notices received per peer must be at least a quarter of this node's own placements. Collectors receive none and are exempt.

--- a/internal/peerload/notice.go
+++ b/internal/peerload/notice.go
@@ -122,7 +122,7 @@
 // other nodes of the failure domain from their notices or, as a collector, from their digests.
 func (e *Exchange) NoticesInUse() bool {
 	now := e.config.Clock.Now()
-	return e.noticesSupported() && e.notices.pacer.inUse(e.noticeLimits(), now) && (e.IsCollector() || e.Table.receivedNotice(now))
+	return e.noticesSupported() && e.notices.pacer.inUse(e.noticeLimits(), e.IsCollector(), now)
 }
 
 // noticesSupported reports whether digests go through collectors. Nodes of a smaller system receive
--- a/internal/peerload/notice_pacer.go
+++ b/internal/peerload/notice_pacer.go
@@ -23,6 +23,10 @@
 	// maxPlacedPerNotice is the ratio of placements to notices above which no notices are sent. The
 	// placement rate of a node varies by a sixth from second to second.
 	maxPlacedPerNotice = 1.25
+	// minAnnouncedShare is the minimum ratio of the notices of an average peer to this node's placements
+	// for notices to count as in use. Callers may use this node more than others, but if far fewer
+	// notices arrive, they are lost, or most peers are of a build without notices.
+	minAnnouncedShare = 0.25
 	// noticeBytes is the length of a notice with names of 20 bytes and token counts of seven
 	// digits, with its headers.
 	noticeBytes = 240
@@ -136,12 +140,16 @@
 	return p.withheld
 }
 
-// inUse reports whether this node announces all of its placements.
-func (p *noticePacer) inUse(l noticeLimits, now time.Time) bool {
+// inUse reports whether this node announces all of its placements and the others announce theirs, as
+// far as it can tell. Collectors receive no notices.
+func (p *noticePacer) inUse(l noticeLimits, collects bool, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	recentlyWithheld := p.withheld > 0 && now.Sub(p.withheldAt) < withheldLifetime
-	return !recentlyWithheld && p.needed(l, now)
+	if p.withheld > 0 && now.Sub(p.withheldAt) < withheldLifetime || !p.needed(l, now) {
+		return false
+	}
+	fromEachPeer := p.announced.At(placedHalfLife, now) / float64(l.peers)
+	return collects || fromEachPeer >= minAnnouncedShare*p.placed.At(placedHalfLife, now)
 }
 
 // NoticeResult is what became of a received notice.
--- a/internal/peerload/notice_table.go
+++ b/internal/peerload/notice_table.go
@@ -11,10 +11,9 @@
 
 // noticeTable holds the recent notices of peers. Table.mu guards it.
 type noticeTable struct {
-	nodes      map[string]*nodeNotices
-	count      int       // number of retained notices
-	receivedAt time.Time // when the last notice arrived
-	version    int64     // raised by each change
+	nodes   map[string]*nodeNotices
+	count   int   // number of retained notices
+	version int64 // raised by each change
 
 	// cached is the result of pending for the aggregate cachedBase. It is valid for cachedVersion
 	// and until cachedUntil, when the first of its notices expires.
@@ -73,7 +72,6 @@
 	known.list = append(known.list, received)
 	t.notices.count++
 	t.notices.version++
-	t.notices.receivedAt = now
 	if seq, ok := t.includedSeq(t.bestAggregate(now), n.Node, known, now); ok && received.includedIn(seq) {
 		return NoticeIncluded
 	}
@@ -162,10 +160,3 @@
 	n.cached, n.cachedBase, n.cachedVersion, n.cachedUntil = sums, base, n.version, until
 	return sums
 }
-
-// receivedNotice reports whether a notice arrived within DigestLifetime.
-func (t *Table) receivedNotice(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.notices.receivedAt.IsZero() && now.Sub(t.notices.receivedAt) <= DigestLifetime
-}
