--- a/internal/fleetmodel/reports.go
+++ b/internal/fleetmodel/reports.go
@@ -69,7 +69,7 @@
 	for i, m := range n.busy {
 		d.Loads[i] = peerload.Load{Endpoint: m.ID, Running: m.Load.Running(), PendingPromptTokens: m.Load.PendingPromptTokens(), HeldTokens: m.Load.HeldTokens()}
 	}
-	n.table.RecordOwnDigest(&d)
+	n.table.RecordOwnDigest(&d, false)
 	return d
 }
 
--- a/internal/peerload/domain_load.go
+++ b/internal/peerload/domain_load.go
@@ -62,6 +62,7 @@
 			return nil
 		}
 	}
+	t.changes++
 	t.domainLoads[received.Domain] = domainLoad{load: *received, sums: sums, at: now}
 	return nil
 }
@@ -132,7 +133,7 @@
 	}
 	e.domainLoadSentAt = now
 	load := e.Table.CollectDomainLoad(digest, members, now)
-	load.Node, load.Domain, load.Incarnation, load.Seq = e.config.Node, e.config.Domain, e.incarnation, e.seq
+	load.Node, load.Domain, load.Incarnation, load.Seq = e.config.Node, e.config.Domain, e.incarnation, e.seq.Load()
 	return e.config.Conn.Notify(peers.representatives(e.Table, now), domainLoadMethod, load)
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -84,6 +84,14 @@
 	// Connected reports whether this node has an open connection to an endpoint. Nil means that the
 	// endpoint's connection pool is asked; simulations have no connections.
 	Connected func(m *fleet.Member, now time.Time) bool
+	// AnnouncePlacement announces a prompt that was sent to an engine to the other nodes of the
+	// failure domain. Nil means that prompts are not announced. NoticesInUse reports whether the nodes
+	// there currently announce all prompts; nil means that they don't.
+	AnnouncePlacement func(m *fleet.Member, promptTokens, heldTokens int)
+	NoticesInUse      func() bool
+	// RecordLoadAge, if not nil, receives the age of the collected load reports at each placement of a
+	// prompt that is based on them.
+	RecordLoadAge func(age time.Duration)
 	// Now is the clock. Random returns a random number in [0, 1).
 	Now    func() time.Time
 	Random func() float64
