Configuration: tokens per event, and the smallest pause objective of a service

Cause: the pace of engines can be judged only where the configuration states `stride`, and matters only where a route that uses the service states `gap-target-ms`.

`Config.Index` sets each service's `GapObjective` to the smallest of its routes'; `Service.ObservesPace` says whether both are stated.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -97,6 +97,15 @@
 	MaxColdPerSecond float64
 	Engine           *Engine
 	Store            *Store
+	// GapObjective is the smallest GapObjective of the routes that use the service; 0 if none states
+	// one. It is set by Config.Index.
+	GapObjective time.Duration
+}
+
+// ObservesPace reports whether the pace of the service's engines matters to its callers and can be
+// observed in their streams.
+func (s *Service) ObservesPace() bool {
+	return s.Engine != nil && s.Engine.Stride > 0 && s.GapObjective > 0
 }
 
 // Engine describes the model engines of a service.
@@ -108,7 +117,9 @@
 	// MaxEventPolls is the maximum number of concurrent long-poll requests for events
 	// that one engine accepts; 0 if not stated.
 	MaxEventPolls int
-	Models        []string
+	// Stride is the number of tokens in one event of a stream; 0 if not stated.
+	Stride int
+	Models []string
 }
 
 // Store describes a store of KV cache.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -72,3 +73,29 @@
 	test.SliceContainsAll(t, []residency.Policy{both, south}, c.Residencies())
 	test.SliceEmpty(t, (&routing.Config{Routes: []routing.Route{free}}).Residencies())
 }
+
+// TestGapObjectiveOfServices guards against a service whose engines are judged by the pauses of routes
+// that don't use it, or by the largest of several, and against observation that the configuration
+// doesn't call for.
+func TestGapObjectiveOfServices(t *testing.T) {
+	route := func(gap time.Duration, services ...string) routing.Route {
+		r := routing.Route{GapObjective: gap}
+		for _, s := range services {
+			r.Upstreams = append(r.Upstreams, routing.Upstream{Service: s, Weight: 1})
+		}
+		return r
+	}
+	engine := &routing.Engine{Stride: 8}
+	c := &routing.Config{
+		Routes:   []routing.Route{route(500*time.Millisecond, "a", "b", "gone"), route(300*time.Millisecond, "b"), route(0, "a", "c"), route(time.Second, "b", "d", "e")},
+		Services: []routing.Service{{Name: "a", Engine: engine}, {Name: "b", Engine: engine}, {Name: "c", Engine: engine}, {Name: "d", Engine: &routing.Engine{}}, {Name: "e"}},
+	}
+	c.Index()
+	for name, want := range map[string]struct {
+		gap      time.Duration
+		observed bool
+	}{"a": {500 * time.Millisecond, true}, "b": {300 * time.Millisecond, true}, "c": {0, false}, "d": {time.Second, false}, "e": {time.Second, false}} {
+		test.Eq(t, want.gap, c.Service(name).GapObjective, test.Sprint(name))
+		test.Eq(t, want.observed, c.Service(name).ObservesPace(), test.Sprint(name))
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -35,10 +35,23 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
+	c.setGapObjectives(t.services)
 	c.table = t
 	return c
 }
 
+// setGapObjectives sets the services' GapObjective.
+func (c *Config) setGapObjectives(services map[string]*Service) {
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, u := range r.Upstreams {
+			if s := services[u.Service]; s != nil && r.GapObjective > 0 && (s.GapObjective == 0 || r.GapObjective < s.GapObjective) {
+				s.GapObjective = r.GapObjective
+			}
+		}
+	}
+}
+
 // Match returns the route of the host with the longest prefix that matches the path, or nil. A port
 // in host is ignored.
 func (c *Config) Match(host, path string) *Route {
