peerload: report slow engines

Cause: a node sees a slow spell only at engines where it has streams.

Change: a digest lists the engines that are slow by the node's own observation (`slow`: endpoint, start tag, factor in tenths, age), at most 32; a collector's aggregate passes on the largest factor of each start. Lists and values out of range are rejected like other invalid values; builds without the field ignore it.

--- a/internal/peerload/aggregate.go
+++ b/internal/peerload/aggregate.go
@@ -57,6 +57,8 @@
 	UnlistedWeights []UnlistedWeights `json:"seen,omitempty"`
 	// Limits are the rate limits that endpoints of all failure domains recently reported to nodes.
 	Limits []Limit `json:"limits,omitempty"`
+	// Slow are the engines that nodes observe to be slow, with the largest factor of each.
+	Slow []Slow `json:"slow,omitempty"`
 }
 
 // RelayedOrders is the order state of one node, as relayed by a collector.
@@ -72,6 +74,7 @@
 type receivedAggregate struct {
 	nodes   int
 	late    []Late
+	slow    []Slow
 	orders  []RelayedOrders
 	domains []string // other failure domains included
 	at      time.Time
@@ -153,6 +156,7 @@
 	domainLoads, domains := t.domainLoadSums(now)
 	a.DomainLoads, a.Domains = domainLoads.encodeCoarse(), domains
 	a.Limits = t.collectLimits(now)
+	a.Slow = slowest(t.peerSlow(now))
 	for addr, ms := range t.directLate(now) {
 		a.Late = append(a.Late, Late{Addr: addr, MS: int(ms)})
 	}
@@ -222,7 +226,7 @@
 	if a == nil {
 		return nil
 	}
-	received := &receivedAggregate{nodes: a.Nodes, late: a.Late, orders: a.Orders, domains: a.Domains, at: now, encoded: a, loads: d.Loads, starts: d.Starts}
+	received := &receivedAggregate{nodes: a.Nodes, late: a.Late, slow: a.Slow, orders: a.Orders, domains: a.Domains, at: now, encoded: a, loads: d.Loads, starts: d.Starts}
 	if seq, ok := a.includes(t.own); ok {
 		received.own = t.ownDigest(seq)
 	}
--- a/internal/peerload/check.go
+++ b/internal/peerload/check.go
@@ -1,6 +1,10 @@
 package peerload
 
-import "github.com/rotisserie/eris"
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+)
 
 const (
 	// maxCount bounds the counts in a digest. It is more than the tokens that any engine holds,
@@ -38,7 +42,7 @@
 	if err := checkUnlistedWeights(d.UnlistedWeights); err != nil {
 		return err
 	}
-	if err := checkLimits(d.Limits); err != nil {
+	if err := errors.Join(checkLimits(d.Limits), checkSlow(d.Slow)); err != nil {
 		return err
 	}
 	return d.Aggregate.check()
@@ -56,7 +60,7 @@
 	if err := checkSums(a.DomainLoads, coarseFields); err != nil {
 		return err
 	}
-	if err := checkLimits(a.Limits); err != nil {
+	if err := errors.Join(checkLimits(a.Limits), checkSlow(a.Slow)); err != nil {
 		return err
 	}
 	if a.Nodes < 0 || len(a.Included) != a.Nodes*includedEntryBytes {
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -65,6 +65,9 @@
 	Member func(id string) *fleet.Member
 	// Late returns the holders whose fetches are late.
 	Late func() []Late
+	// Slow returns the engines that are slow by this node's own observation. Nil means that the pace
+	// of engines is not observed.
+	Slow func() []Slow
 	// Orders returns the engines that this node has closed to load weights, and whether it holds
 	// the claim to give orders, as in Digest.Leads.
 	Orders func() (closed []weights.Closed, leads bool)
@@ -191,7 +194,7 @@
 		bytes += e.sendRemote(peers, digest, members)
 	}
 	bytes += e.sendDomainDigest(peers)
-	digest.Late = e.config.Late()
+	digest.Late, digest.Slow = e.config.Late(), e.slowToSend()
 	digest.References = e.referencesToSend()
 	digest.Limits = LimitsOf(members, e.config.Clock.Now())
 	digest.setLoads(members, e.maxMessageBytes(len(peers.local)), e.config.Clock.Now())
--- a/internal/peerload/network_test.go
+++ b/internal/peerload/network_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -43,6 +44,7 @@
 	leads       bool
 	closed      []weights.Closed
 	represented []string // the nodes that it represents, if set by the test
+	slow        []Slow   // engines that are slow by its own observation
 	received    int      // messages received
 	sent        int      // messages sent
 }
@@ -114,6 +116,20 @@
 	return n.closed, n.leads
 }
 
+// slowEngines returns the engines that are slow by the node's own observation.
+func (n *networkNode) slowEngines() []Slow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.slow)
+}
+
+// observeSlow sets the engines that are slow by the node's own observation.
+func (n *networkNode) observeSlow(list ...Slow) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow = list
+}
+
 // represent makes the node represent other nodes of its domain.
 func (n *networkNode) represent(others []string) {
 	n.mu.Lock()
@@ -197,7 +213,7 @@
 		}
 		n.Exchange = New(Config{
 			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All, Member: n.fleet.Member,
-			Late: func() []Late { return nil }, References: func() []OldestReferenced { return []OldestReferenced{{Model: "m", Oldest: 1}} },
+			Late: func() []Late { return nil }, Slow: n.slowEngines, References: func() []OldestReferenced { return []OldestReferenced{{Model: "m", Oldest: 1}} },
 			Neighbours: n.neighbours, Orders: n.orders, Role: n.role,
 		})
 		w.nodes[n.addr] = n
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -23,6 +23,8 @@
 	UnlistedWeights []UnlistedWeights `json:"seen,omitempty"`
 	// Limits are the rate limits that endpoints recently reported to the node.
 	Limits []Limit `json:"limits,omitempty"`
+	// Slow are the engines that are slow by the node's own observation.
+	Slow []Slow `json:"slow,omitempty"`
 	// Emptied and Loading are the engines that this node has closed to load weights. Those in
 	// Emptied still accept short requests. Both lists are valid for ForMs.
 	Emptied []string `json:"emptied,omitempty"`
