forward: measure the pauses of streams

Change: the longest time between two reads that brought complete events is in the outcome and, as `longest_pause_ms`, in the request line; it spans the parts of a stream from several endpoints. Each read is also given to the engine's pace tracker. Off where neither the route states `gap-target-ms` nor the service's engines are observed. Outcome and Recorder move to a file of their own.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -27,6 +27,7 @@
 		unverified:  x.written || x.route.Resumable && x.position.lastID != "",
 		empty:       true,
 	}
+	defer x.endPace()
 	for {
 		events, err := d.next()
 		if len(events) > 0 {
@@ -99,7 +100,7 @@
 	if !x.written {
 		x.writeHead(answer.Response, -1)
 	}
-	x.position.advance(events)
+	x.observeEvents(x.position.advance(events))
 	x.attrs.ResumeAfter = x.position.lastID
 	_, err := x.w.Write(events)
 	if err == nil {
@@ -109,5 +110,6 @@
 		x.cause = eris.Wrap(err, "write to the caller")
 		x.callerWriteFailed = true
 	}
+	x.awaitEvents()
 	return err == nil
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/clock"
+	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/result"
@@ -33,6 +34,8 @@
 	Quarantine   Quarantine
 	// Fleet receives the endpoints that report that they are draining.
 	Fleet Fleet
+	// Pace observes the pace of engines in the events of streams. Nil means that it is not observed.
+	Pace *enginepace.Services
 	// Clock times requests and what their answers state about endpoints. Nil means the monotonic
 	// clock.
 	Clock  *clock.Clock
@@ -41,23 +44,6 @@
 	Log zerolog.Logger
 }
 
-// Recorder records the outcomes of requests.
-type Recorder interface {
-	// Forwarded records the outcome of a finished request.
-	Forwarded(o *Outcome)
-}
-
-// Outcome is the result of a request.
-type Outcome struct {
-	Route           *routing.Route
-	Account         string
-	Code            result.Code // 0 if an endpoint's answer was delivered
-	Status          int
-	Attempts        int
-	TimeToFirstByte time.Duration // until the header of the answer was written; 0 without an answer
-	Total           time.Duration
-}
-
 var _ http.Handler = (*Handler)(nil)
 
 // exchange is the state of one request while it is handled.
@@ -87,7 +73,9 @@
 	endpointReplaced  bool
 	written           bool     // the header of the answer was written
 	position          position // in the caller's stream
-	callerWriteFailed bool     // writing to the caller failed
+	pauses            pauses
+	pace              *enginepace.Stream // of the latest attempt; nil if not observed
+	callerWriteFailed bool               // writing to the caller failed
 }
 
 // ServeHTTP implements http.Handler.
@@ -224,7 +212,7 @@
 // finish records the outcome, logs the request, and answers with an error if no endpoint's answer
 // was delivered.
 func (x *exchange) finish(err *result.Error) {
-	x.outcome.Total = x.Clock.Since(x.arrived)
+	x.outcome.Total, x.outcome.LongestPause = x.Clock.Since(x.arrived), x.pauses.longest
 	x.outcome.Route = x.route
 	if x.account != nil {
 		x.outcome.Account = x.account.Name
@@ -277,6 +265,9 @@
 	if err != nil {
 		event = event.Str("outcome", err.Code.String())
 	}
+	if pause := x.outcome.LongestPause; pause > 0 {
+		event = event.Int64("longest_pause_ms", pause.Milliseconds())
+	}
 	event.Int64("first_ms", x.outcome.TimeToFirstByte.Milliseconds()).Int64("total_ms", x.outcome.Total.Milliseconds()).Send()
 }
 
--- /dev/null
+++ b/internal/forward/outcome.go
@@ -0,0 +1,28 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/cherryward/cherryward/internal/result"
+	"github.com/cherryward/cherryward/internal/routing"
+)
+
+// Recorder records the outcomes of requests.
+type Recorder interface {
+	// Forwarded records the outcome of a finished request.
+	Forwarded(o *Outcome)
+}
+
+// Outcome is the result of a request.
+type Outcome struct {
+	Route           *routing.Route
+	Account         string
+	Code            result.Code // 0 if an endpoint's answer was delivered
+	Status          int
+	Attempts        int
+	TimeToFirstByte time.Duration // until the header of the answer was written; 0 without an answer
+	Total           time.Duration
+	// LongestPause is the longest time between two reads that brought events of a stream; 0 if it is
+	// not measured.
+	LongestPause time.Duration
+}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -76,6 +76,7 @@
 	if limit, known := p.Member.Signals.RateLimit(); known && limit.InForce {
 		event = event.Float64("limit", limit.PerSecond).Int64("limit_age_ms", c.Since(limit.At).Milliseconds()).Bool("limit_own", limit.Direct)
 	}
+	event = p.logPace(event)
 	if since, draining := p.Member.Signals.Draining(); draining {
 		event = event.Int64("draining_for_ms", c.Since(since).Milliseconds())
 	}
--- a/internal/forward/sse.go
+++ b/internal/forward/sse.go
@@ -148,9 +148,10 @@
 // none if it is empty. With an id, gaps between ids are accepted.
 func positionAt(id string) position { return position{lastID: id, nonSequential: id != ""} }
 
-// advance records events that were sent to the caller.
-func (p *position) advance(events []byte) {
+// advance records events that are sent to the caller, and returns their number.
+func (p *position) advance(events []byte) (count int) {
 	for e := range parseEvents(events) {
+		count++
 		if e.id == "" {
 			p.endsWithoutID = true
 			continue
@@ -158,6 +159,7 @@
 		p.nonSequential = p.nonSequential || !p.isNext(e.id)
 		p.lastID, p.endsWithoutID = e.id, false
 	}
+	return count
 }
 
 // isNext reports whether id is the number after the last id.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -152,6 +152,9 @@
 	// until the first event, and the tokens occupied by requests running there.
 	PredictedWait, PredictedFirstEvent time.Duration
 	OccupiedTokens                     int
+	// SlowFactor is how many times slower than usual the endpoint is, 0 if that is not observed, and
+	// StallMs the cost of the streams there that the prompt would delay for too long.
+	SlowFactor, StallMs float64
 	// Waited is the time between the request's arrival and its placement.
 	Waited time.Duration
 	// OnRefusal is called once if the request is refused because no endpoint accepts it. It returns
