placer: charge slow spells, and prefill that holds up streams

Cause: prompts of 12,000 tokens at a slow engine stop all its streams for over 500 ms.

Change: prefill time at an engine is multiplied by its present factor, from this node's observation or others', whichever is greater (but not in addition to the slowdown that first events showed, which measures the same). Off where the service's engines are not observed.

--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -92,9 +92,14 @@
 	return s.queueMs(m) + plan.fetchMs + s.readingMs(m, plan.reading) + s.estimates.FirstMs
 }
 
-// readingMs returns the time, in ms, that an engine takes to read the given number of tokens.
+// readingMs returns the time, in ms, that an engine takes to read the given number of tokens. Both
+// factors compare the engine with the others: an engine that is always slow is not charged twice.
 func (s *selection) readingMs(m *fleet.Member, tokens int) float64 {
-	return s.service.model.Slowdown(m.ID, s.now) * s.estimates.TokenMs * float64(tokens)
+	slowdown := s.service.model.Slowdown(m.ID, s.now)
+	if factor := s.pace.factor(m); factor > 1 {
+		slowdown = max(slowdown, factor)
+	}
+	return slowdown * s.estimates.TokenMs * float64(tokens)
 }
 
 // averageHeldTokens estimates the average number of tokens that a request holds in memory while it
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cherryward/cherryward/internal/canary"
+	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
@@ -81,6 +82,9 @@
 	// ReportLag returns the number of other nodes whose load reports are summed in PeerLoads, and the
 	// age of these reports. Nil means that the reports are always current.
 	ReportLag func() (nodes int, lag time.Duration)
+	// Pace judges the pace of engines by the events of their streams. Nil means that no engine is known
+	// to be slow.
+	Pace *enginepace.Services
 	// Now is the clock. Random returns a random number in [0, 1).
 	Now    func() time.Time
 	Random func() float64
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -54,10 +54,10 @@
 	slowestMs float64
 }
 
-// planMs returns the time until the prompt is read, with the cost of its transfers, in ms.
-func (s *selection) planMs(p *plan) float64 {
+// planMs returns the time until an engine has read the prompt, with the cost of its transfers, in ms.
+func (s *selection) planMs(m *fleet.Member, p *plan) float64 {
 	const bytesPerGB = 1e9
-	return p.fetchMs + float64(p.reading)*s.estimates.TokenMs + movedMsPerGB*p.bytes/bytesPerGB
+	return p.fetchMs + s.pace.factor(m)*float64(p.reading)*s.estimates.TokenMs + movedMsPerGB*p.bytes/bytesPerGB
 }
 
 // fetchTimeout returns how long the engine waits for the parts that it fetches before it reads
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -113,6 +113,8 @@
 		PredictedWait:       duration(plan.waitMs),
 		PredictedFirstEvent: duration(s.firstMs(best)),
 		OccupiedTokens:      s.memory(best).OccupiedTokens,
+		SlowFactor:          s.pace.factor(best),
+		StallMs:             s.stallMs(best),
 		Reason:              plan.reason(),
 		RecordFirstEvent:    s.firstEventObserver(best),
 		RecordRun:           func(took time.Duration) { s.service.model.RecordRun(averageHeldTokens(q), took) },
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -36,6 +36,7 @@
 	reserve        int      // free memory that the prompt requires, in tokens
 	holdsMany      bool     // an engine's memory holds many prompts
 	sources        []source // sources of the first parts, set by reusedParts
+	pace           pace
 	// fetchUntil is the time after which the results of fetches are discarded, on the engines'
 	// clock in ms. The clock is read before the check of which parts may be referenced, so that a
 	// node that is suspended between the two does not reference parts for longer than allowed.
@@ -54,6 +55,7 @@
 		service: service, estimates: service.model.Estimates(),
 		fetchUntil: p.KVIndex.ClockMS() + FetchLimit.Milliseconds(),
 	}
+	s.pace = s.currentPace()
 	s.holdsMany = service.demand.HoldsMany(q.Service.Engine.KVTokens)
 	s.reserve = s.tuning().reserve(service.demand.Reserve(priority, q.IsRetry(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
 	return s
@@ -64,7 +66,7 @@
 func (s *selection) cost(m *fleet.Member) float64 {
 	plan := s.plan(m)
 	plan.waitMs = s.engineCost(m)
-	cost := plan.waitMs + s.planMs(plan) + s.rollout.cost(m) + jitterMs*s.Random()
+	cost := plan.waitMs + s.planMs(m, plan) + s.stallMs(m) + s.rollout.cost(m) + jitterMs*s.Random()
 	if m == s.home {
 		cost -= homeBonusMs
 	}
