gateway: observe the pace of engines

Cause: the tracker needs ticks and other nodes' loads, and its verdicts must reach the reports.

Metrics: `slow_endpoints`, `longest_pause_seconds`, `late_pauses_total`.

Result: `go test ./internal/gateway` passes; TestMetricsAreDocumented covers the new metrics.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/datagram"
+	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/intervals"
@@ -72,6 +73,7 @@
 	roster        *roster
 	quarantine    *quarantine.Service
 	releases      *canary.Service
+	pace          *enginepace.Services
 	recorder      *recorder
 	started       time.Time
 	shuttingDown  atomic.Bool
@@ -131,6 +133,7 @@
 	n.conn.LimitResponses(intervals.AnswerRate(boot.LinkBytes))
 	n.cachePeers = &kvindex.Peers{Index: n.cacheTracker.index, Conn: n.conn, Readers: n.readers, Preference: n.readerPreference()}
 	n.cachePeers.Serve()
+	n.pace = n.newPace()
 	n.peers = peerload.New(peerload.Config{
 		Node:       boot.Name,
 		Domain:     boot.Domain,
@@ -138,6 +141,7 @@
 		Members:    n.fleet.All,
 		Member:     n.fleet.Member,
 		Late:       n.cacheTracker.lateStores,
+		Slow:       n.slowEngines,
 		Orders:     n.orderStatus,
 		References: n.cacheTracker.referencedWatermarks,
 		Neighbours: n.domainPeers,
@@ -198,6 +202,7 @@
 		&task{name: "orders", run: n.orders.Run},
 		&task{name: "messages", run: n.conn.Run},
 		&task{name: "peers", run: n.peers.Run},
+		&task{name: "pace", run: n.observePace},
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "quarantine", run: n.quarantine.Run},
 		&task{name: "releases", run: n.releases.Run},
@@ -233,6 +238,7 @@
 		AgeEstimator: &forward.AgeEstimator{},
 		Quarantine:   n.quarantine,
 		Fleet:        n.fleet,
+		Pace:         n.pace,
 		Clock:        n.clock,
 		Bounds:       n.bounds,
 		Recorder:     n.recorder,
@@ -263,6 +269,7 @@
 		Services:          &placer.Services{},
 		Nodes:             n.nodes,
 		ReportLag:         n.peers.ReportLag,
+		Pace:              n.pace,
 		Now:               n.clock.Now,
 		Random:            rand.Float64,
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,9 @@
 	metricCold             = "cherryward_gateway_cold_endpoints"
 	metricLimited          = "cherryward_gateway_limited_endpoints"
 	metricBackoff          = "cherryward_gateway_backoff_endpoints"
+	metricSlow             = "cherryward_gateway_slow_endpoints"
+	metricPauseSeconds     = "cherryward_gateway_longest_pause_seconds"
+	metricLatePauses       = "cherryward_gateway_late_pauses_total"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -92,6 +95,7 @@
 	set.NewGauge(metricCold, func() float64 { return n.countEndpoints((*fleet.Member).Cold) })
 	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
 	set.NewGauge(metricBackoff, func() float64 { return n.countEndpoints(isBackingOff) })
+	set.NewGauge(metricSlow, n.countSlow)
 	return &recorder{set: set}
 }
 
@@ -126,6 +130,7 @@
 	if o.TimeToFirstByte > 0 {
 		r.set.GetOrCreatePrometheusHistogramExt(metricFirstByteSeconds+labels+`}`, secondsBounds).Update(o.TimeToFirstByte.Seconds())
 	}
+	r.recordPause(o, labels)
 	r.set.GetOrCreatePrometheusHistogramExt(metricRequestSeconds+labels+`}`, secondsBounds).Update(o.Total.Seconds())
 }
 
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/peerload"
@@ -26,10 +27,11 @@
 		state: newState(noBounds, zerolog.Nop()), fleet: fleet.New(zerolog.Nop()), peers: &peerload.Exchange{Table: peerload.NewTable()},
 		roster:     newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
 		quarantine: &quarantine.Service{Table: quarantine.NewTable(time.Now)},
+		pace:       &enginepace.Services{},
 	}
 	n.boot.Store(testBoot(t))
 	r := newRecorder(n)
-	r.Forwarded(&forward.Outcome{Route: &routing.Route{}, TimeToFirstByte: time.Second, Total: time.Second})
+	r.Forwarded(&forward.Outcome{Route: &routing.Route{GapObjective: time.Second / 2}, TimeToFirstByte: time.Second, LongestPause: time.Second, Total: time.Second})
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, nil)
 	names := func(text string) []string {
