--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,9 @@
 	metricNoticesSentBytes = "cherryward_gateway_notices_sent_bytes_total"
 	metricNoticesWithheld  = "cherryward_gateway_notices_withheld_total"
 	metricNoticesReceived  = "cherryward_gateway_notices_received_total"
+	metricSlow             = "cherryward_gateway_slow_endpoints"
+	metricPauseSeconds     = "cherryward_gateway_longest_pause_seconds"
+	metricLatePauses       = "cherryward_gateway_late_pauses_total"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -106,6 +109,7 @@
 	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
 	set.NewGauge(metricBackoff, func() float64 { return n.countEndpoints(isBackingOff) })
 	addNoticeMetrics(set, n.peers)
+	set.NewGauge(metricSlow, n.countSlow)
 	return &recorder{set: set}
 }
 
@@ -163,6 +167,7 @@
 	if o.TimeToFirstByte > 0 {
 		r.set.GetOrCreatePrometheusHistogramExt(metricFirstByteSeconds+labels+`}`, secondsBounds).Update(o.TimeToFirstByte.Seconds())
 	}
+	r.recordPause(o, labels)
 	r.set.GetOrCreatePrometheusHistogramExt(metricRequestSeconds+labels+`}`, secondsBounds).Update(o.Total.Seconds())
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cherryward/cherryward/internal/canary"
+	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
@@ -92,6 +93,9 @@
 	// RecordLoadAge, if not nil, receives the age of the collected load reports at each placement of a
 	// prompt that is based on them.
 	RecordLoadAge func(age time.Duration)
+	// Pace judges the pace of engines by the events of their streams. Nil means that no engine is known
+	// to be slow.
+	Pace *enginepace.Services
 	// Now is the clock. Random returns a random number in [0, 1).
 	Now    func() time.Time
 	Random func() float64
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -113,6 +113,8 @@
 		PredictedFirstEvent: duration(s.firstMs(best)),
 		OccupiedTokens:      s.memory(best).OccupiedTokens,
 		SlotState:           s.slotState(best),
+		SlowFactor:          s.pace.factor(best),
+		StallMs:             s.stallMs(best),
 		Reason:              plan.reason(),
 		LoadAge:             s.peerLoads.Age(),
 		Noticed:             s.peerLoads.Noticed(best.ID, best.StartedMs),
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -38,6 +38,7 @@
 	slotRule       slotRule // how slots limit the placement
 	unreported     float64  // share of each engine's memory that is left free for unreported prompts
 	sources        []source // sources of the first parts, set by reusedParts
+	pace           pace
 	// fetchUntil is the time after which the results of fetches are discarded, on the engines'
 	// clock in ms. The clock is read before the check of which parts may be referenced, so that a
 	// node that is suspended between the two does not reference parts for longer than allowed.
@@ -56,6 +57,7 @@
 		service: service, estimates: service.model.Estimates(),
 		fetchUntil: p.KVIndex.ClockMS() + FetchLimit.Milliseconds(),
 	}
+	s.pace = s.currentPace()
 	s.holdsMany = service.demand.HoldsMany(q.Service.Engine.KVTokens)
 	s.unreported = s.unreportedMemory()
 	s.reserve = s.tuning().reserve(service.demand.Reserve(priority, q.IsRetry(), q.Service.Engine.KVTokens), q.Service.Engine.KVTokens)
@@ -68,7 +70,7 @@
 func (s *selection) cost(m *fleet.Member) float64 {
 	plan := s.plan(m)
 	plan.waitMs = s.engineCost(m)
-	cost := plan.waitMs + s.planMs(plan) + s.rollout.cost(m) + jitterMs*s.Random()
+	cost := plan.waitMs + s.planMs(m, plan) + s.stallMs(m) + s.rollout.cost(m) + jitterMs*s.Random()
 	if m == s.home {
 		cost -= homeBonusMs
 	}
