Placer: the least urgent prompts require a slot, without a reserve

Cause: the rule was off while long summaries ran, since their mean size times the slots exceeds the memory; but engines that run short prompts then had up to 41 requests for 16 slots. The reserve for more urgent prompts and for callers that were refused before kept slots idle that nobody took, and prompts of middle priority were refused though engines would have admitted them before the long ones.

Change: wherever slots are stated, prompts of the least urgent route require a free slot, others don't. The urgency is that of routes: with accounts' priorities a long summary of one account would count as more urgent than a question of another.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
@@ -40,9 +41,9 @@
 type Demand struct {
 	mu         sync.Mutex
 	byPriority [priorities]recentSizes
-	arrivals   [priorities]arrivals
-	pressure   float64 // share of prompts refused, weighted towards recent ones
-	mean       float64 // prompt size in tokens, weighted towards recent ones
+	arrivals   [priorities]time.Time // of the latest prompt of each route priority
+	pressure   float64               // share of prompts refused, weighted towards recent ones
+	mean       float64               // prompt size in tokens, weighted towards recent ones
 }
 
 // recentSizes holds the sizes of the newest prompts of a priority, in tokens.
--- a/internal/forward/slot_state.go
+++ b/internal/forward/slot_state.go
@@ -6,7 +6,6 @@
 // the one that is expected to have room first.
 type SlotState struct {
 	Running, Slots int  // requests in flight there, and its slots; 0 slots if unknown
-	Reserve        int  // slots that the prompt must leave free
 	Spilled        bool // the node's own failure domain has no room
 }
 
@@ -15,5 +14,5 @@
 	if s.Slots <= 0 {
 		return event
 	}
-	return event.Int("running", s.Running).Int("slots", s.Slots).Int("slot_reserve", s.Reserve).Bool("spilled", s.Spilled)
+	return event.Int("running", s.Running).Int("slots", s.Slots).Bool("spilled", s.Spilled)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -231,7 +231,7 @@
 // priorityOf returns the engine priority of a request; 0 is the most urgent. The client account's
 // priority takes precedence. The route's priority orders requests of accounts with equal priority.
 func priorityOf(q *forward.Query) *int {
-	priority := min(max(q.Route.Priority, 0), routePriorities-1)
+	priority := routePriority(q)
 	if q.Account != nil && q.Account.Priority != nil {
 		priority += routePriorities * max(*q.Account.Priority, 0)
 	}
@@ -239,6 +239,9 @@
 	return &priority
 }
 
+// routePriority returns the priority of a request's route, within the range that engines distinguish.
+func routePriority(q *forward.Query) int { return min(max(q.Route.Priority, 0), routePriorities-1) }
+
 // saltOf returns the salt of the request's parts. The salt separates the parts of different models,
 // versions, isolated accounts and residency policies in engines, stores and the index.
 func saltOf(q *forward.Query, version int64) kvindex.Salt {
--- a/internal/placer/slots.go
+++ b/internal/placer/slots.go
@@ -11,7 +11,7 @@
 )
 
 // reasonNoSlot is the reason of a refusal because every engine with enough free memory has all slots
-// taken, or reserved for more urgent prompts.
+// taken.
 const reasonNoSlot = "no_slot"
 
 const (
@@ -20,7 +20,7 @@
 	slotUseInterval = 100 * time.Millisecond
 	// slotUseHalfLife is the half-life of the mean size of running requests, about the duration of a
 	// run. The present mean alone varies by a tenth and more with the few requests that a small system
-	// runs, which would switch the rule on and off.
+	// runs.
 	slotUseHalfLife = 2 * time.Second
 )
 
@@ -28,27 +28,26 @@
 // is ready to use. It is safe for concurrent use.
 type slotUse struct {
 	mu            sync.Mutex
-	at            time.Time // of the latest sample
-	engines       int
+	at            time.Time  // of the latest sample
 	running, held decay.Rate // requests and their tokens, summed over samples
 }
 
-// get returns the number of engines, and the mean number of tokens that a running request holds, 0 if
-// none runs. It calls sample if the latest sample is too old.
-func (u *slotUse) get(now time.Time, sample func() (engines, running, held int)) (engines int, meanTokens float64) {
+// meanTokens returns the mean number of tokens that a running request holds, 0 if none runs. It calls
+// sample if the latest sample is too old.
+func (u *slotUse) meanTokens(now time.Time, sample func() (running, held int)) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.at.IsZero() || now.Sub(u.at) >= slotUseInterval {
-		var running, held int
-		u.engines, running, held = sample()
+		running, held := sample()
 		u.running.Add(float64(running), slotUseHalfLife, now)
 		u.held.Add(float64(held), slotUseHalfLife, now)
 		u.at = now
 	}
-	if runs := u.running.At(slotUseHalfLife, now); runs > 0 {
-		meanTokens = u.held.At(slotUseHalfLife, now) / runs
+	runs := u.running.At(slotUseHalfLife, now)
+	if runs <= 0 {
+		return 0
 	}
-	return u.engines, meanTokens
+	return u.held.At(slotUseHalfLife, now) / runs
 }
 
 // slotRule is how the engines' slots limit the placement of one prompt. The zero value does not limit
@@ -58,67 +57,40 @@
 // the requests that run: admission by memory then lets up to 25 requests compete for 16 slots, while
 // other engines run 9.
 type slotRule struct {
-	isOn bool // a prompt requires a free slot
-	// mostUrgent is true if no more urgent prompts arrived recently. Such a prompt is placed where no
-	// slot is free, too: a refusal would serve less urgent prompts before it.
-	mostUrgent bool
-	// overtakes is true if, in addition, less urgent prompts arrived recently. Engines then admit the
-	// prompt before others and preempt one of these for it, so that it does not wait for a slot.
+	// requiresSlot is true if the prompt is placed only where a slot is free: the prompts of the least
+	// urgent of several routes fill the slots that others leave. Where all prompts are equally urgent,
+	// they queue at the engines.
+	requiresSlot bool
+	// overtakes is true if prompts of less urgent routes arrived recently. Engines admit the prompt
+	// before these and preempt one of their runs for it, so that it does not wait for a slot. A
+	// refusal would serve less urgent prompts before it.
 	overtakes  bool
 	meanTokens float64 // held in memory by a running request, 0 if none runs
-	// urgentPerSecond is the rate of more urgent prompts at each engine.
-	urgentPerSecond float64
-	// extra is added to the reserve of a caller that was refused before, which competes only for what
-	// first tries leave.
-	extra int
 }
 
-// newSlotRule returns the rule for the prompt. The rule is off where the configuration states no
-// slots, and where the engines' memory holds fewer requests than there are slots: admission by memory
-// then suffices.
-//
-// The size of a request is the mean over the requests that run, as reported. It weighs each by the
-// time for which it holds memory, reflects what the engines admitted rather than what was asked for,
-// and is the same at all nodes of a failure domain. The mean over arriving prompts would count a
-// classification of 60 ms as much as a summary of 2 s.
-func (s *selection) newSlotRule() (r slotRule) {
-	engine := s.q.Service.Engine
-	if engine.Slots <= 0 {
+// newSlotRule returns the rule for the prompt; none where the configuration states no slots.
+func (s *selection) newSlotRule() slotRule {
+	if s.q.Service.Engine.Slots <= 0 {
 		return slotRule{}
 	}
-	engines, meanTokens := s.service.slotUse.get(s.now, s.sampleSlotUse)
-	others := s.service.demand.Others(*priorityOf(s.q), s.now)
-	r.isOn = engine.KVTokens <= 0 || float64(engine.Slots)*meanTokens <= float64(engine.KVTokens)
-	r.meanTokens = meanTokens
-	r.mostUrgent = !others.MoreUrgent
-	r.overtakes = r.mostUrgent && others.LessUrgent
-	r.urgentPerSecond = others.UrgentPerSecond * float64(s.nodesOfEngines()) / float64(max(engines, 1))
-	if s.q.IsRetry() && !r.mostUrgent {
-		r.extra = 1
-	}
-	return r
-}
-
-// nodesOfEngines returns the number of nodes that use the same engines as this one: those of its
-// failure domain in a large system, else all.
-func (p *Placer) nodesOfEngines() int {
-	if p.FullMesh() || p.ReportLag == nil {
-		return p.Nodes()
+	moreUrgent, lessUrgent := s.service.demand.Others(routePriority(s.q), s.now)
+	return slotRule{
+		requiresSlot: moreUrgent && !lessUrgent,
+		overtakes:    lessUrgent,
+		meanTokens:   s.service.slotUse.meanTokens(s.now, s.sampleSlotUse),
 	}
-	others, _ := p.ReportLag()
-	return others + 1
 }
 
-// sampleSlotUse returns the number of usable engines that this node considers first, whatever the
-// prompt, with the requests running there and the tokens that these hold.
-func (s *selection) sampleSlotUse() (engines, running, held int) {
+// sampleSlotUse returns the number of requests that run at the usable engines that this node considers
+// first, whatever the prompt, and the tokens that these hold.
+func (s *selection) sampleSlotUse() (running, held int) {
 	list := s.localCandidates(usable(s.Fleet.Members(s.q.Service.Name), nil, s.now))
 	for _, m := range list {
 		load := s.peerLoads.At(m.ID, m.StartedMs)
 		running += m.Load.Running() + load.Running
 		held += m.Load.HeldTokens() + load.HeldTokens
 	}
-	return len(list), running, held
+	return running, held
 }
 
 // slots returns the estimated use of an engine's slots.
@@ -130,40 +102,26 @@
 	return admission.Slots{Total: total, Running: m.Load.Running() + s.peerLoads.At(m.ID, m.StartedMs).Running}
 }
 
-// slotReserve returns the number of an engine's slots that the prompt must leave free.
-func (s *selection) slotReserve(slots admission.Slots) int {
-	return admission.SlotReserve(s.slotRule.urgentPerSecond, duration(s.estimates.RunMs), slots.Total) + s.slotRule.extra
-}
-
-// requiresSlot reports whether the prompt is placed only where a slot is free.
-func (s *selection) requiresSlot() bool { return s.slotRule.isOn && !s.slotRule.mostUrgent }
-
 // hasSlot reports whether the engine has a free slot for the prompt, or the prompt requires none.
 func (s *selection) hasSlot(m *fleet.Member) bool {
-	if !s.requiresSlot() {
+	if !s.slotRule.requiresSlot {
 		return true
 	}
-	slots := s.slots(m)
-	return slots.Fits(s.slotReserve(slots))
+	return s.slots(m).Fits(0)
 }
 
 // slotWait predicts the time until the engine has a free slot for the prompt.
 func (s *selection) slotWait(m *fleet.Member) time.Duration {
-	if !s.requiresSlot() {
+	if !s.slotRule.requiresSlot {
 		return 0
 	}
-	slots := s.slots(m)
-	return slots.Wait(s.slotReserve(slots), duration(s.estimates.RunMs))
+	return s.slots(m).Wait(0, duration(s.estimates.RunMs))
 }
 
 // slotState returns the inputs of the decision for the log.
 func (s *selection) slotState(m *fleet.Member) forward.SlotState {
 	slots := s.slots(m)
-	state := forward.SlotState{Running: slots.Running, Slots: slots.Total}
-	if s.requiresSlot() {
-		state.Reserve = s.slotReserve(slots)
-	}
-	return state
+	return forward.SlotState{Running: slots.Running, Slots: slots.Total}
 }
 
 // lackReason returns why none of the engines has room for the prompt.
--- a/internal/placer/spill.go
+++ b/internal/placer/spill.go
@@ -51,7 +51,7 @@
 // fits. The memory that nodes of this domain leave free for unreported prompts is part of that share.
 func (s *selection) hasAmpleRoom(m *fleet.Member) bool {
 	slots := s.slots(m)
-	if !slots.Fits(max(slots.FreeShare(spillFreeShare), s.slotReserve(slots))) {
+	if !slots.Fits(slots.FreeShare(spillFreeShare)) {
 		return false
 	}
 	capacity := s.q.Service.Engine.KVTokens
