Placer: runs that an engine would preempt, estimated from its memory

Cause: an urgent prompt counted no wait for a slot at any full engine.

Change: a prompt overtakes only as many of the running requests as the engine's occupied memory shows to be larger ones of the least urgent route; the rest of a full engine is a queue.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 )
 
 const (
@@ -41,9 +40,9 @@
 type Demand struct {
 	mu         sync.Mutex
 	byPriority [priorities]recentSizes
-	arrivals   [priorities]time.Time // of the latest prompt of each route priority
-	pressure   float64               // share of prompts refused, weighted towards recent ones
-	mean       float64               // prompt size in tokens, weighted towards recent ones
+	arrivals   [priorities]arrivals // by route priority
+	pressure   float64              // share of prompts refused, weighted towards recent ones
+	mean       float64              // prompt size in tokens, weighted towards recent ones
 }
 
 // recentSizes holds the sizes of the newest prompts of a priority, in tokens.
--- a/internal/admission/slots_test.go
+++ b/internal/admission/slots_test.go
@@ -55,20 +55,18 @@
 func TestOthers(t *testing.T) {
 	var d Demand
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	check := func(priority int, wantMore, wantLess bool) {
+	check := func(priority int, want Others) {
 		t.Helper()
-		more, less := d.Others(priority, now)
-		test.Eq(t, wantMore, more)
-		test.Eq(t, wantLess, less)
+		test.Eq(t, want, d.Others(priority, now))
 	}
-	check(1, false, false)
-	d.RecordArrival(1, now)
-	check(1, false, false)
-	d.RecordArrival(0, now)
-	d.RecordArrival(2, now)
-	check(1, true, true)
-	check(0, false, true)
-	check(2, true, false)
+	check(1, Others{})
+	d.RecordArrival(1, 2000, now)
+	check(1, Others{})
+	d.RecordArrival(0, 1000, now)
+	d.RecordArrival(2, 12_000, now)
+	check(1, Others{MoreUrgent: true, LessUrgent: true, LessUrgentTokens: 12_000})
+	check(0, Others{LessUrgent: true, LessUrgentTokens: 12_000})
+	check(2, Others{MoreUrgent: true})
 	now = now.Add(recentArrival + time.Millisecond)
-	check(1, false, false)
+	check(1, Others{})
 }
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -140,7 +140,7 @@
 	wait, first := s.expectedWait(engines)
 	return forward.Placement{Reason: reason, PredictedWait: wait, SlotState: s.slotState(first), OnRefusal: func() time.Duration {
 		s.service.demand.RecordDecision(true)
-		s.service.demand.RecordArrival(routePriority(s.q), s.Now())
+		s.service.demand.RecordArrival(routePriority(s.q), averageHeldTokens(s.q), s.Now())
 		capacity := len(engines) * max(s.q.Service.Engine.KVTokens/max(averageHeldTokens(s.q), 1), 1)
 		spacing := duration(s.estimates.RunMs * float64(s.Nodes()) / float64(capacity))
 		maxDelay := time.Duration(maxRetryShare * float64(s.q.Attributes.Deadline))
--- a/internal/placer/contended_test.go
+++ b/internal/placer/contended_test.go
@@ -66,12 +66,13 @@
 	}
 }
 
-// arrive has prompts of a priority arrive at the given rate for ten seconds. None stays at its engine.
+// arrive has prompts of a priority arrive at the given rate for ten seconds. The less urgent ones are
+// larger, and none stays at its engine.
 func (c *contended) arrive(t *testing.T, priority, perSecond int) {
 	t.Helper()
 	for range 10 * perSecond {
 		c.now = c.now.Add(time.Second / time.Duration(perSecond))
-		if _, ok := c.Place(c.prompt(priority, 300, 20)); !ok {
+		if _, ok := c.Place(c.prompt(priority, 300+900*priority, 20)); !ok {
 			t.Fatal("a prompt of the load before the test was refused")
 		}
 	}
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -60,11 +60,11 @@
 	return s.readingMs(m, m.Load.PendingPromptTokens()+peerLoad.PendingPromptTokens) + runningMs*float64(running) + s.slotMs(m, running)
 }
 
-// slotMs returns the time, in ms, until the engine runs the prompt because one of its slots is free.
-// Engines admit the most urgent prompts at once.
+// slotMs returns the time, in ms, until the engine runs the prompt, because one of its slots is free or
+// because it preempts a less urgent run.
 func (s *selection) slotMs(m *fleet.Member, running int) float64 {
 	if s.slotRule.overtakes {
-		return 0
+		running -= s.preemptable(m)
 	}
 	return s.fullSlotsMs(m, running)
 }
--- a/internal/placer/prompt.go
+++ b/internal/placer/prompt.go
@@ -47,7 +47,7 @@
 		return gate.decline(withRoom), false
 	}
 	s.service.demand.RecordDecision(false)
-	s.service.demand.RecordArrival(routePriority(q), s.now)
+	s.service.demand.RecordArrival(routePriority(q), averageHeldTokens(q), s.now)
 	p.countPlacement(q, best, spilled)
 	s.service.placed.add(s.plan(best).reading, s.now)
 	p.RequestReport()
--- a/internal/placer/slots.go
+++ b/internal/placer/slots.go
@@ -64,8 +64,10 @@
 	// overtakes is true if prompts of less urgent routes arrived recently. Engines admit the prompt
 	// before these and preempt one of their runs for it, so that it does not wait for a slot. A
 	// refusal would serve less urgent prompts before it.
-	overtakes  bool
-	meanTokens float64 // held in memory by a running request, 0 if none runs
+	overtakes bool
+	// lessUrgentTokens is the mean size of prompts of the least urgent route.
+	lessUrgentTokens float64
+	meanTokens       float64 // held in memory by a running request, 0 if none runs
 }
 
 // newSlotRule returns the rule for the prompt; none where the configuration states no slots.
@@ -73,11 +75,12 @@
 	if s.q.Service.Engine.Slots <= 0 {
 		return slotRule{}
 	}
-	moreUrgent, lessUrgent := s.service.demand.Others(routePriority(s.q), s.now)
+	others := s.service.demand.Others(routePriority(s.q), s.now)
 	return slotRule{
-		requiresSlot: moreUrgent && !lessUrgent,
-		overtakes:    lessUrgent,
-		meanTokens:   s.service.slotUse.meanTokens(s.now, s.sampleSlotUse),
+		requiresSlot:     others.MoreUrgent && !others.LessUrgent,
+		overtakes:        others.LessUrgent,
+		lessUrgentTokens: others.LessUrgentTokens,
+		meanTokens:       s.service.slotUse.meanTokens(s.now, s.sampleSlotUse),
 	}
 }
 
@@ -102,6 +105,22 @@
 	return admission.Slots{Total: total, Running: m.Load.Running() + s.peerLoads.At(m.ID, m.StartedMs).Running}
 }
 
+// preemptable estimates how many of the requests running at an engine are less urgent than the prompt, so
+// that the engine preempts them for it. The loads don't state priorities: the estimate is the number of
+// prompts of the least urgent route by which the occupied memory exceeds what as many prompts of this
+// size would hold. It is 0 where less urgent prompts are not larger. An engine whose slots are taken by
+// short, urgent prompts has none, though it looks empty by its memory.
+func (s *selection) preemptable(m *fleet.Member) int {
+	own := float64(averageHeldTokens(s.q))
+	excess := s.slotRule.lessUrgentTokens - own
+	if excess <= 0 {
+		return 0
+	}
+	occupied, running := s.memory(m).OccupiedTokens, s.slots(m).Running
+	count := (float64(occupied) - own*float64(running)) / excess
+	return int(min(max(count, 0), float64(running)))
+}
+
 // hasSlot reports whether the engine has a free slot for the prompt, or the prompt requires none.
 func (s *selection) hasSlot(m *fleet.Member) bool {
 	if !s.slotRule.requiresSlot {
