--- a/internal/enginepace/services.go
+++ b/internal/enginepace/services.go
@@ -14,6 +14,7 @@
 
 	mu     sync.Mutex
 	byName map[string]*Tracker
+	ticks  int // number of calls of Tick
 }
 
 // ForName returns the tracker of a service, and creates it on first use.
@@ -50,12 +51,19 @@
 	return len(s.byName) == 0
 }
 
+// loadsEvery is the number of ticks after which other nodes' loads are read again. Adding them up takes
+// as long as all the rest of a tick.
+const loadsEvery = 2
+
 // Tick calls Tracker.Tick for each service. loads returns what the other nodes report of the load of
-// engines; it is called only if engines are observed now.
+// engines; it is called in each second tick, and only if engines are observed now. Tick must not be
+// called concurrently.
 func (s *Services) Tick(now time.Time, loads func() func(Engine) (pendingTokens, running int), reportLag time.Duration) {
 	var peers func(Engine) (int, int)
+	readsLoads := s.ticks%loadsEvery == 0
+	s.ticks++
 	for _, t := range s.all() {
-		if peers == nil && t.Active() {
+		if peers == nil && readsLoads && t.Active() {
 			peers = loads()
 		}
 		t.Tick(now, peers, reportLag)
--- a/internal/enginepace/stream.go
+++ b/internal/enginepace/stream.go
@@ -15,10 +15,9 @@
 	writing bool          // the last events are being written to the caller
 	written time.Duration // total time spent writing
 	// slowGroups is the number of consecutive slow groups up to now, slowFrom their start and
-	// slowEvents the number of their events.
-	slowGroups, slowEvents int
-	slowFrom               mark
-	stall                  stall // the latest one that is not learned from yet; zero if none
+	// slowEvents the number of their events. confirmed is how many of them were a sign already.
+	slowGroups, slowEvents, confirmed int
+	slowFrom                          mark
 }
 
 // mark is a time with what was known then.
@@ -27,12 +26,14 @@
 	excused time.Duration // total time for which this node did not run or did not read the stream
 	pending int           // prompt tokens known to be pending
 	arrived int           // prompt tokens that had become pending
+	// own are those pending of this node's prompts, and ownChanges counts their changes.
+	own, ownChanges int
 }
 
 // mark returns the mark of a stream at the present time.
 func (s *Stream) mark(now time.Time) mark {
 	e := s.engine
-	return mark{at: now, excused: s.tracker.host.until(now) + s.written, pending: e.pending(), arrived: e.arrived}
+	return mark{at: now, excused: s.tracker.host.until(now) + s.written, pending: e.pending(), arrived: e.arrived, own: e.ownPending, ownChanges: e.ownChanges}
 }
 
 // since returns the time since a mark in which events could be received.
--- a/internal/enginepace/tracker.go
+++ b/internal/enginepace/tracker.go
@@ -52,6 +52,7 @@
 
 	peerPending, peerRunning int
 	ownPending               int // as of the last update
+	ownChanges               int // number of changes of ownPending
 	arrived                  int // prompt tokens that became pending so far
 
 	factor       float64 // of the latest verdict
@@ -90,7 +91,7 @@
 }
 
 // Tick must be called every TickInterval. It takes over what the other nodes report of the loads of
-// engines, and the age of these reports, and judges silent streams.
+// engines, unless peers is nil, and the age of these reports, and judges silent streams.
 func (t *Tracker) Tick(now time.Time, peers func(Engine) (pendingTokens, running int), reportLag time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -101,13 +102,16 @@
 			delete(t.engines, id)
 			continue
 		}
-		pending, running := peers(id)
-		e.arrived += max(pending-e.peerPending, 0)
-		e.peerPending, e.peerRunning = pending, running
+		if peers != nil {
+			pending, running := peers(id)
+			e.arrived += max(pending-e.peerPending, 0)
+			e.peerPending, e.peerRunning = pending, running
+		}
 		e.update()
 	}
 	t.compare(now)
 	for _, e := range t.engines {
+		t.judgeGroups(e, now)
 		t.judgeSilence(e, now)
 	}
 }
@@ -173,6 +177,9 @@
 // update takes over this node's own load.
 func (e *engine) update() {
 	pending := e.load.PendingPromptTokens()
+	if pending != e.ownPending {
+		e.ownChanges++
+	}
 	e.arrived += max(pending-e.ownPending, 0)
 	e.ownPending = pending
 }
--- a/internal/enginepace/usual.go
+++ b/internal/enginepace/usual.go
@@ -100,10 +100,9 @@
 	stallQuantile = 0.9
 	// stallMargin is the margin for errors of the bound on what prefill explains. The bound rests on
 	// the longest stall: too low a bound would make all engines that prefill long prompts look slow.
-	stallMargin = 1.25
-	// saturation is how many times the tokens of a stall must be pending before and after it, so
-	// that prefill took part in all steps of the stall.
-	saturation = 1
+	stallMargin = 1.5
+	// minStalls is the number of samples required for an estimate.
+	minStalls = 16
 )
 
 // stallLimit learns how many prompt tokens an engine prefills at most between two events of a
@@ -114,20 +113,9 @@
 	most    float64 // upper bound, in tokens; 0 if unknown
 }
 
-// stall is a gap between two events during which prefill was pending.
-type stall struct {
-	at      time.Time // of its end
-	tokens  float64   // that could be prefilled in the time by which the gap exceeded the usual spacing
-	pending int       // least tokens known to be pending before and after
-}
-
-// add adds a stall. Stalls without enough pending prefill are ignored: prefill did not take part in
-// all their steps.
-func (l *stallLimit) add(s *stall) {
-	if s.tokens <= 0 || float64(s.pending) < saturation*s.tokens {
-		return
-	}
-	if l.samples.add(s.tokens) && l.samples.n >= sampleCount {
+// add adds the tokens that could be prefilled in the time by which a gap exceeded the usual spacing.
+func (l *stallLimit) add(tokens float64) {
+	if l.samples.add(tokens) && l.samples.n >= minStalls {
 		l.usual, l.most = l.samples.quantile(stallQuantile), stallMargin*l.samples.quantile(1)
 	}
 }
