placer: test that prompts pending at a slow engine take longer

Cause: TestReadingAvoidsSlowEngines passed with the factor left out of the queue time.

Change: a case whose prompt is small and whose queue decides. The check for engines without runs in the charge for stalls is dropped, because the charge is per run.

Result: the test fails with the factor left out of `readingMs`, and passes with it.

--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -51,9 +51,6 @@
 	}
 	peerLoad := s.peerLoads.At(m.ID, m.StartedMs)
 	running := m.Load.Running() + peerLoad.Running
-	if running == 0 {
-		return 0
-	}
 	tokens := m.Load.PendingPromptTokens() + peerLoad.PendingPromptTokens + s.plan(m).reading
 	stall := s.pace.tracker.StallAt(running)
 	if stall.MaxTokens > 0 {
--- a/internal/placer/pace_test.go
+++ b/internal/placer/pace_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/enginepace"
+	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/peerload"
 )
@@ -52,6 +53,23 @@
 	test.NotEq(t, usual, p.Member.ID, test.Sprint("slow by a peer's report"))
 	test.Eq(t, 1, p.SlowFactor)
 
+	pending := func(m *fleet.Member) int {
+		if m.ID == usual {
+			return 4000
+		}
+		return 6000
+	}
+	for _, m := range fx.members {
+		m.Load.Begin(pending(m), 0)
+	}
+	q.Attributes.PromptTokens = 100
+	test.NotEq(t, usual, place(t, fx, q), test.Sprint("prompts pending at a slow engine take longer"))
+	for _, m := range fx.members {
+		m.Load.FirstEvent(pending(m))
+		m.Load.End(0)
+	}
+	q.Attributes.PromptTokens = 12_000
+
 	report(3)
 	test.Eq(t, usual, place(t, fx, q), test.Sprint("another start was slow"))
 	report(0)
