--- a/internal/forward/pauses_test.go
+++ b/internal/forward/pauses_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
@@ -66,6 +68,27 @@
 	})
 }
 
+// lastOutcome is a Recorder that keeps the last outcome.
+type lastOutcome struct{ Outcome }
+
+func (l *lastOutcome) Forwarded(o *Outcome) { l.Outcome = *o }
+
+// TestPauseIsRecorded guards against a pause that is missing in the outcome or the request line.
+func TestPauseIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log strings.Builder
+		recorder := &lastOutcome{}
+		p := newPacedStream(httptest.NewRecorder(), nil, pauseLimit)
+		p.Recorder, p.Log = recorder, zerolog.New(&log)
+		p.after(t, time.Second, oneEvent)
+		p.after(t, 400*time.Millisecond, oneEvent)
+		p.exchange.placement = nil
+		p.finish(nil)
+		test.Eq(t, 400*time.Millisecond, recorder.LongestPause)
+		test.StrContains(t, log.String(), `"longest_pause_ms":400`)
+	})
+}
+
 // TestPausesOff guards against work and log fields where no pause is too long for callers.
 func TestPausesOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
