peerload: no work for slow engines where there are none

Cause: a digest is sent up to 66 times a second, and sorting an empty list allocated a map each time.

Change: an empty list is returned at once.

Result: `go test ./internal/peerload` passes.

--- a/internal/peerload/slow.go
+++ b/internal/peerload/slow.go
@@ -117,7 +117,10 @@
 	if e.config.Slow == nil {
 		return nil
 	}
-	return slowest(ageSlow(e.config.Slow(), 0))
+	if list := ageSlow(e.config.Slow(), 0); len(list) > 0 {
+		return slowest(list)
+	}
+	return nil
 }
 
 // peerSlow returns the slow engines in the peers' own digests.
