--- a/internal/fleetmodel/callers.go
+++ b/internal/fleetmodel/callers.go
@@ -148,6 +148,7 @@
 		c.waitOrRefuse(&placement)
 		return
 	}
+	w.Result.countWait(c, placement.Waited)
 	c.placement = placement
 	c.rank = *placement.Attempt.Priority
 	c.sent = w.now
@@ -163,6 +164,7 @@
 		w.after(pause, c.place)
 		return
 	}
+	w.Result.countWait(c, p.Waited)
 	w.Result.MaxWait = max(w.Result.MaxWait, p.Waited)
 	w.Result.countRefusal(w.elapsed(), p.Reason)
 	if c.class.Rank == 0 && w.idleShare() >= idleShare {
--- /dev/null
+++ b/internal/fleetmodel/length_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package fleetmodel
+
+// lengthDivisor shortens the simulations of TestContended.
+const lengthDivisor = 1
--- a/internal/fleetmodel/result.go
+++ b/internal/fleetmodel/result.go
@@ -58,6 +58,8 @@
 	RecomputedTokens int
 	// MaxWait is the maximum time that a caller waited before a refusal.
 	MaxWait time.Duration
+	// Waits holds the times that requests waited at a node before each placement or refusal, by class.
+	Waits map[string][]time.Duration
 	// FailedOver counts requests that were sent to another engine after theirs crashed.
 	FailedOver int
 	// FirstEvents holds the times from a caller's first arrival to the first token, by class.
@@ -83,6 +85,14 @@
 	change(r.domainOutcome(c))
 }
 
+// countWait records the time that a request waited before a placement or refusal.
+func (r *Result) countWait(c *call, waited time.Duration) {
+	if r.Waits == nil {
+		r.Waits = make(map[string][]time.Duration)
+	}
+	r.Waits[c.class.Name] = append(r.Waits[c.class.Name], waited)
+}
+
 // countFirstToken counts a caller who received the first token as served.
 func (r *Result) countFirstToken(c *call, took time.Duration) {
 	r.countServed(c, 1)
