Enginepace: slow spells are expected where engines turn slow at times

Cause: the stall cost acts on engines that are slow now. A spell that begins while 12,000 tokens are being read there is found after some 160 ms, when the streams are late already.

Prefill that would stall the streams of a slow engine costs that share of the full cost at one that isn't slow now, so that long prompts are kept apart.

--- a/internal/enginepace/tracker.go
+++ b/internal/enginepace/tracker.go
@@ -38,6 +38,7 @@
 	reportLag time.Duration // age of the loads that other nodes report
 	usual     usualSpacing
 	stalls    stallLimit
+	spells    spells
 	host      hostStalls
 	common    float64   // how much slower than usual most engines are now; see compare
 	ratios    []float64 // reused by compare
@@ -114,6 +115,23 @@
 		t.judgeGroups(e, now)
 		t.judgeSilence(e, now)
 	}
+	t.recordSpells(now)
+}
+
+// recordSpells records how many of the engines with streams are slow now.
+func (t *Tracker) recordSpells(now time.Time) {
+	slow, observed, factors := 0, 0, 0.0
+	for _, e := range t.engines {
+		if len(e.streams) == 0 {
+			continue
+		}
+		observed++
+		if e.slow(now) {
+			slow++
+			factors += e.factor
+		}
+	}
+	t.spells.record(slow, observed, factors)
 }
 
 // Active reports whether streams are observed or verdicts are in force.
@@ -160,13 +178,17 @@
 	// MaxTokens is the most prompt tokens that an engine usually prefills between two events; 0 if
 	// unknown.
 	MaxTokens float64
+	// SpellShare is the share of the time for which an engine is expected to be slow, and SpellFactor
+	// how many times slower it is then; 0 and 1 if no slow spells are expected.
+	SpellShare, SpellFactor float64
 }
 
 // StallAt returns what is known of the pauses at an engine with the given number of runs.
 func (t *Tracker) StallAt(running int) Stall {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Stall{SpacingMs: t.usual.at(running), MaxTokens: t.stalls.usual}
+	share, factor := t.spells.expected()
+	return Stall{SpacingMs: t.usual.at(running), MaxTokens: t.stalls.usual, SpellShare: share, SpellFactor: factor}
 }
 
 // slow reports whether a verdict on the engine is in force.
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -45,6 +45,10 @@
 // callers accept if the prompt was prefilled there after the pending ones. It depends on what is
 // prefilled between two events, so it is 0 for an engine without streams, however much it has to
 // prefill.
+//
+// Where engines turn slow at times, prefill that would stall the streams of a slow engine costs
+// accordingly less at an engine that is not slow now: a spell that begins in the meantime is noticed
+// too late, so long prompts are kept apart beforehand.
 func (s *selection) stallMs(m *fleet.Member) float64 {
 	if s.pace.tracker == nil {
 		return 0
@@ -56,8 +60,13 @@
 	if stall.MaxTokens > 0 {
 		tokens = min(tokens, int(stall.MaxTokens))
 	}
-	if s.readingMs(m, tokens)+s.pace.factor(m)*stall.SpacingMs <= millis(s.q.Service.GapObjective) {
-		return 0
+	factor, limit := max(s.pace.factor(m), 1), millis(s.q.Service.GapObjective)
+	pause := s.readingMs(m, tokens) + factor*stall.SpacingMs
+	switch {
+	case pause > limit:
+		return stalledStreamMs * float64(running)
+	case factor <= 1 && stall.SpellFactor*pause > limit:
+		return stall.SpellShare * stalledStreamMs * float64(running)
 	}
-	return stalledStreamMs * float64(running)
+	return 0
 }
--- a/internal/placer/pace_test.go
+++ b/internal/placer/pace_test.go
@@ -136,3 +136,42 @@
 		})
 	}
 }
+
+// TestLongPromptsAreKeptApart guards against prompts of 12,000 tokens that are added to an engine with
+// streams at no cost where engines turn slow at times, and against such a cost where they don't.
+func TestLongPromptsAreKeptApart(t *testing.T) {
+	fx, q := pacedFixture(t)
+	now := time.Now()
+	fx.Now = func() time.Time { return now }
+	for _, m := range fx.members {
+		m.Load.Begin(0, 1000)
+	}
+	tracker := fx.Pace.ForName("s")
+	stream := tracker.Open(enginepace.Engine{ID: "other"}, fx.members[0].Load, now)
+	observe := func(count int, spacing time.Duration) {
+		for range count {
+			for range spacing / enginepace.TickInterval {
+				now = now.Add(enginepace.TickInterval)
+				tracker.Tick(now, nil, 30*time.Millisecond)
+			}
+			stream.Observe(1, now)
+			stream.Wait(now)
+		}
+	}
+	stallMs := func() float64 {
+		now = now.Add(2 * enginepace.VerdictLifetime)
+		p, ok := fx.Place(q)
+		must.True(t, ok)
+		return p.StallMs
+	}
+	observe(200, 25*time.Millisecond)
+	test.Zero(t, stallMs(), test.Sprint("no slow spells"))
+	for range 20 {
+		observe(20, 25*time.Millisecond)
+		observe(8, 75*time.Millisecond)
+	}
+	test.Between(t, 1, stallMs(), stalledStreamMs-1, test.Sprint("slow spells, but none now"))
+}
+
+// stalledStreamMs is the cost of a stream that pauses for too long.
+const stalledStreamMs = 100.0
