--- a/internal/enginepace/simengine_test.go
+++ b/internal/enginepace/simengine_test.go
@@ -11,7 +11,6 @@
 	made, output       int
 	stream             *Stream
 	due                []time.Time // of events on their way to the node
-	events             int         // events made
 	closed             bool
 }
 
