--- a/internal/peerload/notice.go
+++ b/internal/peerload/notice.go
@@ -172,7 +172,9 @@
 	}
 	if !e.knowsLocal(n.Node) {
 		e.notices.counters.add(NoticeUnknownNode)
-		e.notices.unknownNode.Do(func() { e.log.Warn().Str("event", "notice_rejected").Str("from", n.Node).Str("error", "node is not listed").Send() })
+		e.notices.unknownNode.Do(func() {
+			e.log.Warn().Str("event", "notice_rejected").Str("from", n.Node).Str("error", "node is not listed").Send()
+		})
 		return nil, nil
 	}
 	now := e.config.Clock.Now()
