Forward tests: addresses of ended endpoints stay reserved

Cause: endedEndpoint closed a listener and returned its address, and the kernel gave the port to a later listener of the same test. In a traced run of 30 repeats with 9 failed, each failing case had an "ended" address that was that of the test's live endpoint (it refuses the other endpoint's id with 421, and without retries the caller gets 503) or of the handler under test (the request reaches the handler a second time without its key, 401). This is frequent in repeats because connections in TIME-WAIT occupy most ports: of 5000 listeners opened and closed in turn, with 17,800 sockets in TIME-WAIT on 127.0.0.1, 237 got a port that was used within the last 10 there, and 3 on 127.0.0.77, which has no such sockets (trial). Product code is not at fault.

Change: tcptest.RefusingAddr returns an address to which a socket that doesn't listen is bound until the test ends. It doesn't set SO_REUSEADDR, with which listeners of package net could bind to it, too. It replaces endedEndpoint. The checks are unchanged.

TestFailedConnectionsUseNoRetries fails if each retry takes one from the budget, TestEndedEndpointIsAvoided if a refused connection doesn't mark the endpoint as ended.

--- a/internal/forward/ended_test.go
+++ b/internal/forward/ended_test.go
@@ -9,17 +9,10 @@
 
 	"github.com/shoenig/test"
 
+	"github.com/cherryward/cherryward/internal/tcp/tcptest"
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
 
-// endedEndpoint returns the address of an endpoint that no longer listens.
-func endedEndpoint(t *testing.T) string {
-	t.Helper()
-	backend := httptest.NewServer(http.NotFoundHandler())
-	backend.Close()
-	return strings.TrimPrefix(backend.URL, "http://")
-}
-
 // liveEndpoint starts an endpoint that identifies itself by the given id, and returns its address.
 func liveEndpoint(t *testing.T, id string) string {
 	t.Helper()
@@ -46,7 +39,7 @@
 // address.
 func TestEndedEndpointIsAvoided(t *testing.T) {
 	h := &testHandler{}
-	h.start(t, []string{endedEndpoint(t), liveEndpoint(t, "s1")})
+	h.start(t, []string{tcptest.RefusingAddr(t), liveEndpoint(t, "s1")})
 	a := h.do(t, http.MethodPost, uploadPath, "x", nil)
 	test.Eq(t, http.StatusOK, a.status)
 	test.False(t, h.placer.members[0].Health.Usable(time.Now().Add(2*time.Second)))
--- a/internal/forward/on_send_test.go
+++ b/internal/forward/on_send_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test"
 
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/tcp/tcptest"
 )
 
 // countingPlacer records the requests in flight at the endpoint at each call of OnSend.
@@ -26,7 +27,7 @@
 // request, and other nodes would drop the notice in its favour.
 func TestOnSendFollowsCount(t *testing.T) {
 	h := &testHandler{}
-	h.start(t, []string{endedEndpoint(t), liveEndpoint(t, serverID(1))})
+	h.start(t, []string{tcptest.RefusingAddr(t), liveEndpoint(t, serverID(1))})
 	counts := &countingPlacer{Placer: h.placer}
 	h.handler.Placer = counts
 	got := h.do(t, http.MethodPost, uploadPath, "x", nil)
--- a/internal/forward/send_counts_test.go
+++ b/internal/forward/send_counts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/tcp/tcptest"
 )
 
 // disableRetries sets a budget without retries.
@@ -24,7 +25,7 @@
 		for ended := range 6 {
 			var addrs []string
 			for range ended {
-				addrs = append(addrs, endedEndpoint(t))
+				addrs = append(addrs, tcptest.RefusingAddr(t))
 			}
 			h := &testHandler{}
 			h.start(t, append(addrs, liveEndpoint(t, serverID(ended))))
@@ -45,7 +46,7 @@
 	for _, budget := range []bool{false, true} {
 		h := &testHandler{}
 		other := liveEndpoint(t, "another")
-		h.start(t, []string{endedEndpoint(t), other, endedEndpoint(t), liveEndpoint(t, serverID(3))})
+		h.start(t, []string{tcptest.RefusingAddr(t), other, tcptest.RefusingAddr(t), liveEndpoint(t, serverID(3))})
 		if !budget {
 			h.disableRetries()
 		}
