Cherryctl tests: addresses of ended servers stay reserved

The kernel may give the port to another listener, which then answers the command.

Change: they use tcptest.RefusingAddr. TestDomains and TestEndpoints make a new client for each command, so the command meets a refused connection as before. The checks are unchanged.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,6 +22,7 @@
 	"github.com/cherryward/cherryward/internal/config/configtest"
 	"github.com/cherryward/cherryward/internal/operator"
 	"github.com/cherryward/cherryward/internal/result"
+	"github.com/cherryward/cherryward/internal/tcp/tcptest"
 )
 
 // fakeSystem is a system of a live node, which has applied all changes, and a dead node.
@@ -65,12 +66,10 @@
 	return "http://" + ln.Addr().String()
 }
 
-// deadServer returns the URL of a port that nothing listens on.
+// deadServer returns the URL of a port that nothing listens on until the test ends.
 func deadServer(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	must.NoError(t, ln.Close())
-	return "http://" + ln.Addr().String()
+	t.Helper()
+	return "http://" + tcptest.RefusingAddr(t)
 }
 
 type toolRunner struct {
--- a/internal/ctl/domains_test.go
+++ b/internal/ctl/domains_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/tidwall/gjson"
 
+	"github.com/cherryward/cherryward/internal/tcp/tcptest"
 	"github.com/cherryward/cherryward/platform"
 	"github.com/cherryward/cherryward/standin/metastore"
 )
@@ -56,7 +57,6 @@
 	test.Eq(t, 2500, gjson.Get(out, `#(domain=="north").cold_for_ms`).Int())
 	code, out = run("--store", "nowhere")
 	test.Eq(t, 2, code, test.Sprint(out))
-	served.Close()
-	code, _ = run("--store", addr)
+	code, _ = run("--store", tcptest.RefusingAddr(t))
 	test.NotEq(t, 0, code)
 }
--- a/internal/ctl/endpoints_test.go
+++ b/internal/ctl/endpoints_test.go
@@ -16,6 +16,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/tcp/tcptest"
 )
 
 // restrictedFleet returns a fleet with an endpoint for each kind of restriction, and one without
@@ -70,8 +71,7 @@
 	test.Eq(t, 2.8, gjson.Get(out, `#(endpoint=="limited").limit.per_s`).Float())
 	code, out = run("--ready", "nowhere")
 	test.Eq(t, 2, code, test.Sprint(out))
-	served.Close()
-	code, out = run("--ready", addr)
+	code, out = run("--ready", tcptest.RefusingAddr(t))
 	test.NotEq(t, 0, code)
 	test.StrContains(t, out, "4001")
 }
