Cherryctl: endpoints that are slow now

Cause: an operator saw slow engines in logs and a gauge, but not which they are now.

Change: the list of restricted endpoints has those whose streams are slower than usual, with the factor, by the observation of any node of the failure domain.

--- a/internal/ctl/endpoints_test.go
+++ b/internal/ctl/endpoints_test.go
@@ -23,7 +23,7 @@
 // restrictions.
 func restrictedFleet(now time.Time) *fleet.Fleet {
 	f := fleet.New(zerolog.Nop())
-	for i, id := range []string{"any", "cold", "drains", "answers", "limited", "backs-off", "told"} {
+	for i, id := range []string{"any", "cold", "drains", "answers", "limited", "backs-off", "told", "slow"} {
 		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Domain: "north", Draining: id == "drains"}, now)
 	}
 	f.Member("cold").MarkCold(now.Add(time.Minute))
@@ -34,6 +34,14 @@
 	return f
 }
 
+// slowFactor is what a node observes of the pace of endpoints.
+func slowFactor(m *fleet.Member) float64 {
+	if m.ID == "slow" {
+		return 2.5
+	}
+	return 0
+}
+
 // TestEndpoints checks that the restrictions of endpoints are shown with their source and age.
 func TestEndpoints(t *testing.T) {
 	now := time.Now()
@@ -42,7 +50,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(restrictedFleet(now).Restricted(now)) // a write error shows as an incomplete list in the command
+		_ = json.NewEncoder(w).Encode(restrictedFleet(now).Restricted(now, slowFactor)) // a write error shows as an incomplete list in the command
 	}))
 	defer served.Close()
 	run := func(args ...string) (int, string) {
@@ -58,13 +66,14 @@
 		rows = append(rows, strings.Join(strings.Fields(line), " "))
 	}
 	test.Eq(t, []string{
-		"ENDPOINT SERVICE DOMAIN LIMIT BACKOFF DRAINING COLD",
-		"answers s north - - answer 2s ago false",
-		"backs-off s north - 2s (asked 1s ago) - false",
-		"cold s north - - - true",
-		"drains s north - - entry false",
-		"limited s north 2.8/s (answer 1s ago) - - false",
-		"told s north 1/s (told 0s ago) - - false",
+		"ENDPOINT SERVICE DOMAIN LIMIT BACKOFF DRAINING COLD SLOW",
+		"answers s north - - answer 2s ago false -",
+		"backs-off s north - 2s (asked 1s ago) - false -",
+		"cold s north - - - true -",
+		"drains s north - - entry false -",
+		"limited s north 2.8/s (answer 1s ago) - - false -",
+		"slow s north - - - false 2.5x",
+		"told s north 1/s (told 0s ago) - - false -",
 	}, rows)
 	code, out = run("--ready", addr, "-o", "json")
 	must.Eq(t, 0, code, must.Sprint(out))
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -23,6 +23,8 @@
 	DrainingForMs *int64 `json:"draining_for_ms,omitempty"`
 	Draining      bool   `json:"draining,omitempty"`
 	Cold          bool   `json:"cold,omitempty"`
+	// SlowFactor is how many times slower than usual its streams are now; 0 if they aren't.
+	SlowFactor float64 `json:"slow,omitempty"`
 }
 
 // LimitStatus is a rate limit with its age. Direct is true if the endpoint reported it to this
@@ -40,14 +42,17 @@
 	AgeMs  int64 `json:"age_ms"`
 }
 
-// Restricted returns the endpoints with a limit or backoff, and those that drain or are cold, sorted by
-// id.
-func (f *Fleet) Restricted(now time.Time) []Status {
+// Restricted returns the endpoints with a limit or backoff, and those that drain, are cold or slow, sorted
+// by id. slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not
+// call the fleet.
+func (f *Fleet) Restricted(now time.Time, slowFactor func(m *Member) float64) []Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := []Status{}
 	for _, m := range f.members {
-		if s := m.status(now); s.Limit != nil || s.Backoff != nil || s.Draining || s.Cold {
+		s := m.status(now)
+		s.SlowFactor = slowFactor(m)
+		if s.Limit != nil || s.Backoff != nil || s.Draining || s.Cold || s.SlowFactor > 0 {
 			list = append(list, s)
 		}
 	}
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -56,20 +56,28 @@
 	return list
 }
 
-// countSlow returns the number of endpoints that are slow now by the observation of any node.
-func (n *Node) countSlow() float64 {
+// slowFactor returns a function that returns how many times slower than usual an endpoint is now by the
+// observation of any node, 0 if it isn't.
+func (n *Node) slowFactor() func(m *fleet.Member) float64 {
 	own, reported := n.pace.Slow(n.clock.Now()), n.peers.Table.Slow(n.clock.Now())
-	return n.countEndpoints(func(m *fleet.Member, _ time.Time) bool {
-		if reported.Factor(m.ID, m.StartedMs) > 1 {
-			return true
-		}
+	return func(m *fleet.Member) float64 {
+		factor := reported.Factor(m.ID, m.StartedMs)
 		for i := range own {
 			if own[i].Engine == (enginepace.Engine{ID: m.ID, StartedMs: m.StartedMs}) {
-				return true
+				factor = max(factor, own[i].Factor)
 			}
 		}
-		return false
-	})
+		if factor <= 1 {
+			return 0
+		}
+		return factor
+	}
+}
+
+// countSlow returns the number of endpoints that are slow now by the observation of any node.
+func (n *Node) countSlow() float64 {
+	factor := n.slowFactor()
+	return n.countEndpoints(func(m *fleet.Member, _ time.Time) bool { return factor(m) > 0 })
 }
 
 // recordPause records the longest pause of a stream, and whether its route counts it as late.
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -55,7 +55,7 @@
 
 // serveEndpoints responds with a list of fleet.Status.
 func (n *Node) serveEndpoints(w http.ResponseWriter) {
-	data, err := json.Marshal(n.fleet.Restricted(n.clock.Now()))
+	data, err := json.Marshal(n.fleet.Restricted(n.clock.Now(), n.slowFactor()))
 	if err != nil {
 		n.log.Error().Str("event", "encode_endpoints").Err(err).Send()
 		w.WriteHeader(http.StatusInternalServerError)
