--- a/internal/peerload/aggregate.go
+++ b/internal/peerload/aggregate.go
@@ -10,13 +10,6 @@
 )
 
 const (
-	// ownDigestHistory is the number of this node's latest digests whose loads are retained, to
-	// subtract them from a collector's aggregate. An aggregate includes digests up to
-	// DigestLifetime old and is itself used for as long, so at the minimum interval up to 107 newer
-	// digests can follow the included one. Fewer are retained because the included digest is
-	// usually only a few tens of ms old; if it is older than the history, the oldest retained
-	// digest is subtracted.
-	ownDigestHistory = 32
 	// coverageRatio is the fraction of the best collector's node count from which another
 	// collector counts as equally good. The newer of two such aggregates is used.
 	coverageRatio = 0.9
@@ -113,31 +106,11 @@
 	return sums
 }
 
-// ownDigest is the loads of one of this node's digests.
-type ownDigest struct {
-	seq    uint32
-	loads  []Load
-	starts []StartTag
-}
-
 // nodeKey returns a key that identifies one start of a node.
 func nodeKey(node string, incarnation int64) uint32 {
 	return uint32(xxhash.Sum64String(node)) ^ uint32(incarnation) ^ uint32(incarnation>>32)
 }
 
-// RecordOwnDigest retains a digest of this node, so that its loads can be subtracted from the
-// aggregates of collectors. collects is true if this node is a collector itself.
-func (t *Table) RecordOwnDigest(d *Digest, collects bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.own = nodeKey(d.Node, d.Incarnation)
-	t.isCollector = collects
-	if len(t.ownDigests) == ownDigestHistory {
-		t.ownDigests = slices.Delete(t.ownDigests, 0, 1)
-	}
-	t.ownDigests = append(t.ownDigests, &ownDigest{seq: uint32(d.Seq), loads: d.Loads, starts: d.Starts})
-}
-
 // Collect returns the aggregate of the current digests of all peers.
 func (t *Table) Collect(now time.Time) *Aggregate {
 	t.mu.Lock()
@@ -241,20 +214,6 @@
 	return received
 }
 
-// ownDigest returns the retained digest of this node with the sequence number, or the oldest
-// retained one.
-func (t *Table) ownDigest(seq uint32) *ownDigest {
-	for i := range t.ownDigests {
-		if t.ownDigests[i].seq == seq {
-			return t.ownDigests[i]
-		}
-	}
-	if len(t.ownDigests) == 0 {
-		return nil
-	}
-	return t.ownDigests[0]
-}
-
 // AggregateAge returns the age of the aggregate on which Loads is based, and false if Loads is
 // based on the peers' own digests.
 func (t *Table) AggregateAge(now time.Time) (age time.Duration, ok bool) {
