Placer: corrections from a second reading of the slot rule

Cause and change, each found by reading: a prompt whose first event was predicted past the route's timeout was placed (the limit for too late has the timeout now); refusals for lack of a slot raised the memory reserve of all classes; an urgent prompt was charged for a preemption at engines with nothing to preempt; an endpoint that states no slots cost urgent prompts no wait; the times at which refused callers are told to come back counted memory alone where slots limit; in small systems every prompt in another domain was counted as moved. Names: the mean size is that of the least urgent route.

--- a/internal/admission/arrivals.go
+++ b/internal/admission/arrivals.go
@@ -32,8 +32,8 @@
 // Others describes the recent prompts of routes that are more or less urgent than a prompt's.
 type Others struct {
 	MoreUrgent, LessUrgent bool // such prompts arrived
-	// LessUrgentTokens is the mean size of prompts of the least urgent route, 0 if there are none.
-	LessUrgentTokens float64
+	// LeastUrgentTokens is the mean size of prompts of the least urgent route, 0 if there are none.
+	LeastUrgentTokens float64
 }
 
 // Others returns the recent prompts of routes with other priorities than the given one.
@@ -48,7 +48,7 @@
 		}
 		o.MoreUrgent = o.MoreUrgent || i < priority
 		if i > priority {
-			o.LessUrgent, o.LessUrgentTokens = true, a.mean
+			o.LessUrgent, o.LeastUrgentTokens = true, a.mean
 		}
 	}
 	return o
--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -116,9 +116,9 @@
 }
 
 // lateMs returns the predicted time to the first event, in ms, from which a prompt is refused as too
-// late: lateShare of the time until its caller gives up or its deadline passes. A refused caller
-// retries a second or more later, so that a refusal at the objective replaces an answer that is
-// slightly late by one that is later still, or by none.
+// late: lateShare of the time until its caller gives up, or its deadline or the route's timeout passes.
+// A refused caller retries a second or more later, so that a refusal at the objective replaces an
+// answer that is slightly late by one that is later still, or by none.
 //
 // Where the configuration states no slots, this refusal may be the only limit on an engine's queue.
 // The objective applies there, as longer queues would make nearly all answers late.
@@ -130,6 +130,9 @@
 	if s.q.Attributes.HasDeadline {
 		limit = min(limit, s.q.Attributes.Deadline)
 	}
+	if timeout := s.q.Route.Timeout; timeout > 0 {
+		limit = min(limit, timeout)
+	}
 	return lateShare * millis(limit)
 }
 
@@ -139,15 +142,28 @@
 func (s *selection) decline(engines []*fleet.Member, reason string) forward.Placement {
 	wait, first := s.expectedWait(engines)
 	return forward.Placement{Reason: reason, PredictedWait: wait, SlotState: s.slotState(first), OnRefusal: func() time.Duration {
-		s.service.demand.RecordDecision(true)
+		if reason != reasonNoSlot { // memory is not scarce then, and needs no larger reserve
+			s.service.demand.RecordDecision(true)
+		}
 		s.service.demand.RecordArrival(routePriority(s.q), averageHeldTokens(s.q), s.Now())
-		capacity := len(engines) * max(s.q.Service.Engine.KVTokens/max(averageHeldTokens(s.q), 1), 1)
+		capacity := len(engines) * s.promptsPerEngine()
 		spacing := duration(s.estimates.RunMs * float64(s.Nodes()) / float64(capacity))
 		maxDelay := time.Duration(maxRetryShare * float64(s.q.Attributes.Deadline))
 		return s.service.retries.After(s.Now(), wait, spacing, maxDelay)
 	}}
 }
 
+// promptsPerEngine returns how many prompts like this one an engine runs at the same time, by its memory
+// and, where the prompt requires a slot, its slots.
+func (s *selection) promptsPerEngine() int {
+	engine := s.q.Service.Engine
+	count := engine.KVTokens / max(averageHeldTokens(s.q), 1)
+	if s.slotRule.requiresSlot {
+		count = min(count, engine.Slots)
+	}
+	return max(count, 1)
+}
+
 // expectedWait predicts the time until one of the engines has free memory, a slot and a short enough
 // queue for the prompt, and returns that engine.
 func (s *selection) expectedWait(engines []*fleet.Member) (shortest time.Duration, first *fleet.Member) {
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -74,7 +74,7 @@
 // in all slots pause. Without the latter, most urgent prompts are sent to engines without a free slot
 // rather than to those that have one but little memory.
 func (s *selection) preemptionMs(m *fleet.Member) float64 {
-	if !s.slotRule.overtakes {
+	if !s.slotRule.overtakes || s.preemptable(m) == 0 {
 		return 0
 	}
 	slots := s.slots(m)
@@ -87,7 +87,7 @@
 
 // fullSlotsMs returns the time, in ms, until one of the engine's slots is free.
 func (s *selection) fullSlotsMs(m *fleet.Member, running int) float64 {
-	slots := m.Endpoint().Slots
+	slots := s.slots(m).Total
 	if slots <= 0 || running < slots {
 		return 0
 	}
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -19,7 +19,7 @@
 	reported peerload.SlowEngines // by other nodes
 }
 
-// pace returns what is known of the pace of the engines of the query's service.
+// currentPace returns what is known of the pace of the engines of the query's service.
 func (s *selection) currentPace() pace {
 	if s.Pace == nil || !s.q.Service.ObservesPace() {
 		return pace{}
--- a/internal/placer/recorder.go
+++ b/internal/placer/recorder.go
@@ -21,8 +21,8 @@
 // endpoint of the service is usable.
 const reasonUnavailable = "unavailable"
 
-// countRefusal has the refusal of a request counted if it is refused. A request that waits is not
-// placed at several attempts, but refused at most once.
+// countRefusal has the refusal of a request counted. A waiting request fails to be placed several times,
+// but is counted once, in OnRefusal.
 func (p *Placer) countRefusal(q *forward.Query, placement *forward.Placement) {
 	if p.Recorder == nil {
 		return
@@ -40,9 +40,10 @@
 	}
 }
 
-// countPlacement counts a prompt that is placed in another failure domain.
+// countPlacement counts a prompt that is placed in another failure domain. In a small system all domains
+// are used alike.
 func (p *Placer) countPlacement(q *forward.Query, m *fleet.Member, spilled bool) {
-	if p.Recorder != nil && m.Endpoint().Domain != p.Domain {
+	if p.Recorder != nil && !p.FullMesh() && m.Endpoint().Domain != p.Domain {
 		p.Recorder.PlacedInOtherDomain(q.Route, spilled)
 	}
 }
--- a/internal/placer/slots.go
+++ b/internal/placer/slots.go
@@ -65,9 +65,9 @@
 	// before these and preempt one of their runs for it, so that it does not wait for a slot. A
 	// refusal would serve less urgent prompts before it.
 	overtakes bool
-	// lessUrgentTokens is the mean size of prompts of the least urgent route.
-	lessUrgentTokens float64
-	meanTokens       float64 // held in memory by a running request, 0 if none runs
+	// leastUrgentTokens is the mean size of prompts of the least urgent route.
+	leastUrgentTokens float64
+	meanTokens        float64 // held in memory by a running request, 0 if none runs
 }
 
 // newSlotRule returns the rule for the prompt; none where the configuration states no slots.
@@ -77,10 +77,10 @@
 	}
 	others := s.service.demand.Others(routePriority(s.q), s.now)
 	return slotRule{
-		requiresSlot:     others.MoreUrgent && !others.LessUrgent,
-		overtakes:        others.LessUrgent,
-		lessUrgentTokens: others.LessUrgentTokens,
-		meanTokens:       s.service.slotUse.meanTokens(s.now, s.sampleSlotUse),
+		requiresSlot:      others.MoreUrgent && !others.LessUrgent,
+		overtakes:         others.LessUrgent,
+		leastUrgentTokens: others.LeastUrgentTokens,
+		meanTokens:        s.service.slotUse.meanTokens(s.now, s.sampleSlotUse),
 	}
 }
 
@@ -112,7 +112,7 @@
 // short, urgent prompts has none, though it looks empty by its memory.
 func (s *selection) preemptable(m *fleet.Member) int {
 	own := float64(averageHeldTokens(s.q))
-	excess := s.slotRule.lessUrgentTokens - own
+	excess := s.slotRule.leastUrgentTokens - own
 	if excess <= 0 {
 		return 0
 	}
