Peerload: notices that are dropped count for nothing

Cause, found by reading: notices of an earlier start, or beyond the bound, raised the rate that says that notices are in use; a system that shrank to a full mesh kept the recipients of before.

Change: only counted or included notices raise the rate; without remote nodes there are no recipients. The comment of ordersDigest is wrapped.

Result: go test ./internal/peerload passes.

--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -201,6 +201,7 @@
 // node's digest.
 func (e *Exchange) sendLocal(peers *recipients, digest *Digest, members []*fleet.Member) (bytes int) {
 	if len(peers.remote) == 0 || e.config.Role == nil {
+		e.notices.recipients.Store(nil)
 		return e.config.Conn.Notify(peers.local, digestMethod, digest)
 	}
 	now := e.config.Clock.Now()
@@ -278,8 +279,8 @@
 	})
 }
 
-// ordersDigest returns the digest with the given number, with the orders that this node gives and the weight versions that
-// engines reported to it.
+// ordersDigest returns the digest with the given number, with the orders that this node gives and the
+// weight versions that engines reported to it.
 func (e *Exchange) ordersDigest(members []*fleet.Member, seq int64) *Digest {
 	d := &Digest{Node: e.config.Node, Incarnation: e.incarnation, Seq: seq, UnlistedWeights: UnlistedWeightsOf(members, e.config.Clock.Now())}
 	var closed []weights.Closed
--- a/internal/peerload/notice.go
+++ b/internal/peerload/notice.go
@@ -178,8 +178,11 @@
 		return nil, nil
 	}
 	now := e.config.Clock.Now()
-	e.notices.pacer.recordAnnounced(now)
-	e.notices.counters.add(e.Table.RecordNotice(&n, now))
+	outcome := e.Table.RecordNotice(&n, now)
+	e.notices.counters.add(outcome)
+	if outcome == NoticeCounted || outcome == NoticeIncluded {
+		e.notices.pacer.recordAnnounced(now)
+	}
 	return nil, nil
 }
 
