Enginepace: events made while the node was stopped, comments, and standing engines

Change: groups with over a quarter of such time are left out, Wait without events does nothing, gaps over a second teach nothing, the comparison takes the lower median, and the share decays always.

--- a/internal/enginepace/judge.go
+++ b/internal/enginepace/judge.go
@@ -22,6 +22,9 @@
 	// maxSilence is the longest silence that counts as a sign. A longer one is not a slow spell: the
 	// engine may have ended or preempted the runs.
 	maxSilence = time.Second
+	// maxExcusedShare bounds the time in a group for which this node did not run or did not read, as a
+	// share of the rest: the events that were made in that time are in the group, so it looks quick.
+	maxExcusedShare = 0.25
 	// minCompared is the number of observed engines from which an engine is compared with the others.
 	minCompared = 4
 	// ratioLifetime is how long the ratio of an engine's latest events is used for that.
@@ -46,6 +49,9 @@
 	start, events := s.group, s.events
 	s.group, s.events = *now, 0
 	took, read := start.since(now), start.readSince(now)
+	if float64(now.excused-start.excused) > maxExcusedShare*float64(took) {
+		return // the events that were made while the node was stopped or wrote are counted, their time isn't
+	}
 	t.learn(s, &start, now, usualMs, events)
 	if usualMs <= 0 {
 		return
@@ -101,7 +107,7 @@
 func (t *Tracker) learn(s *Stream, start, now *mark, usualMs float64, events int) {
 	e, took := s.engine, millis(start.since(now))
 	switch {
-	case took <= 0:
+	case took <= 0, took > millis(maxSilence): // engines that stand still are judged by their silence
 	case start.readSince(now) == 0:
 		t.usual.add(e.running(), took/float64(events), now.at)
 	case events == 1 && usualMs > 0 && took >= 2*usualMs && t.tokenMs > 0 && start.own > 0 && start.ownChanges == now.ownChanges && !e.slow(now.at):
@@ -190,7 +196,7 @@
 	t.common = 1
 	if len(t.ratios) >= minCompared {
 		slices.Sort(t.ratios)
-		t.common = max(t.ratios[len(t.ratios)/2], 1)
+		t.common = max(t.ratios[(len(t.ratios)-1)/2], 1)
 	}
 }
 
--- a/internal/enginepace/spells.go
+++ b/internal/enginepace/spells.go
@@ -20,11 +20,8 @@
 
 // record records how many of the engines with streams are slow now, and the sum of their factors.
 func (s *spells) record(slow, observed int, factors float64) {
-	if observed == 0 {
-		return
-	}
 	weight := float64(TickInterval) / float64(spellsMemory)
-	s.share += weight * (float64(slow)/float64(observed) - s.share)
+	s.share += weight * (float64(slow)/float64(max(observed, 1)) - s.share)
 	if slow == 0 {
 		return
 	}
--- a/internal/enginepace/stream.go
+++ b/internal/enginepace/stream.go
@@ -72,6 +72,9 @@
 	}
 	s.tracker.mu.Lock()
 	defer s.tracker.mu.Unlock()
+	if !s.writing {
+		return // the read brought no event, only a comment
+	}
 	at := s.mark(now)
 	s.written += s.last.since(&at)
 	s.writing = false
