--- a/internal/fleetmodel/nodes.go
+++ b/internal/fleetmodel/nodes.go
@@ -63,7 +63,7 @@
 
 // addDomains creates the failure domains.
 func (w *World) addDomains() {
-	w.domains = make([]*failureDomain, max(w.Domains, 1))
+	w.domains = make([]*failureDomain, min(max(w.Domains, 1), max(w.Nodes, 1)))
 	for i := range w.domains {
 		w.domains[i] = &failureDomain{name: w.domainName(i), collector: peerload.NewTable()}
 	}
@@ -74,8 +74,10 @@
 	for i := range max(w.Nodes, 1) {
 		d := w.domains[i%len(w.domains)]
 		n := &node{world: w, name: fmt.Sprintf("n%03d", i), domain: d, table: peerload.NewTable(), connections: make(map[string]*connections)}
-		if n.fleet = w.newFleet(); w.ReportAge <= 0 && i > 0 {
+		if w.ReportAge <= 0 && i > 0 {
 			n.fleet = w.nodes[0].fleet
+		} else {
+			n.fleet = w.newFleet()
 		}
 		n.placer = w.newPlacer(n, i)
 		d.nodes, w.nodes = append(d.nodes, n), append(w.nodes, n)
--- a/internal/fleetmodel/result.go
+++ b/internal/fleetmodel/result.go
@@ -23,7 +23,8 @@
 // Served returns the number of callers that received all of their answer, in time or late.
 func (o Outcome) Served() int { return o.InTime + o.Late + o.LatePause }
 
-// ShareInTime returns the share of callers who received the first token within the objective.
+// ShareInTime returns the share of callers who received the first token within the objective, and no
+// pause that was too long.
 func (o Outcome) ShareInTime() float64 { return float64(o.InTime) / float64(max(o.Total(), 1)) }
 
 // ShareServed returns the share of callers who were served, in time or late.
