--- a/internal/fleetmodel/doc.go
+++ b/internal/fleetmodel/doc.go
@@ -15,5 +15,6 @@
 // All nodes share one index of the caches.
 //
 // Not modeled: the network, the stores' links, model weights, failures of nodes, the registry (nodes
-// learn of crashes by failed requests), and callers that resume a broken stream.
+// learn of crashes by failed requests), callers that resume a broken stream, and what nodes observe of
+// the engines' pace.
 package fleetmodel
