--- a/internal/enginepace/sim_test.go
+++ b/internal/enginepace/sim_test.go
@@ -188,7 +188,7 @@
 func (s *sim) slowNow(id Engine) float64 {
 	factor := 1.0
 	for _, t := range s.trackers {
-		factor = max(factor, t.Factor(id, s.now))
+		factor = max(factor, FactorOf(t.Slow(s.now), id))
 	}
 	return factor
 }
--- a/internal/enginepace/tracker.go
+++ b/internal/enginepace/tracker.go
@@ -141,17 +141,6 @@
 	return len(t.engines) > 0
 }
 
-// Factor returns how many times slower than usual an engine is now; 1 if it is not known to be
-// slow.
-func (t *Tracker) Factor(id Engine, now time.Time) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.engines[id]; e != nil && e.slow(now) {
-		return e.factor
-	}
-	return 1
-}
-
 // Verdict is an engine that is slow now.
 type Verdict struct {
 	Engine Engine
@@ -159,6 +148,16 @@
 	Age    time.Duration // since the last sign
 }
 
+// FactorOf returns how many times slower than usual an engine is by a list of verdicts; 1 if it isn't.
+func FactorOf(list []Verdict, e Engine) float64 {
+	for i := range list {
+		if list[i].Engine == e {
+			return list[i].Factor
+		}
+	}
+	return 1
+}
+
 // Slow returns the engines that are slow now, in no particular order.
 func (t *Tracker) Slow(now time.Time) []Verdict {
 	t.mu.Lock()
--- a/internal/enginepace/tracker_test.go
+++ b/internal/enginepace/tracker_test.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// Factor returns the factor of an engine by the verdicts at the given time.
+func (sc *scene) Factor(id Engine, now time.Time) float64 { return FactorOf(sc.Slow(now), id) }
+
 func (sc *scene) tick() {
 	sc.Tick(sc.now, func(Engine) (int, int) { return 0, 0 }, 30*time.Millisecond)
 }
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -61,12 +61,7 @@
 func (n *Node) slowFactor() func(m *fleet.Member) float64 {
 	own, reported := n.pace.Slow(n.clock.Now()), n.peers.Table.Slow(n.clock.Now())
 	return func(m *fleet.Member) float64 {
-		factor := reported.Factor(m.ID, m.StartedMs)
-		for i := range own {
-			if own[i].Engine == (enginepace.Engine{ID: m.ID, StartedMs: m.StartedMs}) {
-				factor = max(factor, own[i].Factor)
-			}
-		}
+		factor := max(reported.Factor(m.ID, m.StartedMs), enginepace.FactorOf(own, enginepace.Engine{ID: m.ID, StartedMs: m.StartedMs}))
 		if factor <= 1 {
 			return 0
 		}
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -32,13 +32,7 @@
 // factor returns how many times slower than usual an engine is now, by the observation of this node
 // or others, whichever is greater.
 func (p *pace) factor(m *fleet.Member) float64 {
-	factor := p.reported.Factor(m.ID, m.StartedMs)
-	for i := range p.own {
-		if v := &p.own[i]; v.Engine.ID == m.ID && v.Engine.StartedMs == m.StartedMs {
-			factor = max(factor, v.Factor)
-		}
-	}
-	return factor
+	return max(p.reported.Factor(m.ID, m.StartedMs), enginepace.FactorOf(p.own, enginepace.Engine{ID: m.ID, StartedMs: m.StartedMs}))
 }
 
 // stallMs returns the cost, in ms, of the streams at an engine that would pause for longer than
