--- a/internal/forward/pauses_test.go
+++ b/internal/forward/pauses_test.go
@@ -149,7 +149,7 @@
 				for range 3 {
 					p.after(t, tc.gap, oneEvent)
 				}
-				test.Eq(t, tc.slow, pace.ForName("s").Factor(id, time.Now()) > 1)
+				test.Eq(t, tc.slow, enginepace.FactorOf(pace.ForName("s").Slow(time.Now()), id) > 1)
 				p.endPace()
 				time.Sleep(enginepace.VerdictLifetime + 2*enginepace.TickInterval)
 				test.False(t, pace.ForName("s").Active(), test.Sprint("the stream is no longer observed"))
