Placer: two of the corrections taken back

Change: an engine with nothing to preempt costs urgent prompts as much as one that preempts, as before, since they then queue there in numbers; and refusals for lack of a slot count as pressure again, which keeps memory for large prompts. The other corrections stay.

--- a/internal/placer/admit.go
+++ b/internal/placer/admit.go
@@ -142,9 +142,7 @@
 func (s *selection) decline(engines []*fleet.Member, reason string) forward.Placement {
 	wait, first := s.expectedWait(engines)
 	return forward.Placement{Reason: reason, PredictedWait: wait, SlotState: s.slotState(first), OnRefusal: func() time.Duration {
-		if reason != reasonNoSlot { // memory is not scarce then, and needs no larger reserve
-			s.service.demand.RecordDecision(true)
-		}
+		s.service.demand.RecordDecision(true)
 		s.service.demand.RecordArrival(routePriority(s.q), averageHeldTokens(s.q), s.Now())
 		capacity := len(engines) * s.promptsPerEngine()
 		spacing := duration(s.estimates.RunMs * float64(s.Nodes()) / float64(capacity))
--- a/internal/placer/cost.go
+++ b/internal/placer/cost.go
@@ -69,12 +69,13 @@
 	return s.fullSlotsMs(m, running)
 }
 
-// preemptionMs returns the cost, in ms, of an engine that preempts a run to admit the prompt at once:
-// the time until a slot is free for that run, and the time to read its prompt again, in which the runs
-// in all slots pause. Without the latter, most urgent prompts are sent to engines without a free slot
-// rather than to those that have one but little memory.
+// preemptionMs returns the cost, in ms, of an engine without a free slot for an urgent prompt. It preempts a
+// run for it: the cost is the time until a slot is free for that run, and the time to read its prompt
+// again, in which the runs in all slots pause. Without the latter, most urgent prompts are sent to
+// engines without a free slot rather than to those that have one but little memory. An engine with
+// nothing to preempt costs as much: the prompt queues there, and delays equally urgent ones.
 func (s *selection) preemptionMs(m *fleet.Member) float64 {
-	if !s.slotRule.overtakes || s.preemptable(m) == 0 {
+	if !s.slotRule.overtakes {
 		return 0
 	}
 	slots := s.slots(m)
