Gateway: which services a node reaches, in log and metrics

internal/reach collects the results of all attempts to connect to endpoints, of requests and of calls. After failures at two endpoints of a service without a success since it has up to four others probed, of several failure domains; if these fail, too, the service counts as unreachable from here until an attempt succeeds. Each change is a line (`event=path`), and `cherryward_gateway_unreachable_services` counts them. Nothing decides by it yet.

Connections to endpoints and stores are opened in one place (gateway.network), which tests replace.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/upstream"
 )
 
 // startRetention is how long the record of an endpoint's newest start is kept after its entry is gone, so
@@ -61,6 +63,10 @@
 
 // Fleet is the set of known endpoints. It is safe for concurrent use.
 type Fleet struct {
+	// Connect opens the connections to endpoints. Nil means the default of upstream.NewPool. It must be
+	// set before the first Update.
+	Connect upstream.DialFunc
+
 	log zerolog.Logger
 
 	mu      sync.Mutex
@@ -165,10 +171,10 @@
 // replace installs a member for the entry in place of previous, which may be nil. Requests in flight
 // at the previous member continue.
 func (f *Fleet) replace(previous *Member, e *Endpoint, now time.Time) {
-	m := newMember(e, now)
+	m := newMember(e, f.Connect, now)
 	if previous != nil {
 		if previous.StartedMs == e.StartedMs {
-			m = previous.moved(e, now)
+			m = previous.moved(e, f.Connect, now)
 		}
 		previous.Pool.CloseIdle()
 		f.clearAddr(previous)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -24,6 +24,17 @@
 	return nil
 }
 
+// ServiceAt returns the service of the endpoint at an address, as IP:PORT, or an empty string if there is
+// none.
+func (f *Fleet) ServiceAt(addr string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.byAddr[addr]; m != nil {
+		return m.Service
+	}
+	return ""
+}
+
 // All returns all endpoints that accept requests.
 func (f *Fleet) All() []*Member {
 	var all []*Member
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,9 @@
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/slowstart"
+	"github.com/cherryward/cherryward/internal/tcp"
 	"github.com/cherryward/cherryward/internal/throttle"
+	"github.com/cherryward/cherryward/internal/upstream"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
 )
@@ -62,6 +64,7 @@
 	boot          atomic.Pointer[bootstrap.Node]
 	state         *state
 	fleet         *fleet.Fleet
+	network       *network // connections to endpoints and stores
 	registry      *registry
 	callers       *server
 	readyServer   *server // readiness checks of the balancer, metrics
@@ -81,30 +84,46 @@
 	log           zerolog.Logger
 }
 
+// Host is the host that a node runs on.
+type Host struct {
+	// Clock must count time spent in suspension.
+	Clock *clock.Clock
+	// Connect opens connections to endpoints and KV-cache stores.
+	Connect upstream.DialFunc
+}
+
+// SystemHost returns the host that this process runs on.
+func SystemHost() Host {
+	dialer := tcp.Dialer(0)
+	return Host{Clock: clock.System(), Connect: dialer.DialContext}
+}
+
 // New opens the node's listeners and creates its services. load reads the boot file again, to
 // detect changes.
 func New(boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
-	return NewWithClock(clock.System(), boot, load, log)
+	return NewOn(SystemHost(), boot, load, log)
 }
 
-// NewWithClock is New for a host with the given clock, which must count time spent in suspension.
-func NewWithClock(host *clock.Clock, boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
+// NewOn is New for a node that runs on the given host.
+func NewOn(host Host, boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
 	limitMemory(boot.MemoryBytes)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.StopGracePeriod - stopMargin),
 		fleet:  fleet.New(log),
 		log:    log,
 
-		clock: host,
+		clock: host.Clock,
 
-		started: host.Now(),
+		started: host.Clock.Now(),
 	}
+	n.network = newNetwork(host, n.fleet, log)
+	n.fleet.Connect = n.network.Connect
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
-	n.state.clock = host
+	n.state.clock = host.Clock
 	n.state.regions, n.state.domain = boot.Regions, boot.Domain
 	n.registry = newRegistry(n.fleet, n.state.config.Load, n.bounds, n.state.rejected)
-	n.registry.clock = host
+	n.registry.clock = host.Clock
 	n.registry.scope.domain, n.registry.scope.followsAll = boot.Domain, n.followsAllEndpoints
 	n.state.onConfig = n.registry.reevaluate
 	n.state.evacuations.onEnd = n.registry.markDomainCold
@@ -121,7 +140,7 @@
 // buildComponents creates the components on which decisions about requests depend.
 func (n *Node) buildComponents(store *platform.Store) (err error) {
 	boot := n.boot.Load()
-	engines := platform.NewEngines()
+	engines := platform.NewEngines(n.network.Connect)
 	n.cacheTracker = &cacheTracker{node: n}
 	n.cacheTracker.index = kvindex.NewIndex(engines, n.cacheTracker.intervals, n.log)
 	n.cacheTracker.index.ReceivesRelays = n.readsThroughOthers
@@ -201,6 +220,7 @@
 		&task{name: "roster", run: followers.nodes.Run},
 		&task{name: "orders", run: n.orders.Run},
 		&task{name: "messages", run: n.conn.Run},
+		&task{name: "probes", run: n.network.probe},
 		&task{name: "peers", run: n.peers.Run},
 		&task{name: "pace", run: n.observePace},
 		&task{name: "announce", run: n.roster.announce},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	metricConfigAge        = "cherryward_gateway_config_age_seconds"
 	metricConfig           = "cherryward_gateway_config_version"
 	metricEndpoints        = "cherryward_gateway_endpoints"
+	metricUnreachable      = "cherryward_gateway_unreachable_services"
 	metricNodes            = "cherryward_gateway_nodes"
 	metricRejected         = "cherryward_gateway_rejected_records_total"
 	metricConnections      = "cherryward_gateway_connections_opened_total"
@@ -76,6 +77,7 @@
 		return 0
 	})
 	set.NewGauge(metricEndpoints, func() float64 { return float64(len(n.fleet.All())) })
+	set.NewGauge(metricUnreachable, func() float64 { return float64(len(n.network.paths.Unreachable())) })
 	set.NewGauge(metricNodes, func() float64 { return float64(n.nodes()) })
 	set.NewGauge(metricRejected, func() float64 { return float64(n.state.rejected.Load()) })
 	set.NewGauge(metricConnections, func() float64 {
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -28,6 +28,7 @@
 		roster:     newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
 		quarantine: &quarantine.Service{Table: quarantine.NewTable(time.Now)},
 		pace:       &enginepace.Services{},
+		network:    &network{},
 	}
 	n.boot.Store(testBoot(t))
 	r := newRecorder(n)
--- a/internal/gatewaydemo/gatewaydemo.go
+++ b/internal/gatewaydemo/gatewaydemo.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
-	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/gateway"
 	"github.com/cherryward/cherryward/platform"
 	"github.com/cherryward/cherryward/standin/site"
@@ -47,19 +46,19 @@
 	return <-m.done
 }
 
-// StartNode starts a node of the site with the system clock.
+// StartNode starts a node of the site on this host.
 func StartNode(s *site.Site, name string, log zerolog.Logger) (*Member, error) {
-	return StartNodeOn(clock.System(), s, name, log)
+	return StartNodeOn(gateway.SystemHost(), s, name, log)
 }
 
-// StartNodeOn starts a node of the site with the clock of the given host.
-func StartNodeOn(host *clock.Clock, s *site.Site, name string, log zerolog.Logger) (*Member, error) {
+// StartNodeOn starts a node of the site on the given host.
+func StartNodeOn(host gateway.Host, s *site.Site, name string, log zerolog.Logger) (*Member, error) {
 	load := func() (*bootstrap.Node, error) { return platform.ParseBoot([]byte(s.BootFile(name))) }
 	boot, err := load()
 	if err != nil {
 		return nil, err
 	}
-	n, err := gateway.NewWithClock(host, boot, load, log)
+	n, err := gateway.NewOn(host, boot, load, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gatewaydemo/suspended_test.go
+++ b/internal/gatewaydemo/suspended_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/clock/clocktest"
+	"github.com/cherryward/cherryward/internal/gateway"
 	"github.com/cherryward/cherryward/internal/gatewaydemo"
 	"github.com/cherryward/cherryward/standin/metastore"
 	"github.com/cherryward/cherryward/standin/site"
@@ -23,7 +24,9 @@
 	s, members := startSite(t, 0)
 	must.SliceEmpty(t, members)
 	host := clocktest.New()
-	m, err := gatewaydemo.StartNodeOn(host.Clock, s, "n", zerolog.Nop())
+	system := gateway.SystemHost()
+	system.Clock = host.Clock
+	m, err := gatewaydemo.StartNodeOn(system, s, "n", zerolog.Nop())
 	must.NoError(t, err)
 	defer func() { test.NoError(t, m.Stop()) }()
 	must.NoError(t, m.WaitReady(t.Context()))
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	p := NewPool(l.Addr().String())
+	p := NewPool(l.Addr().String(), nil)
 	t.Cleanup(func() {
 		p.CloseIdle()
 		_ = l.Close()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,10 +30,13 @@
 	defaultIdleTimeout = 30 * time.Second
 )
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Pool holds the connections to one endpoint. It is safe for concurrent use.
 type Pool struct {
-	addr   string
-	dialer net.Dialer
+	addr    string
+	connect DialFunc
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
@@ -42,9 +45,14 @@
 	dials atomic.Int64
 }
 
-// NewPool returns a pool of connections to addr, as IP:PORT. Connections are opened on demand.
-func NewPool(addr string) *Pool {
-	return &Pool{addr: addr, dialer: tcp.Dialer(dialTimeout)}
+// NewPool returns a pool of connections to addr, as IP:PORT. Connections are opened on demand by
+// connect, or by a tcp.Dialer if it is nil. An attempt takes dialTimeout at most.
+func NewPool(addr string, connect DialFunc) *Pool {
+	if connect == nil {
+		dialer := tcp.Dialer(dialTimeout)
+		connect = dialer.DialContext
+	}
+	return &Pool{addr: addr, connect: connect}
 }
 
 // Dials returns the number of connections opened so far.
@@ -96,7 +104,9 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Add(1)
-	nc, err := p.dialer.DialContext(ctx, "tcp", p.addr)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.connect(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, err
 	}
@@ -106,16 +116,21 @@
 	return c, nil
 }
 
-// RefusesConnections reports whether the endpoint's address refuses connections, as after the
-// endpoint has ended. It dials a connection, which is kept if dialing succeeds. An endpoint that
-// does not answer may still be running, so a timeout counts as false.
-func (p *Pool) RefusesConnections(ctx context.Context) bool {
+// Probe opens a connection, which is kept for later requests, and reports whether that succeeds.
+func (p *Pool) Probe(ctx context.Context) error {
 	c, err := p.dial(ctx)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	p.put(c, defaultIdleTimeout)
-	return false
+	return nil
+}
+
+// RefusesConnections reports whether the endpoint's address refuses connections, as after the
+// endpoint has ended. It dials a connection, which is kept if dialing succeeds. An endpoint that
+// does not answer may still be running, so a timeout counts as false.
+func (p *Pool) RefusesConnections(ctx context.Context) bool {
+	return errors.Is(p.Probe(ctx), syscall.ECONNREFUSED)
 }
 
 // put keeps a connection for reuse until timeout has passed, or closes it if the pool is closed or
@@ -149,7 +164,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
