Gateway: a node without a path to the endpoints passes requests to another node

A request for a service that this node doesn't reach is now passed to another node, as the caller sent it, over HTTP on the peers' port (TCP), with an envelope of what the first node knows: time left, the caller's age, the endpoints that may still get it, whether a retry budget counted it, the configuration's version. The other node treats it as a request of its own callers; its answer is the endpoint's, or an error that says whether the request ran. One hop at most: a node never passes on what it was passed. Only a node that couldn't be connected to, or that says that it has sent nothing, is followed by another; four are asked at most. An answer that is lost between the nodes counts as "may have run".

Who is asked: of eight live nodes by a hash, other for each node, the one of two random ones with fewer requests in flight; nodes of the same region first, those of a failure domain in which one lacked a path last. A node that refuses or can't be reached is left out for a second. If nobody is left, the request is refused at once (3013, path_lost).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/handoff"
+	"github.com/cherryward/cherryward/internal/reach"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/upstream"
@@ -51,8 +53,11 @@
 func (x *exchange) forward() *result.Error {
 	ctx, cancel := x.deadlineContext()
 	defer cancel()
+	if x.pathState() == reach.Unreachable {
+		return x.withoutPath(ctx, 0)
+	}
 	budget := x.Budgets.ForService(x.service.Name)
-	budget.RecordRequest(x.Clock.Now())
+	x.countIn(budget)
 	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Residency: x.residency(), Age: x.age}
 	mayHaveRunCount := 0
 	for {
@@ -85,6 +90,9 @@
 		if x.expired(ctx) || !x.mayRetry(v, mayHaveRunCount) || !x.sends.takeFromBudget(budget, x.Clock.Now()) {
 			return x.conclude(ctx, v, mayHaveRunCount)
 		}
+		if x.hasLostPath() {
+			return x.withoutPath(ctx, mayHaveRunCount)
+		}
 		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
 			Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.attrs.ResumeAfter).
 			Dur("after_ms", x.Clock.Since(x.arrived)).Send()
@@ -95,7 +103,7 @@
 // caller is gone, if a limit on sends is reached, or if a complete answer was delivered: the caller
 // would read a second answer as part of the first.
 func (x *exchange) mayRetry(v verdict, mayHaveRunCount int) bool {
-	if x.callerWriteFailed || x.sends.exhausted() || mayHaveRunCount >= x.route.MaxAttempts {
+	if x.callerWriteFailed || x.sends.exhausted() || mayHaveRunCount >= x.maxAttempts() {
 		return false
 	}
 	switch v {
@@ -294,6 +302,7 @@
 		header.Del("Accept-Encoding") // event boundaries can't be found in an encoded stream
 	}
 	x.Dialect.StripRequest(header)
+	handoff.Strip(header)
 	x.Dialect.SetAttempt(header, a)
 	return &upstream.Request{Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header, Body: x.body}
 }
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
@@ -139,9 +140,10 @@
 	return false
 }
 
-// retriesErrors reports whether the request may be sent again after an endpoint's own error.
+// retriesErrors reports whether the request may be sent again after an endpoint's own error. A helper
+// has sent it again already.
 func (x *exchange) retriesErrors() bool {
-	return x.retryable() && x.outcome.Attempts < min(x.route.MaxAttempts, maxSends)
+	return x.retryable() && x.helper == "" && x.outcome.Attempts < min(x.maxAttempts(), maxSends)
 }
 
 // promisesNotRun reports whether callers take a status as proof that the request did not run. An
@@ -162,6 +164,7 @@
 		header[name] = values
 	}
 	removeHopByHop(header)
+	handoff.Strip(header)
 	if x.r.Method != http.MethodHead { // for HEAD, Content-Length is the length that GET would return
 		setContentLength(header, resp.StatusCode, length)
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/enginepace"
+	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/result"
@@ -36,6 +37,14 @@
 	Fleet Fleet
 	// Pace observes the pace of engines in the events of streams. Nil means that it is not observed.
 	Pace *enginepace.Services
+	// Paths states which services this node reaches. Nil means all.
+	Paths Paths
+	// Helpers are the nodes to which requests of other services are passed. Nil means that there are
+	// none.
+	Helpers *handoff.Table
+	// ShuttingDown reports whether this node refuses requests of other nodes because it shuts down. Nil
+	// means that it doesn't.
+	ShuttingDown func() bool
 	// Clock times requests and what their answers state about endpoints. Nil means the monotonic
 	// clock.
 	Clock  *clock.Clock
@@ -61,6 +70,8 @@
 	attrs     Attributes
 	age       time.Duration // since the caller's first try, as estimated from its deadline
 	body      []byte
+	passed    *handoff.Envelope // set if another node passed the request to this one
+	counted   bool              // the request was counted in a retry budget
 
 	outcome           Outcome
 	sends             sendCounts
@@ -76,12 +87,18 @@
 	pauses            pauses
 	pace              *enginepace.Stream // of the latest attempt; nil if not observed
 	callerWriteFailed bool               // writing to the caller failed
+	helper            string             // the latest node that the request was passed to
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Handler: h, w: w, r: r, arrived: h.Clock.Now()}
 	x.attrs = h.Dialect.ReadRequest(r.Header)
+	x.serve()
+}
+
+// serve handles the request and answers it.
+func (x *exchange) serve() {
 	x.position = positionAt(x.attrs.ResumeAfter)
 	err := x.admit()
 	if err == nil {
@@ -98,6 +115,9 @@
 	if x.config == nil {
 		return result.New(result.NodeStale, result.WithRetryAfter(retryAfterOtherNode))
 	}
+	if err := x.admitPassed(); err != nil {
+		return err
+	}
 	if x.tooLarge() {
 		return result.New(result.HeaderTooLarge)
 	}
@@ -112,7 +132,7 @@
 			return err
 		}
 	}
-	x.age = x.AgeEstimator.Age(x.route.Name, x.attrs.Deadline, x.arrived)
+	x.estimateAge()
 	x.service = x.config.Service(x.route.Choose(rand.Float64()))
 	if x.service == nil {
 		return result.New(result.NoEndpoint, result.WithRetryAfter(retryAfterNoEndpoint))
@@ -214,6 +234,7 @@
 func (x *exchange) finish(err *result.Error) {
 	x.outcome.Total, x.outcome.LongestPause = x.Clock.Since(x.arrived), x.pauses.longest
 	x.outcome.Route = x.route
+	x.outcome.Passed, x.outcome.Helper = x.passed != nil, x.helper != ""
 	if x.account != nil {
 		x.outcome.Account = x.account.Name
 	}
@@ -228,6 +249,8 @@
 	case x.written, err.Code == result.CallerDisconnected:
 		// Aborting the connection is the only way to show that the answer is incomplete.
 		panic(http.ErrAbortHandler)
+	case x.passed != nil:
+		x.writeRefusal(x.w, x.attrs.ID, err)
 	default:
 		x.writeError(x.w, x.attrs.ID, err)
 	}
@@ -250,6 +273,12 @@
 	if policy := x.residency(); policy.Confined() {
 		event = event.Strs("regions", policy.Regions())
 	}
+	if x.passed != nil {
+		event = event.Str("passed_by", x.passed.From)
+	}
+	if x.helper != "" {
+		event = event.Str("helper", x.helper)
+	}
 	if x.age > 0 {
 		event = event.Int64("age_ms", x.age.Milliseconds())
 	}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -20,6 +20,8 @@
 	Code            result.Code // 0 if an endpoint's answer was delivered
 	Status          int
 	Attempts        int
+	Passed          bool          // another node passed the request to this one
+	Helper          bool          // this node passed the request to another one
 	TimeToFirstByte time.Duration // until the header of the answer was written; 0 without an answer
 	Total           time.Duration
 	// LongestPause is the longest time between two reads that brought events of a stream; 0 if it is
--- a/internal/forward/pauses.go
+++ b/internal/forward/pauses.go
@@ -24,8 +24,12 @@
 }
 
 // observesPauses reports whether the pauses of this request's stream are measured.
-func (x *exchange) observesPauses() bool {
-	return x.route.GapObjective > 0 || x.Pace != nil && x.service.ObservesPace()
+func (x *exchange) observesPauses() bool { return x.route.GapObjective > 0 || x.observesPace() }
+
+// observesPace reports whether the pace of the endpoint is observed. A helper observes that of the
+// endpoints it sends to.
+func (x *exchange) observesPace() bool {
+	return x.Pace != nil && x.helper == "" && x.service.ObservesPace()
 }
 
 // observeEvents records a read that brought the given number of complete events.
@@ -38,7 +42,7 @@
 	switch {
 	case x.pace != nil:
 		x.pace.Observe(count, now)
-	case x.Pace != nil && x.service.ObservesPace():
+	case x.observesPace():
 		m := x.placement.Member
 		x.pace = x.Pace.ForName(x.service.Name).Open(enginepace.Engine{ID: m.ID, StartedMs: m.StartedMs}, m.Load, now)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/kvindex"
@@ -68,6 +69,8 @@
 	registry      *registry
 	callers       *server
 	readyServer   *server // readiness checks of the balancer, metrics
+	helperServer  *server // requests that other nodes pass to this one
+	helpers       *handoff.Table
 	cacheTracker  *cacheTracker
 	cachePeers    *kvindex.Peers // exchanges the contents of KV-cache stores with other nodes
 	orders        *weights.Service
@@ -127,13 +130,14 @@
 	n.registry.scope.domain, n.registry.scope.followsAll = boot.Domain, n.followsAllEndpoints
 	n.state.onConfig = n.registry.reevaluate
 	n.state.evacuations.onEnd = n.registry.markDomainCold
-	store := platform.NewStore(boot.StoreAddr)
-	if err := n.buildComponents(store); err != nil {
+	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	if err := n.listen(); err != nil {
+	store := platform.NewStore(boot.StoreAddr)
+	if err := n.buildComponents(store); err != nil {
 		return nil, err
 	}
+	n.serveCallers()
 	return n, n.registerServices(store, load)
 }
 
@@ -169,9 +173,10 @@
 		Clock:      n.clock,
 		Log:        n.log,
 	})
-	own := nodeEntry{Addr: n.conn.Addr(), Domain: boot.Domain, MilliCores: boot.MilliCores}
+	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now}
+	own := nodeEntry{Addr: n.conn.Addr(), Helper: n.helperServer.addr(), Domain: boot.Domain, MilliCores: boot.MilliCores}
 	n.roster = newRoster(boot.Name, own, store.Topic(platform.TopicNodes), n.peers.SetPeers, n.peerAlive, n.log)
-	n.roster.clock = n.clock
+	n.roster.clock, n.roster.setHelpers, n.roster.regions = n.clock, n.helpers.SetNodes, boot.Regions
 	n.roster.rejected = n.state.rejected
 	n.quarantine = quarantine.New(quarantine.Config{
 		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(platform.TopicNodes), Now: n.clock.Now, Log: n.log,
@@ -198,23 +203,35 @@
 	return nil
 }
 
-// listen opens the listeners for callers and for the balancer.
+// listen opens the listeners for callers, for the requests of other nodes, and for the balancer.
 func (n *Node) listen() (err error) {
 	boot := n.boot.Load()
-	n.callers, err = listen("callers", boot.CallersAddr, closeWhenShuttingDown(&n.shuttingDown, n.handler()), &n.shuttingDown, n.log)
-	if err != nil {
+	if n.callers, err = listen("callers", boot.CallersAddr, &n.shuttingDown, n.log); err != nil {
+		return err
+	}
+	if n.helperServer, err = listen("helper", peerAddr(boot), &n.shuttingDown, n.log); err != nil {
 		return err
 	}
-	n.callers.shutdownDelay = callersShutdownDelay
-	n.callers.needs = []string{"ready", "config", "registry", "kept"}
-	n.readyServer, err = listen("ready", boot.ReadyAddr, http.HandlerFunc(n.serveReady), &n.shuttingDown, n.log)
+	n.readyServer, err = listen("ready", boot.ReadyAddr, &n.shuttingDown, n.log)
 	return err
 }
 
+// serveCallers sets what is served at the listeners.
+func (n *Node) serveCallers() {
+	handler := n.handler()
+	n.callers.http.Handler = closeWhenShuttingDown(&n.shuttingDown, handler)
+	n.helperServer.http.Handler = closeWhenShuttingDown(&n.shuttingDown, http.HandlerFunc(handler.ServePassed))
+	for _, s := range []*server{n.callers, n.helperServer} {
+		s.shutdownDelay = callersShutdownDelay
+		s.needs = []string{"ready", "config", "registry", "kept"}
+	}
+	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
+}
+
 // registerServices registers all services with the kernel.
 func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
 	followers := n.followers(store)
-	return n.register(n.readyServer, n.callers,
+	return n.register(n.readyServer, n.callers, n.helperServer,
 		&task{name: "config", run: followers.config.Run},
 		&task{name: "registry", run: followers.endpoints.Run},
 		&task{name: "roster", run: followers.nodes.Run},
@@ -259,6 +276,9 @@
 		Quarantine:   n.quarantine,
 		Fleet:        n.fleet,
 		Pace:         n.pace,
+		Paths:        &n.network.paths,
+		Helpers:      n.helpers,
+		ShuttingDown: n.shuttingDown.Load,
 		Clock:        n.clock,
 		Bounds:       n.bounds,
 		Recorder:     n.recorder,
@@ -301,13 +321,14 @@
 
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
-// peerAddr returns the address at which the node receives messages from its peers.
+// peerAddr returns the address at which the node receives messages from its peers, over UDP, and requests
+// that they pass to it, over TCP.
 func peerAddr(boot *bootstrap.Node) string {
 	return net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPorts[0]))
 }
 
 // CallersAddr returns the address that callers connect to.
-func (n *Node) CallersAddr() string { return n.callers.listener.Addr().String() }
+func (n *Node) CallersAddr() string { return n.callers.addr() }
 
 // Nodes returns the number of listed nodes, including this one.
 func (n *Node) Nodes() int { return n.roster.Nodes() }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,8 @@
 	metricConfig           = "cherryward_gateway_config_version"
 	metricEndpoints        = "cherryward_gateway_endpoints"
 	metricUnreachable      = "cherryward_gateway_unreachable_services"
+	metricPassed           = "cherryward_gateway_passed_requests_total"
+	metricReceived         = "cherryward_gateway_received_requests_total"
 	metricNodes            = "cherryward_gateway_nodes"
 	metricRejected         = "cherryward_gateway_rejected_records_total"
 	metricConnections      = "cherryward_gateway_connections_opened_total"
@@ -161,8 +163,17 @@
 	return backsOff
 }
 
-// Forwarded implements forward.Recorder.
+// Forwarded implements forward.Recorder. A request that was passed from one node to another is counted by
+// class at the first only.
 func (r *recorder) Forwarded(o *forward.Outcome) {
+	code := `{code="` + strconv.Itoa(int(o.Code)) + `"}`
+	if o.Passed {
+		r.set.GetOrCreateCounter(metricReceived + code).Inc()
+		return
+	}
+	if o.Helper {
+		r.set.GetOrCreateCounter(metricPassed + code).Inc()
+	}
 	labels := `{class="` + classOf(o.Route) + `"`
 	r.set.GetOrCreateCounter(metricRequests + labels + `,code="` + strconv.Itoa(int(o.Code)) + `"}`).Inc()
 	r.set.GetOrCreateCounter(metricAttempts + labels + `}`).Add(o.Attempts)
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -36,6 +36,8 @@
 	r.Refused(&routing.Route{}, "no_slot")
 	r.PlacedInOtherDomain(&routing.Route{}, true)
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{GapObjective: time.Second / 2}, TimeToFirstByte: time.Second, LongestPause: time.Second, Total: time.Second})
+	r.Forwarded(&forward.Outcome{Helper: true})
+	r.Forwarded(&forward.Outcome{Passed: true})
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, nil)
 	names := func(text string) []string {
--- a/internal/gateway/nodeentry.go
+++ b/internal/gateway/nodeentry.go
@@ -11,6 +11,8 @@
 type nodeEntry struct {
 	Addr   string `json:"addr"`   // receives messages from peers, IP:PORT
 	Domain string `json:"domain"` // failure domain
+	// Helper receives requests that peers pass to the node, IP:PORT; empty if it accepts none.
+	Helper string `json:"helper,omitempty"`
 	// MilliCores is the processor time available to the node, in thousandths of a core; 0 if
 	// unknown. The nodes with the most perform work for the others.
 	MilliCores int `json:"millicores,omitempty"`
@@ -35,5 +37,8 @@
 	if ip := addr.Addr().Unmap(); addr.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
 		return nodeEntry{}, eris.Errorf("decode node address: %s is not a unicast address with a port", addr)
 	}
+	if _, err := netip.ParseAddrPort(e.Helper); err != nil {
+		e.Helper = ""
+	}
 	return e, nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/weights"
 )
@@ -27,6 +28,12 @@
 	return n.peers.Table.ReceivedFrom(node, n.clock.Now(), peerTimeout)
 }
 
+// mayHelp reports whether requests may be passed to a node as far as its messages tell: in a small system
+// each node hears all others.
+func (n *Node) mayHelp(node string) bool {
+	return !intervals.FullMesh(n.roster.Nodes()) || n.peerAlive(node)
+}
+
 // domainPeers returns the other nodes of the failure domain. The nodes that read the metadata store
 // for others also represent the domain.
 func (n *Node) domainPeers() peerload.Neighbours {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -13,9 +13,11 @@
 	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
+	"github.com/cherryward/cherryward/internal/residency"
 )
 
 const (
@@ -55,7 +57,10 @@
 	own      nodeEntry
 	topic    entryWriter
 	setPeers func(peers []peerload.Peer)
-	log      zerolog.Logger
+	// setHelpers, if not nil, receives the nodes that accept requests of others.
+	setHelpers func(nodes []handoff.Node)
+	regions    residency.Map // the region of each failure domain
+	log        zerolog.Logger
 	// rejected records the entries that cannot be used.
 	rejected *rejected
 
@@ -124,11 +129,25 @@
 		peers = append(peers, peerload.Peer{Node: name, Addr: e.Addr, Domain: e.Domain})
 	}
 	r.setPeers(peers)
+	if r.setHelpers != nil {
+		r.setHelpers(r.listHelpers())
+	}
 	if r.changed != nil {
 		r.changed()
 	}
 }
 
+// listHelpers returns the nodes that accept requests of others. The caller must hold mu.
+func (r *roster) listHelpers() []handoff.Node {
+	var nodes []handoff.Node
+	for name, e := range r.entries {
+		if e.Helper != "" {
+			nodes = append(nodes, handoff.Node{Name: name, Addr: e.Helper, Domain: e.Domain, Local: r.regions.SameRegion(e.Domain, r.own.Domain)})
+		}
+	}
+	return nodes
+}
+
 func (r *roster) apply(record *follow.Record) {
 	switch {
 	case quarantine.IsRecord(record.Key):
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,9 +48,9 @@
 	_ kernel.Stopper = (*server)(nil)
 )
 
-// listen opens a listener at addr and returns a server for it. It fails if the address cannot be
-// bound.
-func listen(name, addr string, handler http.Handler, shuttingDown *atomic.Bool, log zerolog.Logger) (*server, error) {
+// listen opens a listener at addr and returns a server for it, whose handler is to be set. It fails if the
+// address cannot be bound.
+func listen(name, addr string, shuttingDown *atomic.Bool, log zerolog.Logger) (*server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s", name)
@@ -61,7 +61,6 @@
 		shuttingDown: shuttingDown,
 		log:          log,
 		http: &http.Server{
-			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -69,6 +68,9 @@
 	}, nil
 }
 
+// addr returns the address that the server listens at, IP:PORT.
+func (s *server) addr() string { return s.listener.Addr().String() }
+
 // Name implements kernel.Service.
 func (s *server) Name() string { return s.name }
 
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -58,6 +58,7 @@
 	CallerDisconnected Code = 3010
 	Quarantined        Code = 3011
 	NoEndpointInRegion Code = 3012
+	PathLost           Code = 3013
 )
 
 // Failures of endpoints and of their answers.
@@ -103,6 +104,8 @@
 const (
 	PeerKey    Code = 7001
 	PeerMethod Code = 7002
+	// PeerEnvelope is used for requests that one node passes to another.
+	PeerEnvelope Code = 7003
 )
 
 // Internal is an internal error of the daemon.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -85,6 +85,9 @@
 	{NoEndpointInRegion, "no_endpoint_in_region", http.StatusServiceUnavailable, NotRun, true,
 		"The request may be served in certain regions only, and no endpoint of its service is there.",
 		"Retry after the time given; operators compare the allowed regions with the endpoints'."},
+	{PathLost, "path_lost", http.StatusServiceUnavailable, NotRun, true,
+		"Neither this node nor another that it asked reaches an endpoint of the service.",
+		"Retry after the time given; operators look at the nodes' event=path lines."},
 
 	{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, true,
 		"The endpoint failed before any byte of the request could reach it.", "Retry."},
@@ -149,6 +152,9 @@
 		"A peer does not hold the shared key.", "Give every node the same peer key."},
 	{PeerMethod, "peer_method", http.StatusNotFound, NotRun, false,
 		"A peer called a method that this node does not know.", "Finish the upgrade of the nodes."},
+	{PeerEnvelope, "peer_envelope", http.StatusBadRequest, NotRun, false,
+		"A request of a peer says nothing valid of where it came from and how long it may take.",
+		"Send callers' requests to the callers' address, and finish the upgrade of the nodes."},
 
 	{Internal, "internal", http.StatusInternalServerError, MayHaveRun, false,
 		"The daemon met a fault of its own.", "Report the request id to the operators."},
