Gateway: failures without a path say nothing of the endpoints

A node whose service is unreachable asks three other nodes whether they can connect to some of its endpoints (notifications `node.probe`, `node.probed`; at most 16 attempts for others at a time, only to listed endpoints). If any of them can, its failures are forgotten, then and again when the path is back. An end of an endpoint that comes while the path is in doubt counts only if no other node can connect to it; a request that ends one endpoint after the other is still found.

Also: the listener for other nodes' requests is stopped after that for callers, not before.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -34,15 +34,51 @@
 // within coldAfterEnd is a new start; an entry seen after that was written by a new start and states its
 // cold period itself.
 func (m *Member) MarkEnded(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.cold.Load()
 	m.ended.Store(true)
 	m.MarkCold(now.Add(coldAfterEnd))
+	if m.endMark == nil {
+		m.endMark = &coldMark{before: before}
+	}
+	m.endMark.current = m.cold.Load()
 	m.Health.RecordEnd(now)
 }
 
+// coldMark is the cold period that MarkEnded set, with the one before.
+type coldMark struct{ before, current *time.Time }
+
+// forgetFailures discards this node's failed attempts at the endpoint, and that it seemed to have ended.
+func (m *Member) forgetFailures() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Health.reset()
+	m.ended.Store(false)
+	if mark := m.endMark; mark != nil {
+		m.cold.CompareAndSwap(mark.current, mark.before)
+		m.endMark = nil
+	}
+}
+
+// ForgetFailures discards this node's failed attempts at a service's endpoints, once it is known that
+// they failed for want of a path: nothing is known of the endpoints from them.
+func (f *Fleet) ForgetFailures(service string) {
+	for _, m := range f.Members(service) {
+		m.forgetFailures()
+	}
+}
+
 // RecordAnswer records an answer of the endpoint. If the endpoint had ended, and the cold period set by
 // MarkEnded is not over, it is a new start and is marked as cold for coldStart, the cold period of its
 // service's endpoints.
 func (m *Member) RecordAnswer(now time.Time, coldStart time.Duration) {
+	if !m.ended.Load() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endMark = nil // what was marked was an end
 	if m.ended.Swap(false) && m.Cold(now) {
 		m.MarkCold(now.Add(coldStart))
 	}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -77,6 +77,14 @@
 	h.eject(now, ejection)
 }
 
+// reset discards all observations.
+func (h *Health) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rate, h.consecutiveFailures = decay.Average{}, 0
+	h.ejectedUntil.Store(nil)
+}
+
 func (h *Health) eject(now time.Time, d time.Duration) {
 	until := now.Add(d)
 	if previous := h.ejectedUntil.Load(); previous == nil || until.After(*previous) {
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -37,6 +37,9 @@
 	mu             sync.Mutex
 	estimate       atomic.Pointer[weightsEstimate] // written under mu; nil while the entry applies
 	weightsChanged time.Time                       // when the entry's weights last changed; guarded by mu
+	// endMark is the cold period that was set when the endpoint was seen to have ended; nil if none was;
+	// guarded by mu.
+	endMark *coldMark
 }
 
 // newMember returns a member with an entry and no observations.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -24,15 +24,11 @@
 	return nil
 }
 
-// ServiceAt returns the service of the endpoint at an address, as IP:PORT, or an empty string if there is
-// none.
-func (f *Fleet) ServiceAt(addr string) string {
+// At returns the endpoint at an address, as IP:PORT, or nil if there is none.
+func (f *Fleet) At(addr string) *Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m := f.byAddr[addr]; m != nil {
-		return m.Service
-	}
-	return ""
+	return f.byAddr[addr]
 }
 
 // All returns all endpoints that accept requests.
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/reach"
 	"github.com/cherryward/cherryward/internal/result"
@@ -25,6 +26,9 @@
 // Paths states whether this node has a network path to the endpoints of services.
 type Paths interface {
 	State(service string) reach.State
+	// Ended reports whether an endpoint has ended, rather than that this node has lost the path to it.
+	// It may take some hundred ms.
+	Ended(m *fleet.Member) bool
 }
 
 // ServePassed serves a request that another node passed to this one, because it has no path to the
@@ -98,6 +102,14 @@
 	return x.Paths.State(x.service.Name)
 }
 
+// hasEnded reports whether an endpoint has ended.
+func (x *exchange) hasEnded(m *fleet.Member) bool {
+	if x.Paths == nil {
+		return m.Ended()
+	}
+	return x.Paths.Ended(m)
+}
+
 // hasLostPath reports, after a failed attempt, whether further ones would probably fail for want of a
 // path.
 func (x *exchange) hasLostPath() bool {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -41,7 +41,7 @@
 // nothing is reported to the quarantine.
 func (x *exchange) reportBrokenAnswer(p *Placement) {
 	f := x.fingerprint()
-	ended := p.Member.Ended()
+	ended := x.hasEnded(p.Member)
 	x.Log.Warn().Str("event", "run_lost").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).
 		Stringer("fingerprint", f).Bool("ended", ended).AnErr("cause", x.cause).Send()
 	if ended {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,17 +21,13 @@
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
-	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/peerload"
-	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/quarantine"
-	"github.com/cherryward/cherryward/internal/slowstart"
 	"github.com/cherryward/cherryward/internal/tcp"
-	"github.com/cherryward/cherryward/internal/throttle"
 	"github.com/cherryward/cherryward/internal/upstream"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
@@ -154,6 +152,7 @@
 		return err
 	}
 	n.conn.LimitResponses(intervals.AnswerRate(boot.LinkBytes))
+	n.network.askThrough(n.conn, func() []netip.AddrPort { return slices.Collect(maps.Values(n.roster.Peers())) })
 	n.cachePeers = &kvindex.Peers{Index: n.cacheTracker.index, Conn: n.conn, Readers: n.readers, Preference: n.readerPreference()}
 	n.cachePeers.Serve()
 	n.pace = n.newPace()
@@ -221,17 +220,16 @@
 	handler := n.handler()
 	n.callers.http.Handler = closeWhenShuttingDown(&n.shuttingDown, handler)
 	n.helperServer.http.Handler = closeWhenShuttingDown(&n.shuttingDown, http.HandlerFunc(handler.ServePassed))
-	for _, s := range []*server{n.callers, n.helperServer} {
-		s.shutdownDelay = callersShutdownDelay
-		s.needs = []string{"ready", "config", "registry", "kept"}
-	}
+	n.callers.shutdownDelay = callersShutdownDelay
+	n.callers.needs = []string{"ready", "config", "registry", "kept"}
 	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
 }
 
 // registerServices registers all services with the kernel.
 func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
 	followers := n.followers(store)
-	return n.register(n.readyServer, n.callers, n.helperServer,
+	// The last is stopped first: requests of other nodes that are in progress go on meanwhile.
+	return n.register(n.readyServer, n.helperServer, n.callers,
 		&task{name: "config", run: followers.config.Run},
 		&task{name: "registry", run: followers.endpoints.Run},
 		&task{name: "roster", run: followers.nodes.Run},
@@ -262,63 +260,6 @@
 	return nil
 }
 
-func (n *Node) handler() *forward.Handler {
-	boot := n.boot.Load()
-	budgets := forward.NewBudgets(boot.Bounds, n.nodes)
-	budgets.Counted = n.roster.HoldsLease
-	budgets.Clock = n.clock
-	return &forward.Handler{
-		Dialect:      platform.Dialect{},
-		ConfigSource: n.state,
-		Placer:       n.placer(),
-		Budgets:      budgets,
-		AgeEstimator: &forward.AgeEstimator{},
-		Quarantine:   n.quarantine,
-		Fleet:        n.fleet,
-		Pace:         n.pace,
-		Paths:        &n.network.paths,
-		Helpers:      n.helpers,
-		ShuttingDown: n.shuttingDown.Load,
-		Clock:        n.clock,
-		Bounds:       n.bounds,
-		Recorder:     n.recorder,
-		Log:          n.log,
-	}
-}
-
-func (n *Node) placer() *placer.Placer {
-	return &placer.Placer{
-		Domain:            n.boot.Load().Domain,
-		Fleet:             n.fleet,
-		Versions:          n.state,
-		KVIndex:           n.cacheTracker.index,
-		Regions:           n.boot.Load().Regions,
-		MayReference:      n.cacheTracker.mayReferenceSalt,
-		PeerLoads:         n.peers.Table,
-		RequestReport:     n.peers.RequestReport,
-		CommonDelay:       &kvindex.Lateness{},
-		FullMesh:          n.peers.FullMesh,
-		Closed:            n.orders.Closed,
-		VersionApplyLimit: func() time.Duration { return n.bounds().VersionApplyLimit },
-		Evacuated:         n.state.Evacuated,
-		Releases:          n.state.releases,
-		SlowStart:         &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
-		MaxColdPerSecond:  n.maxColdRate,
-		Throttle:          &throttle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
-		ReplacedGrace:     n.state.startupGrace,
-		Services:          &placer.Services{},
-		Nodes:             n.nodes,
-		ReportLag:         n.peers.ReportLag,
-		AnnouncePlacement: n.peers.AnnouncePlacement,
-		NoticesInUse:      n.peers.NoticesInUse,
-		RecordLoadAge:     n.recorder.recordLoadAge,
-		Pace:              n.pace,
-		Now:               n.clock.Now,
-		Random:            rand.Float64,
-		Recorder:          n.recorder,
-	}
-}
-
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
 // peerAddr returns the address at which the node receives messages from its peers, over UDP, and requests
