Weights: a node without a path to the engines leaves the claim to another

A node whose path to a service is lost counts the engines there as none of its own to update: it stops its orders, releases the claim once the lease after its last order is over, and doesn't claim again until the path is back.

TestHolderWithoutAPathToTheEnginesLeavesTheClaim: without the change all nine engines keep version 1 for 12 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
+	"github.com/cherryward/cherryward/internal/reach"
 	"github.com/cherryward/cherryward/internal/tcp"
 	"github.com/cherryward/cherryward/internal/upstream"
 	"github.com/cherryward/cherryward/internal/weights"
@@ -184,16 +185,17 @@
 	n.buildReleases(store)
 	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
-		Node:    boot.Name,
-		Fleet:   n.fleet,
-		Wanted:  n.state,
-		Engines: engines,
-		Claims:  store.Log(platform.TopicClaims),
-		Peers:   n,
-		Lease:   boot.Bounds.Lease + leaseMargin,
-		Changed: n.state.changed,
-		Clock:   n.clock,
-		Log:     n.log,
+		Node:     boot.Name,
+		Fleet:    n.fleet,
+		Wanted:   n.state,
+		Engines:  engines,
+		Claims:   store.Log(platform.TopicClaims),
+		Peers:    n,
+		Lease:    boot.Bounds.Lease + leaseMargin,
+		LostPath: func(service string) bool { return n.network.State(service) == reach.Unreachable },
+		Changed:  n.state.changed,
+		Clock:    n.clock,
+		Log:      n.log,
 	})
 	if err != nil {
 		return err
--- a/internal/weights/help_test.go
+++ b/internal/weights/help_test.go
@@ -180,6 +180,8 @@
 	reporter Engines
 	claims   claim.Log
 	clock    *clock.Clock // clock of all nodes
+	// partitioned holds the nodes that can't reach the engines.
+	partitioned sync.Map
 
 	mu       sync.Mutex
 	services map[string]*Service // running
@@ -231,8 +233,8 @@
 		claims = sim.claims
 	}
 	s, err := New(Config{
-		Node: name, Fleet: f, Wanted: sim.wanted, Engines: reporter, Claims: claims, Peers: nodePeers{sim, name},
-		Lease: lease, Changed: make(chan struct{}), Clock: sim.clock, Log: zerolog.Nop(),
+		Node: name, Fleet: f, Wanted: sim.wanted, Engines: linkedEngines{reporter, sim, name}, Claims: claims, Peers: nodePeers{sim, name},
+		Lease: lease, Changed: make(chan struct{}), Clock: sim.clock, Log: zerolog.Nop(), LostPath: func(string) bool { return sim.isPartitioned(name) },
 	})
 	must.NoError(t, err)
 	sim.mu.Lock()
--- /dev/null
+++ b/internal/weights/partition_test.go
@@ -0,0 +1,71 @@
+package weights
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/fleet"
+)
+
+// linkedEngines are the engines as seen from one node.
+type linkedEngines struct {
+	Engines
+	*simulation
+	node string
+}
+
+func (sim *simulation) isPartitioned(node string) bool {
+	_, partitioned := sim.partitioned.Load(node)
+	return partitioned
+}
+
+func (e linkedEngines) Report(ctx context.Context, at *fleet.Endpoint) (Report, error) {
+	if e.isPartitioned(e.node) {
+		<-ctx.Done()
+		return Report{}, ctx.Err()
+	}
+	return e.Engines.Report(ctx, at)
+}
+
+func (e linkedEngines) Order(ctx context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
+	if e.isPartitioned(e.node) {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return e.Engines.Order(ctx, at, o)
+}
+
+// TestHolderWithoutAPathToTheEnginesLeavesTheClaim checks that engines are updated although the node that
+// holds the claim is partitioned from them, while the log still hears it.
+func TestHolderWithoutAPathToTheEnginesLeavesTheClaim(t *testing.T) {
+	const versionLimit = 12 * time.Second // the shortest limit for new weights of any deployment
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(nineEngines()...)
+		stops := []func(){sim.startNode(t, "n1"), sim.startNode(t, "n2"), sim.startNode(t, "n3")}
+		time.Sleep(time.Second)
+		sim.requestVersion(2)
+		holder := ""
+		for holder == "" {
+			time.Sleep(10 * time.Millisecond)
+			for name, s := range sim.services {
+				if s.Leads() {
+					holder = name
+				}
+			}
+		}
+		sim.partitioned.Store(holder, true)
+		time.Sleep(versionLimit)
+		must.Eq(t, slices.Repeat([]int64{2}, len(sim.ids)), sim.versions())
+		sim.requestVersion(3)
+		time.Sleep(versionLimit)
+		must.Eq(t, slices.Repeat([]int64{3}, len(sim.ids)), sim.versions(), must.Sprint("the partitioned node doesn't claim again"))
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -52,7 +52,7 @@
 	Led() bool
 }
 
-// Config configures a Service. All fields except Clock must be set.
+// Config configures a Service. All fields except Clock and LostPath must be set.
 type Config struct {
 	Node    string // name of this node
 	Fleet   *fleet.Fleet
@@ -62,6 +62,9 @@
 	Peers   Peers
 	// Lease is the time after another holder's last order during which no order may be sent.
 	Lease time.Duration
+	// LostPath reports whether this node can't reach the endpoints of a service. Nil means that it reaches
+	// all. A node that can't reach the engines of a pending update leaves the claim to another.
+	LostPath func(service string) bool
 	// Changed is signaled when a version is requested.
 	Changed <-chan struct{}
 	// Clock provides the times of claims, orders and reports. If nil, the steady clock is used.
@@ -143,18 +146,30 @@
 // mayClaim reports whether this node should try to acquire the claim.
 func (s *Service) mayClaim() bool { return s.Peers.Standby() || !s.Peers.Led() }
 
-// pending reports whether any engine is outdated.
+// pending reports whether any engine that this node reaches is outdated.
 func (s *Service) pending() bool {
+	return s.anyOutdated(func(m *fleet.Member) bool { return !s.hasLostPathTo(m) })
+}
+
+// lostEngines reports whether any engine that this node can't reach is outdated.
+func (s *Service) lostEngines() bool { return s.anyOutdated(s.hasLostPathTo) }
+
+// anyOutdated reports whether any engine that matches is outdated.
+func (s *Service) anyOutdated(match func(*fleet.Member) bool) bool {
 	members := s.Fleet.All()
 	for _, model := range s.Wanted.Models() {
 		version, _ := s.Wanted.Wanted(model)
-		if slices.ContainsFunc(members, func(m *fleet.Member) bool { return isOutdated(m, model, version) }) {
+		if slices.ContainsFunc(members, func(m *fleet.Member) bool { return isOutdated(m, model, version) && match(m) }) {
 			return true
 		}
 	}
 	return false
 }
 
+func (s *Service) hasLostPathTo(m *fleet.Member) bool {
+	return s.LostPath != nil && s.LostPath(m.Service)
+}
+
 // holdClaim acquires the claim and sends orders until no engine is outdated or the claim is lost.
 func (s *Service) holdClaim(ctx context.Context) {
 	waiting, cancel := context.WithCancel(ctx)
@@ -180,7 +195,7 @@
 	s.closed.Store(nil)
 	stop()
 	s.inFlight.Wait()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || s.lostEngines() {
 		s.releaseClaim(held.Load())
 	}
 	s.Log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
@@ -218,7 +233,7 @@
 	return s.claimer.Renew(ctx, held, claimTTL)
 }
 
-// releaseClaim releases the claim of a node that stops, after orderTimeout plus the lease has passed since
+// releaseClaim releases the claim of a node that stops or can't reach the engines, after orderTimeout plus the lease has passed since
 // its last order.
 //
 // Without the release, a node that starts in the meantime would wait for the full claim and the lease, counted
