--- a/internal/handoff/table.go
+++ b/internal/handoff/table.go
@@ -16,7 +16,7 @@
 	// maxCandidates is the number of nodes between which a request's helper is chosen. Each node has
 	// others, by a hash of its own name, so that the nodes of a failure domain that is partitioned as a
 	// whole spread their requests, and each keeps connections to a few nodes only.
-	maxCandidates = 8
+	maxCandidates = 16
 	// avoidTime is the time for which a node that could not help is not asked again.
 	avoidTime = time.Second
 )
