Tcp: a peer may be silent for a second and go on

A sound endpoint may fall silent for a second or so. With TCP_USER_TIMEOUT at 1 s, which also decides when keep-alive probes give up, such a pause broke every open connection to it: streams ended midway, and uploads that had been sent were answered 502. The timeout is 2 s now; a connection that goes silent for good is found within 2 s, inside every stable window (3 s to 5 s).

Where a whole service is silent, requests on open connections wait longer for it; none is lost.

--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -3,7 +3,9 @@
 // A connection may stop delivering packets permanently without a reset, while new connections
 // to the same peer work. A connection fails if sent bytes stay unacknowledged for UserTimeout.
 // A connection without unacknowledged bytes, such as one that waits for a response, is probed
-// after a second of silence and fails a second later if the probe is not acknowledged. Data
+// after a second of silence and fails if nothing arrives within UserTimeout of the last packet: the
+// option also decides when probes are given up, whatever their count. A peer may be silent for a second
+// or so without having failed. Data
 // sent on a failed connection may have been delivered: callers must prevent duplicate
 // processing when they send it again.
 package tcp
@@ -17,13 +19,13 @@
 
 const (
 	// UserTimeout is how long sent bytes may stay unacknowledged before the connection
-	// fails. With a round trip of some ms to a peer it allows three retransmissions.
-	UserTimeout = time.Second
+	// fails, and how long a peer may be silent.
+	UserTimeout = 2 * time.Second
 	// probeIdle, probeInterval and probeCount configure the keep-alive probes. The
 	// operating system accepts whole seconds only.
 	probeIdle     = time.Second
 	probeInterval = time.Second
-	probeCount    = 1
+	probeCount    = 2
 	// optionUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which the standard
 	// library's syscall package doesn't define.
 	optionUserTimeout = 18
