Handoff: a node that hears no other may ask any

A node that gets SIGTERM while it is partitioned from the endpoints stops receiving messages at once and serves on for 2.5 s and its requests in progress.

Silence says something only of a node that hears others.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,10 +28,13 @@
 	return n.peers.Table.ReceivedFrom(node, n.clock.Now(), peerTimeout)
 }
 
-// mayHelp reports whether requests may be passed to a node as far as its messages tell: in a small system
-// each node hears all others.
+// mayHelp reports whether requests may be passed to a node as far as its messages tell. In a small system
+// each node hears all others; one that hears none, such as a node that shuts down, knows nothing of them.
 func (n *Node) mayHelp(node string) bool {
-	return !intervals.FullMesh(n.roster.Nodes()) || n.peerAlive(node)
+	if !intervals.FullMesh(n.roster.Nodes()) || n.peerAlive(node) {
+		return true
+	}
+	return !n.peers.Table.ReceivedFromAny(n.clock.Now(), peerTimeout)
 }
 
 // domainPeers returns the other nodes of the failure domain. The nodes that read the metadata store
