Platform: the era of the metadata store, in log and metrics

The records of MIXED and VERSION show nodes that missed what was written after the store came back, but no line tells which copy of the store's data a node has. The header Store-Era, in all answers of a store, says how often it came back from an older copy. It is decoded, each rise is a line (event=store_era), and cherryward_gateway_store_era shows it. Nothing else decides by it yet.

The stand-in of the store says it, and can go back to a copy of its data.

--- a/internal/ctl/domains.go
+++ b/internal/ctl/domains.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"github.com/cherryward/cherryward/internal/result"
@@ -46,7 +47,7 @@
 	if err != nil || addr.Port() == 0 {
 		return nil, usagef("--store or CHERRYCTL_STORE: %q: must be IP:PORT", cmd.String(flagStore))
 	}
-	return platform.NewStore(addr.String()), nil
+	return platform.NewStore(addr.String(), zerolog.Nop()), nil
 }
 
 // domainStatus is the state of a failure domain by the store's newest records.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,7 @@
 	clock         *clock.Clock
 	boot          atomic.Pointer[bootstrap.Node]
 	state         *state
+	storeEra      func() int64
 	fleet         *fleet.Fleet
 	network       *network // connections to endpoints and stores
 	registry      *registry
@@ -132,7 +133,8 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(boot.StoreAddr)
+	store := platform.NewStore(boot.StoreAddr, n.log)
+	n.storeEra = store.Era
 	if err := n.buildComponents(store); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	metricFirstByteSeconds = "cherryward_gateway_first_byte_seconds"
 	metricRequestSeconds   = "cherryward_gateway_request_seconds"
 	metricConfigAge        = "cherryward_gateway_config_age_seconds"
+	metricStoreEra         = "cherryward_gateway_store_era"
 	metricConfig           = "cherryward_gateway_config_version"
 	metricEndpoints        = "cherryward_gateway_endpoints"
 	metricUnreachable      = "cherryward_gateway_unreachable_services"
@@ -72,6 +73,7 @@
 		_, age := n.state.Config()
 		return age.Seconds()
 	})
+	set.NewGauge(metricStoreEra, func() float64 { return float64(n.storeEra()) })
 	set.NewGauge(metricConfig, func() float64 {
 		if config, _ := n.state.Config(); config != nil {
 			return float64(config.Version)
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -29,6 +29,7 @@
 		quarantine: &quarantine.Service{Table: quarantine.NewTable(time.Now)},
 		pace:       &enginepace.Services{},
 		network:    &network{},
+		storeEra:   func() int64 { return 0 },
 	}
 	n.boot.Store(testBoot(t))
 	r := newRecorder(n)
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -6,10 +6,12 @@
 package metastore
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,6 +27,9 @@
 	headerBytes  = 16
 )
 
+// restoresKey is the context key of the number of calls of Restore when a request arrived.
+type restoresKey struct{}
+
 // Faults are the faults that tests can inject.
 type Faults struct {
 	Down bool // calls are rejected with status 503
@@ -37,11 +42,14 @@
 
 // Store is the service. It is safe for concurrent use.
 type Store struct {
-	mu     sync.Mutex
-	topics map[string]*topic
-	faults Faults
-	calls  map[string]int
-	change chan struct{} // closed and replaced on each append
+	mu       sync.Mutex
+	topics   map[string]*topic
+	faults   Faults
+	calls    map[string]int
+	change   chan struct{}     // closed and replaced on each append
+	era      string            // value of the Store-Era header; empty for none
+	copied   map[string]*topic // copy made by Copy; nil if none
+	restores int               // calls of Restore
 }
 
 type topic struct {
@@ -117,17 +125,53 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
-		faults := s.faults
+		faults, era, restores := s.faults, s.era, s.restores
 		s.mu.Unlock()
+		if era != "" {
+			w.Header().Set("Store-Era", era)
+		}
 		time.Sleep(faults.Delay)
 		if faults.Down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), restoresKey{}, restores)))
 	})
 }
 
+// SetEra sets the value of the Store-Era header of all responses; empty for none.
+func (s *Store) SetEra(era string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy keeps a copy of all topics, to which Restore returns.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = cloneTopics(s.topics)
+}
+
+// Restore returns to the topics of the copy: what was written since is gone, and its offsets are given
+// out again. It sets the era and ends waiting reads.
+func (s *Store) Restore(era string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics, s.era = cloneTopics(s.copied), era
+	s.restores++
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clones := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		clones[name] = &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return clones
+}
+
 // Newest returns the newest value of a key, or nil.
 func (s *Store) Newest(name, key string) []byte {
 	s.mu.Lock()
@@ -229,8 +273,12 @@
 			records = slices.Clone(t.records[from-first:])
 		}
 		change := s.change
+		restored := r.Context().Value(restoresKey{}) != s.restores
 		s.mu.Unlock()
-		if from < first {
+		if restored {
+			panic(http.ErrAbortHandler) // the connections of a store that goes away are lost
+		}
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
 			writeJSON(w, map[string]int64{"first": first})
 			return
