Platform: a position in the store's log names its era and its offset

What callers saw: a prompt's KV cache was read from a store while it was freed (MIXED), and requests began on weights that had been replaced 15 s before (VERSION), some 20 s after the metadata store had been away for 2 s.

Cause: the store came back from an older copy and gave out offsets again. Nodes took an offset for the name of a record. The few nodes that read the store were told so (410) and read everything again. All others ask these what follows their own, higher offset, were answered that nothing does, and counted their copies as current: 79 of 85 nodes took weights 2 for the wanted ones for 18 s after weights 3. They placed prompts on them past the bound, and referenced parts that the nodes which knew better freed in time. Standbys for the claim on orders asked for an offset that the store didn't have, so that the new weights were ordered 8 s late. Class: a cursor without the generation of what it points into.

Mend: the adapter joins the era that the store states (Store-Era) and the offset to a position, which is higher in each later era. Copies, answers to other nodes, claims and fencing tokens hold positions, so what held for offsets holds again: they only rise, and a copy of a later era has no changes since an earlier one. A copy of a new era is read whole, and not confirmed for 500 ms, until operators have written again. What nodes wrote is not written again by anyone: entries of nodes that are missing stay listed, and are announced again, until the others could not count on them; evacuations that are missing stay in force; missing registry entries are held. The log of claims is read when the era rises, so that the wait for claims that may be lost begins then. The id of a release order stays its offset.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,6 +1,9 @@
 // Package follow maintains a local copy of a compacted topic: it reads the newest record of each
 // key once, then the changes, and determines how current the copy is.
 //
+// A store that comes back from an older copy of its data raises its era. The newest record of each key is
+// then read again, as after a compaction.
+//
 // Guarantees: every retained record that can be decoded reaches the sink at least once, in the
 // order of the offsets. Records that are compacted before they are read don't reach it. ConfirmedAt
 // is a time at which the copy was certainly current, except that it is never before the start of
@@ -66,12 +69,15 @@
 	Records []Record
 	// Snapshot is true if Records holds all existing keys.
 	Snapshot bool
+	// Restored is true for the first snapshot since the store came back from an older copy. It lacks what
+	// was written last before: what operators and servers wrote is written again, what nodes wrote is not.
+	Restored bool
 	// ConfirmedAt is a time at which the copy was certainly current.
 	ConfirmedAt time.Time
 	// Next is the offset after the newest record in the copy.
 	Next int64
-	// Gap is the time from the previous ConfirmedAt, or from the start, to ConfirmedAt. The topic
-	// may have been unreachable during it.
+	// Gap is the time from the previous ConfirmedAt, or from the start, to the read. The topic may have
+	// been unreachable during it.
 	Gap time.Duration
 	// Failed is true if a read failed since the previous batch. If it is false, a long Gap is a
 	// delay of this process.
@@ -107,6 +113,8 @@
 	confirmedAt time.Time // zero before the first page
 	failing     bool
 	backoff     time.Duration // pause after the latest failed read
+	era         int64         // of the copy
+	restoredAt  time.Time     // when the first snapshot of the era was read; zero for the first era
 	// rejectedUpTo is the offset after the newest record passed to Reject.
 	rejectedUpTo int64
 }
@@ -120,6 +128,13 @@
 	return setting()
 }
 
+// restoreHold is the time after a store came back from an older copy during which a copy is not confirmed:
+// what operators wrote last is only then written again.
+const restoreHold = 500 * time.Millisecond
+
+// errEarlierEra is returned for a page of an earlier era of the store than the copy.
+var errEarlierEra = errors.New("follow: page is of an earlier era of the store")
+
 // unknownOffset is the offset of a follower that has not read a snapshot.
 const unknownOffset = -1
 
@@ -159,9 +174,16 @@
 	if err != nil {
 		return err
 	}
+	restored, err := f.enterEra(EraOf(page.Next))
+	if err != nil {
+		return err
+	}
 	f.nextOffset = max(f.nextOffset, page.Next)
-	batch := Batch{Records: page.Records, Snapshot: snapshot, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset}
+	batch := Batch{Records: page.Records, Snapshot: snapshot, Restored: restored, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset}
 	batch.Gap = max(batch.ConfirmedAt.Sub(later(f.confirmedAt, f.startedAt)), 0)
+	if !f.restoredAt.IsZero() && batch.ConfirmedAt.Sub(f.restoredAt) < restoreHold {
+		batch.ConfirmedAt = f.confirmedAt
+	}
 	batch.Failed = f.failing
 	f.recordSuccess(&batch)
 	f.reportRejected(page.Rejected)
@@ -169,6 +191,22 @@
 	return nil
 }
 
+// enterEra records the era of a page, and reports whether the store has come back from an older copy since
+// the page before. It fails for a page of an earlier era, which another node may still have.
+func (f *Follower) enterEra(era int64) (restored bool, err error) {
+	switch {
+	case era < f.era:
+		f.nextOffset = unknownOffset
+		return false, errEarlierEra
+	case era == f.era || f.confirmedAt.IsZero():
+		f.era = era
+		return false, nil
+	}
+	f.Log.Warn().Str("event", "copy_restored").Str("topic", f.Name).Int64("era", era).Int64("before", f.era).Send()
+	f.era, f.restoredAt = era, f.Clock.Now()
+	return true, nil
+}
+
 // reportRejected passes the records to Reject that were not passed before. Records that are still
 // retained are read again with each snapshot.
 func (f *Follower) reportRejected(list []Rejected) {
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -20,11 +20,11 @@
 )
 
 // ownEntryOutdated reports whether the topic was read and does not hold this node's entry as this
-// node would write it, for example because it is marked as gone.
+// node would write it, for example because it is marked as gone, or because the store has lost it.
 func (r *roster) ownEntryOutdated() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loaded && r.entries[r.node] != r.own
+	return r.loaded && (r.entries[r.node] != r.own || r.lost.has(r.node))
 }
 
 // announce writes this node's entry whenever it is missing or outdated, until ctx is done. Writing
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -38,7 +38,8 @@
 }
 
 // apply applies the evacuation orders of a batch and returns what changed. An order that is missing
-// in a snapshot has been withdrawn, even if the record of the withdrawal was never read. An order
+// in a snapshot has been withdrawn, even if the record of the withdrawal was never read, unless the store
+// has lost it: then it is written again. An order
 // that is withdrawn and issued again within one batch remains in effect, but its end is still
 // reported, since its endpoints may have become cold.
 func (e *evacuations) apply(b *follow.Batch) []evacuationChange {
@@ -67,7 +68,7 @@
 		}
 		changes = append(changes, evacuationChange{domain: domain, evacuated: evacuated, offset: r.Offset})
 	}
-	if b.Snapshot {
+	if b.Snapshot && !b.Restored {
 		for domain := range next {
 			if !present[domain] {
 				delete(next, domain)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 	n.registry.clock = host.Clock
 	n.registry.scope.domain, n.registry.scope.followsAll = boot.Domain, n.followsAllEndpoints
 	n.state.onConfig = n.registry.reevaluate
+	n.state.onRestored = func() { go n.orders.ReadClaims() }
 	n.state.evacuations.onEnd = n.registry.markDomainCold
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -77,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if b.Failed && b.Gap > minExpiryOutage {
+	if b.Restored || b.Failed && b.Gap > minExpiryOutage {
 		r.beginExpiryHold(now)
 	}
 	r.fleet.UpdateBatch(func() {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -80,6 +80,7 @@
 	mu          sync.Mutex
 	lease       lease
 	entries     map[string]nodeEntry // by node
+	lost        lostEntries
 	writtenAt   map[string]time.Time // when the newest record of each node was read
 	end         int64                // offset up to which the topic was read
 	domainNodes []rosterNode         // nodes of this failure domain, as returned by listDomainNodes
@@ -111,12 +112,17 @@
 func (r *roster) Apply(b follow.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if b.Restored {
+		r.lost.begin(r.entries, r.clock.Now().Add(r.lease.grace))
+	}
 	if b.Snapshot {
 		clear(r.entries)
 	}
 	for i := range b.Records {
+		r.lost.remove(b.Records[i].Key)
 		r.apply(&b.Records[i])
 	}
+	r.lost.addTo(r.entries, r.clock.Now())
 	r.recordWrites(&b)
 	if _, listed := r.entries[r.node]; !r.loaded {
 		r.knownBefore = listed
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -34,7 +34,9 @@
 	rejected *rejected
 	config   atomic.Pointer[routing.Config]
 	// onConfig, if not nil, is called after a new configuration takes effect.
-	onConfig    func()
+	onConfig func()
+	// onRestored, if not nil, is called after the store came back from an older copy of its data.
+	onRestored  func()
 	evacuations evacuations
 	residencies residency.Tracker
 	releases    *canary.Gate
@@ -112,7 +114,7 @@
 	obs := observation{at: s.clock.Now(), notBefore: s.assumedAnnounceTime()}
 	if before := s.confirmedAt.Load(); before != nil {
 		obs.notBefore = *before
-		obs.readPromptly = b.ConfirmedAt.Sub(*before) < maxFreshConfigAge
+		obs.readPromptly = max(b.Gap, b.ConfirmedAt.Sub(*before)) < maxFreshConfigAge
 	}
 	for _, change := range s.evacuations.apply(&b) {
 		s.log.Info().Str("event", "evacuation").Str("domain", change.domain).Bool("in_force", change.evacuated).Int64("offset", change.offset).Send()
@@ -121,6 +123,9 @@
 		s.applyRecord(&b.Records[i], &obs)
 	}
 	s.confirmedAt.Store(&b.ConfirmedAt)
+	if b.Restored && s.onRestored != nil {
+		s.onRestored()
+	}
 }
 
 func (s *state) applyRecord(r *follow.Record, obs *observation) {
@@ -188,7 +193,7 @@
 		s.rejected.record(r, err)
 		return
 	}
-	order.ID, order.ReadAt = r.Offset, obs.at
+	order.ID, order.ReadAt = follow.OffsetOf(r.Offset), obs.at
 	s.releases.SetOrder(order)
 	s.log.Info().Str("event", "release_ordered").Str("service", service).Str("release", order.Release).
 		Int64("order", order.ID).Int64("within_ms", order.Within.Milliseconds()).Send()
--- a/internal/relay/copy_test.go
+++ b/internal/relay/copy_test.go
@@ -25,3 +25,16 @@
 	test.Eq(t, relayedRecords(record("c", "wxx", 10)), p.records)
 	test.Eq(t, long, batch.Records[0])
 }
+
+// TestCopyOfALaterEraHasNoChangesSinceAnEarlierOne guards against nodes that count their copy as current
+// because nothing follows the higher offset that they have read before the store came back older.
+func TestCopyOfALaterEraHasNoChangesSinceAnEarlierOne(t *testing.T) {
+	c := filledCopy(time.Now())
+	c.Apply(follow.Batch{Snapshot: true, Restored: true, Records: []follow.Record{record("a", "x2", follow.Position(2, 4))}, Next: follow.Position(2, 5), ConfirmedAt: time.Now()})
+	for _, from := range []int64{10, follow.Position(1, 23), follow.Position(2, 4)} {
+		_, err := c.Since(from, maxRecordBytes)
+		test.ErrorIs(t, err, ErrUnknown, test.Sprint(from))
+	}
+	_, err := c.Since(follow.Position(2, 5), maxRecordBytes)
+	test.NoError(t, err)
+}
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -248,6 +248,19 @@
 	}
 }
 
+// ReadClaims reads the log of claims after the store came back from an older copy of it. The time for which
+// contenders wait for claims that may have been lost begins with this read.
+func (s *Service) ReadClaims() {
+	if !s.Peers.Standby() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTTL)
+	defer cancel()
+	if _, err := s.claimer.Holdings(ctx); err != nil {
+		s.Log.Warn().Str("event", "claims_unread").AnErr("error", err).Send()
+	}
+}
+
 // Leads reports whether this node holds the claim.
 func (s *Service) Leads() bool { return s.holding.Load() }
 
