Brittle: nothing waits at endpoints that fail when they refuse too much

Nothing read the header.

Half of its slots is divided by rendezvous hashing among as many nodes as it bears refusals, the other half is open as far as the others' requests are known. A node that was refused pauses for a second. What finds no slot waits at the node for an eighth of its objective, or is refused at once (why=brittle).

By construction this holds for requests that nodes know of; the open half may be overfilled by what they have not told one another yet.

Soak: endpoints say that they are brittle, also badly, and the store comes back from older copies.

--- a/internal/forward/endpoint_signals.go
+++ b/internal/forward/endpoint_signals.go
@@ -19,6 +19,7 @@
 		x.Log.Warn().Str("event", "answer_unreadable").Str("endpoint", m.ID).Str("id", x.attrs.ID).Str("headers", headers).Send()
 	}
 	x.recordLimit(status, info, m, sent)
+	x.recordBrittle(status, info, m, sent)
 	if info.Draining && x.Fleet.MarkDraining(m, x.Clock.Now()) {
 		x.Log.Info().Str("event", "endpoint_draining").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
@@ -33,6 +34,21 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
+// recordBrittle records that the endpoint states that it is brittle, that it refused this request for want of
+// room, or that it is no longer brittle, which only a signed success shows.
+func (x *exchange) recordBrittle(status int, info *AnswerInfo, m *fleet.Member, sent time.Time) {
+	now := x.Clock.Now()
+	switch {
+	case info.Brittle && m.Signals.SetBrittle(info.MaxRefusals, now):
+		x.Log.Info().Str("event", "endpoint_brittle").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Send()
+	case !info.Brittle && !info.BrittleUnreadable && status < http.StatusMultipleChoices && info.Signed && m.Signals.ClearBrittle(sent, now):
+		x.Log.Info().Str("event", "endpoint_not_brittle").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
+	}
+	if info.NotRun && isRefusal(status) {
+		m.Signals.RecordRefusal(now)
+	}
+}
+
 // recordLimit records the rate limit that the endpoint states, or that it no longer states one.
 // Only a signed success shows the latter: errors and refusals may come from a component that does
 // not know the limit. An unreadable limit leaves the recorded one unchanged.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -79,6 +79,12 @@
 	Limit    float64
 	// LimitUnreadable is true if the endpoint states a rate limit that could not be decoded.
 	LimitUnreadable bool
+	// Brittle is true if the endpoint states that it fails if it refuses more than MaxRefusals requests in a
+	// second for want of room.
+	Brittle     bool
+	MaxRefusals int
+	// BrittleUnreadable is true if it states so in a form that could not be decoded.
+	BrittleUnreadable bool
 	// Draining is true if the endpoint states that it is draining.
 	Draining bool
 	// RetryAfter is the time for which an endpoint that refuses the request is to receive no requests
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/placer"
@@ -57,6 +58,7 @@
 		SlowStart:         &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
 		MaxColdPerSecond:  n.maxColdRate,
 		Throttle:          &throttle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
+		Brittle:           &brittle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
 		ReplacedGrace:     n.state.startupGrace,
 		Services:          &placer.Services{},
 		Nodes:             n.nodes,
--- a/internal/placer/gate.go
+++ b/internal/placer/gate.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/slowstart"
 	"github.com/cherryward/cherryward/internal/throttle"
 )
@@ -15,11 +17,12 @@
 const (
 	reasonCold       = "cold"        // the endpoint available first has just started
 	reasonLimited    = "limited"     // the endpoint available first has a rate limit, and this node's share is used up
+	reasonBrittle    = "brittle"     // the endpoint available first must refuse few requests, and its slots are filled
 	reasonBackingOff = "backing_off" // the endpoint available first has requested a backoff
 )
 
 // backoffSpacing is the time between the retries of successive callers that are refused because all
-// endpoints back off. Without it, all callers refused within several seconds would retry at the
+// endpoints back off, or are filled and must refuse few requests. Without it, all callers refused within several seconds would retry at the
 // same time.
 const backoffSpacing = 10 * time.Millisecond
 
@@ -30,10 +33,12 @@
 	q                *forward.Query
 	now              time.Time
 	maxColdPerSecond int // requests per second that a cold endpoint may get; 0 for no limit
+	peerLoads        func(m *fleet.Member) peerload.Sum
 }
 
 func (p *Placer) gate(q *forward.Query) *gate {
 	g := &gate{Placer: p, q: q, now: p.Now()}
+	g.peerLoads = func(m *fleet.Member) peerload.Sum { return p.PeerLoads.Loads(g.now).At(m.ID, m.StartedMs) }
 	if p.SlowStart != nil && p.MaxColdPerSecond != nil {
 		g.maxColdPerSecond = p.MaxColdPerSecond(q.Service)
 	}
@@ -72,9 +77,27 @@
 			return reasonLimited, wait
 		}
 	}
+	if e := g.brittleEndpoint(m); e != nil {
+		if wait = g.Brittle.Wait(e, g.now); wait > 0 {
+			return reasonBrittle, wait
+		}
+	}
 	return "", 0
 }
 
+// brittleEndpoint returns an endpoint that must refuse few requests in the form of its limiter, or nil if it is
+// none.
+func (g *gate) brittleEndpoint(m *fleet.Member) *brittle.Endpoint {
+	state, known := m.Signals.Brittle()
+	if !known || g.Brittle == nil {
+		return nil
+	}
+	return &brittle.Endpoint{
+		ID: m.ID, Domain: m.Endpoint().Domain, Slots: m.Endpoint().Slots, Refusals: state.MaxRefusals,
+		Own: m.Load.Running(), Others: g.peerLoads(m).Running, RefusedAt: m.Signals.RefusedAt(),
+	}
+}
+
 // unblocked returns the endpoints to which a request may be sent now.
 func (g *gate) unblocked(members []*fleet.Member) []*fleet.Member {
 	return without(members, func(m *fleet.Member) bool {
@@ -119,7 +142,7 @@
 	switch reason {
 	case reasonLimited:
 		return g.declineLimited(members, shortest)
-	case reasonBackingOff:
+	case reasonBackingOff, reasonBrittle:
 		return forward.Placement{Reason: reason, PredictedWait: shortest, OnRefusal: func() time.Duration { return g.retryAfter(shortest, backoffSpacing) }}
 	}
 	return forward.Placement{Reason: reason, PredictedWait: shortest, OnRefusal: func() time.Duration { return shortest }}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
@@ -71,6 +72,9 @@
 	// Throttle shares out the requests to rate-limited endpoints between nodes. Nil means that rate
 	// limits are ignored.
 	Throttle *throttle.Limiter
+	// Brittle limits the requests to endpoints that fail if they refuse too many. Nil means that this is
+	// ignored.
+	Brittle *brittle.Limiter
 	// ReplacedGrace returns when this process started, and the time until which runs are still
 	// allowed on weights that were replaced before the start. Nil means that no such runs are
 	// allowed.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -46,9 +47,9 @@
 		(*world).faultServer, (*world).faultServer, (*world).faultAllServers,
 		(*world).restartServer, (*world).restartServer, (*world).delayOrders, (*world).removeServer,
 		(*world).replaceKey, (*world).setVersions, (*world).putForeignEntries, (*world).evacuate,
-		(*world).signalLimit, (*world).signalLimit, (*world).sendInvalidSignals, (*world).signalDraining, (*world).signalDraining,
+		(*world).signalLimit, (*world).signalLimit, (*world).signalBrittle, (*world).sendInvalidSignals, (*world).signalDraining, (*world).signalDraining,
 	}
-	storeFaults = []faultFunc{(*world).faultStoreLink, (*world).faultStore, (*world).compactStore}
+	storeFaults = []faultFunc{(*world).faultStoreLink, (*world).faultStore, (*world).compactStore, (*world).restoreStore}
 )
 
 // pause sleeps, as scheduled by the seed, but returns early when fault injection ends.
@@ -140,6 +141,28 @@
 }
 
 // injectServerFault injects a fault into a server for a time.
+// restoreStore makes the metadata store lose what was written for a time, and come back in its next era. What
+// operators and servers wrote is written again.
+func (w *world) restoreStore(_ int, lasts time.Duration) {
+	w.site.Store.Copy()
+	w.pause(lasts)
+	defer w.storeDisturbances.open()()
+	link := w.proxies[storeProxy]
+	link.set(reset)
+	w.pause(afterOutage)
+	w.mu.Lock()
+	w.era++
+	w.site.Restore(strconv.Itoa(w.era))
+	w.version++
+	w.site.Configure(w.version, w.keys...)
+	if n := len(w.versions); n > 0 {
+		w.site.SetTargetVersion(w.versions[n-1].version)
+	}
+	w.site.Evacuate(site.SecondZone, w.evacuatedNow)
+	w.mu.Unlock()
+	link.set(none)
+}
+
 func (w *world) injectServerFault(s *modelserver.Server, lasts time.Duration, apply func(*modelserver.Faults)) {
 	own := &serverFault{apply}
 	w.mu.Lock()
@@ -221,18 +244,26 @@
 		return
 	}
 	defer w.evacuating.Unlock()
-	w.site.Evacuate(site.SecondZone, true)
+	w.setEvacuated(true)
 	end := w.evacuated.open()
 	w.pause(evacuateBound + lasts)
 	end()
-	w.site.Evacuate(site.SecondZone, false)
+	w.setEvacuated(false)
 	if target%2 == 0 {
-		w.site.Evacuate(site.SecondZone, true)
+		w.setEvacuated(true)
 		w.pause(lasts)
-		w.site.Evacuate(site.SecondZone, false)
+		w.setEvacuated(false)
 	}
 }
 
+// setEvacuated orders the evacuation, or its end. The order is written again if the store loses it.
+func (w *world) setEvacuated(evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuatedNow = evacuated
+	w.site.Evacuate(site.SecondZone, evacuated)
+}
+
 // removeAfterOutage removes a server shortly after an outage of the metadata store, when nodes can't
 // distinguish yet between removed entries and entries that were not renewed during the outage.
 func (w *world) removeAfterOutage(target int, lasts time.Duration) {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -48,10 +48,20 @@
 func (w *world) sendInvalidSignals(target int, lasts time.Duration) {
 	bad := func(i int) string { return invalidSignals[(target+i)%len(invalidSignals)] }
 	w.injectServersFault(w.servers(), lasts, func(f *modelserver.Faults) {
-		f.Limit, f.Draining, f.RejectRequests, f.RetryAfter = bad(0), bad(1), target%2 == 0, bad(2)
+		f.Limit, f.Draining, f.RejectRequests, f.RetryAfter, f.Brittle = bad(0), bad(1), target%2 == 0, bad(2), bad(3)
 	})
 }
 
+// signalBrittle makes one or all model servers report that they bear few refusals, some of them while they
+// refuse requests.
+func (w *world) signalBrittle(target int, lasts time.Duration) {
+	servers := w.site.Models
+	if target%4 != 0 {
+		servers = servers[target%len(servers):][:1]
+	}
+	w.injectServersFault(servers, 2*lasts, func(f *modelserver.Faults) { f.Brittle, f.RejectRequests = strconv.Itoa(target%3), target%5 == 0 })
+}
+
 // signalDraining makes a model server report in its responses that it is draining, while its registry
 // entry says ready, for longer than the drain bound, and then restarts it.
 func (w *world) signalDraining(target int, lasts time.Duration) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -47,14 +47,16 @@
 	log         *os.File
 	faultsEnded chan struct{} // closed when fault injection ends
 
-	mu       sync.Mutex
-	version  int64                // of the configuration
-	keys     []string             // in force
-	revoked  map[string]time.Time // when the removal of a key was acknowledged
-	versions []targetVersion      // target versions of the weights, oldest first
-	faults   map[*modelserver.Server][]*serverFault
-	crashes  []time.Time // crashes of model servers by the crashing request
-	restarts sync.WaitGroup
+	mu           sync.Mutex
+	era          int                  // of the metadata store
+	evacuatedNow bool                 // the operator's latest order
+	version      int64                // of the configuration
+	keys         []string             // in force
+	revoked      map[string]time.Time // when the removal of a key was acknowledged
+	versions     []targetVersion      // target versions of the weights, oldest first
+	faults       map[*modelserver.Server][]*serverFault
+	crashes      []time.Time // crashes of model servers by the crashing request
+	restarts     sync.WaitGroup
 }
 
 // targetVersion is a target version of the weights and the time at which it was set.
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -44,7 +44,7 @@
 // signals returns the headers in which the server reports its state in each response.
 func (f *Faults) signals() map[string]string {
 	headers := make(map[string]string)
-	for name, value := range map[string]string{"Server-Limit": f.Limit, "Server-Leaving": f.Draining} {
+	for name, value := range map[string]string{"Server-Limit": f.Limit, "Server-Leaving": f.Draining, "Server-Brittle": f.Brittle} {
 		if value != "" {
 			headers[name] = value
 		}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -42,6 +42,9 @@
 	Limit string
 	// Draining is the Server-Leaving header, which is 1 if the server is draining; empty for none.
 	Draining string
+	// Brittle is the Server-Brittle header, the number of refusals per second that the server bears; empty
+	// for none.
+	Brittle string
 	// CrashOnSuffix is a path suffix. A request whose path has it crashes the server that runs it; empty
 	// disables this.
 	CrashOnSuffix string
--- a/standin/site/restart.go
+++ b/standin/site/restart.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,23 @@
 	return s.servers[i].state == stateReady
 }
 
+// Restore makes the metadata store return to its copy, in the given era. The servers' entries are written
+// again, and those of removed servers removed again.
+func (s *Site) Restore(era string) {
+	s.Store.Restore(era)
+	s.serversMu.Lock()
+	servers := slices.Clone(s.servers)
+	s.serversMu.Unlock()
+	for _, server := range servers {
+		server.mu.Lock()
+		if server.state == "" {
+			s.Store.Put(registryTopic, server.id, nil)
+		}
+		server.mu.Unlock()
+	}
+	s.register()
+}
+
 // Restart crashes the i-th model server, which closes its connections, and restarts it under the
 // same id; see modelserver.Server.Restart. It listens at the same address, or at another one if
 // moves is true. Only its next registry entry reports the restart.
