--- /dev/null
+++ b/internal/forward/log.go
@@ -0,0 +1,48 @@
+package forward
+
+import "github.com/cherryward/cherryward/internal/result"
+
+// logRequest logs the decisions about a request, in one line when it ends.
+func (x *exchange) logRequest(err *result.Error) {
+	event := x.Log.Info().Str("event", "request").Str("id", x.attrs.ID).
+		Int("status", x.outcome.Status).Int("code", int(x.outcome.Code)).
+		Int("attempts", x.outcome.Attempts).
+		Int64("config_age_ms", x.configAge.Milliseconds())
+	if x.config != nil {
+		event = event.Int64("config", x.config.Version)
+	}
+	if x.route != nil {
+		event = event.Str("route", x.route.Name).Str("account", x.outcome.Account)
+	}
+	if x.placement != nil {
+		event = x.placement.log(event, x.Clock)
+	}
+	if policy := x.residency(); policy.Confined() {
+		event = event.Strs("regions", policy.Regions())
+	}
+	if x.passed != nil {
+		event = event.Str("passed_by", x.passed.From)
+	}
+	if x.helper != "" {
+		event = event.Str("helper", x.helper)
+	}
+	if x.age > 0 {
+		event = event.Int64("age_ms", x.age.Milliseconds())
+	}
+	if parts := x.attrs.Parts; len(parts) > 1 {
+		event = event.Str("session", parts[len(parts)-2].ID).Int("session_tokens", parts[len(parts)-2].Tokens)
+	}
+	if x.cachedFingerprint != nil {
+		event = event.Stringer("fingerprint", x.cachedFingerprint)
+	}
+	if x.cause != nil {
+		event = event.Str("cause", x.cause.Error())
+	}
+	if err != nil {
+		event = event.Str("outcome", err.Code.String())
+	}
+	if pause := x.outcome.LongestPause; pause > 0 {
+		event = event.Int64("longest_pause_ms", pause.Milliseconds())
+	}
+	event.Int64("first_ms", x.outcome.TimeToFirstByte.Milliseconds()).Int64("total_ms", x.outcome.Total.Milliseconds()).Send()
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -279,10 +279,6 @@
 	return names
 }
 
-// Nodes returns the number of listed nodes, this one included. A node that is gone remains listed
-// until silenceTimeout and removalGrace have passed.
-func (r *roster) Nodes() int { return int(r.count.Load()) }
-
 // End returns the offset up to which the topic has been read.
 func (r *roster) End() int64 {
 	r.mu.Lock()
@@ -290,28 +286,5 @@
 	return r.end
 }
 
-// Loaded reports whether the topic has been read.
-func (r *roster) Loaded() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.loaded
-}
-
-// listedAtStart reports whether this node's entry was listed when the node first read the topic. If so,
-// the list is that of a system that ran before, and shows its size.
-func (r *roster) listedAtStart() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.knownBefore
-}
-
-// HoldsLease reports whether the other nodes are certain to count this one, so that it may use its
-// share of common limits.
-func (r *roster) HoldsLease() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lease.valid(r.clock.Now())
-}
-
 // Standby reports whether this node follows the claim on orders while another node holds it.
 func (r *roster) Standby() bool { return r.standby.Load() }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -110,18 +109,6 @@
 	p.set(none)
 }
 
-func (w *world) faultStore(target int, lasts time.Duration) {
-	defer w.storeDisturbances.open()()
-	list := []metastore.Faults{{Down: true}, {LoseResponses: true}, {Delay: storeDelay}}
-	w.site.Store.SetFaults(list[target%len(list)])
-	w.pause(lasts)
-	w.site.Store.SetFaults(metastore.Faults{})
-}
-
-func (w *world) compactStore(target int, _ time.Duration) {
-	w.site.Store.Compact([]string{operator, registry}[target%2])
-}
-
 // serverFault is a fault of a server. The faults of a server are combined.
 type serverFault struct {
 	apply func(f *modelserver.Faults)
@@ -141,28 +128,6 @@
 }
 
 // injectServerFault injects a fault into a server for a time.
-// restoreStore makes the metadata store lose what was written for a time, and come back in its next era. What
-// operators and servers wrote is written again.
-func (w *world) restoreStore(_ int, lasts time.Duration) {
-	w.site.Store.Copy()
-	w.pause(lasts)
-	defer w.storeDisturbances.open()()
-	link := w.proxies[storeProxy]
-	link.set(reset)
-	w.pause(afterOutage)
-	w.mu.Lock()
-	w.era++
-	w.site.Restore(strconv.Itoa(w.era))
-	w.version++
-	w.site.Configure(w.version, w.keys...)
-	if n := len(w.versions); n > 0 {
-		w.site.SetTargetVersion(w.versions[n-1].version)
-	}
-	w.site.Evacuate(site.SecondZone, w.evacuatedNow)
-	w.mu.Unlock()
-	link.set(none)
-}
-
 func (w *world) injectServerFault(s *modelserver.Server, lasts time.Duration, apply func(*modelserver.Faults)) {
 	own := &serverFault{apply}
 	w.mu.Lock()
@@ -264,14 +229,6 @@
 	w.site.Evacuate(site.SecondZone, evacuated)
 }
 
-// removeAfterOutage removes a server shortly after an outage of the metadata store, when nodes can't
-// distinguish yet between removed entries and entries that were not renewed during the outage.
-func (w *world) removeAfterOutage(target int, lasts time.Duration) {
-	w.faultStore(storeDown, outage)
-	w.pause(afterOutage + lasts/4)
-	w.removeServer(target, lasts)
-}
-
 // delayOrders makes a server execute orders late and without a response.
 func (w *world) delayOrders(target int, lasts time.Duration) {
 	s := w.site.Models[target%len(w.site.Models)]
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -11,7 +11,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -106,16 +105,6 @@
 	s.topic(name).newest[key] = newest{value: text, offset: offset}
 }
 
-// Compact deletes the records of a topic from the log. The newest record of each key stays in the
-// listing.
-func (s *Store) Compact(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(name)
-	t.first += int64(len(t.records))
-	t.records = nil
-}
-
 // Handler returns a handler for the protocol.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -139,39 +128,6 @@
 	})
 }
 
-// SetEra sets the value of the Store-Era header of all responses; empty for none.
-func (s *Store) SetEra(era string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.era = era
-}
-
-// Copy keeps a copy of all topics, to which Restore returns.
-func (s *Store) Copy() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.copied = cloneTopics(s.topics)
-}
-
-// Restore returns to the topics of the copy: what was written since is gone, and its offsets are given
-// out again. It sets the era and ends waiting reads.
-func (s *Store) Restore(era string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.topics, s.era = cloneTopics(s.copied), era
-	s.restores++
-	close(s.change)
-	s.change = make(chan struct{})
-}
-
-func cloneTopics(topics map[string]*topic) map[string]*topic {
-	clones := make(map[string]*topic, len(topics))
-	for name, t := range topics {
-		clones[name] = &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
-	}
-	return clones
-}
-
 // Newest returns the newest value of a key, or nil.
 func (s *Store) Newest(name, key string) []byte {
 	s.mu.Lock()
