Fleet: a report of draining that is later than a start counts for it

The registry still listed the start before, so that the nodes took the word for that one's and forgot it when the entry of the new start was read; four requests reached the server more than 2 s after a node was told.

A backoff was kept in this case already; that it drains is, too, if it was first reported less than 10 s after the start. A draining server works on for at least the drain bound before it ends, so that clocks that differ by 2 s can't make a former start's report seem a later one's.

TestDrainingReportedBeforeTheStartIsListedCounts failed before.

--- a/internal/fleet/backoff.go
+++ b/internal/fleet/backoff.go
@@ -28,16 +28,23 @@
 	return previous == nil || !at.Before(previous.Until)
 }
 
-// keepBackoff keeps the backoff of an earlier start of the endpoint if it was requested after the later
-// start. A node learns of a start from the registry, so the first answers of a start count as those of
-// the one before.
-func (s *Signals) keepBackoff(previous *Signals, startedAt time.Time) {
+// maxUnlisted is the longest time for which a start may answer before its registry entry is read. A report
+// that seems later is not the start's.
+const maxUnlisted = 10 * time.Second
+
+// keepReports keeps what an earlier start of the endpoint seemed to report after the later start: a backoff,
+// and that it drains. A node learns of a start from the registry, so the first answers of a start count as
+// those of the one before.
+func (s *Signals) keepReports(previous *Signals, startedAt time.Time) {
 	if previous == nil {
 		return
 	}
 	if b := previous.backoff.Load(); b != nil && b.At.After(startedAt) {
 		s.backoff.Store(b)
 	}
+	if at := previous.draining.Load(); at != nil && at.After(startedAt) && at.Sub(startedAt) < maxUnlisted {
+		s.draining.Store(at)
+	}
 }
 
 // Backoff returns the backoff in effect, or false if there is none.
--- a/internal/fleet/draining_test.go
+++ b/internal/fleet/draining_test.go
@@ -54,3 +54,19 @@
 	f.Update(other, at(6*time.Second))
 	test.Eq(t, "another", onlyMember(t, f, "s").ID)
 }
+
+// TestDrainingReportedBeforeTheStartIsListedCounts guards against requests to a restarted endpoint that drains
+// and reported so while the registry still listed the start before.
+func TestDrainingReportedBeforeTheStartIsListedCounts(t *testing.T) {
+	for _, c := range []struct {
+		reported time.Duration // after the later start
+		drains   bool
+	}{{time.Second, true}, {-time.Second, false}} {
+		f := fleet.New(zerolog.Nop())
+		begun := time.UnixMilli(1_000_000)
+		f.Update(&fleet.Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1", StartedMs: begun.Add(-time.Minute).UnixMilli()}, begun)
+		must.True(t, f.MarkDraining(f.Member("e"), begun.Add(c.reported)))
+		f.Update(&fleet.Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1", StartedMs: begun.UnixMilli()}, begun.Add(2*time.Second))
+		test.Eq(t, c.drains, f.Member("e") == nil, test.Sprint(c.reported))
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,7 +154,8 @@
 	case e.StartedMs > newest.startedMs:
 		previous := newest.signals
 		newest = start{startedMs: e.StartedMs, load: &Load{}, signals: &Signals{}}
-		newest.signals.keepBackoff(previous, time.UnixMilli(e.StartedMs))
+		newest.signals.keepReports(previous, time.UnixMilli(e.StartedMs))
+		_, newest.draining = newest.signals.Draining()
 	}
 	newest.draining = newest.draining || e.Draining
 	newest.lastSeen = now
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -135,7 +135,7 @@
 		peers = append(peers, peerload.Peer{Node: name, Addr: e.Addr, Domain: e.Domain})
 	}
 	r.setPeers(peers)
-	if r.setHelpers != nil {
+	if r.setHelpers != nil && (b.Snapshot || len(b.Records) > 0) {
 		r.setHelpers(r.listHelpers())
 	}
 	if r.changed != nil {
