--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -141,12 +141,6 @@
 	}
 }
 
-// hasLostPath reports whether this node has lost the path to a service that other nodes reach.
-func (n *network) hasLostPath(service string) bool {
-	_, lost := n.lost.Load(service)
-	return lost
-}
-
 // probeForPeer connects to an endpoint because another node asks.
 func (n *network) probeForPeer(ctx context.Context, addr string) reach.Outcome {
 	m := n.fleet.At(addr)
