Claim: a claim whose record the log has lost is waited for

A holder may be in force by its own clock while the store comes back from a copy without its claim. A contender that reads the log then finds the resource free, and two nodes give orders for up to 2 s; the fencing tokens of the second are higher, but the users judge holders that take turns.

A log may tell generations of offsets apart (Config.Generation; the platform's eras). After a change of it contenders wait as if each resource had been claimed for the longest TTL in use just before.

--- a/coord/claim/claimer.go
+++ b/coord/claim/claimer.go
@@ -27,11 +27,14 @@
 		config:   config,
 		viewLock: make(chan struct{}, 1),
 		view: view{
-			log:       config.Log,
-			clock:     config.Clock,
-			grace:     config.Grace,
-			maxTTL:    config.MaxTTL,
-			resources: make(map[string]*resourceState),
+			log:     config.Log,
+			clock:   config.Clock,
+			grace:   config.Grace,
+			maxTTL:  config.MaxTTL,
+			lostTTL: config.LostTTL,
+
+			generation: config.Generation,
+			resources:  make(map[string]*resourceState),
 		},
 	}, nil
 }
--- a/coord/claim/config.go
+++ b/coord/claim/config.go
@@ -22,6 +22,12 @@
 	// a log: records with a longer TTL are ignored, since they come from a writer with another
 	// configuration and would block the resource for too long. The log must retain records many times longer than MaxTTL.
 	MaxTTL time.Duration
+	// Generation returns the generation of the log that an offset belongs to, for logs that may lose their
+	// newest records and go on: see Log. Nil means that the log loses none.
+	Generation func(offset int64) int64
+	// LostTTL is the longest TTL of claims that a log may lose. After a change of the generation contenders
+	// wait as if each resource had been claimed for this time.
+	LostTTL time.Duration
 	// Poll is the interval between log reads while waiting for a claim.
 	Poll time.Duration
 	// Random returns a number in [0, n), such as math/rand/v2.Int64N. It distributes the
--- a/coord/claim/log.go
+++ b/coord/claim/log.go
@@ -12,7 +12,9 @@
 }
 
 // Log is one stream of an append-only log, used only for claims. The offsets of its records are
-// contiguous.
+// contiguous. A log that loses its newest records, because it was restored from an older copy, begins a
+// new generation: all retained records get new offsets, which are higher than all before. Config.Generation
+// then tells the generations apart.
 type Log interface {
 	// Append adds a record and returns its offset. After an error the record may still have
 	// been added, or may be added later.
--- a/coord/claim/view.go
+++ b/coord/claim/view.go
@@ -67,7 +67,12 @@
 	maxTTL         time.Duration // claims with a longer TTL are ignored
 	contiguousFrom int64         // all records from here up to nextOffset were read
 	nextOffset     int64         // offset at which the next read starts
+	read           bool          // the log was read before
 	resources      map[string]*resourceState
+	generation     func(offset int64) int64
+	lostTTL        time.Duration // longest TTL of claims that the log may lose
+	// lostUntil is the clock reading until which contenders wait for claims that the log may have lost.
+	lostUntil time.Duration
 }
 
 // sync reads to the end of the log. The log may not yet return the most recent appends.
@@ -80,6 +85,7 @@
 		// The waiting time starts after the read, since the claim may have been appended at any
 		// time before.
 		now := v.clock.Now()
+		v.enterGeneration(next, now)
 		for _, r := range records {
 			v.apply(r, now)
 		}
@@ -90,6 +96,18 @@
 	}
 }
 
+// enterGeneration makes contenders wait if the log has begun a new generation since the latest read. The first
+// read of a process can't tell when the present one began.
+func (v *view) enterGeneration(next int64, now time.Duration) {
+	if v.generation == nil || !v.read {
+		v.read = true
+		return
+	}
+	if v.generation(next) > v.generation(v.nextOffset) {
+		v.lostUntil = now + v.lostTTL + v.lostTTL/SkewDivisor + v.grace
+	}
+}
+
 // skipTo advances to a later offset; the records in between are no longer retained.
 func (v *view) skipTo(offset int64) {
 	if offset > v.nextOffset {
@@ -157,7 +175,7 @@
 func (v *view) freeAt(name string) time.Duration {
 	r := v.resource(name)
 	if r.current == nil || r.current.released {
-		return r.uncertainUntil
+		return max(r.uncertainUntil, v.lostUntil)
 	}
-	return max(r.current.freeAt, r.uncertainUntil)
+	return max(r.current.freeAt, r.uncertainUntil, v.lostUntil)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/kernel"
@@ -188,17 +189,18 @@
 	n.buildReleases(store)
 	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
-		Node:     boot.Name,
-		Fleet:    n.fleet,
-		Wanted:   n.state,
-		Engines:  engines,
-		Claims:   store.Log(platform.TopicClaims),
-		Peers:    n,
-		Lease:    boot.Bounds.Lease + leaseMargin,
-		LostPath: func(service string) bool { return n.network.State(service) == reach.Unreachable },
-		Changed:  n.state.changed,
-		Clock:    n.clock,
-		Log:      n.log,
+		Node:       boot.Name,
+		Fleet:      n.fleet,
+		Wanted:     n.state,
+		Engines:    engines,
+		Claims:     store.Log(platform.TopicClaims),
+		Peers:      n,
+		Lease:      boot.Bounds.Lease + leaseMargin,
+		Generation: follow.EraOf,
+		LostPath:   func(service string) bool { return n.network.State(service) == reach.Unreachable },
+		Changed:    n.state.changed,
+		Clock:      n.clock,
+		Log:        n.log,
 	})
 	if err != nil {
 		return err
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -52,7 +52,7 @@
 	Led() bool
 }
 
-// Config configures a Service. All fields except Clock and LostPath must be set.
+// Config configures a Service. All fields except Clock, LostPath and Generation must be set.
 type Config struct {
 	Node    string // name of this node
 	Fleet   *fleet.Fleet
@@ -65,6 +65,8 @@
 	// LostPath reports whether this node can't reach the endpoints of a service. Nil means that it reaches
 	// all. A node that can't reach the engines of a pending update leaves the claim to another.
 	LostPath func(service string) bool
+	// Generation returns the generation of an offset of Claims. Nil means that Claims loses no records.
+	Generation func(offset int64) int64
 	// Changed is signaled when a version is requested.
 	Changed <-chan struct{}
 	// Clock provides the times of claims, orders and reports. If nil, the steady clock is used.
@@ -97,6 +99,8 @@
 		OrderTimeout: orderTimeout,
 		Grace:        c.Lease,
 		MaxTTL:       maxClaimTTL,
+		Generation:   c.Generation,
+		LostTTL:      claimTTL,
 		Poll:         claimPoll,
 		Random:       randomInt,
 	})
