Claim tests: the contender has read that the resource is free

It fails now without the wait: the second node holds the claim at once, while the first one's is valid.

--- a/coord/claim/generation_test.go
+++ b/coord/claim/generation_test.go
@@ -68,6 +68,8 @@
 			released, err := second.Acquire(t.Context(), "r", ttl)
 			must.NoError(t, err)
 			must.NoError(t, released.Release(t.Context()))
+			_, err = second.Holdings(t.Context())
+			must.NoError(t, err)
 			held, err := first.Acquire(t.Context(), "r", ttl)
 			must.NoError(t, err)
 			log.restore(keptRecords)
