--- a/internal/gateway/rejected.go
+++ b/internal/gateway/rejected.go
@@ -29,5 +29,5 @@
 // record counts and logs a record that cannot be used.
 func (r *rejected) record(record *follow.Record, cause error) {
 	r.Add(1)
-	r.log.Error().Str("event", "record_rejected").Str("key", record.Key).Int64("offset", record.Offset).Err(cause).Send()
+	r.log.Error().Str("event", "record_rejected").Str("key", record.Key).Int64("offset", follow.OffsetOf(record.Offset)).Err(cause).Send()
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -117,7 +117,7 @@
 		obs.readPromptly = max(b.Gap, b.ConfirmedAt.Sub(*before)) < maxFreshConfigAge
 	}
 	for _, change := range s.evacuations.apply(&b) {
-		s.log.Info().Str("event", "evacuation").Str("domain", change.domain).Bool("in_force", change.evacuated).Int64("offset", change.offset).Send()
+		s.log.Info().Str("event", "evacuation").Str("domain", change.domain).Bool("in_force", change.evacuated).Int64("offset", follow.OffsetOf(change.offset)).Send()
 	}
 	for i := range b.Records {
 		s.applyRecord(&b.Records[i], &obs)
@@ -160,7 +160,7 @@
 	s.confinedElsewhere.Store(slices.ContainsFunc(policies, func(p residency.Policy) bool { return !s.regions.Scope(p).Contains(s.domain) }))
 	s.config.Store(config)
 	s.logUnknownRegions(config.Version, policies)
-	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", r.Offset).
+	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", follow.OffsetOf(r.Offset)).
 		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Ints("ranks", priorities(config)).Send()
 	if s.onConfig != nil {
 		s.onConfig()
@@ -226,7 +226,7 @@
 	if !newer {
 		return
 	}
-	s.log.Info().Str("event", "weights_named").Str("model", model).Int64("version", version).Int64("offset", r.Offset).
+	s.log.Info().Str("event", "weights_named").Str("model", model).Int64("version", version).Int64("offset", follow.OffsetOf(r.Offset)).
 		Int64("age_at_most_ms", obs.at.Sub(obs.notBefore).Milliseconds()).Bool("prompt", obs.readPromptly).Send()
 	select {
 	case s.changed <- struct{}{}:
