Follow tests: the store comes back between two reads

TestCopyOfARestoredTopicIsConfirmedAfterAHold failed in 3 of 6 runs: the store came back at the very instant of a read, whose order the scheduler decides. A copy that was read at that instant in the era before is rightly confirmed as of then, which the test took for a confirmation within the hold.

--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -73,7 +73,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- f.Run(ctx) }()
-		time.Sleep(time.Second)
+		time.Sleep(time.Second + 5*time.Millisecond) // between two reads
 		topic.set(2, "a", "b", "later")
 		restored := time.Now()
 		time.Sleep(2 * time.Second)
