--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -177,7 +178,7 @@
 		Clock:      n.clock,
 		Log:        n.log,
 	})
-	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now}
+	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN}
 	own := nodeEntry{Addr: n.conn.Addr(), Helper: n.helperServer.addr(), Domain: boot.Domain, MilliCores: boot.MilliCores}
 	n.roster = newRoster(boot.Name, own, store.Topic(platform.TopicNodes), n.peers.SetPeers, n.peerAlive, n.log)
 	n.roster.clock, n.roster.setHelpers, n.roster.regions = n.clock, n.helpers.SetNodes, boot.Regions
--- a/internal/handoff/table.go
+++ b/internal/handoff/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +45,8 @@
 	// Heard reports whether a node is known to run. Nil means that nothing is known.
 	Heard func(node string) bool
 	Now   func() time.Time
+	// Random returns a random number in [0, n).
+	Random func(n int) int
 
 	mu      sync.Mutex
 	helpers []*Helper
@@ -103,7 +104,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	chosen, other := candidates[rand.IntN(len(candidates))], candidates[rand.IntN(len(candidates))]
+	chosen, other := candidates[t.Random(len(candidates))], candidates[t.Random(len(candidates))]
 	if other.inFlight < chosen.inFlight {
 		chosen = other
 	}
