Fleet: a cold period that an entry stated survives a second mark

Found when the change was read again. An endpoint that seemed to have ended more than once remembered the cold period in force after the last mark as its own, also where an entry had stated a longer one in between. Once the failures were forgotten for want of a path, that period was taken back, too, and the endpoint got requests as if it were warm.

Only a period that MarkEnded itself has set is remembered. TestFailuresWithoutAPathAreForgotten has a second mark after the entry's now: it failed before, and passes.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -39,10 +39,12 @@
 	before := m.cold.Load()
 	m.ended.Store(true)
 	m.MarkCold(now.Add(coldAfterEnd))
-	if m.endMark == nil {
-		m.endMark = &coldMark{before: before}
+	if marked := m.cold.Load(); marked != before { // else a longer period was in force
+		if m.endMark == nil {
+			m.endMark = &coldMark{before: before}
+		}
+		m.endMark.current = marked
 	}
-	m.endMark.current = m.cold.Load()
 	m.Health.RecordEnd(now)
 }
 
--- a/internal/fleet/forget_test.go
+++ b/internal/fleet/forget_test.go
@@ -24,6 +24,7 @@
 		}
 	}
 	f.Member("new").MarkCold(now.Add(time.Minute)) // its entry states it meanwhile
+	f.Member("new").MarkEnded(now)                 // and another attempt fails
 	f.ForgetFailures("s")
 	for _, m := range f.Members("s") {
 		test.True(t, m.Health.Usable(now), test.Sprint(m.ID))
