--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -255,15 +255,26 @@
 
 // request returns the request to send to an endpoint for one attempt.
 func (x *exchange) request(a *Attempt) *upstream.Request {
-	header := x.r.Header.Clone()
-	removeHopByHop(header)
-	header.Del("Content-Length")
-	header.Del("Expect")
+	header := x.callerHeader()
 	if x.route.Kind == routing.Stream {
 		header.Del("Accept-Encoding") // event boundaries can't be found in an encoded stream
 	}
 	x.Dialect.StripRequest(header)
 	handoff.Strip(header)
 	x.Dialect.SetAttempt(header, a)
+	return x.requestWith(header)
+}
+
+// callerHeader returns a copy of the caller's header without what applies to its connection only.
+func (x *exchange) callerHeader() http.Header {
+	header := x.r.Header.Clone()
+	removeHopByHop(header)
+	header.Del("Content-Length")
+	header.Del("Expect")
+	return header
+}
+
+// requestWith returns the caller's request with another header.
+func (x *exchange) requestWith(header http.Header) *upstream.Request {
 	return &upstream.Request{Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header, Body: x.body}
 }
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -196,10 +196,7 @@
 
 // requestTo returns the request to send to a helper.
 func (x *exchange) requestTo(mayHaveRunCount int) (*upstream.Request, error) {
-	header := x.r.Header.Clone()
-	removeHopByHop(header)
-	header.Del("Content-Length")
-	header.Del("Expect")
+	header := x.callerHeader()
 	envelope := handoff.Envelope{
 		From: x.Helpers.Name, Config: x.config.Version, LeftMS: x.Clock.Until(x.deadline()).Milliseconds(), AgeMS: x.age.Milliseconds(),
 		Attempts: x.route.MaxAttempts - mayHaveRunCount, Counted: x.counted, ResumeAfter: x.attrs.ResumeAfter,
@@ -207,5 +204,5 @@
 	if err := envelope.Set(header); err != nil {
 		return nil, err
 	}
-	return &upstream.Request{Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header, Body: x.body}, nil
+	return x.requestWith(header), nil
 }
