Senders: one division of a total among senders

internal/brittle wrote again how internal/throttle divides a quota by rank: an even part, and one more for the first ranks. Both call senders.Share now, beside the selection whose ranks it takes. No behaviour changes; throttle's tests of the quota are as they were.

--- a/internal/brittle/limiter.go
+++ b/internal/brittle/limiter.go
@@ -74,12 +74,5 @@
 		return 0
 	}
 	r := l.table.Record(e.ID, e.Domain, count, refusalPause, now)
-	if r.Rank < 0 {
-		return 0
-	}
-	share := slots / r.Senders
-	if r.Rank < slots%r.Senders {
-		share++
-	}
-	return share
+	return senders.Share(slots, r.Rank, r.Senders)
 }
--- a/internal/senders/senders.go
+++ b/internal/senders/senders.go
@@ -96,3 +96,16 @@
 	}
 	return rendezvous.Top(count, key, nodes)
 }
+
+// Share returns the part of total of the sender with a rank among count senders: an even part, and one more
+// for the first ranks if total doesn't divide evenly. It is 0 for a negative rank.
+func Share(total, rank, count int) int {
+	if rank < 0 {
+		return 0
+	}
+	share := total / count
+	if rank < total%count {
+		share++
+	}
+	return share
+}
--- a/internal/throttle/quota.go
+++ b/internal/throttle/quota.go
@@ -1,6 +1,10 @@
 package throttle
 
-import "time"
+import (
+	"time"
+
+	"github.com/cherryward/cherryward/internal/senders"
+)
 
 const (
 	// boundWindow is the interval for which the bound on an endpoint's requests is stated.
@@ -58,13 +62,4 @@
 
 // ofRank returns the quota of the sender with the given rank among the given number of senders, in
 // requests per window. It is 0 for a negative rank.
-func (q Quota) ofRank(rank, senders int) int {
-	if rank < 0 {
-		return 0
-	}
-	each := q.Total / senders
-	if rank < q.Total%senders {
-		each++
-	}
-	return each
-}
+func (q Quota) ofRank(rank, count int) int { return senders.Share(q.Total, rank, count) }
