Logs: the releases of endpoints, and what a resumed request states

A stream that went on at another release couldn't be told from any other: no line named a release or what a caller takes up. event=endpoint, sent_again and request name the release now, event=request what the caller states of a stream that it resumes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,7 +126,7 @@
 		f.replace(m, e, now)
 	}
 	f.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).
-		Str("addr", e.Addr).Int64("born", e.StartedMs).Bool("draining", e.Draining).Send()
+		Str("addr", e.Addr).Str("release", e.Release).Int64("born", e.StartedMs).Bool("draining", e.Draining).Send()
 	f.rebuild()
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -94,7 +94,7 @@
 			return x.withoutPath(ctx, mayHaveRunCount)
 		}
 		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
-			Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.attrs.ResumeAfter).
+			Str("release", placement.Member.Endpoint().Release).Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.attrs.ResumeAfter).
 			Dur("after_ms", x.Clock.Since(x.arrived)).Send()
 	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -84,6 +84,7 @@
 	endpointReplaced  bool
 	written           bool     // the header of the answer was written
 	position          position // in the caller's stream
+	resumedAfter      string   // id of the last event that the caller had received before this request
 	pauses            pauses
 	pace              *enginepace.Stream // of the latest attempt; nil if not observed
 	callerWriteFailed bool               // writing to the caller failed
@@ -99,7 +100,8 @@
 
 // serve handles the request and answers it.
 func (x *exchange) serve() {
-	x.position = positionAt(x.attrs.ResumeAfter)
+	x.resumedAfter = x.attrs.ResumeAfter
+	x.position = positionAt(x.resumedAfter)
 	err := x.admit()
 	if err == nil {
 		err = x.forward()
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -29,6 +29,12 @@
 	if x.age > 0 {
 		event = event.Int64("age_ms", x.age.Milliseconds())
 	}
+	if x.attrs.Resumes != "" {
+		event = event.Str("resumes", x.attrs.Resumes)
+	}
+	if x.resumedAfter != "" {
+		event = event.Str("resumed_after", x.resumedAfter)
+	}
 	if parts := x.attrs.Parts; len(parts) > 1 {
 		event = event.Str("session", parts[len(parts)-2].ID).Int("session_tokens", parts[len(parts)-2].Tokens)
 	}
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -87,7 +87,7 @@
 	if p.LoadAge > 0 {
 		event = event.Int64("load_age_ms", p.LoadAge.Milliseconds()).Int("noticed", p.Noticed)
 	}
-	return event.Str("endpoint", p.Member.ID).Int64("weights", p.Attempt.Version).
+	return event.Str("endpoint", p.Member.ID).Str("release", p.Member.Endpoint().Release).Int64("weights", p.Attempt.Version).
 		Int("read", p.PrefillTokens).Int("cached", p.Cached).Int("fetched", p.Fetched).Strs("saved", p.Attempt.Targets).
 		Int64("predicted_ms", p.PredictedFirstEvent.Milliseconds()).Int("held", p.OccupiedTokens)
 }
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -40,6 +40,9 @@
 	// ResumeAfter is the id of the last event that the caller has received of a stream; empty if
 	// none.
 	ResumeAfter string
+	// Resumes is the id of the request that brought the first event of the stream that the caller
+	// resumes; empty if the caller states none.
+	Resumes string
 
 	Model        string
 	PromptTokens int
