Forward: a stream goes on in one answer only at the release that began it

What callers saw: an answer whose events came from endpoints of two releases of a service's software, under the header of the first.

Cause: what sends a stream again (a break, a withdrawal, the way through another node) compared endpoints of a service as equals. The release was decoded from the registry and read by the canary gate alone.

Ruled out: a wrong view of the release at the node; no code that sends a request read it.

Change: the exchange keeps the release of the endpoint whose events it delivered first. Every placement after that is confined to it, behind the canary gate, so that nothing is sent to a release that was withdrawn. A stream whose release isn't known isn't sent again. The envelope between nodes names the release, and a stream that has begun is passed only to nodes that state in their entries that they heed it: older builds would go on anywhere. A member of the fleet stands for one release. If no endpoint of the release takes requests, the refusal is number 3014, at once and without a time to come back. A broken stream waits for room from its break, not from the arrival of the request.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -62,10 +62,10 @@
 	return next
 }
 
-// matches reports whether the entry has the same start, address and service as this member.
+// matches reports whether the entry has the same start, address, service and release as this member.
 func (m *Member) matches(e *Endpoint) bool {
 	current := m.Endpoint()
-	return m.StartedMs == e.StartedMs && current.Addr == e.Addr && current.Service == e.Service
+	return m.StartedMs == e.StartedMs && current.Addr == e.Addr && current.Service == e.Service && current.Release == e.Release
 }
 
 // Endpoint returns the latest entry.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,7 +112,7 @@
 	case notRun:
 		return true
 	case streamBroken:
-		return x.route.Resumable && !x.position.endsWithoutID
+		return x.route.Resumable && !x.position.endsWithoutID && x.release != ""
 	default:
 		return x.retryable()
 	}
@@ -154,6 +154,7 @@
 // for which this attempt failed, or nil if its answer was delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
 	x.cause, x.answerBroken, x.endpointReplaced = nil, false, false
+	x.attemptRelease = p.Member.Endpoint().Release
 	p.Attempt.Remaining = x.Clock.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
 	load := p.Member.Load
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -101,6 +101,9 @@
 		x.writeHead(answer.Response, -1)
 	}
 	x.observeEvents(x.position.advance(events))
+	if x.release == "" {
+		x.release = x.attemptRelease
+	}
 	x.attrs.ResumeAfter = x.position.lastID
 	_, err := x.w.Write(events)
 	if err == nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -85,6 +85,8 @@
 	written           bool     // the header of the answer was written
 	position          position // in the caller's stream
 	resumedAfter      string   // id of the last event that the caller had received before this request
+	attemptRelease    string   // release of the endpoint of the latest attempt; empty if not known
+	release           string   // release that began the caller's stream; empty before its first event
 	pauses            pauses
 	pace              *enginepace.Stream // of the latest attempt; nil if not observed
 	callerWriteFailed bool               // writing to the caller failed
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -43,7 +43,7 @@
 	x := &exchange{Handler: h, w: w, r: r, arrived: h.Clock.Now(), passed: envelope, counted: envelope.Counted}
 	x.attrs = h.Dialect.ReadRequest(r.Header)
 	x.attrs.Deadline, x.attrs.HasDeadline = envelope.Left(), true
-	x.attrs.ResumeAfter = envelope.ResumeAfter
+	x.attrs.ResumeAfter, x.release = envelope.ResumeAfter, envelope.Release
 	x.serve()
 }
 
@@ -129,13 +129,13 @@
 	if x.passed != nil || x.Helpers == nil {
 		return x.finalError(ctx, mayHaveRunCount, pathLost)
 	}
-	var tried []string
-	for len(tried) < maxHelpers && !x.expired(ctx) {
-		helper := x.Helpers.Acquire(x.service.Name, tried, x.residency().Confined())
+	need := &handoff.Need{Service: x.service.Name, Confined: x.residency().Confined(), Continues: x.release != ""}
+	for len(need.Tried) < maxHelpers && !x.expired(ctx) {
+		helper := x.Helpers.Acquire(need)
 		if helper == nil {
 			break
 		}
-		tried = append(tried, helper.Name)
+		need.Tried = append(need.Tried, helper.Name)
 		refusal, done := x.pass(ctx, helper, mayHaveRunCount)
 		x.Helpers.Release(helper)
 		if done {
@@ -149,7 +149,7 @@
 // certainly not sent the request, so that another one may be asked. The error is nil if an endpoint's
 // answer was delivered.
 func (x *exchange) pass(ctx context.Context, helper *handoff.Helper, mayHaveRunCount int) (_ *result.Error, done bool) {
-	x.helper, x.cause = helper.Name, nil
+	x.helper, x.cause, x.attemptRelease = helper.Name, nil, ""
 	request, err := x.requestTo(mayHaveRunCount)
 	if err != nil {
 		return result.Wrap(err, result.Internal), true
@@ -200,6 +200,7 @@
 	envelope := handoff.Envelope{
 		From: x.Helpers.Name, Config: x.config.Version, LeftMS: x.Clock.Until(x.deadline()).Milliseconds(), AgeMS: x.age.Milliseconds(),
 		Attempts: x.route.MaxAttempts - mayHaveRunCount, Counted: x.counted, ResumeAfter: x.attrs.ResumeAfter,
+		Release: x.release,
 	}
 	if err := envelope.Set(header); err != nil {
 		return nil, err
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -25,11 +25,17 @@
 
 // place selects an endpoint. If none accepts the request now but one is predicted to soon, it waits
 // and tries again. It reports false as soon as the prediction exceeds the rest of the
-// maximum wait, there is no prediction, or ctx ends.
+// maximum wait, there is no prediction, or ctx ends. The wait is counted from the request's arrival, or
+// from the end of the latest attempt if that broke off a stream.
 func (x *exchange) place(ctx context.Context, q *Query) (Placement, bool) {
+	q.Release = x.release
+	since := x.arrived
+	if x.written {
+		since = x.Clock.Now()
+	}
 	for {
 		placement, ok := x.Placer.Place(q)
-		placement.Waited = x.Clock.Since(x.arrived)
+		placement.Waited = x.Clock.Since(since)
 		pause := placement.RetryDelay(x.route.Objective)
 		if ok || pause <= 0 || ctx.Err() != nil {
 			return placement, ok
@@ -55,6 +61,9 @@
 
 // placementRefusal returns the refusal of a request that no endpoint accepts now.
 func placementRefusal(p *Placement) *result.Error {
+	if p.Final {
+		return result.New(cmp.Or(p.RefusalCode, result.NoEndpoint))
+	}
 	if p.OnRefusal != nil {
 		p.RetryAfter = p.OnRefusal()
 	}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -128,6 +128,10 @@
 	// Residency is the policy for where the request may be served and its KV cache kept.
 	Residency residency.Policy
 	Tried     []string // ids of endpoints to which the request was sent already
+	// Release is the release of the endpoints' software that began the stream which the request
+	// continues. Only endpoints of that release may continue it. Empty means that no event of the
+	// stream was delivered yet, and that any release may begin it.
+	Release string
 	// Age is the time since the caller first tried, estimated from its deadline.
 	Age time.Duration
 }
@@ -166,7 +170,7 @@
 	// SlowFactor is how many times slower than usual the endpoint is, 0 if that is not observed, and
 	// StallMs the cost of the streams there that the prompt would delay for too long.
 	SlowFactor, StallMs float64
-	// Waited is the time between the request's arrival and its placement.
+	// Waited is the time that the request waited for its placement.
 	Waited time.Duration
 	// OnRefusal is called once if the request is refused because no endpoint accepts it. It returns
 	// the time after which the caller may retry, or 0 if that can't be predicted.
@@ -175,6 +179,8 @@
 	RetryAfter time.Duration
 	// RefusalCode is the result code if the request is refused; 0 means result.NoEndpoint.
 	RefusalCode result.Code
+	// Final is true if waiting does not help a refused caller: it is not told when to retry.
+	Final bool
 	// Reason is a short name of the reason for the decision.
 	Reason string
 	// LoadAge is the age of the load reports behind the decision, and Noticed the number of prompts at
--- a/internal/gateway/nodeentry.go
+++ b/internal/gateway/nodeentry.go
@@ -13,6 +13,9 @@
 	Domain string `json:"domain"` // failure domain
 	// Helper receives requests that peers pass to the node, IP:PORT; empty if it accepts none.
 	Helper string `json:"helper,omitempty"`
+	// BindsReleases is true if the node continues a stream that a peer passes to it only at the release
+	// that began it. Builds that don't know this leave it out.
+	BindsReleases bool `json:"binds_releases,omitempty"`
 	// MilliCores is the processor time available to the node, in thousandths of a core; 0 if
 	// unknown. The nodes with the most perform work for the others.
 	MilliCores int `json:"millicores,omitempty"`
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -148,7 +148,10 @@
 	var nodes []handoff.Node
 	for name, e := range r.entries {
 		if e.Helper != "" {
-			nodes = append(nodes, handoff.Node{Name: name, Addr: e.Helper, Domain: e.Domain, Local: r.regions.SameRegion(e.Domain, r.own.Domain)})
+			nodes = append(nodes, handoff.Node{
+				Name: name, Addr: e.Helper, Domain: e.Domain, Local: r.regions.SameRegion(e.Domain, r.own.Domain),
+				BindsReleases: e.BindsReleases,
+			})
 		}
 	}
 	return nodes
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -44,6 +44,9 @@
 	Counted bool `json:"counted,omitempty"`
 	// ResumeAfter is the id of the last event of a stream that the caller has; empty if none.
 	ResumeAfter string `json:"resume_after,omitempty"`
+	// Release is the release of the endpoints' software that began the stream; empty if none has. Only
+	// nodes whose Node.BindsReleases is true read it.
+	Release string `json:"release,omitempty"`
 }
 
 // Left returns the time until the request's deadline.
--- a/internal/handoff/table.go
+++ b/internal/handoff/table.go
@@ -25,6 +25,19 @@
 	Name, Addr string // Addr is IP:PORT
 	Domain     string // failure domain
 	Local      bool   // in this node's region
+	// BindsReleases is true if the node continues a stream only at the release that its envelope states.
+	BindsReleases bool
+}
+
+// Need states which helpers can serve a request.
+type Need struct {
+	Service string
+	Tried   []string // names of the nodes that were asked before
+	// Confined is true if only nodes of this node's region may be asked.
+	Confined bool
+	// Continues is true if the request continues a stream that a release of the endpoints' software
+	// has begun.
+	Continues bool
 }
 
 // Helper is a node to which requests can be passed.
@@ -84,22 +97,21 @@
 	t.helpers = helpers
 }
 
-// Acquire returns the helper for a request of a service, or nil if no node is known that may have a path.
-// Of two random candidates it is the one with fewer requests of this node in flight. tried holds the
-// names of the nodes that were asked before. If confined, only nodes of this node's region are asked.
-// Each helper must be released.
-func (t *Table) Acquire(service string, tried []string, confined bool) *Helper {
+// Acquire returns the helper for a request, or nil if no node is known that may have a path and can serve
+// the request. Of two random candidates it is the one with fewer requests of this node in flight. Each
+// helper must be released.
+func (t *Table) Acquire(need *Need) *Helper {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
 	candidates := t.candidates(func(h *Helper) bool {
-		return h.Local && t.usable(h, service, tried, now) && !now.Before(t.doubtful[domainPath{service, h.Domain}])
+		return h.Local && t.usable(h, need, now) && !now.Before(t.doubtful[domainPath{need.Service, h.Domain}])
 	})
 	if len(candidates) == 0 {
-		candidates = t.candidates(func(h *Helper) bool { return h.Local && t.usable(h, service, tried, now) })
+		candidates = t.candidates(func(h *Helper) bool { return h.Local && t.usable(h, need, now) })
 	}
-	if len(candidates) == 0 && !confined {
-		candidates = t.candidates(func(h *Helper) bool { return t.usable(h, service, tried, now) })
+	if len(candidates) == 0 && !need.Confined {
+		candidates = t.candidates(func(h *Helper) bool { return t.usable(h, need, now) })
 	}
 	if len(candidates) == 0 {
 		return nil
@@ -126,8 +138,14 @@
 	return list
 }
 
-func (t *Table) usable(h *Helper, service string, tried []string, now time.Time) bool {
-	return !now.Before(h.avoidUntil) && !now.Before(h.noPath[service]) && !slices.Contains(tried, h.Name) && (t.Heard == nil || t.Heard(h.Name))
+func (t *Table) usable(h *Helper, need *Need, now time.Time) bool {
+	switch {
+	case now.Before(h.avoidUntil), now.Before(h.noPath[need.Service]), slices.Contains(need.Tried, h.Name):
+		return false
+	case need.Continues && !h.BindsReleases:
+		return false
+	}
+	return t.Heard == nil || t.Heard(h.Name)
 }
 
 // Release ends a request at a helper.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -17,6 +17,9 @@
 	// regionRetryAfter is when callers may retry after such a refusal: endpoints must start there, or
 	// operators must change the configuration.
 	regionRetryAfter = 5 * time.Second
+	// reasonRelease is the reason of a refusal because no endpoint of the release that began the stream
+	// takes requests.
+	reasonRelease = "release"
 )
 
 // Place implements forward.Placer.
@@ -40,23 +43,36 @@
 	if len(available) == 0 && len(allowed) > 0 {
 		return forward.Placement{Reason: reasonEvacuated}, false
 	}
-	if p.Releases == nil {
-		return p.placeAmong(q, available)
+	first, then := []*fleet.Member(nil), available
+	if p.Releases != nil {
+		first, then = p.Releases.Split(q.Service.Name, q.Route.Name, available, p.Now())
+	}
+	first, then = ofRelease(q.Release, first), ofRelease(q.Release, then)
+	if q.Release != "" && len(first)+len(then) == 0 {
+		return forward.Placement{Reason: reasonRelease, RefusalCode: result.NoEndpointOfRelease, Final: true}, false
 	}
 	placement, ok := forward.Placement{}, false
-	first, then := p.Releases.Split(q.Service.Name, q.Route.Name, available, p.Now())
 	if len(first) > 0 {
 		placement, ok = p.placeAmong(q, first)
 	}
 	if !ok && (len(then) > 0 || len(first) == 0) {
 		placement, ok = p.placeAmong(q, then)
 	}
-	if ok {
+	if ok && p.Releases != nil {
 		p.recordRelease(q, &placement)
 	}
 	return placement, ok
 }
 
+// ofRelease returns the endpoints that may serve a request which is bound to a release; empty means that
+// it is bound to none.
+func ofRelease(release string, members []*fleet.Member) []*fleet.Member {
+	if release == "" {
+		return members
+	}
+	return without(members, func(m *fleet.Member) bool { return m.Endpoint().Release != release })
+}
+
 // recordRelease counts a placement while the service is moved to another release, and has its answer
 // counted.
 func (p *Placer) recordRelease(q *forward.Query, placement *forward.Placement) {
--- /dev/null
+++ b/internal/placer/release_test.go
@@ -0,0 +1,67 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/canary"
+	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/result"
+	"github.com/cherryward/cherryward/internal/routing"
+)
+
+// setReleases assigns the endpoints to releases, in their order.
+func (fx *fixture) setReleases(releases ...string) {
+	f := fleet.New(zerolog.Nop())
+	for i, m := range fx.members {
+		e := *m.Endpoint()
+		e.Release = releases[i]
+		f.Update(&e, time.Now())
+	}
+	fx.Fleet = f
+}
+
+func TestStreamGoesOnOnlyAtItsRelease(t *testing.T) {
+	fx := newFixture(t, fakeEvents{addr(0): shared(1, "")}, 1, 1, 1)
+	fx.setReleases("v1", "v2", "v1")
+	plain := &forward.Query{Route: &routing.Route{}, Service: &routing.Service{Name: "s"}, Attributes: &forward.Attributes{}}
+	for _, q := range []*forward.Query{query(), plain} {
+		q.Tried = []string{"e0"}
+		for range 20 {
+			q.Release = "v1"
+			p, ok := fx.Place(q)
+			must.True(t, ok)
+			test.Eq(t, "e2", p.Member.ID)
+		}
+		q.Release = "v2"
+		p, ok := fx.Place(q)
+		must.True(t, ok)
+		test.Eq(t, "e1", p.Member.ID)
+		q.Release = "v3"
+		p, ok = fx.Place(q)
+		must.False(t, ok)
+		test.Eq(t, result.NoEndpointOfRelease, p.RefusalCode)
+		test.True(t, p.Final)
+	}
+}
+
+func TestStreamOfWithdrawnReleaseIsRefused(t *testing.T) {
+	fx := newFixture(t, fakeEvents{}, 1, 1)
+	fx.setReleases("v1", "v2")
+	fx.Releases = &canary.Gate{ExposureShare: 0.1, PhasesKnown: func() bool { return false }}
+	fx.Releases.SetOrder(canary.Order{Service: "s", Release: "v2", Within: time.Minute, ID: 1, ReadAt: time.Now()})
+	for release, want := range map[string]bool{"v1": true, "v2": false} {
+		q := query()
+		q.Release = release
+		p, ok := fx.Place(q)
+		test.Eq(t, want, ok, test.Sprint(release))
+		if !ok {
+			test.Eq(t, result.NoEndpointOfRelease, p.RefusalCode)
+		}
+	}
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -59,6 +59,8 @@
 	Quarantined        Code = 3011
 	NoEndpointInRegion Code = 3012
 	PathLost           Code = 3013
+	// NoEndpointOfRelease is used for streams, which go on only at the release that began them.
+	NoEndpointOfRelease Code = 3014
 )
 
 // Failures of endpoints and of their answers.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -88,6 +88,9 @@
 	{PathLost, "path_lost", http.StatusServiceUnavailable, NotRun, true,
 		"Neither this node nor another that it asked reaches an endpoint of the service.",
 		"Retry after the time given; operators look at the nodes' event=path lines."},
+	{NoEndpointOfRelease, "no_endpoint_of_release", http.StatusServiceUnavailable, NotRun, false,
+		"The stream can go on only at the release of the endpoints' software that began it, and no endpoint of that release takes requests.",
+		"Start the request anew; operators compare the release in the logs with cherryctl endpoints."},
 
 	{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, true,
 		"The endpoint failed before any byte of the request could reach it.", "Retry."},
