--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -98,12 +98,10 @@
 // writing to the caller fails.
 func (x *exchange) writeEvents(answer *upstream.Answer, events []byte) bool {
 	if !x.written {
+		x.recordOrigin()
 		x.writeHead(answer.Response, -1)
 	}
 	x.observeEvents(x.position.advance(events))
-	if x.release == "" {
-		x.release = x.attemptRelease
-	}
 	x.attrs.ResumeAfter = x.position.lastID
 	_, err := x.w.Write(events)
 	if err == nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/handoff"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/result"
@@ -33,6 +34,7 @@
 	// AgeEstimator estimates how long ago a caller first tried.
 	AgeEstimator *AgeEstimator
 	Quarantine   Quarantine
+	Origins      Origins
 	// Fleet receives the endpoints that report that they are draining.
 	Fleet Fleet
 	// Pace observes the pace of engines in the events of streams. Nil means that it is not observed.
@@ -82,11 +84,12 @@
 	attemptTook       time.Duration           // duration of the latest attempt
 	// endpointReplaced is true if another endpoint answered the latest attempt.
 	endpointReplaced  bool
-	written           bool     // the header of the answer was written
-	position          position // in the caller's stream
-	resumedAfter      string   // id of the last event that the caller had received before this request
-	attemptRelease    string   // release of the endpoint of the latest attempt; empty if not known
-	release           string   // release that began the caller's stream; empty before its first event
+	written           bool           // the header of the answer was written
+	position          position       // in the caller's stream
+	resumedAfter      string         // id of the last event that the caller had received before this request
+	attemptRelease    string         // release of the endpoint of the latest attempt; empty if not known
+	release           string         // release that began the caller's stream; empty before its first event
+	found             *origin.Result // origin of the stream that the caller takes up; nil if it takes up none
 	pauses            pauses
 	pace              *enginepace.Stream // of the latest attempt; nil if not observed
 	callerWriteFailed bool               // writing to the caller failed
@@ -105,6 +108,9 @@
 	x.resumedAfter = x.attrs.ResumeAfter
 	x.position = positionAt(x.resumedAfter)
 	err := x.admit()
+	if err == nil {
+		err = x.bindStream()
+	}
 	if err == nil {
 		err = x.forward()
 	}
@@ -239,6 +245,9 @@
 	x.outcome.Total, x.outcome.LongestPause = x.Clock.Since(x.arrived), x.pauses.longest
 	x.outcome.Route = x.route
 	x.outcome.Passed, x.outcome.Helper = x.passed != nil, x.helper != ""
+	if x.found != nil {
+		x.outcome.Origin = &x.found.Source
+	}
 	if x.account != nil {
 		x.outcome.Account = x.account.Name
 	}
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -200,7 +200,7 @@
 	envelope := handoff.Envelope{
 		From: x.Helpers.Name, Config: x.config.Version, LeftMS: x.Clock.Until(x.deadline()).Milliseconds(), AgeMS: x.age.Milliseconds(),
 		Attempts: x.route.MaxAttempts - mayHaveRunCount, Counted: x.counted, ResumeAfter: x.attrs.ResumeAfter,
-		Release: x.release,
+		Service: x.service.Name, Release: x.release,
 	}
 	if err := envelope.Set(header); err != nil {
 		return nil, err
--- a/internal/forward/handoff_test.go
+++ b/internal/forward/handoff_test.go
@@ -34,13 +34,19 @@
 // newPartitioned returns a handler that reaches no endpoint, and passes requests to the nodes at the given
 // addresses, in that order.
 func newPartitioned(t *testing.T, helpers ...string) *testHandler {
+	t.Helper()
+	return newPartitionedAmong(t, false, helpers...)
+}
+
+// newPartitionedAmong is newPartitioned with nodes that heed the release of a stream or don't.
+func newPartitionedAmong(t *testing.T, bindReleases bool, helpers ...string) *testHandler {
 	t.Helper()
 	h := newTestHandler(t, "")
 	h.handler.Paths = pathState(reach.Unreachable)
 	h.handler.Helpers = &handoff.Table{Name: "cut", Now: time.Now, Random: rand.IntN}
 	var nodes []handoff.Node
 	for i, addr := range helpers {
-		nodes = append(nodes, handoff.Node{Name: "helper-" + strconv.Itoa(i), Addr: addr, Local: true})
+		nodes = append(nodes, handoff.Node{Name: "helper-" + strconv.Itoa(i), Addr: addr, Local: true, BindsReleases: bindReleases})
 	}
 	h.handler.Helpers.SetNodes(nodes)
 	return h
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -16,6 +16,7 @@
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/platform"
@@ -74,7 +75,7 @@
 
 func (o *orderedPlacer) Place(q *forward.Query) (forward.Placement, bool) {
 	for i, m := range o.members {
-		if !slices.Contains(q.Tried, m.ID) {
+		if !slices.Contains(q.Tried, m.ID) && (q.Release == "" || q.Release == m.Endpoint().Release) {
 			p := forward.Placement{Member: m, Attempt: forward.Attempt{Instance: m.ID, Account: "yard"}, Reason: "in_order"}
 			if o.beginWithin > 0 && i == 0 {
 				p.BeginBy = time.Now().Add(o.beginWithin)
@@ -85,6 +86,29 @@
 	return forward.Placement{}, false
 }
 
+// knownOrigins is a forward.Origins. Streams that no request of the test began are of the given origin, or
+// not found if it is empty.
+type knownOrigins struct {
+	other   origin.Origin
+	records map[origin.Key]origin.Origin
+}
+
+func newKnownOrigins() *knownOrigins {
+	return &knownOrigins{other: origin.Origin{Service: "servers", Release: "v1"}, records: make(map[origin.Key]origin.Origin)}
+}
+
+func (k *knownOrigins) Record(key origin.Key, o origin.Origin) { k.records[key] = o }
+
+func (k *knownOrigins) Find(_ context.Context, key origin.Key, _ string) origin.Result {
+	if o, known := k.records[key]; known {
+		return origin.Result{Origin: o, Source: origin.OwnRecord}
+	}
+	if k.other == (origin.Origin{}) {
+		return origin.Result{}
+	}
+	return origin.Result{Origin: k.other, Source: origin.SoleRelease}
+}
+
 type recordedOutcomes struct{ list []forward.Outcome }
 
 func (o *recordedOutcomes) Forwarded(outcome *forward.Outcome) { o.list = append(o.list, *outcome) }
@@ -95,6 +119,7 @@
 	bounds  bootstrap.Bounds
 	servers []*modelserver.Server
 	placer  *orderedPlacer
+	origins *knownOrigins
 	handler *forward.Handler
 	server  *httptest.Server
 }
@@ -122,6 +147,7 @@
 // order.
 func (h *testHandler) start(t testing.TB, addrs []string) {
 	t.Helper()
+	h.origins = newKnownOrigins()
 	h.state = &fixedConfig{config: config()}
 	f := fleet.New(zerolog.Nop())
 	for i, addr := range addrs {
@@ -133,7 +159,7 @@
 	h.bounds = bootstrap.Bounds{RevokeLimit: 5 * time.Second, ConfigApplyLimit: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	h.handler = &forward.Handler{
 		Dialect: platform.Dialect{}, ConfigSource: h.state, Placer: h.placer, Budgets: forward.NewBudgets(h.bounds, func() int { return 1 }), AgeEstimator: &forward.AgeEstimator{},
-		Quarantine: quarantine.NewTable(time.Now), Fleet: f,
+		Quarantine: quarantine.NewTable(time.Now), Origins: h.origins, Fleet: f,
 		Bounds: func() bootstrap.Bounds { return h.bounds }, Recorder: &recordedOutcomes{}, Log: zerolog.Nop(),
 	}
 	h.server = httptest.NewServer(h.handler)
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -32,6 +32,13 @@
 	if x.attrs.Resumes != "" {
 		event = event.Str("resumes", x.attrs.Resumes)
 	}
+	if x.found != nil {
+		event = event.Stringer("origin", x.found.Source).Int("asked", x.found.Asked).Int("answered", x.found.Answered).
+			Int64("origin_ms", x.found.Took.Milliseconds())
+	}
+	if x.release != "" {
+		event = event.Str("began_at", x.release)
+	}
 	if x.resumedAfter != "" {
 		event = event.Str("resumed_after", x.resumedAfter)
 	}
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
 )
@@ -15,13 +16,15 @@
 
 // Outcome is the result of a request.
 type Outcome struct {
-	Route           *routing.Route
-	Account         string
-	Code            result.Code // 0 if an endpoint's answer was delivered
-	Status          int
-	Attempts        int
-	Passed          bool          // another node passed the request to this one
-	Helper          bool          // this node passed the request to another one
+	Route    *routing.Route
+	Account  string
+	Code     result.Code // 0 if an endpoint's answer was delivered
+	Status   int
+	Attempts int
+	Passed   bool // another node passed the request to this one
+	Helper   bool // this node passed the request to another one
+	// Origin is how the origin of the stream was found that the caller takes up; nil if it takes up none.
+	Origin          *origin.Source
 	TimeToFirstByte time.Duration // until the header of the answer was written; 0 without an answer
 	Total           time.Duration
 	// LongestPause is the longest time between two reads that brought events of a stream; 0 if it is
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -10,14 +10,18 @@
 //   - A key is accepted only if the configuration that contains it was current less than the
 //     revocation bound ago, unless the operators accept stale keys.
 //   - As soon as it is clear that a request will not be sent again, it is answered.
+//   - A stream goes on only at the release of the endpoints' software that began it, in one answer and when
+//     its caller takes it up in another request. If the release is not known, the stream is refused.
 //   - A request in quarantine, because endpoints repeatedly ended while running it, is not sent.
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/result"
@@ -43,6 +47,8 @@
 	// Resumes is the id of the request that brought the first event of the stream that the caller
 	// resumes; empty if the caller states none.
 	Resumes string
+	// ResumesInvalid is true if the caller states several ids there, or one that is too long.
+	ResumesInvalid bool
 
 	Model        string
 	PromptTokens int
@@ -141,9 +147,10 @@
 // because connecting took that long.
 const minRetryAgeShare = 0.05
 
-// IsRetry reports whether the caller was refused before, as estimated from its deadline.
+// IsRetry reports whether the caller has been served a part of the answer before, or was refused before, as
+// estimated from its deadline.
 func (q *Query) IsRetry() bool {
-	return q.Age > time.Duration(minRetryAgeShare*float64(q.Route.Objective))
+	return q.Release != "" || q.Age > time.Duration(minRetryAgeShare*float64(q.Route.Objective))
 }
 
 // Placement is the selected endpoint and how to send the request to it.
@@ -216,6 +223,15 @@
 	Clear(f quarantine.Fingerprint) (known bool)
 }
 
+// Origins knows which release of the endpoints' software began each stream.
+type Origins interface {
+	// Record records the origin of a stream, before the caller gets its first event. It does not block.
+	Record(k origin.Key, o origin.Origin)
+	// Find returns the origin of a stream that a caller takes up. A zero key means that the caller does
+	// not name the request that began it.
+	Find(ctx context.Context, k origin.Key, service string) origin.Result
+}
+
 // Fleet records which endpoints are draining.
 type Fleet interface {
 	// MarkDraining records that an endpoint reported that it is draining, and reports whether that
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/kvindex"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/reach"
@@ -81,6 +82,7 @@
 	roster        *roster
 	quarantine    *quarantine.Service
 	releases      *canary.Service
+	origins       *origin.Service // of streams
 	pace          *enginepace.Services
 	recorder      *recorder
 	started       time.Time
@@ -188,6 +190,7 @@
 	})
 	n.roster.applyHoldRecord, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
 	n.buildReleases(store)
+	n.buildOrigins()
 	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
 		Node:       boot.Name,
@@ -249,6 +252,7 @@
 		&task{name: "announce", run: n.roster.announce},
 		&task{name: "quarantine", run: n.quarantine.Run},
 		&task{name: "releases", run: n.releases.Run},
+		&task{name: "origins", run: n.origins.Run},
 		&task{name: "memory", run: tuneCollections},
 		&task{name: "suspension", run: n.watchSuspension},
 		&task{name: "sweep", run: newSweeper(n).run},
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,6 +26,7 @@
 		Budgets:      budgets,
 		AgeEstimator: &forward.AgeEstimator{},
 		Quarantine:   n.quarantine,
+		Origins:      n.origins,
 		Fleet:        n.fleet,
 		Pace:         n.pace,
 		Paths:        n.network,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,8 @@
 	metricSlow             = "cherryward_gateway_slow_endpoints"
 	metricPauseSeconds     = "cherryward_gateway_longest_pause_seconds"
 	metricLatePauses       = "cherryward_gateway_late_pauses_total"
+	metricResumed          = "cherryward_gateway_resumed_streams_total"
+	metricOrigins          = "cherryward_gateway_stream_origins"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -114,6 +116,7 @@
 	set.NewGauge(metricCold, func() float64 { return n.countEndpoints((*fleet.Member).Cold) })
 	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
 	set.NewGauge(metricBackoff, func() float64 { return n.countEndpoints(isBackingOff) })
+	set.NewGauge(metricOrigins, func() float64 { return float64(n.origins.Len()) })
 	addNoticeMetrics(set, n.peers)
 	set.NewGauge(metricSlow, n.countSlow)
 	return &recorder{set: set}
@@ -169,6 +172,9 @@
 // class at the first only.
 func (r *recorder) Forwarded(o *forward.Outcome) {
 	code := `{code="` + strconv.Itoa(int(o.Code)) + `"}`
+	if o.Origin != nil {
+		r.set.GetOrCreateCounter(metricResumed + `{origin="` + o.Origin.String() + `",code="` + strconv.Itoa(int(o.Code)) + `"}`).Inc()
+	}
 	if o.Passed {
 		r.set.GetOrCreateCounter(metricReceived + code).Inc()
 		return
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -12,9 +12,11 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/routing"
@@ -32,6 +34,10 @@
 		storeEra:   func() int64 { return 0 },
 	}
 	n.boot.Store(testBoot(t))
+	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
+	must.NoError(t, err)
+	defer conn.Close()
+	n.origins = origin.New(origin.Config{Conn: conn, Now: time.Now})
 	r := newRecorder(n)
 	r.recordLoadAge(time.Second)
 	r.Refused(&routing.Route{}, "no_slot")
@@ -39,6 +45,8 @@
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{GapObjective: time.Second / 2}, TimeToFirstByte: time.Second, LongestPause: time.Second, Total: time.Second})
 	r.Forwarded(&forward.Outcome{Helper: true})
 	r.Forwarded(&forward.Outcome{Passed: true})
+	found := origin.OwnRecord
+	r.Forwarded(&forward.Outcome{Origin: &found})
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, nil)
 	names := func(text string) []string {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -11,6 +11,7 @@
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/platform"
 )
@@ -56,6 +57,8 @@
 	// entries holds the newest valid entries in the scope by endpoint id.
 	entries map[string]entry
 	scope   scope
+	// releases receives the releases of all valid entries, whatever the scope.
+	releases *origin.Observer
 	// records returns the newest records of all entries that exist, whatever the scope.
 	records func() []follow.Record
 }
@@ -69,7 +72,7 @@
 var _ follow.Sink = (*registry)(nil)
 
 func newRegistry(f *fleet.Fleet, config func() *routing.Config, bounds func() bootstrap.Bounds, rejected *rejected) *registry {
-	return &registry{fleet: f, config: config, bounds: bounds, rejected: rejected, entries: make(map[string]entry)}
+	return &registry{fleet: f, config: config, bounds: bounds, rejected: rejected, entries: make(map[string]entry), releases: origin.NewObserver()}
 }
 
 // Apply implements follow.Sink.
@@ -77,6 +80,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	r.releases.RecordRead(b.ConfirmedAt, b.Gap, now)
 	if b.Restored || b.Failed && b.Gap > minExpiryOutage {
 		r.beginExpiryHold(now)
 	}
@@ -100,7 +104,7 @@
 		r.apply(record, now)
 	}
 	if b.Snapshot {
-		r.retain(present)
+		r.retain(present, now)
 		for _, id := range r.fleet.Missing(present) {
 			r.remove(id, now)
 		}
@@ -130,7 +134,7 @@
 func (r *registry) apply(record *follow.Record, now time.Time) {
 	if record.Value == nil {
 		delete(r.entries, record.Key)
-		r.scope.unlist(record.Key)
+		r.unlist(record.Key, now)
 		r.remove(record.Key, now)
 		return
 	}
@@ -145,7 +149,7 @@
 		// held; if it is alive, its next heartbeat restores it. The fleet keeps the record that the
 		// id was draining, and requests in progress continue.
 		delete(r.entries, record.Key)
-		r.scope.unlist(record.Key)
+		r.unlist(record.Key, now)
 		r.fleet.Remove(record.Key)
 		return
 	}
@@ -153,6 +157,7 @@
 		return // it arrived late, or another writer wrote it
 	}
 	r.scope.list(endpoint)
+	r.releases.Set(endpoint.ID, origin.Origin{Service: endpoint.Service, Release: endpoint.Release}, now)
 	if !r.scope.follows(endpoint) {
 		delete(r.entries, record.Key)
 		r.fleet.Remove(record.Key)
@@ -177,7 +182,7 @@
 }
 
 // retain deletes the entries that are not present.
-func (r *registry) retain(present map[string]bool) {
+func (r *registry) retain(present map[string]bool, now time.Time) {
 	for id := range r.entries {
 		if !present[id] {
 			delete(r.entries, id)
@@ -185,11 +190,17 @@
 	}
 	for id := range r.scope.listed {
 		if !present[id] {
-			r.scope.unlist(id)
+			r.unlist(id, now)
 		}
 	}
 }
 
+// unlist records that an entry is gone or invalid.
+func (r *registry) unlist(id string, now time.Time) {
+	r.scope.unlist(id)
+	r.releases.Remove(id, now)
+}
+
 // reevaluate adds the endpoints of services that the configuration now names, and removes those of
 // services that it no longer names.
 func (r *registry) reevaluate() {
--- a/internal/gatewaydemo/stream_release_test.go
+++ b/internal/gatewaydemo/stream_release_test.go
@@ -34,6 +34,7 @@
 		must.NoError(t, err)
 	}
 	for i, m := range members {
+		waitUntil(t, "a node knows the others", func() bool { return m.Nodes() == nodes })
 		waitUntil(t, "a node sends prompts to both releases", func() bool {
 			n := promptsSent.Add(1)
 			sendRequest(t, m, site.PathSummary, key, fmt.Sprintf("both-%d-%d", i, n), fmt.Sprint("5e55", n))
@@ -135,7 +136,7 @@
 		must.Eq(t, cutAfter, readEvents(t, members[i%3], first, session, cutAfter))
 		// The parts of another session lead to other servers than those that hold the stream's KV cache.
 		status, body := resume(t, members[(i+1)%3], second, first, "0"+session, cutAfter)
-		must.Eq(t, http.StatusOK, status)
+		must.Eq(t, http.StatusOK, status, must.Sprint(body))
 		must.True(t, strings.HasPrefix(body, "id: 4\n"))
 		test.Eq(t, releaseOf(s, first), releaseOf(s, second), test.Sprint(second))
 	}
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -44,8 +44,9 @@
 	Counted bool `json:"counted,omitempty"`
 	// ResumeAfter is the id of the last event of a stream that the caller has; empty if none.
 	ResumeAfter string `json:"resume_after,omitempty"`
-	// Release is the release of the endpoints' software that began the stream; empty if none has. Only
-	// nodes whose Node.BindsReleases is true read it.
+	// Service and Release are the service, and the release of its endpoints' software, that began the
+	// stream. Release is empty if none has. Only nodes whose Node.BindsReleases is true read them.
+	Service string `json:"service,omitempty"`
 	Release string `json:"release,omitempty"`
 }
 
--- /dev/null
+++ b/internal/origin/find.go
@@ -0,0 +1,120 @@
+package origin
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+// Source states how the origin of a stream was found.
+type Source int
+
+const (
+	// NotFound means that the origin is not known.
+	NotFound Source = iota
+	// OwnRecord means that this node had a record.
+	OwnRecord
+	// PeerRecord means that another node had a record.
+	PeerRecord
+	// SoleRelease means that there was no record, but a single release can have begun the stream.
+	SoleRelease
+)
+
+// String implements fmt.Stringer.
+func (s Source) String() string {
+	return [...]string{NotFound: "unknown", OwnRecord: "own", PeerRecord: "peer", SoleRelease: "sole"}[s]
+}
+
+// Result is the outcome of Find.
+type Result struct {
+	Origin // empty if Source is NotFound
+	Source Source
+	// Asked is the number of other nodes that were asked, and Answered that of those that answered in time.
+	Asked, Answered int
+	Took            time.Duration
+}
+
+// Find returns the origin of the stream that the request with the given key began. A zero key stands for a
+// request that the caller did not name. service is the one that would serve the stream now. Find asks other
+// nodes unless this one has a record, and takes callTimeout for each call at most.
+func (s *Service) Find(ctx context.Context, k Key, service string) Result {
+	began := s.config.Now()
+	r := s.find(ctx, k, service)
+	r.Took = s.config.Now().Sub(began)
+	return r
+}
+
+func (s *Service) find(ctx context.Context, k Key, service string) Result {
+	if o, ok := s.table.Find(k); ok {
+		return Result{Origin: o, Source: OwnRecord}
+	}
+	own := s.config.View(service)
+	release, sole := soleRelease([]View{own}, s.config.Retention(), false)
+	if k == (Key{}) && sole {
+		return Result{Origin: Origin{service, release}, Source: SoleRelease}
+	}
+	s.mu.Lock()
+	homes, peers := s.homes, len(s.peers)
+	s.mu.Unlock()
+	asked := homes.of(k, askedHomes)
+	if k == (Key{}) {
+		asked = homes.of(randomKey(), askedHomes)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := Result{Asked: len(asked)}
+	views := []View{own}
+	for answer := range s.ask(ctx, asked, findRequest{k, service}) {
+		result.Answered++
+		if answer.Origin != nil && answer.Origin.valid() {
+			result.Origin, result.Source = *answer.Origin, PeerRecord
+			return result
+		}
+		views = append(views, answer.View)
+	}
+	if release, sole = soleRelease(views, s.config.Retention(), result.Answered == peers); sole {
+		result.Origin, result.Source = Origin{service, release}, SoleRelease
+	}
+	return result
+}
+
+// randomKey returns a key that spreads questions without a key over the nodes of a large system.
+func randomKey() (k Key) {
+	binary.BigEndian.PutUint64(k[:], rand.Uint64())
+	return k
+}
+
+// ask asks nodes at the same time. The channel yields the answers as they arrive and is closed when all
+// nodes have answered or their time is over.
+func (s *Service) ask(ctx context.Context, nodes []netip.AddrPort, q findRequest) <-chan findResponse {
+	answers := make(chan findResponse, len(nodes))
+	pending := make(chan struct{}, len(nodes))
+	for _, node := range nodes {
+		go func() {
+			for i := 0; i < calls && ctx.Err() == nil && !s.call(ctx, node, q, answers); i++ {
+			}
+			pending <- struct{}{}
+		}()
+	}
+	go func() {
+		for range nodes {
+			<-pending
+		}
+		close(answers)
+	}()
+	return answers
+}
+
+// call asks a node once, and reports whether it has answered.
+func (s *Service) call(ctx context.Context, node netip.AddrPort, q findRequest, answers chan<- findResponse) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var answer findResponse
+	if err := s.config.Conn.Call(ctx, node, findMethod, q, &answer); err != nil {
+		return false // silent, or of a build that doesn't know the method
+	}
+	answers <- answer
+	return true
+}
--- /dev/null
+++ b/internal/origin/homes.go
@@ -0,0 +1,77 @@
+package origin
+
+import (
+	"net/netip"
+
+	"github.com/cherryward/cherryward/coord/rendezvous"
+)
+
+const (
+	// maxFullHomes is the number of other nodes up to which all of them are homes of all streams.
+	maxFullHomes = 12
+	// copies is the number of homes of a stream in a larger system. They are in different failure domains
+	// if there are enough.
+	copies = 3
+	// askedHomes is the number of nodes that are asked for a record. It is more than copies, as the list
+	// of nodes may have changed since the record was sent.
+	askedHomes = 6
+	// slotsPerDomain is the number of groups of streams that have the same homes in a failure domain.
+	slotsPerDomain = 1 << 12
+)
+
+// Peer is another node.
+type Peer struct {
+	Name   string
+	Domain string // failure domain
+	Addr   netip.AddrPort
+}
+
+// homes assigns streams to nodes. It is immutable and safe for concurrent use.
+type homes struct {
+	all     []netip.AddrPort // in a small system; nil in a large one
+	domains []rendezvous.Node
+	slots   map[string]*rendezvous.Slots // by failure domain
+	addrs   map[string]netip.AddrPort    // by node name
+}
+
+func newHomes(peers []Peer) *homes {
+	h := &homes{slots: make(map[string]*rendezvous.Slots), addrs: make(map[string]netip.AddrPort, len(peers))}
+	byDomain := make(map[string][]rendezvous.Node)
+	for _, p := range peers {
+		h.addrs[p.Name] = p.Addr
+		byDomain[p.Domain] = append(byDomain[p.Domain], rendezvous.Node{ID: p.Name, Weight: 1})
+	}
+	if len(peers) <= maxFullHomes {
+		for _, p := range peers {
+			h.all = append(h.all, p.Addr)
+		}
+		return h
+	}
+	for domain, nodes := range byDomain {
+		h.domains = append(h.domains, rendezvous.Node{ID: domain, Weight: 1})
+		h.slots[domain] = rendezvous.NewSlots(rendezvous.NewSet(nodes), slotsPerDomain, askedHomes)
+	}
+	return h
+}
+
+// of returns the first homes of a stream, at most count unless the system is small.
+func (h *homes) of(k Key, count int) []netip.AddrPort {
+	if len(h.addrs) <= maxFullHomes {
+		return h.all
+	}
+	key := string(k[:])
+	domains := rendezvous.Top(len(h.domains), key, h.domains)
+	list := make([]netip.AddrPort, 0, count)
+	for rank := range askedHomes {
+		for _, domain := range domains {
+			names := h.slots[domain].Top(key)
+			if rank >= len(names) {
+				continue
+			}
+			if list = append(list, h.addrs[names[rank]]); len(list) == count {
+				return list
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/origin/message.go
@@ -0,0 +1,64 @@
+package origin
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// recordsMethod is the notification that sends records to homes. It is idempotent.
+	recordsMethod = "node.stream_origins"
+	// findMethod is the call that asks for a record and a view. It may be repeated.
+	findMethod = "node.find_stream"
+
+	// maxMessageRecords bounds the records of one message, so that it fits into a datagram.
+	maxMessageRecords = 32
+	// maxNameBytes bounds the names of services and releases.
+	maxNameBytes = 128
+)
+
+// record is the origin of one stream.
+type record struct {
+	Key Key `json:"key"`
+	Origin
+}
+
+// recordsMessage is the parameter of recordsMethod.
+type recordsMessage struct {
+	Records []record `json:"records"`
+}
+
+// findRequest is the parameter of findMethod. A zero key asks for the view only.
+type findRequest struct {
+	Key     Key    `json:"key"`
+	Service string `json:"service"`
+}
+
+// findResponse is the result of findMethod.
+type findResponse struct {
+	// Origin is nil if the node has no record.
+	Origin *Origin `json:"origin,omitempty"`
+	View   View    `json:"view"`
+}
+
+// decodeRecords decodes a recordsMessage. It fails if any part of it is invalid.
+func decodeRecords(params json.RawMessage) ([]record, error) {
+	var m recordsMessage
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, eris.Wrap(err, "decode origins of streams")
+	}
+	if len(m.Records) > maxMessageRecords {
+		return nil, eris.Errorf("decode origins of streams: %d records exceed the maximum", len(m.Records))
+	}
+	for i := range m.Records {
+		if r := &m.Records[i]; r.Key == (Key{}) || !r.valid() {
+			return nil, eris.Errorf("decode origins of streams: record %d lacks a field, or a name is too long", i)
+		}
+	}
+	return m.Records, nil
+}
+
+func (o *Origin) valid() bool {
+	return o.Service != "" && o.Release != "" && len(o.Service) <= maxNameBytes && len(o.Release) <= maxNameBytes
+}
--- /dev/null
+++ b/internal/origin/network_test.go
@@ -0,0 +1,302 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+)
+
+const (
+	service   = "models"
+	domains   = 3
+	oneWay    = 900 * time.Microsecond
+	retention = 24 * time.Second
+	lossRate  = 0.03
+)
+
+// network connects simulated nodes.
+type network struct {
+	loss  float64
+	nodes []*node
+
+	mu              sync.Mutex
+	random          *rand.Rand
+	messages, bytes int
+}
+
+// lost counts a message and reports whether it is lost.
+func (w *network) lost(bytes int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.messages++
+	w.bytes += bytes
+	return w.random.Float64() < w.loss
+}
+
+// node is a simulated node.
+type node struct {
+	*Service
+	network  *network
+	handlers map[string]datagram.Handler
+	peer     Peer
+	silent   bool // killed, or cut off from the others
+	older    bool // of a build that doesn't know the messages
+	view     View
+}
+
+func newNetwork(size int) *network {
+	n := &network{random: rand.New(rand.NewPCG(uint64(size), 1))}
+	for i := range size {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+		added := &node{network: n, peer: Peer{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Addr: addr}}
+		added.view = View{Releases: []string{"v1", "v2"}, ObservedMS: time.Hour.Milliseconds()}
+		n.nodes = append(n.nodes, added)
+		added.start()
+	}
+	n.listAll()
+	return n
+}
+
+// start starts the node with no records.
+func (n *node) start() {
+	n.handlers = make(map[string]datagram.Handler)
+	n.Service = New(Config{
+		Conn: n, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
+	})
+	n.list()
+}
+
+// list has the node list all others.
+func (n *node) list() {
+	var peers []Peer
+	for _, other := range n.network.nodes {
+		if other != n {
+			peers = append(peers, other.peer)
+		}
+	}
+	n.SetPeers(peers)
+}
+
+// listAll has all nodes list all others.
+func (w *network) listAll() {
+	for _, n := range w.nodes {
+		n.list()
+	}
+}
+
+func (n *node) Handle(method string, h datagram.Handler) { n.handlers[method] = h }
+
+// send delivers a message. It reports false if the message is lost.
+func (n *node) send(to netip.AddrPort, method string, params any) (response any, ok bool) {
+	data, err := json.Marshal(params)
+	if err != nil {
+		panic(err) // can't fail for the messages
+	}
+	w := n.network
+	lost := w.lost(len(data))
+	b := to.Addr().As4()
+	other := w.nodes[int(b[2])<<8|int(b[3])]
+	if n.silent || other.silent || other.older || lost {
+		return nil, false
+	}
+	response, err = other.handlers[method](data)
+	if err != nil {
+		panic(err) // the messages are valid
+	}
+	return response, true
+}
+
+func (n *node) Notify(peers []netip.AddrPort, method string, params any) int {
+	for _, to := range peers {
+		n.send(to, method, params)
+	}
+	return 0
+}
+
+func (n *node) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
+	response, ok := n.send(to, method, params)
+	if !ok || n.network.lost(0) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(2 * oneWay):
+	}
+	data, err := json.Marshal(response)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+// begin has the i-th stream begin at a node.
+func (w *network) begin(i int) (at *node, k Key, o Origin) {
+	at, k = w.nodes[i%len(w.nodes)], KeyOf("yard", fmt.Sprint("r", i))
+	o = Origin{Service: service, Release: fmt.Sprint("v", 1+i%2)}
+	at.Record(k, o)
+	return at, k, o
+}
+
+// TestStreamsAreTakenUpAtOtherNodes checks that callers can take their streams up at any sound node after
+// the loss of the node that began them, of its failure domain, and of messages.
+func TestStreamsAreTakenUpAtOtherNodes(t *testing.T) {
+	const streams = 100
+	for _, size := range []int{6, 85, 295, 985} {
+		for _, c := range []struct {
+			name string
+			loss float64
+			fail func(w *network, at *node)
+		}{
+			{"sound", 0, func(*network, *node) {}},
+			{"packets lost", lossRate, func(*network, *node) {}},
+			{"node killed", 0, func(_ *network, at *node) { at.silent = true }},
+			{"failure domain without power", 0, func(w *network, at *node) {
+				for _, n := range w.nodes {
+					n.silent = n.peer.Domain == at.peer.Domain
+				}
+			}},
+			{"node replaced", 0, func(_ *network, at *node) {
+				at.peer.Name += "-new"
+				at.start()
+			}},
+		} {
+			t.Run(fmt.Sprint(size, " nodes, ", c.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newNetwork(size)
+					w.loss = c.loss
+					found, slowest, messages, bytes := 0, time.Duration(0), 0, 0
+					for i := range streams {
+						before, beforeBytes := w.messages, w.bytes
+						at, k, o := w.begin(i)
+						at.resend()
+						messages, bytes = messages+w.messages-before, bytes+w.bytes-beforeBytes
+						name := at.peer.Name
+						c.fail(w, at)
+						asked := w.nodes[(i+1)%size]
+						for asked.silent || asked == at {
+							asked = w.nodes[w.random.IntN(size)]
+						}
+						if at.peer.Name != name {
+							asked.list()
+						}
+						r := asked.Find(t.Context(), k, service)
+						slowest = max(slowest, r.Took)
+						for _, n := range w.nodes {
+							n.silent = false
+						}
+						if r.Source == NotFound {
+							continue
+						}
+						found++
+						test.Eq(t, o, r.Origin)
+					}
+					synctest.Wait()
+					t.Logf("%d of %d found, slowest in %v; %.1f messages and %.0f bytes a stream", found, streams, slowest, float64(messages)/streams, float64(bytes)/streams)
+					test.Eq(t, streams, found)
+					test.LessEq(t, calls*callTimeout, slowest)
+				})
+			})
+		}
+	}
+}
+
+// TestUnknownStreamsAreNotFound checks that nothing is found of a stream whose homes are gone, of another
+// account's, or of one that two requests with the same id began at different releases.
+func TestUnknownStreamsAreNotFound(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(w *network, at *node, k Key) Key
+	}{
+		{"all nodes restarted", func(w *network, _ *node, k Key) Key {
+			for _, n := range w.nodes {
+				n.start()
+			}
+			return k
+		}},
+		{"asking node cut off", func(w *network, at *node, k Key) Key {
+			for _, n := range w.nodes {
+				n.silent = n != at
+				n.start()
+			}
+			return k
+		}},
+		{"another account's", func(*network, *node, Key) Key { return KeyOf("mill", "r0") }},
+		{"begun twice", func(w *network, _ *node, k Key) Key {
+			w.nodes[3].Record(k, Origin{Service: service, Release: "v2"})
+			return k
+		}},
+		{"not named", func(*network, *node, Key) Key { return Key{} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newNetwork(6)
+				at, k, _ := w.begin(0)
+				k = c.fail(w, at, k)
+				r := w.nodes[1].Find(t.Context(), k, service)
+				test.Eq(t, NotFound, r.Source)
+				test.Eq(t, Origin{}, r.Origin)
+				test.LessEq(t, calls*callTimeout, r.Took)
+			})
+		})
+	}
+}
+
+// TestNodesOfOlderBuilds checks that streams are taken up while some nodes don't know the messages.
+func TestNodesOfOlderBuilds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(6)
+		for _, n := range w.nodes[3:] {
+			n.older = true
+		}
+		_, k, o := w.begin(0)
+		w.nodes[0].silent = true
+		test.Eq(t, o, w.nodes[1].Find(t.Context(), k, service).Origin)
+	})
+}
+
+// TestRestartedNodeAsksOthersWhichReleaseWasAlone checks that a node that has just started learns from the
+// others that a single release has served.
+func TestRestartedNodeAsksOthersWhichReleaseWasAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(6)
+		for _, n := range w.nodes {
+			n.view = View{Releases: []string{"v1"}, ObservedMS: time.Hour.Milliseconds()}
+		}
+		w.nodes[0].view.ObservedMS = 100
+		for _, k := range []Key{{}, KeyOf("yard", "lost")} {
+			r := w.nodes[0].Find(t.Context(), k, service)
+			test.Eq(t, SoleRelease, r.Source)
+			test.Eq(t, Origin{Service: service, Release: "v1"}, r.Origin)
+		}
+		w.nodes[4].view.Releases = []string{"v1", "v2"}
+		test.Eq(t, NotFound, w.nodes[0].Find(t.Context(), Key{}, service).Source)
+	})
+}
+
+func TestMessagesOutOfRangeAreRejected(t *testing.T) {
+	w := newNetwork(2)
+	records := w.nodes[0].handlers[recordsMethod]
+	for _, params := range []string{
+		`[]`, `{"records":[{}]}`, `{"records":[{"key":"AAAAAAAAAAAAAAAAAAAAAA","service":"s","release":"v1"}]}`,
+		`{"records":[{"key":"AAAAAAAAAAAAAAAAAAAAAQ","service":"s"}]}`, `{"records":[{"key":"AQ","service":"s","release":"v1"}]}`,
+	} {
+		_, err := records(json.RawMessage(params))
+		test.Error(t, err, test.Sprint(params))
+	}
+	_, err := w.nodes[0].handlers[findMethod](json.RawMessage(`{"key":"x"}`))
+	must.Error(t, err)
+	test.Eq(t, 0, w.nodes[0].Len())
+}
--- /dev/null
+++ b/internal/origin/service.go
@@ -0,0 +1,154 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+)
+
+const (
+	// resendDelay is the time until records are sent a second time, because messages may be lost.
+	resendDelay = 100 * time.Millisecond
+	// maxResends bounds the records that wait to be sent a second time.
+	maxResends = 1024
+	// callTimeout is the time that a home has to answer, and calls the number of times that it is asked.
+	// A round trip between failure domains takes a few ms.
+	callTimeout = 50 * time.Millisecond
+	calls       = 2
+)
+
+// Conn carries messages between nodes. It does not retransmit them.
+type Conn interface {
+	// Handle registers the handler of a method. It must be called before messages arrive.
+	Handle(method string, h datagram.Handler)
+	// Notify sends a notification to each peer, and returns the total number of bytes sent.
+	Notify(peers []netip.AddrPort, method string, params any) (bytes int)
+	// Call calls a method of a peer and decodes the response into result.
+	Call(ctx context.Context, peer netip.AddrPort, method string, params, result any) error
+}
+
+// Config holds the dependencies of a Service. All fields must be set.
+type Config struct {
+	Conn Conn
+	// Retention returns the longest time between the first event of a stream and the last request of its
+	// caller that takes it up.
+	Retention func() time.Duration
+	// View returns this node's view of a service.
+	View func(service string) View
+	Now  func() time.Time
+}
+
+// Service shares the origins of streams with the other nodes. It is safe for concurrent use.
+type Service struct {
+	config Config
+	table  *Table
+
+	mu      sync.Mutex
+	peers   []Peer // sorted by name
+	homes   *homes
+	resends []record // sent once, in the order in which they were
+}
+
+// New returns a service that receives messages once c.Conn runs.
+func New(c Config) *Service {
+	s := &Service{config: c, table: NewTable(c.Now, c.Retention), homes: newHomes(nil)}
+	c.Conn.Handle(recordsMethod, s.handleRecords)
+	c.Conn.Handle(findMethod, s.handleFind)
+	return s
+}
+
+// SetPeers replaces the list of the other nodes.
+func (s *Service) SetPeers(peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Equal(peers, s.peers) {
+		s.peers, s.homes = peers, newHomes(peers)
+	}
+}
+
+// Len returns the number of records at this node.
+func (s *Service) Len() int { return s.table.Len() }
+
+// Record records the origin of a stream here and at its homes. It must be called before the caller gets the
+// stream's first event. It does not block.
+func (s *Service) Record(k Key, o Origin) {
+	if !o.valid() {
+		return
+	}
+	s.table.Add(k, o)
+	r := record{Key: k, Origin: o}
+	s.mu.Lock()
+	homes := s.homes
+	if len(s.resends) < maxResends {
+		s.resends = append(s.resends, r)
+	}
+	s.mu.Unlock()
+	s.config.Conn.Notify(homes.of(k, copies), recordsMethod, recordsMessage{[]record{r}})
+}
+
+// Run sends records a second time, until ctx is done.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := time.NewTicker(resendDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.resend()
+		}
+	}
+}
+
+// resend sends the records that were sent once since the last call, in one message to each home.
+func (s *Service) resend() {
+	s.mu.Lock()
+	records, homes := s.resends, s.homes
+	s.resends = nil
+	s.mu.Unlock()
+	byHome := make(map[netip.AddrPort][]record)
+	for _, r := range records {
+		for _, home := range homes.of(r.Key, copies) {
+			byHome[home] = append(byHome[home], r)
+		}
+	}
+	for home, list := range byHome {
+		for chunk := range slices.Chunk(list, maxMessageRecords) {
+			s.config.Conn.Notify([]netip.AddrPort{home}, recordsMethod, recordsMessage{chunk})
+		}
+	}
+}
+
+// handleRecords stores records of another node.
+func (s *Service) handleRecords(params json.RawMessage) (any, error) {
+	records, err := decodeRecords(params)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range records {
+		s.table.Add(r.Key, r.Origin)
+	}
+	return nil, nil
+}
+
+// handleFind answers another node's question.
+func (s *Service) handleFind(params json.RawMessage) (any, error) {
+	var q findRequest
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, eris.Wrap(err, "decode a question for a stream")
+	}
+	resp := findResponse{View: s.config.View(q.Service)}
+	if o, ok := s.table.Find(q.Key); ok {
+		resp.Origin = &o
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/origin/view.go
@@ -0,0 +1,148 @@
+package origin
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// MaxViewAge is the age up to which a node's view of the registry counts as current.
+const MaxViewAge = 3 * time.Second
+
+// View is what a node knows of the releases of one service.
+type View struct {
+	// Releases are the releases of which the node has seen an endpoint within the retention, at most
+	// maxViewReleases. The node can have sent requests to endpoints of these releases only.
+	Releases []string `json:"releases,omitempty"`
+	// ObservedMS is the time for which the node has followed the registry without a gap.
+	ObservedMS int64 `json:"observed_ms"`
+	// FirstStart is true if the node was not listed before it started: nothing ran there before.
+	FirstStart bool `json:"first_start,omitempty"`
+	// AgeMS is the age of the node's copy of the registry.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// maxViewReleases bounds the releases of a View. More than one are as good as any number.
+const maxViewReleases = 4
+
+// soleRelease returns the release that alone can have begun any stream within the last window, by the views
+// of this node and others. complete is true if the views of all nodes are there.
+//
+// A stream can be begun at a release only by a node that knows an endpoint of it. Every such release is in
+// the views if one of them goes back far enough and one is current, or all nodes' views are there.
+func soleRelease(views []View, window time.Duration, complete bool) (release string, ok bool) {
+	var covered, current bool
+	allNew := true
+	for i := range views {
+		v := &views[i]
+		for _, r := range v.Releases {
+			if release != "" && r != release {
+				return "", false
+			}
+			release = r
+		}
+		covered = covered || v.ObservedMS >= window.Milliseconds()
+		current = current || v.AgeMS <= MaxViewAge.Milliseconds()
+		allNew = allNew && v.FirstStart
+	}
+	if release == "" || !covered && !allNew || !current && !complete {
+		return "", false
+	}
+	return release, true
+}
+
+// maxObservationGap is the longest time between two reads of the registry within which no endpoint
+// registers, begins streams and leaves unseen: endpoints that leave go on serving for seconds.
+const maxObservationGap = 3 * time.Second
+
+// Observer records which releases of which services this node has seen in the registry. It is safe for
+// concurrent use.
+type Observer struct {
+	mu         sync.Mutex
+	byEndpoint map[string]Origin
+	listed     map[Origin]int       // number of endpoints
+	seenUntil  map[Origin]time.Time // when the last endpoint of a release was removed
+	// since is the time since when the registry has been followed without a gap, and confirmedAt a time at
+	// which this node's copy was certainly current. Both are zero before the first read.
+	since, confirmedAt time.Time
+}
+
+// NewObserver returns an observer that has seen nothing.
+func NewObserver() *Observer {
+	return &Observer{byEndpoint: make(map[string]Origin), listed: make(map[Origin]int), seenUntil: make(map[Origin]time.Time)}
+}
+
+// RecordRead records a read of the registry. gap is the time since the previous confirmation.
+func (o *Observer) RecordRead(confirmedAt time.Time, gap time.Duration, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.since.IsZero() || gap > maxObservationGap {
+		o.since = now
+	}
+	o.confirmedAt = confirmedAt
+}
+
+// Set records the service and release of an endpoint.
+func (o *Observer) Set(endpoint string, of Origin, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byEndpoint[endpoint] == of {
+		return
+	}
+	o.remove(endpoint, now)
+	o.byEndpoint[endpoint] = of
+	o.listed[of]++
+}
+
+// Remove records that an endpoint is gone.
+func (o *Observer) Remove(endpoint string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.remove(endpoint, now)
+}
+
+func (o *Observer) remove(endpoint string, now time.Time) {
+	of, known := o.byEndpoint[endpoint]
+	if !known {
+		return
+	}
+	delete(o.byEndpoint, endpoint)
+	o.listed[of]--
+	if o.listed[of] == 0 {
+		delete(o.listed, of)
+		o.seenUntil[of] = now
+	}
+}
+
+// View returns what this node knows of a service, with the releases of which an endpoint was listed within
+// the given time. FirstStart is left false.
+func (o *Observer) View(service string, within time.Duration, now time.Time) View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v := View{Releases: o.releases(service, now.Add(-within)), AgeMS: now.Sub(o.confirmedAt).Milliseconds()}
+	if !o.since.IsZero() {
+		v.ObservedMS = now.Sub(o.since).Milliseconds()
+	}
+	return v
+}
+
+// releases returns the releases of a service of which an endpoint was listed since the given time, at most
+// maxViewReleases. It forgets those that were listed before only. o.mu is held.
+func (o *Observer) releases(service string, since time.Time) []string {
+	var list []string
+	for of := range o.listed {
+		if of.Service == service {
+			list = append(list, of.Release)
+		}
+	}
+	for of, until := range o.seenUntil {
+		switch {
+		case until.Before(since):
+			delete(o.seenUntil, of)
+		case of.Service == service && o.listed[of] == 0:
+			list = append(list, of.Release)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(len(list), maxViewReleases)]
+}
--- /dev/null
+++ b/internal/origin/view_test.go
@@ -0,0 +1,64 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+func TestSoleRelease(t *testing.T) {
+	const window, minute = 24 * time.Second, int64(60_000)
+	view := func(observed, age int64, releases ...string) View {
+		return View{Releases: releases, ObservedMS: observed, AgeMS: age}
+	}
+	first := func(v View) View {
+		v.FirstStart = true
+		return v
+	}
+	for _, c := range []struct {
+		name     string
+		views    []View
+		complete bool
+		want     string
+	}{
+		{"alone for long", []View{view(minute, 300, "v1")}, false, "v1"},
+		{"two releases", []View{view(minute, 300, "v1", "v2")}, true, ""},
+		{"another node saw a second release", []View{view(minute, 300, "v1"), view(minute, 300, "v2")}, true, ""},
+		{"started a moment ago", []View{view(500, 300, "v1")}, true, ""},
+		{"started a moment ago, another node long before", []View{view(500, 300, "v1"), view(minute, 300, "v1")}, false, "v1"},
+		{"nodes of a new system", []View{first(view(500, 300, "v1")), first(view(700, 300, "v1"))}, false, "v1"},
+		{"new node among restarted ones", []View{first(view(500, 300, "v1")), view(700, 300, "v1")}, true, ""},
+		{"registry away", []View{view(minute, 9000, "v1")}, false, ""},
+		{"registry away from all nodes", []View{view(minute, 9000, "v1"), view(minute, 9000, "v1")}, true, "v1"},
+		{"registry away from this node only", []View{view(minute, 9000, "v1"), view(minute, 300, "v1")}, false, "v1"},
+		{"no endpoint known", []View{view(minute, 300)}, true, ""},
+	} {
+		release, ok := soleRelease(c.views, window, c.complete)
+		test.Eq(t, c.want, release, test.Sprint(c.name, ok))
+		test.Eq(t, c.want != "", ok, test.Sprint(c.name))
+	}
+}
+
+func TestObserverSeesReleasesThatAreGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := NewObserver()
+	v1, v2 := Origin{Service: service, Release: "v1"}, Origin{Service: service, Release: "v2"}
+	o.RecordRead(now, time.Second, now)
+	o.Set("a", v1, now)
+	o.Set("b", v1, now)
+	o.Set("c", Origin{Service: "other", Release: "v7"}, now)
+	o.Set("b", v2, now) // it has started again with another release
+	now = now.Add(10 * time.Second)
+	o.RecordRead(now, time.Second, now)
+	o.Remove("a", now)
+	now = now.Add(10 * time.Second)
+	test.Eq(t, []string{"v1", "v2"}, o.View(service, retention, now).Releases)
+	now = now.Add(retention)
+	v := o.View(service, retention, now)
+	test.Eq(t, []string{"v2"}, v.Releases)
+	test.Eq(t, 44_000, v.ObservedMS)
+	test.Eq(t, 34_000, v.AgeMS)
+	o.RecordRead(now, time.Minute, now)
+	test.Eq(t, 0, o.View(service, retention, now).ObservedMS)
+}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -48,7 +48,7 @@
 		first, then = p.Releases.Split(q.Service.Name, q.Route.Name, available, p.Now())
 	}
 	first, then = ofRelease(q.Release, first), ofRelease(q.Release, then)
-	if q.Release != "" && len(first)+len(then) == 0 {
+	if q.Release != "" && len(available) > 0 && len(first)+len(then) == 0 {
 		return forward.Placement{Reason: reasonRelease, RefusalCode: result.NoEndpointOfRelease, Final: true}, false
 	}
 	placement, ok := forward.Placement{}, false
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -32,6 +32,7 @@
 	TicketAnswerGone Code = 1018
 	HeaderTooLarge   Code = 1019
 	BodyTimeout      Code = 1020
+	BadResumes       Code = 1021
 )
 
 // Authentication and limits of client accounts.
@@ -61,6 +62,7 @@
 	PathLost           Code = 3013
 	// NoEndpointOfRelease is used for streams, which go on only at the release that began them.
 	NoEndpointOfRelease Code = 3014
+	StreamUnknown       Code = 3015
 )
 
 // Failures of endpoints and of their answers.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -44,6 +44,9 @@
 		"The header is longer than the configuration allows.", "Send a shorter header."},
 	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, NotRun, true,
 		"The body did not arrive in time, or broke off.", "Send the request again."},
+	{BadResumes, "bad_resumes", http.StatusBadRequest, NotRun, false,
+		"The header that names the request which began a stream has several values or is too long.",
+		"Send the id of the request that brought the stream's first event."},
 
 	{MissingKey, "missing_key", http.StatusUnauthorized, NotRun, false,
 		"The request has no bearer key.", "Send Authorization: Bearer with the client account's key."},
@@ -91,6 +94,9 @@
 	{NoEndpointOfRelease, "no_endpoint_of_release", http.StatusServiceUnavailable, NotRun, false,
 		"The stream can go on only at the release of the endpoints' software that began it, and no endpoint of that release takes requests.",
 		"Start the request anew; operators compare the release in the logs with cherryctl endpoints."},
+	{StreamUnknown, "stream_unknown", http.StatusServiceUnavailable, NotRun, false,
+		"It is not known which release of the endpoints' software began the stream, and another may not continue it.",
+		"Name the request that brought the stream's first event, or start the request anew."},
 
 	{EndpointUnreachable, "endpoint_unreachable", http.StatusBadGateway, NotRun, true,
 		"The endpoint failed before any byte of the request could reach it.", "Retry."},
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // table holds the lookup tables of one configuration.
@@ -10,6 +11,8 @@
 	byHost   map[string][]*Route // longest prefix first
 	byKey    map[string]*Account
 	services map[string]*Service
+	// longestStream is the result of LongestStream.
+	longestStream time.Duration
 }
 
 // Index builds the lookup tables and returns the configuration. It must be called once, before the
@@ -23,6 +26,9 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		if r.Kind == Stream && r.Resumable {
+			t.longestStream = max(t.longestStream, r.Timeout)
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -40,6 +46,14 @@
 	return c
 }
 
+// LeadsTo reports whether requests of the route may be sent to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Upstreams, func(u Upstream) bool { return u.Service == service && u.Weight > 0 })
+}
+
+// LongestStream returns the longest timeout of the routes whose streams may be resumed.
+func (c *Config) LongestStream() time.Duration { return c.table.longestStream }
+
 // setGapObjectives sets the services' GapObjective.
 func (c *Config) setGapObjectives(services map[string]*Service) {
 	for i := range c.Routes {
