Soak: clients take streams up at other nodes, over two releases

The soak's clients never took up a stream, and its model servers had one release. The second of three model servers has another one now. Clients break off every second resumable stream after three events, or find it broken, and take it up at another node, naming the request that began it. Two checks: a run that goes on after events is at the release of the run that sent the first ones; of the streams that are taken up at connected nodes, at least half as many go on as of new ones begin. A 503 without Retry-After is allowed for the two refusals of such requests that waiting doesn't help; any other is a failure as before.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -75,7 +75,7 @@
 // order of the proxies.
 func newIdleWorld(t *testing.T) (w *world, addrs []string) {
 	t.Helper()
-	s, err := site.Start(site.Config{HeartbeatInterval: time.Second, Proxy: func(addr string) (string, error) {
+	s, err := site.Start(site.Config{HeartbeatInterval: time.Second, Releases: releases, Proxy: func(addr string) (string, error) {
 		addrs = append(addrs, addr)
 		return addr, nil
 	}})
@@ -154,6 +154,35 @@
 	}
 }
 
+// TestDetectsStreamsOfTwoReleases checks that a stream that goes on at another release is detected, in one
+// response and when its client takes it up.
+func TestDetectsStreamsOfTwoReleases(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		second string // id of the request that goes on
+		server int    // index of the server at which it does
+		want   int
+	}{
+		{"one response, same release", "a", 2, 0},
+		{"one response", "a", 1, 1},
+		{"taken up, same release", "b", 2, 0},
+		{"taken up", "b", 1, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w, addrs := newIdleWorld(t)
+			w.observed.resumes["b"] = "a"
+			runAt(t, addrs[modelProxy])
+			req, err := site.Request(context.Background(), addrs[modelProxy+tc.server], http.MethodPost, site.PathQuery, "k", tc.second, "session")
+			must.NoError(t, err)
+			req.Header.Set("Last-Event-Id", "1")
+			resp, err := http.DefaultClient.Do(req)
+			must.NoError(t, err)
+			resp.Body.Close()
+			test.Len(t, tc.want, w.mixedReleases())
+		})
+	}
+}
+
 // replacedWeights sets a target version at a time before the version bound.
 func replacedWeights(now time.Time) func(w *world) {
 	return func(w *world) { w.versions = []targetVersion{{version: 2, at: now.Add(-versionBound - time.Second)}} }
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -21,6 +21,7 @@
 	answered int                    // number of successful responses
 	sent     map[string]sentRequest // by id
 	received map[string]received    // by id
+	resumes  map[string]string      // ids of the requests that began the streams, by id of those that take them up
 	goals    map[chan struct{}]int
 }
 
@@ -39,7 +40,7 @@
 }
 
 func newObserved() *observed {
-	return &observed{refused: make(map[string]bool), received: make(map[string]received), sent: make(map[string]sentRequest), goals: make(map[chan struct{}]int)}
+	return &observed{refused: make(map[string]bool), received: make(map[string]received), resumes: make(map[string]string), sent: make(map[string]sentRequest), goals: make(map[chan struct{}]int)}
 }
 
 func (s *observed) fail(format string, args ...any) {
@@ -130,18 +131,11 @@
 	if path == site.PathLookup { // the transport may retry it
 		sent.method, sent.body = http.MethodGet, ""
 	}
-	req, err := site.Request(ctx, c.addr, sent.method, sent.target, sent.key, id, session)
-	if err != nil {
-		c.observed.fail("%s: %v", id, err)
+	if path == site.PathQuery && limit == callTimeout && c.random.IntN(breakOneIn) == 0 {
+		c.breakAndTakeUp(ctx, id, session, &sent)
 		return
 	}
-	if sent.body != "" {
-		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(sent.body)), int64(len(sent.body))
-	}
-	c.observed.mu.Lock()
-	c.observed.sent[id] = sent
-	c.observed.mu.Unlock()
-	resp, err := c.http.Do(req)
+	resp, err := c.do(ctx, id, session, &sent)
 	if err != nil {
 		if limit == callTimeout {
 			c.requestsLeft = 0
@@ -152,6 +146,25 @@
 	c.check(id, path, resp)
 }
 
+// do records and sends a request to the client's node. The values of header are added to it.
+func (c *client) do(ctx context.Context, id, session string, sent *sentRequest, header ...string) (*http.Response, error) {
+	req, err := site.Request(ctx, c.addr, sent.method, sent.target, sent.key, id, session)
+	if err != nil {
+		c.observed.fail("%s: %v", id, err)
+		return nil, err
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	if sent.body != "" {
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(sent.body)), int64(len(sent.body))
+	}
+	c.observed.mu.Lock()
+	c.observed.sent[id] = *sent
+	c.observed.mu.Unlock()
+	return c.http.Do(req)
+}
+
 // guaranteesNotRun reports whether a status guarantees that the request did not and will not run.
 func guaranteesNotRun(status int) bool {
 	switch status {
@@ -162,7 +175,10 @@
 }
 
 // check records and checks a response.
-func (c *client) check(id, path string, resp *http.Response) {
+func (c *client) check(id, path string, resp *http.Response) { c.checkFrom(id, path, resp, 0) }
+
+// checkFrom is check for a response that begins after the given event.
+func (c *client) checkFrom(id, path string, resp *http.Response, after int) {
 	at := time.Now()
 	body, err := io.ReadAll(resp.Body)
 	complete := err == nil
@@ -183,14 +199,14 @@
 	}
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable:
-		if resp.Header.Get("Retry-After") == "" {
+		if resp.Header.Get("Retry-After") == "" && !(c.tookUp(id) && isFinal(string(body))) {
 			c.observed.fail("%s: 503 without Retry-After", id)
 		}
 	case resp.StatusCode != http.StatusOK:
 	case !sealed:
 		c.observed.fail("%s: successful response without a seal", id)
 	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
-		c.checkEvents(id, path, string(body), complete)
+		c.checkEvents(id, path, string(body), complete, after)
 	case complete && !strings.HasSuffix(string(body), " answers "+id):
 		c.observed.fail("%s: received the response %q", id, body)
 	}
@@ -199,19 +215,19 @@
 	}
 }
 
-// checkEvents detects missing, duplicate, reordered and mixed events. The last event of an
-// interrupted stream may be truncated.
-func (c *client) checkEvents(id, path, body string, complete bool) {
+// checkEvents detects missing, duplicate, reordered and mixed events in a stream that begins after the
+// given event. The last event of an interrupted stream may be truncated.
+func (c *client) checkEvents(id, path, body string, complete bool, after int) {
 	events := strings.SplitAfter(body, eventEnd)
 	rest := events[len(events)-1]
 	events = events[:len(events)-1]
 	for i, event := range events {
-		if want := fmt.Sprintf(wholeEvent, i+1, i+1); event != want {
+		if want := fmt.Sprintf(wholeEvent, after+i+1, after+i+1); event != want {
 			c.observed.fail("%s %s: event %q instead of %q", id, path, event, want)
 			return
 		}
 	}
-	if complete && (len(events) != site.StreamEvents || rest != "") {
+	if complete && (after+len(events) != site.StreamEvents || rest != "") {
 		c.observed.fail("%s %s: complete stream has %d events and trailing bytes %q", id, path, len(events), rest)
 	}
 }
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -29,6 +29,8 @@
 	}
 	broken = append(broken, w.ranEvacuated()...)
 	broken = append(broken, w.ignoredSignals()...)
+	broken = append(broken, w.mixedReleases()...)
+	broken = append(broken, w.tooFewTakenUp()...)
 	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
 			if why := w.violation(&r); why != "" {
--- /dev/null
+++ b/soak/streams_test.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cherryward/cherryward/standin/modelserver"
+	"github.com/cherryward/cherryward/standin/site"
+)
+
+const (
+	// breakOneIn is the number of resumable streams of which clients break one off and take it up at
+	// another node.
+	breakOneIn = 2
+	// breakAfter is the number of events after which they do.
+	breakAfter = 3
+	// minTakenUp is the number of streams taken up from which the share that goes on is checked.
+	minTakenUp = 12
+)
+
+// breakAndTakeUp breaks off a stream and takes it up with another request, mostly at another node. A stream
+// that breaks off by itself before is taken up as well.
+func (c *client) breakAndTakeUp(ctx context.Context, id, session string, sent *sentRequest) {
+	resp, err := c.do(ctx, id, session, sent)
+	if err != nil {
+		c.requestsLeft = 0
+		return
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		c.check(id, site.PathQuery, resp)
+		return
+	}
+	events := readSome(resp)
+	resp.Body.Close()
+	server, sealed := strings.CutPrefix(resp.Header.Get("X-Server-Seal"), "seal-")
+	if events == 0 || !sealed {
+		return
+	}
+	c.observed.mu.Lock()
+	c.observed.received[id] = received{server, time.Now()}
+	c.observed.mu.Unlock()
+	c.node, c.addr = c.chooseNode()
+	second := id + "-2"
+	taken := *sent
+	taken.at, taken.node = time.Now(), c.node
+	c.observed.mu.Lock()
+	c.observed.resumes[second] = id
+	c.observed.mu.Unlock()
+	// The parts of a new session lead to other servers than those that hold the stream's KV cache.
+	resp, err = c.do(ctx, second, fmt.Sprintf("5e55%x", c.random.Uint32()), &taken, "Resumes", id, "Last-Event-Id", strconv.Itoa(events))
+	if err != nil {
+		c.requestsLeft = 0
+		return
+	}
+	defer resp.Body.Close()
+	c.checkFrom(second, site.PathQuery, resp, events)
+}
+
+// readSome reads up to breakAfter events and returns their number.
+func readSome(resp *http.Response) (events int) {
+	lines := bufio.NewScanner(resp.Body)
+	for events < breakAfter && lines.Scan() {
+		if lines.Text() == "" {
+			events++
+		}
+	}
+	return events
+}
+
+// tookUp reports whether a request takes up a stream.
+func (c *client) tookUp(id string) bool {
+	c.observed.mu.Lock()
+	defer c.observed.mu.Unlock()
+	return c.observed.resumes[id] != ""
+}
+
+// isFinal reports whether a refusal states that waiting doesn't help.
+func isFinal(body string) bool {
+	return strings.Contains(body, "stream_unknown") || strings.Contains(body, "no_endpoint_of_release")
+}
+
+// releaseRun is a run with the release of its server.
+type releaseRun struct {
+	modelserver.Run
+	release string
+}
+
+// continues reports whether the run goes on after events that another run sent.
+func (r *releaseRun) continues() bool { return r.Header.Get("Last-Event-Id") != "" }
+
+// streamRuns returns the runs of resumable streams by request id, in the order in which they began.
+func (w *world) streamRuns() map[string][]releaseRun {
+	runs := make(map[string][]releaseRun)
+	for _, s := range w.site.Models {
+		for _, r := range s.Runs() {
+			if strings.HasPrefix(r.Target, site.PathQuery) {
+				runs[r.Request] = append(runs[r.Request], releaseRun{r, s.Release()})
+			}
+		}
+	}
+	return runs
+}
+
+// mixedReleases returns the streams that went on at another release than the one that began them, in one
+// response or when their client took them up.
+func (w *world) mixedReleases() []string {
+	var broken []string
+	runs := w.streamRuns()
+	for id, list := range runs {
+		first := id
+		if began := w.observed.resumes[id]; began != "" {
+			first = began
+		}
+		began := beginning(runs[first])
+		for i := range list {
+			if r := &list[i]; r.continues() && r.release != began {
+				broken = append(broken, fmt.Sprintf("%s went on at release %s after %s, which began at %q as %s", id, r.release, r.Header.Get("Last-Event-Id"), began, first))
+			}
+		}
+	}
+	return broken
+}
+
+// beginning returns the release whose events a stream began with: that of the latest run from the first
+// event on, since earlier ones sent none.
+func beginning(runs []releaseRun) (release string) {
+	var latest time.Time
+	for i := range runs {
+		if r := &runs[i]; !r.continues() && r.At.After(latest) {
+			latest, release = r.At, r.release
+		}
+	}
+	return release
+}
+
+// tooFewTakenUp returns a violation if the share of streams that went on when their clients took them up
+// is less than half of the share of new streams that began, at connected nodes.
+func (w *world) tooFewTakenUp() []string {
+	var begun, sent, wentOn, takenUp int
+	for id, s := range w.observed.sent {
+		if !strings.HasPrefix(s.target, site.PathQuery) || !w.nodes[s.node].disturbances.noneWithin(s.at.Add(-stableWindow), s.at.Add(stableWindow)) {
+			continue
+		}
+		_, served := w.observed.received[id]
+		switch first := w.observed.resumes[id]; {
+		case first == "":
+			sent++
+			if served {
+				begun++
+			}
+		case w.beganAt(first) == releases[0]: // two servers have this release
+			takenUp++
+			if served {
+				wentOn++
+			}
+		}
+	}
+	w.takenUp, w.wentOn = takenUp, wentOn
+	if takenUp < minTakenUp || 2*wentOn*sent >= begun*takenUp {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d of %d streams went on when their clients took them up, %d of %d new ones began", wentOn, takenUp, begun, sent)}
+}
+
+// beganAt returns the release of the server whose events a client received first.
+func (w *world) beganAt(id string) string {
+	for _, s := range w.site.Models {
+		if s.ID() == w.observed.received[id].server {
+			return s.Release()
+		}
+	}
+	return ""
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -27,6 +27,9 @@
 	eventInterval     = 5 * time.Millisecond
 )
 
+// releases are the releases of the model servers' software.
+var releases = [...]string{"v1", "v2", "v1"}
+
 // world is the state of one run.
 type world struct {
 	t                 *testing.T
@@ -55,6 +58,8 @@
 	revoked      map[string]time.Time // when the removal of a key was acknowledged
 	versions     []targetVersion      // target versions of the weights, oldest first
 	faults       map[*modelserver.Server][]*serverFault
+	takenUp      int         // streams of a release with two servers that clients took up at connected nodes
+	wentOn       int         // of these
 	crashes      []time.Time // crashes of model servers by the crashing request
 	restarts     sync.WaitGroup
 }
@@ -73,7 +78,7 @@
 	var err error
 	w.log, err = os.Create(filepath.Join(t.TempDir(), "nodes.log"))
 	must.NoError(t, err)
-	w.site, err = site.Start(site.Config{HeartbeatInterval: heartbeatInterval, EventInterval: eventInterval, IP: ownIP(), Proxy: func(addr string) (string, error) {
+	w.site, err = site.Start(site.Config{HeartbeatInterval: heartbeatInterval, EventInterval: eventInterval, Releases: releases, IP: ownIP(), Proxy: func(addr string) (string, error) {
 		p, err := newProxy(addr)
 		if err != nil {
 			return "", err
@@ -198,7 +203,7 @@
 	if !recovered {
 		w.t.Errorf("requests did not succeed again within %v after the last fault", recoveryTimeout)
 	}
-	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights())
+	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d streams went on when taken up", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.wentOn, w.takenUp)
 	if w.t.Failed() {
 		kept := filepath.Join(os.TempDir(), "cherryward-soak-"+strings.ReplaceAll(w.t.Name(), "/", "-")+".log")
 		if data, err := os.ReadFile(w.log.Name()); err == nil && os.WriteFile(kept, data, 0o600) == nil {
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -118,6 +118,9 @@
 // ID returns the server's id.
 func (s *Server) ID() string { return s.cfg.ID }
 
+// Release returns the version of the server's software.
+func (s *Server) Release() string { return cmp.Or(s.cfg.Release, "v1") }
+
 // Restart restarts the server under the same id. It loses all state except the version of its
 // weights. The recorded runs and arrivals stay, and so do held orders, which count as in transit.
 func (s *Server) Restart() {
@@ -167,7 +170,7 @@
 
 // Entry returns the server's registry entry for an address and state.
 func (s *Server) Entry(addr, state string) []byte {
-	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": cmp.Or(s.cfg.Release, "v1"), "slots": 8, "state": state, "cold-left-ms": s.coldLeft().Milliseconds(), "seq": 1, "born": s.StartedMs()}
+	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": s.Release(), "slots": 8, "state": state, "cold-left-ms": s.coldLeft().Milliseconds(), "seq": 1, "born": s.StartedMs()}
 	if s.cfg.Model != "" {
 		entry["models"] = s.models()
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -45,6 +45,8 @@
 type Config struct {
 	HeartbeatInterval time.Duration // interval of the servers' registry entries
 	EventInterval     time.Duration // interval of the events of a stream
+	// Releases are the releases of the model servers' software, in their order; empty means "v1" for all.
+	Releases [modelServers]string
 	// IP is the address at which all stand-ins and nodes listen; empty means 127.0.0.1. Sites on the
 	// same host that use different addresses don't reuse each other's ports.
 	IP string
@@ -116,7 +118,7 @@
 	}
 	s.storeAddr, s.kvStoreAddr = store.addr, keep.addr
 	for i := range modelServers {
-		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: zoneOf(i), Model: Model, StreamEvents: StreamEvents, EventInterval: c.EventInterval}
+		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: zoneOf(i), Release: c.Releases[i], Model: Model, StreamEvents: StreamEvents, EventInterval: c.EventInterval}
 		added, err := s.add(cfg)
 		if err != nil {
 			return nil, err
