Runs: an answer is continued only at the release of the engine that began it

Engines may state the release of their software in the start frame; a run that continues an answer is refused as 4009 (release_mismatch), before anything of it is delivered, unless it states the same one, and another engine is tried. Engines that state none count as one release, as before.

--- a/api/wire/enginewire/enginewire.go
+++ b/api/wire/enginewire/enginewire.go
@@ -66,6 +66,7 @@
 	Tokens       int       `json:"tokens,omitempty"`
 	Text         string    `json:"text,omitempty"`
 	Version      string    `json:"version,omitempty"`       // start: weight version in use
+	Release      string    `json:"release,omitempty"`       // start: release of the engine's software
 	CacheSalt    string    `json:"cache_salt,omitempty"`    // start: as in the request
 	Model        string    `json:"model,omitempty"`         // start: as in the request
 	Adapter      string    `json:"adapter,omitempty"`       // start: as in the request
--- a/internal/framecheck/framecheck.go
+++ b/internal/framecheck/framecheck.go
@@ -17,6 +17,10 @@
 	Run       string
 	Version   string // empty for a resumed run, whose start frame was checked before
 	CacheSalt string
+	// Continues is true if another run has begun the answer, at an engine that stated Release as the release
+	// of its software. Only engines that state the same release may continue it.
+	Continues bool
+	Release   string
 }
 
 // Checker validates the frames of one run on one engine, over one or more streams. It is not safe
@@ -24,7 +28,8 @@
 type Checker struct {
 	expected    Expected
 	incarnation string
-	tokens      int // output tokens delivered
+	release     string // stated by the engine
+	tokens      int    // output tokens delivered
 	complete    bool
 }
 
@@ -42,6 +47,10 @@
 // Tokens returns the number of output tokens delivered.
 func (c *Checker) Tokens() int { return c.tokens }
 
+// Release returns the release of its software that the engine stated in the start frame; empty if it stated
+// none.
+func (c *Checker) Release() string { return c.release }
+
 // Complete reports whether an end frame with the matching token count has arrived.
 func (c *Checker) Complete() bool { return c.complete }
 
@@ -79,10 +88,13 @@
 	if c.expected.Version != "" && f.Version != c.expected.Version {
 		return false, result.New(result.VersionMismatch)
 	}
+	if c.expected.Continues && f.Release != c.expected.Release {
+		return false, result.New(result.ReleaseMismatch)
+	}
 	if f.CacheSalt != c.expected.CacheSalt {
 		return false, result.New(result.AnswerOfOtherRun, result.WithField("cache_salt"))
 	}
-	c.incarnation = f.Incarnation
+	c.incarnation, c.release = f.Incarnation, f.Release
 	return true, nil
 }
 
--- a/internal/framecheck/framecheck_test.go
+++ b/internal/framecheck/framecheck_test.go
@@ -11,11 +11,11 @@
 	"github.com/cherryward/cherryward/internal/result"
 )
 
-var expected = Expected{Run: "r", Version: "v1", CacheSalt: "s"}
+var expected = Expected{Run: "r", Version: "v1", CacheSalt: "s", Continues: true, Release: "r1"}
 
 // frames returns the frames of a complete run of n tokens.
 func frames(n int) []enginewire.Frame {
-	out := []enginewire.Frame{{Run: "r", Incarnation: "i", Kind: enginewire.FrameStart, Version: "v1", CacheSalt: "s"}}
+	out := []enginewire.Frame{{Run: "r", Incarnation: "i", Kind: enginewire.FrameStart, Version: "v1", Release: "r1", CacheSalt: "s"}}
 	for i := range n {
 		out = append(out, enginewire.Frame{Run: "r", Incarnation: "i", Seq: i + 1, Kind: enginewire.FrameTokens, Offset: i, Tokens: 1, Text: string(rune('a' + i))})
 	}
@@ -47,6 +47,8 @@
 		{"last token lost", func(f []enginewire.Frame) []enginewire.Frame { return slices.Delete(f, 3, 4) }, result.AnswerTruncated},
 		{"no start", func(f []enginewire.Frame) []enginewire.Frame { return f[1:] }, result.AnswerMalformed},
 		{"other version", func(f []enginewire.Frame) []enginewire.Frame { f[0].Version = "v2"; return f }, result.VersionMismatch},
+		{"other release", func(f []enginewire.Frame) []enginewire.Frame { f[0].Release = "r2"; return f }, result.ReleaseMismatch},
+		{"no release", func(f []enginewire.Frame) []enginewire.Frame { f[0].Release = ""; return f }, result.ReleaseMismatch},
 		{"other account", func(f []enginewire.Frame) []enginewire.Frame { f[0].CacheSalt = "x"; return f }, result.AnswerOfOtherRun},
 		{"text without a token", func(f []enginewire.Frame) []enginewire.Frame { f[1].Tokens = 0; return f }, result.AnswerMalformed},
 		{"negative token count", func(f []enginewire.Frame) []enginewire.Frame { f[2].Tokens = -1; return f }, result.AnswerMalformed},
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -75,6 +75,7 @@
 	AnswerTruncated     Code = 4006
 	AnswerMalformed     Code = 4007
 	ServiceCallFailed   Code = 4008
+	ReleaseMismatch     Code = 4009
 )
 
 // Configuration and operators.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -115,6 +115,9 @@
 		"The endpoint's answer could not be read.", "Retry where running twice is harmless."},
 	{ServiceCallFailed, "service_call_failed", http.StatusBadGateway, MayHaveRun, false,
 		"The call to the service failed after it was sent.", "Find out whether it ran before sending it again."},
+	{ReleaseMismatch, "release_mismatch", http.StatusBadGateway, MayHaveRun, false,
+		"The engine runs another release of its software than the one that began the answer; nothing of it was delivered.",
+		"Retry where running twice is harmless."},
 
 	{RevisionConflict, "revision_conflict", http.StatusConflict, NotRun, false,
 		"The object was changed since the revision that the write is based on.",
--- a/internal/runs/dispatcher.go
+++ b/internal/runs/dispatcher.go
@@ -42,6 +42,7 @@
 	startedAt  time.Time
 	text       strings.Builder // output delivered so far, sent to the next engine to continue from
 	tokens     int
+	release    string // of the software of the engine that sent the first token; empty if it stated none
 	tried      []string
 	moves      int  // times moved to another engine after tokens were delivered
 	mayHaveRun bool // whether an engine may have begun the request
@@ -115,7 +116,7 @@
 func isEndpointFault(code result.Code) bool {
 	switch code {
 	case result.EndpointUnreachable, result.EndpointFailed, result.EndpointRejected,
-		result.AnswerOfOtherRun, result.VersionMismatch, result.AnswerTruncated, result.AnswerMalformed:
+		result.AnswerOfOtherRun, result.VersionMismatch, result.AnswerTruncated, result.AnswerMalformed, result.ReleaseMismatch:
 		return true
 	}
 	return false
@@ -229,7 +230,9 @@
 	r.startedAt = time.Now()
 	r.baseTokens = r.p.tokens
 	req := r.request(r.startedAt)
-	r.checker = framecheck.NewChecker(framecheck.Expected{Run: r.id, Version: req.Version, CacheSalt: req.CacheSalt})
+	r.checker = framecheck.NewChecker(framecheck.Expected{
+		Run: r.id, Version: req.Version, CacheSalt: req.CacheSalt, Continues: r.p.tokens > 0, Release: r.p.release,
+	})
 	w := newWatchdog(ctx, firstFrameTimeout)
 	defer w.stop()
 	stream, err := r.d.Engines.Start(w.ctx, r.baseURL, req)
--- a/internal/runs/runs_test.go
+++ b/internal/runs/runs_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	pb "github.com/cherryward/cherryward/api/gen/cherryward/v1"
@@ -75,21 +77,29 @@
 	must.NoError(t, err)
 	d := &testDispatcher{placer: &fixedPlacer{firstFrameTimeout: time.Minute}}
 	for range engines {
-		e := enginestandin.New(enginestandin.Config{Loaded: []enginewire.Loaded{{Model: "m", Version: "v"}}, TimeScale: 1, DecodeStep: 2 * time.Millisecond})
-		server := httptest.NewServer(e.Handler())
-		t.Cleanup(func() {
-			e.Faults.Set(enginestandin.Faults{}) // frozen handlers return only once the faults are cleared
-			e.Close()
-			server.CloseClientConnections()
-			server.Close()
-		})
-		d.engines = append(d.engines, e)
-		d.placer.urls = append(d.placer.urls, server.URL)
+		d.addEngine(t, "")
 	}
 	d.Dispatcher = &Dispatcher{Key: key, Salter: salter, Engines: engine.NewClient(), Placer: d.placer, Budget: unlimitedBudget{}}
 	return d
 }
 
+// addEngine starts another stub engine, whose software has the given release.
+func (d *testDispatcher) addEngine(t *testing.T, release string) {
+	t.Helper()
+	e := enginestandin.New(enginestandin.Config{
+		Loaded: []enginewire.Loaded{{Model: "m", Version: "v"}}, Release: release, TimeScale: 1, DecodeStep: 2 * time.Millisecond,
+	})
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(func() {
+		e.Faults.Set(enginestandin.Faults{}) // frozen handlers return only once the faults are cleared
+		e.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	d.engines = append(d.engines, e)
+	d.placer.urls = append(d.placer.urls, server.URL)
+}
+
 func (d *testDispatcher) runPrompt(t *testing.T, timeout time.Duration) (string, error) {
 	t.Helper()
 	sink := &textSink{}
@@ -157,6 +167,34 @@
 	}
 }
 
+// TestAnswerContinuesOnlyAtItsRelease checks that an answer is continued by an engine whose software has
+// another release only if that engine states the same release, and ends with an error otherwise.
+func TestAnswerContinuesOnlyAtItsRelease(t *testing.T) {
+	for _, c := range []struct {
+		releases []string
+		complete bool
+	}{
+		{[]string{"v1", "v2", "v1"}, true},
+		{[]string{"v1", "", "v1"}, true},
+		{[]string{"v1", "v2"}, false},
+		{[]string{"", "v1"}, false},
+	} {
+		t.Run(strings.Join(c.releases, ","), func(t *testing.T) {
+			d := newTestDispatcher(t, 0)
+			for _, release := range c.releases {
+				d.addEngine(t, release)
+			}
+			setFaults(d.engines[0], func(f *enginestandin.Faults) { f.FailAfter = 7 })
+			got, err := d.runPrompt(t, time.Minute)
+			must.Eq(t, c.complete, err == nil, must.Sprint(err))
+			if !c.complete {
+				test.Eq(t, 7*4, len(got))
+				test.Eq(t, result.MayHaveRun, result.From(err).RunState)
+			}
+		})
+	}
+}
+
 // TestAllTokensWithoutEndFrameIsComplete checks that an answer with all requested tokens is
 // complete if only the end frame is lost.
 func TestAllTokensWithoutEndFrameIsComplete(t *testing.T) {
--- a/internal/runs/stream.go
+++ b/internal/runs/stream.go
@@ -112,6 +112,9 @@
 	if r.p.summary.FirstToken == 0 {
 		r.p.summary.FirstToken = time.Since(r.p.startedAt)
 	}
+	if r.p.tokens == 0 {
+		r.p.release = r.checker.Release()
+	}
 	r.p.text.WriteString(f.Text)
 	r.p.tokens = r.baseTokens + r.checker.Tokens()
 	r.observed.OutputTokens = r.checker.Tokens()
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -26,6 +26,8 @@
 type Config struct {
 	// Loaded lists the models that are loaded at the start.
 	Loaded []enginewire.Loaded
+	// Release is the release of the engine's software; empty if it states none.
+	Release string
 	// BlockTokens is the size of a cache block in tokens.
 	BlockTokens int
 	// CacheBlocks is the capacity of the cache in blocks.
--- a/standin/engine/frames.go
+++ b/standin/engine/frames.go
@@ -22,6 +22,7 @@
 	if s.e.Faults.Get().WrongVersion {
 		f.Version += "-other"
 	}
+	f.Release = s.e.cfg.Release
 	f.CacheSalt = s.run.from.salt
 	f.Model = s.run.from.model
 	f.Adapter = s.run.from.adapter
