--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -136,6 +136,21 @@
 	return nil, old
 }
 
+// Withdrawn reports whether endpoints of a release get no requests any more, since another release has
+// replaced it or it was found to be worse.
+func (g *Gate) Withdrawn(service, release string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[service]
+	switch {
+	case s == nil || s.order.Release == "":
+		return false
+	case s.phase == Succeeded:
+		return release != s.order.Release
+	}
+	return release == s.order.Release && (s.phase == RolledBack || s.held)
+}
+
 // mayExpose reports whether the next request may go to the release on trial. One request is left over
 // for routes that had fewer: otherwise frequent routes would use up the share, and a release that is
 // bad on a rare route would never be tried there.
--- a/internal/ctl/endpoints.go
+++ b/internal/ctl/endpoints.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,7 +27,7 @@
 func endpointsCommand(s Streams) *cli.Command {
 	return &cli.Command{
 		Name:  "endpoints",
-		Usage: "show the endpoints that are rate limited, draining, cold, slow or in backoff, in a gateway node's view",
+		Usage: "show the endpoints that are rate limited, draining, cold, slow or in backoff, or whose service has several releases, in a gateway node's view",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagNodeReady, Sources: cli.EnvVars("CHERRYCTL_READY"), Usage: "`IP:PORT` of the node's readiness listener"},
 			outputFlag(),
@@ -76,9 +77,9 @@
 	rows := make([]string, 0, len(listed))
 	for i := range listed {
 		s := &listed[i]
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%t\t%s", s.Endpoint, s.Service, s.Domain, limitText(s.Limit), backoffText(s.Backoff), drainingText(s), s.Cold, slowText(s.SlowFactor)))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%t\t%s", s.Endpoint, s.Service, s.Domain, cmp.Or(s.Release, noValue), limitText(s.Limit), backoffText(s.Backoff), drainingText(s), s.Cold, slowText(s.SlowFactor)))
 	}
-	return writeTable(w, "ENDPOINT\tSERVICE\tDOMAIN\tLIMIT\tBACKOFF\tDRAINING\tCOLD\tSLOW", rows)
+	return writeTable(w, "ENDPOINT\tSERVICE\tDOMAIN\tRELEASE\tLIMIT\tBACKOFF\tDRAINING\tCOLD\tSLOW", rows)
 }
 
 const noValue = "-"
--- a/internal/ctl/endpoints_test.go
+++ b/internal/ctl/endpoints_test.go
@@ -26,6 +26,9 @@
 	for i, id := range []string{"any", "cold", "drains", "answers", "limited", "backs-off", "told", "slow"} {
 		f.Update(&fleet.Endpoint{ID: id, Service: "s", Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Domain: "north", Draining: id == "drains"}, now)
 	}
+	for i, id := range []string{"unmoved", "moved"} {
+		f.Update(&fleet.Endpoint{ID: id, Service: "s2", Addr: fmt.Sprintf("10.0.1.%d:1", i+1), Domain: "north", Release: fmt.Sprint("v", i+1)}, now)
+	}
 	f.Member("cold").MarkCold(now.Add(time.Minute))
 	f.MarkDraining(f.Member("answers"), now.Add(-2*time.Second))
 	f.Member("limited").Signals.SetLimit(2.8, now.Add(-time.Second))
@@ -66,14 +69,16 @@
 		rows = append(rows, strings.Join(strings.Fields(line), " "))
 	}
 	test.Eq(t, []string{
-		"ENDPOINT SERVICE DOMAIN LIMIT BACKOFF DRAINING COLD SLOW",
-		"answers s north - - answer 2s ago false -",
-		"backs-off s north - 2s (asked 1s ago) - false -",
-		"cold s north - - - true -",
-		"drains s north - - entry false -",
-		"limited s north 2.8/s (answer 1s ago) - - false -",
-		"slow s north - - - false 2.5x",
-		"told s north 1/s (told 0s ago) - - false -",
+		"ENDPOINT SERVICE DOMAIN RELEASE LIMIT BACKOFF DRAINING COLD SLOW",
+		"answers s north - - - answer 2s ago false -",
+		"backs-off s north - - 2s (asked 1s ago) - false -",
+		"cold s north - - - - true -",
+		"drains s north - - - entry false -",
+		"limited s north - 2.8/s (answer 1s ago) - - false -",
+		"moved s2 north v2 - - - false -",
+		"slow s north - - - - false 2.5x",
+		"told s north - 1/s (told 0s ago) - - false -",
+		"unmoved s2 north v1 - - - false -",
 	}, rows)
 	code, out = run("--ready", addr, "-o", "json")
 	must.Eq(t, 0, code, must.Sprint(out))
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -183,3 +183,24 @@
 	f.Update(entryStartedAt(0, 1), at(4*time.Second))
 	test.True(t, onlyMember(t, f, "s").Health.Usable(at(4*time.Second)), test.Sprint("no other endpoint had the address before"))
 }
+
+// TestRestartWithAnotherRelease checks that a member stands for one release: requests that were placed
+// before an endpoint's entry named another one keep theirs.
+func TestRestartWithAnotherRelease(t *testing.T) {
+	for _, startedMs := range []int64{100, 200} {
+		f := fleet.New(zerolog.Nop())
+		first := entryStartedAt(100, 1)
+		first.Release = "v1"
+		f.Update(first, at(0))
+		old := onlyMember(t, f, "s")
+		again := entryStartedAt(startedMs, 1)
+		again.Release = "v2"
+		f.Update(again, at(time.Second))
+		test.Eq(t, "v2", onlyMember(t, f, "s").Endpoint().Release)
+		test.Eq(t, "v1", old.Endpoint().Release)
+		f.Update(first, at(2*time.Second)) // it arrives late
+		if startedMs > first.StartedMs {
+			test.Eq(t, "v2", onlyMember(t, f, "s").Endpoint().Release)
+		}
+	}
+}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -12,7 +12,8 @@
 	Service   string `json:"service"`
 	Addr      string `json:"addr"`
 	Domain    string `json:"domain"`
-	StartedMs int64  `json:"born,omitempty"` // start time in Unix milliseconds, 0 if not reported
+	Release   string `json:"release,omitempty"` // of its software
+	StartedMs int64  `json:"born,omitempty"`    // start time in Unix milliseconds, 0 if not reported
 	// Limit is the number of requests per second that it accepts from all nodes together; nil if
 	// unlimited.
 	Limit *LimitStatus `json:"limit,omitempty"`
@@ -42,17 +43,18 @@
 	AgeMs  int64 `json:"age_ms"`
 }
 
-// Restricted returns the endpoints with a limit or backoff, and those that drain, are cold or slow, sorted
-// by id. slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not
+// Restricted returns the endpoints with a limit or backoff, those that drain, are cold or slow, and those of
+// services with several releases, at which streams go on at their own release only. They are sorted by id. slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not
 // call the fleet.
 func (f *Fleet) Restricted(now time.Time, slowFactor func(m *Member) float64) []Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := []Status{}
+	mixed := f.mixedServices()
 	for _, m := range f.members {
 		s := m.status(now)
 		s.SlowFactor = slowFactor(m)
-		if s.Limit != nil || s.Backoff != nil || s.Draining || s.Cold || s.SlowFactor > 0 {
+		if s.Limit != nil || s.Backoff != nil || s.Draining || s.Cold || s.SlowFactor > 0 || mixed[m.Service] {
 			list = append(list, s)
 		}
 	}
@@ -60,9 +62,22 @@
 	return list
 }
 
+// mixedServices returns the services whose endpoints have several releases. f.mu is held.
+func (f *Fleet) mixedServices() map[string]bool {
+	mixed, releases := make(map[string]bool), make(map[string]string)
+	for _, m := range f.members {
+		release := m.Endpoint().Release
+		if seen, known := releases[m.Service]; known && seen != release {
+			mixed[m.Service] = true
+		}
+		releases[m.Service] = release
+	}
+	return mixed
+}
+
 func (m *Member) status(now time.Time) Status {
 	e := m.Endpoint()
-	s := Status{Endpoint: m.ID, Service: m.Service, Addr: e.Addr, Domain: e.Domain, StartedMs: m.StartedMs, Draining: e.Draining, Cold: m.Cold(now)}
+	s := Status{Endpoint: m.ID, Service: m.Service, Addr: e.Addr, Domain: e.Domain, Release: e.Release, StartedMs: m.StartedMs, Draining: e.Draining, Cold: m.Cold(now)}
 	if l, known := m.Signals.RateLimit(); known && l.InForce {
 		s.Limit = &LimitStatus{PerSecond: l.PerSecond, Direct: l.Direct, AgeMs: now.Sub(l.At).Milliseconds()}
 	}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -49,7 +49,7 @@
 	}
 	first, then = ofRelease(q.Release, first), ofRelease(q.Release, then)
 	if q.Release != "" && len(available) > 0 && len(first)+len(then) == 0 {
-		return forward.Placement{Reason: reasonRelease, RefusalCode: result.NoEndpointOfRelease, Final: true}, false
+		return p.declineRelease(q, available), false
 	}
 	placement, ok := forward.Placement{}, false
 	if len(first) > 0 {
@@ -64,6 +64,14 @@
 	return placement, ok
 }
 
+// declineRelease refuses a request that no endpoint of its release may get. Waiting helps only while that
+// release is on trial, with its share of requests used up.
+func (p *Placer) declineRelease(q *forward.Query, available []*fleet.Member) forward.Placement {
+	gone := len(ofRelease(q.Release, available)) == 0
+	withdrawn := p.Releases != nil && p.Releases.Withdrawn(q.Service.Name, q.Release)
+	return forward.Placement{Reason: reasonRelease, RefusalCode: result.NoEndpointOfRelease, Final: gone || withdrawn}
+}
+
 // ofRelease returns the endpoints that may serve a request which is bound to a release; empty means that
 // it is bound to none.
 func ofRelease(release string, members []*fleet.Member) []*fleet.Member {
--- a/internal/placer/release_test.go
+++ b/internal/placer/release_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-func TestStreamOfWithdrawnReleaseIsRefused(t *testing.T) {
+func TestStreamIsNotSentPastTheCanaryGate(t *testing.T) {
 	fx := newFixture(t, fakeEvents{}, 1, 1)
 	fx.setReleases("v1", "v2")
 	fx.Releases = &canary.Gate{ExposureShare: 0.1, PhasesKnown: func() bool { return false }}
@@ -62,6 +62,7 @@
 		test.Eq(t, want, ok, test.Sprint(release))
 		if !ok {
 			test.Eq(t, result.NoEndpointOfRelease, p.RefusalCode)
+			test.False(t, p.Final, test.Sprint("the release is on trial"))
 		}
 	}
 }
