Origins: views after a gap look back no further than that; questions are bounded

A node that had started first in a new system counted as one that needs not look back, also after it had lacked the registry for a while. It does so no more. A node asks the others about at most 256 streams at a time, since callers may name requests that never were; beyond that a stream is unknown, with a time to come back. Whether a node was listed before is read without the list's lock, which the message loop would wait for.

Measured: TestObserverSeesReleasesThatAreGone has the first case and failed without the change.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -51,14 +51,5 @@
 
 // releaseView returns what this node knows of the releases of a service.
 func (n *Node) releaseView(service string) origin.View {
-	v := n.registry.releases.View(service, n.takeUpTime(), n.clock.Now())
-	v.FirstStart = n.roster.firstStart()
-	return v
-}
-
-// firstStart reports whether the node was not listed before it started.
-func (r *roster) firstStart() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.loaded && !r.knownBefore
+	return n.registry.releases.View(service, n.takeUpTime(), n.roster.firstStart.Load(), n.clock.Now())
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -66,6 +66,8 @@
 
 	count   atomic.Int64 // number of nodes, this one included
 	standby atomic.Bool
+	// firstStart is true once the topic was read if it did not hold this node's entry.
+	firstStart atomic.Bool
 
 	// peerAlive reports whether a message of a node arrived recently.
 	peerAlive func(node string) bool
@@ -126,6 +128,7 @@
 	r.recordWrites(&b)
 	if _, listed := r.entries[r.node]; !r.loaded {
 		r.knownBefore = listed
+		r.firstStart.Store(!listed)
 	}
 	r.loaded, r.end = true, b.Next
 	r.members.confirmedAt = b.ConfirmedAt
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// maxFinds bounds the questions that a node asks the others at the same time. Callers may name requests that
+// never were.
+const maxFinds = 256
+
 // Source states how the origin of a stream was found.
 type Source int
 
@@ -62,9 +66,13 @@
 	if k == (Key{}) {
 		asked = homes.of(randomKey(), askedHomes)
 	}
+	result := Result{Asked: len(asked)}
+	if s.finding.Add(1) > maxFinds {
+		asked = nil
+	}
+	defer s.finding.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	result := Result{Asked: len(asked)}
 	views := []View{own}
 	for answer := range s.ask(ctx, asked, findRequest{k, service}) {
 		result.Answered++
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,6 +51,8 @@
 type Service struct {
 	config Config
 	table  *Table
+	// finding is the number of calls of Find that ask other nodes.
+	finding atomic.Int64
 
 	mu      sync.Mutex
 	peers   []Peer // sorted by name
--- a/internal/origin/view.go
+++ b/internal/origin/view.go
@@ -16,7 +16,8 @@
 	Releases []string `json:"releases,omitempty"`
 	// ObservedMS is the time for which the node has followed the registry without a gap.
 	ObservedMS int64 `json:"observed_ms"`
-	// FirstStart is true if the node was not listed before it started: nothing ran there before.
+	// FirstStart is true if the node was not listed before it started, so that nothing ran there before, and
+	// has followed the registry without a gap since.
 	FirstStart bool `json:"first_start,omitempty"`
 	// AgeMS is the age of the node's copy of the registry.
 	AgeMS int64 `json:"age_ms"`
@@ -65,6 +66,7 @@
 	// since is the time since when the registry has been followed without a gap, and confirmedAt a time at
 	// which this node's copy was certainly current. Both are zero before the first read.
 	since, confirmedAt time.Time
+	hadGap             bool
 }
 
 // NewObserver returns an observer that has seen nothing.
@@ -76,8 +78,11 @@
 func (o *Observer) RecordRead(confirmedAt time.Time, gap time.Duration, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.since.IsZero() || gap > maxObservationGap {
+	switch {
+	case o.since.IsZero():
 		o.since = now
+	case gap > maxObservationGap:
+		o.since, o.hadGap = now, true
 	}
 	o.confirmedAt = confirmedAt
 }
@@ -115,11 +120,14 @@
 }
 
 // View returns what this node knows of a service, with the releases of which an endpoint was listed within
-// the given time. FirstStart is left false.
-func (o *Observer) View(service string, within time.Duration, now time.Time) View {
+// the given time. firstStart states whether the node was not listed before it started.
+func (o *Observer) View(service string, within time.Duration, firstStart bool, now time.Time) View {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	v := View{Releases: o.releases(service, now.Add(-within)), AgeMS: now.Sub(o.confirmedAt).Milliseconds()}
+	v := View{
+		Releases: o.releases(service, now.Add(-within)), FirstStart: firstStart && !o.hadGap,
+		AgeMS: now.Sub(o.confirmedAt).Milliseconds(),
+	}
 	if !o.since.IsZero() {
 		v.ObservedMS = now.Sub(o.since).Milliseconds()
 	}
