--- /dev/null
+++ b/internal/origin/bench_test.go
@@ -0,0 +1,71 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+)
+
+// encodingConn encodes messages as they are sent, and drops them.
+type encodingConn struct {
+	handlers map[string]datagram.Handler
+	bytes    int
+}
+
+func (c *encodingConn) Handle(method string, h datagram.Handler) { c.handlers[method] = h }
+
+func (c *encodingConn) Notify(peers []netip.AddrPort, _ string, params any) int {
+	data, err := json.Marshal(params)
+	if err != nil {
+		panic(err) // can't fail for the messages
+	}
+	c.bytes += len(peers) * len(data)
+	return 0
+}
+
+func (c *encodingConn) Call(ctx context.Context, _ netip.AddrPort, _ string, _, _ any) error {
+	return ctx.Err()
+}
+
+// BenchmarkRecord measures what a stream costs the node that records its origin, without the system calls,
+// and what a record costs a home.
+func BenchmarkRecord(b *testing.B) {
+	for _, size := range []int{6, 85, 985} {
+		conn := &encodingConn{handlers: make(map[string]datagram.Handler)}
+		s := New(Config{Conn: conn, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return View{} }})
+		var peers []Peer
+		for i := range size - 1 {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+			peers = append(peers, Peer{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Addr: addr})
+		}
+		s.SetPeers(peers)
+		o := Origin{Service: service, Release: "v1"}
+		b.Run(fmt.Sprint("send, ", size, " nodes"), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				s.Record(KeyOf("yard", fmt.Sprint(i)), o)
+				if i%16 == 0 {
+					s.resend()
+				}
+			}
+		})
+	}
+	n := newNetwork(1).nodes[0]
+	data, err := json.Marshal(recordsMessage{[]record{{KeyOf("yard", "r"), Origin{Service: service, Release: "v1"}}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("receive", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			if _, err := n.handlers[recordsMethod](data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
