--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -44,7 +44,7 @@
 }
 
 // Restricted returns the endpoints with a limit or backoff, those that drain, are cold or slow, and those of
-// services with several releases, at which streams go on at their own release only. They are sorted by id. slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not
+// services with several releases, whose streams continue at their own release only. They are sorted by id. slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not
 // call the fleet.
 func (f *Fleet) Restricted(now time.Time, slowFactor func(m *Member) float64) []Status {
 	f.mu.Lock()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -89,7 +89,7 @@
 	resumedAfter      string         // id of the last event that the caller had received before this request
 	attemptRelease    string         // release of the endpoint of the latest attempt; empty if not known
 	release           string         // release that began the caller's stream; empty before its first event
-	found             *origin.Result // origin of the stream that the caller takes up; nil if it takes up none
+	found             *origin.Result // origin of the stream that the caller resumes; nil if it resumes none
 	pauses            pauses
 	pace              *enginepace.Stream // of the latest attempt; nil if not observed
 	callerWriteFailed bool               // writing to the caller failed
--- a/internal/forward/handoff_test.go
+++ b/internal/forward/handoff_test.go
@@ -38,7 +38,7 @@
 	return newPartitionedAmong(t, false, helpers...)
 }
 
-// newPartitionedAmong is newPartitioned with nodes that heed the release of a stream or don't.
+// newPartitionedAmong is newPartitioned with nodes that honor the release of a stream or don't.
 func newPartitionedAmong(t *testing.T, bindReleases bool, helpers ...string) *testHandler {
 	t.Helper()
 	h := newTestHandler(t, "")
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -23,7 +23,7 @@
 	Attempts int
 	Passed   bool // another node passed the request to this one
 	Helper   bool // this node passed the request to another one
-	// Origin is how the origin of the stream was found that the caller takes up; nil if it takes up none.
+	// Origin is how the origin of the stream was found that the caller resumes; nil if it resumes none.
 	Origin          *origin.Source
 	TimeToFirstByte time.Duration // until the header of the answer was written; 0 without an answer
 	Total           time.Duration
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,19 +6,19 @@
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
-// takesUpStream reports whether the caller takes up a stream that an earlier request of its began.
-func (x *exchange) takesUpStream() bool {
+// resumesStream reports whether the caller resumes a stream that an earlier request of its began.
+func (x *exchange) resumesStream() bool {
 	states := x.attrs.Resumes != "" || x.attrs.ResumesInvalid || x.attrs.ResumeAfter != ""
 	return states && x.route.Kind == routing.Stream && x.route.Resumable
 }
 
-// bindStream confines a request that takes up a stream to the service and release that began it. Its errors
+// bindStream confines a request that resumes a stream to the service and release that began it. Its errors
 // are refusals of requests that have not run.
 func (x *exchange) bindStream() *result.Error {
 	switch {
 	case x.release != "": // another node passed the request, and states the release
 		return x.bindService(x.passed.Service)
-	case !x.takesUpStream():
+	case !x.resumesStream():
 		return nil
 	case x.attrs.ResumesInvalid:
 		return result.New(result.BadResumes)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -16,8 +16,8 @@
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
 
-// takeUp returns what makes a request take up a stream. Empty headers are left out.
-func takeUp(after string, resumes ...string) func(*http.Request) {
+// resuming returns what makes a request resume a stream. Empty headers are left out.
+func resuming(after string, resumes ...string) func(*http.Request) {
 	return func(r *http.Request) {
 		r.Header.Set("X-Attempt-Id", "r2")
 		if after != "" {
@@ -29,7 +29,7 @@
 	}
 }
 
-func TestStreamThatIsTakenUpIsBoundToItsRelease(t *testing.T) {
+func TestResumedStreamIsBoundToItsRelease(t *testing.T) {
 	began := origin.Origin{Service: "servers", Release: "v1"}
 	for _, c := range []struct {
 		name   string
@@ -38,16 +38,16 @@
 		status int
 		code   string
 	}{
-		{"named", takeUp("2", "r1"), origin.Origin{}, http.StatusOK, ""},
-		{"named, without a position", takeUp("", "r1"), origin.Origin{}, http.StatusOK, ""},
-		{"named twice alike", takeUp("2", "r1", "r1"), origin.Origin{}, http.StatusOK, ""},
-		{"named with several ids", takeUp("2", "r1", "r3"), began, http.StatusBadRequest, "bad_resumes"},
-		{"named with a long id", takeUp("2", strings.Repeat("7", 200)), began, http.StatusBadRequest, "bad_resumes"},
-		{"not named, one release", takeUp("2"), began, http.StatusOK, ""},
-		{"not named, not known", takeUp("2"), origin.Origin{}, http.StatusServiceUnavailable, "stream_unknown"},
-		{"unknown", takeUp("2", "r7"), origin.Origin{}, http.StatusServiceUnavailable, "stream_unknown"},
-		{"release is gone", takeUp("2", "r7"), origin.Origin{Service: "servers", Release: "v0"}, http.StatusServiceUnavailable, "no_endpoint"},
-		{"service is gone", takeUp("2", "r7"), origin.Origin{Service: "others", Release: "v1"}, http.StatusServiceUnavailable, "no_endpoint_of_release"},
+		{"named", resuming("2", "r1"), origin.Origin{}, http.StatusOK, ""},
+		{"named, without a position", resuming("", "r1"), origin.Origin{}, http.StatusOK, ""},
+		{"named twice alike", resuming("2", "r1", "r1"), origin.Origin{}, http.StatusOK, ""},
+		{"named with several ids", resuming("2", "r1", "r3"), began, http.StatusBadRequest, "bad_resumes"},
+		{"named with a long id", resuming("2", strings.Repeat("7", 200)), began, http.StatusBadRequest, "bad_resumes"},
+		{"not named, one release", resuming("2"), began, http.StatusOK, ""},
+		{"not named, not known", resuming("2"), origin.Origin{}, http.StatusServiceUnavailable, "stream_unknown"},
+		{"unknown", resuming("2", "r7"), origin.Origin{}, http.StatusServiceUnavailable, "stream_unknown"},
+		{"release is gone", resuming("2", "r7"), origin.Origin{Service: "servers", Release: "v0"}, http.StatusServiceUnavailable, "no_endpoint"},
+		{"service is gone", resuming("2", "r7"), origin.Origin{Service: "others", Release: "v1"}, http.StatusServiceUnavailable, "no_endpoint_of_release"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newTestHandler(t, "m")
@@ -72,7 +72,7 @@
 	must.Eq(t, http.StatusOK, h.do(t, http.MethodGet, resumePath, "", nil).status)
 	h.origins.other = origin.Origin{}
 	got := h.do(t, http.MethodGet, resumePath, "", func(r *http.Request) {
-		takeUp("2", "r1")(r)
+		resuming("2", "r1")(r)
 		r.Header.Set("Authorization", "Bearer mill-key")
 	})
 	test.Eq(t, http.StatusServiceUnavailable, got.status)
@@ -98,12 +98,12 @@
 	helper := newTestHandler(t, "m")
 	helper.origins.other = origin.Origin{}
 	h := newPartitioned(t, serveHelper(t, helper))
-	got := h.do(t, http.MethodGet, resumePath, "", takeUp("2", "r1"))
-	test.Eq(t, http.StatusServiceUnavailable, got.status, test.Sprint("no helper is known to heed releases"))
+	got := h.do(t, http.MethodGet, resumePath, "", resuming("2", "r1"))
+	test.Eq(t, http.StatusServiceUnavailable, got.status, test.Sprint("no helper is known to honor releases"))
 	h = newPartitionedAmong(t, true, serveHelper(t, helper))
 	for release, status := range map[string]int{"v1": http.StatusOK, "v2": http.StatusServiceUnavailable} {
 		h.origins.other.Release = release
-		got = h.do(t, http.MethodGet, resumePath, "", takeUp("2", "r1"))
+		got = h.do(t, http.MethodGet, resumePath, "", resuming("2", "r1"))
 		test.Eq(t, status, got.status, test.Sprint(release))
 	}
 	test.Eq(t, 1, runsOf(helper))
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -10,8 +10,8 @@
 //   - A key is accepted only if the configuration that contains it was current less than the
 //     revocation bound ago, unless the operators accept stale keys.
 //   - As soon as it is clear that a request will not be sent again, it is answered.
-//   - A stream goes on only at the release of the endpoints' software that began it, in one answer and when
-//     its caller takes it up in another request. If the release is not known, the stream is refused.
+//   - A stream continues only at the release of the endpoints' software that began it, in one answer and when
+//     its caller resumes it in another request. If the release is not known, the stream is refused.
 //   - A request in quarantine, because endpoints repeatedly ended while running it, is not sent.
 package forward
 
@@ -227,7 +227,7 @@
 type Origins interface {
 	// Record records the origin of a stream, before the caller gets its first event. It does not block.
 	Record(k origin.Key, o origin.Origin)
-	// Find returns the origin of a stream that a caller takes up. A zero key means that the caller does
+	// Find returns the origin of a stream that a caller resumes. A zero key means that the caller does
 	// not name the request that began it.
 	Find(ctx context.Context, k origin.Key, service string) origin.Result
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	// takeUpFactor is how many times the longest timeout of a stream's route may pass between its first
-	// event and the last request of its caller that takes it up: a caller whose stream broke off near its
+	// resumeFactor is how many times the longest timeout of a stream's route may pass between its first
+	// event and the last request of its caller that resumes it: a caller whose stream broke off near its
 	// timeout may need another.
-	takeUpFactor = 2
-	// minTakeUpTime is the least time for which streams can be taken up.
-	minTakeUpTime = 10 * time.Second
+	resumeFactor = 2
+	// minResumeTime is the least time for which streams can be resumed.
+	minResumeTime = 10 * time.Second
 )
 
 // buildOrigins creates the service that knows which release began each stream.
 func (n *Node) buildOrigins() {
-	n.origins = origin.New(origin.Config{Conn: n.conn, Retention: n.takeUpTime, View: n.releaseView, Now: n.clock.Now})
+	n.origins = origin.New(origin.Config{Conn: n.conn, Retention: n.resumeTime, View: n.releaseView, Now: n.clock.Now})
 	setPeers := n.roster.setPeers
 	n.roster.setPeers = func(peers []peerload.Peer) {
 		setPeers(peers)
@@ -39,17 +39,17 @@
 	return peers
 }
 
-// takeUpTime returns the longest time between the first event of a stream and the last request that takes
-// it up.
-func (n *Node) takeUpTime() time.Duration {
+// resumeTime returns the longest time between the first event of a stream and the last request that
+// resumes it.
+func (n *Node) resumeTime() time.Duration {
 	config := n.state.config.Load()
 	if config == nil {
-		return minTakeUpTime
+		return minResumeTime
 	}
-	return max(minTakeUpTime, takeUpFactor*config.LongestStream())
+	return max(minResumeTime, resumeFactor*config.LongestStream())
 }
 
 // releaseView returns what this node knows of the releases of a service.
 func (n *Node) releaseView(service string) origin.View {
-	return n.registry.releases.View(service, n.takeUpTime(), n.roster.firstStart.Load(), n.clock.Now())
+	return n.registry.releases.View(service, n.resumeTime(), n.roster.firstStart.Load(), n.clock.Now())
 }
--- a/internal/gatewaydemo/stream_release_test.go
+++ b/internal/gatewaydemo/stream_release_test.go
@@ -124,7 +124,7 @@
 		if events == cutAfter {
 			cut++
 		}
-		test.False(t, slices.ContainsFunc(s.Models[3:], ran(id)), test.Sprintf("%s began at v1 and went on at v2", id))
+		test.False(t, slices.ContainsFunc(s.Models[3:], ran(id)), test.Sprintf("%s began at v1 and continued at v2", id))
 	}
 	must.Positive(t, cut)
 }
--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -150,9 +150,9 @@
 	return at, k, o
 }
 
-// TestStreamsAreTakenUpAtOtherNodes checks that callers can take their streams up at any sound node after
+// TestStreamsAreResumedAtOtherNodes checks that callers can resume their streams at any sound node after
 // the loss of the node that began them, of its failure domain, and of messages.
-func TestStreamsAreTakenUpAtOtherNodes(t *testing.T) {
+func TestStreamsAreResumedAtOtherNodes(t *testing.T) {
 	const streams = 100
 	for _, size := range []int{6, 85, 295, 985} {
 		for _, c := range []struct {
@@ -254,7 +254,7 @@
 	}
 }
 
-// TestNodesOfOlderBuilds checks that streams are taken up while some nodes don't know the messages.
+// TestNodesOfOlderBuilds checks that streams are resumed while some nodes don't know the messages.
 func TestNodesOfOlderBuilds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newNetwork(6)
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -40,7 +40,7 @@
 type Config struct {
 	Conn Conn
 	// Retention returns the longest time between the first event of a stream and the last request of its
-	// caller that takes it up.
+	// caller that resumes it.
 	Retention func() time.Duration
 	// View returns this node's view of a service.
 	View func(service string) View
--- a/internal/origin/view.go
+++ b/internal/origin/view.go
@@ -53,7 +53,7 @@
 }
 
 // maxObservationGap is the longest time between two reads of the registry within which no endpoint
-// registers, begins streams and leaves unseen: endpoints that leave go on serving for seconds.
+// registers, begins streams and leaves unseen: endpoints that leave keep serving for seconds.
 const maxObservationGap = 3 * time.Second
 
 // Observer records which releases of which services this node has seen in the registry. It is safe for
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -60,7 +60,7 @@
 	Quarantined        Code = 3011
 	NoEndpointInRegion Code = 3012
 	PathLost           Code = 3013
-	// NoEndpointOfRelease is used for streams, which go on only at the release that began them.
+	// NoEndpointOfRelease is used for streams, which continue only at the release that began them.
 	NoEndpointOfRelease Code = 3014
 	StreamUnknown       Code = 3015
 )
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -92,7 +92,7 @@
 		"Neither this node nor another that it asked reaches an endpoint of the service.",
 		"Retry after the time given; operators look at the nodes' event=path lines."},
 	{NoEndpointOfRelease, "no_endpoint_of_release", http.StatusServiceUnavailable, NotRun, false,
-		"The stream can go on only at the release of the endpoints' software that began it, and no endpoint of that release takes requests.",
+		"The stream can continue only at the release of the endpoints' software that began it, and no endpoint of that release takes requests.",
 		"Start the request anew; operators compare the release in the logs with cherryctl endpoints."},
 	{StreamUnknown, "stream_unknown", http.StatusServiceUnavailable, NotRun, false,
 		"It is not known which release of the endpoints' software began the stream, and another may not continue it.",
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -154,19 +154,19 @@
 	}
 }
 
-// TestDetectsStreamsOfTwoReleases checks that a stream that goes on at another release is detected, in one
-// response and when its client takes it up.
+// TestDetectsStreamsOfTwoReleases checks that a stream that continues at another release is detected, in one
+// response and when its client resumes it.
 func TestDetectsStreamsOfTwoReleases(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		second string // id of the request that goes on
+		second string // id of the request that continues
 		server int    // index of the server at which it does
 		want   int
 	}{
 		{"one response, same release", "a", 2, 0},
 		{"one response", "a", 1, 1},
-		{"taken up, same release", "b", 2, 0},
-		{"taken up", "b", 1, 1},
+		{"resumed, same release", "b", 2, 0},
+		{"resumed", "b", 1, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w, addrs := newIdleWorld(t)
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -132,7 +132,7 @@
 		sent.method, sent.body = http.MethodGet, ""
 	}
 	if path == site.PathQuery && limit == callTimeout && c.random.IntN(breakOneIn) == 0 {
-		c.breakAndTakeUp(ctx, id, session, &sent)
+		c.breakAndResume(ctx, id, session, &sent)
 		return
 	}
 	resp, err := c.do(ctx, id, session, &sent)
@@ -199,7 +199,7 @@
 	}
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable:
-		if resp.Header.Get("Retry-After") == "" && !(c.tookUp(id) && isFinal(string(body))) {
+		if resp.Header.Get("Retry-After") == "" && !(c.isResumed(id) && isFinal(string(body))) {
 			c.observed.fail("%s: 503 without Retry-After", id)
 		}
 	case resp.StatusCode != http.StatusOK:
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -30,7 +30,7 @@
 	broken = append(broken, w.ranEvacuated()...)
 	broken = append(broken, w.ignoredSignals()...)
 	broken = append(broken, w.mixedReleases()...)
-	broken = append(broken, w.tooFewTakenUp()...)
+	broken = append(broken, w.tooFewResumed()...)
 	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
 			if why := w.violation(&r); why != "" {
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	// breakOneIn is the number of resumable streams of which clients break one off and take it up at
+	// breakOneIn is the number of resumable streams of which clients break one off and resume it at
 	// another node.
 	breakOneIn = 2
 	// breakAfter is the number of events after which they do.
 	breakAfter = 3
-	// minTakenUp is the number of streams taken up from which the share that goes on is checked.
-	minTakenUp = 12
+	// minResumed is the number of resumed streams from which the share that continues is checked.
+	minResumed = 12
 )
 
-// breakAndTakeUp breaks off a stream and takes it up with another request, mostly at another node. A stream
-// that breaks off by itself before is taken up as well.
-func (c *client) breakAndTakeUp(ctx context.Context, id, session string, sent *sentRequest) {
+// breakAndResume breaks off a stream and resumes it with another request, mostly at another node. A stream
+// that breaks off by itself before is resumed as well.
+func (c *client) breakAndResume(ctx context.Context, id, session string, sent *sentRequest) {
 	resp, err := c.do(ctx, id, session, sent)
 	if err != nil {
 		c.requestsLeft = 0
@@ -73,8 +73,8 @@
 	return events
 }
 
-// tookUp reports whether a request takes up a stream.
-func (c *client) tookUp(id string) bool {
+// isResumed reports whether a request resumes a stream.
+func (c *client) isResumed(id string) bool {
 	c.observed.mu.Lock()
 	defer c.observed.mu.Unlock()
 	return c.observed.resumes[id] != ""
@@ -91,7 +91,7 @@
 	release string
 }
 
-// continues reports whether the run goes on after events that another run sent.
+// continues reports whether the run continues after events that another run sent.
 func (r *releaseRun) continues() bool { return r.Header.Get("Last-Event-Id") != "" }
 
 // streamRuns returns the runs of resumable streams by request id, in the order in which they began.
@@ -107,8 +107,8 @@
 	return runs
 }
 
-// mixedReleases returns the streams that went on at another release than the one that began them, in one
-// response or when their client took them up.
+// mixedReleases returns the streams that continued at another release than the one that began them, in one
+// response or when their client resumed them.
 func (w *world) mixedReleases() []string {
 	var broken []string
 	runs := w.streamRuns()
@@ -120,7 +120,7 @@
 		began := beginning(runs[first])
 		for i := range list {
 			if r := &list[i]; r.continues() && r.release != began {
-				broken = append(broken, fmt.Sprintf("%s went on at release %s after %s, which began at %q as %s", id, r.release, r.Header.Get("Last-Event-Id"), began, first))
+				broken = append(broken, fmt.Sprintf("%s continued at release %s after %s, which began at %q as %s", id, r.release, r.Header.Get("Last-Event-Id"), began, first))
 			}
 		}
 	}
@@ -139,10 +139,10 @@
 	return release
 }
 
-// tooFewTakenUp returns a violation if the share of streams that went on when their clients took them up
+// tooFewResumed returns a violation if the share of resumed streams that continued
 // is less than half of the share of new streams that began, at connected nodes.
-func (w *world) tooFewTakenUp() []string {
-	var begun, sent, wentOn, takenUp int
+func (w *world) tooFewResumed() []string {
+	var begun, sent, continued, resumed int
 	for id, s := range w.observed.sent {
 		if !strings.HasPrefix(s.target, site.PathQuery) || !w.nodes[s.node].disturbances.noneWithin(s.at.Add(-stableWindow), s.at.Add(stableWindow)) {
 			continue
@@ -155,17 +155,17 @@
 				begun++
 			}
 		case w.beganAt(first) == releases[0]: // two servers have this release
-			takenUp++
+			resumed++
 			if served {
-				wentOn++
+				continued++
 			}
 		}
 	}
-	w.takenUp, w.wentOn = takenUp, wentOn
-	if takenUp < minTakenUp || 2*wentOn*sent >= begun*takenUp {
+	w.resumed, w.continued = resumed, continued
+	if resumed < minResumed || 2*continued*sent >= begun*resumed {
 		return nil
 	}
-	return []string{fmt.Sprintf("%d of %d streams went on when their clients took them up, %d of %d new ones began", wentOn, takenUp, begun, sent)}
+	return []string{fmt.Sprintf("%d of %d resumed streams continued, %d of %d new ones began", continued, resumed, begun, sent)}
 }
 
 // beganAt returns the release of the server whose events a client received first.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -58,8 +58,8 @@
 	revoked      map[string]time.Time // when the removal of a key was acknowledged
 	versions     []targetVersion      // target versions of the weights, oldest first
 	faults       map[*modelserver.Server][]*serverFault
-	takenUp      int         // streams of a release with two servers that clients took up at connected nodes
-	wentOn       int         // of these
+	resumed      int         // streams of a release with two servers that clients resumed at connected nodes
+	continued    int         // of these
 	crashes      []time.Time // crashes of model servers by the crashing request
 	restarts     sync.WaitGroup
 }
@@ -203,7 +203,7 @@
 	if !recovered {
 		w.t.Errorf("requests did not succeed again within %v after the last fault", recoveryTimeout)
 	}
-	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d streams went on when taken up", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.wentOn, w.takenUp)
+	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d resumed streams continued", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.continued, w.resumed)
 	if w.t.Failed() {
 		kept := filepath.Join(os.TempDir(), "cherryward-soak-"+strings.ReplaceAll(w.t.Name(), "/", "-")+".log")
 		if data, err := os.ReadFile(w.log.Name()); err == nil && os.WriteFile(kept, data, 0o600) == nil {
