Origins: the view that decides goes back and is current itself

A stream without a record was resumed if one view of the registry went back far enough and another was current. Between the end of the one and the start of the other a release can have come and gone. One view must be both now, or all nodes have answered and each view goes back far enough.

Measured: TestSoleRelease has both cases and failed on the former code in each.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -55,7 +55,7 @@
 		return Result{Origin: o, Source: OwnRecord}
 	}
 	own := s.config.View(service)
-	release, sole := soleRelease([]View{own}, s.config.Retention(), false)
+	release, sole := soleRelease(own, nil, s.config.Retention(), false)
 	if k == (Key{}) && sole {
 		return Result{Origin: Origin{service, release}, Source: SoleRelease}
 	}
@@ -73,7 +73,7 @@
 	defer s.finding.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	views := []View{own}
+	var views []View
 	for answer := range s.ask(ctx, asked, findRequest{k, service}) {
 		result.Answered++
 		if answer.Origin != nil && answer.Origin.valid() {
@@ -82,7 +82,7 @@
 		}
 		views = append(views, answer.View)
 	}
-	if release, sole = soleRelease(views, s.config.Retention(), result.Answered == peers); sole {
+	if release, sole = soleRelease(own, views, s.config.Retention(), result.Answered == peers); sole {
 		result.Origin, result.Source = Origin{service, release}, SoleRelease
 	}
 	return result
--- a/internal/origin/view.go
+++ b/internal/origin/view.go
@@ -26,27 +26,36 @@
 // maxViewReleases bounds the releases of a View. More than one are as good as any number.
 const maxViewReleases = 4
 
-// soleRelease returns the release that alone can have begun any stream within the last window, by the views
-// of this node and others. complete is true if the views of all nodes are there.
+// isCurrent reports whether no endpoint of a new release can have been known to other nodes for long when the
+// view did not have it.
+func (v *View) isCurrent() bool { return v.AgeMS <= MaxViewAge.Milliseconds() }
+
+// soleRelease returns the release that alone can have begun any stream within the last window, by the view of
+// this node and those of others. complete is true if the views of all nodes are there.
 //
-// A stream can be begun at a release only by a node that knows an endpoint of it. Every such release is in
-// the views if one of them goes back far enough and one is current, or all nodes' views are there.
-func soleRelease(views []View, window time.Duration, complete bool) (release string, ok bool) {
-	var covered, current bool
-	allNew := true
-	for i := range views {
-		v := &views[i]
+// A stream can be begun at a release only by a node that knows an endpoint of it. All such releases are in the
+// views if one of these is current and goes back far enough, or if all nodes' views are there and each goes
+// back far enough. In a system in which the other nodes have started for the first time, none need go back
+// further than their start.
+func soleRelease(own View, others []View, window time.Duration, complete bool) (release string, ok bool) {
+	started := others
+	if len(others) == 0 {
+		started = []View{own}
+	}
+	newSystem := !slices.ContainsFunc(started, func(v View) bool { return !v.FirstStart })
+	certain, allGoBack := false, true
+	for _, v := range append([]View{own}, others...) {
 		for _, r := range v.Releases {
 			if release != "" && r != release {
 				return "", false
 			}
 			release = r
 		}
-		covered = covered || v.ObservedMS >= window.Milliseconds()
-		current = current || v.AgeMS <= MaxViewAge.Milliseconds()
-		allNew = allNew && v.FirstStart
+		goesBack := v.ObservedMS >= window.Milliseconds() || v.FirstStart && newSystem
+		certain = certain || goesBack && v.isCurrent()
+		allGoBack = allGoBack && goesBack
 	}
-	if release == "" || !covered && !allNew || !current && !complete {
+	if release == "" || !certain && !(complete && allGoBack) {
 		return "", false
 	}
 	return release, true
--- a/internal/origin/view_test.go
+++ b/internal/origin/view_test.go
@@ -28,13 +28,15 @@
 		{"started a moment ago", []View{view(500, 300, "v1")}, true, ""},
 		{"started a moment ago, another node long before", []View{view(500, 300, "v1"), view(minute, 300, "v1")}, false, "v1"},
 		{"nodes of a new system", []View{first(view(500, 300, "v1")), first(view(700, 300, "v1"))}, false, "v1"},
+		{"restarted node of a new system", []View{view(500, 300, "v1"), first(view(19_000, 300, "v1"))}, false, "v1"},
+		{"the current view starts after the old one ends", []View{view(500, 300, "v1"), view(minute, 9000, "v1")}, true, ""},
 		{"new node among restarted ones", []View{first(view(500, 300, "v1")), view(700, 300, "v1")}, true, ""},
 		{"registry away", []View{view(minute, 9000, "v1")}, false, ""},
 		{"registry away from all nodes", []View{view(minute, 9000, "v1"), view(minute, 9000, "v1")}, true, "v1"},
 		{"registry away from this node only", []View{view(minute, 9000, "v1"), view(minute, 300, "v1")}, false, "v1"},
 		{"no endpoint known", []View{view(minute, 300)}, true, ""},
 	} {
-		release, ok := soleRelease(c.views, window, c.complete)
+		release, ok := soleRelease(c.views[0], c.views[1:], window, c.complete)
 		test.Eq(t, c.want, release, test.Sprint(c.name, ok))
 		test.Eq(t, c.want != "", ok, test.Sprint(c.name))
 	}
