--- a/internal/placer/release_test.go
+++ b/internal/placer/release_test.go
@@ -66,3 +66,34 @@
 		}
 	}
 }
+
+// TestStreamsOfAReleaseMeetOnItsLastEndpoints checks that resumed streams are placed at least half as often
+// as new ones when all streams of a release come back to its last two engines, beside new ones.
+func TestStreamsOfAReleaseMeetOnItsLastEndpoints(t *testing.T) {
+	const streams = 240 // of nine engines with some 27 each, as all of them break off at once
+	fx := newFixture(t, fakeEvents{}, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+	fx.setReleases("v1", "v1", "v2", "v2", "v2", "v2", "v2", "v2", "v2")
+	placed := make(map[string]int)
+	perEngine := make(map[string]int)
+	for range streams {
+		for _, release := range []string{"v1", ""} {
+			q := query()
+			q.Release = release
+			q.Route = &routing.Route{Priority: 1, Objective: 400 * time.Millisecond, Timeout: 12 * time.Second}
+			q.Service = &routing.Service{Name: "s", Engine: &routing.Engine{TokenBytes: 35136, KVTokens: 179305, Slots: 128}}
+			q.Attributes = &forward.Attributes{
+				Model: model, OutputTokens: 49, PromptTokens: 827, Deadline: 12 * time.Second, HasDeadline: true,
+				Parts: []forward.Part{{ID: "common", Tokens: 650}, {ID: "own", Tokens: 177}},
+			}
+			p, ok := fx.Place(q)
+			if !ok {
+				continue
+			}
+			p.Member.Load.Begin(p.PrefillTokens, p.MemoryTokens)
+			placed[release]++
+			perEngine[p.Member.ID]++
+		}
+	}
+	t.Logf("of %d each: %d resumed, %d new; at the engines of v1: %d, %d", streams, placed["v1"], placed[""], perEngine["e0"], perEngine["e1"])
+	test.GreaterEq(t, placed[""], 2*placed["v1"])
+}
