--- a/internal/origin/key.go
+++ b/internal/origin/key.go
@@ -1,11 +1,11 @@
 package origin
 
 import (
-	"crypto/sha256"
 	"encoding/base64"
-	"encoding/binary"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/coord/ticket"
 )
 
 // keyBytes is the length of a Key. It is long enough that no account can find a request id of its own with
@@ -17,14 +17,8 @@
 
 // KeyOf returns the key of a request. account is empty on public routes.
 func KeyOf(account, id string) Key {
-	h := sha256.New()
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(account)))
-	h.Write(length[:]) // hash.Hash never returns an error
-	h.Write([]byte(account))
-	h.Write([]byte(id))
-	var sum [sha256.Size]byte
-	return Key(h.Sum(sum[:0])[:keyBytes])
+	sum := ticket.FingerprintOf([]byte(account), []byte(id))
+	return Key(sum[:keyBytes])
 }
 
 // MarshalText implements encoding.TextMarshaler.
