Origins: records are kept in the list that the project's caches use

The table had a queue of its own, with a head and its own compaction, to drop the oldest records. simplelru, which other tables here rest on, keeps them in the order in which they were added if they are only peeked at; the rest is gone.

Tests of internal/origin pass unchanged.

--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -4,9 +4,11 @@
 	"sync"
 	"time"
 	"unique"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// maxRecords bounds the records of a Table, which take some 100 bytes each.
+// maxRecords bounds the records of a Table.
 const maxRecords = 1 << 16
 
 // Origin is the service and the release of its endpoints' software that began a stream. The zero Origin
@@ -22,22 +24,24 @@
 	// retention returns how long records are kept.
 	retention func() time.Duration
 
-	mu      sync.Mutex
-	records map[Key]unique.Handle[Origin]
-	// order holds the keys of records by the time at which they were added, from the oldest at index head
-	// on.
-	order []addedRecord
-	head  int
+	mu sync.Mutex
+	// records are in the order in which they were added: they are read with Peek, which leaves it as it is.
+	records *simplelru.LRU[Key, *entry]
 }
 
-type addedRecord struct {
-	key Key
-	at  time.Time
+// entry is the recorded origin of a stream.
+type entry struct {
+	origin  unique.Handle[Origin]
+	addedAt time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time, retention func() time.Duration) *Table {
-	return &Table{now: now, retention: retention, records: make(map[Key]unique.Handle[Origin])}
+	records, err := simplelru.NewLRU[Key, *entry](maxRecords, nil)
+	if err != nil {
+		panic(err) // only fails for a size that is not positive
+	}
+	return &Table{now: now, retention: retention, records: records}
 }
 
 // Add records the origin of a stream. If another origin is recorded for it, the stream has none from then
@@ -47,14 +51,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if recorded, known := t.records[k]; known {
-		if recorded != handle {
-			t.records[k] = unique.Make(Origin{})
-		}
-		return
+	recorded, known := t.records.Peek(k)
+	switch {
+	case !known:
+		t.records.Add(k, &entry{handle, now})
+	case recorded.origin != handle:
+		recorded.origin = unique.Make(Origin{})
 	}
-	t.records[k] = handle
-	t.order = append(t.order, addedRecord{k, now})
 }
 
 // Find returns the recorded origin of a stream. ok is false if there is none.
@@ -62,11 +65,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(t.now())
-	recorded, known := t.records[k]
+	recorded, known := t.records.Peek(k)
 	if !known {
 		return Origin{}, false
 	}
-	o = recorded.Value()
+	o = recorded.origin.Value()
 	return o, o != Origin{}
 }
 
@@ -74,18 +77,17 @@
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.records)
+	return t.records.Len()
 }
 
-// expire drops the records that are too old, and the oldest so that one more may be added. t.mu is held.
+// expire drops the records that are too old. t.mu is held.
 func (t *Table) expire(now time.Time) {
 	limit := now.Add(-t.retention())
-	for t.head < len(t.order) && (t.order[t.head].at.Before(limit) || len(t.order)-t.head >= maxRecords) {
-		delete(t.records, t.order[t.head].key)
-		t.head++
-	}
-	if t.head > len(t.order)/2 {
-		t.order = append(t.order[:0], t.order[t.head:]...)
-		t.head = 0
+	for {
+		_, oldest, ok := t.records.GetOldest()
+		if !ok || !oldest.addedAt.Before(limit) {
+			return
+		}
+		t.records.RemoveOldest()
 	}
 }
