Origins: a question computes what it needs, once

Find judged this node's own view and chose homes for a request that names no other before it knew which of the two it needed; the answer to a question computed a view beside a record, and the asker reads one of them. Asked nodes are awaited with a WaitGroup in place of a channel that counts them, and a small system builds no hashing that it never uses. No outcome changes; tests of internal/origin pass unchanged.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 )
 
@@ -55,17 +56,17 @@
 		return Result{Origin: o, Source: OwnRecord}
 	}
 	own := s.config.View(service)
-	release, sole := soleRelease(own, nil, s.config.Retention(), false)
-	if k == (Key{}) && sole {
-		return Result{Origin: Origin{service, release}, Source: SoleRelease}
+	homesOf := k
+	if k == (Key{}) {
+		if release, sole := soleRelease(own, nil, s.config.Retention(), false); sole {
+			return Result{Origin: Origin{service, release}, Source: SoleRelease}
+		}
+		homesOf = randomKey()
 	}
 	s.mu.Lock()
 	homes, peers := s.homes, len(s.peers)
 	s.mu.Unlock()
-	asked := homes.of(k, askedHomes)
-	if k == (Key{}) {
-		asked = homes.of(randomKey(), askedHomes)
-	}
+	asked := homes.of(homesOf, askedHomes)
 	result := Result{Asked: len(asked)}
 	if s.finding.Add(1) > maxFinds {
 		asked = nil
@@ -82,7 +83,7 @@
 		}
 		views = append(views, answer.View)
 	}
-	if release, sole = soleRelease(own, views, s.config.Retention(), result.Answered == peers); sole {
+	if release, sole := soleRelease(own, views, s.config.Retention(), result.Answered == peers); sole {
 		result.Origin, result.Source = Origin{service, release}, SoleRelease
 	}
 	return result
@@ -98,18 +99,15 @@
 // nodes have answered or their time is over.
 func (s *Service) ask(ctx context.Context, nodes []netip.AddrPort, q findRequest) <-chan findResponse {
 	answers := make(chan findResponse, len(nodes))
-	pending := make(chan struct{}, len(nodes))
+	var asking sync.WaitGroup
 	for _, node := range nodes {
-		go func() {
+		asking.Go(func() {
 			for i := 0; i < calls && ctx.Err() == nil && !s.call(ctx, node, q, answers); i++ {
 			}
-			pending <- struct{}{}
-		}()
+		})
 	}
 	go func() {
-		for range nodes {
-			<-pending
-		}
+		asking.Wait()
 		close(answers)
 	}()
 	return answers
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -28,25 +28,27 @@
 
 // homes assigns streams to nodes. It is immutable and safe for concurrent use.
 type homes struct {
-	all     []netip.AddrPort // in a small system; nil in a large one
+	all []netip.AddrPort // in a small system
+	// The other fields are set in a large one.
 	domains []rendezvous.Node
 	slots   map[string]*rendezvous.Slots // by failure domain
 	addrs   map[string]netip.AddrPort    // by node name
 }
 
 func newHomes(peers []Peer) *homes {
-	h := &homes{slots: make(map[string]*rendezvous.Slots), addrs: make(map[string]netip.AddrPort, len(peers))}
-	byDomain := make(map[string][]rendezvous.Node)
-	for _, p := range peers {
-		h.addrs[p.Name] = p.Addr
-		byDomain[p.Domain] = append(byDomain[p.Domain], rendezvous.Node{ID: p.Name, Weight: 1})
-	}
+	h := &homes{}
 	if len(peers) <= maxFullHomes {
 		for _, p := range peers {
 			h.all = append(h.all, p.Addr)
 		}
 		return h
 	}
+	h.slots, h.addrs = make(map[string]*rendezvous.Slots), make(map[string]netip.AddrPort, len(peers))
+	byDomain := make(map[string][]rendezvous.Node)
+	for _, p := range peers {
+		h.addrs[p.Name] = p.Addr
+		byDomain[p.Domain] = append(byDomain[p.Domain], rendezvous.Node{ID: p.Name, Weight: 1})
+	}
 	for domain, nodes := range byDomain {
 		h.domains = append(h.domains, rendezvous.Node{ID: domain, Weight: 1})
 		h.slots[domain] = rendezvous.NewSlots(rendezvous.NewSet(nodes), slotsPerDomain, askedHomes)
@@ -56,7 +58,7 @@
 
 // of returns the first homes of a stream, at most count unless the system is small.
 func (h *homes) of(k Key, count int) []netip.AddrPort {
-	if len(h.addrs) <= maxFullHomes {
+	if h.addrs == nil {
 		return h.all
 	}
 	key := string(k[:])
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -37,7 +37,7 @@
 
 // findResponse is the result of findMethod.
 type findResponse struct {
-	// Origin is nil if the node has no record.
+	// Origin is nil if the node has no record. View is empty if it has one.
 	Origin *Origin `json:"origin,omitempty"`
 	View   View    `json:"view"`
 }
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -149,9 +149,8 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "decode a question for a stream")
 	}
-	resp := findResponse{View: s.config.View(q.Service)}
 	if o, ok := s.table.Find(q.Key); ok {
-		resp.Origin = &o
+		return findResponse{Origin: &o}, nil
 	}
-	return resp, nil
+	return findResponse{View: s.config.View(q.Service)}, nil
 }
