Forward: a stream's position and the endpoint's release stand in one place

The exchange kept the caller's position three times: in the attributes, which each event overwrote, in its position, and in a copy for the log. The attributes stay as the caller stated them now, and the position has the rest. The release of the latest endpoint was a field beside the placement that has it.

No outcome changes. The fixture of the tests of pauses has an endpoint with an entry now, as every endpoint of a node has; its assertions are as they were. Tests of internal/forward and internal/gatewaydemo pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -94,7 +94,7 @@
 			return x.withoutPath(ctx, mayHaveRunCount)
 		}
 		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
-			Str("release", placement.Member.Endpoint().Release).Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.attrs.ResumeAfter).
+			Str("release", placement.Member.Endpoint().Release).Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.position.lastID).
 			Dur("after_ms", x.Clock.Since(x.arrived)).Send()
 	}
 }
@@ -154,9 +154,8 @@
 // for which this attempt failed, or nil if its answer was delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
 	x.cause, x.answerBroken, x.endpointReplaced = nil, false, false
-	x.attemptRelease = p.Member.Endpoint().Release
 	p.Attempt.Remaining = x.Clock.Until(x.deadline())
-	p.Attempt.ResumeAfter = x.attrs.ResumeAfter
+	p.Attempt.ResumeAfter = x.position.lastID
 	load := p.Member.Load
 	load.Begin(p.PrefillTokens, p.MemoryTokens)
 	if p.OnSend != nil {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -102,7 +102,6 @@
 		x.writeHead(answer.Response, -1)
 	}
 	x.observeEvents(x.position.advance(events))
-	x.attrs.ResumeAfter = x.position.lastID
 	_, err := x.w.Write(events)
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -86,8 +86,6 @@
 	endpointReplaced  bool
 	written           bool           // the header of the answer was written
 	position          position       // in the caller's stream
-	resumedAfter      string         // id of the last event that the caller had received before this request
-	attemptRelease    string         // release of the endpoint of the latest attempt; empty if not known
 	release           string         // release that began the caller's stream; empty before its first event
 	found             *origin.Result // origin of the stream that the caller resumes; nil if it resumes none
 	pauses            pauses
@@ -105,8 +103,7 @@
 
 // serve handles the request and answers it.
 func (x *exchange) serve() {
-	x.resumedAfter = x.attrs.ResumeAfter
-	x.position = positionAt(x.resumedAfter)
+	x.position = positionAt(x.attrs.ResumeAfter)
 	err := x.admit()
 	if err == nil {
 		err = x.bindStream()
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -149,7 +149,7 @@
 // certainly not sent the request, so that another one may be asked. The error is nil if an endpoint's
 // answer was delivered.
 func (x *exchange) pass(ctx context.Context, helper *handoff.Helper, mayHaveRunCount int) (_ *result.Error, done bool) {
-	x.helper, x.cause, x.attemptRelease = helper.Name, nil, ""
+	x.helper, x.cause = helper.Name, nil
 	request, err := x.requestTo(mayHaveRunCount)
 	if err != nil {
 		return result.Wrap(err, result.Internal), true
@@ -199,7 +199,7 @@
 	header := x.callerHeader()
 	envelope := handoff.Envelope{
 		From: x.Helpers.Name, Config: x.config.Version, LeftMS: x.Clock.Until(x.deadline()).Milliseconds(), AgeMS: x.age.Milliseconds(),
-		Attempts: x.route.MaxAttempts - mayHaveRunCount, Counted: x.counted, ResumeAfter: x.attrs.ResumeAfter,
+		Attempts: x.route.MaxAttempts - mayHaveRunCount, Counted: x.counted, ResumeAfter: x.position.lastID,
 		Service: x.service.Name, Release: x.release,
 	}
 	if err := envelope.Set(header); err != nil {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -39,8 +39,8 @@
 	if x.release != "" {
 		event = event.Str("began_at", x.release)
 	}
-	if x.resumedAfter != "" {
-		event = event.Str("resumed_after", x.resumedAfter)
+	if x.attrs.ResumeAfter != "" {
+		event = event.Str("resumed_after", x.attrs.ResumeAfter)
 	}
 	if parts := x.attrs.Parts; len(parts) > 1 {
 		event = event.Str("session", parts[len(parts)-2].ID).Int("session_tokens", parts[len(parts)-2].Tokens)
--- a/internal/forward/pauses_test.go
+++ b/internal/forward/pauses_test.go
@@ -28,12 +28,14 @@
 const pauseLimit = 300 * time.Millisecond
 
 func newPacedStream(w http.ResponseWriter, pace *enginepace.Services, limit time.Duration) *pacedStream {
+	f := fleet.New(zerolog.Nop())
+	f.Update(&fleet.Endpoint{ID: "e", Service: "s", Addr: "127.0.0.1:9", StartedMs: 1, Release: "v1"}, time.Now())
 	return &pacedStream{
 		exchange: &exchange{
 			Handler: &Handler{Pace: pace}, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil),
 			route:     &routing.Route{GapObjective: limit},
 			service:   &routing.Service{Name: "s", Engine: &routing.Engine{Stride: 8}, GapObjective: limit},
-			placement: &Placement{Member: &fleet.Member{ID: "e", StartedMs: 1, Load: &fleet.Load{}}},
+			placement: &Placement{Member: f.Member("e")},
 		},
 		answer: &upstream.Answer{Response: &http.Response{StatusCode: http.StatusOK}},
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -52,10 +52,13 @@
 // recordOrigin records which release begins the caller's stream, unless an earlier request did. A node that
 // passed the request on leaves this to the one that sent it to an endpoint.
 func (x *exchange) recordOrigin() {
+	if x.helper != "" {
+		return
+	}
 	if x.release == "" {
-		x.release = x.attemptRelease
+		x.release = x.placement.Member.Endpoint().Release
 	}
-	if x.route.Resumable && x.attemptRelease != "" {
+	if x.route.Resumable && x.release != "" {
 		x.Origins.Record(x.originKey(x.attrs.ID), origin.Origin{Service: x.service.Name, Release: x.release})
 	}
 }
