--- a/internal/gateway/nodecounts.go
+++ b/internal/gateway/nodecounts.go
@@ -16,7 +16,7 @@
 func (r *roster) listedAtStart() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.knownBefore
+	return r.loaded && !r.firstStart.Load()
 }
 
 // HoldsLease reports whether the other nodes are certain to count this one, so that it may use its
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -66,7 +66,8 @@
 
 	count   atomic.Int64 // number of nodes, this one included
 	standby atomic.Bool
-	// firstStart is true once the topic was read if it did not hold this node's entry.
+	// firstStart is true once the topic was read if the first read did not return this node's entry.
+	// Otherwise the node, and so the system, was started before.
 	firstStart atomic.Bool
 
 	// peerAlive reports whether a message of a node arrived recently.
@@ -93,9 +94,6 @@
 	byDomain map[string][]string
 	members  members // nodes that may send to cold endpoints
 	loaded   bool
-	// knownBefore is true if the first read of the topic returned this node's entry: the node, and so
-	// the system, was started before.
-	knownBefore bool
 }
 
 var _ follow.Sink = (*roster)(nil)
@@ -126,8 +124,8 @@
 	}
 	r.lost.addTo(r.entries, r.clock.Now())
 	r.recordWrites(&b)
-	if _, listed := r.entries[r.node]; !r.loaded {
-		r.knownBefore = listed
+	if !r.loaded {
+		_, listed := r.entries[r.node]
 		r.firstStart.Store(!listed)
 	}
 	r.loaded, r.end = true, b.Next
