--- /dev/null
+++ b/internal/origin/simulated_test.go
@@ -0,0 +1,146 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+)
+
+const (
+	service   = "models"
+	domains   = 3
+	oneWay    = 900 * time.Microsecond
+	retention = 24 * time.Second
+	lossRate  = 0.03
+)
+
+// network connects simulated nodes.
+type network struct {
+	loss  float64
+	nodes []*node
+
+	mu              sync.Mutex
+	random          *rand.Rand
+	messages, bytes int
+}
+
+// lost counts a message and reports whether it is lost.
+func (w *network) lost(bytes int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.messages++
+	w.bytes += bytes
+	return w.random.Float64() < w.loss
+}
+
+// node is a simulated node.
+type node struct {
+	*Service
+	network  *network
+	handlers map[string]datagram.Handler
+	peer     Peer
+	silent   bool // killed, or cut off from the others
+	older    bool // of a build that doesn't know the messages
+	view     View
+}
+
+func newNetwork(size int) *network {
+	n := &network{random: rand.New(rand.NewPCG(uint64(size), 1))}
+	for i := range size {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+		added := &node{network: n, peer: Peer{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Addr: addr}}
+		added.view = View{Releases: []string{"v1", "v2"}, ObservedMS: time.Hour.Milliseconds()}
+		n.nodes = append(n.nodes, added)
+		added.start()
+	}
+	n.listAll()
+	return n
+}
+
+// start starts the node with no records.
+func (n *node) start() {
+	n.handlers = make(map[string]datagram.Handler)
+	n.Service = New(Config{
+		Conn: n, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
+	})
+	n.list()
+}
+
+// list has the node list all others.
+func (n *node) list() {
+	var peers []Peer
+	for _, other := range n.network.nodes {
+		if other != n {
+			peers = append(peers, other.peer)
+		}
+	}
+	n.SetPeers(peers)
+}
+
+// listAll has all nodes list all others.
+func (w *network) listAll() {
+	for _, n := range w.nodes {
+		n.list()
+	}
+}
+
+func (n *node) Handle(method string, h datagram.Handler) { n.handlers[method] = h }
+
+// send delivers a message. It reports false if the message is lost.
+func (n *node) send(to netip.AddrPort, method string, params any) (response any, ok bool) {
+	data, err := json.Marshal(params)
+	if err != nil {
+		panic(err) // can't fail for the messages
+	}
+	w := n.network
+	lost := w.lost(len(data))
+	b := to.Addr().As4()
+	other := w.nodes[int(b[2])<<8|int(b[3])]
+	if n.silent || other.silent || other.older || lost {
+		return nil, false
+	}
+	response, err = other.handlers[method](data)
+	if err != nil {
+		panic(err) // the messages are valid
+	}
+	return response, true
+}
+
+func (n *node) Notify(peers []netip.AddrPort, method string, params any) int {
+	for _, to := range peers {
+		n.send(to, method, params)
+	}
+	return 0
+}
+
+func (n *node) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
+	response, ok := n.send(to, method, params)
+	if !ok || n.network.lost(0) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(2 * oneWay):
+	}
+	data, err := json.Marshal(response)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+// begin has the i-th stream begin at a node.
+func (w *network) begin(i int) (at *node, k Key, o Origin) {
+	at, k = w.nodes[i%len(w.nodes)], KeyOf("yard", fmt.Sprint("r", i))
+	o = Origin{Service: service, Release: fmt.Sprint("v", 1+i%2)}
+	at.Record(k, o)
+	return at, k, o
+}
