--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -44,8 +44,9 @@
 }
 
 // Restricted returns the endpoints with a limit or backoff, those that drain, are cold or slow, and those of
-// services with several releases, whose streams continue at their own release only. They are sorted by id. slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not
-// call the fleet.
+// services with several releases, whose streams continue at their own release only. They are sorted by id.
+// slowFactor returns how many times slower than usual an endpoint is, 0 if it isn't; it must not call the
+// fleet.
 func (f *Fleet) Restricted(now time.Time, slowFactor func(m *Member) float64) []Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
