Origins: nodes that don't know one another yet

Cause: a node that knew no other node sent its records to nobody, twice within 100 ms, and dropped them; one asked for such a stream had nobody to ask and took the empty list of nodes for the whole one.

A record now waits, within the bound that there was, for the first other node. The absence of a record is final only once the node has had a list of nodes for 3 s; before, the refusal names a time to return.

The two new tests fail without either half of the change.

--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -89,8 +89,9 @@
 // knownOrigins is a forward.Origins. Streams that no request of the test began are of the given origin, or
 // not found if it is empty.
 type knownOrigins struct {
-	other   origin.Origin
-	records map[origin.Key]origin.Origin
+	other    origin.Origin
+	records  map[origin.Key]origin.Origin
+	starting bool // the other nodes are not known yet
 }
 
 func newKnownOrigins() *knownOrigins {
@@ -104,7 +105,7 @@
 		return origin.Result{Origin: o, Source: origin.OwnRecord}
 	}
 	if k.other == (origin.Origin{}) {
-		return origin.Result{}
+		return origin.Result{Settled: !k.starting}
 	}
 	return origin.Result{Origin: k.other, Source: origin.SoleRelease}
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// TestUnknownStreamIsNotFinalAtStartingNode guards against telling callers to give a stream up of which a node
+// can't have heard yet.
+func TestUnknownStreamIsNotFinalAtStartingNode(t *testing.T) {
+	h := newTestHandler(t, "m")
+	h.origins.other, h.origins.starting = origin.Origin{}, true
+	got := h.do(t, http.MethodGet, resumePath, "", resuming("2", "r7"))
+	test.Eq(t, http.StatusServiceUnavailable, got.status)
+	test.StrContains(t, got.body, "stream_unknown")
+	test.NotEq(t, "", got.header.Get("Retry-After"))
+}
+
 func TestStreamOfAnotherAccountIsNotFound(t *testing.T) {
 	h := newTestHandler(t, "m")
 	h.state.config.Accounts = append(h.state.config.Accounts, routing.Account{Name: "mill", Keys: []string{"mill-key"}})
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -38,7 +38,9 @@
 	Source Source
 	// Asked is the number of other nodes that were asked, and Answered that of those that answered in time.
 	Asked, Answered int
-	Took            time.Duration
+	// Settled is true if the list of the nodes to ask counts as complete.
+	Settled bool
+	Took    time.Duration
 }
 
 // Find returns the origin of the stream that the request with the given key began. A zero key stands for a
@@ -64,10 +66,10 @@
 		homesOf = randomKey()
 	}
 	s.mu.Lock()
-	homes, peers := s.homes, len(s.peers)
+	homes, peers, settled := s.homes, len(s.peers), s.isSettled()
 	s.mu.Unlock()
 	asked := homes.of(homesOf, askedHomes)
-	result := Result{Asked: len(asked)}
+	result := Result{Asked: len(asked), Settled: settled}
 	if s.finding.Add(1) > maxFinds {
 		asked = nil
 	}
--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// TestStreamsBegunBeforeNodesKnowOneAnother checks that a stream that begins at a node that knows no other one
+// yet is found once it does, and that its absence is not final before.
+func TestStreamsBegunBeforeNodesKnowOneAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(6)
+		for _, n := range w.nodes {
+			n.startAlone()
+		}
+		at, k, o := w.begin(0)
+		at.resend()
+		test.Eq(t, Result{}, w.nodes[1].Find(t.Context(), k, service))
+		w.listAll()
+		at.resend()
+		at.silent = true
+		test.Eq(t, o, w.nodes[1].Find(t.Context(), k, service).Origin)
+		unknown := KeyOf("yard", "unknown")
+		test.False(t, w.nodes[1].Find(t.Context(), unknown, service).Settled)
+		time.Sleep(settleTime)
+		test.True(t, w.nodes[1].Find(t.Context(), unknown, service).Settled)
+	})
+}
+
 // TestNodesOfOlderBuilds checks that streams are resumed while some nodes don't know the messages.
 func TestNodesOfOlderBuilds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -24,6 +24,9 @@
 	// A round trip between failure domains takes a few ms.
 	callTimeout = 50 * time.Millisecond
 	calls       = 2
+	// settleTime is the time from the first list of nodes until the list counts as complete: nodes that
+	// start at the same time learn of one another with a delay.
+	settleTime = 3 * time.Second
 )
 
 // Conn carries messages between nodes. It does not retransmit them.
@@ -54,10 +57,11 @@
 	// finding is the number of calls of Find that ask other nodes.
 	finding atomic.Int64
 
-	mu      sync.Mutex
-	peers   []Peer // sorted by name
-	homes   *homes
-	resends []record // sent once, in the order in which they were
+	mu       sync.Mutex
+	listedAt time.Time // when the first list of nodes came; zero before
+	peers    []Peer    // sorted by name
+	homes    *homes
+	resends  []record // sent once, in the order in which they were
 }
 
 // New returns a service that receives messages once c.Conn runs.
@@ -71,13 +75,22 @@
 // SetPeers replaces the list of the other nodes.
 func (s *Service) SetPeers(peers []Peer) {
 	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	now := s.config.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.listedAt.IsZero() {
+		s.listedAt = now
+	}
 	if !slices.Equal(peers, s.peers) {
 		s.peers, s.homes = peers, newHomes(peers)
 	}
 }
 
+// isSettled reports whether the list of the other nodes counts as complete. s.mu is held.
+func (s *Service) isSettled() bool {
+	return !s.listedAt.IsZero() && s.config.Now().Sub(s.listedAt) >= settleTime
+}
+
 // Len returns the number of records at this node.
 func (s *Service) Len() int { return s.table.Len() }
 
@@ -112,9 +125,14 @@
 	}
 }
 
-// resend sends the records that were sent once since the last call, in one message to each home.
+// resend sends the records that were sent once since the last call, in one message to each home. Records
+// wait for the first node that can be a home.
 func (s *Service) resend() {
 	s.mu.Lock()
+	if len(s.peers) == 0 {
+		s.mu.Unlock()
+		return
+	}
 	records, homes := s.resends, s.homes
 	s.resends = nil
 	s.mu.Unlock()
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -65,11 +65,16 @@
 
 // start starts the node with no records.
 func (n *node) start() {
+	n.startAlone()
+	n.list()
+}
+
+// startAlone starts the node with no records and no list of other nodes.
+func (n *node) startAlone() {
 	n.handlers = make(map[string]datagram.Handler)
 	n.Service = New(Config{
 		Conn: n, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
 	})
-	n.list()
 }
 
 // list has the node list all others.
