Quarantine: holds after the store came back from an older copy

Cause: a hold counts as recorded on the platform once it was written or read. The older copy lacks the record, and nobody wrote it again; nodes that start learn of holds from the topic alone.

The test fails without the change.

--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -77,6 +77,8 @@
 	applyHoldRecord func(record *follow.Record) error
 	// applyPhaseRecord, if not nil, receives the recorded phases of release orders, for the same reason.
 	applyPhaseRecord func(record *follow.Record) error
+	// restored, if not nil, is called before the records of a topic that has come back from an older copy.
+	restored func()
 	// changed, if not nil, is called after each batch of records.
 	changed func()
 
@@ -114,6 +116,9 @@
 	defer r.mu.Unlock()
 	if b.Restored {
 		r.lost.begin(r.entries, r.clock.Now().Add(r.lease.grace))
+		if r.restored != nil {
+			r.restored()
+		}
 	}
 	if b.Snapshot {
 		clear(r.entries)
--- a/internal/quarantine/network_test.go
+++ b/internal/quarantine/network_test.go
@@ -110,6 +110,21 @@
 	return nil
 }
 
+// restore replaces the topic by an older copy, which all nodes read.
+func (nw *network) restore(records map[string][]byte) {
+	nw.mu.Lock()
+	nw.records = make(map[string][]byte)
+	maps.Copy(nw.records, records)
+	nodes := maps.Clone(nw.nodes)
+	nw.mu.Unlock()
+	for _, n := range nodes {
+		n.TopicRestored()
+		for key, value := range records {
+			must.NoError(nw.t, n.Apply(&follow.Record{Key: key, Value: value}))
+		}
+	}
+}
+
 // afterReadDelay calls apply when a node next reads the topic. readID identifies the read and
 // determines the delay.
 func (nw *network) afterReadDelay(readID string, apply func()) {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -66,6 +66,7 @@
 	mu              sync.Mutex
 	outgoing        []outgoingReport
 	recordsToRemove []Fingerprint // requests whose records are to be removed
+	recordFrom      time.Time     // time before which no holds are recorded
 
 	// The fields below are used only by Run.
 	lastFailure   time.Time                 // time of the last failed attempt to write a record
@@ -174,6 +175,16 @@
 	return nil
 }
 
+// TopicRestored makes Run record again the holds that the topic lacks since it came back from an older
+// copy. Apply must be called afterwards for the records that the topic has.
+func (s *Service) TopicRestored() {
+	s.markUnrecorded()
+	s.mu.Lock()
+	s.recordFrom = s.config.Now().Add(recordInterval)
+	s.mu.Unlock()
+	s.wake()
+}
+
 // Run sends reports and records holds until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
 	cleanup := time.NewTicker(cleanupInterval)
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +92,47 @@
 	})
 }
 
+// TestHoldsSurviveRestoreOfOlderCopy checks that a node that starts after the store has come back from a copy
+// without the record of a hold learns of the hold, and that few nodes write the record again.
+func TestHoldsSurviveRestoreOfOlderCopy(t *testing.T) {
+	for _, size := range []int{2, 3, 82} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 1)
+			nodes := nw.startAll(size)
+			f := print("guilty")
+			for i := range 3 {
+				nodes[0].RecordEnd(Ending{f, fmt.Sprint("e", i)})
+			}
+			time.Sleep(time.Second)
+			written := nw.writeCount()
+			nw.restore(nil)
+			time.Sleep((coordinators + 2) * recordInterval)
+			synctest.Wait()
+			test.MapLen(t, 1, nw.records)
+			test.LessEq(t, 2, nw.writeCount()-written)
+			nw.kill(nodes[1])
+			nodes[1] = nw.start(1)
+			test.Eq(t, size, holdingNodes(nodes, f))
+		})
+	}
+}
+
+// TestRestoreKeepsRecords checks that holds whose records the older copy contains are not written again.
+func TestRestoreKeepsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork(t, 1)
+		nodes := nw.startAll(3)
+		for i := range 3 {
+			nodes[0].RecordEnd(Ending{print("guilty"), fmt.Sprint("e", i)})
+		}
+		time.Sleep(time.Second)
+		written := nw.writeCount()
+		nw.restore(maps.Clone(nw.records))
+		time.Sleep((coordinators + 2) * recordInterval)
+		test.Eq(t, written, nw.writeCount())
+	})
+}
+
 // TestEndingsBeforePeersAreKnown checks that a node reports the endings that it saw while it was alone
 // when other nodes join.
 func TestEndingsBeforePeersAreKnown(t *testing.T) {
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -12,6 +12,9 @@
 // whether this node must try again.
 func (s *Service) recordHolds(ctx context.Context, peers map[string]netip.AddrPort) (more bool) {
 	now := s.config.Now()
+	s.mu.Lock()
+	recordFrom := s.recordFrom
+	s.mu.Unlock()
 	for _, h := range s.Holds() {
 		if h.Recorded || !now.Before(h.Until) {
 			continue
@@ -20,7 +23,11 @@
 		if rank < 0 {
 			continue
 		}
-		if now.Sub(h.Since) < time.Duration(rank)*recordInterval || now.Sub(s.lastFailure) < recordInterval || !s.writeRecord(ctx, &h) {
+		turn := h.Since
+		if turn.Before(recordFrom) {
+			turn = recordFrom
+		}
+		if now.Sub(turn) < time.Duration(rank)*recordInterval || now.Sub(s.lastFailure) < recordInterval || !s.writeRecord(ctx, &h) {
 			more = true
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -173,6 +173,15 @@
 	}
 }
 
+// markUnrecorded marks all holds as not recorded on the platform.
+func (t *Table) markUnrecorded() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.held.Values() {
+		h.Recorded = false
+	}
+}
+
 // Endings returns the endings of requests that are not held, those of the newest request last.
 func (t *Table) Endings() (list []Ending) {
 	t.mu.Lock()
