Gateway: a draining node stays in touch with the others

Cause: the kernel stops services in reverse order of their start, and the callers' server named only the registry, the configuration and what is kept. So messages, quarantine, origins and the exchange of loads stopped at SIGTERM, and the node served for seconds without them: no records of streams, no reports of endings, no questions, and the others took it for gone when they divided limits.

The servers of callers and of other nodes now need the services that their requests depend on. Tasks for the node itself still stop first, among them the holder of orders, which gives its claim back.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,14 +233,19 @@
 	n.callers.http.Handler = closeWhenShuttingDown(&n.shuttingDown, handler)
 	n.helperServer.http.Handler = closeWhenShuttingDown(&n.shuttingDown, http.HandlerFunc(handler.ServePassed))
 	n.callers.shutdownDelay = callersShutdownDelay
-	n.callers.needs = []string{"ready", "config", "registry", "kept"}
+	n.callers.needs = append([]string{"ready", "kept"}, requestServices...)
+	n.helperServer.needs = requestServices
 	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
 }
 
+// requestServices are the services that run until no request is in progress: they tell the other nodes what
+// requests depend on, and hear it from them.
+var requestServices = []string{"config", "registry", "roster", "messages", "probes", "peers", "quarantine", "releases", "origins"}
+
 // registerServices registers all services with the kernel.
 func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
 	followers := n.followers(store)
-	// The last is stopped first: requests of other nodes that are in progress go on meanwhile.
+	// Among the servers, the last is stopped first: requests of other nodes that are in progress go on meanwhile.
 	return n.register(n.readyServer, n.helperServer, n.callers,
 		&task{name: "config", run: followers.config.Run},
 		&task{name: "registry", run: followers.endpoints.Run},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,7 +29,7 @@
 }
 
 // mayHelp reports whether requests may be passed to a node as far as its messages tell. In a small system
-// each node hears all others; one that hears none, such as a node that shuts down, knows nothing of them.
+// each node hears all others; one that hears none, such as one that has just started, knows nothing of them.
 func (n *Node) mayHelp(node string) bool {
 	if !intervals.FullMesh(n.roster.Nodes()) || n.peerAlive(node) {
 		return true
