Soak: resumed streams are compared where nodes are in touch, in calm seconds too

The rule (LOST) asks for nodes in touch, which excludes disturbances of the store and the start of a process; the checks of removals and evacuations exclude the store's too.

The check excludes both now. The bound stays.

The check has a test of its own.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -183,6 +184,37 @@
 	}
 }
 
+// TestDetectsTooFewResumedStreams checks that refused streams are detected if clients resumed them at a connected
+// node while the metadata store was stable.
+func TestDetectsTooFewResumedStreams(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name   string
+		excuse func(w *world)
+		want   int
+	}{
+		{"connected", func(*world) {}, 1},
+		{"store disturbed", func(w *world) { w.storeDisturbances.list = []*span{{from: now.Add(-time.Second)}} }, 0},
+		{"store disturbed before", func(w *world) {
+			w.storeDisturbances.list = []*span{{from: now.Add(-time.Minute), to: now.Add(-2 * stableWindow)}}
+		}, 1},
+		{"node disturbed", func(w *world) { w.nodes[0].disturbances.list = []*span{{from: now.Add(-time.Second)}} }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w, _ := newIdleWorld(t)
+			for i := range minResumed {
+				first := fmt.Sprint("a", i)
+				w.observed.sent[first] = sentRequest{target: site.PathQuery, at: now}
+				w.observed.received[first] = received{server: w.site.Models[0].ID(), at: now}
+				w.observed.sent[first+"-2"] = sentRequest{target: site.PathQuery, at: now}
+				w.observed.resumes[first+"-2"] = first
+			}
+			tc.excuse(w)
+			test.Len(t, tc.want, w.tooFewResumed())
+		})
+	}
+}
+
 // replacedWeights sets a target version at a time before the version bound.
 func replacedWeights(now time.Time) func(w *world) {
 	return func(w *world) { w.versions = []targetVersion{{version: 2, at: now.Add(-versionBound - time.Second)}} }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -41,9 +41,10 @@
 
 var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
 
-// start starts a node and waits until it listens.
+// start starts a node and waits until it listens. A node that starts is not connected.
 func (w *world) start(i int) {
 	p := w.nodes[i]
+	defer p.disturbances.open()()
 	name := fmt.Sprint("n", i)
 	file := filepath.Join(w.t.TempDir(), name+".toml")
 	must.NoError(w.t, os.WriteFile(file, []byte(w.site.BootFile(name)), 0o600))
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -22,6 +22,8 @@
 	fewClients      = 12
 	recoveryTimeout = 30 * time.Second
 	recoveryGoal    = 50 // successful responses required after the last fault
+	// calmTime is the time after that in which clients send, so that nodes are connected for some of it.
+	calmTime = stableWindow + 2*time.Second
 
 	heartbeatInterval = 150 * time.Millisecond
 	eventInterval     = 5 * time.Millisecond
@@ -164,6 +166,7 @@
 	case <-time.After(recoveryTimeout):
 		recovered = false
 	}
+	time.Sleep(calmTime)
 	cancel()
 	wg.Wait()
 	w.restarts.Wait()
