Release orders: phases after the store came back from an older copy

The same cause as for holds, found by a search of what nodes write to the platform once: an order's phase counts as recorded once it was written or read. After the store came back without the record, a node that started began the trial of a release anew that had been rolled back, and sent it its share of requests.

An order's phase that the topic lacks is recorded again by the judges in turn, on condition that the topic has no records that the judge has not read. 3 and 24 nodes in virtual time: one record, and the node that starts sends the release nothing. The test fails without the change.

Searched besides: nodes' entries and claims are read back and written again; orders to endpoints are kept by the endpoints; evacuations and targets are the operators' and are kept by each node that had them.

--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -33,6 +33,25 @@
 	s.notify(notice{Service: o.Service, Order: o.ID, Phase: verdict.Phase.String()})
 }
 
+// restorePhase records an order's phase again if the topic lacks it and this node is to act.
+func (s *Service) restorePhase(ctx context.Context, o *orderState, w *orderWork, rank int, now time.Time) {
+	switch {
+	case !o.unrecorded:
+		w.unrecordedSince = time.Time{}
+	case w.unrecordedSince.IsZero():
+		w.unrecordedSince = now
+	case now.Sub(w.unrecordedSince) >= time.Duration(rank+1)*judgeDelay:
+		err := s.recordPhase(ctx, o, o.phase)
+		s.config.Log.Info().Str("event", "release_order_restored").Str("service", o.Service).Str("release", o.Release).Int64("order", o.ID).
+			Stringer("phase", o.phase).AnErr("error", err).Send()
+		if err != nil {
+			return // as in judge
+		}
+		s.config.Gate.setRecorded(o.Service, o.ID, o.phase)
+		s.notify(notice{Service: o.Service, Order: o.ID, Phase: o.phase.String()})
+	}
+}
+
 // recordPhase writes an order's phase on condition that the topic has no records that this node has not
 // read.
 func (s *Service) recordPhase(ctx context.Context, o *orderState, phase Phase) error {
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -94,6 +94,20 @@
 	s.phase = phase
 }
 
+// unrecorded reports whether the phase is not the newest recorded one.
+func (s *serviceState) unrecorded() bool {
+	return s.phase != Trial && (s.recorded.order != s.order.ID || s.recorded.phase != s.phase)
+}
+
+// forgetRecords forgets which phases are recorded, but not the phases.
+func (g *Gate) forgetRecords() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.services {
+		s.recorded.order, s.recorded.phase = 0, Trial
+	}
+}
+
 // hold stops all requests to a release that was found to be worse, until that is recorded.
 func (g *Gate) hold(service string, order int64) {
 	g.mu.Lock()
@@ -245,10 +259,11 @@
 // orderState is a copy of a service's order and of what this node counted for it.
 type orderState struct {
 	Order
-	phase Phase
-	held  bool
-	dirty bool
-	rows  []Row
+	phase      Phase
+	held       bool
+	unrecorded bool // the phase is not the newest recorded one
+	dirty      bool
+	rows       []Row
 }
 
 // orders returns the orders of all services.
@@ -260,7 +275,7 @@
 		if s.order.Release == "" {
 			continue
 		}
-		o := orderState{Order: s.order, phase: s.phase, held: s.held, dirty: s.dirty}
+		o := orderState{Order: s.order, phase: s.phase, held: s.held, unrecorded: s.unrecorded(), dirty: s.dirty}
 		for _, r := range s.sortedRows() {
 			o.rows = append(o.rows, *r)
 		}
--- a/internal/canary/releases_test.go
+++ b/internal/canary/releases_test.go
@@ -102,3 +102,24 @@
 	}
 	test.Positive(t, ended[Succeeded], test.Sprint(ended))
 }
+
+// TestPhaseSurvivesRestoreOfOlderCopy guards against nodes that start after the store has come back from an
+// older copy and begin the trial of a release again that was rolled back.
+func TestPhaseSurvivesRestoreOfOlderCopy(t *testing.T) {
+	for _, nodes := range []int{3, 24} {
+		s := newSystem(1, nodes)
+		s.lossRate = 0.03
+		phases := s.play(t, 600, always(behavior{0.4, usual.took}), nil)
+		must.Eq(t, []Phase{RolledBack}, phases)
+		s.restore()
+		s.stepAll(t, (judges+1)*judgeDelay)
+		test.Len(t, 1, s.records)
+		exposed := s.exposed
+		started := s.nodes[nodes-1]
+		started.start()
+		for range tolerance {
+			s.request(started, usual)
+		}
+		test.Eq(t, exposed, s.exposed)
+	}
+}
--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -105,12 +105,14 @@
 	reportedAt  time.Time
 	wanted      Phase     // phase that the order should have by this node's judgement
 	wantedSince time.Time // since when it should
-	statusPhase Phase     // phase that this node told operators
-	statusKnown bool
-	phaseAt     time.Time // since when the present phase is known
-	phase       Phase
-	judges      []string // as of judgesAt
-	judgesAt    time.Time
+	// unrecordedSince is since when the topic lacks the phase; zero if it has it.
+	unrecordedSince time.Time
+	statusPhase     Phase // phase that this node told operators
+	statusKnown     bool
+	phaseAt         time.Time // since when the present phase is known
+	phase           Phase
+	judges          []string // as of judgesAt
+	judgesAt        time.Time
 }
 
 // New returns a service that receives messages once c.Conn runs.
@@ -121,6 +123,10 @@
 	return s
 }
 
+// TopicRestored makes Run record again the phases that the topic lacks since it came back from an older
+// copy. Apply must be called afterwards for the records that the topic has.
+func (s *Service) TopicRestored() { s.config.Gate.forgetRecords() }
+
 // Apply applies a record of the topic whose key IsRecord accepts. It fails if the record is invalid.
 func (s *Service) Apply(r *follow.Record) error {
 	if r.Value == nil {
@@ -219,6 +225,7 @@
 	if rank < 0 {
 		return
 	}
+	s.restorePhase(ctx, o, w, rank, now)
 	if !o.phase.Final() {
 		s.judge(ctx, o, w, rank, now)
 	}
--- a/internal/canary/system_test.go
+++ b/internal/canary/system_test.go
@@ -156,6 +156,26 @@
 	}
 }
 
+// restore replaces the topic by an empty copy, which all nodes read.
+func (s *system) restore() {
+	s.records = nil
+	for _, n := range s.nodes {
+		n.readUpTo, n.readAt = 0, nil
+		n.TopicRestored()
+	}
+}
+
+// stepAll has all nodes step for a time.
+func (s *system) stepAll(t *testing.T, lasts time.Duration) {
+	t.Helper()
+	for end := s.now.Add(lasts); s.now.Before(end); s.now = s.now.Add(stepInterval) {
+		for _, n := range s.nodes {
+			n.readTopic(false)
+			n.step(t.Context())
+		}
+	}
+}
+
 // peers returns all nodes, this one included, which makes no difference to a service.
 func (n *simulated) peers() map[string]netip.AddrPort {
 	if len(n.system.all) != len(n.system.nodes) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,8 +189,11 @@
 		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(platform.TopicNodes), Now: n.clock.Now, Log: n.log,
 	})
 	n.roster.applyHoldRecord, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
-	n.roster.restored = n.quarantine.TopicRestored
 	n.buildReleases(store)
+	n.roster.restored = func() {
+		n.quarantine.TopicRestored()
+		n.releases.TopicRestored()
+	}
 	n.buildOrigins()
 	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
