Origins: records outlast restarts of all nodes in turn

Callers who resumed a stream after all nodes had been restarted one after the other were refused, at 6 nodes after 2.4 s: 1000 of 1000 streams in virtual time (3, 6, 13 and 85 nodes), as a record was kept only by the nodes that were there when the stream began.

A node that starts copies the records of which it is a home, in pages: in a small system from two nodes that have themselves copied, as one may have missed some; in a large one from all others, at once and again once they list it.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -19,7 +19,10 @@
 
 // buildOrigins creates the service that knows which release began each stream.
 func (n *Node) buildOrigins() {
-	n.origins = origin.New(origin.Config{Conn: n.conn, Retention: n.resumeTime, View: n.releaseView, Now: n.clock.Now})
+	n.origins = origin.New(origin.Config{
+		Conn: n.conn, Self: netip.MustParseAddrPort(n.conn.Addr()), Retention: n.resumeTime, View: n.releaseView,
+		Now: n.clock.Now, Log: n.log,
+	})
 	setPeers := n.roster.setPeers
 	n.roster.setPeers = func(peers []peerload.Peer) {
 		setPeers(peers)
--- /dev/null
+++ b/internal/origin/copy.go
@@ -0,0 +1,180 @@
+package origin
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/coord/retry"
+)
+
+const (
+	// copyMethod is the call that asks for records of which the asking node is a home. It may be repeated.
+	copyMethod = "node.copy_streams"
+
+	// pageRecords is the mean number of records of a page, and maxPageRecords the maximum.
+	pageRecords    = 16
+	maxPageRecords = maxMessageRecords
+	maxPages       = maxRecords / pageRecords
+	// completeCopies is the number of nodes of a small system that are asked for all of their records: one may
+	// have missed some.
+	completeCopies = 2
+	// pagePause is the time between two pages, which bounds the load of the node that is asked.
+	pagePause = time.Millisecond
+	// copyAttempts is the number of times that a page is asked for, and copyBackoff the time between.
+	copyAttempts = 3
+	copyBackoff  = 20 * time.Millisecond
+)
+
+// copyRequest is the parameter of copyMethod. It asks for one of several pages of about equal size.
+type copyRequest struct {
+	Home  netip.AddrPort `json:"home"` // the asking node
+	Page  int            `json:"page"`
+	Pages int            `json:"pages"`
+}
+
+// copyResponse is the result of copyMethod.
+type copyResponse struct {
+	// Total is the number of records of all pages.
+	Total int `json:"total"`
+	// Copied is true if the node has itself copied the records of the others since its start.
+	Copied bool `json:"copied"`
+	// Records are those of the page, at most maxPageRecords.
+	Records []record `json:"records"`
+}
+
+// copyRecords copies the records of which this node is a home, so that they outlast restarts of all of their
+// homes in turn. In a large system it does so again once the others list this node, which may be new.
+func (s *Service) copyRecords(ctx context.Context) {
+	s.awaitList(ctx, func() bool { return len(s.peers) > 0 || s.isSettled() })
+	s.copyFromAll(ctx)
+	s.copied.Store(ctx.Err() == nil)
+	s.awaitList(ctx, s.isSettled)
+	if len(s.listPeers()) > maxFullHomes {
+		s.copyFromAll(ctx)
+	}
+}
+
+// awaitList waits until a condition on the list of nodes holds, which is called with s.mu held.
+func (s *Service) awaitList(ctx context.Context, holds func() bool) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		ready := holds()
+		s.mu.Unlock()
+		if ready {
+			return
+		}
+		retry.Sleep(ctx, resendDelay)
+	}
+}
+
+// listPeers returns the other nodes in random order.
+func (s *Service) listPeers() []Peer {
+	s.mu.Lock()
+	peers := slices.Clone(s.peers)
+	s.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers
+}
+
+// copyFromAll copies the records of the other nodes. In a small system each node that has been there for long has
+// all of them; in a large one each has some.
+func (s *Service) copyFromAll(ctx context.Context) {
+	began, records, nodes, completed := s.config.Now(), 0, 0, 0
+	peers := s.listPeers()
+	for _, peer := range peers {
+		if ctx.Err() != nil {
+			return
+		}
+		count, complete := s.copyFrom(ctx, peer.Addr)
+		records, nodes = records+count, nodes+1
+		if complete {
+			completed++
+		}
+		if completed == completeCopies && len(peers) <= maxFullHomes {
+			break
+		}
+	}
+	s.config.Log.Info().Str("event", "streams_copied").Int("records", records).Int("nodes", nodes).
+		Int64("took_ms", s.config.Now().Sub(began).Milliseconds()).Send()
+}
+
+// copyFrom copies a node's records, and reports whether these are all that the node should have.
+func (s *Service) copyFrom(ctx context.Context, peer netip.AddrPort) (count int, complete bool) {
+	complete = true
+	for page, pages := 0, 1; page < pages; page++ {
+		answer, err := s.copyPage(ctx, peer, copyRequest{s.config.Self, page, pages})
+		if err != nil {
+			return count, false // silent, or of a build that doesn't know the method
+		}
+		if pages == 1 && answer.Total > len(answer.Records) {
+			page, pages = -1, min((answer.Total+pageRecords-1)/pageRecords, maxPages)
+			continue
+		}
+		for _, r := range answer.Records {
+			s.table.Add(r.Key, r.Origin)
+		}
+		count += len(answer.Records)
+		complete = complete && answer.Copied
+		retry.Sleep(ctx, pagePause)
+	}
+	return count, complete
+}
+
+// copyPage asks a node for a page, several times unless it answers.
+func (s *Service) copyPage(ctx context.Context, peer netip.AddrPort, q copyRequest) (answer copyResponse, err error) {
+	for attempt := range copyAttempts {
+		if attempt > 0 {
+			retry.Sleep(ctx, copyBackoff)
+		}
+		if answer, err = s.copyPageOnce(ctx, peer, q); err == nil {
+			return answer, nil
+		}
+	}
+	return copyResponse{}, err
+}
+
+func (s *Service) copyPageOnce(ctx context.Context, peer netip.AddrPort, q copyRequest) (answer copyResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := s.config.Conn.Call(ctx, peer, copyMethod, q, &answer); err != nil {
+		return copyResponse{}, err
+	}
+	return answer, validate(answer.Records)
+}
+
+// handleCopy answers a node that has started.
+func (s *Service) handleCopy(params json.RawMessage) (any, error) {
+	var q copyRequest
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, eris.Wrap(err, "decode a question for records")
+	}
+	if q.Pages < 1 || q.Pages > maxPages || q.Page < 0 || q.Page >= q.Pages {
+		return nil, eris.Errorf("decode a question for records: page %d of %d", q.Page, q.Pages)
+	}
+	s.mu.Lock()
+	homes := s.homes
+	s.mu.Unlock()
+	answer := copyResponse{Copied: s.copied.Load()}
+	for _, r := range s.table.All() {
+		if !homes.has(r.Key, q.Home) {
+			continue
+		}
+		answer.Total++
+		if pageOf(r.Key, q.Pages) == q.Page && len(answer.Records) < maxPageRecords {
+			answer.Records = append(answer.Records, r)
+		}
+	}
+	return answer, nil
+}
+
+// pageOf returns the page of a key. Keys are hashes, so pages are of about equal size.
+func pageOf(k Key, pages int) int {
+	return int(binary.BigEndian.Uint32(k[:]) % uint32(pages))
+}
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/cherryward/cherryward/coord/rendezvous"
 )
@@ -77,3 +78,8 @@
 	}
 	return list
 }
+
+// has reports whether a node is a home of a stream.
+func (h *homes) has(k Key, node netip.AddrPort) bool {
+	return h.addrs == nil || slices.Contains(h.of(k, copies), node)
+}
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -48,15 +48,20 @@
 	if err := json.Unmarshal(params, &m); err != nil {
 		return nil, eris.Wrap(err, "decode origins of streams")
 	}
-	if len(m.Records) > maxMessageRecords {
-		return nil, eris.Errorf("decode origins of streams: %d records exceed the maximum", len(m.Records))
+	return m.Records, validate(m.Records)
+}
+
+// validate returns an error if records of another node are invalid.
+func validate(records []record) error {
+	if len(records) > maxMessageRecords {
+		return eris.Errorf("decode origins of streams: %d records exceed the maximum", len(records))
 	}
-	for i := range m.Records {
-		if r := &m.Records[i]; r.Key == (Key{}) || !r.valid() {
-			return nil, eris.Errorf("decode origins of streams: record %d lacks a field, or a name is too long", i)
+	for i := range records {
+		if r := &records[i]; r.Key == (Key{}) || !r.valid() {
+			return eris.Errorf("decode origins of streams: record %d lacks a field, or a name is too long", i)
 		}
 	}
-	return m.Records, nil
+	return nil
 }
 
 func (o *Origin) valid() bool {
--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -183,3 +183,55 @@
 	must.Error(t, err)
 	test.Eq(t, 0, w.nodes[0].Len())
 }
+
+// TestRecordsOutlastRestartsInTurn checks that streams are resumed after all nodes have restarted one after the
+// other: all of them, or nearly all if packets are lost.
+func TestRecordsOutlastRestartsInTurn(t *testing.T) {
+	for _, c := range []struct {
+		size int
+		gap  time.Duration // between the restarts of two nodes
+	}{{3, time.Second}, {6, 400 * time.Millisecond}, {13, 400 * time.Millisecond}, {85, 200 * time.Millisecond}} {
+		for loss, most := range map[float64]int{0: 0, lossRate: 10} {
+			t.Run(fmt.Sprint(c.size, " nodes, packets lost ", loss), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newNetwork(c.size)
+					w.loss = loss
+					w.beginAll()
+					before := w.bytes
+					for _, n := range w.nodes {
+						n.start()
+						go n.copyRecords(t.Context())
+						time.Sleep(c.gap)
+					}
+					time.Sleep(2 * settleTime)
+					missing := w.missing(t)
+					t.Logf("%d of %d missing, %d bytes for each node that starts", missing, manyStreams, (w.bytes-before)/c.size)
+					test.LessEq(t, most, missing)
+				})
+			})
+		}
+	}
+}
+
+// beginAll has many streams begin, at nodes that have copied the records of others.
+func (w *network) beginAll() {
+	for i := range manyStreams {
+		w.begin(i)
+	}
+	for _, n := range w.nodes {
+		n.copied.Store(true)
+		n.resend()
+	}
+}
+
+// missing returns the number of streams of beginAll that are not found at another node than they began at.
+func (w *network) missing(t *testing.T) (count int) {
+	t.Helper()
+	for i := range manyStreams {
+		at := w.nodes[(i+1)%len(w.nodes)]
+		if at.Find(t.Context(), KeyOf("yard", fmt.Sprint("r", i)), service).Source == NotFound {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/datagram"
 )
@@ -47,7 +48,10 @@
 	Retention func() time.Duration
 	// View returns this node's view of a service.
 	View func(service string) View
+	// Self is the address at which the others list this node.
+	Self netip.AddrPort
 	Now  func() time.Time
+	Log  zerolog.Logger
 }
 
 // Service shares the origins of streams with the other nodes. It is safe for concurrent use.
@@ -56,6 +60,8 @@
 	table  *Table
 	// finding is the number of calls of Find that ask other nodes.
 	finding atomic.Int64
+	// copied is true once the records of others were copied.
+	copied atomic.Bool
 
 	mu       sync.Mutex
 	listedAt time.Time // when the first list of nodes came; zero before
@@ -69,6 +75,7 @@
 	s := &Service{config: c, table: NewTable(c.Now, c.Retention), homes: newHomes(nil)}
 	c.Conn.Handle(recordsMethod, s.handleRecords)
 	c.Conn.Handle(findMethod, s.handleFind)
+	c.Conn.Handle(copyMethod, s.handleCopy)
 	return s
 }
 
@@ -111,8 +118,11 @@
 	s.config.Conn.Notify(homes.of(k, copies), recordsMethod, recordsMessage{[]record{r}})
 }
 
-// Run sends records a second time, until ctx is done.
+// Run copies the records of other nodes, and sends new ones a second time, until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
+	var copying sync.WaitGroup
+	copying.Go(func() { s.copyRecords(ctx) })
+	defer copying.Wait()
 	ticker := time.NewTicker(resendDelay)
 	defer ticker.Stop()
 	for {
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -18,6 +18,8 @@
 	oneWay    = 900 * time.Microsecond
 	retention = 24 * time.Second
 	lossRate  = 0.03
+	// manyStreams is the number of streams that begin at about the same time.
+	manyStreams = 1000
 )
 
 // network connects simulated nodes.
@@ -73,7 +75,7 @@
 func (n *node) startAlone() {
 	n.handlers = make(map[string]datagram.Handler)
 	n.Service = New(Config{
-		Conn: n, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
+		Conn: n, Self: n.peer.Addr, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
 	})
 }
 
@@ -126,7 +128,11 @@
 
 func (n *node) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
 	response, ok := n.send(to, method, params)
-	if !ok || n.network.lost(0) {
+	data, err := json.Marshal(response)
+	if err != nil {
+		return err
+	}
+	if !ok || n.network.lost(len(data)) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -135,10 +141,6 @@
 		return ctx.Err()
 	case <-time.After(2 * oneWay):
 	}
-	data, err := json.Marshal(response)
-	if err != nil {
-		return err
-	}
 	return json.Unmarshal(data, result)
 }
 
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -73,6 +73,21 @@
 	return o, o != Origin{}
 }
 
+// All returns the records of all streams whose origin is known.
+func (t *Table) All() []record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(t.now())
+	list := make([]record, 0, t.records.Len())
+	for _, k := range t.records.Keys() {
+		recorded, _ := t.records.Peek(k)
+		if o := recorded.origin.Value(); o != (Origin{}) {
+			list = append(list, record{k, o})
+		}
+	}
+	return list
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
