Origin tests: nodes that restart lock what others read

The code under test has no part in it. The simulation locks them now, and a node without handlers is silent.

--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -197,7 +197,7 @@
 					w := newNetwork(c.size)
 					w.loss = loss
 					w.beginAll()
-					before := w.bytes
+					before := w.sentBytes()
 					for _, n := range w.nodes {
 						n.start()
 						go n.copyRecords(t.Context())
@@ -205,7 +205,7 @@
 					}
 					time.Sleep(2 * settleTime)
 					missing := w.missing(t)
-					t.Logf("%d of %d missing, %d bytes for each node that starts", missing, manyStreams, (w.bytes-before)/c.size)
+					t.Logf("%d of %d missing, %d bytes for each node that starts", missing, manyStreams, (w.sentBytes()-before)/c.size)
 					test.LessEq(t, most, missing)
 				})
 			})
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -41,6 +41,27 @@
 	return w.random.Float64() < w.loss
 }
 
+// setHandlers replaces the handlers of a node.
+func (w *network) setHandlers(n *node, handlers map[string]datagram.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n.handlers = handlers
+}
+
+// handler returns the handler of a method, or nil while the node starts.
+func (w *network) handler(n *node, method string) datagram.Handler {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return n.handlers[method]
+}
+
+// sentBytes returns the number of bytes sent so far.
+func (w *network) sentBytes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytes
+}
+
 // node is a simulated node.
 type node struct {
 	*Service
@@ -73,7 +94,7 @@
 
 // startAlone starts the node with no records and no list of other nodes.
 func (n *node) startAlone() {
-	n.handlers = make(map[string]datagram.Handler)
+	n.network.setHandlers(n, make(map[string]datagram.Handler))
 	n.Service = New(Config{
 		Conn: n, Self: n.peer.Addr, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
 	})
@@ -97,7 +118,11 @@
 	}
 }
 
-func (n *node) Handle(method string, h datagram.Handler) { n.handlers[method] = h }
+func (n *node) Handle(method string, h datagram.Handler) {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	n.handlers[method] = h
+}
 
 // send delivers a message. It reports false if the message is lost.
 func (n *node) send(to netip.AddrPort, method string, params any) (response any, ok bool) {
@@ -109,10 +134,11 @@
 	lost := w.lost(len(data))
 	b := to.Addr().As4()
 	other := w.nodes[int(b[2])<<8|int(b[3])]
-	if n.silent || other.silent || other.older || lost {
+	handle := w.handler(other, method)
+	if n.silent || other.silent || other.older || lost || handle == nil {
 		return nil, false
 	}
-	response, err = other.handlers[method](data)
+	response, err = handle(data)
 	if err != nil {
 		panic(err) // the messages are valid
 	}
