--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -269,21 +269,6 @@
 	}
 }
 
-// tellOperators writes the status of an order after each change of its recorded phase. The judges write
-// it one after the other: the first may have been lost between the record and the status.
-func (s *Service) tellOperators(ctx context.Context, o *orderState, w *orderWork, rank int, now time.Time) {
-	if w.statusKnown && w.statusPhase == o.phase || now.Sub(w.phaseAt) < time.Duration(rank)*judgeDelay {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := s.config.WriteStatus(ctx, Status{Service: o.Service, Release: o.Release, Phase: o.phase}); err != nil {
-		s.config.Log.Warn().Str("event", "release_status_unwritten").Str("service", o.Service).AnErr("error", err).Send()
-		return
-	}
-	w.statusKnown, w.statusPhase = true, o.phase
-}
-
 func (s *Service) notify(n notice) {
 	s.notices = append(s.notices, outgoingNotice{n, noticeRepeats})
 }
