Origins: a page of records is selected once, and read more easily

Each question for a page copied the whole table, worked out the homes of every record and then left all but one page in some hundred out.

The loop over pages no longer starts anew from within; the call with its time limit and the adding of received records stood twice each and are one function now; an alias of a constant is gone. Total counts the page, which is all records in the only answer in which it is read. The package comment says that nodes copy.

--- a/internal/origin/copy.go
+++ b/internal/origin/copy.go
@@ -18,10 +18,9 @@
 	// copyMethod is the call that asks for records of which the asking node is a home. It may be repeated.
 	copyMethod = "node.copy_streams"
 
-	// pageRecords is the mean number of records of a page, and maxPageRecords the maximum.
-	pageRecords    = 16
-	maxPageRecords = maxMessageRecords
-	maxPages       = maxRecords / pageRecords
+	// pageRecords is the mean number of records of a page. At most maxMessageRecords fit.
+	pageRecords = 16
+	maxPages    = maxRecords / pageRecords
 	// completeCopies is the number of nodes of a small system that are asked for all of their records: one may
 	// have missed some.
 	completeCopies = 2
@@ -41,11 +40,11 @@
 
 // copyResponse is the result of copyMethod.
 type copyResponse struct {
-	// Total is the number of records of all pages.
+	// Total is the number of records of the page, of which not all may fit.
 	Total int `json:"total"`
 	// Copied is true if the node has itself copied the records of the others since its start.
 	Copied bool `json:"copied"`
-	// Records are those of the page, at most maxPageRecords.
+	// Records are those that fit, at most maxMessageRecords.
 	Records []record `json:"records"`
 }
 
@@ -105,50 +104,54 @@
 		Int64("took_ms", s.config.Now().Sub(began).Milliseconds()).Send()
 }
 
-// copyFrom copies a node's records, and reports whether these are all that the node should have.
+// copyFrom copies a node's records, and reports whether these are all that the node should have. The node is
+// asked for all records in one page first, which tells how many pages they take.
 func (s *Service) copyFrom(ctx context.Context, peer netip.AddrPort) (count int, complete bool) {
+	all, err := s.copyPage(ctx, peer, 0, 1)
+	if err != nil {
+		return 0, false // silent, or of a build that doesn't know the method
+	}
+	if all.Total == len(all.Records) {
+		return s.addPage(ctx, &all), all.Copied
+	}
 	complete = true
-	for page, pages := 0, 1; page < pages; page++ {
-		answer, err := s.copyPage(ctx, peer, copyRequest{s.config.Self, page, pages})
+	pages := min((all.Total+pageRecords-1)/pageRecords, maxPages)
+	for page := range pages {
+		answer, err := s.copyPage(ctx, peer, page, pages)
 		if err != nil {
-			return count, false // silent, or of a build that doesn't know the method
-		}
-		if pages == 1 && answer.Total > len(answer.Records) {
-			page, pages = -1, min((answer.Total+pageRecords-1)/pageRecords, maxPages)
-			continue
-		}
-		for _, r := range answer.Records {
-			s.table.Add(r.Key, r.Origin)
+			return count, false
 		}
-		count += len(answer.Records)
+		count += s.addPage(ctx, &answer)
 		complete = complete && answer.Copied
-		retry.Sleep(ctx, pagePause)
 	}
 	return count, complete
 }
 
+// addPage adds the records of a page, pauses until the next one may be asked for, and returns their number.
+func (s *Service) addPage(ctx context.Context, answer *copyResponse) int {
+	s.addAll(answer.Records)
+	retry.Sleep(ctx, pagePause)
+	return len(answer.Records)
+}
+
 // copyPage asks a node for a page, several times unless it answers.
-func (s *Service) copyPage(ctx context.Context, peer netip.AddrPort, q copyRequest) (answer copyResponse, err error) {
+func (s *Service) copyPage(ctx context.Context, peer netip.AddrPort, page, pages int) (_ copyResponse, err error) {
+	q := copyRequest{Home: s.config.Self, Page: page, Pages: pages}
 	for attempt := range copyAttempts {
 		if attempt > 0 {
 			retry.Sleep(ctx, copyBackoff)
 		}
-		if answer, err = s.copyPageOnce(ctx, peer, q); err == nil {
+		var answer copyResponse
+		if err = s.call(ctx, peer, copyMethod, q, &answer); err == nil {
+			err = validate(answer.Records)
+		}
+		if err == nil {
 			return answer, nil
 		}
 	}
 	return copyResponse{}, err
 }
 
-func (s *Service) copyPageOnce(ctx context.Context, peer netip.AddrPort, q copyRequest) (answer copyResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := s.config.Conn.Call(ctx, peer, copyMethod, q, &answer); err != nil {
-		return copyResponse{}, err
-	}
-	return answer, validate(answer.Records)
-}
-
 // handleCopy answers a node that has started.
 func (s *Service) handleCopy(params json.RawMessage) (any, error) {
 	var q copyRequest
@@ -162,15 +165,9 @@
 	homes := s.homes
 	s.mu.Unlock()
 	answer := copyResponse{Copied: s.copied.Load()}
-	for _, r := range s.table.All() {
-		if !homes.has(r.Key, q.Home) {
-			continue
-		}
-		answer.Total++
-		if pageOf(r.Key, q.Pages) == q.Page && len(answer.Records) < maxPageRecords {
-			answer.Records = append(answer.Records, r)
-		}
-	}
+	records := s.table.Select(func(k Key) bool { return pageOf(k, q.Pages) == q.Page && homes.has(k, q.Home) })
+	answer.Total = len(records)
+	answer.Records = records[:min(len(records), maxMessageRecords)]
 	return answer, nil
 }
 
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -4,7 +4,8 @@
 // The node that delivers the first event of a stream records its origin and sends the record to the
 // stream's homes before the caller gets the event: to all nodes of a small system, and to three nodes in
 // different failure domains of a large one. A node that is asked to resume a stream it has no record of
-// asks the homes.
+// asks the homes. A node that starts copies the records of which it is a home, so that they outlast
+// restarts of all nodes in turn.
 //
 // Where no record is found, a stream is resumed only if no more than one release can have begun it: nodes
 // whose view of the registry is current and goes back far enough have seen a single release of the service.
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -104,7 +104,7 @@
 	var asking sync.WaitGroup
 	for _, node := range nodes {
 		asking.Go(func() {
-			for i := 0; i < calls && ctx.Err() == nil && !s.call(ctx, node, q, answers); i++ {
+			for i := 0; i < calls && ctx.Err() == nil && !s.askOnce(ctx, node, q, answers); i++ {
 			}
 		})
 	}
@@ -115,12 +115,10 @@
 	return answers
 }
 
-// call asks a node once, and reports whether it has answered.
-func (s *Service) call(ctx context.Context, node netip.AddrPort, q findRequest, answers chan<- findResponse) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+// askOnce asks a node once, and reports whether it has answered.
+func (s *Service) askOnce(ctx context.Context, node netip.AddrPort, q findRequest, answers chan<- findResponse) bool {
 	var answer findResponse
-	if err := s.config.Conn.Call(ctx, node, findMethod, q, &answer); err != nil {
+	if err := s.call(ctx, node, findMethod, q, &answer); err != nil {
 		return false // silent, or of a build that doesn't know the method
 	}
 	answers <- answer
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -165,10 +165,22 @@
 	if err != nil {
 		return nil, err
 	}
+	s.addAll(records)
+	return nil, nil
+}
+
+// addAll adds records of other nodes to the table.
+func (s *Service) addAll(records []record) {
 	for _, r := range records {
 		s.table.Add(r.Key, r.Origin)
 	}
-	return nil, nil
+}
+
+// call calls a method of another node, which has callTimeout to answer.
+func (s *Service) call(ctx context.Context, node netip.AddrPort, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.config.Conn.Call(ctx, node, method, params, result)
 }
 
 // handleFind answers another node's question.
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -73,13 +73,15 @@
 	return o, o != Origin{}
 }
 
-// All returns the records of all streams whose origin is known.
-func (t *Table) All() []record {
+// Select returns the records of the streams with a matching key whose origin is known.
+func (t *Table) Select(match func(k Key) bool) (list []record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(t.now())
-	list := make([]record, 0, t.records.Len())
 	for _, k := range t.records.Keys() {
+		if !match(k) {
+			continue
+		}
 		recorded, _ := t.records.Peek(k)
 		if o := recorded.origin.Value(); o != (Origin{}) {
 			list = append(list, record{k, o})
