Forward: the name of the caller's account in one place

The empty name on public routes was worked out for the key of a stream as it already was for a request's fingerprint and its outcome. The package's tests passed.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -236,6 +236,14 @@
 	return data, err
 }
 
+// accountName returns the name of the caller's account; empty on public routes and before it is known.
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
 // finish records the outcome, logs the request, and answers with an error if no endpoint's answer
 // was delivered.
 func (x *exchange) finish(err *result.Error) {
@@ -245,9 +253,7 @@
 	if x.found != nil {
 		x.outcome.Origin = &x.found.Source
 	}
-	if x.account != nil {
-		x.outcome.Account = x.account.Name
-	}
+	x.outcome.Account = x.accountName()
 	if err != nil {
 		x.outcome.Code = err.Code
 		x.outcome.Status = statusOf(err)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -56,11 +56,7 @@
 	if x.cachedFingerprint != nil {
 		return *x.cachedFingerprint
 	}
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	f := quarantine.FingerprintOf(account, x.r.Method, x.r.Host, target(x.r), x.body)
+	f := quarantine.FingerprintOf(x.accountName(), x.r.Method, x.r.Host, target(x.r), x.body)
 	x.cachedFingerprint = &f
 	return f
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -68,9 +68,5 @@
 	if id == "" {
 		return origin.Key{}
 	}
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	return origin.KeyOf(account, id)
+	return origin.KeyOf(x.accountName(), id)
 }
