--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -171,9 +171,10 @@
 // Forwarded implements forward.Recorder. A request that was passed from one node to another is counted by
 // class at the first only.
 func (r *recorder) Forwarded(o *forward.Outcome) {
-	code := `{code="` + strconv.Itoa(int(o.Code)) + `"}`
+	label := `code="` + strconv.Itoa(int(o.Code)) + `"`
+	code := "{" + label + "}"
 	if o.Origin != nil {
-		r.set.GetOrCreateCounter(metricResumed + `{origin="` + o.Origin.String() + `",code="` + strconv.Itoa(int(o.Code)) + `"}`).Inc()
+		r.set.GetOrCreateCounter(metricResumed + `{origin="` + o.Origin.String() + `",` + label + "}").Inc()
 	}
 	if o.Passed {
 		r.set.GetOrCreateCounter(metricReceived + code).Inc()
