Gateway: the listed nodes have one receiver

The origins of streams got the list by wrapping the function that the roster had been given for the loads. The node receives it now and hands it to both. Behaviour is as before; the package's tests passed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,7 +182,7 @@
 	})
 	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN}
 	own := nodeEntry{Addr: n.conn.Addr(), Helper: n.helperServer.addr(), BindsReleases: true, Domain: boot.Domain, MilliCores: boot.MilliCores}
-	n.roster = newRoster(boot.Name, own, store.Topic(platform.TopicNodes), n.peers.SetPeers, n.peerAlive, n.log)
+	n.roster = newRoster(boot.Name, own, store.Topic(platform.TopicNodes), n.setPeers, n.peerAlive, n.log)
 	n.roster.clock, n.roster.setHelpers, n.roster.regions = n.clock, n.helpers.SetNodes, boot.Regions
 	n.roster.rejected = n.state.rejected
 	n.quarantine = quarantine.New(quarantine.Config{
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -23,11 +23,6 @@
 		Conn: n.conn, Self: netip.MustParseAddrPort(n.conn.Addr()), Retention: n.resumeTime, View: n.releaseView,
 		Now: n.clock.Now, Log: n.log,
 	})
-	setPeers := n.roster.setPeers
-	n.roster.setPeers = func(peers []peerload.Peer) {
-		setPeers(peers)
-		n.origins.SetPeers(n.originPeers(peers))
-	}
 }
 
 // originPeers returns the other nodes among the listed ones.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,6 +23,12 @@
 	return n.orders.Closed(), n.orders.Leads()
 }
 
+// setPeers receives the listed nodes, this one included.
+func (n *Node) setPeers(listed []peerload.Peer) {
+	n.peers.SetPeers(listed)
+	n.origins.SetPeers(n.originPeers(listed))
+}
+
 // peerAlive reports whether a message of the given node arrived within peerTimeout.
 func (n *Node) peerAlive(node string) bool {
 	return n.peers.Table.ReceivedFrom(node, n.clock.Now(), peerTimeout)
