--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,46 +241,6 @@
 	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
 }
 
-// requestServices are the services that run until no request is in progress: they tell the other nodes what
-// requests depend on, and hear it from them.
-var requestServices = []string{"config", "registry", "roster", "messages", "probes", "peers", "quarantine", "releases", "origins"}
-
-// registerServices registers all services with the kernel.
-func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
-	followers := n.followers(store)
-	// Among the servers, the last is stopped first: requests of other nodes that are in progress go on meanwhile.
-	return n.register(n.readyServer, n.helperServer, n.callers,
-		&task{name: "config", run: followers.config.Run},
-		&task{name: "registry", run: followers.endpoints.Run},
-		&task{name: "roster", run: followers.nodes.Run},
-		&task{name: "orders", run: n.orders.Run},
-		&task{name: "messages", run: n.conn.Run},
-		&task{name: "probes", run: n.network.probe},
-		&task{name: "peers", run: n.peers.Run},
-		&task{name: "pace", run: n.observePace},
-		&task{name: "announce", run: n.roster.announce},
-		&task{name: "quarantine", run: n.quarantine.Run},
-		&task{name: "releases", run: n.releases.Run},
-		&task{name: "origins", run: n.origins.Run},
-		&task{name: "memory", run: tuneCollections},
-		&task{name: "suspension", run: n.watchSuspension},
-		&task{name: "sweep", run: newSweeper(n).run},
-		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
-		&task{name: "kept", run: n.cacheTracker.follow},
-		&task{name: "events", run: n.cachePeers.Run},
-		&task{name: "free", run: n.cacheTracker.free},
-	)
-}
-
-func (n *Node) register(services ...kernel.Service) error {
-	for _, s := range services {
-		if err := n.kernel.Register(s); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
 
 // peerAddr returns the address at which the node receives messages from its peers, over UDP, and requests
