Soak: one check of whether a node was connected

The condition on the node and the store that excuses a run stood in three checks, and my check of resumed streams wrote it a fourth time. The bounds and windows are the same.

--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -92,9 +92,7 @@
 	var late []string
 	for _, s := range w.site.Models {
 		for _, r := range s.Runs() {
-			stableFrom := r.At.Add(-stableWindow)
-			node := w.nodes[w.observed.sent[r.Request].node]
-			if strings.HasSuffix(r.Target, crashPath) && r.At.After(known) && w.storeDisturbances.noneWithin(stableFrom, r.At) && node.disturbances.noneWithin(stableFrom, r.At) {
+			if strings.HasSuffix(r.Target, crashPath) && r.At.After(known) && w.sentConnected(&r) {
 				late = append(late, fmt.Sprintf("%s crashed a server %v after the third crash", r.Request, r.At.Sub(known.Add(-stableWindow))))
 			}
 		}
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -72,14 +72,22 @@
 	return ""
 }
 
+// connected reports whether a node had no disturbance between two times, nor the metadata store.
+func (w *world) connected(node int, from, to time.Time) bool {
+	return w.nodes[node].disturbances.noneWithin(from, to) && w.storeDisturbances.noneWithin(from, to)
+}
+
+// sentConnected reports whether a run was sent by a connected node while the metadata store was stable.
+func (w *world) sentConnected(r *modelserver.Run) bool {
+	return w.connected(w.observed.sent[r.Request].node, r.At.Add(-stableWindow), r.At)
+}
+
 // ranAfterRemoval returns the requests that a model server ran more than the drain bound after its
 // removal, sent by a connected node while the metadata store was stable.
 func (w *world) ranAfterRemoval(i int) []string {
 	var broken []string
 	for _, r := range w.site.Models[i].Runs() {
-		stableFrom := r.At.Add(-stableWindow)
-		node := w.nodes[w.observed.sent[r.Request].node]
-		if w.removed[i].covers(r.At.Add(-drainBound), r.At) && w.storeDisturbances.noneWithin(stableFrom, r.At) && node.disturbances.noneWithin(stableFrom, r.At) {
+		if w.removed[i].covers(r.At.Add(-drainBound), r.At) && w.sentConnected(&r) {
 			broken = append(broken, fmt.Sprintf("%s ran at model-%d, which was removed more than %v earlier", r.Request, 1+i, drainBound))
 		}
 	}
@@ -91,9 +99,7 @@
 func (w *world) ranEvacuated() []string {
 	var broken []string
 	for _, r := range w.site.Models[len(w.site.Models)-1].Runs() {
-		stableFrom := r.At.Add(-stableWindow)
-		node := w.nodes[w.observed.sent[r.Request].node]
-		if w.evacuated.covers(r.At.Add(-evacuateBound), r.At) && w.storeDisturbances.noneWithin(stableFrom, r.At) && node.disturbances.noneWithin(stableFrom, r.At) {
+		if w.evacuated.covers(r.At.Add(-evacuateBound), r.At) && w.sentConnected(&r) {
 			broken = append(broken, fmt.Sprintf("%s ran in a failure domain that was evacuated for more than %v", r.Request, evacuateBound))
 		}
 	}
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -146,7 +146,7 @@
 	var begun, sent, continued, resumed int
 	var ended []string
 	for id, s := range w.observed.sent {
-		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s) {
+		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s.node, s.at.Add(-stableWindow), s.at.Add(stableWindow)) {
 			continue
 		}
 		_, served := w.observed.received[id]
@@ -172,12 +172,6 @@
 	return []string{fmt.Sprintf("%d of %d resumed streams continued, %d of %d new ones began; not continued: %v", continued, resumed, begun, sent, ended)}
 }
 
-// connected reports whether a request was sent to a connected node while the metadata store was stable.
-func (w *world) connected(s sentRequest) bool {
-	from, to := s.at.Add(-stableWindow), s.at.Add(stableWindow)
-	return w.nodes[s.node].disturbances.noneWithin(from, to) && w.storeDisturbances.noneWithin(from, to)
-}
-
 // beganAt returns the release of the server whose events a client received first.
 func (w *world) beganAt(id string) string {
 	for _, s := range w.site.Models {
