--- a/internal/gatewaydemo/gateway_test.go
+++ b/internal/gatewaydemo/gateway_test.go
@@ -72,6 +72,12 @@
 	t.Helper()
 	req, err := site.Request(t.Context(), m.CallersAddr(), http.MethodGet, path, key, id, session)
 	must.NoError(t, err)
+	return receive(t, req)
+}
+
+// receive sends a request and returns the status and body of the response.
+func receive(t *testing.T, req *http.Request) (int, string) {
+	t.Helper()
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(t, err)
 	defer resp.Body.Close()
--- a/internal/gatewaydemo/stream_release_test.go
+++ b/internal/gatewaydemo/stream_release_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -101,12 +100,7 @@
 	if first != "" {
 		req.Header.Set("Resumes", first)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	must.NoError(t, err)
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	must.NoError(t, err)
-	return resp.StatusCode, string(body)
+	return receive(t, req)
 }
 
 func TestStreamOfTwoReleasesInOneAnswer(t *testing.T) {
--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -35,27 +35,27 @@
 	return ctx.Err()
 }
 
-// benchPeers returns the other nodes of a system of the given size.
-func benchPeers(size int) (peers []Peer) {
-	for i := range size - 1 {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
-		peers = append(peers, Peer{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Addr: addr})
+// newBenchService returns a service that lists the other nodes of a system of the given size.
+func newBenchService(size int, retention time.Duration) (*Service, *encodingConn) {
+	conn := &encodingConn{handlers: make(map[string]datagram.Handler)}
+	s := New(Config{Conn: conn, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return View{} }})
+	peers := make([]Peer, size-1)
+	for i := range peers {
+		peers[i] = newPeer(i)
 	}
-	return peers
+	s.SetPeers(peers)
+	return s, conn
 }
 
 // BenchmarkCopy measures what a node that starts costs one that it copies a page of records from, which has
 // the records of the busiest systems.
 func BenchmarkCopy(b *testing.B) {
 	for _, size := range []int{6, 85, 985} {
-		conn := &encodingConn{handlers: make(map[string]datagram.Handler)}
-		s := New(Config{Conn: conn, Now: time.Now, Retention: func() time.Duration { return time.Hour }, View: func(string) View { return View{} }})
-		peers := benchPeers(size)
-		s.SetPeers(peers)
+		s, conn := newBenchService(size, time.Hour)
 		for i := range busyRecords {
 			s.table.Add(KeyOf("yard", fmt.Sprint(i)), Origin{Service: service, Release: "v1"})
 		}
-		data, err := json.Marshal(copyRequest{Home: peers[0].Addr, Pages: busyRecords / pageRecords})
+		data, err := json.Marshal(copyRequest{Home: newPeer(0).Addr, Pages: busyRecords / pageRecords})
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -74,9 +74,7 @@
 // and what a record costs a home.
 func BenchmarkRecord(b *testing.B) {
 	for _, size := range []int{6, 85, 985} {
-		conn := &encodingConn{handlers: make(map[string]datagram.Handler)}
-		s := New(Config{Conn: conn, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return View{} }})
-		s.SetPeers(benchPeers(size))
+		s, _ := newBenchService(size, retention)
 		o := Origin{Service: service, Release: "v1"}
 		b.Run(fmt.Sprint("send, ", size, " nodes"), func(b *testing.B) {
 			b.ReportAllocs()
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -73,11 +73,16 @@
 	view     View
 }
 
+// newPeer returns the name, failure domain and address of the i-th node.
+func newPeer(i int) Peer {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+	return Peer{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Addr: addr}
+}
+
 func newNetwork(size int) *network {
 	n := &network{random: rand.New(rand.NewPCG(uint64(size), 1))}
 	for i := range size {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
-		added := &node{network: n, peer: Peer{Name: fmt.Sprint("n", i), Domain: fmt.Sprint("d", i%domains), Addr: addr}}
+		added := &node{network: n, peer: newPeer(i)}
 		added.view = View{Releases: []string{"v1", "v2"}, ObservedMS: time.Hour.Milliseconds()}
 		n.nodes = append(n.nodes, added)
 		added.start()
