Partition tests: a connection that failed while it hung delivers nothing

The request early-1-0 was written to a connection that hung; the goroutine that held the bytes and the one that failed the connection ended their 2 s at the same moment. Where the bytes won, the engine answered, and as each wait began 2 s of its own the first event reached the node after 4 s, across the partition, and the error after 8 s, the caller's deadline: 504 after an event, which breaks off. No real connection delivers bytes after the time for which they may stay unacknowledged. The node did what it should with what it got.

Change: one place decides how a pause ends; bytes held are sent in order, at the healing only, and a failed connection passes none, in either direction.

--- a/internal/tcp/tcptest/link.go
+++ b/internal/tcp/tcptest/link.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// pause is a time in which a connection passes no bytes.
+type pause struct {
+	over chan struct{} // closed at the end
+	err  error         // nil if the connection passes bytes again; set before over is closed
+}
+
 // linkConn is a connection of a Link.
 type linkConn struct {
 	*net.TCPConn
@@ -97,67 +103,86 @@
 	once   sync.Once
 	closed chan struct{}
 
-	mu     sync.Mutex
-	healed <-chan struct{} // closed when the connection passes bytes again; nil if it does
+	mu    sync.Mutex
+	pause *pause // nil while the connection passes bytes
+	held  []byte // written during the pause
 }
 
-// hang stops the connection until healed is closed. It fails after tcp.UserTimeout.
+// hang stops the connection until healed is closed. It fails after tcp.UserTimeout, and then never delivers
+// what it holds.
 func (c *linkConn) hang(healed <-chan struct{}) {
+	p := &pause{over: make(chan struct{})}
 	c.mu.Lock()
-	c.healed = healed
+	c.pause = p
 	c.mu.Unlock()
 	go func() {
 		select {
 		case <-healed:
+			c.resume()
 		case <-c.closed:
+			p.err = net.ErrClosed
 		case <-time.After(tcp.UserTimeout):
+			p.err = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
 			_ = c.TCPConn.Close()
 		}
+		close(p.over)
 	}()
 }
 
-// wait waits while the connection hangs.
-func (c *linkConn) wait() {
+// resume sends what was written during the pause, and has the connection pass bytes again.
+func (c *linkConn) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.TCPConn.Write(c.held) // the reader finds the error
+	c.pause, c.held = nil, nil
+}
+
+// wait waits until the connection passes bytes, or returns the error with which it failed.
+func (c *linkConn) wait() error {
 	c.mu.Lock()
-	healed := c.healed
+	p := c.pause
 	c.mu.Unlock()
-	if healed == nil {
-		return
-	}
-	select {
-	case <-healed:
-	case <-c.closed:
-	case <-time.After(tcp.UserTimeout):
+	if p == nil {
+		return nil
 	}
+	<-p.over
+	return p.err
 }
 
 // Read implements net.Conn. Bytes that arrived during a pause are read after it.
 func (c *linkConn) Read(b []byte) (int, error) {
-	c.wait()
+	if err := c.wait(); err != nil {
+		return 0, err
+	}
 	n, err := c.TCPConn.Read(b)
-	c.wait()
+	if err := c.wait(); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
 // Write implements net.Conn. Bytes that are written during a pause are sent after it.
 func (c *linkConn) Write(b []byte) (int, error) {
+	if c.hold(b) {
+		return len(b), nil
+	}
+	return c.TCPConn.Write(b)
+}
+
+// hold keeps bytes until the end of a pause. It reports false if there is none, or the connection has failed.
+func (c *linkConn) hold(b []byte) bool {
 	c.mu.Lock()
-	hangs := c.healed != nil
-	c.mu.Unlock()
-	if !hangs {
-		return c.TCPConn.Write(b)
+	defer c.mu.Unlock()
+	if c.pause == nil {
+		return false
 	}
 	select {
-	case <-c.closed:
-		return 0, net.ErrClosed
+	case <-c.pause.over:
+		return false
 	default:
+		c.held = append(c.held, b...)
+		return true
 	}
-	held := append([]byte(nil), b...)
-	go func() {
-		c.wait()
-		_, _ = c.TCPConn.Write(held)
-	}()
-	return len(b), nil
 }
 
 // Close implements net.Conn.
