Origins: an endpoint that states no release may be of any

Cause: an empty release in a view was skipped, as the variable that holds the sole release is empty at first.

Change: a view with an empty release names no sole one.

Result: the new row of TestSoleRelease fails without the change ("v1" for "") and passes with it.

--- a/internal/origin/view.go
+++ b/internal/origin/view.go
@@ -36,7 +36,7 @@
 // A stream can be begun at a release only by a node that knows an endpoint of it. All such releases are in the
 // views if one of these is current and goes back far enough, or if all nodes' views are there and each goes
 // back far enough. In a system in which the other nodes have started for the first time, none need go back
-// further than their start.
+// further than their start. An endpoint that states no release may be of any.
 func soleRelease(own View, others []View, window time.Duration, complete bool) (release string, ok bool) {
 	started := others
 	if len(others) == 0 {
@@ -46,7 +46,7 @@
 	certain, allGoBack := false, true
 	for _, v := range append([]View{own}, others...) {
 		for _, r := range v.Releases {
-			if release != "" && r != release {
+			if r == "" || release != "" && r != release {
 				return "", false
 			}
 			release = r
--- a/internal/origin/view_test.go
+++ b/internal/origin/view_test.go
@@ -34,6 +34,8 @@
 		{"registry away", []View{view(minute, 9000, "v1")}, false, ""},
 		{"registry away from all nodes", []View{view(minute, 9000, "v1"), view(minute, 9000, "v1")}, true, "v1"},
 		{"registry away from this node only", []View{view(minute, 9000, "v1"), view(minute, 300, "v1")}, false, "v1"},
+		{"an endpoint states no release", []View{view(minute, 300, "", "v1")}, true, ""},
+		{"no endpoint states a release", []View{view(minute, 300, "")}, true, ""},
 		{"no endpoint known", []View{view(minute, 300)}, true, ""},
 	} {
 		release, ok := soleRelease(c.views[0], c.views[1:], window, c.complete)
