--- a/internal/gatewaydemo/gatewaydemo.go
+++ b/internal/gatewaydemo/gatewaydemo.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -35,16 +36,12 @@
 // Member is a running node.
 type Member struct {
 	*gateway.Node
-	cancel context.CancelFunc
-	done   chan error
+	stop func() error
 }
 
 // Stop stops the node by cancelling its context, as the daemon does on SIGTERM, and returns the error
-// of its Run. It must be called once.
-func (m *Member) Stop() error {
-	m.cancel()
-	return <-m.done
-}
+// of its Run. Further calls return the same.
+func (m *Member) Stop() error { return m.stop() }
 
 // StartNode starts a node of the site on this host.
 func StartNode(s *site.Site, name string, log zerolog.Logger) (*Member, error) {
@@ -63,9 +60,13 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &Member{Node: n, cancel: cancel, done: make(chan error, 1)}
-	go func() { m.done <- n.Run(ctx) }()
-	return m, nil
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	stop := func() error {
+		cancel()
+		return <-done
+	}
+	return &Member{Node: n, stop: sync.OnceValue(stop)}, nil
 }
 
 // WaitReady waits until the node accepts requests. It fails after readyTimeout.
