Origins: releases are recorded on the platform, for nodes that all start again

Cause: nodes that have all started again have no record of any stream, and no view of the registry goes back for as long as a stream can be resumed. Class: what only the processes know is gone with all of them.

Change: a record of each release in the topic of the nodes, which every node follows. A record is complete only if its writer knew all releases that can have begun streams; with one, a view goes back. Releases on record count beside those seen, so that the answer remains a refusal wherever two are possible.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,10 @@
 	shuttingDown  atomic.Bool
 	reportedReady atomic.Bool // last readiness reported to the balancer
 	log           zerolog.Logger
+
+	// recordedReleases are the releases that the platform's store names, which releaseRecorder writes.
+	recordedReleases *origin.Releases
+	releaseRecorder  *origin.Recorder
 }
 
 // Host is the host that a node runs on.
@@ -194,7 +198,7 @@
 		n.quarantine.TopicRestored()
 		n.releases.TopicRestored()
 	}
-	n.buildOrigins()
+	n.buildOrigins(store)
 	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
 	n.orders, err = weights.New(weights.Config{
 		Node:       boot.Name,
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
+	"github.com/cherryward/cherryward/platform"
 )
 
 const (
@@ -17,12 +19,18 @@
 	minResumeTime = 10 * time.Second
 )
 
-// buildOrigins creates the service that knows which release began each stream.
-func (n *Node) buildOrigins() {
+// buildOrigins creates the service that knows which release began each stream, and the recorder of releases.
+func (n *Node) buildOrigins(store *platform.Store) {
 	n.origins = origin.New(origin.Config{
 		Conn: n.conn, Self: netip.MustParseAddrPort(n.conn.Addr()), Retention: n.resumeTime, View: n.releaseView,
 		Now: n.clock.Now, Log: n.log,
 	})
+	releases := origin.NewReleases()
+	n.recordedReleases, n.roster.applyReleases = releases, releases.Apply
+	n.releaseRecorder = origin.NewRecorder(origin.RecorderConfig{
+		Node: n.boot.Load().Name, Topic: store.Topic(platform.TopicNodes), TopicEnd: n.roster.End, Releases: releases, Origins: n.origins,
+		Services: n.resumableServices, View: n.observedReleases, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
+	})
 }
 
 // originPeers returns the other nodes among the listed ones.
@@ -47,7 +55,21 @@
 	return max(minResumeTime, resumeFactor*config.LongestStream())
 }
 
+// resumableServices returns the services whose streams may be resumed.
+func (n *Node) resumableServices() []string {
+	config := n.state.config.Load()
+	if config == nil {
+		return nil
+	}
+	return config.ResumableServices()
+}
+
 // releaseView returns what this node knows of the releases of a service.
 func (n *Node) releaseView(service string) origin.View {
+	return n.recordedReleases.Extend(service, n.observedReleases(service), n.clock.Now())
+}
+
+// observedReleases returns what this node has seen in the registry of the releases of a service.
+func (n *Node) observedReleases(service string) origin.View {
 	return n.registry.releases.View(service, n.resumeTime(), n.roster.firstStart.Load(), n.clock.Now())
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -15,6 +15,7 @@
 	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/intervals"
+	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/residency"
@@ -77,6 +78,9 @@
 	applyHoldRecord func(record *follow.Record) error
 	// applyPhaseRecord, if not nil, receives the recorded phases of release orders, for the same reason.
 	applyPhaseRecord func(record *follow.Record) error
+	// applyReleases, if not nil, receives all batches, for the records of releases in them, and passes the
+	// invalid ones to reject.
+	applyReleases func(b *follow.Batch, reject func(*follow.Record, error))
 	// restored, if not nil, is called before the records of a topic that has come back from an older copy.
 	restored func()
 	// changed, if not nil, is called after each batch of records.
@@ -127,6 +131,9 @@
 		r.lost.remove(b.Records[i].Key)
 		r.apply(&b.Records[i])
 	}
+	if r.applyReleases != nil {
+		r.applyReleases(&b, r.rejected.record)
+	}
 	r.lost.addTo(r.entries, r.clock.Now())
 	r.recordWrites(&b)
 	if !r.loaded {
@@ -171,6 +178,8 @@
 	case canary.IsRecord(record.Key):
 		r.pass(record, r.applyPhaseRecord)
 		return
+	case origin.IsReleaseRecord(record.Key):
+		return // applyReleases receives it
 	}
 	if record.Value == nil {
 		delete(r.entries, record.Key)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -29,6 +29,7 @@
 		&task{name: "quarantine", run: n.quarantine.Run},
 		&task{name: "releases", run: n.releases.Run},
 		&task{name: "origins", run: n.origins.Run},
+		&task{name: "release-records", run: n.releaseRecorder.Run},
 		&task{name: "memory", run: tuneCollections},
 		&task{name: "suspension", run: n.watchSuspension},
 		&task{name: "sweep", run: newSweeper(n).run},
--- a/internal/gatewaydemo/gateway_test.go
+++ b/internal/gatewaydemo/gateway_test.go
@@ -45,6 +45,12 @@
 	must.NoError(t, err)
 	t.Cleanup(s.Close)
 	s.Configure(1, key)
+	return s, startNodes(t, s, nodes)
+}
+
+// startNodes starts nodes of a site, which are stopped at the end of the test.
+func startNodes(t *testing.T, s *site.Site, nodes int) []*gatewaydemo.Member {
+	t.Helper()
 	var members []*gatewaydemo.Member
 	for i := range nodes {
 		m, err := gatewaydemo.StartNode(s, fmt.Sprint("n", i), zerolog.Nop())
@@ -55,7 +61,7 @@
 	for _, m := range members {
 		must.NoError(t, m.WaitReady(t.Context()))
 	}
-	return s, members
+	return members
 }
 
 // stopAll stops nodes concurrently, since each waits for its callers.
--- a/internal/gatewaydemo/stream_release_test.go
+++ b/internal/gatewaydemo/stream_release_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/gatewaydemo"
+	"github.com/cherryward/cherryward/platform"
 	"github.com/cherryward/cherryward/standin/modelserver"
 	"github.com/cherryward/cherryward/standin/site"
 )
@@ -135,3 +136,20 @@
 		test.Eq(t, releaseOf(s, first), releaseOf(s, second), test.Sprint(second))
 	}
 }
+
+func TestStreamsAreResumedAfterTheLossOfAllNodes(t *testing.T) {
+	const nodes = 3
+	s, _ := startSite(t, 0)
+	started := startNodes(t, s, nodes)
+	waitUntil(t, "the release is recorded", func() bool { return s.Store.HasKey(platform.TopicNodes, "release/") })
+	for i, m := range started {
+		must.Eq(t, cutAfter, readEvents(t, m, fmt.Sprint("first-", i), fmt.Sprint("5e55c", i), cutAfter))
+	}
+	stopAll(started)
+	for i, m := range startNodes(t, s, nodes) {
+		waitUntil(t, "a node knows the others", func() bool { return m.Nodes() == nodes })
+		status, body := resume(t, m, fmt.Sprint("second-", i), fmt.Sprint("first-", i), fmt.Sprint("5e55c", i), cutAfter)
+		must.Eq(t, http.StatusOK, status, must.Sprint(body))
+		test.True(t, strings.HasPrefix(body, "id: 4\n"))
+	}
+}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -9,6 +9,9 @@
 //
 // Where no record is found, a stream is resumed only if no more than one release can have begun it: nodes
 // whose view of the registry is current and goes back far enough have seen a single release of the service.
+// For nodes that have all started again, the platform's store has a record of each release that serves, or
+// that began streams which can still be resumed; a few nodes write it once they see an endpoint of the
+// release, and remove it when its last streams have ended.
 //
 // Guarantees:
 //
@@ -17,6 +20,6 @@
 //   - A caller reaches the records of its own client account only.
 //   - Records are lost if all homes of a stream fail. The stream is then refused, never resumed at a
 //     release that may not have begun it, unless a new release came up within the age of the view that
-//     decides (MaxViewAge).
+//     decides (MaxViewAge), or began streams and left before it could be recorded.
 //   - The number of records is bounded; beyond the bound, the oldest are dropped.
 package origin
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// settled reports whether the list of the other nodes counts as complete.
+func (s *Service) settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isSettled()
+}
+
+// peerNames returns the names of the other nodes.
+func (s *Service) peerNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, len(s.peers))
+	for i, p := range s.peers {
+		names[i] = p.Name
+	}
+	return names
+}
+
 // isSettled reports whether the list of the other nodes counts as complete. s.mu is held.
 func (s *Service) isSettled() bool {
 	return !s.listedAt.IsZero() && s.config.Now().Sub(s.listedAt) >= settleTime
--- a/internal/origin/view.go
+++ b/internal/origin/view.go
@@ -16,6 +16,8 @@
 	Releases []string `json:"releases,omitempty"`
 	// ObservedMS is the time for which the node has followed the registry without a gap.
 	ObservedMS int64 `json:"observed_ms"`
+	// Recorded is true if Releases has those which served before, from the records in the platform's store.
+	Recorded bool `json:"recorded,omitempty"`
 	// FirstStart is true if the node was not listed before it started, so that nothing ran there before, and
 	// has followed the registry without a gap since.
 	FirstStart bool `json:"first_start,omitempty"`
@@ -35,8 +37,9 @@
 //
 // A stream can be begun at a release only by a node that knows an endpoint of it. All such releases are in the
 // views if one of these is current and goes back far enough, or if all nodes' views are there and each goes
-// back far enough. In a system in which the other nodes have started for the first time, none need go back
-// further than their start. An endpoint that states no release may be of any.
+// back far enough. The records in the platform's store make a view go back. In a system in which the other nodes
+// have started for the first time, none need go back further than their start. An endpoint that states no
+// release may be of any.
 func soleRelease(own View, others []View, window time.Duration, complete bool) (release string, ok bool) {
 	started := others
 	if len(others) == 0 {
@@ -51,7 +54,7 @@
 			}
 			release = r
 		}
-		goesBack := v.ObservedMS >= window.Milliseconds() || v.FirstStart && newSystem
+		goesBack := v.ObservedMS >= window.Milliseconds() || v.Recorded || v.FirstStart && newSystem
 		certain = certain || goesBack && v.isCurrent()
 		allGoBack = allGoBack && goesBack
 	}
--- a/internal/origin/view_test.go
+++ b/internal/origin/view_test.go
@@ -16,6 +16,10 @@
 		v.FirstStart = true
 		return v
 	}
+	recorded := func(v View) View {
+		v.Recorded = true
+		return v
+	}
 	for _, c := range []struct {
 		name     string
 		views    []View
@@ -34,6 +38,9 @@
 		{"registry away", []View{view(minute, 9000, "v1")}, false, ""},
 		{"registry away from all nodes", []View{view(minute, 9000, "v1"), view(minute, 9000, "v1")}, true, "v1"},
 		{"registry away from this node only", []View{view(minute, 9000, "v1"), view(minute, 300, "v1")}, false, "v1"},
+		{"started a moment ago, releases recorded", []View{recorded(view(500, 300, "v1"))}, false, "v1"},
+		{"two releases recorded", []View{recorded(view(500, 300, "v1", "v2"))}, true, ""},
+		{"registry away, releases recorded", []View{recorded(view(500, 9000, "v1"))}, false, ""},
 		{"an endpoint states no release", []View{view(minute, 300, "", "v1")}, true, ""},
 		{"no endpoint states a release", []View{view(minute, 300, "")}, true, ""},
 		{"no endpoint known", []View{view(minute, 300)}, true, ""},
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -13,6 +13,8 @@
 	services map[string]*Service
 	// longestStream is the result of LongestStream.
 	longestStream time.Duration
+	// resumableServices is the result of ResumableServices.
+	resumableServices []string
 }
 
 // Index builds the lookup tables and returns the configuration. It must be called once, before the
@@ -28,6 +30,7 @@
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		if r.Kind == Stream && r.Resumable {
 			t.longestStream = max(t.longestStream, r.Timeout)
+			t.addResumable(r)
 		}
 	}
 	for _, routes := range t.byHost {
@@ -46,6 +49,16 @@
 	return c
 }
 
+// addResumable adds the services to which a route leads whose streams may be resumed.
+func (t *table) addResumable(r *Route) {
+	for _, u := range r.Upstreams {
+		at, known := slices.BinarySearch(t.resumableServices, u.Service)
+		if u.Weight > 0 && !known {
+			t.resumableServices = slices.Insert(t.resumableServices, at, u.Service)
+		}
+	}
+}
+
 // LeadsTo reports whether requests of the route may be sent to a service.
 func (r *Route) LeadsTo(service string) bool {
 	return slices.ContainsFunc(r.Upstreams, func(u Upstream) bool { return u.Service == service && u.Weight > 0 })
@@ -54,6 +67,10 @@
 // LongestStream returns the longest timeout of the routes whose streams may be resumed.
 func (c *Config) LongestStream() time.Duration { return c.table.longestStream }
 
+// ResumableServices returns the names of the services to which routes lead whose streams may be resumed,
+// sorted.
+func (c *Config) ResumableServices() []string { return c.table.resumableServices }
+
 // setGapObjectives sets the services' GapObjective.
 func (c *Config) setGapObjectives(services map[string]*Service) {
 	for i := range c.Routes {
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -139,6 +139,18 @@
 	return value
 }
 
+// HasKey reports whether a keyed topic has a record whose key begins with the given text.
+func (s *Store) HasKey(name, prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.topic(name).newest {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // topic returns a topic, which it creates on first use. s.mu is held.
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
