--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -128,29 +128,6 @@
 	})
 }
 
-// Newest returns the newest value of a key, or nil.
-func (s *Store) Newest(name, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	value, err := base64.StdEncoding.DecodeString(s.topic(name).newest[key].value)
-	if err != nil || len(value) == 0 {
-		return nil
-	}
-	return value
-}
-
-// HasKey reports whether a keyed topic has a record whose key begins with the given text.
-func (s *Store) HasKey(name, prefix string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key := range s.topic(name).newest {
-		if strings.HasPrefix(key, prefix) {
-			return true
-		}
-	}
-	return false
-}
-
 // topic returns a topic, which it creates on first use. s.mu is held.
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
