--- a/internal/peerload/limits.go
+++ b/internal/peerload/limits.go
@@ -58,26 +58,12 @@
 		endpoint  string
 		startedMs int64
 	}
-	seen := make(map[start]bool, len(list))
-	list = slices.DeleteFunc(list, func(l Limit) bool {
-		key := start{l.Endpoint, l.StartedMs}
-		duplicate := seen[key]
-		seen[key] = true
-		return duplicate
-	})
-	return list[:min(len(list), maxLimits)]
+	return firstOfEach(list, maxLimits, func(l *Limit) start { return start{l.Endpoint, l.StartedMs} })
 }
 
 // ageLimits returns the limits with their ages increased, without those that exceed limitLifetime.
 func ageLimits(list []Limit, elapsed time.Duration) []Limit {
-	var aged []Limit
-	for _, l := range list {
-		l.AgeMs += elapsed.Milliseconds()
-		if l.AgeMs <= limitLifetime.Milliseconds() {
-			aged = append(aged, l)
-		}
-	}
-	return aged
+	return aged(list, elapsed, limitLifetime, func(l *Limit) *int64 { return &l.AgeMs })
 }
 
 // peerLimits returns the limits in the peers' own digests.
--- /dev/null
+++ b/internal/peerload/reports.go
@@ -0,0 +1,34 @@
+package peerload
+
+import "time"
+
+// firstOfEach returns the first element of each key, at most limit of them. It reuses the memory of list.
+func firstOfEach[T any, K comparable](list []T, limit int, key func(*T) K) []T {
+	seen := make(map[K]bool, len(list))
+	kept := list[:0]
+	for i := range list {
+		k := key(&list[i])
+		if !seen[k] {
+			seen[k] = true
+			kept = append(kept, list[i])
+		}
+	}
+	clear(list[len(kept):])
+	return kept[:min(len(kept), limit)]
+}
+
+// aged returns copies of the elements with their ages, in milliseconds, increased by elapsed, without those
+// that are older than lifetime then.
+func aged[T any](list []T, elapsed, lifetime time.Duration, ageMs func(*T) *int64) []T {
+	var result []T
+	for i := range list {
+		result = append(result, list[i])
+		last := len(result) - 1
+		age := ageMs(&result[last])
+		*age += elapsed.Milliseconds()
+		if *age > lifetime.Milliseconds() {
+			result = result[:last]
+		}
+	}
+	return result
+}
--- a/internal/peerload/slow.go
+++ b/internal/peerload/slow.go
@@ -86,14 +86,7 @@
 // ageSlow returns the slow engines with their ages increased, without those that exceed
 // slowLifetime.
 func ageSlow(list []Slow, elapsed time.Duration) []Slow {
-	var aged []Slow
-	for _, s := range list {
-		s.AgeMs += elapsed.Milliseconds()
-		if s.AgeMs <= slowLifetime.Milliseconds() {
-			aged = append(aged, s)
-		}
-	}
-	return aged
+	return aged(list, elapsed, slowLifetime, func(s *Slow) *int64 { return &s.AgeMs })
 }
 
 // slowest returns the largest factor of each start of an engine, at most maxSlow of them.
@@ -101,14 +94,7 @@
 	slices.SortStableFunc(list, func(a, b Slow) int {
 		return cmp.Or(cmp.Compare(b.Tenths, a.Tenths), cmp.Compare(a.AgeMs, b.AgeMs))
 	})
-	seen := make(map[loadKey]bool, len(list))
-	list = slices.DeleteFunc(list, func(s Slow) bool {
-		key := keyOf(s.Endpoint, s.Start)
-		duplicate := seen[key]
-		seen[key] = true
-		return duplicate
-	})
-	return list[:min(len(list), maxSlow)]
+	return firstOfEach(list, maxSlow, func(s *Slow) loadKey { return keyOf(s.Endpoint, s.Start) })
 }
 
 // slowToSend returns the engines that are slow by this node's own observation. Those reported by
