--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,12 +4,8 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,15 +18,12 @@
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
-	"github.com/cherryward/cherryward/internal/follow"
 	"github.com/cherryward/cherryward/internal/handoff"
-	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
-	"github.com/cherryward/cherryward/internal/reach"
 	"github.com/cherryward/cherryward/internal/tcp"
 	"github.com/cherryward/cherryward/internal/upstream"
 	"github.com/cherryward/cherryward/internal/weights"
@@ -151,76 +144,6 @@
 	return n, n.registerServices(store, load)
 }
 
-// buildComponents creates the components on which decisions about requests depend.
-func (n *Node) buildComponents(store *platform.Store) (err error) {
-	boot := n.boot.Load()
-	engines := platform.NewEngines(n.network.Connect)
-	n.cacheTracker = &cacheTracker{node: n}
-	n.cacheTracker.index = kvindex.NewIndex(engines, n.cacheTracker.intervals, n.log)
-	n.cacheTracker.index.ReceivesRelays = n.readsThroughOthers
-	n.cacheTracker.index.Clock = n.clock
-	n.conn, err = datagram.Listen(peerAddr(boot), n.log)
-	if err != nil {
-		return err
-	}
-	n.conn.LimitResponses(intervals.AnswerRate(boot.LinkBytes))
-	n.network.askThrough(n.conn, func() []netip.AddrPort { return slices.Collect(maps.Values(n.roster.Peers())) })
-	n.cachePeers = &kvindex.Peers{Index: n.cacheTracker.index, Conn: n.conn, Readers: n.readers, Preference: n.readerPreference()}
-	n.cachePeers.Serve()
-	n.pace = n.newPace()
-	n.peers = peerload.New(peerload.Config{
-		Node:       boot.Name,
-		Domain:     boot.Domain,
-		Conn:       n.conn,
-		Members:    n.fleet.All,
-		Member:     n.fleet.Member,
-		Late:       n.cacheTracker.lateStores,
-		Slow:       n.slowEngines,
-		Orders:     n.orderStatus,
-		References: n.cacheTracker.referencedWatermarks,
-		Neighbours: n.domainPeers,
-		Role:       func() peerload.Role { return n.roster.role() },
-		LinkBytes:  boot.LinkBytes,
-		Clock:      n.clock,
-		Log:        n.log,
-	})
-	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN}
-	own := nodeEntry{Addr: n.conn.Addr(), Helper: n.helperServer.addr(), BindsReleases: true, Domain: boot.Domain, MilliCores: boot.MilliCores}
-	n.roster = newRoster(boot.Name, own, store.Topic(platform.TopicNodes), n.setPeers, n.peerAlive, n.log)
-	n.roster.clock, n.roster.setHelpers, n.roster.regions = n.clock, n.helpers.SetNodes, boot.Regions
-	n.roster.rejected = n.state.rejected
-	n.quarantine = quarantine.New(quarantine.Config{
-		Node: boot.Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(platform.TopicNodes), Now: n.clock.Now, Log: n.log,
-	})
-	n.roster.applyHoldRecord, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
-	n.buildReleases(store)
-	n.roster.restored = func() {
-		n.quarantine.TopicRestored()
-		n.releases.TopicRestored()
-	}
-	n.buildOrigins(store)
-	n.roster.lease.grace = removalGrace(boot.Bounds.RetryWindow)
-	n.orders, err = weights.New(weights.Config{
-		Node:       boot.Name,
-		Fleet:      n.fleet,
-		Wanted:     n.state,
-		Engines:    engines,
-		Claims:     store.Log(platform.TopicClaims),
-		Peers:      n,
-		Lease:      boot.Bounds.Lease + leaseMargin,
-		Generation: follow.EraOf,
-		LostPath:   func(service string) bool { return n.network.State(service) == reach.Unreachable },
-		Changed:    n.state.changed,
-		Clock:      n.clock,
-		Log:        n.log,
-	})
-	if err != nil {
-		return err
-	}
-	n.recorder = newRecorder(n)
-	return nil
-}
-
 // listen opens the listeners for callers, for the requests of other nodes, and for the balancer.
 func (n *Node) listen() (err error) {
 	boot := n.boot.Load()
