Origins: a node that starts asks only the other homes of its streams

Cause: in a large system each node that starts asked all others for records, and once more 3 s later: with all starting at once 2 x 300 x 299 questions, growing with the square of the nodes. Nothing is to be had from nearly all of them: the other homes of a stream are those of the same slot in the other domains.

Change: the nodes that are homes of the same streams are worked out from the slots (25 of 985), and the second round is left to nodes that the others did not list before: the others send records to those that they list.

--- a/coord/rendezvous/slots.go
+++ b/coord/rendezvous/slots.go
@@ -37,12 +37,18 @@
 
 // Top returns the IDs of the first k nodes for the slot of key, best first. The result is
 // shared, so the caller must not modify it. It allocates only on the first use of a slot.
-func (s *Slots) Top(key string) []string {
-	slot := xxhash.Sum64String(key) >> s.shift
+func (s *Slots) Top(key string) []string { return s.At(int(xxhash.Sum64String(key) >> s.shift)) }
+
+// Count returns the number of slots.
+func (s *Slots) Count() int { return len(s.top) }
+
+// At is Top for the keys of a slot, from 0 to Count less 1. Slots of the same Count map a key to the same
+// slot, whatever their sets.
+func (s *Slots) At(slot int) []string {
 	if top := s.top[slot].Load(); top != nil {
 		return *top
 	}
-	top := s.set.appendTopOfHash(make([]string, 0, min(s.k, s.set.Len())), s.k, slot)
+	top := s.set.appendTopOfHash(make([]string, 0, min(s.k, s.set.Len())), s.k, uint64(slot))
 	s.top[slot].Store(&top)
 	return top
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -21,14 +21,16 @@
 
 // buildOrigins creates the service that knows which release began each stream, and the recorder of releases.
 func (n *Node) buildOrigins(store *platform.Store) {
+	boot := n.boot.Load()
+	self := origin.Peer{Name: boot.Name, Domain: boot.Domain, Addr: netip.MustParseAddrPort(n.conn.Addr())}
 	n.origins = origin.New(origin.Config{
-		Conn: n.conn, Self: netip.MustParseAddrPort(n.conn.Addr()), Retention: n.resumeTime, View: n.releaseView,
+		Conn: n.conn, Self: self, WasListed: n.roster.listedAtStart, Retention: n.resumeTime, View: n.releaseView,
 		Now: n.clock.Now, Log: n.log,
 	})
 	releases := origin.NewReleases()
 	n.recordedReleases, n.roster.applyReleases = releases, releases.Apply
 	n.releaseRecorder = origin.NewRecorder(origin.RecorderConfig{
-		Node: n.boot.Load().Name, Topic: store.Topic(platform.TopicNodes), TopicEnd: n.roster.End, Releases: releases, Origins: n.origins,
+		Node: boot.Name, Topic: store.Topic(platform.TopicNodes), TopicEnd: n.roster.End, Releases: releases, Origins: n.origins,
 		Services: n.resumableServices, View: n.observedReleases, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
 	})
 }
--- a/internal/origin/copy.go
+++ b/internal/origin/copy.go
@@ -49,14 +49,15 @@
 }
 
 // copyRecords copies the records of which this node is a home, so that they outlast restarts of all of their
-// homes in turn. In a large system it does so again once the others list this node, which may be new.
+// homes in turn. If the others did not list this node before it started, they send it records once they do: it
+// copies what it missed until then.
 func (s *Service) copyRecords(ctx context.Context) {
 	s.awaitList(ctx, func() bool { return len(s.peers) > 0 || s.isSettled() })
-	s.copyFromAll(ctx)
+	s.copyFromOthers(ctx)
 	s.copied.Store(ctx.Err() == nil)
 	s.awaitList(ctx, s.isSettled)
-	if len(s.listPeers()) > maxFullHomes {
-		s.copyFromAll(ctx)
+	if !s.isSmall() && !s.config.WasListed() {
+		s.copyFromOthers(ctx)
 	}
 }
 
@@ -73,30 +74,38 @@
 	}
 }
 
-// listPeers returns the other nodes in random order.
-func (s *Service) listPeers() []Peer {
+// isSmall reports whether all nodes are homes of all streams.
+func (s *Service) isSmall() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers) <= maxFullHomes
+}
+
+// sources returns the nodes that have the records of which this node is a home, in random order.
+func (s *Service) sources() []netip.AddrPort {
 	s.mu.Lock()
 	peers := slices.Clone(s.peers)
 	s.mu.Unlock()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers
+	nodes := newHomes(append(peers, s.config.Self)).sharing(s.config.Self.Addr)
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes
 }
 
-// copyFromAll copies the records of the other nodes. In a small system each node that has been there for long has
-// all of them; in a large one each has some.
-func (s *Service) copyFromAll(ctx context.Context) {
+// copyFromOthers copies the records of which this node is a home. In a small system each node that has been there
+// for long has all of them; in a large one each has some.
+func (s *Service) copyFromOthers(ctx context.Context) {
 	began, records, nodes, completed := s.config.Now(), 0, 0, 0
-	peers := s.listPeers()
-	for _, peer := range peers {
+	small := s.isSmall()
+	for _, node := range s.sources() {
 		if ctx.Err() != nil {
 			return
 		}
-		count, complete := s.copyFrom(ctx, peer.Addr)
+		count, complete := s.copyFrom(ctx, node)
 		records, nodes = records+count, nodes+1
 		if complete {
 			completed++
 		}
-		if completed == completeCopies && len(peers) <= maxFullHomes {
+		if small && completed == completeCopies {
 			break
 		}
 	}
@@ -136,7 +145,7 @@
 
 // copyPage asks a node for a page, several times unless it answers.
 func (s *Service) copyPage(ctx context.Context, peer netip.AddrPort, page, pages int) (_ copyResponse, err error) {
-	q := copyRequest{Home: s.config.Self, Page: page, Pages: pages}
+	q := copyRequest{Home: s.config.Self.Addr, Page: page, Pages: pages}
 	for attempt := range copyAttempts {
 		if attempt > 0 {
 			retry.Sleep(ctx, copyBackoff)
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -95,3 +96,32 @@
 	// Most streams have other homes in the node's domain, which takes less time to find out.
 	return slices.Contains(first, p.Name) && slices.Contains(h.of(k, copies), node)
 }
+
+// sharing returns the other nodes that are homes of the same streams as a node.
+func (h *homes) sharing(node netip.AddrPort) []netip.AddrPort {
+	if h.addrs == nil {
+		return slices.DeleteFunc(slices.Clone(h.all), func(a netip.AddrPort) bool { return a == node })
+	}
+	p := h.nodes[node]
+	// The number of homes that a stream has in one domain at most.
+	depth := (copies + len(h.domains) - 1) / len(h.domains)
+	found := make(map[netip.AddrPort]bool)
+	for slot := range h.slots[p.Domain].Count() {
+		if !slices.Contains(h.first(p.Domain, slot, depth), p.Name) {
+			continue
+		}
+		for domain := range h.slots {
+			for _, name := range h.first(domain, slot, depth) {
+				found[h.addrs[name]] = true
+			}
+		}
+	}
+	delete(found, node)
+	return slices.Collect(maps.Keys(found))
+}
+
+// first returns the first homes in a domain of the streams of a slot.
+func (h *homes) first(domain string, slot, count int) []string {
+	names := h.slots[domain].At(slot)
+	return names[:min(len(names), count)]
+}
--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -213,6 +213,27 @@
 	}
 }
 
+// TestStartsOfAllNodesCopyLittle checks that the questions of nodes that all start at the same time, as after a
+// loss of power, stay within what each may send for control in ten seconds.
+func TestStartsOfAllNodesCopyLittle(t *testing.T) {
+	const most = 50_000 // bytes a node: 5 KB a second
+	for _, size := range []int{85, 295, 985} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newNetwork(size)
+			const sampled = 20
+			for _, n := range w.nodes[:sampled] {
+				n.listedBefore = true
+				n.start()
+				go n.copyRecords(t.Context())
+			}
+			time.Sleep(3 * settleTime)
+			bytes := w.sentBytes() / sampled
+			t.Logf("%d nodes: %d bytes a node", size, bytes)
+			test.LessEq(t, most, bytes)
+		})
+	}
+}
+
 // beginAll has many streams begin, at nodes that have copied the records of others.
 func (w *network) beginAll() {
 	for i := range manyStreams {
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -48,10 +48,12 @@
 	Retention func() time.Duration
 	// View returns this node's view of a service.
 	View func(service string) View
-	// Self is the address at which the others list this node.
-	Self netip.AddrPort
-	Now  func() time.Time
-	Log  zerolog.Logger
+	// Self is this node, as the others list it.
+	Self Peer
+	// WasListed reports whether the others listed it before it started.
+	WasListed func() bool
+	Now       func() time.Time
+	Log       zerolog.Logger
 }
 
 // Service shares the origins of streams with the other nodes. It is safe for concurrent use.
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -71,6 +71,8 @@
 	silent   bool // killed, or cut off from the others
 	older    bool // of a build that doesn't know the messages
 	view     View
+	// listedBefore is true if the others listed the node before it started.
+	listedBefore bool
 }
 
 // newPeer returns the name, failure domain and address of the i-th node.
@@ -101,7 +103,7 @@
 func (n *node) startAlone() {
 	n.network.setHandlers(n, make(map[string]datagram.Handler))
 	n.Service = New(Config{
-		Conn: n, Self: n.peer.Addr, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
+		Conn: n, Self: n.peer, WasListed: func() bool { return n.listedBefore }, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
 	})
 }
 
