Origins: the records to copy are found from one list of nodes

A small system is told apart where its homes are made, not by a second count of its nodes: with 12 others, the homes of all nodes together counted as a large system's. The tests of the package pass, those with 13 nodes too.

--- a/internal/origin/copy.go
+++ b/internal/origin/copy.go
@@ -78,15 +78,18 @@
 func (s *Service) isSmall() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.peers) <= maxFullHomes
+	return s.homes.addrs == nil
 }
 
 // sources returns the nodes that have the records of which this node is a home, in random order.
 func (s *Service) sources() []netip.AddrPort {
 	s.mu.Lock()
-	peers := slices.Clone(s.peers)
+	peers, isSmall := slices.Clone(s.peers), s.homes.addrs == nil
+	nodes := slices.Clone(s.homes.all)
 	s.mu.Unlock()
-	nodes := newHomes(append(peers, s.config.Self)).sharing(s.config.Self.Addr)
+	if !isSmall {
+		nodes = newHomes(append(peers, s.config.Self)).sharing(s.config.Self.Addr)
+	}
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	return nodes
 }
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -97,11 +97,8 @@
 	return slices.Contains(first, p.Name) && slices.Contains(h.of(k, copies), node)
 }
 
-// sharing returns the other nodes that are homes of the same streams as a node.
+// sharing returns the other nodes of a large system that are homes of the same streams as a node.
 func (h *homes) sharing(node netip.AddrPort) []netip.AddrPort {
-	if h.addrs == nil {
-		return slices.DeleteFunc(slices.Clone(h.all), func(a netip.AddrPort) bool { return a == node })
-	}
 	p := h.nodes[node]
 	// The number of homes that a stream has in one domain at most.
 	depth := (copies + len(h.domains) - 1) / len(h.domains)
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -110,11 +111,7 @@
 func (r *Releases) all() map[string]releaseRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := make(map[string]releaseRecord, len(r.byKey))
-	for key, record := range r.byKey {
-		list[key] = record
-	}
-	return list
+	return maps.Clone(r.byKey)
 }
 
 // Extend returns a node's view of a service with the recorded releases. The records cover the time before
