Origins: one test of whether a view goes back, one of whether a system is small

The recorder of releases had written anew what the search for the sole release checks; it calls View.goesBack now, and no longer works it out four times a second when nothing is to be recorded. The copy at a start looked at the list of nodes twice to tell a small system apart; its sources come with that answer. No change of behaviour; the tests of the package pass.

--- a/internal/origin/copy.go
+++ b/internal/origin/copy.go
@@ -78,28 +78,29 @@
 func (s *Service) isSmall() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.homes.addrs == nil
+	return s.homes.isSmall()
 }
 
-// sources returns the nodes that have the records of which this node is a home, in random order.
-func (s *Service) sources() []netip.AddrPort {
+// sources returns the nodes that have the records of which this node is a home, in random order. small is true
+// if each of them has all records.
+func (s *Service) sources() (nodes []netip.AddrPort, small bool) {
 	s.mu.Lock()
-	peers, isSmall := slices.Clone(s.peers), s.homes.addrs == nil
-	nodes := slices.Clone(s.homes.all)
+	peers, homes := slices.Clone(s.peers), s.homes
 	s.mu.Unlock()
-	if !isSmall {
+	nodes = slices.Clone(homes.all)
+	if !homes.isSmall() {
 		nodes = newHomes(append(peers, s.config.Self)).sharing(s.config.Self.Addr)
 	}
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	return nodes
+	return nodes, homes.isSmall()
 }
 
 // copyFromOthers copies the records of which this node is a home. In a small system each node that has been there
 // for long has all of them; in a large one each has some.
 func (s *Service) copyFromOthers(ctx context.Context) {
 	began, records, nodes, completed := s.config.Now(), 0, 0, 0
-	small := s.isSmall()
-	for _, node := range s.sources() {
+	sources, small := s.sources()
+	for _, node := range sources {
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -60,9 +60,12 @@
 	return h
 }
 
+// isSmall reports whether all nodes are homes of all streams.
+func (h *homes) isSmall() bool { return h.addrs == nil }
+
 // of returns the first homes of a stream, at most count unless the system is small.
 func (h *homes) of(k Key, count int) []netip.AddrPort {
-	if h.addrs == nil {
+	if h.isSmall() {
 		return h.all
 	}
 	key := string(k[:])
@@ -84,7 +87,7 @@
 
 // has reports whether a node is a home of a stream.
 func (h *homes) has(k Key, node netip.AddrPort) bool {
-	if h.addrs == nil {
+	if h.isSmall() {
 		return true
 	}
 	p, listed := h.nodes[node]
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -142,8 +142,12 @@
 			missing = append(missing, o)
 		}
 	}
-	goesBack := r.goesBack(service, &view)
-	if len(missing) == 0 && len(known) > 0 && goesBack && !complete {
+	if len(missing) == 0 && (complete || len(known) == 0) {
+		return
+	}
+	extended := r.config.Releases.Extend(service, view, r.config.Now())
+	goesBack := extended.goesBack(r.config.Retention(), r.config.Releases.NewSystem())
+	if len(missing) == 0 && goesBack {
 		missing = known[:1]
 	}
 	for _, o := range missing {
@@ -151,12 +155,6 @@
 	}
 }
 
-// goesBack reports whether this node knows all releases of a service that can have begun streams.
-func (r *Recorder) goesBack(service string, v *View) bool {
-	return v.ObservedMS >= r.config.Retention().Milliseconds() || v.FirstStart && r.config.Releases.NewSystem() ||
-		r.config.Releases.Extend(service, *v, r.config.Now()).Recorded
-}
-
 // isGone reports whether no endpoint of a release was listed for as long as its streams may be resumed.
 func (r *Recorder) isGone(o Origin) bool {
 	view := r.config.View(o.Service)
--- a/internal/origin/view.go
+++ b/internal/origin/view.go
@@ -31,6 +31,12 @@
 // view did not have it.
 func (v *View) isCurrent() bool { return v.AgeMS <= MaxViewAge.Milliseconds() }
 
+// goesBack reports whether the view has all releases that can have begun streams in the last window. newSystem
+// is true if no node ran before those that started for the first time.
+func (v *View) goesBack(window time.Duration, newSystem bool) bool {
+	return v.ObservedMS >= window.Milliseconds() || v.Recorded || v.FirstStart && newSystem
+}
+
 // soleRelease returns the release that alone can have begun any stream within the last window, by the view of
 // this node and those of others. complete is true if the views of all nodes are there.
 //
@@ -53,7 +59,7 @@
 			}
 			release = r
 		}
-		goesBack := v.ObservedMS >= window.Milliseconds() || v.Recorded || v.FirstStart && newSystem
+		goesBack := v.goesBack(window, newSystem)
 		certain = certain || goesBack && v.isCurrent()
 		allGoBack = allGoBack && goesBack
 	}
