Rendezvous: the rank of a process among others has one function

The recorder of releases listed the nodes with itself among them and ranked them, as the judges of release orders and the coordinators of held requests did in the same words: all three call rendezvous.TopOf.

--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -15,6 +15,7 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,17 @@
 	return appendIDs(make([]string, 0, len(best)), best)
 }
 
+// TopOf is Top for a process that counts itself, with the ID own, among others of equal weight.
+func TopOf(k int, key, own string, others iter.Seq[string]) []string {
+	nodes := []Node{{ID: own, Weight: 1}}
+	for id := range others {
+		if id != own {
+			nodes = append(nodes, Node{ID: id, Weight: 1})
+		}
+	}
+	return Top(k, key, nodes)
+}
+
 // stackCandidates is the largest k for which no heap buffer is needed.
 const stackCandidates = 16
 
--- a/coord/rendezvous/rendezvous_test.go
+++ b/coord/rendezvous/rendezvous_test.go
@@ -132,3 +132,11 @@
 		})
 	}
 }
+
+// TestTopOfCountsItselfOnce checks that a process ranks itself among the others whether or not these include it.
+func TestTopOfCountsItselfOnce(t *testing.T) {
+	want := Top(2, "key", []Node{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}, {ID: "c", Weight: 1}})
+	for _, others := range [][]string{{"b", "c"}, {"c", "a", "b"}} {
+		test.Eq(t, want, TopOf(2, "key", "a", slices.Values(others)))
+	}
+}
--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -234,14 +234,7 @@
 
 // judges returns the nodes that judge an order, in the order in which they act. This node may be one.
 func (s *Service) judges(service string, peers map[string]netip.AddrPort) []string {
-	nodes := make([]rendezvous.Node, 0, len(peers)+1)
-	nodes = append(nodes, rendezvous.Node{ID: s.config.Node, Weight: 1})
-	for name := range peers {
-		if name != s.config.Node {
-			nodes = append(nodes, rendezvous.Node{ID: name, Weight: 1})
-		}
-	}
-	return rendezvous.Top(judges, service, nodes)
+	return rendezvous.TopOf(judges, service, s.config.Node, maps.Keys(peers))
 }
 
 // reportInterval returns the time between two reports of a node with nothing new on the release on trial.
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -164,14 +164,11 @@
 
 // delay returns how long this node leaves a change to others.
 func (r *Recorder) delay(key string) time.Duration {
-	nodes := []rendezvous.Node{{ID: r.config.Node, Weight: 1}}
-	for _, name := range r.config.Origins.peerNames() {
-		nodes = append(nodes, rendezvous.Node{ID: name, Weight: 1})
-	}
-	if rank := slices.Index(rendezvous.Top(writers, key, nodes), r.config.Node); rank >= 0 {
+	others := r.config.Origins.peerNames()
+	if rank := slices.Index(rendezvous.TopOf(writers, key, r.config.Node, slices.Values(others)), r.config.Node); rank >= 0 {
 		return time.Duration(rank) * writerDelay
 	}
-	return writers*writerDelay + time.Duration(r.config.Random(int64(len(nodes))*int64(spreadPerNode)))
+	return writers*writerDelay + time.Duration(r.config.Random(int64(len(others)+1)*int64(spreadPerNode)))
 }
 
 // write writes a change, and returns when to write it again if it is found once more.
--- a/internal/quarantine/send.go
+++ b/internal/quarantine/send.go
@@ -70,10 +70,5 @@
 // coordinators returns the nodes that a request's endings are reported to, in the order in which they
 // try to record a hold. This node may be one of them.
 func (s *Service) coordinators(f Fingerprint, peers map[string]netip.AddrPort) []string {
-	nodes := make([]rendezvous.Node, 0, len(peers)+1)
-	nodes = append(nodes, rendezvous.Node{ID: s.config.Node, Weight: 1})
-	for name := range peers {
-		nodes = append(nodes, rendezvous.Node{ID: name, Weight: 1})
-	}
-	return rendezvous.Top(coordinators, f.String(), nodes)
+	return rendezvous.TopOf(coordinators, f.String(), s.config.Node, maps.Keys(peers))
 }
