--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,6 +78,7 @@
 	openBatches int
 	stale       bool
 	rebuilds    int // number of views built so far
+	changes     changeLog
 	view        atomic.Pointer[view]
 }
 
@@ -125,8 +126,9 @@
 	} else {
 		f.replace(m, e, now)
 	}
-	f.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).
-		Str("addr", e.Addr).Str("release", e.Release).Int64("born", e.StartedMs).Bool("draining", e.Draining).Send()
+	if line := f.changes.line(changeListed, e.Service, &f.log); line != nil {
+		line.Str("endpoint", e.ID).Str("addr", e.Addr).Str("release", e.Release).Int64("born", e.StartedMs).Bool("draining", e.Draining).Send()
+	}
 	f.rebuild()
 }
 
@@ -241,7 +243,9 @@
 	delete(f.members, m.ID)
 	f.clearAddr(m)
 	m.Pool.CloseIdle()
-	f.log.Info().Str("event", "endpoint_gone").Str("endpoint", m.ID).Str("service", m.Service).Send()
+	if line := f.changes.line(changeGone, m.Service, &f.log); line != nil {
+		line.Str("endpoint", m.ID).Send()
+	}
 }
 
 // Missing returns the ids of the known endpoints that are not in ids.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -73,6 +73,7 @@
 	if f.stale = f.openBatches > 0; f.stale {
 		return
 	}
+	f.changes.endBatch(&f.log)
 	f.rebuilds++
 	v := &view{byService: make(map[string][]*Member)}
 	for _, m := range f.members {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -53,6 +53,8 @@
 	// The page was current at most Age before the read was sent: 0 if the topic itself responded,
 	// more if another node's copy did.
 	Age time.Duration
+	// Source states who responded, for logs.
+	Source Source
 }
 
 // Topic is a compacted topic. Its calls are idempotent.
@@ -82,6 +84,9 @@
 	// Failed is true if a read failed since the previous batch. If it is false, a long Gap is a
 	// delay of this process.
 	Failed bool
+	// Source and Age are those of the page.
+	Source Source
+	Age    time.Duration
 }
 
 // Sink receives the batches. Its methods are called by one goroutine.
@@ -179,7 +184,7 @@
 		return err
 	}
 	f.nextOffset = max(f.nextOffset, page.Next)
-	batch := Batch{Records: page.Records, Snapshot: snapshot, Restored: restored, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset}
+	batch := Batch{Records: page.Records, Snapshot: snapshot, Restored: restored, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset, Source: page.Source, Age: page.Age}
 	batch.Gap = max(batch.ConfirmedAt.Sub(later(f.confirmedAt, f.startedAt)), 0)
 	if !f.restoredAt.IsZero() && batch.ConfirmedAt.Sub(f.restoredAt) < restoreHold {
 		batch.ConfirmedAt = f.confirmedAt
--- a/internal/gateway/cachestart.go
+++ b/internal/gateway/cachestart.go
@@ -34,6 +34,7 @@
 	for ctx.Err() == nil && !c.index.AllRelayed(c.node.clock.Now()) && c.shouldAwaitReports(c.node.clock.Since(c.node.started)) {
 		retry.Sleep(ctx, reportCheckInterval)
 	}
+	c.node.startLog.reach(partStores)
 	c.node.log.Info().Str("event", "kept_begins").Bool("told", c.index.AllRelayed(c.node.clock.Now())).Int("stores", len(c.index.Stores())).
 		Int("nodes", c.node.roster.Nodes()).Int64("age_ms", c.node.clock.Since(c.node.started).Milliseconds()).Send()
 }
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -36,27 +36,28 @@
 // followers returns the followers of the store's topics, and serves their copies to other nodes.
 func (n *Node) followers(store *platform.Store) followers {
 	copies := relay.New(n.conn)
-	follower := func(name, topic string, replica *relay.Copy) (*follow.Follower, *relay.Topic) {
+	follower := func(name, topic string, replica *relay.Copy, part startPart) (*follow.Follower, *relay.Topic) {
+		replica.Sink = startSink{Sink: replica.Sink, log: n.startLog, part: part}
 		copies.Serve(name, replica)
 		source := &relay.Topic{
 			Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Preference: n.readerPreference(),
-			Backups: n.roster.backups, Fallback: n.fallbackInterval, Log: n.log,
+			Backups: n.roster.backups, Fallback: n.fallbackInterval, OnRead: func(r relay.Read) { n.recorder.recordRead(name, &r) }, Log: n.log,
 		}
 		return &follow.Follower{Name: name, Topic: source, Sink: replica, Retry: storeRetry, MaxRetryDelay: maxStoreRetry, Reject: n.state.rejected.record, Clock: n.clock, Log: n.log}, source
 	}
 	var f followers
 	var source *relay.Topic
-	f.config, source = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock})
+	f.config, source = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock}, partConfig)
 	f.config.Wait, f.config.Pause = zeroIfRelayed(source.Relayed, n.configWait), intervalIfRelayed(source.Relayed, relayPollInterval, nil)
 	entries := &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenInvalidEndpoint}
 	n.registry.records = entries.Records
-	f.endpoints, source = follower("registry", platform.TopicEndpoints, entries)
+	f.endpoints, source = follower("registry", platform.TopicEndpoints, entries, partRegistry)
 	source.MayReadAll, source.Readers = n.mayReadRegistry, n.registryReaders
 	source.MaxAge = max(relay.MaxAge, time.Duration(maxRegistryAgeShare*float64(n.bounds().DrainLimit)))
 	// Each heartbeat is a record, so a read that waits for a change would end many times per
 	// second.
 	f.endpoints.Pause = intervalIfRelayed(source.Relayed, relayPollInterval, n.registryInterval)
-	f.nodes, source = follower("nodes", platform.TopicNodes, &relay.Copy{Sink: n.roster, Clock: n.clock})
+	f.nodes, source = follower("nodes", platform.TopicNodes, &relay.Copy{Sink: n.roster, Clock: n.clock}, partNodes)
 	source.MaxAge = maxNodesAge
 	f.nodes.Wait, f.nodes.Pause = zeroIfRelayed(source.Relayed, n.nodesWait), intervalIfRelayed(source.Relayed, nodesRelayPollInterval, n.rosterInterval)
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	pace          *enginepace.Services
 	recorder      *recorder
 	started       time.Time
+	startLog      *startLog
 	shuttingDown  atomic.Bool
 	reportedReady atomic.Bool // last readiness reported to the balancer
 	log           zerolog.Logger
@@ -120,6 +121,7 @@
 
 		started: host.Clock.Now(),
 	}
+	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
 	n.fleet.Connect = n.network.Connect
 	n.boot.Store(boot)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/placer"
+	"github.com/cherryward/cherryward/internal/relay"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -53,6 +54,8 @@
 	metricLatePauses       = "cherryward_gateway_late_pauses_total"
 	metricResumed          = "cherryward_gateway_resumed_streams_total"
 	metricOrigins          = "cherryward_gateway_stream_origins"
+	metricTopicReads       = "cherryward_gateway_topic_reads_total"
+	metricTopicReadBytes   = "cherryward_gateway_topic_read_bytes_total"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -140,6 +143,13 @@
 	}
 }
 
+// recordRead records a read of a topic of the platform's store.
+func (r *recorder) recordRead(topic string, read *relay.Read) {
+	labels := `{topic="` + topic + `",source="` + read.Source.Kind.String() + `"`
+	r.set.GetOrCreateCounter(metricTopicReads + labels + `,failed="` + strconv.FormatBool(read.Err != nil) + `"}`).Inc()
+	r.set.GetOrCreateCounter(metricTopicReadBytes + labels + "}").Add(read.Bytes)
+}
+
 // recordLoadAge records the age of the collected load reports at a placement.
 func (r *recorder) recordLoadAge(age time.Duration) {
 	r.set.GetOrCreatePrometheusHistogramExt(metricPlacementLoadAge, secondsBounds).Update(age.Seconds())
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -19,6 +19,7 @@
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
+	"github.com/cherryward/cherryward/internal/relay"
 	"github.com/cherryward/cherryward/internal/routing"
 )
 
@@ -40,6 +41,7 @@
 	n.origins = origin.New(origin.Config{Conn: conn, Now: time.Now})
 	r := newRecorder(n)
 	r.recordLoadAge(time.Second)
+	r.recordRead("config", &relay.Read{Bytes: 1})
 	r.Refused(&routing.Route{}, "no_slot")
 	r.PlacedInOtherDomain(&routing.Route{}, true)
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{GapObjective: time.Second / 2}, TimeToFirstByte: time.Second, LongestPause: time.Second, Total: time.Second})
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -73,6 +73,9 @@
 // reportReady returns the result of ready, and logs each change with the conditions behind it.
 func (n *Node) reportReady() bool {
 	ready := n.ready()
+	if ready {
+		n.startLog.reach(partReady)
+	}
 	if n.reportedReady.Swap(ready) != ready {
 		config, age := n.state.Config()
 		n.log.Info().Str("event", "ready").Bool("ready", ready).Bool("configured", config != nil).
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -32,6 +32,7 @@
 		&task{name: "release-records", run: n.releaseRecorder.Run},
 		&task{name: "memory", run: tuneCollections},
 		&task{name: "suspension", run: n.watchSuspension},
+		&task{name: "start-log", run: n.startLog.watch},
 		&task{name: "sweep", run: newSweeper(n).run},
 		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
 		&task{name: "kept", run: n.cacheTracker.follow},
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -85,6 +85,9 @@
 type observation struct {
 	at, notBefore time.Time
 	readPromptly  bool
+	// source and age are those of the batch.
+	source follow.Source
+	age    time.Duration
 }
 
 // startMargin is how long before the end of the startup grace period the last prompts are placed on
@@ -111,7 +114,7 @@
 // which they were current. A reader that loads them in the reverse order therefore never takes the
 // state for fresher than it is.
 func (s *state) Apply(b follow.Batch) {
-	obs := observation{at: s.clock.Now(), notBefore: s.assumedAnnounceTime()}
+	obs := observation{at: s.clock.Now(), notBefore: s.assumedAnnounceTime(), source: b.Source, age: b.Age}
 	if before := s.confirmedAt.Load(); before != nil {
 		obs.notBefore = *before
 		obs.readPromptly = max(b.Gap, b.ConfirmedAt.Sub(*before)) < maxFreshConfigAge
@@ -161,7 +164,8 @@
 	s.config.Store(config)
 	s.logUnknownRegions(config.Version, policies)
 	s.log.Info().Str("event", "config").Int64("version", config.Version).Int64("offset", follow.OffsetOf(r.Offset)).
-		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Ints("ranks", priorities(config)).Send()
+		Int("routes", len(config.Routes)).Int("accounts", len(config.Accounts)).Int("prioritized", countPrioritized(config)).
+		Stringer("source", obs.source).Int64("age_ms", obs.age.Milliseconds()).Int("bytes", len(r.Value)).Send()
 	if s.onConfig != nil {
 		s.onConfig()
 	}
@@ -199,15 +203,15 @@
 		Int64("order", order.ID).Int64("within_ms", order.Within.Milliseconds()).Send()
 }
 
-// priorities returns the priorities of the client accounts that have one.
-func priorities(c *routing.Config) []int {
-	var list []int
+// countPrioritized returns the number of client accounts that have a priority of their own.
+func countPrioritized(c *routing.Config) int {
+	count := 0
 	for i := range c.Accounts {
-		if p := c.Accounts[i].Priority; p != nil {
-			list = append(list, *p)
+		if c.Accounts[i].Priority != nil {
+			count++
 		}
 	}
-	return list
+	return count
 }
 
 func (s *state) applyVersion(model string, r *follow.Record, obs *observation) {
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -204,7 +204,9 @@
 	err := error(ErrUnknown)
 	for range readers {
 		var page follow.Page
-		if page, err = t.readSnapshot(ctx, t.preferred(readers), from); err == nil {
+		source := follow.Source{Kind: follow.SourceReader, Node: t.preferred(readers)}
+		page, err = t.observe(source, func() (follow.Page, error) { return t.readSnapshot(ctx, source.Node, from) })
+		if err == nil {
 			return page, nil
 		}
 		t.failures++
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -127,11 +127,14 @@
 	MayReadAll func() bool
 	// RequestTimeout is the timeout of a request to a node. 0 means defaultRequestTimeout.
 	RequestTimeout time.Duration
-	Log            zerolog.Logger
+	// OnRead, if not nil, is called after each read from the store or a node.
+	OnRead func(Read)
+	Log    zerolog.Logger
 
 	failures      uint64    // failed reads from readers or backups, each of which moves on to the next
 	storeFailedAt time.Time // time of the last failed read of the store
 	relayed       atomic.Bool
+	reads         readLog
 }
 
 var _ follow.Topic = (*Topic)(nil)
@@ -140,7 +143,7 @@
 // nodes of a large system start together, the store would have to send each of them everything.
 func (t *Topic) Newest(ctx context.Context) (follow.Page, error) {
 	if t.MayReadAll == nil {
-		return t.Store.Newest(ctx)
+		return t.newestFromStore(ctx)
 	}
 	for {
 		page, err := t.allFromReaders(ctx, 0)
@@ -151,7 +154,7 @@
 		}
 		if t.MayReadAll() {
 			t.setRelayed(false, err)
-			return t.Store.Newest(ctx)
+			return t.newestFromStore(ctx)
 		}
 		retry.Sleep(ctx, snapshotRetry)
 		if ctx.Err() != nil {
@@ -176,7 +179,7 @@
 	if t.MayReadAll != nil && !t.MayReadAll() {
 		return follow.Page{}, errNoReader
 	}
-	page, err := t.Store.Read(ctx, from, wait)
+	page, err := t.readStore(ctx, from, wait)
 	if err == nil || errors.Is(err, follow.ErrCompacted) {
 		t.setRelayed(false, nil)
 		return page, err
@@ -189,10 +192,10 @@
 // tries each of them, and obtains all records if there are too many changes for a few responses.
 func (t *Topic) readFromReaders(ctx context.Context, readers []netip.AddrPort, from int64) (page follow.Page, err error) {
 	if t.MayReadAll == nil {
-		return t.readFromCurrent(ctx, readers, from)
+		return t.readFromCurrent(ctx, follow.SourceReader, readers, from)
 	}
 	for range readers {
-		if page, err = t.readFromCurrent(ctx, readers, from); err == nil {
+		if page, err = t.readFromCurrent(ctx, follow.SourceReader, readers, from); err == nil {
 			return page, nil
 		}
 	}
@@ -215,7 +218,7 @@
 		t.setRelayed(false, cause)
 		return follow.Page{}, cause
 	}
-	page, err := t.readFromCurrent(ctx, backups, from)
+	page, err := t.readFromCurrent(ctx, follow.SourceBackup, backups, from)
 	t.setRelayed(err == nil, cause)
 	if err != nil {
 		return follow.Page{}, cause
@@ -224,8 +227,9 @@
 }
 
 // readFromCurrent reads from the current node and switches to the next one if the read fails.
-func (t *Topic) readFromCurrent(ctx context.Context, nodes []netip.AddrPort, from int64) (follow.Page, error) {
-	page, err := t.readFrom(ctx, t.preferred(nodes), from)
+func (t *Topic) readFromCurrent(ctx context.Context, kind follow.SourceKind, nodes []netip.AddrPort, from int64) (follow.Page, error) {
+	source := follow.Source{Kind: kind, Node: t.preferred(nodes)}
+	page, err := t.observe(source, func() (follow.Page, error) { return t.readFrom(ctx, source.Node, from) })
 	if err != nil {
 		t.failures++
 	}
