--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -19,7 +19,7 @@
 	// gcGrowthBytes the growth in between.
 	maxGCPercent  = 200
 	minGCPercent  = 50
-	gcGrowthBytes = 16 << 20
+	gcGrowthBytes = 6 << 20
 	// gcTuneInterval is the time between two adjustments.
 	gcTuneInterval = 2 * time.Second
 	// liveHeapMetric is the memory that the latest garbage collection found in use.
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -85,6 +85,9 @@
 		r.beginExpiryHold(now)
 	}
 	r.fleet.UpdateBatch(func() {
+		if b.Snapshot {
+			r.listAll(b.Records, now)
+		}
 		r.applyRecords(&b, now)
 		if r.scope.update() {
 			r.rescope(r.records())
@@ -95,6 +98,20 @@
 	r.fleet.Expire(r.clock.Now())
 }
 
+// listAll decides the scope by the entries of a snapshot before any is applied: what is kept of an endpoint
+// takes several times the memory of its entry, which a node of a large system would need for all of them.
+func (r *registry) listAll(records []follow.Record, now time.Time) {
+	for i := range records {
+		if records[i].Value == nil {
+			continue
+		}
+		if e, err := r.decodeStarted(&records[i], now); err == nil {
+			r.scope.list(e.endpoint)
+		}
+	}
+	r.scope.update()
+}
+
 // applyRecords applies the records of a batch.
 func (r *registry) applyRecords(b *follow.Batch, now time.Time) {
 	present := make(map[string]bool, len(b.Records))
@@ -138,11 +155,8 @@
 		r.remove(record.Key, now)
 		return
 	}
-	e, err := r.decode(record)
+	e, err := r.decodeStarted(record, now)
 	endpoint := e.endpoint
-	if err == nil && endpoint.StartedMs > now.Add(maxClockSkew).UnixMilli() {
-		err = eris.Errorf("start time of endpoint is in the future: %d ms", endpoint.StartedMs)
-	}
 	if err != nil {
 		r.rejected.record(record, err)
 		// The newest record of the key is invalid. This is not an expiry, so the endpoint is not
@@ -181,6 +195,15 @@
 	return entry{bytes.Clone(record.Value), endpoint}, err
 }
 
+// decodeStarted decodes an entry. It fails if the endpoint's start time is in the future.
+func (r *registry) decodeStarted(record *follow.Record, now time.Time) (entry, error) {
+	e, err := r.decode(record)
+	if err == nil && e.endpoint.StartedMs > now.Add(maxClockSkew).UnixMilli() {
+		err = eris.Errorf("start time of endpoint is in the future: %d ms", e.endpoint.StartedMs)
+	}
+	return e, err
+}
+
 // retain deletes the entries that are not present.
 func (r *registry) retain(present map[string]bool, now time.Time) {
 	for id := range r.entries {
--- a/internal/gateway/scope_test.go
+++ b/internal/gateway/scope_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -109,3 +110,19 @@
 	test.Eq(t, map[string]int{"d0": 200, "d1": 200, "d2": 200}, s.byDomain("s"))
 	must.MapLen(t, 600, s.scope.listed)
 }
+
+// TestSnapshotOutOfScopeTakesNoMemory checks that a node that starts in a large system holds no endpoints
+// of other failure domains in between.
+func TestSnapshotOutOfScopeTakesNoMemory(t *testing.T) {
+	s := newScopedRegistry()
+	var log bytes.Buffer
+	s.fleet = fleet.New(zerolog.New(&log))
+	records := engineEntries(0, 3000)
+	s.Copy.Apply(follow.Batch{Snapshot: true, Records: records, Next: 3000, ConfirmedAt: time.Now()})
+	test.Eq(t, map[string]int{"d0": 1000}, s.byDomain("s"))
+	test.StrNotContains(t, log.String(), "gone", test.Sprint("none was added and removed again"))
+
+	s.followsAll = true
+	s.Copy.Apply(follow.Batch{Snapshot: true, Records: records, Next: 3000, ConfirmedAt: time.Now()})
+	test.Eq(t, map[string]int{"d0": 1000, "d1": 1000, "d2": 1000}, s.byDomain("s"))
+}
