--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -67,14 +67,25 @@
 	More bool `json:"more,omitempty"`
 }
 
+// Conn exchanges messages with other nodes.
+type Conn interface {
+	// Handle registers the handler of a method.
+	Handle(method string, h datagram.Handler)
+	// Call calls a method of a node. It fails with a *jsonrpc2.Error if the node refuses the call, and when
+	// ctx ends without a response.
+	Call(ctx context.Context, node netip.AddrPort, method string, params, result any) error
+}
+
+var _ Conn = (*datagram.Conn)(nil)
+
 // Relay serves other nodes' requests from this node's copies.
 type Relay struct {
-	conn   *datagram.Conn
+	conn   Conn
 	copies map[string]*Copy
 }
 
 // New returns a relay that serves requests on conn, which must not be running yet.
-func New(conn *datagram.Conn) *Relay {
+func New(conn Conn) *Relay {
 	r := &Relay{conn: conn, copies: make(map[string]*Copy)}
 	conn.Handle(methodRecords, r.serve)
 	conn.Handle(methodSnapshot, r.serveSnapshot)
