Relay: long records are told by what changed, and whole ones in parts

Callers of the whole fleet were refused at all nodes, for good, after the store had rejected a third of the nodes during a series of changes. Cause, by the logs: a configuration of 255 routes and 333 accounts takes 96 KB, 22 KB compressed, and a message between nodes 16 KB. So each of 985 nodes read each version from the store, which sends 80 MB/s (egress-per-s of the settings): 1.2 s a version. Reads are given up after 0.7 s and sent again, for all versions since. Already at the first start reads of one version were given up (-22.3 s, 0.7 s after they were sent).

A node now tells its reader which version it has, and gets what changed, compressed with that version as dictionary (zstd; some 100 bytes for one changed route), or the whole value in parts, with a digest of the value. Parts belong to one version; a version that was replaced once is still served. Nodes of earlier builds are refused as before, and read the store.

--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -37,6 +37,9 @@
 	latest      map[string]follow.Record // latest record of each key, including removed keys
 	changes     changeList               // of latest
 	compressed  map[string]relayedRecord // records relayed in compressed form, by key
+	serves      bool                     // another node has requested changes
+	longKeys    map[string]bool          // keys of the long records in latest
+	long        map[string]*longRecord   // by key
 	firstOffset int64                    // the copy has all changes from this offset on
 	next        int64
 	confirmedAt time.Time    // zero before the first batch
@@ -58,6 +61,7 @@
 		// Which keys were removed before the snapshot is unknown.
 		c.latest = make(map[string]follow.Record, len(b.Records))
 		c.compressed = make(map[string]relayedRecord)
+		c.longKeys, c.long = make(map[string]bool), nil
 		c.changes = changeList{}
 		c.snapshots = [2]*snapshot{}
 		c.firstOffset = b.Next
@@ -70,7 +74,11 @@
 		if exists && c.Same != nil && before.Value != nil && r.Value != nil && c.Same(before.Value, r.Value) {
 			continue
 		}
+		if exists && before.Offset < r.Offset {
+			c.keepVersion(before)
+		}
 		c.latest[r.Key] = r
+		c.setLong(r)
 		c.changes.add(r.Key, r.Offset)
 	}
 	c.changes.settle(c.latest)
@@ -103,17 +111,27 @@
 // Since returns the records that changed at or after an offset, ordered by offset. If they exceed
 // maxBytes, it returns the first ones, at least one, and sets more. It returns ErrUnknown if the copy may
 // lack changes since the offset.
-func (c *Copy) Since(from int64, maxBytes int) (changedRecords, error) {
+//
+// Long records are relayed apart if known is not nil: it returns the offset of the version of a record that
+// the requester has, or noBase.
+func (c *Copy) Since(from int64, maxBytes int, known func(key string) int64) (changedRecords, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serves = true
 	if c.confirmedAt.IsZero() || from < c.firstOffset {
 		return changedRecords{}, ErrUnknown
 	}
 	result := changedRecords{next: c.next, age: c.Clock.Since(c.confirmedAt)}
 	for _, change := range c.changes.since(from) {
-		if r := c.latest[change.key]; r.Offset == change.offset {
-			result.records = append(result.records, c.newRelayedRecord(r))
+		r := c.latest[change.key]
+		if r.Offset != change.offset {
+			continue
+		}
+		relayed, err := c.relayRecord(r, known)
+		if err != nil {
+			return changedRecords{}, err
 		}
+		result.records = append(result.records, relayed)
 	}
 	if n := countFitting(result.records, maxBytes); n < len(result.records) {
 		result.next, result.records, result.more = result.records[n].Offset, result.records[:n], true
@@ -121,6 +139,14 @@
 	return result, nil
 }
 
+// relayRecord returns a record in the form in which it is relayed; see Since.
+func (c *Copy) relayRecord(r follow.Record, known func(key string) int64) (relayedRecord, error) {
+	if known != nil && len(r.Value) >= longFrom {
+		return c.relayLong(r, known(r.Key))
+	}
+	return c.newRelayedRecord(r), nil
+}
+
 // newRelayedRecord returns a record in the form in which it is relayed. The compressed form of a long value
 // is cached.
 func (c *Copy) newRelayedRecord(r follow.Record) relayedRecord {
--- /dev/null
+++ b/internal/relay/longread.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cherryward/cherryward/coord/retry"
+)
+
+// maxParts bounds the parts of a long value.
+const maxParts = maxValueBytes/partBytes + 1
+
+// heldRecords returns the long records of this node of which changes are to be told.
+func (t *Topic) heldRecords() []heldRecord {
+	if t.Own == nil || t.requestWhole {
+		return nil
+	}
+	return t.Own.Held()
+}
+
+// complete obtains the long values of a response from the node that sent it. If one can't be decoded, the
+// next request asks for whole values.
+func (t *Topic) complete(ctx context.Context, reader netip.AddrPort, r *recordsResponse) error {
+	for i := range r.Records {
+		record := &r.Records[i]
+		if record.Long == nil {
+			continue
+		}
+		value, err := t.longValue(ctx, reader, record)
+		t.requestWhole = err != nil
+		if err != nil {
+			return eris.Wrapf(err, "read record %q", record.Key)
+		}
+		record.Value, record.Long = value, nil
+	}
+	return nil
+}
+
+// longValue obtains and decodes a long value.
+func (t *Topic) longValue(ctx context.Context, reader netip.AddrPort, record *relayedRecord) ([]byte, error) {
+	long := record.Long
+	if record.Value != nil || record.Deflated != nil {
+		return nil, eris.New("it has two values")
+	}
+	base, err := t.base(record.Key, long.Base)
+	if err != nil {
+		return nil, err
+	}
+	data := long.Data
+	if len(data) == 0 {
+		if data, err = t.readParts(ctx, reader, record); err != nil {
+			return nil, err
+		}
+	}
+	return decodeValue(data, base, long.Digest)
+}
+
+// base returns the version of this node's record that is needed to decode a value; nil if none is.
+func (t *Topic) base(key string, offset int64) ([]byte, error) {
+	if offset == noBase {
+		return nil, nil
+	}
+	if t.Own != nil {
+		if value := t.Own.value(key, offset); value != nil {
+			return value, nil
+		}
+	}
+	return nil, eris.Errorf("it is based on offset %d, which this node doesn't have", offset)
+}
+
+// readParts requests the parts of a value one after the other, so that a value takes no more of the sender's
+// link at once than a message.
+func (t *Topic) readParts(ctx context.Context, reader netip.AddrPort, record *relayedRecord) ([]byte, error) {
+	if record.Long.Parts < 1 || record.Long.Parts > maxParts {
+		return nil, eris.Errorf("it has %d parts", record.Long.Parts)
+	}
+	var data []byte
+	for part := range record.Long.Parts {
+		request := partRequest{Topic: t.Name, Key: record.Key, Offset: record.Offset, Base: record.Long.Base, Part: part}
+		response, err := t.readRecordPart(ctx, reader, request)
+		if err != nil {
+			return nil, err
+		}
+		data = append(data, response.Data...)
+	}
+	return data, nil
+}
+
+// readRecordPart requests a part, again if the response is lost or the node is busy.
+func (t *Topic) readRecordPart(ctx context.Context, reader netip.AddrPort, request partRequest) (response partResponse, err error) {
+	for range chunkAttempts {
+		if response, err = t.callPart(ctx, reader, request); err == nil || ctx.Err() != nil {
+			return response, err
+		}
+		var rpcErr *jsonrpc2.Error
+		if errors.As(err, &rpcErr) {
+			if rpcErr.Message == errReplaced.Error() {
+				return response, errReplaced
+			}
+			retry.Sleep(ctx, snapshotRetry) // busy
+		}
+	}
+	return response, err
+}
+
+func (t *Topic) callPart(ctx context.Context, reader netip.AddrPort, request partRequest) (response partResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
+	defer cancel()
+	err = t.Relay.conn.Call(ctx, reader, methodPart, request, &response)
+	return response, err
+}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -27,6 +27,8 @@
 	follow.Record
 	// Deflated is the value compressed with DEFLATE. If set, Value is nil.
 	Deflated []byte `json:"deflated,omitempty"`
+	// Long describes a long value to nodes that support it. If set, Value and Deflated are nil.
+	Long *longValue `json:"long,omitempty"`
 }
 
 // newRelayedRecord returns a record in the form in which it is relayed: a long value is compressed.
@@ -48,6 +50,9 @@
 
 // encodedSize returns the record's approximate size in a response, in bytes.
 func (r *relayedRecord) encodedSize() int {
+	if r.Long != nil {
+		return len(r.Key) + r.Long.encodedSize() + recordOverhead
+	}
 	return len(r.Key) + base64.StdEncoding.EncodedLen(len(r.Value)+len(r.Deflated)) + recordOverhead
 }
 
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cherryward/cherryward/internal/datagram"
+)
+
+// recordsRequest requests the changes of a topic at or after an offset.
+type recordsRequest struct {
+	Topic string `json:"topic"`
+	From  int64  `json:"from"`
+	// Long states that the requester supports long records that are relayed apart. Held are those that it
+	// has.
+	Long bool         `json:"long,omitempty"`
+	Held []heldRecord `json:"held,omitempty"`
+}
+
+// known returns the offset of the version of a record that the requester has, or noBase.
+func (r *recordsRequest) known(key string) int64 {
+	for _, held := range r.Held {
+		if held.Key == key {
+			return held.Offset
+		}
+	}
+	return noBase
+}
+
+// recordsResponse contains changes of a topic.
+type recordsResponse struct {
+	Records []relayedRecord `json:"records,omitempty"`
+	Next    int64           `json:"next"`
+	AgeUS   int64           `json:"age_us"` // microseconds
+	// More is set if more records follow, starting at Next. Only the last response, without More, confirms
+	// the state.
+	More bool `json:"more,omitempty"`
+}
+
+// Conn exchanges messages with other nodes.
+type Conn interface {
+	// Handle registers the handler of a method.
+	Handle(method string, h datagram.Handler)
+	// Call calls a method of a node. It fails with a *jsonrpc2.Error if the node refuses the call, and when
+	// ctx ends without a response.
+	Call(ctx context.Context, node netip.AddrPort, method string, params, result any) error
+}
+
+var _ Conn = (*datagram.Conn)(nil)
+
+// Relay serves other nodes' requests from this node's copies.
+type Relay struct {
+	conn   Conn
+	copies map[string]*Copy
+}
+
+// New returns a relay that serves requests on conn, which must not be running yet.
+func New(conn Conn) *Relay {
+	r := &Relay{conn: conn, copies: make(map[string]*Copy)}
+	conn.Handle(methodRecords, r.serve)
+	conn.Handle(methodSnapshot, r.serveSnapshot)
+	conn.Handle(methodPart, r.servePart)
+	return r
+}
+
+// Serve serves requests for a topic from a copy. It must be called before the connection runs.
+func (r *Relay) Serve(topic string, c *Copy) { r.copies[topic] = c }
+
+func (r *Relay) serve(params json.RawMessage) (any, error) {
+	var req recordsRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, eris.Wrap(err, "decode records request")
+	}
+	c := r.copies[req.Topic]
+	if c == nil {
+		return nil, eris.Errorf("unknown topic %q", req.Topic)
+	}
+	var known func(key string) int64
+	if req.Long {
+		known = req.known
+	}
+	result, err := c.Since(req.From, maxRecordBytes, known)
+	if err != nil {
+		return nil, err
+	}
+	return recordsResponse{Records: result.records, Next: result.next, AgeUS: result.age.Microseconds(), More: result.more}, nil
+}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -8,21 +8,28 @@
 	"github.com/cherryward/cherryward/internal/follow"
 )
 
-// page validates a response to a request from an offset and converts it to a page. Ages that are negative
-// or exceed the range of durations would make the copy appear more recent than it is. Offsets out of range
-// would cause records to be skipped.
-func (r *recordsResponse) page(from int64, maxAge time.Duration) (follow.Page, error) {
+// check validates a response to a request from an offset. Ages that are negative or exceed the range of
+// durations would make the copy appear more recent than it is. Offsets out of range would cause records to be
+// skipped.
+func (r *recordsResponse) check(from int64, maxAge time.Duration) error {
 	if r.AgeUS < 0 || r.Next < 0 || r.More && r.Next <= from {
-		return follow.Page{}, eris.Errorf("invalid response: age %d µs, next offset %d", r.AgeUS, r.Next)
+		return eris.Errorf("invalid response: age %d µs, next offset %d", r.AgeUS, r.Next)
 	}
 	if r.AgeUS >= maxAge.Microseconds() {
-		return follow.Page{}, eris.Wrapf(errStale, "age %d µs", r.AgeUS)
+		return eris.Wrapf(errStale, "age %d µs", r.AgeUS)
 	}
-	page := follow.Page{Next: r.Next, Age: time.Duration(r.AgeUS+1) * time.Microsecond}
 	for i := range r.Records {
 		if offset := r.Records[i].Offset; offset < from || offset >= r.Next {
-			return follow.Page{}, eris.Errorf("record offset %d is not in [%d, %d)", offset, from, r.Next)
+			return eris.Errorf("record offset %d is not in [%d, %d)", offset, from, r.Next)
 		}
+	}
+	return nil
+}
+
+// page converts a checked response with complete records to a page.
+func (r *recordsResponse) page() (follow.Page, error) {
+	page := follow.Page{Next: r.Next, Age: time.Duration(r.AgeUS+1) * time.Microsecond}
+	for i := range r.Records {
 		record, err := r.Records[i].decompress()
 		if err != nil {
 			return follow.Page{}, err
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -141,6 +141,7 @@
 func (s *system) run(ctx context.Context, n *simNode) {
 	replica := &Copy{Sink: n}
 	n.topic.Relay.Serve("config", replica)
+	n.topic.Own = replica
 	f := follow.Follower{
 		Name: "config", Topic: n.topic, Sink: replica, Retry: 250 * time.Millisecond, MaxRetryDelay: time.Second, Log: zerolog.Nop(),
 		Wait: func() time.Duration {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"net/netip"
 	"slices"
@@ -51,72 +50,15 @@
 // errStale is returned for a copy that is older than the topic's maximum age.
 var errStale = errors.New("relay: copy is too old")
 
-// recordsRequest requests the changes of a topic at or after an offset.
-type recordsRequest struct {
-	Topic string `json:"topic"`
-	From  int64  `json:"from"`
-}
-
-// recordsResponse contains changes of a topic.
-type recordsResponse struct {
-	Records []relayedRecord `json:"records,omitempty"`
-	Next    int64           `json:"next"`
-	AgeUS   int64           `json:"age_us"` // microseconds
-	// More is set if more records follow, starting at Next. Only the last response, without More, confirms
-	// the state.
-	More bool `json:"more,omitempty"`
-}
-
-// Conn exchanges messages with other nodes.
-type Conn interface {
-	// Handle registers the handler of a method.
-	Handle(method string, h datagram.Handler)
-	// Call calls a method of a node. It fails with a *jsonrpc2.Error if the node refuses the call, and when
-	// ctx ends without a response.
-	Call(ctx context.Context, node netip.AddrPort, method string, params, result any) error
-}
-
-var _ Conn = (*datagram.Conn)(nil)
-
-// Relay serves other nodes' requests from this node's copies.
-type Relay struct {
-	conn   Conn
-	copies map[string]*Copy
-}
-
-// New returns a relay that serves requests on conn, which must not be running yet.
-func New(conn Conn) *Relay {
-	r := &Relay{conn: conn, copies: make(map[string]*Copy)}
-	conn.Handle(methodRecords, r.serve)
-	conn.Handle(methodSnapshot, r.serveSnapshot)
-	return r
-}
-
-// Serve serves requests for a topic from a copy. It must be called before the connection runs.
-func (r *Relay) Serve(topic string, c *Copy) { r.copies[topic] = c }
-
-func (r *Relay) serve(params json.RawMessage) (any, error) {
-	var req recordsRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, eris.Wrap(err, "decode records request")
-	}
-	c := r.copies[req.Topic]
-	if c == nil {
-		return nil, eris.Errorf("unknown topic %q", req.Topic)
-	}
-	result, err := c.Since(req.From, maxRecordBytes)
-	if err != nil {
-		return nil, err
-	}
-	return recordsResponse{Records: result.records, Next: result.next, AgeUS: result.age.Microseconds(), More: result.more}, nil
-}
-
 // Topic is a topic that is read from other nodes' copies if there are any. If there are none or they
 // fail, it is read from the store, and if the store fails too, from backups' copies.
 type Topic struct {
 	Name  string
 	Store follow.Topic
 	Relay *Relay
+	// Own is this node's copy, to which the records are applied. Readers then tell it what changed in its
+	// long records. If nil, they send them whole.
+	Own *Copy
 	// Readers returns the nodes that read the store. If it returns none, this node reads the store.
 	Readers func() []netip.AddrPort
 	// Preference determines which reader or backup is used first. Nodes with different values spread
@@ -146,6 +88,9 @@
 	storeFailedAt time.Time // time of the last failed read of the store
 	relayed       atomic.Bool
 	reads         readLog
+	// requestWhole is true if the next request must not state which long records this node has: what
+	// changed in one could not be decoded.
+	requestWhole bool
 }
 
 var _ follow.Topic = (*Topic)(nil)
@@ -285,19 +230,30 @@
 }
 
 func (t *Topic) readOnce(ctx context.Context, reader netip.AddrPort, from int64) (page follow.Page, more bool, err error) {
+	r, err := t.callRecords(ctx, reader, from)
+	if err != nil {
+		return follow.Page{}, false, err
+	}
+	if err = r.check(from, t.maxAge()); err != nil {
+		return follow.Page{}, false, err
+	}
+	if err = t.complete(ctx, reader, &r); err != nil {
+		return follow.Page{}, false, err
+	}
+	page, err = r.page()
+	return page, r.More, err
+}
+
+func (t *Topic) callRecords(ctx context.Context, reader netip.AddrPort, from int64) (r recordsResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
 	defer cancel()
-	var r recordsResponse
-	err = t.Relay.conn.Call(ctx, reader, methodRecords, recordsRequest{Topic: t.Name, From: from}, &r)
+	request := recordsRequest{Topic: t.Name, From: from, Long: true, Held: t.heldRecords()}
+	err = t.Relay.conn.Call(ctx, reader, methodRecords, request, &r)
 	var rpcErr *jsonrpc2.Error
 	if errors.As(err, &rpcErr) {
 		// The node is available but does not have the records, for example because the topic was
-		// compacted, or a record is too long for a message. Only the store can return them.
-		return follow.Page{}, false, eris.Wrap(ErrUnknown, rpcErr.Message)
+		// compacted, or it is of a build that sends long records in one message only.
+		err = eris.Wrap(ErrUnknown, rpcErr.Message)
 	}
-	if err != nil {
-		return follow.Page{}, false, err
-	}
-	page, err = r.page(from, t.maxAge())
-	return page, r.More, err
+	return r, err
 }
