--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -124,8 +124,8 @@
 	result := changedRecords{next: c.next, age: c.Clock.Since(c.confirmedAt)}
 	for _, change := range c.changes.since(from) {
 		r := c.latest[change.key]
-		if r.Offset != change.offset {
-			continue
+		if r.Offset != change.offset || r.Offset >= c.next {
+			continue // a record at or after next is read and relayed again
 		}
 		relayed, err := c.relayRecord(r, known)
 		if err != nil {
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -113,7 +113,7 @@
 	if newest != nil && c.Clock.Since(newest.madeAt) < snapshotLifetime {
 		return newest, nil
 	}
-	data, err := encodeSnapshot(c.latest)
+	data, err := encodeSnapshot(c.latest, c.next)
 	if err != nil {
 		return nil, err
 	}
@@ -126,8 +126,10 @@
 }
 
 // encodeSnapshot compresses the records: for each its key with its length, its value with its length
-// plus 1, or 0 for a removed key, and its offset.
-func encodeSnapshot(latest map[string]follow.Record) ([]byte, error) {
+// plus 1, or 0 for a removed key, and its offset. The store's listing takes several pages, so later pages may
+// hold records at or after next, the end of the first: these are read again from there, and count as written
+// right before.
+func encodeSnapshot(latest map[string]follow.Record, next int64) ([]byte, error) {
 	var buffer bytes.Buffer
 	w, err := flate.NewWriter(&buffer, flate.BestSpeed)
 	if err != nil {
@@ -143,7 +145,7 @@
 			record = binary.AppendUvarint(record, uint64(len(r.Value))+1)
 			record = append(record, r.Value...)
 		}
-		record = binary.AppendUvarint(record, uint64(r.Offset))
+		record = binary.AppendUvarint(record, uint64(min(r.Offset, max(next-1, 0))))
 		if _, err := w.Write(record); err != nil {
 			return nil, eris.Wrap(err, "compress snapshot")
 		}
--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -154,7 +154,7 @@
 
 // FuzzDecodeSnapshot checks that decoding arbitrary bytes fails or returns records below the end.
 func FuzzDecodeSnapshot(f *testing.F) {
-	data, err := encodeSnapshot(largeCopy(3).latest)
+	data, err := encodeSnapshot(largeCopy(3).latest, 4)
 	must.NoError(f, err)
 	f.Add(data, int64(10))
 	f.Add(data, int64(0))
@@ -225,3 +225,25 @@
 		test.Eq(t, tc.reads, store.reads, test.Sprint(tc.name))
 	}
 }
+
+// TestRecordsAfterFirstPageAreRelayed checks that a copy whose listing took so long that records were written
+// meanwhile can be read from, and that those records are relayed again once they have been read.
+func TestRecordsAfterFirstPageAreRelayed(t *testing.T) {
+	c := &Copy{Sink: discardSink{}}
+	c.Apply(follow.Batch{Snapshot: true, Records: []follow.Record{record("a", "x", 3), record("b", "late", 12)}, Next: 10, ConfirmedAt: time.Now()})
+	own, _ := startRelay(t, nil)
+	_, reader := startRelay(t, c)
+	topic := snapshotTopic(own, &newestTopic{}, reader)
+	topic.MaxAge = busyHostTimeout
+	page, err := topic.Newest(t.Context())
+	must.NoError(t, err)
+	test.SliceLen(t, 2, page.Records)
+	test.Eq(t, 10, page.Next)
+	page, err = topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.SliceEmpty(t, page.Records)
+	c.Apply(follow.Batch{Records: []follow.Record{record("b", "late", 12)}, Next: 13, ConfirmedAt: time.Now()})
+	page, err = topic.Read(t.Context(), 10, 0)
+	must.NoError(t, err)
+	test.Eq(t, []follow.Record{record("b", "late", 12)}, page.Records)
+}
