Relay, gateway: ordinary nodes of a large system spare the store

Nodes that aren't readers now ask standbys (the next four of their failure domain, which read the store as soon as the readers' copies are too old) and readers of other domains, and the store only if none has the topic. Changes that readers no longer have are read anew from a node. A start gets the configuration from the listed readers; from the store only after 1 to 5 s. Readers of the registry whose root readers are too old read it from the store.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -24,6 +24,13 @@
 	// maxRegistryAgeShare is the fraction of the drain bound up to which another node's copy of the
 	// registry is used. A copy passes two nodes, so it is older than that of another topic.
 	maxRegistryAgeShare = 0.7
+	// listTimeout is how long a node that starts waits for the list of nodes before it reads the configuration
+	// from the store. The list tells whether other nodes can give it.
+	listTimeout = 500 * time.Millisecond
+	// configTimeout is how long a node of a large system that starts waits for another node to give it the
+	// configuration, and maxConfigStagger spreads the nodes that none has given it.
+	configTimeout    = time.Second
+	maxConfigStagger = 4 * time.Second
 	// maxRegistryStagger spreads the nodes that no reader provides with the registry.
 	maxRegistryStagger = 4 * time.Second
 )
@@ -41,24 +48,26 @@
 		copies.Serve(name, replica)
 		source := &relay.Topic{
 			Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Preference: n.readerPreference(),
-			Backups: n.roster.backups, Fallback: n.fallbackInterval, OnRead: func(r relay.Read) { n.recorder.recordRead(name, &r) }, Log: n.log,
+			Backups: n.roster.backups, Standbys: n.standbys, SparesStore: n.sparesStore, Own: replica, Fallback: n.fallbackInterval, OnRead: func(r relay.Read) { n.recorder.recordRead(name, &r) }, Log: n.log,
 		}
 		return &follow.Follower{Name: name, Topic: source, Sink: replica, Retry: storeRetry, MaxRetryDelay: maxStoreRetry, Reject: n.state.rejected.record, Clock: n.clock, Log: n.log}, source
 	}
 	var f followers
 	var source *relay.Topic
 	f.config, source = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock}, partConfig)
+	source.MayReadAll, source.Candidates = n.mayReadConfig, n.roster.listedReaders
 	f.config.Wait, f.config.Pause = zeroIfRelayed(source.Relayed, n.configWait), intervalIfRelayed(source.Relayed, relayPollInterval, nil)
 	entries := &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenInvalidEndpoint}
 	n.registry.records = entries.Records
 	f.endpoints, source = follower("registry", platform.TopicEndpoints, entries, partRegistry)
-	source.MayReadAll, source.Readers = n.mayReadRegistry, n.registryReaders
+	source.MayReadAll, source.Readers, source.NeverForStale = n.mayReadRegistry, n.registryReaders, true
+	source.Standbys, source.SparesStore = nil, n.sparesRegistry
 	source.MaxAge = max(relay.MaxAge, time.Duration(maxRegistryAgeShare*float64(n.bounds().DrainLimit)))
 	// Each heartbeat is a record, so a read that waits for a change would end many times per
 	// second.
 	f.endpoints.Pause = intervalIfRelayed(source.Relayed, relayPollInterval, n.registryInterval)
 	f.nodes, source = follower("nodes", platform.TopicNodes, &relay.Copy{Sink: n.roster, Clock: n.clock}, partNodes)
-	source.MaxAge = maxNodesAge
+	source.MaxAge, source.MayReadAll, source.Candidates = maxNodesAge, n.mayReadNodes, n.roster.listedReaders
 	f.nodes.Wait, f.nodes.Pause = zeroIfRelayed(source.Relayed, n.nodesWait), intervalIfRelayed(source.Relayed, nodesRelayPollInterval, n.rosterInterval)
 	return f
 }
@@ -81,6 +90,43 @@
 	return n.roster.rootReaders()
 }
 
+// standbys returns the nodes that read the metadata store in place of this node's readers if their copies are
+// too old.
+func (n *Node) standbys() []netip.AddrPort {
+	addrs, _ := n.roster.standbys()
+	return addrs
+}
+
+// sparesStore reports whether this node leaves the metadata store to the nodes that read it for others: it is
+// none of them, nor a standby for one.
+func (n *Node) sparesStore() bool {
+	_, isStandby := n.roster.standbys()
+	return !isStandby && n.sparesRegistry()
+}
+
+// sparesRegistry is sparesStore for the registry, which takes too much of a small host's link for standbys.
+func (n *Node) sparesRegistry() bool {
+	_, isReader := n.roster.readers()
+	return !isReader && !intervals.FullMesh(n.nodes()) && !n.roster.rootCandidate()
+}
+
+// mayReadNodes is mayReadConfig for the list of nodes, which tells a node that starts who the others are.
+func (n *Node) mayReadNodes() bool { return !n.roster.Loaded() || n.mayReadConfig() }
+
+// mayReadConfig reports whether this node, which starts, may read the configuration from the store rather
+// than from another node. The nodes of a large system that all started would else ask it for a multiple of
+// what it sends in a second.
+func (n *Node) mayReadConfig() bool {
+	age := n.clock.Since(n.started)
+	switch {
+	case !n.roster.Loaded():
+		return age > listTimeout
+	case intervals.FullMesh(n.roster.Nodes()), n.roster.readerCandidate():
+		return true
+	}
+	return age > configTimeout+time.Duration(n.readerPreference()%uint64(maxConfigStagger))
+}
+
 // mayReadRegistry reports whether this node may read the whole registry from the store, rather than
 // from a node that reads it for others. The registry of a large system takes megabytes, so nodes that
 // start wait for those nodes first, each for a different time: they would else all ask at once.
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -25,6 +25,9 @@
 	rootStandbys   = 2
 	domainReaders  = 2
 	domainStandbys = 2
+	// storeStandbys is the number of further nodes of a domain that read the store as soon as the readers'
+	// copies are too old, for all nodes of the domain.
+	storeStandbys = 4
 )
 
 // rosterNode is a node with a valid address.
@@ -88,6 +91,46 @@
 	return own >= 0 && own < domainReaders+domainStandbys
 }
 
+// standbys returns the nodes that read the store in place of this node's readers if their copies are too old,
+// and whether this node is one of them.
+func (r *roster) standbys() (addrs []netip.AddrPort, isStandby bool) {
+	rank := 0
+	for _, n := range r.currentDomainNodes() {
+		self := n.name == r.node
+		if !self && !r.peerAlive(n.name) {
+			continue
+		}
+		if rank++; rank <= domainReaders {
+			continue
+		}
+		if rank > domainReaders+storeStandbys {
+			break
+		}
+		if self {
+			isStandby = true
+			continue
+		}
+		addrs = append(addrs, n.addr)
+	}
+	return addrs, isStandby
+}
+
+// listedReaders returns the other nodes that are readers of this node's failure domain, or standbys for them,
+// according to the list alone: a node that has just started has received no messages yet.
+func (r *roster) listedReaders() []netip.AddrPort {
+	if intervals.FullMesh(r.Nodes()) {
+		return nil
+	}
+	domainNodes := r.currentDomainNodes()
+	var addrs []netip.AddrPort
+	for _, n := range domainNodes[:min(domainReaders+domainStandbys, len(domainNodes))] {
+		if n.name != r.node {
+			addrs = append(addrs, n.addr)
+		}
+	}
+	return addrs
+}
+
 // rootReaders returns the addresses of the nodes of a large system that read the registry from the
 // store. It returns none if this node is one of them, or if it knows fewer.
 func (r *roster) rootReaders() []netip.AddrPort {
--- /dev/null
+++ b/internal/relay/others.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// maxOthers is the maximum number of standbys, and of backups, that one read asks.
+const maxOthers = 4
+
+// sparesStore reports whether the store is read only if no other node has the topic.
+func (t *Topic) sparesStore() bool { return t.SparesStore != nil && t.SparesStore() }
+
+// leavesStale reports whether the store is not read though the readers' copies are too old.
+func (t *Topic) leavesStale() bool {
+	if t.NeverForStale && (t.SparesStore == nil || t.SparesStore()) {
+		return true
+	}
+	return t.Fallback != nil && time.Since(t.storeFailedAt) < t.Fallback()
+}
+
+// readFromOthers reads from the standbys for the readers, and from some backups, after the readers failed with
+// cause. If those that responded lack changes since the offset, it fails with follow.ErrCompacted, so that all
+// records are read anew from another node: reading them from the store would take a multiple of its rate if
+// all nodes of a large system did it. If none has the topic, it returns cause.
+func (t *Topic) readFromOthers(ctx context.Context, from int64, cause error) (follow.Page, error) {
+	if errors.Is(cause, ErrUnknown) {
+		return follow.Page{}, follow.ErrCompacted
+	}
+	for _, others := range t.others() {
+		for range min(len(others), maxOthers) {
+			page, err := t.readFromCurrent(ctx, follow.SourceBackup, others, from)
+			if err == nil {
+				return page, nil
+			}
+		}
+	}
+	return follow.Page{}, cause
+}
+
+// others returns the groups of nodes that are asked after the readers.
+func (t *Topic) others() [][]netip.AddrPort {
+	if !t.sparesStore() {
+		return nil
+	}
+	return [][]netip.AddrPort{callIfSet(t.Standbys), t.Backups()}
+}
+
+// callIfSet returns the result of list, or nil if it is nil.
+func callIfSet(list func() []netip.AddrPort) []netip.AddrPort {
+	if list == nil {
+		return nil
+	}
+	return list()
+}
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -27,8 +27,10 @@
 	// snapshotLifetime is how long a snapshot is served before a newer one is made. Making one for
 	// thousands of records takes some tens of ms.
 	snapshotLifetime = time.Second
-	// snapshotRetry is the time between two attempts to get a snapshot.
-	snapshotRetry = 250 * time.Millisecond
+	// snapshotRetry is the time between two attempts to get a snapshot, and minSnapshotRetry that between the
+	// first ones.
+	snapshotRetry    = 250 * time.Millisecond
+	minSnapshotRetry = 10 * time.Millisecond
 	// chunkAttempts is how often each part of a snapshot is requested: responses may be lost, or refused
 	// while their sender's share of its link is used up.
 	chunkAttempts = 4
@@ -199,14 +201,29 @@
 }
 
 // allFromReaders returns all records that another node's copy holds, from the first reader that has
-// them. If from is not 0, the removed keys since that offset are among them. It fails if there is no
-// reader or none has them.
+// them, or from a standby or backup if this node spares the store. If from is not 0, the removed keys since
+// that offset are among them. It fails if no node has them.
 func (t *Topic) allFromReaders(ctx context.Context, from int64) (follow.Page, error) {
 	readers := t.Readers()
+	if len(readers) == 0 {
+		readers = callIfSet(t.Candidates)
+	}
+	page, err := t.allFrom(ctx, follow.SourceReader, readers, from)
+	for _, others := range t.others() {
+		if err == nil {
+			break
+		}
+		page, err = t.allFrom(ctx, follow.SourceBackup, others, from)
+	}
+	return page, err
+}
+
+// allFrom returns all records of the first of some nodes that has them.
+func (t *Topic) allFrom(ctx context.Context, kind follow.SourceKind, nodes []netip.AddrPort, from int64) (follow.Page, error) {
 	err := error(ErrUnknown)
-	for range readers {
+	for range min(len(nodes), maxOthers) {
+		source := follow.Source{Kind: kind, Node: t.preferred(nodes)}
 		var page follow.Page
-		source := follow.Source{Kind: follow.SourceReader, Node: t.preferred(readers)}
 		page, err = t.observe(source, func() (follow.Page, error) { return t.readSnapshot(ctx, source.Node, from) })
 		if err == nil {
 			return page, nil
--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -54,7 +54,7 @@
 func snapshotTopic(own *Relay, store follow.Topic, readers ...netip.AddrPort) *Topic {
 	return &Topic{
 		Name: "t", Store: store, Relay: own, Log: zerolog.Nop(), Backups: noNodes, RequestTimeout: busyHostTimeout,
-		Readers: func() []netip.AddrPort { return readers }, MayReadAll: func() bool { return false },
+		Readers: func() []netip.AddrPort { return readers }, MayReadAll: func() bool { return false }, NeverForStale: true,
 	}
 }
 
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -75,9 +75,20 @@
 	// package's MaxAge.
 	MaxAge time.Duration
 	// MayReadAll reports whether this node may read the store if no reader responds. Until then it waits for
-	// a reader, and it doesn't read the store for copies that are too old. Nil means that the store is read
-	// in all these cases, and that all records are always read from it.
+	// a reader. Nil means that it always may, and that all records are always read from the store.
 	MayReadAll func() bool
+	// Candidates returns the nodes from which all records are read while Readers returns none, as at a start.
+	Candidates func() []netip.AddrPort
+	// Standbys returns the nodes that read the store in place of readers whose copies are too old. They are
+	// asked if SparesStore.
+	Standbys func() []netip.AddrPort
+	// SparesStore reports whether this node reads the store only if neither readers nor standbys nor backups
+	// have the topic: hundreds of nodes that all read it would use up its rate, which the readers need. Nil
+	// means that it reads the store as soon as its readers' copies are too old.
+	SparesStore func() bool
+	// NeverForStale is set if copies that are too old are no reason to read the store, unless the node is one
+	// that doesn't spare it.
+	NeverForStale bool
 	// RequestTimeout is the timeout of a request to a node. 0 means defaultRequestTimeout.
 	RequestTimeout time.Duration
 	// OnRead, if not nil, is called after each read from the store or a node.
@@ -101,7 +112,7 @@
 	if t.MayReadAll == nil {
 		return t.newestFromStore(ctx)
 	}
-	for {
+	for delay := minSnapshotRetry; ; delay = min(2*delay, snapshotRetry) {
 		page, err := t.allFromReaders(ctx, 0)
 		if err == nil {
 			page.Records = slices.DeleteFunc(page.Records, func(r follow.Record) bool { return r.Value == nil })
@@ -112,7 +123,7 @@
 			t.setRelayed(false, err)
 			return t.newestFromStore(ctx)
 		}
-		retry.Sleep(ctx, snapshotRetry)
+		retry.Sleep(ctx, delay)
 		if ctx.Err() != nil {
 			return follow.Page{}, ctx.Err()
 		}
@@ -121,14 +132,16 @@
 
 // Read implements follow.Topic.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
-	readers := t.Readers()
-	if len(readers) > 0 {
+	if readers := t.Readers(); len(readers) > 0 {
 		page, err := t.readFromReaders(ctx, readers, from)
+		if err != nil && t.sparesStore() {
+			page, err = t.readFromOthers(ctx, from, err)
+		}
 		t.setRelayed(err == nil, err)
-		if err == nil {
-			return page, nil
+		if err == nil || errors.Is(err, follow.ErrCompacted) {
+			return page, err
 		}
-		if errors.Is(err, errStale) && (t.MayReadAll != nil || t.Fallback != nil && time.Since(t.storeFailedAt) < t.Fallback()) {
+		if errors.Is(err, errStale) && t.leavesStale() {
 			return t.readBackup(ctx, from, err)
 		}
 	}
@@ -147,7 +160,7 @@
 // readFromReaders reads the changes from a reader. Where all records may be obtained from readers, it
 // tries each of them, and obtains all records if there are too many changes for a few responses.
 func (t *Topic) readFromReaders(ctx context.Context, readers []netip.AddrPort, from int64) (page follow.Page, err error) {
-	if t.MayReadAll == nil {
+	if t.MayReadAll == nil && !t.sparesStore() {
 		return t.readFromCurrent(ctx, follow.SourceReader, readers, from)
 	}
 	for range readers {
@@ -155,7 +168,7 @@
 			return page, nil
 		}
 	}
-	if errors.Is(err, ErrUnknown) {
+	if errors.Is(err, ErrUnknown) && t.MayReadAll != nil {
 		return t.allFromReaders(ctx, from)
 	}
 	return follow.Page{}, err
