Relay tests: which nodes the store rejects, in virtual time

One node, a reader, the readers of a domain, all readers, readers and standbys, a domain, all but the readers, for 2, 9 and 30 s, during a series of changes, with 3% of messages lost.

--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -43,12 +43,12 @@
 
 // simNode is a node of a simulated system that follows the configuration.
 type simNode struct {
-	addr     netip.AddrPort
-	domain   int
-	isReader bool
-	conn     *simConn
-	store    *simStoreTopic
-	topic    *Topic
+	addr   netip.AddrPort
+	domain int
+	rank   int // within the failure domain
+	conn   *simConn
+	store  *simStoreTopic
+	topic  *Topic
 
 	mu          sync.Mutex
 	version     int64 // offset of the newest record
@@ -84,6 +84,7 @@
 const (
 	simDomains  = 5
 	simReaders  = 2
+	simStandbys = 4
 	simLink     = 2_500_000 // bytes per second of a small host
 	simRevoke   = 5 * time.Second
 	simTimeout  = 700 * time.Millisecond // of a call to the store
@@ -93,9 +94,9 @@
 func newSystem(count int, loss float64) *system {
 	s := &system{network: newSimNetwork(loss), store: newSimStore(storeEgress)}
 	for i := range count {
-		n := &simNode{domain: i % simDomains, isReader: i/simDomains < simReaders, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % simDomains), byte(i >> 8), byte(i)}), 7700)}
+		n := &simNode{domain: i % simDomains, rank: i / simDomains, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % simDomains), byte(i >> 8), byte(i)}), 7700)}
 		link := simLink
-		if n.isReader {
+		if n.isReader() {
 			link = 50 * simLink
 		}
 		n.conn = s.network.connect(n.addr, intervals.AnswerRate(link))
@@ -111,27 +112,39 @@
 	return &Topic{
 		Name: "config", Store: n.store, Relay: New(n.conn), Readers: func() []netip.AddrPort { return s.readersOf(n) },
 		Preference: uint64(number), Backups: func() []netip.AddrPort { return s.backupsOf(n) },
-		Fallback: func() time.Duration { return intervals.FallbackInterval(len(s.nodes)) }, Log: zerolog.Nop(),
+		Standbys:    func() []netip.AddrPort { return s.standbysOf(n) },
+		SparesStore: func() bool { return n.rank >= simReaders+simStandbys },
+		Fallback:    func() time.Duration { return intervals.FallbackInterval(len(s.nodes)) }, Log: zerolog.Nop(),
 	}
 }
 
+// isReader reports whether the node reads the store for its failure domain.
+func (n *simNode) isReader() bool { return n.rank < simReaders }
+
 // readersOf returns the readers of a node's failure domain; none for a reader.
 func (s *system) readersOf(n *simNode) []netip.AddrPort {
-	var addrs []netip.AddrPort
-	for _, other := range s.nodes[:simDomains*simReaders] {
-		if !n.isReader && other.domain == n.domain {
-			addrs = append(addrs, other.addr)
-		}
+	if n.isReader() {
+		return nil
 	}
-	return addrs
+	return s.ranked(0, simReaders, func(other *simNode) bool { return other.domain == n.domain })
+}
+
+// standbysOf returns the standbys for the readers of a node's failure domain.
+func (s *system) standbysOf(n *simNode) []netip.AddrPort {
+	return s.ranked(simReaders, simReaders+simStandbys, func(other *simNode) bool { return other != n && other.domain == n.domain })
 }
 
 // backupsOf returns the readers of all failure domains but the node itself.
 func (s *system) backupsOf(n *simNode) []netip.AddrPort {
+	return s.ranked(0, simReaders, func(other *simNode) bool { return other != n })
+}
+
+// ranked returns the addresses of the nodes of some ranks that match.
+func (s *system) ranked(from, to int, match func(*simNode) bool) []netip.AddrPort {
 	var addrs []netip.AddrPort
-	for _, other := range s.nodes[:simDomains*simReaders] {
-		if other != n {
-			addrs = append(addrs, other.addr)
+	for _, n := range s.nodes[from*simDomains : min(to*simDomains, len(s.nodes))] {
+		if match(n) {
+			addrs = append(addrs, n.addr)
 		}
 	}
 	return addrs
@@ -148,7 +161,7 @@
 			switch {
 			case n.topic.Relayed():
 				return 0
-			case n.isReader:
+			case n.isReader():
 				return intervals.ConfigWait(intervals.MaxMeshNodes, simRevoke)
 			}
 			return intervals.ConfigWait(len(s.nodes), simRevoke)
@@ -163,6 +176,17 @@
 	_ = f.Run(ctx)
 }
 
+// start starts all nodes, one after the other within some seconds.
+func (s *system) start(ctx context.Context) {
+	for i, n := range s.nodes {
+		go func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			s.run(ctx, n)
+		}()
+	}
+	time.Sleep(15 * time.Second)
+}
+
 // oldest returns the greatest age of the copies of the nodes that match, and the offset of the oldest of
 // their newest records.
 func (s *system) oldest(match func(i int) bool) (age time.Duration, version int64) {
@@ -176,57 +200,130 @@
 	return age, version
 }
 
+// storm is a series of changes while the store rejects the calls of some nodes. Times are counted from the
+// first change.
+type storm struct {
+	changes      int
+	interval     time.Duration
+	rejectedFrom time.Duration
+	rejectedFor  time.Duration
+	rejected     func(n *simNode) bool
+}
+
+// stormResult is the worst that was seen during a storm and for some time after it.
+type stormResult struct {
+	age  time.Duration // of a configuration, at a node that the store serves
+	late time.Duration // from a change until it was in force at all nodes that the store serves
+	// rejectedLate is the time from a change until it was in force at all nodes.
+	rejectedLate time.Duration
+	wentBack     bool // the proof of a copy's age went back
+}
+
+// play carries out a storm and observes the nodes until the given time after its first change.
+func (s *system) play(storm *storm, until time.Duration) (result stormResult) {
+	began := time.Now()
+	var writtenAt []time.Time
+	sinceFirst := func(version int64) time.Duration {
+		if int(version) >= len(writtenAt) {
+			return 0
+		}
+		return time.Since(writtenAt[version])
+	}
+	for time.Since(began) < until {
+		elapsed := time.Since(began)
+		if len(writtenAt) < storm.changes && elapsed >= time.Duration(len(writtenAt))*storm.interval {
+			writtenAt = append(writtenAt, time.Now())
+			s.store.write(configValue(len(writtenAt)))
+		}
+		rejects := elapsed >= storm.rejectedFrom && elapsed < storm.rejectedFrom+storm.rejectedFor
+		for _, n := range s.nodes {
+			n.store.setRejected(rejects && storm.rejected(n))
+			age, version := n.state()
+			result.rejectedLate = max(result.rejectedLate, sinceFirst(version))
+			if !storm.rejected(n) {
+				result.age, result.late = max(result.age, age), max(result.late, sinceFirst(version))
+			}
+			result.wentBack = result.wentBack || n.wentBack
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return result
+}
+
+const (
+	// staleLimit is the age of a configuration from which on a node refuses all requests.
+	staleLimit = simRevoke - 300*time.Millisecond
+	// applyLimit is the time within which a change must be in force.
+	applyLimit = 5 * time.Second
+)
+
+// inVirtualTime runs a test of a system of nodes that have started.
+func inVirtualTime(t *testing.T, nodes int, test func(t *testing.T, s *system)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		s := newSystem(nodes, 0.03)
+		s.store.write(configValue(0))
+		s.start(ctx)
+		test(t, s)
+	})
+}
+
+// third matches a third of the nodes.
+func third(n *simNode) bool { return (n.domain+n.rank)%3 == 1 }
+
 // TestStormOfLongConfigurations checks that nodes which the store serves keep current configurations during
 // a series of changes while the store rejects the calls of a third of them, and that all nodes have the
 // newest one soon after that.
 func TestStormOfLongConfigurations(t *testing.T) {
-	const (
-		staleLimit = simRevoke - 300*time.Millisecond // from then on a node refuses all requests
-		applyLimit = 5 * time.Second
-	)
 	for _, nodes := range []int{295, 985} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, stop := context.WithCancel(t.Context())
-				defer synctest.Wait()
-				defer stop()
-				s := newSystem(nodes, 0.03)
-				s.store.write(configValue(0))
-				for i, n := range s.nodes {
-					go func() {
-						time.Sleep(time.Duration(i) * 5 * time.Millisecond)
-						s.run(ctx, n)
-					}()
-				}
-				time.Sleep(15 * time.Second)
-				rejected := func(i int) bool { return i%3 == 1 }
-				served := func(i int) bool { return !rejected(i) }
-				began := time.Now()
-				var writtenAt []time.Time
-				worst, late := time.Duration(0), time.Duration(0)
-				for time.Since(began) < 25*time.Second {
-					elapsed := time.Since(began)
-					if elapsed < 6650*time.Millisecond && elapsed >= time.Duration(len(writtenAt))*330*time.Millisecond {
-						writtenAt = append(writtenAt, time.Now())
-						s.store.write(configValue(len(writtenAt)))
-					}
-					for i, n := range s.nodes {
-						n.store.setRejected(rejected(i) && elapsed >= 1500*time.Millisecond && elapsed < 10500*time.Millisecond)
-					}
-					age, version := s.oldest(served)
-					worst = max(worst, age)
-					if int(version) < len(writtenAt) {
-						late = max(late, time.Since(writtenAt[version]))
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
-				test.Less(t, applyLimit, late, test.Sprint("time until a version was in force at a node that the store serves"))
-				test.Less(t, staleLimit, worst, test.Sprint("age of a configuration at a node that the store serves"))
+			inVirtualTime(t, nodes, func(t *testing.T, s *system) {
+				storm := storm{changes: 21, interval: 330 * time.Millisecond, rejectedFrom: 1500 * time.Millisecond, rejectedFor: 9 * time.Second, rejected: third}
+				before := s.store.bytes
+				r := s.play(&storm, 25*time.Second)
+				test.Less(t, applyLimit, r.late, test.Sprint("time until a version was in force at a node that the store serves"))
+				test.Less(t, applyLimit, r.rejectedLate, test.Sprint("time until a version was in force at all nodes"))
+				test.Less(t, staleLimit, r.age, test.Sprint("age of a configuration at a node that the store serves"))
+				test.False(t, r.wentBack)
 				age, version := s.oldest(func(int) bool { return true })
 				test.Less(t, staleLimit, age, test.Sprint("age after all"))
-				test.Eq(t, int64(len(writtenAt)), version)
-				t.Logf("worst age %v, version late by %v, %d reads and %d MB of the store, %d MB of responses between nodes", worst, late, s.store.reads, s.store.bytes>>20, s.network.bytes>>20)
+				test.Eq(t, storm.changes, int(version))
+				test.Less(t, len(s.store.records)*simDomains*(simReaders+simStandbys)*len(configValue(0)), s.store.bytes-before, test.Sprint("bytes read from the store: only readers and standbys read changes"))
+				t.Logf("%+v, %d reads of the store, %d MB, of which %d after the start; %d MB of responses between nodes", r, s.store.reads, s.store.bytes>>20, (s.store.bytes-before)>>20, s.network.bytes>>20)
 			})
 		})
 	}
 }
+
+// TestNodesRejectedByStore checks that nodes which the store serves keep current configurations whichever nodes
+// it rejects, and for how long.
+func TestNodesRejectedByStore(t *testing.T) {
+	for name, rejected := range map[string]func(n *simNode) bool{
+		"an ordinary node":              func(n *simNode) bool { return n.domain == 1 && n.rank == 20 },
+		"one reader":                    func(n *simNode) bool { return n.domain == 1 && n.rank == 0 },
+		"the readers of a domain":       func(n *simNode) bool { return n.domain == 1 && n.isReader() },
+		"all readers":                   (*simNode).isReader,
+		"all readers and some standbys": func(n *simNode) bool { return n.rank < simReaders+simStandbys-1 },
+		"readers and standbys":          func(n *simNode) bool { return n.rank < simReaders+simStandbys },
+		"a domain":                      func(n *simNode) bool { return n.domain == 1 },
+		"all but readers":               func(n *simNode) bool { return !n.isReader() },
+	} {
+		for _, lasts := range []time.Duration{2 * time.Second, 9 * time.Second, 30 * time.Second} {
+			t.Run(fmt.Sprint(name, " for ", lasts), func(t *testing.T) {
+				inVirtualTime(t, 105, func(t *testing.T, s *system) {
+					storm := storm{changes: 6, interval: 330 * time.Millisecond, rejectedFrom: time.Second, rejectedFor: lasts, rejected: rejected}
+					r := s.play(&storm, lasts+8*time.Second)
+					test.Less(t, applyLimit, r.late, test.Sprint("time until a version was in force at a node that the store serves"))
+					test.Less(t, staleLimit, r.age, test.Sprint("age of a configuration at a node that the store serves"))
+					test.False(t, r.wentBack)
+					age, version := s.oldest(func(int) bool { return true })
+					test.Less(t, staleLimit, age, test.Sprint("age after all"))
+					test.Eq(t, storm.changes, int(version))
+				})
+			})
+		}
+	}
+}
