--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -313,6 +313,7 @@
 	} {
 		for _, lasts := range []time.Duration{2 * time.Second, 9 * time.Second, 30 * time.Second} {
 			t.Run(fmt.Sprint(name, " for ", lasts), func(t *testing.T) {
+				t.Parallel()
 				inVirtualTime(t, 105, func(t *testing.T, s *system) {
 					storm := storm{changes: 6, interval: 330 * time.Millisecond, rejectedFrom: time.Second, rejectedFor: lasts, rejected: rejected}
 					r := s.play(&storm, lasts+8*time.Second)
