Relay tests: all nodes start at the same moment, in virtual time

Each reads the list of nodes from the store first (260 bytes a node, base64 included), then the configuration from the listed readers.

--- a/internal/relay/network_test.go
+++ b/internal/relay/network_test.go
@@ -159,9 +159,40 @@
 type simStoreTopic struct {
 	store    *simStore
 	link     int // bytes per second
-	timeout  time.Duration
 	mu       sync.Mutex
 	rejected bool // the store rejects this node's calls
+	refused  bool // the store refused a call of this node because of its load
+}
+
+const (
+	// simTimeout is the time within which a response must arrive, and simQueueTime how long the store may let
+	// one wait. Both are as in package platform.
+	simTimeout   = 700 * time.Millisecond
+	simQueueTime = 2 * time.Second
+)
+
+var errBusyStore = errors.New("try later")
+
+// timeout returns the time within which the newest records must arrive.
+func (t *simStoreTopic) timeout() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.refused {
+		return simTimeout + simQueueTime
+	}
+	return simTimeout
+}
+
+// list reads bytes of another topic, as the list of nodes, until that succeeds.
+func (t *simStoreTopic) list(ctx context.Context, bytes int) {
+	value := make([]byte, bytes)
+	for delay := 250 * time.Millisecond; ctx.Err() == nil; delay = min(2*delay, time.Second) {
+		_, err := t.call(ctx, t.timeout(), func() []follow.Record { return []follow.Record{{Value: value}} })
+		if err == nil {
+			return
+		}
+		sleep(ctx, delay)
+	}
 }
 
 var (
@@ -178,7 +209,7 @@
 
 // Newest implements follow.Topic.
 func (t *simStoreTopic) Newest(ctx context.Context) (follow.Page, error) {
-	return t.call(ctx, t.timeout, func() []follow.Record {
+	return t.call(ctx, t.timeout(), func() []follow.Record {
 		all := t.store.records
 		return all[max(len(all)-1, 0):]
 	})
@@ -202,7 +233,7 @@
 			wait = 0
 		}
 	}
-	return t.call(ctx, t.timeout, func() []follow.Record { return t.store.records[min(int(from), len(t.store.records)):] })
+	return t.call(ctx, simTimeout, func() []follow.Record { return t.store.records[min(int(from), len(t.store.records)):] })
 }
 
 // call transfers records. A response that takes longer than the timeout is lost, though the store has sent
@@ -220,10 +251,18 @@
 	next := int64(len(t.store.records))
 	bytes := 100 + valueBytes(records)
 	t.store.reads++
-	t.store.bytes += bytes
 	if now := time.Now(); t.store.busyUntil.Before(now) {
 		t.store.busyUntil = now
 	}
+	if time.Until(t.store.busyUntil) > simQueueTime {
+		t.store.mu.Unlock()
+		t.mu.Lock()
+		t.refused = true
+		t.mu.Unlock()
+		sleep(ctx, simDelay)
+		return follow.Page{}, errBusyStore
+	}
+	t.store.bytes += bytes
 	t.store.busyUntil = t.store.busyUntil.Add(time.Duration(bytes) * time.Second / time.Duration(t.store.rate))
 	took := time.Until(t.store.busyUntil) + time.Duration(bytes)*time.Second/time.Duration(t.link) + 2*simDelay
 	t.store.mu.Unlock()
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/hex"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -20,6 +21,9 @@
 	"github.com/cherryward/cherryward/internal/intervals"
 )
 
+// simNodes is the number of nodes of the largest simulated system.
+var simNodes = flag.Int("sim-nodes", 985, "number of nodes of the largest simulated system")
+
 // configValue returns a version of a configuration of some 100 KB, of which some 22 KB remain when it is
 // compressed. Versions differ in a few bytes.
 func configValue(version int) []byte {
@@ -51,7 +55,7 @@
 	topic  *Topic
 
 	mu          sync.Mutex
-	version     int64 // offset of the newest record
+	version     int64 // offset of the newest record; -1 if none
 	confirmedAt time.Time
 	wentBack    bool
 }
@@ -87,20 +91,21 @@
 	simStandbys = 4
 	simLink     = 2_500_000 // bytes per second of a small host
 	simRevoke   = 5 * time.Second
-	simTimeout  = 700 * time.Millisecond // of a call to the store
-	storeEgress = 80_000_000             // bytes per second
+	storeEgress = 80_000_000 // bytes per second
+	// listedBytes is the size of a node in the list of nodes, as the store sends it.
+	listedBytes = 260
 )
 
 func newSystem(count int, loss float64) *system {
 	s := &system{network: newSimNetwork(loss), store: newSimStore(storeEgress)}
 	for i := range count {
-		n := &simNode{domain: i % simDomains, rank: i / simDomains, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % simDomains), byte(i >> 8), byte(i)}), 7700)}
+		n := &simNode{version: -1, domain: i % simDomains, rank: i / simDomains, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % simDomains), byte(i >> 8), byte(i)}), 7700)}
 		link := simLink
 		if n.isReader() {
 			link = 50 * simLink
 		}
 		n.conn = s.network.connect(n.addr, intervals.AnswerRate(link))
-		n.store = &simStoreTopic{store: s.store, link: link, timeout: simTimeout}
+		n.store = &simStoreTopic{store: s.store, link: link}
 		n.topic = s.newTopic(n, i)
 		s.nodes = append(s.nodes, n)
 	}
@@ -278,7 +283,7 @@
 // a series of changes while the store rejects the calls of a third of them, and that all nodes have the
 // newest one soon after that.
 func TestStormOfLongConfigurations(t *testing.T) {
-	for _, nodes := range []int{295, 985} {
+	for _, nodes := range []int{295, *simNodes} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			inVirtualTime(t, nodes, func(t *testing.T, s *system) {
 				storm := storm{changes: 21, interval: 330 * time.Millisecond, rejectedFrom: 1500 * time.Millisecond, rejectedFor: 9 * time.Second, rejected: third}
@@ -288,7 +293,7 @@
 				test.Less(t, applyLimit, r.rejectedLate, test.Sprint("time until a version was in force at all nodes"))
 				test.Less(t, staleLimit, r.age, test.Sprint("age of a configuration at a node that the store serves"))
 				test.False(t, r.wentBack)
-				age, version := s.oldest(func(int) bool { return true })
+				age, version := s.oldest(all)
 				test.Less(t, staleLimit, age, test.Sprint("age after all"))
 				test.Eq(t, storm.changes, int(version))
 				test.Less(t, len(s.store.records)*simDomains*(simReaders+simStandbys)*len(configValue(0)), s.store.bytes-before, test.Sprint("bytes read from the store: only readers and standbys read changes"))
@@ -320,7 +325,7 @@
 					test.Less(t, applyLimit, r.late, test.Sprint("time until a version was in force at a node that the store serves"))
 					test.Less(t, staleLimit, r.age, test.Sprint("age of a configuration at a node that the store serves"))
 					test.False(t, r.wentBack)
-					age, version := s.oldest(func(int) bool { return true })
+					age, version := s.oldest(all)
 					test.Less(t, staleLimit, age, test.Sprint("age after all"))
 					test.Eq(t, storm.changes, int(version))
 				})
@@ -328,3 +333,44 @@
 		}
 	}
 }
+
+// TestAllNodesStartTogether checks that all nodes of a large system have the configuration soon after they start
+// at the same moment, as after a loss of power, though each reads the list of nodes from the store first, which
+// takes more than the store sends in the time of a call.
+func TestAllNodesStartTogether(t *testing.T) {
+	const recoverLimit = 18 * time.Second
+	for _, nodes := range []int{295, *simNodes} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				s := newSystem(nodes, 0.03)
+				for version := range 20 {
+					s.store.write(configValue(version))
+				}
+				began := time.Now()
+				for i, n := range s.nodes {
+					n.topic.Candidates = func() []netip.AddrPort { return s.readersOf(n) }
+					n.topic.MayReadAll = func() bool { return n.isReader() || time.Since(began) > 2*time.Second }
+					go func() {
+						time.Sleep(time.Duration(i) * 300 * time.Millisecond / time.Duration(nodes))
+						n.store.list(ctx, nodes*listedBytes)
+						s.run(ctx, n)
+					}()
+				}
+				for age, version := s.oldest(all); version < 19 || age > staleLimit; age, version = s.oldest(all) {
+					if time.Since(began) > recoverLimit {
+						t.Fatal("a node has no configuration")
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				t.Logf("all have it after %v; the store was read %d times and sent %d MB", time.Since(began), s.store.reads, s.store.bytes>>20)
+			})
+		})
+	}
+}
+
+// all matches all nodes.
+func all(int) bool { return true }
