Datagram: a notification that is too long for one datagram leaves a log line

Messages whose size grows with the system were dropped without a word at the usual log level, as long configurations were: a collector's message and orders of weights are known to outgrow a datagram (docs/CAPACITY.md). One line in 10 s for each method. Nothing else changes.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -48,6 +48,7 @@
 	mu      sync.Mutex
 	nextID  uint64
 	pending map[uint64]*call // by request ID
+	tooLong map[string]time.Time
 }
 
 // call is a call in flight.
@@ -75,7 +76,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peer datagrams")
 	}
-	return &Conn{udp: udp, log: log, handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call)}, nil
+	return &Conn{udp: udp, log: log, handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call), tooLong: make(map[string]time.Time)}, nil
 }
 
 // Addr returns the address that peers send to.
@@ -230,6 +231,10 @@
 		c.log.Error().Str("event", "datagram_unsent").Str("method", method).Err(err).Send()
 		return 0
 	}
+	if len(data) > MaxBytes {
+		c.logTooLong(method, len(data), len(peers))
+		return len(peers) * (len(data) + headerBytes)
+	}
 	for _, peer := range peers {
 		if err := c.write(data, peer); err != nil {
 			c.log.Debug().Str("event", "datagram_unsent").Stringer("to", peer).Err(err).Send()
