Relay: nodes that are gone delay a read of the store by half a second at most

A node that spares the store asks up to four standbys and four backups; those that are gone don't respond, 150 ms each. After 400 ms it goes on to the store.

--- a/internal/relay/others.go
+++ b/internal/relay/others.go
@@ -9,8 +9,13 @@
 	"github.com/cherryward/cherryward/internal/follow"
 )
 
-// maxOthers is the maximum number of standbys, and of backups, that one read asks.
-const maxOthers = 4
+const (
+	// maxOthers is the maximum number of standbys, and of backups, that one read asks.
+	maxOthers = 4
+	// othersTimeout is the time after which a read asks no further standby or backup. Nodes that are gone
+	// don't respond, and the store is to be read soon then.
+	othersTimeout = 400 * time.Millisecond
+)
 
 // sparesStore reports whether the store is read only if no other node has the topic.
 func (t *Topic) sparesStore() bool { return t.SparesStore != nil && t.SparesStore() }
@@ -31,8 +36,12 @@
 	if errors.Is(cause, ErrUnknown) {
 		return follow.Page{}, follow.ErrCompacted
 	}
+	began := time.Now()
 	for _, others := range t.others() {
 		for range min(len(others), maxOthers) {
+			if time.Since(began) > othersTimeout {
+				return follow.Page{}, cause
+			}
 			page, err := t.readFromCurrent(ctx, follow.SourceBackup, others, from)
 			if err == nil {
 				return page, nil
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -374,3 +374,24 @@
 
 // all matches all nodes.
 func all(int) bool { return true }
+
+// TestStoreIsReadSoonIfNodesAreGone checks that a node whose readers, standbys and backups don't respond reads the
+// store within a second.
+func TestStoreIsReadSoonIfNodesAreGone(t *testing.T) {
+	inVirtualTime(t, 105, func(t *testing.T, s *system) {
+		for _, n := range s.nodes[:simDomains*(simReaders+simStandbys)] {
+			n.conn.mu.Lock()
+			n.conn.down = true
+			n.conn.mu.Unlock()
+		}
+		s.store.write(configValue(1))
+		time.Sleep(2 * time.Second)
+		late := 0
+		for _, n := range s.nodes[simDomains*(simReaders+simStandbys):] {
+			if _, version := n.state(); version != 1 {
+				late++
+			}
+		}
+		test.Eq(t, 0, late)
+	})
+}
