--- a/internal/gateway/role_test.go
+++ b/internal/gateway/role_test.go
@@ -116,3 +116,64 @@
 		test.SliceEmpty(t, r.rootReaders(), test.Sprint(name, ": a small system"))
 	}
 }
+
+// TestStoreStandbys checks that of a domain of a large system two nodes read the store, four read it in place of
+// these, and the others leave it to them, in a small one none, and that standbys replace lost nodes.
+func TestStoreStandbys(t *testing.T) {
+	lost := make(map[string]bool)
+	for range 3 {
+		readers, standbys := 0, 0
+		asked := make(map[netip.AddrPort]bool)
+		last := ""
+		for name, r := range rostersOf(t, 60, lost) {
+			addrs, isStandby := r.standbys()
+			for _, addr := range addrs {
+				asked[addr] = true
+			}
+			if _, isReader := r.readers(); isReader {
+				readers++
+				last = name
+				test.False(t, isStandby)
+			}
+			if isStandby {
+				standbys++
+				test.Len(t, storeStandbys-1, addrs)
+			}
+		}
+		test.Eq(t, domainReaders, readers)
+		test.Eq(t, storeStandbys, standbys)
+		test.MapLen(t, storeStandbys, asked)
+		lost[last] = true
+	}
+}
+
+// TestWhoReadsStore checks which nodes spare the store, and from where a node that starts may read the
+// configuration, depending on what it knows of the others and on its age.
+func TestWhoReadsStore(t *testing.T) {
+	spare := make(map[int]int)
+	for _, nodes := range []int{7, 60} {
+		for name, r := range rostersOf(t, nodes, nil) {
+			n := &Node{roster: r, peers: &peerload.Exchange{Table: peerload.NewTable()}}
+			boot := testBoot(t)
+			boot.Name = name
+			n.boot.Store(boot)
+			if n.sparesStore() {
+				spare[nodes]++
+			}
+			n.started = n.clock.Now()
+			test.Eq(t, nodes == 7 || r.readerCandidate(), n.mayReadConfig(), test.Sprint(name, " of ", nodes))
+			n.started = n.clock.Now().Add(-configTimeout - maxConfigStagger)
+			test.True(t, n.mayReadConfig())
+			test.Eq(t, nodes == 7, len(r.listedReaders()) == 0)
+		}
+	}
+	test.Eq(t, map[int]int{60: 60 - domainReaders - storeStandbys}, spare)
+
+	starting := &Node{roster: newRoster("n", nodeEntry{}, noTopic{}, nil, nil, zerolog.Nop())}
+	starting.boot.Store(testBoot(t))
+	starting.started = starting.clock.Now()
+	test.False(t, starting.mayReadConfig(), test.Sprint("the list of nodes comes first"))
+	test.True(t, starting.mayReadNodes())
+	starting.started = starting.clock.Now().Add(-2 * listTimeout)
+	test.True(t, starting.mayReadConfig())
+}
