--- a/internal/relay/long.go
+++ b/internal/relay/long.go
@@ -7,7 +7,6 @@
 	"errors"
 	"slices"
 
-	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/internal/follow"
@@ -28,8 +27,6 @@
 	maxVersions = 3
 	// noBase is the base of data that was encoded without an earlier version.
 	noBase = -1
-	// patchDictionary identifies the earlier version in encoded data.
-	patchDictionary = 1
 )
 
 // errReplaced is returned for a part of a version that the copy no longer has.
@@ -98,41 +95,6 @@
 	return base64.StdEncoding.EncodedLen(len(l.Digest)+len(l.Data)) + recordOverhead
 }
 
-// encodeValue compresses a value. If base is not nil, the result is small if value differs little from
-// base, and base is needed to decode it.
-func encodeValue(value, base []byte) (*encodedValue, error) {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(false)}
-	if base != nil {
-		options = append(options, zstd.WithEncoderDictRaw(patchDictionary, base))
-	}
-	encoder, err := zstd.NewWriter(nil, options...)
-	if err != nil {
-		return nil, eris.Wrap(err, "compress value")
-	}
-	return &encodedValue{digest: sha256.Sum256(value), data: encoder.EncodeAll(value, nil)}, nil
-}
-
-// decodeValue is the inverse of encodeValue. It fails if the result does not have the digest.
-func decodeValue(data, base, digest []byte) ([]byte, error) {
-	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxValueBytes)}
-	if base != nil {
-		options = append(options, zstd.WithDecoderDictRaw(patchDictionary, base))
-	}
-	decoder, err := zstd.NewReader(nil, options...)
-	if err != nil {
-		return nil, eris.Wrap(err, "decompress value")
-	}
-	defer decoder.Close()
-	value, err := decoder.DecodeAll(data, nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "decompress value")
-	}
-	if sum := sha256.Sum256(value); !slices.Equal(sum[:], digest) {
-		return nil, eris.New("decompressed value does not have the digest of the record")
-	}
-	return value, nil
-}
-
 // longRecord holds what a copy keeps of a long record besides its newest version.
 type longRecord struct {
 	earlier []follow.Record // oldest first
--- a/internal/relay/longread.go
+++ b/internal/relay/longread.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net/netip"
@@ -94,7 +93,7 @@
 // readRecordPart requests a part, again if the response is lost or the node is busy.
 func (t *Topic) readRecordPart(ctx context.Context, reader netip.AddrPort, request partRequest) (response partResponse, err error) {
 	for range chunkAttempts {
-		if response, err = t.callPart(ctx, reader, request); err == nil || ctx.Err() != nil {
+		if err = t.call(ctx, reader, methodPart, request, &response); err == nil || ctx.Err() != nil {
 			return response, err
 		}
 		var rpcErr *jsonrpc2.Error
@@ -107,10 +106,3 @@
 	}
 	return response, err
 }
-
-func (t *Topic) callPart(ctx context.Context, reader netip.AddrPort, request partRequest) (response partResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
-	defer cancel()
-	err = t.Relay.conn.Call(ctx, reader, methodPart, request, &response)
-	return response, err
-}
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"compress/flate"
 	"context"
 	"encoding/binary"
@@ -267,7 +266,7 @@
 // readPart reads one part of a snapshot, again if the response does not arrive or the node is busy.
 func (t *Topic) readPart(ctx context.Context, reader netip.AddrPort, request snapshotRequest) (response snapshotResponse, err error) {
 	for range chunkAttempts {
-		if response, err = t.callSnapshot(ctx, reader, request); err == nil || ctx.Err() != nil {
+		if err = t.call(ctx, reader, methodSnapshot, request, &response); err == nil || ctx.Err() != nil {
 			return response, err
 		}
 		var rpcErr *jsonrpc2.Error
@@ -280,10 +279,3 @@
 	}
 	return response, err
 }
-
-func (t *Topic) callSnapshot(ctx context.Context, reader netip.AddrPort, request snapshotRequest) (response snapshotResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
-	defer cancel()
-	err = t.Relay.conn.Call(ctx, reader, methodSnapshot, request, &response)
-	return response, err
-}
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -258,10 +258,8 @@
 }
 
 func (t *Topic) callRecords(ctx context.Context, reader netip.AddrPort, from int64) (r recordsResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
-	defer cancel()
 	request := recordsRequest{Topic: t.Name, From: from, Long: true, Held: t.heldRecords()}
-	err = t.Relay.conn.Call(ctx, reader, methodRecords, request, &r)
+	err = t.call(ctx, reader, methodRecords, request, &r)
 	var rpcErr *jsonrpc2.Error
 	if errors.As(err, &rpcErr) {
 		// The node is available but does not have the records, for example because the topic was
@@ -270,3 +268,10 @@
 	}
 	return r, err
 }
+
+// call calls a method of a node within the time of a request.
+func (t *Topic) call(ctx context.Context, node netip.AddrPort, method string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
+	defer cancel()
+	return t.Relay.conn.Call(ctx, node, method, request, response)
+}
