--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -27,8 +27,8 @@
 // headerBytes is the length of the IPv4 and UDP headers together.
 const headerBytes = 28
 
-// errBusy is returned to a caller instead of a response that exceeds the rate limit.
-var errBusy = errors.New("datagram: the answers of this second are given")
+// ErrBusy is the error whose text a caller receives instead of a response that exceeds the rate limit.
+var ErrBusy = errors.New("datagram: the answers of this second are given")
 
 // Handler handles calls of one method. It must not block, since messages are handled
 // sequentially. The result is discarded if the message is a notification.
@@ -185,7 +185,7 @@
 		return eris.Wrap(err, "encode a response")
 	}
 	if resp.Error == nil && c.limiter != nil && !c.limiter.AllowN(time.Now(), len(data)) {
-		return errBusy
+		return ErrBusy
 	}
 	return c.write(data, to)
 }
--- a/internal/relay/others.go
+++ b/internal/relay/others.go
@@ -29,28 +29,43 @@
 }
 
 // readFromOthers reads from the standbys for the readers, and from some backups, after the readers failed with
-// cause. If those that responded lack changes since the offset, it fails with follow.ErrCompacted, so that all
-// records are read anew from another node: reading them from the store would take a multiple of its rate if
-// all nodes of a large system did it. If none has the topic, it returns cause.
+// cause. If all nodes that responded lack changes since the offset, it fails with follow.ErrCompacted, so that
+// all records are read anew from another node: reading them from the store would take a multiple of its rate if
+// all nodes of a large system did it. Otherwise it returns the most telling cause.
 func (t *Topic) readFromOthers(ctx context.Context, from int64, cause error) (follow.Page, error) {
-	if errors.Is(cause, ErrUnknown) {
-		return follow.Page{}, follow.ErrCompacted
-	}
 	began := time.Now()
 	for _, others := range t.others() {
 		for range min(len(others), maxOthers) {
 			if time.Since(began) > othersTimeout {
-				return follow.Page{}, cause
+				break
 			}
 			page, err := t.readFromCurrent(ctx, follow.SourceBackup, others, from)
 			if err == nil {
 				return page, nil
 			}
+			cause = moreTelling(cause, err)
 		}
 	}
+	if errors.Is(cause, ErrUnknown) {
+		return follow.Page{}, follow.ErrCompacted
+	}
 	return follow.Page{}, cause
 }
 
+// moreTelling returns the error of two failed reads that tells more of the topic: that a copy is too old rather
+// than that it lacks the records, and either rather than that a node didn't respond. a may be nil.
+func moreTelling(a, b error) error {
+	for _, telling := range []error{errStale, ErrUnknown} {
+		if errors.Is(a, telling) {
+			return a
+		}
+		if errors.Is(b, telling) {
+			return b
+		}
+	}
+	return b
+}
+
 // others returns the groups of nodes that are asked after the readers.
 func (t *Topic) others() [][]netip.AddrPort {
 	if !t.sparesStore() {
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -199,37 +199,47 @@
 	return data[n:end:end], data[end:], true
 }
 
-// allFromReaders returns all records that another node's copy holds, from the first reader that has
-// them, or from a standby or backup if this node spares the store. If from is not 0, the removed keys since
-// that offset are among them. It fails if no node has them.
-func (t *Topic) allFromReaders(ctx context.Context, from int64) (follow.Page, error) {
+// allFromReaders returns all records that another node's copy holds, from the first reader whose copy is
+// recent, or from a standby or backup if this node spares the store. If from is not 0, the removed keys since
+// that offset are among them. If from is 0 and no copy is recent, it returns the records of one that isn't. It
+// fails if no node has them.
+func (t *Topic) allFromReaders(ctx context.Context, from int64) (page follow.Page, err error) {
 	readers := t.Readers()
 	if len(readers) == 0 {
 		readers = callIfSet(t.Candidates)
 	}
-	page, err := t.allFrom(ctx, follow.SourceReader, readers, from)
+	page, err = t.allFrom(ctx, follow.SourceReader, readers, from)
 	for _, others := range t.others() {
-		if err == nil {
+		if err == nil && page.Age < t.maxAge() {
 			break
 		}
-		page, err = t.allFrom(ctx, follow.SourceBackup, others, from)
+		other, otherErr := t.allFrom(ctx, follow.SourceBackup, others, from)
+		if otherErr == nil && (err != nil || other.Age < page.Age) {
+			page, err = other, nil
+		}
+	}
+	if err == nil && from != 0 && page.Age >= t.maxAge() {
+		return follow.Page{}, eris.Wrapf(errStale, "age of snapshot %v", page.Age)
 	}
 	return page, err
 }
 
-// allFrom returns all records of the first of some nodes that has them.
-func (t *Topic) allFrom(ctx context.Context, kind follow.SourceKind, nodes []netip.AddrPort, from int64) (follow.Page, error) {
-	err := error(ErrUnknown)
+// allFrom returns all records of the first of some nodes whose copy is recent, or else those of the most recent
+// copy.
+func (t *Topic) allFrom(ctx context.Context, kind follow.SourceKind, nodes []netip.AddrPort, from int64) (best follow.Page, err error) {
+	err = ErrUnknown
 	for range min(len(nodes), maxOthers) {
 		source := follow.Source{Kind: kind, Node: t.preferred(nodes)}
-		var page follow.Page
-		page, err = t.observe(source, func() (follow.Page, error) { return t.readSnapshot(ctx, source.Node, from) })
-		if err == nil {
-			return page, nil
+		page, readErr := t.observe(source, func() (follow.Page, error) { return t.readSnapshot(ctx, source.Node, from) })
+		if readErr == nil && (err != nil || page.Age < best.Age) {
+			best, err = page, nil
+		}
+		if err == nil && best.Age < t.maxAge() {
+			return best, nil
 		}
 		t.failures++
 	}
-	return follow.Page{}, err
+	return best, err
 }
 
 // readSnapshot reads a snapshot from one node. Its age is that of the first part, which the node
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -164,9 +164,11 @@
 		return t.readFromCurrent(ctx, follow.SourceReader, readers, from)
 	}
 	for range readers {
-		if page, err = t.readFromCurrent(ctx, follow.SourceReader, readers, from); err == nil {
+		page, readErr := t.readFromCurrent(ctx, follow.SourceReader, readers, from)
+		if readErr == nil {
 			return page, nil
 		}
+		err = moreTelling(err, readErr)
 	}
 	if errors.Is(err, ErrUnknown) && t.MayReadAll != nil {
 		return t.allFromReaders(ctx, from)
@@ -261,7 +263,11 @@
 	request := recordsRequest{Topic: t.Name, From: from, Long: true, Held: t.heldRecords()}
 	err = t.call(ctx, reader, methodRecords, request, &r)
 	var rpcErr *jsonrpc2.Error
-	if errors.As(err, &rpcErr) {
+	switch {
+	case !errors.As(err, &rpcErr):
+	case rpcErr.Message == datagram.ErrBusy.Error():
+		err = datagram.ErrBusy
+	default:
 		// The node is available but does not have the records, for example because the topic was
 		// compacted, or it is of a build that sends long records in one message only.
 		err = eris.Wrap(ErrUnknown, rpcErr.Message)
