--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -114,15 +114,19 @@
 	if newest != nil && c.Clock.Since(newest.madeAt) < snapshotLifetime {
 		return newest, nil
 	}
+	made := &snapshot{first: c.firstOffset, next: c.next, confirmedAt: c.confirmedAt, madeAt: c.Clock.Now()}
+	if newest != nil && newest.next == made.next {
+		// Encoded anew it would have other parts, which a node would join with those that it has.
+		made.data = newest.data
+		c.snapshots[0] = made
+		return made, nil
+	}
 	data, err := encodeSnapshot(c.latest, c.next)
 	if err != nil {
 		return nil, err
 	}
-	made := &snapshot{first: c.firstOffset, next: c.next, confirmedAt: c.confirmedAt, madeAt: c.Clock.Now(), data: data}
-	if newest != nil && newest.next != made.next {
-		c.snapshots[1] = newest
-	}
-	c.snapshots[0] = made
+	made.data = data
+	c.snapshots = [2]*snapshot{made, newest}
 	return made, nil
 }
 
--- a/internal/relay/snapshot_test.go
+++ b/internal/relay/snapshot_test.go
@@ -247,3 +247,21 @@
 	must.NoError(t, err)
 	test.Eq(t, []follow.Record{record("b", "late", 12)}, page.Records)
 }
+
+// TestPartsOfSnapshotsAreNotJoined checks that the parts of a snapshot stay the same while the copy doesn't change,
+// though it is confirmed, and that its age is that of the newest confirmation.
+func TestPartsOfSnapshotsAreNotJoined(t *testing.T) {
+	c := largeCopy(500)
+	first, err := c.snapshotAt(0)
+	must.NoError(t, err)
+	data := first.data
+	for range 5 {
+		c.snapshots[0].madeAt = time.Now().Add(-snapshotLifetime)
+		now := time.Now()
+		c.Apply(follow.Batch{Next: c.next, ConfirmedAt: now})
+		again, err := c.snapshotAt(0)
+		must.NoError(t, err)
+		test.Eq(t, data, again.data)
+		test.True(t, again.confirmedAt.Equal(now))
+	}
+}
