--- a/internal/gateway/role_test.go
+++ b/internal/gateway/role_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
@@ -177,3 +178,14 @@
 	starting.started = starting.clock.Now().Add(-2 * listTimeout)
 	test.True(t, starting.mayReadConfig())
 }
+
+// TestStartWithoutListSparesStore checks that a node that has no list of nodes yet, as the store is busy with the
+// starts of all, doesn't take itself for a node of a small system, which reads everything from the store.
+func TestStartWithoutListSparesStore(t *testing.T) {
+	starting := &Node{roster: newRoster("n", nodeEntry{}, noTopic{}, nil, nil, zerolog.Nop())}
+	starting.boot.Store(testBoot(t))
+	starting.cacheTracker = &cacheTracker{node: starting}
+	starting.started = starting.clock.Now().Add(-3 * time.Second)
+	test.False(t, starting.mayReadConfig())
+	test.False(t, starting.mayReadRegistry())
+}
