--- a/internal/relay/network_test.go
+++ b/internal/relay/network_test.go
@@ -33,6 +33,13 @@
 	return &simNetwork{loss: loss, random: rand.New(rand.NewPCG(1, 2)), conns: make(map[netip.AddrPort]*simConn)}
 }
 
+// sentBytes returns the bytes of all responses.
+func (n *simNetwork) sentBytes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes
+}
+
 // lost reports whether the next message is lost.
 func (n *simNetwork) lost() bool {
 	n.mu.Lock()
@@ -155,6 +162,13 @@
 	s.changed = make(chan struct{})
 }
 
+// totals returns the number of records, of reads, and of the bytes sent.
+func (s *simStore) totals() (records, reads, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records), s.reads, s.bytes
+}
+
 // simStoreTopic is a node's view of the store.
 type simStoreTopic struct {
 	store    *simStore
