--- a/internal/relay/long.go
+++ b/internal/relay/long.go
@@ -188,15 +188,15 @@
 	return relayed, nil
 }
 
-// Held returns the long records of the copy.
-func (c *Copy) Held() []heldRecord {
+// held returns the long records of the copy.
+func (c *Copy) held() []heldRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var held []heldRecord
+	var records []heldRecord
 	for key := range c.longKeys {
-		held = append(held, heldRecord{Key: key, Offset: c.latest[key].Offset})
+		records = append(records, heldRecord{Key: key, Offset: c.latest[key].Offset})
 	}
-	return held
+	return records
 }
 
 // value returns the value of the newest version of a record if it is the one at an offset.
--- a/internal/relay/longread.go
+++ b/internal/relay/longread.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
-
-	"github.com/cherryward/cherryward/coord/retry"
 )
 
 // maxParts bounds the parts of a long value.
@@ -19,7 +16,7 @@
 	if t.Own == nil || t.requestWhole {
 		return nil
 	}
-	return t.Own.Held()
+	return t.Own.held()
 }
 
 // complete obtains the long values of a response from the node that sent it. If one can't be decoded, the
@@ -92,17 +89,8 @@
 
 // readRecordPart requests a part, again if the response is lost or the node is busy.
 func (t *Topic) readRecordPart(ctx context.Context, reader netip.AddrPort, request partRequest) (response partResponse, err error) {
-	for range chunkAttempts {
-		if err = t.call(ctx, reader, methodPart, request, &response); err == nil || ctx.Err() != nil {
-			return response, err
-		}
-		var rpcErr *jsonrpc2.Error
-		if errors.As(err, &rpcErr) {
-			if rpcErr.Message == errReplaced.Error() {
-				return response, errReplaced
-			}
-			retry.Sleep(ctx, snapshotRetry) // busy
-		}
-	}
+	err = t.callAgain(ctx, reader, methodPart, request, &response, func(refusal *jsonrpc2.Error) bool {
+		return refusal.Message == errReplaced.Error()
+	})
 	return response, err
 }
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/follow"
 )
 
@@ -279,17 +278,8 @@
 
 // readPart reads one part of a snapshot, again if the response does not arrive or the node is busy.
 func (t *Topic) readPart(ctx context.Context, reader netip.AddrPort, request snapshotRequest) (response snapshotResponse, err error) {
-	for range chunkAttempts {
-		if err = t.call(ctx, reader, methodSnapshot, request, &response); err == nil || ctx.Err() != nil {
-			return response, err
-		}
-		var rpcErr *jsonrpc2.Error
-		if errors.As(err, &rpcErr) {
-			if request.Part == 0 {
-				return response, err // the node has no records yet
-			}
-			retry.Sleep(ctx, snapshotRetry) // busy
-		}
-	}
+	err = t.callAgain(ctx, reader, methodSnapshot, request, &response, func(*jsonrpc2.Error) bool {
+		return request.Part == 0 // the node has no records yet
+	})
 	return response, err
 }
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -274,10 +274,3 @@
 	}
 	return r, err
 }
-
-// call calls a method of a node within the time of a request.
-func (t *Topic) call(ctx context.Context, node netip.AddrPort, method string, request, response any) error {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
-	defer cancel()
-	return t.Relay.conn.Call(ctx, node, method, request, response)
-}
