Forward: a refusal of a brittle endpoint leaves a line with what was known of it

Which of the hypotheses of docs/incidents/brittle-endpoints.md holds can't be told from the logs: no line says that a brittle endpoint refused a request. Now one does, with whether the node knew the word, for how long, and the requests there as far as known.

--- a/internal/forward/endpoint_signals.go
+++ b/internal/forward/endpoint_signals.go
@@ -38,6 +38,10 @@
 // room, or that it is no longer brittle, which only a signed success shows.
 func (x *exchange) recordBrittle(status int, info *AnswerInfo, m *fleet.Member, sent time.Time) {
 	now := x.Clock.Now()
+	known, wasKnown := m.Signals.Brittle()
+	if info.Brittle && info.NotRun && isRefusal(status) {
+		x.logBrittleRefusal(m, info, now.Sub(known.At), wasKnown)
+	}
 	switch {
 	case info.Brittle && m.Signals.SetBrittle(info.MaxRefusals, now):
 		x.Log.Info().Str("event", "endpoint_brittle").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Send()
@@ -49,6 +53,20 @@
 	}
 }
 
+// logBrittleRefusal logs what this node knew of a brittle endpoint that refused a request for want of room:
+// whether it is brittle, how long ago the endpoint last said so, and the requests there.
+func (x *exchange) logBrittleRefusal(m *fleet.Member, info *AnswerInfo, age time.Duration, known bool) {
+	event := x.Log.Warn().Str("event", "brittle_refusal").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Bool("known", known)
+	if known {
+		event = event.Int64("known_ms", age.Milliseconds())
+	}
+	event = event.Int("own", m.Load.Running()).Int("slots", m.Endpoint().Slots)
+	if p := x.placement; p != nil {
+		event = event.Int("running", p.SlotState.Running).Int("held", p.OccupiedTokens).Int64("load_age_ms", p.LoadAge.Milliseconds())
+	}
+	event.Send()
+}
+
 // recordLimit records the rate limit that the endpoint states, or that it no longer states one.
 // Only a signed success shows the latter: errors and refusals may come from a component that does
 // not know the limit. An unreadable limit leaves the recorded one unchanged.
