Peerload: nodes tell one another which services are brittle

Endpoints that fail if they refuse too many requests say so in their answers, which each node heard for itself: after the 3 s that nodes have to learn of it, a third of all pairs of node and engine would not have (83 nodes, 11 prompts a second at an engine). Load digests, the aggregates of collectors and the loads of failure domains carry the services of which an endpoint told a node within the last seconds, with the age; what another node said isn't told on. Nothing uses it yet.

--- a/internal/peerload/aggregate.go
+++ b/internal/peerload/aggregate.go
@@ -52,6 +52,8 @@
 	Limits []Limit `json:"limits,omitempty"`
 	// Slow are the engines that nodes observe to be slow, with the largest factor of each.
 	Slow []Slow `json:"slow,omitempty"`
+	// Brittle are the services of whose endpoints nodes of all failure domains know that they are brittle.
+	Brittle []Brittle `json:"brittle,omitempty"`
 }
 
 // RelayedOrders is the order state of one node, as relayed by a collector.
@@ -132,7 +134,7 @@
 	a.Loads = sums.encode()
 	domainLoads, domains := t.domainLoadSums(now)
 	a.DomainLoads, a.Domains = domainLoads.encodeCoarse(), domains
-	a.Limits = t.collectLimits(now)
+	a.Limits, a.Brittle = t.collectLimits(now), t.collectBrittle(now)
 	a.Slow = slowest(t.peerSlow(now))
 	for addr, ms := range t.directLate(now) {
 		a.Late = append(a.Late, Late{Addr: addr, MS: int(ms)})
--- a/internal/peerload/check.go
+++ b/internal/peerload/check.go
@@ -42,7 +42,7 @@
 	if err := checkUnlistedWeights(d.UnlistedWeights); err != nil {
 		return err
 	}
-	if err := errors.Join(checkLimits(d.Limits), checkSlow(d.Slow)); err != nil {
+	if err := errors.Join(checkLimits(d.Limits), checkSlow(d.Slow), checkBrittle(d.Brittle)); err != nil {
 		return err
 	}
 	return d.Aggregate.check()
@@ -60,7 +60,7 @@
 	if err := checkSums(a.DomainLoads, coarseFields); err != nil {
 		return err
 	}
-	if err := errors.Join(checkLimits(a.Limits), checkSlow(a.Slow)); err != nil {
+	if err := errors.Join(checkLimits(a.Limits), checkSlow(a.Slow), checkBrittle(a.Brittle)); err != nil {
 		return err
 	}
 	if a.Nodes < 0 || len(a.Included) != a.Nodes*includedEntryBytes {
--- a/internal/peerload/domain_load.go
+++ b/internal/peerload/domain_load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 	Loads       []byte `json:"loads"` // as encoded by Sums.encodeCoarse
 	// Limits are the rate limits that endpoints recently reported to the nodes.
 	Limits []Limit `json:"limits,omitempty"`
+	// Brittle are the services whose endpoints recently reported to the nodes that they are brittle.
+	Brittle []Brittle `json:"brittle,omitempty"`
 }
 
 // domainLoad is the latest load received from a failure domain.
@@ -143,7 +146,9 @@
 	sums, nodes := t.directLoads(now)
 	sums.add(own.Loads, own.Starts)
 	sums.retain(engineKeys(members))
-	return &DomainLoad{Nodes: nodes, Loads: sums.encodeCoarse(), Limits: t.domainLimits(own.Limits, now)}
+	return &DomainLoad{
+		Nodes: nodes, Loads: sums.encodeCoarse(), Limits: t.domainLimits(own.Limits, now), Brittle: t.domainBrittle(own.Brittle, now),
+	}
 }
 
 // receiveDomainLoad handles the load of another failure domain.
@@ -152,10 +157,11 @@
 	if err := json.Unmarshal(params, &load); err != nil {
 		return nil, eris.Wrap(err, "decode domain load")
 	}
-	if err := checkLimits(load.Limits); err != nil {
+	if err := errors.Join(checkLimits(load.Limits), checkBrittle(load.Brittle)); err != nil {
 		return nil, err
 	}
 	now := e.config.Clock.Now()
 	e.applyLimits(load.Limits, now)
+	e.applyBrittle(load.Brittle, now)
 	return nil, e.Table.RecordDomainLoad(&load, now)
 }
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -69,6 +69,10 @@
 	// Slow returns the engines that are slow by this node's own observation. Nil means that the pace
 	// of engines is not observed.
 	Slow func() []Slow
+	// Brittle returns the services whose endpoints reported to this node that they are brittle, and
+	// ApplyBrittle receives those that other nodes report. Nil means that the reports are not exchanged.
+	Brittle      func() []Brittle
+	ApplyBrittle func(service string, refusals int, at time.Time)
 	// Orders returns the engines that this node has closed to load weights, and whether it holds
 	// the claim to give orders, as in Digest.Leads.
 	Orders func() (closed []weights.Closed, leads bool)
@@ -192,7 +196,7 @@
 	bytes += e.sendDomainDigest(peers)
 	digest.Late, digest.Slow = e.config.Late(), e.slowToSend()
 	digest.References = e.referencesToSend()
-	digest.Limits = LimitsOf(members, e.config.Clock.Now())
+	digest.Limits, digest.Brittle = LimitsOf(members, e.config.Clock.Now()), e.brittleToSend()
 	digest.Loads, digest.Starts = fitLoads(loads, e.maxMessageBytes(len(peers.local)))
 	return bytes + e.sendLocal(peers, digest, members)
 }
--- a/internal/peerload/network_test.go
+++ b/internal/peerload/network_test.go
@@ -43,13 +43,15 @@
 	down        bool
 	leads       bool
 	closed      []weights.Closed
-	represented []string // the nodes that it represents, if set by the test
-	slow        []Slow   // engines that are slow by its own observation
-	received    int      // messages received
-	sent        int      // messages sent
-	sentBytes   int      // bytes of these messages
-	maxSend     int      // bytes of the largest send to several nodes
-	loses       string   // the method whose messages to this node are lost, if set by the test
+	represented []string  // the nodes that it represents, if set by the test
+	slow        []Slow    // engines that are slow by its own observation
+	brittle     []Brittle // services whose endpoints reported to it
+	heard       int       // reports of brittle services that other nodes received
+	received    int       // messages received
+	sent        int       // messages sent
+	sentBytes   int       // bytes of these messages
+	maxSend     int       // bytes of the largest send to several nodes
+	loses       string    // the method whose messages to this node are lost, if set by the test
 }
 
 var _ Conn = (*networkNode)(nil)
@@ -225,7 +227,7 @@
 		n.Exchange = New(Config{
 			Node: fmt.Sprint("n", i), Domain: n.domain, Conn: n, Log: zerolog.Nop(), Members: n.fleet.All, Member: n.fleet.Member,
 			Late: func() []Late { return nil }, Slow: n.slowEngines, References: func() []OldestReferenced { return []OldestReferenced{{Model: "m", Oldest: 1}} },
-			Neighbours: n.neighbours, Orders: n.orders, Role: n.role,
+			Neighbours: n.neighbours, Orders: n.orders, Role: n.role, Brittle: n.brittleServices, ApplyBrittle: n.hearBrittle,
 		})
 		w.nodes[n.addr] = n
 		peers = append(peers, Peer{Node: n.config.Node, Addr: n.Addr(), Domain: n.domain})
--- a/internal/peerload/peerload.go
+++ b/internal/peerload/peerload.go
@@ -25,6 +25,8 @@
 	Limits []Limit `json:"limits,omitempty"`
 	// Slow are the engines that are slow by the node's own observation.
 	Slow []Slow `json:"slow,omitempty"`
+	// Brittle are the services whose endpoints recently reported to the node that they are brittle.
+	Brittle []Brittle `json:"brittle,omitempty"`
 	// Emptied and Loading are the engines that this node has closed to load weights. Those in
 	// Emptied still accept short requests. Both lists are valid for ForMs.
 	Emptied []string `json:"emptied,omitempty"`
--- a/internal/peerload/receive.go
+++ b/internal/peerload/receive.go
@@ -50,9 +50,11 @@
 	e.Table.Record(d, now)
 	e.applyUnlistedWeights(d.UnlistedWeights, now)
 	e.applyLimits(d.Limits, now)
+	e.applyBrittle(d.Brittle, now)
 	if d.Aggregate != nil {
 		e.applyUnlistedWeights(d.Aggregate.UnlistedWeights, now)
 		e.applyLimits(d.Aggregate.Limits, now)
+		e.applyBrittle(d.Aggregate.Brittle, now)
 	}
 	return nil, nil
 }
