Brittle: slots of brittle endpoints are lent by one node

Cause: what an endpoint bears from all nodes together was kept by each node from its own view: the requests of others by what they had told 40 to 250 ms ago, refusals by its own alone, and the word by answers of that one start. Class: a bound over all nodes that is kept from each node's own view.

Now the word counts for a service, at all nodes. Each endpoint's slots are lent by one node, which knows all loans at once, and which lets no more be refused in a second than half of what the endpoint bears, whatever the reason. Every send takes a loan; one that nobody renews expires after 3 s.

Ruled out: that telling the word is enough (it falls all the same with late knowledge). A loan costs a round trip between nodes a request while a service is brittle, nothing else.

Tests of the former limiter and of Signals.SetBrittle went with them; in their place: lender, reports, service, forward and placer tests of the same guarantees. AnswerInfo.BrittleUnreadable had no reader left; its test checks the list of unreadable headers.

--- a/internal/fleet/signals.go
+++ b/internal/fleet/signals.go
@@ -7,12 +7,10 @@
 )
 
 // Signals are what one start of an endpoint has reported about itself in answers: a rate limit, a
-// backoff, that it is brittle, that it drains. The zero value has no reports. It is safe for concurrent use.
+// backoff, that it drains. The zero value has no reports. It is safe for concurrent use.
 type Signals struct {
 	mu       sync.Mutex
 	limit    atomic.Pointer[RateLimit] // written under mu; nil if never reported
-	brittle  atomic.Pointer[Brittle]   // written under mu; nil if never reported
-	refused  atomic.Pointer[time.Time] // when it last refused a request for want of room; nil if never
 	backoff  atomic.Pointer[Backoff]   // written under mu; nil if never requested
 	draining atomic.Pointer[time.Time] // when it first reported that it drains; nil if never
 	// unreadable holds the invalid headers of the latest answer that had any; nil if none had.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -70,10 +70,12 @@
 			return x.finalError(ctx, mayHaveRunCount, placementRefusal(&placement))
 		}
 		if x.expired(ctx) {
+			placement.releaseSlot(false)
 			return x.finalError(ctx, mayHaveRunCount, result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryAfterOtherNode)))
 		}
 		x.outcome.Attempts++
 		v := x.attempt(ctx, query, &placement)
+		placement.releaseSlot(x.refusedForRoom)
 		x.updateHealth(&placement, v)
 		x.updateQuarantine(ctx, &placement, v)
 		if v == delivered {
@@ -153,7 +155,7 @@
 // attempt sends the request once and returns the verdict. Afterwards x.cause is the reason
 // for which this attempt failed, or nil if its answer was delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
-	x.cause, x.answerBroken, x.endpointReplaced = nil, false, false
+	x.cause, x.answerBroken, x.endpointReplaced, x.refusedForRoom = nil, false, false, false
 	p.Attempt.Remaining = x.Clock.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.position.lastID
 	load := p.Member.Load
@@ -193,6 +195,7 @@
 	x.recordVersion(answer.StatusCode, &info, p, sent)
 	x.recordSignals(answer.StatusCode, &info, p.Member, sent)
 	misdirected := answer.StatusCode == http.StatusMisdirectedRequest
+	x.refusedForRoom = info.NotRun && isRefusal(answer.StatusCode)
 	x.endpointReplaced = misdirected && info.Instance != "" && info.Instance != p.Member.ID
 	if !misdirected { // a misdirected answer may come from another endpoint
 		p.Member.RecordAnswer(x.Clock.Now(), x.service.ColdStart)
--- a/internal/forward/endpoint_signals.go
+++ b/internal/forward/endpoint_signals.go
@@ -19,7 +19,7 @@
 		x.Log.Warn().Str("event", "answer_unreadable").Str("endpoint", m.ID).Str("id", x.attrs.ID).Str("headers", headers).Send()
 	}
 	x.recordLimit(status, info, m, sent)
-	x.recordBrittle(status, info, m, sent)
+	x.recordBrittle(status, info, m)
 	if info.Draining && x.Fleet.MarkDraining(m, x.Clock.Now()) {
 		x.Log.Info().Str("event", "endpoint_draining").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
@@ -34,35 +34,26 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
-// recordBrittle records that the endpoint states that it is brittle, that it refused this request for want of
-// room, or that it is no longer brittle, which only a signed success shows.
-func (x *exchange) recordBrittle(status int, info *AnswerInfo, m *fleet.Member, sent time.Time) {
-	now := x.Clock.Now()
-	known, wasKnown := m.Signals.Brittle()
-	if info.Brittle && info.NotRun && isRefusal(status) {
-		x.logBrittleRefusal(m, info, now.Sub(known.At), wasKnown)
-	}
-	switch {
-	case info.Brittle && m.Signals.SetBrittle(info.MaxRefusals, now):
-		x.Log.Info().Str("event", "endpoint_brittle").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Send()
-	case !info.Brittle && !info.BrittleUnreadable && status < http.StatusMultipleChoices && info.Signed && m.Signals.ClearBrittle(sent, now):
-		x.Log.Info().Str("event", "endpoint_not_brittle").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
+// recordBrittle records that the endpoint states that it is brittle, which holds for all endpoints of its service.
+func (x *exchange) recordBrittle(status int, info *AnswerInfo, m *fleet.Member) {
+	if !info.Brittle || x.Brittle == nil {
+		return
 	}
 	if info.NotRun && isRefusal(status) {
-		m.Signals.RecordRefusal(now)
+		x.logBrittleRefusal(m, info)
+	}
+	if x.Brittle.Record(m.Service, info.MaxRefusals) {
+		x.Log.Info().Str("event", "service_brittle").Str("service", m.Service).Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Send()
 	}
 }
 
 // logBrittleRefusal logs what this node knew of a brittle endpoint that refused a request for want of room:
-// whether it is brittle, how long ago the endpoint last said so, and the requests there.
-func (x *exchange) logBrittleRefusal(m *fleet.Member, info *AnswerInfo, age time.Duration, known bool) {
-	event := x.Log.Warn().Str("event", "brittle_refusal").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Bool("known", known)
-	if known {
-		event = event.Int64("known_ms", age.Milliseconds())
-	}
-	event = event.Int("own", m.Load.Running()).Int("slots", m.Endpoint().Slots)
+// whether it had borrowed a slot, and the requests there.
+func (x *exchange) logBrittleRefusal(m *fleet.Member, info *AnswerInfo) {
+	event := x.Log.Warn().Str("event", "brittle_refusal").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).
+		Int("own", m.Load.Running()).Int("slots", m.Endpoint().Slots)
 	if p := x.placement; p != nil {
-		event = event.Int("running", p.SlotState.Running).Int("held", p.OccupiedTokens).Int64("load_age_ms", p.LoadAge.Milliseconds())
+		event = event.Bool("borrowed", p.Slot != nil).Int("running", p.SlotState.Running).Int("held", p.OccupiedTokens).Int64("load_age_ms", p.LoadAge.Milliseconds())
 	}
 	event.Send()
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -37,6 +37,9 @@
 	Origins      Origins
 	// Fleet receives the endpoints that report that they are draining.
 	Fleet Fleet
+	// Brittle receives the services whose endpoints fail if they refuse too many requests. Nil means that this
+	// is ignored.
+	Brittle BrittleServices
 	// Pace observes the pace of engines in the events of streams. Nil means that it is not observed.
 	Pace *enginepace.Services
 	// Paths states which services this node reaches. Nil means all.
@@ -84,6 +87,7 @@
 	attemptTook       time.Duration           // duration of the latest attempt
 	// endpointReplaced is true if another endpoint answered the latest attempt.
 	endpointReplaced  bool
+	refusedForRoom    bool           // the endpoint refused the latest attempt for want of room
 	written           bool           // the header of the answer was written
 	position          position       // in the caller's stream
 	release           string         // release that began the caller's stream; empty before its first event
--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -23,7 +23,7 @@
 	placeInterval = 10 * time.Millisecond
 )
 
-// place selects an endpoint. If none accepts the request now but one is predicted to soon, it waits
+// place selects an endpoint, and borrows a slot there if it is brittle. If none accepts the request now but one is predicted to soon, it waits
 // and tries again. It reports false as soon as the prediction exceeds the rest of the
 // maximum wait, there is no prediction, or ctx ends. The wait is counted from the request's arrival, or
 // from the end of the latest attempt if that broke off a stream.
@@ -36,6 +36,12 @@
 	for {
 		placement, ok := x.Placer.Place(q)
 		placement.Waited = x.Clock.Since(since)
+		if ok && !placement.borrowSlot(ctx) {
+			if ctx.Err() == nil && placement.Waited < maxWait(x.route.Objective) {
+				continue // another endpoint may have a free slot
+			}
+			return placement, false
+		}
 		pause := placement.RetryDelay(x.route.Objective)
 		if ok || pause <= 0 || ctx.Err() != nil {
 			return placement, ok
@@ -47,7 +53,12 @@
 // RetryDelay returns the time for which a request without a placement waits until the next try, or 0 if
 // it is to be refused now.
 func (p *Placement) RetryDelay(objective time.Duration) time.Duration {
-	return p.RetryDelayWithin(time.Duration(MaxWaitShare * float64(objective)))
+	return p.RetryDelayWithin(maxWait(objective))
+}
+
+// maxWait returns the time for which a request waits at this node for an endpoint.
+func maxWait(objective time.Duration) time.Duration {
+	return time.Duration(MaxWaitShare * float64(objective))
 }
 
 // RetryDelayWithin is like RetryDelay with a maximum total wait of maxWait.
@@ -59,6 +70,22 @@
 	return min(placeInterval, left)
 }
 
+// borrowSlot borrows a slot of a brittle endpoint. It returns false if none is free now.
+func (p *Placement) borrowSlot(ctx context.Context) bool {
+	if p.Borrow == nil {
+		return true
+	}
+	p.Slot = p.Borrow(ctx)
+	return p.Slot != nil
+}
+
+// releaseSlot returns the borrowed slot, if there is one.
+func (p *Placement) releaseSlot(refused bool) {
+	if p.Slot != nil {
+		p.Slot.Release(refused)
+	}
+}
+
 // placementRefusal returns the refusal of a request that no endpoint accepts now.
 func placementRefusal(p *Placement) *result.Error {
 	if p.Final {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -92,8 +92,6 @@
 	// second for want of room.
 	Brittle     bool
 	MaxRefusals int
-	// BrittleUnreadable is true if it states so in a form that could not be decoded.
-	BrittleUnreadable bool
 	// Draining is true if the endpoint states that it is draining.
 	Draining bool
 	// RetryAfter is the time for which an endpoint that refuses the request is to receive no requests
@@ -205,6 +203,12 @@
 	// RecordAnswer, if not nil, is called with the outcome of an attempt that the endpoint did not
 	// refuse: whether it failed, and the time that it took beyond the predicted first event.
 	RecordAnswer func(bad bool, took time.Duration)
+	// Borrow, if not nil, must be called before the request is sent: the endpoint fails if it refuses too many
+	// requests, and a request needs one of its slots. It returns nil if none is free now; then another
+	// placement is to be made.
+	Borrow func(ctx context.Context) Slot
+	// Slot is what Borrow returned.
+	Slot Slot
 	// RecordRun, if not nil, is called with the time that the endpoint took for the complete answer.
 	RecordRun func(took time.Duration)
 }
@@ -232,6 +236,19 @@
 	Find(ctx context.Context, k origin.Key, service string) origin.Result
 }
 
+// Slot is the right to send one request to a brittle endpoint.
+type Slot interface {
+	// Release ends the right. refused is true if the endpoint refused the request for want of room.
+	Release(refused bool)
+}
+
+// BrittleServices records which services have endpoints that fail if they refuse too many requests.
+type BrittleServices interface {
+	// Record records that an endpoint of a service stated that it bears the given number of refusals per
+	// second. It reports whether that is new.
+	Record(service string, maxRefusals int) (isNew bool)
+}
+
 // Fleet records which endpoints are draining.
 type Fleet interface {
 	// MarkDraining records that an endpoint reported that it is draining, and reports whether that
--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -28,7 +28,7 @@
 	n.network.askThrough(n.conn, func() []netip.AddrPort { return slices.Collect(maps.Values(n.roster.Peers())) })
 	engines := platform.NewEngines(n.network.Connect)
 	n.buildCaches(engines)
-	n.pace = n.newPace()
+	n.pace, n.brittle = n.newPace(), n.newBrittle()
 	n.buildPeers()
 	n.buildRoster(store)
 	n.buildQuarantine(store)
@@ -59,20 +59,23 @@
 func (n *Node) buildPeers() {
 	boot := n.boot.Load()
 	n.peers = peerload.New(peerload.Config{
-		Node:       boot.Name,
-		Domain:     boot.Domain,
-		Conn:       n.conn,
-		Members:    n.fleet.All,
-		Member:     n.fleet.Member,
-		Late:       n.cacheTracker.lateStores,
-		Slow:       n.slowEngines,
-		Orders:     n.orderStatus,
-		References: n.cacheTracker.referencedWatermarks,
-		Neighbours: n.domainPeers,
-		Role:       func() peerload.Role { return n.roster.role() },
-		LinkBytes:  boot.LinkBytes,
-		Clock:      n.clock,
-		Log:        n.log,
+		Node:    boot.Name,
+		Domain:  boot.Domain,
+		Conn:    n.conn,
+		Members: n.fleet.All,
+		Member:  n.fleet.Member,
+		Late:    n.cacheTracker.lateStores,
+		Slow:    n.slowEngines,
+		Brittle: n.brittleServices,
+
+		ApplyBrittle: n.brittle.RecordRelayed,
+		Orders:       n.orderStatus,
+		References:   n.cacheTracker.referencedWatermarks,
+		Neighbours:   n.domainPeers,
+		Role:         func() peerload.Role { return n.roster.role() },
+		LinkBytes:    boot.LinkBytes,
+		Clock:        n.clock,
+		Log:          n.log,
 	})
 	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
+	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/datagram"
@@ -77,6 +78,7 @@
 	releases      *canary.Service
 	origins       *origin.Service // of streams
 	pace          *enginepace.Services
+	brittle       *brittle.Service
 	recorder      *recorder
 	started       time.Time
 	startLog      *startLog
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/placer"
@@ -29,6 +28,7 @@
 		Origins:      n.origins,
 		Fleet:        n.fleet,
 		Pace:         n.pace,
+		Brittle:      n.brittle,
 		Paths:        n.network,
 		Helpers:      n.helpers,
 		ShuttingDown: n.shuttingDown.Load,
@@ -59,7 +59,7 @@
 		SlowStart:         &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
 		MaxColdPerSecond:  n.maxColdRate,
 		Throttle:          &throttle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
-		Brittle:           &brittle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
+		Brittle:           n.brittle,
 		ReplacedGrace:     n.state.startupGrace,
 		Services:          &placer.Services{},
 		Nodes:             n.nodes,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,7 @@
 	metricEvacuated        = "cherryward_gateway_evacuated_domains"
 	metricCold             = "cherryward_gateway_cold_endpoints"
 	metricLimited          = "cherryward_gateway_limited_endpoints"
+	metricBrittle          = "cherryward_gateway_brittle_services"
 	metricBackoff          = "cherryward_gateway_backoff_endpoints"
 	metricRefusals         = "cherryward_gateway_refusals_total"
 	metricOtherDomain      = "cherryward_gateway_other_domain_prompts_total"
@@ -118,6 +119,7 @@
 	set.NewGauge(metricEvacuated, func() float64 { return float64(len(n.state.evacuations.evacuatedDomains())) })
 	set.NewGauge(metricCold, func() float64 { return n.countEndpoints((*fleet.Member).Cold) })
 	set.NewGauge(metricLimited, func() float64 { return n.countEndpoints(isLimited) })
+	set.NewGauge(metricBrittle, func() float64 { return float64(n.brittle.Reports.Count(n.clock.Now())) })
 	set.NewGauge(metricBackoff, func() float64 { return n.countEndpoints(isBackingOff) })
 	set.NewGauge(metricOrigins, func() float64 { return float64(n.origins.Len()) })
 	addNoticeMetrics(set, n.peers)
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
@@ -31,6 +32,7 @@
 		roster:     newRoster("n", nodeEntry{}, nil, nil, nil, zerolog.Nop()),
 		quarantine: &quarantine.Service{Table: quarantine.NewTable(time.Now)},
 		pace:       &enginepace.Services{},
+		brittle:    &brittle.Service{},
 		network:    &network{},
 		storeEra:   func() int64 { return 0 },
 	}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -236,6 +236,15 @@
 	return peers
 }
 
+// addrOf returns the address of a listed node for messages.
+func (r *roster) addrOf(name string) (netip.AddrPort, bool) {
+	r.mu.Lock()
+	e, listed := r.entries[name]
+	r.mu.Unlock()
+	addr, err := netip.ParseAddrPort(e.Addr)
+	return addr, listed && err == nil
+}
+
 // othersByDomain returns the names of all other listed nodes by failure domain. Callers must not
 // modify the result: it is computed once per change of the topic, since the result is needed for
 // each part that may be freed.
--- a/internal/placer/gate.go
+++ b/internal/placer/gate.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cherryward/cherryward/internal/brittle"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/peerload"
@@ -33,6 +32,8 @@
 	q                *forward.Query
 	now              time.Time
 	maxColdPerSecond int // requests per second that a cold endpoint may get; 0 for no limit
+	isBrittle        bool
+	refusals         int // refusals per second that an endpoint of a brittle service bears
 	peerLoads        func(m *fleet.Member) peerload.Sum
 }
 
@@ -42,6 +43,9 @@
 	if p.SlowStart != nil && p.MaxColdPerSecond != nil {
 		g.maxColdPerSecond = p.MaxColdPerSecond(q.Service)
 	}
+	if p.Brittle != nil {
+		g.refusals, g.isBrittle = p.Brittle.Reports.Refusals(q.Service.Name, g.now)
+	}
 	return g
 }
 
@@ -77,27 +81,14 @@
 			return reasonLimited, wait
 		}
 	}
-	if e := g.brittleEndpoint(m); e != nil {
-		if wait = g.Brittle.Wait(e, g.now); wait > 0 {
+	if g.isBrittle {
+		if wait = g.Brittle.Wait(g.brittleEndpoint(m), g.now); wait > 0 {
 			return reasonBrittle, wait
 		}
 	}
 	return "", 0
 }
 
-// brittleEndpoint returns an endpoint that must refuse few requests in the form of its limiter, or nil if it is
-// none.
-func (g *gate) brittleEndpoint(m *fleet.Member) *brittle.Endpoint {
-	state, known := m.Signals.Brittle()
-	if !known || g.Brittle == nil {
-		return nil
-	}
-	return &brittle.Endpoint{
-		ID: m.ID, Domain: m.Endpoint().Domain, Slots: m.Endpoint().Slots, Refusals: state.MaxRefusals,
-		Own: m.Load.Running(), Others: g.peerLoads(m).Running, RefusedAt: m.Signals.RefusedAt(),
-	}
-}
-
 // unblocked returns the endpoints to which a request may be sent now.
 func (g *gate) unblocked(members []*fleet.Member) []*fleet.Member {
 	return without(members, func(m *fleet.Member) bool {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -102,6 +102,15 @@
 	if len(candidates) == 0 {
 		return forward.Placement{}, false
 	}
+	placement, ok := p.placeOn(q, candidates, gate)
+	if ok {
+		gate.bindSlot(&placement)
+	}
+	return placement, ok
+}
+
+// placeOn selects one of the endpoints that may get the request now.
+func (p *Placer) placeOn(q *forward.Query, candidates []*fleet.Member, gate *gate) (forward.Placement, bool) {
 	if q.Service.Engine == nil || q.Attributes.Model == "" {
 		return p.placePlain(q, candidates, gate)
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -72,9 +72,9 @@
 	// Throttle shares out the requests to rate-limited endpoints between nodes. Nil means that rate
 	// limits are ignored.
 	Throttle *throttle.Limiter
-	// Brittle limits the requests to endpoints that fail if they refuse too many. Nil means that this is
-	// ignored.
-	Brittle *brittle.Limiter
+	// Brittle shares out the slots of endpoints that fail if they refuse too many requests. Nil means that
+	// this is ignored.
+	Brittle *brittle.Service
 	// ReplacedGrace returns when this process started, and the time until which runs are still
 	// allowed on weights that were replaced before the start. Nil means that no such runs are
 	// allowed.
