Forward: a lost run is logged with its shared parts, and whether it had begun

Which part of a prompt is common to the runs at endpoints that ended can't be read from the logs: run_lost has a fingerprint of the whole request, and the request's line the second-to-last part alone. Whether an event had come tells a run that may be the cause from one that ran beside it.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -31,6 +31,7 @@
 	for {
 		events, err := d.next()
 		if len(events) > 0 {
+			x.begun = true
 			onFirst()
 			if !x.forwardEvents(answer, d, events) {
 				return x.abortStream(answer)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -85,6 +85,7 @@
 	cachedFingerprint *quarantine.Fingerprint // computed on first use
 	answerBroken      bool                    // the latest attempt ended without a complete answer
 	attemptTook       time.Duration           // duration of the latest attempt
+	begun             bool                    // a complete event of the latest attempt has arrived
 	// endpointReplaced is true if another endpoint answered the latest attempt.
 	endpointReplaced  bool
 	refusedForRoom    bool           // the endpoint refused the latest attempt for want of room
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -43,13 +43,23 @@
 	f := x.fingerprint()
 	ended := x.hasEnded(p.Member)
 	x.Log.Warn().Str("event", "run_lost").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).
-		Stringer("fingerprint", f).Bool("ended", ended).AnErr("cause", x.cause).Send()
+		Stringer("fingerprint", f).Bool("ended", ended).Bool("begun", x.begun).Strs("parts", x.sharedParts()).AnErr("cause", x.cause).Send()
 	if ended {
 		p.Member.MarkEnded(x.Clock.Now())
 		x.Quarantine.RecordEnd(quarantine.Ending{Fingerprint: f, Endpoint: p.Member.StartID()})
 	}
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may have, too: all but the last.
+func (x *exchange) sharedParts() []string {
+	parts := x.attrs.Parts
+	ids := make([]string, 0, len(parts))
+	for i := range len(parts) - 1 {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
+
 // fingerprint returns the fingerprint of the request, which is the same for all tries of its
 // caller.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
