Forward tests: a part of prompts that ends endpoints again and again, failing

Prompts with one part that makes servers exit when they begin to answer, each with another body, between sound ones of the same caller with the same first part: all 24 servers exit (five crashes and three more requests are allowed). The stand-in exits on a part.

--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -18,6 +20,12 @@
 // exitPath is the path suffix of requests that make a server exit.
 const exitPath = "/ends"
 
+// Parts of prompts. Servers exit on prompts that have deadlyPart before the last part.
+const (
+	systemPart = "a1"
+	deadlyPart = "dd"
+)
+
 // newExitingTestHandler starts servers that exit on requests whose path ends with exitPath.
 func newExitingTestHandler(t *testing.T, servers int) *testHandler {
 	t.Helper()
@@ -27,7 +35,7 @@
 		backend := httptest.NewUnstartedServer(nil)
 		end := func() { _ = backend.Config.Close() }
 		server := modelserver.New(modelserver.Config{ID: serverID(i), Service: "servers", Model: "reader", StreamEvents: streamSize, Crash: end})
-		server.SetFaults(modelserver.Faults{CrashOnSuffix: exitPath})
+		server.SetFaults(modelserver.Faults{CrashOnSuffix: exitPath, CrashOnPart: deadlyPart})
 		backend.Config.Handler = server.Handler()
 		backend.Start()
 		t.Cleanup(backend.Close)
@@ -83,3 +91,38 @@
 	a := h.do(t, http.MethodPost, "/resume/other", "prompt", nil)
 	test.Eq(t, http.StatusOK, a.status)
 }
+
+// send sends a prompt of the given parts and returns its status.
+func (h *testHandler) send(t *testing.T, id, body string, parts ...string) int {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(h.request(t, http.MethodPost, "/resume/a", body, func(r *http.Request) {
+		r.Header.Set("X-Attempt-Id", id)
+		r.Header.Set("X-Model", "reader")
+		r.Header.Set("X-Prefix-Hash", strings.Join(parts, ":10,")+":10")
+	}))
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(t, errors.Join(err, resp.Body.Close()))
+	return resp.StatusCode
+}
+
+// TestPartThatEndsEndpointsKeepsEndingThem checks that prompts with a part that makes servers exit, no two alike,
+// reach few of them, and that prompts which share the caller and the other parts are served meanwhile.
+func TestPartThatEndsEndpointsKeepsEndingThem(t *testing.T) {
+	const (
+		servers = 24
+		tries   = 20
+		// allowed is the number of servers that may exit, and of requests that may reach servers after these.
+		allowed = 5 + 3
+	)
+	h := newExitingTestHandler(t, servers)
+	for i := range tries {
+		last := fmt.Sprint("c", i)
+		h.send(t, "guilty-"+last, last, systemPart, deadlyPart, last)
+		h.removeEnded()
+		must.SliceNotEmpty(t, h.placer.members)
+		test.Eq(t, http.StatusOK, h.send(t, "sound-"+last, last, systemPart, "b"+last, last))
+	}
+	test.LessEq(t, allowed, servers-len(h.placer.members))
+	test.Eq(t, http.StatusOK, h.send(t, "last", "x", systemPart, deadlyPart), test.Sprint("the last part is harmless"))
+}
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -89,6 +90,9 @@
 	s.mu.Unlock()
 	w.Header().Set("X-Server-Seal", "seal-"+s.cfg.ID)
 	switch {
+	case faults.CrashOnPart != "" && slices.Contains(sharedParts(r), faults.CrashOnPart):
+		s.cfg.Crash()
+		panic(http.ErrAbortHandler)
 	case faults.CrashOnSuffix != "" && strings.HasSuffix(r.URL.Path, faults.CrashOnSuffix):
 		s.cfg.Crash()
 		panic(http.ErrAbortHandler)
@@ -112,6 +116,16 @@
 	}
 }
 
+// sharedParts returns the ids of the parts of a request's prompt but the last.
+func sharedParts(r *http.Request) (ids []string) {
+	entries := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
+	for _, entry := range entries[:len(entries)-1] {
+		id, _, _ := strings.Cut(entry, ":")
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // writeTwoResponses writes two raw responses, one of which belongs to another request. The last
 // one announces that the connection is closed: a request sent while the connection closes without
 // notice could be neither answered nor retried.
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -48,6 +48,9 @@
 	// CrashOnSuffix is a path suffix. A request whose path has it crashes the server that runs it; empty
 	// disables this.
 	CrashOnSuffix string
+	// CrashOnPart is the id of a part. A request whose prompt has it, not as the last part, crashes the server
+	// when it begins to respond; empty disables this.
+	CrashOnPart string
 }
 
 // Config configures a server.
