--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -120,7 +120,17 @@
 	Since       time.Time `json:"since"`
 	Until       time.Time `json:"until"`
 	Node        string    `json:"node,omitempty"`
-	Endpoints   []string  `json:"endpoints"`
+	// Kind is "request", or "part" for a part of prompts of one client account.
+	Kind      string   `json:"kind"`
+	Endpoints []string `json:"endpoints"`
+}
+
+// kindOf returns what is held.
+func kindOf(h *quarantine.Hold) string {
+	if h.Part {
+		return "part"
+	}
+	return "request"
 }
 
 func showHolds(w io.Writer, holds []quarantine.Hold, now time.Time, format string) error {
@@ -128,7 +138,7 @@
 	for _, h := range holds {
 		shown = append(shown, holdStatus{
 			Fingerprint: h.Fingerprint.String(), Held: now.Before(h.Until),
-			Since: h.Since.UTC(), Until: h.Until.UTC(), Node: h.Node, Endpoints: h.Endpoints,
+			Since: h.Since.UTC(), Until: h.Until.UTC(), Node: h.Node, Kind: kindOf(&h), Endpoints: h.Endpoints,
 		})
 	}
 	if format == formatJSON {
@@ -136,8 +146,8 @@
 	}
 	rows := make([]string, 0, len(shown))
 	for _, h := range shown {
-		rows = append(rows, fmt.Sprintf("%s\t%t\t%s\t%s\t%s\t%s", h.Fingerprint, h.Held,
-			h.Since.Format(time.RFC3339), h.Until.Format(time.RFC3339), h.Node, strings.Join(h.Endpoints, ",")))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%t\t%s\t%s\t%s\t%s", h.Fingerprint, h.Held,
+			h.Since.Format(time.RFC3339), h.Until.Format(time.RFC3339), h.Node, strings.Join(h.Endpoints, ","), h.Kind))
 	}
-	return writeTable(w, "FINGERPRINT\tHELD\tSINCE\tUNTIL\tNODE\tENDPOINTS", rows)
+	return writeTable(w, "FINGERPRINT\tHELD\tSINCE\tUNTIL\tNODE\tENDPOINTS\tKIND", rows)
 }
--- a/internal/ctl/quarantine_test.go
+++ b/internal/ctl/quarantine_test.go
@@ -36,7 +36,7 @@
 	now := time.Now()
 	put("n1", `{"addr":"10.0.0.1:1","domain":"north"}`)
 	put("quarantine/"+over, fmt.Sprintf(`{"until_ms":%d,"since_ms":%d,"node":"n2","endpoints":["a@1","b@1","c@1"]}`, now.Add(-time.Minute).UnixMilli(), now.Add(-time.Hour).UnixMilli()))
-	put("quarantine/"+held, fmt.Sprintf(`{"until_ms":%d,"since_ms":%d,"node":"n1","endpoints":["a@2","b@2","c@2"]}`, now.Add(time.Minute).UnixMilli(), now.UnixMilli()))
+	put("quarantine/"+held, fmt.Sprintf(`{"until_ms":%d,"since_ms":%d,"node":"n1","endpoints":["a@2","b@2","c@2"],"part":true}`, now.Add(time.Minute).UnixMilli(), now.UnixMilli()))
 	put("quarantine/zz", "{")
 
 	code, out, errs := runQuarantine(t, "list", "--store", addr)
@@ -45,7 +45,9 @@
 	must.SliceLen(t, 3, lines)
 	test.StrContains(t, lines[1], held+"  true")
 	test.StrContains(t, lines[1], "n1    a@2,b@2,c@2")
+	test.StrContains(t, lines[1], "part")
 	test.StrContains(t, lines[2], over+"  false")
+	test.StrContains(t, lines[2], "request")
 
 	code, out, _ = runQuarantine(t, "list", "--store", addr, "-o", "json")
 	must.Eq(t, 0, code)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -84,6 +84,7 @@
 	cause             error                   // reason for which the latest attempt failed
 	cachedFingerprint *quarantine.Fingerprint // computed on first use
 	cachedParts       []quarantine.Part       // computed on first use
+	heldPart          string                  // id of the part for which the request was refused
 	endUncertain      bool                    // the latest answer may have been cut off without a sign
 	answerBroken      bool                    // the latest attempt ended without a complete answer
 	attemptTook       time.Duration           // duration of the latest attempt
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -45,6 +45,9 @@
 	if parts := x.attrs.Parts; len(parts) > 1 {
 		event = event.Str("session", parts[len(parts)-2].ID).Int("session_tokens", parts[len(parts)-2].Tokens)
 	}
+	if x.heldPart != "" {
+		event = event.Str("held_part", x.heldPart)
+	}
 	if x.cachedFingerprint != nil {
 		event = event.Stringer("fingerprint", x.cachedFingerprint)
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/result"
@@ -19,6 +20,7 @@
 	until := x.Quarantine.HeldUntil(x.fingerprint())
 	if partUntil := x.Quarantine.HeldPart(x.sharedParts()); partUntil.After(until) {
 		until = partUntil
+		x.heldPart = x.partHeldUntil(until)
 	}
 	if until.IsZero() {
 		return nil
@@ -26,6 +28,16 @@
 	return result.New(result.Quarantined, result.WithRetryAfter(x.Clock.Until(until)))
 }
 
+// partHeldUntil returns the id of the first part that is held until the given time.
+func (x *exchange) partHeldUntil(until time.Time) string {
+	for _, p := range x.sharedParts() {
+		if x.Quarantine.HeldUntil(p.Key).Equal(until) {
+			return x.attrs.Parts[p.Depth].ID
+		}
+	}
+	return ""
+}
+
 // recordBrokenAnswer records that the latest attempt ended without a complete answer.
 func (x *exchange) recordBrokenAnswer(cause error) { x.cause, x.answerBroken = cause, true }
 
