--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -146,7 +146,7 @@
 	}
 	rows := make([]string, 0, len(shown))
 	for _, h := range shown {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%t\t%s\t%s\t%s\t%s", h.Fingerprint, h.Held,
+		rows = append(rows, fmt.Sprintf("%s\t%t\t%s\t%s\t%s\t%s\t%s", h.Fingerprint, h.Held,
 			h.Since.Format(time.RFC3339), h.Until.Format(time.RFC3339), h.Node, strings.Join(h.Endpoints, ","), h.Kind))
 	}
 	return writeTable(w, "FINGERPRINT\tHELD\tSINCE\tUNTIL\tNODE\tENDPOINTS\tKIND", rows)
