Soak: brittle servers that refuse everything are refused as often as they bear

All model servers say that they bear two or three refusals a second, and most refuse all requests, for longer than nodes have to learn of it; more refusals a second from undisturbed nodes are found. The checks' own test shows both verdicts.

--- a/soak/signalchecks_test.go
+++ b/soak/signalchecks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -27,11 +28,15 @@
 // TestDetectsIgnoredSignals checks that requests which violate a limit or the draining state that a
 // model server reported are detected, unless the node could not observe the report in time.
 func TestDetectsIgnoredSignals(t *testing.T) {
-	const long = drainBound + time.Second
+	const long = max(drainBound, stableWindow) + time.Second
 	limited := modelserver.Faults{Limit: limitPerS}
 	limitedFor := func(w *world, d time.Duration) {
 		w.limited.list = []*span{{from: time.Now().Add(-d)}}
 	}
+	brittle := modelserver.Faults{Brittle: strconv.Itoa(brittleRefusals), RejectRequests: true}
+	brittleFor := func(w *world, d time.Duration) {
+		w.brittle.list = []*span{{from: time.Now().Add(-d)}}
+	}
 	tests := []struct {
 		name     string
 		faults   modelserver.Faults
@@ -48,6 +53,9 @@
 		{"limited, at most the allowed number", limited, limitBound, long, func(w *world) { limitedFor(w, long) }, false},
 		{"limited, limit just set", limited, limitBound + 2, long, func(w *world) { limitedFor(w, time.Second) }, false},
 		{"limited, limit just received", limited, limitBound + 2, 0, func(w *world) { limitedFor(w, long) }, false},
+		{"brittle", brittle, brittleRefusals + 2, long, func(w *world) { brittleFor(w, long) }, true},
+		{"brittle, as many as it bears", brittle, brittleRefusals + 1, long, func(w *world) { brittleFor(w, long) }, false},
+		{"brittle, just begun", brittle, brittleRefusals + 2, long, func(w *world) { brittleFor(w, time.Second) }, false},
 		{"limited, node has faults", limited, limitBound + 2, long, func(w *world) { limitedFor(w, long); w.nodes[0].disturbances.open()() }, false},
 	}
 	for _, tc := range tests {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -23,6 +23,8 @@
 	maxDuringRetryAfter = 2
 	retryAfterDelay     = 500 * time.Millisecond
 	retryAfterSeconds   = "1.5"
+	// brittleRefusals is the least number of refusals per second that brittle servers bear.
+	brittleRefusals = 2
 )
 
 // invalidSignals are invalid header values, which must be ignored.
@@ -52,14 +54,46 @@
 	})
 }
 
-// signalBrittle makes one or all model servers report that they bear few refusals, some of them while they
-// refuse requests.
+// signalBrittle makes all model servers report that they bear few refusals, most of them while they refuse all
+// requests, for longer than nodes have to learn of it.
 func (w *world) signalBrittle(target int, lasts time.Duration) {
-	servers := w.site.Models
-	if target%4 != 0 {
-		servers = servers[target%len(servers):][:1]
+	end := w.brittle.open()
+	defer end()
+	bears := strconv.Itoa(brittleRefusals + target%2)
+	w.injectServersFault(w.site.Models, stableWindow+2*lasts, func(f *modelserver.Faults) { f.Brittle, f.RejectRequests = bears, target%3 != 0 })
+}
+
+// refusedTooOften returns the seconds in which a server that reported to be brittle refused more requests of
+// undisturbed nodes than it bears.
+func (w *world) refusedTooOften(s *modelserver.Server) []string {
+	var refused []time.Time
+	bears := brittleRefusals + 1
+	for _, a := range w.arrivals(s) {
+		since := a.At.Add(-stableWindow)
+		reported, err := strconv.Atoi(a.Brittle)
+		if err != nil || reported < brittleRefusals || !a.Refused || !w.brittle.covers(since, a.At) || !w.calmBetween(since, a.At) {
+			continue
+		}
+		refused = append(refused, a.At)
+	}
+	var broken []string
+	for i, first := range refused {
+		count := 0
+		for _, at := range refused[i:] {
+			if at.Sub(first) < time.Second {
+				count++
+			}
+		}
+		if count > bears {
+			broken = append(broken, fmt.Sprintf("%s is brittle and refused %d requests in a second", s.ID(), count))
+		}
 	}
-	w.injectServersFault(servers, 2*lasts, func(f *modelserver.Faults) { f.Brittle, f.RejectRequests = strconv.Itoa(target%3), target%5 == 0 })
+	return broken
+}
+
+// calmBetween reports whether no node was disturbed in a period.
+func (w *world) calmBetween(from, to time.Time) bool {
+	return !slices.ContainsFunc(w.nodes, func(n *process) bool { return !n.disturbances.noneWithin(from, to) })
 }
 
 // signalDraining makes a model server report in its responses that it is draining, while its registry
@@ -178,6 +212,7 @@
 	for i, s := range w.site.Models {
 		broken = append(broken, w.overLimit(s)...)
 		broken = append(broken, w.reachedDraining(s)...)
+		broken = append(broken, w.refusedTooOften(s)...)
 		if modelProxy+i < len(w.proxies) {
 			broken = append(broken, w.ignoredRetryAfter(s, w.proxies[modelProxy+i])...)
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -49,6 +49,7 @@
 	evacuating  sync.Mutex
 	limited     spans // times in which model servers report limits
 	limiting    sync.Mutex
+	brittle     spans // times in which model servers report that they are brittle
 	log         *os.File
 	faultsEnded chan struct{} // closed when fault injection ends
 
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -66,7 +66,7 @@
 func (s *Server) recordArrival(id string, faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := Arrival{Request: id, At: time.Now(), StartedMs: s.startedMs, Refused: faults.RejectRequests, Limit: faults.Limit, Draining: faults.Draining}
+	a := Arrival{Request: id, At: time.Now(), StartedMs: s.startedMs, Refused: faults.RejectRequests, Limit: faults.Limit, Draining: faults.Draining, Brittle: faults.Brittle}
 	if faults.RejectRequests {
 		a.RetryAfter = faults.RetryAfter
 	}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -85,8 +85,8 @@
 	At        time.Time
 	StartedMs int64 // start time of the server, Unix milliseconds
 	Refused   bool
-	// Limit, Draining and RetryAfter have the same meaning as in Faults.
-	Limit, Draining, RetryAfter string
+	// Limit, Draining, RetryAfter and Brittle have the same meaning as in Faults.
+	Limit, Draining, RetryAfter, Brittle string
 }
 
 // ColdStart is the time for which a server is cold after a restart.
