--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -23,8 +23,8 @@
 	placeInterval = 10 * time.Millisecond
 )
 
-// place selects an endpoint, and borrows a slot there if it is brittle. If none accepts the request now but one is predicted to soon, it waits
-// and tries again. It reports false as soon as the prediction exceeds the rest of the
+// place selects an endpoint, and borrows a slot there if it is brittle. If none accepts the request now but one
+// is predicted to soon, it waits and tries again. It reports false as soon as the prediction exceeds the rest of the
 // maximum wait, there is no prediction, or ctx ends. The wait is counted from the request's arrival, or
 // from the end of the latest attempt if that broke off a stream.
 func (x *exchange) place(ctx context.Context, q *Query) (Placement, bool) {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -11,8 +11,8 @@
 )
 
 // quarantineRefusal returns the refusal of a request that is in quarantine because endpoints ended
-// while running it, or others with the same part, or nil if it may be sent. It is checked before each send, since the request may
-// have been quarantined during the previous one.
+// while running it, or others with one of its parts, or nil if it may be sent. It is checked before each send,
+// since the request may have been quarantined during the previous one.
 func (x *exchange) quarantineRefusal() *result.Error {
 	if x.Quarantine.Empty() {
 		return nil
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -145,3 +145,16 @@
 
 	test.Eq(t, http.StatusOK, h.send(t, "last", "x", systemPart, deadlyPart), test.Sprint("the last part is harmless"))
 }
+
+// TestAnswerThatMayBeCutOffClearsNothing checks that a plain answer which only the end of its connection ends, as it
+// is cut off by an endpoint that ends, does not clear the request, and that one with a length does.
+func TestAnswerThatMayBeCutOffClearsNothing(t *testing.T) {
+	for fields, want := range map[string]int{"Connection: close\r\n": 1, contentLength(4): 0} {
+		h := newRawTestHandler(t, fixedAnswer(head(http.StatusOK, fields)+"body"))
+		table := quarantine.NewTable(time.Now)
+		h.handler.Quarantine = table
+		table.RecordEnd(quarantine.Ending{Fingerprint: quarantine.FingerprintOf("yard", http.MethodGet, host, recordPath, nil), Endpoint: "e"})
+		test.Eq(t, http.StatusOK, h.do(t, http.MethodGet, recordPath, "", nil).status)
+		test.Eq(t, want, table.SuspectCount(), test.Sprint(fields))
+	}
+}
--- a/internal/peerload/exchange.go
+++ b/internal/peerload/exchange.go
@@ -69,8 +69,8 @@
 	// Slow returns the engines that are slow by this node's own observation. Nil means that the pace
 	// of engines is not observed.
 	Slow func() []Slow
-	// Brittle returns the services whose endpoints reported to this node that they are brittle, and
-	// ApplyBrittle receives those that other nodes report. Nil means that the reports are not exchanged.
+	// Brittle returns the services whose endpoints told this node that they are brittle, and ApplyBrittle
+	// receives those that told other nodes. Nil means that this is not exchanged.
 	Brittle      func() []Brittle
 	ApplyBrittle func(service string, refusals int, at time.Time)
 	// Orders returns the engines that this node has closed to load weights, and whether it holds
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -65,7 +65,7 @@
 				nw.loss = 0.03
 				nodes := nw.startAll(size)
 				random := rand.New(rand.NewPCG(seed, uint64(size)))
-				any := func() *node { return nodes[random.IntN(size)] }
+				anyNode := func() *node { return nodes[random.IntN(size)] }
 				stop := make(chan struct{})
 				go func() {
 					for i := 0; ; i++ {
@@ -79,10 +79,10 @@
 				}()
 				for i := range granted {
 					endpoint := fmt.Sprint("e", i)
-					loseRun(any(), fmt.Sprint("guilty", i), endpoint, promptOf("system", "deadly", "turn"+fmt.Sprint(i)))
+					loseRun(anyNode(), fmt.Sprint("guilty", i), endpoint, promptOf("system", "deadly", "turn"+fmt.Sprint(i)))
 					for b := range beside {
 						name := fmt.Sprint("sound", i, b)
-						loseRun(any(), name, endpoint, promptOf("system", name))
+						loseRun(anyNode(), name, endpoint, promptOf("system", name))
 					}
 					time.Sleep(spacing)
 				}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -23,8 +23,8 @@
 	resendInterval = 250 * time.Millisecond
 	resendFor      = 700 * time.Millisecond
 	// maxOutgoing limits the reports that are sent repeatedly at one time. It is enough for the
-	// runs that a node loses when several endpoints end at once.
-	maxOutgoing = 256
+	// runs that a node loses when several endpoints end at once, with some ten parts each.
+	maxOutgoing = 1024
 	// recordInterval is the delay of each coordinator after the previous one in recording a hold, and
 	// the time between two attempts.
 	recordInterval = 500 * time.Millisecond
