--- a/internal/brittle/service.go
+++ b/internal/brittle/service.go
@@ -120,8 +120,6 @@
 	Running int
 }
 
-func (e *Endpoint) start() start { return start{e.ID, e.StartedMs} }
-
 // Slot is a borrowed slot of an endpoint.
 type Slot struct {
 	service *Service
@@ -166,6 +164,8 @@
 		s.blocked.Until(e.ID, e.StartedMs, now.Add(time.Duration(reply.RetryMs)*time.Millisecond))
 		return nil
 	}
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
 	slot.renewal = time.AfterFunc(renewInterval, slot.renew)
 	return slot
 }
