--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -9,8 +9,11 @@
 //
 //   - A request is held only after three starts of endpoints ended while running it, and no endpoint
 //     has completed it since the first of these.
-//   - The endings of a request are reported to the same set of nodes whichever node saw them. Three
-//     endings seen by three nodes therefore cause a hold just as three seen by one node do.
+//   - A part is held only after it was accused by three endings, of different endpoints, under different requests
+//     and not at the same time, and no request with it has begun since the first of these, as far as the deciding
+//     nodes know. No account can have a part of another account's prompts held.
+//   - The endings of a request, and those of an account's parts, are reported to the same set of nodes whichever
+//     node saw them. Three endings seen by three nodes therefore cause a hold just as three seen by one node do.
 //   - Holds are recorded on the platform, under the nodes' topic. A node that starts applies them when
 //     it reads the topic, so holds remain in effect even if all nodes restart at once.
 //   - The number of tracked requests is bounded; beyond the bound, the least recently used are evicted.
