--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -3,7 +3,12 @@
 // A request can crash every endpoint that starts to run it, and its callers send it again, under other
 // ids and to other nodes. Each node records, for each request, the endpoints that ended while running
 // it, and reports them to other nodes. A request with fewer than three endings is a candidate. One with
-// three is held: no node sends it until the hold ends.
+// three is held: no node sends it until the hold ends. Only runs of which no event had come count, as one whose
+// answer has begun is not the cause.
+//
+// The cause may also be a part of many prompts, no two of which are alike. Each such run accuses the parts of its
+// prompt but the last, and a request that begins clears those that it has. Of the parts of a client account that
+// were accused three times, the one that explains the endings best is held.
 //
 // Guarantees:
 //
