Brittle: endpoints that once refused a request don't stay in a lender's table

Their last refusal is kept, since which the number of lendable slots rises; without loans and with an old refusal the endpoint is forgotten when the table is full, as others are.

--- a/internal/brittle/lender.go
+++ b/internal/brittle/lender.go
@@ -139,7 +139,7 @@
 	}
 	if len(l.endpoints) >= maxTracked {
 		for other, e := range l.endpoints {
-			if e.expire(now); len(e.loans) == 0 && len(e.refused) == 0 {
+			if e.expire(now); len(e.loans) == 0 && len(e.recentRefusals(now)) == 0 {
 				delete(l.endpoints, other)
 			}
 		}
