--- a/internal/placer/limited_test.go
+++ b/internal/placer/limited_test.go
@@ -70,8 +70,10 @@
 // TestWaitsForRateLimit checks that a request waits where this node may send one soon.
 func TestWaitsForRateLimit(t *testing.T) {
 	fx := newFixture(t, fakeEvents{}, 1)
+	now := time.Now()
+	fx.Now = func() time.Time { return now }
 	fx.throttled("n")
-	fx.members[0].Signals.SetLimit(500, time.Now())
+	fx.members[0].Signals.SetLimit(500, now)
 	_, ok := fx.Place(plainQuery())
 	must.True(t, ok)
 	p, ok := fx.Place(plainQuery())
