Quarantine: one piece clears, hashes and tells for requests and parts

Read once more, behaviour as it was. ClearPart repeated Clear; the hash of a part's key repeated FingerprintOf; holds of parts were made in two places; three places collected the addresses of all nodes to notify them. Whether and when a part has its three endings is read from one list of the endings that count: the weight of each prefix was computed again for each ending. A part that becomes suspect is told where endings are applied, not beside each call.

--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -20,14 +20,19 @@
 // FingerprintOf returns the fingerprint of a request. account is empty on public routes; target is the
 // path and query as sent by the caller.
 func FingerprintOf(account, method, host, target string, body []byte) Fingerprint {
+	return hashOf(body, account, method, host, target)
+}
+
+// hashOf returns a hash of the fields and of what follows them.
+func hashOf(rest []byte, fields ...string) Fingerprint {
 	h := sha256.New()
 	var length [8]byte
-	for _, field := range []string{account, method, host, target} {
+	for _, field := range fields {
 		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		h.Write(length[:]) // hash.Hash never returns an error
 		h.Write([]byte(field))
 	}
-	h.Write(body)
+	h.Write(rest)
 	var sum [sha256.Size]byte
 	return Fingerprint(h.Sum(sum[:0])[:fingerprintBytes])
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,10 +1,5 @@
 package quarantine
 
-import (
-	"crypto/sha256"
-	"encoding/binary"
-)
-
 // Domains of the hashes, so that a part, an account and a request never have the same fingerprint.
 const (
 	partDomain    = "part"
@@ -22,21 +17,8 @@
 
 // PartOf returns the part at a position of a prompt.
 func PartOf(account, model, id string, depth int) Part {
-	return Part{Key: hashFields(partDomain, account, model, id), Depth: depth}
+	return Part{Key: hashOf(nil, partDomain, account, model, id), Depth: depth}
 }
 
 // AccountKey identifies a client account.
-func AccountKey(account string) Fingerprint { return hashFields(accountDomain, account) }
-
-// hashFields returns a hash of the fields.
-func hashFields(fields ...string) Fingerprint {
-	h := sha256.New()
-	var length [8]byte
-	for _, field := range fields {
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-		h.Write(length[:]) // hash.Hash never returns an error
-		h.Write([]byte(field))
-	}
-	var sum [sha256.Size]byte
-	return Fingerprint(h.Sum(sum[:0])[:fingerprintBytes])
-}
+func AccountKey(account string) Fingerprint { return hashOf(nil, accountDomain, account) }
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -38,32 +38,31 @@
 	at time.Time // when it was recorded
 }
 
-// weight returns the number of endings that count: of different endpoints, under different requests, and not
-// at the same time. An innocent request that is sent again, from one endpoint that ends to the next, accuses its
-// parts once.
-func (p *accusedPart) weight() int {
-	var counted []partEnding
+// counted returns the endings that count, oldest first: of different endpoints, under different requests, and not at
+// the same time. An innocent request that is sent again, from one endpoint that ends to the next, accuses its parts
+// once.
+func (p *accusedPart) counted() (list []partEnding) {
 	for _, e := range p.endings {
 		same := func(c partEnding) bool {
 			return c.Endpoint == e.Endpoint || *c.Request == *e.Request || e.at.Sub(c.at).Abs() < episodeGap
 		}
-		if !slices.ContainsFunc(counted, same) {
-			counted = append(counted, e)
+		if !slices.ContainsFunc(list, same) {
+			list = append(list, e)
 		}
 	}
-	return len(counted)
+	return list
 }
 
+// weight returns the number of endings that count.
+func (p *accusedPart) weight() int { return len(p.counted()) }
+
 // reachedAt returns when the part reached partThreshold, or false if it hasn't.
 func (p *accusedPart) reachedAt() (time.Time, bool) {
-	prefix := accusedPart{}
-	for _, e := range p.endings {
-		prefix.endings = append(prefix.endings, e)
-		if prefix.weight() >= partThreshold {
-			return e.at, true
-		}
+	counted := p.counted()
+	if len(counted) < partThreshold {
+		return time.Time{}, false
 	}
-	return time.Time{}, false
+	return counted[partThreshold-1].at, true
 }
 
 // parts holds the accused parts. It is guarded by the lock of its Table.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -102,40 +102,31 @@
 // request becomes held.
 func (s *Service) RecordEnd(e Ending) (held bool) {
 	held = s.applyEnding(e)
-	s.tellSuspect(&e)
 	s.enqueue(outgoingReport{Ending: e})
 	return held
 }
 
 // Clear removes a request from the table, because an endpoint completed it for this node, and reports
 // that to other nodes. It returns false, and sends nothing, if the request was not in the table.
-func (s *Service) Clear(f Fingerprint) (known bool) {
-	known, recorded := s.remove(f)
-	if !known {
-		return false
-	}
-	if recorded {
-		s.mu.Lock()
-		s.recordsToRemove = append(s.recordsToRemove, f)
-		s.mu.Unlock()
-	}
-	s.enqueue(outgoingReport{Ending: Ending{Fingerprint: f}})
-	return true
-}
+func (s *Service) Clear(f Fingerprint) (known bool) { return s.clear(Ending{Fingerprint: f}) }
 
-// ClearPart removes a part of an account from the table, because an endpoint began to answer a request with it, and
-// reports that to other nodes. It returns false, and sends nothing, if the part was not in the table.
+// ClearPart is Clear for a part of an account, with which an endpoint began to answer a request.
 func (s *Service) ClearPart(account Fingerprint, p Part) (known bool) {
-	known, recorded := s.remove(p.Key)
+	return s.clear(Ending{Fingerprint: p.Key, Account: account})
+}
+
+// clear removes a request or part from the table and reports that to other nodes.
+func (s *Service) clear(e Ending) (known bool) {
+	known, recorded := s.remove(e.Fingerprint)
 	if !known {
 		return false
 	}
 	if recorded {
 		s.mu.Lock()
-		s.recordsToRemove = append(s.recordsToRemove, p.Key)
+		s.recordsToRemove = append(s.recordsToRemove, e.Fingerprint)
 		s.mu.Unlock()
 	}
-	s.enqueue(outgoingReport{Ending: Ending{Fingerprint: p.Key, Account: account}})
+	s.enqueue(outgoingReport{Ending: e})
 	return true
 }
 
@@ -144,9 +135,11 @@
 	return slices.Contains(s.coordinators(account, s.config.Peers()), s.config.Node)
 }
 
-// applyEnding adds an ending to the table, and logs the hold if the request becomes held.
+// applyEnding adds an ending to the table, logs the hold if the request becomes held, and tells all nodes if a part
+// becomes suspect.
 func (s *Service) applyEnding(e Ending) (held bool) {
 	held = s.Table.RecordEnd(e)
+	s.tellSuspect(&e)
 	if held {
 		s.config.Log.Warn().Str("event", "request_held").Stringer("fingerprint", e.Fingerprint).
 			Str("endpoint", e.Endpoint).Time("until", s.HeldUntil(e.Fingerprint)).Send()
@@ -186,7 +179,6 @@
 	}
 	for _, e := range r.Endings {
 		s.applyEnding(e)
-		s.tellSuspect(&e)
 		if r.Recorded {
 			s.MarkRecorded(e.Fingerprint)
 		}
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -62,8 +62,12 @@
 // others would otherwise receive it some seconds later, and the next coordinators would write another
 // record.
 func (s *Service) broadcast(h *Hold) {
+	s.notifyAll(report{Endings: h.endings(), Recorded: true})
+}
+
+// notifyAll sends a report to all other nodes.
+func (s *Service) notifyAll(r report) {
 	peers := slices.Collect(maps.Values(s.config.Peers()))
-	r := report{Endings: h.endings(), Recorded: true}
 	for m := range r.messages() {
 		s.config.Conn.Notify(peers, endingsMethod, m)
 	}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 const (
 	// suspectWeight is the number of endings from which a part is told to all nodes, which then tell when a
@@ -29,14 +26,14 @@
 	if !e.accusesPart() || !s.becomesSuspect(e.Fingerprint, suspectWeight) || !s.announces(e.Account) {
 		return
 	}
-	s.config.Conn.Notify(slices.Collect(maps.Values(s.config.Peers())), endingsMethod, report{Endings: []Ending{*e}})
+	s.notifyAll(report{Endings: []Ending{*e}})
 }
 
 // announceParts logs the parts that this node holds from now on, and tells all nodes of them.
 func (s *Service) announceParts() {
 	for _, h := range s.takeNewParts() {
 		s.logHeldPart(&h)
-		s.config.Conn.Notify(slices.Collect(maps.Values(s.config.Peers())), endingsMethod, report{Endings: h.endings(), HeldPart: true})
+		s.notifyAll(report{Endings: h.endings(), HeldPart: true})
 	}
 }
 
--- a/internal/quarantine/table_parts.go
+++ b/internal/quarantine/table_parts.go
@@ -49,10 +49,15 @@
 		return
 	}
 	a, _ := t.parts.accused.Peek(key)
+	t.newParts = append(t.newParts, *t.addPart(key, a.endpoints()))
+}
+
+// addPart adds the first hold of a part. The caller must hold t.mu.
+func (t *Table) addPart(f Fingerprint, endpoints []string) *Hold {
 	now := t.now()
-	h := &Hold{Fingerprint: key, Endpoints: a.endpoints(), Since: now, Until: now.Add(firstHold), Part: true}
-	t.held.Add(key, h)
-	t.newParts = append(t.newParts, *h)
+	h := &Hold{Fingerprint: f, Endpoints: endpoints, Since: now, Until: now.Add(firstHold), Part: true}
+	t.held.Add(f, h)
+	return h
 }
 
 // PartsPending reports whether a decision on parts is due later.
@@ -70,8 +75,7 @@
 	if t.held.Contains(f) {
 		return false
 	}
-	now := t.now()
-	t.held.Add(f, &Hold{Fingerprint: f, Endpoints: endpoints, Since: now, Until: now.Add(firstHold), Part: true})
+	t.addPart(f, endpoints)
 	return true
 }
 
