Peerload: what peers and failure domains report is collected in one way

Limits, slow engines and brittle services each had the loop over peers' digests, and two of them that over other domains' loads. Two generic functions beside aged and firstOfEach serve them. Behaviour as it was; the package's tests pass, unchanged.

--- a/internal/peerload/brittle.go
+++ b/internal/peerload/brittle.go
@@ -48,20 +48,13 @@
 
 // peerBrittle returns the services in the peers' own digests.
 func (t *Table) peerBrittle(now time.Time) []Brittle {
-	var list []Brittle
-	for _, p := range t.peers {
-		list = append(list, ageBrittle(p.digest.Brittle, now.Sub(p.at))...)
-	}
-	return list
+	return peerReports(t, now, func(d *Digest) []Brittle { return d.Brittle }, ageBrittle)
 }
 
 // collectBrittle returns the services that peers and other failure domains report.
 func (t *Table) collectBrittle(now time.Time) []Brittle {
-	list := t.peerBrittle(now)
-	for _, d := range t.domainLoads {
-		list = append(list, ageBrittle(d.load.Brittle, now.Sub(d.at))...)
-	}
-	return newestBrittle(list)
+	domains := domainReports(t, now, func(d *DomainLoad) []Brittle { return d.Brittle }, ageBrittle)
+	return newestBrittle(append(t.peerBrittle(now), domains...))
 }
 
 // domainBrittle returns the services that the nodes of this failure domain report, this node included.
--- a/internal/peerload/limits.go
+++ b/internal/peerload/limits.go
@@ -68,20 +68,13 @@
 
 // peerLimits returns the limits in the peers' own digests.
 func (t *Table) peerLimits(now time.Time) []Limit {
-	var list []Limit
-	for _, p := range t.peers {
-		list = append(list, ageLimits(p.digest.Limits, now.Sub(p.at))...)
-	}
-	return list
+	return peerReports(t, now, func(d *Digest) []Limit { return d.Limits }, ageLimits)
 }
 
 // collectLimits returns the limits that peers and other failure domains report.
 func (t *Table) collectLimits(now time.Time) []Limit {
-	list := t.peerLimits(now)
-	for _, d := range t.domainLoads {
-		list = append(list, ageLimits(d.load.Limits, now.Sub(d.at))...)
-	}
-	return newestLimits(list)
+	domains := domainReports(t, now, func(d *DomainLoad) []Limit { return d.Limits }, ageLimits)
+	return newestLimits(append(t.peerLimits(now), domains...))
 }
 
 // domainLimits returns the limits that the nodes of this failure domain report, including this
--- a/internal/peerload/reports.go
+++ b/internal/peerload/reports.go
@@ -32,3 +32,20 @@
 	}
 	return result
 }
+
+// peerReports returns the reports of one kind in the peers' own digests, with their ages increased by age. The
+// caller must hold t.mu.
+func peerReports[T any](t *Table, now time.Time, of func(*Digest) []T, age func([]T, time.Duration) []T) (list []T) {
+	for _, p := range t.peers {
+		list = append(list, age(of(&p.digest), now.Sub(p.at))...)
+	}
+	return list
+}
+
+// domainReports is peerReports for the loads of other failure domains.
+func domainReports[T any](t *Table, now time.Time, of func(*DomainLoad) []T, age func([]T, time.Duration) []T) (list []T) {
+	for _, d := range t.domainLoads {
+		list = append(list, age(of(&d.load), now.Sub(d.at))...)
+	}
+	return list
+}
--- a/internal/peerload/slow.go
+++ b/internal/peerload/slow.go
@@ -111,11 +111,7 @@
 
 // peerSlow returns the slow engines in the peers' own digests.
 func (t *Table) peerSlow(now time.Time) []Slow {
-	var list []Slow
-	for _, p := range t.peers {
-		list = append(list, ageSlow(p.digest.Slow, now.Sub(p.at))...)
-	}
-	return list
+	return peerReports(t, now, func(d *Digest) []Slow { return d.Slow }, ageSlow)
 }
 
 // SlowEngines holds the engines that other nodes report as slow.
