review: case 3, KV cache of an account that was isolated is used by another

A version of the configuration isolates an account. Parts that it made before under the shared salt go on being used by another account's prompts.

--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*world) error{
 	"hangup": hangup,
 	"stray":  stray,
+	"wall":   wall,
 }
 
 // errBroken is returned by a case in which the rule was broken.
--- a/review/_trial/stray.go
+++ b/review/_trial/stray.go
@@ -24,7 +24,7 @@
 	// strayTime and strayPause are the lengths of a spell of the fault and of the pause after it, and spells
 	// is their number.
 	strayTime, strayPause = 5 * time.Second, time.Second
-	spells                = 5
+	spells                = 8
 	// uploadClients and uploadPause make 36 uploads a second.
 	uploadClients, uploadPause = 24, 630 * time.Millisecond
 )
