SIGHUP ends no node that starts or stops

Cause: SIGHUP was received by the service that reads the boot file, which called signal.Stop when it ended. Tasks stop before the callers' listener has drained, so from then on the signal had its default action. The same held at a start, until that service ran, and all the time outside of gateway mode. The case's record shows "ended: signal: hangup", with no line of the node; a broken boot file or the reload itself were ruled out, as no reload was logged.

Change: internal/signals receives the signals for the process, from the first line of main to its end, and nothing gives them back. The daemon passes on the hangups; the service of a node only reads them, and now runs until no request is in progress. Outside of gateway mode a hangup is logged and ignored.

--- a/cmd/cherryward/main.go
+++ b/cmd/cherryward/main.go
@@ -2,12 +2,10 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cherryward/cherryward/internal/daemon"
+	"github.com/cherryward/cherryward/internal/signals"
 )
 
 func main() {
@@ -15,7 +13,6 @@
 }
 
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return daemon.Run(ctx, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr})
+	stop, hangups := signals.Receive()
+	return daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr})
 }
--- a/internal/capacity/measure/measure_test.go
+++ b/internal/capacity/measure/measure_test.go
@@ -5,9 +5,7 @@
 	"flag"
 	"os"
 	"os/exec"
-	"os/signal"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +13,7 @@
 
 	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/daemon"
+	"github.com/cherryward/cherryward/internal/signals"
 	"github.com/cherryward/cherryward/standin/engine"
 )
 
@@ -26,9 +25,8 @@
 
 func TestMain(m *testing.M) {
 	if file := os.Getenv(nodeVariable); file != "" {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		os.Exit(daemon.Run(ctx, []string{"cherryward", "run", "--settings", file}, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+		stop, hangups := signals.Receive()
+		os.Exit(daemon.Run(stop, hangups, []string{"cherryward", "run", "--settings", file}, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -32,6 +33,7 @@
 // command holds the state and flags that the subcommands share.
 type command struct {
 	streams    Streams
+	hangups    <-chan os.Signal
 	settings   string
 	boot       string
 	serve      bool
@@ -48,9 +50,10 @@
 // Unwrap returns the cause.
 func (e *usageError) Unwrap() error { return e.cause }
 
-// Run parses and executes the command line and returns the exit code of the process.
-func Run(ctx context.Context, args []string, streams Streams) int {
-	c := &command{streams: streams}
+// Run parses and executes the command line and returns the exit code of the process. A node stops when ctx is
+// done. hangups delivers the SIGHUP signals of the process; see signals.Receive.
+func Run(ctx context.Context, hangups <-chan os.Signal, args []string, streams Streams) int {
+	c := &command{streams: streams, hangups: hangups}
 	err := c.root().Run(ctx, args)
 	if err == nil {
 		return exitOK
@@ -119,11 +122,20 @@
 		Stringer("callers", n.CallersAddr()).
 		Stringer("operators", n.OperatorsAddr()).
 		Str("peers", n.PeersAddr()).Send()
+	go c.logHangups(log)
 	err = n.Run(ctx)
 	log.Info().Str("event", "stopped").AnErr("error", err).Send()
 	return err
 }
 
+// logHangups logs each SIGHUP until the process ends. Outside of gateway mode a node reads its settings only when
+// it starts.
+func (c *command) logHangups(log zerolog.Logger) {
+	for range c.hangups {
+		log.Info().Str("event", "hangup").Bool("ignored", true).Send()
+	}
+}
+
 func (c *command) check(context.Context, *cli.Command) error {
 	file := c.settings
 	var err error
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -33,7 +33,8 @@
 	}
 	log, flush := c.gatewayLogger(boot.Name)
 	defer flush()
-	n, err := gateway.New(boot, func() (*bootstrap.Node, error) { return platform.LoadBoot(c.boot) }, log)
+	load := func() (*bootstrap.Node, error) { return platform.LoadBoot(c.boot) }
+	n, err := gateway.New(boot, gateway.BootSource{Load: load, Hangups: c.hangups}, log)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,14 +105,13 @@
 	return Host{Clock: clock.System(), Connect: dialer.DialContext}
 }
 
-// New opens the node's listeners and creates its services. load reads the boot file again, to
-// detect changes.
-func New(boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
-	return NewOn(SystemHost(), boot, load, log)
+// New opens the node's listeners and creates its services. Changes of boot are read from source.
+func New(boot *bootstrap.Node, source BootSource, log zerolog.Logger) (*Node, error) {
+	return NewOn(SystemHost(), boot, source, log)
 }
 
 // NewOn is New for a node that runs on the given host.
-func NewOn(host Host, boot *bootstrap.Node, load func() (*bootstrap.Node, error), log zerolog.Logger) (*Node, error) {
+func NewOn(host Host, boot *bootstrap.Node, source BootSource, log zerolog.Logger) (*Node, error) {
 	limitMemory(boot.MemoryBytes)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.StopGracePeriod - stopMargin),
@@ -145,7 +144,7 @@
 		return nil, err
 	}
 	n.serveCallers()
-	return n, n.registerServices(store, load)
+	return n, n.registerServices(store, source)
 }
 
 // listen opens the listeners for callers, for the requests of other nodes, and for the balancer.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,7 +20,7 @@
 		MemoryBytes: 256 << 20, StoreAddr: "127.0.0.1:9",
 		Bounds: bootstrap.Bounds{RevokeLimit: 5 * time.Second, DrainLimit: 2 * time.Second, StopGracePeriod: 8 * time.Second},
 	}
-	n, err := New(boot, func() (*bootstrap.Node, error) { return boot, nil }, zerolog.Nop())
+	n, err := New(boot, BootSource{Load: func() (*bootstrap.Node, error) { return boot, nil }}, zerolog.Nop())
 	must.NoError(t, err)
 	defer n.conn.Close()
 	defer n.callers.listener.Close()
--- a/internal/gateway/messages_test.go
+++ b/internal/gateway/messages_test.go
@@ -17,7 +17,7 @@
 // in datagrams, whose length is limited, and no others.
 func TestSizesOfMessagesAreDocumented(t *testing.T) {
 	boot := &bootstrap.Node{Name: "n", IP: "127.0.0.1", CallersAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", StoreAddr: "127.0.0.1:9"}
-	n, err := New(boot, nil, zerolog.Nop())
+	n, err := New(boot, BootSource{}, zerolog.Nop())
 	must.NoError(t, err)
 	defer n.conn.Close()
 	page, err := os.ReadFile("../../docs/CAPACITY.md")
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
@@ -15,24 +13,30 @@
 // signal.
 const reloadInterval = 2 * time.Second
 
+// BootSource provides the contents of the boot file as it changes.
+type BootSource struct {
+	// Load reads the boot file.
+	Load func() (*bootstrap.Node, error)
+	// Hangups delivers the process's SIGHUP signals, upon which the file is read at once. The node does not own
+	// them: they must not end the process once the node has stopped reading. Nil means that there are none.
+	Hangups <-chan os.Signal
+}
+
 // reload applies changes of the boot file until ctx is done: at once on SIGHUP, otherwise within
-// reloadPause. The listeners and the store's address are fixed at the start; a change of these is
+// reloadInterval. The listeners and the store's address are fixed at the start; a change of these is
 // logged and requires a restart.
-func (n *Node) reload(ctx context.Context, load func() (*bootstrap.Node, error)) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (n *Node) reload(ctx context.Context, source BootSource) error {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-source.Hangups:
 			n.log.Info().Str("event", "hangup").Send()
 		case <-ticker.C:
 		}
-		n.applySettings(load())
+		n.applySettings(source.Load())
 	}
 }
 
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 
-	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/platform"
 )
 
 // requestServices are the services that run until no request is in progress: they tell the other nodes what
-// requests depend on, and hear it from them.
-var requestServices = []string{"config", "registry", "roster", "messages", "probes", "peers", "quarantine", "releases", "origins"}
+// requests depend on, and hear it from them and from the operators.
+var requestServices = []string{"config", "registry", "roster", "messages", "probes", "peers", "quarantine", "releases", "origins", "reload"}
 
 // registerServices registers all services with the kernel.
-func (n *Node) registerServices(store *platform.Store, load func() (*bootstrap.Node, error)) error {
+func (n *Node) registerServices(store *platform.Store, source BootSource) error {
 	followers := n.followers(store)
 	// Among the servers, the last is stopped first: requests of other nodes that are in progress go on meanwhile.
 	return n.register(n.readyServer, n.helperServer, n.callers,
@@ -34,7 +33,7 @@
 		&task{name: "suspension", run: n.watchSuspension},
 		&task{name: "start-log", run: n.startLog.watch},
 		&task{name: "sweep", run: newSweeper(n).run},
-		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, load) }},
+		&task{name: "reload", run: func(ctx context.Context) error { return n.reload(ctx, source) }},
 		&task{name: "kept", run: n.cacheTracker.follow},
 		&task{name: "events", run: n.cachePeers.Run},
 		&task{name: "free", run: n.cacheTracker.free},
--- a/internal/gatewaydemo/gatewaydemo.go
+++ b/internal/gatewaydemo/gatewaydemo.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := gateway.NewOn(host, boot, load, log)
+	n, err := gateway.NewOn(host, boot, gateway.BootSource{Load: load}, log)
 	if err != nil {
 		return nil, err
 	}
--- a/scenarios/gateway/gateway_test.go
+++ b/scenarios/gateway/gateway_test.go
@@ -7,12 +7,10 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -26,6 +24,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/cherryward/cherryward/internal/daemon"
+	"github.com/cherryward/cherryward/internal/signals"
 	"github.com/cherryward/cherryward/scenarios/processtest"
 	"github.com/cherryward/cherryward/standin/metastore"
 	"github.com/cherryward/cherryward/standin/modelserver"
@@ -43,9 +42,8 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"cherryward": func() {
-			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			os.Exit(daemon.Run(ctx, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+			stop, hangups := signals.Receive()
+			os.Exit(daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
 		},
 	})
 }
--- a/scenarios/gateway/signal_test.go
+++ b/scenarios/gateway/signal_test.go
@@ -8,12 +8,13 @@
 	"github.com/cherryward/cherryward/scenarios/processtest"
 )
 
-var signals = map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "hup": syscall.SIGHUP}
+// signalsByName are the signals that scripts send.
+var signalsByName = map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "hup": syscall.SIGHUP}
 
 // signal NODE NAME sends a signal to a node. For freeze it waits until the process is stopped.
 func (w *world) signal(words []string) error {
 	process := w.nodes[words[0]].cmd.Process
-	if err := process.Signal(signals[words[1]]); err != nil || words[1] != "freeze" {
+	if err := process.Signal(signalsByName[words[1]]); err != nil || words[1] != "freeze" {
 		return err
 	}
 	return processtest.AwaitStop(process.Pid)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cherryward/cherryward/internal/ctl"
 	"github.com/cherryward/cherryward/internal/daemon"
+	"github.com/cherryward/cherryward/internal/signals"
 )
 
 // scriptsAtOnce limits the number of scripts that run in parallel.
@@ -24,25 +25,17 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"cherryward": func() {
-			exit(func(ctx context.Context) int {
-				return daemon.Run(ctx, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr})
-			})
+			stop, hangups := signals.Receive()
+			os.Exit(daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
 		},
 		"cherryctl": func() {
-			exit(func(ctx context.Context) int {
-				return ctl.Run(ctx, os.Args, ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
-			})
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			os.Exit(ctl.Run(ctx, os.Args, ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
 		},
 	})
 }
 
-// exit runs a command like its main function.
-func exit(run func(context.Context) int) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(run(ctx))
-}
-
 func TestScenarios(t *testing.T) { runScripts(t, ".") }
 
 // TestTickets runs the script for ticketed calls as a separate test, so that it can be listed
@@ -79,6 +72,7 @@
 			"cut":       command((*world).cut),
 			"heal":      command((*world).heal),
 			"term":      command((*world).term),
+			"hup":       command((*world).hup),
 			"pause":     command((*world).pause),
 			"set":       command((*world).set),
 			"exits":     command((*world).exits),
--- a/scenarios/signal_test.go
+++ b/scenarios/signal_test.go
@@ -55,6 +55,9 @@
 	return w.signal(a, syscall.SIGCONT, func(n *nodeProcess) { n.frozen.Store(false) })
 }
 
+// hup sends SIGHUP to nodes, which must survive it, whether they are running or stopping.
+func (w *world) hup(a *args) error { return w.signal(a, syscall.SIGHUP, func(*nodeProcess) {}) }
+
 // term terminates nodes gracefully, waits until they have exited and removes them from the host
 // list. Each must exit with code 0.
 func (w *world) term(a *args) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,16 +15,14 @@
 package soak
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/daemon"
+	"github.com/cherryward/cherryward/internal/signals"
 )
 
 var (
@@ -48,9 +46,8 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runEnv) != "" {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		os.Exit(daemon.Run(ctx, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+		stop, hangups := signals.Receive()
+		os.Exit(daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
 	}
 	flag.Parse()
 	os.Exit(m.Run())
