Soak: SIGHUP at any time, and the exit status of nodes that were terminated

Nodes that stop got SIGHUP in series of signals before, but their end was taken for the effect of SIGTERM, as nobody looked at the exit status; hangups for all nodes left out those that had faults. Now a node that got no SIGKILL must end with status 0.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
@@ -30,9 +31,13 @@
 	signalCount // number of signals
 )
 
+// regularEnd is how a process ends after SIGTERM, whatever other signals it gets but SIGKILL.
+const regularEnd = "exit status 0"
+
 // process is the process of a node, which is restarted repeatedly.
 type process struct {
-	cmd          *exec.Cmd // set by the goroutine that claimed the process
+	cmd          *exec.Cmd                  // set by the goroutine that claimed the process
+	listening    atomic.Pointer[os.Process] // the latest process that listened
 	addr         atomic.Pointer[string]
 	ended        chan struct{}
 	disturbances spans
@@ -64,10 +69,11 @@
 		}
 		must.NoError(w.t, err)
 	}
+	p.listening.Store(p.cmd.Process)
 	cmd := p.cmd
 	go func() {
 		_, _ = io.Copy(w.log, lines) // ends with the process
-		_ = cmd.Wait()               // the exit status is expected to vary
+		_ = cmd.Wait()               // whoever ends the process checks the exit status
 		close(ended)
 	}()
 }
@@ -89,7 +95,7 @@
 		return
 	}
 	defer w.release(p)
-	ends, series := false, target/len(w.nodes)
+	ends, killed, series := false, false, target/len(w.nodes)
 	if series != hangUp { // the node stays connected
 		defer p.disturbances.open()()
 	}
@@ -97,7 +103,7 @@
 		switch n % signalCount {
 		case kill:
 			p.signal(syscall.SIGKILL)
-			ends = true
+			ends, killed = true, true
 		case terminate:
 			p.signal(syscall.SIGTERM)
 			ends = true
@@ -115,18 +121,18 @@
 	}
 	if ends {
 		<-p.ended
+		if !killed {
+			test.Eq(w.t, regularEnd, p.cmd.ProcessState.String())
+		}
 		w.pause(lasts / 2)
 		w.start(i)
 	}
 }
 
-// reloadNodes sends SIGHUP to all nodes at about the same time.
+// reloadNodes sends SIGHUP to all nodes at about the same time, also to those that are stopping.
 func (w *world) reloadNodes(int, time.Duration) {
 	for _, p := range w.nodes {
-		if w.claim(p) {
-			p.signal(syscall.SIGHUP)
-			w.release(p)
-		}
+		_ = p.listening.Load().Signal(syscall.SIGHUP) // fails if it has ended
 	}
 }
 
