Gateway: what requests depend on stops after the last request

The same class as the signal that ended a stopping node: something that requests in progress need is let go of first. Each task stands now either among those that run until no request is in progress, or among those that end with the order to stop, and a server needs the whole first list. It was a list of names beside the tasks, and these were missing there though a stopping node takes requests for 2.5 s more and finishes them for as long as grace-s: pace (engines that turn slow), events (what stores keep, as other nodes tell it), memory (the collector's rate), suspension (its line in the log); and for requests that other nodes pass on, kept.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,8 +166,6 @@
 	n.callers.http.Handler = closeWhenShuttingDown(&n.shuttingDown, handler)
 	n.helperServer.http.Handler = closeWhenShuttingDown(&n.shuttingDown, http.HandlerFunc(handler.ServePassed))
 	n.callers.shutdownDelay = callersShutdownDelay
-	n.callers.needs = append([]string{"ready", "kept"}, requestServices...)
-	n.helperServer.needs = requestServices
 	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
 }
 
--- a/internal/gatewaydemo/suspended_test.go
+++ b/internal/gatewaydemo/suspended_test.go
@@ -1,7 +1,10 @@
 package gatewaydemo_test
 
 import (
+	"context"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/cherryward/cherryward/internal/gateway"
 	"github.com/cherryward/cherryward/internal/gatewaydemo"
 	"github.com/cherryward/cherryward/standin/metastore"
+	"github.com/cherryward/cherryward/standin/modelserver"
 	"github.com/cherryward/cherryward/standin/site"
 )
 
@@ -45,3 +49,48 @@
 	})
 	test.True(t, m.Ready())
 }
+
+// eventLog collects the log of a node, in JSON.
+type eventLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *eventLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *eventLog) has(event string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), `"event":"`+event+`"`)
+}
+
+// TestNodeObservesWhileItsRequestsEnd guards against tasks that stop before the requests that depend on them.
+func TestNodeObservesWhileItsRequestsEnd(t *testing.T) {
+	s, _ := startSite(t, 0)
+	host := clocktest.New()
+	system := gateway.SystemHost()
+	system.Clock = host.Clock
+	log := &eventLog{}
+	m, err := gatewaydemo.StartNodeOn(system, s, "n", zerolog.New(log))
+	must.NoError(t, err)
+	must.NoError(t, m.WaitReady(t.Context()))
+	s.Plain.SetFaults(modelserver.Faults{Hang: true})
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	req, err := site.Request(ctx, m.CallersAddr(), http.MethodGet, site.PathLookup, key, "slow", "")
+	must.NoError(t, err)
+	go func() { _, _ = http.DefaultClient.Do(req) }() // is cancelled by leave
+	waitUntil(t, "the request runs", func() bool { return len(s.Plain.Runs()) == 1 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- m.Stop() }()
+	waitUntil(t, "the node stops", func() bool { return log.has("stopping") })
+	host.Suspend(2 * time.Second)
+	waitUntil(t, "the suspension is observed", func() bool { return log.has("suspended") })
+	leave()
+	must.NoError(t, <-stopped)
+}
