A node outlives the reader of its log

What callers would see: all their requests cut when the process that collects a node's log ends, as a Go program that writes to a closed pipe on standard output or standard error is ended by SIGPIPE. Nothing of a request depends on that reader, so the lines are lost and the requests go on. Of the other signals that a supervisor or shell may send, SIGUSR1 and SIGUSR2 have no effect on a Go program (in TestRequestsSurviveSignalsWhileStopping), and SIGQUIT stays what it is, a dump of all goroutines and the end.

--- a/cmd/cherryward/signals_test.go
+++ b/cmd/cherryward/signals_test.go
@@ -107,6 +107,20 @@
 	n.awaitExit()
 }
 
+// TestRequestsSurviveLossOfLogReader guards against a node that ends when it writes to a closed pipe.
+func TestRequestsSurviveLossOfLogReader(t *testing.T) {
+	n := startNode(t, startSite(t))
+	l := startLoad(n)
+	must.NoError(t, n.logRead.Close())
+	for i := range 5 { // each leaves a line in the log
+		test.Eq(t, http.StatusOK, n.send(http.MethodGet, site.PathLookup, fmt.Sprint("unlogged-", i), 0, nil).status)
+	}
+	n.signal(syscall.SIGHUP)
+	n.signal(syscall.SIGTERM)
+	l.complete()
+	n.awaitExit()
+}
+
 const (
 	streams        = 6 // half of them resumed
 	receivedEvents = 2 // events that the callers of resumed streams have received before
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/cherryward/cherryward/internal/gatewaydemo"
 	"github.com/cherryward/cherryward/internal/node"
 	"github.com/cherryward/cherryward/internal/settings"
+	"github.com/cherryward/cherryward/internal/signals"
 	"github.com/cherryward/cherryward/platform"
 )
 
@@ -106,6 +107,7 @@
 }
 
 func (c *command) run(ctx context.Context, _ *cli.Command) error {
+	signals.IgnoreBrokenPipes() // requests go on without a reader of the log
 	if c.useBootFile() {
 		return c.runGateway(ctx)
 	}
