A node that has stopped exits though nobody reads its log

The last lines were written without a bound in time: a node whose log's pipe was full stayed until SIGKILL, long after its last request. flush now gives up after 200 ms, of the 500 ms that are kept for the exit.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -45,9 +47,13 @@
 	return err
 }
 
+// flushTimeout is how long a node that has stopped waits for the reader of its log. It is a part of the time that
+// the gateway leaves for the exit of the process.
+const flushTimeout = 200 * time.Millisecond
+
 // gatewayLogger returns a logger that writes to standard output and never blocks on its
 // reader. The number of dropped lines is logged as the event log_lines_dropped. flush
-// writes the buffered lines and stops the logger.
+// writes the buffered lines and stops the logger; it gives up after flushTimeout.
 func (c *command) gatewayLogger(node string) (log zerolog.Logger, flush func()) {
 	out := keyValues(c.streams.Out)
 	unbuffered := zerolog.New(out)
@@ -55,6 +61,18 @@
 		unbuffered.Warn().Str("event", "log_lines_dropped").Int("lines", dropped).Send()
 	})
 	log = zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Str("node", node).Logger()
-	// Close returns only the error of closing out, and out has no Close method.
-	return log, func() { _ = w.Close() }
+	return log, func() { flushWithin(flushTimeout, w) }
+}
+
+// flushWithin closes w, and returns after timeout at the latest.
+func flushWithin(timeout time.Duration, w io.Closer) {
+	flushed := make(chan struct{})
+	go func() {
+		_ = w.Close() // nothing can be logged any more
+		close(flushed)
+	}()
+	select {
+	case <-flushed:
+	case <-time.After(timeout):
+	}
 }
