Upstream: headers without end are bounded over the whole exchange

Cause: the bound of 64 KB was that of one header, and each interim response began it anew. It is now one for all headers of an exchange; what follows a header counts as soon as it is received. What exceeds a bound is an ExcessError, which names the part, also where the limit cuts a line that then counts as malformed.

--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -32,7 +32,7 @@
 // unlimited is the value of limitedReader.remaining after the header of the answer was read.
 const unlimited = -1
 
-// limitedReader reads from source until the remaining bytes are used up, then fails.
+// limitedReader reads from source until the remaining bytes are used up, then fails with an ExcessError.
 type limitedReader struct {
 	source    io.Reader
 	remaining int
@@ -44,7 +44,7 @@
 		return l.source.Read(b)
 	}
 	if l.remaining <= 0 {
-		return 0, errors.New("answer header is too long")
+		return 0, &ExcessError{Part: PartHeader}
 	}
 	if len(b) > l.remaining {
 		b = b[:l.remaining]
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxHeaderBytes bounds the header of an answer.
+	// maxHeaderBytes bounds the headers of an exchange: that of the answer and those of all responses before it.
 	maxHeaderBytes = 64 << 10
 	// maxSkippedAnswers bounds the answers to other requests that are skipped before this request's
 	// answer.
@@ -158,11 +158,13 @@
 
 // receive reads answers until the one that belongs to this request.
 func (a *Answer) receive(req *Request, isOwn func(http.Header) bool) error {
+	headerBytes := maxHeaderBytes // what is left for headers
 	for skipped := 0; ; {
-		resp, err := a.readHeader(req.Method)
+		resp, left, err := a.readHeader(req.Method, headerBytes)
 		if err != nil {
 			return err
 		}
+		headerBytes = left
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response such as 100 Continue
 		}
@@ -172,7 +174,7 @@
 		}
 		skipped++
 		if skipped > maxSkippedAnswers {
-			return &Error{Stage: StageAnswer, Err: errors.New("received only answers to other requests")}
+			return &Error{Stage: StageAnswer, Err: &ExcessError{Part: PartOtherAnswers}}
 		}
 		if err := skipBody(resp); err != nil {
 			return &Error{Stage: StageAnswer, Err: err}
@@ -195,22 +197,28 @@
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
 	if err == nil && n == maxSkippedBytes {
-		err = errors.New("answer to another request is too long")
+		err = &ExcessError{Part: PartOtherAnswers}
 	}
 	return err
 }
 
-func (a *Answer) readHeader(method string) (*http.Response, error) {
-	a.conn.limited.remaining = maxHeaderBytes
+// readHeader reads the header of one response, for which at most limit bytes are received. It returns what is left
+// of them; received bytes that follow the header are not left.
+func (a *Answer) readHeader(method string, limit int) (resp *http.Response, left int, err error) {
+	a.conn.limited.remaining = limit
 	if _, err := a.conn.reader.Peek(1); err != nil {
-		return nil, &Error{Stage: StageSend, Err: err}
+		return nil, 0, &Error{Stage: StageSend, Err: err}
 	}
-	resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
-	if err != nil {
-		return nil, &Error{Stage: StageAnswer, Err: err}
+	resp, err = http.ReadResponse(a.conn.reader, &http.Request{Method: method})
+	left = a.conn.limited.remaining
+	switch {
+	case err != nil && left == 0: // a line that was cut off by the limit may count as malformed
+		return nil, 0, &Error{Stage: StageAnswer, Err: &ExcessError{Part: PartHeader}}
+	case err != nil:
+		return nil, 0, &Error{Stage: StageAnswer, Err: err}
 	}
 	a.conn.limited.remaining = unlimited
-	return resp, nil
+	return resp, left, nil
 }
 
 // Done ends an answer. It keeps the connection for reuse only if the body was read to its end and
