Endpoints that send what is no answer are avoided, logged and counted

What callers saw: an endpoint that answers with garbage or headers without end got requests until a third of its recent ones had failed, and the log named the cause only where the request was sent again. An attempt that ends since a part of what the endpoint sends exceeds its bound counts now like a broken connection: the endpoint is avoided at once, ever longer; a line (answer_excess) names the part and a metric counts it (cherryward_gateway_excess_answers_total).

TestEndlessAnswers, with a stand-in that sends each form without end: requests that may be repeated are served by the other endpoint, an upload is answered truly (502, may have run).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,7 +155,7 @@
 // attempt sends the request once and returns the verdict. Afterwards x.cause is the reason
 // for which this attempt failed, or nil if its answer was delivered.
 func (x *exchange) attempt(ctx context.Context, q *Query, p *Placement) verdict {
-	x.cause, x.answerBroken, x.endpointReplaced, x.refusedForRoom, x.begun, x.endUncertain = nil, false, false, false, false, false
+	x.cause, x.excess, x.answerBroken, x.endpointReplaced, x.refusedForRoom, x.begun, x.endUncertain = nil, nil, false, false, false, false, false
 	p.Attempt.Remaining = x.Clock.Until(x.deadline())
 	p.Attempt.ResumeAfter = x.position.lastID
 	load := p.Member.Load
@@ -239,6 +239,7 @@
 // it.
 func (x *exchange) sendFailureVerdict(ctx context.Context, err error) verdict {
 	x.cause = err
+	x.recordExcess(err)
 	switch {
 	case x.unreachable():
 		return notRun
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -19,6 +19,7 @@
 	"github.com/cherryward/cherryward/internal/residency"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/upstream"
 )
 
 // revocationMargin is subtracted from the revocation bound. It covers differences of clock rates
@@ -82,6 +83,7 @@
 	sends             sendCounts
 	placement         *Placement              // the latest one
 	cause             error                   // reason for which the latest attempt failed
+	excess            *upstream.ExcessError   // set if the endpoint sent too much in the latest attempt
 	cachedFingerprint *quarantine.Fingerprint // computed on first use
 	cachedParts       []quarantine.Part       // computed on first use
 	heldPart          string                  // id of the part for which the request was refused
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -20,6 +20,9 @@
 	}
 	now := x.Clock.Now()
 	health := &p.Member.Health
+	if x.excess != nil {
+		x.Log.Warn().Str("event", "answer_excess").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).Str("part", string(x.excess.Part)).Send()
+	}
 	endpointEnded := v == notRun && (x.endpointReplaced || x.connectionRefused())
 	unreachable := v == notRun && x.unreachable()
 	if endpointEnded {
@@ -28,14 +31,21 @@
 	switch {
 	case v == delivered:
 		health.RecordSuccess(now)
-	case v == notRun && !unreachable && !endpointEnded:
+	case v == notRun && !unreachable && !endpointEnded && x.excess == nil:
 		health.RecordRefusal(now, refusalBackoff)
-	case health.RecordFailure(now, unreachable):
+	case health.RecordFailure(now, unreachable || x.excess != nil):
 		x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
 			Float64("failure_rate", health.FailureRate(now)).AnErr("cause", x.cause).Send()
 	}
 }
 
+// recordExcess records whether an attempt ended with err since the endpoint sent too much.
+func (x *exchange) recordExcess(err error) {
+	if errors.As(err, &x.excess) {
+		x.outcome.Excesses = append(x.outcome.Excesses, x.excess.Part)
+	}
+}
+
 // unreachable reports whether the latest attempt failed to connect.
 func (x *exchange) unreachable() bool {
 	var failure *upstream.Error
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -6,6 +6,7 @@
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/upstream"
 )
 
 // Recorder records the outcomes of requests.
@@ -27,6 +28,8 @@
 	Origin          *origin.Source
 	TimeToFirstByte time.Duration // until the header of the answer was written; 0 without an answer
 	Total           time.Duration
+	// Excesses are the parts of which endpoints sent too much, one for each attempt that ended so.
+	Excesses []upstream.Part
 	// LongestPause is the longest time between two reads that brought events of a stream; 0 if it is
 	// not measured.
 	LongestPause time.Duration
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,7 @@
 	metricNodes            = "cherryward_gateway_nodes"
 	metricRejected         = "cherryward_gateway_rejected_records_total"
 	metricConnections      = "cherryward_gateway_connections_opened_total"
+	metricExcess           = "cherryward_gateway_excess_answers_total"
 	metricReady            = "cherryward_gateway_ready"
 	metricCollects         = "cherryward_gateway_collects"
 	metricLoadAge          = "cherryward_gateway_load_age_seconds"
@@ -188,6 +189,9 @@
 	if o.Origin != nil {
 		r.set.GetOrCreateCounter(metricResumed + `{origin="` + o.Origin.String() + `",` + label + "}").Inc()
 	}
+	for _, part := range o.Excesses {
+		r.set.GetOrCreateCounter(metricExcess + `{part="` + string(part) + `"}`).Inc()
+	}
 	if o.Passed {
 		r.set.GetOrCreateCounter(metricReceived + code).Inc()
 		return
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -22,6 +22,7 @@
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/relay"
 	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/upstream"
 )
 
 // TestMetricsAreDocumented checks that the operators' documentation lists exactly the served
@@ -47,7 +48,7 @@
 	r.Refused(&routing.Route{}, "no_slot")
 	r.PlacedInOtherDomain(&routing.Route{}, true)
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{GapObjective: time.Second / 2}, TimeToFirstByte: time.Second, LongestPause: time.Second, Total: time.Second})
-	r.Forwarded(&forward.Outcome{Helper: true})
+	r.Forwarded(&forward.Outcome{Helper: true, Excesses: []upstream.Part{upstream.PartBody}})
 	r.Forwarded(&forward.Outcome{Passed: true})
 	found := origin.OwnRecord
 	r.Forwarded(&forward.Outcome{Origin: &found})
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -39,6 +39,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if faults.Endless.Refuses() {
+		s.serveEndless(w, faults.Endless, id)
+		return
+	}
 	s.run(w, r, id, version, faults)
 }
 
@@ -96,6 +100,8 @@
 	case faults.CrashOnSuffix != "" && strings.HasSuffix(r.URL.Path, faults.CrashOnSuffix):
 		s.cfg.Crash()
 		panic(http.ErrAbortHandler)
+	case faults.Endless != NotEndless:
+		s.serveEndless(w, faults.Endless, id)
 	case faults.Hang:
 		<-r.Context().Done()
 		s.recordAbandoned()
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,6 +46,8 @@
 	// Brittle is the Server-Brittle header, the number of refusals per second that the server bears; empty
 	// for none.
 	Brittle string
+	// Endless is the form of bytes that are sent in place of responses, without end.
+	Endless Endless
 	// CrashOnSuffix is a path suffix. A request whose path has it crashes the server that runs it; empty
 	// disables this.
 	CrashOnSuffix string
@@ -111,6 +114,8 @@
 	abandoned  int // requests whose client disconnected
 	parts      map[[2]string]int
 	events     [][]any
+
+	endlessBytes atomic.Int64 // written in endless forms
 }
 
 // New returns a server whose weights have version 1.
