The body of a refusal holds no request

What callers saw: the body of an answer that isn't delivered (a refusal, or an error after which the request is sent again) was read up to 16 MB, and without a bound in time, before the request went to another endpoint. One that stalls held the request until its deadline, though it had certainly not run.

Change: such a body gets 64 KB and 50 ms, else its connection is closed. Whether a status is withheld doesn't depend on the body, so it is decided before.

--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -13,8 +14,14 @@
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
-// maxAnswerBytes bounds a plain answer that is buffered in full before it is delivered.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds a plain answer that is buffered in full before it is delivered.
+	maxAnswerBytes = 16 << 20
+	// maxDiscardedBytes and maxDiscardTime bound the body of an answer that is not delivered: reading it saves a
+	// connection, and the request may have to be sent elsewhere.
+	maxDiscardedBytes = 64 << 10
+	maxDiscardTime    = 50 * time.Millisecond
+)
 
 // hopByHop are the headers that apply to a single connection (RFC 9110, 7.6.1).
 var hopByHop = []string{
@@ -39,7 +46,7 @@
 func (x *exchange) deliver(answer *upstream.Answer, info *AnswerInfo, onFirst func()) verdict {
 	if info.NotRun {
 		x.cause = eris.Errorf("endpoint refused the request with status %d", answer.StatusCode)
-		x.discardBody(answer)
+		x.recordExcess(answer.Discard(maxDiscardedBytes, maxDiscardTime))
 		return notRun
 	}
 	success := answer.StatusCode < http.StatusMultipleChoices
@@ -67,20 +74,24 @@
 	return encoding == "" || encoding == "identity"
 }
 
-// discardBody reads an answer that is not delivered, up to maxAnswerBytes, so that its connection
-// can be reused.
-func (x *exchange) discardBody(answer *upstream.Answer) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes)); err != nil {
-		answer.Abort()
-		return
+// withhold discards an answer that must not be delivered.
+func (x *exchange) withhold(answer *upstream.Answer) verdict {
+	err := answer.Discard(maxDiscardedBytes, maxDiscardTime)
+	x.recordExcess(err)
+	if err != nil && x.excess == nil {
+		x.recordBrokenAnswer(eris.Wrap(err, "read the body of a withheld answer"))
 	}
-	answer.Done()
+	return mayHaveRun
 }
 
 // deliverBuffered buffers the complete answer, then delivers it unless its status must be withheld.
 // Answers longer than maxAnswerBytes go to deliverLong.
 func (x *exchange) deliverBuffered(answer *upstream.Answer, onFirst func()) verdict {
 	x.endUncertain = answer.CloseDelimited()
+	if x.withholds(answer.StatusCode) {
+		onFirst()
+		return x.withhold(answer)
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	onFirst()
 	if err == nil && len(body) == 0 && answer.CloseDelimited() {
@@ -91,10 +102,6 @@
 		x.recordBrokenAnswer(eris.Wrap(err, "read answer body"))
 		return mayHaveRun
 	}
-	if x.withholds(answer.StatusCode) {
-		answer.Done()
-		return mayHaveRun
-	}
 	if len(body) > maxAnswerBytes {
 		return x.deliverLong(answer, body)
 	}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -41,6 +41,8 @@
 		{form: modelserver.EndlessInterim, path: recordPath, idempotent: served, upload: failed, part: upstream.PartHeader, bytes: shortBytes},
 		{form: modelserver.EndlessGarbage, path: recordPath, idempotent: served, upload: failed, part: upstream.PartHeader, bytes: shortBytes},
 		{form: modelserver.EndlessHeader, path: recordPath, idempotent: served, upload: failed, part: upstream.PartHeader, bytes: shortBytes},
+		{form: modelserver.EndlessRefusal, path: recordPath, idempotent: served, upload: served, part: upstream.PartBody, bytes: shortBytes},
+		{form: modelserver.StalledRefusal, path: recordPath, idempotent: served, upload: served, bytes: shortBytes},
 	}
 	for _, tc := range tests {
 		for path, want := range map[string]result{tc.path: tc.idempotent, uploadPath: tc.upload} {
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -164,7 +164,7 @@
 		return x.finalError(ctx, mayHaveRunCount+1, nil), true
 	}
 	if refusal := handoff.ReadRefusal(answer.Header); refusal != nil {
-		x.discardBody(answer)
+		x.recordExcess(answer.Discard(maxDiscardedBytes, maxDiscardTime))
 		return x.handleRefusal(ctx, helper, refusal, mayHaveRunCount)
 	}
 	info := x.Dialect.ReadAnswer(answer.Header)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -221,6 +222,27 @@
 	return resp, left, nil
 }
 
+// Discard ends an answer whose body is not needed. It keeps the connection for reuse if the rest of the body has at
+// most maxBytes and arrives within the given time; otherwise it closes it. It returns an ExcessError if the body is
+// longer, and the error of the connection if that fails.
+func (a *Answer) Discard(maxBytes int64, within time.Duration) error {
+	_ = a.conn.SetReadDeadline(time.Now().Add(within)) // if this fails, so does the read
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBytes+1))
+	if err == nil && n > maxBytes {
+		err = &ExcessError{Part: PartBody}
+	}
+	if err != nil {
+		a.Abort()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
+		}
+		return err
+	}
+	_ = a.conn.SetReadDeadline(time.Time{}) // if this fails, so does the next read
+	a.Done()
+	return nil
+}
+
 // Done ends an answer. It keeps the connection for reuse only if the body was read to its end and
 // no further bytes have arrived; otherwise it closes it.
 func (a *Answer) Done() {
