Answers that are buffered share a bound on memory

What callers saw: each plain answer was buffered up to 16 MB, in a buffer that doubles, and nothing bounded all of them: 24 requests to endpoints whose bodies have no end took 417 MB at a node of 134 MB, which the platform ends with all its requests. What went beyond 16 MB was handed on without end, until the route's timeout.

Change: a node's buffered answers take at most a sixteenth of the host's memory together, each a quarter of that at most, in blocks that are neither copied nor longer than the answer. One that gets no more is handed on as it arrives, as those over 16 MB were; all that is lost is the second try if it breaks off later. An answer that states no length ends at 64 MB, cut so that the caller sees it; one that states its length ends with it, or at the timeout.

cherryward_gateway_buffered_answer_bytes shows the memory.

--- /dev/null
+++ b/internal/forward/buffers.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// maxAnswerBytes bounds a plain answer that is buffered in full before it is delivered.
+	maxAnswerBytes = 16 << 20
+	// minShares is the least number of long answers that Buffers has room for at the same time.
+	minShares = 4
+	// firstBlockBytes and maxBlockBytes are the sizes of the first and the largest blocks of a buffered answer.
+	firstBlockBytes = 4 << 10
+	maxBlockBytes   = 64 << 10
+)
+
+// Buffers bounds the memory that endpoints' answers take in buffers, over all requests of a node. A nil *Buffers
+// bounds each answer alone. It is safe for concurrent use.
+type Buffers struct {
+	limit int64 // bytes
+	used  atomic.Int64
+}
+
+// NewBuffers returns a Buffers for at most limit bytes.
+func NewBuffers(limit int64) *Buffers { return &Buffers{limit: limit} }
+
+// Used returns the number of bytes reserved now.
+func (b *Buffers) Used() int64 { return b.used.Load() }
+
+// reserve reserves n more bytes for an answer that has reserved held bytes. It fails if there is no room for them,
+// or if the answer would take more than its share.
+func (b *Buffers) reserve(held, n int64) bool {
+	switch {
+	case held+n > maxAnswerBytes:
+		return false
+	case b == nil:
+		return true
+	case held+n > b.limit/minShares:
+		return false
+	case b.used.Add(n) > b.limit:
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *Buffers) release(n int64) {
+	if b != nil {
+		b.used.Add(-n)
+	}
+}
+
+// bufferedBody is the beginning of an answer's body. It must be released.
+type bufferedBody struct {
+	buffers  *Buffers
+	blocks   [][]byte
+	reserved int64
+	length   int64
+}
+
+// readFrom reads r to its end, or until there is no room for more. stated is the length that the answer states, or
+// -1. complete reports whether the end was reached; the error is that of r.
+func (b *bufferedBody) readFrom(r io.Reader, stated int64) (complete bool, err error) {
+	size := int64(firstBlockBytes)
+	if stated >= 0 {
+		size = min(stated+1, maxBlockBytes) // the byte more lets the end be read with the block
+	}
+	for b.buffers.reserve(b.reserved, size) {
+		b.reserved += size
+		block, err := fill(r, make([]byte, size))
+		b.blocks = append(b.blocks, block)
+		b.length += int64(len(block))
+		switch {
+		case errors.Is(err, io.EOF):
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+		size = min(2*size, maxBlockBytes)
+	}
+	return false, nil
+}
+
+// fill reads until the block is full, and returns what was read with the error of r. Unlike io.ReadFull it keeps the
+// end of r and an unexpected end apart.
+func fill(r io.Reader, block []byte) ([]byte, error) {
+	for n := 0; n < len(block); {
+		read, err := r.Read(block[n:])
+		n += read
+		if err != nil {
+			return block[:n], err
+		}
+	}
+	return block, nil
+}
+
+// writeTo writes the body to w.
+func (b *bufferedBody) writeTo(w io.Writer) error {
+	for _, block := range b.blocks {
+		if _, err := w.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// release gives the memory back. Further calls have no effect.
+func (b *bufferedBody) release() {
+	b.buffers.release(b.reserved)
+	b.blocks, b.reserved = nil, 0
+}
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,8 +14,8 @@
 )
 
 const (
-	// maxAnswerBytes bounds a plain answer that is buffered in full before it is delivered.
-	maxAnswerBytes = 16 << 20
+	// maxUnsizedBytes bounds a plain answer that states no length.
+	maxUnsizedBytes = 64 << 20
 	// maxDiscardedBytes and maxDiscardTime bound the body of an answer that is not delivered: reading it saves a
 	// connection, and the request may have to be sent elsewhere.
 	maxDiscardedBytes = 64 << 10
@@ -41,7 +40,7 @@
 }
 
 // deliver passes an endpoint's answer on to the caller and returns the verdict. onFirst
-// is called when the first events of a stream, or a plain answer up to maxAnswerBytes, have been
+// is called when the first events of a stream, or a plain answer as far as it is buffered, have been
 // read, possibly several times.
 func (x *exchange) deliver(answer *upstream.Answer, info *AnswerInfo, onFirst func()) verdict {
 	if info.NotRun {
@@ -85,16 +84,18 @@
 }
 
 // deliverBuffered buffers the complete answer, then delivers it unless its status must be withheld.
-// Answers longer than maxAnswerBytes go to deliverLong.
+// Answers that are too long for that go to deliverLong.
 func (x *exchange) deliverBuffered(answer *upstream.Answer, onFirst func()) verdict {
 	x.endUncertain = answer.CloseDelimited()
 	if x.withholds(answer.StatusCode) {
 		onFirst()
 		return x.withhold(answer)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	body := &bufferedBody{buffers: x.Buffers}
+	defer body.release()
+	complete, err := body.readFrom(answer.Body, answer.ContentLength)
 	onFirst()
-	if err == nil && len(body) == 0 && answer.CloseDelimited() {
+	if complete && body.length == 0 && answer.CloseDelimited() {
 		err = eris.New("connection closed after the response header")
 	}
 	if err != nil {
@@ -102,31 +103,52 @@
 		x.recordBrokenAnswer(eris.Wrap(err, "read answer body"))
 		return mayHaveRun
 	}
-	if len(body) > maxAnswerBytes {
+	if !complete {
 		return x.deliverLong(answer, body)
 	}
 	answer.Done()
-	x.writeHead(answer.Response, int64(len(body)))
-	if _, err := x.w.Write(body); err != nil {
+	x.writeHead(answer.Response, body.length)
+	if err := body.writeTo(x.w); err != nil {
 		x.Log.Debug().Str("event", "answer_unread").Str("id", x.attrs.ID).Err(err).Send()
 	}
 	return deliveredVerdict(answer.StatusCode)
 }
 
-// deliverLong streams an answer that is too long to buffer; prefix is the part already read. If the
+// deliverLong streams an answer that is too long to buffer; begun is the part already read. If the
 // answer breaks off, the request is not sent again.
-func (x *exchange) deliverLong(answer *upstream.Answer, prefix []byte) verdict {
+func (x *exchange) deliverLong(answer *upstream.Answer, begun *bufferedBody) verdict {
 	x.writeHead(answer.Response, answer.ContentLength)
 	x.position.endsWithoutID = true
-	if _, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(prefix), answer.Body)); err != nil {
+	length := begun.length
+	err := begun.writeTo(x.w)
+	begun.release()
+	if err == nil {
+		err = x.copyRest(answer, length)
+	}
+	if err != nil {
 		answer.Abort()
 		x.cause = eris.Wrap(err, "stream a long answer to the caller")
+		x.recordExcess(err)
 		return streamBroken
 	}
 	answer.Done()
 	return deliveredVerdict(answer.StatusCode)
 }
 
+// copyRest copies the rest of an answer to the caller, of which length bytes were written already.
+func (x *exchange) copyRest(answer *upstream.Answer, length int64) error {
+	if answer.ContentLength >= 0 {
+		_, err := io.Copy(x.w, answer.Body)
+		return err
+	}
+	left := maxUnsizedBytes - length
+	n, err := io.Copy(x.w, io.LimitReader(answer.Body, left))
+	if err == nil && n == left {
+		err = &upstream.ExcessError{Part: upstream.PartBody}
+	}
+	return err
+}
+
 // deliveredVerdict returns the verdict on an answer that was delivered in full.
 func deliveredVerdict(status int) verdict {
 	if status >= http.StatusInternalServerError {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/upstream"
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
@@ -28,7 +29,8 @@
 // another endpoint may serve, nor make their bytes pass for a complete answer.
 func TestEndlessAnswers(t *testing.T) {
 	const (
-		shortBytes = 16 << 20 // received of a header, a refusal or an event, with what waits in the sockets' buffers
+		shortBytes = 16 << 20            // received of a header, a refusal or an event, with what waits in the sockets' buffers
+		longBytes  = 65<<20 + shortBytes // the same of a body without a length, with the lengths of its chunks
 	)
 	tests := []struct {
 		form       modelserver.Endless
@@ -43,6 +45,10 @@
 		{form: modelserver.EndlessHeader, path: recordPath, idempotent: served, upload: failed, part: upstream.PartHeader, bytes: shortBytes},
 		{form: modelserver.EndlessRefusal, path: recordPath, idempotent: served, upload: served, part: upstream.PartBody, bytes: shortBytes},
 		{form: modelserver.StalledRefusal, path: recordPath, idempotent: served, upload: served, bytes: shortBytes},
+		{form: modelserver.EndlessError, path: recordPath, idempotent: served, upload: cut, part: upstream.PartBody, bytes: longBytes},
+		{form: modelserver.EndlessChunks, path: recordPath, idempotent: cut, upload: cut, part: upstream.PartBody, bytes: longBytes},
+		{form: modelserver.EndlessUnsized, path: recordPath, idempotent: cut, upload: cut, part: upstream.PartBody, bytes: longBytes},
+		{form: modelserver.EndlessAfterward, path: recordPath, idempotent: answered, upload: answered, bytes: shortBytes},
 	}
 	for _, tc := range tests {
 		for path, want := range map[string]result{tc.path: tc.idempotent, uploadPath: tc.upload} {
@@ -52,12 +58,14 @@
 					model = "m"
 				}
 				h := newTestHandler(t, model, model)
+				h.handler.Buffers = forward.NewBuffers(16 << 20)
 				h.servers[0].SetFaults(modelserver.Faults{Endless: tc.form})
 				began := time.Now()
 				got := h.do(t, http.MethodPost, path, "body", nil)
 				test.Less(t, longTimeout, time.Since(began))
 				test.Eq(t, want, seenBy(got))
 				test.Less(t, tc.bytes, h.servers[0].EndlessBytes())
+				test.Eq(t, 0, h.handler.Buffers.Used())
 				checkExcess(t, h, tc.part)
 				if path == uploadPath {
 					test.LessEq(t, 1, len(h.servers[0].Runs())+len(h.servers[1].Runs()))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -51,6 +51,8 @@
 	// ShuttingDown reports whether this node refuses requests of other nodes because it shuts down. Nil
 	// means that it doesn't.
 	ShuttingDown func() bool
+	// Buffers bounds the memory of buffered answers. Nil means that each is bounded alone.
+	Buffers *Buffers
 	// Clock times requests and what their answers state about endpoints. Nil means the monotonic
 	// clock.
 	Clock  *clock.Clock
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
+	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/handoff"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/kvindex"
@@ -80,6 +81,7 @@
 	pace          *enginepace.Services
 	brittle       *brittle.Service
 	recorder      *recorder
+	buffers       *forward.Buffers // of endpoints' answers
 	started       time.Time
 	startLog      *startLog
 	shuttingDown  atomic.Bool
@@ -122,6 +124,7 @@
 
 		started: host.Clock.Now(),
 	}
+	n.buffers = forward.NewBuffers(bufferBytes(boot.MemoryBytes))
 	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
 	n.fleet.Connect = n.network.Connect
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,6 +32,7 @@
 		Paths:        n.network,
 		Helpers:      n.helpers,
 		ShuttingDown: n.shuttingDown.Load,
+		Buffers:      n.buffers,
 		Clock:        n.clock,
 		Bounds:       n.bounds,
 		Recorder:     n.recorder,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,7 @@
 	metricRejected         = "cherryward_gateway_rejected_records_total"
 	metricConnections      = "cherryward_gateway_connections_opened_total"
 	metricExcess           = "cherryward_gateway_excess_answers_total"
+	metricBuffered         = "cherryward_gateway_buffered_answer_bytes"
 	metricReady            = "cherryward_gateway_ready"
 	metricCollects         = "cherryward_gateway_collects"
 	metricLoadAge          = "cherryward_gateway_load_age_seconds"
@@ -98,6 +99,7 @@
 		}
 		return float64(opened)
 	})
+	set.NewGauge(metricBuffered, func() float64 { return float64(n.buffers.Used()) })
 	set.NewGauge(metricReady, func() float64 {
 		if n.ready() {
 			return 1
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -36,6 +36,7 @@
 		brittle:    &brittle.Service{},
 		network:    &network{},
 		storeEra:   func() int64 { return 0 },
+		buffers:    forward.NewBuffers(0),
 	}
 	n.boot.Store(testBoot(t))
 	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
--- a/standin/modelserver/endless.go
+++ b/standin/modelserver/endless.go
@@ -48,11 +48,10 @@
 // Refuses reports whether the server refuses the request, so that it does not run.
 func (e Endless) Refuses() bool { return e == EndlessRefusal || e == StalledRefusal }
 
-const (
-	endlessChunk = "4\r\nxxxx\r\n"
-	// endlessBlockBytes is about the number of bytes of one write.
-	endlessBlockBytes = 32 << 10
-)
+// endlessBlockBytes is about the number of bytes of one write.
+const endlessBlockBytes = 32 << 10
+
+var endlessChunk = "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"
 
 // text returns what is sent once and what is repeated without end in response to a request with the given id; the
 // latter is empty if nothing follows.
