A stream that brings no event ends

What callers saw: comments or empty blocks without end were handed on until the route's timeout, in place of the events that another endpoint could write; an event without end took up to 1 MB a stream, with no bound on all of them.

Change: a stream that sends 64 KB since its last event is broken off, as is an event over 1 MB, and goes on elsewhere where its route may be resumed; what an event takes beyond 16 KB counts in the bound on buffered answers. The end of an event is now looked for in each byte once: each read looked through all that was read of the event, 256 times for 1 MB.

TestEndlessAnswers: before, 181 MB were sent of comments and the stream ended at its deadline; now 64 KB, and the stream is complete.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -48,8 +48,11 @@
 		{form: modelserver.EndlessError, path: recordPath, idempotent: served, upload: cut, part: upstream.PartBody, bytes: longBytes},
 		{form: modelserver.EndlessChunks, path: recordPath, idempotent: cut, upload: cut, part: upstream.PartBody, bytes: longBytes},
 		{form: modelserver.EndlessUnsized, path: recordPath, idempotent: cut, upload: cut, part: upstream.PartBody, bytes: longBytes},
+		{form: modelserver.EndlessEvent, path: resumePath, idempotent: served, upload: failed, part: upstream.PartEvent, bytes: shortBytes},
+		{form: modelserver.EndlessComments, path: resumePath, idempotent: answered, upload: cut, part: upstream.PartNoEvent, bytes: shortBytes},
 		{form: modelserver.EndlessAfterward, path: recordPath, idempotent: answered, upload: answered, bytes: shortBytes},
 	}
+	must.Eq(t, len(modelserver.EndlessForms()), len(tests))
 	for _, tc := range tests {
 		for path, want := range map[string]result{tc.path: tc.idempotent, uploadPath: tc.upload} {
 			t.Run(tc.form.String()+strings.ReplaceAll(path, "/", " "), func(t *testing.T) {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -23,11 +23,12 @@
 // so that a resumed stream can start with it.
 func (x *exchange) deliverEvents(answer *upstream.Answer, onFirst func()) verdict {
 	d := &streamDelivery{
-		eventReader: &eventReader{body: answer.Body, closeDelimited: answer.CloseDelimited()},
+		eventReader: &eventReader{body: answer.Body, buffers: x.Buffers, closeDelimited: answer.CloseDelimited()},
 		unverified:  x.written || x.route.Resumable && x.position.lastID != "",
 		empty:       true,
 	}
 	defer x.endPace()
+	defer d.release()
 	for {
 		events, err := d.next()
 		if len(events) > 0 {
@@ -42,6 +43,7 @@
 		}
 		if err != nil {
 			x.recordBrokenAnswer(eris.Wrap(err, "read the stream"))
+			x.recordExcess(err)
 			return x.abortStream(answer)
 		}
 	}
--- a/internal/forward/sse.go
+++ b/internal/forward/sse.go
@@ -7,7 +7,7 @@
 	"iter"
 	"strconv"
 
-	"github.com/rotisserie/eris"
+	"github.com/cherryward/cherryward/internal/upstream"
 )
 
 const (
@@ -15,6 +15,10 @@
 	readBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// eventBlockBytes is the part of an event that takes nothing of Buffers, and the step in which more is reserved.
+	eventBlockBytes = 16 << 10
+	// maxFillerBytes bounds what a stream may send between two events, such as comments.
+	maxFillerBytes = 64 << 10
 	// lineEnds are the bytes that end a line; "\r\n" counts as one line end.
 	lineEnds = "\r\n"
 
@@ -22,19 +26,19 @@
 	fieldData = "data"
 )
 
-var (
-	errEventTooLong = eris.New("event exceeds the maximum size")
-	fieldSeparator  = []byte(":")
-)
+var fieldSeparator = []byte(":")
 
-// eventReader splits a stream of server-sent events into complete events.
+// eventReader splits a stream of server-sent events into complete events. It must be released.
 type eventReader struct {
-	body io.Reader
+	body    io.Reader
+	buffers *Buffers
 	// closeDelimited is set if only the closing of the connection marks the end of the stream.
 	closeDelimited bool
 	buffer         [readBytes]byte
 	pending        []byte
-	consumed       int // bytes of pending that were returned already
+	consumed       int   // bytes of pending that were returned already
+	reserved       int64 // of buffers
+	filler         int   // bytes returned since the last event
 }
 
 // next reads until at least one event is complete, and returns the complete events and the error that
@@ -42,45 +46,87 @@
 func (r *eventReader) next() ([]byte, error) {
 	r.pending = append(r.pending[:0], r.pending[r.consumed:]...)
 	r.consumed = 0
+	var blocks blockScanner
 	for {
 		n, err := r.body.Read(r.buffer[:])
 		r.pending = append(r.pending, r.buffer[:n]...)
-		r.consumed = completeLength(r.pending, r.closeDelimited || !errors.Is(err, io.EOF))
+		r.consumed = blocks.scan(r.pending, r.closeDelimited || !errors.Is(err, io.EOF))
 		switch {
+		case r.consumed > 0 && r.isFiller(r.pending[:r.consumed]):
+			return nil, &upstream.ExcessError{Part: upstream.PartNoEvent}
 		case err != nil, r.consumed > 0:
 			return r.pending[:r.consumed], err
-		case len(r.pending) > maxEventBytes:
-			return nil, errEventTooLong
+		case !r.hasRoom():
+			return nil, &upstream.ExcessError{Part: upstream.PartEvent}
 		}
 	}
 }
 
+// isFiller reports whether the stream has sent too much since its last event, after complete blocks were read.
+func (r *eventReader) isFiller(blocks []byte) bool {
+	r.filler += len(blocks)
+	for range parseEvents(blocks) {
+		r.filler = 0
+		break
+	}
+	return r.filler > maxFillerBytes
+}
+
+// hasRoom reports whether the pending event may become longer, and reserves memory for it.
+func (r *eventReader) hasRoom() bool {
+	if len(r.pending) > maxEventBytes {
+		return false
+	}
+	for int64(len(r.pending)) > r.reserved+eventBlockBytes {
+		if !r.buffers.reserve(r.reserved, eventBlockBytes) {
+			return false
+		}
+		r.reserved += eventBlockBytes
+	}
+	return true
+}
+
+// release gives back the memory that was reserved.
+func (r *eventReader) release() {
+	r.buffers.release(r.reserved)
+	r.reserved = 0
+}
+
 // incomplete returns the bytes read of an event that is not complete.
 func (r *eventReader) incomplete() []byte { return r.pending[r.consumed:] }
 
-// completeLength returns the length of the complete events at the start of b. An event ends with an
-// empty line. If more input may follow, a "\r" at the end of b may be the first half of "\r\n" and
-// does not end a line yet.
-func completeLength(b []byte, more bool) int {
-	end, start := 0, 0
+// blockScanner finds the complete events at the start of a text that grows. It looks at each byte once.
+type blockScanner struct {
+	end       int // of the complete events
+	lineStart int // of the line that is not complete
+	scanned   int // bytes that need not be looked at again
+}
+
+// scan returns the length of the complete events at the start of b, which begins with the text of the call before.
+// An event ends with an empty line. If more input may follow, a "\r" at the end of b may be the first half of
+// "\r\n" and does not end a line yet.
+func (s *blockScanner) scan(b []byte, more bool) int {
 	for {
-		i := bytes.IndexAny(b[start:], lineEnds)
+		i := bytes.IndexAny(b[s.scanned:], lineEnds)
 		if i < 0 {
-			return end
+			s.scanned = len(b)
+			return s.end
 		}
-		next := start + i + 1
-		if b[next-1] == '\r' {
+		lineEnd := s.scanned + i
+		next := lineEnd + 1
+		if b[lineEnd] == '\r' {
 			switch {
 			case next == len(b) && more:
-				return end
+				s.scanned = lineEnd
+				return s.end
 			case next < len(b) && b[next] == '\n':
 				next++
 			}
 		}
-		if i == 0 {
-			end = next
+		if lineEnd == s.lineStart {
+			s.end = next
 		}
-		start = next
+		s.lineStart, s.scanned = next, next
 	}
 }
 
--- a/internal/forward/sse_test.go
+++ b/internal/forward/sse_test.go
@@ -58,7 +58,7 @@
 		events, rest, err := readEvents(&eventReader{body: &chunkedReader{text: text, sizes: sizes, err: end}})
 		must.ErrorIs(t, err, end)
 		must.Eq(t, text, events+rest)
-		want := completeLength([]byte(text), end != io.EOF)
+		want := new(blockScanner).scan([]byte(text), end != io.EOF)
 		must.Eq(t, text[:want], events)
 		bytewise, bytewiseRest, _ := readEvents(&eventReader{body: iotest.OneByteReader(&chunkedReader{text: text, err: end})})
 		must.Eq(t, events, bytewise)
@@ -73,7 +73,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		end := completeLength(b, false)
+		end := new(blockScanner).scan(b, false)
 		plain := bytes.ReplaceAll(bytes.ReplaceAll(b, []byte("\r\n"), []byte("\n")), []byte("\r"), []byte("\n"))
 		lines := strings.Split(string(plain), "\n")
 		last := len(lines) - 2 // the last element is the text after the last line end
