Idle connections on which an endpoint sends bytes are closed

An idle connection was looked at only when a request took it. Bytes that an endpoint sent there stayed in the host's memory, up to 32 connections an endpoint, each as full as its window allows; and connections whose time was over, at the bottom of the stack, were kept as long as no request came to them.

Each second a node closes the idle connections that no request may use any more. It costs one read of each, as taking it does. TestIdleConnectionsThatReceiveBytesAreClosed has no counterpart before (nothing closed them).

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -40,6 +41,16 @@
 	return all
 }
 
+// CloseUnusableConnections closes the idle connections to all endpoints that no request may use any more.
+func (f *Fleet) CloseUnusableConnections() {
+	f.mu.Lock()
+	members := slices.Collect(maps.Values(f.members))
+	f.mu.Unlock()
+	for _, m := range members {
+		m.Pool.CloseUnusable()
+	}
+}
+
 // Empty reports whether there is no endpoint that accepts requests.
 func (f *Fleet) Empty() bool { return len(f.view.Load().byService) == 0 }
 
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -30,6 +30,9 @@
 	// askTimeout is how long other nodes have to answer a question about an endpoint: a question, an
 	// attempt to connect of 300 ms at most, and a reply.
 	askTimeout = 500 * time.Millisecond
+	// idleCheckInterval is the time between two checks of the idle connections. What an endpoint sends on one until
+	// the next check stays in the buffers of the connection.
+	idleCheckInterval = time.Second
 	// maxAsked is the number of endpoints of an unreachable service that other nodes are asked about.
 	maxAsked = 3
 )
@@ -86,6 +89,14 @@
 	}
 }
 
+// checkIdle closes idle connections that no request may use any more, at each idleCheckInterval until ctx is done.
+func (n *network) checkIdle(ctx context.Context) error {
+	for retry.Sleep(ctx, idleCheckInterval) {
+		n.fleet.CloseUnusableConnections()
+	}
+	return nil
+}
+
 // handleChange logs a change of a path, and has it found out whether other nodes reach a service that
 // this one doesn't.
 func (n *network) handleChange(c reach.Change) {
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -33,6 +33,7 @@
 		{name: "roster", run: followers.nodes.Run},
 		{name: "messages", run: n.conn.Run},
 		{name: "probes", run: n.network.probe},
+		{name: "idle-connections", run: n.network.checkIdle},
 		{name: "peers", run: n.peers.Run},
 		{name: "pace", run: n.observePace},
 		{name: "quarantine", run: n.quarantine.Run},
--- a/internal/upstream/excess_test.go
+++ b/internal/upstream/excess_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 )
 
 // writeEndlessly writes a text again and again until the client closes the connection, and counts the bytes.
@@ -73,3 +75,41 @@
 		})
 	}
 }
+
+// TestIdleConnectionsThatReceiveBytesAreClosed guards against endpoints that fill a host's memory through connections
+// which no request uses.
+func TestIdleConnectionsThatReceiveBytesAreClosed(t *testing.T) {
+	sendRest := make(chan struct{})
+	var connections, sent atomic.Int64
+	p := startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		first := connections.Add(1) == 1
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			if first {
+				<-sendRest
+				writeEndlessly(conn, "x", &sent)
+				return
+			}
+		}
+	})
+	answers := []*Answer{get(t, p), get(t, p), get(t, p)}
+	for _, a := range answers {
+		_, err := io.Copy(io.Discard, a.Body)
+		must.NoError(t, err)
+		a.Done()
+	}
+	p.CloseUnusable()
+	must.Len(t, 3, p.idle)
+	close(sendRest)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		p.CloseUnusable()
+		return len(p.idle) == 2
+	}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+	p.idle[0].reusableUntil = time.Now()
+	p.CloseUnusable()
+	must.Len(t, 1, p.idle)
+	must.Eq(t, 3, p.Dials())
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -82,7 +83,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Now().Before(c.reusableUntil) && c.isIdle() {
+		if c.reusable(time.Now()) {
 			return c, nil
 		}
 		c.Close()
@@ -158,6 +159,24 @@
 	p.idle = nil
 }
 
+// CloseUnusable closes the idle connections that no request may use any more: their time is over, or the endpoint has
+// closed them or sends bytes, which would take memory on this host until they are read.
+func (p *Pool) CloseUnusable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.reusable(now) {
+			return false
+		}
+		c.Close()
+		return true
+	})
+}
+
+// reusable reports whether a request may be sent on an idle connection.
+func (c *conn) reusable(now time.Time) bool { return now.Before(c.reusableUntil) && c.isIdle() }
+
 // isIdle reports whether the peer has neither closed the connection nor sent anything since the
 // last answer.
 func (c *conn) isIdle() bool {
