Cmd: a small host survives endpoints that send without end

A node of 134 MB, 24 calls at the same time for each form of bytes without end, half of them prompts; then it serves again.

--- /dev/null
+++ b/cmd/cherryward/endless_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/standin/modelserver"
+	"github.com/cherryward/cherryward/standin/site"
+)
+
+const (
+	smallHostMB  = 134
+	endlessCalls = 24 // at the same time, half of them prompts
+)
+
+var peakField = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// peakMB returns the largest amount of memory that the process had in use, in MB.
+func (n *node) peakMB() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	must.NoError(n.t, err)
+	kb, err := strconv.Atoi(peakField.FindStringSubmatch(string(status))[1])
+	must.NoError(n.t, err)
+	return kb / 1000
+}
+
+// TestSmallHostSurvivesEndlessAnswers guards against endpoints whose bytes without end take the memory of a small host.
+func TestSmallHostSurvivesEndlessAnswers(t *testing.T) {
+	s := startSite(t)
+	bootFile := filepath.Join(t.TempDir(), "boot.toml")
+	boot := strings.Replace(s.BootFile("n"), "memory-mb = 256", fmt.Sprint("memory-mb = ", smallHostMB), 1)
+	must.NoError(t, os.WriteFile(bootFile, []byte(boot), 0o600))
+	n := newNode(t, s, bootFile)
+	n.awaitServing()
+	servers := append([]*modelserver.Server{s.Plain}, s.Models...)
+	for _, form := range modelserver.EndlessForms() {
+		for _, server := range servers {
+			server.SetFaults(modelserver.Faults{Endless: form})
+		}
+		var calls sync.WaitGroup
+		for i := range endlessCalls {
+			path := []string{site.PathLookup, site.PathQuery}[i%2]
+			calls.Go(func() { n.send(http.MethodPost, path, fmt.Sprintf("%d-%d", form, i), 0, nil) })
+		}
+		calls.Wait()
+		t.Log(form, n.peakMB(), "MB")
+	}
+	for _, server := range servers {
+		server.SetFaults(modelserver.Faults{})
+	}
+	n.awaitServing()
+	test.Less(t, smallHostMB, n.peakMB())
+}
