--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -125,6 +125,10 @@
 	func(f *modelserver.Faults, _ int) { f.Hang = true },
 	func(f *modelserver.Faults, _ int) { f.CutAfter = -1 },
 	func(f *modelserver.Faults, _ int) { f.RejectRequests, f.RetryAfter = true, retryAfterSeconds },
+	func(f *modelserver.Faults, target int) {
+		forms := modelserver.EndlessForms()
+		f.Endless = forms[target%len(forms)]
+	},
 }
 
 // injectServerFault injects a fault into a server for a time.
