--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -118,7 +118,7 @@
 		s.stream(w, r, faults)
 	default:
 		w.WriteHeader(max(faults.Status, http.StatusOK))
-		fmt.Fprintf(w, "%s answers %s", s.cfg.ID, id)
+		fmt.Fprintf(w, plainFormat, s.cfg.ID, id)
 	}
 }
 
@@ -136,7 +136,7 @@
 // one announces that the connection is closed: a request sent while the connection closes without
 // notice could be neither answered nor retried.
 func (s *Server) writeTwoResponses(w http.ResponseWriter, id string, faults Faults) {
-	own := s.rawResponse(id, fmt.Sprintf("%s answers %s", s.cfg.ID, id), faults.ResponseOfOtherBefore, faults)
+	own := s.rawResponse(id, fmt.Sprintf(plainFormat, s.cfg.ID, id), faults.ResponseOfOtherBefore, faults)
 	other := s.rawResponse("another", "an answer to another request", faults.ResponseOfOtherAfter, faults)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -161,6 +161,7 @@
 
 // Formats of an event with a given number.
 const (
+	plainFormat          = "%s answers %s" // server and request
 	eventFormat          = "id: %d\ndata: piece %d\n\n"
 	truncatedEventFormat = "id: %d\ndata: bro"
 )
--- a/standin/modelserver/endless.go
+++ b/standin/modelserver/endless.go
@@ -53,7 +53,7 @@
 
 var endlessChunk = "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"
 
-// text returns what is sent once and what is repeated without end in response to a request with the given id; the
+// endlessText returns what is sent once and what is repeated without end in response to a request with the given id; the
 // latter is empty if nothing follows.
 func (s *Server) endlessText(form Endless, id string) (first, repeated string) {
 	head := func(status int, fields ...string) string {
@@ -81,12 +81,25 @@
 	case EndlessComments:
 		return head(http.StatusOK, stream), ": x\n\n"
 	case EndlessAfterward:
-		return head(http.StatusOK, "Content-Length: 2") + "ok", "x"
+		kind, body := "text/plain", fmt.Sprintf(plainFormat, s.cfg.ID, id)
+		if s.cfg.Model != "" {
+			kind, body = "text/event-stream", s.allEvents()
+		}
+		return head(http.StatusOK, "Content-Type: "+kind, fmt.Sprint("Content-Length: ", len(body))) + body, "x"
 	default:
 		return head(http.StatusOK, chunked), endlessChunk
 	}
 }
 
+// allEvents returns a complete stream.
+func (s *Server) allEvents() string {
+	var b strings.Builder
+	for i := 1; i <= s.cfg.StreamEvents; i++ {
+		fmt.Fprintf(&b, eventFormat, i, i)
+	}
+	return b.String()
+}
+
 // serveEndless sends bytes of the given form until the client closes the connection.
 func (s *Server) serveEndless(w http.ResponseWriter, form Endless, id string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
