Bytes without an id on a reused connection are no answer

A faulty endpoint's additional bytes, in the form of an answer with neither id nor signature, came late, when the next upload had been sent on the connection. They passed for its refusal, so it was sent to another endpoint while the first ran it.

Cause: an answer without an id counted as the request's own, as a refusal may state none. Endpoints repeat the id of the request; only one that can't read it has none to repeat. On a connection that has carried another request nothing without an id is believed any more: it is skipped, as answers to other requests are, and the request's own answer awaited. If none comes the request may have run, and callers are told so. On a fresh connection nothing earlier can be late, so there a refusal without an id counts as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -251,10 +251,16 @@
 	return mayHaveRun
 }
 
-// isOwn reports whether an answer belongs to this request. Refusals may state no request id.
-func (x *exchange) isOwn(h http.Header) bool {
+// isOwn reports whether an answer belongs to this request. Endpoints repeat the id of the request in their answers. Bytes
+// that have the form of an answer without an id may be late, after the answer to an earlier request of the connection.
+func (x *exchange) isOwn(h http.Header, fresh bool) bool {
 	info := x.Dialect.ReadAnswer(h)
-	return info.ID == x.attrs.ID || info.ID == "" && !info.Signed
+	if info.ID != "" || x.attrs.ID == "" {
+		return info.ID == x.attrs.ID
+	}
+	own := fresh && !info.Signed
+	x.Log.Warn().Str("event", "answer_unidentified").Str("id", x.attrs.ID).Bool("fresh", fresh).Bool("own", own).Bool("not_run", info.NotRun).Send()
+	return own
 }
 
 // request returns the request to send to an endpoint for one attempt.
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return result.Wrap(err, result.Internal), true
 	}
-	answer, err := helper.Pool.Do(ctx, request, x.isOwn)
+	answer, err := helper.Pool.Do(ctx, request, x.isOwnOrRefusal)
 	if err != nil {
 		x.cause = err
 		if x.unreachable() {
@@ -176,6 +176,11 @@
 	}
 }
 
+// isOwnOrRefusal is isOwn for the answers of helpers, whose refusals bear no id. Unlike endpoints, nodes send nothing late.
+func (x *exchange) isOwnOrRefusal(h http.Header, fresh bool) bool {
+	return handoff.ReadRefusal(h) != nil || x.isOwn(h, fresh)
+}
+
 // handleRefusal returns a helper's error as this node's own. It reports false if another helper may
 // serve the request.
 func (x *exchange) handleRefusal(ctx context.Context, helper *handoff.Helper, refusal *handoff.Refusal, mayHaveRunCount int) (_ *result.Error, done bool) {
--- a/internal/forward/raw_test.go
+++ b/internal/forward/raw_test.go
@@ -13,10 +13,11 @@
 )
 
 // script answers the requests on a connection with raw bytes. Unless keepAlive is set, the
-// connection is closed after the first answer.
+// connection is closed after the first answer, or after the given number of them.
 type script struct {
 	answer    func(r *http.Request) string
 	keepAlive bool
+	answers   int
 }
 
 // fixedAnswer returns a script that always gives the same answer.
@@ -88,7 +89,7 @@
 func (s script) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	for {
+	for answered := 1; ; answered++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return // the client closed the connection
@@ -96,7 +97,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, s.answer(r)); err != nil || !s.keepAlive {
+		if _, err := io.WriteString(conn, s.answer(r)); err != nil || !s.keepAlive && answered >= s.answers {
 			return
 		}
 	}
--- a/internal/upstream/excess_test.go
+++ b/internal/upstream/excess_test.go
@@ -62,7 +62,7 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), deadline)
 			defer cancel()
-			own := func(h http.Header) bool { return h.Get("X-Other") == "" }
+			own := func(h http.Header, _ bool) bool { return h.Get("X-Other") == "" }
 			_, err := p.Do(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h"}, own)
 			must.Error(t, err)
 			must.NoError(t, ctx.Err())
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -92,10 +92,13 @@
 	closeDelimited bool
 }
 
-// Do sends the request once and returns the header of its answer. isOwn reports from an answer's
-// header whether the answer belongs to this request. When ctx ends, the connection is closed, which
+// OwnFunc reports from an answer's header whether the answer belongs to the request that was sent last on its
+// connection. fresh is true if the connection has carried no other request, whose answer could be late.
+type OwnFunc func(h http.Header, fresh bool) bool
+
+// Do sends the request once and returns the header of its answer, which is the first one that isOwn accepts. When ctx ends, the connection is closed, which
 // signals the endpoint to stop. Every error is an *Error.
-func (p *Pool) Do(ctx context.Context, req *Request, isOwn func(http.Header) bool) (*Answer, error) {
+func (p *Pool) Do(ctx context.Context, req *Request, isOwn OwnFunc) (*Answer, error) {
 	c, err := p.get(ctx)
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Err: err}
@@ -158,7 +161,7 @@
 }
 
 // receive reads answers until the one that belongs to this request.
-func (a *Answer) receive(req *Request, isOwn func(http.Header) bool) error {
+func (a *Answer) receive(req *Request, isOwn OwnFunc) error {
 	headerBytes := maxHeaderBytes // what is left for headers
 	for skipped := 0; ; {
 		resp, left, err := a.readHeader(req.Method, headerBytes)
@@ -169,7 +172,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response such as 100 Continue
 		}
-		if isOwn(resp.Header) {
+		if isOwn(resp.Header, !a.conn.used) {
 			a.accept(resp)
 			return nil
 		}
@@ -253,7 +256,7 @@
 	if !a.detach() {
 		return // the context ended and closed the connection
 	}
-	a.pool.put(a.conn, reuseTimeout(a.Header))
+	a.pool.keep(a.conn, reuseTimeout(a.Header))
 }
 
 func (a *Answer) reusable() bool {
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-func acceptAny(http.Header) bool { return true }
+func acceptAny(http.Header, bool) bool { return true }
 
 func get(t *testing.T, p *Pool) *Answer {
 	t.Helper()
@@ -106,7 +106,7 @@
 			write(conn, text[i:i+1])
 		}
 	})
-	own := func(h http.Header) bool { return h.Get("X-Other") == "" }
+	own := func(h http.Header, _ bool) bool { return h.Get("X-Other") == "" }
 	a, err := p.Do(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h"}, own)
 	must.NoError(t, err)
 	body, err := io.ReadAll(a.Body)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -74,6 +74,7 @@
 	reader        *bufio.Reader
 	limited       limitedReader
 	reusableUntil time.Time // end of the time in which it may be reused
+	used          bool      // it has carried a request before the present one
 }
 
 // get returns an idle connection that is still open, or dials a new one.
@@ -134,6 +135,12 @@
 	return errors.Is(p.Probe(ctx), syscall.ECONNREFUSED)
 }
 
+// keep keeps a connection that has carried a request.
+func (p *Pool) keep(c *conn, timeout time.Duration) {
+	c.used = true
+	p.put(c, timeout)
+}
+
 // put keeps a connection for reuse until timeout has passed, or closes it if the pool is closed or
 // full.
 func (p *Pool) put(c *conn, timeout time.Duration) {
