Parts that an account made before it was isolated are used by no other

Cause: the salt tells an isolated account's parts apart from the moment of its isolation on; nothing tells apart what it made before, at engines that can't be told to free it.

Change: which accounts are isolated goes into the salt of all others, as a key that depends on this set alone, so that all nodes agree without a message and parts made under a key are never those of an account that is isolated under it. The way back needs nothing.

Weighed: no longer offering the account's own parts (engines look them up by themselves), a term of the salt counted per service (a start can't know it), freeing (engines can't).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -58,7 +58,7 @@
 	}
 	budget := x.Budgets.ForService(x.service.Name)
 	x.countIn(budget)
-	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Residency: x.residency(), Age: x.age}
+	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Residency: x.residency(), Sharing: x.config.SharingKey(), Age: x.age}
 	mayHaveRunCount := 0
 	for {
 		if refusal := x.quarantineRefusal(); refusal != nil {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -131,7 +131,9 @@
 	Attributes *Attributes
 	// Residency is the policy for where the request may be served and its KV cache kept.
 	Residency residency.Policy
-	Tried     []string // ids of endpoints to which the request was sent already
+	// Sharing is the sharing key of the configuration; see routing.Config.SharingKey.
+	Sharing string
+	Tried   []string // ids of endpoints to which the request was sent already
 	// Release is the release of the endpoints' software that began the stream which the request
 	// continues. Only endpoints of that release may continue it. Empty means that no event of the
 	// stream was delivered yet, and that any release may begin it.
--- a/internal/gateway/references.go
+++ b/internal/gateway/references.go
@@ -119,9 +119,10 @@
 }
 
 // mayReferenceSalt reports whether this node may reference parts under a salt at stores: their
-// version and their residency policy must both allow it.
+// version, their residency policy and their sharing key must all allow it.
 func (c *cacheTracker) mayReferenceSalt(salt kvindex.Salt) bool {
-	return c.node.state.residencies.MayReference(salt.Residency, c.node.clock.Now()) && c.mayReference(salt.Model, salt.Version)
+	now, state := c.node.clock.Now(), c.node.state
+	return state.residencies.MayReference(salt.Residency, now) && state.sharings.MayReference(salt.Sharing, now) && c.mayReference(salt.Model, salt.Version)
 }
 
 // Outdated implements kvindex.SaltFilter.
@@ -130,7 +131,8 @@
 	if !ok {
 		return false
 	}
-	if c.node.state.residencies.Outdated(salt.Residency, c.node.clock.Now(), c.freeStagger()) {
+	now, state := c.node.clock.Now(), c.node.state
+	if state.residencies.Outdated(salt.Residency, now, c.freeStagger()) || state.sharings.Outdated(salt.Sharing, now, c.freeStagger()) {
 		return true
 	}
 	by, replaced := c.node.state.replaced(salt.Model, salt.Version)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -38,7 +38,8 @@
 	// onRestored, if not nil, is called after the store came back from an older copy of its data.
 	onRestored  func()
 	evacuations evacuations
-	residencies residency.Tracker
+	residencies residency.Tracker // by the keys of policies
+	sharings    residency.Tracker // by the sharing keys of configurations
 	releases    *canary.Gate
 	regions     residency.Map // the region of each failure domain
 	domain      string        // failure domain of this node
@@ -71,12 +72,13 @@
 )
 
 func newState(bounds func() bootstrap.Bounds, log zerolog.Logger) *state {
+	limits := residency.Limits{
+		MaxFreshAge: maxFreshConfigAge, MaxFreeTime: kvindex.MaxFreeTime, ReferenceTime: replacedReferenceTime, FreeDelay: freeDelay,
+	}
 	return &state{
 		log: log, started: time.Now(), bounds: bounds, rejected: newRejected(log), releases: &canary.Gate{},
 		versions: make(map[string][]announcedVersion), changed: make(chan struct{}, 1),
-		residencies: residency.Tracker{Limits: residency.Limits{
-			MaxFreshAge: maxFreshConfigAge, MaxFreeTime: kvindex.MaxFreeTime, ReferenceTime: replacedReferenceTime, FreeDelay: freeDelay,
-		}},
+		residencies: residency.Tracker{Limits: limits}, sharings: residency.Tracker{Limits: limits},
 	}
 }
 
@@ -159,7 +161,8 @@
 		return
 	}
 	policies := config.Residencies()
-	s.residencies.Update(policies, obs.at, obs.readPromptly)
+	s.residencies.Update(residency.KeysOf(policies), obs.at, obs.readPromptly)
+	s.sharings.Update([]string{config.SharingKey()}, obs.at, obs.readPromptly)
 	s.confinedElsewhere.Store(slices.ContainsFunc(policies, func(p residency.Policy) bool { return !s.regions.Scope(p).Contains(s.domain) }))
 	s.config.Store(config)
 	s.logUnknownRegions(config.Version, policies)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -247,11 +247,14 @@
 func routePriority(q *forward.Query) int { return min(max(q.Route.Priority, 0), routePriorities-1) }
 
 // saltOf returns the salt of the request's parts. The salt separates the parts of different models,
-// versions, isolated accounts and residency policies in engines, stores and the index.
+// versions, isolated accounts and residency policies in engines, stores and the index, and those that were made before
+// the set of isolated accounts changed.
 func saltOf(q *forward.Query, version int64) kvindex.Salt {
 	salt := kvindex.Salt{Model: q.Attributes.Model, Version: version, Residency: q.Residency.Key()}
 	if q.Account != nil && q.Account.Isolated {
 		salt.Account = q.Account.Name
+	} else {
+		salt.Sharing = q.Sharing
 	}
 	return salt
 }
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -63,6 +63,15 @@
 // all regions are allowed.
 func (p Policy) Key() string { return p.regions }
 
+// KeysOf returns the keys of policies.
+func KeysOf(policies []Policy) []string {
+	keys := make([]string, len(policies))
+	for i, p := range policies {
+		keys[i] = p.Key()
+	}
+	return keys
+}
+
 // Intersect returns the policy that allows what both policies allow.
 func (p Policy) Intersect(other Policy) Policy {
 	switch {
--- a/internal/residency/tracker.go
+++ b/internal/residency/tracker.go
@@ -19,8 +19,8 @@
 	FreeDelay time.Duration
 }
 
-// Tracker records which policies the configurations in force contain, and decides from this which
-// stored parts may be referenced and which may be freed.
+// Tracker records which keys of stored parts the configurations in force contain, such as those of policies, and decides
+// from this which stored parts may be referenced and which may be freed.
 //
 // Operators may allow a set of regions, withdraw it and allow it again. Two rules keep a part that one
 // node references from being freed by another that has read other configurations:
@@ -32,7 +32,9 @@
 //     configuration, whatever its policies are: a node that missed configurations in between can't
 //     know which policies they contained.
 //
-// The zero value knows no policy; Limits must be set. It is safe for concurrent use.
+// The empty key stands for parts that every configuration contains.
+//
+// The zero value knows no key; Limits must be set. It is safe for concurrent use.
 type Tracker struct {
 	Limits Limits
 
@@ -42,18 +44,18 @@
 	endedAt   map[string]time.Time // of policies whose end this node read promptly, by key
 }
 
-// Update records the policies of a configuration that takes effect now. readPromptly states that the
+// Update records the keys of a configuration that takes effect now. readPromptly states that the
 // previous configuration was known to be current less than MaxFreshAge before.
-func (t *Tracker) Update(policies []Policy, now time.Time, readPromptly bool) {
+func (t *Tracker) Update(keys []string, now time.Time, readPromptly bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.inForce
 	t.changedAt = now
-	t.inForce = make(map[string]time.Time, len(policies))
-	for _, p := range policies {
-		t.inForce[p.Key()] = now
-		if since, known := before[p.Key()]; known {
-			t.inForce[p.Key()] = since
+	t.inForce = make(map[string]time.Time, len(keys))
+	for _, key := range keys {
+		t.inForce[key] = now
+		if since, known := before[key]; known {
+			t.inForce[key] = since
 		}
 	}
 	if t.endedAt == nil || !readPromptly {
@@ -72,8 +74,7 @@
 	return now.Sub(since) > t.Limits.MaxFreshAge+t.Limits.MaxFreeTime
 }
 
-// MayReference reports whether this node may reference stored parts of a policy, given by its key.
-// It is always true for unconfined requests, whose key is empty.
+// MayReference reports whether this node may reference stored parts under a key. It is always true for the empty key.
 func (t *Tracker) MayReference(key string, now time.Time) bool {
 	if key == "" {
 		return true
@@ -87,7 +88,7 @@
 	return ended && now.Sub(at) < t.Limits.ReferenceTime
 }
 
-// Outdated reports whether parts of a policy, given by its key, may be freed by a node whose
+// Outdated reports whether parts under a key may be freed by a node whose
 // configuration is at most MaxFreshAge old, stagger later than by others.
 func (t *Tracker) Outdated(key string, now time.Time, stagger time.Duration) bool {
 	if key == "" {
--- a/internal/residency/tracker_test.go
+++ b/internal/residency/tracker_test.go
@@ -31,7 +31,7 @@
 		test.Eq(t, outdated, tracker.Outdated(south.Key(), now.Add(after), 0), test.Sprint(after))
 	}
 	check(time.Hour, false, false) // no configuration yet
-	tracker.Update([]residency.Policy{south}, now, false)
+	tracker.Update([]string{south.Key()}, now, false)
 	check(0, false, false)
 	check(limits.MaxFreshAge+limits.MaxFreeTime+1, true, false)
 	now = now.Add(time.Minute)
@@ -41,7 +41,7 @@
 	check(limits.FreeDelay+1, false, true)
 	test.False(t, tracker.Outdated(south.Key(), now.Add(limits.FreeDelay+1), time.Second), test.Sprint("staggered"))
 	now = now.Add(time.Minute)
-	tracker.Update([]residency.Policy{south}, now, true)
+	tracker.Update([]string{south.Key()}, now, true)
 	check(0, false, false)
 	check(limits.MaxFreshAge+limits.MaxFreeTime+1, true, false)
 	tracker.Update(nil, now, false)
@@ -67,7 +67,7 @@
 // read reads the newest configuration.
 func (n *simulatedNode) read(version int, policies []residency.Policy, now time.Time) {
 	if version != n.version {
-		n.Update(policies, now, now.Sub(n.confirmedAt) < limits.MaxFreshAge)
+		n.Update(residency.KeysOf(policies), now, now.Sub(n.confirmedAt) < limits.MaxFreshAge)
 		n.version = version
 	}
 	n.confirmedAt = now
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -46,7 +46,9 @@
 	Accounts []Account
 	Limits   Limits
 
-	table *table // built by Index
+	// table and sharingKey are built by Index.
+	table      *table
+	sharingKey string
 }
 
 // Route sends the requests of a host and path prefix to services.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -45,6 +45,7 @@
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
 	c.setGapObjectives(t.services)
+	c.sharingKey = sharingKeyOf(c.Accounts)
 	c.table = t
 	return c
 }
