A stream that ends within an event is broken off, however it is framed

Cause: only a body that ends with its connection was looked at for a rest of an event. Now every stream whose rest is more than comments goes on elsewhere where its route may be resumed, and else is cut so that the caller sees it; the quarantine takes it for no success.

TestEventsThatBreakOff: three new cases fail before; a comment at the end stays complete.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -81,18 +81,18 @@
 	return mayHaveRun
 }
 
-// finishEvents delivers what follows the last event and ends the answer. If only the closing of the
-// connection marks the end, a close within an event or before any event counts as a break, since a
-// failing engine closes its connections in the same way. After another endpoint's events only
-// further events may be delivered.
+// finishEvents delivers what follows the last event and ends the answer. An end within an event counts as a break,
+// however the body is framed. If only the closing of the connection marks the end, so does an end before any event,
+// since a failing engine closes its connections in the same way. After another endpoint's events only further events
+// may be delivered.
 func (x *exchange) finishEvents(answer *upstream.Answer, d *streamDelivery) verdict {
 	rest := d.incomplete()
-	if d.closeDelimited && (len(rest) > 0 || d.empty) {
-		x.recordBrokenAnswer(eris.New("connection closed before the end of an event or before any event"))
+	if !onlyComments(rest) || d.closeDelimited && (len(rest) > 0 || d.empty) {
+		x.recordBrokenAnswer(eris.New("stream ended within an event, or its connection was closed before any"))
 		return x.abortStream(answer)
 	}
 	if d.unverified && len(rest) > 0 {
-		x.cause = eris.New("resumed stream ended within its first event")
+		x.cause = eris.New("resumed stream ended before its first event")
 		return x.abortStream(answer)
 	}
 	if len(rest) > 0 || !x.written {
--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -65,6 +65,10 @@
 		{name: "text instead of events", path: resumePath, first: streamOf(lf, lengthUpTo(2)), second: streamOf("internal error", -1), body: events(1, 2)},
 		{name: "no event and no length", path: resumePath, first: streamOf(lf, lengthUpTo(2)), second: head(http.StatusOK, eventStream), body: events(1, 2)},
 		{name: "all delivered, only the end is lost", path: resumePath, first: streamOf(lf, len(lf)), second: streamOf("", -1), body: lf, complete: true},
+		{name: "ends in good form within an event", path: resumePath, first: streamOf(lf[:lengthUpTo(2)+3], -1), second: streamOf(events(3, streamSize), -1), body: lf, complete: true},
+		{name: "ends in good form within an event, not resumable", path: streamPath, first: streamOf(lf[:lengthUpTo(2)+3], -1), body: events(1, 2)},
+		{name: "has its whole length within an event", path: streamPath, first: head(http.StatusOK, eventStream+contentLength(lengthUpTo(2)+3)) + lf[:lengthUpTo(2)+3], body: events(1, 2)},
+		{name: "ends with a comment", path: streamPath, first: streamOf(lf+": end", -1), body: lf + ": end", complete: true},
 		{name: "encoded", path: resumePath, first: streamOf(lf, lengthUpTo(2)), second: strings.Replace(streamOf(events(3, streamSize), -1), eventStream, eventStream+"Content-Encoding: br\r\n", 1), body: events(1, 2)},
 	}
 	for _, tc := range tests {
--- a/internal/forward/sse.go
+++ b/internal/forward/sse.go
@@ -166,6 +166,18 @@
 	}
 }
 
+// onlyComments reports whether b has no line of an event.
+func onlyComments(b []byte) bool {
+	for len(b) > 0 {
+		var line []byte
+		line, b = cutLine(b)
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // cutLine splits b after its first line, and returns the line without its end.
 func cutLine(b []byte) (line, rest []byte) {
 	i := bytes.IndexAny(b, lineEnds)
