What a caller lists in Connection removes no header of the platform

What callers saw: a request whose Connection header lists X-Attempt-Id reached the endpoint without it, so that its answer could not be told from others; X-Model and the parts of the prompt alike, and an endpoint could take away its own signature. The headers that identify or describe a request or an answer are end-to-end now, whatever Connection lists; those that the node itself sets were set afterwards before, too.

TestForwardsUnchanged with such a list fails before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -278,7 +278,7 @@
 // callerHeader returns a copy of the caller's header without what applies to its connection only.
 func (x *exchange) callerHeader() http.Header {
 	header := x.r.Header.Clone()
-	removeHopByHop(header)
+	x.removeHopByHop(header)
 	header.Del("Content-Length")
 	header.Del("Expect")
 	return header
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -28,10 +28,15 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-func removeHopByHop(h http.Header) {
+// removeHopByHop removes what applies to a single connection: the headers that Connection lists, unless they are known
+// to be end-to-end, and hopByHop.
+func (x *exchange) removeHopByHop(h http.Header) {
 	for _, field := range h["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			h.Del(strings.TrimSpace(name))
+		for listed := range strings.SplitSeq(field, ",") {
+			name := http.CanonicalHeaderKey(strings.TrimSpace(listed))
+			if !x.Dialect.EndToEnd(name) {
+				delete(h, name)
+			}
 		}
 	}
 	for _, name := range hopByHop {
@@ -193,7 +198,7 @@
 	for name, values := range resp.Header {
 		header[name] = values
 	}
-	removeHopByHop(header)
+	x.removeHopByHop(header)
 	handoff.Strip(header)
 	if x.r.Method != http.MethodHead { // for HEAD, Content-Length is the length that GET would return
 		setContentLength(header, resp.StatusCode, length)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -30,6 +30,9 @@
 		r.Header.Set("X-Custom", "kept")
 		r.Header.Set("Connection", "X-Hop")
 		r.Header.Set("X-Hop", "dropped")
+		r.Header.Add("Connection", "x-attempt-id , X-Model,Last-Event-Id,X-Tenant,X-Expect-Instance")
+		r.Header.Set("X-Model", "the model")
+		r.Header.Set("Last-Event-Id", "3")
 		for _, name := range []string{"X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Cache-Salt", "X-Kv-Source", "X-Kv-Target"} {
 			r.Header.Set(name, "forged")
 		}
@@ -43,6 +46,9 @@
 	test.Eq(t, uploadPath+"?x=%2f&y", run.Target)
 	test.Eq(t, "the body", run.Body)
 	test.Eq(t, "kept", run.Header.Get("X-Custom"))
+	test.Eq(t, "r1", run.Header.Get("X-Attempt-Id"))
+	test.Eq(t, "the model", run.Header.Get("X-Model"))
+	test.Eq(t, "3", run.Header.Get("Last-Event-Id"))
 	test.Eq(t, "yard", run.Header.Get("X-Tenant"))
 	test.Eq(t, "s0", run.Header.Get("X-Expect-Instance"))
 	for _, name := range []string{"X-Hop", "Authorization", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Cache-Salt", "X-Kv-Source", "X-Kv-Target"} {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -108,6 +108,9 @@
 	ReadRequest(h http.Header) Attributes
 	// StripRequest removes the headers that callers must not set.
 	StripRequest(h http.Header)
+	// EndToEnd reports whether a header, given by its canonical name, is never one of a single connection, whatever
+	// the Connection header lists.
+	EndToEnd(name string) bool
 	// SetAttempt adds the headers of one attempt.
 	SetAttempt(h http.Header, a *Attempt)
 	// ReadAnswer decodes an answer's headers.
