--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -283,17 +282,3 @@
 		x.writeError(x.w, x.attrs.ID, err)
 	}
 }
-
-// rawPath returns the path as the caller sent it, without decoding.
-func rawPath(r *http.Request) string {
-	path, _, _ := strings.Cut(target(r), "?")
-	return path
-}
-
-// target returns the path and query as the caller sent them, without decoding.
-func target(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
