A request of which only a part comes is answered

What callers saw: who sent a part of a body and waited was never answered. The node gave up at the route's timeout, but the HTTP server reads the rest of a body before it writes an answer, and had no deadline left for it. The same held for whatever is refused before its body is read: an unknown key or path, a body that is too large.

Change: a body whose time is over gets no more, and its connection closes with the 408; the rest of a body that is not needed has 500 ms to arrive, in which a caller that sends at its usual pace keeps its connection.

TestHalfRequestIsAnswered: five of seven cases have no answer within 5 s before. Reading a body has a file of its own.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -77,6 +75,7 @@
 	attrs     Attributes
 	age       time.Duration // since the caller's first try, as estimated from its deadline
 	body      []byte
+	bodyRead  bool
 	passed    *handoff.Envelope // set if another node passed the request to this one
 	counted   bool              // the request was counted in a retry budget
 
@@ -207,46 +206,6 @@
 	return size > limit
 }
 
-// readBody reads the complete body, so that it can be sent more than once. It fails if the body
-// exceeds the limit or the route's timeout.
-func (x *exchange) readBody() *result.Error {
-	if x.r.Body == nil || x.r.Body == http.NoBody {
-		return nil
-	}
-	limit := x.config.Limits.BodyBytes
-	if limit > 0 && x.r.ContentLength > limit {
-		return result.New(result.BodyTooLarge)
-	}
-	body := io.Reader(x.r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(x.w, x.r.Body, limit)
-	}
-	control := http.NewResponseController(x.w)
-	// Without support for deadlines, as in tests, reading a body has no time limit.
-	_ = control.SetReadDeadline(x.monotonicTime(x.arrived.Add(x.route.Timeout)))
-	data, err := readAll(body, x.r.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return result.New(result.BodyTooLarge)
-	case err != nil:
-		return result.Wrap(err, result.BodyTimeout)
-	}
-	x.body = data
-	return nil
-}
-
-// readAll reads a body into a buffer of its declared size, if one is declared.
-func readAll(r io.Reader, size int64) ([]byte, error) {
-	if size <= 0 {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	return data, err
-}
-
 // accountName returns the name of the caller's account; empty on public routes and before it is known.
 func (x *exchange) accountName() string {
 	if x.account == nil {
@@ -271,6 +230,9 @@
 	}
 	x.logRequest(err)
 	x.Recorder.Forwarded(&x.outcome)
+	if err != nil {
+		x.limitUnreadBody(err)
+	}
 	switch {
 	case err == nil:
 	case x.written, err.Code == result.CallerDisconnected:
