Bodies of requests and answers share one bound on memory

What callers saw: nothing bounded the memory of request bodies that are read at the same time. 200 callers with bodies of 1 MB took 260 MB at a node of 134 MB before any was answered, and 404 MB in all; the platform ends such a node with all its requests.

Change: the bodies of requests and answers take three sixteenths of the host's memory together, answers a third of it. The memory of a request's body is reserved as it arrives, and for as long as the body may be sent again; where there is none left the request is refused at once (503, not run, try another node). cherryward_gateway_buffered_bytes shows both.

Not measured: hosts of 284 MB.

--- a/cmd/cherryward/endless_test.go
+++ b/cmd/cherryward/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test"
@@ -34,14 +36,58 @@
 	return kb / 1000
 }
 
-// TestSmallHostSurvivesEndlessAnswers guards against endpoints whose bytes without end take the memory of a small host.
-func TestSmallHostSurvivesEndlessAnswers(t *testing.T) {
-	s := startSite(t)
+// startSmallNode starts a node on a small host and waits until it serves requests.
+func startSmallNode(t *testing.T, s *site.Site) *node {
 	bootFile := filepath.Join(t.TempDir(), "boot.toml")
 	boot := strings.Replace(s.BootFile("n"), "memory-mb = 256", fmt.Sprint("memory-mb = ", smallHostMB), 1)
 	must.NoError(t, os.WriteFile(bootFile, []byte(boot), 0o600))
 	n := newNode(t, s, bootFile)
 	n.awaitServing()
+	return n
+}
+
+// TestSmallHostSurvivesLargeBodies guards against callers whose bodies together take the memory of a small host.
+func TestSmallHostSurvivesLargeBodies(t *testing.T) {
+	const callers, bodyBytes = 200, 1 << 20
+	s := startSite(t)
+	n := startSmallNode(t, s)
+	rest := make(chan struct{})
+	var calls sync.WaitGroup
+	var refused atomic.Int64
+	for i := range callers {
+		calls.Go(func() {
+			body, writer := io.Pipe()
+			go func() {
+				_, _ = io.CopyN(writer, zeros{}, bodyBytes-1) // fails if the request is refused
+				<-rest
+				_, _ = writer.Write([]byte{0})
+				writer.Close()
+			}()
+			if n.send(http.MethodPost, site.PathUpload, fmt.Sprint("large-", i), 0, body).status != http.StatusOK {
+				refused.Add(1)
+			}
+			body.Close()
+		})
+	}
+	n.await("some are refused", func() bool { return refused.Load() > callers/2 })
+	close(rest)
+	calls.Wait()
+	test.Less(t, smallHostMB, n.peakMB())
+	test.Len(t, callers-int(refused.Load()), s.Plain.Runs()[1:])
+}
+
+// zeros is an endless reader of zeros.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// TestSmallHostSurvivesEndlessAnswers guards against endpoints whose bytes without end take the memory of a small host.
+func TestSmallHostSurvivesEndlessAnswers(t *testing.T) {
+	s := startSite(t)
+	n := startSmallNode(t, s)
 	servers := append([]*modelserver.Server{s.Plain}, s.Models...)
 	for _, form := range modelserver.EndlessForms() {
 		for _, server := range servers {
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -28,9 +28,11 @@
 		body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
 	x.limitReading(x.monotonicTime(x.arrived.Add(x.route.Timeout)))
-	data, err := readAll(body, x.r.ContentLength)
+	data, err := x.bufferBody(body, x.r.ContentLength)
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoRoom):
+		return result.New(result.Overloaded, result.WithRetryAfter(retryAfterOtherNode))
 	case errors.As(err, &tooLong):
 		return result.New(result.BodyTooLarge)
 	case err != nil:
@@ -60,12 +62,52 @@
 	x.limitReading(time.Now().Add(unreadBodyTimeout))
 }
 
-// readAll reads a body into a buffer of its declared size, if one is declared.
-func readAll(r io.Reader, size int64) ([]byte, error) {
-	if size <= 0 {
-		return io.ReadAll(r)
+// errNoRoom is the error of a body for which the node has no memory left.
+var errNoRoom = errors.New("no room for the request body")
+
+// bufferBody reads a body to its end. size is what the request states, or -1. The memory is reserved as the body
+// arrives, and released at the end of the request.
+func (x *exchange) bufferBody(r io.Reader, size int64) ([]byte, error) {
+	var data []byte
+	for size < 0 || int64(len(data)) < size {
+		if len(data) == cap(data) {
+			grown, ok := x.grow(data, size)
+			if !ok {
+				return nil, errNoRoom
+			}
+			data = grown
+		}
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF) && size < 0:
+			return data, nil
+		case errors.Is(err, io.EOF) && int64(len(data)) < size:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil && !errors.Is(err, io.EOF):
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
+// grow returns data with twice the capacity, or with that of the stated size, and reserves its memory.
+func (x *exchange) grow(data []byte, size int64) (_ []byte, ok bool) {
+	wanted := max(2*int64(cap(data)), firstBlockBytes)
+	if size >= 0 {
+		wanted = min(wanted, size)
 	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	return data, err
+	if !x.Buffers.reserve(wanted) {
+		return nil, false
+	}
+	grown := append(make([]byte, 0, wanted), data...)
+	x.Buffers.release(x.bodyReserved)
+	x.bodyReserved = wanted
+	return grown, true
+}
+
+// releaseBody releases the memory of the body.
+func (x *exchange) releaseBody() {
+	x.Buffers.release(x.bodyReserved)
+	x.bodyReserved = 0
 }
--- a/internal/forward/buffers.go
+++ b/internal/forward/buffers.go
@@ -9,47 +9,71 @@
 const (
 	// maxAnswerBytes bounds a plain answer that is buffered in full before it is delivered.
 	maxAnswerBytes = 16 << 20
-	// minShares is the least number of long answers that Buffers has room for at the same time.
-	minShares = 4
+	// answersPart is the part of Buffers that answers may take, and answerShares the number of long answers that it
+	// has room for at the same time. What can't be buffered of an answer is handed on, while a request whose body
+	// can't be buffered is refused.
+	answersPart  = 1.0 / 3
+	answerShares = 4
 	// firstBlockBytes and maxBlockBytes are the sizes of the first and the largest blocks of a buffered answer.
 	firstBlockBytes = 4 << 10
 	maxBlockBytes   = 64 << 10
 )
 
-// Buffers bounds the memory that endpoints' answers take in buffers, over all requests of a node. A nil *Buffers
-// bounds each answer alone. It is safe for concurrent use.
+// Buffers bounds the memory that the bodies of requests and answers take in buffers, over all requests of a node. A
+// nil *Buffers bounds each answer alone. It is safe for concurrent use.
 type Buffers struct {
-	limit int64 // bytes
-	used  atomic.Int64
+	limit, answersLimit int64 // bytes
+	used, answers       atomic.Int64
 }
 
 // NewBuffers returns a Buffers for at most limit bytes.
-func NewBuffers(limit int64) *Buffers { return &Buffers{limit: limit} }
+func NewBuffers(limit int64) *Buffers {
+	return &Buffers{limit: limit, answersLimit: int64(answersPart * float64(limit))}
+}
 
 // Used returns the number of bytes reserved now.
 func (b *Buffers) Used() int64 { return b.used.Load() }
 
-// reserve reserves n more bytes for an answer that has reserved held bytes. It fails if there is no room for them,
-// or if the answer would take more than its share.
-func (b *Buffers) reserve(held, n int64) bool {
+// reserve reserves n bytes for a request. It fails if there is no room for them.
+func (b *Buffers) reserve(n int64) bool { return b == nil || addWithin(&b.used, n, b.limit) }
+
+func (b *Buffers) release(n int64) {
+	if b != nil {
+		b.used.Add(-n)
+	}
+}
+
+// reserveAnswer reserves n more bytes for an answer that has reserved held bytes. It fails if there is no room for
+// them, or if the answer would take more than its share.
+func (b *Buffers) reserveAnswer(held, n int64) bool {
 	switch {
 	case held+n > maxAnswerBytes:
 		return false
 	case b == nil:
 		return true
-	case held+n > b.limit/minShares:
+	case held+n > b.answersLimit/answerShares, !addWithin(&b.answers, n, b.answersLimit):
 		return false
-	case b.used.Add(n) > b.limit:
-		b.used.Add(-n)
+	case !b.reserve(n):
+		b.answers.Add(-n)
 		return false
 	}
 	return true
 }
 
-func (b *Buffers) release(n int64) {
+func (b *Buffers) releaseAnswer(n int64) {
 	if b != nil {
-		b.used.Add(-n)
+		b.answers.Add(-n)
+		b.release(n)
+	}
+}
+
+// addWithin adds n to sum unless it would exceed limit.
+func addWithin(sum *atomic.Int64, n, limit int64) bool {
+	if sum.Add(n) <= limit {
+		return true
 	}
+	sum.Add(-n)
+	return false
 }
 
 // bufferedBody is the beginning of an answer's body. It must be released.
@@ -67,7 +91,7 @@
 	if stated >= 0 {
 		size = min(stated+1, maxBlockBytes) // the byte more lets the end be read with the block
 	}
-	for b.buffers.reserve(b.reserved, size) {
+	for b.buffers.reserveAnswer(b.reserved, size) {
 		b.reserved += size
 		block, err := fill(r, make([]byte, size))
 		b.blocks = append(b.blocks, block)
@@ -108,6 +132,6 @@
 
 // release gives the memory back. Further calls have no effect.
 func (b *bufferedBody) release() {
-	b.buffers.release(b.reserved)
+	b.buffers.releaseAnswer(b.reserved)
 	b.blocks, b.reserved = nil, 0
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -48,7 +48,7 @@
 	// ShuttingDown reports whether this node refuses requests of other nodes because it shuts down. Nil
 	// means that it doesn't.
 	ShuttingDown func() bool
-	// Buffers bounds the memory of buffered answers. Nil means that each is bounded alone.
+	// Buffers bounds the memory of buffered bodies. Nil means that each is bounded alone.
 	Buffers *Buffers
 	// Clock times requests and what their answers state about endpoints. Nil means the monotonic
 	// clock.
@@ -76,8 +76,10 @@
 	age       time.Duration // since the caller's first try, as estimated from its deadline
 	body      []byte
 	bodyRead  bool
-	passed    *handoff.Envelope // set if another node passed the request to this one
-	counted   bool              // the request was counted in a retry budget
+	// bodyReserved is the memory reserved in Buffers for the body.
+	bodyReserved int64
+	passed       *handoff.Envelope // set if another node passed the request to this one
+	counted      bool              // the request was counted in a retry budget
 
 	outcome           Outcome
 	sends             sendCounts
@@ -113,6 +115,7 @@
 
 // serve handles the request and answers it.
 func (x *exchange) serve() {
+	defer x.releaseBody()
 	x.position = positionAt(x.attrs.ResumeAfter)
 	err := x.admit()
 	if err == nil {
--- a/internal/forward/sse.go
+++ b/internal/forward/sse.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	for int64(len(r.pending)) > r.reserved+eventBlockBytes {
-		if !r.buffers.reserve(r.reserved, eventBlockBytes) {
+		if !r.buffers.reserveAnswer(r.reserved, eventBlockBytes) {
 			return false
 		}
 		r.reserved += eventBlockBytes
@@ -88,7 +88,7 @@
 
 // release gives back the memory that was reserved.
 func (r *eventReader) release() {
-	r.buffers.release(r.reserved)
+	r.buffers.releaseAnswer(r.reserved)
 	r.reserved = 0
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,7 +81,7 @@
 	pace          *enginepace.Services
 	brittle       *brittle.Service
 	recorder      *recorder
-	buffers       *forward.Buffers // of endpoints' answers
+	buffers       *forward.Buffers // of the bodies of requests and answers
 	started       time.Time
 	startLog      *startLog
 	shuttingDown  atomic.Bool
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -13,8 +13,8 @@
 	// memoryShare is the fraction of the host's memory above which the garbage collector works
 	// harder. Stacks, kernel buffers and the program itself need the rest.
 	memoryShare = 0.6
-	// bufferShare is the fraction of the host's memory for buffered answers of endpoints.
-	bufferShare = 1.0 / 16
+	// bufferShare is the fraction of the host's memory for buffered bodies of requests and answers.
+	bufferShare = 3.0 / 16
 	// maxGCPercent is the heap growth, in percent of what is live, that triggers a garbage collection
 	// while the heap is small: with the runtime's default of 100, collections are so frequent that they
 	// use a considerable part of a small host's processor. minGCPercent is that of a large heap, and
@@ -35,7 +35,7 @@
 	debug.SetGCPercent(maxGCPercent)
 }
 
-// bufferBytes returns the memory for buffered answers of a host with the given amount of memory.
+// bufferBytes returns the memory for buffered bodies of a host with the given amount of memory.
 func bufferBytes(hostBytes int64) int64 { return int64(bufferShare * float64(hostBytes)) }
 
 // gcPercentFor returns the heap growth, in percent, that triggers a garbage collection when live bytes
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,7 +32,7 @@
 	metricRejected         = "cherryward_gateway_rejected_records_total"
 	metricConnections      = "cherryward_gateway_connections_opened_total"
 	metricExcess           = "cherryward_gateway_excess_answers_total"
-	metricBuffered         = "cherryward_gateway_buffered_answer_bytes"
+	metricBuffered         = "cherryward_gateway_buffered_bytes"
 	metricReady            = "cherryward_gateway_ready"
 	metricCollects         = "cherryward_gateway_collects"
 	metricLoadAge          = "cherryward_gateway_load_age_seconds"
