Soak: comments of a stream are no events

They are the endpoint's own bytes, which go on unchanged, and a client passes over them. What is not a comment alone counts as before (two cases more in the test of the checks).

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -237,6 +237,8 @@
 		retryAfter, broken string
 	}{
 		{http.StatusOK, stream, "s", complete, "", ""},
+		{http.StatusOK, stream, "s", ": x\n\n" + complete + ": x\n\n", "", ""},
+		{http.StatusOK, stream, "s", ": x\n" + event("2"), "", `instead of "id: 1`},
 		{http.StatusOK, stream, "s", event("1", "3"), "", `instead of "id: 2`},
 		{http.StatusOK, stream, "s", event("1", "1"), "", `instead of "id: 2`},
 		{http.StatusOK, stream, "s", event("1") + "id: 2\ndata: piece 3\n\n", "", `instead of "id: 2`},
