Nodes that lack the list of nodes leave the store to those that list it

A page of the list of nodes took too long and was asked for again; a node without the list took itself for one of a small system, read the configuration from the store after 0.5 s and the registry, 4 MB, after 2 s: ten times what the store sends.

Change: without the list a node waits 4 s before it reads either. In a small system the list comes within ms unless the store is away, when nothing else comes either; where only the part of the store that has the list is down, a start takes up to 4 s of the 12 s that the sites allow.

--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -25,8 +25,9 @@
 	// registry is used. A copy passes two nodes, so it is older than that of another topic.
 	maxRegistryAgeShare = 0.7
 	// listTimeout is how long a node that starts waits for the list of nodes before it reads the configuration
-	// from the store. The list tells whether other nodes can give it.
-	listTimeout = 500 * time.Millisecond
+	// and the registry from the store. The list tells whether other nodes can give them: in a large system whose
+	// nodes all start, each that read them without it would keep the store from sending the list to the others.
+	listTimeout = 4 * time.Second
 	// configTimeout is how long a node of a large system that starts waits for another node to give it the
 	// configuration, and maxConfigStagger spreads the nodes that none has given it.
 	configTimeout    = time.Second
@@ -133,9 +134,11 @@
 func (n *Node) mayReadRegistry() bool {
 	age := n.clock.Since(n.started)
 	switch {
+	case !n.roster.Loaded():
+		return age > listTimeout
 	case n.roster.readerCandidate() || intervals.FullMesh(n.roster.Nodes()) && n.roster.listedAtStart():
 		return true
-	case n.roster.Loaded() && !intervals.FullMesh(n.roster.Nodes()):
+	case !intervals.FullMesh(n.roster.Nodes()):
 		age -= time.Duration(n.readerPreference() % uint64(maxRegistryStagger))
 	}
 	return !n.cacheTracker.shouldAwaitReports(age)
