--- a/internal/relay/long.go
+++ b/internal/relay/long.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"slices"
 
@@ -239,16 +238,8 @@
 	return data, nil
 }
 
-func (r *Relay) servePart(params json.RawMessage) (any, error) {
-	var req partRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, eris.Wrap(err, "decode part request")
-	}
-	c := r.copies[req.Topic]
-	if c == nil {
-		return nil, eris.Errorf("unknown topic %q", req.Topic)
-	}
-	data, err := c.part(&req)
+func (c *Copy) servePart(req *partRequest) (any, error) {
+	data, err := c.part(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,24 +60,32 @@
 // New returns a relay that serves requests on conn, which must not be running yet.
 func New(conn Conn) *Relay {
 	r := &Relay{conn: conn, copies: make(map[string]*Copy)}
-	conn.Handle(methodRecords, r.serve)
-	conn.Handle(methodSnapshot, r.serveSnapshot)
-	conn.Handle(methodPart, r.servePart)
+	conn.Handle(methodRecords, handler(r, func(q *recordsRequest) string { return q.Topic }, (*Copy).serveRecords))
+	conn.Handle(methodSnapshot, handler(r, func(q *snapshotRequest) string { return q.Topic }, (*Copy).serveSnapshot))
+	conn.Handle(methodPart, handler(r, func(q *partRequest) string { return q.Topic }, (*Copy).servePart))
 	return r
 }
 
+// handler returns a handler that decodes a request and has it served from the copy of the topic that it names. It
+// fails if the request can't be decoded, or if there is no such copy.
+func handler[Req any](r *Relay, topic func(*Req) string, serve func(*Copy, *Req) (any, error)) func(json.RawMessage) (any, error) {
+	return func(params json.RawMessage) (any, error) {
+		var req Req
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, eris.Wrap(err, "decode request")
+		}
+		c := r.copies[topic(&req)]
+		if c == nil {
+			return nil, eris.Errorf("unknown topic %q", topic(&req))
+		}
+		return serve(c, &req)
+	}
+}
+
 // Serve serves requests for a topic from a copy. It must be called before the connection runs.
 func (r *Relay) Serve(topic string, c *Copy) { r.copies[topic] = c }
 
-func (r *Relay) serve(params json.RawMessage) (any, error) {
-	var req recordsRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, eris.Wrap(err, "decode records request")
-	}
-	c := r.copies[req.Topic]
-	if c == nil {
-		return nil, eris.Errorf("unknown topic %q", req.Topic)
-	}
+func (c *Copy) serveRecords(req *recordsRequest) (any, error) {
 	var known func(key string) int64
 	if req.Long {
 		known = req.known
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -5,7 +5,6 @@
 	"compress/flate"
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"net/netip"
 	"time"
@@ -74,15 +73,7 @@
 	return s.data[from:min(from+snapshotChunkBytes, len(s.data))]
 }
 
-func (r *Relay) serveSnapshot(params json.RawMessage) (any, error) {
-	var req snapshotRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, eris.Wrap(err, "decode snapshot request")
-	}
-	c := r.copies[req.Topic]
-	if c == nil {
-		return nil, eris.Errorf("unknown topic %q", req.Topic)
-	}
+func (c *Copy) serveSnapshot(req *snapshotRequest) (any, error) {
 	s, err := c.snapshotAt(req.Next)
 	if err != nil {
 		return nil, err
