--- a/cmd/cherryward/process_test.go
+++ b/cmd/cherryward/process_test.go
@@ -193,6 +193,16 @@
 	return answer{status: resp.StatusCode, body: string(data), err: err}
 }
 
+// sendUntilTaken sends a request for a stream again until it is not refused as not run. A node that has just started
+// may not know of the release that began a stream, or of enough slots.
+func (n *node) sendUntilTaken(path, id string, lastEvent int) (a answer) {
+	for try := 0; a.status == 0 && a.err == nil || a.status == http.StatusServiceUnavailable; try++ {
+		time.Sleep(pollInterval)
+		a = n.send(http.MethodPost, path, fmt.Sprint(id, "-", try), lastEvent, nil)
+	}
+	return a
+}
+
 // awaitRuns waits until the stand-ins run all requests whose id has the given prefix.
 func (n *node) awaitRuns(prefix string, want int) {
 	n.t.Helper()
