Relay tests: reads of long records go by virtual time

They run in a bubble of virtual time now, like the storms beside them; what they check is as before.

--- a/internal/relay/longread_test.go
+++ b/internal/relay/longread_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test"
@@ -67,43 +68,47 @@
 // TestChangesOfLongRecordsAreSmall checks that a node which has an earlier version of a long record gets what
 // changed, and one that hasn't gets all of it, compressed.
 func TestChangesOfLongRecordsAreSmall(t *testing.T) {
-	f := newFollowedSystem(0)
-	for version := range 8 {
-		applyConfig(f.reader, version)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowedSystem(0)
+		for version := range 8 {
+			applyConfig(f.reader, version)
+			page, bytes := f.read(t)
+			must.Eq(t, []follow.Record{configRecord(version)}, page.Records)
+			if version == 0 {
+				test.Between(t, datagram.MaxBytes, bytes, 3*datagram.MaxBytes)
+			} else {
+				test.Less(t, 1<<10, bytes)
+			}
+		}
+		for version := range maxVersions {
+			applyConfig(f.reader, 8+version)
+		}
 		page, bytes := f.read(t)
-		must.Eq(t, []follow.Record{configRecord(version)}, page.Records)
-		if version == 0 {
-			test.Between(t, datagram.MaxBytes, bytes, 3*datagram.MaxBytes)
-		} else {
-			test.Less(t, 1<<10, bytes)
+		test.Eq(t, []follow.Record{configRecord(7 + maxVersions)}, page.Records)
+		test.Less(t, 1<<10, bytes, test.Sprint("several versions at once"))
+		for version := range maxVersions + 1 {
+			applyConfig(f.reader, 20+version)
 		}
-	}
-	for version := range maxVersions {
-		applyConfig(f.reader, 8+version)
-	}
-	page, bytes := f.read(t)
-	test.Eq(t, []follow.Record{configRecord(7 + maxVersions)}, page.Records)
-	test.Less(t, 1<<10, bytes, test.Sprint("several versions at once"))
-	for version := range maxVersions + 1 {
-		applyConfig(f.reader, 20+version)
-	}
-	page, bytes = f.read(t)
-	test.Eq(t, []follow.Record{configRecord(20 + maxVersions)}, page.Records)
-	test.Greater(t, datagram.MaxBytes, bytes, test.Sprint("too many versions at once"))
+		page, bytes = f.read(t)
+		test.Eq(t, []follow.Record{configRecord(20 + maxVersions)}, page.Records)
+		test.Greater(t, datagram.MaxBytes, bytes, test.Sprint("too many versions at once"))
+	})
 }
 
 // TestWrongEarlierVersionIsFoundOut checks that a node whose earlier version is not the reader's, as after it
 // was altered, doesn't accept what results, and asks for the whole value next.
 func TestWrongEarlierVersionIsFoundOut(t *testing.T) {
-	f := newFollowedSystem(0)
-	applyConfig(f.reader, 0)
-	f.read(t)
-	applyConfig(f.reader, 1)
-	f.own.latest["config"].Value[100] ^= 1
-	_, err := f.topic.Read(t.Context(), f.next, 0)
-	must.Error(t, err)
-	page, _ := f.read(t)
-	test.Eq(t, []follow.Record{configRecord(1)}, page.Records)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowedSystem(0)
+		applyConfig(f.reader, 0)
+		f.read(t)
+		applyConfig(f.reader, 1)
+		f.own.latest["config"].Value[100] ^= 1
+		_, err := f.topic.Read(t.Context(), f.next, 0)
+		must.Error(t, err)
+		page, _ := f.read(t)
+		test.Eq(t, []follow.Record{configRecord(1)}, page.Records)
+	})
 }
 
 // TestPartsOfVersionsAreNotJoined checks that the parts of a value can be requested while it is replaced once,
