Buffers: the sum of reserved memory exceeds its limit at no time

A reservation that was too large was added and taken back, so that others, and the metric, saw it in between, and another that would have fitted could be refused. It is added only where it fits now. The test's list of outcomes, which several requests write, has a lock.

--- a/internal/forward/buffers.go
+++ b/internal/forward/buffers.go
@@ -67,13 +67,17 @@
 	}
 }
 
-// addWithin adds n to sum unless it would exceed limit.
+// addWithin adds n to sum unless it would exceed limit. The sum exceeds the limit at no time.
 func addWithin(sum *atomic.Int64, n, limit int64) bool {
-	if sum.Add(n) <= limit {
-		return true
+	for {
+		before := sum.Load()
+		if before+n > limit {
+			return false
+		}
+		if sum.CompareAndSwap(before, before+n) {
+			return true
+		}
 	}
-	sum.Add(-n)
-	return false
 }
 
 // bufferedBody is the beginning of an answer's body. It must be released.
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,9 +111,16 @@
 	return origin.Result{Origin: k.other, Source: origin.SoleRelease}
 }
 
-type recordedOutcomes struct{ list []forward.Outcome }
+type recordedOutcomes struct {
+	mu   sync.Mutex
+	list []forward.Outcome
+}
 
-func (o *recordedOutcomes) Forwarded(outcome *forward.Outcome) { o.list = append(o.list, *outcome) }
+func (o *recordedOutcomes) Forwarded(outcome *forward.Outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.list = append(o.list, *outcome)
+}
 
 // testHandler is a handler in front of stub model servers.
 type testHandler struct {
