Forward: one piece discards a body, one tells whether there is one

The bounds on a body that isn't delivered stood in three places, each with its record of an excess; whether the attempt was one was read back from the state, which a request that is passed to another node didn't reset. recordExcess reports it now. Behaviour as it was: the package's tests pass.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -16,7 +16,7 @@
 // readBody reads the complete body, so that it can be sent more than once. It fails if the body
 // exceeds the limit or the route's timeout.
 func (x *exchange) readBody() *result.Error {
-	if x.r.Body == nil || x.r.Body == http.NoBody {
+	if !x.hasBody() {
 		return nil
 	}
 	limit := x.config.Limits.BodyBytes
@@ -43,6 +43,9 @@
 	return nil
 }
 
+// hasBody reports whether the request has a body.
+func (x *exchange) hasBody() bool { return x.r.Body != nil && x.r.Body != http.NoBody }
+
 // limitReading sets the time at which reads from the caller's connection fail; the zero time sets no limit.
 func (x *exchange) limitReading(until time.Time) {
 	// Without support for deadlines, as in tests, reading has no time limit.
@@ -52,7 +55,7 @@
 // limitUnreadBody bounds the time for which an answer waits for the rest of a body that was not read. A body whose
 // time is over gets no more.
 func (x *exchange) limitUnreadBody(err *result.Error) {
-	if x.bodyRead || x.r.Body == nil || x.r.Body == http.NoBody {
+	if x.bodyRead || !x.hasBody() {
 		return
 	}
 	if err.Code == result.BodyTimeout {
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -53,7 +53,7 @@
 func (x *exchange) deliver(answer *upstream.Answer, info *AnswerInfo, onFirst func()) verdict {
 	if info.NotRun {
 		x.cause = eris.Errorf("endpoint refused the request with status %d", answer.StatusCode)
-		x.recordExcess(answer.Discard(maxDiscardedBytes, maxDiscardTime))
+		_ = x.discardBody(answer) // that the request did not run is certain without it
 		return notRun
 	}
 	success := answer.StatusCode < http.StatusMultipleChoices
@@ -81,11 +81,19 @@
 	return encoding == "" || encoding == "identity"
 }
 
+// discardBody reads an answer that is not delivered, so that its connection can be reused, or closes the connection. It
+// returns the error of a connection that broke.
+func (x *exchange) discardBody(answer *upstream.Answer) error {
+	err := answer.Discard(maxDiscardedBytes, maxDiscardTime)
+	if x.recordExcess(err) {
+		return nil
+	}
+	return err
+}
+
 // withhold discards an answer that must not be delivered.
 func (x *exchange) withhold(answer *upstream.Answer) verdict {
-	err := answer.Discard(maxDiscardedBytes, maxDiscardTime)
-	x.recordExcess(err)
-	if err != nil && x.excess == nil {
+	if err := x.discardBody(answer); err != nil {
 		x.recordBrokenAnswer(eris.Wrap(err, "read the body of a withheld answer"))
 	}
 	return mayHaveRun
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -164,7 +164,7 @@
 		return x.finalError(ctx, mayHaveRunCount+1, nil), true
 	}
 	if refusal := handoff.ReadRefusal(answer.Header); refusal != nil {
-		x.recordExcess(answer.Discard(maxDiscardedBytes, maxDiscardTime))
+		_ = x.discardBody(answer) // the refusal is complete without it
 		return x.handleRefusal(ctx, helper, refusal, mayHaveRunCount)
 	}
 	info := x.Dialect.ReadAnswer(answer.Header)
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -39,11 +39,13 @@
 	}
 }
 
-// recordExcess records whether an attempt ended with err since the endpoint sent too much.
-func (x *exchange) recordExcess(err error) {
-	if errors.As(err, &x.excess) {
-		x.outcome.Excesses = append(x.outcome.Excesses, x.excess.Part)
+// recordExcess records and reports whether an attempt ended with err since the endpoint sent too much.
+func (x *exchange) recordExcess(err error) bool {
+	if !errors.As(err, &x.excess) {
+		return false
 	}
+	x.outcome.Excesses = append(x.outcome.Excesses, x.excess.Part)
+	return true
 }
 
 // unreachable reports whether the latest attempt failed to connect.
