--- a/internal/forward/sse.go
+++ b/internal/forward/sse.go
@@ -64,11 +64,11 @@
 
 // isFiller reports whether the stream has sent too much since its last event, after complete blocks were read.
 func (r *eventReader) isFiller(blocks []byte) bool {
-	r.filler += len(blocks)
-	for range parseEvents(blocks) {
+	if holdsEvent(blocks) {
 		r.filler = 0
-		break
+		return false
 	}
+	r.filler += len(blocks)
 	return r.filler > maxFillerBytes
 }
 
@@ -166,6 +166,19 @@
 	}
 }
 
+// holdsEvent reports whether parseEvents yields an event of b, which must be complete. It decodes none.
+func holdsEvent(b []byte) bool {
+	for len(b) > 0 {
+		var line []byte
+		line, b = cutLine(b)
+		name, _, _ := bytes.Cut(line, fieldSeparator)
+		if string(name) == fieldID || string(name) == fieldData {
+			return true
+		}
+	}
+	return false
+}
+
 // onlyComments reports whether b has no line of an event.
 func onlyComments(b []byte) bool {
 	for len(b) > 0 {
--- a/internal/forward/sse_test.go
+++ b/internal/forward/sse_test.go
@@ -83,9 +83,12 @@
 		rest := strings.Join(lines[last+1:], "\n")
 		got := strings.ReplaceAll(strings.ReplaceAll(string(b[end:]), "\r\n", "\n"), "\r", "\n")
 		must.Eq(t, rest, got)
+		events := 0
 		for e := range parseEvents(b[:end]) {
 			must.True(t, e.hasID || e.hasData)
+			events++
 		}
+		must.Eq(t, events > 0, holdsEvent(b[:end]))
 	})
 }
 
