--- a/internal/gateway/references.go
+++ b/internal/gateway/references.go
@@ -131,15 +131,14 @@
 	if !ok {
 		return false
 	}
-	now, state := c.node.clock.Now(), c.node.state
-	if state.residencies.Outdated(salt.Residency, now, c.freeStagger()) || state.sharings.Outdated(salt.Sharing, now, c.freeStagger()) {
+	now, state, stagger := c.node.clock.Now(), c.node.state, c.freeStagger()
+	if state.residencies.Outdated(salt.Residency, now, stagger) || state.sharings.Outdated(salt.Sharing, now, stagger) {
 		return true
 	}
-	by, replaced := c.node.state.replaced(salt.Model, salt.Version)
+	by, replaced := state.replaced(salt.Model, salt.Version)
 	if !replaced {
 		return false
 	}
-	stagger := c.freeStagger()
 	return c.node.clock.Since(by.readAt) > freeDelay+stagger || c.unreferenced(salt.Model, salt.Version, stagger)
 }
 
