Daemon: the program and four tests that run it start in one place

Receiving the signals, the standard streams and the exit code stood in main and in four test binaries that run as a node. daemon.Main does it for all; Run, which nothing else called, is part of it, and the streams are its own. Tests of cmd/cherryward, internal/daemon, scenarios/gateway and the drain script pass.

--- a/cmd/cherryward/main.go
+++ b/cmd/cherryward/main.go
@@ -5,14 +5,8 @@
 	"os"
 
 	"github.com/cherryward/cherryward/internal/daemon"
-	"github.com/cherryward/cherryward/internal/signals"
 )
 
 func main() {
-	os.Exit(run())
-}
-
-func run() int {
-	stop, hangups := signals.Receive()
-	return daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr})
+	os.Exit(daemon.Main(os.Args))
 }
--- a/cmd/cherryward/process_test.go
+++ b/cmd/cherryward/process_test.go
@@ -34,7 +34,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(nodeEnv) != "" {
-		os.Exit(run())
+		main()
 	}
 	os.Exit(m.Run())
 }
--- a/internal/capacity/measure/measure_test.go
+++ b/internal/capacity/measure/measure_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/daemon"
-	"github.com/cherryward/cherryward/internal/signals"
 	"github.com/cherryward/cherryward/standin/engine"
 )
 
@@ -25,8 +24,7 @@
 
 func TestMain(m *testing.M) {
 	if file := os.Getenv(nodeVariable); file != "" {
-		stop, hangups := signals.Receive()
-		os.Exit(daemon.Run(stop, hangups, []string{"cherryward", "run", "--settings", file}, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+		os.Exit(daemon.Main([]string{"cherryward", "run", "--settings", file}))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,15 +26,15 @@
 	exitUsage  = 2 // bad arguments or settings
 )
 
-// Streams holds the writers for the command's output.
-type Streams struct {
-	Out, Err io.Writer
+// streams holds the writers for the command's output.
+type streams struct {
+	out, err io.Writer
 }
 
 // command holds the state and flags that the subcommands share.
 type command struct {
-	streams    Streams
-	hangups    <-chan os.Signal
+	streams    streams
+	hangups    <-chan os.Signal // the SIGHUP signals of the process
 	settings   string
 	boot       string
 	serve      bool
@@ -51,15 +51,16 @@
 // Unwrap returns the cause.
 func (e *usageError) Unwrap() error { return e.cause }
 
-// Run parses and executes the command line and returns the exit code of the process. A node stops when ctx is
-// done. hangups delivers the SIGHUP signals of the process; see signals.Receive.
-func Run(ctx context.Context, hangups <-chan os.Signal, args []string, streams Streams) int {
-	c := &command{streams: streams, hangups: hangups}
-	err := c.root().Run(ctx, args)
+// Main parses and executes the command line of this process and returns its exit code. It receives the process's
+// signals, so it is called once, as early as possible.
+func Main(args []string) int {
+	stop, hangups := signals.Receive()
+	c := &command{streams: streams{out: os.Stdout, err: os.Stderr}, hangups: hangups}
+	err := c.root().Run(stop, args)
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintln(streams.Err, "cherryward:", err)
+	fmt.Fprintln(c.streams.err, "cherryward:", err)
 	var usage *usageError
 	if errors.As(err, &usage) || !c.argsParsed {
 		return exitUsage
@@ -76,8 +77,8 @@
 	return &cli.Command{
 		Name:           "cherryward",
 		Usage:          "serves language model prompts whose answers take minutes to days",
-		Writer:         c.streams.Out,
-		ErrWriter:      c.streams.Err,
+		Writer:         c.streams.out,
+		ErrWriter:      c.streams.err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return &usageError{err} },
 		Commands: []*cli.Command{
@@ -150,16 +151,16 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(c.streams.Out, file+": ok")
+	_, err = fmt.Fprintln(c.streams.out, file+": ok")
 	return err
 }
 
 func (c *command) demo(ctx context.Context, _ *cli.Command) error {
 	c.argsParsed = true
 	if c.platform {
-		return gatewaydemo.Run(ctx, c.streams.Out, c.logger("error"), c.serve)
+		return gatewaydemo.Run(ctx, c.streams.out, c.logger("error"), c.serve)
 	}
-	return demo.Run(ctx, c.streams.Out, c.logger("error"), c.serve)
+	return demo.Run(ctx, c.streams.out, c.logger("error"), c.serve)
 }
 
 // logger returns a logger that writes each event as a line of key=value pairs. An
@@ -169,7 +170,7 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	return zerolog.New(keyValues(c.streams.Err)).Level(l).With().Timestamp().Logger()
+	return zerolog.New(keyValues(c.streams.err)).Level(l).With().Timestamp().Logger()
 }
 
 // keyValues returns a writer that formats events as lines of key=value pairs.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,7 +55,7 @@
 // reader. The number of dropped lines is logged as the event log_lines_dropped. flush
 // writes the buffered lines and stops the logger; it gives up after flushTimeout.
 func (c *command) gatewayLogger(node string) (log zerolog.Logger, flush func()) {
-	out := keyValues(c.streams.Out)
+	out := keyValues(c.streams.out)
 	unbuffered := zerolog.New(out)
 	w := diode.NewWriter(out, maxBufferedLines, 0, func(dropped int) {
 		unbuffered.Warn().Str("event", "log_lines_dropped").Int("lines", dropped).Send()
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -21,7 +21,7 @@
 func TestFlushEndsWithoutReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := make(blockedWriter)
-		c := &command{streams: Streams{Out: out}}
+		c := &command{streams: streams{out: out}}
 		log, flush := c.gatewayLogger("n")
 		log.Info().Str("event", "stopped").Send()
 		began := time.Now()
--- a/scenarios/gateway/gateway_test.go
+++ b/scenarios/gateway/gateway_test.go
@@ -24,7 +24,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/cherryward/cherryward/internal/daemon"
-	"github.com/cherryward/cherryward/internal/signals"
 	"github.com/cherryward/cherryward/scenarios/processtest"
 	"github.com/cherryward/cherryward/standin/metastore"
 	"github.com/cherryward/cherryward/standin/modelserver"
@@ -42,8 +41,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"cherryward": func() {
-			stop, hangups := signals.Receive()
-			os.Exit(daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+			os.Exit(daemon.Main(os.Args))
 		},
 	})
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/cherryward/cherryward/internal/ctl"
 	"github.com/cherryward/cherryward/internal/daemon"
-	"github.com/cherryward/cherryward/internal/signals"
 )
 
 // scriptsAtOnce limits the number of scripts that run in parallel.
@@ -25,8 +24,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"cherryward": func() {
-			stop, hangups := signals.Receive()
-			os.Exit(daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+			os.Exit(daemon.Main(os.Args))
 		},
 		"cherryctl": func() {
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/cherryward/cherryward/internal/daemon"
-	"github.com/cherryward/cherryward/internal/signals"
 )
 
 var (
@@ -46,8 +45,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runEnv) != "" {
-		stop, hangups := signals.Receive()
-		os.Exit(daemon.Run(stop, hangups, os.Args, daemon.Streams{Out: os.Stdout, Err: os.Stderr}))
+		os.Exit(daemon.Main(os.Args))
 	}
 	flag.Parse()
 	os.Exit(m.Run())
