--- a/cmd/cherryward/process_test.go
+++ b/cmd/cherryward/process_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +18,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/scenarios/processtest"
 	"github.com/cherryward/cherryward/standin/site"
 )
 
@@ -141,11 +141,11 @@
 	n.await(fmt.Sprint("a log line with ", fields), func() bool { return len(n.logged(fields...)) > 0 })
 }
 
-var callersField = regexp.MustCompile(`callers=(\S+)`)
-
 func (n *node) addr() string {
 	n.awaitLog("event=start ")
-	return callersField.FindStringSubmatch(n.logged("event=start ")[0])[1]
+	addr, ok := processtest.CallersAddr(n.logged("event=start ")[0])
+	must.True(n.t, ok)
+	return addr
 }
 
 func (n *node) awaitServing() {
--- a/scenarios/gateway/gateway_test.go
+++ b/scenarios/gateway/gateway_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -133,8 +132,6 @@
 	}
 }
 
-var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
-
 // node NAME [other] starts a node, of the other build if requested, and waits until it listens.
 func (w *world) node(words []string) error {
 	name := words[0]
@@ -161,8 +158,8 @@
 	}
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
-		if found := callersField.FindStringSubmatch(lines.Text()); found != nil {
-			p.addr = found[1]
+		if addr, ok := processtest.CallersAddr(lines.Text()); ok {
+			p.addr = addr
 			break
 		}
 	}
--- a/scenarios/processtest/stop.go
+++ b/scenarios/processtest/stop.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"regexp"
 
 	"golang.org/x/sys/unix"
 )
@@ -13,6 +14,18 @@
 // BuildVariable is the environment variable that holds the path of another build's executable.
 const BuildVariable = "CHERRYWARD_OTHER_BUILD"
 
+var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
+
+// CallersAddr returns the address at which a node in gateway mode listens for callers, if line is the one in which its
+// log states it.
+func CallersAddr(line string) (addr string, ok bool) {
+	found := callersField.FindStringSubmatch(line)
+	if found == nil {
+		return "", false
+	}
+	return found[1], true
+}
+
 // Program returns the program of a build: "own" is the build under test, "other" the one that
 // BuildVariable names, or the build under test if BuildVariable is not set.
 func Program(build string) (string, error) {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -7,13 +7,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/scenarios/processtest"
 )
 
 const (
@@ -44,8 +45,6 @@
 	busy         bool // claimed by a fault; guarded by world.mu
 }
 
-var callersField = regexp.MustCompile(`callers=(\S+).*event=start`)
-
 // start starts a node and waits until it listens. A node that starts is not connected.
 func (w *world) start(i int) {
 	p := w.nodes[i]
@@ -63,8 +62,8 @@
 	lines := bufio.NewReader(out)
 	for {
 		line, err := lines.ReadString('\n')
-		if found := callersField.FindStringSubmatch(line); found != nil {
-			p.addr.Store(&found[1])
+		if addr, ok := processtest.CallersAddr(line); ok {
+			p.addr.Store(&addr)
 			break
 		}
 		must.NoError(w.t, err)
