Relay: logs and metrics state the era of the pages that were read

Change: topic_reads names the era of the latest page of each source, history_gone that of the copy that is given up, and cherryward_gateway_topic_era shows it by topic and source, beside cherryward_gateway_store_era.

Result: go test ./internal/relay ./internal/follow ./internal/gateway pass.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -172,7 +172,7 @@
 		page, err = f.Topic.Read(ctx, f.nextOffset, settingValue(f.Wait))
 	}
 	if errors.Is(err, ErrCompacted) {
-		f.Log.Info().Str("event", "history_gone").Str("topic", f.Name).Int64("offset", OffsetOf(f.nextOffset)).Send()
+		f.Log.Info().Str("event", "history_gone").Str("topic", f.Name).Int64("era", EraOf(f.nextOffset)).Int64("offset", OffsetOf(f.nextOffset)).Send()
 		f.nextOffset = unknownOffset
 		return f.readOnce(ctx, f.Clock.Now())
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,7 @@
 	metricOrigins          = "cherryward_gateway_stream_origins"
 	metricTopicReads       = "cherryward_gateway_topic_reads_total"
 	metricTopicReadBytes   = "cherryward_gateway_topic_read_bytes_total"
+	metricTopicEra         = "cherryward_gateway_topic_era"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -153,6 +154,9 @@
 	labels := `{topic="` + topic + `",source="` + read.Source.Kind.String() + `"`
 	r.set.GetOrCreateCounter(metricTopicReads + labels + `,failed="` + strconv.FormatBool(read.Err != nil) + `"}`).Inc()
 	r.set.GetOrCreateCounter(metricTopicReadBytes + labels + "}").Add(read.Bytes)
+	if read.Err == nil {
+		r.set.GetOrCreateGauge(metricTopicEra+labels+"}", nil).Set(float64(read.Era))
+	}
 }
 
 // recordLoadAge records the age of the collected load reports at a placement.
--- a/internal/relay/reads.go
+++ b/internal/relay/reads.go
@@ -16,7 +16,8 @@
 type Read struct {
 	Source follow.Source
 	Took   time.Duration
-	Bytes  int // of the values
+	Bytes  int   // of the values
+	Era    int64 // of the store, of the page; 0 if the read failed
 	Err    error
 }
 
@@ -24,6 +25,7 @@
 type readCounts struct {
 	done, failed, bytes int
 	longest             time.Duration
+	era                 int64 // of the latest page; not set if all reads failed
 }
 
 // readLog logs reads of a topic that failed, summed up over some time, so that its lines are bounded
@@ -46,6 +48,8 @@
 	if r.Err != nil {
 		c.failed++
 		l.cause = r.Err
+	} else {
+		c.era = r.Era
 	}
 	if l.cause == nil || now.Sub(l.loggedAt) < readLogInterval {
 		return
@@ -54,6 +58,9 @@
 	for i, kind := range sourceKinds {
 		if c := l.counts[i]; c.done > 0 {
 			name := kind.String()
+			if c.failed < c.done {
+				line.Int64(name+"_era", c.era)
+			}
 			line.Int(name, c.done).Int(name+"_failed", c.failed).Int(name+"_bytes", c.bytes).Int64(name+"_longest_ms", c.longest.Milliseconds())
 		}
 	}
@@ -85,7 +92,7 @@
 	began := time.Now()
 	page, err := read()
 	page.Source = source
-	outcome := Read{Source: source, Took: time.Since(began), Bytes: valueBytes(page.Records), Err: err}
+	outcome := Read{Source: source, Took: time.Since(began), Bytes: valueBytes(page.Records), Era: follow.EraOf(page.Next), Err: err}
 	t.reads.record(outcome, t.Name, &t.Log, time.Now())
 	if t.OnRead != nil {
 		t.OnRead(outcome)
