Relay: a failing test for copies of an earlier era that nodes hand on

What callers saw: too little was served, and work ran on replaced weights, as nodes stayed on configurations from before the store came back from an older copy.

The simulated store of the relay's tests has an era now, and comes back from older copies; its nodes write heartbeats, so that they hear of the era.

--- a/internal/relay/network_test.go
+++ b/internal/relay/network_test.go
@@ -13,7 +13,6 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cherryward/cherryward/internal/datagram"
-	"github.com/cherryward/cherryward/internal/follow"
 )
 
 // simDelay is the one-way delay between two nodes, or between a node and the store.
@@ -27,6 +26,7 @@
 	random *rand.Rand
 	conns  map[netip.AddrPort]*simConn
 	bytes  int // of all responses
+	calls  int
 }
 
 func newSimNetwork(loss float64) *simNetwork {
@@ -40,6 +40,13 @@
 	return n.bytes
 }
 
+// callCount returns the number of calls between nodes.
+func (n *simNetwork) callCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls
+}
+
 // lost reports whether the next message is lost.
 func (n *simNetwork) lost() bool {
 	n.mu.Lock()
@@ -75,6 +82,9 @@
 		return err
 	}
 	peer := c.network.conns[node]
+	c.network.mu.Lock()
+	c.network.calls++
+	c.network.mu.Unlock()
 	if len(data) > datagram.MaxBytes || peer == nil || c.network.lost() || !sleep(ctx, simDelay) {
 		<-ctx.Done()
 		return ctx.Err()
@@ -136,155 +146,3 @@
 		return true
 	}
 }
-
-// simStore is the store of a simulated system, with one topic. All responses share its rate.
-type simStore struct {
-	rate int // bytes per second
-
-	mu        sync.Mutex
-	records   []follow.Record
-	changed   chan struct{} // closed and replaced by each write
-	busyUntil time.Time
-	reads     int
-	bytes     int
-}
-
-func newSimStore(rate int) *simStore {
-	return &simStore{rate: rate, changed: make(chan struct{}), busyUntil: time.Now()}
-}
-
-// write appends a record of the topic's only key.
-func (s *simStore) write(value []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.records = append(s.records, follow.Record{Key: "config", Value: value, Offset: int64(len(s.records))})
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// totals returns the number of records, of reads, and of the bytes sent.
-func (s *simStore) totals() (records, reads, bytes int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.records), s.reads, s.bytes
-}
-
-// simStoreTopic is a node's view of the store.
-type simStoreTopic struct {
-	store    *simStore
-	link     int // bytes per second
-	mu       sync.Mutex
-	rejected bool // the store rejects this node's calls
-	refused  bool // the store refused a call of this node because of its load
-}
-
-const (
-	// simTimeout is the time within which a response must arrive, and simQueueTime how long the store may let
-	// one wait. Both are as in package platform.
-	simTimeout   = 700 * time.Millisecond
-	simQueueTime = 2 * time.Second
-)
-
-var errBusyStore = errors.New("try later")
-
-// timeout returns the time within which the newest records must arrive.
-func (t *simStoreTopic) timeout() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.refused {
-		return simTimeout + simQueueTime
-	}
-	return simTimeout
-}
-
-// list reads bytes of another topic, as the list of nodes, until that succeeds.
-func (t *simStoreTopic) list(ctx context.Context, bytes int) {
-	value := make([]byte, bytes)
-	for delay := 250 * time.Millisecond; ctx.Err() == nil; delay = min(2*delay, time.Second) {
-		_, err := t.call(ctx, t.timeout(), func() []follow.Record { return []follow.Record{{Value: value}} })
-		if err == nil {
-			return
-		}
-		sleep(ctx, delay)
-	}
-}
-
-var (
-	_ follow.Topic = (*simStoreTopic)(nil)
-
-	errRejected = errors.New("connection reset")
-)
-
-func (t *simStoreTopic) setRejected(rejected bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.rejected = rejected
-}
-
-// Newest implements follow.Topic.
-func (t *simStoreTopic) Newest(ctx context.Context) (follow.Page, error) {
-	return t.call(ctx, t.timeout(), func() []follow.Record {
-		all := t.store.records
-		return all[max(len(all)-1, 0):]
-	})
-}
-
-// Read implements follow.Topic.
-func (t *simStoreTopic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
-	deadline := time.After(wait)
-	for {
-		t.store.mu.Lock()
-		available, changed := len(t.store.records) > int(from), t.store.changed
-		t.store.mu.Unlock()
-		if available || wait == 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return follow.Page{}, ctx.Err()
-		case <-changed:
-		case <-deadline:
-			wait = 0
-		}
-	}
-	return t.call(ctx, simTimeout, func() []follow.Record { return t.store.records[min(int(from), len(t.store.records)):] })
-}
-
-// call transfers records. A response that takes longer than the timeout is lost, though the store has sent
-// it.
-func (t *simStoreTopic) call(ctx context.Context, timeout time.Duration, list func() []follow.Record) (follow.Page, error) {
-	t.mu.Lock()
-	rejected := t.rejected
-	t.mu.Unlock()
-	if rejected {
-		sleep(ctx, simDelay)
-		return follow.Page{}, errRejected
-	}
-	t.store.mu.Lock()
-	records := list()
-	next := int64(len(t.store.records))
-	bytes := 100 + valueBytes(records)
-	t.store.reads++
-	if now := time.Now(); t.store.busyUntil.Before(now) {
-		t.store.busyUntil = now
-	}
-	if time.Until(t.store.busyUntil) > simQueueTime {
-		t.store.mu.Unlock()
-		t.mu.Lock()
-		t.refused = true
-		t.mu.Unlock()
-		sleep(ctx, simDelay)
-		return follow.Page{}, errBusyStore
-	}
-	t.store.bytes += bytes
-	t.store.busyUntil = t.store.busyUntil.Add(time.Duration(bytes) * time.Second / time.Duration(t.store.rate))
-	took := time.Until(t.store.busyUntil) + time.Duration(bytes)*time.Second/time.Duration(t.link) + 2*simDelay
-	t.store.mu.Unlock()
-	if !sleep(ctx, min(took, timeout)) {
-		return follow.Page{}, ctx.Err()
-	}
-	if took > timeout {
-		return follow.Page{}, context.DeadlineExceeded
-	}
-	return follow.Page{Records: records, Next: next}, nil
-}
--- /dev/null
+++ b/internal/relay/restored_test.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// restoredSizes returns the numbers of nodes of the simulated systems whose store comes back from an older copy.
+func restoredSizes() []int {
+	if underRace {
+		return []int{24}
+	}
+	return []int{24, 64, 300, *simNodes}
+}
+
+// maxCallsANode bounds the calls between nodes in the ten seconds after a return of the store: a poll every 400 ms,
+// and as many again for what it takes to have all records anew.
+const maxCallsANode = 2 * 10 * 1000 / 400
+
+// restoration is a return of the store from older copies.
+type restoration struct {
+	outage time.Duration   // before the first return
+	again  []time.Duration // times of further returns, counted from the one before
+	// lost are the nodes that are lost at the first return.
+	lost func(n *simNode) bool
+}
+
+// restorations are the cases, by name.
+func restorations() map[string]*restoration {
+	none := func(*simNode) bool { return false }
+	return map[string]*restoration{
+		"once":                   {outage: time.Second, lost: none},
+		"without an outage":      {lost: none},
+		"twice within a second":  {outage: time.Second, again: []time.Duration{700 * time.Millisecond}, lost: none},
+		"a domain loses readers": {outage: time.Second, lost: func(n *simNode) bool { return n.domain == 1 && n.isReader() }},
+		"all readers are lost":   {outage: time.Second, lost: (*simNode).isReader},
+	}
+}
+
+// restoredResult is what was seen after a return of the store.
+type restoredResult struct {
+	age      time.Duration // the greatest age of a configuration
+	entered  time.Duration // from the last return until all nodes had the last era
+	listings int           // reads of all records of the store
+	calls    int           // between nodes, in the ten seconds after the first return
+}
+
+// playRestoration starts all nodes of a system with one node or more a domain that spares the store, and has the
+// store come back from an older copy.
+func playRestoration(t *testing.T, s *system, r *restoration) (result restoredResult) {
+	for version := range 12 {
+		s.store.write(configValue(version))
+	}
+	s.store.setAway(true)
+	time.Sleep(r.outage)
+	s.store.restore(10)
+	s.store.setAway(false)
+	for _, n := range s.nodes {
+		n.conn.mu.Lock()
+		n.conn.down = r.lost(n)
+		n.conn.mu.Unlock()
+	}
+	listings, calls, returned := s.store.allRead(), s.network.callCount(), time.Now()
+	for _, after := range r.again {
+		time.Sleep(after)
+		s.store.restore(9)
+	}
+	last := time.Now()
+	for time.Since(returned) < 10*time.Second {
+		age, era := s.oldestEra(func(n *simNode) bool { return !r.lost(n) })
+		result.age = max(result.age, age)
+		if era < int64(1+len(r.again)) {
+			result.entered = time.Since(last)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	result.listings, result.calls = s.store.allRead()-listings, s.network.callCount()-calls
+	return result
+}
+
+// oldestEra returns the greatest age of the copies of the nodes that match, and the lowest of their eras.
+func (s *system) oldestEra(match func(n *simNode) bool) (age time.Duration, era int64) {
+	era = s.store.currentEra()
+	for _, n := range s.nodes {
+		if !match(n) {
+			continue
+		}
+		a, _ := n.state()
+		n.mu.Lock()
+		era = min(era, n.era)
+		n.mu.Unlock()
+		age = max(age, a)
+	}
+	return age, era
+}
+
+// TestNodesDontHandOnCopiesOfAnEarlierEra checks that all nodes have the configuration of a store that came back
+// from an older copy before theirs is too old, and that only the nodes that read the store for others list it.
+func TestNodesDontHandOnCopiesOfAnEarlierEra(t *testing.T) {
+	for _, nodes := range restoredSizes() {
+		for name, r := range restorations() {
+			t.Run(fmt.Sprint(nodes, " nodes, ", name), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					ctx, stop := context.WithCancel(t.Context())
+					defer synctest.Wait()
+					defer stop()
+					s := newSystem(nodes, 0.01)
+					s.store.write(configValue(0))
+					for i, n := range s.nodes {
+						n.topic.MayReadAll = func() bool { return true }
+						n.topic.Candidates = func() []netip.AddrPort { return s.candidatesOf(n) }
+						go n.store.heartbeat(ctx, time.Duration(i)*simHeartbeat/time.Duration(nodes))
+					}
+					s.start(ctx)
+					result := playRestoration(t, s, r)
+					returns := 1 + len(r.again)
+					test.Less(t, staleLimit, result.age, test.Sprint("age of a configuration"))
+					test.Less(t, staleLimit, result.entered, test.Sprint("time until all nodes had the era"))
+					test.LessEq(t, 2*returns*simDomains*(simReaders+simStandbys), result.listings, test.Sprint("reads of all records"))
+					test.LessEq(t, maxCallsANode*nodes, result.calls, test.Sprint("calls between nodes"))
+					t.Logf("%+v", result)
+				})
+			})
+		}
+	}
+}
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -61,6 +61,7 @@
 
 	mu          sync.Mutex
 	version     int64 // offset of the newest record; -1 if none
+	era         int64 // of the newest batch
 	confirmedAt time.Time
 	wentBack    bool
 }
@@ -72,6 +73,7 @@
 	for _, r := range b.Records {
 		n.version = max(n.version, r.Offset)
 	}
+	n.era = follow.EraOf(b.Next)
 	n.wentBack = n.wentBack || b.ConfirmedAt.Before(n.confirmedAt)
 	n.confirmedAt = b.ConfirmedAt
 }
@@ -274,3 +276,8 @@
 	// applyLimit is the time within which a change must be in force.
 	applyLimit = 5 * time.Second
 )
+
+// candidatesOf returns the readers of a node's failure domain and their standbys.
+func (s *system) candidatesOf(n *simNode) []netip.AddrPort {
+	return s.ranked(0, simReaders+simReaders, func(other *simNode) bool { return other != n && other.domain == n.domain })
+}
