Relay: a node that didn't respond isn't asked again at once

What callers saw: with the readers of a domain gone, each read of its nodes waits 150 ms for each of them, at every attempt, until the list leaves them out after a second; configurations grow old meanwhile.

Cause: a topic remembers which node failed last, not which ones are silent, and comes back to them within one read.

Change: nodes that let a call time out are asked for a second only if no other of their kind is there.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -15,7 +15,9 @@
 func (t *Topic) call(ctx context.Context, node netip.AddrPort, method string, request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(t.RequestTimeout, defaultRequestTimeout))
 	defer cancel()
-	return t.Relay.conn.Call(ctx, node, method, request, response)
+	err := t.Relay.conn.Call(ctx, node, method, request, response)
+	t.silent.record(node, !errors.Is(err, context.DeadlineExceeded))
+	return err
 }
 
 // callAgain is call for a part: it repeats the call if the response is lost, or if the node refuses it and the
--- a/internal/relay/others.go
+++ b/internal/relay/others.go
@@ -71,7 +71,7 @@
 	if !t.sparesStore() {
 		return nil
 	}
-	return [][]netip.AddrPort{callIfSet(t.Standbys), t.Backups()}
+	return [][]netip.AddrPort{t.silent.without(callIfSet(t.Standbys)), t.silent.without(t.Backups())}
 }
 
 // callIfSet returns the result of list, or nil if it is nil.
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -202,7 +202,7 @@
 	if len(readers) == 0 {
 		readers = callIfSet(t.Candidates)
 	}
-	page, err = t.allFrom(ctx, follow.SourceReader, readers, from)
+	page, err = t.allFrom(ctx, follow.SourceReader, t.silent.without(readers), from)
 	for _, others := range t.others() {
 		if err == nil && page.Age < t.maxAge() {
 			break
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -99,6 +99,7 @@
 	storeFailedAt time.Time // time of the last failed read of the store
 	relayed       atomic.Bool
 	reads         readLog
+	silent        silentNodes
 	// requestWhole is true if the next request must not state which long records this node has: what
 	// changed in one could not be decoded.
 	requestWhole bool
@@ -132,7 +133,7 @@
 
 // Read implements follow.Topic.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
-	if readers := t.Readers(); len(readers) > 0 {
+	if readers := t.silent.without(t.Readers()); len(readers) > 0 {
 		page, err := t.readFromReaders(ctx, readers, from)
 		if err != nil && t.sparesStore() {
 			page, err = t.readFromOthers(ctx, from, err)
