Relay: copies of an earlier era of the store are no copies

What callers saw: after the store came back from an older copy, systems of more than twelve nodes refused nearly all requests (SHORT) and went on with replaced weights (VERSION), without an end.

Cause: a node whose offset the store doesn't know any more asks other nodes for all records before the store. It took any copy, and all copies were from before: the follower's era was that of its copy, so an old page was accepted with its age. The next read went to the store at the old offset, which is gone, and so on. Nobody read the store's records; each handed on its copy.

Change: a node keeps what it knows of the store's eras, from the store's answers and from other nodes' words (these count for 5 s, so that a wrong one ends). A copy of an earlier era than the latest known one is given to nobody; the answer names the era instead. A page of an earlier era is refused, whoever sends it. Nodes that spare the store wait for those that read it for others: 1 s, then spread over 4 s. A copy is confirmed again as soon as the hold after a return ends (no read that waits for a change runs on beyond it), and the copy of a node that was held isn't held once more.

Why it holds: which nodes may list the store follows from their role and from time, never from the age of a copy; each step of the loop needs a page of an earlier era to be accepted.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -53,6 +53,9 @@
 	// The page was current at most Age before the read was sent: 0 if the topic itself responded,
 	// more if another node's copy did.
 	Age time.Duration
+	// EraAge is how long the copy that responded has been of its era of the store; 0 if the topic itself
+	// responded, or if that isn't known.
+	EraAge time.Duration
 	// Source states who responded, for logs.
 	Source Source
 }
@@ -120,6 +123,7 @@
 	backoff     time.Duration // pause after the latest failed read
 	era         int64         // of the copy
 	restoredAt  time.Time     // when the first snapshot of the era was read; zero for the first era
+	holding     bool          // the copy has not been confirmed since restoredAt
 	// rejectedUpTo is the offset after the newest record passed to Reject.
 	rejectedUpTo int64
 }
@@ -169,7 +173,7 @@
 	if snapshot {
 		page, err = f.Topic.Newest(ctx)
 	} else {
-		page, err = f.Topic.Read(ctx, f.nextOffset, settingValue(f.Wait))
+		page, err = f.Topic.Read(ctx, f.nextOffset, f.readWait())
 	}
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("event", "history_gone").Str("topic", f.Name).Int64("era", EraOf(f.nextOffset)).Int64("offset", OffsetOf(f.nextOffset)).Send()
@@ -186,7 +190,8 @@
 	f.nextOffset = max(f.nextOffset, page.Next)
 	batch := Batch{Records: page.Records, Snapshot: snapshot, Restored: restored, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset, Source: page.Source, Age: page.Age}
 	batch.Gap = max(batch.ConfirmedAt.Sub(later(f.confirmedAt, f.startedAt)), 0)
-	if !f.restoredAt.IsZero() && batch.ConfirmedAt.Sub(f.restoredAt) < restoreHold {
+	f.holding = f.isHeld(&page, batch.ConfirmedAt)
+	if f.holding {
 		batch.ConfirmedAt = f.confirmedAt
 	}
 	batch.Failed = f.failing
@@ -196,6 +201,28 @@
 	return nil
 }
 
+// readWait returns how long a read waits for a change. A read that may confirm the copy for the first time in its era
+// doesn't wait, and one before it only until then.
+func (f *Follower) readWait() time.Duration {
+	wait := settingValue(f.Wait)
+	if f.holding {
+		wait = min(wait, max(restoreHold-f.Clock.Since(f.restoredAt), 0))
+	}
+	return wait
+}
+
+// isHeld reports whether a page is not yet a proof that the copy is current, as the store came back from an older
+// copy shortly before confirmedAt. A page of another node's copy is judged by when that one entered the era.
+func (f *Follower) isHeld(page *Page, confirmedAt time.Time) bool {
+	if f.restoredAt.IsZero() {
+		return false
+	}
+	if page.EraAge > 0 {
+		return page.EraAge-page.Age < restoreHold
+	}
+	return confirmedAt.Sub(f.restoredAt) < restoreHold
+}
+
 // enterEra records the era of a page, and reports whether the store has come back from an older copy since
 // the page before. It fails for a page of an earlier era, which another node may still have.
 func (f *Follower) enterEra(era int64) (restored bool, err error) {
--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -44,12 +44,14 @@
 // followers returns the followers of the store's topics, and serves their copies to other nodes.
 func (n *Node) followers(store *platform.Store) followers {
 	copies := relay.New(n.conn)
+	eras := &follow.Eras{Stated: store.Era, Clock: n.clock}
 	follower := func(name, topic string, replica *relay.Copy, part startPart) (*follow.Follower, *relay.Topic) {
 		replica.Sink = startSink{Sink: replica.Sink, log: n.startLog, part: part}
+		replica.Eras = eras
 		copies.Serve(name, replica)
 		source := &relay.Topic{
 			Name: name, Store: store.Topic(topic), Relay: copies, Readers: n.readers, Preference: n.readerPreference(),
-			Backups: n.roster.backups, Standbys: n.standbys, SparesStore: n.sparesStore, Own: replica, Fallback: n.fallbackInterval, OnRead: func(r relay.Read) { n.recorder.recordRead(name, &r) }, Log: n.log,
+			Backups: n.roster.backups, Standbys: n.standbys, SparesStore: n.sparesStore, Own: replica, Eras: eras, Fallback: n.fallbackInterval, OnRead: func(r relay.Read) { n.recorder.recordRead(name, &r) }, Log: n.log,
 		}
 		return &follow.Follower{Name: name, Topic: source, Sink: replica, Retry: storeRetry, MaxRetryDelay: maxStoreRetry, Reject: n.state.rejected.record, Clock: n.clock, Log: n.log}, source
 	}
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -32,6 +32,8 @@
 	Brief func(value []byte) []byte
 	// Clock is the clock of the batches' ConfirmedAt. If nil, the steady clock is used.
 	Clock *clock.Clock
+	// Eras are the known eras of the store. While the copy is of an earlier one, it isn't relayed.
+	Eras *follow.Eras
 
 	mu          sync.Mutex
 	latest      map[string]follow.Record // latest record of each key, including removed keys
@@ -43,6 +45,7 @@
 	firstOffset int64                    // the copy has all changes from this offset on
 	next        int64
 	confirmedAt time.Time    // zero before the first batch
+	eraAt       time.Time    // when the copy entered its era
 	snapshots   [2]*snapshot // the newest one and the one before it; nil if not made yet
 }
 
@@ -82,6 +85,9 @@
 		c.changes.add(r.Key, r.Offset)
 	}
 	c.changes.settle(c.latest)
+	if c.confirmedAt.IsZero() || follow.EraOf(b.Next) != follow.EraOf(c.next) {
+		c.eraAt = c.Clock.Now()
+	}
 	c.next = b.Next
 	c.confirmedAt = b.ConfirmedAt
 }
@@ -105,12 +111,13 @@
 	records []relayedRecord
 	next    int64
 	age     time.Duration
-	more    bool // more records follow, starting at next
+	eraAge  time.Duration // since the copy entered its era
+	more    bool          // more records follow, starting at next
 }
 
 // Since returns the records that changed at or after an offset, ordered by offset. If they exceed
 // maxBytes, it returns the first ones, at least one, and sets more. It returns ErrUnknown if the copy may
-// lack changes since the offset.
+// lack changes since the offset, and an *OutdatedError if it is of an earlier era than the latest known one.
 //
 // Long records are relayed apart if known is not nil: it returns the offset of the version of a record that
 // the requester has, or noBase.
@@ -118,10 +125,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serves = true
-	if c.confirmedAt.IsZero() || from < c.firstOffset {
+	if c.confirmedAt.IsZero() {
+		return changedRecords{}, ErrUnknown
+	}
+	if err := c.checkEra(from); err != nil {
+		return changedRecords{}, err
+	}
+	if from < c.firstOffset {
 		return changedRecords{}, ErrUnknown
 	}
-	result := changedRecords{next: c.next, age: c.Clock.Since(c.confirmedAt)}
+	result := changedRecords{next: c.next, age: c.Clock.Since(c.confirmedAt), eraAge: c.Clock.Since(c.eraAt)}
 	for _, change := range c.changes.since(from) {
 		r := c.latest[change.key]
 		if r.Offset != change.offset || r.Offset >= c.next {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,9 +35,14 @@
 	Records []relayedRecord `json:"records,omitempty"`
 	Next    int64           `json:"next"`
 	AgeUS   int64           `json:"age_us"` // microseconds
+	// EraAgeUS is how long the copy has been of its era, in microseconds.
+	EraAgeUS int64 `json:"era_age_us,omitempty"`
 	// More is set if more records follow, starting at Next. Only the last response, without More, confirms
 	// the state.
 	More bool `json:"more,omitempty"`
+	// Outdated is the latest era that the node knows of if its copy is of an earlier one; otherwise 0. There are no
+	// records then.
+	Outdated int64 `json:"outdated,omitempty"`
 }
 
 // Conn exchanges messages with other nodes.
@@ -91,8 +96,11 @@
 		known = req.known
 	}
 	result, err := c.Since(req.From, maxRecordBytes, known)
+	if era, outdated := outdatedEra(err); outdated {
+		return recordsResponse{AgeUS: noAge, Outdated: era}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
-	return recordsResponse{Records: result.records, Next: result.next, AgeUS: result.age.Microseconds(), More: result.more}, nil
+	return recordsResponse{Records: result.records, Next: result.next, AgeUS: result.age.Microseconds(), EraAgeUS: result.eraAge.Microseconds(), More: result.more}, nil
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -26,9 +26,12 @@
 	return nil
 }
 
+// copyAge returns the age of a copy that a node stated in microseconds, which it rounds down.
+func copyAge(us int64) time.Duration { return time.Duration(us+1) * time.Microsecond }
+
 // page converts a checked response with complete records to a page.
 func (r *recordsResponse) page() (follow.Page, error) {
-	page := follow.Page{Next: r.Next, Age: time.Duration(r.AgeUS+1) * time.Microsecond}
+	page := follow.Page{Next: r.Next, Age: copyAge(r.AgeUS), EraAge: time.Duration(r.EraAgeUS) * time.Microsecond}
 	for i := range r.Records {
 		record, err := r.Records[i].decompress()
 		if err != nil {
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -50,15 +50,20 @@
 	Next  int64 `json:"next"`
 	Parts int   `json:"parts"`
 	// First is the offset from which on the snapshot shows removed keys.
-	First int64  `json:"first"`
-	AgeUS int64  `json:"age_us"` // microseconds since the snapshot was current
-	Data  []byte `json:"data"`
+	First int64 `json:"first"`
+	AgeUS int64 `json:"age_us"` // microseconds since the snapshot was current
+	// EraAgeUS is how long the copy has been of its era, in microseconds.
+	EraAgeUS int64  `json:"era_age_us,omitempty"`
+	Data     []byte `json:"data"`
+	// Outdated is that of recordsResponse. There are no parts then.
+	Outdated int64 `json:"outdated,omitempty"`
 }
 
 // snapshot is the compressed state of a copy.
 type snapshot struct {
 	first, next int64
 	confirmedAt time.Time
+	eraAt       time.Time
 	madeAt      time.Time
 	data        []byte
 }
@@ -75,13 +80,19 @@
 
 func (c *Copy) serveSnapshot(req *snapshotRequest) (any, error) {
 	s, err := c.snapshotAt(req.Next)
+	if era, outdated := outdatedEra(err); outdated {
+		return snapshotResponse{AgeUS: noAge, Outdated: era}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
 	if req.Part < 0 || req.Part >= s.parts() {
 		return nil, eris.Errorf("snapshot has no part %d", req.Part)
 	}
-	return snapshotResponse{First: s.first, Next: s.next, Parts: s.parts(), AgeUS: c.Clock.Since(s.confirmedAt).Microseconds(), Data: s.part(req.Part)}, nil
+	return snapshotResponse{
+		First: s.first, Next: s.next, Parts: s.parts(), AgeUS: c.Clock.Since(s.confirmedAt).Microseconds(),
+		EraAgeUS: c.Clock.Since(s.eraAt).Microseconds(), Data: s.part(req.Part),
+	}, nil
 }
 
 // snapshotAt returns the snapshot that ends at an offset, or the newest one for 0. The one before the
@@ -92,6 +103,9 @@
 	if c.confirmedAt.IsZero() {
 		return nil, ErrUnknown
 	}
+	if err := c.checkEra(next); err != nil {
+		return nil, err
+	}
 	for _, s := range c.snapshots {
 		if next != 0 && s != nil && s.next == next {
 			return s, nil
@@ -104,7 +118,7 @@
 	if newest != nil && c.Clock.Since(newest.madeAt) < snapshotLifetime {
 		return newest, nil
 	}
-	made := &snapshot{first: c.firstOffset, next: c.next, confirmedAt: c.confirmedAt, madeAt: c.Clock.Now()}
+	made := &snapshot{first: c.firstOffset, next: c.next, confirmedAt: c.confirmedAt, eraAt: c.eraAt, madeAt: c.Clock.Now()}
 	if newest != nil && newest.next == made.next {
 		// Encoded anew it would have other parts, which a node would join with those that it has.
 		made.data = newest.data
@@ -243,6 +257,9 @@
 	if err != nil {
 		return follow.Page{}, err
 	}
+	if err := t.checkEra(first.Next, first.Outdated, from); err != nil {
+		return follow.Page{}, err
+	}
 	if first.AgeUS < 0 || first.Next < 0 || first.Parts < 1 || first.Parts > maxSnapshotBytes/snapshotChunkBytes {
 		return follow.Page{}, eris.Errorf("invalid snapshot: age %d µs, next offset %d, %d parts", first.AgeUS, first.Next, first.Parts)
 	}
@@ -264,7 +281,7 @@
 	if err != nil {
 		return follow.Page{}, err
 	}
-	return follow.Page{Records: records, Next: first.Next, Age: time.Duration(first.AgeUS+1) * time.Microsecond}, nil
+	return follow.Page{Records: records, Next: first.Next, Age: copyAge(first.AgeUS), EraAge: time.Duration(first.EraAgeUS) * time.Microsecond}, nil
 }
 
 // readPart reads one part of a snapshot, again if the response does not arrive or the node is busy.
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -86,6 +86,9 @@
 	// have the topic: hundreds of nodes that all read it would use up its rate, which the readers need. Nil
 	// means that it reads the store as soon as its readers' copies are too old.
 	SparesStore func() bool
+	// Eras are the known eras of the store. Copies of earlier ones are not used. Nil means that the store never
+	// comes back from an older copy.
+	Eras *follow.Eras
 	// NeverForStale is set if copies that are too old are no reason to read the store, unless the node is one
 	// that doesn't spare it.
 	NeverForStale bool
@@ -120,10 +123,13 @@
 			t.setRelayed(true, nil)
 			return page, nil
 		}
-		if t.MayReadAll() {
+		if t.mayReadAll() {
 			t.setRelayed(false, err)
 			return t.newestFromStore(ctx)
 		}
+		if errors.Is(err, errEarlierEra) {
+			delay = snapshotRetry
+		}
 		retry.Sleep(ctx, delay)
 		if ctx.Err() != nil {
 			return follow.Page{}, ctx.Err()
@@ -131,7 +137,8 @@
 	}
 }
 
-// Read implements follow.Topic.
+// Read implements follow.Topic. It fails with follow.ErrCompacted if the offset is of an earlier era than the latest
+// known one and no reader has this one yet.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
 	if readers := t.silent.without(t.Readers()); len(readers) > 0 {
 		page, err := t.readFromReaders(ctx, readers, from)
@@ -142,6 +149,9 @@
 		if err == nil || errors.Is(err, follow.ErrCompacted) {
 			return page, err
 		}
+		if follow.EraOf(from) < t.era() {
+			return follow.Page{}, follow.ErrCompacted
+		}
 		if errors.Is(err, errStale) && t.leavesStale() {
 			return t.readBackup(ctx, from, err)
 		}
@@ -236,7 +246,7 @@
 		if err != nil {
 			return follow.Page{}, err
 		}
-		result = follow.Page{Records: append(result.Records, page.Records...), Next: page.Next, Age: page.Age}
+		result = follow.Page{Records: append(result.Records, page.Records...), Next: page.Next, Age: page.Age, EraAge: page.EraAge}
 		if !more {
 			return result, nil
 		}
@@ -250,6 +260,9 @@
 	if err != nil {
 		return follow.Page{}, false, err
 	}
+	if err = t.checkEra(r.Next, r.Outdated, from); err != nil {
+		return follow.Page{}, false, err
+	}
 	if err = r.check(from, t.maxAge()); err != nil {
 		return follow.Page{}, false, err
 	}
