Relay: a copy that ends before the store's history is no copy

What callers would see: after the store forgot its history of changes while nodes couldn't read it, systems of more than twelve nodes refuse all requests once their configurations are too old, without an end.

The store has no changes since the nodes' offset; each asks another node for all records and gets a copy that ends at the same offset, of any age; the store refuses that offset again.

Change: a node remembers up to which offset the store has no changes. Nodes that spare the store wait as they do for a new era.

--- a/internal/relay/era.go
+++ b/internal/relay/era.go
@@ -11,17 +11,20 @@
 )
 
 const (
-	// eraTimeout is how long a node that spares the store waits, once it knows of a later era, for the nodes that
-	// read the store for others. They need a read of all records.
-	eraTimeout = time.Second
-	// maxEraStagger spreads the nodes that none has given the records of the era.
-	maxEraStagger = 4 * time.Second
+	// renewalTimeout is how long a node that spares the store waits, once it knows that all records must be read anew,
+	// for the nodes that read the store for others. They need a read of all records.
+	renewalTimeout = time.Second
+	// maxRenewalStagger spreads the nodes that none has given the records.
+	maxRenewalStagger = 4 * time.Second
 )
 
 // errEarlierEra is returned for a copy of an earlier era of the store than the latest known one. Whatever its age, such a copy
 // is too old.
 var errEarlierEra = eris.Wrap(errStale, "copy is of an earlier era of the store")
 
+// errCompacted is returned for a copy that ends before the first change that the store retains.
+var errCompacted = eris.Wrap(errStale, "copy ends before the history of the store")
+
 // OutdatedError is the error of a request to a copy of an earlier era than the latest known one.
 type OutdatedError struct {
 	Era int64 // the latest known one
@@ -57,19 +60,45 @@
 	return nil
 }
 
-// mayReadAll reports whether this node may read all records from the store. A node that spares the store leaves a
-// new era to the nodes that read the store for others: hundreds of nodes that all read it at once would use up its
-// rate.
+// mayReadAll reports whether this node may read all records from the store. A node that spares the store leaves that to
+// the nodes that read the store for others, if all nodes need the records anew: hundreds of nodes that all read them at
+// once would use up its rate.
 func (t *Topic) mayReadAll() bool {
 	if !t.MayReadAll() {
 		return false
 	}
-	return t.era() == 0 || !t.sparesStore() || t.Eras.KnownFor() >= t.eraWait()
+	return !t.sparesStore() || t.renewalKnownFor() >= t.renewalWait()
+}
+
+// renewalKnownFor is the time since this node knows that all nodes need the records anew: of a later era, or as the store
+// has no changes since the offset of this node's copy.
+func (t *Topic) renewalKnownFor() time.Duration {
+	known := time.Since(t.compactedAt)
+	if t.era() > 0 {
+		known = min(known, t.Eras.KnownFor())
+	}
+	return known
+}
+
+// renewalWait is how long this node waits for other nodes to have all records anew.
+func (t *Topic) renewalWait() time.Duration {
+	return renewalTimeout + time.Duration(t.Preference%uint64(maxRenewalStagger))
 }
 
-// eraWait is how long this node waits for other nodes to have the records of a new era.
-func (t *Topic) eraWait() time.Duration {
-	return eraTimeout + time.Duration(t.Preference%uint64(maxEraStagger))
+// recordCompacted records that the store has no changes since an offset. All records are then needed that end after it.
+func (t *Topic) recordCompacted(from int64) {
+	if from >= t.firstUseful {
+		t.firstUseful, t.compactedAt = from+1, time.Now()
+	}
+}
+
+// checkUseful fails for a snapshot that ends at an offset from which the store has no changes: with it, a node could
+// only ask for all records again.
+func (t *Topic) checkUseful(next int64) error {
+	if next < t.firstUseful {
+		return errCompacted
+	}
+	return nil
 }
 
 // outdatedEra returns the era that a request failed with because the copy is of an earlier one.
--- a/internal/relay/reads.go
+++ b/internal/relay/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -79,7 +80,11 @@
 
 // readStore reads changes from the store.
 func (t *Topic) readStore(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
-	return t.observe(follow.Source{}, func() (follow.Page, error) { return t.Store.Read(ctx, from, wait) })
+	page, err := t.observe(follow.Source{}, func() (follow.Page, error) { return t.Store.Read(ctx, from, wait) })
+	if errors.Is(err, follow.ErrCompacted) {
+		t.recordCompacted(from)
+	}
+	return page, err
 }
 
 // newestFromStore reads all records from the store.
--- a/internal/relay/restored_test.go
+++ b/internal/relay/restored_test.go
@@ -31,10 +31,12 @@
 // simStableWindow is the time after a return of the store from which it counts as stable.
 const simStableWindow = 3 * time.Second
 
-// restoration is a return of the store from older copies.
+// restoration is a return of the store from older copies, or without the history of changes.
 type restoration struct {
-	outage time.Duration   // before the first return
-	again  []time.Duration // times of further returns, counted from the one before
+	// compacts is set if the store comes back without the history, in place of an older copy.
+	compacts bool
+	outage   time.Duration   // before the first return
+	again    []time.Duration // times of further returns, counted from the one before
 	// lost are the nodes that are lost at the first return.
 	lost func(n *simNode) bool
 	// losesReaders is true if readers are among them.
@@ -55,6 +57,7 @@
 	none := func(*simNode) bool { return false }
 	return map[string]*restoration{
 		"once":                   {outage: time.Second, lost: none},
+		"without history":        {outage: time.Second, compacts: true, lost: none},
 		"without an outage":      {lost: none},
 		"twice within a second":  {outage: time.Second, again: []time.Duration{700 * time.Millisecond}, lost: none},
 		"a domain loses readers": {outage: time.Second, lost: func(n *simNode) bool { return n.domain == 1 && n.isReader() }, losesReaders: true},
@@ -65,7 +68,7 @@
 // restoredResult is what was seen after a return of the store.
 type restoredResult struct {
 	age      time.Duration // the greatest age of a configuration once the store has been stable
-	entered  time.Duration // from the last return until all nodes had the last era
+	entered  time.Duration // from the last return until all nodes had the records
 	listings int           // reads of all records of the store
 	bytes    int           // read from the store
 	calls    int           // between nodes, in the ten seconds after the first return
@@ -79,7 +82,12 @@
 	}
 	s.store.setAway(true)
 	time.Sleep(r.outage)
-	s.store.restore(10)
+	if r.compacts {
+		s.store.write(configValue(20))
+		s.store.compact()
+	} else {
+		s.store.restore(10)
+	}
 	s.store.setAway(false)
 	for _, n := range s.nodes {
 		if r.lost(n) {
@@ -94,11 +102,11 @@
 	}
 	last := time.Now()
 	for time.Since(returned) < 10*time.Second {
-		age, era := s.oldestEra(func(n *simNode) bool { return !r.lost(n) })
+		age, current := s.areCurrent(func(n *simNode) bool { return !r.lost(n) })
 		if time.Since(last) > r.settleTime() {
 			result.age = max(result.age, age)
 		}
-		if era < int64(1+len(r.again)) {
+		if !current {
 			result.entered = time.Since(last)
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -109,24 +117,25 @@
 	return result
 }
 
-// oldestEra returns the greatest age of the copies of the nodes that match, and the lowest of their eras.
-func (s *system) oldestEra(match func(n *simNode) bool) (age time.Duration, era int64) {
-	era = s.store.currentEra()
+// areCurrent returns the greatest age of the copies of the nodes that match, and whether all have the store's records.
+func (s *system) areCurrent(match func(n *simNode) bool) (age time.Duration, current bool) {
+	end := s.store.end()
+	current = true
 	for _, n := range s.nodes {
 		if !match(n) {
 			continue
 		}
 		a, _ := n.state()
 		n.mu.Lock()
-		era = min(era, n.era)
+		current = current && n.next >= end
 		n.mu.Unlock()
 		age = max(age, a)
 	}
-	return age, era
+	return age, current
 }
 
 // TestNodesDontHandOnCopiesOfAnEarlierEra checks that all nodes have current configurations of a store that came back
-// from an older copy once it counts as stable, and that only the nodes that read the store for others list it.
+// from an older copy, or without history, once it counts as stable, and that only nodes that read it for others list it.
 func TestNodesDontHandOnCopiesOfAnEarlierEra(t *testing.T) {
 	for _, nodes := range restoredSizes() {
 		for name, r := range restorations() {
@@ -147,7 +156,7 @@
 					result := playRestoration(t, s, r)
 					returns := 1 + len(r.again)
 					test.Less(t, staleLimit, result.age, test.Sprint("age of a configuration"))
-					test.Less(t, r.settleTime(), result.entered, test.Sprint("time until all nodes had the era"))
+					test.Less(t, r.settleTime(), result.entered, test.Sprint("time until all nodes had the records"))
 					test.LessEq(t, (pollsANode+returns*callsAReturn)*nodes, result.calls, test.Sprint("calls between nodes"))
 					test.Less(t, storeEgress, result.bytes, test.Sprint("bytes read from the store: what it sends in a second"))
 					if !r.losesReaders {
--- a/internal/relay/simstore_test.go
+++ b/internal/relay/simstore_test.go
@@ -19,6 +19,7 @@
 	changed   chan struct{} // closed and replaced by each write
 	busyUntil time.Time
 	era       int64
+	first     int  // number of the first record that reads of changes return
 	away      bool // rejects all calls
 	reads     int
 	listings  int // reads of all records
@@ -50,6 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
+	s.first = 0
 	s.records = slices.Clone(s.records[:records])
 	for i := range s.records {
 		s.records[i].Offset = follow.Position(s.era, int64(i))
@@ -57,6 +59,26 @@
 	s.signal()
 }
 
+// compact deletes the records that were written so far from those that reads of changes return.
+func (s *simStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = len(s.records)
+	s.signal()
+}
+
+// end returns the position after the newest record.
+func (s *simStore) end() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return follow.Position(s.era, int64(len(s.records)))
+}
+
+// hasChangesFrom reports whether the store has all changes from a position on. s.mu is held.
+func (s *simStore) hasChangesFrom(from int64) bool {
+	return follow.EraOf(from) == s.era && follow.OffsetOf(from) >= int64(s.first)
+}
+
 // signal ends waiting reads. s.mu is held.
 func (s *simStore) signal() {
 	close(s.changed)
@@ -166,7 +188,7 @@
 		}
 		t.store.mu.Lock()
 		available, changed := len(t.store.records) > int(follow.OffsetOf(from)), t.store.changed
-		ended := t.store.away || t.store.era != follow.EraOf(from)
+		ended := t.store.away || !t.store.hasChangesFrom(from)
 		t.store.mu.Unlock()
 		if available || ended || wait == 0 {
 			break
@@ -179,13 +201,14 @@
 			wait = 0
 		}
 	}
+	gone := false
 	page, err := t.call(ctx, simTimeout, func() []follow.Record {
-		if follow.EraOf(from) != t.store.era {
+		if gone = !t.store.hasChangesFrom(from); gone {
 			return nil
 		}
 		return t.store.records[min(int(follow.OffsetOf(from)), len(t.store.records)):]
 	})
-	if err == nil && follow.EraOf(page.Next) != follow.EraOf(from) {
+	if err == nil && gone {
 		return follow.Page{}, follow.ErrCompacted
 	}
 	return page, err
@@ -236,10 +259,3 @@
 	t.mu.Unlock()
 	return follow.Page{Records: records, Next: next}, nil
 }
-
-// currentEra returns the store's era.
-func (s *simStore) currentEra() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era
-}
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -260,6 +260,9 @@
 	if err := t.checkEra(first.Next, first.Outdated, from); err != nil {
 		return follow.Page{}, err
 	}
+	if err := t.checkUseful(first.Next); err != nil {
+		return follow.Page{}, err
+	}
 	if first.AgeUS < 0 || first.Next < 0 || first.Parts < 1 || first.Parts > maxSnapshotBytes/snapshotChunkBytes {
 		return follow.Page{}, eris.Errorf("invalid snapshot: age %d µs, next offset %d, %d parts", first.AgeUS, first.Next, first.Parts)
 	}
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -63,7 +63,7 @@
 	mu          sync.Mutex
 	lostAt      time.Time // of which the others know after simPeerTimeout; zero if the node isn't lost
 	version     int64     // offset of the newest record; -1 if none
-	era         int64     // of the newest batch
+	next        int64     // position after the newest record of the copy
 	confirmedAt time.Time
 	wentBack    bool
 }
@@ -75,7 +75,7 @@
 	for _, r := range b.Records {
 		n.version = max(n.version, r.Offset)
 	}
-	n.era = follow.EraOf(b.Next)
+	n.next = b.Next
 	n.wentBack = n.wentBack || b.ConfirmedAt.Before(n.confirmedAt)
 	n.confirmedAt = b.ConfirmedAt
 }
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -103,6 +103,8 @@
 	relayed       atomic.Bool
 	reads         readLog
 	silent        silentNodes
+	firstUseful   int64     // least offset at which a snapshot of another node may end
+	compactedAt   time.Time // when firstUseful was last raised; zero if it never was
 	// requestWhole is true if the next request must not state which long records this node has: what
 	// changed in one could not be decoded.
 	requestWhole bool
@@ -127,7 +129,7 @@
 			t.setRelayed(false, err)
 			return t.newestFromStore(ctx)
 		}
-		if errors.Is(err, errEarlierEra) {
+		if errors.Is(err, errStale) {
 			delay = snapshotRetry
 		}
 		retry.Sleep(ctx, delay)
