Weights: the holder of the claim logs how many engines are outdated

Nothing told a holder that reaches only some engines from one that updates them slowly: it logs engines as they are loaded, and each failed report, but not how many are left or given up for others. claim_ended did not tell whether work was left.

go test ./internal/weights: passed.

--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -191,7 +191,9 @@
 	s.claimLost.Store(false)
 	clear(s.jobs)
 	clear(s.postponed)
+	progress := s.Clock.Now()
 	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held) {
+		progress = s.logProgress(progress)
 		s.wait(ctx, stepInterval)
 	}
 	clear(s.jobs)
@@ -203,7 +205,7 @@
 		s.releaseClaim(held.Load())
 	}
 	s.Log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
-		Dur("left_ms", held.Load().Remaining()).Send()
+		Dur("left_ms", held.Load().Remaining()).Int("outdated", s.countOutdated()).Send()
 }
 
 // keepRenewed renews a claim in the background until ctx is done or the claim is lost. Orders must not
