Weights: a failing test of a holder that reaches four fifths of the engines

A holder leaves the claim only if it reaches no endpoint of a service at all. Cut from 18 of 90 engines after it took the claim, it keeps the claim while they stay old, though seven other nodes reach them.

--- a/internal/weights/help_test.go
+++ b/internal/weights/help_test.go
@@ -180,7 +180,7 @@
 	reporter Engines
 	claims   claim.Log
 	clock    *clock.Clock // clock of all nodes
-	// partitioned holds the nodes that can't reach the engines.
+	// partitioned holds the nodes that can't reach the engines, and the links that are cut.
 	partitioned sync.Map
 
 	mu       sync.Mutex
--- a/internal/weights/partition_test.go
+++ b/internal/weights/partition_test.go
@@ -19,13 +19,22 @@
 	node string
 }
 
+// link is the path from a node to an engine.
+type link struct{ node, endpoint string }
+
 func (sim *simulation) isPartitioned(node string) bool {
 	_, partitioned := sim.partitioned.Load(node)
 	return partitioned
 }
 
+// reaches reports whether a node can connect to an engine.
+func (sim *simulation) reaches(node, endpoint string) bool {
+	_, cut := sim.partitioned.Load(link{node, endpoint})
+	return !cut && !sim.isPartitioned(node)
+}
+
 func (e linkedEngines) Report(ctx context.Context, at *fleet.Endpoint) (Report, error) {
-	if e.isPartitioned(e.node) {
+	if !e.reaches(e.node, at.ID) {
 		<-ctx.Done()
 		return Report{}, ctx.Err()
 	}
@@ -33,7 +42,7 @@
 }
 
 func (e linkedEngines) Order(ctx context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
-	if e.isPartitioned(e.node) {
+	if !e.reaches(e.node, at.ID) {
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
