Weights: a holder leaves engines that only it can't reach to another node

Cause: the path was judged by service only. One engine that answers makes the service reachable; the engines that don't were postponed and tried again under the same claim, for ever, as they count as pending.

Change: when the holder gives up an engine that does not report, it attempts to connect to it, and if that fails, asks other nodes. If one of them connects, the engine counts as lost to this node until an attempt to connect, one a second, succeeds, or it is no longer outdated. Lost engines take no job and don't keep the claim: the holder orders the others and then releases it as before, the lease after its last order. An engine that nobody can connect to stays with the holder, so the claim doesn't wander between nodes for it. engine_path_lost logs it.

--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -13,7 +13,6 @@
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
-	"github.com/cherryward/cherryward/internal/reach"
 	"github.com/cherryward/cherryward/internal/weights"
 	"github.com/cherryward/cherryward/platform"
 )
@@ -110,7 +109,7 @@
 		Peers:      n,
 		Lease:      boot.Bounds.Lease + leaseMargin,
 		Generation: follow.EraOf,
-		LostPath:   func(service string) bool { return n.network.State(service) == reach.Unreachable },
+		Paths:      n.network,
 		Changed:    n.state.changed,
 		Clock:      n.clock,
 		Log:        n.log,
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -19,6 +19,7 @@
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/reach"
 	"github.com/cherryward/cherryward/internal/upstream"
+	"github.com/cherryward/cherryward/internal/weights"
 )
 
 const (
@@ -52,7 +53,10 @@
 	lost sync.Map
 }
 
-var _ forward.Paths = (*network)(nil)
+var (
+	_ forward.Paths = (*network)(nil)
+	_ weights.Paths = (*network)(nil)
+)
 
 func newNetwork(host Host, f *fleet.Fleet, log zerolog.Logger) *network {
 	n := &network{connect: host.Connect, clock: host.Clock, fleet: f, log: log}
@@ -127,6 +131,19 @@
 	return n.ask(m.Endpoint().Addr) != reach.Connected
 }
 
+// LostService implements weights.Paths.
+func (n *network) LostService(service string) bool {
+	return n.paths.State(service) == reach.Unreachable
+}
+
+// Connects implements weights.Paths.
+func (n *network) Connects(m *fleet.Member) bool { return m.Pool.Probe(context.Background()) == nil }
+
+// ConnectsElsewhere implements weights.Paths.
+func (n *network) ConnectsElsewhere(m *fleet.Member) bool {
+	return n.ask(m.Endpoint().Addr) == reach.Connected
+}
+
 // ask asks other nodes whether they can connect to an endpoint.
 func (n *network) ask(addr string) reach.Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
--- a/internal/weights/help_test.go
+++ b/internal/weights/help_test.go
@@ -234,7 +234,7 @@
 	}
 	s, err := New(Config{
 		Node: name, Fleet: f, Wanted: sim.wanted, Engines: linkedEngines{reporter, sim, name}, Claims: claims, Peers: nodePeers{sim, name},
-		Lease: lease, Changed: make(chan struct{}), Clock: sim.clock, Log: zerolog.Nop(), LostPath: func(string) bool { return sim.isPartitioned(name) },
+		Lease: lease, Changed: make(chan struct{}), Clock: sim.clock, Log: zerolog.Nop(), Paths: nodePaths{sim, name},
 	})
 	must.NoError(t, err)
 	sim.mu.Lock()
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -87,7 +87,7 @@
 	for _, model := range s.Wanted.Models() {
 		version, _ := s.Wanted.Wanted(model)
 		serving := countServing(members, model)
-		s.startJobs(Outdated(members, model, version), model, version, serving)
+		s.startJobs(s.reached(Outdated(members, model, version)), model, version, serving)
 	}
 	s.announce()
 	checks := s.nextChecks(members)
@@ -118,8 +118,7 @@
 			continue
 		}
 		if now.Sub(j.startedAt) > jobTimeout || j.orderedAt.IsZero() && now.Sub(j.lastReportAt) > silentTimeout {
-			delete(s.jobs, id)
-			s.postponed[id] = now
+			s.postpone(m, j, now)
 			continue
 		}
 		if now.Before(j.nextCheckAt) {
--- a/internal/weights/partition_test.go
+++ b/internal/weights/partition_test.go
@@ -33,6 +33,27 @@
 	return !cut && !sim.isPartitioned(node)
 }
 
+// nodePaths implements Paths for one node.
+type nodePaths struct {
+	*simulation
+	name string
+}
+
+func (p nodePaths) LostService(string) bool { return p.isPartitioned(p.name) }
+
+func (p nodePaths) Connects(m *fleet.Member) bool { return p.reaches(p.name, m.ID) }
+
+func (p nodePaths) ConnectsElsewhere(m *fleet.Member) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.services {
+		if name != p.name && p.reaches(name, m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e linkedEngines) Report(ctx context.Context, at *fleet.Endpoint) (Report, error) {
 	if !e.reaches(e.node, at.ID) {
 		<-ctx.Done()
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,7 +51,7 @@
 	Led() bool
 }
 
-// Config configures a Service. All fields except Clock, LostPath and Generation must be set.
+// Config configures a Service. All fields except Clock, Paths and Generation must be set.
 type Config struct {
 	Node    string // name of this node
 	Fleet   *fleet.Fleet
@@ -62,9 +61,9 @@
 	Peers   Peers
 	// Lease is the time after another holder's last order during which no order may be sent.
 	Lease time.Duration
-	// LostPath reports whether this node can't reach the endpoints of a service. Nil means that it reaches
-	// all. A node that can't reach the engines of a pending update leaves the claim to another.
-	LostPath func(service string) bool
+	// Paths tells which engines this node reaches. Nil means that it reaches all. A node that can't reach the
+	// engines of a pending update leaves the claim to another.
+	Paths Paths
 	// Generation returns the generation of an offset of Claims. Nil means that Claims loses no records.
 	Generation func(offset int64) int64
 	// Changed is signaled when a version is requested.
@@ -84,6 +83,7 @@
 	postponed map[string]time.Time
 	closed    atomic.Pointer[[]Closed]
 	holding   atomic.Bool // this node holds the claim
+	lost      lostPaths
 
 	inFlight    sync.WaitGroup // orders in flight and the renewal of the claim
 	lastOrderAt time.Time      // time of the latest order
@@ -113,6 +113,9 @@
 // Run claims the right to send orders whenever engines are outdated, and sends them, until ctx is
 // done.
 func (s *Service) Run(ctx context.Context) error {
+	var paths sync.WaitGroup
+	paths.Go(func() { s.recheckPaths(ctx) })
+	defer paths.Wait()
 	for ctx.Err() == nil {
 		if !s.pending() {
 			s.wait(ctx, idleInterval)
@@ -150,30 +153,6 @@
 // mayClaim reports whether this node should try to acquire the claim.
 func (s *Service) mayClaim() bool { return s.Peers.Standby() || !s.Peers.Led() }
 
-// pending reports whether any engine that this node reaches is outdated.
-func (s *Service) pending() bool {
-	return s.anyOutdated(func(m *fleet.Member) bool { return !s.hasLostPathTo(m) })
-}
-
-// lostEngines reports whether any engine that this node can't reach is outdated.
-func (s *Service) lostEngines() bool { return s.anyOutdated(s.hasLostPathTo) }
-
-// anyOutdated reports whether any engine that matches is outdated.
-func (s *Service) anyOutdated(match func(*fleet.Member) bool) bool {
-	members := s.Fleet.All()
-	for _, model := range s.Wanted.Models() {
-		version, _ := s.Wanted.Wanted(model)
-		if slices.ContainsFunc(members, func(m *fleet.Member) bool { return isOutdated(m, model, version) && match(m) }) {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Service) hasLostPathTo(m *fleet.Member) bool {
-	return s.LostPath != nil && s.LostPath(m.Service)
-}
-
 // holdClaim acquires the claim and sends orders until no engine is outdated or the claim is lost.
 func (s *Service) holdClaim(ctx context.Context) {
 	waiting, cancel := context.WithCancel(ctx)
