Weights: engines of unknown version don't end the claim

Two refused requests, or one after another guess, lead there; it lasts for up to 2 s.

Cause: a version of 0 meant both "does not serve the model" and "not known now". If all engines that are left are unknown, the holder ends the claim without a release, and the next one, itself included, waits for the claim's rest and the lease.

Change: while the version is unknown, the entry decides whether an engine is outdated, and whether it serves the model, on which the number of loads at once depends. A job begins with a report, so an engine that has the version gets no order.

--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -99,7 +99,7 @@
 func countServing(members []*fleet.Member, model string) int {
 	n := 0
 	for _, m := range members {
-		if m.VersionOf(model) > 0 {
+		if knownVersion(m, model) > 0 {
 			n++
 		}
 	}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -123,10 +123,20 @@
 
 // isOutdated reports whether an engine has the model in a version older than version.
 func isOutdated(m *fleet.Member, model string, version int64) bool {
-	has := m.VersionOf(model)
+	has := knownVersion(m, model)
 	return has > 0 && has < version
 }
 
+// knownVersion returns the version of the model that an engine has as far as known, or 0 if it does not serve the
+// model. While this node knows only that the engine does not have the version of its entry, the entry decides:
+// reports then tell whether an order is needed.
+func knownVersion(m *fleet.Member, model string) int64 {
+	if version := m.VersionOf(model); version > 0 {
+		return version
+	}
+	return m.Endpoint().VersionOf(model)
+}
+
 // updateOrderKey returns the sort key of an engine among those with the same version.
 func updateOrderKey(version int64, id string) uint64 {
 	return xxhash.Sum64String(strconv.FormatInt(version, 10) + "/" + id)
