Weights: weights_progress counts engines of unknown version

Engines whose version the claim's holder doesn't know could not be told from updated ones.

Change: the field unknown. go test ./internal/weights: passed.

--- a/internal/weights/progress.go
+++ b/internal/weights/progress.go
@@ -12,7 +12,7 @@
 		return last
 	}
 	s.Log.Info().Str("event", "weights_progress").Int("outdated", s.countOutdated()).Int("jobs", len(s.jobs)).
-		Int("loading", s.countLoading()).Int("postponed", len(s.postponed)).Send()
+		Int("loading", s.countLoading()).Int("postponed", len(s.postponed)).Int("unknown", s.countUnknown()).Send()
 	return s.Clock.Now()
 }
 
@@ -26,3 +26,18 @@
 	}
 	return n
 }
+
+// countUnknown returns the number of engines that are known not to have the version of their entries, but not which
+// one they have.
+func (s *Service) countUnknown() int {
+	n := 0
+	members := s.Fleet.All()
+	for _, model := range s.Wanted.Models() {
+		for _, m := range members {
+			if m.VersionOf(model) == 0 && knownVersion(m, model) > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
