Relay: a node cut off from a restored store has its records from others

Cause: only a node whose readers told it of the era asked others for all records. One that reads the store itself asked a backup for the changes since its offset, which that can't have, and took the failed read of the store for the answer. Where whole domains were cut off, their nodes took one another's copies of any age again.

Change: a backup that lacks the changes has all records read anew: from the store, and from a backup with a recent copy if that fails. A copy that is too old is taken only if it has more than the node's own. A topic that is never read from the store for stale copies isn't while nodes respond whose copies are of no use yet: 955 nodes that list a registry of 4 MB would take a gigabyte.

Ages and eras that nodes state are checked for their range.

--- a/internal/follow/eras.go
+++ b/internal/follow/eras.go
@@ -27,9 +27,9 @@
 	since   time.Time // when it became known
 }
 
-// Hear records that another node has a copy of an era, or knows of it.
+// Hear records that another node has a copy of an era, or knows of it. An era out of range is ignored.
 func (e *Eras) Hear(era int64) {
-	if e == nil {
+	if e == nil || era < 0 || era > MaxEra {
 		return
 	}
 	e.mu.Lock()
--- a/internal/follow/eras_test.go
+++ b/internal/follow/eras_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,14 +91,14 @@
 	}{{600 * time.Millisecond, true}, {500 * time.Millisecond, false}} {
 		synctest.Test(t, func(t *testing.T) {
 			topic, sink := &restoredTopic{}, &recordingSink{}
-			source := &switchedTopic{Topic: topic}
+			source := &switchedTopic{topic: topic}
 			topic.set(0, "a")
 			f := &follow.Follower{Name: "t", Topic: source, Sink: sink, Pause: func() time.Duration { return 100 * time.Millisecond }, Log: zerolog.Nop()}
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error)
 			go func() { done <- f.Run(ctx) }()
 			time.Sleep(time.Second + time.Millisecond)
-			source.Topic = &relayedTopic{age: 50 * time.Millisecond, eraAge: tc.eraAge}
+			source.set(&relayedTopic{age: 50 * time.Millisecond, eraAge: tc.eraAge})
 			time.Sleep(150 * time.Millisecond)
 			cancel()
 			must.NoError(t, <-done)
@@ -107,4 +108,27 @@
 }
 
 // switchedTopic is a topic that is replaced by another one between reads.
-type switchedTopic struct{ follow.Topic }
+type switchedTopic struct {
+	mu    sync.Mutex
+	topic follow.Topic
+}
+
+func (t *switchedTopic) set(topic follow.Topic) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.topic = topic
+}
+
+func (t *switchedTopic) current() follow.Topic {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.topic
+}
+
+func (t *switchedTopic) Newest(ctx context.Context) (follow.Page, error) {
+	return t.current().Newest(ctx)
+}
+
+func (t *switchedTopic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
+	return t.current().Read(ctx, from, wait)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -74,8 +74,8 @@
 	Records []Record
 	// Snapshot is true if Records holds all existing keys.
 	Snapshot bool
-	// Restored is true for the first snapshot since the store came back from an older copy. It lacks what
-	// was written last before: what operators and servers wrote is written again, what nodes wrote is not.
+	// Restored is true for the snapshots since the store came back from an older copy, until the copy is confirmed. They
+	// lack what was written last before: what operators and servers wrote is written again, what nodes wrote is not.
 	Restored bool
 	// ConfirmedAt is a time at which the copy was certainly current.
 	ConfirmedAt time.Time
@@ -187,6 +187,7 @@
 	if err != nil {
 		return err
 	}
+	restored = restored || snapshot && f.holding
 	f.nextOffset = max(f.nextOffset, page.Next)
 	batch := Batch{Records: page.Records, Snapshot: snapshot, Restored: restored, ConfirmedAt: started.Add(-page.Age), Next: f.nextOffset, Source: page.Source, Age: page.Age}
 	batch.Gap = max(batch.ConfirmedAt.Sub(later(f.confirmedAt, f.startedAt)), 0)
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -106,6 +106,16 @@
 	return records
 }
 
+// reaches reports whether the copy has all records before an offset. A nil copy has none.
+func (c *Copy) reaches(next int64) bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.confirmedAt.IsZero() && c.next >= next
+}
+
 // changedRecords is the result of a request to a copy.
 type changedRecords struct {
 	records []relayedRecord
--- a/internal/relay/era.go
+++ b/internal/relay/era.go
@@ -62,9 +62,10 @@
 
 // mayReadAll reports whether this node may read all records from the store. A node that spares the store leaves that to
 // the nodes that read the store for others, if all nodes need the records anew: hundreds of nodes that all read them at
-// once would use up its rate.
-func (t *Topic) mayReadAll() bool {
-	if !t.MayReadAll() {
+// once would use up its rate. cause is why other nodes didn't give them: if their copies are of no use yet, a topic that is
+// never read from the store for that is waited for.
+func (t *Topic) mayReadAll(cause error) bool {
+	if !t.MayReadAll() || t.NeverForStale && t.sparesStore() && errors.Is(cause, errStale) {
 		return false
 	}
 	return !t.sparesStore() || t.renewalKnownFor() >= t.renewalWait()
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,9 +30,18 @@
 // copyAge returns the age of a copy that a node stated in microseconds, which it rounds down.
 func copyAge(us int64) time.Duration { return time.Duration(us+1) * time.Microsecond }
 
+// eraAge returns how long a copy has been of its era, as a node stated in microseconds; 0, which stands for unknown, if that
+// is out of range.
+func eraAge(us int64) time.Duration {
+	if us < 0 || us > math.MaxInt64/int64(time.Microsecond) {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
 // page converts a checked response with complete records to a page.
 func (r *recordsResponse) page() (follow.Page, error) {
-	page := follow.Page{Next: r.Next, Age: copyAge(r.AgeUS), EraAge: time.Duration(r.EraAgeUS) * time.Microsecond}
+	page := follow.Page{Next: r.Next, Age: copyAge(r.AgeUS), EraAge: eraAge(r.EraAgeUS)}
 	for i := range r.Records {
 		record, err := r.Records[i].decompress()
 		if err != nil {
--- a/internal/relay/restored_test.go
+++ b/internal/relay/restored_test.go
@@ -41,11 +41,16 @@
 	lost func(n *simNode) bool
 	// losesReaders is true if readers are among them.
 	losesReaders bool
+	// cutsOff is true if some nodes don't reach the store.
+	cutsOff bool
 }
 
 // settleTime is the time after the last return from which all nodes must be current: the store counts as stable, and
 // nodes that were lost are known to be.
 func (r *restoration) settleTime() time.Duration {
+	if r.cutsOff {
+		return applyLimit
+	}
 	if r.losesReaders {
 		return simStableWindow + simPeerTimeout
 	}
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -207,49 +207,6 @@
 	return data[n:end:end], data[end:], true
 }
 
-// allFromReaders returns all records that another node's copy holds, from the first reader whose copy is
-// recent, or from a standby or backup if this node spares the store. If from is not 0, the removed keys since
-// that offset are among them. If from is 0 and no copy is recent, it returns the records of one that isn't. It
-// fails if no node has them.
-func (t *Topic) allFromReaders(ctx context.Context, from int64) (page follow.Page, err error) {
-	readers := t.Readers()
-	if len(readers) == 0 {
-		readers = callIfSet(t.Candidates)
-	}
-	page, err = t.allFrom(ctx, follow.SourceReader, t.silent.without(readers), from)
-	for _, others := range t.others() {
-		if err == nil && page.Age < t.maxAge() {
-			break
-		}
-		other, otherErr := t.allFrom(ctx, follow.SourceBackup, others, from)
-		if otherErr == nil && (err != nil || other.Age < page.Age) {
-			page, err = other, nil
-		}
-	}
-	if err == nil && from != 0 && page.Age >= t.maxAge() {
-		return follow.Page{}, eris.Wrapf(errStale, "age of snapshot %v", page.Age)
-	}
-	return page, err
-}
-
-// allFrom returns all records of the first of some nodes whose copy is recent, or else those of the most recent
-// copy.
-func (t *Topic) allFrom(ctx context.Context, kind follow.SourceKind, nodes []netip.AddrPort, from int64) (best follow.Page, err error) {
-	err = ErrUnknown
-	for range min(len(nodes), maxOthers) {
-		source := follow.Source{Kind: kind, Node: t.preferred(nodes)}
-		page, readErr := t.observe(source, func() (follow.Page, error) { return t.readSnapshot(ctx, source.Node, from) })
-		if readErr == nil && (err != nil || page.Age < best.Age) {
-			best, err = page, nil
-		}
-		if err == nil && best.Age < t.maxAge() {
-			return best, nil
-		}
-		t.failures++
-	}
-	return best, err
-}
-
 // readSnapshot reads a snapshot from one node. Its age is that of the first part, which the node
 // measured after the request was sent.
 func (t *Topic) readSnapshot(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
@@ -284,7 +241,7 @@
 	if err != nil {
 		return follow.Page{}, err
 	}
-	return follow.Page{Records: records, Next: first.Next, Age: copyAge(first.AgeUS), EraAge: time.Duration(first.EraAgeUS) * time.Microsecond}, nil
+	return follow.Page{Records: records, Next: first.Next, Age: copyAge(first.AgeUS), EraAge: eraAge(first.EraAgeUS)}, nil
 }
 
 // readPart reads one part of a snapshot, again if the response does not arrive or the node is busy.
--- a/internal/relay/system_test.go
+++ b/internal/relay/system_test.go
@@ -125,6 +125,7 @@
 		n.conn = s.network.connect(n.addr, intervals.AnswerRate(link))
 		n.store = &simStoreTopic{store: s.store, link: link}
 		n.topic = s.newTopic(n, i)
+		n.serve()
 		s.nodes = append(s.nodes, n)
 	}
 	return s
@@ -213,15 +214,18 @@
 	return rank
 }
 
-// run starts a node, which reads until ctx is done.
-func (s *system) run(ctx context.Context, n *simNode) {
+// serve has the node's copy read by other nodes.
+func (n *simNode) serve() {
 	eras := &follow.Eras{Stated: n.store.Era}
 	n.topic.Eras = eras
-	replica := &Copy{Sink: n, Eras: eras}
-	n.topic.Relay.Serve("config", replica)
-	n.topic.Own = replica
+	n.topic.Own = &Copy{Sink: n, Eras: eras}
+	n.topic.Relay.Serve("config", n.topic.Own)
+}
+
+// run starts a node, which reads until ctx is done.
+func (s *system) run(ctx context.Context, n *simNode) {
 	f := follow.Follower{
-		Name: "config", Topic: n.topic, Sink: replica, Retry: 250 * time.Millisecond, MaxRetryDelay: time.Second, Log: zerolog.Nop(),
+		Name: "config", Topic: n.topic, Sink: n.topic.Own, Retry: 250 * time.Millisecond, MaxRetryDelay: time.Second, Log: zerolog.Nop(),
 		Wait: func() time.Duration {
 			switch {
 			case n.topic.Relayed():
@@ -265,60 +269,3 @@
 	}
 	return age, version
 }
-
-// storm is a series of changes while the store rejects the calls of some nodes. Times are counted from the
-// first change.
-type storm struct {
-	changes      int
-	interval     time.Duration
-	rejectedFrom time.Duration
-	rejectedFor  time.Duration
-	rejected     func(n *simNode) bool
-}
-
-// stormResult is the worst that was seen during a storm and for some time after it.
-type stormResult struct {
-	age  time.Duration // of a configuration, at a node that the store serves
-	late time.Duration // from a change until it was in force at all nodes that the store serves
-	// rejectedLate is the time from a change until it was in force at all nodes.
-	rejectedLate time.Duration
-	wentBack     bool // the proof of a copy's age went back
-}
-
-// play carries out a storm and observes the nodes until the given time after its first change.
-func (s *system) play(storm *storm, until time.Duration) (result stormResult) {
-	began := time.Now()
-	var writtenAt []time.Time
-	sinceFirst := func(version int64) time.Duration {
-		if int(version) >= len(writtenAt) {
-			return 0
-		}
-		return time.Since(writtenAt[version])
-	}
-	for time.Since(began) < until {
-		elapsed := time.Since(began)
-		if len(writtenAt) < storm.changes && elapsed >= time.Duration(len(writtenAt))*storm.interval {
-			writtenAt = append(writtenAt, time.Now())
-			s.store.write(configValue(len(writtenAt)))
-		}
-		rejects := elapsed >= storm.rejectedFrom && elapsed < storm.rejectedFrom+storm.rejectedFor
-		for _, n := range s.nodes {
-			n.store.setRejected(rejects && storm.rejected(n))
-			age, version := n.state()
-			result.rejectedLate = max(result.rejectedLate, sinceFirst(version))
-			if !storm.rejected(n) {
-				result.age, result.late = max(result.age, age), max(result.late, sinceFirst(version))
-			}
-			result.wentBack = result.wentBack || n.hasGoneBack()
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return result
-}
-
-const (
-	// staleLimit is the age of a configuration from which on a node refuses all requests.
-	staleLimit = simRevoke - 300*time.Millisecond
-	// applyLimit is the time within which a change must be in force.
-	applyLimit = 5 * time.Second
-)
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/follow"
 )
@@ -112,33 +110,6 @@
 
 var _ follow.Topic = (*Topic)(nil)
 
-// Newest implements follow.Topic. If MayReadAll is set, the readers' copies are used first: when all
-// nodes of a large system start together, the store would have to send each of them everything.
-func (t *Topic) Newest(ctx context.Context) (follow.Page, error) {
-	if t.MayReadAll == nil {
-		return t.newestFromStore(ctx)
-	}
-	for delay := minSnapshotRetry; ; delay = min(2*delay, snapshotRetry) {
-		page, err := t.allFromReaders(ctx, 0)
-		if err == nil {
-			page.Records = slices.DeleteFunc(page.Records, func(r follow.Record) bool { return r.Value == nil })
-			t.setRelayed(true, nil)
-			return page, nil
-		}
-		if t.mayReadAll() {
-			t.setRelayed(false, err)
-			return t.newestFromStore(ctx)
-		}
-		if errors.Is(err, errStale) {
-			delay = snapshotRetry
-		}
-		retry.Sleep(ctx, delay)
-		if ctx.Err() != nil {
-			return follow.Page{}, ctx.Err()
-		}
-	}
-}
-
 // Read implements follow.Topic. It fails with follow.ErrCompacted if the offset is of an earlier era than the latest
 // known one and no reader has this one yet.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
@@ -195,7 +166,7 @@
 }
 
 // readBackup reads from a backup after this node's read failed with cause. It returns cause if there is no
-// backup or the backup fails.
+// backup or the backup fails, and follow.ErrCompacted if the backup lacks changes since the offset.
 func (t *Topic) readBackup(ctx context.Context, from int64, cause error) (follow.Page, error) {
 	backups := t.Backups()
 	if len(backups) == 0 {
@@ -204,6 +175,9 @@
 	}
 	page, err := t.readFromCurrent(ctx, follow.SourceBackup, backups, from)
 	t.setRelayed(err == nil, cause)
+	if errors.Is(err, ErrUnknown) && t.MayReadAll != nil {
+		return follow.Page{}, follow.ErrCompacted
+	}
 	if err != nil {
 		return follow.Page{}, cause
 	}
