--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -111,6 +111,7 @@
 		Lease:      boot.Bounds.Lease + leaseMargin,
 		Generation: follow.EraOf,
 		LostPath:   func(service string) bool { return n.network.State(service) == reach.Unreachable },
+		Postponed:  func(reason weights.PostponeReason) { n.recorder.jobPostponed(reason) },
 		Changed:    n.state.changed,
 		Clock:      n.clock,
 		Log:        n.log,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/cherryward/cherryward/internal/placer"
 	"github.com/cherryward/cherryward/internal/relay"
 	"github.com/cherryward/cherryward/internal/routing"
+	"github.com/cherryward/cherryward/internal/weights"
 )
 
 // Names of the gateway's metrics; docs/OPERATIONS.md describes them.
@@ -59,6 +60,7 @@
 	metricOrigins          = "cherryward_gateway_stream_origins"
 	metricTopicReads       = "cherryward_gateway_topic_reads_total"
 	metricTopicReadBytes   = "cherryward_gateway_topic_read_bytes_total"
+	metricJobsPostponed    = "cherryward_gateway_weight_jobs_postponed_total"
 )
 
 // secondsBounds are the upper bounds of the histogram buckets, in seconds. They are the same on all
@@ -155,6 +157,11 @@
 	r.set.GetOrCreateCounter(metricTopicReadBytes + labels + "}").Add(read.Bytes)
 }
 
+// jobPostponed counts an engine that was postponed while it was to load weights.
+func (r *recorder) jobPostponed(reason weights.PostponeReason) {
+	r.set.GetOrCreateCounter(metricJobsPostponed + `{reason="` + string(reason) + `"}`).Inc()
+}
+
 // recordLoadAge records the age of the collected load reports at a placement.
 func (r *recorder) recordLoadAge(age time.Duration) {
 	r.set.GetOrCreatePrometheusHistogramExt(metricPlacementLoadAge, secondsBounds).Update(age.Seconds())
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -23,6 +23,7 @@
 	"github.com/cherryward/cherryward/internal/relay"
 	"github.com/cherryward/cherryward/internal/routing"
 	"github.com/cherryward/cherryward/internal/upstream"
+	"github.com/cherryward/cherryward/internal/weights"
 )
 
 // TestMetricsAreDocumented checks that the operators' documentation lists exactly the served
@@ -46,6 +47,7 @@
 	r := newRecorder(n)
 	r.recordLoadAge(time.Second)
 	r.recordRead("config", &relay.Read{Bytes: 1})
+	r.jobPostponed(weights.PostponedSilent)
 	r.Refused(&routing.Route{}, "no_slot")
 	r.PlacedInOtherDomain(&routing.Route{}, true)
 	r.Forwarded(&forward.Outcome{Route: &routing.Route{GapObjective: time.Second / 2}, TimeToFirstByte: time.Second, LongestPause: time.Second, Total: time.Second})
--- a/internal/weights/help_test.go
+++ b/internal/weights/help_test.go
@@ -73,6 +73,7 @@
 
 // engines simulates engines that execute load orders in loadTime.
 type engines struct {
+	loadTime      time.Duration
 	mu            sync.Mutex
 	version       map[string]int64
 	done          map[string]time.Time // end of the current load
@@ -125,7 +126,7 @@
 	e.accepted = append(e.accepted, receivedOrder{o, at.ID, time.Now()})
 	e.orders[at.ID]++
 	e.next[at.ID] = o.Version
-	e.done[at.ID] = time.Now().Add(loadTime)
+	e.done[at.ID] = time.Now().Add(e.loadTime)
 	for id := range e.next {
 		e.finishLoad(id)
 	}
@@ -209,7 +210,7 @@
 func newSimulation(ids ...string) *simulation {
 	sim := &simulation{
 		log: &memLog{}, wanted: &wanted{version: 1}, ids: ids, services: map[string]*Service{},
-		engines: &engines{version: map[string]int64{}, done: map[string]time.Time{}, next: map[string]int64{}, orders: map[string]int64{}, startedMs: map[string]int64{}, silent: map[string]int{}},
+		engines: &engines{loadTime: loadTime, version: map[string]int64{}, done: map[string]time.Time{}, next: map[string]int64{}, orders: map[string]int64{}, startedMs: map[string]int64{}, silent: map[string]int{}},
 	}
 	for _, id := range ids {
 		sim.engines.version[id] = 1
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -117,9 +117,8 @@
 			delete(s.jobs, id)
 			continue
 		}
-		if now.Sub(j.startedAt) > jobTimeout || j.orderedAt.IsZero() && now.Sub(j.lastReportAt) > silentTimeout {
-			delete(s.jobs, id)
-			s.postponed[id] = now
+		if reason, postponed := j.postponeReason(now); postponed {
+			s.postpone(id, j, reason)
 			continue
 		}
 		if now.Before(j.nextCheckAt) {
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/claim"
-	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
@@ -52,7 +51,7 @@
 	Led() bool
 }
 
-// Config configures a Service. All fields except Clock, LostPath and Generation must be set.
+// Config configures a Service. All fields except Clock, LostPath, Postponed and Generation must be set.
 type Config struct {
 	Node    string // name of this node
 	Fleet   *fleet.Fleet
@@ -65,6 +64,8 @@
 	// LostPath reports whether this node can't reach the endpoints of a service. Nil means that it reaches
 	// all. A node that can't reach the engines of a pending update leaves the claim to another.
 	LostPath func(service string) bool
+	// Postponed is called when an engine is postponed in favor of another.
+	Postponed func(reason PostponeReason)
 	// Generation returns the generation of an offset of Claims. Nil means that Claims loses no records.
 	Generation func(offset int64) int64
 	// Changed is signaled when a version is requested.
@@ -206,37 +207,6 @@
 		Dur("left_ms", held.Load().Remaining()).Send()
 }
 
-// keepRenewed renews a claim in the background until ctx is done or the claim is lost. Orders must not
-// wait for the store.
-func (s *Service) keepRenewed(ctx context.Context, first *claim.Claim) *atomic.Pointer[claim.Claim] {
-	var held atomic.Pointer[claim.Claim]
-	held.Store(first)
-	s.inFlight.Go(func() {
-		for ctx.Err() == nil && held.Load().Valid(0) {
-			retry.Sleep(ctx, held.Load().Remaining()-renewAt)
-			if ctx.Err() != nil {
-				return
-			}
-			renewed, err := s.renew(ctx, held.Load())
-			if err == nil {
-				held.Store(renewed)
-				continue
-			}
-			s.Log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
-			retry.Sleep(ctx, claimPoll)
-		}
-	})
-	return &held
-}
-
-// renew renews a claim, even if ctx is canceled during the renewal: a renewal that was written to the
-// log but whose result was not received could not be released when the node stops.
-func (s *Service) renew(ctx context.Context, held *claim.Claim) (*claim.Claim, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewAt)
-	defer cancel()
-	return s.claimer.Renew(ctx, held, claimTTL)
-}
-
 // releaseClaim releases the claim of a node that stops or can't reach the engines, after orderTimeout plus the lease has passed since
 // its last order.
 //
