Claim, weights: a holder whose renewal comes late resumes its claim

Callers: engines stay on replaced weights past the limit, where nothing is placed on them any more.

Cause: a claim lasts 2 s and is renewed with 1.3 s left. A renewal that arrived 0.8 s late ended the holder's work though nobody else had the claim; it then waited as any contender for the rest of its own claim and its own lease (5.3 s), and drained engines again. A renewal whose record took effect unread was taken for another node's claim.

Change: Claimer.Resume renews a claim that has expired too. Its record is based on a read that shows the holder's own claim as the newest, so that the log decides between it and a contender's, as for Renew; it gives up where the log may have lost records since. The holder sends no order while the claim is invalid, keeps track of engines that load, opens closed ones after 1 s, and gives up after the lease. It recognizes records of its earlier renewals.

--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -11,6 +12,9 @@
 // when the claim was released, or when a later claim has replaced it.
 var ErrNotValid = errors.New("claim: no longer valid")
 
+// ErrLate is returned by Resume when the new claim was granted too late to send an order under it.
+var ErrLate = errors.New("claim: granted too late")
+
 // Claim is the exclusive right to send orders for a resource until the claim expires or is
 // released.
 type Claim struct {
@@ -22,6 +26,9 @@
 	released atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
+
+	renewalsMu sync.Mutex
+	renewals   []string // IDs of the records that were sent to renew the claim
 }
 
 func newClaim(c *Claimer, a attempt, offset int64, ttl time.Duration) *Claim {
--- a/coord/claim/invariant_test.go
+++ b/coord/claim/invariant_test.go
@@ -100,9 +100,12 @@
 	log     *memLog
 	end     time.Time
 	slots   int
+	resumes bool // contenders resume claims, expired ones too
 
 	mu      sync.Mutex
 	periods []validPeriod
+	// resumedExpired is the number of claims that were resumed after they had expired.
+	resumedExpired int
 }
 
 // contend acquires, holds and releases claims, with random pauses and restarts, until the
@@ -125,7 +128,30 @@
 			continue
 		}
 		s.holdClaim(held, clock, random)
+		for s.resumes && random.IntN(3) > 0 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(random.IntN(30))*time.Second)
+			next, err := c.Resume(ctx, held, ttl)
+			cancel()
+			if err != nil {
+				break
+			}
+			s.recordResumed(held)
+			held = next
+			s.holdClaim(held, clock, random)
+		}
+	}
+}
+
+// recordResumed ends the period of a claim that its holder has resumed, and counts those that had expired.
+func (s *simulation) recordResumed(held *claim.Claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.periods, func(p validPeriod) bool { return p.resource == held.Resource() && p.token == held.Token() })
+	if !held.Valid(0) {
+		s.resumedExpired++
+		return
 	}
+	s.periods[i].until = time.Now()
 }
 
 func (s *simulation) start(t *testing.T, name string, clock claim.Clock, random *rand.Rand) *claim.Claimer {
@@ -157,7 +183,11 @@
 }
 
 func simulate(t *testing.T, variant simVariant, seed uint64, slots int) *simulation {
-	s := &simulation{variant: variant, slots: slots, end: time.Now().Add(15 * time.Minute)}
+	return simulateClaims(t, &simulation{variant: variant, slots: slots}, seed)
+}
+
+func simulateClaims(t *testing.T, s *simulation, seed uint64) *simulation {
+	s.end = time.Now().Add(15 * time.Minute)
 	s.log = &memLog{random: rand.New(rand.NewPCG(seed, 0)), retain: 3 * time.Minute}
 	var nodes sync.WaitGroup
 	for i := range 4 {
@@ -187,6 +217,23 @@
 	})
 }
 
+// TestResumedClaimsHaveOneHolder checks that a holder that resumes its expired claims never shares a resource with
+// another holder, which may have acquired it meanwhile.
+func TestResumedClaimsHaveOneHolder(t *testing.T) {
+	resumed := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		s := &simulation{resumes: true, slots: rapid.IntRange(1, 2).Draw(rt, "slots")}
+		synctest.Test(t, func(t *testing.T) { simulateClaims(t, s, seed) })
+		resumed += s.resumedExpired
+		if err := checkExclusive(s.periods); err != nil {
+			rt.Fatal(err)
+		}
+	})
+	test.Positive(t, resumed)
+	t.Log(resumed, "expired claims were resumed")
+}
+
 func TestCheckerCatchesBrokenVariants(t *testing.T) {
 	const runs = 20
 	for _, variant := range []simVariant{correct, countsTTLFromGrant, excessiveSkew, missesConcurrentClaim} {
--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -79,21 +79,32 @@
 	err         error
 }
 
-// step checks the engines once and sends the orders that are ready. It returns false if the claim is
-// lost. It reads the claim after the reports have arrived, because an engine that does not report
-// delays the step by the report timeout and an earlier claim may have expired by then.
-func (s *Service) step(ctx context.Context, held *atomic.Pointer[claim.Claim]) bool {
+// step checks the engines once and sends the orders that are ready. It reads the claim after the reports have arrived,
+// because an engine that does not report delays the step by the report timeout and an earlier claim may have expired by
+// then. Without a valid claim it begins no jobs and sends no orders, but keeps track of engines that load.
+func (s *Service) step(ctx context.Context, held *atomic.Pointer[claim.Claim]) {
 	members := s.Fleet.All()
+	if held.Load().Valid(orderTimeout) {
+		s.startAllJobs(members)
+	} else {
+		s.reopen(held.Load())
+	}
+	s.announce()
+	checks := s.nextChecks(members)
+	s.fetchReports(ctx, checks)
+	current := held.Load()
+	mayOrder := current.Valid(orderTimeout)
+	s.holding.Store(mayOrder)
+	s.sendOrders(ctx, current, slices.DeleteFunc(checks, func(check engineCheck) bool { return !s.updateJob(&check, mayOrder) }))
+}
+
+// startAllJobs adds jobs for the outdated engines of all models.
+func (s *Service) startAllJobs(members []*fleet.Member) {
 	for _, model := range s.Wanted.Models() {
 		version, _ := s.Wanted.Wanted(model)
 		serving := countServing(members, model)
 		s.startJobs(Outdated(members, model, version), model, version, serving)
 	}
-	s.announce()
-	checks := s.nextChecks(members)
-	s.fetchReports(ctx, checks)
-	s.sendOrders(ctx, held.Load(), slices.DeleteFunc(checks, func(check engineCheck) bool { return !s.updateJob(&check) }))
-	return !s.claimLost.Load()
 }
 
 func countServing(members []*fleet.Member, model string) int {
@@ -185,9 +196,9 @@
 	}
 }
 
-// updateJob evaluates an engine's report. It returns true if the engine must be ordered to load now,
-// and then counts it among the loading engines.
-func (s *Service) updateJob(check *engineCheck) bool {
+// updateJob evaluates an engine's report. It returns true if orders may be sent and the engine must be ordered to load
+// now, and then counts it among the loading engines.
+func (s *Service) updateJob(check *engineCheck, mayOrder bool) bool {
 	m, j, report := check.member, check.job, &check.report
 	if check.err != nil {
 		s.Log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", check.err).Send()
@@ -209,7 +220,7 @@
 		return false
 	}
 	j.orderedAt = time.Time{} // an order without effect is repeated
-	if s.countLoading() >= j.maxLoads {
+	if !mayOrder || s.countLoading() >= j.maxLoads {
 		return false
 	}
 	empty := report.Running+report.Waiting == 0 && s.Clock.Since(j.startedAt) > closeBeforeOrder
@@ -249,49 +260,3 @@
 	}
 	return n
 }
-
-// sendOrders sends orders without waiting for the responses; the next check of an engine shows
-// whether its order was accepted.
-//
-// Sending orders one after the other would let an unanswered order delay the next one by its timeout
-// of 500 ms. Waiting for concurrent orders would delay the next check of all engines.
-func (s *Service) sendOrders(ctx context.Context, held *claim.Claim, checks []engineCheck) {
-	for i := range checks {
-		check := &checks[i]
-		s.lastOrderAt = s.Clock.Now()
-		order := s.orderFor(held, check)
-		at := target{endpoint: check.member.Endpoint(), startedMs: check.job.startedMs}
-		s.inFlight.Go(func() { s.sendOrder(ctx, held, at, order) })
-	}
-}
-
-// target is the engine process that an order is sent to.
-type target struct {
-	endpoint  *fleet.Endpoint
-	startedMs int64
-}
-
-// orderFor returns the order to load the version of an engine's job.
-func (s *Service) orderFor(held *claim.Claim, check *engineCheck) Order {
-	return Order{
-		Model: check.job.model, Version: check.job.version, Holder: s.Node,
-		// Claim tokens start at 0, but engines treat 0 as no token.
-		Token: held.Token() + 1, Expected: check.report.Orders, Continue: check.report.Running > 0,
-	}
-}
-
-// sendOrder sends one order and sets claimLost if the claim is lost.
-func (s *Service) sendOrder(ctx context.Context, held *claim.Claim, at target, o Order) {
-	bounded, cancel, err := held.Order(ctx)
-	if err != nil {
-		s.claimLost.Store(true)
-		return
-	}
-	defer cancel()
-	reply, err := s.Engines.Order(bounded, at.endpoint, o)
-	s.Log.Info().Str("event", "order").Str("endpoint", at.endpoint.ID).Int64("born", at.startedMs).Str("model", o.Model).Int64("version", o.Version).
-		Int64("token", o.Token).Int64("expected", o.Expected).Str("reply", reply.String()).AnErr("error", err).Send()
-	if reply == Fenced {
-		s.claimLost.Store(true)
-	}
-}
--- a/internal/weights/laterenewal_test.go
+++ b/internal/weights/laterenewal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test"
 
 	"github.com/cherryward/cherryward/coord/claim"
+	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
 
@@ -117,6 +119,7 @@
 					r := sim.rollOut(t, nodes)
 					t.Log(&r)
 					test.LessEq(t, tc.limit, r.took)
+					sim.checkOrders(t)
 				})
 			})
 		}
@@ -146,7 +149,76 @@
 				r := sim.rollOut(t, 3)
 				t.Log(&r)
 				test.LessEq(t, tc.limit, r.took)
+				sim.checkOrders(t)
 			})
 		})
 	}
 }
+
+// cutLog is the log as seen from a node that loses its path to it. Appends then arrive once the path is back.
+type cutLog struct {
+	*memLog
+	cutUntil atomic.Pointer[time.Time]
+}
+
+// cut takes the path away for a while.
+func (l *cutLog) cut(d time.Duration) {
+	until := time.Now().Add(d)
+	l.cutUntil.Store(&until)
+}
+
+func (l *cutLog) await(ctx context.Context) error {
+	until := l.cutUntil.Load()
+	if until == nil {
+		return nil
+	}
+	retry.Sleep(ctx, time.Until(*until))
+	return ctx.Err()
+}
+
+func (l *cutLog) Append(ctx context.Context, data []byte) (int64, error) {
+	if err := l.await(ctx); err != nil {
+		go func() {
+			l.await(context.Background())
+			l.memLog.Append(context.Background(), data)
+		}()
+		return 0, err
+	}
+	return l.memLog.Append(ctx, data)
+}
+
+func (l *cutLog) Read(ctx context.Context, from int64, limit int) ([]claim.Record, int64, error) {
+	if err := l.await(ctx); err != nil {
+		return nil, 0, err
+	}
+	return l.memLog.Read(ctx, from, limit)
+}
+
+// TestHolderCutOffFromTheLogDoesNotOrderBesideItsSuccessor checks that a holder that loses its path to the log for a
+// while, and resumes its claim then, never orders within the lease of another holder.
+func TestHolderCutOffFromTheLogDoesNotOrderBesideItsSuccessor(t *testing.T) {
+	for d := time.Second; d < 12*time.Second; d += 250 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			sim := ninetyEngines()
+			logs := make(map[string]*cutLog)
+			var stops []func()
+			for _, name := range []string{"n1", "n2", "n3"} {
+				logs[name] = &cutLog{memLog: sim.log}
+				sim.claims = logs[name]
+				stops = append(stops, sim.startNode(t, name))
+			}
+			time.Sleep(time.Second)
+			sim.requestVersion(2)
+			for len(sim.orders()) < 30 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			logs[sim.orders()[29].Holder].cut(d)
+			time.Sleep(40 * time.Second)
+			test.Eq(t, 0, sim.outdatedExcept(nil, 2), test.Sprint(d))
+			sim.checkOrders(t)
+			for _, stop := range stops {
+				stop()
+			}
+		})
+	}
+}
--- a/internal/weights/rollout_test.go
+++ b/internal/weights/rollout_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 const (
@@ -86,3 +88,18 @@
 	}
 	return closed
 }
+
+// checkOrders fails if orders of two nodes came within the lease, or if the token of an order is lower than that of
+// one before.
+func (sim *simulation) checkOrders(t *testing.T) {
+	t.Helper()
+	orders := sim.orders()
+	for i := range max(0, len(orders)-1) {
+		earlier, later := orders[i], orders[i+1]
+		must.GreaterEq(t, earlier.Token, later.Token)
+		if earlier.Holder != later.Holder {
+			must.Greater(t, earlier.Token, later.Token)
+			must.GreaterEq(t, lease, later.at.Sub(earlier.at))
+		}
+	}
+}
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -175,53 +175,6 @@
 	return s.LostPath != nil && s.LostPath(m.Service)
 }
 
-// holdClaim acquires the claim and sends orders until no engine is outdated or the claim is lost.
-func (s *Service) holdClaim(ctx context.Context) {
-	waiting, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go s.cancelIfNotNeeded(waiting, cancel)
-	first, err := s.claimer.Acquire(waiting, resource, claimTTL)
-	if err != nil {
-		return
-	}
-	s.Log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", first.Token()).Send()
-	holding, stop := context.WithCancel(ctx)
-	defer stop()
-	held := s.keepRenewed(holding, first)
-	s.holding.Store(true)
-	s.claimLost.Store(false)
-	clear(s.jobs)
-	clear(s.postponed)
-	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held) {
-		s.wait(ctx, stepInterval)
-	}
-	clear(s.jobs)
-	s.holding.Store(false)
-	s.closed.Store(nil)
-	stop()
-	s.inFlight.Wait()
-	if ctx.Err() != nil || s.lostEngines() {
-		s.releaseClaim(held.Load())
-	}
-	s.Log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
-		Dur("left_ms", held.Load().Remaining()).Send()
-}
-
-// releaseClaim releases the claim of a node that stops or can't reach the engines, after orderTimeout plus the lease has passed since
-// its last order.
-//
-// Without the release, a node that starts in the meantime would wait for the full claim and the lease, counted
-// from when it first read the claim. In a rolling restart engines would then keep replaced weights
-// beyond the operators' time limit.
-func (s *Service) releaseClaim(held *claim.Claim) {
-	time.Sleep(s.Clock.Until(s.lastOrderAt.Add(orderTimeout + s.Lease)))
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	if err := held.Release(ctx); err != nil {
-		s.Log.Warn().Str("event", "claim_not_released").Int64("token", held.Token()).AnErr("error", err).Send()
-	}
-}
-
 // ReadClaims reads the log of claims after the store came back from an older copy of it. The time for which
 // contenders wait for claims that may have been lost begins with this read.
 func (s *Service) ReadClaims() {
