--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -110,6 +110,7 @@
 		Lease:      boot.Bounds.Lease + leaseMargin,
 		Generation: follow.EraOf,
 		Paths:      n.network,
+		Postponed:  func(reason weights.PostponeReason) { n.recorder.jobPostponed(reason) },
 		Changed:    n.state.changed,
 		Clock:      n.clock,
 		Log:        n.log,
--- a/internal/weights/paths.go
+++ b/internal/weights/paths.go
@@ -91,15 +91,6 @@
 	return slices.DeleteFunc(list, s.hasLostPathTo)
 }
 
-// postpone abandons an engine's job in favor of others.
-func (s *Service) postpone(m *fleet.Member, j *job, now time.Time) {
-	delete(s.jobs, m.ID)
-	s.postponed[m.ID] = now
-	if now.Sub(j.lastReportAt) > silentTimeout {
-		s.checkPath(m)
-	}
-}
-
 // checkPath finds out, in the background, whether this node has lost the path to an engine that does not report. An
 // engine that nobody can connect to is not left to another node, which would not update it either.
 func (s *Service) checkPath(m *fleet.Member) {
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/claim"
-	"github.com/cherryward/cherryward/coord/retry"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/fleet"
 )
@@ -51,7 +50,7 @@
 	Led() bool
 }
 
-// Config configures a Service. All fields except Clock, Paths and Generation must be set.
+// Config configures a Service. All fields except Clock, Paths, Postponed and Generation must be set.
 type Config struct {
 	Node    string // name of this node
 	Fleet   *fleet.Fleet
@@ -64,6 +63,8 @@
 	// Paths tells which engines this node reaches. Nil means that it reaches all. A node that can't reach the
 	// engines of a pending update leaves the claim to another.
 	Paths Paths
+	// Postponed is called when an engine is postponed in favor of another.
+	Postponed func(reason PostponeReason)
 	// Generation returns the generation of an offset of Claims. Nil means that Claims loses no records.
 	Generation func(offset int64) int64
 	// Changed is signaled when a version is requested.
@@ -85,9 +86,16 @@
 	holding   atomic.Bool // this node holds the claim
 	lost      lostPaths
 
-	inFlight    sync.WaitGroup // orders in flight and the renewal of the claim
+	inFlight    sync.WaitGroup // orders and reports in flight, and the renewal of the claim
 	lastOrderAt time.Time      // time of the latest order
-	claimLost   atomic.Bool    // set by an order that found the claim lost
+
+	reportContext context.Context
+	arrived       chan engineCheck
+	outstanding   map[*job]bool            // jobs for which a report was requested that has not arrived
+	reportTimes   map[string]time.Duration // how long the latest report took, by endpoint
+	run           time.Duration            // time for which steps ran, without stalls of the process
+	lastStepAt    time.Time
+	claimLost     atomic.Bool // set by an order that found the claim lost
 }
 
 // New returns the service of a node. It fails if the claim configuration is invalid.
@@ -153,86 +161,6 @@
 // mayClaim reports whether this node should try to acquire the claim.
 func (s *Service) mayClaim() bool { return s.Peers.Standby() || !s.Peers.Led() }
 
-// holdClaim acquires the claim and sends orders until no engine is outdated or the claim is lost.
-func (s *Service) holdClaim(ctx context.Context) {
-	waiting, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go s.cancelIfNotNeeded(waiting, cancel)
-	first, err := s.claimer.Acquire(waiting, resource, claimTTL)
-	if err != nil {
-		return
-	}
-	s.Log.Info().Str("event", "claim_taken").Str("matter", resource).Int64("token", first.Token()).Send()
-	holding, stop := context.WithCancel(ctx)
-	defer stop()
-	held := s.keepRenewed(holding, first)
-	s.holding.Store(true)
-	s.claimLost.Store(false)
-	clear(s.jobs)
-	clear(s.postponed)
-	progress := s.Clock.Now()
-	for ctx.Err() == nil && s.pending() && held.Load().Valid(orderTimeout) && s.step(ctx, held) {
-		progress = s.logProgress(progress)
-		s.wait(ctx, stepInterval)
-	}
-	clear(s.jobs)
-	s.holding.Store(false)
-	s.closed.Store(nil)
-	stop()
-	s.inFlight.Wait()
-	if ctx.Err() != nil || s.lostEngines() {
-		s.releaseClaim(held.Load())
-	}
-	s.Log.Info().Str("event", "claim_ended").Str("matter", resource).Int64("token", held.Load().Token()).
-		Dur("left_ms", held.Load().Remaining()).Int("outdated", s.countOutdated()).Send()
-}
-
-// keepRenewed renews a claim in the background until ctx is done or the claim is lost. Orders must not
-// wait for the store.
-func (s *Service) keepRenewed(ctx context.Context, first *claim.Claim) *atomic.Pointer[claim.Claim] {
-	var held atomic.Pointer[claim.Claim]
-	held.Store(first)
-	s.inFlight.Go(func() {
-		for ctx.Err() == nil && held.Load().Valid(0) {
-			retry.Sleep(ctx, held.Load().Remaining()-renewAt)
-			if ctx.Err() != nil {
-				return
-			}
-			renewed, err := s.renew(ctx, held.Load())
-			if err == nil {
-				held.Store(renewed)
-				continue
-			}
-			s.Log.Warn().Str("event", "claim_not_renewed").Int64("token", held.Load().Token()).AnErr("error", err).Send()
-			retry.Sleep(ctx, claimPoll)
-		}
-	})
-	return &held
-}
-
-// renew renews a claim, even if ctx is canceled during the renewal: a renewal that was written to the
-// log but whose result was not received could not be released when the node stops.
-func (s *Service) renew(ctx context.Context, held *claim.Claim) (*claim.Claim, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewAt)
-	defer cancel()
-	return s.claimer.Renew(ctx, held, claimTTL)
-}
-
-// releaseClaim releases the claim of a node that stops or can't reach the engines, after orderTimeout plus the lease has passed since
-// its last order.
-//
-// Without the release, a node that starts in the meantime would wait for the full claim and the lease, counted
-// from when it first read the claim. In a rolling restart engines would then keep replaced weights
-// beyond the operators' time limit.
-func (s *Service) releaseClaim(held *claim.Claim) {
-	time.Sleep(s.Clock.Until(s.lastOrderAt.Add(orderTimeout + s.Lease)))
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	if err := held.Release(ctx); err != nil {
-		s.Log.Warn().Str("event", "claim_not_released").Int64("token", held.Token()).AnErr("error", err).Send()
-	}
-}
-
 // ReadClaims reads the log of claims after the store came back from an older copy of it. The time for which
 // contenders wait for claims that may have been lost begins with this read.
 func (s *Service) ReadClaims() {
