Stand-in: model servers take time to load weights

The model server's stand-in changed its weights within the order, so that no test of processes saw an engine that loads: no `busy`, no refused requests, no further order refused. The default stays as it was: no time. `truncate` isn't modelled; it waits for the runs.

go test -race ./modelserver ./site (in standin): passes. With isBusy false, TestOrderTakesLoadTime fails.

--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -13,8 +13,12 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	version, end := s.begin(r.Header.Get("X-Model"))
+	if end != nil {
+		defer end()
+	}
 	s.mu.Lock()
-	faults, version := s.faults, s.version
+	faults := s.faults
 	s.mu.Unlock()
 	for name, value := range faults.signals() {
 		w.Header().Set(name, value)
@@ -30,9 +34,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	s.recordArrival(id, faults)
-	if faults.RejectRequests {
-		if faults.RetryAfter != "" {
+	refused := faults.RejectRequests || end == nil
+	s.recordArrival(id, faults, refused)
+	if refused {
+		if faults.RejectRequests && faults.RetryAfter != "" {
 			w.Header().Set("Retry-After", faults.RetryAfter)
 		}
 		w.Header().Set("X-Not-Executed", "1")
@@ -67,10 +72,10 @@
 }
 
 // recordArrival records a request that is addressed to this server.
-func (s *Server) recordArrival(id string, faults Faults) {
+func (s *Server) recordArrival(id string, faults Faults, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := Arrival{Request: id, At: time.Now(), StartedMs: s.startedMs, Refused: faults.RejectRequests, Limit: faults.Limit, Draining: faults.Draining, Brittle: faults.Brittle}
+	a := Arrival{Request: id, At: time.Now(), StartedMs: s.startedMs, Refused: refused, Limit: faults.Limit, Draining: faults.Draining, Brittle: faults.Brittle}
 	if faults.RejectRequests {
 		a.RetryAfter = faults.RetryAfter
 	}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -65,6 +65,8 @@
 	Model         string        // empty for a plain server
 	StreamEvents  int           // number of events of a stream
 	EventInterval time.Duration // between events
+	// Loads is the source of weights; nil loads them immediately.
+	Loads *Loads
 	// Crash crashes the server: it stops its listener and closes its connections.
 	Crash func()
 }
@@ -105,6 +107,7 @@
 	// restarted is true after Restart.
 	restarted  bool
 	epoch      int64 // changes with each restart
+	current    *incarnation
 	version    int64
 	orders     int64
 	highToken  int64
@@ -120,7 +123,7 @@
 
 // New returns a server whose weights have version 1.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, startedMs: time.Now().UnixMilli(), epoch: 1, version: 1, parts: make(map[[2]string]int)}
+	return &Server{cfg: cfg, startedMs: time.Now().UnixMilli(), epoch: 1, current: &incarnation{}, version: 1, parts: make(map[[2]string]int)}
 }
 
 // ID returns the server's id.
@@ -130,12 +133,13 @@
 func (s *Server) Release() string { return cmp.Or(s.cfg.Release, "v1") }
 
 // Restart restarts the server under the same id. It loses all state except the version of its
-// weights. The recorded runs and arrivals stay, and so do held orders, which count as in transit.
+// weights; a load in progress ends. The recorded runs and arrivals stay, and so do held orders, which count as in transit.
 func (s *Server) Restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startedMs, s.restarted = max(time.Now().UnixMilli(), s.startedMs+1), true
 	s.epoch++
+	s.current = &incarnation{}
 	s.orders, s.highToken = 0, 0
 	s.parts = make(map[[2]string]int)
 	s.events = nil
@@ -169,13 +173,6 @@
 	return s.abandoned
 }
 
-// Version returns the version of the weights.
-func (s *Server) Version() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version
-}
-
 // Entry returns the server's registry entry for an address and state.
 func (s *Server) Entry(addr, state string) []byte {
 	entry := map[string]any{"service": s.cfg.Service, "address": addr, "zone": s.cfg.Zone, "version": s.Release(), "slots": 8, "state": state, "cold-left-ms": s.coldLeft().Milliseconds(), "seq": 1, "born": s.StartedMs()}
@@ -223,9 +220,9 @@
 
 func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	orders, startedMs := s.orders, s.startedMs
+	orders, startedMs, busy := s.orders, s.startedMs, s.isBusy()
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"born": startedMs, "stage": "read_write", "models": s.models(), "busy": false, "seq": orders, "queued": 0, "active": 0})
+	writeJSON(w, http.StatusOK, map[string]any{"born": startedMs, "stage": "read_write", "models": s.models(), "busy": busy, "seq": orders, "queued": 0, "active": 0})
 }
 
 func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
--- a/standin/modelserver/order.go
+++ b/standin/modelserver/order.go
@@ -12,6 +12,7 @@
 	Holder   string `json:"holder"`
 	Token    int64  `json:"fencing-token"`
 	Expected *int64 `json:"expected"`
+	Switch   string `json:"switch-mode"`
 }
 
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
@@ -43,21 +44,25 @@
 	s.execute(o) // the status is not sent
 }
 
-// execute loads the weights if the order is valid in the current state, and returns the HTTP
-// status. s.mu is held.
+// execute begins to load the weights if the order is valid in the current state, and returns the
+// HTTP status. s.mu is held.
 func (s *Server) execute(o *order) int {
 	switch {
 	case o.Token < s.highToken:
 		return http.StatusPreconditionFailed
-	case o.Expected != nil && *o.Expected != s.orders:
+	case s.isBusy() || o.Expected != nil && *o.Expected != s.orders:
 		return http.StatusConflict
 	case o.Version == s.version:
 		return http.StatusOK
 	}
 	s.highToken = o.Token
 	s.orders++
-	s.version = o.Version
-	clear(s.parts)
+	if s.cfg.Loads == nil || s.cfg.Loads.Time == 0 {
+		s.setVersion(o.Version)
+		return http.StatusAccepted
+	}
+	s.current.loading = true
+	go s.load(s.current, o)
 	return http.StatusAccepted
 }
 
