Stand-in: size, zones, bounds and load time of a site

A site had three model servers, two zones and one set of bounds, so that no test could take the shape of a deployment. The number of model servers is that of Releases now, Zones spreads them, Bounds go to the boot files, Loads to the servers. A site that sets none is as before: three servers, the last in SecondZone, the same boot file; callers are unchanged.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -30,7 +30,7 @@
 )
 
 // releases are the releases of the model servers' software.
-var releases = [...]string{"v1", "v2", "v1"}
+var releases = []string{"v1", "v2", "v1"}
 
 // world is the state of one run.
 type world struct {
--- a/standin/modelserver/load.go
+++ b/standin/modelserver/load.go
@@ -75,6 +75,9 @@
 	return in.running == 0 || s.current != in
 }
 
+// Zone returns the server's failure domain.
+func (s *Server) Zone() string { return s.cfg.Zone }
+
 // Version returns the version of the weights.
 func (s *Server) Version() int64 {
 	s.mu.Lock()
--- a/standin/site/operator.go
+++ b/standin/site/operator.go
@@ -10,16 +10,27 @@
 // coldPerSecond is the number of requests per second that a cold model server can handle.
 const coldPerSecond = 18
 
-// SecondZone is the failure domain of the last model server. All other servers and the nodes are in
-// another one.
-const SecondZone = "east"
+// The failure domains of a site that sets none. SecondZone is that of the last model server. All
+// other servers and the nodes are in the other one.
+const (
+	firstZone  = "north"
+	SecondZone = "east"
+)
 
-// zoneOf returns the failure domain of the i-th model server.
-func zoneOf(i int) string {
-	if i == modelServers-1 {
-		return SecondZone
+// zonesOf returns the failure domains of a number of model servers, in their order.
+func (c *Config) zonesOf(servers int) []string {
+	var zones []string
+	for i := range servers {
+		switch {
+		case len(c.Zones) > 0:
+			zones = append(zones, c.Zones[i%len(c.Zones)])
+		case i == servers-1:
+			zones = append(zones, SecondZone)
+		default:
+			zones = append(zones, firstZone)
+		}
 	}
-	return "north"
+	return zones
 }
 
 // Configure writes a version of the configuration, with the given API keys of the account.
@@ -65,7 +76,7 @@
 				"cold-start-s": modelserver.ColdStart.Seconds(), "cold-per-s": coldPerSecond,
 			},
 			map[string]any{"name": "plain", "health-path": "/healthz", "max-connections": 100},
-			map[string]any{"name": "keep", "kv-store-addr": s.kvStoreAddr, "zone": "north", "kv-capacity-tokens": 100000, "link-mbps": 3e5, "managed": true, "first_ms": 0.5},
+			map[string]any{"name": "keep", "kv-store-addr": s.kvStoreAddr, "zone": s.zones[0], "kv-capacity-tokens": 100000, "link-mbps": 3e5, "managed": true, "first_ms": 0.5},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants": []any{account},
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -1,5 +1,5 @@
 // Package site is a stand-in for a deployment of the users' platform on the loopback interface:
-// the metadata store, three model servers, a plain server, a store of KV cache, and the operator's
+// the metadata store, model servers, a plain server, a store of KV cache, and the operator's
 // configuration.
 package site
 
@@ -32,7 +32,7 @@
 	// StreamEvents is the number of events of a complete stream.
 	StreamEvents = 8
 
-	modelServers      = 3
+	defaultServers    = 3
 	readHeaderTimeout = 5 * time.Second
 
 	registryTopic = "keyed.servers" // topic of the servers' entries
@@ -45,8 +45,16 @@
 type Config struct {
 	HeartbeatInterval time.Duration // interval of the servers' registry entries
 	EventInterval     time.Duration // interval of the events of a stream
-	// Releases are the releases of the model servers' software, in their order; empty means "v1" for all.
-	Releases [modelServers]string
+	// Releases are the releases of the model servers' software, one for each server; empty means three
+	// servers of "v1".
+	Releases []string
+	// Zones are the failure domains over which the model servers are spread in turn; empty means two, of
+	// which SecondZone has the last server. The nodes of BootFile and the other servers are in the first.
+	Zones []string
+	// Bounds are those of the nodes' boot files; zero means DefaultBounds.
+	Bounds Bounds
+	// Loads is the source of the model servers' weights; nil loads them immediately.
+	Loads *modelserver.Loads
 	// IP is the address at which all stand-ins and nodes listen; empty means 127.0.0.1. Sites on the
 	// same host that use different addresses don't reuse each other's ports.
 	IP string
@@ -74,6 +82,9 @@
 	serversMu              sync.Mutex
 	servers                []*server
 	eventInterval          time.Duration
+	zones                  []string
+	bounds                 Bounds
+	loads                  *modelserver.Loads
 	ctx                    context.Context // cancelled by Close
 	secondRegion           bool
 	proxy                  func(addr string) (string, error)
@@ -103,7 +114,13 @@
 // written with Configure.
 func Start(c Config) (*Site, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Site{ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, secondRegion: c.SecondRegion, eventInterval: c.EventInterval, proxy: c.Proxy, onCrash: c.OnCrash}
+	s := &Site{
+		ip: cmp.Or(c.IP, "127.0.0.1"), Store: metastore.New(), ctx: ctx, stop: cancel, secondRegion: c.SecondRegion, eventInterval: c.EventInterval,
+		zones: c.Zones, bounds: cmp.Or(c.Bounds, DefaultBounds()), loads: c.Loads, proxy: c.Proxy, onCrash: c.OnCrash,
+	}
+	if len(s.zones) == 0 {
+		s.zones = []string{firstZone, SecondZone}
+	}
 	store, err := s.listen(s.Store.Handler())
 	if err != nil {
 		return nil, err
@@ -117,15 +134,15 @@
 		return nil, err
 	}
 	s.storeAddr, s.kvStoreAddr = store.addr, keep.addr
-	for i := range modelServers {
-		cfg := modelserver.Config{ID: fmt.Sprint("model-", i+1), Service: "models", Zone: zoneOf(i), Release: c.Releases[i], Model: Model, StreamEvents: StreamEvents, EventInterval: c.EventInterval}
-		added, err := s.add(cfg)
-		if err != nil {
+	if len(c.Releases) == 0 {
+		c.Releases = make([]string, defaultServers)
+	}
+	for i, zone := range c.zonesOf(len(c.Releases)) {
+		if _, err := s.addModel(c.Releases[i], zone); err != nil {
 			return nil, err
 		}
-		s.Models = append(s.Models, added)
 	}
-	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: "north"}); err != nil {
+	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: s.zones[0]}); err != nil {
 		return nil, err
 	}
 	s.register()
@@ -136,10 +153,13 @@
 // AddModel starts another model server with the given release of its software. It is registered with
 // the next heartbeats.
 func (s *Site) AddModel(release string) (*modelserver.Server, error) {
-	number := len(s.Models) + 1
+	return s.addModel(release, s.zones[0])
+}
+
+func (s *Site) addModel(release, zone string) (*modelserver.Server, error) {
 	added, err := s.add(modelserver.Config{
-		ID: fmt.Sprint("model-", number), Service: "models", Zone: "north", Model: Model, Release: release,
-		StreamEvents: StreamEvents, EventInterval: s.eventInterval,
+		ID: fmt.Sprint("model-", len(s.Models)+1), Service: "models", Zone: zone, Model: Model, Release: release,
+		StreamEvents: StreamEvents, EventInterval: s.eventInterval, Loads: s.loads,
 	})
 	if err != nil {
 		return nil, err
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -25,3 +25,39 @@
 		test.StrContains(t, string(body), id)
 	}
 }
+
+// TestDefaultBoundsAreStated checks the boot file of a site that sets no bounds.
+func TestDefaultBoundsAreStated(t *testing.T) {
+	s, err := Start(Config{HeartbeatInterval: time.Hour})
+	must.NoError(t, err)
+	defer s.Close()
+	file := s.BootFile("n0")
+	for _, line := range []string{
+		"zone = \"north\"\n", "[zones]\nnorth = \"loopback\"\neast = \"loopback\"\n[listen]\n",
+		"[bounds]\ndrain-ms = 2000\ngrace-s = 8\nconfig-apply-ms = 2000\nrevoke-ms = 5000\nstable-window-ms = 3000\n",
+		"budget-slack = 50\n", "lease-ms = 500\nversion-ms = 12000\nevacuate-ms = 5000\ncold-overage = 1.5\n",
+	} {
+		test.StrContains(t, file, line)
+	}
+	test.StrNotContains(t, file, "version-all-ms")
+	test.StrNotContains(t, file, "thaw-ms")
+}
+
+// TestServersAreSpreadOverZones checks a site that sets its size, zones and bounds.
+func TestServersAreSpreadOverZones(t *testing.T) {
+	bounds := DefaultBounds()
+	bounds.Version, bounds.VersionAll, bounds.Thaw = 15*time.Second, 21*time.Second, 300*time.Millisecond
+	s, err := Start(Config{HeartbeatInterval: time.Hour, Releases: make([]string, 9), Zones: []string{"a", "b", "c", "d"}, Bounds: bounds})
+	must.NoError(t, err)
+	defer s.Close()
+	servers := make(map[string]int)
+	for _, server := range s.Models {
+		servers[server.Zone()]++
+	}
+	test.Eq(t, map[string]int{"a": 3, "b": 2, "c": 2, "d": 2}, servers)
+	test.Eq(t, "a", s.Plain.Zone())
+	file := s.BootFileIn("n1", "b")
+	for _, line := range []string{"zone = \"b\"\n", "\nd = \"loopback\"\n", "version-ms = 15000\nversion-all-ms = 21000\n", "thaw-ms = 300\n"} {
+		test.StrContains(t, file, line)
+	}
+}
