Soak: shapes of deployments

The soak had one shape: three nodes, three model servers that load in no time, one set of bounds, which its checks stated a second time. The evacuated domain is all servers of one zone. Small is the shape as it was, and the default.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -32,7 +32,7 @@
 		{want: "under another account", ids: []string{"a"}, tenant: "other"},
 		{want: "ran as GET /other/", ids: []string{"a"}, tenant: site.Account, path: "/other/"},
 		{want: "rejected as not run", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) { w.observed.refused["a"] = true }},
-		{want: "revoked key", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) { w.revoked["k"] = now.Add(-revokeBound - time.Second) }},
+		{want: "revoked key", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) { w.revoked["k"] = now.Add(-w.bounds.Revoke - time.Second) }},
 		{want: "weights replaced", ids: []string{"a"}, tenant: site.Account, prepare: replacedWeights(now)},
 		{want: "", ids: []string{"a"}, tenant: site.Account, prepare: func(w *world) {
 			replacedWeights(now)(w)
@@ -51,7 +51,7 @@
 			return addr, nil
 		}})
 		must.NoError(t, err)
-		w := &world{site: s, observed: newObserved(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
+		w := &world{site: s, bounds: small.bounds, observed: newObserved(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
 		w.observed.sent["a"] = sentRequest{key: "k", method: http.MethodGet, target: site.PathUpload + "x", at: now}
 		if tc.prepare != nil {
 			tc.prepare(w)
@@ -76,13 +76,13 @@
 // order of the proxies.
 func newIdleWorld(t *testing.T) (w *world, addrs []string) {
 	t.Helper()
-	s, err := site.Start(site.Config{HeartbeatInterval: time.Second, Releases: releases, Proxy: func(addr string) (string, error) {
+	s, err := site.Start(site.Config{HeartbeatInterval: time.Second, Releases: small.releases(), Proxy: func(addr string) (string, error) {
 		addrs = append(addrs, addr)
 		return addr, nil
 	}})
 	must.NoError(t, err)
 	t.Cleanup(s.Close)
-	return &world{site: s, observed: newObserved(), nodes: []*process{{}}, removed: make([]spans, len(s.Models))}, addrs
+	return &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}, removed: make([]spans, len(s.Models))}, addrs
 }
 
 // runAt sends a request with the id a directly to a model server.
@@ -104,7 +104,7 @@
 // TestDetectsRunsAfterRemoval checks that a run at a model server after the drain bound since its
 // removal is detected, unless faults of the store or the node excuse it.
 func TestDetectsRunsAfterRemoval(t *testing.T) {
-	long := span{from: time.Now().Add(-drainBound - time.Second)}
+	long := span{from: time.Now().Add(-small.bounds.Drain - time.Second)}
 	tests := []struct {
 		name    string
 		removed span
@@ -131,7 +131,7 @@
 // TestDetectsRunsInEvacuatedDomains checks that a run in an evacuated failure domain is detected after
 // the evacuation bound, unless faults of the store or the node excuse it.
 func TestDetectsRunsInEvacuatedDomains(t *testing.T) {
-	long := span{from: time.Now().Add(-evacuateBound - time.Second)}
+	long := span{from: time.Now().Add(-small.bounds.Evacuate - time.Second)}
 	tests := []struct {
 		name      string
 		evacuated span
@@ -196,7 +196,7 @@
 		{"connected", func(*world) {}, 1},
 		{"store disturbed", func(w *world) { w.storeDisturbances.list = []*span{{from: now.Add(-time.Second)}} }, 0},
 		{"store disturbed before", func(w *world) {
-			w.storeDisturbances.list = []*span{{from: now.Add(-time.Minute), to: now.Add(-2 * stableWindow)}}
+			w.storeDisturbances.list = []*span{{from: now.Add(-time.Minute), to: now.Add(-2 * w.bounds.StableWindow)}}
 		}, 1},
 		{"node disturbed", func(w *world) { w.nodes[0].disturbances.list = []*span{{from: now.Add(-time.Second)}} }, 0},
 	} {
@@ -217,7 +217,9 @@
 
 // replacedWeights sets a target version at a time before the version bound.
 func replacedWeights(now time.Time) func(w *world) {
-	return func(w *world) { w.versions = []targetVersion{{version: 2, at: now.Add(-versionBound - time.Second)}} }
+	return func(w *world) {
+		w.versions = []targetVersion{{version: 2, at: now.Add(-w.bounds.Version - time.Second)}}
+	}
 }
 
 // TestClientChecksDetectViolations checks that a client detects responses that violate guarantees.
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -88,12 +88,12 @@
 	if len(w.crashes) < maxCrashes {
 		return nil
 	}
-	known := w.crashes[maxCrashes-1].Add(stableWindow)
+	known := w.crashes[maxCrashes-1].Add(w.bounds.StableWindow)
 	var late []string
 	for _, s := range w.site.Models {
 		for _, r := range s.Runs() {
 			if strings.HasSuffix(r.Target, crashPath) && r.At.After(known) && w.sentConnected(&r) {
-				late = append(late, fmt.Sprintf("%s crashed a server %v after the third crash", r.Request, r.At.Sub(known.Add(-stableWindow))))
+				late = append(late, fmt.Sprintf("%s crashed a server %v after the third crash", r.Request, r.At.Sub(known.Add(-w.bounds.StableWindow))))
 			}
 		}
 	}
--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -26,13 +26,13 @@
 
 // TestStreamsBegunAtDrainingNodeAreResumed guards against nodes that tell the others nothing while they drain.
 func TestStreamsBegunAtDrainingNodeAreResumed(t *testing.T) {
-	w := newWorld(t, 1, drainNodes)
+	w := newWorld(t, 1, small.withNodes(drainNodes))
 	defer w.stop()
 	c := w.client(0, 1)
 	for i := range w.nodes {
 		must.Eq(t, http.StatusOK, c.awaitStream(t, w, i))
 	}
-	time.Sleep(stableWindow) // until the nodes know one another
+	time.Sleep(w.bounds.StableWindow) // until the nodes know one another
 	w.nodes[0].signal(syscall.SIGTERM)
 	time.Sleep(drainPause)
 	for i := range drainStreams {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cherryward/cherryward/standin/metastore"
 	"github.com/cherryward/cherryward/standin/modelserver"
-	"github.com/cherryward/cherryward/standin/site"
 )
 
 const (
@@ -201,7 +200,7 @@
 	i := target % len(w.site.Models)
 	w.site.Remove(i)
 	end := w.removed[i].open()
-	w.pause(2*drainBound + lasts)
+	w.pause(2*w.bounds.Drain + lasts)
 	end()
 	test.NoError(w.t, w.site.Restart(i, false))
 }
@@ -215,7 +214,7 @@
 	defer w.evacuating.Unlock()
 	w.setEvacuated(true)
 	end := w.evacuated.open()
-	w.pause(evacuateBound + lasts)
+	w.pause(w.bounds.Evacuate + lasts)
 	end()
 	w.setEvacuated(false)
 	if target%2 == 0 {
@@ -230,7 +229,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.evacuatedNow = evacuated
-	w.site.Evacuate(site.SecondZone, evacuated)
+	w.site.Evacuate(w.evacuatedZone(), evacuated)
 }
 
 // delayOrders makes a server execute orders late and without a response.
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -9,16 +9,6 @@
 	"github.com/cherryward/cherryward/standin/site"
 )
 
-// The bounds in the site's boot files.
-const (
-	drainBound   = 2 * time.Second
-	revokeBound  = 5 * time.Second
-	versionBound = 12 * time.Second
-	// evacuateBound is the time within which nodes must stop sending to an evacuated domain.
-	evacuateBound = 5 * time.Second
-	stableWindow  = 3 * time.Second
-)
-
 // violations checks the requests that servers ran against those that clients sent and the responses
 // that they received, and returns the violated guarantees.
 func (w *world) violations() []string {
@@ -61,12 +51,12 @@
 		return "ran under another account, or with its key"
 	case r.Method != sent.method || r.Target != sent.target || r.Body != sent.body:
 		return fmt.Sprintf("ran as %s %s %q", r.Method, r.Target, r.Body)
-	case isGone && sent.at.After(gone.Add(revokeBound)):
+	case isGone && sent.at.After(gone.Add(w.bounds.Revoke)):
 		return "ran with a revoked key"
 	case w.observed.refused[r.Request] && !strings.HasPrefix(r.Target, site.PathLookup):
 		return "ran, but was rejected as not run"
 	}
-	if age := w.replacedFor(r, sent.node); age > versionBound {
+	if age := w.replacedFor(r, sent.node); age > w.bounds.Version {
 		return fmt.Sprintf("ran on weights replaced %v earlier, sent by n%d at %v", age, sent.node, r.At.Format(time.StampMilli))
 	}
 	return ""
@@ -79,7 +69,7 @@
 
 // sentConnected reports whether a run was sent by a connected node while the metadata store was stable.
 func (w *world) sentConnected(r *modelserver.Run) bool {
-	return w.connected(w.observed.sent[r.Request].node, r.At.Add(-stableWindow), r.At)
+	return w.connected(w.observed.sent[r.Request].node, r.At.Add(-w.bounds.StableWindow), r.At)
 }
 
 // ranAfterRemoval returns the requests that a model server ran more than the drain bound after its
@@ -87,20 +77,28 @@
 func (w *world) ranAfterRemoval(i int) []string {
 	var broken []string
 	for _, r := range w.site.Models[i].Runs() {
-		if w.removed[i].covers(r.At.Add(-drainBound), r.At) && w.sentConnected(&r) {
-			broken = append(broken, fmt.Sprintf("%s ran at model-%d, which was removed more than %v earlier", r.Request, 1+i, drainBound))
+		if w.removed[i].covers(r.At.Add(-w.bounds.Drain), r.At) && w.sentConnected(&r) {
+			broken = append(broken, fmt.Sprintf("%s ran at model-%d, which was removed more than %v earlier", r.Request, 1+i, w.bounds.Drain))
 		}
 	}
 	return broken
 }
 
+// evacuatedZone returns the failure domain that operators evacuate, that of the last model server.
+func (w *world) evacuatedZone() string { return w.site.Models[len(w.site.Models)-1].Zone() }
+
 // ranEvacuated returns the requests that a server ran more than the evacuation bound after its failure
 // domain was evacuated, sent by a connected node while the metadata store was stable.
 func (w *world) ranEvacuated() []string {
 	var broken []string
-	for _, r := range w.site.Models[len(w.site.Models)-1].Runs() {
-		if w.evacuated.covers(r.At.Add(-evacuateBound), r.At) && w.sentConnected(&r) {
-			broken = append(broken, fmt.Sprintf("%s ran in a failure domain that was evacuated for more than %v", r.Request, evacuateBound))
+	for _, s := range w.site.Models {
+		if s.Zone() != w.evacuatedZone() {
+			continue
+		}
+		for _, r := range s.Runs() {
+			if w.evacuated.covers(r.At.Add(-w.bounds.Evacuate), r.At) && w.sentConnected(&r) {
+				broken = append(broken, fmt.Sprintf("%s ran in a failure domain that was evacuated for more than %v", r.Request, w.bounds.Evacuate))
+			}
 		}
 	}
 	return broken
@@ -109,7 +107,7 @@
 // replacedFor returns the time since the weights of a run were replaced, counted while the metadata
 // store was stable. It returns 0 if the weights were current or the node was not connected.
 func (w *world) replacedFor(r *modelserver.Run, node int) time.Duration {
-	if r.Header.Get("X-Model") == "" || !w.nodes[node].disturbances.noneWithin(r.At.Add(-stableWindow), r.At) {
+	if r.Header.Get("X-Model") == "" || !w.nodes[node].disturbances.noneWithin(r.At.Add(-w.bounds.StableWindow), r.At) {
 		return 0
 	}
 	for _, newer := range w.versions {
@@ -117,7 +115,7 @@
 			continue
 		}
 		since := newer.at
-		if stable := w.storeDisturbances.lastEnd(r.At).Add(stableWindow); stable.After(since) {
+		if stable := w.storeDisturbances.lastEnd(r.At).Add(w.bounds.StableWindow); stable.After(since) {
 			since = stable
 		}
 		return r.At.Sub(since)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -49,9 +49,8 @@
 func (w *world) start(i int) {
 	p := w.nodes[i]
 	defer p.disturbances.open()()
-	name := fmt.Sprint("n", i)
-	file := filepath.Join(w.t.TempDir(), name+".toml")
-	must.NoError(w.t, os.WriteFile(file, []byte(w.site.BootFile(name)), 0o600))
+	file := filepath.Join(w.t.TempDir(), fmt.Sprint("n", i, ".toml"))
+	must.NoError(w.t, os.WriteFile(file, []byte(w.bootFile(i)), 0o600))
 	p.cmd = exec.Command(os.Args[0], "run", "--boot", file)
 	p.cmd.Env = append(os.Environ(), runEnv+"=1")
 	out, err := p.cmd.StdoutPipe()
--- a/soak/signalchecks_test.go
+++ b/soak/signalchecks_test.go
@@ -28,7 +28,7 @@
 // TestDetectsIgnoredSignals checks that requests which violate a limit or the draining state that a
 // model server reported are detected, unless the node could not observe the report in time.
 func TestDetectsIgnoredSignals(t *testing.T) {
-	const long = max(drainBound, stableWindow) + time.Second
+	long := max(small.bounds.Drain, small.bounds.StableWindow) + time.Second
 	limited := modelserver.Faults{Limit: limitPerS}
 	limitedFor := func(w *world, d time.Duration) {
 		w.limited.list = []*span{{from: time.Now().Add(-d)}}
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -43,7 +43,7 @@
 	}
 	end := w.limited.open()
 	defer end()
-	w.injectServersFault(servers, stableWindow+limitWindow+2*lasts, func(f *modelserver.Faults) { f.Limit = limitPerS })
+	w.injectServersFault(servers, w.bounds.StableWindow+limitWindow+2*lasts, func(f *modelserver.Faults) { f.Limit = limitPerS })
 }
 
 // sendInvalidSignals makes all servers send invalid header values.
@@ -60,7 +60,7 @@
 	end := w.brittle.open()
 	defer end()
 	bears := strconv.Itoa(brittleRefusals + target%2)
-	w.injectServersFault(w.site.Models, stableWindow+2*lasts, func(f *modelserver.Faults) { f.Brittle, f.RejectRequests = bears, target%3 != 0 })
+	w.injectServersFault(w.site.Models, w.bounds.StableWindow+2*lasts, func(f *modelserver.Faults) { f.Brittle, f.RejectRequests = bears, target%3 != 0 })
 }
 
 // refusedTooOften returns the seconds in which a server that reported to be brittle refused more requests of
@@ -69,7 +69,7 @@
 	var refused []time.Time
 	bears := brittleRefusals + 1
 	for _, a := range w.arrivals(s) {
-		since := a.At.Add(-stableWindow)
+		since := a.At.Add(-w.bounds.StableWindow)
 		reported, err := strconv.Atoi(a.Brittle)
 		if err != nil || reported < brittleRefusals || !a.Refused || !w.brittle.covers(since, a.At) || !w.calmBetween(since, a.At) {
 			continue
@@ -104,7 +104,7 @@
 	}
 	defer w.removing.Unlock()
 	i := target % len(w.site.Models)
-	w.injectServersFault(w.site.Models[i:i+1], 2*drainBound+lasts, func(f *modelserver.Faults) { f.Draining = "1" })
+	w.injectServersFault(w.site.Models[i:i+1], 2*w.bounds.Drain+lasts, func(f *modelserver.Faults) { f.Draining = "1" })
 	test.NoError(w.t, w.site.Restart(i, false))
 }
 
@@ -147,7 +147,7 @@
 	all := w.arrivals(s)
 	var counted []arrival
 	for _, a := range all {
-		if limited(&a.Arrival) && w.limited.covers(a.At.Add(-stableWindow), a.At) && w.signalReceived(all, &a, a.At.Add(-limitDelay), limited) {
+		if limited(&a.Arrival) && w.limited.covers(a.At.Add(-w.bounds.StableWindow), a.At) && w.signalReceived(all, &a, a.At.Add(-limitDelay), limited) {
 			counted = append(counted, a)
 		}
 	}
@@ -172,8 +172,8 @@
 	var broken []string
 	for _, a := range all {
 		sent := w.observed.sent[a.Request].at
-		if leaving(&a.Arrival) && w.signalReceived(all, &a, sent.Add(-drainBound), leaving) {
-			broken = append(broken, fmt.Sprintf("%s reached %s more than %v after its node received that it is draining", a.Request, s.ID(), drainBound))
+		if leaving(&a.Arrival) && w.signalReceived(all, &a, sent.Add(-w.bounds.Drain), leaving) {
+			broken = append(broken, fmt.Sprintf("%s reached %s more than %v after its node received that it is draining", a.Request, s.ID(), w.bounds.Drain))
 		}
 	}
 	return broken
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 //	go test ./soak -seed 7 -minutes 3       one seed
 //	go test ./soak -seeds 50 -timeout 1h    seeds 1 to 50
 //	go test ./soak -seed 7 -nodes 16        a large system, in which only a few nodes read the store
+//	go test ./soak -seed 7 -shape haba      in the shape of a deployment; see shapes_test.go
 //
 // With odd seeds, faults of the metadata store start later, so that the bounds that hold while it is
 // stable are checked first. Longer runs alternate between both phases.
@@ -27,8 +28,11 @@
 var (
 	oneSeed   = flag.Int64("seed", 0, "run only this seed")
 	seeds     = flag.Int64("seeds", 0, "run the seeds from 1 to this number")
-	nodeCount = flag.Int("nodes", fewNodes, "number of nodes")
-	minutes   = flag.Float64("minutes", 0, "duration of each seed in minutes; 0 means some seconds")
+	shapeName = flag.String("shape", small.name, "name of the system's shape; see shapes_test.go")
+	nodeCount = flag.Int("nodes", 0, "number of nodes; 0 means that of the shape")
+	// serverCount is the number of model servers.
+	serverCount = flag.Int("servers", 0, "number of model servers; 0 means that of the shape")
+	minutes     = flag.Float64("minutes", 0, "duration of each seed in minutes; 0 means some seconds")
 )
 
 const (
@@ -36,7 +40,7 @@
 	fewNodes = 3
 	// manyNodes is enough that only a few nodes read the store for the others.
 	manyNodes = 14
-	// shortRun is longer than versionBound.
+	// shortRun is longer than the bound on replaced weights.
 	shortRun = 16 * time.Second
 )
 
@@ -62,8 +66,9 @@
 		}
 		list = append(list, seed)
 	}
+	s := requestedShape(t)
 	for _, seed := range list {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newWorld(t, seed, *nodeCount).run() })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newWorld(t, seed, s).run() })
 	}
 }
 
@@ -72,5 +77,5 @@
 	if *oneSeed != 0 || *seeds != 0 {
 		t.Skip("the requested seeds run in TestSoak")
 	}
-	newWorld(t, 3, manyNodes).run()
+	newWorld(t, 3, small.withNodes(manyNodes)).run()
 }
--- a/soak/storefaults_test.go
+++ b/soak/storefaults_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cherryward/cherryward/standin/metastore"
-	"github.com/cherryward/cherryward/standin/site"
 )
 
 func (w *world) faultStore(target int, lasts time.Duration) {
@@ -37,7 +36,7 @@
 	if n := len(w.versions); n > 0 {
 		w.site.SetTargetVersion(w.versions[n-1].version)
 	}
-	w.site.Evacuate(site.SecondZone, w.evacuatedNow)
+	w.site.Evacuate(w.evacuatedZone(), w.evacuatedNow)
 	w.mu.Unlock()
 	link.set(none)
 }
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -146,7 +146,7 @@
 	var begun, sent, continued, resumed int
 	var ended []string
 	for id, s := range w.observed.sent {
-		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s.node, s.at.Add(-stableWindow), s.at.Add(stableWindow)) {
+		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s.node, s.at.Add(-w.bounds.StableWindow), s.at.Add(w.bounds.StableWindow)) {
 			continue
 		}
 		_, served := w.observed.received[id]
@@ -156,7 +156,7 @@
 			if served {
 				begun++
 			}
-		case w.beganAt(first) == releases[0]: // two servers have this release
+		case w.beganAt(first) == firstRelease: // most servers have this release
 			resumed++
 			if served {
 				continued++
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -22,20 +22,26 @@
 	fewClients      = 12
 	recoveryTimeout = 30 * time.Second
 	recoveryGoal    = 50 // successful responses required after the last fault
-	// calmTime is the time after that in which clients send, so that nodes are connected for some of it.
-	calmTime = stableWindow + 2*time.Second
+	// calmTime is the time after that and the stable window in which clients send, so that nodes are connected
+	// for some of it.
+	calmTime = 2 * time.Second
 
 	heartbeatInterval = 150 * time.Millisecond
 	eventInterval     = 5 * time.Millisecond
 )
 
-// releases are the releases of the model servers' software.
-var releases = []string{"v1", "v2", "v1"}
+// The releases of the model servers' software.
+const (
+	firstRelease = "v1"
+	otherRelease = "v2"
+)
 
 // world is the state of one run.
 type world struct {
 	t                 *testing.T
 	seed              int64
+	shape             shape
+	bounds            site.Bounds // of the shape
 	random            *rand.Rand
 	site              *site.Site
 	proxies           []*proxy // of the metadata store, the KV cache store, the model servers and the plain server
@@ -73,35 +79,41 @@
 	at      time.Time
 }
 
-func newWorld(t *testing.T, seed int64, nodes int) *world {
+func newWorld(t *testing.T, seed int64, s shape) *world {
 	w := &world{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 1)), observed: newObserved(), faultsEnded: make(chan struct{}),
+		t: t, seed: seed, shape: s, bounds: s.bounds, random: rand.New(rand.NewPCG(uint64(seed), 1)), observed: newObserved(), faultsEnded: make(chan struct{}),
 		revoked: make(map[string]time.Time), faults: make(map[*modelserver.Server][]*serverFault),
 	}
 	var err error
 	w.log, err = os.Create(filepath.Join(t.TempDir(), "nodes.log"))
 	must.NoError(t, err)
-	w.site, err = site.Start(site.Config{HeartbeatInterval: heartbeatInterval, EventInterval: eventInterval, Releases: releases, IP: ownIP(), Proxy: func(addr string) (string, error) {
-		p, err := newProxy(addr)
-		if err != nil {
-			return "", err
-		}
-		w.proxies = append(w.proxies, p)
-		return p.addr(), nil
-	}, OnCrash: w.onServerCrash})
+	w.site, err = site.Start(site.Config{
+		HeartbeatInterval: heartbeatInterval, EventInterval: eventInterval, IP: ownIP(), Releases: s.releases(), Zones: s.zones,
+		Bounds: s.bounds, Loads: s.loads(), Proxy: w.addProxy, OnCrash: w.onServerCrash,
+	})
 	must.NoError(t, err)
 	for _, s := range w.site.Models {
 		w.applyFaults(s)
 	}
 	w.removed = make([]spans, len(w.site.Models))
 	w.configure("k1")
-	for i := range nodes {
+	for i := range s.nodes {
 		w.nodes = append(w.nodes, &process{})
 		w.start(i)
 	}
 	return w
 }
 
+// addProxy starts a proxy of a stand-in and returns its address.
+func (w *world) addProxy(addr string) (string, error) {
+	p, err := newProxy(addr)
+	if err != nil {
+		return "", err
+	}
+	w.proxies = append(w.proxies, p)
+	return p.addr(), nil
+}
+
 // ownIP returns a loopback address that depends on the last 16 bits of the process id, so that
 // concurrent runs on a host use different addresses. Otherwise the port of a stopped node could be
 // reused by a server of another run while clients still connect to it.
@@ -167,7 +179,7 @@
 	case <-time.After(recoveryTimeout):
 		recovered = false
 	}
-	time.Sleep(calmTime)
+	time.Sleep(w.bounds.StableWindow + calmTime)
 	cancel()
 	wg.Wait()
 	w.restarts.Wait()
