Soak: checks of the weights of all servers, and of the share served in calm

The soak saw replaced weights only where a request ran on them, and of what is served only fifty answers after the last fault.

A stretch is one in which the store was stable and no link disturbed; the part of it since acknowledgement and start counts. - servedTooLittle: in each ten seconds in which no fault acts, nor within the stable window before, a quarter at least of the requests that clients send and don't give up is served.

It also prints the old servers at the end, the longest calm stretch and the share served in calm.

go test ./soak -run Detect: passes; each of nine mutants of the checks' bounds and conditions fails it.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -82,7 +82,7 @@
 	}})
 	must.NoError(t, err)
 	t.Cleanup(s.Close)
-	return &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}, removed: make([]spans, len(s.Models))}, addrs
+	return &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}, removed: make([]spans, len(s.Models)), draining: make([]spans, len(s.Models))}, addrs
 }
 
 // runAt sends a request with the id a directly to a model server.
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -24,6 +24,7 @@
 	received map[string]received    // by id
 	resumes  map[string]string      // ids of the requests that began the streams, by id of those that take them up
 	goals    map[chan struct{}]int
+	outcomes []outcome // of requests that clients didn't give up
 }
 
 // sentRequest is a request of a client, with the time and the index of the node.
@@ -97,6 +98,7 @@
 	chooseNode func() (node int, addr string) // simulates a load balancer
 	key        func() string
 	observed   *observed
+	ending     func() bool // reports whether the run ends; nil means never
 
 	node         int
 	addr         string
@@ -106,6 +108,7 @@
 var paths = []string{site.PathUpload, site.PathLookup, site.PathQuery, site.PathSummary}
 
 func (c *client) run(ctx context.Context) {
+	c.ending = func() bool { return ctx.Err() != nil }
 	for i := 0; ctx.Err() == nil; i++ {
 		if c.requestsLeft--; c.requestsLeft <= 0 {
 			c.requestsLeft = 1 + c.random.IntN(maxRequestsPerNode)
@@ -140,11 +143,15 @@
 	if err != nil {
 		if limit == callTimeout {
 			c.requestsLeft = 0
+			c.record(&sent, false)
 		}
 		return // a stopped or frozen node guarantees nothing
 	}
 	defer resp.Body.Close()
-	c.check(id, path, resp)
+	served := c.check(id, path, resp)
+	if limit == callTimeout {
+		c.record(&sent, served)
+	}
 }
 
 // do records and sends a request to the client's node. The values of header are added to it.
@@ -175,11 +182,13 @@
 	return false
 }
 
-// check records and checks a response.
-func (c *client) check(id, path string, resp *http.Response) { c.checkFrom(id, path, resp, 0) }
+// check records and checks a response, and reports whether the request was served.
+func (c *client) check(id, path string, resp *http.Response) (served bool) {
+	return c.checkFrom(id, path, resp, 0)
+}
 
 // checkFrom is check for a response that begins after the given event.
-func (c *client) checkFrom(id, path string, resp *http.Response, after int) {
+func (c *client) checkFrom(id, path string, resp *http.Response, after int) (served bool) {
 	at := time.Now()
 	body, err := io.ReadAll(resp.Body)
 	complete := err == nil
@@ -211,9 +220,11 @@
 	case complete && !strings.HasSuffix(string(body), " answers "+id):
 		c.observed.fail("%s: received the response %q", id, body)
 	}
-	if complete && resp.StatusCode == http.StatusOK {
+	served = complete && resp.StatusCode == http.StatusOK
+	if served {
 		c.observed.countSuccess()
 	}
+	return served
 }
 
 // checkEvents detects missing, duplicate, reordered and mixed events in a stream that begins after the
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -73,7 +73,9 @@
 	w.crashes = append(w.crashes, time.Now())
 	w.mu.Unlock()
 	w.proxies[modelProxy+i].refuse()
+	end := w.acting.open()
 	w.restarts.Go(func() {
+		defer end()
 		w.pause(downTime)
 		w.removing.Lock()
 		defer w.removing.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -77,7 +77,10 @@
 		if before && !storeFaulty {
 			inject = (*world).removeAfterOutage
 		}
-		wg.Go(func() { inject(w, target, lasts) })
+		wg.Go(func() {
+			defer w.acting.open()()
+			inject(w, target, lasts)
+		})
 		w.pause(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
 	}
 }
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -21,6 +21,9 @@
 	broken = append(broken, w.ignoredSignals()...)
 	broken = append(broken, w.mixedReleases()...)
 	broken = append(broken, w.tooFewResumed()...)
+	broken = append(broken, w.leftOld()...)
+	broken = append(broken, w.oldTooLong()...)
+	broken = append(broken, w.servedTooLittle()...)
 	for _, s := range w.servers() {
 		for _, r := range s.Runs() {
 			if why := w.violation(&r); why != "" {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -104,6 +104,7 @@
 	}
 	defer w.removing.Unlock()
 	i := target % len(w.site.Models)
+	defer w.draining[i].open()()
 	w.injectServersFault(w.site.Models[i:i+1], 2*w.bounds.Drain+lasts, func(f *modelserver.Faults) { f.Draining = "1" })
 	test.NoError(w.t, w.site.Restart(i, false))
 }
--- a/soak/spans_test.go
+++ b/soak/spans_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -68,3 +69,58 @@
 	}
 	return false
 }
+
+// extended returns the periods, each extended by a time after its end. A period in progress has no end.
+func (s *spans) extended(by time.Duration) []span {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []span
+	for _, period := range s.list {
+		copied := *period
+		if !copied.to.IsZero() {
+			copied.to = copied.to.Add(by)
+		}
+		list = append(list, copied)
+	}
+	return list
+}
+
+// gaps returns the stretches between two times in which none of the periods was in progress.
+func gaps(periods []span, from, end time.Time) (free []span) {
+	slices.SortFunc(periods, func(a, b span) int { return a.from.Compare(b.from) })
+	for _, p := range periods {
+		if p.from.After(from) && from.Before(end) {
+			free = append(free, span{from, earlier(p.from, end)})
+		}
+		if p.to.IsZero() {
+			return free
+		}
+		if p.to.After(from) {
+			from = p.to
+		}
+	}
+	if from.Before(end) {
+		free = append(free, span{from, end})
+	}
+	return free
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// total returns the time of the stretches between from and to, without parts shorter than shortest.
+func total(stretches []span, from, to time.Time, shortest time.Duration) (sum time.Duration) {
+	for _, s := range stretches {
+		if s.from.Before(from) {
+			s.from = from
+		}
+		if length := earlier(s.to, to).Sub(s.from); length > 0 && length >= shortest {
+			sum += length
+		}
+	}
+	return sum
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -49,6 +49,9 @@
 	observed          *observed
 	storeDisturbances spans   // faults of the metadata store and its link
 	removed           []spans // for each model server: times without a registry entry
+	draining          []spans // for each model server: times in which it says so in responses
+	acting            spans   // times in which any fault acts
+	samples           []sample
 	removing          sync.Mutex
 	// evacuated holds the times in which the failure domain of the last model server is evacuated.
 	evacuated   spans
@@ -95,7 +98,7 @@
 	for _, s := range w.site.Models {
 		w.applyFaults(s)
 	}
-	w.removed = make([]spans, len(w.site.Models))
+	w.removed, w.draining = make([]spans, len(w.site.Models)), make([]spans, len(w.site.Models))
 	w.configure("k1")
 	for i := range s.nodes {
 		w.nodes = append(w.nodes, &process{})
@@ -170,8 +173,10 @@
 	}
 	seed := w.random.Uint64()
 	wg.Go(func() { w.sendCrashing(ctx, seed) })
+	wg.Go(func() { w.sampleServers(ctx) })
 	w.injectFaults(length)
 	w.heal()
+	healed := time.Now()
 	back := w.observed.reached(w.observed.successCount() + recoveryGoal)
 	recovered := true
 	select {
@@ -180,6 +185,9 @@
 		recovered = false
 	}
 	time.Sleep(w.bounds.StableWindow + calmTime)
+	if *minutes > 0 {
+		time.Sleep(time.Until(healed.Add(w.bounds.StableWindow + w.endBound() + calmTime)))
+	}
 	cancel()
 	wg.Wait()
 	w.restarts.Wait()
@@ -220,6 +228,7 @@
 		w.t.Errorf("requests did not succeed again within %v after the last fault", recoveryTimeout)
 	}
 	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d resumed streams continued", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.continued, w.resumed)
+	w.t.Logf("shape %s, %d nodes, %d model servers; %s; %s", w.shape.name, len(w.nodes), len(w.site.Models), w.versionSummary(), w.servedSummary())
 	if w.t.Failed() {
 		kept := filepath.Join(os.TempDir(), "cherryward-soak-"+strings.ReplaceAll(w.t.Name(), "/", "-")+".log")
 		if data, err := os.ReadFile(w.log.Name()); err == nil && os.WriteFile(kept, data, 0o600) == nil {
