--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -86,6 +86,9 @@
 	// have the topic: hundreds of nodes that all read it would use up its rate, which the readers need. Nil
 	// means that it reads the store as soon as its readers' copies are too old.
 	SparesStore func() bool
+	// Eras are the known eras of the store. Copies of earlier ones are not used. Nil means that the store never
+	// comes back from an older copy.
+	Eras *follow.Eras
 	// NeverForStale is set if copies that are too old are no reason to read the store, unless the node is one
 	// that doesn't spare it.
 	NeverForStale bool
@@ -99,6 +102,9 @@
 	storeFailedAt time.Time // time of the last failed read of the store
 	relayed       atomic.Bool
 	reads         readLog
+	silent        silentNodes
+	firstUseful   int64     // least offset at which a snapshot of another node may end
+	compactedAt   time.Time // when firstUseful was last raised; zero if it never was
 	// requestWhole is true if the next request must not state which long records this node has: what
 	// changed in one could not be decoded.
 	requestWhole bool
@@ -119,10 +125,13 @@
 			t.setRelayed(true, nil)
 			return page, nil
 		}
-		if t.MayReadAll() {
+		if t.mayReadAll() {
 			t.setRelayed(false, err)
 			return t.newestFromStore(ctx)
 		}
+		if errors.Is(err, errStale) {
+			delay = snapshotRetry
+		}
 		retry.Sleep(ctx, delay)
 		if ctx.Err() != nil {
 			return follow.Page{}, ctx.Err()
@@ -130,9 +139,10 @@
 	}
 }
 
-// Read implements follow.Topic.
+// Read implements follow.Topic. It fails with follow.ErrCompacted if the offset is of an earlier era than the latest
+// known one and no reader has this one yet.
 func (t *Topic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
-	if readers := t.Readers(); len(readers) > 0 {
+	if readers := t.silent.without(t.Readers()); len(readers) > 0 {
 		page, err := t.readFromReaders(ctx, readers, from)
 		if err != nil && t.sparesStore() {
 			page, err = t.readFromOthers(ctx, from, err)
@@ -141,6 +151,9 @@
 		if err == nil || errors.Is(err, follow.ErrCompacted) {
 			return page, err
 		}
+		if follow.EraOf(from) < t.era() {
+			return follow.Page{}, follow.ErrCompacted
+		}
 		if errors.Is(err, errStale) && t.leavesStale() {
 			return t.readBackup(ctx, from, err)
 		}
@@ -235,7 +248,7 @@
 		if err != nil {
 			return follow.Page{}, err
 		}
-		result = follow.Page{Records: append(result.Records, page.Records...), Next: page.Next, Age: page.Age}
+		result = follow.Page{Records: append(result.Records, page.Records...), Next: page.Next, Age: page.Age, EraAge: page.EraAge}
 		if !more {
 			return result, nil
 		}
@@ -249,6 +262,9 @@
 	if err != nil {
 		return follow.Page{}, false, err
 	}
+	if err = t.checkEra(r.Next, r.Outdated, from); err != nil {
+		return follow.Page{}, false, err
+	}
 	if err = r.check(from, t.maxAge()); err != nil {
 		return follow.Page{}, false, err
 	}
--- a/internal/weights/partition_test.go
+++ b/internal/weights/partition_test.go
@@ -19,13 +19,43 @@
 	node string
 }
 
+// link is the path from a node to an engine.
+type link struct{ node, endpoint string }
+
 func (sim *simulation) isPartitioned(node string) bool {
 	_, partitioned := sim.partitioned.Load(node)
 	return partitioned
 }
 
+// reaches reports whether a node can connect to an engine.
+func (sim *simulation) reaches(node, endpoint string) bool {
+	_, cut := sim.partitioned.Load(link{node, endpoint})
+	return !cut && !sim.isPartitioned(node)
+}
+
+// nodePaths implements Paths for one node.
+type nodePaths struct {
+	*simulation
+	name string
+}
+
+func (p nodePaths) LostService(string) bool { return p.isPartitioned(p.name) }
+
+func (p nodePaths) Connects(m *fleet.Member) bool { return p.reaches(p.name, m.ID) }
+
+func (p nodePaths) ConnectsElsewhere(m *fleet.Member) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.services {
+		if name != p.name && p.reaches(name, m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e linkedEngines) Report(ctx context.Context, at *fleet.Endpoint) (Report, error) {
-	if e.isPartitioned(e.node) {
+	if !e.reaches(e.node, at.ID) {
 		<-ctx.Done()
 		return Report{}, ctx.Err()
 	}
@@ -33,7 +63,7 @@
 }
 
 func (e linkedEngines) Order(ctx context.Context, at *fleet.Endpoint, o Order) (Reply, error) {
-	if e.isPartitioned(e.node) {
+	if !e.reaches(e.node, at.ID) {
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
