Soak: a proxy's reset reaches the other side as a reset

TestSoakManyNodes failed once (beside load 28 to 39): a client received a body without end, cut off at 10.9 MB, as a complete success. In the nodes' log all other requests to that server end in the same second with "connection reset by peer".

Cause: the soak's proxy. A fault that resets connections closed one side at a time; the goroutine that copies from that side closed the other one regularly before its turn came, so that a body without a length had a proper end. A server's own reset was handed on as a regular end, too. The check is right and stays; nodes can't tell such an end from a complete body.

Change: all sides are set to reset before the first is closed, and a side that was reset resets the other.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -88,8 +88,11 @@
 	if t != reset && before != dropAll && before != dropResponses {
 		return
 	}
+	// All sides first: forward closes the other side of a connection as soon as one is closed.
+	for c := range p.conns {
+		resetOnClose(c)
+	}
 	for c := range p.conns {
-		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}
 	clear(p.conns)
@@ -109,7 +112,7 @@
 		}
 		back, err := net.Dial("tcp", p.target)
 		if err != nil || p.now() == reset {
-			front.(*net.TCPConn).SetLinger(0)
+			resetOnClose(front)
 			front.Close()
 			if back != nil {
 				back.Close()
@@ -124,7 +127,10 @@
 	}
 }
 
-// forward copies data in one direction until either side is closed.
+// resetOnClose makes the end of a connection a reset.
+func resetOnClose(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) } // fails if it is closed
+
+// forward copies data in one direction until either side is closed. A reset of one side resets the other.
 func (p *proxy) forward(to, from net.Conn, answers bool) {
 	defer to.Close()
 	defer from.Close()
@@ -132,6 +138,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if err != nil && err != io.EOF {
+			resetOnClose(to)
 			return
 		}
 		switch t := p.now(); {
