--- a/soak/calmchecks_test.go
+++ b/soak/calmchecks_test.go
@@ -151,7 +151,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			w := &world{bounds: shapes["haba"].bounds, observed: newObserved(), nodes: []*process{{}}}
 			for i := range 200 {
-				w.observed.outcomes = append(w.observed.outcomes, outcome{second(float64(i) / 10), i%tc.oneIn == tc.oneIn-1})
+				w.observed.outcomes = append(w.observed.outcomes, outcome{at: second(float64(i) / 10), served: i%tc.oneIn == tc.oneIn-1})
 			}
 			tc.prepare(w)
 			test.Eq(t, tc.want, len(w.servedTooLittle()) > 0, test.Sprint(w.servedTooLittle()))
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -143,14 +143,14 @@
 	if err != nil {
 		if limit == callTimeout {
 			c.requestsLeft = 0
-			c.record(&sent, false)
+			c.record(&sent, false, 0)
 		}
 		return // a stopped or frozen node guarantees nothing
 	}
 	defer resp.Body.Close()
 	served := c.check(id, path, resp)
 	if limit == callTimeout {
-		c.record(&sent, served)
+		c.record(&sent, served, resp.StatusCode)
 	}
 }
 
--- a/soak/served_test.go
+++ b/soak/served_test.go
@@ -21,16 +21,18 @@
 type outcome struct {
 	at     time.Time // sent
 	served bool
+	status int // of the response; 0 if none was received
+	node   int
 }
 
 // record records the outcome of a request, unless the run has ended meanwhile.
-func (c *client) record(sent *sentRequest, served bool) {
+func (c *client) record(sent *sentRequest, served bool, status int) {
 	if c.ending != nil && c.ending() {
 		return
 	}
 	c.observed.mu.Lock()
 	defer c.observed.mu.Unlock()
-	c.observed.outcomes = append(c.observed.outcomes, outcome{sent.at, served})
+	c.observed.outcomes = append(c.observed.outcomes, outcome{sent.at, served, status, sent.node})
 }
 
 // calmStretches returns the stretches in which no fault acted, nor within the stable window before, from the first
@@ -84,19 +86,29 @@
 	return broken
 }
 
-// servedSummary states the longest calm stretch and the share served in all of them.
+// servedSummary states the longest calm stretch and what was served in all of them.
 func (w *world) servedSummary() string {
 	var longest time.Duration
-	served, sent := 0, 0
 	outcomes := w.sortedOutcomes()
+	served, sent, statuses, nodes := 0, 0, make(map[int]int), make(map[int]int)
 	for _, calm := range w.calmStretches(outcomes) {
 		longest = max(longest, calm.to.Sub(calm.from))
-		s, n := servedWithin(outcomes, calm)
-		served, sent = served+s, sent+n
+		for _, o := range outcomes {
+			if o.at.Before(calm.from) || !o.at.Before(calm.to) {
+				continue
+			}
+			sent++
+			if o.served {
+				served++
+			} else {
+				statuses[o.status]++
+				nodes[o.node]++
+			}
+		}
 	}
-	share := "nothing sent"
-	if sent > 0 {
-		share = fmt.Sprintf("%.3f of %d requests", float64(served)/float64(sent), sent)
+	if sent == 0 {
+		return fmt.Sprintf("longest calm stretch %v", longest)
 	}
-	return fmt.Sprintf("longest calm stretch %v, served in calm: %s", longest.Round(time.Millisecond), share)
+	return fmt.Sprintf("longest calm stretch %v, served in calm: %.3f of %d requests, not served by status: %v, by node: %v",
+		longest.Round(time.Millisecond), float64(served)/float64(sent), sent, statuses, nodes)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,10 +32,14 @@
 	nodeCount = flag.Int("nodes", 0, "number of nodes; 0 means that of the shape")
 	// serverCount is the number of model servers.
 	serverCount = flag.Int("servers", 0, "number of model servers; 0 means that of the shape")
+	keepLogs    = flag.Bool("logs", false, "save the nodes' logs of runs that pass, too")
 	minutes     = flag.Float64("minutes", 0, "duration of each seed in minutes; 0 means some seconds")
 )
 
 const (
+	// deploymentSeed is the seed of the run in the shape of a deployment.
+	deploymentSeed = 9
+
 	runEnv   = "CHERRYWARD_SOAK_NODE" // makes the test binary run as a node
 	fewNodes = 3
 	// manyNodes is enough that only a few nodes read the store for the others.
@@ -79,3 +83,11 @@
 	}
 	newWorld(t, 3, small.withNodes(manyNodes)).run()
 }
+
+// TestSoakDeployment runs one seed with a system of the shape of a deployment.
+func TestSoakDeployment(t *testing.T) {
+	if *oneSeed != 0 || *seeds != 0 {
+		t.Skip("the requested seeds run in TestSoak")
+	}
+	newWorld(t, deploymentSeed, shapes["haba"]).run()
+}
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -29,17 +29,17 @@
 	resp, err := c.do(ctx, id, session, sent)
 	if err != nil {
 		c.requestsLeft = 0
-		c.record(sent, false)
+		c.record(sent, false, 0)
 		return
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		c.record(sent, c.check(id, site.PathQuery, resp))
+		c.record(sent, c.check(id, site.PathQuery, resp), resp.StatusCode)
 		return
 	}
 	events := readSome(resp)
 	resp.Body.Close()
-	c.record(sent, events > 0)
+	c.record(sent, events > 0, resp.StatusCode)
 	server, sealed := strings.CutPrefix(resp.Header.Get("X-Server-Seal"), "seal-")
 	if events == 0 || !sealed {
 		return
@@ -58,11 +58,11 @@
 	resp, err = c.do(ctx, second, fmt.Sprintf("5e55%x", c.random.Uint32()), &taken, "Resumes", id, "Last-Event-Id", strconv.Itoa(events))
 	if err != nil {
 		c.requestsLeft = 0
-		c.record(&taken, false)
+		c.record(&taken, false, 0)
 		return
 	}
 	defer resp.Body.Close()
-	c.record(&taken, c.checkFrom(second, site.PathQuery, resp, events))
+	c.record(&taken, c.checkFrom(second, site.PathQuery, resp, events), resp.StatusCode)
 }
 
 // readSome reads up to breakAfter events and returns their number.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -229,7 +229,7 @@
 	}
 	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d resumed streams continued", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.continued, w.resumed)
 	w.t.Logf("shape %s, %d nodes, %d model servers; %s; %s", w.shape.name, len(w.nodes), len(w.site.Models), w.versionSummary(), w.servedSummary())
-	if w.t.Failed() {
+	if w.t.Failed() || *keepLogs {
 		kept := filepath.Join(os.TempDir(), "cherryward-soak-"+strings.ReplaceAll(w.t.Name(), "/", "-")+".log")
 		if data, err := os.ReadFile(w.log.Name()); err == nil && os.WriteFile(kept, data, 0o600) == nil {
 			w.t.Log("the nodes' logs are saved in ", kept)
