--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -29,15 +29,17 @@
 	resp, err := c.do(ctx, id, session, sent)
 	if err != nil {
 		c.requestsLeft = 0
+		c.record(sent, false, 0)
 		return
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		c.check(id, site.PathQuery, resp)
+		c.record(sent, c.check(id, site.PathQuery, resp), resp.StatusCode)
 		return
 	}
 	events := readSome(resp)
 	resp.Body.Close()
+	c.record(sent, events > 0, resp.StatusCode)
 	server, sealed := strings.CutPrefix(resp.Header.Get("X-Server-Seal"), "seal-")
 	if events == 0 || !sealed {
 		return
@@ -56,10 +58,11 @@
 	resp, err = c.do(ctx, second, fmt.Sprintf("5e55%x", c.random.Uint32()), &taken, "Resumes", id, "Last-Event-Id", strconv.Itoa(events))
 	if err != nil {
 		c.requestsLeft = 0
+		c.record(&taken, false, 0)
 		return
 	}
 	defer resp.Body.Close()
-	c.checkFrom(second, site.PathQuery, resp, events)
+	c.record(&taken, c.checkFrom(second, site.PathQuery, resp, events), resp.StatusCode)
 }
 
 // readSome reads up to breakAfter events and returns their number.
@@ -146,7 +149,7 @@
 	var begun, sent, continued, resumed int
 	var ended []string
 	for id, s := range w.observed.sent {
-		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s.node, s.at.Add(-stableWindow), s.at.Add(stableWindow)) {
+		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s.node, s.at.Add(-w.bounds.StableWindow), s.at.Add(w.bounds.StableWindow)) {
 			continue
 		}
 		_, served := w.observed.received[id]
@@ -156,7 +159,7 @@
 			if served {
 				begun++
 			}
-		case w.beganAt(first) == releases[0]: // two servers have this release
+		case w.beganAt(first) == firstRelease: // most servers have this release
 			resumed++
 			if served {
 				continued++
