Result: a Retry-After of less than a millisecond isn't lost between nodes

Cause: where an endpoint is free in less than a millisecond, the refusal states that time; the node that passed the request got it in whole milliseconds, rounded down to 0, which stands for none.

Change: the time is rounded up to milliseconds where an error is made, before any form states it.

--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -42,8 +42,11 @@
 // WithRunState replaces the code's run state.
 func WithRunState(s RunState) Option { return func(e *Error) { e.RunState = s } }
 
-// WithRetryAfter sets the minimum time to wait before a retry.
-func WithRetryAfter(d time.Duration) Option { return func(e *Error) { e.RetryAfter = d } }
+// WithRetryAfter sets the minimum time to wait before a retry, rounded up to milliseconds: other nodes and callers are
+// told it in these, and 0 would stand for none.
+func WithRetryAfter(d time.Duration) Option {
+	return func(e *Error) { e.RetryAfter = time.Duration(ceilMillis(d)) * time.Millisecond }
+}
 
 // WithRevision sets the object's current revision.
 func WithRevision(revision int64) Option { return func(e *Error) { e.Revision = revision } }
