--- a/coord/claim/doc.go
+++ b/coord/claim/doc.go
@@ -9,7 +9,8 @@
 // and waits for it.
 //
 // The duration of a claim is never extended; [Claimer.Renew] acquires a new claim with a higher
-// token, and [Claimer.Resume] does so for a holder whose claim has expired meanwhile. The holder measures the duration with its own monotonic clock, starting before the
+// token, and [Claimer.Resume] does so for a holder whose claim has expired meanwhile.
+// The holder measures the duration with its own monotonic clock, starting before the
 // read on which the record is based and therefore before the append. The wait of a contender
 // starts when the read that returned the claim is complete. It consists of the duration of the
 // claim, a margin of 1/[SkewDivisor] of the duration, and the grace period. The margin
--- a/internal/relay/era.go
+++ b/internal/relay/era.go
@@ -18,8 +18,8 @@
 	maxRenewalStagger = 4 * time.Second
 )
 
-// errEarlierEra is returned for a copy of an earlier era of the store than the latest known one. Whatever its age, such a copy
-// is too old.
+// errEarlierEra is returned for a copy of an earlier era of the store than the latest known one. Such a copy is too
+// old, whatever its age.
 var errEarlierEra = eris.Wrap(errStale, "copy is of an earlier era of the store")
 
 // errCompacted is returned for a copy that ends before the first change that the store retains.
--- a/internal/weights/holding.go
+++ b/internal/weights/holding.go
@@ -117,8 +117,8 @@
 	return s.claimer.Resume(ctx, held, claimTTL)
 }
 
-// releaseClaim releases the claim of a node that stops or can't reach the engines, after orderTimeout plus the lease has passed since
-// its last order.
+// releaseClaim releases the claim of a node that stops or can't reach the engines, after orderTimeout plus the lease
+// has passed since its last order.
 //
 // Without the release, a node that starts in the meantime would wait for the full claim and the lease, counted
 // from when it first read the claim. In a rolling restart engines would then keep replaced weights
