Weights: an ordered engine that falls silent is given up in time

A report that is given up counted as a long one, so that the time for the whole job grew to 18 s; an engine that was ordered and then cut off kept its job, and with it the claim, for that long, and its path was checked only then.

Change: a job whose engine hasn't reported for the job's time is given up, however long its reports took before.

--- a/internal/weights/postpone.go
+++ b/internal/weights/postpone.go
@@ -14,10 +14,11 @@
 
 // postponeReason returns why the job of an engine is postponed, and false if it isn't.
 func (s *Service) postponeReason(id string, j *job) (PostponeReason, bool) {
-	if s.run-j.startedRun > jobTimeout+reportsOfJob*s.reportTimes[id] {
+	silentFor := s.run - j.reportedRun
+	if silentFor > jobTimeout || s.run-j.startedRun > jobTimeout+reportsOfJob*s.reportTimes[id] {
 		return PostponedUnfinished, true
 	}
-	if j.orderedAt.IsZero() && s.run-j.reportedRun > s.reportLimit(id) {
+	if j.orderedAt.IsZero() && silentFor > s.reportLimit(id) {
 		return PostponedSilent, true
 	}
 	return "", false
