--- a/internal/weights/laterenewal_test.go
+++ b/internal/weights/laterenewal_test.go
@@ -18,13 +18,13 @@
 // lateLog is a log some of whose appends take a while.
 type lateLog struct {
 	*memLog
-	appends int
+	appends atomic.Int64
 	delay   func(append int) time.Duration // append counts from 1
 }
 
 func (l *lateLog) Append(ctx context.Context, data []byte) (int64, error) {
-	l.appends++
-	time.Sleep(l.delay(l.appends))
+	number := int(l.appends.Add(1))
+	time.Sleep(l.delay(number))
 	return l.memLog.Append(ctx, data)
 }
 
