--- a/internal/relay/era.go
+++ b/internal/relay/era.go
@@ -22,8 +22,9 @@
 // old, whatever its age.
 var errEarlierEra = eris.Wrap(errStale, "copy is of an earlier era of the store")
 
-// errCompacted is returned for a copy that ends before the first change that the store retains.
-var errCompacted = eris.Wrap(errStale, "copy ends before the history of the store")
+// errNoNewer is returned for a copy that ends no later than this node's own, where all records are needed anew: with it,
+// the node could only ask for them again.
+var errNoNewer = eris.Wrap(errStale, "copy ends no later than this node's own")
 
 // OutdatedError is the error of a request to a copy of an earlier era than the latest known one.
 type OutdatedError struct {
@@ -86,22 +87,6 @@
 	return renewalTimeout + time.Duration(t.Preference%uint64(maxRenewalStagger))
 }
 
-// recordCompacted records that the store has no changes since an offset. All records are then needed that end after it.
-func (t *Topic) recordCompacted(from int64) {
-	if from >= t.firstUseful {
-		t.firstUseful, t.compactedAt = from+1, time.Now()
-	}
-}
-
-// checkUseful fails for a snapshot that ends at an offset from which the store has no changes: with it, a node could
-// only ask for all records again.
-func (t *Topic) checkUseful(next int64) error {
-	if next < t.firstUseful {
-		return errCompacted
-	}
-	return nil
-}
-
 // outdatedEra returns the era that a request failed with because the copy is of an earlier one.
 func outdatedEra(err error) (era int64, ok bool) {
 	var outdated *OutdatedError
--- a/internal/relay/newest.go
+++ b/internal/relay/newest.go
@@ -21,9 +21,6 @@
 	}
 	for delay := minSnapshotRetry; ; delay = min(2*delay, snapshotRetry) {
 		page, err := t.allFromReaders(ctx, 0)
-		if err == nil && page.Age >= t.maxAge() && t.Own.reaches(page.Next) {
-			err = errStale // no better than this node's own copy
-		}
 		if err == nil {
 			page.Records = slices.DeleteFunc(page.Records, func(r follow.Record) bool { return r.Value == nil })
 			t.setRelayed(true, nil)
--- a/internal/relay/reads.go
+++ b/internal/relay/reads.go
@@ -82,7 +82,7 @@
 func (t *Topic) readStore(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
 	page, err := t.observe(follow.Source{}, func() (follow.Page, error) { return t.Store.Read(ctx, from, wait) })
 	if errors.Is(err, follow.ErrCompacted) {
-		t.recordCompacted(from)
+		t.compactedAt = time.Now()
 	}
 	return page, err
 }
--- a/internal/relay/snapshot.go
+++ b/internal/relay/snapshot.go
@@ -207,7 +207,7 @@
 	return data[n:end:end], data[end:], true
 }
 
-// readSnapshot reads a snapshot from one node. Its age is that of the first part, which the node
+// readSnapshot reads a snapshot from one node. If from is 0, it must have more than this node's own copy. Its age is that of the first part, which the node
 // measured after the request was sent.
 func (t *Topic) readSnapshot(ctx context.Context, reader netip.AddrPort, from int64) (follow.Page, error) {
 	first, err := t.readPart(ctx, reader, snapshotRequest{Topic: t.Name})
@@ -217,8 +217,8 @@
 	if err := t.checkEra(first.Next, first.Outdated, from); err != nil {
 		return follow.Page{}, err
 	}
-	if err := t.checkUseful(first.Next); err != nil {
-		return follow.Page{}, err
+	if from == 0 && t.Own.reaches(first.Next) {
+		return follow.Page{}, errNoNewer
 	}
 	if first.AgeUS < 0 || first.Next < 0 || first.Parts < 1 || first.Parts > maxSnapshotBytes/snapshotChunkBytes {
 		return follow.Page{}, eris.Errorf("invalid snapshot: age %d µs, next offset %d, %d parts", first.AgeUS, first.Next, first.Parts)
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -101,8 +101,7 @@
 	relayed       atomic.Bool
 	reads         readLog
 	silent        silentNodes
-	firstUseful   int64     // least offset at which a snapshot of another node may end
-	compactedAt   time.Time // when firstUseful was last raised; zero if it never was
+	compactedAt   time.Time // when the store last had no changes since an offset; zero if it always had
 	// requestWhole is true if the next request must not state which long records this node has: what
 	// changed in one could not be decoded.
 	requestWhole bool
