Result, gateway: what was written twice

The time of a Retry-After is whole milliseconds since it is rounded where an error is made, so the body need not round it again. Whether other nodes connect to an endpoint is asked in one place. No change of behaviour; tests of result, handoff, peers, forward and gateway pass.

--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -128,7 +128,7 @@
 	if n.paths.State(m.Service) == reach.Reachable {
 		return true
 	}
-	return n.ask(m.Endpoint().Addr) != reach.Connected
+	return !n.ConnectsElsewhere(m)
 }
 
 // LostService implements weights.Paths.
--- a/internal/result/body.go
+++ b/internal/result/body.go
@@ -34,7 +34,7 @@
 		Number:       e.Code,
 		RunState:     e.RunState,
 		RequestID:    requestID,
-		RetryAfterMS: ceilMillis(e.RetryAfter),
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
 	}}
 }
 
@@ -43,7 +43,3 @@
 func (e *Error) RetryAfterSeconds() int64 {
 	return int64((e.RetryAfter + time.Second - 1) / time.Second)
 }
-
-func ceilMillis(d time.Duration) int64 {
-	return int64((d + time.Millisecond - 1) / time.Millisecond)
-}
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -45,7 +45,7 @@
 // WithRetryAfter sets the minimum time to wait before a retry, rounded up to milliseconds: other nodes and callers are
 // told it in these, and 0 would stand for none.
 func WithRetryAfter(d time.Duration) Option {
-	return func(e *Error) { e.RetryAfter = time.Duration(ceilMillis(d)) * time.Millisecond }
+	return func(e *Error) { e.RetryAfter = (d + time.Millisecond - 1).Truncate(time.Millisecond) }
 }
 
 // WithRevision sets the object's current revision.
