Claim: Renew and Resume share the confirmation and the wait for their outcome

Both read the log for an offset on which the record is based, and wait for a claim or an error, with loops of their own that were alike to the letter. What differs, whose claim counts as the holder's own, is passed in. No change of behaviour; go test ./coord/claim ./internal/weights passes.

--- a/coord/claim/renew.go
+++ b/coord/claim/renew.go
@@ -23,36 +23,42 @@
 		return nil, ErrNotValid
 	}
 	a := attempt{id: rand.Text(), resource: held.resource, start: c.config.Clock.Now()}
-	readOffset, err := c.confirmNewest(ctx, held)
+	readOffset, err := c.confirm(ctx, func() bool { return c.view.isNewest(held) })
 	if err != nil {
 		return nil, err
 	}
 	c.append(ctx, a, readOffset, ttl)
-	for ctx.Err() == nil {
-		var won *Claim
+	return c.awaitOutcome(ctx, func() (won *Claim, err error) {
 		current := ""
-		err := c.withCurrentView(ctx, func() {
+		readErr := c.withCurrentView(ctx, func() {
 			won = c.wonClaim([]attempt{a}, ttl)
 			current = c.view.resource(held.resource).current.id
 		})
-		switch {
-		case won != nil:
-			return won, nil
-		case err == nil && current != held.id:
-			return nil, ErrNotValid
+		if won == nil && readErr == nil && current != held.id {
+			err = ErrNotValid
+		}
+		return won, err
+	})
+}
+
+// awaitOutcome calls read until it returns a claim or an error, and returns context.Cause(ctx) once ctx has ended.
+func (c *Claimer) awaitOutcome(ctx context.Context, read func() (*Claim, error)) (*Claim, error) {
+	for ctx.Err() == nil {
+		won, err := read()
+		if won != nil || err != nil {
+			return won, err
 		}
 		c.config.Clock.Sleep(ctx, c.config.Poll)
 	}
 	return nil, context.Cause(ctx)
 }
 
-// confirmNewest reads the log and returns the offset at which the next read starts. It returns
-// ErrNotValid if the held claim was released or is no longer the newest claim of its resource.
-func (c *Claimer) confirmNewest(ctx context.Context, held *Claim) (int64, error) {
+// confirm reads the log and returns the offset at which the next read starts. It returns ErrNotValid if isHolder,
+// which is called with the view of that read, reports that the caller may not be the holder any more.
+func (c *Claimer) confirm(ctx context.Context, isHolder func() bool) (int64, error) {
 	readOffset := int64(-1)
 	err := c.withCurrentView(ctx, func() {
-		r := c.view.resource(held.resource)
-		if r.current != nil && r.current.id == held.id && !r.current.released {
+		if isHolder() {
 			readOffset = c.view.nextOffset
 		}
 	})
@@ -64,3 +70,9 @@
 	}
 	return readOffset, nil
 }
+
+// isNewest reports whether a claim is the newest of its resource and was not released.
+func (v *view) isNewest(held *Claim) bool {
+	r := v.resource(held.resource)
+	return r.current != nil && r.current.id == held.id && !r.current.released
+}
--- a/coord/claim/resume.go
+++ b/coord/claim/resume.go
@@ -23,38 +23,13 @@
 		return nil, ErrNotValid
 	}
 	a := attempt{id: rand.Text(), resource: held.resource, start: c.config.Clock.Now()}
-	readOffset, err := c.confirmOwn(ctx, held)
+	readOffset, err := c.confirm(ctx, func() bool { return c.view.ownsNewest(held) })
 	if err != nil {
 		return nil, err
 	}
 	held.addRenewal(a.id)
 	c.append(ctx, a, readOffset, ttl)
-	for ctx.Err() == nil {
-		won, err := c.readResumed(ctx, held, a, readOffset, ttl)
-		if won != nil || err != nil {
-			return won, err
-		}
-		c.config.Clock.Sleep(ctx, c.config.Poll)
-	}
-	return nil, context.Cause(ctx)
-}
-
-// confirmOwn reads the log and returns the offset at which the next read starts. It returns ErrNotValid if the
-// newest claim of the resource may be another than the held one or a renewal of it.
-func (c *Claimer) confirmOwn(ctx context.Context, held *Claim) (int64, error) {
-	readOffset := int64(-1)
-	err := c.withCurrentView(ctx, func() {
-		if c.view.ownsNewest(held) {
-			readOffset = c.view.nextOffset
-		}
-	})
-	if err != nil {
-		return 0, err
-	}
-	if readOffset < 0 {
-		return 0, ErrNotValid
-	}
-	return readOffset, nil
+	return c.awaitOutcome(ctx, func() (*Claim, error) { return c.readResumed(ctx, held, a, readOffset, ttl) })
 }
 
 // readResumed reads the log after an attempt to resume a claim. It returns neither a claim nor an error as long as
