Relay tests: systems in virtual time start in one place

Two tests repeated the start of inVirtualTime, and each gave its nodes the right to read all records.

--- a/internal/relay/cutoff_test.go
+++ b/internal/relay/cutoff_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test"
@@ -28,24 +26,12 @@
 			for _, compacts := range []bool{false, true} {
 				t.Run(fmt.Sprint(name, " of ", nodes, " nodes, without history ", compacts), func(t *testing.T) {
 					t.Parallel()
-					synctest.Test(t, func(t *testing.T) {
-						ctx, stop := context.WithCancel(t.Context())
-						defer synctest.Wait()
-						defer stop()
-						s := newSystem(nodes, 0.01)
-						s.store.write(configValue(0))
-						for _, n := range s.nodes {
-							n.topic.MayReadAll = func() bool { return true }
-							if nodes > 2*simDomains { // a small system has none
-								n.topic.Candidates = func() []netip.AddrPort { return s.candidatesOf(n) }
-							}
-						}
-						s.start(ctx)
+					inVirtualTimeWith(t, func(context.Context) *system { return newRestorableSystem(nodes) }, func(t *testing.T, s *system) {
 						for _, n := range s.nodes {
 							n.store.setRejected(cut(n))
 						}
 						r := &restoration{outage: time.Second, compacts: compacts, cutsOff: true, lost: func(*simNode) bool { return false }}
-						result := playRestoration(t, s, r)
+						result := playRestoration(s, r)
 						test.Less(t, staleLimit, result.age, test.Sprint("age of a configuration"))
 						test.Less(t, r.settleTime(), result.entered, test.Sprint("time until all nodes had the records"))
 					})
--- a/internal/relay/restored_test.go
+++ b/internal/relay/restored_test.go
@@ -5,10 +5,11 @@
 	"fmt"
 	"net/netip"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test"
+
+	"github.com/cherryward/cherryward/internal/intervals"
 )
 
 // restoredSizes returns the numbers of nodes of the simulated systems whose store comes back from an older copy.
@@ -79,9 +80,21 @@
 	calls    int           // between nodes, in the ten seconds after the first return
 }
 
-// playRestoration starts all nodes of a system with one node or more a domain that spares the store, and has the
-// store come back from an older copy.
-func playRestoration(t *testing.T, s *system, r *restoration) (result restoredResult) {
+// newRestorableSystem returns a system whose nodes may read all records from one another and, when no other node has
+// them, from the store.
+func newRestorableSystem(nodes int) *system {
+	s := newSystem(nodes, 0.01)
+	for _, n := range s.nodes {
+		n.topic.MayReadAll = func() bool { return true }
+		if !intervals.FullMesh(nodes) {
+			n.topic.Candidates = func() []netip.AddrPort { return s.candidatesOf(n) }
+		}
+	}
+	return s
+}
+
+// playRestoration has the store of a system come back from an older copy, or without the history of changes.
+func playRestoration(s *system, r *restoration) (result restoredResult) {
 	for version := range 12 {
 		s.store.write(configValue(version))
 	}
@@ -146,19 +159,15 @@
 		for name, r := range restorations() {
 			t.Run(fmt.Sprint(nodes, " nodes, ", name), func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					ctx, stop := context.WithCancel(t.Context())
-					defer synctest.Wait()
-					defer stop()
-					s := newSystem(nodes, 0.01)
-					s.store.write(configValue(0))
+				prepare := func(ctx context.Context) *system {
+					s := newRestorableSystem(nodes)
 					for i, n := range s.nodes {
-						n.topic.MayReadAll = func() bool { return true }
-						n.topic.Candidates = func() []netip.AddrPort { return s.candidatesOf(n) }
 						go n.store.heartbeat(ctx, time.Duration(i)*simHeartbeat/time.Duration(nodes))
 					}
-					s.start(ctx)
-					result := playRestoration(t, s, r)
+					return s
+				}
+				inVirtualTimeWith(t, prepare, func(t *testing.T, s *system) {
+					result := playRestoration(s, r)
 					returns := 1 + len(r.again)
 					test.Less(t, staleLimit, result.age, test.Sprint("age of a configuration"))
 					test.Less(t, r.settleTime(), result.entered, test.Sprint("time until all nodes had the records"))
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -13,12 +13,18 @@
 
 // inVirtualTime runs a test of a system of nodes that have started.
 func inVirtualTime(t *testing.T, nodes int, test func(t *testing.T, s *system)) {
+	t.Helper()
+	inVirtualTimeWith(t, func(context.Context) *system { return newSystem(nodes, 0.03) }, test)
+}
+
+// inVirtualTimeWith is inVirtualTime for a system that prepare returns. What it starts ends with ctx.
+func inVirtualTimeWith(t *testing.T, prepare func(ctx context.Context) *system, test func(t *testing.T, s *system)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer stop()
-		s := newSystem(nodes, 0.03)
+		s := prepare(ctx)
 		s.store.write(configValue(0))
 		s.start(ctx)
 		test(t, s)
