Origin: log on what a release is taken for the only one

The line of the request had origin=sole asked=0 answered=0, which doesn't tell a node that has just started from one whose view is old, nor whether records of the store counted.

Change: event=sole_release names the service, the releases of the view, its age, for how long the node has followed the registry, whether records covered the time before and whether the node started for the first time, and the same of the views of others. No logic changes.

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -60,7 +60,9 @@
 	own := s.config.View(service)
 	homesOf := k
 	if k == (Key{}) {
-		if release, sole := soleRelease(own, nil, s.config.Retention(), false); sole {
+		release, sole := soleRelease(own, nil, s.config.Retention(), false)
+		s.logSole(service, own, nil, sole)
+		if sole {
 			return Result{Origin: Origin{service, release}, Source: SoleRelease}
 		}
 		homesOf = randomKey()
@@ -85,12 +87,21 @@
 		}
 		views = append(views, answer.View)
 	}
-	if release, sole := soleRelease(own, views, s.config.Retention(), result.Answered == peers); sole {
+	release, sole := soleRelease(own, views, s.config.Retention(), result.Answered == peers)
+	s.logSole(service, own, views, sole)
+	if sole {
 		result.Origin, result.Source = Origin{service, release}, SoleRelease
 	}
 	return result
 }
 
+// logSole logs on what it was decided whether a single release can have begun a stream.
+func (s *Service) logSole(service string, own View, others []View, sole bool) {
+	s.config.Log.Info().Str("event", "sole_release").Str("service", service).Bool("sole", sole).Strs("releases", own.Releases).
+		Int64("view_age_ms", own.AgeMS).Int64("observed_ms", own.ObservedMS).Bool("recorded", own.Recorded).
+		Bool("first_start", own.FirstStart).Interface("others", others).Send()
+}
+
 // randomKey returns a key that spreads questions without a key over the nodes of a large system.
 func randomKey() (k Key) {
 	binary.BigEndian.PutUint64(k[:], rand.Uint64())
