Origin tests: a node out of step, and the first of a system, resume at another release

The simulated system of the releases' tests gives each node its own view of the registry and its own copy of the records, which a silent node doesn't read.

--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -53,62 +53,101 @@
 	return b
 }
 
-// recordingSystem is a network whose nodes record releases. They all have the same view of the registry.
+// recordingSystem is a network whose nodes record releases. Each has its own view of the registry, which nodes that
+// are silent don't read.
 type recordingSystem struct {
 	*network
 	topic     *platformTopic
-	observer  *Observer
+	listed    map[string]bool // releases that have an endpoint in the registry
+	observers []*Observer
 	copies    []*Releases
 	recorders []*Recorder
 }
 
 func newRecordingSystem(size int, topic *platformTopic) *recordingSystem {
-	s := &recordingSystem{network: newNetwork(size), topic: topic}
+	s := &recordingSystem{
+		network: newNetwork(size), topic: topic, listed: make(map[string]bool), observers: make([]*Observer, size),
+		copies: make([]*Releases, size), recorders: make([]*Recorder, size),
+	}
 	s.restart()
 	return s
 }
 
-// restart starts all nodes, which have lost what they knew, at the same time.
+// restart starts all nodes, which have lost what they knew, at the same time, with an empty registry.
 func (s *recordingSystem) restart() {
-	firstStart := len(s.topic.values) == 0
-	s.observer, s.copies, s.recorders = NewObserver(), nil, nil
-	view := func(service string) View { return s.observer.View(service, retention, firstStart, time.Now()) }
-	for i, n := range s.nodes {
-		releases := NewReleases()
-		n.start()
-		n.Service.config.View = func(service string) View { return releases.Extend(service, view(service), time.Now()) }
-		s.copies = append(s.copies, releases)
-		s.recorders = append(s.recorders, NewRecorder(RecorderConfig{
-			Node: n.peer.Name, Topic: s.topic, TopicEnd: func() int64 { return s.topic.end }, Releases: releases, Origins: n.Service,
-			Services: func() []string { return []string{service} }, View: view, Retention: func() time.Duration { return retention },
-			Random: func(limit int64) int64 { return limit * int64(i) / int64(len(s.nodes)) }, Now: time.Now, Log: zerolog.Nop(),
-		}))
+	clear(s.listed)
+	for i := range s.nodes {
+		s.startNode(i)
 	}
 	s.read()
 }
 
+// restartNode starts a node, which has lost what it knew.
+func (s *recordingSystem) restartNode(i int) {
+	s.startNode(i)
+	s.readAt(i)
+}
+
+func (s *recordingSystem) startNode(i int) {
+	n, firstStart := s.nodes[i], len(s.topic.values) == 0
+	observer, releases := NewObserver(), NewReleases()
+	view := func(service string) View { return observer.View(service, retention, firstStart, time.Now()) }
+	n.start()
+	n.Service.config.View = func(service string) View { return releases.Extend(service, view(service), time.Now()) }
+	s.observers[i], s.copies[i] = observer, releases
+	s.recorders[i] = NewRecorder(RecorderConfig{
+		Node: n.peer.Name, Topic: s.topic, TopicEnd: func() int64 { return s.topic.end }, Releases: releases, Origins: n.Service,
+		Services: func() []string { return []string{service} }, View: view, Retention: func() time.Duration { return retention },
+		Random: func(limit int64) int64 { return limit * int64(i) / int64(len(s.nodes)) }, Now: time.Now, Log: zerolog.Nop(),
+	})
+}
+
 // read has all nodes read the registry and the topic.
 func (s *recordingSystem) read() {
-	s.observer.RecordRead(time.Now(), recordInterval, time.Now())
-	for _, c := range s.copies {
-		c.Apply(s.topic.snapshot(), func(_ *follow.Record, err error) { panic(err) })
+	for i := range s.nodes {
+		s.readAt(i)
 	}
 }
 
+func (s *recordingSystem) readAt(i int) {
+	if s.nodes[i].silent {
+		return
+	}
+	now := time.Now()
+	s.observers[i].RecordRead(now, recordInterval, now)
+	for release := range s.listed {
+		s.observers[i].Set("endpoint-"+release, Origin{service, release}, now)
+	}
+	s.copies[i].Apply(s.topic.snapshot(), func(_ *follow.Record, err error) { panic(err) })
+}
+
 // run runs the system for a time.
 func (s *recordingSystem) run(t *testing.T, d time.Duration) {
-	for range d / recordInterval {
-		time.Sleep(recordInterval)
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(min(recordInterval, time.Until(end)))
 		s.read()
-		for _, r := range s.recorders {
-			r.step(t.Context())
+		for i, r := range s.recorders {
+			if !s.nodes[i].silent {
+				r.step(t.Context())
+			}
 		}
 	}
 }
 
 // set lists an endpoint of a release.
 func (s *recordingSystem) set(release string) {
-	s.observer.Set("endpoint-"+release, Origin{service, release}, time.Now())
+	s.listed[release] = true
+	s.read()
+}
+
+// unlist removes the endpoint of a release.
+func (s *recordingSystem) unlist(release string) {
+	delete(s.listed, release)
+	for i, o := range s.observers {
+		if !s.nodes[i].silent {
+			o.Remove("endpoint-"+release, time.Now())
+		}
+	}
 }
 
 // resumes returns the release at which a stream without a record goes on; empty if it is refused.
@@ -133,7 +172,7 @@
 			s.run(t, settled)
 			s.set("v2")
 			s.run(t, settled)
-			s.observer.Remove("endpoint-v1", time.Now())
+			s.unlist("v1")
 			s.run(t, replaced)
 			s.restart()
 			s.set("v2")
