--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -34,7 +34,7 @@
 	}
 	if x.found != nil {
 		event = event.Stringer("origin", x.found.Source).Int("asked", x.found.Asked).Int("answered", x.found.Answered).
-			Int64("origin_ms", x.found.Took.Milliseconds())
+			Int64("origin_ms", x.found.Took.Milliseconds()).AnErr("origin_error", x.found.Err)
 	}
 	if x.release != "" {
 		event = event.Str("began_at", x.release)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,7 +29,7 @@
 	case found.Source != origin.NotFound:
 		x.release = found.Release
 		return x.bindService(found.Service)
-	case found.Answered < found.Asked || !found.Settled: // another node may reach those that have not answered
+	case !found.IsFinal(): // another node may reach those that have not answered
 		return result.New(result.StreamUnknown, result.WithRetryAfter(retryAfterOtherNode))
 	}
 	return result.New(result.StreamUnknown)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,9 +88,9 @@
 	reportedReady atomic.Bool // last readiness reported to the balancer
 	log           zerolog.Logger
 
-	// recordedReleases are the releases that the platform's store names, which releaseRecorder writes.
-	recordedReleases *origin.Releases
-	releaseRecorder  *origin.Recorder
+	// releaseGate holds back streams at releases that the platform's store does not name, which releaseRecorder writes.
+	releaseGate     *origin.Gate
+	releaseRecorder *origin.Recorder
 }
 
 // Host is the host that a node runs on.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -58,6 +58,7 @@
 		VersionApplyLimit: func() time.Duration { return n.bounds().VersionApplyLimit },
 		Evacuated:         n.state.Evacuated,
 		Releases:          n.state.releases,
+		MayBegin:          n.releaseGate.MayBegin,
 		SlowStart:         &slowstart.Limiter{Node: n.boot.Load().Name, View: n.roster.senders},
 		MaxColdPerSecond:  n.maxColdRate,
 		Throttle:          &throttle.Limiter{Node: n.boot.Load().Name, View: n.roster.rateLimitedSenders},
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/intervals"
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/platform"
@@ -23,18 +24,25 @@
 func (n *Node) buildOrigins(store *platform.Store) {
 	boot := n.boot.Load()
 	self := origin.Peer{Name: boot.Name, Domain: boot.Domain, Addr: netip.MustParseAddrPort(n.conn.Addr())}
+	topic := store.Topic(platform.TopicNodes)
+	releases := origin.NewReleases(origin.ReleasesConfig{
+		Topic: topic, Spacing: n.releaseReadSpacing, Retention: n.resumeTime, Now: n.clock.Now,
+	})
+	n.roster.applyReleases = releases.Apply
+	n.releaseGate = &origin.Gate{Releases: releases, Observer: n.registry.releases, Retention: n.resumeTime, Now: n.clock.Now}
 	n.origins = origin.New(origin.Config{
-		Conn: n.conn, Self: self, WasListed: n.roster.listedAtStart, Retention: n.resumeTime, View: n.releaseView,
+		Conn: n.conn, Self: self, WasListed: n.roster.listedAtStart, Retention: n.resumeTime, Sole: n.releaseGate.Sole,
 		Now: n.clock.Now, Log: n.log,
 	})
-	releases := origin.NewReleases()
-	n.recordedReleases, n.roster.applyReleases = releases, releases.Apply
 	n.releaseRecorder = origin.NewRecorder(origin.RecorderConfig{
-		Node: boot.Name, Topic: store.Topic(platform.TopicNodes), TopicEnd: n.roster.End, Releases: releases, Origins: n.origins,
-		Services: n.resumableServices, View: n.observedReleases, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
+		Node: boot.Name, Topic: topic, Releases: releases, Observer: n.registry.releases, Peers: n.roster.Others,
+		Services: n.resumableServices, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
 	})
 }
 
+// releaseReadSpacing returns the least time between two reads that confirm the records of releases.
+func (n *Node) releaseReadSpacing() time.Duration { return intervals.ConfirmInterval(n.nodes()) }
+
 // originPeers returns the other nodes among the listed ones.
 func (n *Node) originPeers(listed []peerload.Peer) []origin.Peer {
 	peers := make([]origin.Peer, 0, len(listed))
@@ -65,13 +73,3 @@
 	}
 	return config.ResumableServices()
 }
-
-// releaseView returns what this node knows of the releases of a service.
-func (n *Node) releaseView(service string) origin.View {
-	return n.recordedReleases.Extend(service, n.observedReleases(service), n.clock.Now())
-}
-
-// observedReleases returns what this node has seen in the registry of the releases of a service.
-func (n *Node) observedReleases(service string) origin.View {
-	return n.registry.releases.View(service, n.resumeTime(), n.roster.firstStart.Load(), n.clock.Now())
-}
--- a/internal/intervals/intervals.go
+++ b/internal/intervals/intervals.go
@@ -95,6 +95,11 @@
 	maxFallbackReads    = 20
 	minFallbackInterval = 2 * time.Second
 
+	// maxConfirmReads is the maximum number of reads per second by all nodes together that confirm the
+	// records of releases. A node sends them only while a release has no record, or callers resume streams
+	// of which no node has one.
+	maxConfirmReads = 1000
+
 	// rosterInterval is the time between two reads of the list of nodes while nodes may be starting
 	// together. Each new entry is a record that ends a waiting read.
 	rosterInterval = 2 * time.Second
@@ -122,6 +127,9 @@
 	return rosterInterval
 }
 
+// ConfirmInterval returns the least time between two reads of a node that confirm the records of releases.
+func ConfirmInterval(nodes int) time.Duration { return intervalFor(nodes, maxConfirmReads) }
+
 // EventIntervals returns how long a read of the events of an engine or store waits, and the time
 // between the starts of two reads, if the engine or store lets the given number of readers wait at
 // once.
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -7,19 +7,17 @@
 // asks the homes. A node that starts copies the records of which it is a home, so that they outlast
 // restarts of all nodes in turn.
 //
-// Where no record is found, a stream is resumed only if no more than one release can have begun it: nodes
-// whose view of the registry is current and goes back far enough have seen a single release of the service.
-// For nodes that have all started again, the platform's store has a record of each release that serves, or
-// that began streams which can still be resumed; a few nodes write it once they see an endpoint of the
-// release, and remove it when its last streams have ended.
+// Where no record is found, a stream is resumed only if no more than one release can have begun it. The platform's
+// store has a record of each release that serves, or that began streams which can still be resumed. It is written before
+// the first stream begins at the release, and removed when the last ones have ended. So a read of these records that is
+// sent after a caller's request arrived names the release that began its stream, whichever nodes were there.
 //
 // Guarantees:
 //
 //   - A stream is bound to the release of the event that its caller got first. Records of one request that
 //     differ count as no record.
 //   - A caller reaches the records of its own client account only.
-//   - Records are lost if all homes of a stream fail. The stream is then refused, never resumed at a
-//     release that may not have begun it, unless a new release came up within the age of the view that
-//     decides (MaxViewAge), or began streams and left before it could be recorded.
+//   - Records are lost if all homes of a stream fail. The stream is then refused unless one release alone has a
+//     record in the store. What a node saw before the request, or did not see, proves nothing.
 //   - The number of records is bounded; beyond the bound, the oldest are dropped.
 package origin
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // maxFinds bounds the questions that a node asks the others at the same time. Callers may name requests that
 // never were.
 const maxFinds = 256
 
+// errTooManyFinds is returned while maxFinds questions are open.
+var errTooManyFinds = eris.New("too many streams are looked for")
+
 // Source states how the origin of a stream was found.
 type Source int
 
@@ -40,12 +43,19 @@
 	Asked, Answered int
 	// Settled is true if the list of the nodes to ask counts as complete.
 	Settled bool
-	Took    time.Duration
+	// Err is why it isn't known whether a single release can have begun the stream; nil if it is, or if that
+	// doesn't matter.
+	Err  error
+	Took time.Duration
 }
 
+// IsFinal reports whether no other node knows more about a stream that was not found.
+func (r *Result) IsFinal() bool { return r.Answered == r.Asked && r.Settled && r.Err == nil }
+
 // Find returns the origin of the stream that the request with the given key began. A zero key stands for a
 // request that the caller did not name. service is the one that would serve the stream now. Find asks other
-// nodes unless this one has a record, and takes callTimeout for each call at most.
+// nodes unless this one has a record, and takes callTimeout for each call at most. It reads the platform's store
+// if none has a record.
 func (s *Service) Find(ctx context.Context, k Key, service string) Result {
 	began := s.config.Now()
 	r := s.find(ctx, k, service)
@@ -57,57 +67,44 @@
 	if o, ok := s.table.Find(k); ok {
 		return Result{Origin: o, Source: OwnRecord}
 	}
-	own := s.config.View(service)
-	homesOf := k
+	defer s.finding.Add(-1)
+	if s.finding.Add(1) > maxFinds {
+		return Result{Err: errTooManyFinds}
+	}
+	result := s.askHomes(ctx, k)
+	if result.Source != NotFound {
+		return result
+	}
+	release, err := s.config.Sole(ctx, service)
+	if release != "" {
+		result.Origin, result.Source = Origin{service, release}, SoleRelease
+	}
+	result.Err = err
+	return result
+}
+
+// askHomes asks the homes of a stream for its record. No node has one of a request that was not named.
+func (s *Service) askHomes(ctx context.Context, k Key) Result {
 	if k == (Key{}) {
-		release, sole := soleRelease(own, nil, s.config.Retention(), false)
-		s.logSole(service, own, nil, sole)
-		if sole {
-			return Result{Origin: Origin{service, release}, Source: SoleRelease}
-		}
-		homesOf = randomKey()
+		return Result{Settled: true}
 	}
 	s.mu.Lock()
-	homes, peers, settled := s.homes, len(s.peers), s.isSettled()
+	homes, settled := s.homes, s.isSettled()
 	s.mu.Unlock()
-	asked := homes.of(homesOf, askedHomes)
+	asked := homes.of(k, askedHomes)
 	result := Result{Asked: len(asked), Settled: settled}
-	if s.finding.Add(1) > maxFinds {
-		asked = nil
-	}
-	defer s.finding.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var views []View
-	for answer := range s.ask(ctx, asked, findRequest{k, service}) {
+	for answer := range s.ask(ctx, asked, findRequest{k}) {
 		result.Answered++
 		if answer.Origin != nil && answer.Origin.valid() {
 			result.Origin, result.Source = *answer.Origin, PeerRecord
 			return result
 		}
-		views = append(views, answer.View)
-	}
-	release, sole := soleRelease(own, views, s.config.Retention(), result.Answered == peers)
-	s.logSole(service, own, views, sole)
-	if sole {
-		result.Origin, result.Source = Origin{service, release}, SoleRelease
 	}
 	return result
 }
 
-// logSole logs on what it was decided whether a single release can have begun a stream.
-func (s *Service) logSole(service string, own View, others []View, sole bool) {
-	s.config.Log.Info().Str("event", "sole_release").Str("service", service).Bool("sole", sole).Strs("releases", own.Releases).
-		Int64("view_age_ms", own.AgeMS).Int64("observed_ms", own.ObservedMS).Bool("recorded", own.Recorded).
-		Bool("first_start", own.FirstStart).Interface("others", others).Send()
-}
-
-// randomKey returns a key that spreads questions without a key over the nodes of a large system.
-func randomKey() (k Key) {
-	binary.BigEndian.PutUint64(k[:], rand.Uint64())
-	return k
-}
-
 // ask asks nodes at the same time. The channel yields the answers as they arrive and is closed when all
 // nodes have answered or their time is over.
 func (s *Service) ask(ctx context.Context, nodes []netip.AddrPort, q findRequest) <-chan findResponse {
--- /dev/null
+++ b/internal/origin/gate.go
@@ -0,0 +1,51 @@
+package origin
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// maxCopySkew is the time by which a node's copy of the records may be older than its copy of the registry for
+// streams to begin at a release that the two name. A record that was removed since is removed no sooner than
+// removeDelay after its release left the registry.
+const maxCopySkew = 30 * time.Second
+
+// Gate decides at which releases new streams may begin, and by that knows which of them can have begun a stream.
+//
+// Guarantees:
+//
+//   - A stream begins at a release only after the record of that release is in the platform's store.
+//   - Sole returns a release only if no other one can have begun streams that were resumed before the call. It rests on
+//     a read of the records that is sent after the call, never on what this node or others saw before, or on which nodes
+//     there are. A node that can't read them gets an error.
+type Gate struct {
+	Releases *Releases
+	Observer *Observer
+	// Retention is that of the origins of streams.
+	Retention func() time.Duration
+	Now       func() time.Time
+}
+
+// MayBegin reports whether streams may begin at endpoints of a release of a service.
+func (g *Gate) MayBegin(service, release string) bool {
+	o := recordableRelease(Origin{service, release})
+	if !o.recordable() {
+		return true // nothing is resumed at such a service without a record of the stream
+	}
+	return g.Releases.active(o) && g.Observer.lastConfirmed().Sub(g.Releases.lastConfirmed()) <= maxCopySkew
+}
+
+// Sole returns the release that alone can have begun any stream of a service that can still be resumed; empty if
+// there are several, or none that is known. It fails if the records can't be read now.
+func (g *Gate) Sole(ctx context.Context, service string) (release string, err error) {
+	if err := g.Releases.Confirm(ctx); err != nil {
+		return "", err
+	}
+	releases, whole := g.Releases.of(service)
+	releases = slices.Compact(slices.Sorted(slices.Values(append(releases, g.Observer.seenReleases(service, g.Retention(), g.Now())...))))
+	if !whole || len(releases) != 1 {
+		return "", nil
+	}
+	return releases[0], nil
+}
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -9,7 +9,7 @@
 const (
 	// recordsMethod is the notification that sends records to homes. It is idempotent.
 	recordsMethod = "node.stream_origins"
-	// findMethod is the call that asks for a record and a view. It may be repeated.
+	// findMethod is the call that asks for a record. It may be repeated.
 	findMethod = "node.find_stream"
 
 	// maxMessageRecords bounds the records of one message, so that it fits into a datagram.
@@ -29,17 +29,15 @@
 	Records []record `json:"records"`
 }
 
-// findRequest is the parameter of findMethod. A zero key asks for the view only.
+// findRequest is the parameter of findMethod.
 type findRequest struct {
-	Key     Key    `json:"key"`
-	Service string `json:"service"`
+	Key Key `json:"key"`
 }
 
 // findResponse is the result of findMethod.
 type findResponse struct {
-	// Origin is nil if the node has no record. View is empty if it has one.
+	// Origin is nil if the node has no record.
 	Origin *Origin `json:"origin,omitempty"`
-	View   View    `json:"view"`
 }
 
 // decodeRecords decodes a recordsMessage. It fails if any part of it is invalid.
--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -150,22 +151,24 @@
 	})
 }
 
-// TestRestartedNodeAsksOthersWhichReleaseWasAlone checks that a node that has just started learns from the
-// others that a single release has served.
-func TestRestartedNodeAsksOthersWhichReleaseWasAlone(t *testing.T) {
+// TestStreamsWithoutRecordGoOnAtTheSoleRelease checks that a stream of which no node has a record is resumed at the
+// release that alone can have begun it, and that a failure to find that out is not final.
+func TestStreamsWithoutRecordGoOnAtTheSoleRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newNetwork(6)
-		for _, n := range w.nodes {
-			n.view = View{Releases: []string{"v1"}, ObservedMS: time.Hour.Milliseconds()}
-		}
-		w.nodes[0].view.ObservedMS = 100
+		time.Sleep(settleTime)
+		w.nodes[0].sole = "v1"
 		for _, k := range []Key{{}, KeyOf("yard", "lost")} {
 			r := w.nodes[0].Find(t.Context(), k, service)
 			test.Eq(t, SoleRelease, r.Source)
 			test.Eq(t, Origin{Service: service, Release: "v1"}, r.Origin)
+			unknown := w.nodes[1].Find(t.Context(), k, service)
+			test.Eq(t, NotFound, unknown.Source)
+			test.True(t, unknown.IsFinal())
 		}
-		w.nodes[4].view.Releases = []string{"v1", "v2"}
-		test.Eq(t, NotFound, w.nodes[0].Find(t.Context(), Key{}, service).Source)
+		w.nodes[1].Service.config.Sole = func(context.Context, string) (string, error) { return "", errNotLoaded }
+		unknown := w.nodes[1].Find(t.Context(), Key{}, service)
+		test.False(t, unknown.IsFinal())
 	})
 }
 
--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -27,7 +27,7 @@
 }
 
 func testNodeOutOfStep(t *testing.T, size int, cut time.Duration, healed, named bool) {
-	s := newRecordingSystem(size, &platformTopic{values: make(map[string][]byte)})
+	s := newRecordingSystem(size, newPlatformTopic())
 	s.set("v1")
 	s.run(t, retention+settleTime)
 	asked, began := s.nodes[1], s.nodes[2]
@@ -47,7 +47,7 @@
 // yet, does not take the release that it sees for the only one that began streams.
 func TestFirstNodeOfItsKindIsNoNewSystem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRecordingSystem(3, &platformTopic{values: make(map[string][]byte)})
+		s := newRecordingSystem(3, newPlatformTopic())
 		s.set("v1")
 		s.set("v2")
 		s.run(t, recordInterval)
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
@@ -10,23 +11,29 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/rendezvous"
-	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/follow"
 )
 
 const (
-	// recordInterval is the time between two comparisons of the records with the view of the registry.
+	// recordInterval is the time between two comparisons of the records with the registry, unless a release appears.
 	recordInterval = 250 * time.Millisecond
 	// writers is the number of nodes that write a record first, writerDelay by how much each of them waits
 	// longer than the one before, and spreadPerNode the time over which the others are spread, for each
 	// node of the system.
 	writers       = 3
-	writerDelay   = 1500 * time.Millisecond
+	writerDelay   = 300 * time.Millisecond
 	spreadPerNode = 10 * time.Millisecond
 	// rewriteDelay is the time from a write until it is made again if the copy still lacks it, and
-	// retryDelay that from a failed one. Copies that pass other nodes are up to 12 s old.
-	rewriteDelay = 15 * time.Second
-	retryDelay   = time.Second
+	// retryDelay that from a failed one.
+	rewriteDelay = 2 * time.Second
+	retryDelay   = 500 * time.Millisecond
 	writeTimeout = time.Second
+	// removeDelay is the time from when a node reads that a release is retired until it removes the record. By then no
+	// node begins streams at the release by a copy that has it as active (maxCopySkew).
+	removeDelay = 45 * time.Second
+	// maxCopyAge is the age of the copy of the records from which it is confirmed, so that it stays well within
+	// maxCopySkew.
+	maxCopyAge = 15 * time.Second
 )
 
 // Topic stores the records of releases.
@@ -42,14 +49,12 @@
 type RecorderConfig struct {
 	Node     string
 	Topic    Topic
-	TopicEnd func() int64 // offset up to which this node has read the topic
 	Releases *Releases
-	// Origins lists the other nodes.
-	Origins *Service
+	Observer *Observer
+	// Peers returns the names of the other nodes.
+	Peers func() []string
 	// Services returns the services whose streams may be resumed.
 	Services func() []string
-	// View returns this node's own view of a service.
-	View func(service string) View
 	// Retention is that of the origins of streams.
 	Retention func() time.Duration
 	// Random returns a random number below n, which is positive.
@@ -58,19 +63,42 @@
 	Log    zerolog.Logger
 }
 
-// Recorder records the releases of services in the platform's store, and removes the records of releases
-// that are gone for as long as their streams may be resumed. All nodes have one: the first of a few nodes
-// that notices a difference writes.
+// Recorder records the releases of services in the platform's store before streams begin at them, and removes the
+// records of releases that are gone for as long as their streams may be resumed. All nodes have one: the first of a few
+// nodes that notices a difference writes.
+//
+// A record is removed in two steps. A node that sees the release again before the second one writes the record anew, and
+// the removal, which depends on the end of the topic, fails.
 type Recorder struct {
 	config RecorderConfig
 	// due are the changes to write, and when, by key.
 	due map[string]dueChange
 }
 
-// change is a record to write or to remove.
+// action is what a change does with a record.
+type action int
+
+const (
+	activate action = iota // write it, so that streams may begin
+	retire                 // write that no streams may begin any more
+	remove
+)
+
+// String implements fmt.Stringer.
+func (a action) String() string {
+	return [...]string{activate: "activate", retire: "retire", remove: "remove"}[a]
+}
+
+// change is a change of a record.
 type change struct {
-	releaseRecord
-	remove bool
+	Origin
+	action action
+}
+
+// changes are the changes to make by key, as of a position in the topic.
+type changes struct {
+	byKey map[string]change
+	end   int64
 }
 
 type dueChange struct {
@@ -83,114 +111,124 @@
 
 // Run keeps the records current until ctx is done.
 func (r *Recorder) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	ticker := time.NewTicker(recordInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.config.Observer.appeared:
+		case <-ticker.C:
+		}
 		r.step(ctx)
-		retry.Sleep(ctx, recordInterval)
 	}
-	return nil
 }
 
 // step writes the changes that are due.
 func (r *Recorder) step(ctx context.Context) {
-	if !r.config.Releases.Loaded() || !r.config.Origins.settled() {
+	if !r.config.Releases.Loaded() {
 		return
 	}
+	list := r.changes()
+	if r.mustConfirm(list) && r.config.Releases.Confirm(ctx) == nil {
+		list = r.changes()
+	}
 	now, due := r.config.Now(), make(map[string]dueChange)
-	for key, c := range r.changes() {
+	for key, c := range list.byKey {
 		d, known := r.due[key]
 		if !known || d.change != c {
 			d = dueChange{c, now.Add(r.delay(key))}
 		}
 		if !now.Before(d.at) {
-			d.at = r.write(ctx, key, c)
+			d.at = r.write(ctx, key, c, list.end)
 		}
 		due[key] = d
 	}
 	r.due = due
 }
 
-// changes returns by key what the records lack, and those that are no longer needed.
-func (r *Recorder) changes() map[string]change {
-	list, recorded := make(map[string]change), r.config.Releases.all()
-	for _, service := range r.config.Services() {
-		r.addMissing(list, service, recorded)
-	}
-	for key, record := range recorded {
-		if r.isGone(record.Origin) {
-			list[key] = change{releaseRecord: record, remove: true}
+// mustConfirm reports whether the copy of the records is to be confirmed first: another node may have written a record
+// that streams wait for, or the copy is old beside that of the registry.
+func (r *Recorder) mustConfirm(list changes) bool {
+	for _, c := range list.byKey {
+		if c.action == activate {
+			return true
 		}
 	}
-	return list
+	return r.config.Observer.lastConfirmed().Sub(r.config.Releases.lastConfirmed()) > maxCopyAge
 }
 
-// addMissing adds to list the releases of a service that are not recorded. If all are, and this node can tell
-// so, but no record states it, it adds one of them.
-func (r *Recorder) addMissing(list map[string]change, service string, recorded map[string]releaseRecord) {
-	view := r.config.View(service)
-	var known, missing []Origin
-	complete := false
-	for _, release := range view.Releases {
-		o := Origin{Service: service, Release: release}
-		if !o.valid() {
-			return
-		}
-		record, found := recorded[releaseKey(o)]
-		complete = complete || record.Complete
-		if found {
-			known = append(known, o)
-		} else {
-			missing = append(missing, o)
+// changes returns the records to write and to remove.
+func (r *Recorder) changes() changes {
+	c := r.config.Releases.contents()
+	list := changes{make(map[string]change), c.end}
+	now, retention := r.config.Now(), r.config.Retention()
+	for key, readAt := range c.unreadable {
+		if now.Sub(readAt) > retention+removeDelay {
+			list.byKey[key] = change{action: remove}
 		}
 	}
-	if len(missing) == 0 && (complete || len(known) == 0) {
-		return
-	}
-	extended := r.config.Releases.Extend(service, view, r.config.Now())
-	goesBack := extended.goesBack(r.config.Retention(), r.config.Releases.NewSystem())
-	if len(missing) == 0 && goesBack {
-		missing = known[:1]
-	}
-	for _, o := range missing {
-		list[releaseKey(o)] = change{releaseRecord: releaseRecord{o, goesBack && len(missing) == 1, r.config.Node}}
+	for o, record := range c.stored {
+		switch {
+		case !record.Retired && r.config.Observer.absentFor(o, retention, now):
+			list.byKey[releaseKey(o)] = change{o, retire}
+		case record.Retired && now.Sub(record.readAt) > removeDelay && r.config.Observer.absentFor(o, retention+removeDelay, now):
+			list.byKey[releaseKey(o)] = change{o, remove}
+		}
 	}
+	r.addMissing(&list, c.stored)
+	return list
 }
 
-// isGone reports whether no endpoint of a release was listed for as long as its streams may be resumed.
-func (r *Recorder) isGone(o Origin) bool {
-	view := r.config.View(o.Service)
-	return view.isCurrent() && view.ObservedMS >= r.config.Retention().Milliseconds() && len(view.Releases) < maxViewReleases &&
-		!slices.Contains(view.Releases, o.Release)
+// addMissing adds the releases that have endpoints and no record by which streams may begin.
+func (r *Recorder) addMissing(list *changes, stored map[Origin]storedRelease) {
+	for _, service := range r.config.Services() {
+		for _, release := range r.config.Observer.listedReleases(service) {
+			o := Origin{service, release}
+			if record, found := stored[o]; o.recordable() && (!found || record.Retired) {
+				list.byKey[releaseKey(o)] = change{o, activate}
+			}
+		}
+	}
 }
 
 // delay returns how long this node leaves a change to others.
 func (r *Recorder) delay(key string) time.Duration {
-	others := r.config.Origins.peerNames()
+	others := r.config.Peers()
 	if rank := slices.Index(rendezvous.TopOf(writers, key, r.config.Node, slices.Values(others)), r.config.Node); rank >= 0 {
 		return time.Duration(rank) * writerDelay
 	}
 	return writers*writerDelay + time.Duration(r.config.Random(int64(len(others)+1)*int64(spreadPerNode)))
 }
 
-// write writes a change, and returns when to write it again if it is found once more.
-func (r *Recorder) write(ctx context.Context, key string, c change) time.Time {
+// write writes a change and reads it back, and returns when to write it again if it is found once more.
+func (r *Recorder) write(ctx context.Context, key string, c change, end int64) time.Time {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := r.put(ctx, key, c)
+	err := r.put(ctx, key, c, end)
+	if err == nil || errors.Is(err, follow.ErrChanged) {
+		err = errors.Join(err, r.config.Releases.Confirm(ctx))
+	}
 	r.config.Log.Info().Str("event", "release_recorded").Str("service", c.Service).Str("release", c.Release).
-		Bool("complete", c.Complete).Bool("removed", c.remove).AnErr("error", err).Send()
+		Stringer("action", c.action).AnErr("error", err).Send()
 	if err != nil {
 		return r.config.Now().Add(retryDelay)
 	}
 	return r.config.Now().Add(rewriteDelay)
 }
 
-func (r *Recorder) put(ctx context.Context, key string, c change) error {
-	if c.remove {
-		return r.config.Topic.PutIf(ctx, key, nil, r.config.TopicEnd())
+// put writes a change. A change that ends the use of a release is made only if the topic still ends where it was decided:
+// another node may have seen the release again.
+func (r *Recorder) put(ctx context.Context, key string, c change, end int64) error {
+	if c.action == remove {
+		return r.config.Topic.PutIf(ctx, key, nil, end)
 	}
-	value, err := json.Marshal(c.releaseRecord)
+	value, err := json.Marshal(releaseRecord{c.Origin, c.action == retire, r.config.Node})
 	if err != nil {
 		return eris.Wrap(err, "encode the record of a release")
 	}
+	if c.action == retire {
+		return r.config.Topic.PutIf(ctx, key, value, end)
+	}
 	return r.config.Topic.Put(ctx, key, value)
 }
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -1,7 +1,9 @@
 package origin
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -17,6 +19,9 @@
 // same topic.
 const releaseKeyPrefix = "release/"
 
+// errNotLoaded is returned while the topic of the records was not read.
+var errNotLoaded = eris.New("the records of releases were not read yet")
+
 // IsReleaseRecord reports whether a key of the topic is that of a release.
 func IsReleaseRecord(key string) bool { return strings.HasPrefix(key, releaseKeyPrefix) }
 
@@ -29,110 +34,218 @@
 	return releaseKeyPrefix + string(text)
 }
 
-// releaseRecord is the stored form of a release that serves, or that began streams which can still be
-// resumed.
+// releaseRecord is the stored form of a release that may begin streams, or that began streams which can still be
+// resumed. An empty release stands for endpoints that state none.
 type releaseRecord struct {
 	Origin
-	// Complete is true if all such releases of the service were recorded when this record was written.
-	Complete bool `json:"complete,omitempty"`
+	// Retired is true if no streams may begin at the release any more. The record is removed some time later.
+	Retired bool `json:"retired,omitempty"`
 	// Node is the node that wrote the record. It is information for operators.
 	Node string `json:"node,omitempty"`
 }
 
+// storedRelease is a record in a copy.
+type storedRelease struct {
+	releaseRecord
+	readAt time.Time // when this node read the record
+}
+
 // decodeRelease decodes the record of a release.
 func decodeRelease(r *follow.Record) (record releaseRecord, err error) {
 	if err := json.Unmarshal(r.Value, &record); err != nil {
 		return releaseRecord{}, eris.Wrap(err, "decode the record of a release")
 	}
-	if !record.valid() || releaseKey(record.Origin) != r.Key {
+	if !record.recordable() || releaseKey(record.Origin) != r.Key {
 		return releaseRecord{}, eris.New("record of a release lacks a name, or has the key of another one")
 	}
 	return record, nil
 }
 
-// Releases is a copy of the records of releases in the platform's store. With it, nodes that have all
-// started again at the same time know which releases served before. It is safe for concurrent use.
+// recordable reports whether a release can have a record.
+func (o *Origin) recordable() bool {
+	return o.Service != "" && len(o.Service) <= maxNameBytes && len(o.Release) <= maxNameBytes
+}
+
+// ReleasesConfig holds the dependencies of a Releases. All fields must be set.
+type ReleasesConfig struct {
+	// Topic is the topic of the records in the platform's store.
+	Topic follow.Topic
+	// Spacing returns the least time between two reads that confirm the copy.
+	Spacing func() time.Duration
+	// Retention is that of the origins of streams.
+	Retention func() time.Duration
+	Now       func() time.Time
+}
+
+// Releases is a copy of the records of releases in the platform's store.
+//
+// Guarantee: a release that began streams which can still be resumed is among the records in the store, as no
+// stream begins at a release whose record is not there (see Gate). The copy has all of these records once Confirm
+// returns. It is safe for concurrent use.
 type Releases struct {
-	mu          sync.Mutex
-	byKey       map[string]releaseRecord
-	confirmedAt time.Time // when the copy was certainly current; zero before the first read
-	newSystem   bool      // nothing was recorded in the topic before this node read it first
+	config    ReleasesConfig
+	confirmer confirmer
+
+	mu     sync.Mutex
+	loaded bool
+	stored map[Origin]storedRelease
+	// unreadable are the keys of records that are invalid, and when this node read them first. They stand for releases
+	// that are not known.
+	unreadable map[string]time.Time
+	// next is the position in the topic up to which the copy has all records.
+	next int64
+	// confirmedAt is a time at which the copy was certainly current.
+	confirmedAt time.Time
+	// wholeFrom is the time from which the records of all releases are there, after the store came back from an
+	// older copy of its data.
+	wholeFrom time.Time
 }
 
 // NewReleases returns an empty copy.
-func NewReleases() *Releases { return &Releases{byKey: make(map[string]releaseRecord)} }
+func NewReleases(c ReleasesConfig) *Releases {
+	r := &Releases{config: c, stored: make(map[Origin]storedRelease), unreadable: make(map[string]time.Time)}
+	r.confirmer = confirmer{read: r.read, spacing: c.Spacing, now: c.Now}
+	return r
+}
 
 // Apply applies a read of the topic, which also has other records. reject receives the records of releases
-// that are invalid. These count as absent.
+// that are invalid. A read that is older than the copy changes nothing.
 func (r *Releases) Apply(b *follow.Batch, reject func(*follow.Record, error)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.confirmedAt.IsZero() {
-		r.newSystem = b.Snapshot && len(b.Records) == 0 && follow.EraOf(b.Next) == 0
+	if r.loaded && b.Snapshot && b.Next < r.next {
+		return
 	}
+	r.enterEra(b)
+	before := maps.Clone(r.stored)
 	if b.Snapshot {
-		clear(r.byKey)
+		r.stored, r.unreadable = make(map[Origin]storedRelease), make(map[string]time.Time)
 	}
 	for i := range b.Records {
 		record := &b.Records[i]
-		if !IsReleaseRecord(record.Key) {
-			continue
-		}
-		delete(r.byKey, record.Key)
-		if record.Value == nil {
+		known := r.loaded && !b.Snapshot && record.Offset < r.next
+		if known || !IsReleaseRecord(record.Key) {
 			continue
 		}
-		decoded, err := decodeRelease(record)
-		if err != nil {
+		if err := r.apply(record, before); err != nil {
 			reject(record, err)
-			continue
 		}
-		r.byKey[record.Key] = decoded
 	}
-	r.confirmedAt = b.ConfirmedAt
+	r.loaded, r.next = true, max(r.next, b.Next)
+	if b.ConfirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = b.ConfirmedAt
+	}
+}
+
+// enterEra notes that the store may have lost records: it has come back from an older copy of its data, or had done
+// so before this node started. r.mu is held.
+func (r *Releases) enterEra(b *follow.Batch) {
+	before := int64(0)
+	if r.loaded {
+		before = follow.EraOf(r.next)
+	}
+	if follow.EraOf(b.Next) > before {
+		r.wholeFrom = r.config.Now().Add(r.config.Retention())
+	}
+}
+
+// apply applies a record. before is what the copy had before the read. r.mu is held.
+func (r *Releases) apply(record *follow.Record, before map[Origin]storedRelease) error {
+	maps.DeleteFunc(r.stored, func(o Origin, _ storedRelease) bool { return releaseKey(o) == record.Key })
+	delete(r.unreadable, record.Key)
+	if record.Value == nil {
+		return nil
+	}
+	decoded, err := decodeRelease(record)
+	if err != nil {
+		r.unreadable[record.Key] = r.config.Now()
+		return err
+	}
+	known := before[decoded.Origin]
+	if known.releaseRecord != decoded {
+		known = storedRelease{decoded, r.config.Now()}
+	}
+	r.stored[decoded.Origin] = known
+	return nil
+}
+
+// Confirm brings the copy up to date with a read that is sent after the call. Several calls share a read. It takes
+// the spacing of reads and confirmTimeout at most.
+func (r *Releases) Confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.config.Spacing()+confirmTimeout)
+	defer cancel()
+	return eris.Wrap(r.confirmer.confirm(ctx), "confirm the records of releases")
+}
+
+// read reads what the copy lacks.
+func (r *Releases) read(ctx context.Context) error {
+	sentAt := r.config.Now()
+	r.mu.Lock()
+	loaded, next := r.loaded, r.next
+	r.mu.Unlock()
+	if !loaded {
+		return errNotLoaded
+	}
+	snapshot := false
+	page, err := r.config.Topic.Read(ctx, next, 0)
+	if errors.Is(err, follow.ErrCompacted) {
+		snapshot = true
+		page, err = r.config.Topic.Newest(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	batch := &follow.Batch{Records: page.Records, Snapshot: snapshot, ConfirmedAt: sentAt, Next: page.Next}
+	r.Apply(batch, func(*follow.Record, error) {}) // the node's own follower reports them
+	return nil
 }
 
 // Loaded reports whether the topic was read.
 func (r *Releases) Loaded() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.confirmedAt.IsZero()
+	return r.loaded
 }
 
-// NewSystem reports whether nothing was recorded in the topic when this node read it first, so that no node
-// of the system ran before.
-func (r *Releases) NewSystem() bool {
+// lastConfirmed returns a time at which the copy was certainly current, zero before the first read.
+func (r *Releases) lastConfirmed() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.newSystem
+	return r.confirmedAt
 }
 
-// all returns all records by key.
-func (r *Releases) all() map[string]releaseRecord {
+// contents is what a copy has at a position in the topic.
+type contents struct {
+	stored     map[Origin]storedRelease
+	unreadable map[string]time.Time // when invalid records were read, by key
+	end        int64
+}
+
+// contents returns what the copy has.
+func (r *Releases) contents() contents {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.byKey)
+	return contents{maps.Clone(r.stored), maps.Clone(r.unreadable), r.next}
 }
 
-// Extend returns a node's view of a service with the recorded releases. The records cover the time before
-// the view begins if the copy isn't older than that by more than maxObservationGap: an endpoint that
-// registered since is still listed.
-func (r *Releases) Extend(service string, v View, now time.Time) View {
+// active reports whether streams may begin at a release by its record.
+func (r *Releases) active(o Origin) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	complete := false
-	for _, record := range r.byKey {
-		if record.Service != service {
-			continue
-		}
-		complete = complete || record.Complete
-		if !slices.Contains(v.Releases, record.Release) {
-			v.Releases = append(v.Releases, record.Release)
+	record, found := r.stored[o]
+	return found && !record.Retired
+}
+
+// of returns the recorded releases of a service, sorted. whole is false if there may be others: the store may have lost
+// records, or has some that are invalid.
+func (r *Releases) of(service string) (list []string, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for o := range r.stored {
+		if o.Service == service {
+			list = append(list, o.Release)
 		}
 	}
-	slices.Sort(v.Releases)
-	v.Releases = v.Releases[:min(len(v.Releases), maxViewReleases)]
-	begins := now.Add(-time.Duration(v.ObservedMS) * time.Millisecond)
-	v.Recorded = complete && !begins.After(r.confirmedAt.Add(maxObservationGap))
-	return v
+	slices.Sort(list)
+	return list, len(r.unreadable) == 0 && !r.config.Now().Before(r.wholeFrom)
 }
--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,40 +18,90 @@
 
 // platformTopic is the topic of the nodes in the platform's store.
 type platformTopic struct {
-	values map[string][]byte
-	end    int64
-	writes int
-	down   bool
+	records []follow.Record // in the order of their offsets
+	era     int64
+	writes  int
+	down    bool
 }
 
+var errStoreDown = errors.New("the store is down")
+
+// newPlatformTopic returns a topic that has one record of another kind.
+func newPlatformTopic() *platformTopic {
+	return &platformTopic{records: []follow.Record{{Key: "another", Value: []byte{1}}}}
+}
+
+func (p *platformTopic) end() int64 { return follow.Position(p.era, int64(len(p.records))) }
+
 func (p *platformTopic) Put(_ context.Context, key string, value []byte) error {
 	if p.down {
-		return errors.New("the store is down")
+		return errStoreDown
 	}
-	p.end++
+	p.records = append(p.records, follow.Record{Key: key, Value: value, Offset: p.end()})
 	p.writes++
-	if value == nil {
-		delete(p.values, key)
-	} else {
-		p.values[key] = value
-	}
 	return nil
 }
 
 func (p *platformTopic) PutIf(ctx context.Context, key string, value []byte, end int64) error {
-	if end != p.end {
+	if end != p.end() {
 		return follow.ErrChanged
 	}
 	return p.Put(ctx, key, value)
 }
 
-// snapshot returns a read of the whole topic.
-func (p *platformTopic) snapshot() *follow.Batch {
-	b := &follow.Batch{Snapshot: true, ConfirmedAt: time.Now(), Next: p.end}
-	for key, value := range p.values {
-		b.Records = append(b.Records, follow.Record{Key: key, Value: value})
+func (p *platformTopic) Newest(context.Context) (follow.Page, error) {
+	if p.down {
+		return follow.Page{}, errStoreDown
+	}
+	newest := make(map[string]follow.Record)
+	for _, r := range p.records {
+		newest[r.Key] = r
+		if r.Value == nil {
+			delete(newest, r.Key)
+		}
+	}
+	return follow.Page{Records: slices.Collect(maps.Values(newest)), Next: p.end()}, nil
+}
+
+func (p *platformTopic) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	switch {
+	case p.down:
+		return follow.Page{}, errStoreDown
+	case follow.EraOf(from) != p.era:
+		return follow.Page{}, follow.ErrCompacted
 	}
-	return b
+	return follow.Page{Records: slices.Clone(p.records[follow.OffsetOf(from):]), Next: p.end()}, nil
+}
+
+// restoreEmpty has the store come back from a copy that has no records of releases.
+func (p *platformTopic) restoreEmpty() {
+	p.era++
+	p.records = []follow.Record{{Key: "another", Value: []byte{1}, Offset: follow.Position(p.era, 0)}}
+}
+
+// recorded returns the keys of the records of releases.
+func (p *platformTopic) recorded() (keys []string) {
+	newest, _ := p.Newest(context.Background())
+	for _, r := range newest.Records {
+		if IsReleaseRecord(r.Key) {
+			keys = append(keys, r.Key)
+		}
+	}
+	return keys
+}
+
+// nodeTopic is the topic as a node reaches it.
+type nodeTopic struct {
+	*platformTopic
+	node *node
+}
+
+func (t nodeTopic) Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error) {
+	if t.node.silent {
+		<-ctx.Done()
+		return follow.Page{}, ctx.Err()
+	}
+	return t.platformTopic.Read(ctx, from, wait)
 }
 
 // recordingSystem is a network whose nodes record releases. Each has its own view of the registry, which nodes that
@@ -62,12 +113,13 @@
 	observers []*Observer
 	copies    []*Releases
 	recorders []*Recorder
+	gates     []*Gate
 }
 
 func newRecordingSystem(size int, topic *platformTopic) *recordingSystem {
 	s := &recordingSystem{
 		network: newNetwork(size), topic: topic, listed: make(map[string]bool), observers: make([]*Observer, size),
-		copies: make([]*Releases, size), recorders: make([]*Recorder, size),
+		copies: make([]*Releases, size), recorders: make([]*Recorder, size), gates: make([]*Gate, size),
 	}
 	s.restart()
 	return s
@@ -89,15 +141,19 @@
 }
 
 func (s *recordingSystem) startNode(i int) {
-	n, firstStart := s.nodes[i], len(s.topic.values) == 0
-	observer, releases := NewObserver(), NewReleases()
-	view := func(service string) View { return observer.View(service, retention, firstStart, time.Now()) }
+	n, observer := s.nodes[i], NewObserver()
+	keep := func() time.Duration { return retention }
+	releases := NewReleases(ReleasesConfig{
+		Topic: nodeTopic{s.topic, n}, Spacing: func() time.Duration { return time.Duration(len(s.nodes)) * time.Millisecond },
+		Retention: keep, Now: time.Now,
+	})
+	s.gates[i] = &Gate{Releases: releases, Observer: observer, Retention: keep, Now: time.Now}
 	n.start()
-	n.Service.config.View = func(service string) View { return releases.Extend(service, view(service), time.Now()) }
+	n.Service.config.Sole = s.gates[i].Sole
 	s.observers[i], s.copies[i] = observer, releases
 	s.recorders[i] = NewRecorder(RecorderConfig{
-		Node: n.peer.Name, Topic: s.topic, TopicEnd: func() int64 { return s.topic.end }, Releases: releases, Origins: n.Service,
-		Services: func() []string { return []string{service} }, View: view, Retention: func() time.Duration { return retention },
+		Node: n.peer.Name, Topic: s.topic, Releases: releases, Observer: observer, Peers: n.peerNames,
+		Services: func() []string { return []string{service} }, Retention: keep,
 		Random: func(limit int64) int64 { return limit * int64(i) / int64(len(s.nodes)) }, Now: time.Now, Log: zerolog.Nop(),
 	})
 }
@@ -118,7 +174,12 @@
 	for release := range s.listed {
 		s.observers[i].Set("endpoint-"+release, Origin{service, release}, now)
 	}
-	s.copies[i].Apply(s.topic.snapshot(), func(_ *follow.Record, err error) { panic(err) })
+	page, err := s.topic.Newest(context.Background())
+	if err != nil {
+		return
+	}
+	batch := &follow.Batch{Snapshot: true, Records: page.Records, ConfirmedAt: now, Next: page.Next}
+	s.copies[i].Apply(batch, func(_ *follow.Record, err error) { panic(err) })
 }
 
 // run runs the system for a time.
@@ -161,7 +222,7 @@
 	const settled, replaced = 2 * settleTime, 10 * time.Second
 	for _, size := range []int{6, 85, 295} {
 		synctest.Test(t, func(t *testing.T) {
-			s := newRecordingSystem(size, &platformTopic{values: make(map[string][]byte)})
+			s := newRecordingSystem(size, newPlatformTopic())
 			s.set("v1")
 			s.run(t, settled)
 			s.restart()
@@ -179,52 +240,95 @@
 			test.Eq(t, "", s.resumes(t), test.Sprint("v1 served until a moment ago"))
 			s.run(t, retention-settled)
 			test.Eq(t, "", s.resumes(t), test.Sprint("streams of v1 may still be resumed"))
-			s.run(t, 2*settled)
+			s.run(t, 2*settled+retention+removeDelay)
 			s.restart()
 			s.set("v2")
 			test.Eq(t, "v2", s.resumes(t), test.Sprint("v1 is gone for good"))
-			test.Eq(t, 3, s.topic.writes)
+			test.Eq(t, 4, s.topic.writes)
 		})
 	}
 }
 
-// TestReleasesAreRecordedAnew checks that records are written again after the store lost them, and that
-// nodes which find none don't take those that they see for all that served.
+// TestReleasesAreRecordedAnew checks that records are written again after the store lost them, that no stream begins
+// before, and that nodes which find none don't take those that they see for all that served.
 func TestReleasesAreRecordedAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		topic := &platformTopic{values: map[string][]byte{"another": {1}}, down: true}
+		topic := newPlatformTopic()
+		topic.down = true
 		s := newRecordingSystem(6, topic)
 		s.set("v1")
 		s.run(t, 2*settleTime)
+		test.False(t, s.gates[1].MayBegin(service, "v1"))
 		topic.down = false
-		s.run(t, 2*settleTime)
-		must.MapLen(t, 2, topic.values)
-		s.restart()
-		s.set("v1")
-		test.Eq(t, "", s.resumes(t), test.Sprint("another release may have served before the first record"))
-		s.run(t, retention+settleTime)
+		s.run(t, settleTime)
+		test.True(t, s.gates[1].MayBegin(service, "v1"))
+		test.Eq(t, "v1", s.resumes(t), test.Sprint("no stream began before the first record"))
 		for range 2 {
+			topic.restoreEmpty()
+			s.read()
+			test.False(t, s.gates[1].MayBegin(service, "v1"), test.Sprint("the store came back from an older copy"))
+			s.run(t, settleTime)
+			must.SliceLen(t, 1, topic.recorded())
+			test.Eq(t, "", s.resumes(t), test.Sprint("another release may have had a record that is lost"))
 			s.restart()
 			s.set("v1")
+			test.Eq(t, "", s.resumes(t), test.Sprint("so it is for nodes that have started since"))
+			s.run(t, retention)
 			test.Eq(t, "v1", s.resumes(t))
-			s.run(t, retention+settleTime)
-			clear(topic.values)
-			topic.values["another"] = []byte{1}
-			s.run(t, settleTime)
-			must.MapLen(t, 2, topic.values, must.Sprint("the store came back from an older copy"))
 		}
 	})
 }
 
-// TestReleaseRecordsAreChecked checks that invalid records are rejected and count as absent.
-func TestReleaseRecordsAreChecked(t *testing.T) {
+// TestReleaseThatReturnsIsNotRemoved checks that a release which is seen again while its record is removed gets a new
+// record before streams begin there, and that the removal fails.
+func TestReleaseThatReturnsIsNotRemoved(t *testing.T) {
+	for _, back := range []time.Duration{0, removeDelay / 2, removeDelay - recordInterval, removeDelay, removeDelay + recordInterval} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newRecordingSystem(6, newPlatformTopic())
+			s.set("v1")
+			s.set("v2")
+			s.run(t, settleTime)
+			s.unlist("v1")
+			s.run(t, retention+back)
+			s.set("v1")
+			for range 2 * removeDelay / recordInterval {
+				s.run(t, recordInterval)
+				for i, g := range s.gates {
+					if g.MayBegin(service, "v1") {
+						must.SliceContains(t, s.topic.recorded(), releaseKey(Origin{service, "v1"}), must.Sprint(i, " after ", back))
+					}
+				}
+			}
+			test.True(t, s.gates[0].MayBegin(service, "v1"))
+		})
+	}
+}
+
+// TestInvalidReleaseRecordsAreNoProof checks that invalid records are rejected, and that no release counts as the only
+// one while there are some.
+func TestInvalidReleaseRecordsAreNoProof(t *testing.T) {
 	key := releaseKey(Origin{service, "v1"})
 	for i, value := range []string{"{", `{"service":"models"}`, `{"service":"models","release":"v2"}`} {
-		rejected := 0
-		c := NewReleases()
-		c.Apply(&follow.Batch{Snapshot: true, ConfirmedAt: time.Now(), Records: []follow.Record{{Key: key, Value: []byte(value)}}},
-			func(*follow.Record, error) { rejected++ })
-		test.Eq(t, 1, rejected, test.Sprint(i))
-		test.MapEmpty(t, c.all(), test.Sprint(fmt.Sprint(i)))
+		synctest.Test(t, func(t *testing.T) {
+			s := newRecordingSystem(1, newPlatformTopic())
+			s.set("v2")
+			s.run(t, settleTime)
+			test.Eq(t, "v2", s.soleAt(t, 0))
+			must.NoError(t, s.topic.Put(t.Context(), key, []byte(value)))
+			test.Eq(t, "", s.soleAt(t, 0), test.Sprint(i))
+			rejected := 0
+			c := s.copies[0]
+			c.Apply(&follow.Batch{Snapshot: true, Next: s.topic.end(), Records: []follow.Record{{Key: key, Value: []byte(value)}}},
+				func(*follow.Record, error) { rejected++ })
+			test.Eq(t, 1, rejected, test.Sprint(i))
+			test.MapEmpty(t, c.contents().stored, test.Sprint(i))
+		})
 	}
 }
+
+// soleAt returns the release that alone can have begun streams, as a node finds out.
+func (s *recordingSystem) soleAt(t *testing.T, i int) string {
+	release, err := s.gates[i].Sole(t.Context(), service)
+	must.NoError(t, err)
+	return release
+}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -46,8 +46,9 @@
 	// Retention returns the longest time between the first event of a stream and the last request of its
 	// caller that resumes it.
 	Retention func() time.Duration
-	// View returns this node's view of a service.
-	View func(service string) View
+	// Sole returns the release that alone can have begun streams of a service that are resumed now, or empty. It
+	// fails if that can't be found out now.
+	Sole func(ctx context.Context, service string) (release string, err error)
 	// Self is this node, as the others list it.
 	Self Peer
 	// WasListed reports whether the others listed it before it started.
@@ -95,24 +96,6 @@
 	}
 }
 
-// settled reports whether the list of the other nodes counts as complete.
-func (s *Service) settled() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.isSettled()
-}
-
-// peerNames returns the names of the other nodes.
-func (s *Service) peerNames() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	names := make([]string, len(s.peers))
-	for i, p := range s.peers {
-		names[i] = p.Name
-	}
-	return names
-}
-
 // isSettled reports whether the list of the other nodes counts as complete. s.mu is held.
 func (s *Service) isSettled() bool {
 	return !s.listedAt.IsZero() && s.config.Now().Sub(s.listedAt) >= settleTime
@@ -212,5 +195,5 @@
 	if o, ok := s.table.Find(q.Key); ok {
 		return findResponse{Origin: &o}, nil
 	}
-	return findResponse{View: s.config.View(q.Service)}, nil
+	return findResponse{}, nil
 }
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -68,9 +68,9 @@
 	network  *network
 	handlers map[string]datagram.Handler
 	peer     Peer
-	silent   bool // killed, or cut off from the others
-	older    bool // of a build that doesn't know the messages
-	view     View
+	silent   bool   // killed, or cut off from the others
+	older    bool   // of a build that doesn't know the messages
+	sole     string // the release that alone can have begun streams
 	// listedBefore is true if the others listed the node before it started.
 	listedBefore bool
 }
@@ -85,7 +85,6 @@
 	n := &network{random: rand.New(rand.NewPCG(uint64(size), 1))}
 	for i := range size {
 		added := &node{network: n, peer: newPeer(i)}
-		added.view = View{Releases: []string{"v1", "v2"}, ObservedMS: time.Hour.Milliseconds()}
 		n.nodes = append(n.nodes, added)
 		added.start()
 	}
@@ -103,10 +102,14 @@
 func (n *node) startAlone() {
 	n.network.setHandlers(n, make(map[string]datagram.Handler))
 	n.Service = New(Config{
-		Conn: n, Self: n.peer, WasListed: func() bool { return n.listedBefore }, Now: time.Now, Retention: func() time.Duration { return retention }, View: func(string) View { return n.view },
+		Conn: n, Self: n.peer, WasListed: func() bool { return n.listedBefore }, Now: time.Now, Retention: func() time.Duration { return retention },
+		Sole: func(context.Context, string) (string, error) { return n.sole, nil },
 	})
 }
 
+// noSole is the Sole of nodes that know of no release which alone can have begun streams.
+func noSole(context.Context, string) (string, error) { return "", nil }
+
 // list has the node list all others.
 func (n *node) list() {
 	var peers []Peer
@@ -118,6 +121,15 @@
 	n.SetPeers(peers)
 }
 
+// peerNames returns the names of the other nodes that the node lists.
+func (n *node) peerNames() []string {
+	names := make([]string, len(n.peers))
+	for i, p := range n.peers {
+		names[i] = p.Name
+	}
+	return names
+}
+
 // listAll has all nodes list all others.
 func (w *network) listAll() {
 	for _, n := range w.nodes {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -6,6 +6,7 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/result"
+	"github.com/cherryward/cherryward/internal/routing"
 )
 
 const (
@@ -20,6 +21,12 @@
 	// reasonRelease is the reason of a refusal because no endpoint of the release that began the stream
 	// takes requests.
 	reasonRelease = "release"
+	// reasonUnrecorded is the reason of a refusal because no stream may begin yet at the releases of the endpoints.
+	// They are recorded within unrecordedWait unless the platform's store is slow; unrecordedRetryAfter is when callers
+	// may retry.
+	reasonUnrecorded     = "unrecorded"
+	unrecordedWait       = 20 * time.Millisecond
+	unrecordedRetryAfter = 500 * time.Millisecond
 )
 
 // Place implements forward.Placer.
@@ -43,6 +50,13 @@
 	if len(available) == 0 && len(allowed) > 0 {
 		return forward.Placement{Reason: reasonEvacuated}, false
 	}
+	recorded := p.mayBegin(q, available)
+	if len(recorded) == 0 && len(available) > 0 {
+		return forward.Placement{
+			Reason: reasonUnrecorded, PredictedWait: unrecordedWait, OnRefusal: func() time.Duration { return unrecordedRetryAfter },
+		}, false
+	}
+	available = recorded
 	first, then := []*fleet.Member(nil), available
 	if p.Releases != nil {
 		first, then = p.Releases.Split(q.Service.Name, q.Route.Name, available, p.Now())
@@ -64,6 +78,24 @@
 	return placement, ok
 }
 
+// mayBegin returns the endpoints at whose releases a request may begin a stream. One that does not, or that continues a
+// stream, may be sent to all.
+func (p *Placer) mayBegin(q *forward.Query, members []*fleet.Member) []*fleet.Member {
+	if p.MayBegin == nil || q.Release != "" || q.Route.Kind != routing.Stream || !q.Route.Resumable {
+		return members
+	}
+	allowed := make(map[string]bool) // by release
+	return without(members, func(m *fleet.Member) bool {
+		release := m.Endpoint().Release
+		may, known := allowed[release]
+		if !known {
+			may = p.MayBegin(q.Service.Name, release)
+			allowed[release] = may
+		}
+		return !may
+	})
+}
+
 // declineRelease refuses a request that no endpoint of its release may get. Waiting helps only while that
 // release is on trial, with its share of requests used up.
 func (p *Placer) declineRelease(q *forward.Query, available []*fleet.Member) forward.Placement {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -64,6 +64,9 @@
 	// Releases decides which endpoints may get requests while a service is moved to another release. Nil
 	// means that no service is.
 	Releases *canary.Gate
+	// MayBegin reports whether resumable streams may begin at a release of a service. Nil means that they may at
+	// all.
+	MayBegin func(service, release string) bool
 	// SlowStart shares out the requests to cold endpoints between nodes. MaxColdPerSecond returns
 	// the maximum number of requests per second to a cold endpoint of a service, 0 for no limit.
 	// Nil means that cold endpoints get as many requests as others.
