Gateway: a node counts as ready once streams may begin

Change: a node that starts counts as ready once a stream may begin at a release of each service that has endpoints, or 8 s after its start: requests other than streams need no record. Once ready so, a release without a record doesn't matter to readiness.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	startLog      *startLog
 	shuttingDown  atomic.Bool
 	reportedReady atomic.Bool // last readiness reported to the balancer
+	streamsBegan  atomic.Bool // streams could begin since the start
 	log           zerolog.Logger
 
 	// releaseGate holds back streams at releases that the platform's store does not name, which releaseRecorder writes.
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,10 @@
 	// give the age up to which a node always counts as ready.
 	readyMargin = 500 * time.Millisecond
 
+	// maxRecordWait is how long after its start a node waits for the records of releases before it counts as ready:
+	// requests other than streams need none.
+	maxRecordWait = 8 * time.Second
+
 	pathReady   = "/-/readyz"
 	pathMetrics = "/metrics"
 	// pathEndpoints lists the endpoints to which requests are restricted, in JSON.
@@ -25,7 +30,19 @@
 // least one endpoint, and is not shutting down.
 func (n *Node) ready() bool {
 	config, age := n.state.Config()
-	return config != nil && n.configCurrent(age) && !n.fleet.Empty() && !n.shuttingDown.Load()
+	return config != nil && n.configCurrent(age) && !n.fleet.Empty() && !n.shuttingDown.Load() && n.streamsBegin()
+}
+
+// streamsBegin reports whether streams may begin, at a release of each service that has any. A node that has started
+// once counts as ready without: others may still be writing the record of a release.
+func (n *Node) streamsBegin() bool {
+	if n.streamsBegan.Load() {
+		return true
+	}
+	begin := n.clock.Since(n.started) > maxRecordWait
+	begin = begin || !slices.ContainsFunc(n.resumableServices(), n.releaseGate.IsClosed)
+	n.streamsBegan.Store(begin)
+	return begin
 }
 
 // configCurrent reports whether a configuration of the given age is current enough for the node to
--- a/internal/origin/gate.go
+++ b/internal/origin/gate.go
@@ -36,6 +36,12 @@
 	return g.Releases.active(o) && g.Observer.lastConfirmed().Sub(g.Releases.lastConfirmed()) <= maxCopySkew
 }
 
+// IsClosed reports whether a service has endpoints, and no stream may begin at any of them.
+func (g *Gate) IsClosed(service string) bool {
+	listed := g.Observer.listedReleases(service)
+	return len(listed) > 0 && !slices.ContainsFunc(listed, func(release string) bool { return g.MayBegin(service, release) })
+}
+
 // Sole returns the release that alone can have begun any stream of a service that can still be resumed; empty if
 // there are several, or none that is known. It fails if the records can't be read now.
 func (g *Gate) Sole(ctx context.Context, service string) (release string, err error) {
