Gateway: the releases of all services are recorded

By reading: the releases of a service were recorded once streams of it could be resumed, so a configuration that makes them so would have held back its requests until a step, a write and a read later. All services with endpoints are recorded now: one write more for each release of the others. No test of its own; the tests of streams in internal/gatewaydemo pass.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -36,7 +36,7 @@
 	})
 	n.releaseRecorder = origin.NewRecorder(origin.RecorderConfig{
 		Node: boot.Name, Topic: topic, Releases: releases, Observer: n.registry.releases, Peers: n.roster.Others,
-		Services: n.resumableServices, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
+		Services: n.recordedServices, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
 	})
 }
 
@@ -65,6 +65,20 @@
 	return max(minResumeTime, resumeFactor*config.LongestStream())
 }
 
+// recordedServices returns the services whose releases are recorded: all that have endpoints, so that a change of the
+// configuration by which streams of one may be resumed finds them recorded.
+func (n *Node) recordedServices() []string {
+	config := n.state.config.Load()
+	if config == nil {
+		return nil
+	}
+	names := make([]string, 0, len(config.Services))
+	for i := range config.Services {
+		names = append(names, config.Services[i].Name)
+	}
+	return names
+}
+
 // resumableServices returns the services whose streams may be resumed.
 func (n *Node) resumableServices() []string {
 	config := n.state.config.Load()
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -53,7 +53,7 @@
 	Observer *Observer
 	// Peers returns the names of the other nodes.
 	Peers func() []string
-	// Services returns the services whose streams may be resumed.
+	// Services returns the services whose releases are recorded.
 	Services func() []string
 	// Retention is that of the origins of streams.
 	Retention func() time.Duration
