Origin: origins of streams are in the store while several releases can have begun them

Change: while more than one release of a service has a record, each node writes the origins of the streams that it began within the retention to a log in the platform's store, in batches every 0.5 s, at most 100 writes a second by all nodes. A node that finds a stream at no home, and no release alone, reads the log from the retention on; reads are shared, and sent after the request arrived. Nothing is written while one release is alone. What a node can't write it keeps, bounded.

--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -43,7 +43,7 @@
 	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
 	must.NoError(t, err)
 	defer conn.Close()
-	n.origins = origin.New(origin.Config{Conn: conn, Now: time.Now})
+	n.origins = origin.New(origin.Config{Conn: conn, Now: time.Now, Streams: origin.NewStreamLog(origin.StreamLogConfig{Now: time.Now})})
 	r := newRecorder(n)
 	r.recordLoadAge(time.Second)
 	r.recordRead("config", &relay.Read{Bytes: 1})
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -30,9 +30,13 @@
 	})
 	n.roster.applyReleases = releases.Apply
 	n.releaseGate = &origin.Gate{Releases: releases, Observer: n.registry.releases, Retention: n.resumeTime, Now: n.clock.Now}
+	streams := origin.NewStreamLog(origin.StreamLogConfig{
+		Log: store.Log(platform.TopicStreams), IsShared: n.releaseGate.IsShared, Nodes: n.nodes, Spacing: n.releaseReadSpacing,
+		Retention: n.resumeTime, Now: n.clock.Now, Logger: n.log,
+	})
 	n.origins = origin.New(origin.Config{
 		Conn: n.conn, Self: self, WasListed: n.roster.listedAtStart, Retention: n.resumeTime, Sole: n.releaseGate.Sole,
-		Now: n.clock.Now, Log: n.log,
+		Streams: streams, Now: n.clock.Now, Log: n.log,
 	})
 	n.releaseRecorder = origin.NewRecorder(origin.RecorderConfig{
 		Node: boot.Name, Topic: topic, Releases: releases, Observer: n.registry.releases, Peers: n.roster.Others,
--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -38,7 +38,7 @@
 // newBenchService returns a service that lists the other nodes of a system of the given size.
 func newBenchService(size int, retention time.Duration) (*Service, *encodingConn) {
 	conn := &encodingConn{handlers: make(map[string]datagram.Handler)}
-	s := New(Config{Conn: conn, Now: time.Now, Retention: func() time.Duration { return retention }, Sole: noSole})
+	s := New(Config{Conn: conn, Now: time.Now, Retention: func() time.Duration { return retention }, Sole: noSole, Streams: (&memoryLog{}).open()})
 	peers := make([]Peer, size-1)
 	for i := range peers {
 		peers[i] = newPeer(i)
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -26,13 +26,15 @@
 	OwnRecord
 	// PeerRecord means that another node had a record.
 	PeerRecord
+	// LoggedRecord means that no node had a record, but the platform's store.
+	LoggedRecord
 	// SoleRelease means that there was no record, but a single release can have begun the stream.
 	SoleRelease
 )
 
 // String implements fmt.Stringer.
 func (s Source) String() string {
-	return [...]string{NotFound: "unknown", OwnRecord: "own", PeerRecord: "peer", SoleRelease: "sole"}[s]
+	return [...]string{NotFound: "unknown", OwnRecord: "own", PeerRecord: "peer", LoggedRecord: "store", SoleRelease: "sole"}[s]
 }
 
 // Result is the outcome of Find.
@@ -76,13 +78,27 @@
 		return result
 	}
 	release, err := s.config.Sole(ctx, service)
-	if release != "" {
+	switch {
+	case release != "":
 		result.Origin, result.Source = Origin{service, release}, SoleRelease
+	case err == nil && k != (Key{}):
+		err = s.findLogged(ctx, k, &result)
 	}
 	result.Err = err
 	return result
 }
 
+// findLogged sets the result to a stream's record in the platform's store, if there is one.
+func (s *Service) findLogged(ctx context.Context, k Key, result *Result) error {
+	if err := s.config.Streams.load(ctx); err != nil {
+		return err
+	}
+	if o, found := s.table.Find(k); found {
+		result.Origin, result.Source = o, LoggedRecord
+	}
+	return nil
+}
+
 // askHomes asks the homes of a stream for its record. No node has one of a request that was not named.
 func (s *Service) askHomes(ctx context.Context, k Key) Result {
 	if k == (Key{}) {
--- a/internal/origin/gate.go
+++ b/internal/origin/gate.go
@@ -42,15 +42,25 @@
 	return len(listed) > 0 && !slices.ContainsFunc(listed, func(release string) bool { return g.MayBegin(service, release) })
 }
 
+// IsShared reports whether streams of a service can have begun at several releases, as far as this node knows.
+func (g *Gate) IsShared(service string) bool { return len(g.releases(service)) > 1 }
+
+// releases returns the releases of a service that have a record, or an endpoint that this node saw, sorted.
+func (g *Gate) releases(service string) []string {
+	recorded, _ := g.Releases.of(service)
+	list := append(recorded, g.Observer.seenReleases(service, g.Retention(), g.Now())...)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // Sole returns the release that alone can have begun any stream of a service that can still be resumed; empty if
 // there are several, or none that is known. It fails if the records can't be read now.
 func (g *Gate) Sole(ctx context.Context, service string) (release string, err error) {
 	if err := g.Releases.Confirm(ctx); err != nil {
 		return "", err
 	}
-	releases, whole := g.Releases.of(service)
-	releases = slices.Compact(slices.Sorted(slices.Values(append(releases, g.Observer.seenReleases(service, g.Retention(), g.Now())...))))
-	if !whole || len(releases) != 1 {
+	releases := g.releases(service)
+	if _, whole := g.Releases.of(service); !whole || len(releases) != 1 {
 		return "", nil
 	}
 	return releases[0], nil
--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -157,6 +157,7 @@
 	s.gates[i] = &Gate{Releases: releases, Observer: observer, Retention: keep, Now: time.Now}
 	n.start()
 	n.Service.config.Sole = s.gates[i].Sole
+	n.Service.config.Streams.config.IsShared = s.gates[i].IsShared
 	s.observers[i], s.copies[i] = observer, releases
 	s.recorders[i] = NewRecorder(RecorderConfig{
 		Node: n.peer.Name, Topic: s.topic, Releases: releases, Observer: observer, Peers: n.peerNames,
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -49,6 +49,8 @@
 	// Sole returns the release that alone can have begun streams of a service that are resumed now, or empty. It
 	// fails if that can't be found out now.
 	Sole func(ctx context.Context, service string) (release string, err error)
+	// Streams keeps the origins of streams for the case that all nodes are lost.
+	Streams *StreamLog
 	// Self is this node, as the others list it.
 	Self Peer
 	// WasListed reports whether the others listed it before it started.
@@ -76,6 +78,7 @@
 // New returns a service that receives messages once c.Conn runs.
 func New(c Config) *Service {
 	s := &Service{config: c, table: NewTable(c.Now, c.Retention), homes: newHomes(nil)}
+	c.Streams.found = s.addAll
 	c.Conn.Handle(recordsMethod, s.handleRecords)
 	c.Conn.Handle(findMethod, s.handleFind)
 	c.Conn.Handle(copyMethod, s.handleCopy)
@@ -112,6 +115,7 @@
 	}
 	s.table.Add(k, o)
 	r := record{Key: k, Origin: o}
+	s.config.Streams.add(r)
 	s.mu.Lock()
 	homes := s.homes
 	if len(s.resends) < maxResends {
@@ -121,11 +125,13 @@
 	s.config.Conn.Notify(homes.of(k, copies), recordsMethod, recordsMessage{[]record{r}})
 }
 
-// Run copies the records of other nodes, and sends new ones a second time, until ctx is done.
+// Run copies the records of other nodes, sends new ones a second time, and writes them to the platform's store while
+// several releases serve, until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
-	var copying sync.WaitGroup
-	copying.Go(func() { s.copyRecords(ctx) })
-	defer copying.Wait()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.copyRecords(ctx) })
+	tasks.Go(func() { s.config.Streams.run(ctx) })
+	defer tasks.Wait()
 	ticker := time.NewTicker(resendDelay)
 	defer ticker.Stop()
 	for {
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -26,6 +26,8 @@
 type network struct {
 	loss  float64
 	nodes []*node
+	// streams is the log of the origins of streams.
+	streams *memoryLog
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -82,7 +84,7 @@
 }
 
 func newNetwork(size int) *network {
-	n := &network{random: rand.New(rand.NewPCG(uint64(size), 1))}
+	n := &network{streams: &memoryLog{}, random: rand.New(rand.NewPCG(uint64(size), 1))}
 	for i := range size {
 		added := &node{network: n, peer: newPeer(i)}
 		n.nodes = append(n.nodes, added)
@@ -103,7 +105,8 @@
 	n.network.setHandlers(n, make(map[string]datagram.Handler))
 	n.Service = New(Config{
 		Conn: n, Self: n.peer, WasListed: func() bool { return n.listedBefore }, Now: time.Now, Retention: func() time.Duration { return retention },
-		Sole: func(context.Context, string) (string, error) { return n.sole, nil },
+		Sole:    func(context.Context, string) (string, error) { return n.sole, nil },
+		Streams: n.network.streams.open(),
 	})
 }
 
