--- a/internal/gateway/followers.go
+++ b/internal/gateway/followers.go
@@ -60,7 +60,7 @@
 	f.config, source = follower("config", platform.TopicOperator, &relay.Copy{Sink: n.state, Clock: n.clock}, partConfig)
 	source.MayReadAll, source.Candidates = n.mayReadConfig, n.roster.listedReaders
 	f.config.Wait, f.config.Pause = zeroIfRelayed(source.Relayed, n.configWait), intervalIfRelayed(source.Relayed, relayPollInterval, nil)
-	entries := &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenInvalidEndpoint}
+	entries := &relay.Copy{Sink: n.registry, Clock: n.clock, Same: platform.SameEndpoint, Brief: platform.ShortenEndpoint}
 	n.registry.records = entries.Records
 	f.endpoints, source = follower("registry", platform.TopicEndpoints, entries, partRegistry)
 	source.MayReadAll, source.Readers, source.NeverForStale = n.mayReadRegistry, n.registryReaders, true
