Relay: a request names no more long records than it has room for

Cause: a node named all records over 4 KB that it had; with some hundred of them the request was longer than a datagram, so every read from another node failed and the node turned to the store. Change: at most 4 KB of names; the other records are sent whole when they change. Measured: TestManyLongRecordsDoNotStopReads (1,000 long records) fails before, passes after; the package passes (82 s).

--- a/internal/relay/longread.go
+++ b/internal/relay/longread.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
@@ -11,12 +13,24 @@
 // maxParts bounds the parts of a long value.
 const maxParts = maxValueBytes/partBytes + 1
 
-// heldRecords returns the long records of this node of which changes are to be told.
+// maxHeldBytes bounds the records that a request names. The others are sent whole when they change.
+const maxHeldBytes = 4 << 10
+
+// heldRecords returns the long records of this node of which changes are to be told, as many as a request has room
+// for.
 func (t *Topic) heldRecords() []heldRecord {
 	if t.Own == nil || t.requestWhole {
 		return nil
 	}
-	return t.Own.held()
+	held := t.Own.held()
+	slices.SortFunc(held, func(a, b heldRecord) int { return cmp.Compare(a.Key, b.Key) })
+	bytes := 0
+	for i := range held {
+		if bytes += len(held[i].Key) + recordOverhead; bytes > maxHeldBytes {
+			return held[:i]
+		}
+	}
+	return held
 }
 
 // complete obtains the long values of a response from the node that sent it. If one can't be decoded, the
--- /dev/null
+++ b/internal/relay/manylong_test.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/follow"
+)
+
+// TestManyLongRecordsDoNotStopReads guards against requests that are too long to send as they name all long records.
+func TestManyLongRecordsDoNotStopReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowedSystem(0)
+		var long []follow.Record
+		for i := range int64(1000) {
+			key := fmt.Sprintf("%s%d", strings.Repeat("k", 200), i)
+			long = append(long, record(key, strings.Repeat("[", longFrom), 10+i))
+		}
+		batch := follow.Batch{Records: long, Next: 1010, ConfirmedAt: time.Now()}
+		f.reader.Apply(batch)
+		f.own.Apply(batch)
+		f.next = 1010
+		change := record("changed", "x", 1010)
+		f.reader.Apply(follow.Batch{Records: []follow.Record{change}, Next: 1011, ConfirmedAt: time.Now()})
+		page, err := f.topic.Read(t.Context(), f.next, 0)
+		must.NoError(t, err)
+		test.Eq(t, []follow.Record{change}, page.Records)
+		test.True(t, f.topic.Relayed())
+	})
+}
