Relay: a copy keeps its own values, not the store's responses

Cause: a value of a read is a slice of the whole response, up to 1 MB, which stayed in memory for one entry of some hundred bytes that didn't change any more, with all odd entries beside it. Change: the copy clones the values that it takes over; heartbeats aren't. Measured: TestCopyKeepsNoResponses fails before, passes after.

--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -8,6 +8,7 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
 	"sync"
 	"time"
@@ -80,6 +81,7 @@
 		if exists && before.Offset < r.Offset {
 			c.keepVersion(before)
 		}
+		r.Value = bytes.Clone(r.Value) // it is a slice of the whole response
 		c.latest[r.Key] = r
 		c.setLong(r)
 		c.changes.add(r.Key, r.Offset)
@@ -185,10 +187,10 @@
 
 // countFitting returns the number of leading records that fit into maxBytes, at least one.
 func countFitting(records []relayedRecord, maxBytes int) int {
-	bytes := 0
+	size := 0
 	for i := range records {
-		bytes += records[i].encodedSize()
-		if i > 0 && bytes > maxBytes {
+		size += records[i].encodedSize()
+		if i > 0 && size > maxBytes {
 			return i
 		}
 	}
--- a/internal/relay/manylong_test.go
+++ b/internal/relay/manylong_test.go
@@ -34,3 +34,13 @@
 		test.True(t, f.topic.Relayed())
 	})
 }
+
+// TestCopyKeepsNoResponses guards against a copy that keeps the whole response of the store for each short record in it.
+func TestCopyKeepsNoResponses(t *testing.T) {
+	response := []byte(strings.Repeat("x", 1<<20) + "value")
+	value := response[1<<20:]
+	c := emptyCopy()
+	c.Apply(follow.Batch{Records: []follow.Record{{Key: "a", Value: value, Offset: 10}}, Next: 11, ConfirmedAt: time.Now()})
+	clear(response)
+	test.Eq(t, []follow.Record{record("a", "value", 10)}, c.Records())
+}
