Logs of odd entries and messages are bounded in lines and bytes

Cause: endpoint_outdated, endpoint_succeeded and datagram_rejected had a line for each entry or message, and the cause of record_rejected quoted names of any length. Change: at most 20 lines in 10 s of each kind, and 512 bytes of a cause.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -36,11 +36,11 @@
 
 // Conn sends and receives messages on one UDP port. It is safe for concurrent use.
 type Conn struct {
-	udp      *net.UDPConn
-	log      zerolog.Logger
-	handlers map[string]Handler
-	limiter  *rate.Limiter // limits the bytes of responses; nil for no limit
-	sent     atomic.Int64
+	udp          *net.UDPConn
+	log, rejects zerolog.Logger // rejects is that of messages that can't be handled
+	handlers     map[string]Handler
+	limiter      *rate.Limiter // limits the bytes of responses; nil for no limit
+	sent         atomic.Int64
 
 	// unknownMethods are the methods without a handler that were logged. Run uses it only.
 	unknownMethods map[string]bool
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peer datagrams")
 	}
-	return &Conn{udp: udp, log: log, handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call), tooLong: make(map[string]time.Time)}, nil
+	return &Conn{udp: udp, log: log, rejects: sampleRejects(log), handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call), tooLong: make(map[string]time.Time)}, nil
 }
 
 // Addr returns the address that peers send to.
@@ -132,7 +132,7 @@
 func (c *Conn) handleMessage(data []byte, from netip.AddrPort) {
 	var m message
 	if err := json.Unmarshal(data, &m); err != nil {
-		c.log.Warn().Str("event", "datagram_rejected").Stringer("from", from).Err(err).Send()
+		c.rejects.Warn().Str("event", "datagram_rejected").Stringer("from", from).Err(err).Send()
 		return
 	}
 	if m.Method == "" {
@@ -141,7 +141,7 @@
 	}
 	result, err := c.callHandler(&m)
 	if err != nil && !c.loggedUnknownMethod(m.Method) {
-		c.log.Warn().Str("event", "datagram_rejected").Stringer("from", from).Str("method", m.Method).AnErr("error", err).Send()
+		c.rejects.Warn().Str("event", "datagram_rejected").Stringer("from", from).Str("method", m.Method).AnErr("error", err).Send()
 	}
 	if m.ID != nil {
 		c.respond(*m.ID, result, err, from)
--- a/internal/datagram/unknown_test.go
+++ b/internal/datagram/unknown_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -35,3 +38,21 @@
 	}
 	test.Eq(t, 2+maxUnknownMethods, logged())
 }
+
+// TestInvalidMessagesAreLoggedInBrief guards against a log that grows with what any process can send to the port.
+func TestInvalidMessagesAreLoggedInBrief(t *testing.T) {
+	var lines bytes.Buffer
+	c, err := Listen("127.0.0.1:0", zerolog.New(&lines))
+	must.NoError(t, err)
+	defer c.Close()
+	c.Handle("known", func(json.RawMessage) (any, error) { return nil, errors.New("invalid parameters") })
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	deep := strings.Repeat("[", MaxBytes/2) + strings.Repeat("]", MaxBytes/2)
+	for range 1000 {
+		for _, message := range []string{deep[:MaxBytes-1], `{"method":"known","params":` + deep[1<<10:len(deep)-1<<10] + `}`, `{"id":1e400,"method":"known"}`, `{"method":7}`} {
+			c.handleMessage([]byte(message), from)
+		}
+	}
+	test.Less(t, 16<<10, lines.Len())
+	test.Eq(t, rejectBurst, bytes.Count(lines.Bytes(), []byte("datagram_rejected")))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,8 @@
 	Connect upstream.DialFunc
 
 	log zerolog.Logger
+	// entryLog logs what single entries show. Other processes may write any number of these.
+	entryLog zerolog.Logger
 
 	mu      sync.Mutex
 	members map[string]*Member
@@ -96,7 +98,7 @@
 
 // New returns an empty fleet.
 func New(log zerolog.Logger) *Fleet {
-	f := &Fleet{log: log, members: make(map[string]*Member), byAddr: make(map[string]*Member), latest: make(map[string]start)}
+	f := &Fleet{log: log, entryLog: sampleEntries(log), members: make(map[string]*Member), byAddr: make(map[string]*Member), latest: make(map[string]start)}
 	f.view.Store(&view{})
 	return f
 }
@@ -141,7 +143,7 @@
 	if e.StartedMs >= newest {
 		return false
 	}
-	f.log.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.StartedMs).Int64("newest", newest).Send()
+	f.entryLog.Info().Str("event", "endpoint_outdated").Str("endpoint", e.ID).Int64("born", e.StartedMs).Int64("newest", newest).Send()
 	return true
 }
 
@@ -196,7 +198,7 @@
 		return
 	}
 	previous.MarkEnded(now)
-	f.log.Info().Str("event", "endpoint_succeeded").Str("endpoint", previous.ID).Str("by", e.ID).Str("addr", e.Addr).Send()
+	f.entryLog.Info().Str("event", "endpoint_succeeded").Str("endpoint", previous.ID).Str("by", e.ID).Str("addr", e.Addr).Send()
 }
 
 // MarkDraining records that an endpoint reported in an answer to this node that it drains. It counts as
--- a/internal/gateway/rejected.go
+++ b/internal/gateway/rejected.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,8 @@
 	// that a faulty writer cannot flood the log. All rejected records are counted.
 	rejectedBurst  = 20
 	rejectedPeriod = 10 * time.Second
+	// maxCauseBytes bounds the logged text of why a record was rejected, which may quote the record.
+	maxCauseBytes = 512
 )
 
 // rejected counts and logs the store's records that cannot be used.
@@ -29,5 +32,10 @@
 // record counts and logs a record that cannot be used.
 func (r *rejected) record(record *follow.Record, cause error) {
 	r.Add(1)
-	r.log.Error().Str("event", "record_rejected").Str("key", record.Key).Int64("offset", follow.OffsetOf(record.Offset)).Err(cause).Send()
+	r.log.Error().Str("event", "record_rejected").Str("key", record.Key).Int64("offset", follow.OffsetOf(record.Offset)).Str(zerolog.ErrorFieldName, firstBytes(cause.Error(), maxCauseBytes)).Send()
+}
+
+// firstBytes returns the beginning of a text, of at most n bytes.
+func firstBytes(text string, n int) string {
+	return strings.ToValidUTF8(text[:min(len(text), n)], "")
 }
