Quarantine: records of holds with times or endpoints out of range are refused

Cause: a record with a time in the year 10,000 or later made cherryctl quarantine list -o json fail as a whole, and names of endpoints had no bound. Change: times from 0 to the year 4199, 1 to 512 bytes for an endpoint's start.

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -52,10 +52,33 @@
 	if len(stored.Endpoints) < holdThreshold || len(stored.Endpoints) > maxReportEntries {
 		return Hold{}, eris.Errorf("decode held request: invalid number of endpoints: %d", len(stored.Endpoints))
 	}
+	if err := stored.check(); err != nil {
+		return Hold{}, err
+	}
 	left := min(time.UnixMilli(stored.UntilMS).Sub(now), maxHold)
 	return Hold{Fingerprint: f, Endpoints: stored.Endpoints, Since: time.UnixMilli(stored.SinceMS), Until: now.Add(left), Node: stored.Node, Part: stored.Part}, nil
 }
 
+const (
+	// maxUnixMS is the largest time of a record, in the year 4199. JSON can't show years of more than four digits.
+	maxUnixMS = 1<<46 - 1
+	// maxStartBytes bounds the identifier of an endpoint's start in a record.
+	maxStartBytes = 512
+)
+
+// check returns an error if a time or an endpoint is out of range.
+func (r *record) check() error {
+	if r.UntilMS < 0 || r.UntilMS > maxUnixMS || r.SinceMS < 0 || r.SinceMS > maxUnixMS {
+		return eris.Errorf("decode held request: times %d and %d are out of range", r.UntilMS, r.SinceMS)
+	}
+	for _, endpoint := range r.Endpoints {
+		if endpoint == "" || len(endpoint) > maxStartBytes {
+			return eris.Errorf("decode held request: identifier of an endpoint has %d bytes", len(endpoint))
+		}
+	}
+	return nil
+}
+
 // ReadHolds returns the requests with a hold record in a topic, including expired holds, newest first.
 // Invalid records are skipped. It fails if the topic cannot be read.
 func ReadHolds(ctx context.Context, topic follow.Topic, now time.Time) ([]Hold, error) {
