Gateway: node entries with a number or an address out of range are refused

Change: 0 to 2^20 millicores, 255 bytes for a domain, addresses in the usual notation. Measured: TestOddNodeEntriesAreRejected fails before, passes after.

--- a/internal/gateway/nodeentry.go
+++ b/internal/gateway/nodeentry.go
@@ -25,6 +25,12 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
+const (
+	maxDomainBytes = 255
+	// maxMilliCores is more than any host has. The nodes with the most perform work for the others.
+	maxMilliCores = 1 << 20
+)
+
 // decodeNode decodes a node's entry. It fails if the value does not describe a node with a usable
 // address: records of other writers must not count as nodes, which get a share of the common limits
 // and receive load messages.
@@ -37,11 +43,20 @@
 	if err != nil {
 		return nodeEntry{}, eris.Wrap(err, "decode node address")
 	}
-	if ip := addr.Addr().Unmap(); addr.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
-		return nodeEntry{}, eris.Errorf("decode node address: %s is not a unicast address with a port", addr)
+	if !isNodeAddr(addr, e.Addr) {
+		return nodeEntry{}, eris.Errorf("decode node address: %q is not a unicast address with a port", e.Addr)
+	}
+	if len(e.Domain) > maxDomainBytes || e.MilliCores < 0 || e.MilliCores > maxMilliCores {
+		return nodeEntry{}, eris.Errorf("decode node entry: domain of %d bytes or %d millicores are out of range", len(e.Domain), e.MilliCores)
 	}
-	if _, err := netip.ParseAddrPort(e.Helper); err != nil {
+	if helper, err := netip.ParseAddrPort(e.Helper); err != nil || !isNodeAddr(helper, e.Helper) {
 		e.Helper = ""
 	}
 	return e, nil
 }
+
+// isNodeAddr reports whether an address that was parsed from text is a unicast one with a port, in the usual notation.
+func isNodeAddr(addr netip.AddrPort, text string) bool {
+	ip := addr.Addr().Unmap()
+	return addr.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == "" && addr.String() == text
+}
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -90,3 +90,22 @@
 	must.Greater(t, 0, out.Len())
 	must.Less(t, 2<<10, out.Len(), must.Sprint("one line"))
 }
+
+// TestOddNodeEntriesAreRejected checks node entries that are nested deeply, with a number or an address out of range.
+func TestOddNodeEntriesAreRejected(t *testing.T) {
+	deep := strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000)
+	for _, value := range []string{
+		deep, `{"addr":"10.0.0.1:7","domain":` + deep[:9000] + `}`, `{"addr":"10.0.0.1:7","x":` + deep + `}`,
+		`{"addr":"10.0.0.1:7","millicores":1e400}`, `{"addr":"10.0.0.1:7","millicores":9223372036854775807}`, `{"addr":"10.0.0.1:7","millicores":-1}`,
+		`{"addr":"10.0.0.1:65536"}`, `{"addr":"10.0.0.1:70000"}`, `{"addr":"10.0.0.1:-1"}`, `{"addr":"10.0.0.1:"}`, `{"addr":"10.0.0.1:0080"}`, `{"addr":"[::1%eth0]:80"}`,
+		`{"addr":"10.0.0.1:7","domain":"` + strings.Repeat("d", 300) + `"}`,
+	} {
+		_, err := decodeNode([]byte(value))
+		test.Error(t, err, test.Sprintf("%.80s", value))
+	}
+	for _, helper := range []string{"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:0080", "0.0.0.0:80"} {
+		e, err := decodeNode(fmt.Appendf(nil, `{"addr":"10.0.0.1:7","helper":%q}`, helper))
+		must.NoError(t, err)
+		test.Eq(t, "", e.Helper, test.Sprint("no requests are passed to it"))
+	}
+}
