Stand-ins and whole program: odd entries before the start, while nodes run, and in place of servers

The other writer also writes entries that are nested deeply, with numbers and ports out of range, and such records for the operator's keys.

--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -215,7 +215,7 @@
 		first, end := t.first, t.first+int64(len(t.records))
 		var records [][]byte
 		if from >= first && from < end {
-			records = slices.Clone(t.records[from-first:])
+			records = slices.Clone(firstFitting(t.records[from-first:]))
 		}
 		change := s.change
 		restored := r.Context().Value(restoresKey{}) != s.restores
@@ -253,28 +253,6 @@
 	_, _ = w.Write(data) // fails only if the client has disconnected
 }
 
-func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
-	type item struct {
-		Key    string `json:"key"`
-		Value  string `json:"value"`
-		Offset int64  `json:"offset"`
-	}
-	page := struct {
-		Items   []item `json:"items"`
-		HasMore bool   `json:"has-more"`
-		End     int64  `json:"end"`
-	}{Items: []item{}}
-	s.mu.Lock()
-	t := s.topic(r.URL.Query().Get("topic"))
-	for key, n := range t.newest {
-		page.Items = append(page.Items, item{key, n.value, n.offset})
-	}
-	page.End = t.first + int64(len(t.records))
-	s.mu.Unlock()
-	slices.SortFunc(page.Items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	writeJSON(w, page)
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	_ = json.NewEncoder(w).Encode(v) // fails only if the client has disconnected
 }
--- a/standin/site/otherwriter.go
+++ b/standin/site/otherwriter.go
@@ -51,13 +51,46 @@
 	}
 	for _, change := range [][2]string{
 		{`"ready"`, `"starting"`}, {`:64`, `:-64`}, {`:64`, `:1e999`}, {`:64`, `:"64"`}, {f.addr, "0.0.0.0:80"}, {f.addr, "x:80"},
+		{`"slots":64`, `"slots":99999999999999999999`}, {`"seq":1`, `"seq":1e400`}, {`"cold-left-ms":0`, `"cold-left-ms":-1e999`},
 		{`"models":[`, `"models":[7,`}, {`"version":1,"adapters"`, `"version":"1","adapters"`}, {`"seq":1`, `"seq":1,"born":1.5`},
 	} {
 		list = append(list, strings.Replace(engine, change[0], change[1], 1))
 	}
+	ip, port, _ := strings.Cut(f.addr, ":")
+	for _, odd := range []string{":65536", ":70000", ":-1", ":", ":0" + port, ":" + port + " ", "%lo:" + port} {
+		list = append(list, strings.Replace(engine, f.addr, ip+odd, 1))
+	}
+	return append(append(list, strings.Replace(engine, f.addr, "[::ffff:"+ip+"]:"+port, 1)), f.nestedEntries()...)
+}
+
+// nestedEntries returns entries that are nested deeply: as a whole, in a field that is not known, and in models.
+func (f *OtherWriter) nestedEntries() []string {
+	engine := f.entry("models")
+	var list []string
+	for _, levels := range []int{100, 9998, 30_000} {
+		for _, pair := range [][2]string{{"[", "]"}, {`{"x":`, "}"}} {
+			deep := strings.Repeat(pair[0], levels) + "1" + strings.Repeat(pair[1], levels)
+			list = append(list, deep, strings.Replace(engine, `"seq":1`, `"seq":1,"x":`+deep, 1), strings.Replace(engine, `"adapters":[]`, `"adapters":`+deep, 1))
+		}
+	}
 	return list
 }
 
+// WriteMany writes count unusable entries under keys of their own.
+func (f *OtherWriter) WriteMany(count int) {
+	list := f.Entries()
+	for i := range count {
+		f.site.Store.Put("keyed.servers", fmt.Sprint("many-", i), []byte(list[i%len(list)]))
+	}
+}
+
+// OverwriteServer writes an unusable entry under the key of a server of the site, which the server's next heartbeat
+// replaces.
+func (f *OtherWriter) OverwriteServer(server, entry int) {
+	list := f.Entries()
+	f.site.Store.Put("keyed.servers", f.site.servers[server].id, []byte(list[entry%len(list)]))
+}
+
 // Write writes all entries under separate keys and under the keys of the given model servers, and
 // appends invalid records to the topics of the operator and the servers.
 func (f *OtherWriter) Write(overwritten ...int) {
@@ -74,12 +107,19 @@
 		}
 		store.PutInvalidValue(topic, "foreign-unreadable", "no base64!")
 	}
-	for _, value := range []string{"{", "null", "{}", `{"version":"9"}`, `{"version":-9}`, `{"version":9.5}`, "\xff"} {
+	deep := strings.Repeat("[", 9998) + strings.Repeat("]", 9998)
+	for _, key := range []string{"rollout/models", "evacuate", "version/other"} {
+		for _, value := range []string{deep, "{", `{"version":1e400}`, `{"destination":"v2","within-s":1e400}`, `{"destination":"v2","within-s":5,"x":` + deep + "}"} {
+			store.Put("keyed.op", key, []byte(value))
+		}
+	}
+	for _, value := range []string{"{", "null", "{}", `{"version":9223372036854775807}`, `{"version":1e400}`, deep, `{"version":9,"x":` + deep + "}", `{"version":"9"}`, `{"version":-9}`, `{"version":9.5}`, "\xff"} {
 		store.Put("keyed.op", "config", []byte(value))
 		store.Put("keyed.op", "version/"+Model, []byte(value))
 	}
 	store.Put("keyed.op", "version/"+Model, []byte(`{"model":"another","version":9}`))
-	for _, value := range []string{`{"version":9,"routes":{}}`, `{"version":9,"routes":[{}]}`, `{"version":9,"services":[{}]}`, `{"version":9,"tenants":[{}]}`} {
+	for _, value := range []string{`{"version":9,"routes":{}}`, `{"version":9,"routes":[{}]}`, `{"version":9,"services":[{}]}`, `{"version":9,"tenants":[{}]}`,
+		`{"version":9,"services":[{"name":"keep","kv-store-addr":"10.0.0.1:70000"}]}`} {
 		store.Put("keyed.op", "config", []byte(value))
 	}
 }
