Handoff: times that no duration can hold are refused

Cause: an envelope with 2^63 - 1 ms left, or of that age, was read as a negative time. Change: times of 0 to 2^42 ms; a Retry-After beyond is limited to it.

--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -50,6 +50,12 @@
 	Release string `json:"release,omitempty"`
 }
 
+// maxMS is the longest time that nodes tell each other, which a time.Duration can hold.
+const maxMS = 1 << 42
+
+// boundedMS returns the time in the valid range that is nearest to ms.
+func boundedMS(ms int64) int64 { return min(max(ms, 0), maxMS) }
+
 // Left returns the time until the request's deadline.
 func (e *Envelope) Left() time.Duration { return time.Duration(e.LeftMS) * time.Millisecond }
 
@@ -72,7 +78,7 @@
 	if err := json.Unmarshal([]byte(h.Get(envelopeHeader)), e); err != nil {
 		return nil, eris.Wrap(err, "decode the envelope")
 	}
-	if e.From == "" || e.LeftMS < 0 || e.AgeMS < 0 || e.Attempts < 1 {
+	if e.From == "" || e.LeftMS != boundedMS(e.LeftMS) || e.AgeMS != boundedMS(e.AgeMS) || e.Attempts < 1 {
 		return nil, eris.Errorf("envelope is out of range: from %q, left %d ms, age %d ms, %d attempts", e.From, e.LeftMS, e.AgeMS, e.Attempts)
 	}
 	return e, nil
@@ -92,7 +98,7 @@
 
 // Error returns the error that the refusal states.
 func (r Refusal) Error() *result.Error {
-	return result.New(r.Code, result.WithRunState(r.RunState), result.WithRetryAfter(time.Duration(r.RetryAfterMS)*time.Millisecond))
+	return result.New(r.Code, result.WithRunState(r.RunState), result.WithRetryAfter(time.Duration(boundedMS(r.RetryAfterMS))*time.Millisecond))
 }
 
 // TryOther reports whether another node may serve the request: this one has not sent it, for a reason of
