--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/relay"
+	"github.com/cherryward/cherryward/platform"
 )
 
 // oddEntries returns unusable entries: nested deeply, with a number out of range, with an address out of range, and with
@@ -109,3 +111,33 @@
 		test.Eq(t, "", e.Helper, test.Sprint("no requests are passed to it"))
 	}
 }
+
+// TestLongEntriesTakeBoundedMemory guards against nodes that keep what another process writes in full, once for the copy
+// that they serve to others and once for the registry.
+func TestLongEntriesTakeBoundedMemory(t *testing.T) {
+	const entries, maxBytesOfEach = 2000, 1000
+	r := newRegistryFixture()
+	r.configure(t, 1, engines)
+	copied := &relay.Copy{Sink: r.registry, Same: platform.SameEndpoint, Brief: platform.ShortenEndpoint}
+	deep := strings.Replace(entryOf("engines", "ready", models), `"seq":1`, `"seq":1,"x":`+strings.Repeat("[", 9998)+strings.Repeat("]", 9998), 1)
+	long := strings.Replace(entryOf("engines", "ready", models), `"seq":1`, `"seq":1,"x":"`+strings.Repeat("x", 9998)+`"`, 1)
+	batch := follow.Batch{Snapshot: true, ConfirmedAt: time.Now(), Next: entries}
+	for i := range int64(entries) {
+		value := []byte(deep)
+		if i%2 == 0 {
+			value = []byte(long)
+		}
+		batch.Records = append(batch.Records, follow.Record{Key: fmt.Sprint("e", i), Value: value, Offset: i})
+	}
+	copied.Apply(batch)
+	kept := 0
+	for _, record := range copied.Records() {
+		kept += len(record.Value)
+	}
+	for _, e := range r.entries {
+		kept += len(e.value)
+	}
+	test.Less(t, entries*maxBytesOfEach, kept)
+	test.SliceLen(t, entries/2, r.fleet.Members("engines"), test.Sprint("entries with a long field that is not known are valid"))
+	test.Eq(t, int64(entries/2), r.rejected.Load())
+}
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -23,6 +23,8 @@
 	// reregistrationTime is how long live endpoints take to restore their entries after the
 	// registry is back: about 2 s according to the platform.
 	reregistrationTime = 2200 * time.Millisecond
+	// maxKeptBytes is the length up to which the encoded form of an entry is kept. Servers write a few hundred bytes.
+	maxKeptBytes = 4 << 10
 	// maxClockSkew is how far a server's clock may be ahead of this host's. Without this limit, a
 	// faulty entry with a start time far in the future would make all later entries of the server
 	// outdated.
@@ -63,7 +65,8 @@
 	records func() []follow.Record
 }
 
-// entry is an endpoint's entry with its encoded form.
+// entry is an endpoint's entry with its encoded form, which is nil if it has more than maxKeptBytes: each heartbeat of
+// such an entry is decoded.
 type entry struct {
 	value    []byte
 	endpoint *fleet.Endpoint
@@ -192,6 +195,9 @@
 		return previous, nil
 	}
 	endpoint, err := platform.DecodeEndpoint(record.Key, record.Value)
+	if len(record.Value) > maxKeptBytes {
+		return entry{nil, endpoint}, err
+	}
 	return entry{bytes.Clone(record.Value), endpoint}, err
 }
 
