Log service: an odd host in the list of hosts leaves the others

Cause: the list was decoded as a whole, so one host with a field of another type kept all changes from a node. Change: each host is decoded for itself; those without an id or with an address out of range are left out. Measured: TestOddHostsAreHeldByOthers fails on its second form before, passes after.

--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -105,16 +105,20 @@
 	if h.etag != "" {
 		req.Header.Set("If-None-Match", h.etag)
 	}
-	out := new(hostwire.List)
-	resp, err := exchange(h.http, req, out)
+	var data json.RawMessage
+	resp, err := exchange(h.http, req, &data)
 	if err != nil {
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusNotModified {
 		return nil, ErrUnchanged
 	}
+	list, err := decodeHosts(data)
+	if err != nil {
+		return nil, err
+	}
 	h.etag = resp.Header.Get("ETag")
-	return out, nil
+	return list, nil
 }
 
 func call(ctx context.Context, client *http.Client, method, target string, body []byte, out any) error {
