--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -95,6 +95,7 @@
 		Bounds: s.bounds, Loads: s.loads(), Proxy: w.addProxy, OnCrash: w.onServerCrash,
 	})
 	must.NoError(t, err)
+	w.putEntriesBeforeStart()
 	for _, s := range w.site.Models {
 		w.applyFaults(s)
 	}
