Origin: nodes that the store refuses learn of new releases from others

They read the registry through others within 0.4 s, the records with the list of nodes within 3 s, and Confirm asks the store alone.

Change: when the store can't be read and a release is new, three other nodes are asked for the releases whose records they have read, and how old their copies are. Such a word opens the gate as the own copy would, until a later read; it is no proof that a release is alone.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -36,10 +36,10 @@
 	})
 	n.origins = origin.New(origin.Config{
 		Conn: n.conn, Self: self, WasListed: n.roster.listedAtStart, Retention: n.resumeTime, Sole: n.releaseGate.Sole,
-		Streams: streams, Now: n.clock.Now, Log: n.log,
+		Releases: releases, Streams: streams, Now: n.clock.Now, Log: n.log,
 	})
 	n.releaseRecorder = origin.NewRecorder(origin.RecorderConfig{
-		Node: boot.Name, Topic: topic, Releases: releases, Observer: n.registry.releases, Peers: n.roster.Others,
+		Node: boot.Name, Topic: topic, Releases: releases, Observer: n.registry.releases, LearnReleases: n.origins.LearnReleases, Peers: n.roster.Others,
 		Services: n.recordedServices, Retention: n.resumeTime, Random: rand.Int64N, Now: n.clock.Now, Log: n.log,
 	})
 }
--- a/internal/origin/gate.go
+++ b/internal/origin/gate.go
@@ -33,7 +33,8 @@
 	if !o.recordable() {
 		return true // nothing is resumed at such a service without a record of the stream
 	}
-	return g.Releases.active(o) && g.Observer.lastConfirmed().Sub(g.Releases.lastConfirmed()) <= maxCopySkew
+	at, active := g.Releases.activeAt(o)
+	return active && g.Observer.lastConfirmed().Sub(at) <= maxCopySkew
 }
 
 // IsClosed reports whether a service has endpoints, and no stream may begin at any of them.
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -51,6 +51,8 @@
 	Topic    Topic
 	Releases *Releases
 	Observer *Observer
+	// LearnReleases asks other nodes for the releases that have a record. It is called when the store can't be read.
+	LearnReleases func(ctx context.Context)
 	// Peers returns the names of the other nodes.
 	Peers func() []string
 	// Services returns the services whose releases are recorded.
@@ -130,7 +132,10 @@
 		return
 	}
 	list := r.changes()
-	if r.mustConfirm(list) && r.config.Releases.Confirm(ctx) == nil {
+	if r.mustConfirm(list) {
+		if err := r.config.Releases.Confirm(ctx); err != nil {
+			r.config.LearnReleases(ctx)
+		}
 		list = r.changes()
 	}
 	now, due := r.config.Now(), make(map[string]dueChange)
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -92,6 +92,8 @@
 	// unreadable are the keys of records that are invalid, and when this node read them first. They stand for releases
 	// that are not known.
 	unreadable map[string]time.Time
+	// told are the releases at which streams may begin by the copies of other nodes, and when these were current.
+	told map[Origin]time.Time
 	// next is the position in the topic up to which the copy has all records.
 	next int64
 	// confirmedAt is a time at which the copy was certainly current.
@@ -103,7 +105,7 @@
 
 // NewReleases returns an empty copy.
 func NewReleases(c ReleasesConfig) *Releases {
-	r := &Releases{config: c, stored: make(map[Origin]storedRelease), unreadable: make(map[string]time.Time)}
+	r := &Releases{config: c, stored: make(map[Origin]storedRelease), unreadable: make(map[string]time.Time), told: make(map[Origin]time.Time)}
 	r.confirmer = confirmer{read: r.read, spacing: c.Spacing, now: c.Now}
 	return r
 }
@@ -135,6 +137,7 @@
 	if b.ConfirmedAt.After(r.confirmedAt) {
 		r.confirmedAt = b.ConfirmedAt
 	}
+	maps.DeleteFunc(r.told, func(_ Origin, at time.Time) bool { return !at.After(r.confirmedAt) })
 }
 
 // enterEra notes that the store may have lost records: it has come back from an older copy of its data, or had done
@@ -228,14 +231,6 @@
 	return contents{maps.Clone(r.stored), maps.Clone(r.unreadable), r.next}
 }
 
-// active reports whether streams may begin at a release by its record.
-func (r *Releases) active(o Origin) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	record, found := r.stored[o]
-	return found && !record.Retired
-}
-
 // of returns the recorded releases of a service, sorted. whole is false if there may be others: the store may have lost
 // records, or has some that are invalid.
 func (r *Releases) of(service string) (list []string, whole bool) {
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -49,6 +49,8 @@
 	// Sole returns the release that alone can have begun streams of a service that are resumed now, or empty. It
 	// fails if that can't be found out now.
 	Sole func(ctx context.Context, service string) (release string, err error)
+	// Releases is this node's copy of the records of releases.
+	Releases *Releases
 	// Streams keeps the origins of streams for the case that all nodes are lost.
 	Streams *StreamLog
 	// Self is this node, as the others list it.
@@ -82,6 +84,7 @@
 	c.Conn.Handle(recordsMethod, s.handleRecords)
 	c.Conn.Handle(findMethod, s.handleFind)
 	c.Conn.Handle(copyMethod, s.handleCopy)
+	c.Conn.Handle(releasesMethod, s.handleReleases)
 	return s
 }
 
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -71,6 +71,7 @@
 	handlers map[string]datagram.Handler
 	peer     Peer
 	silent   bool   // killed, or cut off from the others
+	refused  bool   // by the platform's store
 	older    bool   // of a build that doesn't know the messages
 	sole     string // the release that alone can have begun streams
 	// listedBefore is true if the others listed the node before it started.
--- /dev/null
+++ b/internal/origin/told.go
@@ -0,0 +1,88 @@
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// releasesMethod is the call that asks a node which releases have a record by which streams may begin. It has no
+	// parameter and may be repeated.
+	releasesMethod = "node.recorded_releases"
+	// toldBy is the number of nodes that are asked.
+	toldBy = 3
+)
+
+// releasesResponse is the result of releasesMethod.
+type releasesResponse struct {
+	// Active are the releases at which streams may begin, at most maxMessageRecords.
+	Active []Origin `json:"active"`
+	// AgeMS is the age of the copy of the records at the node that answers.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// handleReleases answers a node that can't read the records.
+func (s *Service) handleReleases(json.RawMessage) (any, error) {
+	active, confirmedAt := s.config.Releases.activeReleases()
+	active = active[:min(len(active), maxMessageRecords)]
+	return releasesResponse{active, s.config.Now().Sub(confirmedAt).Milliseconds()}, nil
+}
+
+// LearnReleases asks a few nodes which releases have a record by which streams may begin. It serves a node that can't
+// reach the platform's store, while others can.
+func (s *Service) LearnReleases(ctx context.Context) {
+	s.mu.Lock()
+	peers := slices.Clone(s.peers)
+	s.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(len(peers), toldBy)] {
+		var answer releasesResponse
+		sentAt := s.config.Now()
+		if err := s.call(ctx, p.Addr, releasesMethod, nil, &answer); err != nil || answer.AgeMS < 0 {
+			continue // silent, or of a build that doesn't know the method
+		}
+		s.config.Releases.learn(answer.Active, sentAt.Add(-time.Duration(answer.AgeMS)*time.Millisecond))
+	}
+}
+
+// activeReleases returns the releases at which streams may begin by their records, and when the copy was confirmed.
+func (r *Releases) activeReleases() (list []Origin, confirmedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for o, record := range r.stored {
+		if !record.Retired {
+			list = append(list, o)
+		}
+	}
+	return list, r.confirmedAt
+}
+
+// learn adds releases at which streams may begin by another node's copy, which was current at a time.
+func (r *Releases) learn(active []Origin, confirmedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range active {
+		if confirmedAt.After(r.told[o]) {
+			r.told[o] = confirmedAt
+		}
+	}
+}
+
+// activeAt returns the latest time at which streams could begin at a release by its record, as far as this node knows. ok
+// is false if they may not.
+func (r *Releases) activeAt(o Origin) (at time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told, known := r.told[o]
+	record, found := r.stored[o]
+	switch {
+	case known && told.After(r.confirmedAt):
+		return told, true
+	case found && !record.Retired:
+		return r.confirmedAt, true
+	}
+	return time.Time{}, false
+}
