Stand-in: endless answers state the server's signals

Cause: the stand-in writes the heads of its endless answers by hand, and they lacked Server-Limit, Server-Leaving and Server-Brittle, while the server's record of the request had them. An answer with a complete body and bytes after it (EndlessAfterward) is a signed success without a limit, which is how a server reports the end of one. Both nodes took it so, rightly, and sent freely until the next answer; the soak counted these requests against the limit.

What was ruled out: the node that heard of the limit 2.2 s late had just started, after the excess, and sent none of the requests; the answers that ended the limit were sent after the last one with it, so no report overtook another.

Change: all heads have the lines of the server's signals.

--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if faults.Endless.Refuses() {
-		s.serveEndless(w, faults.Endless, id)
+		s.serveEndless(w, &faults, id)
 		return
 	}
 	s.run(w, r, id, version, faults)
@@ -106,7 +106,7 @@
 		s.cfg.Crash()
 		panic(http.ErrAbortHandler)
 	case faults.Endless != NotEndless:
-		s.serveEndless(w, faults.Endless, id)
+		s.serveEndless(w, &faults, id)
 	case faults.Hang:
 		<-r.Context().Done()
 		s.recordAbandoned()
--- a/standin/modelserver/endless.go
+++ b/standin/modelserver/endless.go
@@ -53,15 +53,15 @@
 
 var endlessChunk = "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"
 
-// endlessText returns what is sent once and what is repeated without end in response to a request with the given id; the
-// latter is empty if nothing follows.
-func (s *Server) endlessText(form Endless, id string) (first, repeated string) {
+// endlessText returns what is sent once and what is repeated without end in response to a request with the given id, in
+// the form that faults select; the latter is empty if nothing follows.
+func (s *Server) endlessText(faults *Faults, id string) (first, repeated string) {
 	head := func(status int, fields ...string) string {
 		fields = append(fields, "X-Attempt-Id: "+id, "X-Server-Seal: seal-"+s.cfg.ID)
-		return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s\r\n\r\n", status, http.StatusText(status), strings.Join(fields, "\r\n"))
+		return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s\r\n%s\r\n", status, http.StatusText(status), strings.Join(fields, "\r\n"), faults.signalLines())
 	}
 	const chunked, stream, refused = "Transfer-Encoding: chunked", "Content-Type: text/event-stream", "X-Not-Executed: 1"
-	switch form {
+	switch faults.Endless {
 	case EndlessInterim:
 		return "", "HTTP/1.1 100 Continue\r\n\r\n"
 	case EndlessGarbage:
@@ -100,14 +100,14 @@
 	return b.String()
 }
 
-// serveEndless sends bytes of the given form until the client closes the connection.
-func (s *Server) serveEndless(w http.ResponseWriter, form Endless, id string) {
+// serveEndless sends bytes of the form that faults select until the client closes the connection.
+func (s *Server) serveEndless(w http.ResponseWriter, faults *Faults, id string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // the stand-in speaks HTTP/1.1 only
 	}
 	defer conn.Close()
-	first, repeated := s.endlessText(form, id)
+	first, repeated := s.endlessText(faults, id)
 	if repeated == "" {
 		_, _ = conn.Write([]byte(first))
 		_, _ = conn.Read(make([]byte, 1)) // returns when the client closes
