Limits: an older report doesn't end a limit

What could be seen: requests beyond a limit that its endpoint still reports, from all nodes that hear of the supposed end, until the next answer.

Cause: two reports can overtake a newer one. The end of a limit was dated from the arrival of the answer without it, though the endpoint may have written the answer's head at any time since the request was sent; a node that had not heard that the limit is in force again reported the end as newer than the limit. And the limits and weight versions of a digest, aggregate or domain load were applied even if a later message of the same node had arrived, which dropped it for all else; ages don't include the time that a message takes, so that the late one looked newer.

Change: the end of a limit counts from when the request was sent, as weight versions do, and is told with that age. Limits and weight versions of messages that were overtaken are ignored; brittle services still count from them, as no report revokes another there. No constant was changed.

--- a/internal/fleet/ratelimit.go
+++ b/internal/fleet/ratelimit.go
@@ -6,8 +6,11 @@
 type RateLimit struct {
 	// PerSecond is the number of requests per second that it accepts from all nodes together.
 	PerSecond float64
-	InForce   bool      // false once the endpoint has stopped reporting a limit
-	At        time.Time // when it was reported
+	InForce   bool // false once the endpoint has stopped reporting a limit
+	// At is when it was reported: when the answer with the limit was received, or when the request was
+	// sent whose answer had none. Between the two the endpoint may have answered either way, so a limit
+	// holds unless it is known to have ended.
+	At time.Time
 	// Direct is true if the endpoint reported it to this node, and false if another node relayed it.
 	Direct bool
 }
@@ -33,10 +36,9 @@
 	return previous == nil || !previous.InForce || previous.PerSecond != perSecond
 }
 
-// ClearLimit records an answer without a limit, to a request sent at sentAt and answered at
-// answeredAt. It reports whether this ended a limit. An answer to a request that was sent
-// before the limit was reported is ignored.
-func (s *Signals) ClearLimit(sentAt, answeredAt time.Time) (ended bool) {
+// ClearLimit records an answer without a limit, to a request sent at sentAt. It reports whether this
+// ended a limit. An answer to a request that was sent before the limit was reported is ignored.
+func (s *Signals) ClearLimit(sentAt time.Time) (ended bool) {
 	if s.limit.Load() == nil {
 		return false
 	}
@@ -46,7 +48,7 @@
 	if sentAt.Before(previous.At) {
 		return false
 	}
-	s.limit.Store(&RateLimit{At: answeredAt, Direct: true})
+	s.limit.Store(&RateLimit{At: sentAt, Direct: true})
 	return previous.InForce
 }
 
--- a/internal/fleet/ratelimit_test.go
+++ b/internal/fleet/ratelimit_test.go
@@ -24,19 +24,21 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	_, known := m.Signals.RateLimit()
 	test.False(t, known)
-	test.False(t, m.Signals.ClearLimit(at(0), at(1)), test.Sprint("no limit was reported"))
+	test.False(t, m.Signals.ClearLimit(at(0)), test.Sprint("no limit was reported"))
 	test.True(t, m.Signals.SetLimit(2.8, at(10)))
 	test.False(t, m.Signals.SetLimit(2.8, at(20)), test.Sprint("same limit again"))
-	test.False(t, m.Signals.ClearLimit(at(15), at(30)), test.Sprint("answer to a request sent before the limit was reported"))
+	test.False(t, m.Signals.ClearLimit(at(15)), test.Sprint("answer to a request sent before the limit was reported"))
 	test.True(t, m.Signals.SetLimit(1.5, at(40)))
 	test.False(t, m.Signals.SetLimit(9, at(35)), test.Sprint("older"))
 	limit, _ := m.Signals.RateLimit()
 	test.Eq(t, RateLimit{PerSecond: 1.5, InForce: true, At: at(40), Direct: true}, limit)
-	test.True(t, m.Signals.ClearLimit(at(50), at(60)))
+	test.True(t, m.Signals.ClearLimit(at(50)))
 	limit, known = m.Signals.RateLimit()
 	test.True(t, known)
 	test.False(t, limit.InForce)
-	test.False(t, m.Signals.ClearLimit(at(70), at(80)), test.Sprint("the limit ended before"))
+	test.False(t, m.Signals.ClearLimit(at(70)), test.Sprint("the limit ended before"))
+	test.True(t, m.Signals.RecordRelayedLimit(RateLimit{PerSecond: 3, InForce: true, At: at(75)}), test.Sprint("reported after the request was sent whose answer had no limit"))
+	test.False(t, m.Signals.RecordRelayedLimit(RateLimit{At: at(74)}), test.Sprint("the end is older"))
 }
 
 // TestRateLimitIsNotInheritedByLaterStart checks that a limit applies to one start of the endpoint,
--- a/internal/forward/endpoint_signals.go
+++ b/internal/forward/endpoint_signals.go
@@ -69,7 +69,7 @@
 		if m.Signals.SetLimit(info.Limit, now) {
 			x.Log.Info().Str("event", "endpoint_limited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Float64("per_s", info.Limit).Send()
 		}
-	case limitRemoved && m.Signals.ClearLimit(sent, now):
+	case limitRemoved && m.Signals.ClearLimit(sent):
 		x.Log.Info().Str("event", "endpoint_unlimited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
 	}
 }
--- a/internal/peerload/domain_load.go
+++ b/internal/peerload/domain_load.go
@@ -70,6 +70,14 @@
 	return nil
 }
 
+// isLatestDomainLoad reports whether no later load of the same collector was received before. The limits
+// in others are ignored, as those in digests that are not the latest.
+func (t *Table) isLatestDomainLoad(load *DomainLoad, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.domainLoadOrder.add(load.Node, messageOrder{load.Incarnation, load.Seq, now}, domainLoadLifetime)
+}
+
 // domainLoadSums returns the sums over all other failure domains whose load is current, and the
 // names of these domains.
 func (t *Table) domainLoadSums(now time.Time) (sums Sums, domains []string) {
@@ -161,7 +169,9 @@
 		return nil, err
 	}
 	now := e.config.Clock.Now()
-	e.applyLimits(load.Limits, now)
+	if e.Table.isLatestDomainLoad(&load, now) {
+		e.applyLimits(load.Limits, now)
+	}
 	e.applyBrittle(load.Brittle, now)
 	return nil, e.Table.RecordDomainLoad(&load, now)
 }
--- a/internal/peerload/receive.go
+++ b/internal/peerload/receive.go
@@ -47,14 +47,25 @@
 		return nil, err
 	}
 	now := e.config.Clock.Now()
-	e.Table.Record(d, now)
-	e.applyUnlistedWeights(d.UnlistedWeights, now)
-	e.applyLimits(d.Limits, now)
-	e.applyBrittle(d.Brittle, now)
-	if d.Aggregate != nil {
-		e.applyUnlistedWeights(d.Aggregate.UnlistedWeights, now)
-		e.applyLimits(d.Aggregate.Limits, now)
-		e.applyBrittle(d.Aggregate.Brittle, now)
-	}
+	e.applyDigest(&d, e.Table.Record(d, now), now)
 	return nil, nil
 }
+
+// applyDigest applies what endpoints reported to other nodes. Weight versions and limits of a digest
+// that is not the latest one of its node are ignored: their ages don't include the time that the
+// message took, so they would override the reports of the digest that overtook it. Reports of brittle
+// services are not revoked, so that a late one overrides nothing.
+func (e *Exchange) applyDigest(d *Digest, latest bool, now time.Time) {
+	a := d.Aggregate
+	if a == nil {
+		a = &Aggregate{}
+	}
+	if latest {
+		e.applyUnlistedWeights(d.UnlistedWeights, now)
+		e.applyLimits(d.Limits, now)
+		e.applyUnlistedWeights(a.UnlistedWeights, now)
+		e.applyLimits(a.Limits, now)
+	}
+	e.applyBrittle(d.Brittle, now)
+	e.applyBrittle(a.Brittle, now)
+}
--- a/internal/peerload/table.go
+++ b/internal/peerload/table.go
@@ -24,7 +24,9 @@
 	domains map[string]domainState
 	// domainLoads holds the latest load of each other failure domain, by its name.
 	domainLoads map[string]domainLoad
-	maxPeers    int // the largest number of peers seen at once
+	// domainLoadOrder holds the latest load message of each collector of another failure domain.
+	domainLoadOrder latestMessages
+	maxPeers        int // the largest number of peers seen at once
 	// own identifies this node's start. ownDigests are its latest digests.
 	own         uint32
 	isCollector bool // this node is a collector
@@ -64,16 +66,17 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{peers: make(map[string]peerState), domains: make(map[string]domainState), domainLoads: make(map[string]domainLoad)}
+	return &Table{peers: make(map[string]peerState), domains: make(map[string]domainState), domainLoads: make(map[string]domainLoad), domainLoadOrder: make(latestMessages)}
 }
 
-// Record records a digest. A digest older than the latest one of the node is dropped.
-func (t *Table) Record(d Digest, now time.Time) {
+// Record records a digest. It returns false, and drops the digest, if it is older than the latest one of
+// the node.
+func (t *Table) Record(d Digest, now time.Time) (recorded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, listed := t.peers[d.Node]
 	if d.Incarnation < known.digest.Incarnation || d.Incarnation == known.digest.Incarnation && d.Seq <= known.digest.Seq {
-		return
+		return false
 	}
 	t.notices.removeBefore(d.Node, d.Incarnation)
 	t.changes++
@@ -85,6 +88,7 @@
 	if !listed {
 		t.maxPeers = max(t.maxPeers, t.removeExpiredPeers(now))
 	}
+	return true
 }
 
 // Late returns how much later than expected fetches complete, in ms, by the holder's address, for
--- a/internal/placer/limited_test.go
+++ b/internal/placer/limited_test.go
@@ -61,7 +61,7 @@
 	for range 40 {
 		test.LessEq(t, 2*time.Second, p.OnRefusal(), test.Sprint("the retry is within the time that callers wait"))
 	}
-	fx.members[0].Signals.ClearLimit(time.Now(), time.Now())
+	fx.members[0].Signals.ClearLimit(time.Now())
 	p, ok = fx.Place(plainQuery())
 	must.True(t, ok)
 	test.Eq(t, "e0", p.Member.ID)
