--- a/internal/peerload/unlisted_weights_test.go
+++ b/internal/peerload/unlisted_weights_test.go
@@ -66,3 +66,24 @@
 	m.RecordRelayedWeights(s.report(0, now))
 	test.Eq(t, 2, m.VersionOf(model))
 }
+
+// TestOvertakenWeightsAreIgnored checks that a digest that arrives after a later one of the same node does not set the
+// weight version back that the later one reports.
+func TestOvertakenWeightsAreIgnored(t *testing.T) {
+	runNetwork(t, 6, 3, 2, func(t *testing.T, w *network) {
+		n := w.nodes[addrOf(0)]
+		deliver := func(seq, version int64) {
+			reported := UnlistedWeights{Model: model, Version: version, Endpoints: []string{limitedEngine}, StartedMs: []int64{0}, AgesMs: []int64{0}}
+			data, err := json.Marshal(&Digest{Node: "sender", Incarnation: 1, Seq: seq, UnlistedWeights: []UnlistedWeights{reported}})
+			must.NoError(t, err)
+			_, err = n.receiveDigest(data)
+			must.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		deliver(2, 8)
+		deliver(1, 7)
+		test.Eq(t, 8, n.fleet.Member(limitedEngine).VersionOf(model))
+		deliver(3, 9)
+		test.Eq(t, 9, n.fleet.Member(limitedEngine).VersionOf(model))
+	})
+}
