--- a/internal/peerload/brittle_test.go
+++ b/internal/peerload/brittle_test.go
@@ -1,6 +1,7 @@
 package peerload
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,6 +62,37 @@
 	}
 }
 
+// TestLowestRefusalsReachAll checks that the lowest number of refusals that an endpoint of a service reports reaches all
+// nodes, also while other endpoints of the service report higher numbers more often.
+func TestLowestRefusalsReachAll(t *testing.T) {
+	for _, size := range []struct{ nodes, domains int }{{6, 3}, {85, 4}, {295, 5}} {
+		t.Run(fmt.Sprint(size.nodes, " nodes"), func(t *testing.T) {
+			runNetwork(t, size.nodes, size.domains, 2, func(t *testing.T, w *network) {
+				reporting := 0
+				for i, n := range w.domain("d0") {
+					n.mu.Lock()
+					n.brittle = []Brittle{{Service: "engines", Refusals: 20}}
+					if i == 0 {
+						n.brittle = []Brittle{{Service: "engines", Refusals: 3, AgeMs: 20}}
+					}
+					n.mu.Unlock()
+					reporting++
+				}
+				time.Sleep(time.Second)
+				told := 0
+				w.forEachLive(func(n *networkNode) {
+					n.mu.Lock()
+					defer n.mu.Unlock()
+					if n.domain != "d0" && n.heard > 0 {
+						told++
+					}
+				})
+				test.Eq(t, size.nodes-reporting, told)
+			})
+		})
+	}
+}
+
 // TestBrittleServicesOutOfRange checks that messages with invalid reports are rejected.
 func TestBrittleServicesOutOfRange(t *testing.T) {
 	for _, b := range []Brittle{{}, {Service: "s", Refusals: -1}, {Service: "s", Refusals: maxRefusals + 1}, {Service: "s", AgeMs: -1}, {Service: "s", AgeMs: 1 << 40}} {
