Load digests: the fewest refusals of a brittle service are relayed

Cause: collectors merged the reports of a service and kept the youngest, while the lowest number counts, so that endpoints that bear more refusals and answer more often hid the one that bears few from other nodes and failure domains.

Change: the report with the fewest refusals is relayed, the latest of equal ones. Of too many services, those that bear the fewest are kept, and not the newest.

--- a/internal/peerload/brittle.go
+++ b/internal/peerload/brittle.go
@@ -12,8 +12,8 @@
 	// brittleLifetime is how long a node relays a report that endpoints are brittle. Nodes that use the
 	// service receive it again with each answer.
 	brittleLifetime = 5 * time.Second
-	// maxBrittle is the maximum number of services in one message, of about 60 bytes each. The newest
-	// reports are kept.
+	// maxBrittle is the maximum number of services in one message, of about 60 bytes each. Those that
+	// bear the fewest refusals are kept.
 	maxBrittle = 32
 	// maxRefusals bounds the refusals of a report. Endpoints that bear more are not brittle.
 	maxRefusals = 1_000_000
@@ -32,9 +32,12 @@
 	return aged(list, elapsed, brittleLifetime, func(b *Brittle) *int64 { return &b.AgeMs })
 }
 
-// newestBrittle returns the latest report of each service, at most maxBrittle of them.
-func newestBrittle(list []Brittle) []Brittle {
-	slices.SortStableFunc(list, func(a, b Brittle) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+// mostBrittle returns for each service the report with the fewest refusals, and of these the latest one;
+// at most maxBrittle of them. The least brittle endpoints may report more often than the others.
+func mostBrittle(list []Brittle) []Brittle {
+	slices.SortStableFunc(list, func(a, b Brittle) int {
+		return cmp.Or(cmp.Compare(a.Refusals, b.Refusals), cmp.Compare(a.AgeMs, b.AgeMs))
+	})
 	return firstOfEach(list, maxBrittle, func(b *Brittle) string { return b.Service })
 }
 
@@ -43,7 +46,7 @@
 	if e.config.Brittle == nil {
 		return nil
 	}
-	return newestBrittle(e.config.Brittle())
+	return mostBrittle(e.config.Brittle())
 }
 
 // peerBrittle returns the services in the peers' own digests.
@@ -54,14 +57,14 @@
 // collectBrittle returns the services that peers and other failure domains report.
 func (t *Table) collectBrittle(now time.Time) []Brittle {
 	domains := domainReports(t, now, func(d *DomainLoad) []Brittle { return d.Brittle }, ageBrittle)
-	return newestBrittle(append(t.peerBrittle(now), domains...))
+	return mostBrittle(append(t.peerBrittle(now), domains...))
 }
 
 // domainBrittle returns the services that the nodes of this failure domain report, this node included.
 func (t *Table) domainBrittle(own []Brittle, now time.Time) []Brittle {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return newestBrittle(append(t.peerBrittle(now), own...))
+	return mostBrittle(append(t.peerBrittle(now), own...))
 }
 
 // applyBrittle passes on reports that other nodes received.
