Brittle: test that a low number of refusals ends at all nodes, failing

Of a brittle service one endpoint states 3 refusals once and the others 20 all the time. 30 s later all of 2, 6 and 85 nodes still take it for 3, where 10 s is the lifetime of a report.

--- a/internal/brittle/reports_test.go
+++ b/internal/brittle/reports_test.go
@@ -46,3 +46,29 @@
 	test.SliceEmpty(t, r.Told(now.Add(4*time.Second)))
 	test.Eq(t, 2, r.Count(now.Add(4*time.Second)))
 }
+
+// TestLowerNumberEndsAtAllNodes checks that nodes which tell each other of a low number don't keep it alive once no
+// endpoint states it, while the service stays brittle.
+func TestLowerNumberEndsAtAllNodes(t *testing.T) {
+	for _, count := range []int{2, 6, 85} {
+		nodes := make([]brittle.Reports, count)
+		now := time.Unix(1000, 0)
+		nodes[0].Record("s", 3, now, true)
+		for range 300 {
+			for i := range nodes {
+				nodes[i].Record("s", 20, now, true)
+			}
+			for i := range nodes {
+				for _, told := range nodes[i].Told(now) {
+					nodes[(i+1)%count].Record("s", told.Refusals, now.Add(-told.Age), false)
+				}
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		for i := range nodes {
+			refusals, isBrittle := nodes[i].Refusals("s", now)
+			test.True(t, isBrittle)
+			test.Eq(t, 20, refusals, test.Sprint(count, " nodes, node ", i))
+		}
+	}
+}
