Brittle: a number heard from others is not told on

Cause: a node told others the lowest number that it knew, also from others, with the age of the latest report of any number that it received itself. While a service stays brittle, nodes so kept its lowest number alive for one another, and its endpoints lent fewer slots for refusals than they could bear; no endpoint was asked to bear more than it stated.

Change: what a node tells is kept apart: the lowest number that endpoints reported to it within the 3 s for which it tells of a report, with the age of that report.

--- a/internal/brittle/reports.go
+++ b/internal/brittle/reports.go
@@ -35,7 +35,14 @@
 	refusals int       // the lowest number reported within reportLifetime
 	lowestAt time.Time // when it was last reported
 	at       time.Time // of the last report
-	directAt time.Time // of the last report of an endpoint to this node; zero if none
+	told     told      // what this node tells others
+}
+
+// told is the lowest number that endpoints reported to this node within toldFor, and when it was last
+// reported; the zero value if there is none.
+type told struct {
+	refusals int
+	at       time.Time
 }
 
 // Record records that an endpoint of a service has stated that it bears the given refusals per second. direct
@@ -53,8 +60,8 @@
 	if at.After(s.at) {
 		s.at = at
 	}
-	if direct {
-		s.directAt = at
+	if direct && (refusals <= s.told.refusals || at.Sub(s.told.at) > toldFor) {
+		s.told = told{refusals, at}
 	}
 	next := maps.Clone(r.load())
 	if next == nil {
@@ -82,12 +89,13 @@
 	return s.refusals, true
 }
 
-// Told returns the reports that this node tells others of.
+// Told returns the reports that this node tells others of. Numbers that it heard from others are left out:
+// nodes could otherwise keep one alive that no endpoint reports any more.
 func (r *Reports) Told(now time.Time) []Report {
 	var list []Report
 	for service, s := range r.load() {
-		if age := now.Sub(s.directAt); age <= toldFor {
-			list = append(list, Report{Service: service, Refusals: s.refusals, Age: age})
+		if age := now.Sub(s.told.at); age <= toldFor {
+			list = append(list, Report{Service: service, Refusals: s.told.refusals, Age: age})
 		}
 	}
 	return list
