Fleet: test of a limit reported before the start is listed, failing

An endpoint that restarts under its id and reports a limit before its entry shows the new start: the node takes the limit for the former start's and forgets it when it reads the entry. Backoff and draining are kept in that case.

--- a/internal/fleet/ratelimit_test.go
+++ b/internal/fleet/ratelimit_test.go
@@ -59,3 +59,20 @@
 	_, known := f.Members("s")[0].Signals.RateLimit()
 	test.False(t, known, test.Sprint("later start"))
 }
+
+// TestLimitReportedBeforeTheStartIsListedCounts guards against requests beyond the limit of a restarted endpoint that
+// reported it while the registry still listed the start before.
+func TestLimitReportedBeforeTheStartIsListedCounts(t *testing.T) {
+	for _, c := range []struct {
+		reported time.Duration // after the later start
+		known    bool
+	}{{time.Second, true}, {-time.Second, false}, {maxUnlisted + time.Second, false}} {
+		f := New(zerolog.Nop())
+		begun := time.UnixMilli(1_000_000)
+		f.Update(&Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1", StartedMs: begun.Add(-time.Minute).UnixMilli()}, begun)
+		f.Member("e").Signals.SetLimit(2, begun.Add(c.reported))
+		f.Update(&Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1", StartedMs: begun.UnixMilli()}, begun.Add(maxUnlisted))
+		limit, known := f.Member("e").Signals.RateLimit()
+		test.Eq(t, c.known, known && limit.InForce, test.Sprint(c.reported))
+	}
+}
