Fleet: a limit of a start that is not listed yet is kept

Cause: an endpoint that restarts answers before the registry shows its new start, so that a limit in its first answers counts for the start before and was dropped with it. All nodes that had heard of it sent freely until the next answer.

Change: a limit that was reported after the new start, and no later than a start may go unlisted, is kept as draining and backoff are. If it was the former start's after all, the next answer without a limit ends it.

--- a/internal/fleet/backoff.go
+++ b/internal/fleet/backoff.go
@@ -32,8 +32,8 @@
 // that seems later is not the start's.
 const maxUnlisted = 10 * time.Second
 
-// keepReports keeps what an earlier start of the endpoint seemed to report after the later start: a backoff,
-// and that it drains. A node learns of a start from the registry, so the first answers of a start count as
+// keepReports keeps what an earlier start of the endpoint seemed to report after the later start: a limit, a
+// backoff, and that it drains. A node learns of a start from the registry, so the first answers of a start count as
 // those of the one before.
 func (s *Signals) keepReports(previous *Signals, startedAt time.Time) {
 	if previous == nil {
@@ -42,9 +42,13 @@
 	if b := previous.backoff.Load(); b != nil && b.At.After(startedAt) {
 		s.backoff.Store(b)
 	}
-	if at := previous.draining.Load(); at != nil && at.After(startedAt) && at.Sub(startedAt) < maxUnlisted {
+	seemsOwn := func(at time.Time) bool { return at.After(startedAt) && at.Sub(startedAt) < maxUnlisted }
+	if at := previous.draining.Load(); at != nil && seemsOwn(*at) {
 		s.draining.Store(at)
 	}
+	if limit := previous.limit.Load(); limit != nil && seemsOwn(limit.At) {
+		s.limit.Store(limit)
+	}
 }
 
 // Backoff returns the backoff in effect, or false if there is none.
