Soak: releases of model servers change, and all nodes are killed together

Releases now come in (one server, half, all; servers with IDs of their own), replace the others, leave again and return. Around each step, drawn from a random source of its own so that the other faults of a seed stay as they were: all nodes are killed 0 to 3 s after or before it or without one, one is cut off from the metadata store or suspended for 0.2 to 5 s, or none is disturbed; servers or resets break streams. Nodes start after 0 to 3 s each, at first while a release comes in. Callers resume at once and later, with and without the stream's name, and turn to other nodes after a refusal. Faults that restart servers leave those that are away alone.

The share that goes on is checked for each release of which two servers were there, over named streams and first tries.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -51,7 +51,7 @@
 			return addr, nil
 		}})
 		must.NoError(t, err)
-		w := &world{site: s, bounds: small.bounds, observed: newObserved(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
+		w := &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
 		w.observed.sent["a"] = sentRequest{key: "k", method: http.MethodGet, target: site.PathUpload + "x", at: now}
 		if tc.prepare != nil {
 			tc.prepare(w)
@@ -82,7 +82,9 @@
 	}})
 	must.NoError(t, err)
 	t.Cleanup(s.Close)
-	return &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}, removed: make([]spans, len(s.Models)), draining: make([]spans, len(s.Models))}, addrs
+	w = &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}}
+	w.initPools()
+	return w, addrs
 }
 
 // runAt sends a request with the id a directly to a model server.
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -16,15 +16,16 @@
 
 // observed holds what the clients observed, for the checks.
 type observed struct {
-	mu       sync.Mutex
-	failures []string               // violations of guarantees
-	refused  map[string]bool        // ids rejected as not run
-	answered int                    // number of successful responses
-	sent     map[string]sentRequest // by id
-	received map[string]received    // by id
-	resumes  map[string]string      // ids of the requests that began the streams, by id of those that take them up
-	goals    map[chan struct{}]int
-	outcomes []outcome // of requests that clients didn't give up
+	mu        sync.Mutex
+	failures  []string               // violations of guarantees
+	refused   map[string]bool        // ids rejected as not run
+	answered  int                    // number of successful responses
+	sent      map[string]sentRequest // by id
+	received  map[string]received    // by id
+	resumes   map[string]string      // ids of the requests that began the streams, by id of those that take them up
+	uncounted map[string]bool        // ids of those that name no stream, or take one up once more after a refusal
+	goals     map[chan struct{}]int
+	outcomes  []outcome // of requests that clients didn't give up
 }
 
 // sentRequest is a request of a client, with the time and the index of the node.
@@ -42,7 +43,7 @@
 }
 
 func newObserved() *observed {
-	return &observed{refused: make(map[string]bool), received: make(map[string]received), resumes: make(map[string]string), sent: make(map[string]sentRequest), goals: make(map[chan struct{}]int)}
+	return &observed{refused: make(map[string]bool), received: make(map[string]received), resumes: make(map[string]string), uncounted: make(map[string]bool), sent: make(map[string]sentRequest), goals: make(map[chan struct{}]int)}
 }
 
 func (s *observed) fail(format string, args ...any) {
@@ -103,6 +104,10 @@
 	node         int
 	addr         string
 	requestsLeft int // remaining requests to the node
+
+	delays  *rand.Rand // of resumed streams; nil if all are resumed at once and named
+	streams bool       // it sends only streams that it breaks off and resumes
+	broken  []*brokenStream
 }
 
 var paths = []string{site.PathUpload, site.PathLookup, site.PathQuery, site.PathSummary}
@@ -114,6 +119,7 @@
 			c.requestsLeft = 1 + c.random.IntN(maxRequestsPerNode)
 			c.node, c.addr = c.chooseNode()
 		}
+		c.resumeDue(ctx)
 		c.send(ctx, fmt.Sprintf("%s%x", c.name, i))
 	}
 	c.http.CloseIdleConnections()
@@ -121,6 +127,9 @@
 
 func (c *client) send(ctx context.Context, id string) {
 	path := paths[c.random.IntN(len(paths))]
+	if c.streams {
+		path = site.PathQuery
+	}
 	session := ""
 	if path == site.PathQuery || path == site.PathSummary {
 		session = fmt.Sprintf("5e55%d", c.random.IntN(6))
@@ -135,7 +144,7 @@
 	if path == site.PathLookup { // the transport may retry it
 		sent.method, sent.body = http.MethodGet, ""
 	}
-	if path == site.PathQuery && limit == callTimeout && c.random.IntN(breakOneIn) == 0 {
+	if path == site.PathQuery && limit == callTimeout && (c.streams || c.random.IntN(breakOneIn) == 0) {
 		c.breakAndResume(ctx, id, session, &sent)
 		return
 	}
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -33,8 +33,8 @@
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		node := random.IntN(len(w.nodes))
-		w.sendCrashingOnce(ctx, transport, fmt.Sprintf("ending-%x", i), node)
+		node, addr := w.anyNode(random)
+		w.sendCrashingOnce(ctx, transport, fmt.Sprintf("ending-%x", i), node, addr)
 		select {
 		case <-ctx.Done():
 		case <-time.After(crashInterval):
@@ -42,11 +42,11 @@
 	}
 }
 
-func (w *world) sendCrashingOnce(ctx context.Context, transport *http.Transport, id string, node int) {
+func (w *world) sendCrashingOnce(ctx context.Context, transport *http.Transport, id string, node int, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
 	defer cancel()
 	sent := sentRequest{key: w.key(), method: http.MethodPost, target: site.PathQuery + crashPath, at: time.Now(), node: node}
-	req, err := site.Request(ctx, *w.nodes[node].addr.Load(), sent.method, sent.target, sent.key, id, "5e550")
+	req, err := site.Request(ctx, addr, sent.method, sent.target, sent.key, id, "5e550")
 	if err != nil {
 		w.observed.fail("%s: %v", id, err)
 		return
@@ -72,15 +72,15 @@
 	w.mu.Lock()
 	w.crashes = append(w.crashes, time.Now())
 	w.mu.Unlock()
-	w.proxies[modelProxy+i].refuse()
+	w.link(i).refuse()
 	end := w.acting.open()
 	w.restarts.Go(func() {
 		defer end()
 		w.pause(downTime)
 		w.removing.Lock()
 		defer w.removing.Unlock()
-		test.NoError(w.t, w.site.Restart(i, false))
-		test.NoError(w.t, w.proxies[modelProxy+i].reopen())
+		w.restart(i)
+		test.NoError(w.t, w.link(i).reopen())
 	})
 }
 
--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -26,7 +26,7 @@
 
 // TestStreamsBegunAtDrainingNodeAreResumed guards against nodes that tell the others nothing while they drain.
 func TestStreamsBegunAtDrainingNodeAreResumed(t *testing.T) {
-	w := newWorld(t, 1, small.withNodes(drainNodes))
+	w := newWorld(t, 1, small.withNodes(drainNodes), changeNever)
 	defer w.stop()
 	c := w.client(0, 1)
 	for i := range w.nodes {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/shoenig/test"
-
 	"github.com/cherryward/cherryward/standin/metastore"
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
@@ -67,6 +65,13 @@
 	if w.seed%2 == 1 {
 		phase = storeTurn
 	}
+	if w.changes != nil {
+		wg.Go(func() { w.changes.run(length) })
+		if w.changes.only {
+			w.pause(length)
+			return
+		}
+	}
 	storeFaulty := false
 	for start := time.Now(); time.Since(start) < length; {
 		before := storeFaulty
@@ -100,7 +105,10 @@
 }
 
 func (w *world) faultServerLink(target int, lasts time.Duration) {
-	others := w.proxies[storeProxy+1:]
+	others := slices.Clone(w.proxies[storeProxy+1 : modelProxy+w.shape.servers+1])
+	for i := range w.shape.servers {
+		others[modelProxy-1+i] = w.link(w.chosen(i))
+	}
 	w.faultLink(others[target%len(others)], target/len(others), lasts)
 }
 
@@ -157,7 +165,10 @@
 }
 
 func (w *world) faultServer(target int, lasts time.Duration) {
-	list := w.servers()
+	list := []*modelserver.Server{w.site.Plain}
+	for i := range w.shape.servers {
+		list = append(list, w.site.Models[w.chosen(i)])
+	}
 	choice := target / len(list)
 	apply := serverFaultKinds[choice%len(serverFaultKinds)]
 	w.injectServerFault(list[target%len(list)], lasts, func(f *modelserver.Faults) { apply(f, choice/len(serverFaultKinds)) })
@@ -184,10 +195,10 @@
 
 // restartServer restarts a model server under the same id while its connections are interrupted.
 func (w *world) restartServer(target int, lasts time.Duration) {
-	i := target % len(w.site.Models)
-	link := w.proxies[modelProxy+i]
+	i := w.chosen(target)
+	link := w.link(i)
 	defer link.disturbances.open()()
-	link.set([]linkFault{reset, dropAll}[target/len(w.site.Models)%2])
+	link.set([]linkFault{reset, dropAll}[target/w.shape.servers%2])
 	w.site.Models[i].Restart()
 	w.pause(lasts / 2)
 	link.set(none)
@@ -200,12 +211,9 @@
 		return
 	}
 	defer w.removing.Unlock()
-	i := target % len(w.site.Models)
-	w.site.Remove(i)
-	end := w.removed[i].open()
+	restore := w.remove(w.chosen(target))
 	w.pause(2*w.bounds.Drain + lasts)
-	end()
-	test.NoError(w.t, w.site.Restart(i, false))
+	restore()
 }
 
 // evacuate orders the evacuation of a failure domain for longer than the evacuation bound. For every
@@ -237,7 +245,7 @@
 
 // delayOrders makes a server execute orders late and without a response.
 func (w *world) delayOrders(target int, lasts time.Duration) {
-	s := w.site.Models[target%len(w.site.Models)]
+	s := w.site.Models[w.chosen(target)]
 	late := time.Duration(2+target%lateRange) * time.Second
 	w.injectServerFault(s, time.Duration(1+target%lateFactor)*lasts, func(f *modelserver.Faults) { f.LateOrders = late })
 }
@@ -271,7 +279,7 @@
 	for i := range foreignWriters {
 		w.site.Store.Put(registry, fmt.Sprint("foreign-", i), entry(i))
 	}
-	w.site.Store.Put(registry, fmt.Sprint("model-", 1+target%len(w.site.Models)), entry(foreignWriters))
+	w.site.Store.Put(registry, w.site.Models[w.chosen(target)].ID(), entry(foreignWriters))
 }
 
 // heal removes the faults that remain after overlapping faults have ended.
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -88,7 +88,7 @@
 }
 
 // evacuatedZone returns the failure domain that operators evacuate, that of the last model server.
-func (w *world) evacuatedZone() string { return w.site.Models[len(w.site.Models)-1].Zone() }
+func (w *world) evacuatedZone() string { return w.site.Models[w.shape.servers-1].Zone() }
 
 // ranEvacuated returns the requests that a server ran more than the evacuation bound after its failure
 // domain was evacuated, sent by a connected node while the metadata store was stable.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -42,7 +42,8 @@
 	addr         atomic.Pointer[string]
 	ended        chan struct{}
 	disturbances spans
-	busy         bool // claimed by a fault; guarded by world.mu
+	busy         bool   // claimed by a fault; guarded by world.mu
+	link         *proxy // its own to the metadata store; nil if it has none
 }
 
 // start starts a node and waits until it listens. A node that starts is not connected.
@@ -50,7 +51,7 @@
 	p := w.nodes[i]
 	defer p.disturbances.open()()
 	file := filepath.Join(w.t.TempDir(), fmt.Sprint("n", i, ".toml"))
-	must.NoError(w.t, os.WriteFile(file, []byte(w.bootFile(i)), 0o600))
+	must.NoError(w.t, os.WriteFile(file, []byte(w.bootFileOf(i)), 0o600))
 	p.cmd = exec.Command(os.Args[0], "run", "--boot", file)
 	p.cmd.Env = append(os.Environ(), runEnv+"=1")
 	out, err := p.cmd.StdoutPipe()
@@ -107,7 +108,7 @@
 			ends = true
 		case suspend:
 			p.signal(syscall.SIGSTOP)
-			w.pause(2 * lasts)
+			w.hold(2 * lasts)
 			p.signal(syscall.SIGCONT)
 		case hangUp:
 			p.signal(syscall.SIGHUP)
@@ -115,14 +116,14 @@
 		if n < signalCount {
 			break
 		}
-		w.pause(lasts / 4)
+		w.hold(lasts / 4)
 	}
 	if ends {
 		<-p.ended
 		if !killed {
 			test.Eq(w.t, regularEnd, p.cmd.ProcessState.String())
 		}
-		w.pause(lasts / 2)
+		w.hold(lasts / 2)
 		w.start(i)
 	}
 }
@@ -130,7 +131,9 @@
 // reloadNodes sends SIGHUP to all nodes at about the same time, also to those that are stopping.
 func (w *world) reloadNodes(int, time.Duration) {
 	for _, p := range w.nodes {
-		_ = p.listening.Load().Signal(syscall.SIGHUP) // fails if it has ended
+		if started := p.listening.Load(); started != nil {
+			_ = started.Signal(syscall.SIGHUP) // fails if it has ended
+		}
 	}
 }
 
@@ -144,7 +147,7 @@
 			busy++
 		}
 	}
-	if p.busy || busy >= max(nodesAtOnce, len(w.nodes)/shareAtOnce) {
+	if w.reserved || p.busy || busy >= max(nodesAtOnce, len(w.nodes)/shareAtOnce) {
 		return false
 	}
 	p.busy = true
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/shoenig/test"
-
 	"github.com/cherryward/cherryward/standin/modelserver"
 )
 
@@ -39,7 +37,7 @@
 	defer w.limiting.Unlock()
 	servers := w.site.Models
 	if target%4 != 0 {
-		servers = servers[target%len(servers):][:1]
+		servers = servers[w.chosen(target):][:1]
 	}
 	end := w.limited.open()
 	defer end()
@@ -103,10 +101,10 @@
 		return
 	}
 	defer w.removing.Unlock()
-	i := target % len(w.site.Models)
+	i := w.chosen(target)
 	defer w.draining[i].open()()
 	w.injectServersFault(w.site.Models[i:i+1], 2*w.bounds.Drain+lasts, func(f *modelserver.Faults) { f.Draining = "1" })
-	test.NoError(w.t, w.site.Restart(i, false))
+	w.restart(i)
 }
 
 // arrival is a request that reached a server through a node.
@@ -214,8 +212,8 @@
 		broken = append(broken, w.overLimit(s)...)
 		broken = append(broken, w.reachedDraining(s)...)
 		broken = append(broken, w.refusedTooOften(s)...)
-		if modelProxy+i < len(w.proxies) {
-			broken = append(broken, w.ignoredRetryAfter(s, w.proxies[modelProxy+i])...)
+		if len(w.proxies) > 0 {
+			broken = append(broken, w.ignoredRetryAfter(s, w.link(i))...)
 		}
 	}
 	return broken
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,7 +11,11 @@
 //	go test ./soak -seed 7 -nodes 16        a large system, in which only a few nodes read the store
 //	go test ./soak -seed 7 -shape haba      in the shape of a deployment; see shapes_test.go
 //
-// With odd seeds, faults of the metadata store start later, so that the bounds that hold while it is
+//	go test ./soak -seed 7 -releases only   the faults of releases_test.go alone
+//	go test ./soak -seed 7 -releases never  the same servers from start to end
+//
+// Releases of the model servers' software come in, go out and return while nodes are cut off or killed together; see
+// releases_test.go. With odd seeds, faults of the metadata store start later, so that the bounds that hold while it is
 // stable are checked first. Longer runs alternate between both phases.
 package soak
 
@@ -19,6 +23,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,12 +38,24 @@
 	// serverCount is the number of model servers.
 	serverCount = flag.Int("servers", 0, "number of model servers; 0 means that of the shape")
 	keepLogs    = flag.Bool("logs", false, "save the nodes' logs of runs that pass, too")
+	releases    = flag.String("releases", changeBeside, "whether the releases of model servers change: beside other faults, only, or never")
 	minutes     = flag.Float64("minutes", 0, "duration of each seed in minutes; 0 means some seconds")
 )
 
+// Whether releases change.
+const (
+	changeBeside = "beside"
+	changeOnly   = "only"
+	changeNever  = "never"
+)
+
 const (
-	// deploymentSeed is the seed of the run in the shape of a deployment.
+	// deploymentSeed is the seed of the run in the shape of a deployment, manyNodesSeed that of the large system.
 	deploymentSeed = 9
+	manyNodesSeed  = 3
+	releasesSeed   = 7
+	// Every unchangedIn-th seed, and those of CI, have the same servers from start to end.
+	unchangedIn = 4
 
 	runEnv   = "CHERRYWARD_SOAK_NODE" // makes the test binary run as a node
 	fewNodes = 3
@@ -72,7 +89,7 @@
 	}
 	s := requestedShape(t)
 	for _, seed := range list {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newWorld(t, seed, s).run() })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newWorld(t, seed, s, changes(seed)).run() })
 	}
 }
 
@@ -81,7 +98,7 @@
 	if *oneSeed != 0 || *seeds != 0 {
 		t.Skip("the requested seeds run in TestSoak")
 	}
-	newWorld(t, 3, small.withNodes(manyNodes)).run()
+	newWorld(t, manyNodesSeed, small.withNodes(manyNodes), changeNever).run()
 }
 
 // TestSoakDeployment runs one seed with a system of the shape of a deployment.
@@ -89,5 +106,21 @@
 	if *oneSeed != 0 || *seeds != 0 {
 		t.Skip("the requested seeds run in TestSoak")
 	}
-	newWorld(t, deploymentSeed, shapes["haba"]).run()
+	newWorld(t, deploymentSeed, shapes["haba"], changeNever).run()
+}
+
+// TestSoakReleases runs one seed in which releases change without other faults.
+func TestSoakReleases(t *testing.T) {
+	if *oneSeed != 0 || *seeds != 0 {
+		t.Skip("the requested seeds run in TestSoak")
+	}
+	newWorld(t, releasesSeed, small, changeOnly).run()
+}
+
+// changes returns whether the releases of a seed change.
+func changes(seed int64) string {
+	if *releases == changeBeside && (seed%unchangedIn == 0 || slices.Contains(ciSeeds, seed)) {
+		return changeNever
+	}
+	return *releases
 }
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -21,10 +20,12 @@
 	breakAfter = 3
 	// minResumed is the number of resumed streams from which the share that continues is checked.
 	minResumed = 12
+	// minServers is the least number of servers of a release for that.
+	minServers = 2
 )
 
-// breakAndResume breaks off a stream and resumes it with another request, mostly at another node. A stream
-// that breaks off by itself before is resumed as well.
+// breakAndResume breaks off a stream and resumes it with another request. A stream that breaks off by itself before
+// is resumed as well.
 func (c *client) breakAndResume(ctx context.Context, id, session string, sent *sentRequest) {
 	resp, err := c.do(ctx, id, session, sent)
 	if err != nil {
@@ -35,6 +36,10 @@
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		c.record(sent, c.check(id, site.PathQuery, resp), resp.StatusCode)
+		if c.streams {
+			c.requestsLeft = 0
+			time.Sleep(refusedPause)
+		}
 		return
 	}
 	events := readSome(resp)
@@ -47,22 +52,7 @@
 	c.observed.mu.Lock()
 	c.observed.received[id] = received{server, time.Now()}
 	c.observed.mu.Unlock()
-	c.node, c.addr = c.chooseNode()
-	second := id + "-2"
-	taken := *sent
-	taken.at, taken.node = time.Now(), c.node
-	c.observed.mu.Lock()
-	c.observed.resumes[second] = id
-	c.observed.mu.Unlock()
-	// The parts of a new session lead to other servers than those that hold the stream's KV cache.
-	resp, err = c.do(ctx, second, fmt.Sprintf("5e55%x", c.random.Uint32()), &taken, "Resumes", id, "Last-Event-Id", strconv.Itoa(events))
-	if err != nil {
-		c.requestsLeft = 0
-		c.record(&taken, false, 0)
-		return
-	}
-	defer resp.Body.Close()
-	c.record(&taken, c.checkFrom(second, site.PathQuery, resp, events), resp.StatusCode)
+	c.takeUp(ctx, &brokenStream{id: id, sent: *sent, events: events})
 }
 
 // readSome reads up to breakAfter events and returns their number.
@@ -76,18 +66,6 @@
 	return events
 }
 
-// isResumed reports whether a request resumes a stream.
-func (c *client) isResumed(id string) bool {
-	c.observed.mu.Lock()
-	defer c.observed.mu.Unlock()
-	return c.observed.resumes[id] != ""
-}
-
-// isFinal reports whether a refusal states that waiting doesn't help.
-func isFinal(body string) bool {
-	return strings.Contains(body, "stream_unknown") || strings.Contains(body, "no_endpoint_of_release")
-}
-
 // releaseRun is a run with the release of its server.
 type releaseRun struct {
 	modelserver.Run
@@ -141,46 +119,3 @@
 	}
 	return release
 }
-
-// tooFewResumed returns a violation if the share of resumed streams that continued
-// is less than half of the share of new streams that began, at connected nodes
-// while the metadata store was stable.
-func (w *world) tooFewResumed() []string {
-	var begun, sent, continued, resumed int
-	var ended []string
-	for id, s := range w.observed.sent {
-		if !strings.HasPrefix(s.target, site.PathQuery) || !w.connected(s.node, s.at.Add(-w.bounds.StableWindow), s.at.Add(w.bounds.StableWindow)) {
-			continue
-		}
-		_, served := w.observed.received[id]
-		switch first := w.observed.resumes[id]; {
-		case first == "":
-			sent++
-			if served {
-				begun++
-			}
-		case w.beganAt(first) == firstRelease: // most servers have this release
-			resumed++
-			if served {
-				continued++
-			} else {
-				ended = append(ended, id)
-			}
-		}
-	}
-	w.resumed, w.continued = resumed, continued
-	if resumed < minResumed || 2*continued*sent >= begun*resumed {
-		return nil
-	}
-	return []string{fmt.Sprintf("%d of %d resumed streams continued, %d of %d new ones began; not continued: %v", continued, resumed, begun, sent, ended)}
-}
-
-// beganAt returns the release of the server whose events a client received first.
-func (w *world) beganAt(id string) string {
-	for _, s := range w.site.Models {
-		if s.ID() == w.observed.received[id].server {
-			return s.Release()
-		}
-	}
-	return ""
-}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -47,10 +47,13 @@
 	proxies           []*proxy // of the metadata store, the KV cache store, the model servers and the plain server
 	nodes             []*process
 	observed          *observed
-	storeDisturbances spans   // faults of the metadata store and its link
-	removed           []spans // for each model server: times without a registry entry
-	draining          []spans // for each model server: times in which it says so in responses
-	acting            spans   // times in which any fault acts
+	storeDisturbances spans           // faults of the metadata store and its link
+	changes           *releaseChanges // nil if the releases don't change
+	removed           []spans         // for each model server: times without a registry entry
+	away              []spans         // for each model server: times in which its pool is away
+	returns           []func()        // for each model server: ends the time in which its pool is away; nil if it is not
+	draining          []spans         // for each model server: times in which it says so in responses
+	acting            spans           // times in which any fault acts
 	samples           []sample
 	removing          sync.Mutex
 	// evacuated holds the times in which the failure domain of the last model server is evacuated.
@@ -62,7 +65,13 @@
 	log         *os.File
 	faultsEnded chan struct{} // closed when fault injection ends
 
+	listing sync.Mutex // of absent and the entries that it decides on
+	absent  []absence  // for each model server
+
 	mu           sync.Mutex
+	serving      []int                // for each place in a pool, the index of the server that came in last
+	reserved     bool                 // all nodes, by the fault that kills them
+	wanted       chan struct{}        // closed while they are
 	era          int                  // of the metadata store
 	evacuatedNow bool                 // the operator's latest order
 	version      int64                // of the configuration
@@ -82,9 +91,10 @@
 	at      time.Time
 }
 
-func newWorld(t *testing.T, seed int64, s shape) *world {
+// newWorld starts a system in which releases change, or not; see changes.
+func newWorld(t *testing.T, seed int64, s shape, change string) *world {
 	w := &world{
-		t: t, seed: seed, shape: s, bounds: s.bounds, random: rand.New(rand.NewPCG(uint64(seed), 1)), observed: newObserved(), faultsEnded: make(chan struct{}),
+		t: t, seed: seed, shape: s, bounds: s.bounds, random: rand.New(rand.NewPCG(uint64(seed), 1)), observed: newObserved(), faultsEnded: make(chan struct{}), wanted: make(chan struct{}),
 		revoked: make(map[string]time.Time), faults: make(map[*modelserver.Server][]*serverFault),
 	}
 	var err error
@@ -95,15 +105,19 @@
 		Bounds: s.bounds, Loads: s.loads(), Proxy: w.addProxy, OnCrash: w.onServerCrash,
 	})
 	must.NoError(t, err)
+	if change != changeNever {
+		w.changes = &releaseChanges{world: w, only: change == changeOnly, random: rand.New(rand.NewPCG(uint64(seed), 4))}
+		w.changes.pools = w.addPools()
+	}
+	w.initPools()
 	for _, s := range w.site.Models {
 		w.applyFaults(s)
 	}
-	w.removed, w.draining = make([]spans, len(w.site.Models)), make([]spans, len(w.site.Models))
-	w.configure("k1")
-	for i := range s.nodes {
-		w.nodes = append(w.nodes, &process{})
-		w.start(i)
+	if w.changes != nil {
+		w.changes.begin()
 	}
+	w.configure("k1")
+	w.startNodes()
 	return w
 }
 
@@ -171,8 +185,17 @@
 		seed := w.random.Uint64()
 		wg.Go(func() { w.client(i, seed).run(ctx) })
 	}
+	if w.changes != nil {
+		for i := range streamClients {
+			c := w.client(max(fewClients, len(w.nodes)/2)+i, w.changes.random.Uint64())
+			c.streams = true
+			wg.Go(func() { c.run(ctx) })
+		}
+	}
 	seed := w.random.Uint64()
-	wg.Go(func() { w.sendCrashing(ctx, seed) })
+	if w.changes == nil || !w.changes.only {
+		wg.Go(func() { w.sendCrashing(ctx, seed) })
+	}
 	wg.Go(func() { w.sampleServers(ctx) })
 	w.injectFaults(length)
 	w.heal()
@@ -197,20 +220,24 @@
 
 func (w *world) client(i int, seed uint64) *client {
 	random := rand.New(rand.NewPCG(seed, 2))
-	return &client{
+	c := &client{
 		name: fmt.Sprintf("c%d-", i), random: random, observed: w.observed, key: w.key,
-		http: &http.Client{Transport: &http.Transport{}},
-		chooseNode: func() (int, string) {
-			node := random.IntN(len(w.nodes))
-			return node, *w.nodes[node].addr.Load()
-		},
+		http:       &http.Client{Transport: &http.Transport{}},
+		chooseNode: func() (int, string) { return w.anyNode(random) },
+	}
+	if w.changes != nil {
+		c.delays = rand.New(rand.NewPCG(seed, 5))
 	}
+	return c
 }
 
 // stop kills the nodes of this run and stops the stand-ins.
 func (w *world) stop() {
 	for _, p := range w.nodes {
 		p.kill()
+		if p.link != nil {
+			p.link.close()
+		}
 	}
 	w.site.Close()
 	for _, p := range w.proxies {
@@ -228,6 +255,9 @@
 		w.t.Errorf("requests did not succeed again within %v after the last fault", recoveryTimeout)
 	}
 	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d resumed streams continued", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.continued, w.resumed)
+	if w.changes != nil {
+		w.t.Logf("%d steps of releases, %d tries of resumes", w.changes.steps, len(w.observed.resumes))
+	}
 	w.t.Logf("shape %s, %d nodes, %d model servers; %s; %s", w.shape.name, len(w.nodes), len(w.site.Models), w.versionSummary(), w.servedSummary())
 	if w.t.Failed() || *keepLogs {
 		kept := filepath.Join(os.TempDir(), "cherryward-soak-"+strings.ReplaceAll(w.t.Name(), "/", "-")+".log")
--- a/standin/site/restart.go
+++ b/standin/site/restart.go
@@ -26,9 +26,9 @@
 
 // IsRunning reports whether the i-th model server is running.
 func (s *Site) IsRunning(i int) bool {
-	s.servers[i].mu.Lock()
-	defer s.servers[i].mu.Unlock()
-	return s.servers[i].state == stateReady
+	s.models[i].mu.Lock()
+	defer s.models[i].mu.Unlock()
+	return s.models[i].state == stateReady
 }
 
 // Restore makes the metadata store return to its copy, in the given era. The servers' entries are written
@@ -52,7 +52,7 @@
 // same id; see modelserver.Server.Restart. It listens at the same address, or at another one if
 // moves is true. Only its next registry entry reports the restart.
 func (s *Site) Restart(i int, moves bool) error {
-	server := s.servers[i]
+	server := s.models[i]
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	previous := server.at
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -81,6 +81,7 @@
 	storeAddr, kvStoreAddr string
 	serversMu              sync.Mutex
 	servers                []*server
+	models                 []*server // those of Models
 	eventInterval          time.Duration
 	zones                  []string
 	bounds                 Bounds
@@ -138,13 +139,15 @@
 		c.Releases = make([]string, defaultServers)
 	}
 	for i, zone := range c.zonesOf(len(c.Releases)) {
-		if _, err := s.addModel(c.Releases[i], zone); err != nil {
+		if _, err := s.AddModelIn(c.Releases[i], zone); err != nil {
 			return nil, err
 		}
 	}
-	if s.Plain, err = s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: s.zones[0]}); err != nil {
+	plain, err := s.add(modelserver.Config{ID: "plain-1", Service: "plain", Zone: s.zones[0]})
+	if err != nil {
 		return nil, err
 	}
+	s.Plain = plain.Server
 	s.register()
 	s.wg.Go(func() { s.heartbeat(ctx, c.HeartbeatInterval) })
 	return s, nil
@@ -153,27 +156,34 @@
 // AddModel starts another model server with the given release of its software. It is registered with
 // the next heartbeats.
 func (s *Site) AddModel(release string) (*modelserver.Server, error) {
-	return s.addModel(release, s.zones[0])
+	return s.AddModelIn(release, s.zones[0])
 }
 
-func (s *Site) addModel(release, zone string) (*modelserver.Server, error) {
+// AddModelIn is AddModel for a server in a zone.
+func (s *Site) AddModelIn(release, zone string) (*modelserver.Server, error) {
+	i := len(s.models)
 	added, err := s.add(modelserver.Config{
-		ID: fmt.Sprint("model-", len(s.Models)+1), Service: "models", Zone: zone, Model: Model, Release: release,
+		ID: fmt.Sprint("model-", i+1), Service: "models", Zone: zone, Model: Model, Release: release,
 		StreamEvents: StreamEvents, EventInterval: s.eventInterval, Loads: s.loads,
+		Crash: func() {
+			if s.onCrash != nil {
+				s.onCrash(i)
+			}
+		},
 	})
 	if err != nil {
 		return nil, err
 	}
-	s.Models = append(s.Models, added)
-	return added, nil
+	s.models, s.Models = append(s.models, added), append(s.Models, added.Server)
+	return added.Server, nil
 }
 
-func (s *Site) add(cfg modelserver.Config) (*modelserver.Server, error) {
+func (s *Site) add(cfg modelserver.Config) (*server, error) {
 	added := &server{id: cfg.ID, state: stateReady}
-	i := len(s.servers)
+	before := cfg.Crash
 	cfg.Crash = func() {
-		if s.onCrash != nil {
-			s.onCrash(i)
+		if before != nil {
+			before()
 		}
 		added.crash()
 	}
@@ -186,7 +196,7 @@
 	s.serversMu.Lock()
 	defer s.serversMu.Unlock()
 	s.servers = append(s.servers, added)
-	return added.Server, nil
+	return added, nil
 }
 
 // listen serves at a new port, which is published through the proxy if there is one.
@@ -256,13 +266,13 @@
 // Remove deletes the registry entry of the i-th model server.
 func (s *Site) Remove(i int) {
 	s.setState(i, "")
-	s.Store.Put(registryTopic, s.servers[i].id, nil)
+	s.Store.Put(registryTopic, s.models[i].id, nil)
 }
 
 func (s *Site) setState(i int, state string) {
-	s.servers[i].mu.Lock()
-	defer s.servers[i].mu.Unlock()
-	s.servers[i].state = state
+	s.models[i].mu.Lock()
+	defer s.models[i].mu.Unlock()
+	s.models[i].state = state
 }
 
 // Request returns a client's request to a node. session is the id of the part that the prompts of
