Soak: crashed servers stay down after fault injection has ended, too

Cause: the trial. All nodes were killed 0.3 s before fault injection ended, which forgets crashes that aren't recorded yet, and in the time after it a crashed server was back at once instead of after 1.5 s, as its pause ends with the faults.

Change: the down time is kept to its end. The check is as strict as before. Runs state when all nodes were killed and servers crashed.

--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -76,7 +76,7 @@
 	end := w.acting.open()
 	w.restarts.Go(func() {
 		defer end()
-		w.pause(downTime)
+		time.Sleep(downTime) // also when fault injection has ended, as nodes count only crashes that they can see
 		w.removing.Lock()
 		defer w.removing.Unlock()
 		w.restart(i)
@@ -104,3 +104,11 @@
 	}
 	return late
 }
+
+// clockTimes formats times of the day.
+func clockTimes(times []time.Time) (list []string) {
+	for _, t := range times {
+		list = append(list, t.Format("05.000"))
+	}
+	return list
+}
--- a/soak/nodefaults_test.go
+++ b/soak/nodefaults_test.go
@@ -148,6 +148,9 @@
 // killNodes kills all nodes together. The returned function starts each of them after its delay, and releases them.
 func (w *world) killNodes() (restart func(delays []time.Duration)) {
 	var ends []func()
+	w.mu.Lock()
+	w.losses = append(w.losses, time.Now())
+	w.mu.Unlock()
 	for _, p := range w.nodes {
 		ends = append(ends, p.disturbances.open())
 		p.addr.Store(nil)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -82,6 +82,7 @@
 	resumed      int         // streams of a release with two servers that clients resumed at connected nodes
 	continued    int         // of these
 	crashes      []time.Time // crashes of model servers by the crashing request
+	losses       []time.Time // at which all nodes were killed
 	restarts     sync.WaitGroup
 }
 
@@ -256,7 +257,7 @@
 	}
 	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d resumed streams continued", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.continued, w.resumed)
 	if w.changes != nil {
-		w.t.Logf("%d steps of releases, %d tries of resumes", w.changes.steps, len(w.observed.resumes))
+		w.t.Logf("%d steps of releases, %d tries of resumes; all nodes killed at %v, crashes at %v", w.changes.steps, len(w.observed.resumes), clockTimes(w.losses), clockTimes(w.crashes))
 	}
 	w.t.Logf("shape %s, %d nodes, %d model servers; %s; %s", w.shape.name, len(w.nodes), len(w.site.Models), w.versionSummary(), w.servedSummary())
 	if w.t.Failed() || *keepLogs {
