--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -201,6 +201,13 @@
 			w.storeDisturbances.list = []*span{{from: now.Add(-time.Minute), to: now.Add(-2 * w.bounds.StableWindow)}}
 		}, 1},
 		{"node disturbed", func(w *world) { w.nodes[0].disturbances.list = []*span{{from: now.Add(-time.Second)}} }, 0},
+		{"other server of the release away", func(w *world) { w.away[2].list = []*span{{from: now.Add(-time.Second)}} }, 0},
+		{"server of another release away", func(w *world) { w.away[1].list = []*span{{from: now.Add(-time.Second)}} }, 1},
+		{"not counted", func(w *world) {
+			for id := range w.observed.resumes {
+				w.observed.uncounted[id] = true
+			}
+		}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w, _ := newIdleWorld(t)
