--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -51,7 +51,7 @@
 			return addr, nil
 		}})
 		must.NoError(t, err)
-		w := &world{site: s, bounds: small.bounds, observed: newObserved(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
+		w := &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), revoked: make(map[string]time.Time), nodes: []*process{{}}}
 		w.observed.sent["a"] = sentRequest{key: "k", method: http.MethodGet, target: site.PathUpload + "x", at: now}
 		if tc.prepare != nil {
 			tc.prepare(w)
@@ -82,7 +82,9 @@
 	}})
 	must.NoError(t, err)
 	t.Cleanup(s.Close)
-	return &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}, removed: make([]spans, len(s.Models)), draining: make([]spans, len(s.Models))}, addrs
+	w = &world{site: s, shape: small, bounds: small.bounds, observed: newObserved(), nodes: []*process{{}}}
+	w.initPools()
+	return w, addrs
 }
 
 // runAt sends a request with the id a directly to a model server.
@@ -199,6 +201,13 @@
 			w.storeDisturbances.list = []*span{{from: now.Add(-time.Minute), to: now.Add(-2 * w.bounds.StableWindow)}}
 		}, 1},
 		{"node disturbed", func(w *world) { w.nodes[0].disturbances.list = []*span{{from: now.Add(-time.Second)}} }, 0},
+		{"other server of the release away", func(w *world) { w.away[2].list = []*span{{from: now.Add(-time.Second)}} }, 0},
+		{"server of another release away", func(w *world) { w.away[1].list = []*span{{from: now.Add(-time.Second)}} }, 1},
+		{"not counted", func(w *world) {
+			for id := range w.observed.resumes {
+				w.observed.uncounted[id] = true
+			}
+		}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w, _ := newIdleWorld(t)
