Origin: records of releases outlast what may still begin or resume streams

A review of the mend found the class of the incident in how records go: that no endpoint of a release was seen, or that an era is old enough, was taken for proof that no stream begins there.

The copy of the records is confirmed when it is 22 s older than that of the registry: 15 s was within what reads of the list of nodes take.

TestReleasesAreRecordedAnew waits 45 s longer, and checks that nothing counts before.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -18,6 +18,8 @@
 	resumeFactor = 2
 	// minResumeTime is the least time for which streams can be resumed.
 	minResumeTime = 10 * time.Second
+	// unknownResumeTime is that of a node that has no configuration, which may allow any.
+	unknownResumeTime = time.Hour
 )
 
 // buildOrigins creates the service that knows which release began each stream, and the recorder of releases.
@@ -29,7 +31,7 @@
 		Topic: topic, Spacing: n.releaseReadSpacing, Retention: n.resumeTime, Now: n.clock.Now,
 	})
 	n.roster.applyReleases = releases.Apply
-	n.releaseGate = &origin.Gate{Releases: releases, Observer: n.registry.releases, Retention: n.resumeTime, Now: n.clock.Now}
+	n.releaseGate = &origin.Gate{Releases: releases, Observer: n.registry.releases, Retention: n.resumeTime, IsIsolated: n.isIsolated, Now: n.clock.Now}
 	streams := origin.NewStreamLog(origin.StreamLogConfig{
 		Log: store.Log(platform.TopicStreams), IsShared: n.releaseGate.IsShared, Nodes: n.nodes, Spacing: n.releaseReadSpacing,
 		Retention: n.resumeTime, Now: n.clock.Now, Logger: n.log,
@@ -64,11 +66,16 @@
 func (n *Node) resumeTime() time.Duration {
 	config := n.state.config.Load()
 	if config == nil {
-		return minResumeTime
+		return unknownResumeTime
 	}
 	return max(minResumeTime, resumeFactor*config.LongestStream())
 }
 
+// isIsolated reports whether this node hears of none of the other nodes that it lists.
+func (n *Node) isIsolated() bool {
+	return n.nodes() > 1 && !n.peers.Table.ReceivedFromAny(n.clock.Now(), peerTimeout)
+}
+
 // recordedServices returns the services whose releases are recorded: all that have endpoints, so that a change of the
 // configuration by which streams of one may be resumed finds them recorded.
 func (n *Node) recordedServices() []string {
--- a/internal/origin/confirm.go
+++ b/internal/origin/confirm.go
@@ -8,7 +8,7 @@
 	"github.com/cherryward/cherryward/coord/retry"
 )
 
-// confirmTimeout bounds a read that confirms a copy. The store answers in a few ms.
+// confirmTimeout bounds a read that confirms the records of releases. The store answers in a few ms.
 const confirmTimeout = 500 * time.Millisecond
 
 // confirmer shares reads that confirm a copy among the callers that wait for one. Each caller gets the result of a
@@ -18,6 +18,8 @@
 	// spacing returns the least time between the starts of two reads.
 	spacing func() time.Duration
 	now     func() time.Time
+	// timeout bounds a read.
+	timeout time.Duration
 
 	mu      sync.Mutex
 	reading bool
@@ -77,7 +79,7 @@
 	pending := c.next
 	c.next, c.sentAt = nil, c.now()
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
 	pending.err = c.read(ctx)
 	close(pending.done)
--- a/internal/origin/gate.go
+++ b/internal/origin/gate.go
@@ -11,6 +11,10 @@
 // removeDelay after its release left the registry.
 const maxCopySkew = 30 * time.Second
 
+// maxLoneAge is the age of the registry's copy up to which streams begin at a node that hears of no other one. It is below
+// removeDelay by more than nodes take to notice that they are cut off.
+const maxLoneAge = removeDelay - 10*time.Second
+
 // Gate decides at which releases new streams may begin, and by that knows which of them can have begun a stream.
 //
 // Guarantees:
@@ -24,7 +28,9 @@
 	Observer *Observer
 	// Retention is that of the origins of streams.
 	Retention func() time.Duration
-	Now       func() time.Time
+	// IsIsolated reports whether this node hears of none of the other nodes that it lists.
+	IsIsolated func() bool
+	Now        func() time.Time
 }
 
 // MayBegin reports whether streams may begin at endpoints of a release of a service.
@@ -34,7 +40,13 @@
 		return true // nothing is resumed at such a service without a record of the stream
 	}
 	at, active := g.Releases.activeAt(o)
-	return active && g.Observer.lastConfirmed().Sub(at) <= maxCopySkew
+	return active && !g.isLost() && g.Observer.lastConfirmed().Sub(at) <= maxCopySkew
+}
+
+// isLost reports whether this node has been without the registry and the other nodes for so long that they may have removed
+// the records of releases whose endpoints it alone still reaches.
+func (g *Gate) isLost() bool {
+	return g.Now().Sub(g.Observer.lastConfirmed()) > maxLoneAge && g.IsIsolated()
 }
 
 // IsClosed reports whether a service has endpoints, and no stream may begin at any of them.
@@ -44,7 +56,10 @@
 }
 
 // IsShared reports whether streams of a service can have begun at several releases, as far as this node knows.
-func (g *Gate) IsShared(service string) bool { return len(g.releases(service)) > 1 }
+func (g *Gate) IsShared(service string) bool {
+	_, whole := g.Releases.of(service)
+	return !whole || len(g.releases(service)) > 1
+}
 
 // releases returns the releases of a service that have a record, or an endpoint that this node saw, sorted.
 func (g *Gate) releases(service string) []string {
@@ -61,7 +76,8 @@
 		return "", err
 	}
 	releases := g.releases(service)
-	if _, whole := g.Releases.of(service); !whole || len(releases) != 1 {
+	recorded, whole := g.Releases.of(service)
+	if !whole || len(releases) != 1 || len(recorded) != 1 {
 		return "", nil
 	}
 	return releases[0], nil
--- a/internal/origin/observer.go
+++ b/internal/origin/observer.go
@@ -23,6 +23,8 @@
 	// since is the time since when the registry has been followed without a gap, and confirmedAt a time at
 	// which this node's copy was certainly current. Both are zero before the first read.
 	since, confirmedAt time.Time
+	// keep is the longest time for which anything was asked: what was seen within it is not forgotten.
+	keep time.Duration
 }
 
 // NewObserver returns an observer that has seen nothing.
@@ -122,10 +124,12 @@
 	list := o.listedReleases(service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.keep = max(o.keep, within+removeDelay)
 	for of, until := range o.seenUntil {
 		switch {
-		case now.Sub(until) > within:
+		case now.Sub(until) > o.keep:
 			delete(o.seenUntil, of)
+		case now.Sub(until) > within:
 		case of.Service == service && o.listed[of] == 0:
 			list = append(list, of.Release)
 		}
@@ -139,6 +143,7 @@
 func (o *Observer) absentFor(of Origin, d time.Duration, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.keep = max(o.keep, d)
 	if now.Sub(o.confirmedAt) > maxObservationGap || o.since.IsZero() || now.Sub(o.since) < d {
 		return false
 	}
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/rendezvous"
@@ -31,9 +30,9 @@
 	// removeDelay is the time from when a node reads that a release is retired until it removes the record. By then no
 	// node begins streams at the release by a copy that has it as active (maxCopySkew).
 	removeDelay = 45 * time.Second
-	// maxCopyAge is the age of the copy of the records from which it is confirmed, so that it stays well within
-	// maxCopySkew.
-	maxCopyAge = 15 * time.Second
+	// maxCopyAge is the time by which the copy of the records may be older than that of the registry until it is
+	// confirmed. It is above what the reads of the list of nodes take, 20 s, and below maxCopySkew.
+	maxCopyAge = 22 * time.Second
 )
 
 // Topic stores the records of releases.
@@ -84,17 +83,19 @@
 	activate action = iota // write it, so that streams may begin
 	retire                 // write that no streams may begin any more
 	remove
+	markEra // write that the records of the store's era are complete
 )
 
 // String implements fmt.Stringer.
 func (a action) String() string {
-	return [...]string{activate: "activate", retire: "retire", remove: "remove"}[a]
+	return [...]string{activate: "activate", retire: "retire", remove: "remove", markEra: "mark_era"}[a]
 }
 
 // change is a change of a record.
 type change struct {
 	Origin
-	action action
+	action    action
+	retention time.Duration // of an activated or retired release
 }
 
 // changes are the changes to make by key, as of a position in the topic.
@@ -174,24 +175,32 @@
 		}
 	}
 	for o, record := range c.stored {
+		kept, sinceRead := record.retention(retention), now.Sub(record.readAt)
 		switch {
-		case !record.Retired && r.config.Observer.absentFor(o, retention, now):
-			list.byKey[releaseKey(o)] = change{o, retire}
-		case record.Retired && now.Sub(record.readAt) > removeDelay && r.config.Observer.absentFor(o, retention+removeDelay, now):
-			list.byKey[releaseKey(o)] = change{o, remove}
+		case !record.Retired && sinceRead > kept && r.config.Observer.absentFor(o, kept, now):
+			list.byKey[releaseKey(o)] = change{o, retire, kept}
+		case record.Retired && sinceRead > removeDelay && r.config.Observer.absentFor(o, kept+removeDelay, now):
+			list.byKey[releaseKey(o)] = change{Origin: o, action: remove}
 		}
 	}
+	if r.config.Releases.missingEra() > 0 {
+		list.byKey[eraKey] = change{action: markEra}
+	}
 	r.addMissing(&list, c.stored)
 	return list
 }
 
-// addMissing adds the releases that have endpoints and no record by which streams may begin.
+// addMissing adds the releases that have endpoints and no record by which streams may begin and be resumed for as long as
+// they may be now.
 func (r *Recorder) addMissing(list *changes, stored map[Origin]storedRelease) {
+	retention := r.config.Retention()
 	for _, service := range r.config.Services() {
 		for _, release := range r.config.Observer.listedReleases(service) {
 			o := Origin{service, release}
-			if record, found := stored[o]; o.recordable() && (!found || record.Retired) {
-				list.byKey[releaseKey(o)] = change{o, activate}
+			record, found := stored[o]
+			kept := record.retention(retention)
+			if o.recordable() && (!found || record.Retired || record.RetentionMS < kept.Milliseconds()) {
+				list.byKey[releaseKey(o)] = change{o, activate, kept}
 			}
 		}
 	}
@@ -225,15 +234,24 @@
 // put writes a change. A change that ends the use of a release is made only if the topic still ends where it was decided:
 // another node may have seen the release again.
 func (r *Recorder) put(ctx context.Context, key string, c change, end int64) error {
-	if c.action == remove {
+	record := releaseRecord{Origin: c.Origin, RetentionMS: c.retention.Milliseconds(), Node: r.config.Node}
+	switch c.action {
+	case remove:
 		return r.config.Topic.PutIf(ctx, key, nil, end)
+	case markEra:
+		return r.config.Topic.PutIf(ctx, key, encode(eraRecord{follow.EraOf(end)}), end)
+	case retire:
+		record.Retired = true
+		return r.config.Topic.PutIf(ctx, key, encode(record), end)
 	}
-	value, err := json.Marshal(releaseRecord{c.Origin, c.action == retire, r.config.Node})
+	return r.config.Topic.Put(ctx, key, encode(record))
+}
+
+// encode encodes a record.
+func encode(record any) []byte {
+	value, err := json.Marshal(record)
 	if err != nil {
-		return eris.Wrap(err, "encode the record of a release")
-	}
-	if c.action == retire {
-		return r.config.Topic.PutIf(ctx, key, value, end)
+		panic(err) // Marshal never fails for the records
 	}
-	return r.config.Topic.Put(ctx, key, value)
+	return value
 }
--- a/internal/origin/recordingsystem_test.go
+++ b/internal/origin/recordingsystem_test.go
@@ -161,7 +161,7 @@
 		Topic: nodeTopic{s.topic, n}, Spacing: func() time.Duration { return time.Duration(len(s.nodes)) * time.Millisecond },
 		Retention: keep, Now: time.Now,
 	})
-	s.gates[i] = &Gate{Releases: releases, Observer: observer, Retention: keep, Now: time.Now}
+	s.gates[i] = &Gate{Releases: releases, Observer: observer, Retention: keep, IsIsolated: func() bool { return n.silent }, Now: time.Now}
 	n.start()
 	n.Service.config.Releases, n.Service.config.Sole = releases, s.gates[i].Sole
 	n.Service.config.Streams.config.IsShared = s.gates[i].IsShared
@@ -237,4 +237,3 @@
 func (s *recordingSystem) resumes(t *testing.T) string {
 	return s.nodes[1].Find(t.Context(), KeyOf("yard", "r"), service).Release
 }
-
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -40,6 +40,8 @@
 	Origin
 	// Retired is true if no streams may begin at the release any more. The record is removed some time later.
 	Retired bool `json:"retired,omitempty"`
+	// RetentionMS is the longest time for which streams of the release could be resumed while they began there.
+	RetentionMS int64 `json:"retention_ms,omitempty"`
 	// Node is the node that wrote the record. It is information for operators.
 	Node string `json:"node,omitempty"`
 }
@@ -50,6 +52,11 @@
 	readAt time.Time // when this node read the record
 }
 
+// retention returns how long streams of the release may be resumed, if they may be for the given time now.
+func (r *releaseRecord) retention(now time.Duration) time.Duration {
+	return max(now, time.Duration(r.RetentionMS)*time.Millisecond)
+}
+
 // decodeRelease decodes the record of a release.
 func decodeRelease(r *follow.Record) (record releaseRecord, err error) {
 	if err := json.Unmarshal(r.Value, &record); err != nil {
@@ -98,15 +105,16 @@
 	next int64
 	// confirmedAt is a time at which the copy was certainly current.
 	confirmedAt time.Time
-	// wholeFrom is the time from which the records of all releases are there, after the store came back from an
-	// older copy of its data.
-	wholeFrom time.Time
+	// eraSeenAt is when this node saw that the store had come back from an older copy of its data; zero if it didn't.
+	// wholeEra is the era in which another node has recorded that the records are complete.
+	eraSeenAt time.Time
+	wholeEra  int64
 }
 
 // NewReleases returns an empty copy.
 func NewReleases(c ReleasesConfig) *Releases {
 	r := &Releases{config: c, stored: make(map[Origin]storedRelease), unreadable: make(map[string]time.Time), told: make(map[Origin]time.Time)}
-	r.confirmer = confirmer{read: r.read, spacing: c.Spacing, now: c.Now}
+	r.confirmer = confirmer{read: r.read, spacing: c.Spacing, now: c.Now, timeout: confirmTimeout}
 	return r
 }
 
@@ -119,9 +127,9 @@
 		return
 	}
 	r.enterEra(b)
-	before := maps.Clone(r.stored)
+	before := r.stored
 	if b.Snapshot {
-		r.stored, r.unreadable = make(map[Origin]storedRelease), make(map[string]time.Time)
+		r.stored, r.unreadable, r.wholeEra = make(map[Origin]storedRelease), make(map[string]time.Time), 0
 	}
 	for i := range b.Records {
 		record := &b.Records[i]
@@ -140,20 +148,12 @@
 	maps.DeleteFunc(r.told, func(_ Origin, at time.Time) bool { return !at.After(r.confirmedAt) })
 }
 
-// enterEra notes that the store may have lost records: it has come back from an older copy of its data, or had done
-// so before this node started. r.mu is held.
-func (r *Releases) enterEra(b *follow.Batch) {
-	before := int64(0)
-	if r.loaded {
-		before = follow.EraOf(r.next)
-	}
-	if follow.EraOf(b.Next) > before {
-		r.wholeFrom = r.config.Now().Add(r.config.Retention())
-	}
-}
-
-// apply applies a record. before is what the copy had before the read. r.mu is held.
+// apply applies a record. before is what the copy had before a snapshot. r.mu is held.
 func (r *Releases) apply(record *follow.Record, before map[Origin]storedRelease) error {
+	if record.Key == eraKey {
+		return r.applyEra(record)
+	}
+	current := maps.Clone(r.stored)
 	maps.DeleteFunc(r.stored, func(o Origin, _ storedRelease) bool { return releaseKey(o) == record.Key })
 	delete(r.unreadable, record.Key)
 	if record.Value == nil {
@@ -164,7 +164,10 @@
 		r.unreadable[record.Key] = r.config.Now()
 		return err
 	}
-	known := before[decoded.Origin]
+	known, found := current[decoded.Origin]
+	if !found {
+		known = before[decoded.Origin]
+	}
 	if known.releaseRecord != decoded {
 		known = storedRelease{decoded, r.config.Now()}
 	}
@@ -242,5 +245,5 @@
 		}
 	}
 	slices.Sort(list)
-	return list, len(r.unreadable) == 0 && !r.config.Now().Before(r.wholeFrom)
+	return list, len(r.unreadable) == 0 && r.isWhole()
 }
--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -69,6 +69,8 @@
 			s.set("v1")
 			test.Eq(t, "", s.resumes(t), test.Sprint("so it is for nodes that have started since"))
 			s.run(t, retention)
+			test.Eq(t, "", s.resumes(t), test.Sprint("a node that was cut off may have begun streams since"))
+			s.run(t, removeDelay)
 			test.Eq(t, "v1", s.resumes(t))
 		}
 	})
--- a/internal/origin/streamlog.go
+++ b/internal/origin/streamlog.go
@@ -23,8 +23,11 @@
 	// shortest time between two writes of one node.
 	maxLogWrites   = 100
 	minLogInterval = 500 * time.Millisecond
-	// logTimeout bounds a write, and each read of up to 1 MB.
+	// logTimeout bounds a write, and the reads that a caller waits for. What they have read is kept.
 	logTimeout = time.Second
+	// maxWallSkew is the difference between the wall clocks of two nodes up to which no stream is taken for older than
+	// it is.
+	maxWallSkew = 10 * time.Second
 )
 
 // Log is a log in the platform's store.
@@ -76,6 +79,12 @@
 	addedAt time.Time
 }
 
+// logEntry is a record of the log.
+type logEntry struct {
+	AtMS    int64           `json:"at_ms"` // when it was written, by the wall clock of the node
+	Streams []loggedStreams `json:"streams"`
+}
+
 // loggedStreams is a part of a record of the log: streams that began at one release.
 type loggedStreams struct {
 	Origin
@@ -85,7 +94,7 @@
 // NewStreamLog returns a log that has not been read.
 func NewStreamLog(c StreamLogConfig) *StreamLog {
 	l := &StreamLog{config: c, next: unread}
-	l.confirmer = confirmer{read: l.read, spacing: c.Spacing, now: c.Now}
+	l.confirmer = confirmer{read: l.read, spacing: c.Spacing, now: c.Now, timeout: logTimeout}
 	return l
 }
 
@@ -160,7 +169,7 @@
 	for o, keys := range byOrigin {
 		groups = append(groups, loggedStreams{o, keys})
 	}
-	data, err := json.Marshal(groups)
+	data, err := json.Marshal(logEntry{l.config.Now().UnixMilli(), groups})
 	if err != nil {
 		return eris.Wrap(err, "encode origins of streams")
 	}
@@ -205,14 +214,17 @@
 	}
 }
 
-// decode returns the streams of a record. Those that are invalid are left out.
+// decode returns the streams of a record. Those that are invalid, or can't be resumed any more, are left out.
 func (l *StreamLog) decode(r *claim.Record) (list []record) {
-	var groups []loggedStreams
-	if err := json.Unmarshal(r.Data, &groups); err != nil {
+	var entry logEntry
+	if err := json.Unmarshal(r.Data, &entry); err != nil {
 		l.config.Logger.Warn().Str("event", "streams_unreadable").Int64("offset", r.Offset).Err(err).Send()
 		return nil
 	}
-	for _, g := range groups {
+	if l.config.Now().Sub(time.UnixMilli(entry.AtMS)) > l.config.Retention()+maxWallSkew {
+		return nil
+	}
+	for _, g := range entry.Streams {
 		for _, k := range g.Keys {
 			if k != (Key{}) && g.valid() {
 				list = append(list, record{k, g.Origin})
--- a/internal/origin/streamlog_test.go
+++ b/internal/origin/streamlog_test.go
@@ -101,8 +101,8 @@
 
 // TestUnreadableStreamsAreLeftOut checks that records of the log which are invalid don't hide the others.
 func TestUnreadableStreamsAreLeftOut(t *testing.T) {
-	m := &memoryLog{}
-	for _, data := range []string{"{", `[{"service":"models","keys":["AAAAAAAAAAAAAAAAAAAAAQ"]}]`, `[{"service":"models","release":"v1","keys":["AAAAAAAAAAAAAAAAAAAAAg"]}]`} {
+	m, now := &memoryLog{}, time.Now().UnixMilli()
+	for _, data := range []string{"{", `[]`, fmt.Sprintf(`{"at_ms":%d,"streams":[{"service":"models","keys":["AAAAAAAAAAAAAAAAAAAAAQ"]}]}`, now), fmt.Sprintf(`{"at_ms":%d,"streams":[{"service":"models","release":"v1","keys":["AAAAAAAAAAAAAAAAAAAAAg"]}]}`, now)} {
 		_, err := m.Append(t.Context(), []byte(data))
 		must.NoError(t, err)
 	}
--- a/internal/origin/told.go
+++ b/internal/origin/told.go
@@ -1,10 +1,12 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -27,6 +29,9 @@
 // handleReleases answers a node that can't read the records.
 func (s *Service) handleReleases(json.RawMessage) (any, error) {
 	active, confirmedAt := s.config.Releases.activeReleases()
+	slices.SortFunc(active, func(a, b Origin) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Release, b.Release))
+	})
 	active = active[:min(len(active), maxMessageRecords)]
 	return releasesResponse{active, s.config.Now().Sub(confirmedAt).Milliseconds()}, nil
 }
