--- a/standin/site/otherwriter.go
+++ b/standin/site/otherwriter.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 )
@@ -76,9 +77,12 @@
 	return list
 }
 
-// WriteMany writes count unusable entries under keys of their own.
+// maxManyBytes is the length of the longest entry of WriteMany: a store full of long ones takes its time to read.
+const maxManyBytes = 1 << 10
+
+// WriteMany writes count short unusable entries under keys of their own.
 func (f *OtherWriter) WriteMany(count int) {
-	list := f.Entries()
+	list := slices.DeleteFunc(f.Entries(), func(entry string) bool { return len(entry) > maxManyBytes })
 	for i := range count {
 		f.site.Store.Put("keyed.servers", fmt.Sprint("many-", i), []byte(list[i%len(list)]))
 	}
