--- a/standin/metastore/inspect.go
+++ b/standin/metastore/inspect.go
@@ -17,13 +17,16 @@
 }
 
 // HasKey reports whether a keyed topic has a record whose key begins with the given text.
-func (s *Store) HasKey(name, prefix string) bool {
+func (s *Store) HasKey(name, prefix string) bool { return s.CountKeys(name, prefix) > 0 }
+
+// CountKeys returns the number of records of a keyed topic whose keys begin with the given text.
+func (s *Store) CountKeys(name, prefix string) (count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key := range s.topic(name).newest {
 		if strings.HasPrefix(key, prefix) {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -24,6 +24,7 @@
 	maxCallBytes = 2 << 20
 	lengthBytes  = 4
 	headerBytes  = 16
+	pathAppend   = "/-/log-append"
 )
 
 // restoresKey is the context key of the number of calls of Restore when a request arrived.
@@ -32,6 +33,8 @@
 // Faults are the faults that tests can inject.
 type Faults struct {
 	Down bool // calls are rejected with status 503
+	// RefuseWrites rejects appends with status 503.
+	RefuseWrites bool
 	// LoseResponses closes the connection of each append after it was executed, without a
 	// response.
 	LoseResponses bool
@@ -108,7 +111,7 @@
 // Handler returns a handler for the protocol.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/log-append", s.serveAppend)
+	mux.HandleFunc("POST "+pathAppend, s.serveAppend)
 	mux.HandleFunc("GET /-/log-read", s.serveRead)
 	mux.HandleFunc("GET /-/log-newest", s.serveNewest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -120,7 +123,7 @@
 			w.Header().Set("Store-Era", era)
 		}
 		time.Sleep(faults.Delay)
-		if faults.Down {
+		if faults.Down || faults.RefuseWrites && r.URL.Path == pathAppend {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
