--- a/internal/origin/streamlog_test.go
+++ b/internal/origin/streamlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,11 +17,14 @@
 
 // memoryLog is a Log in memory.
 type memoryLog struct {
+	mu      sync.Mutex
 	records []claim.Record
 	down    bool
 }
 
 func (m *memoryLog) Append(_ context.Context, data []byte) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.down {
 		return 0, errStoreDown
 	}
@@ -30,6 +34,8 @@
 }
 
 func (m *memoryLog) Read(_ context.Context, from int64, _ int) ([]claim.Record, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.down {
 		return nil, 0, errStoreDown
 	}
@@ -37,6 +43,8 @@
 }
 
 func (m *memoryLog) Tail(_ context.Context, count int64) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.down {
 		return 0, errStoreDown
 	}
