Origin: another node's word on releases counts by position, not by time

A copy that is read with long polls counts as current as of the poll, up to 10 s before the record that ended it, so the word seemed older than the own copy and was ignored. It counts now while the other copy goes further in the topic.

--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -99,8 +99,8 @@
 	// unreadable are the keys of records that are invalid, and when this node read them first. They stand for releases
 	// that are not known.
 	unreadable map[string]time.Time
-	// told are the releases at which streams may begin by the copies of other nodes, and when these were current.
-	told map[Origin]time.Time
+	// told are the releases at which streams may begin by copies of other nodes that go further than this one.
+	told map[Origin]toldRelease
 	// next is the position in the topic up to which the copy has all records.
 	next int64
 	// confirmedAt is a time at which the copy was certainly current.
@@ -113,7 +113,7 @@
 
 // NewReleases returns an empty copy.
 func NewReleases(c ReleasesConfig) *Releases {
-	r := &Releases{config: c, stored: make(map[Origin]storedRelease), unreadable: make(map[string]time.Time), told: make(map[Origin]time.Time)}
+	r := &Releases{config: c, stored: make(map[Origin]storedRelease), unreadable: make(map[string]time.Time), told: make(map[Origin]toldRelease)}
 	r.confirmer = confirmer{read: r.read, spacing: c.Spacing, now: c.Now, timeout: confirmTimeout}
 	return r
 }
@@ -145,7 +145,7 @@
 	if b.ConfirmedAt.After(r.confirmedAt) {
 		r.confirmedAt = b.ConfirmedAt
 	}
-	maps.DeleteFunc(r.told, func(_ Origin, at time.Time) bool { return !at.After(r.confirmedAt) })
+	maps.DeleteFunc(r.told, func(_ Origin, t toldRelease) bool { return t.next <= r.next })
 }
 
 // apply applies a record. before is what the copy had before a snapshot. r.mu is held.
--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -111,6 +111,9 @@
 		for _, n := range s.nodes[2:] {
 			n.refused = true
 		}
+		for _, c := range s.copies[:2] {
+			c.confirmedAt = time.Now().Add(-10 * time.Second) // as of a read that waits for a change
+		}
 		s.set("v2")
 		s.run(t, time.Second)
 		for i, g := range s.gates {
--- a/internal/origin/told.go
+++ b/internal/origin/told.go
@@ -22,18 +22,26 @@
 type releasesResponse struct {
 	// Active are the releases at which streams may begin, at most maxMessageRecords.
 	Active []Origin `json:"active"`
-	// AgeMS is the age of the copy of the records at the node that answers.
+	// AgeMS is the age of the copy of the records at the node that answers, and Next the position in the topic up to
+	// which it has all of them.
 	AgeMS int64 `json:"age_ms"`
+	Next  int64 `json:"next"`
+}
+
+// toldRelease is a release at which streams may begin by the copy of another node.
+type toldRelease struct {
+	confirmedAt time.Time // when that copy was certainly current
+	next        int64     // the position in the topic up to which it had all records
 }
 
 // handleReleases answers a node that can't read the records.
 func (s *Service) handleReleases(json.RawMessage) (any, error) {
-	active, confirmedAt := s.config.Releases.activeReleases()
+	active, copied := s.config.Releases.activeReleases()
 	slices.SortFunc(active, func(a, b Origin) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Release, b.Release))
 	})
 	active = active[:min(len(active), maxMessageRecords)]
-	return releasesResponse{active, s.config.Now().Sub(confirmedAt).Milliseconds()}, nil
+	return releasesResponse{active, s.config.Now().Sub(copied.confirmedAt).Milliseconds(), copied.next}, nil
 }
 
 // LearnReleases asks a few nodes which releases have a record by which streams may begin. It serves a node that can't
@@ -49,12 +57,12 @@
 		if err := s.call(ctx, p.Addr, releasesMethod, nil, &answer); err != nil || answer.AgeMS < 0 {
 			continue // silent, or of a build that doesn't know the method
 		}
-		s.config.Releases.learn(answer.Active, sentAt.Add(-time.Duration(answer.AgeMS)*time.Millisecond))
+		s.config.Releases.learn(answer.Active, toldRelease{sentAt.Add(-time.Duration(answer.AgeMS) * time.Millisecond), answer.Next})
 	}
 }
 
-// activeReleases returns the releases at which streams may begin by their records, and when the copy was confirmed.
-func (r *Releases) activeReleases() (list []Origin, confirmedAt time.Time) {
+// activeReleases returns the releases at which streams may begin by their records, and how far the copy goes.
+func (r *Releases) activeReleases() (list []Origin, copied toldRelease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for o, record := range r.stored {
@@ -62,32 +70,28 @@
 			list = append(list, o)
 		}
 	}
-	return list, r.confirmedAt
+	return list, toldRelease{r.confirmedAt, r.next}
 }
 
-// learn adds releases at which streams may begin by another node's copy, which was current at a time.
-func (r *Releases) learn(active []Origin, confirmedAt time.Time) {
+// learn adds releases at which streams may begin by another node's copy.
+func (r *Releases) learn(active []Origin, copied toldRelease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range active {
-		if confirmedAt.After(r.told[o]) {
-			r.told[o] = confirmedAt
+		if copied.next > max(r.next, r.told[o].next) {
+			r.told[o] = copied
 		}
 	}
 }
 
 // activeAt returns the latest time at which streams could begin at a release by its record, as far as this node knows. ok
-// is false if they may not.
+// is false if they may not. What another node told counts while its copy goes further than the own one.
 func (r *Releases) activeAt(o Origin) (at time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	told, known := r.told[o]
-	record, found := r.stored[o]
-	switch {
-	case known && told.After(r.confirmedAt):
-		return told, true
-	case found && !record.Retired:
-		return r.confirmedAt, true
+	if told, known := r.told[o]; known {
+		return told.confirmedAt, true
 	}
-	return time.Time{}, false
+	record, found := r.stored[o]
+	return r.confirmedAt, found && !record.Retired
 }
