Origin: the question for releases has parameters

The simulated network rejects such calls now, with which TestNodesWithoutTheStoreLearnOfNewReleases fails on the code before.

--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -158,7 +158,7 @@
 	b := to.Addr().As4()
 	other := w.nodes[int(b[2])<<8|int(b[3])]
 	handle := w.handler(other, method)
-	if n.silent || other.silent || other.older || lost || handle == nil {
+	if n.silent || other.silent || other.older || lost || handle == nil || string(data) == "null" { // calls need parameters
 		return nil, false
 	}
 	response, err = handle(data)
--- a/internal/origin/told.go
+++ b/internal/origin/told.go
@@ -11,13 +11,16 @@
 )
 
 const (
-	// releasesMethod is the call that asks a node which releases have a record by which streams may begin. It has no
-	// parameter and may be repeated.
+	// releasesMethod is the call that asks a node which releases have a record by which streams may begin. It may be
+	// repeated.
 	releasesMethod = "node.recorded_releases"
 	// toldBy is the number of nodes that are asked.
 	toldBy = 3
 )
 
+// releasesRequest is the parameter of releasesMethod.
+type releasesRequest struct{}
+
 // releasesResponse is the result of releasesMethod.
 type releasesResponse struct {
 	// Active are the releases at which streams may begin, at most maxMessageRecords.
@@ -54,7 +57,7 @@
 	for _, p := range peers[:min(len(peers), toldBy)] {
 		var answer releasesResponse
 		sentAt := s.config.Now()
-		if err := s.call(ctx, p.Addr, releasesMethod, nil, &answer); err != nil || answer.AgeMS < 0 {
+		if err := s.call(ctx, p.Addr, releasesMethod, releasesRequest{}, &answer); err != nil || answer.AgeMS < 0 {
 			continue // silent, or of a build that doesn't know the method
 		}
 		s.config.Releases.learn(answer.Active, toldRelease{sentAt.Add(-time.Duration(answer.AgeMS) * time.Millisecond), answer.Next})
