--- a/internal/gatewaydemo/dark_test.go
+++ b/internal/gatewaydemo/dark_test.go
@@ -17,8 +17,8 @@
 	"github.com/cherryward/cherryward/standin/site"
 )
 
-// oldServers and newServers are the servers of the two releases; another one is between them.
-var oldServers, newServers = []int{0, 1, 2}, []int{4, 5, 6}
+// oldServers and newServers are the servers of the two releases.
+var oldServers, newServers = []int{0, 1, 2}, []int{3, 4, 5}
 
 // darkNodes is the number of nodes that are lost.
 const darkNodes = 3
@@ -44,7 +44,7 @@
 			t.Parallel()
 			s, _ := startSite(t, 0)
 			members := startNodes(t, s, darkNodes)
-			waitUntil(t, "the release is recorded", func() bool { return s.Store.CountKeys(platform.TopicNodes, releaseRecords) == 1 })
+			waitUntil(t, "the releases are recorded", func() bool { return s.Store.CountKeys(platform.TopicNodes, releaseRecords) == siteServices })
 			for i, m := range members {
 				waitUntil(t, "a stream begins", func() bool { return beginsStream(t, m, fmt.Sprint("5e55c", i)) })
 			}
@@ -54,7 +54,7 @@
 				must.NoError(t, err)
 			}
 			if c.recorded {
-				waitUntil(t, "the new release is recorded", func() bool { return s.Store.CountKeys(platform.TopicNodes, releaseRecords) == 2 })
+				waitUntil(t, "the new release is recorded", func() bool { return s.Store.CountKeys(platform.TopicNodes, releaseRecords) == siteServices+1 })
 			}
 			first := beginStreams(t, members, c.after)
 			killAll(s, members)
@@ -85,6 +85,9 @@
 // releaseRecords is the prefix of the keys of the records of releases.
 const releaseRecords = "release/"
 
+// siteServices is the number of services of the site, whose first releases have a record each.
+const siteServices = 2
+
 // beginsStream reports whether a node begins a stream that may be resumed.
 func beginsStream(t *testing.T, m *gatewaydemo.Member, session string) bool {
 	t.Helper()
@@ -118,7 +121,7 @@
 func TestStreamsWaitForTheRecordOfTheirRelease(t *testing.T) {
 	t.Parallel()
 	s, members := startSite(t, 1)
-	waitUntil(t, "the release is recorded", func() bool { return s.Store.CountKeys(platform.TopicNodes, releaseRecords) == 1 })
+	waitUntil(t, "the releases are recorded", func() bool { return s.Store.CountKeys(platform.TopicNodes, releaseRecords) == siteServices })
 	s.Store.SetFaults(metastore.Faults{RefuseWrites: true})
 	for range 3 {
 		_, err := s.AddModel("v2")
