--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -10,7 +10,9 @@
 // Where no record is found, a stream is resumed only if no more than one release can have begun it. The platform's
 // store has a record of each release that serves, or that began streams which can still be resumed. It is written before
 // the first stream begins at the release, and removed when the last ones have ended. So a read of these records that is
-// sent after a caller's request arrived names the release that began its stream, whichever nodes were there.
+// sent after a caller's request arrived names the release that began its stream, whichever nodes were there. While
+// several releases have a record, nodes write the origins of the streams that they began to a log in the store, for the
+// case that all homes are lost.
 //
 // Guarantees:
 //
@@ -18,6 +20,6 @@
 //     differ count as no record.
 //   - A caller reaches the records of its own client account only.
 //   - Records are lost if all homes of a stream fail. The stream is then refused unless one release alone has a
-//     record in the store. What a node saw before the request, or did not see, proves nothing.
+//     record in the store, or the log has the stream. What a node saw before the request, or did not see, proves nothing.
 //   - The number of records is bounded; beyond the bound, the oldest are dropped.
 package origin
