--- a/internal/origin/proof_test.go
+++ b/internal/origin/proof_test.go
@@ -97,16 +97,22 @@
 	})
 }
 
+// newCutOffSystem returns a system whose third node is cut off together with the servers of v2, whose entries lapse.
+func newCutOffSystem(t *testing.T) *recordingSystem {
+	s := newRecordingSystem(6, newPlatformTopic())
+	s.set("v1")
+	s.set("v2")
+	s.run(t, settleTime)
+	s.nodes[2].silent = true
+	s.unlist("v2")
+	return s
+}
+
 // TestCutOffNodeBeginsNoStreamsAtAReleaseThatWasRemoved checks that a node which has been cut off for longer than a
 // record outlasts its release begins no streams by it.
 func TestCutOffNodeBeginsNoStreamsAtAReleaseThatWasRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRecordingSystem(6, newPlatformTopic())
-		s.set("v1")
-		s.set("v2")
-		s.run(t, settleTime)
-		s.nodes[2].silent = true // with the servers of v2, whose entries lapse
-		s.unlist("v2")
+		s := newCutOffSystem(t)
 		s.run(t, retention+removeDelay+settleTime)
 		mayBegin := s.gates[2].MayBegin(service, "v2")
 		sole := s.soleAt(t, 1)
@@ -118,12 +124,7 @@
 // only a node that is cut off can see, isn't passed over while that node begins streams there.
 func TestRestoredStoreIsNoProofAgainstNodesThatAreCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRecordingSystem(6, newPlatformTopic())
-		s.set("v1")
-		s.set("v2")
-		s.run(t, settleTime)
-		s.nodes[2].silent = true // with the servers of v2, whose entries lapse
-		s.unlist("v2")
+		s := newCutOffSystem(t)
 		s.topic.restoreEmpty()
 		s.read()
 		s.run(t, settleTime)
