Origin: the gate reads what is known of a service once

Sole and IsShared read the recorded releases twice, once for the list and once for whether it is complete, so that the two could be of different moments; the list was sorted twice. One piece returns both. The mark of an era is asked for as a yes or no, which is all that its caller wants, and isLost is named isCutOff, which it reports. go test ./internal/origin passes.

--- a/internal/origin/gate.go
+++ b/internal/origin/gate.go
@@ -40,12 +40,12 @@
 		return true // nothing is resumed at such a service without a record of the stream
 	}
 	at, active := g.Releases.activeAt(o)
-	return active && !g.isLost() && g.Observer.lastConfirmed().Sub(at) <= maxCopySkew
+	return active && !g.isCutOff() && g.Observer.lastConfirmed().Sub(at) <= maxCopySkew
 }
 
-// isLost reports whether this node has been without the registry and the other nodes for so long that they may have removed
+// isCutOff reports whether this node has been without the registry and the other nodes for so long that they may have removed
 // the records of releases whose endpoints it alone still reaches.
-func (g *Gate) isLost() bool {
+func (g *Gate) isCutOff() bool {
 	return g.Now().Sub(g.Observer.lastConfirmed()) > maxLoneAge && g.IsIsolated()
 }
 
@@ -57,16 +57,8 @@
 
 // IsShared reports whether streams of a service can have begun at several releases, as far as this node knows.
 func (g *Gate) IsShared(service string) bool {
-	_, whole := g.Releases.of(service)
-	return !whole || len(g.releases(service)) > 1
-}
-
-// releases returns the releases of a service that have a record, or an endpoint that this node saw, sorted.
-func (g *Gate) releases(service string) []string {
-	recorded, _ := g.Releases.of(service)
-	list := append(recorded, g.Observer.seenReleases(service, g.Retention(), g.Now())...)
-	slices.Sort(list)
-	return slices.Compact(list)
+	k := g.known(service)
+	return !k.whole || len(k.all) > 1
 }
 
 // Sole returns the release that alone can have begun any stream of a service that can still be resumed; empty if
@@ -75,10 +67,24 @@
 	if err := g.Releases.Confirm(ctx); err != nil {
 		return "", err
 	}
-	releases := g.releases(service)
-	recorded, whole := g.Releases.of(service)
-	if !whole || len(releases) != 1 || len(recorded) != 1 {
+	k := g.known(service)
+	if !k.whole || len(k.all) != 1 || k.recorded != 1 {
 		return "", nil
 	}
-	return releases[0], nil
+	return k.all[0], nil
+}
+
+// knownReleases are the releases of a service that a node knows.
+type knownReleases struct {
+	all      []string // that have a record, or an endpoint that this node saw, sorted
+	recorded int      // number of those with a record
+	whole    bool     // no others have a record
+}
+
+// known returns the releases of a service that this node knows.
+func (g *Gate) known(service string) knownReleases {
+	recorded, whole := g.Releases.of(service)
+	all := append(recorded, g.Observer.seenReleases(service, g.Retention(), g.Now())...)
+	slices.Sort(all)
+	return knownReleases{slices.Compact(all), len(recorded), whole}
 }
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -183,7 +183,7 @@
 			list.byKey[releaseKey(o)] = change{Origin: o, action: remove}
 		}
 	}
-	if r.config.Releases.missingEra() > 0 {
+	if r.config.Releases.lacksEraMark() {
 		list.byKey[eraKey] = change{action: markEra}
 	}
 	r.addMissing(&list, c.stored)
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -243,7 +242,7 @@
 	return contents{maps.Clone(r.stored), maps.Clone(r.unreadable), r.next}
 }
 
-// of returns the recorded releases of a service, sorted. whole is false if there may be others: the store may have lost
+// of returns the recorded releases of a service. whole is false if there may be others: the store may have lost
 // records, or has some that are invalid.
 func (r *Releases) of(service string) (list []string, whole bool) {
 	r.mu.Lock()
@@ -253,6 +252,5 @@
 			list = append(list, o.Release)
 		}
 	}
-	slices.Sort(list)
 	return list, len(r.unreadable) == 0 && r.isWhole()
 }
--- a/internal/origin/storeera.go
+++ b/internal/origin/storeera.go
@@ -54,13 +54,10 @@
 	return r.config.Now().Sub(r.eraSeenAt) >= r.config.Retention()+removeDelay
 }
 
-// missingEra returns the era that is to be recorded as one in which the records are complete, or 0 if none is.
-func (r *Releases) missingEra() int64 {
+// lacksEraMark reports whether the store's era is to be recorded as one in which the records are complete.
+func (r *Releases) lacksEraMark() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	era := follow.EraOf(r.next)
-	if era == 0 || r.wholeEra == era || !r.lossIsOver() {
-		return 0
-	}
-	return era
+	return era > 0 && r.wholeEra != era && r.lossIsOver()
 }
