One bound for log lines that other processes can cause

Records, entries and messages that can't be used were sampled by the same five lines and the same two figures in gateway, fleet and datagram. internal/loglimit has them now; each logger keeps a bound of its own.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -19,6 +19,8 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/time/rate"
+
+	"github.com/cherryward/cherryward/internal/loglimit"
 )
 
 // MaxBytes is the maximum length of a message. Sending a longer one fails.
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peer datagrams")
 	}
-	return &Conn{udp: udp, log: log, rejects: sampleRejects(log), handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call), tooLong: make(map[string]time.Time)}, nil
+	return &Conn{udp: udp, log: log, rejects: loglimit.Bound(log), handlers: make(map[string]Handler), unknownMethods: make(map[string]bool), pending: make(map[uint64]*call), tooLong: make(map[string]time.Time)}, nil
 }
 
 // Addr returns the address that peers send to.
--- a/internal/datagram/unknown.go
+++ b/internal/datagram/unknown.go
@@ -1,22 +1,5 @@
 package datagram
 
-import (
-	"time"
-
-	"github.com/rs/zerolog"
-)
-
-// rejectBurst is the number of messages that are logged in each rejectPeriod because they can't be handled.
-const (
-	rejectBurst  = 20
-	rejectPeriod = 10 * time.Second
-)
-
-// sampleRejects returns the logger of messages that can't be handled, which any process can send.
-func sampleRejects(log zerolog.Logger) zerolog.Logger {
-	return log.Sample(&zerolog.BurstSampler{Burst: rejectBurst, Period: rejectPeriod})
-}
-
 // maxUnknownMethods is the maximum number of methods without a handler that are logged, each once.
 const maxUnknownMethods = 16
 
--- a/internal/datagram/unknown_test.go
+++ b/internal/datagram/unknown_test.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/loglimit"
 )
 
 // TestUnknownMethodIsLoggedOnce checks that messages of a newer build, which may arrive hundreds of
@@ -56,6 +58,6 @@
 			}
 		}
 		test.Less(t, 16<<10, lines.Len())
-		test.Eq(t, rejectBurst, bytes.Count(lines.Bytes(), []byte("datagram_rejected")))
+		test.Eq(t, loglimit.Burst, bytes.Count(lines.Bytes(), []byte("datagram_rejected")))
 	})
 }
--- a/internal/fleet/changelog.go
+++ b/internal/fleet/changelog.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -36,17 +35,6 @@
 // node that starts lists thousands of endpoints at once.
 const maxChangeLines = 40
 
-// entryBurst is the number of lines about single entries in each entryPeriod.
-const (
-	entryBurst  = 20
-	entryPeriod = 10 * time.Second
-)
-
-// sampleEntries returns the logger of what single entries show.
-func sampleEntries(log zerolog.Logger) zerolog.Logger {
-	return log.Sample(&zerolog.BurstSampler{Burst: entryBurst, Period: entryPeriod})
-}
-
 // changeLog logs which endpoints are listed and which are gone. The zero value is ready for use; the
 // fleet's lock protects it.
 type changeLog struct {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/internal/loglimit"
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
@@ -98,7 +99,7 @@
 
 // New returns an empty fleet.
 func New(log zerolog.Logger) *Fleet {
-	f := &Fleet{log: log, entryLog: sampleEntries(log), members: make(map[string]*Member), byAddr: make(map[string]*Member), latest: make(map[string]start)}
+	f := &Fleet{log: log, entryLog: loglimit.Bound(log), members: make(map[string]*Member), byAddr: make(map[string]*Member), latest: make(map[string]start)}
 	f.view.Store(&view{})
 	return f
 }
--- a/internal/gateway/rejected.go
+++ b/internal/gateway/rejected.go
@@ -3,30 +3,25 @@
 import (
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/internal/follow"
+	"github.com/cherryward/cherryward/internal/loglimit"
 )
 
-const (
-	// rejectedBurst is the number of rejected records that are logged in each rejectedPeriod, so
-	// that a faulty writer cannot flood the log. All rejected records are counted.
-	rejectedBurst  = 20
-	rejectedPeriod = 10 * time.Second
-	// maxCauseBytes bounds the logged text of why a record was rejected, which may quote the record.
-	maxCauseBytes = 512
-)
+// maxCauseBytes bounds the logged text of why a record was rejected, which may quote the record.
+const maxCauseBytes = 512
 
-// rejected counts and logs the store's records that cannot be used.
+// rejected counts the store's records that cannot be used, and logs a bounded number of them: a faulty writer cannot
+// flood the log.
 type rejected struct {
 	atomic.Int64
 	log zerolog.Logger
 }
 
 func newRejected(log zerolog.Logger) *rejected {
-	return &rejected{log: log.Sample(&zerolog.BurstSampler{Burst: rejectedBurst, Period: rejectedPeriod})}
+	return &rejected{log: loglimit.Bound(log)}
 }
 
 // record counts and logs a record that cannot be used.
