Forward: a stream that has begun waits for room for up to its objective

Cause: a request waits for an eighth of its objective, here 150 ms, and is refused then. That is right for a new request, which can come back in time. All resumed streams come at the same moment, only the endpoints of one release can continue them, and their callers lose the part of the answer that they have.

Ruled out: unknown releases. 23 of the 37 refused tries had code 3005 with a release that was found (origin own, peer or store), 8 were unknown (streams of the last half second before the loss), 6 had no endpoint of their release left.

Change: a request that continues a stream waits for room for up to its objective, as long as room is predicted within it. New requests wait as before.

The test fails on the code before (placed false, waited 0 where 900 ms are wanted).

--- a/internal/forward/placement.go
+++ b/internal/forward/placement.go
@@ -16,7 +16,7 @@
 	// MaxWaitShare is the part of the route's objective for which a request waits at this node for an
 	// endpoint. A caller refused later than that has lost time that it could have used. Callers
 	// that were refused before wait no longer than others: they would take capacity from prompts
-	// that can still meet the objective.
+	// that can still meet the objective. Streams that have begun wait longer; see Query.maxWait.
 	MaxWaitShare = 0.125
 	// placeInterval is the time between two placement tries while a request waits. Capacity becomes
 	// free, and peers report it, some dozens of times a second.
@@ -25,7 +25,7 @@
 
 // place selects an endpoint, and borrows a slot there if it is brittle. If none accepts the request now but one
 // is predicted to soon, it waits and tries again. It reports false as soon as the prediction exceeds the rest of the
-// maximum wait, there is no prediction, or ctx ends. The wait is counted from the request's arrival, or
+// maximum wait (see maxWait), there is no prediction, or ctx ends. The wait is counted from the request's arrival, or
 // from the end of the latest attempt if that broke off a stream.
 func (x *exchange) place(ctx context.Context, q *Query) (Placement, bool) {
 	q.Release = x.release
@@ -37,12 +37,12 @@
 		placement, ok := x.Placer.Place(q)
 		placement.Waited = x.Clock.Since(since)
 		if ok && !placement.borrowSlot(ctx) {
-			if ctx.Err() == nil && placement.Waited < maxWait(x.route.Objective) {
+			if ctx.Err() == nil && placement.Waited < q.maxWait() {
 				continue // another endpoint may have a free slot
 			}
 			return placement, false
 		}
-		pause := placement.RetryDelay(x.route.Objective)
+		pause := placement.RetryDelayWithin(q.maxWait())
 		if ok || pause <= 0 || ctx.Err() != nil {
 			return placement, ok
 		}
@@ -56,11 +56,21 @@
 	return p.RetryDelayWithin(maxWait(objective))
 }
 
-// maxWait returns the time for which a request waits at this node for an endpoint.
+// maxWait returns the time for which a new request waits at this node for an endpoint.
 func maxWait(objective time.Duration) time.Duration {
 	return time.Duration(MaxWaitShare * float64(objective))
 }
 
+// maxWait returns the time for which the request waits at this node for an endpoint. A stream that has begun waits for up to
+// the whole objective: only the endpoints of one release can continue it, and if it is refused, its caller may lose the
+// part of the answer that it has.
+func (q *Query) maxWait() time.Duration {
+	if q.Release != "" {
+		return q.Route.Objective
+	}
+	return maxWait(q.Route.Objective)
+}
+
 // RetryDelayWithin is like RetryDelay with a maximum total wait of maxWait.
 func (p *Placement) RetryDelayWithin(maxWait time.Duration) time.Duration {
 	left := maxWait - p.Waited
--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -61,6 +61,30 @@
 	}
 }
 
+// TestResumedStreamIsNotRefusedForAShortWait guards against callers that lose the part of a stream that they have, as
+// the endpoints of its release have no room for some 100 ms.
+func TestResumedStreamIsNotRefusedForAShortWait(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		free   time.Duration
+		placed bool
+		waited time.Duration
+	}{
+		{"within the objective", 900 * time.Millisecond, true, 900 * time.Millisecond},
+		{"after the objective", 1100 * time.Millisecond, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x, q := exchangeAt(tc.free, 5*time.Second)
+				x.release = "v1"
+				placement, ok := x.place(t.Context(), q)
+				test.Eq(t, tc.placed, ok)
+				test.Eq(t, tc.waited, placement.Waited)
+			})
+		})
+	}
+}
+
 // TestWaitEndsWithTheCaller checks that waiting ends when the caller leaves.
 func TestWaitEndsWithTheCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
