Origin: a stream of a split route isn't resumed at a service that didn't begin it

What callers would see: where a route leads to several services by weight, a stream without a record of its own (the caller doesn't name its request, or all homes are lost) goes on at the service that is drawn for the resuming request, at the release that is alone there. Another service may have begun it, and the answer shows nothing of that.

Each request draws its service at random, and Find was asked for that service alone: that it has one release was taken for proof that it began the stream.

Ruled out: streams with a record. These name the service, and bindService moves the request there or refuses it.

Change: Find is given the service only if the route leads to no other one (Route.SoleService). Otherwise there is no sole release: the log is read, then the stream is refused as unknown.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,7 +23,7 @@
 	case x.attrs.ResumesInvalid:
 		return result.New(result.BadResumes)
 	}
-	found := x.Origins.Find(x.r.Context(), x.originKey(x.attrs.Resumes), x.service.Name)
+	found := x.Origins.Find(x.r.Context(), x.originKey(x.attrs.Resumes), x.route.SoleService())
 	x.found = &found
 	switch {
 	case found.Source != origin.NotFound:
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -242,7 +242,8 @@
 	// Record records the origin of a stream, before the caller gets its first event. It does not block.
 	Record(k origin.Key, o origin.Origin)
 	// Find returns the origin of a stream that a caller resumes. A zero key means that the caller does
-	// not name the request that began it.
+	// not name the request that began it. service is the one that must have begun the stream; empty if
+	// several can have.
 	Find(ctx context.Context, k origin.Key, service string) origin.Result
 }
 
--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -55,9 +55,9 @@
 func (r *Result) IsFinal() bool { return r.Answered == r.Asked && r.Settled && r.Err == nil }
 
 // Find returns the origin of the stream that the request with the given key began. A zero key stands for a
-// request that the caller did not name. service is the one that would serve the stream now. Find asks other
-// nodes unless this one has a record, and takes callTimeout for each call at most. It reads the platform's store
-// if none has a record.
+// request that the caller did not name. service is the one that must have begun the stream; empty if several can
+// have. Find asks other nodes unless this one has a record, and takes callTimeout for each call at most. It reads
+// the platform's store if none has a record.
 func (s *Service) Find(ctx context.Context, k Key, service string) Result {
 	began := s.config.Now()
 	r := s.find(ctx, k, service)
@@ -77,7 +77,7 @@
 	if result.Source != NotFound {
 		return result
 	}
-	release, err := s.config.Sole(ctx, service)
+	release, err := s.soleRelease(ctx, service)
 	switch {
 	case release != "":
 		result.Origin, result.Source = Origin{service, release}, SoleRelease
@@ -88,6 +88,14 @@
 	return result
 }
 
+// soleRelease returns the release that alone can have begun a stream. There is none if several services can have.
+func (s *Service) soleRelease(ctx context.Context, service string) (release string, err error) {
+	if service == "" {
+		return "", nil
+	}
+	return s.config.Sole(ctx, service)
+}
+
 // findLogged sets the result to a stream's record in the platform's store, if there is one.
 func (s *Service) findLogged(ctx context.Context, k Key, result *Result) error {
 	if err := s.config.Streams.load(ctx); err != nil {
