--- a/internal/origin/proof_test.go
+++ b/internal/origin/proof_test.go
@@ -217,3 +217,22 @@
 		test.Eq(t, time.Now(), c.contents().stored[v1].readAt)
 	})
 }
+
+// TestReleaseRetiredAnewBetweenSnapshotsIsKeptForLong checks the same for a node that reads the newest records only.
+func TestReleaseRetiredAnewBetweenSnapshotsIsKeptForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRecordingSystem(1, newPlatformTopic())
+		c, v1 := s.copies[0], Origin{service, "v1"}
+		read := func(offset int64) {
+			retired := follow.Record{Key: releaseKey(v1), Value: []byte(`{"service":"models","release":"v1","retired":true}`), Offset: offset}
+			c.Apply(&follow.Batch{Snapshot: true, Records: []follow.Record{retired}, Next: offset + 1}, func(*follow.Record, error) {})
+		}
+		read(1)
+		first := time.Now()
+		time.Sleep(removeDelay)
+		read(1)
+		test.Eq(t, first, c.contents().stored[v1].readAt)
+		read(3)
+		test.Eq(t, time.Now(), c.contents().stored[v1].readAt)
+	})
+}
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -48,7 +48,8 @@
 // storedRelease is a record in a copy.
 type storedRelease struct {
 	releaseRecord
-	readAt time.Time // when this node read the record
+	position int64     // in the topic
+	readAt   time.Time // when this node read the record
 }
 
 // retention returns how long streams of the release may be resumed, if they may be for the given time now.
@@ -165,8 +166,8 @@
 	if !found {
 		known = before[decoded.Origin]
 	}
-	if known.releaseRecord != decoded {
-		known = storedRelease{decoded, r.config.Now()}
+	if known.releaseRecord != decoded || known.position != record.Offset {
+		known = storedRelease{decoded, record.Offset, r.config.Now()} // it may have been another one meanwhile
 	}
 	r.stored[decoded.Origin] = known
 	return nil
