Origin: a stream of a moved route isn't resumed at the service to which it moved

What callers would see: the configuration moves a route to another service, and a stream of the route that has no record (the caller doesn't name its request, or all homes are lost) goes on at the new service, at the release that is alone there.

Find was asked for the service to which the route leads now; that the node knew no other one was taken for proof.

Change: a configuration notes for each route when the services of its paths last changed as this node learned (Config.InheritMoves; routes with a longer prefix that came or went count). For as long as streams may be resumed there is no sole service, so that such a stream is refused as unknown. Other routes aren't concerned: a route that is added elsewhere costs nothing.

Open: a node that started after the move, or still has the configuration before, can't know of it.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -33,6 +33,8 @@
 	AgeEstimator *AgeEstimator
 	Quarantine   Quarantine
 	Origins      Origins
+	// ResumeTime returns the longest time between the first event of a stream and a request that resumes it.
+	ResumeTime func() time.Duration
 	// Fleet receives the endpoints that report that they are draining.
 	Fleet Fleet
 	// Brittle receives the services whose endpoints fail if they refuse too many requests. Nil means that this
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -87,6 +87,9 @@
 	return forward.Placement{}, false
 }
 
+// resumeTime is the longest time until a stream is resumed.
+const resumeTime = time.Minute
+
 // knownOrigins is a forward.Origins. Streams that no request of the test began are of the given origin, or
 // not found if it is empty.
 type knownOrigins struct {
@@ -168,7 +171,7 @@
 	h.bounds = bootstrap.Bounds{RevokeLimit: 5 * time.Second, ConfigApplyLimit: 2 * time.Second, RetryRatio: 10, RetrySlack: 1000}
 	h.handler = &forward.Handler{
 		Dialect: platform.Dialect{}, ConfigSource: h.state, Placer: h.placer, Budgets: forward.NewBudgets(h.bounds, func() int { return 1 }), AgeEstimator: &forward.AgeEstimator{},
-		Quarantine: quarantine.NewTable(time.Now), Origins: h.origins, Fleet: f,
+		Quarantine: quarantine.NewTable(time.Now), Origins: h.origins, ResumeTime: func() time.Duration { return resumeTime }, Fleet: f,
 		Bounds: func() bootstrap.Bounds { return h.bounds }, Recorder: &recordedOutcomes{}, Log: zerolog.Nop(),
 	}
 	h.server = httptest.NewServer(h.handler)
--- a/internal/forward/split_test.go
+++ b/internal/forward/split_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 
@@ -47,3 +48,21 @@
 		}
 	}
 }
+
+// TestStreamOfAMovedRouteGoesOnAtNoOtherService guards against resuming a stream without a record at the service to which
+// its route has moved since.
+func TestStreamOfAMovedRouteGoesOnAtNoOtherService(t *testing.T) {
+	for age, status := range map[time.Duration]int{resumeTime / 2: http.StatusServiceUnavailable, 2 * resumeTime: http.StatusOK} {
+		h := newTestHandler(t, "m")
+		h.handler.Origins = soleOrigins{"v1"}
+		before := config()
+		for i := range before.Routes {
+			before.Routes[i].Upstreams[0].Service = "others"
+		}
+		h.state.config.InheritMoves(before, time.Now().Add(-age))
+		for _, change := range []func(*http.Request){resuming("2", "r1"), resuming("2")} {
+			got := h.do(t, http.MethodGet, resumePath, "", change)
+			test.Eq(t, status, got.status, test.Sprint(age, got.body))
+		}
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,7 +23,8 @@
 	case x.attrs.ResumesInvalid:
 		return result.New(result.BadResumes)
 	}
-	found := x.Origins.Find(x.r.Context(), x.originKey(x.attrs.Resumes), x.route.SoleService())
+	service := x.route.SoleService(x.Clock.Now().Add(-x.ResumeTime()))
+	found := x.Origins.Find(x.r.Context(), x.originKey(x.attrs.Resumes), service)
 	x.found = &found
 	switch {
 	case found.Source != origin.NotFound:
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,6 +26,7 @@
 		AgeEstimator: &forward.AgeEstimator{},
 		Quarantine:   n.quarantine,
 		Origins:      n.origins,
+		ResumeTime:   n.resumeTime,
 		Fleet:        n.fleet,
 		Pace:         n.pace,
 		Brittle:      n.brittle,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -160,6 +160,9 @@
 	if before != nil && config.Version <= before.Version {
 		return
 	}
+	if before != nil {
+		config.InheritMoves(before, obs.at)
+	}
 	policies := config.Residencies()
 	s.residencies.Update(residency.KeysOf(policies), obs.at, obs.readPromptly)
 	s.sharings.Update([]string{config.SharingKey()}, obs.at, obs.readPromptly)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -76,6 +76,9 @@
 	Resumable bool
 	// Residency is the policy for the route's requests; see also Account.
 	Residency residency.Policy
+	// MovedAt is when this node last learned that requests of the route's paths are sent to other services than
+	// before; zero if it never did. It is set by Config.InheritMoves.
+	MovedAt time.Time
 }
 
 // Repeatable reports whether a request can be sent again after an attempt that may have run.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -52,16 +52,6 @@
 	test.Nil(t, c.Service("c"))
 }
 
-func TestSoleService(t *testing.T) {
-	for want, upstreams := range map[string][]routing.Upstream{
-		"a": {{Service: "a", Weight: 3}, {Service: "b", Weight: 0}, {Service: "a", Weight: 1}},
-		"b": {{Service: "a", Weight: 0}, {Service: "b", Weight: 1}},
-		"":  {{Service: "a", Weight: 1}, {Service: "b", Weight: 1}, {Service: "b", Weight: 1}},
-	} {
-		test.Eq(t, want, (&routing.Route{Upstreams: upstreams}).SoleService())
-	}
-}
-
 func TestChoose(t *testing.T) {
 	r := config().Match("h", "/a/")
 	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999999: "b"} {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -65,20 +65,6 @@
 	return slices.ContainsFunc(r.Upstreams, func(u Upstream) bool { return u.Service == service && u.Weight > 0 })
 }
 
-// SoleService returns the service to which all requests of the route are sent; empty if there are several.
-func (r *Route) SoleService() (service string) {
-	for _, u := range r.Upstreams {
-		switch {
-		case u.Weight <= 0 || u.Service == service:
-		case service != "":
-			return ""
-		default:
-			service = u.Service
-		}
-	}
-	return service
-}
-
 // LongestStream returns the longest timeout of the routes whose streams may be resumed.
 func (c *Config) LongestStream() time.Duration { return c.table.longestStream }
 
