Weights: reports of an engine may overlap, so that loads are seen to end in time

What callers saw: nothing yet; operators would see runs begin on older weights after the limit for a new version if the engines of a large deployment take half a second to report.

Cause: the holder asked an engine again only when its report before had arrived. A load that ends just after a report was asked for is seen two report times later, and its place among the 18 that load and the 27 with jobs stays taken as long. With five rounds of loads this adds up to several seconds; which engines meet it differs from run to run by the order of the jobs.

Ruled out: the claim (the first orders come at the same time in all cases) and orders (they are not awaited).

Change: up to five reports of a job may be outstanding, one each reportInterval at most, so a slow engine is asked as often as a fast one and no more. A report that arrives after one that was asked for later changes nothing.

Why it holds: the end of a load is now seen one report time plus one step late, whatever the report time.

--- a/internal/weights/job.go
+++ b/internal/weights/job.go
@@ -54,6 +54,7 @@
 	orderedAt   time.Time     // time of the latest order; zero if there is none
 	idle        *engineCheck  // latest report; nil while the engine executes an order or may have received one
 	nextCheckAt time.Time     // earliest time of the next check
+	reportOf    time.Time     // time at which the latest report was requested; zero if there is none
 	startedRun  time.Duration // reading of Service.run at the start
 	reportedRun time.Duration // reading of Service.run at the latest report, or at the start
 }
@@ -135,7 +136,7 @@
 			s.postpone(m, j, reason)
 			continue
 		}
-		if now.Before(j.nextCheckAt) || s.outstanding[j] {
+		if now.Before(j.nextCheckAt) || s.outstanding[j] >= maxOutstanding {
 			continue
 		}
 		j.nextCheckAt = now.Add(reportInterval)
@@ -196,10 +197,10 @@
 		s.Log.Warn().Str("event", "report_failed").Str("endpoint", m.ID).AnErr("error", check.err).Send()
 		return
 	}
-	if !j.matchesProcess(report) {
+	if !j.matchesProcess(report) || check.requestedAt.Before(j.reportOf) {
 		return
 	}
-	j.reportedRun = s.run
+	j.reportedRun, j.reportOf = s.run, check.requestedAt
 	reported := report.VersionOf(j.model)
 	s.recordVersion(check, reported)
 	if reported >= j.version {
@@ -243,7 +244,7 @@
 	if j.idle == nil {
 		return false
 	}
-	return j.reportedRun == s.run || s.outstanding[j] && !s.Clock.Now().Before(j.nextCheckAt)
+	return j.reportedRun == s.run || s.outstanding[j] > 0 && !s.Clock.Now().Before(j.nextCheckAt)
 }
 
 // isDrained reports whether an engine was closed for long enough, or is empty as of a report that has just come.
--- a/internal/weights/reports.go
+++ b/internal/weights/reports.go
@@ -15,6 +15,9 @@
 	silentTimeout = time.Second
 	// maxReportTime is the longest time that a report may take.
 	maxReportTime = 3 * time.Second
+	// maxOutstanding is the maximum number of reports of a job that are outstanding at once. With one at a time, the
+	// end of a load would be seen up to two report times late, during which no other engine may load in its place.
+	maxOutstanding = 5
 	// reportsOfJob is the number of reports that a job needs one after the other.
 	reportsOfJob = 4
 	// maxStepTime is the longest time that a step takes while the process runs.
@@ -38,7 +41,7 @@
 func (s *Service) prepareReports(ctx context.Context) {
 	s.reportContext = ctx
 	s.arrived = make(chan engineCheck)
-	s.outstanding = make(map[*job]bool)
+	s.outstanding = make(map[*job]int)
 	s.reportTimes = make(map[string]time.Duration)
 	s.lastStepAt = s.Clock.Now()
 }
@@ -47,7 +50,7 @@
 func (s *Service) requestReports(checks []engineCheck) {
 	ctx, arrived := s.reportContext, s.arrived
 	for _, check := range checks {
-		s.outstanding[check.job] = true
+		s.outstanding[check.job]++
 		check.requestedAt = s.Clock.Now()
 		limit := s.reportLimit(check.member.ID)
 		s.inFlight.Go(func() {
@@ -71,7 +74,7 @@
 	for len(s.outstanding) > 0 {
 		select {
 		case check := <-s.arrived:
-			delete(s.outstanding, check.job)
+			s.countArrived(check.job)
 			s.recordReportTime(&check)
 			checks = append(checks, check)
 		case <-timer.C:
@@ -83,6 +86,14 @@
 	return checks
 }
 
+// countArrived counts a report of a job that arrived or failed.
+func (s *Service) countArrived(j *job) {
+	s.outstanding[j]--
+	if s.outstanding[j] == 0 {
+		delete(s.outstanding, j)
+	}
+}
+
 // recordReportTime records how long a report took. A report that was given up takes longer than that.
 func (s *Service) recordReportTime(check *engineCheck) {
 	id := check.member.ID
--- a/internal/weights/service.go
+++ b/internal/weights/service.go
@@ -91,7 +91,7 @@
 
 	reportContext context.Context
 	arrived       chan engineCheck
-	outstanding   map[*job]bool            // jobs for which a report was requested that has not arrived
+	outstanding   map[*job]int             // number of reports that were requested and have not arrived, by job
 	reportTimes   map[string]time.Duration // how long the latest report took, by endpoint
 	run           time.Duration            // time for which steps ran, without stalls of the process
 	lastStepAt    time.Time
