Forward, tests: endless answers are bounded in virtual time and exact bytes

TestEndlessAnswers failed beside load under the race detector: error_upload_a took 5.28 s of 5 s by the wall clock. The test was wrong, not the node: what took the time is the copying of the 64 MB that an answer of unknown length may have, which is bounded in bytes. The 5 s (the route's timeout) were to show that no request is held until its deadline; a slow machine and a held request could not be told apart.

Change: the test runs in virtual time, on connections in memory. The time allowed is 100 ms in place of 5 s (twice what the body of an answer that is not delivered may take), and only waiting counts. Connections in memory hold no bytes, so the bounds in bytes are exact: 128 KB in place of 16 MB for headers, refusals and comments, 1 MB and 64 KB for an event, 65 MB and 64 KB in place of 81 MB for a body. All other checks stand. An endpoint's connection ends at 128 MB, as virtual time does not pass while bytes without end are read, and no deadline would end such a test.

Why it is as strict: each bound is lower than before. It fails with maxDiscardTime at 150 ms (2 cases; the test before allowed this), with the bound of headers taken out (6 cases) and with that of bodies taken out (5 cases). What sockets' buffers add is still covered by the tests of idle connections, by TestSmallHostSurvivesEndlessAnswers and by the soak.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test"
@@ -29,8 +30,11 @@
 // another endpoint may serve, nor make their bytes pass for a complete answer.
 func TestEndlessAnswers(t *testing.T) {
 	const (
-		shortBytes = 16 << 20            // received of a header, a refusal or an event, with what waits in the sockets' buffers
-		longBytes  = 65<<20 + shortBytes // the same of a body without a length, with the lengths of its chunks
+		heldTime   = 100 * time.Millisecond // twice the time for the body of an answer that is not delivered
+		blockBytes = 64 << 10               // more than the endpoint's write and the node's read buffer
+		shortBytes = 64<<10 + blockBytes    // received of a header, a refusal or comments
+		eventBytes = 1<<20 + blockBytes     // the same of an event
+		longBytes  = 65<<20 + blockBytes    // the same of a body without a length, with the lengths of its chunks
 	)
 	tests := []struct {
 		form       modelserver.Endless
@@ -48,24 +52,24 @@
 		{form: modelserver.EndlessError, path: recordPath, idempotent: served, upload: cut, part: upstream.PartBody, bytes: longBytes},
 		{form: modelserver.EndlessChunks, path: recordPath, idempotent: cut, upload: cut, part: upstream.PartBody, bytes: longBytes},
 		{form: modelserver.EndlessUnsized, path: recordPath, idempotent: cut, upload: cut, part: upstream.PartBody, bytes: longBytes},
-		{form: modelserver.EndlessEvent, path: resumePath, idempotent: served, upload: failed, part: upstream.PartEvent, bytes: shortBytes},
+		{form: modelserver.EndlessEvent, path: resumePath, idempotent: served, upload: failed, part: upstream.PartEvent, bytes: eventBytes},
 		{form: modelserver.EndlessComments, path: resumePath, idempotent: answered, upload: cut, part: upstream.PartNoEvent, bytes: shortBytes},
 		{form: modelserver.EndlessAfterward, path: recordPath, idempotent: answered, upload: answered, bytes: shortBytes},
 	}
 	must.Eq(t, len(modelserver.EndlessForms()), len(tests))
 	for _, tc := range tests {
 		for path, want := range map[string]result{tc.path: tc.idempotent, uploadPath: tc.upload} {
-			t.Run(tc.form.String()+strings.ReplaceAll(path, "/", " "), func(t *testing.T) {
+			t.Run(tc.form.String()+strings.ReplaceAll(path, "/", " "), virtual(func(t *testing.T) {
 				model := ""
 				if path == resumePath {
 					model = "m"
 				}
-				h := newTestHandler(t, model, model)
+				h := newMemoryHandler(t, model, model)
 				h.handler.Buffers = forward.NewBuffers(16 << 20)
 				h.servers[0].SetFaults(modelserver.Faults{Endless: tc.form})
 				began := time.Now()
 				got := h.do(t, http.MethodPost, path, "body", nil)
-				test.Less(t, longTimeout, time.Since(began))
+				test.LessEq(t, heldTime, time.Since(began))
 				test.Eq(t, want, seenBy(got))
 				test.Less(t, tc.bytes, h.servers[0].EndlessBytes())
 				test.Eq(t, 0, h.handler.Buffers.Used())
@@ -73,11 +77,16 @@
 				if path == uploadPath {
 					test.LessEq(t, 1, len(h.servers[0].Runs())+len(h.servers[1].Runs()))
 				}
-			})
+			}))
 		}
 	}
 }
 
+// virtual returns a test in virtual time.
+func virtual(f func(*testing.T)) func(*testing.T) {
+	return func(t *testing.T) { synctest.Test(t, f) }
+}
+
 func seenBy(r response) result {
 	switch {
 	case r.err != nil:
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -131,6 +131,8 @@
 	origins *knownOrigins
 	handler *forward.Handler
 	server  *httptest.Server
+	client  *http.Client
+	memory  *memoryNetwork // in place of sockets; nil for loopback
 }
 
 // newTestHandler starts one server for each model, with the ids s0, s1 and so on, and a handler in
@@ -138,16 +140,59 @@
 func newTestHandler(t *testing.T, models ...string) *testHandler {
 	t.Helper()
 	h := &testHandler{}
+	h.startWithServers(t, models)
+	return h
+}
+
+// newMemoryHandler is newTestHandler on a network in memory, for tests in virtual time.
+func newMemoryHandler(t *testing.T, models ...string) *testHandler {
+	t.Helper()
+	h := &testHandler{memory: &memoryNetwork{}}
+	h.startWithServers(t, models)
+	return h
+}
+
+// startWithServers starts one server for each model and the handler in front of them.
+func (h *testHandler) startWithServers(t *testing.T, models []string) {
+	t.Helper()
 	var addrs []string
 	for i, model := range models {
 		server := modelserver.New(modelserver.Config{ID: serverID(i), Service: "servers", Model: model, StreamEvents: streamSize})
-		backend := httptest.NewServer(server.Handler())
-		t.Cleanup(backend.Close)
+		backend := h.serve(t, server.Handler(), maxEndpointBytes)
 		h.servers = append(h.servers, server)
 		addrs = append(addrs, strings.TrimPrefix(backend.URL, "http://"))
 	}
 	h.start(t, addrs)
-	return h
+}
+
+// serve starts a server, which is closed at the end of the test. In memory it may write limit bytes on a connection.
+func (h *testHandler) serve(t testing.TB, handler http.Handler, limit int64) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	if h.memory != nil {
+		must.NoError(t, server.Listener.Close())
+		server.Listener = h.memory.listen(limit)
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// connect sets how the fleet and the callers connect to servers.
+func (h *testHandler) connect(t testing.TB, f *fleet.Fleet) {
+	t.Helper()
+	h.client = http.DefaultClient
+	if h.memory == nil {
+		return
+	}
+	f.Connect = h.memory.dial
+	h.client = &http.Client{Transport: &http.Transport{DialContext: h.memory.dial}}
+	t.Cleanup(func() {
+		h.client.CloseIdleConnections()
+		for _, m := range h.placer.members {
+			m.Pool.CloseIdle()
+		}
+	})
 }
 
 func serverID(i int) string { return "s" + string(rune('0'+i)) }
@@ -159,6 +204,7 @@
 	h.origins = newKnownOrigins()
 	h.state = &fixedConfig{config: config()}
 	f := fleet.New(zerolog.Nop())
+	h.connect(t, f)
 	for i, addr := range addrs {
 		f.Update(&fleet.Endpoint{ID: serverID(i), Service: "servers", Addr: addr, Release: "v1"}, time.Now())
 	}
@@ -171,8 +217,7 @@
 		Quarantine: quarantine.NewTable(time.Now), Origins: h.origins, Fleet: f,
 		Bounds: func() bootstrap.Bounds { return h.bounds }, Recorder: &recordedOutcomes{}, Log: zerolog.Nop(),
 	}
-	h.server = httptest.NewServer(h.handler)
-	t.Cleanup(h.server.Close)
+	h.server = h.serve(t, h.handler, maxHandlerBytes)
 }
 
 // response is the response that a caller received.
@@ -203,7 +248,7 @@
 
 func (h *testHandler) do(t *testing.T, method, path, body string, change func(*http.Request)) response {
 	t.Helper()
-	resp, err := http.DefaultClient.Do(h.request(t, method, path, body, change))
+	resp, err := h.client.Do(h.request(t, method, path, body, change))
 	must.NoError(t, err)
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
@@ -219,7 +264,7 @@
 		<-callerLeft
 		cancel()
 	}()
-	if resp, err := http.DefaultClient.Do(req.WithContext(ctx)); err == nil {
+	if resp, err := h.client.Do(req.WithContext(ctx)); err == nil {
 		resp.Body.Close()
 	}
 }
