--- a/internal/peerload/reports.go
+++ b/internal/peerload/reports.go
@@ -18,14 +18,14 @@
 }
 
 // aged returns copies of the elements with their ages, in milliseconds, increased by elapsed, without those
-// that are older than lifetime then.
+// that are older than lifetime then. Reports made after the time that the ages refer to have the age 0.
 func aged[T any](list []T, elapsed, lifetime time.Duration, ageMs func(*T) *int64) []T {
 	var result []T
 	for i := range list {
 		result = append(result, list[i])
 		last := len(result) - 1
 		age := ageMs(&result[last])
-		*age += elapsed.Milliseconds()
+		*age = max(*age+elapsed.Milliseconds(), 0)
 		if *age > lifetime.Milliseconds() {
 			result = result[:last]
 		}
@@ -33,11 +33,15 @@
 	return result
 }
 
+// ageAt returns the age of a message or report of the given time. Some arrive while a message for now is
+// being made; those are not older than 0, since receivers reject negative ages.
+func ageAt(now, received time.Time) time.Duration { return max(now.Sub(received), 0) }
+
 // peerReports returns the reports of one kind in the peers' own digests, with their ages increased by age. The
 // caller must hold t.mu.
 func peerReports[T any](t *Table, now time.Time, of func(*Digest) []T, age func([]T, time.Duration) []T) (list []T) {
 	for _, p := range t.peers {
-		list = append(list, age(of(&p.digest), now.Sub(p.at))...)
+		list = append(list, age(of(&p.digest), ageAt(now, p.at))...)
 	}
 	return list
 }
@@ -45,7 +49,7 @@
 // domainReports is peerReports for the loads of other failure domains.
 func domainReports[T any](t *Table, now time.Time, of func(*DomainLoad) []T, age func([]T, time.Duration) []T) (list []T) {
 	for _, d := range t.domainLoads {
-		list = append(list, age(of(&d.load), now.Sub(d.at))...)
+		list = append(list, age(of(&d.load), ageAt(now, d.at))...)
 	}
 	return list
 }
