Quarantine: the removal of a hold's record can't meet a newer hold

What callers would see: a request that had crashed three servers, and was held, is sent again and crashes more, at all nodes at once.

Cause: a node whose request is completed removes the record of its hold, and tries until the store takes it; the first coordinator removes that of an expired hold. Both wrote without a condition. Where the request crashed three more servers meanwhile, or the store executed the removal late, the removal deleted the newer record, and all nodes dropped the newer hold as they read it.

Change: a removal is on condition that the topic still ends where this node has read it, which the store checks when it executes the call; a request that is held again because of other endings keeps its record; a node that reads a removal keeps a hold which has no record yet, as that is newer. A refused removal waits until newer records were read, so that it costs no calls.

Why it holds: the end is taken before the table is read, and the table has all records up to it. Whatever is written later moves the end.

No test that was there changed. An operator's release (cherryctl quarantine release) stays without a condition: it means the request, whatever hold it has.

--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -92,7 +92,8 @@
 // buildQuarantine creates the service that holds requests under which endpoints end.
 func (n *Node) buildQuarantine(store *platform.Store) {
 	n.quarantine = quarantine.New(quarantine.Config{
-		Node: n.boot.Load().Name, Conn: n.conn, Peers: n.roster.Peers, Topic: store.Topic(platform.TopicNodes), Now: n.clock.Now, Log: n.log,
+		Node: n.boot.Load().Name, Conn: n.conn, Peers: n.roster.Peers,
+		Topic: store.Topic(platform.TopicNodes), TopicEnd: n.roster.End, Now: n.clock.Now, Log: n.log,
 	})
 	n.roster.applyHoldRecord, n.roster.changed = n.quarantine.Apply, n.quarantine.PeersChanged
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -41,9 +41,13 @@
 	Notify(peers []netip.AddrPort, method string, params any) (bytes int)
 }
 
-// Topic stores the records of held requests. Put with a nil value removes a key.
+// Topic stores the records of held requests.
 type Topic interface {
+	// Put writes the newest record of a key. A nil value removes the key.
 	Put(ctx context.Context, key string, value []byte) error
+	// PutIf is Put on condition that the topic still ends at the given offset; otherwise it fails with
+	// follow.ErrChanged.
+	PutIf(ctx context.Context, key string, value []byte, end int64) error
 }
 
 // Config holds the dependencies of a Service. All fields must be set.
@@ -53,8 +57,10 @@
 	// Peers returns the addresses of the other nodes by node name.
 	Peers func() map[string]netip.AddrPort
 	Topic Topic
-	Now   func() time.Time
-	Log   zerolog.Logger
+	// TopicEnd returns the offset up to which this node has read the topic and called Apply.
+	TopicEnd func() int64
+	Now      func() time.Time
+	Log      zerolog.Logger
 }
 
 // Service shares a node's Table with the other nodes.
@@ -63,10 +69,10 @@
 	config Config
 	wakeup chan struct{}
 
-	mu              sync.Mutex
-	outgoing        []outgoingReport
-	recordsToRemove []Fingerprint // requests whose records are to be removed
-	recordFrom      time.Time     // time before which no holds are recorded
+	mu         sync.Mutex
+	outgoing   []outgoingReport
+	removals   []removal
+	recordFrom time.Time // time before which no holds are recorded
 
 	// The fields below are used only by Run.
 	lastFailure   time.Time                 // time of the last failed attempt to write a record
@@ -121,10 +127,8 @@
 	if !known {
 		return false
 	}
-	if recorded {
-		s.mu.Lock()
-		s.recordsToRemove = append(s.recordsToRemove, e.Fingerprint)
-		s.mu.Unlock()
+	if recorded != nil {
+		s.addRemoval(recorded)
 	}
 	s.enqueue(outgoingReport{Ending: e})
 	return true
@@ -196,7 +200,8 @@
 func (s *Service) Apply(r *follow.Record) error {
 	if r.Value == nil {
 		if f, err := ParseFingerprint(r.Key[len(keyPrefix):]); err == nil {
-			s.Table.Clear(f)
+			s.dropRemovals(f)
+			s.clearRecorded(f)
 		}
 		return nil
 	}
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -73,25 +73,6 @@
 	}
 }
 
-// removeRecords removes the records of requests that completed successfully, and reports whether any is
-// left.
-func (s *Service) removeRecords(ctx context.Context) (more bool) {
-	s.mu.Lock()
-	remaining := s.recordsToRemove
-	s.recordsToRemove = nil
-	s.mu.Unlock()
-	for i, f := range remaining {
-		if s.put(ctx, f, nil) == nil {
-			continue
-		}
-		s.mu.Lock()
-		s.recordsToRemove = append(s.recordsToRemove, remaining[i:]...)
-		s.mu.Unlock()
-		return true
-	}
-	return false
-}
-
 func (s *Service) put(ctx context.Context, f Fingerprint, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
@@ -101,18 +82,3 @@
 	}
 	return err
 }
-
-// removeExpired removes holds that ended long ago from the table. The first coordinator also removes
-// their records.
-func (s *Service) removeExpired(ctx context.Context) {
-	now, peers := s.config.Now(), s.config.Peers()
-	for _, h := range s.Holds() {
-		if !h.Expired(now) {
-			continue
-		}
-		if s.coordinators(h.Fingerprint, peers)[0] == s.config.Node && s.put(ctx, h.Fingerprint, nil) != nil {
-			continue
-		}
-		s.Table.Clear(h.Fingerprint)
-	}
-}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -174,17 +174,45 @@
 // ClearPart is Clear for a part.
 func (t *Table) ClearPart(_ Fingerprint, p Part) bool { return t.Clear(p.Key) }
 
-// remove is Clear, but also reports whether the request had a hold recorded on the platform.
-func (t *Table) remove(f Fingerprint) (known, recorded bool) {
+// remove is Clear, but also returns the hold if it is recorded on the platform.
+func (t *Table) remove(f Fingerprint) (known bool, recorded *Hold) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.removeLocked(f)
+}
+
+// clearRecorded is Clear for a request whose record was removed. A hold without a record stays, as it is newer.
+func (t *Table) clearRecorded(f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h, held := t.held.Peek(f); !held || h.Recorded {
+		t.removeLocked(f)
+	}
+}
+
+// removeLocked is remove for callers that hold t.mu.
+func (t *Table) removeLocked(f Fingerprint) (known bool, recorded *Hold) {
 	defer t.updateCount()
 	accused := t.parts.accused.Remove(f)
 	if h, held := t.held.Peek(f); held {
 		t.held.Remove(f)
-		return true, h.Recorded
+		if h.Recorded {
+			recorded = h
+		}
+		return true, recorded
+	}
+	return t.candidates.Remove(f) || accused, nil
+}
+
+// heldAfter reports whether a request is held because of endings after those of an earlier hold.
+func (t *Table) heldAfter(earlier *Hold) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, held := t.held.Peek(earlier.Fingerprint)
+	if !held {
+		return false
 	}
-	return t.candidates.Remove(f) || accused, false
+	return slices.ContainsFunc(h.Endpoints, func(e string) bool { return !slices.Contains(earlier.Endpoints, e) })
 }
 
 // MarkRecorded marks a hold as recorded on the platform.
