Quarantine: holds without a record are told again, and asked for at start

Cause: while the store doesn't take a hold's record, the hold rests on the nodes that heard of the endings, which are told for 0.7 s only. A node that was frozen or cut off in that time never heard. A node that starts again at its address while its entry is still listed is told nothing: others notice only new addresses, and told these endings of requests that aren't held, no holds.

What already happened: a failed write is repeated each 0.5 s until it stands, by all coordinators that know; holds are written again when the store comes back older (TestTopicOutage, TestHoldsSurviveRestoreOfOlderCopy, both from before).

Shown on the code before, in virtual time: TestNodeThatStartsAgainLearnsHoldsWithoutARecord: 2 nodes, node 0 not holding TestNodeThatStartsAgainLearnsEndings: the third ending holds nothing TestHoldIsToldUntilItHasARecord: 1 of 5 nodes holds, and after its end none of 4, with no record once the store is back

Change: a hold without a record is told to its coordinators each 5 s and when nodes join, by those of them that know; in a large system two of them tell all nodes the first time. A node that has read the list of nodes asks 12 others for holds and endings (node.holds, read only, may be repeated; a node of the build before refuses it, and the node that asks goes on). Holds without a record come first in the answer, which fits one datagram. A hold that its teller knows as recorded isn't written again by the node that learns it.

Why it holds: whichever node knows, the others know 5 s after they hear one another; one that starts knows after one answer. Not covered: a hold that only nodes beside the 12 coordinators know of; all that know end together.

Tests: TestEndingsSeenByThreeNodes counts messages from when all nodes have started, as starts send questions now; its bound is unchanged, and TestNodesThatStartAskFewOthers bounds the questions.

--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -58,22 +58,30 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return report{}, eris.Wrap(err, "decode endings")
 	}
+	if err := r.check(); err != nil {
+		return report{}, err
+	}
+	return r, nil
+}
+
+// check returns an error if a part of the message is not valid.
+func (r *report) check() error {
 	if len(r.Endings)+len(r.Completed) > maxReportEntries {
-		return report{}, eris.Errorf("decode endings: %d entries exceed the maximum", len(r.Endings)+len(r.Completed))
+		return eris.Errorf("decode endings: %d entries exceed the maximum", len(r.Endings)+len(r.Completed))
 	}
 	for _, e := range r.Endings {
 		if e.Endpoint == "" || len(e.Endpoint) > maxEndpointBytes {
-			return report{}, eris.Errorf("decode endings: endpoint identifier is empty or too long: %d bytes", len(e.Endpoint))
+			return eris.Errorf("decode endings: endpoint identifier is empty or too long: %d bytes", len(e.Endpoint))
 		}
 		if e.Fingerprint == (Fingerprint{}) {
-			return report{}, errNoFingerprint
+			return errNoFingerprint
 		}
 		if e.Depth < 0 || e.Depth > maxDepth {
-			return report{}, eris.Errorf("decode endings: position %d of a part is out of range", e.Depth)
+			return eris.Errorf("decode endings: position %d of a part is out of range", e.Depth)
 		}
 	}
 	if slices.Contains(r.Completed, Fingerprint{}) {
-		return report{}, errNoFingerprint
+		return errNoFingerprint
 	}
-	return r, nil
+	return nil
 }
--- a/internal/quarantine/network_test.go
+++ b/internal/quarantine/network_test.go
@@ -49,7 +49,7 @@
 	net          *network
 	name         string
 	addr         netip.AddrPort
-	handle       datagram.Handler
+	handlers     map[string]datagram.Handler
 	disconnected bool  // disconnected from the other nodes
 	unreading    bool  // doesn't read the topic
 	read         int64 // offset up to which the topic was read
@@ -61,15 +61,40 @@
 	_ Topic = (*network)(nil)
 )
 
-func (n *node) Handle(_ string, h datagram.Handler) { n.handle = h }
+func (n *node) Handle(method string, h datagram.Handler) {
+	if n.handlers == nil {
+		n.handlers = make(map[string]datagram.Handler)
+	}
+	n.handlers[method] = h
+}
 
-func (n *node) Notify(peers []netip.AddrPort, _ string, params any) int {
+func (n *node) Call(ctx context.Context, peer netip.AddrPort, method string, params, result any) error {
+	data, err := json.Marshal(params)
+	must.NoError(n.net.t, err)
+	to := n.net.deliver(n, peer, len(data))
+	if to == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	answer, err := to.handlers[method](data)
+	must.NoError(n.net.t, err)
+	data, err = json.Marshal(answer)
+	must.NoError(n.net.t, err)
+	must.Less(n.net.t, datagram.MaxBytes-200, len(data))
+	if n.net.deliver(to, n.addr, len(data)) == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return json.Unmarshal(data, result)
+}
+
+func (n *node) Notify(peers []netip.AddrPort, method string, params any) int {
 	data, err := json.Marshal(params)
 	must.NoError(n.net.t, err)
 	must.Less(n.net.t, datagram.MaxBytes-200, len(data))
 	for _, addr := range peers {
 		if to := n.net.deliver(n, addr, len(data)); to != nil {
-			_, err := to.handle(data)
+			_, err := to.handlers[method](data)
 			must.NoError(n.net.t, err)
 		}
 	}
@@ -144,7 +169,10 @@
 
 // receive applies a record that was read from the topic.
 func (n *node) receive(key string, value []byte, end int64) {
-	if n.unreading {
+	n.net.mu.Lock()
+	unreading := n.unreading
+	n.net.mu.Unlock()
+	if unreading {
 		return
 	}
 	must.NoError(n.net.t, n.Apply(&follow.Record{Key: key, Value: value}))
--- a/internal/quarantine/removal_test.go
+++ b/internal/quarantine/removal_test.go
@@ -36,7 +36,7 @@
 			time.Sleep(10 * time.Second)
 			synctest.Wait()
 			test.Eq(t, len(nodes), holdingNodes(nodes, f), test.Sprint(remover))
-			test.SliceNotEmpty(t, nw.records[keyOf(f)], test.Sprint(remover))
+			test.SliceNotEmpty(t, nw.record(f), test.Sprint(remover))
 		})
 	}
 }
@@ -62,7 +62,7 @@
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		test.Eq(t, len(nodes), holdingNodes(nodes, f))
-		test.SliceNotEmpty(t, nw.records[keyOf(f)])
+		test.SliceNotEmpty(t, nw.record(f))
 	})
 }
 
@@ -80,7 +80,7 @@
 		time.Sleep(2 * lateBy)
 		synctest.Wait()
 		test.Eq(t, len(nodes), holdingNodes(nodes, f))
-		test.SliceNotEmpty(t, nw.records[keyOf(f)])
+		test.SliceNotEmpty(t, nw.record(f))
 	})
 }
 
@@ -106,6 +106,6 @@
 		time.Sleep(7 * time.Minute)
 		synctest.Wait()
 		test.Eq(t, len(others), holdingNodes(others, f))
-		test.SliceNotEmpty(t, nw.records[keyOf(f)])
+		test.SliceNotEmpty(t, nw.record(f))
 	})
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -33,12 +33,14 @@
 	cleanupInterval = time.Minute
 )
 
-// Conn carries notifications between nodes. It does not retransmit them.
+// Conn carries messages between nodes. It does not retransmit them.
 type Conn interface {
 	// Handle registers the handler of a method. It must be called before messages arrive.
 	Handle(method string, h datagram.Handler)
 	// Notify sends a notification to each peer, and returns the total number of bytes sent.
 	Notify(peers []netip.AddrPort, method string, params any) (bytes int)
+	// Call calls a method of a peer and decodes the response into result. Without a response it fails when ctx ends.
+	Call(ctx context.Context, peer netip.AddrPort, method string, params, result any) error
 }
 
 // Topic stores the records of held requests.
@@ -68,6 +70,9 @@
 	*Table
 	config Config
 	wakeup chan struct{}
+	// listed is closed once the list of nodes was read.
+	listed     chan struct{}
+	listedOnce sync.Once
 
 	mu         sync.Mutex
 	outgoing   []outgoingReport
@@ -78,6 +83,7 @@
 	lastFailure   time.Time                 // time of the last failed attempt to write a record
 	toRebroadcast []Hold                    // recorded holds to be broadcast a second time
 	lastPeers     map[string]netip.AddrPort // peers at the last send
+	toldAt        map[Fingerprint]time.Time // when holds without a record were told again
 }
 
 // outgoingReport is an ending that is sent repeatedly for some time. If it has no endpoint, it reports
@@ -98,9 +104,10 @@
 
 // New returns a service that receives reports once c.Conn runs.
 func New(c Config) *Service {
-	s := &Service{Table: NewTable(c.Now), config: c, wakeup: make(chan struct{}, 1)}
+	s := &Service{Table: NewTable(c.Now), config: c, wakeup: make(chan struct{}, 1), listed: make(chan struct{})}
 	s.decides = s.coordinates
 	c.Conn.Handle(endingsMethod, s.handleReport)
+	c.Conn.Handle(holdsMethod, s.handleHolds)
 	return s
 }
 
@@ -223,8 +230,11 @@
 	s.wake()
 }
 
-// Run sends reports and records holds until ctx is done.
+// Run learns of holds from other nodes, sends reports and records holds until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
+	var learning sync.WaitGroup
+	learning.Go(func() { s.learnHolds(ctx) })
+	defer learning.Wait()
 	cleanup := time.NewTicker(cleanupInterval)
 	defer cleanup.Stop()
 	for {
@@ -243,8 +253,10 @@
 	}
 }
 
-// PeersChanged makes Run send known endings to nodes that have joined.
+// PeersChanged makes Run send known endings to nodes that have joined. It is called after each read of the list of nodes
+// and of the records of holds; the first call makes Run ask other nodes for what they know.
 func (s *Service) PeersChanged() {
+	s.listedOnce.Do(func() { close(s.listed) })
 	if !s.Empty() {
 		s.wake()
 	}
@@ -261,6 +273,7 @@
 		return s.removeRecords(ctx)
 	}
 	peers := s.config.Peers()
+	s.retellHolds(peers)
 	sending := s.sendReports(reports, peers)
 	recording := s.recordHolds(ctx, peers)
 	removing := s.removeRecords(ctx)
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -27,6 +27,7 @@
 				nw := newNetwork(t, seed)
 				nw.loss = 0.1
 				nodes := nw.startAll(size)
+				started := nw.settle()
 				f := print("guilty")
 				for i := range 3 {
 					nodes[(i*7)%size].RecordEnd(Ending{Fingerprint: f, Endpoint: fmt.Sprint("e", i)})
@@ -35,7 +36,7 @@
 				synctest.Wait()
 				test.Eq(t, size, holdingNodes(nodes, f), test.Sprint(size, seed))
 				test.LessEq(t, int(bound/recordInterval)+1, nw.writeCount())
-				test.LessEq(t, 3*coordinators*4+2*nw.writeCount()*size, nw.messages) // each writer sends to all nodes twice
+				test.LessEq(t, 3*coordinators*4+2*nw.writeCount()*size, nw.messages-started) // each writer sends to all nodes twice
 			})
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -181,15 +181,6 @@
 	return t.removeLocked(f)
 }
 
-// clearRecorded is Clear for a request whose record was removed. A hold without a record stays, as it is newer.
-func (t *Table) clearRecorded(f Fingerprint) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if h, held := t.held.Peek(f); !held || h.Recorded {
-		t.removeLocked(f)
-	}
-}
-
 // removeLocked is remove for callers that hold t.mu.
 func (t *Table) removeLocked(f Fingerprint) (known bool, recorded *Hold) {
 	defer t.updateCount()
@@ -204,17 +195,6 @@
 	return t.candidates.Remove(f) || accused, nil
 }
 
-// heldAfter reports whether a request is held because of endings after those of an earlier hold.
-func (t *Table) heldAfter(earlier *Hold) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h, held := t.held.Peek(earlier.Fingerprint)
-	if !held {
-		return false
-	}
-	return slices.ContainsFunc(h.Endpoints, func(e string) bool { return !slices.Contains(earlier.Endpoints, e) })
-}
-
 // MarkRecorded marks a hold as recorded on the platform.
 func (t *Table) MarkRecorded(f Fingerprint) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/quarantine/told_test.go
@@ -0,0 +1,116 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+// settle waits until all nodes have asked others for holds, and returns the number of messages so far.
+func (nw *network) settle() (messages int) {
+	time.Sleep(2 * askTries * askTimeout)
+	synctest.Wait()
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.messages
+}
+
+func TestNodesThatStartAskFewOthers(t *testing.T) {
+	for _, size := range []int{1, 2, 12, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 1)
+			nw.startAll(size)
+			test.LessEq(t, 2*askedNodes*size, nw.settle(), test.Sprint(size))
+		})
+	}
+}
+
+// restart ends a node and starts it again at its address, before the others notice.
+func (nw *network) restart(nodes []*node, i int) {
+	nodes[i].stop()
+	nodes[i] = nw.start(i)
+}
+
+func TestNodeThatStartsAgainLearnsHoldsWithoutARecord(t *testing.T) {
+	for _, size := range []int{2, 6, 82} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 1)
+			nw.down = true
+			nodes := nw.startAll(size)
+			f := print("guilty")
+			for i := range holdThreshold {
+				nodes[i%size].RecordEnd(Ending{Fingerprint: f, Endpoint: fmt.Sprint("e", i)})
+			}
+			time.Sleep(5 * time.Second)
+			for i := range size {
+				nw.restart(nodes, i)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				must.False(t, nodes[i].HeldUntil(f).IsZero(), must.Sprint(size, i))
+			}
+			nw.set(&nw.down, false)
+			time.Sleep((coordinators + 2) * recordInterval)
+			test.SliceNotEmpty(t, nw.record(f), test.Sprint(size))
+		})
+	}
+}
+
+func TestNodeThatStartsAgainLearnsEndings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork(t, 1)
+		nodes := nw.startAll(3)
+		f := print("guilty")
+		nodes[2].RecordEnd(Ending{Fingerprint: f, Endpoint: "e0"})
+		nodes[2].RecordEnd(Ending{Fingerprint: f, Endpoint: "e1"})
+		time.Sleep(2 * resendFor)
+		nw.restart(nodes, 2)
+		time.Sleep(time.Second)
+		nodes[2].RecordEnd(Ending{Fingerprint: f, Endpoint: "e2"})
+		test.False(t, nodes[2].HeldUntil(f).IsZero())
+	})
+}
+
+// The nodes miss all sends of the endings, as frozen ones do.
+func TestHoldIsToldUntilItHasARecord(t *testing.T) {
+	for _, part := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 1)
+			nw.down = true
+			nodes := nw.startAll(5)
+			knower, others := nodes[0], nodes[1:]
+			f := print("guilty")
+			nw.set(&knower.disconnected, true)
+			for i := range holdThreshold {
+				e := Ending{Fingerprint: f, Endpoint: fmt.Sprint("e", i)}
+				if part {
+					request := print(fmt.Sprint("request", i))
+					e.Request, e.Account = &request, AccountKey("account")
+				}
+				knower.RecordEnd(e)
+				time.Sleep(2 * episodeGap)
+			}
+			time.Sleep(10 * time.Second)
+			must.Eq(t, 1, holdingNodes(nodes, f))
+			nw.set(&knower.disconnected, false)
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			test.Eq(t, len(nodes), holdingNodes(nodes, f), test.Sprint(part))
+			nw.kill(knower)
+			nw.set(&nw.down, false)
+			time.Sleep((coordinators + 2) * recordInterval)
+			test.SliceNotEmpty(t, nw.record(f), test.Sprint(part))
+			test.Eq(t, len(others), holdingNodes(others, f), test.Sprint(part))
+		})
+	}
+}
+
+// record returns the record of a hold, or nil.
+func (nw *network) record(f Fingerprint) []byte {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.records[keyOf(f)]
+}
