Nodes are ready, and send requests, once they know which are held

What callers would see: a node that starts sends a request that others hold, and crashes another server.

Cause: that no hold was known was taken for that there is none. A node without the list of nodes, which has the records of holds, reads the configuration 4 s after its start anyway; neither readiness nor a send asked whether the records had been read.

Shown on the code before: forward TestNodeThatKnowsNoHoldsSendsNothing, 502 and a server that ran it in place of 503 and none. What is new is that the node can tell: quarantine TestHoldsAreNotKnownBeforeTheListIsReadAndOthersHaveAnswered.

Change: holds are known once the node has read the list of nodes, and the nodes that it then asks have answered or been silent for 450 ms. Until then it isn't ready, and answers 503 (3007), not run. After 8 s it counts them as known, as most requests are sound: a bound, no proof. event=ready has holds.

Not tested: that ready() asks for it; a node whose list can't be read while its configuration can, as processes.

The whole of forward and gatewaydemo was not run.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -12,8 +12,12 @@
 
 // quarantineRefusal returns the refusal of a request that is in quarantine because endpoints ended
 // while running it, or others with one of its parts, or nil if it may be sent. It is checked before each send,
-// since the request may have been quarantined during the previous one.
+// since the request may have been quarantined during the previous one. A node that starts refuses all requests until it
+// knows what others hold.
 func (x *exchange) quarantineRefusal() *result.Error {
+	if !x.Quarantine.HoldsKnown() {
+		return result.New(result.NodeStale, result.WithRetryAfter(retryAfterOtherNode))
+	}
 	if x.Quarantine.Empty() {
 		return nil
 	}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -158,3 +158,15 @@
 		test.Eq(t, want, table.SuspectCount(), test.Sprint(fields))
 	}
 }
+
+// unknownHolds is the quarantine of a node that doesn't know the holds of others.
+type unknownHolds struct{ *quarantine.Table }
+
+func (unknownHolds) HoldsKnown() bool { return false }
+
+func TestNodeThatKnowsNoHoldsSendsNothing(t *testing.T) {
+	h := newExitingTestHandler(t, 1)
+	h.handler.Quarantine = unknownHolds{quarantine.NewTable(time.Now)}
+	test.Eq(t, http.StatusServiceUnavailable, h.send(t, "early", "prompt", systemPart, deadlyPart, "c3"))
+	test.Eq(t, 0, h.serversThatRan("early"))
+}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -220,6 +220,9 @@
 
 // Quarantine records requests during which endpoints ended.
 type Quarantine interface {
+	// HoldsKnown reports whether this node knows the requests that other nodes hold. It returns false for some time after
+	// the node's start.
+	HoldsKnown() bool
 	// Empty reports whether no request is recorded.
 	Empty() bool
 	// HeldUntil returns the time until which a request must not be sent, or zero if it may be sent.
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -27,10 +27,10 @@
 )
 
 // ready reports whether this node can serve callers well: it has a current configuration and at
-// least one endpoint, and is not shutting down.
+// least one endpoint, knows which requests are held, and is not shutting down.
 func (n *Node) ready() bool {
 	config, age := n.state.Config()
-	return config != nil && n.configCurrent(age) && !n.fleet.Empty() && !n.shuttingDown.Load() && n.streamsBegin()
+	return config != nil && n.configCurrent(age) && !n.fleet.Empty() && !n.shuttingDown.Load() && n.quarantine.HoldsKnown() && n.streamsBegin()
 }
 
 // streamsBegin reports whether streams may begin, at a release of each service that has any. A node that has started
@@ -97,7 +97,7 @@
 		config, age := n.state.Config()
 		n.log.Info().Str("event", "ready").Bool("ready", ready).Bool("configured", config != nil).
 			Int64("config_age_ms", age.Milliseconds()).Bool("endpoints", !n.fleet.Empty()).
-			Bool("leaving", n.shuttingDown.Load()).Send()
+			Bool("holds", n.quarantine.HoldsKnown()).Bool("leaving", n.shuttingDown.Load()).Send()
 	}
 	return ready
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -73,6 +74,8 @@
 	// listed is closed once the list of nodes was read.
 	listed     chan struct{}
 	listedOnce sync.Once
+	created    time.Time
+	learned    atomic.Bool // other nodes were asked for holds
 
 	mu         sync.Mutex
 	outgoing   []outgoingReport
@@ -104,7 +107,7 @@
 
 // New returns a service that receives reports once c.Conn runs.
 func New(c Config) *Service {
-	s := &Service{Table: NewTable(c.Now), config: c, wakeup: make(chan struct{}, 1), listed: make(chan struct{})}
+	s := &Service{Table: NewTable(c.Now), config: c, wakeup: make(chan struct{}, 1), listed: make(chan struct{}), created: c.Now()}
 	s.decides = s.coordinates
 	c.Conn.Handle(endingsMethod, s.handleReport)
 	c.Conn.Handle(holdsMethod, s.handleHolds)
--- a/internal/quarantine/table_holds.go
+++ b/internal/quarantine/table_holds.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// HoldsKnown returns true: a table alone has no other nodes to learn from.
+func (t *Table) HoldsKnown() bool { return true }
+
 // addHold adds a hold that another node has. It reports whether that is new or ends later than the one that is known.
 func (t *Table) addHold(h *Hold) (isNew bool) {
 	t.mu.Lock()
--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -22,6 +22,9 @@
 	askedNodes = 12
 	askTries   = 3
 	askTimeout = 150 * time.Millisecond
+	// maxLearning is how long a node waits for the list of nodes and for answers until it counts the holds as known: most
+	// requests are sound.
+	maxLearning = 8 * time.Second
 )
 
 // holdsRequest is the question for what a node knows.
@@ -59,6 +62,12 @@
 	return nil
 }
 
+// HoldsKnown reports whether this node has read the records of holds and has asked other nodes for those without one.
+// Some seconds after New it returns true anyway.
+func (s *Service) HoldsKnown() bool {
+	return s.learned.Load() || s.config.Now().Sub(s.created) > maxLearning
+}
+
 // learnHolds asks some nodes for their holds once the list of nodes was read.
 func (s *Service) learnHolds(ctx context.Context) {
 	select {
@@ -71,6 +80,7 @@
 		asking.Go(func() { s.askForHolds(ctx, peer) })
 	}
 	asking.Wait()
+	s.learned.Store(true)
 	s.wake()
 }
 
--- a/internal/quarantine/told_test.go
+++ b/internal/quarantine/told_test.go
@@ -1,11 +1,15 @@
 package quarantine
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
@@ -29,6 +33,75 @@
 	}
 }
 
+func TestHoldsAreNotKnownBeforeTheListIsReadAndOthersHaveAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed, silent bool
+		knownAfter     time.Duration
+	}{
+		"answers":    {listed: true},
+		"no answers": {listed: true, silent: true, knownAfter: askTries * askTimeout},
+		"no list":    {knownAfter: maxLearning},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 1)
+			nw.startAll(3)
+			nw.settle()
+			n := &node{net: nw, name: "late", disconnected: c.silent}
+			n.Service = New(Config{
+				Node: n.name, Conn: n, Topic: nw, TopicEnd: n.topicEnd, Now: time.Now, Log: zerolog.Nop(),
+				Peers: func() map[string]netip.AddrPort { return nw.peersOf(n.name) },
+			})
+			nw.mu.Lock()
+			nw.nodes[n.addr] = n
+			nw.mu.Unlock()
+			go func() { _ = n.Run(t.Context()) }() // it always returns nil
+			synctest.Wait()
+			must.False(t, n.HoldsKnown(), must.Sprint(name))
+			if c.listed {
+				n.PeersChanged()
+			}
+			synctest.Wait()
+			if c.knownAfter > 0 {
+				time.Sleep(c.knownAfter - time.Millisecond)
+				test.False(t, n.HoldsKnown(), test.Sprint(name))
+				time.Sleep(2 * time.Millisecond)
+				synctest.Wait()
+			}
+			test.True(t, n.HoldsKnown(), test.Sprint(name))
+		})
+	}
+}
+
+// The network fails a test by an answer that doesn't fit into a datagram.
+func TestAnswersAboutHoldsFitIntoDatagrams(t *testing.T) {
+	long := strings.Repeat("e", maxEndpointBytes-4)
+	for _, held := range []int{0, 10, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 1)
+			nw.down = true
+			n := nw.start(0)
+			for i := range held * holdThreshold {
+				n.RecordEnd(Ending{Fingerprint: print(fmt.Sprint("held", i/holdThreshold)), Endpoint: fmt.Sprint(long, i%holdThreshold)})
+			}
+			for i := range 200 {
+				request := print(fmt.Sprint("request", i))
+				n.RecordEnd(Ending{Fingerprint: print("part"), Endpoint: fmt.Sprint(long, i), Request: &request, Account: AccountKey("account"), Depth: maxDepth})
+				n.RecordEnd(Ending{Fingerprint: print(fmt.Sprint("part", i)), Endpoint: fmt.Sprint(long, i), Request: &request, Account: AccountKey("account"), Depth: maxDepth})
+			}
+			result, err := n.handleHolds(nil)
+			must.NoError(t, err)
+			answer := result.(holdsResponse)
+			test.GreaterEq(t, min(held, maxEndings/holdThreshold), len(answer.Holds), test.Sprint(held))
+			test.LessEq(t, maxEndings, len(answer.Endings)+holdThreshold*len(answer.Holds), test.Sprint(held))
+			data, err := json.Marshal(answer)
+			must.NoError(t, err)
+			t.Logf("%d held: %d bytes", held, len(data))
+			nw.start(1)
+			nw.settle()
+		})
+	}
+}
+
 // restart ends a node and starts it again at its address, before the others notice.
 func (nw *network) restart(nodes []*node, i int) {
 	nodes[i].stop()
