--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,17 +34,23 @@
 	cleanupInterval = time.Minute
 )
 
-// Conn carries notifications between nodes. It does not retransmit them.
+// Conn carries messages between nodes. It does not retransmit them.
 type Conn interface {
 	// Handle registers the handler of a method. It must be called before messages arrive.
 	Handle(method string, h datagram.Handler)
 	// Notify sends a notification to each peer, and returns the total number of bytes sent.
 	Notify(peers []netip.AddrPort, method string, params any) (bytes int)
+	// Call calls a method of a peer and decodes the response into result. Without a response it fails when ctx ends.
+	Call(ctx context.Context, peer netip.AddrPort, method string, params, result any) error
 }
 
-// Topic stores the records of held requests. Put with a nil value removes a key.
+// Topic stores the records of held requests.
 type Topic interface {
+	// Put writes the newest record of a key. A nil value removes the key.
 	Put(ctx context.Context, key string, value []byte) error
+	// PutIf is Put on condition that the topic still ends at the given offset; otherwise it fails with
+	// follow.ErrChanged.
+	PutIf(ctx context.Context, key string, value []byte, end int64) error
 }
 
 // Config holds the dependencies of a Service. All fields must be set.
@@ -53,8 +60,10 @@
 	// Peers returns the addresses of the other nodes by node name.
 	Peers func() map[string]netip.AddrPort
 	Topic Topic
-	Now   func() time.Time
-	Log   zerolog.Logger
+	// TopicEnd returns the offset up to which this node has read the topic and called Apply.
+	TopicEnd func() int64
+	Now      func() time.Time
+	Log      zerolog.Logger
 }
 
 // Service shares a node's Table with the other nodes.
@@ -62,16 +71,22 @@
 	*Table
 	config Config
 	wakeup chan struct{}
+	// listed is closed once the list of nodes was read.
+	listed     chan struct{}
+	listedOnce sync.Once
+	created    time.Time
+	learned    atomic.Bool // other nodes were asked for holds
 
-	mu              sync.Mutex
-	outgoing        []outgoingReport
-	recordsToRemove []Fingerprint // requests whose records are to be removed
-	recordFrom      time.Time     // time before which no holds are recorded
+	mu         sync.Mutex
+	outgoing   []outgoingReport
+	removals   []removal
+	recordFrom time.Time // time before which no holds are recorded
 
 	// The fields below are used only by Run.
 	lastFailure   time.Time                 // time of the last failed attempt to write a record
 	toRebroadcast []Hold                    // recorded holds to be broadcast a second time
 	lastPeers     map[string]netip.AddrPort // peers at the last send
+	toldAt        map[Fingerprint]time.Time // when holds without a record were told again
 }
 
 // outgoingReport is an ending that is sent repeatedly for some time. If it has no endpoint, it reports
@@ -92,9 +107,10 @@
 
 // New returns a service that receives reports once c.Conn runs.
 func New(c Config) *Service {
-	s := &Service{Table: NewTable(c.Now), config: c, wakeup: make(chan struct{}, 1)}
+	s := &Service{Table: NewTable(c.Now), config: c, wakeup: make(chan struct{}, 1), listed: make(chan struct{}), created: c.Now()}
 	s.decides = s.coordinates
 	c.Conn.Handle(endingsMethod, s.handleReport)
+	c.Conn.Handle(holdsMethod, s.handleHolds)
 	return s
 }
 
@@ -121,10 +137,8 @@
 	if !known {
 		return false
 	}
-	if recorded {
-		s.mu.Lock()
-		s.recordsToRemove = append(s.recordsToRemove, e.Fingerprint)
-		s.mu.Unlock()
+	if recorded != nil {
+		s.addRemoval(recorded)
 	}
 	s.enqueue(outgoingReport{Ending: e})
 	return true
@@ -196,7 +210,8 @@
 func (s *Service) Apply(r *follow.Record) error {
 	if r.Value == nil {
 		if f, err := ParseFingerprint(r.Key[len(keyPrefix):]); err == nil {
-			s.Table.Clear(f)
+			s.dropRemovals(f)
+			s.clearRecorded(f)
 		}
 		return nil
 	}
@@ -218,8 +233,11 @@
 	s.wake()
 }
 
-// Run sends reports and records holds until ctx is done.
+// Run learns of holds from other nodes, sends reports and records holds until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
+	var learning sync.WaitGroup
+	learning.Go(func() { s.learnHolds(ctx) })
+	defer learning.Wait()
 	cleanup := time.NewTicker(cleanupInterval)
 	defer cleanup.Stop()
 	for {
@@ -238,8 +256,10 @@
 	}
 }
 
-// PeersChanged makes Run send known endings to nodes that have joined.
+// PeersChanged makes Run send known endings to nodes that have joined. It is called after each read of the list of nodes
+// and of the records of holds; the first call makes Run ask other nodes for what they know.
 func (s *Service) PeersChanged() {
+	s.listedOnce.Do(func() { close(s.listed) })
 	if !s.Empty() {
 		s.wake()
 	}
@@ -256,6 +276,7 @@
 		return s.removeRecords(ctx)
 	}
 	peers := s.config.Peers()
+	s.retellHolds(peers)
 	sending := s.sendReports(reports, peers)
 	recording := s.recordHolds(ctx, peers)
 	removing := s.removeRecords(ctx)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -174,17 +174,25 @@
 // ClearPart is Clear for a part.
 func (t *Table) ClearPart(_ Fingerprint, p Part) bool { return t.Clear(p.Key) }
 
-// remove is Clear, but also reports whether the request had a hold recorded on the platform.
-func (t *Table) remove(f Fingerprint) (known, recorded bool) {
+// remove is Clear, but also returns the hold if it is recorded on the platform.
+func (t *Table) remove(f Fingerprint) (known bool, recorded *Hold) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.removeLocked(f)
+}
+
+// removeLocked is remove for callers that hold t.mu.
+func (t *Table) removeLocked(f Fingerprint) (known bool, recorded *Hold) {
 	defer t.updateCount()
 	accused := t.parts.accused.Remove(f)
 	if h, held := t.held.Peek(f); held {
 		t.held.Remove(f)
-		return true, h.Recorded
+		if h.Recorded {
+			recorded = h
+		}
+		return true, recorded
 	}
-	return t.candidates.Remove(f) || accused, false
+	return t.candidates.Remove(f) || accused, nil
 }
 
 // MarkRecorded marks a hold as recorded on the platform.
