Gateway: parts are freed early on a list of nodes that is confirmed

What callers would see: a request whose KV cache is freed at the store while its engine fetches it.

Cause: parts of a replaced version are freed before freeDelay once all listed nodes have reported that they reference newer ones. The list may be 60 s old, so a node that joined meanwhile was taken for absent. And a node whose entry was never listed held a valid lease for 60 s from its start, and referenced parts although nobody waits for its watermark.

Change: a node frees early only if its list was current after its own watermark rose, which is after the replacement was announced. Nodes that free first confirm it by a read of the topic's end while a watermark waits for it, at most once a second until freeDelay. A node references a wanted version if its configuration was confirmed after its entry was listed, and a replaced one if the version was not replaced before that.

Why it holds: a node that isn't on the confirmed list wrote its entry after the replacement was announced. What it reads after that has the replacement, so it references newer versions only.

Ruled out: the age of the list alone (any age admits a node that joins within it); waiting for the follower's own confirmation, which is 10 to 20 s old in normal operation, later than freeDelay.

Costs: a host that is new to the list references nothing until its configuration is confirmed again; one that restarts under a listed entry isn't affected. If the list can't be confirmed, parts are freed after freeDelay, as before for silent nodes.

Tests that changed: views of nodes that reference parts are listed from their start, as the contract wants it now, and the freeing node confirms its list as its task does. TestUnreferencedPartsFreedEarly checks in addition that nothing is freed before that. No check was removed.

go test ./internal/gateway passes in its tests of references, freeing, leases, removed nodes and senders.

--- a/internal/gateway/cachetracker_test.go
+++ b/internal/gateway/cachetracker_test.go
@@ -32,7 +32,7 @@
 	for cutFrom := 0; cutFrom < 150; cutFrom += 7 {
 		t.Run(fmt.Sprint("cut from step ", cutFrom), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				freeingNode, reader := newView("freer"), newView("reader")
+				freeingNode, reader := newListedView("freer"), newListedView("reader")
 				referenced := map[int64]time.Time{} // when the reader last referenced a version
 				pending := map[string][]int64{}
 				for i := range steps {
@@ -72,7 +72,7 @@
 // has the weights and all nodes' watermarks are above them, long before freeDelay.
 func TestUnreferencedPartsFreedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		freeingNode, reader := newView("freer"), newView("reader")
+		freeingNode, reader := newListedView("freer"), newListedView("reader")
 		freeingNode.setNodes(t, "freer", "reader")
 		freeingNode.readVersions(t, 1)
 		reader.readVersions(t, 1)
@@ -94,6 +94,8 @@
 		time.Sleep(placer.FetchLimit)
 		test.False(t, freeingNode.Outdated(salt(1)), test.Sprint("a fetch may be in progress"))
 		time.Sleep(unreferencedDelay - placer.FetchLimit + freeSlots*freeSlotInterval)
+		test.False(t, freeingNode.Outdated(salt(1)), test.Sprint("another node may have joined"))
+		freeingNode.confirmNodes(t.Context())
 		test.True(t, freeingNode.Outdated(salt(1)))
 		test.False(t, freeingNode.Outdated(salt(2)))
 		freeingNode.setNodes(t, "freer", "reader", "silent")
@@ -108,7 +110,7 @@
 	for seed := range uint64(40) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
-			freeingNode, reader := newView("freer"), newView("reader")
+			freeingNode, reader := newListedView("freer"), newListedView("reader")
 			freeingNode.setNodes(t, "freer", "reader")
 			freeingNode.readVersions(t, 1)
 			reader.readVersions(t, 1)
@@ -132,6 +134,7 @@
 					}
 				}
 				freeingNode.referencedWatermarks()
+				freeingNode.confirmNodes(t.Context())
 				for version := int64(1); version <= 3; version++ {
 					if reader.mayReference(model, version) {
 						referenced[version] = time.Now()
@@ -185,6 +188,7 @@
 					}
 				}
 				freeingNode.referencedWatermarks()
+				freeingNode.confirmNodes(t.Context())
 				for _, v := range all {
 					if v.mayReference(model, 1) {
 						referenced = time.Now()
@@ -217,7 +221,7 @@
 // others may free.
 func TestStaleNodeReferencesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newView("n")
+		v := newListedView("n")
 		v.readVersions(t, 1)
 		test.True(t, v.mayReference(model, 1))
 		time.Sleep(maxReferenceConfigAge)
@@ -257,7 +261,7 @@
 		early := 0
 		views := make([]view, 0, 85)
 		for i := range 85 {
-			v := newView(fmt.Sprint("n", i))
+			v := newListedView(fmt.Sprint("n", i))
 			v.node.roster, _ = rosterWith(t, fmt.Sprint("n", i), 85)
 			v.readVersions(t, 1, 2)
 			views = append(views, v)
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -39,6 +39,7 @@
 	grace         time.Duration
 	lastConfirmed time.Time // last time the entry was known to be present; initially the node's start
 	everListed    bool      // the entry has been present
+	listedSince   time.Time // a time since which the entry was present before it was removed, if it was; zero if it never was
 	removed       bool      // the entry was present and has disappeared
 	validFrom     time.Time // the lease is invalid before this time
 }
@@ -47,6 +48,7 @@
 type entryObservation struct {
 	listed, gone    bool
 	updated         bool // the read returned a record of the entry
+	first           bool // the read is the node's first one
 	confirmedAt, at time.Time
 }
 
@@ -61,6 +63,12 @@
 		if l.removed || mayHaveBeenRemoved {
 			l.validFrom = o.at.Add(l.grace)
 		}
+		if !l.everListed {
+			l.listedSince = o.at
+		}
+		if !l.everListed && o.first {
+			l.listedSince = l.lastConfirmed // the start, before which an earlier process wrote the entry
+		}
 		l.everListed, l.removed = true, false
 		if o.confirmedAt.After(l.lastConfirmed) {
 			l.lastConfirmed = o.confirmedAt
--- a/internal/gateway/lease_test.go
+++ b/internal/gateway/lease_test.go
@@ -195,6 +195,7 @@
 		}
 		freeingNode.setEngineVersion(newest)
 		freeingNode.referencedWatermarks()
+		freeingNode.confirmNodes(t.Context())
 		freeingNode.receiveFrom(viewReferencing("n1", newest), int64(i+1))
 		for v := int64(1); v <= newest; v++ {
 			if reader.mayReference(model, v) {
--- a/internal/gateway/references.go
+++ b/internal/gateway/references.go
@@ -106,16 +106,18 @@
 // replacedReferenceTime later, by its own clock. A node that read it late, because it was
 // disconnected or frozen, references the wanted version only, and if it remains disconnected, it
 // stops doing so before other nodes may free those parts. A node that the others possibly do not
-// count references nothing, since they do not wait for its watermark.
+// count references nothing, since they do not wait for its watermark. A version that was wanted
+// after the node was listed was replaced later, and others confirm the list after a replacement.
 func (c *cacheTracker) mayReference(model string, version int64) bool {
-	if version < c.watermarks.get(model).version || !c.node.roster.HoldsLease() {
+	listedSince, listed := c.node.roster.listedSince()
+	if version < c.watermarks.get(model).version || !listed || !c.node.roster.HoldsLease() {
 		return false
 	}
 	if by, replaced := c.node.state.replaced(model, version); replaced {
-		return by.readPromptly && c.node.clock.Since(by.readAt) < replacedReferenceTime
+		return by.readPromptly && !by.notBefore.Before(listedSince) && c.node.clock.Since(by.readAt) < replacedReferenceTime
 	}
-	_, age := c.node.state.Config()
-	return age < maxReferenceConfigAge
+	confirmedAt := c.node.state.confirmedAt.Load()
+	return confirmedAt != nil && !confirmedAt.Before(listedSince) && c.node.clock.Since(*confirmedAt) < maxReferenceConfigAge
 }
 
 // mayReferenceSalt reports whether this node may reference parts under a salt at stores: their
@@ -144,7 +146,9 @@
 
 // unreferenced reports whether all nodes have reported long enough ago that they do not reference a
 // version. This makes room for the parts of new weights sooner than freeDelay alone: while stores
-// are full of parts of the previous version, shared prompt parts are computed again.
+// are full of parts of the previous version, shared prompt parts are computed again. The list of
+// nodes must have been current after the version was replaced: a node that joined later references
+// only newer ones.
 func (c *cacheTracker) unreferenced(model string, version int64, stagger time.Duration) bool {
 	own := c.watermarks.get(model)
 	if !c.node.roster.HoldsLease() {
@@ -153,6 +157,9 @@
 	if own.version <= version || c.node.clock.Since(own.since) < unreferencedDelay+stagger {
 		return false
 	}
+	if !c.node.roster.confirmedSince(own.since) {
+		return false
+	}
 	since, all := c.unreferencedByOthers(model, version)
 	return all && c.node.clock.Since(since) >= unreferencedDelay+stagger
 }
@@ -205,5 +212,9 @@
 
 // free frees outdated parts until ctx is done.
 func (c *cacheTracker) free(ctx context.Context) error {
-	return c.index.Free(ctx, c, c.configFresh, func() bool { return !intervals.FullMesh(c.node.nodes()) })
+	active := func() bool {
+		c.confirmNodes(ctx)
+		return c.configFresh()
+	}
+	return c.index.Free(ctx, c, active, func() bool { return !intervals.FullMesh(c.node.nodes()) })
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -38,8 +38,10 @@
 // another node holds it. One is left after the loss of two.
 const orderStandbys = 3
 
-// entryWriter writes entries to the topic of the nodes.
-type entryWriter interface {
+// nodesTopic is the topic of the nodes' entries.
+type nodesTopic interface {
+	// Read returns the records from an offset on, after waiting for one as long as given.
+	Read(ctx context.Context, from int64, wait time.Duration) (follow.Page, error)
 	// Put writes the newest record of a key.
 	Put(ctx context.Context, key string, value []byte) error
 	// PutIf is Put on condition that the topic still ends at the given offset; otherwise it fails
@@ -53,7 +55,7 @@
 	node     string
 	clock    *clock.Clock // nil is the monotonic clock
 	own      nodeEntry
-	topic    entryWriter
+	topic    nodesTopic
 	setPeers func(peers []peerload.Peer)
 	// setHelpers, if not nil, receives the nodes that accept requests of others.
 	setHelpers func(nodes []handoff.Node)
@@ -101,7 +103,7 @@
 
 var _ follow.Sink = (*roster)(nil)
 
-func newRoster(node string, own nodeEntry, topic entryWriter, setPeers func([]peerload.Peer), peerAlive func(string) bool, log zerolog.Logger) *roster {
+func newRoster(node string, own nodeEntry, topic nodesTopic, setPeers func([]peerload.Peer), peerAlive func(string) bool, log zerolog.Logger) *roster {
 	r := &roster{
 		node: node, own: own, topic: topic, setPeers: setPeers, peerAlive: peerAlive, log: log, rejected: newRejected(log),
 		lease:   lease{lastConfirmed: time.Now(), grace: removalGrace(0)},
@@ -138,7 +140,9 @@
 		r.firstStart.Store(!listed)
 	}
 	r.loaded, r.end = true, b.Next
-	r.members.confirmedAt = b.ConfirmedAt
+	if b.Snapshot || b.ConfirmedAt.After(r.members.confirmedAt) {
+		r.members.confirmedAt = b.ConfirmedAt
+	}
 	r.recompute()
 	peers := make([]peerload.Peer, 0, len(r.entries))
 	for name, e := range r.entries {
@@ -183,7 +187,7 @@
 		}
 	}
 	own, listed := r.entries[r.node]
-	r.lease.observe(entryObservation{listed: listed, gone: own.Gone, updated: updated, confirmedAt: b.ConfirmedAt, at: now})
+	r.lease.observe(entryObservation{listed: listed, gone: own.Gone, updated: updated, first: !r.loaded, confirmedAt: b.ConfirmedAt, at: now})
 }
 
 // recompute updates everything that is derived from the entries: the number of nodes, the lists of
--- a/internal/gateway/roster_test.go
+++ b/internal/gateway/roster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
@@ -18,6 +19,10 @@
 // noTopic discards all entries.
 type noTopic struct{}
 
+func (noTopic) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	return follow.Page{Next: from}, nil
+}
+
 func (noTopic) Put(context.Context, string, []byte) error { return nil }
 
 func (noTopic) PutIf(context.Context, string, []byte, int64) error { return nil }
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -48,7 +48,7 @@
 func TestReferencesExpireDuringSuspension(t *testing.T) {
 	for _, d := range suspensions {
 		synctest.Test(t, func(t *testing.T) {
-			v := newView("n")
+			v := newListedView("n")
 			host := v.useHostClock()
 			for _, version := range []int64{1, 2} {
 				value, err := json.Marshal(map[string]any{"model": model, "version": version})
--- a/internal/gateway/topic_test.go
+++ b/internal/gateway/topic_test.go
@@ -64,14 +64,23 @@
 	announceAt, sweepAt time.Time
 }
 
-var _ entryWriter = (*simNode)(nil)
+var _ nodesTopic = (*simNode)(nil)
 
-// Put implements entryWriter.
+// Read implements nodesTopic.
+func (n *simNode) Read(_ context.Context, from int64, _ time.Duration) (follow.Page, error) {
+	if n.disconnected {
+		return follow.Page{}, errDisconnected
+	}
+	n.sharedTopic.reads++
+	return follow.Page{Records: n.sharedTopic.records[from:], Next: int64(len(n.sharedTopic.records))}, nil
+}
+
+// Put implements nodesTopic.
 func (n *simNode) Put(ctx context.Context, key string, value []byte) error {
 	return n.PutIf(ctx, key, value, -1)
 }
 
-// PutIf implements entryWriter.
+// PutIf implements nodesTopic.
 func (n *simNode) PutIf(_ context.Context, key string, value []byte, end int64) error {
 	if n.disconnected {
 		return errDisconnected
--- a/internal/gateway/views_test.go
+++ b/internal/gateway/views_test.go
@@ -27,12 +27,24 @@
 func newView(name string) view {
 	n := &Node{state: newState(noBounds, zerolog.Nop()), registry: &registry{}}
 	n.boot.Store(&bootstrap.Node{Name: name})
-	n.roster = newRoster(name, nodeEntry{}, nil, nil, nil, zerolog.Nop())
+	n.roster = newRoster(name, nodeEntry{}, noTopic{}, nil, nil, zerolog.Nop())
 	n.fleet = fleet.New(zerolog.Nop())
 	n.peers = &peerload.Exchange{Table: peerload.NewTable()}
 	return view{cacheTracker: &cacheTracker{node: n}, state: n.state}
 }
 
+// newListedView returns the view of a node whose entry was listed when it started.
+func newListedView(name string) view {
+	v := newView(name)
+	value, err := json.Marshal(nodeEntry{Addr: "10.0.0.1:1"})
+	if err != nil {
+		panic(err) // can't fail for an entry
+	}
+	v.node.roster.setPeers = func([]peerload.Peer) {}
+	v.node.roster.Apply(follow.Batch{ConfirmedAt: time.Now(), Records: []follow.Record{{Key: name, Value: value}}})
+	return v
+}
+
 // setEngineVersion sets the weights of the view's only engine.
 func (v view) setEngineVersion(version int64) {
 	v.node.fleet.Update(&fleet.Endpoint{ID: "e", Service: "s", Weights: []fleet.Weights{{Model: model, Version: version}}}, time.Now())
@@ -99,7 +111,7 @@
 	var others []view
 	for i, name := range names {
 		v := newView(name)
-		v.node.roster = newRoster(name, nodeEntry{Domain: domainOf(i)}, nil, func([]peerload.Peer) {}, nil, zerolog.Nop())
+		v.node.roster = newRoster(name, nodeEntry{Domain: domainOf(i)}, noTopic{}, func([]peerload.Peer) {}, nil, zerolog.Nop())
 		v.node.roster.Apply(batch)
 		others = append(others, v)
 	}
