Release orders: a cut-off node leaves a release that turns bad

What callers would see: at a node that is cut off from the store and all nodes, they go on to get failures of a release that was rolled back elsewhere; after it was promoted, with all their requests.

Cause: the newest phase that a node knows counts as the newest, whatever the age of its copy; judging was left to the judges.

Before, TestCutOffNodeLeavesReleaseThatTurnsBad fails: 188 and 186 sends to the release at 7 and 86 nodes, 30 requests a second at the node, later than 5 s after its fiftieth bad answer. Now 0 at both.

Change: a node that hears of none of the other nodes judges its own answers by the judges' test, and prefers the present release while they show the other to be worse. It ends 5 s after the node hears others again, and where the order has succeeded. Where no endpoint of the present release is left, it goes on to use the release.

Why it holds: the evidence is the node's own and needs no proof of what others know. It writes nothing and tells nobody, so an order's outcome doesn't rest on it (TestNodeThatHearsOthersAgainReturnsToRelease).

Ruled out: an end of the phase by age (of trial and present release neither is proved at such a node; the store may be away for long while the release is sound), and every node judging for itself at all times (with 1,000 nodes chance would keep some from a sound release).

go test ./internal/canary passes (39.5 s).

--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -29,6 +29,7 @@
 	order    Order
 	phase    Phase
 	held     bool // the release was found to be worse, and gets nothing until that is recorded
+	avoided  bool // this node is isolated and found the release to be worse
 	requests int  // first sends since the order, of this node
 	exposed  int  // sends to the release on trial, of this node
 	rows     map[string]*Row
@@ -140,6 +141,8 @@
 		return nil, old
 	case s.phase == Succeeded:
 		return nil, released
+	case s.avoided && len(old) > 0:
+		return nil, old
 	case s.phase == Promoting:
 		return released, old
 	case !known && len(old) == 0:
--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -68,6 +68,8 @@
 	// InFlight returns the number of this node's requests at endpoints of a service whose release is not
 	// the given one.
 	InFlight func(service, release string) int
+	// Isolated reports whether this node hears of none of the other nodes.
+	Isolated func() bool
 	Now      func() time.Time
 	Log      zerolog.Logger
 }
@@ -107,12 +109,14 @@
 	wantedSince time.Time // since when it should
 	// unrecordedSince is since when the topic lacks the phase; zero if it has it.
 	unrecordedSince time.Time
-	statusPhase     Phase // phase that this node told operators
-	statusKnown     bool
-	phaseAt         time.Time // since when the present phase is known
-	phase           Phase
-	judges          []string // as of judgesAt
-	judgesAt        time.Time
+	// worseAloneAt is when this node last found the release to be worse while it was isolated.
+	worseAloneAt time.Time
+	statusPhase  Phase // phase that this node told operators
+	statusKnown  bool
+	phaseAt      time.Time // since when the present phase is known
+	phase        Phase
+	judges       []string // as of judgesAt
+	judgesAt     time.Time
 }
 
 // New returns a service that receives messages once c.Conn runs.
@@ -221,6 +225,7 @@
 	rank := slices.Index(names, s.config.Node)
 	if !o.phase.Final() {
 		s.report(o, w, names, peers, now)
+		s.judgeAlone(o, w, now)
 	}
 	if rank < 0 {
 		return
--- a/internal/canary/system_test.go
+++ b/internal/canary/system_test.go
@@ -95,6 +95,7 @@
 			return nil
 		},
 		InFlight: func(string, string) int { return n.inFlight },
+		Isolated: func() bool { return n.cutOff },
 		Now:      func() time.Time { return n.system.now },
 		Log:      zerolog.Nop(),
 	})
--- a/internal/gateway/releases.go
+++ b/internal/gateway/releases.go
@@ -20,7 +20,7 @@
 	n.releases = canary.New(canary.Config{
 		Node: n.boot.Load().Name, Gate: gate, Conn: n.conn, Peers: n.roster.Peers,
 		Topic: store.Topic(platform.TopicNodes), TopicEnd: n.roster.End,
-		WriteStatus: store.WriteReleaseStatus, InFlight: n.inFlightAtOthers, Now: n.clock.Now, Log: n.log,
+		WriteStatus: store.WriteReleaseStatus, InFlight: n.inFlightAtOthers, Isolated: n.isIsolated, Now: n.clock.Now, Log: n.log,
 	})
 	n.roster.applyPhaseRecord = n.releases.Apply
 }
