Release orders: silent nodes may have requests at old endpoints

What callers would see: an order is told as succeeded while a node that is cut off has requests at old endpoints. Operators who take these away then break its callers' requests.

Cause: a node that is silent, or that has never reported to this judge, counted as one without requests there; and a report that a node sent before it knew of the promotion counted as well.

Change: reports state the phase that their node knows. Before the last moment an order succeeds only if each listed node has reported since it knew of the promotion, and within two report intervals and 2 s.

Why it holds: the confirmation is of after the event, from each node of the list, and missing ones delay instead of counting as zero.

While a node that is gone is still listed, or one of the build before runs, orders succeed at 0.95 of their time; requests go to the promoted release all the while.

Left: a node that is cut off after it reported none may begin some where no endpoint of the new release takes a request.

TestJudge has two cases more. go test ./internal/canary passes (47 s).

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -50,8 +50,10 @@
 	Held bool
 	// Elapsed is the time since the order.
 	Elapsed, Within time.Duration
-	// OldInFlight is the number of requests at old endpoints.
+	// OldInFlight is the number of requests at old endpoints, of nodes that reported any.
 	OldInFlight int
+	// Unheard is the number of nodes of which that is not known.
+	Unheard int
 }
 
 // Verdict is what should be done about an order, with the reason.
@@ -70,10 +72,10 @@
 		return Verdict{RolledBack, worse}
 	case e.Held:
 		return Verdict{RolledBack, "worse before"}
-	case e.Phase == Promoting && e.Promoted >= settleTime && e.OldInFlight == 0:
+	case e.Phase == Promoting && e.Promoted >= settleTime && e.OldInFlight == 0 && e.Unheard == 0:
 		return Verdict{Succeeded, "sound"}
 	case e.Phase == Promoting && e.late():
-		return Verdict{Succeeded, "sound, with requests left at old endpoints"}
+		return Verdict{Succeeded, "sound, with requests that may be left at old endpoints"}
 	case e.late():
 		return Verdict{RolledBack, "not proved sound: " + e.unproved()}
 	case e.Phase == Trial && e.Elapsed >= trialTime(e.Within) && e.unproved() == "":
--- a/internal/canary/judge_test.go
+++ b/internal/canary/judge_test.go
@@ -58,6 +58,8 @@
 		{"just promoted", Evidence{Rows: []Row{good}, Phase: Promoting, Promoted: time.Second, Elapsed: 30 * time.Second}, Promoting},
 		{"requests left", Evidence{Rows: []Row{good}, Phase: Promoting, Promoted: 6 * time.Second, OldInFlight: 1, Elapsed: 34 * time.Second}, Promoting},
 		{"requests left at the end", Evidence{Rows: []Row{good}, Phase: Promoting, Promoted: 6 * time.Second, OldInFlight: 1, Elapsed: 39 * time.Second}, Succeeded},
+		{"not all heard", Evidence{Rows: []Row{good}, Phase: Promoting, Promoted: 6 * time.Second, Unheard: 1, Elapsed: 34 * time.Second}, Promoting},
+		{"not all heard at the end", Evidence{Rows: []Row{good}, Phase: Promoting, Promoted: 6 * time.Second, Unheard: 1, Elapsed: 39 * time.Second}, Succeeded},
 		{"all gone over", Evidence{Rows: []Row{good}, Phase: Promoting, Promoted: 6 * time.Second, Elapsed: 34 * time.Second}, Succeeded},
 		{"turns bad when promoted", Evidence{Rows: []Row{failing}, Phase: Promoting, Promoted: 6 * time.Second, Elapsed: 34 * time.Second}, RolledBack},
 		{"held", Evidence{Rows: []Row{good}, Held: true, Elapsed: 30 * time.Second}, RolledBack},
--- a/internal/canary/message.go
+++ b/internal/canary/message.go
@@ -28,10 +28,15 @@
 	Incarnation int64  `json:"incarnation"` // of the node's process
 	Seq         int64  `json:"seq"`
 	AgeMS       int64  `json:"age_ms"` // since the node read the order
+	// Phase is the newest phase that the node knows; empty in reports of nodes that don't tell it.
+	Phase       string `json:"phase,omitempty"`
 	OldInFlight int    `json:"old_in_flight"`
 	Rows        []Row  `json:"rows"`
 }
 
+// knows reports whether the node knew a phase when it counted.
+func (r *report) knows(phase Phase) bool { return r.Phase == phase.String() }
+
 // notice tells nodes that a phase was recorded or, with Held, that the release was found to be worse.
 type notice struct {
 	Service string `json:"service"`
@@ -46,7 +51,7 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, eris.Wrap(err, "decode counts of a release order")
 	}
-	if r.Node == "" || len(r.Node) > maxNameBytes || r.Service == "" || len(r.Service) > maxNameBytes {
+	if r.Node == "" || len(r.Node) > maxNameBytes || r.Service == "" || len(r.Service) > maxNameBytes || len(r.Phase) > maxNameBytes {
 		return nil, eris.New("decode counts of a release order: a name is missing or too long")
 	}
 	if len(r.Rows) > maxRows || r.OldInFlight < 0 || r.OldInFlight > maxAnswers || r.AgeMS < 0 || r.AgeMS > maxAge.Milliseconds() {
--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -34,7 +34,7 @@
 	writeTimeout  = time.Second
 	// peersLifetime is how long the list of nodes is used: making it takes time in a large system.
 	peersLifetime = 2 * time.Second
-	// silenceMargin is added to two report intervals before a silent node counts as gone.
+	// silenceMargin is added to two report intervals before a node counts as silent.
 	silenceMargin = 2 * time.Second
 )
 
@@ -258,7 +258,7 @@
 	s.seq++
 	r := &report{
 		Service: o.Service, Order: o.ID, Node: s.config.Node, Incarnation: s.incarnation, Seq: s.seq,
-		AgeMS: min(now.Sub(o.ReadAt), maxAge).Milliseconds(), OldInFlight: s.config.InFlight(o.Service, o.Release), Rows: o.rows,
+		Phase: o.phase.String(), AgeMS: min(now.Sub(o.ReadAt), maxAge).Milliseconds(), OldInFlight: s.config.InFlight(o.Service, o.Release), Rows: o.rows,
 	}
 	for _, name := range names {
 		if addr, known := peers[name]; known && name != s.config.Node {
