--- a/internal/canary/service.go
+++ b/internal/canary/service.go
@@ -34,7 +34,7 @@
 	writeTimeout  = time.Second
 	// peersLifetime is how long the list of nodes is used: making it takes time in a large system.
 	peersLifetime = 2 * time.Second
-	// silenceMargin is added to two report intervals before a silent node counts as gone.
+	// silenceMargin is added to two report intervals before a node counts as silent.
 	silenceMargin = 2 * time.Second
 )
 
@@ -68,6 +68,8 @@
 	// InFlight returns the number of this node's requests at endpoints of a service whose release is not
 	// the given one.
 	InFlight func(service, release string) int
+	// Isolated reports whether this node hears of none of the other nodes.
+	Isolated func() bool
 	Now      func() time.Time
 	Log      zerolog.Logger
 }
@@ -107,12 +109,14 @@
 	wantedSince time.Time // since when it should
 	// unrecordedSince is since when the topic lacks the phase; zero if it has it.
 	unrecordedSince time.Time
-	statusPhase     Phase // phase that this node told operators
-	statusKnown     bool
-	phaseAt         time.Time // since when the present phase is known
-	phase           Phase
-	judges          []string // as of judgesAt
-	judgesAt        time.Time
+	// worseAloneAt is when this node last found the release to be worse while it was isolated.
+	worseAloneAt time.Time
+	statusPhase  Phase // phase that this node told operators
+	statusKnown  bool
+	phaseAt      time.Time // since when the present phase is known
+	phase        Phase
+	judges       []string // as of judgesAt
+	judgesAt     time.Time
 }
 
 // New returns a service that receives messages once c.Conn runs.
@@ -221,6 +225,7 @@
 	rank := slices.Index(names, s.config.Node)
 	if !o.phase.Final() {
 		s.report(o, w, names, peers, now)
+		s.judgeAlone(o, w, now)
 	}
 	if rank < 0 {
 		return
@@ -253,7 +258,7 @@
 	s.seq++
 	r := &report{
 		Service: o.Service, Order: o.ID, Node: s.config.Node, Incarnation: s.incarnation, Seq: s.seq,
-		AgeMS: min(now.Sub(o.ReadAt), maxAge).Milliseconds(), OldInFlight: s.config.InFlight(o.Service, o.Release), Rows: o.rows,
+		Phase: o.phase.String(), AgeMS: min(now.Sub(o.ReadAt), maxAge).Milliseconds(), OldInFlight: s.config.InFlight(o.Service, o.Release), Rows: o.rows,
 	}
 	for _, name := range names {
 		if addr, known := peers[name]; known && name != s.config.Node {
