Origin: nodes that the store refuses are told of the latest releases first

What callers would see: with more than 32 releases recorded, new streams at a release whose service or name comes late in the alphabet are refused as unrecorded at nodes that the store refuses, until they read the records from another node in the ordinary way.

Cause: an answer holds 32 releases, and they were sorted by name, so the same ones were left out each time.

Ruled out: a wrong join. What is left out only closes the gate.

Change: the answer has those that were recorded last first. A release for which a node asks is new.

Before: TestNewReleaseIsToldAmongMany (64 releases, then one more, four of six nodes refused) fails at all four nodes. After: passes, as does the whole package internal/origin (61.9 s).

--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,6 +125,25 @@
 	})
 }
 
+// TestNewReleaseIsToldAmongMany checks the same for a release that is one of more than fit into a message.
+func TestNewReleaseIsToldAmongMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRecordingSystem(6, newPlatformTopic())
+		for i := range 2 * maxMessageRecords {
+			s.set(fmt.Sprint("v", i))
+		}
+		s.run(t, settleTime)
+		for _, n := range s.nodes[2:] {
+			n.refused = true
+		}
+		s.set("w")
+		s.run(t, time.Second)
+		for i, g := range s.gates {
+			test.True(t, g.MayBegin(service, "w"), test.Sprint(i))
+		}
+	})
+}
+
 // TestInvalidReleaseRecordsAreNoProof checks that invalid records are rejected, and that no release counts as the only
 // one while there are some.
 func TestInvalidReleaseRecordsAreNoProof(t *testing.T) {
--- a/internal/origin/told.go
+++ b/internal/origin/told.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -23,7 +22,7 @@
 
 // releasesResponse is the result of releasesMethod.
 type releasesResponse struct {
-	// Active are the releases at which streams may begin, at most maxMessageRecords.
+	// Active are the releases at which streams may begin, the latest recorded ones first, at most maxMessageRecords.
 	Active []Origin `json:"active"`
 	// AgeMS is the age of the copy of the records at the node that answers, and Next the position in the topic up to
 	// which it has all of them.
@@ -40,9 +39,6 @@
 // handleReleases answers a node that can't read the records.
 func (s *Service) handleReleases(json.RawMessage) (any, error) {
 	active, copied := s.config.Releases.activeReleases()
-	slices.SortFunc(active, func(a, b Origin) int {
-		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Release, b.Release))
-	})
 	active = active[:min(len(active), maxMessageRecords)]
 	return releasesResponse{active, s.config.Now().Sub(copied.confirmedAt).Milliseconds(), copied.next}, nil
 }
@@ -64,7 +60,8 @@
 	}
 }
 
-// activeReleases returns the releases at which streams may begin by their records, and how far the copy goes.
+// activeReleases returns the releases at which streams may begin by their records, the latest recorded ones first, and how
+// far the copy goes.
 func (r *Releases) activeReleases() (list []Origin, copied toldRelease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -73,6 +70,7 @@
 			list = append(list, o)
 		}
 	}
+	slices.SortFunc(list, func(a, b Origin) int { return cmp.Compare(r.stored[b].position, r.stored[a].position) })
 	return list, toldRelease{r.confirmedAt, r.next}
 }
 
