Origin: another node's copy that goes no further confirms the own one

What callers would see: at a node that the store refuses for over 30 s, and that reads the registry from others but not the records, all new streams that may be resumed are refused as unrecorded, though the records haven't changed and other nodes can read them.

Cause: another node's word counted only if its copy went further than the own one and than what was told before. So where nothing is written, nothing is refreshed, and the gate closes 30 s after the last read.

Ruled out: that the word proves too much. A copy at the same position of the same era has the same records. The time only lets streams begin; Sole reads the store.

Change: a copy that goes as far as the own one makes it as current as that one; a told release takes the later of two confirmations at one position.

Before: TestNodesWithoutTheStoreGoOnBeginningStreams (four of six nodes refused for 60 s, a third release recorded meanwhile): closed 513 times of 1,440 for a release that all had read, and at all four nodes for the third at the end. After: 0; the whole package internal/origin passes (54.9 s).

--- a/internal/origin/releases_test.go
+++ b/internal/origin/releases_test.go
@@ -144,6 +144,34 @@
 	})
 }
 
+// TestNodesWithoutTheStoreGoOnBeginningStreams checks that nodes which the store refuses for long begin streams at a
+// recorded release while other nodes confirm that nothing has changed.
+func TestNodesWithoutTheStoreGoOnBeginningStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRecordingSystem(6, newPlatformTopic())
+		s.set("v1")
+		s.set("v2")
+		s.run(t, settleTime)
+		for _, n := range s.nodes[2:] {
+			n.refused = true
+		}
+		s.set("v3")
+		closed := 0
+		for range int(time.Minute / recordInterval) {
+			s.run(t, recordInterval)
+			for _, g := range s.gates {
+				if !g.MayBegin(service, "v1") {
+					closed++
+				}
+			}
+		}
+		test.Zero(t, closed)
+		for i, g := range s.gates {
+			test.True(t, g.MayBegin(service, "v3"), test.Sprint(i))
+		}
+	})
+}
+
 // TestInvalidReleaseRecordsAreNoProof checks that invalid records are rejected, and that no release counts as the only
 // one while there are some.
 func TestInvalidReleaseRecordsAreNoProof(t *testing.T) {
--- a/internal/origin/told.go
+++ b/internal/origin/told.go
@@ -74,17 +74,26 @@
 	return list, toldRelease{r.confirmedAt, r.next}
 }
 
-// learn adds releases at which streams may begin by another node's copy.
+// learn adds releases at which streams may begin by another node's copy. A copy that goes as far as this one has the same
+// records, and so tells that this one was current later.
 func (r *Releases) learn(active []Origin, copied toldRelease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.loaded && copied.next == r.next && copied.confirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = copied.confirmedAt
+	}
 	for _, o := range active {
-		if copied.next > max(r.next, r.told[o].next) {
+		if copied.next > r.next && !copied.isBefore(r.told[o]) {
 			r.told[o] = copied
 		}
 	}
 }
 
+// isBefore reports whether a copy goes less far than another one, or was confirmed earlier at the same position.
+func (t toldRelease) isBefore(other toldRelease) bool {
+	return t.next < other.next || t.next == other.next && t.confirmedAt.Before(other.confirmedAt)
+}
+
 // activeAt returns the latest time at which streams could begin at a release by its record, as far as this node knows. ok
 // is false if they may not. What another node told counts while its copy goes further than the own one.
 func (r *Releases) activeAt(o Origin) (at time.Time, ok bool) {
