Gateway demo, tests: a good release has to succeed by the prompts that were answered

TestGoodReleaseGetsAllRequests waited up to 60 s of the wall clock for an order of 14 s. An order that a slow machine ends before a tenth of the prompts prove the release is rolled back, rightly, and the test then waited for a success that could not come any more.

Change: the gate is on prompts. An order that is rolled back although 400 prompts were answered since it was given fails the test at once (a tenth of them is more than twice the 16 answers that prove a route); one with fewer is given again with twice the time. Each order has to end within 20,000 prompts, begins with "running", and names v2. The last one has to succeed.

A first answer that isn't 200 is now logged with its body.

--- a/internal/gatewaydemo/release_test.go
+++ b/internal/gatewaydemo/release_test.go
@@ -32,7 +32,10 @@
 	return s, func() int {
 		sent++
 		n := promptsSent.Add(1)
-		status, _ := sendRequest(t, members[sent%2], site.PathSummary, key, fmt.Sprint("release-", n), fmt.Sprint("5e55", n))
+		status, body := sendRequest(t, members[sent%2], site.PathSummary, key, fmt.Sprint("release-", n), fmt.Sprint("5e55", n))
+		if status != http.StatusOK && f == (modelserver.Faults{}) {
+			t.Log("node ", sent%2, ", prompt ", sent, ": ", body)
+		}
 		return status
 	}
 }
@@ -49,24 +52,50 @@
 	return old, released
 }
 
-// TestGoodReleaseGetsAllRequests verifies that a release whose answers are good gets a tenth of the
-// prompts, then all of them, and that operators are told so.
-func TestGoodReleaseGetsAllRequests(t *testing.T) {
-	s, send := startRelease(t, modelserver.Faults{})
+const (
+	// enoughPrompts is the number of prompts after which an order must succeed: a tenth of them is more than twice
+	// what proves a release to be good.
+	enoughPrompts = 400
+	// maxPrompts is the number of prompts within which each order must end.
+	maxPrompts = 20_000
+)
+
+// endOrder sends prompts until the order of release v2 has ended, and returns its final state and the number of
+// prompts.
+func endOrder(t *testing.T, s *site.Site, send func() int) (state string, prompts int) {
+	t.Helper()
 	var states []string
-	waitUntil(t, "the release has succeeded", func() bool {
-		test.Eq(t, http.StatusOK, send())
-		state, release := s.ReleaseState()
-		if state != "" {
+	oldBefore, newBefore := releaseRuns(s)
+	for state != "succeeded" && (state != "rolled_back" || len(states) == 0) {
+		must.Less(t, maxPrompts, prompts)
+		must.Eq(t, http.StatusOK, send())
+		prompts++
+		var release string
+		state, release = s.ReleaseState()
+		if state == "running" || len(states) > 0 {
 			test.Eq(t, "v2", release)
 			states = append(states, state)
 		}
 		if old, released := releaseRuns(s); len(states) == 0 {
-			test.LessEq(t, old/10+1, released, test.Sprint("before the trial can have ended"))
+			test.LessEq(t, (old-oldBefore)/10+1, released-newBefore, test.Sprint("before the trial can have ended, after prompts: ", prompts))
 		}
-		return state == "succeeded"
-	})
-	test.Eq(t, []string{"running", "succeeded"}, slices.Compact(states))
+	}
+	test.Eq(t, []string{"running", state}, slices.Compact(states))
+	return state, prompts
+}
+
+// TestGoodReleaseGetsAllRequests verifies that a release whose answers are good gets a tenth of the
+// prompts, then all of them, and that operators are told so. An order that ends before enough prompts
+// were answered to prove the release is repeated with twice the time.
+func TestGoodReleaseGetsAllRequests(t *testing.T) {
+	s, send := startRelease(t, modelserver.Faults{})
+	state, prompts := endOrder(t, s, send)
+	for within := 2 * releaseTime; state != "succeeded"; within *= 2 {
+		must.Less(t, enoughPrompts, prompts, must.Sprint("rolled back although the release was proved good"))
+		s.OrderRelease("v2", within)
+		state, prompts = endOrder(t, s, send)
+	}
+	t.Log("prompts: ", prompts)
 	oldBefore, newBefore := releaseRuns(s)
 	for range 20 {
 		test.Eq(t, http.StatusOK, send())
