Fleet: a backoff that a new start asked of an earlier request counts for it

What callers would see: requests at an endpoint that has just refused one with a Retry-After, if the endpoint restarted shortly before. They are refused again, or the endpoint gets more than the two that it may get in that time.

Cause: the answer of a request that was placed before the node read the new start from the registry, and that came after, was recorded for the start before, whose record nobody reads any more. What came before the node read the start was carried over already.

Change: an earlier start knows the next one, and passes a backoff on that came after the time at which the next one began; the same condition as for what is carried over. A backoff of the start before, recorded late, is not passed on.

Why it holds: the next start is noted before the earlier record is copied, so that a backoff recorded at the same time is seen by one of the two.

TestBackoffOfARequestSentBeforeTheStartWasKnown failed before (no backoff at the new start). All tests of internal/fleet and internal/placer pass, and those of backoffs and restarts under the race detector (3 runs).

Leaving and rate limits recorded at the start before have the same gap and are not changed here.

--- a/internal/fleet/backoff.go
+++ b/internal/fleet/backoff.go
@@ -16,16 +16,27 @@
 // RecordBackoff records that the endpoint refused a request at the given time and requested a
 // backoff of d. If backoffs overlap, the one that ends last applies. It reports whether no backoff
 // was in effect before.
+//
+// After the time at which a later start of the endpoint began, that one has refused it: the request was sent before
+// this node knew of it.
 func (s *Signals) RecordBackoff(d time.Duration, at time.Time) (started bool) {
+	started = s.extendBackoff(Backoff{Until: at.Add(min(d, MaxBackoff)), At: at})
+	if later := s.later.Load(); later != nil && at.After(later.startedAt) {
+		return later.signals.RecordBackoff(d, at)
+	}
+	return started
+}
+
+// extendBackoff records a backoff, and reports whether none was in effect before.
+func (s *Signals) extendBackoff(next Backoff) (started bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := Backoff{Until: at.Add(min(d, MaxBackoff)), At: at}
 	previous := s.backoff.Load()
 	if previous != nil && previous.Until.After(next.Until) {
 		next.Until = previous.Until
 	}
 	s.backoff.Store(&next)
-	return previous == nil || !at.Before(previous.Until)
+	return previous == nil || !next.At.Before(previous.Until)
 }
 
 // maxUnlisted is the longest time for which a start may answer before its registry entry is read. A report
@@ -39,8 +50,9 @@
 	if previous == nil {
 		return
 	}
+	previous.later.Store(&laterStart{signals: s, startedAt: startedAt}) // first, so that no backoff is recorded unseen
 	if b := previous.backoff.Load(); b != nil && b.At.After(startedAt) {
-		s.backoff.Store(b)
+		s.extendBackoff(*b)
 	}
 	seemsOwn := func(at time.Time) bool { return at.After(startedAt) && at.Sub(startedAt) < maxUnlisted }
 	if at := previous.draining.Load(); at != nil && seemsOwn(*at) {
--- a/internal/fleet/signals.go
+++ b/internal/fleet/signals.go
@@ -15,6 +15,13 @@
 	draining atomic.Pointer[time.Time] // when it first reported that it drains; nil if never
 	// unreadable holds the invalid headers of the latest answer that had any; nil if none had.
 	unreadable atomic.Pointer[string]
+	later      atomic.Pointer[laterStart] // the next known start of the endpoint; nil if there is none
+}
+
+// laterStart is the start of an endpoint that follows another.
+type laterStart struct {
+	signals   *Signals
+	startedAt time.Time
 }
 
 // Unreadable records headers of an answer that could not be parsed, and reports whether they differ
