Load messages: what arrives while an aggregate is made has age 0

What operators would see: collectors' aggregates rejected by all their receivers, each with a line event=datagram_rejected method=node.load "check aggregate: closure of engines for 10 ms at an age of -10 ms is out of range".

Cause: a collector reads the clock, encodes and sends its other messages, and makes the aggregate for that time. A digest that arrives meanwhile is later than the aggregate, so its age is negative: -1 to -15 ms in the soak's logs. For a digest without closed endpoints the negative age also left a closure, of the same length. Receivers reject negative ages, rightly, as no node may state them.

Ruled out: clocks of several nodes (ages are taken at the collector alone); invalid data of others (all nodes are of one build).

Change: the age of a message received after the time of the aggregate is 0, in orders, reported weights, limits, slow and brittle endpoints, of peers and other failure domains. The check of receivers is as it was.

--- a/internal/peerload/aggregate.go
+++ b/internal/peerload/aggregate.go
@@ -120,16 +120,16 @@
 	a := &Aggregate{}
 	sums := make(Sums)
 	for _, p := range t.peers {
-		d := &p.digest
-		a.addOrders(d, now.Sub(p.at))
-		if now.Sub(p.at) > DigestLifetime {
+		d, age := &p.digest, ageAt(now, p.at)
+		a.addOrders(d, age)
+		if age > DigestLifetime {
 			continue
 		}
 		a.Nodes++
 		sums.add(d.Loads, d.Starts)
 		a.Included = binary.LittleEndian.AppendUint32(a.Included, nodeKey(d.Node, d.Incarnation))
 		a.Included = binary.LittleEndian.AppendUint32(a.Included, uint32(d.Seq))
-		a.addUnlistedWeights(d.UnlistedWeights, now.Sub(p.at))
+		a.addUnlistedWeights(d.UnlistedWeights, age)
 	}
 	a.Loads = sums.encode()
 	domainLoads, domains := t.domainLoadSums(now)
--- a/internal/peerload/check_test.go
+++ b/internal/peerload/check_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/fleet"
 )
@@ -65,3 +66,27 @@
 		test.LessEq(t, 2, e.Table.Nodes())
 	})
 }
+
+// TestDigestReceivedWhileTheAggregateIsMadeIsAccepted guards against aggregates with negative ages, which their receivers reject.
+func TestDigestReceivedWhileTheAggregateIsMadeIsAccepted(t *testing.T) {
+	table, received := NewTable(), now.Add(10*time.Millisecond)
+	table.Record(Digest{
+		Node: "a", Incarnation: 1, Seq: 1, Leads: true, ForMs: 40,
+		UnlistedWeights: []UnlistedWeights{{Model: "m", Version: 2, Endpoints: []string{"e"}, StartedMs: []int64{1}, AgesMs: []int64{0}}},
+		Limits:          []Limit{{Endpoint: "e", PerSecond: 2}},
+		Slow:            []Slow{{Endpoint: "e", Tenths: tenths + 1}},
+		Brittle:         []Brittle{{Service: "models", Refusals: 2}},
+	}, received)
+	outer := &DomainLoad{
+		Node: "n", Domain: "d1", Incarnation: 1, Seq: 1, Loads: Sums{}.encodeCoarse(),
+		Limits: []Limit{{Endpoint: "f", PerSecond: 2}}, Brittle: []Brittle{{Service: "other", Refusals: 2}},
+	}
+	must.NoError(t, table.RecordDomainLoad(outer, received))
+
+	a := table.Collect(now)
+	must.NoError(t, a.check())
+	test.Eq(t, []RelayedOrders{{Leads: true, ForMs: 40}}, a.Orders)
+	test.Len(t, 2, a.Limits)
+	test.Len(t, 2, a.Brittle)
+	test.Len(t, 1, a.Slow)
+}
--- a/internal/peerload/reports.go
+++ b/internal/peerload/reports.go
@@ -33,11 +33,15 @@
 	return result
 }
 
+// ageAt returns the age of a message that was received at the given time. Messages arrive while an aggregate for now is
+// being made; those are not older than 0, since receivers reject negative ages.
+func ageAt(now, received time.Time) time.Duration { return max(now.Sub(received), 0) }
+
 // peerReports returns the reports of one kind in the peers' own digests, with their ages increased by age. The
 // caller must hold t.mu.
 func peerReports[T any](t *Table, now time.Time, of func(*Digest) []T, age func([]T, time.Duration) []T) (list []T) {
 	for _, p := range t.peers {
-		list = append(list, age(of(&p.digest), now.Sub(p.at))...)
+		list = append(list, age(of(&p.digest), ageAt(now, p.at))...)
 	}
 	return list
 }
@@ -45,7 +49,7 @@
 // domainReports is peerReports for the loads of other failure domains.
 func domainReports[T any](t *Table, now time.Time, of func(*DomainLoad) []T, age func([]T, time.Duration) []T) (list []T) {
 	for _, d := range t.domainLoads {
-		list = append(list, age(of(&d.load), now.Sub(d.at))...)
+		list = append(list, age(of(&d.load), ageAt(now, d.at))...)
 	}
 	return list
 }
