Load messages: what is reported while a digest is made has age 0

Cause: as with aggregates, the digest is made for a time that was read before; an endpoint's answer that arrives meanwhile is later than that.

Change: own reports of brittle services and unlisted weights have the age 0 then, as limits and slow endpoints had.

TestReportsMadeWhileADigestIsMadeAreAccepted fails before: "version age of -10 ms is out of range".

--- a/internal/peerload/brittle.go
+++ b/internal/peerload/brittle.go
@@ -46,7 +46,7 @@
 	if e.config.Brittle == nil {
 		return nil
 	}
-	return mostBrittle(e.config.Brittle())
+	return mostBrittle(ageBrittle(e.config.Brittle(), 0))
 }
 
 // peerBrittle returns the services in the peers' own digests.
--- a/internal/peerload/reports.go
+++ b/internal/peerload/reports.go
@@ -18,14 +18,14 @@
 }
 
 // aged returns copies of the elements with their ages, in milliseconds, increased by elapsed, without those
-// that are older than lifetime then.
+// that are older than lifetime then. Reports made after the time that the ages refer to have the age 0.
 func aged[T any](list []T, elapsed, lifetime time.Duration, ageMs func(*T) *int64) []T {
 	var result []T
 	for i := range list {
 		result = append(result, list[i])
 		last := len(result) - 1
 		age := ageMs(&result[last])
-		*age += elapsed.Milliseconds()
+		*age = max(*age+elapsed.Milliseconds(), 0)
 		if *age > lifetime.Milliseconds() {
 			result = result[:last]
 		}
@@ -33,7 +33,7 @@
 	return result
 }
 
-// ageAt returns the age of a message that was received at the given time. Messages arrive while an aggregate for now is
+// ageAt returns the age of a message or report of the given time. Some arrive while a message for now is
 // being made; those are not older than 0, since receivers reject negative ages.
 func ageAt(now, received time.Time) time.Duration { return max(now.Sub(received), 0) }
 
--- a/internal/peerload/unlisted_weights.go
+++ b/internal/peerload/unlisted_weights.go
@@ -35,7 +35,7 @@
 		}
 		list[i].Endpoints = append(list[i].Endpoints, m.ID)
 		list[i].StartedMs = append(list[i].StartedMs, reported.StartedMs)
-		list[i].AgesMs = append(list[i].AgesMs, now.Sub(reported.At).Milliseconds())
+		list[i].AgesMs = append(list[i].AgesMs, ageAt(now, reported.At).Milliseconds())
 	}
 	return list
 }
--- a/internal/peerload/unlisted_weights_test.go
+++ b/internal/peerload/unlisted_weights_test.go
@@ -87,3 +87,15 @@
 		test.Eq(t, 9, n.fleet.Member(limitedEngine).VersionOf(model))
 	})
 }
+
+// TestReportsMadeWhileADigestIsMadeAreAccepted guards against digests with negative ages, which their receivers reject.
+func TestReportsMadeWhileADigestIsMadeAreAccepted(t *testing.T) {
+	reporting, member := memberOf(t, 100, 1)
+	member.RecordWeights(reportOf(2, now.Add(10*time.Millisecond)))
+	brittle := func() []Brittle { return []Brittle{{Service: "models", Refusals: 2, AgeMs: -10}} }
+	e := &Exchange{config: Config{Brittle: brittle}}
+	d := Digest{Node: "a", UnlistedWeights: UnlistedWeightsOf(reporting.All(), now), Brittle: e.brittleToSend()}
+	must.NoError(t, d.check())
+	test.Len(t, 1, d.UnlistedWeights)
+	test.Eq(t, 0, d.Brittle[0].AgeMs)
+}
