Soak: the summary states how many new streams began

A summary of "0 of 48 resumed streams continued" says nothing while no stream could begin: the check compares both shares. The summary now states both, from the same count as the check.

The checks' own tests (TestDetects...) pass.

--- a/soak/resumes_test.go
+++ b/soak/resumes_test.go
@@ -119,11 +119,21 @@
 	return strings.Contains(body, "stream_unknown") || strings.Contains(body, "no_endpoint_of_release")
 }
 
+// streamCounts counts the streams that clients sent at connected nodes while the metadata store was stable.
+type streamCounts struct {
+	begun, sent        int // new ones
+	continued, resumed int // of releases that two or more servers had
+}
+
+func (c streamCounts) String() string {
+	return fmt.Sprintf("%d of %d resumed streams continued, %d of %d new ones began", c.continued, c.resumed, c.begun, c.sent)
+}
+
 // tooFewResumed returns a violation if the share of resumed streams that continued is less than half of the share of
 // new streams that began, at connected nodes while the metadata store was stable. Only the first try
 // of streams that their clients named counts, of releases that two or more servers had.
 func (w *world) tooFewResumed() []string {
-	var begun, sent, continued, resumed int
+	var n streamCounts
 	var ended []string
 	for id, s := range w.observed.sent {
 		from, to := s.at.Add(-w.bounds.StableWindow), s.at.Add(w.bounds.StableWindow)
@@ -133,24 +143,24 @@
 		_, served := w.observed.received[id]
 		switch first := w.observed.resumes[id]; {
 		case first == "":
-			sent++
+			n.sent++
 			if served {
-				begun++
+				n.begun++
 			}
 		case !w.observed.uncounted[id] && w.servedBy(w.beganAt(first), from, to) >= minServers:
-			resumed++
+			n.resumed++
 			if served {
-				continued++
+				n.continued++
 			} else {
 				ended = append(ended, id)
 			}
 		}
 	}
-	w.resumed, w.continued = resumed, continued
-	if resumed < minResumed || 2*continued*sent >= begun*resumed {
+	w.streams = n
+	if n.resumed < minResumed || 2*n.continued*n.sent >= n.begun*n.resumed {
 		return nil
 	}
-	return []string{fmt.Sprintf("%d of %d resumed streams continued, %d of %d new ones began; not continued: %v", continued, resumed, begun, sent, ended)}
+	return []string{fmt.Sprintf("%v; not continued: %v", n, ended)}
 }
 
 // beganAt returns the release of the server whose events a client received first.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -79,8 +79,7 @@
 	revoked      map[string]time.Time // when the removal of a key was acknowledged
 	versions     []targetVersion      // target versions of the weights, oldest first
 	faults       map[*modelserver.Server][]*serverFault
-	resumed      int         // streams of a release with two servers that clients resumed at connected nodes
-	continued    int         // of these
+	streams      streamCounts
 	crashes      []time.Time // crashes of model servers by the crashing request
 	losses       []time.Time // at which all nodes were killed
 	restarts     sync.WaitGroup
@@ -256,7 +255,7 @@
 	if !recovered {
 		w.t.Errorf("requests did not succeed again within %v after the last fault", recoveryTimeout)
 	}
-	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %d of %d resumed streams continued", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.continued, w.resumed)
+	w.t.Logf("%d successful, %d rejected as not run, %d server crashes by a request, maximum age of replaced weights: %v, %v", w.observed.answered, len(w.observed.refused), len(w.crashes), w.oldestWeights(), w.streams)
 	if w.changes != nil {
 		w.t.Logf("%d steps of releases, %d tries of resumes; all nodes killed at %v, crashes at %v", w.changes.steps, len(w.observed.resumes), clockTimes(w.losses), clockTimes(w.crashes))
 	}
