Soak: weights, evacuations and limits around changes of releases

With -releases amid, each step that changes releases has one of these before it, up to 2 s earlier, or none: one to three versions of weights are named; a failure domain is evacuated; the last two servers of the release that serves report a limit, and while another release comes in its other servers leave. The other faults of the soak are absent, so that streams live through it.

signalLimit and the new fault share limit(); what signalLimit does is unchanged.

--- a/soak/releases_test.go
+++ b/soak/releases_test.go
@@ -52,7 +52,8 @@
 type releaseChanges struct {
 	*world
 	random  *rand.Rand
-	only    bool    // there are no other faults
+	only    bool    // there are no faults of other files
+	orders  *orders // around the steps; nil if there are none
 	pools   [][]int // the indices of the servers that come in and go out together
 	serves  int     // pool that serves
 	joining int     // pool of which servers have come in beside it; the same one if there is none
@@ -107,6 +108,9 @@
 		default:
 			c.pause(s.gap)
 		}
+		if c.orders != nil {
+			c.order(c.orders.draw())
+		}
 		c.play(s)
 	}
 }
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -28,19 +28,22 @@
 // invalidSignals are invalid header values, which must be ignored.
 var invalidSignals = []string{"NaN", "-1", "inf", "", "soon", "1, 2"}
 
-// signalLimit makes one or all model servers report a limit, for longer than the window that is
-// checked.
+// signalLimit makes one or all model servers report a limit.
 func (w *world) signalLimit(target int, lasts time.Duration) {
-	if !w.limiting.TryLock() {
-		return
-	}
-	defer w.limiting.Unlock()
 	servers := w.site.Models
 	if target%4 != 0 {
 		servers = servers[w.chosen(target):][:1]
 	}
-	end := w.limited.open()
-	defer end()
+	w.limit(servers, lasts)
+}
+
+// limit makes servers report a limit, for longer than the window that is checked.
+func (w *world) limit(servers []*modelserver.Server, lasts time.Duration) {
+	if !w.limiting.TryLock() {
+		return
+	}
+	defer w.limiting.Unlock()
+	defer w.limited.open()()
 	w.injectServersFault(servers, w.bounds.StableWindow+limitWindow+2*lasts, func(f *modelserver.Faults) { f.Limit = limitPerS })
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,7 @@
 //	go test ./soak -seed 7 -shape haba      in the shape of a deployment; see shapes_test.go
 //
 //	go test ./soak -seed 7 -releases only   the faults of releases_test.go alone
+//	go test ./soak -seed 7 -releases amid   with those of releaseorders_test.go
 //	go test ./soak -seed 7 -releases never  the same servers from start to end
 //
 // Releases of the model servers' software come in, go out and return while nodes are cut off or killed together; see
@@ -38,7 +39,7 @@
 	// serverCount is the number of model servers.
 	serverCount = flag.Int("servers", 0, "number of model servers; 0 means that of the shape")
 	keepLogs    = flag.Bool("logs", false, "save the nodes' logs of runs that pass, too")
-	releases    = flag.String("releases", changeBeside, "whether the releases of model servers change: beside other faults, only, or never")
+	releases    = flag.String("releases", changeBeside, "whether the releases of model servers change: beside other faults, only, amid orders of operators and limits, or never")
 	minutes     = flag.Float64("minutes", 0, "duration of each seed in minutes; 0 means some seconds")
 )
 
@@ -46,6 +47,7 @@
 const (
 	changeBeside = "beside"
 	changeOnly   = "only"
+	changeAmid   = "amid" // orders of operators and limits alone
 	changeNever  = "never"
 )
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -107,7 +107,10 @@
 	must.NoError(t, err)
 	w.putEntriesBeforeStart()
 	if change != changeNever {
-		w.changes = &releaseChanges{world: w, only: change == changeOnly, random: rand.New(rand.NewPCG(uint64(seed), 4))}
+		w.changes = &releaseChanges{world: w, only: change != changeBeside, random: rand.New(rand.NewPCG(uint64(seed), 4))}
+		if change == changeAmid {
+			w.changes.orders = newOrders(seed)
+		}
 		w.changes.pools = w.addPools()
 	}
 	w.initPools()
