Origin: lost records of releases count for the longest retention that was known

What callers would see: the configuration makes the time shorter for which streams can be resumed, then the store comes back older, without the record of a release that has left. After the shorter time the remaining release counts as the only one, and a stream that began at the other, and may be resumed for the longer time, goes on there (ORDER).

Cause: a record keeps the longest retention while it is there; when it is lost, only the present one counts.

Change: a node that sees the loss keeps the longest retention of the records that it had, and waits for the longest of that, those that are recorded and the present one. A node that starts later reads those of the records that remain, or the mark that the era is whole, which other nodes write after their own wait.

The test fails on the code before: the remaining release is taken for the only one after half of the longer time. It also checks that the release counts as the only one after the longer time. Left: a node that starts after the loss, when all others have ended and no record with the longer retention remains.

--- a/internal/origin/proof_test.go
+++ b/internal/origin/proof_test.go
@@ -159,6 +159,31 @@
 	})
 }
 
+// TestRestoredStoreIsNoProofWithinALongerRetention guards against a release whose record the store lost after the retention
+// had become shorter: streams that began before may be resumed for the longer one.
+func TestRestoredStoreIsNoProofWithinALongerRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const long = 10 * retention
+		s := newRecordingSystem(6, newPlatformTopic())
+		current := long
+		for i := range s.nodes {
+			keep := func() time.Duration { return current }
+			s.copies[i].config.Retention, s.gates[i].Retention, s.recorders[i].config.Retention = keep, keep, keep
+		}
+		s.set("v1")
+		s.set("v2")
+		s.run(t, settleTime)
+		s.unlist("v2")
+		current = retention
+		s.topic.restoreEmpty()
+		s.read()
+		s.run(t, long/2)
+		test.NotEq(t, "v1", s.soleAt(t, 1))
+		s.run(t, long)
+		test.Eq(t, "v1", s.soleAt(t, 1), test.Sprint("after the longer retention"))
+	})
+}
+
 // TestLongLogKeepsOwnRecords checks that reading a log of many streams, most of which can't be resumed any more, drops no
 // record of a stream that can.
 func TestLongLogKeepsOwnRecords(t *testing.T) {
--- a/internal/origin/releases.go
+++ b/internal/origin/releases.go
@@ -106,9 +106,11 @@
 	// confirmedAt is a time at which the copy was certainly current.
 	confirmedAt time.Time
 	// eraSeenAt is when this node saw that the store had come back from an older copy of its data; zero if it didn't.
-	// wholeEra is the era in which another node has recorded that the records are complete.
-	eraSeenAt time.Time
-	wholeEra  int64
+	// wholeEra is the era in which another node has recorded that the records are complete. lostRetention is the longest
+	// retention of the releases whose records may be lost, as far as this node knew them.
+	eraSeenAt     time.Time
+	wholeEra      int64
+	lostRetention time.Duration
 }
 
 // NewReleases returns an empty copy.
--- a/internal/origin/storeera.go
+++ b/internal/origin/storeera.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -25,9 +26,20 @@
 	}
 	if follow.EraOf(b.Next) > before {
 		r.eraSeenAt = r.config.Now()
+		r.lostRetention = r.longestRetention()
 	}
 }
 
+// longestRetention returns the longest time for which streams of a release may be resumed, of those that this node knew when
+// records were lost last and those that have a record. r.mu is held.
+func (r *Releases) longestRetention() time.Duration {
+	longest := max(r.config.Retention(), r.lostRetention)
+	for _, record := range r.stored {
+		longest = max(longest, record.retention(0))
+	}
+	return longest
+}
+
 // applyEra applies the record of the era in which the records are complete. r.mu is held.
 func (r *Releases) applyEra(record *follow.Record) error {
 	r.wholeEra = 0
@@ -51,7 +63,7 @@
 
 // lossIsOver reports whether this node has known for long enough that the store may have lost records. r.mu is held.
 func (r *Releases) lossIsOver() bool {
-	return r.config.Now().Sub(r.eraSeenAt) >= r.config.Retention()+removeDelay
+	return r.config.Now().Sub(r.eraSeenAt) >= r.longestRetention()+removeDelay
 }
 
 // lacksEraMark reports whether the store's era is to be recorded as one in which the records are complete.
