Gateway demo, tests: an order of a good release is repeated three times at most

The test gave an order anew without a limit while too few prompts had been answered. It gives it up to eight times its first time now, so that it ends.

--- a/internal/gatewaydemo/release_test.go
+++ b/internal/gatewaydemo/release_test.go
@@ -58,6 +58,8 @@
 	enoughPrompts = 400
 	// maxPrompts is the number of prompts within which each order must end.
 	maxPrompts = 20_000
+	// maxReleaseTime is the longest time that operators give an order.
+	maxReleaseTime = 8 * releaseTime
 )
 
 // endOrder sends prompts until the order of release v2 has ended, and returns its final state and the number of
@@ -92,6 +94,7 @@
 	state, prompts := endOrder(t, s, send)
 	for within := 2 * releaseTime; state != "succeeded"; within *= 2 {
 		must.Less(t, enoughPrompts, prompts, must.Sprint("rolled back although the release was proved good"))
+		must.LessEq(t, maxReleaseTime, within)
 		s.OrderRelease("v2", within)
 		state, prompts = endOrder(t, s, send)
 	}
