--- a/internal/origin/proof_test.go
+++ b/internal/origin/proof_test.go
@@ -138,23 +138,32 @@
 	})
 }
 
+// formerRetention is that of streams before the configuration made it shorter.
+const formerRetention = 10 * retention
+
+// newSystemOfShorterRetention returns a system of v1 in which the retention has just become shorter. The last endpoint of v2
+// has just left: a stream that began there may be resumed for formerRetention.
+func newSystemOfShorterRetention(t *testing.T) *recordingSystem {
+	s := newRecordingSystem(6, newPlatformTopic())
+	current := formerRetention
+	keep := func() time.Duration { return current }
+	for i := range s.nodes {
+		s.copies[i].config.Retention, s.gates[i].Retention, s.recorders[i].config.Retention = keep, keep, keep
+	}
+	s.set("v1")
+	s.set("v2")
+	s.run(t, settleTime)
+	s.unlist("v2")
+	current = retention
+	return s
+}
+
 // TestRecordsOutlastAShorterRetention checks that streams which began under a longer retention, as the configuration had
 // it, aren't resumed at another release once it is shorter.
 func TestRecordsOutlastAShorterRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const long = 10 * retention
-		s := newRecordingSystem(6, newPlatformTopic())
-		current := long
-		for i := range s.nodes {
-			keep := func() time.Duration { return current }
-			s.copies[i].config.Retention, s.gates[i].Retention, s.recorders[i].config.Retention = keep, keep, keep
-		}
-		s.set("v1")
-		s.set("v2")
-		s.run(t, settleTime)
-		s.unlist("v2") // a stream that began there may be resumed for the long time
-		current = retention
-		s.run(t, long/2)
+		s := newSystemOfShorterRetention(t)
+		s.run(t, formerRetention/2)
 		test.NotEq(t, "v1", s.soleAt(t, 1))
 	})
 }
@@ -163,23 +172,12 @@
 // had become shorter: streams that began before may be resumed for the longer one.
 func TestRestoredStoreIsNoProofWithinALongerRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const long = 10 * retention
-		s := newRecordingSystem(6, newPlatformTopic())
-		current := long
-		for i := range s.nodes {
-			keep := func() time.Duration { return current }
-			s.copies[i].config.Retention, s.gates[i].Retention, s.recorders[i].config.Retention = keep, keep, keep
-		}
-		s.set("v1")
-		s.set("v2")
-		s.run(t, settleTime)
-		s.unlist("v2")
-		current = retention
+		s := newSystemOfShorterRetention(t)
 		s.topic.restoreEmpty()
 		s.read()
-		s.run(t, long/2)
+		s.run(t, formerRetention/2)
 		test.NotEq(t, "v1", s.soleAt(t, 1))
-		s.run(t, long)
+		s.run(t, formerRetention)
 		test.Eq(t, "v1", s.soleAt(t, 1), test.Sprint("after the longer retention"))
 	})
 }
