Origin: a node that the store refuses asks the others in turn

Cause: a node that can't read the records asks three others, drawn at random each time. Where most others can't reach the store either, several draws in a row may meet only these, and no stream begins at the new release meanwhile.

Change: a node asks the others in turn, three at a time, beginning after its own name: all are asked within as few questions as can be, and no node is asked by all. The test is as it was.

--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -75,6 +75,7 @@
 	peers    []Peer    // sorted by name
 	homes    *homes
 	resends  []record // sent once, in the order in which they were
+	asked    int      // number of questions for releases
 }
 
 // New returns a service that receives messages once c.Conn runs.
--- a/internal/origin/told.go
+++ b/internal/origin/told.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -46,11 +46,7 @@
 // LearnReleases asks a few nodes which releases have a record by which streams may begin. It serves a node that can't
 // reach the platform's store, while others can.
 func (s *Service) LearnReleases(ctx context.Context) {
-	s.mu.Lock()
-	peers := slices.Clone(s.peers)
-	s.mu.Unlock()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, p := range peers[:min(len(peers), toldBy)] {
+	for _, p := range s.nextToAsk() {
 		var answer releasesResponse
 		sentAt := s.config.Now()
 		if err := s.call(ctx, p.Addr, releasesMethod, releasesRequest{}, &answer); err != nil || answer.AgeMS < 0 {
@@ -60,6 +56,19 @@
 	}
 }
 
+// nextToAsk returns the next toldBy of the other nodes in turn, as some of them may not reach the store either. Each node
+// begins after its own name, so that no node is asked by all.
+func (s *Service) nextToAsk() (next []Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own, _ := slices.BinarySearchFunc(s.peers, s.config.Self.Name, func(p Peer, name string) int { return strings.Compare(p.Name, name) })
+	for range min(len(s.peers), toldBy) {
+		next = append(next, s.peers[(own+s.asked)%len(s.peers)])
+		s.asked++
+	}
+	return next
+}
+
 // activeReleases returns the releases at which streams may begin by their records, the latest recorded ones first, and how
 // far the copy goes.
 func (r *Releases) activeReleases() (list []Origin, copied toldRelease) {
