Tests: simulated networks have no data races

Cause: both tests are at fault, not the product. One cuts off a node by a plain field, and draws from the network's random source without its lock, while a started node copies records; the other cuts off a node while it asks others for holds.

Change: that a node is cut off is atomic, or set under the network's lock; the first test draws from a source of its own. No check has changed.

Measured: both pass under the race detector, 45 s and 22 s with others of their package.

--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -24,10 +24,10 @@
 		}{
 			{"sound", 0, func(*network, *node) {}},
 			{"packets lost", lossRate, func(*network, *node) {}},
-			{"node killed", 0, func(_ *network, at *node) { at.silent = true }},
+			{"node killed", 0, func(_ *network, at *node) { at.silent.Store(true) }},
 			{"failure domain without power", 0, func(w *network, at *node) {
 				for _, n := range w.nodes {
-					n.silent = n.peer.Domain == at.peer.Domain
+					n.silent.Store(n.peer.Domain == at.peer.Domain)
 				}
 			}},
 			{"node replaced", 0, func(_ *network, at *node) {
@@ -48,7 +48,7 @@
 						name := at.peer.Name
 						c.fail(w, at)
 						asked := w.nodes[(i+1)%size]
-						for asked.silent || asked == at {
+						for asked.silent.Load() || asked == at {
 							asked = w.nodes[w.random.IntN(size)]
 						}
 						if at.peer.Name != name {
@@ -57,7 +57,7 @@
 						r := asked.Find(t.Context(), k, service)
 						slowest = max(slowest, r.Took)
 						for _, n := range w.nodes {
-							n.silent = false
+							n.silent.Store(false)
 						}
 						if r.Source == NotFound {
 							continue
@@ -90,7 +90,7 @@
 		}},
 		{"asking node cut off", func(w *network, at *node, k Key) Key {
 			for _, n := range w.nodes {
-				n.silent = n != at
+				n.silent.Store(n != at)
 				n.start()
 			}
 			return k
@@ -129,7 +129,7 @@
 		test.Eq(t, Result{}, w.nodes[1].Find(t.Context(), k, service))
 		w.listAll()
 		at.resend()
-		at.silent = true
+		at.silent.Store(true)
 		test.Eq(t, o, w.nodes[1].Find(t.Context(), k, service).Origin)
 		unknown := KeyOf("yard", "unknown")
 		test.False(t, w.nodes[1].Find(t.Context(), unknown, service).Settled)
@@ -146,7 +146,7 @@
 			n.older = true
 		}
 		_, k, o := w.begin(0)
-		w.nodes[0].silent = true
+		w.nodes[0].silent.Store(true)
 		test.Eq(t, o, w.nodes[1].Find(t.Context(), k, service).Origin)
 	})
 }
--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -39,12 +39,12 @@
 	s.set("v1")
 	s.run(t, retention+settleTime)
 	asked, began := s.nodes[1], s.nodes[2]
-	asked.silent = true
+	asked.silent.Store(true)
 	s.set("v2")
 	s.run(t, cut)
 	k := KeyOf("yard", "r")
 	began.Record(k, Origin{service, "v2"})
-	asked.silent = !healed
+	asked.silent.Store(!healed)
 	if !named {
 		k = Key{}
 	}
--- a/internal/origin/proof_test.go
+++ b/internal/origin/proof_test.go
@@ -103,7 +103,7 @@
 	s.set("v1")
 	s.set("v2")
 	s.run(t, settleTime)
-	s.nodes[2].silent = true
+	s.nodes[2].silent.Store(true)
 	s.unlist("v2")
 	return s
 }
--- a/internal/origin/recordingsystem_test.go
+++ b/internal/origin/recordingsystem_test.go
@@ -104,7 +104,7 @@
 	if t.node.refused {
 		return follow.Page{}, errStoreDown
 	}
-	if t.node.silent {
+	if t.node.silent.Load() {
 		<-ctx.Done()
 		return follow.Page{}, ctx.Err()
 	}
@@ -161,7 +161,7 @@
 		Topic: nodeTopic{s.topic, n}, Spacing: func() time.Duration { return time.Duration(len(s.nodes)) * time.Millisecond },
 		Retention: keep, Now: time.Now,
 	})
-	s.gates[i] = &Gate{Releases: releases, Observer: observer, Retention: keep, IsIsolated: func() bool { return n.silent }, Now: time.Now}
+	s.gates[i] = &Gate{Releases: releases, Observer: observer, Retention: keep, IsIsolated: func() bool { return n.silent.Load() }, Now: time.Now}
 	n.start()
 	n.Service.config.Releases, n.Service.config.Sole = releases, s.gates[i].Sole
 	n.Service.config.Streams.config.IsShared = s.gates[i].IsShared
@@ -181,7 +181,7 @@
 }
 
 func (s *recordingSystem) readAt(i int) {
-	if s.nodes[i].silent {
+	if s.nodes[i].silent.Load() {
 		return
 	}
 	now := time.Now()
@@ -210,7 +210,7 @@
 		time.Sleep(min(interval, time.Until(end)))
 		s.read()
 		for i, r := range s.recorders {
-			if !s.nodes[i].silent {
+			if !s.nodes[i].silent.Load() {
 				r.step(t.Context())
 			}
 		}
@@ -227,7 +227,7 @@
 func (s *recordingSystem) unlist(release string) {
 	delete(s.listed, release)
 	for i, o := range s.observers {
-		if !s.nodes[i].silent {
+		if !s.nodes[i].silent.Load() {
 			o.Remove("endpoint-"+release, time.Now())
 		}
 	}
--- a/internal/origin/rolling_test.go
+++ b/internal/origin/rolling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 // rolling begins and resumes streams at all nodes of a system while they restart in turn.
 type rolling struct {
 	*recordingSystem
+	draws                   *rand.Rand
 	down                    map[int]bool
 	begun                   []stream
 	tried, started          int // tries to begin a stream, and those that succeeded
@@ -27,7 +29,7 @@
 	}{{6, 12, time.Second}, {85, 85, 200 * time.Millisecond}, {985, 24, 100 * time.Millisecond}} {
 		t.Run(fmt.Sprint(c.size, " nodes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := &rolling{recordingSystem: newRecordingSystem(c.size, newPlatformTopic()), down: make(map[int]bool)}
+				r := &rolling{recordingSystem: newRecordingSystem(c.size, newPlatformTopic()), down: make(map[int]bool), draws: rand.New(rand.NewPCG(uint64(c.size), 2))}
 				r.loss = lossRate
 				r.set("v1")
 				r.set("v2")
@@ -49,11 +51,11 @@
 // restartInTurn ends a node, starts it again and has streams begin and go on meanwhile.
 func (r *rolling) restartInTurn(t *testing.T, i int, gap time.Duration) {
 	n := r.nodes[i]
-	n.silent = true
+	n.silent.Store(true)
 	r.down[i] = true
 	r.traffic(t, i)
 	time.Sleep(gap / 2)
-	n.silent = false
+	n.silent.Store(false)
 	delete(r.down, i)
 	r.restartNode(i)
 	n.copied.Store(false)
@@ -85,7 +87,7 @@
 		if len(r.begun) == 0 || r.down[at] {
 			continue
 		}
-		b := r.begun[r.random.IntN(len(r.begun))]
+		b := r.begun[r.draws.IntN(len(r.begun))]
 		if time.Since(b.at) > retention {
 			continue
 		}
--- a/internal/origin/simulated_test.go
+++ b/internal/origin/simulated_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherryward/cherryward/internal/datagram"
@@ -70,10 +71,10 @@
 	network  *network
 	handlers map[string]datagram.Handler
 	peer     Peer
-	silent   bool   // killed, or cut off from the others
-	refused  bool   // by the platform's store
-	older    bool   // of a build that doesn't know the messages
-	sole     string // the release that alone can have begun streams
+	silent   atomic.Bool // killed, or cut off from the others
+	refused  bool        // by the platform's store
+	older    bool        // of a build that doesn't know the messages
+	sole     string      // the release that alone can have begun streams
 	// listedBefore is true if the others listed the node before it started.
 	listedBefore bool
 }
@@ -158,7 +159,7 @@
 	b := to.Addr().As4()
 	other := w.nodes[int(b[2])<<8|int(b[3])]
 	handle := w.handler(other, method)
-	if n.silent || other.silent || other.older || lost || handle == nil || string(data) == "null" { // calls need parameters
+	if n.silent.Load() || other.silent.Load() || other.older || lost || handle == nil || string(data) == "null" { // calls need parameters
 		return nil, false
 	}
 	response, err = handle(data)
--- a/internal/quarantine/propagation_test.go
+++ b/internal/quarantine/propagation_test.go
@@ -37,7 +37,7 @@
 				nodes := nw.startAll(size)
 				f := print(fmt.Sprint("guilty-", seed))
 				disconnected, others := nodes[size-1], nodes[:size-1]
-				disconnected.disconnected = true
+				nw.set(&disconnected.disconnected, true)
 				for i := range 3 {
 					nodes[i].RecordEnd(Ending{Fingerprint: f, Endpoint: fmt.Sprint("e", i)})
 					if i == 1 {
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -210,7 +210,7 @@
 		nw := newNetwork(t, 1)
 		nodes := nw.startAll(4)
 		f := print("guilty")
-		nodes[0].disconnected = true
+		nw.set(&nodes[0].disconnected, true)
 		for i := range 3 {
 			nodes[1].RecordEnd(Ending{Fingerprint: f, Endpoint: fmt.Sprint("e", i)})
 		}
