Quarantine: one piece sends a report to nodes

Three places split a report into messages and sent each, and two compared the other nodes with those of the last send. notify and peersHaveChanged serve them now. Four tests of removals begin with the same five nodes that hold a request: startHolding. Behaviour and assertions are as they were.

--- a/internal/quarantine/removal_test.go
+++ b/internal/quarantine/removal_test.go
@@ -21,13 +21,20 @@
 	must.Eq(t, len(nodes), holdingNodes(nodes, f))
 }
 
+// startHolding starts five nodes that hold a request, with a record.
+func startHolding(t *testing.T) (nw *network, nodes []*node, f Fingerprint) {
+	t.Helper()
+	nw = newNetwork(t, 1)
+	nodes = nw.startAll(5)
+	f = print("guilty")
+	hold(t, nodes, f, "before")
+	return nw, nodes, f
+}
+
 func TestRemovalAfterAnOutageKeepsANewerHold(t *testing.T) {
 	for remover := range 5 {
 		synctest.Test(t, func(t *testing.T) {
-			nw := newNetwork(t, 1)
-			nodes := nw.startAll(5)
-			f := print("guilty")
-			hold(t, nodes, f, "before")
+			nw, nodes, f := startHolding(t)
 			nw.set(&nw.down, true)
 			must.True(t, nodes[remover].Clear(f))
 			time.Sleep(time.Second)
@@ -44,10 +51,7 @@
 // The node that removes the record can reach the store before those that hold the request anew.
 func TestRemovalBeforeTheNewerRecordKeepsTheHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		nw := newNetwork(t, 1)
-		nodes := nw.startAll(5)
-		f := print("guilty")
-		hold(t, nodes, f, "before")
+		nw, nodes, f := startHolding(t)
 		nw.set(&nw.down, true)
 		remover, others := nodes[4], nodes[:4]
 		must.True(t, remover.Clear(f))
@@ -68,10 +72,7 @@
 
 func TestRemovalExecutedLateKeepsANewerHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		nw := newNetwork(t, 1)
-		nodes := nw.startAll(5)
-		f := print("guilty")
-		hold(t, nodes, f, "before")
+		nw, nodes, f := startHolding(t)
 		nw.set(&nw.lateRemovals, true)
 		must.True(t, nodes[4].Clear(f))
 		time.Sleep(time.Second)
@@ -87,10 +88,7 @@
 // The node that removes the record has the one that was read before the outage of its paths.
 func TestRemovalOfAnExpiredHoldKeepsAProlongedOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		nw := newNetwork(t, 1)
-		nodes := nw.startAll(5)
-		f := print("guilty")
-		hold(t, nodes, f, "before")
+		nw, nodes, f := startHolding(t)
 		remover := nodes[0].coordinators(f, nodes[0].config.Peers())[0]
 		var others []*node
 		for _, n := range nodes {
--- a/internal/quarantine/retell.go
+++ b/internal/quarantine/retell.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,7 +12,7 @@
 // retellHolds tells other nodes the holds that have no record, since the node that knows of one may end before the store
 // takes it, and others may have missed the endings. Those that have joined are told at once.
 func (s *Service) retellHolds(peers map[string]netip.AddrPort) {
-	joined := s.lastPeers != nil && !maps.Equal(peers, s.lastPeers)
+	joined := s.peersHaveChanged(peers)
 	now, toldAt := s.config.Now(), make(map[Fingerprint]time.Time)
 	for _, h := range s.Holds() {
 		if h.Recorded || !now.Before(h.Until) {
@@ -52,7 +51,5 @@
 			addrs = append(addrs, peers[node])
 		}
 	}
-	for m := range r.messages() {
-		s.config.Conn.Notify(addrs, endingsMethod, m)
-	}
+	s.notify(addrs, &r)
 }
--- a/internal/quarantine/send.go
+++ b/internal/quarantine/send.go
@@ -12,7 +12,7 @@
 // endings if the peers have changed. It returns true if there was any report, as reports
 // are sent repeatedly.
 func (s *Service) sendReports(reports []outgoingReport, peers map[string]netip.AddrPort) (more bool) {
-	if s.lastPeers != nil && !maps.Equal(peers, s.lastPeers) {
+	if s.peersHaveChanged(peers) {
 		reports = append(reports, s.knownEndings()...)
 	}
 	s.lastPeers = peers
@@ -36,13 +36,23 @@
 		}
 	}
 	for node, r := range byNode {
-		for m := range r.messages() {
-			s.config.Conn.Notify([]netip.AddrPort{peers[node]}, endingsMethod, m)
-		}
+		s.notify([]netip.AddrPort{peers[node]}, r)
 	}
 	return len(reports) > 0
 }
 
+// peersHaveChanged reports whether the other nodes are not those at the last send. It returns false before the first.
+func (s *Service) peersHaveChanged(peers map[string]netip.AddrPort) bool {
+	return s.lastPeers != nil && !maps.Equal(peers, s.lastPeers)
+}
+
+// notify sends a report to nodes, in as many messages as it needs.
+func (s *Service) notify(nodes []netip.AddrPort, r *report) {
+	for m := range r.messages() {
+		s.config.Conn.Notify(nodes, endingsMethod, m)
+	}
+}
+
 // pendingReports returns the reports that are to be sent now.
 func (s *Service) pendingReports() []outgoingReport {
 	now := s.config.Now()
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -73,10 +73,7 @@
 
 // notifyAll sends a report to all other nodes.
 func (s *Service) notifyAll(r report) {
-	peers := slices.Collect(maps.Values(s.config.Peers()))
-	for m := range r.messages() {
-		s.config.Conn.Notify(peers, endingsMethod, m)
-	}
+	s.notify(slices.Collect(maps.Values(s.config.Peers())), &r)
 }
 
 func (s *Service) put(ctx context.Context, f Fingerprint, value []byte) error {
