Quarantine: a hold that was learned is logged from a copy

Cause: a node that learns of a hold puts it into its table and then logs its fields, while another goroutine may mark the hold as recorded.

Change: the table gets a copy of its own.

--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -140,7 +140,7 @@
 		Fingerprint: told.Fingerprint, Endpoints: told.Endpoints, Since: now, Until: now.Add(time.Duration(told.LeftMS) * time.Millisecond),
 		Recorded: told.Recorded, Part: told.Part,
 	}
-	if s.addHold(&h) {
+	if added := h; s.addHold(&added) { // which other goroutines may change from then on
 		s.config.Log.Warn().Str("event", "hold_learned").Stringer("fingerprint", h.Fingerprint).Time("until", h.Until).Bool("recorded", h.Recorded).Send()
 	}
 }
