--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -1,12 +1,16 @@
 package daemon
 
 import (
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 )
 
 // blockedWriter blocks until it is closed, as a pipe whose reader does not read.
@@ -72,3 +76,53 @@
 		must.NoError(t, w.Close())
 	})
 }
+
+// lastLine keeps the last line that was written.
+type lastLine struct{ line atomic.Value }
+
+// Write implements io.Writer.
+func (w *lastLine) Write(p []byte) (int, error) {
+	w.line.Store(string(p))
+	return len(p), nil
+}
+
+// TestLogOutlivesFlood guards against a log that stops once lines came faster than they were written.
+func TestLogOutlivesFlood(t *testing.T) {
+	const writers, lines = 16, 5000
+	out := &lastLine{}
+	w := newBufferedLines(keyValues(out))
+	log := zerolog.New(w)
+	var flood sync.WaitGroup
+	for range writers {
+		flood.Go(func() {
+			for range lines {
+				log.Info().Str("event", "request").Str("route", "/lookup/").Int("status", 200).Send()
+			}
+		})
+	}
+	flood.Wait()
+	log.Info().Str("event", "last").Send()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool {
+			line, _ := out.line.Load().(string)
+			return strings.Contains(line, "event=last")
+		}),
+		wait.Timeout(10*time.Second), wait.Gap(time.Millisecond),
+	))
+	must.NoError(t, w.Close())
+}
+
+// TestLongLinesAreBounded guards against lines of callers' texts that take a small host's memory while they are buffered.
+func TestLongLinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := make(blockedWriter)
+		w := newBufferedLines(out)
+		for range maxBufferedLines {
+			_, err := w.Write(make([]byte, 16<<10))
+			must.NoError(t, err)
+		}
+		must.LessEq(t, maxBufferedBytes, w.bytes)
+		close(out)
+		must.NoError(t, w.Close())
+	})
+}
