Gateway: callers' connections are bounded by the host

Callers saw ordinary requests wait for a minute, which is the time for which an idle connection is kept, while others kept connections open: after one good or refused request, or with answers that they don't read. A crowd with long ids or paths took more memory than the host has.

Cause: nothing bounded callers' connections. Each takes a descriptor, a goroutine and its buffers, and together they took the descriptors that the store, the other nodes and the endpoints need.

Ruled out: that tables keep long ids and paths. Origins and quarantine keep digests of a fixed size (read, not measured), and the memory of these crowds went with the number of their connections.

At the limit a new connection takes the place of the one that has been without a complete request for longest, idle, or with a head or body that isn't complete; a request that is being served stays, and if there are only such the new one is closed unread, which promises that nothing has run. The listeners for other nodes and for readiness are bounded alike. The pools of bodies use the same reservations.

Why it holds: a connection counts from before it is accepted until its goroutine ends, and an ordinary caller needs only some milliseconds without a complete request, while the crowd's longest-waiting connections go first.

--- a/.ci/checks.bash
+++ b/.ci/checks.bash
@@ -123,6 +123,14 @@
   cat "$work/failed"
 }
 
+# check_crowds runs the tests in which crowds of callers misbehave, one at a time and apart from other load, as they check
+# the memory and the descriptors of a process.
+check_crowds() {
+  go vet -tags crowd ./cmd/cherryward
+  staticcheck -tags crowd ./cmd/cherryward
+  check_tests -tags crowd -p 1 -parallel 1 -run '^Test.*Crowd' ./cmd/cherryward
+}
+
 # race_crashes are the tests in which the race detector itself crashes on arm64, in some runs. There they run
 # without it alone, in check_tests.
 readonly race_crashes='^TestEnginesSlowToReportAreClosedOnceAndLoaded$'
--- /dev/null
+++ b/internal/callerconn/guard.go
@@ -0,0 +1,164 @@
+package callerconn
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherryward/cherryward/internal/loglimit"
+)
+
+// Limits are the bounds of a Guard.
+type Limits struct {
+	Connections int // open at the same time; as many more may wait to be accepted
+}
+
+// Guard bounds the connections of a listener. It is safe for concurrent use.
+type Guard struct {
+	limits Limits
+	log    zerolog.Logger
+
+	mu      sync.Mutex
+	ended   sync.Cond // signaled when open or closed changes
+	open    int       // connections that take resources, also those that were told to end and have not yet
+	ending  int       // connections that were told to end and have not yet
+	closed  bool      // the listener was closed
+	waiting list.List // of *Conn without a complete request, the one that has been for longest first
+	serving list.List // of *Conn whose request is being served
+
+	yielded atomic.Int64 // connections closed for a new one
+	denied  atomic.Int64 // new connections closed as requests are served on all
+}
+
+// element is a connection's place in one of the guard's lists; zero once it was removed.
+type element struct {
+	at     *list.Element
+	within *list.List
+}
+
+// New returns a Guard.
+func New(limits Limits, log zerolog.Logger) *Guard {
+	g := &Guard{limits: limits, log: loglimit.Bound(log)}
+	g.ended.L = &g.mu
+	return g
+}
+
+// Attach makes a server follow the guard: call it before the server serves the guard's listener.
+func (g *Guard) Attach(s *http.Server) {
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c, ok := conn.(*Conn); ok {
+			c.setState(state)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Open returns the number of open connections.
+func (g *Guard) Open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
+// Counts are numbers of decisions since the start.
+type Counts struct {
+	Yielded int64 // connections that were closed for a new one
+	Denied  int64 // new connections that were closed at once
+}
+
+// Counts returns the numbers of decisions since the start.
+func (g *Guard) Counts() Counts {
+	return Counts{g.yielded.Load(), g.denied.Load()}
+}
+
+// admit returns the connection for a new one of the listener, or nil if it has to be closed. At the limit it waits until
+// a connection has ended, which those that give way do at once.
+func (g *Guard) admit(raw net.Conn) *Conn {
+	c := &Conn{Conn: raw, guard: g}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.open >= g.limits.Connections && !g.closed {
+		if g.ending == 0 && !g.yield() {
+			g.denied.Add(1)
+			g.log.Warn().Str("event", "connection_denied").Str("caller", raw.RemoteAddr().String()).Int("limit", g.limits.Connections).Send()
+			return nil
+		}
+		g.ended.Wait()
+	}
+	if g.closed {
+		return nil
+	}
+	g.open++
+	c.place = element{g.waiting.PushBack(c), &g.waiting}
+	return c
+}
+
+// yield tells a connection to end, and reports whether there is one that may. The mutex must be held.
+func (g *Guard) yield() bool {
+	victim := g.victim()
+	if victim == nil {
+		return false
+	}
+	victim.leave()
+	victim.yielded = true
+	g.ending++
+	g.yielded.Add(1)
+	g.log.Warn().Str("event", "connection_yields").Str("caller", victim.RemoteAddr().String()).Int("limit", g.limits.Connections).Send()
+	victim.abort()
+	return true
+}
+
+// victim returns the connection that gives way to a new one, if any.
+func (g *Guard) victim() *Conn {
+	if first := g.waiting.Front(); first != nil {
+		return first.Value.(*Conn)
+	}
+	return nil
+}
+
+// await puts a connection last among those without a complete request.
+func (g *Guard) await(c *Conn) { g.move(c, &g.waiting) }
+
+// serve puts a connection among those whose request is being served.
+func (g *Guard) serve(c *Conn) { g.move(c, &g.serving) }
+
+// remove forgets a connection whose goroutine ends.
+func (g *Guard) remove(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.leave()
+	c.ended = true
+	g.open--
+	if c.yielded {
+		g.ending--
+	}
+	g.ended.Broadcast()
+}
+
+// close has no more connections admitted.
+func (g *Guard) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.ended.Broadcast()
+}
+
+// move puts a connection last in one of the lists, unless it was told to end.
+func (g *Guard) move(c *Conn, to *list.List) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.leave()
+	if !c.yielded && !c.ended {
+		c.place = element{to.PushBack(c), to}
+	}
+}
--- a/internal/forward/buffers.go
+++ b/internal/forward/buffers.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
+
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
 const (
@@ -22,24 +23,23 @@
 // Buffers bounds the memory that the bodies of requests and answers take in buffers, over all requests of a node. A
 // nil *Buffers bounds each answer alone. It is safe for concurrent use.
 type Buffers struct {
-	limit, answersLimit int64 // bytes
-	used, answers       atomic.Int64
+	all, answers *hostplan.Pool
 }
 
 // NewBuffers returns a Buffers for at most limit bytes.
 func NewBuffers(limit int64) *Buffers {
-	return &Buffers{limit: limit, answersLimit: int64(answersPart * float64(limit))}
+	return &Buffers{all: hostplan.NewPool(limit), answers: hostplan.NewPool(int64(answersPart * float64(limit)))}
 }
 
 // Used returns the number of bytes reserved now.
-func (b *Buffers) Used() int64 { return b.used.Load() }
+func (b *Buffers) Used() int64 { return b.all.Used() }
 
 // reserve reserves n bytes for a request. It fails if there is no room for them.
-func (b *Buffers) reserve(n int64) bool { return b == nil || addWithin(&b.used, n, b.limit) }
+func (b *Buffers) reserve(n int64) bool { return b == nil || b.all.Reserve(n) }
 
 func (b *Buffers) release(n int64) {
 	if b != nil {
-		b.used.Add(-n)
+		b.all.Release(n)
 	}
 }
 
@@ -51,10 +51,10 @@
 		return false
 	case b == nil:
 		return true
-	case held+n > b.answersLimit/answerShares, !addWithin(&b.answers, n, b.answersLimit):
+	case held+n > b.answers.Limit()/answerShares, !b.answers.Reserve(n):
 		return false
 	case !b.reserve(n):
-		b.answers.Add(-n)
+		b.answers.Release(n)
 		return false
 	}
 	return true
@@ -62,24 +62,11 @@
 
 func (b *Buffers) releaseAnswer(n int64) {
 	if b != nil {
-		b.answers.Add(-n)
+		b.answers.Release(n)
 		b.release(n)
 	}
 }
 
-// addWithin adds n to sum unless it would exceed limit. The sum exceeds the limit at no time.
-func addWithin(sum *atomic.Int64, n, limit int64) bool {
-	for {
-		before := sum.Load()
-		if before+n > limit {
-			return false
-		}
-		if sum.CompareAndSwap(before, before+n) {
-			return true
-		}
-	}
-}
-
 // bufferedBody is the beginning of an answer's body. It must be released.
 type bufferedBody struct {
 	buffers  *Buffers
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/cherryward/cherryward/internal/bootstrap"
 	"github.com/cherryward/cherryward/internal/brittle"
+	"github.com/cherryward/cherryward/internal/callerconn"
 	"github.com/cherryward/cherryward/internal/canary"
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/datagram"
@@ -21,6 +22,7 @@
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
 	"github.com/cherryward/cherryward/internal/handoff"
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/kernel"
 	"github.com/cherryward/cherryward/internal/kvindex"
 	"github.com/cherryward/cherryward/internal/origin"
@@ -115,7 +117,9 @@
 
 // NewOn is New for a node that runs on the given host.
 func NewOn(host Host, boot *bootstrap.Node, source BootSource, log zerolog.Logger) (*Node, error) {
-	limitMemory(boot.MemoryBytes)
+	plan := hostplan.New(boot.MemoryBytes, boot.MaxFiles)
+	limitMemory(plan)
+	logPlan(log, plan)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.StopGracePeriod - stopMargin),
 		fleet:  fleet.New(log),
@@ -125,7 +129,7 @@
 
 		started: host.Clock.Now(),
 	}
-	n.buffers = forward.NewBuffers(bufferBytes(boot.MemoryBytes))
+	n.buffers = forward.NewBuffers(plan.BodyBytes)
 	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
 	n.fleet.Connect = n.network.Connect
@@ -139,7 +143,7 @@
 	n.state.onConfig = n.registry.reevaluate
 	n.state.onRestored = func() { go n.orders.ReadClaims() }
 	n.state.evacuations.onEnd = n.registry.markDomainCold
-	if err := n.listen(); err != nil {
+	if err := n.listen(plan); err != nil {
 		return nil, err
 	}
 	store := platform.NewStore(boot.StoreAddr, n.log)
@@ -152,23 +156,28 @@
 }
 
 // listen opens the listeners for callers, for the requests of other nodes, and for the balancer.
-func (n *Node) listen() (err error) {
+func (n *Node) listen(plan hostplan.Plan) (err error) {
 	boot := n.boot.Load()
-	if n.callers, err = listen("callers", boot.CallersAddr, &n.shuttingDown, n.log); err != nil {
+	if n.callers, err = listen("callers", boot.CallersAddr, n.guard(plan.Connections), &n.shuttingDown, n.log); err != nil {
 		return err
 	}
-	if n.helperServer, err = listen("helper", peerAddr(boot), &n.shuttingDown, n.log); err != nil {
+	if n.helperServer, err = listen("helper", peerAddr(boot), n.guard(plan.PeerConnections), &n.shuttingDown, n.log); err != nil {
 		return err
 	}
-	n.readyServer, err = listen("ready", boot.ReadyAddr, &n.shuttingDown, n.log)
+	n.readyServer, err = listen("ready", boot.ReadyAddr, n.guard(plan.ReadyConnections), &n.shuttingDown, n.log)
 	return err
 }
 
+// guard returns what bounds a listener with the given number of connections.
+func (n *Node) guard(connections int) *callerconn.Guard {
+	return callerconn.New(callerconn.Limits{Connections: connections}, n.log)
+}
+
 // serveCallers sets what is served at the listeners.
 func (n *Node) serveCallers() {
 	handler := n.handler()
-	n.callers.http.Handler = closeWhenShuttingDown(&n.shuttingDown, handler)
-	n.helperServer.http.Handler = closeWhenShuttingDown(&n.shuttingDown, http.HandlerFunc(handler.ServePassed))
+	n.callers.handle(handler)
+	n.helperServer.handle(http.HandlerFunc(handler.ServePassed))
 	n.callers.shutdownDelay = callersShutdownDelay
 	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -7,15 +7,13 @@
 	"runtime/metrics"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
 const (
-	// memoryShare is the fraction of the host's memory above which the garbage collector works
-	// harder. Stacks, kernel buffers and the program itself need the rest.
-	memoryShare = 0.6
-	// bufferShare is the fraction of the host's memory for buffered bodies of requests and answers.
-	bufferShare = 3.0 / 16
 	// unsizedBytesPerCore is the rate of long answers that state no length, in bytes per second of a core: it takes
 	// less than a tenth of it.
 	unsizedBytesPerCore = 16 << 20
@@ -33,15 +31,18 @@
 	liveHeapMetric = "/gc/heap/live:bytes"
 )
 
-// limitMemory sets the memory limit and the garbage collection rate of the process for a host with
-// the given amount of memory.
-func limitMemory(hostBytes int64) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(hostBytes)))
+// limitMemory sets the memory limit and the garbage collection rate of the process.
+func limitMemory(plan hostplan.Plan) {
+	debug.SetMemoryLimit(plan.HeapBytes)
 	debug.SetGCPercent(maxGCPercent)
 }
 
-// bufferBytes returns the memory for buffered bodies of a host with the given amount of memory.
-func bufferBytes(hostBytes int64) int64 { return int64(bufferShare * float64(hostBytes)) }
+// logPlan logs the bounds on what callers make the node hold.
+func logPlan(log zerolog.Logger, plan hostplan.Plan) {
+	log.Info().Str("event", "bounds").Int64("memory", plan.MemoryBytes).Int64("heap", plan.HeapBytes).
+		Int("connections", plan.Connections).Int("peer_connections", plan.PeerConnections).
+		Int64("heads", plan.HeadBytes).Int64("bodies", plan.BodyBytes).Int64("windows", plan.WindowBytes).Send()
+}
 
 // unsizedRate returns the rate, in bytes per second, at which a host with the given processor capacity hands on long
 // answers that state no length. An unspecified capacity counts as one core.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherryward/cherryward/coord/retry"
+	"github.com/cherryward/cherryward/internal/callerconn"
 	"github.com/cherryward/cherryward/internal/kernel"
 )
 
@@ -34,6 +35,7 @@
 	name     string
 	needs    []string
 	listener net.Listener
+	guard    *callerconn.Guard
 	http     *http.Server
 	// shuttingDown is set when the node starts to shut down.
 	shuttingDown *atomic.Bool
@@ -48,16 +50,17 @@
 	_ kernel.Stopper = (*server)(nil)
 )
 
-// listen opens a listener at addr and returns a server for it, whose handler is to be set. It fails if the
-// address cannot be bound.
-func listen(name, addr string, shuttingDown *atomic.Bool, log zerolog.Logger) (*server, error) {
-	listener, err := net.Listen("tcp", addr)
+// listen opens a listener at addr and returns a server for it, whose handler is to be set. The guard bounds its
+// connections. It fails if the address cannot be bound.
+func listen(name, addr string, guard *callerconn.Guard, shuttingDown *atomic.Bool, log zerolog.Logger) (*server, error) {
+	listener, err := guard.Listen(addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s", name)
 	}
-	return &server{
+	s := &server{
 		name:         name,
 		listener:     listener,
+		guard:        guard,
 		shuttingDown: shuttingDown,
 		log:          log,
 		http: &http.Server{
@@ -65,7 +68,14 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
-	}, nil
+	}
+	guard.Attach(s.http)
+	return s, nil
+}
+
+// handle has requests served by next.
+func (s *server) handle(next http.Handler) {
+	s.http.Handler = closeWhenShuttingDown(s.shuttingDown, s.guard.Handler(next))
 }
 
 // addr returns the address that the server listens at, IP:PORT.
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -107,6 +107,9 @@
 		panic(http.ErrAbortHandler)
 	case faults.Endless != NotEndless:
 		s.serveEndless(w, &faults, id)
+	case faults.LongOnSuffix != "" && strings.HasSuffix(r.URL.Path, faults.LongOnSuffix):
+		w.Header().Set("Content-Length", strconv.Itoa(LongBytes))
+		_, _ = w.Write(make([]byte, LongBytes)) // fails only if the client has disconnected
 	case faults.Hang:
 		<-r.Context().Done()
 		s.recordAbandoned()
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -54,8 +54,13 @@
 	// CrashOnPart is the id of a part. A request whose prompt has it, not as the last part, crashes the server
 	// when it begins to respond; empty disables this.
 	CrashOnPart string
+	// LongOnSuffix is a path suffix. A request whose path has it gets a plain response of LongBytes; empty disables this.
+	LongOnSuffix string
 }
 
+// LongBytes is the length of the response to a request with the suffix Faults.LongOnSuffix.
+const LongBytes = 1 << 20
+
 // Config configures a server.
 type Config struct {
 	ID            string
