Gateway: heads of requests are bounded before they are parsed

Callers with heads over the limit, or without end, ended a process: it ran out of memory. So did heads inside the limit, and prompts of many parts, together.

Cause: the configured limit was compared after a head had been parsed. Before that only net/http's 64 KB bounded its bytes, and nothing what the parser makes of them: a head of 63 KB in lines like "1a:" takes about 1 MB (an entry of a map, a slice and two strings a line), one of 16 KB some 250 KB, and the parts of a prompt as much again. Nothing bounded how many were held at the same time.

Change: a connection counts the bytes and lines of a head as the HTTP server reads them, before it parses them. Over the limit in force (the configuration's, at any moment) it gets 431 and is closed. What a head takes beyond an ordinary one, 2 bytes for each byte and 256 for each line, is reserved from one pool of a sixteenth of the host's memory as the head arrives, and once it is parsed by what was parsed, with the entries of lists in its fields; it is given back after the answer. Without room it gets 503, which is true: nothing has run. Heads of ordinary size (8 KB by that measure) need nothing of the pool, so that a crowd can't take it from them. Bytes that were read with the request before count, too. The count is never used to find where a head ends: only the HTTP server reads requests.

Why it holds: what is parsed of heads at any time is at most the pool and 8 KB a connection.

--- a/internal/callerconn/bench_test.go
+++ b/internal/callerconn/bench_test.go
@@ -26,7 +26,7 @@
 		}
 	}
 	b.Run("guarded", func(b *testing.B) {
-		run(b, startServer(b, defaultLimits(), answerOK).addr)
+		run(b, startServer(b, defaultLimits(), ample, answerOK).addr)
 	})
 	b.Run("plain", func(b *testing.B) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,35 +1,161 @@
 package callerconn
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
+const (
+	// readBufferBytes is the size of the HTTP server's read buffer. What it holds may belong to the request after the
+	// one that is served.
+	readBufferBytes = 4 << 10
+	// headSlack is what a head may take beyond the limit before it is refused unread: what the limit doesn't count,
+	// and the start of the body, which is read with the end of the head.
+	headSlack = 1<<10 + readBufferBytes
+	// freeHeadBytes is what a head of ordinary size takes. It is a part of what each connection has.
+	freeHeadBytes = 8 << 10
+	// A head takes bytesFactor times its size, and fieldBytes for each field, or each entry of a list in a field.
+	bytesFactor = 2
+	fieldBytes  = 256
+)
+
+// Phases of a connection.
+const (
+	phaseIdle    = iota // no byte of the next request was read
+	phaseHead           // a head is being read
+	phaseRequest        // a request is read further, served and answered
+)
+
+// errRefused ends a connection whose head was refused. The HTTP server answers nothing to it.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request header was refused")}
+
 // Conn is a caller's connection. Its methods are called by the HTTP server as those of any connection.
 type Conn struct {
 	net.Conn
 	guard *Guard
 
-	// waitsIdle is true while no byte of the next request was read. It belongs to the goroutine that serves the
-	// connection.
-	waitsIdle bool
-
+	// The fields down to reserved belong to the goroutine that serves the connection.
+	phase     int
+	deadlines int // set since the connection became idle
+	last      chunk
+	head      chunk
+	reserved  int64 // of the guard's pool of heads
 	// The guard's mutex protects these.
 	place          element
 	yielded, ended bool // the connection was told to end for another one; its goroutine ends
 }
 
-// Read implements net.Conn.
+// chunk is a size of a text.
+type chunk struct{ bytes, lines int }
+
+func (c chunk) plus(other chunk) chunk { return chunk{c.bytes + other.bytes, c.lines + other.lines} }
+
+// cost returns the memory that a parsed head of this size takes beyond that of an ordinary one.
+func (c chunk) cost() int64 {
+	return max(int64(bytesFactor*c.bytes+fieldBytes*c.lines)-freeHeadBytes, 0)
+}
+
+// Read implements net.Conn. It bounds what is read of a head, before the HTTP server parses it.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.phase == phaseHead {
+		// The head may have begun with bytes that were read with the request before.
+		if why := c.grow(chunk{}); why != refuseNothing {
+			return 0, c.refuse(why)
+		}
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.waitsIdle {
-		c.waitsIdle = false
-		c.guard.await(c)
+	if c.phase == phaseRequest {
+		c.noteBodyRead(p[:n])
+		return n, err
+	}
+	if n == 0 {
+		return n, err
+	}
+	if c.phase == phaseIdle {
+		c.beginHead(chunk{})
+	}
+	c.last = chunkOf(p[:n])
+	if why := c.grow(c.last); why != refuseNothing {
+		return 0, c.refuse(why)
 	}
 	return n, err
 }
 
+// noteBodyRead records what was read of a body, as the next head may begin in it. One byte alone is read while the
+// request is served. What is longer than the HTTP server's buffer goes past it.
+func (c *Conn) noteBodyRead(read []byte) {
+	if n := len(read); n > 1 && n <= readBufferBytes {
+		c.last = chunkOf(read)
+	}
+}
+
+func chunkOf(text []byte) chunk { return chunk{len(text), bytes.Count(text, newline)} }
+
+var newline = []byte("\n")
+
+// beginHead begins a head of which the HTTP server has read some before.
+func (c *Conn) beginHead(read chunk) {
+	c.phase, c.head = phaseHead, read
+	c.guard.await(c)
+}
+
+// grow adds what was read to the head.
+func (c *Conn) grow(read chunk) refusal {
+	c.head = c.head.plus(read)
+	if c.head.bytes > c.guard.headLimit()+headSlack {
+		return refuseTooLarge
+	}
+	if !c.reserve(c.head.cost()) {
+		return refuseNoRoom
+	}
+	return refuseNothing
+}
+
+// reserve changes what is reserved for the head to n bytes. It reports whether there is room.
+func (c *Conn) reserve(n int64) bool {
+	if n > c.reserved && !c.guard.pools.Heads.Reserve(n-c.reserved) {
+		return false
+	}
+	if n < c.reserved {
+		c.guard.pools.Heads.Release(c.reserved - n)
+	}
+	c.reserved = n
+	return true
+}
+
+// refuse answers a head that is not read to its end, and waits until the caller has got the answer or lingerTime is
+// over: to close a connection with unread bytes at once would take the answer away from the caller. It returns the error
+// of the read.
+func (c *Conn) refuse(why refusal) error {
+	c.guard.countRefusal(why, c)
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime)) // fails on a closed connection only
+	if _, err := c.Conn.Write(c.guard.refusals[why]); err != nil {
+		return errRefused
+	}
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // ends with the connection, or with the deadline
+	}
+	return errRefused
+}
+
+// SetReadDeadline implements net.Conn. The HTTP server sets two while a connection is idle: one for the first bytes of
+// the next request, and one for its head once these have come. If they came without a read, they had been read before.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.phase == phaseIdle {
+		if c.deadlines++; c.deadlines == headDeadline {
+			c.beginHead(c.last)
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// headDeadline is the number of the deadline, after a connection has become idle, that is for the next head.
+const headDeadline = 2
+
 // CloseWrite closes the direction to the caller, so that the HTTP server can wait until its answer has arrived.
 func (c *Conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
@@ -55,10 +181,14 @@
 // setState follows the state that the HTTP server gives the connection.
 func (c *Conn) setState(state http.ConnState) {
 	switch state {
+	case http.StateActive:
+		c.phase = phaseRequest
 	case http.StateIdle:
-		c.waitsIdle = true
+		c.reserve(0)
+		c.phase, c.deadlines = phaseIdle, 0
 		c.guard.await(c)
 	case http.StateClosed:
+		c.reserve(0)
 		c.guard.remove(c)
 	}
 }
--- a/internal/callerconn/connections_test.go
+++ b/internal/callerconn/connections_test.go
@@ -30,7 +30,7 @@
 		"slow chunks": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := startServer(t, fewConnections(), func(_ http.ResponseWriter, r *http.Request) {
+			s := startServer(t, fewConnections(), ample, func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body) // fails if the connection yields
 			})
 			for range 5 * few {
@@ -44,7 +44,7 @@
 
 // TestLongestWaitingYields guards against a new connection that takes the place of one that has just begun.
 func TestLongestWaitingYields(t *testing.T) {
-	s := startServer(t, fewConnections(), answerOK)
+	s := startServer(t, fewConnections(), ample, answerOK)
 	var callers []*caller
 	for range few {
 		c := s.dial().send(ordinary)
@@ -61,7 +61,7 @@
 // TestServedRequestsStay guards against new connections that break off requests that are being served.
 func TestServedRequestsStay(t *testing.T) {
 	begun, release := make(chan struct{}), make(chan struct{})
-	s := startServer(t, fewConnections(), func(http.ResponseWriter, *http.Request) {
+	s := startServer(t, fewConnections(), ample, func(http.ResponseWriter, *http.Request) {
 		begun <- struct{}{}
 		<-release
 	})
@@ -83,7 +83,7 @@
 // TestBodyInSmallChunks guards against bounds that break off a body that comes byte by byte.
 func TestBodyInSmallChunks(t *testing.T) {
 	const size = 5000
-	s := startServer(t, defaultLimits(), func(w http.ResponseWriter, r *http.Request) {
+	s := startServer(t, defaultLimits(), ample, func(w http.ResponseWriter, r *http.Request) {
 		n, err := io.Copy(io.Discard, r.Body)
 		must.NoError(t, err)
 		must.Eq(t, size, n)
@@ -94,7 +94,7 @@
 
 // TestConnectionsAreForgotten guards against connections that count after their end.
 func TestConnectionsAreForgotten(t *testing.T) {
-	s := startServer(t, fewConnections(), answerOK)
+	s := startServer(t, fewConnections(), ample, answerOK)
 	for range 10 * few {
 		c := s.dial().send(ordinary)
 		must.Eq(t, http.StatusOK, c.status())
--- a/internal/callerconn/doc.go
+++ b/internal/callerconn/doc.go
@@ -4,5 +4,8 @@
 //
 //   - At most Limits.Connections connections are open. A new one takes the place of the one that has been without a
 //     complete request for longest. It is closed only if requests are served on all others.
+//   - A head is bounded before the HTTP server parses it. What heads take beyond the size of ordinary ones comes from one
+//     pool, reserved as they arrive. A head over the limit is refused with 431, one without room with 503; neither
+//     has run. A head of ordinary size needs nothing of the pool.
 //   - No request that is being served is broken off.
 package callerconn
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -7,21 +7,54 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/loglimit"
 )
 
+const (
+	// lingerTime and maxLingerBytes bound the reading of what a caller still sends whose head was refused.
+	lingerTime     = 500 * time.Millisecond
+	maxLingerBytes = 256 << 10
+)
+
 // Limits are the bounds of a Guard.
 type Limits struct {
 	Connections int // open at the same time; as many more may wait to be accepted
+	// HeadBytes returns the number of bytes that a request's head may have now.
+	HeadBytes func() int
+}
+
+// refusal is a reason to answer a head that was not read to its end.
+type refusal int
+
+const (
+	refuseNothing refusal = iota
+	refuseTooLarge
+	refuseNoRoom
+	refusalCount
+)
+
+// Refusals are complete responses, from the status line to the body, that announce the end of the connection.
+type Refusals struct {
+	TooLarge []byte // the head exceeds the limit
+	NoRoom   []byte // the node has no memory for the head now; the request has not run
+}
+
+// Pools hold memory that guards may share.
+type Pools struct {
+	Heads *hostplan.Pool // for what heads take beyond the size of ordinary ones
 }
 
 // Guard bounds the connections of a listener. It is safe for concurrent use.
 type Guard struct {
-	limits Limits
-	log    zerolog.Logger
+	limits   Limits
+	pools    Pools
+	refusals [refusalCount][]byte
+	log      zerolog.Logger
 
 	mu      sync.Mutex
 	ended   sync.Cond // signaled when open or closed changes
@@ -31,6 +64,7 @@
 	waiting list.List // of *Conn without a complete request, the one that has been for longest first
 	serving list.List // of *Conn whose request is being served
 
+	refused [refusalCount]atomic.Int64
 	yielded atomic.Int64 // connections closed for a new one
 	denied  atomic.Int64 // new connections closed as requests are served on all
 }
@@ -42,9 +76,10 @@
 }
 
 // New returns a Guard.
-func New(limits Limits, log zerolog.Logger) *Guard {
-	g := &Guard{limits: limits, log: loglimit.Bound(log)}
+func New(limits Limits, pools Pools, refusals Refusals, log zerolog.Logger) *Guard {
+	g := &Guard{limits: limits, pools: pools, log: loglimit.Bound(log)}
 	g.ended.L = &g.mu
+	g.refusals = [refusalCount][]byte{refuseTooLarge: refusals.TooLarge, refuseNoRoom: refusals.NoRoom}
 	return g
 }
 
@@ -63,6 +98,8 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+func (g *Guard) headLimit() int { return g.limits.HeadBytes() }
+
 // Open returns the number of open connections.
 func (g *Guard) Open() int {
 	g.mu.Lock()
@@ -72,13 +109,14 @@
 
 // Counts are numbers of decisions since the start.
 type Counts struct {
-	Yielded int64 // connections that were closed for a new one
-	Denied  int64 // new connections that were closed at once
+	TooLarge, NoRoom int64 // refused heads
+	Yielded          int64 // connections that were closed for a new one
+	Denied           int64 // new connections that were closed at once
 }
 
 // Counts returns the numbers of decisions since the start.
 func (g *Guard) Counts() Counts {
-	return Counts{g.yielded.Load(), g.denied.Load()}
+	return Counts{g.refused[refuseTooLarge].Load(), g.refused[refuseNoRoom].Load(), g.yielded.Load(), g.denied.Load()}
 }
 
 // admit returns the connection for a new one of the listener, or nil if it has to be closed. At the limit it waits until
@@ -162,3 +200,14 @@
 		c.place = element{to.PushBack(c), to}
 	}
 }
+
+// countRefusal counts and logs a refused head.
+func (g *Guard) countRefusal(why refusal, c *Conn) {
+	g.refused[why].Add(1)
+	event := "head_too_large"
+	if why == refuseNoRoom {
+		event = "head_without_room"
+	}
+	g.log.Warn().Str("event", event).Str("caller", c.RemoteAddr().String()).
+		Int("bytes", c.head.bytes).Int("lines", c.head.lines).Int("limit", g.headLimit()).Int64("pool_used", g.pools.Heads.Used()).Send()
+}
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -3,23 +3,48 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 )
 
-// Handler returns a handler that passes requests to next. The server must be attached to the guard.
-func (g *Guard) Handler(next http.Handler) http.Handler {
+// Handler returns a handler that passes requests to next once there is memory for their heads, and otherwise to
+// refuse, which must answer that the request has not run. The server must be attached to the guard.
+func (g *Guard) Handler(next, refuse http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*Conn)
-		switch {
-		case !ok:
-		case r.Body == nil || r.Body == http.NoBody:
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if !c.reserve(sizeOf(r).cost()) {
+			c.head = sizeOf(r)
+			g.countRefusal(refuseNoRoom, c)
+			w.Header().Set("Connection", "close")
+			refuse.ServeHTTP(w, r)
+			return
+		}
+		if r.Body == nil || r.Body == http.NoBody {
 			g.serve(c)
-		default:
+		} else {
 			r.Body = &body{r.Body, c}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// sizeOf returns the size of a parsed head. Entries of a list in a field count as fields: they are decoded one by one.
+func sizeOf(r *http.Request) chunk {
+	size := chunk{bytes: len(r.RequestURI), lines: strings.Count(r.RequestURI, listSeparator)}
+	for name, values := range r.Header {
+		for _, value := range values {
+			size.bytes += len(name) + len(value)
+			size.lines += 1 + strings.Count(value, listSeparator)
+		}
+	}
+	return size
+}
+
+const listSeparator = ","
+
 // body is the body of a request. Its connection is one without a complete request until it was read to its end.
 type body struct {
 	io.ReadCloser
--- a/internal/callerconn/helpers_test.go
+++ b/internal/callerconn/helpers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,9 +15,14 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/cherryward/cherryward/internal/callerconn"
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
 const (
+	headLimit = 16 << 10
+	tooLarge  = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	noRoom    = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 	awaitTimeout = 10 * time.Second
 	ordinary     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 )
@@ -24,16 +31,23 @@
 type server struct {
 	t     testing.TB
 	guard *callerconn.Guard
+	pools callerconn.Pools
 	addr  string
 }
 
-func defaultLimits() callerconn.Limits { return callerconn.Limits{Connections: 100} }
+func defaultLimits() callerconn.Limits {
+	return callerconn.Limits{Connections: 100, HeadBytes: func() int { return headLimit }}
+}
 
-func startServer(t testing.TB, limits callerconn.Limits, handler http.HandlerFunc) *server {
-	s := &server{t: t, guard: callerconn.New(limits, zerolog.Nop())}
+// startServer starts a server with room for headRoom bytes of large heads.
+func startServer(t testing.TB, limits callerconn.Limits, headRoom int64, handler http.HandlerFunc) *server {
+	s := &server{t: t, pools: callerconn.Pools{Heads: hostplan.NewPool(headRoom)}}
+	refusals := callerconn.Refusals{TooLarge: []byte(tooLarge), NoRoom: []byte(noRoom)}
+	s.guard = callerconn.New(limits, s.pools, refusals, zerolog.Nop())
 	listener, err := s.guard.Listen("127.0.0.1:0")
 	must.NoError(t, err)
-	h := &http.Server{Handler: s.guard.Handler(handler), ReadHeaderTimeout: awaitTimeout, MaxHeaderBytes: 64 << 10}
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	h := &http.Server{Handler: s.guard.Handler(handler, refuse), ReadHeaderTimeout: awaitTimeout, MaxHeaderBytes: 64 << 10}
 	s.guard.Attach(h)
 	go func() { _ = h.Serve(listener) }() // ends with the server
 	t.Cleanup(func() { _ = h.Close() })
@@ -81,3 +95,16 @@
 }
 
 func answerOK(http.ResponseWriter, *http.Request) {}
+
+// fields returns header lines of n bytes in all, each with a value of the given length.
+func fields(n, value int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		line := fmt.Sprintf("a%x:%s\r\n", i, strings.Repeat("v", value))
+		if rest := n - b.Len() - len(line); rest < len(line) && rest > 0 {
+			line = strings.Replace(line, ":", ":"+strings.Repeat("v", rest), 1)
+		}
+		b.WriteString(line)
+	}
+	return b.String()
+}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -32,7 +32,7 @@
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoRoom):
-		return result.New(result.Overloaded, result.WithRetryAfter(retryAfterOtherNode))
+		return overloaded()
 	case errors.As(err, &tooLong):
 		return result.New(result.BodyTooLarge)
 	case err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,7 @@
 	brittle       *brittle.Service
 	recorder      *recorder
 	buffers       *forward.Buffers // of the bodies of requests and answers
+	pools         callerconn.Pools // of what callers' connections take
 	started       time.Time
 	startLog      *startLog
 	shuttingDown  atomic.Bool
@@ -119,7 +120,6 @@
 func NewOn(host Host, boot *bootstrap.Node, source BootSource, log zerolog.Logger) (*Node, error) {
 	plan := hostplan.New(boot.MemoryBytes, boot.MaxFiles)
 	limitMemory(plan)
-	logPlan(log, plan)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.StopGracePeriod - stopMargin),
 		fleet:  fleet.New(log),
@@ -130,6 +130,7 @@
 		started: host.Clock.Now(),
 	}
 	n.buffers = forward.NewBuffers(plan.BodyBytes)
+	n.pools = callerconn.Pools{Heads: hostplan.NewPool(plan.HeadBytes)}
 	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
 	n.fleet.Connect = n.network.Connect
@@ -170,14 +171,19 @@
 
 // guard returns what bounds a listener with the given number of connections.
 func (n *Node) guard(connections int) *callerconn.Guard {
-	return callerconn.New(callerconn.Limits{Connections: connections}, n.log)
+	limits := callerconn.Limits{
+		Connections: connections,
+		HeadBytes:   n.state.headLimit,
+	}
+	return callerconn.New(limits, n.pools, forward.Refusals(platform.Dialect{}, n.log), n.log)
 }
 
 // serveCallers sets what is served at the listeners.
 func (n *Node) serveCallers() {
 	handler := n.handler()
-	n.callers.handle(handler)
-	n.helperServer.handle(http.HandlerFunc(handler.ServePassed))
+	refuse := http.HandlerFunc(handler.RefuseOverloaded)
+	n.callers.handle(handler, refuse)
+	n.helperServer.handle(http.HandlerFunc(handler.ServePassed), refuse)
 	n.callers.shutdownDelay = callersShutdownDelay
 	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,9 +73,9 @@
 	return s, nil
 }
 
-// handle has requests served by next.
-func (s *server) handle(next http.Handler) {
-	s.http.Handler = closeWhenShuttingDown(s.shuttingDown, s.guard.Handler(next))
+// handle has requests served by next, and those for whose heads there is no memory by refuse.
+func (s *server) handle(next, refuse http.Handler) {
+	s.http.Handler = closeWhenShuttingDown(s.shuttingDown, s.guard.Handler(next, refuse))
 }
 
 // addr returns the address that the server listens at, IP:PORT.
