Gateway: socket buffers fit the host, and answers that nobody takes end

Callers that sent without reading, or asked for long answers and read none of them, made the kernel hold more for the process than its host has: the pages count bytes that are received and not read as the process's memory. What served them was held without end.

Cause: the buffers of callers' connections had the system's size, which grows to megabytes for each, and writing an answer had no deadline.

Ruled out: buffered answers.

Change: a caller's connection has receive and send buffers of 8 KB, set at the listener so that no larger window is ever offered. One that carries a body or a write of over 16 KB gets 64 KB for each while there is room in a pool of 1/32 of the host's memory, and gives them back with the request; without room the transfer takes more round trips. An answer of which the caller takes nothing for 10 s is broken off, and at the limit of connections, when all are served, the one whose caller has taken nothing for longest, over 250 ms, gives way to a new one.

Why it holds: the buffers' worst case, twice their size as the kernel counts, is a row of the plan for each connection that may be open or waiting. A caller that reads, however slowly, gets its answer: 10 s count from the last byte taken (TestSlowReaderGetsAnswer).

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +46,11 @@
 	last      chunk
 	head      chunk
 	reserved  int64 // of the guard's pool of heads
+	wide      bool  // the socket buffers are large
+
+	// stalledSince is when the write in progress last made progress, in Unix nanoseconds; 0 if none is in progress.
+	stalledSince atomic.Int64
+
 	// The guard's mutex protects these.
 	place          element
 	yielded, ended bool // the connection was told to end for another one; its goroutine ends
@@ -156,6 +163,43 @@
 // headDeadline is the number of the deadline, after a connection has become idle, that is for the next head.
 const headDeadline = 2
 
+// Write implements net.Conn. It fails if the caller takes nothing for stallTime.
+func (c *Conn) Write(p []byte) (written int, err error) {
+	defer c.stalledSince.Store(0)
+	if len(p) > largeWrite {
+		c.widen()
+	}
+	for {
+		now := time.Now()
+		c.stalledSince.Store(now.UnixNano())
+		if err = c.Conn.SetWriteDeadline(now.Add(c.guard.stallTime)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return written, err
+		case n == 0:
+			c.dropUnsent()
+			return written, err
+		}
+	}
+}
+
+// dropUnsent has the connection closed without what the caller has not taken.
+func (c *Conn) dropUnsent() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+}
+
+// SetWriteDeadline implements net.Conn. Write sets its own deadlines.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
 // CloseWrite closes the direction to the caller, so that the HTTP server can wait until its answer has arrived.
 func (c *Conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
@@ -165,8 +209,11 @@
 	return half.CloseWrite()
 }
 
-// abort closes the connection for a new one.
+// abort closes the connection for a new one, also if its caller takes nothing.
 func (c *Conn) abort() {
+	if c.stalledSince.Load() != 0 {
+		c.dropUnsent()
+	}
 	_ = c.Conn.Close() // its caller gets no more
 }
 
@@ -185,10 +232,12 @@
 		c.phase = phaseRequest
 	case http.StateIdle:
 		c.reserve(0)
+		c.narrow()
 		c.phase, c.deadlines = phaseIdle, 0
 		c.guard.await(c)
 	case http.StateClosed:
 		c.reserve(0)
+		c.narrow()
 		c.guard.remove(c)
 	}
 }
--- a/internal/callerconn/connections_test.go
+++ b/internal/callerconn/connections_test.go
@@ -1,10 +1,12 @@
 package callerconn_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -80,6 +82,56 @@
 	}
 }
 
+// endless answers until the caller is gone.
+func endless(w http.ResponseWriter, _ *http.Request) {
+	for block := make([]byte, 4<<10); ; {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// TestStalledCallersYield guards against callers that take no answer and keep others out.
+func TestStalledCallersYield(t *testing.T) {
+	s := startServer(t, fewConnections(), ample, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			endless(w, r)
+		}
+	})
+	for range few {
+		s.dial().send(strings.Replace(ordinary, "GET", "POST", 1))
+	}
+	await(t, func() bool { return s.dial().send(ordinary).status() == http.StatusOK })
+}
+
+// TestAnswerToStalledCallerEnds guards against callers that hold what serves them by taking no answer.
+func TestAnswerToStalledCallerEnds(t *testing.T) {
+	limits := defaultLimits()
+	limits.StallTime = 50 * time.Millisecond
+	s := startServer(t, limits, ample, endless)
+	s.dial().send(ordinary)
+	await(t, func() bool { return s.guard.Open() > 0 })
+	await(t, func() bool { return s.guard.Open() == 0 })
+	await(t, func() bool { return s.pools.Windows.Used() == 0 })
+}
+
+// TestSlowReaderGetsAnswer guards against an answer that is broken off though its caller reads, if slowly.
+func TestSlowReaderGetsAnswer(t *testing.T) {
+	const size, step = 256 << 10, 4 << 10
+	limits := defaultLimits()
+	limits.StallTime = 500 * time.Millisecond
+	s := startServer(t, limits, ample, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) })
+	c := s.dial().send(ordinary)
+	resp, err := http.ReadResponse(c.answers, nil)
+	must.NoError(t, err)
+	got := 0
+	for block := make([]byte, step); got < size; time.Sleep(time.Millisecond) {
+		n, err := resp.Body.Read(block)
+		got += n
+		must.True(t, err == nil || err == io.EOF && got == size)
+	}
+}
+
 // TestBodyInSmallChunks guards against bounds that break off a body that comes byte by byte.
 func TestBodyInSmallChunks(t *testing.T) {
 	const size = 5000
@@ -92,6 +144,22 @@
 	must.Eq(t, http.StatusOK, c.send(strings.Repeat("1\r\nx\r\n", size)+"0\r\n\r\n").status())
 }
 
+// TestLargeBodyGetsLargeWindow guards against large bodies that take a round trip for each small window, and against
+// windows that are not given back.
+func TestLargeBodyGetsLargeWindow(t *testing.T) {
+	const size = 1 << 20
+	var used int64
+	var s *server
+	s = startServer(t, defaultLimits(), ample, func(_ http.ResponseWriter, r *http.Request) {
+		used = s.pools.Windows.Used()
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	c := s.dial().send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)))
+	must.Eq(t, http.StatusOK, c.status())
+	must.Positive(t, used)
+	await(t, func() bool { return s.pools.Windows.Used() == 0 })
+}
+
 // TestConnectionsAreForgotten guards against connections that count after their end.
 func TestConnectionsAreForgotten(t *testing.T) {
 	s := startServer(t, fewConnections(), ample, answerOK)
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// defaultStallTime is the time after which an answer of which the caller takes nothing is broken off.
+	defaultStallTime = 10 * time.Second
+	// minStall is how long a write must have made no progress for its connection to give way to a new one.
+	minStall = 250 * time.Millisecond
 	// lingerTime and maxLingerBytes bound the reading of what a caller still sends whose head was refused.
 	lingerTime     = 500 * time.Millisecond
 	maxLingerBytes = 256 << 10
@@ -23,9 +27,12 @@
 
 // Limits are the bounds of a Guard.
 type Limits struct {
-	Connections int // open at the same time; as many more may wait to be accepted
+	Connections               int // open at the same time; as many more may wait to be accepted
+	ReceiveBuffer, SendBuffer int // sizes of each connection's socket buffers, in bytes
 	// HeadBytes returns the number of bytes that a request's head may have now.
 	HeadBytes func() int
+	// StallTime is the time after which an answer is broken off of which the caller takes nothing; 0 means 10 s.
+	StallTime time.Duration
 }
 
 // refusal is a reason to answer a head that was not read to its end.
@@ -46,15 +53,17 @@
 
 // Pools hold memory that guards may share.
 type Pools struct {
-	Heads *hostplan.Pool // for what heads take beyond the size of ordinary ones
+	Heads   *hostplan.Pool // for what heads take beyond the size of ordinary ones
+	Windows *hostplan.Pool // for larger socket buffers
 }
 
 // Guard bounds the connections of a listener. It is safe for concurrent use.
 type Guard struct {
-	limits   Limits
-	pools    Pools
-	refusals [refusalCount][]byte
-	log      zerolog.Logger
+	limits    Limits
+	pools     Pools
+	stallTime time.Duration
+	refusals  [refusalCount][]byte
+	log       zerolog.Logger
 
 	mu      sync.Mutex
 	ended   sync.Cond // signaled when open or closed changes
@@ -77,7 +86,10 @@
 
 // New returns a Guard.
 func New(limits Limits, pools Pools, refusals Refusals, log zerolog.Logger) *Guard {
-	g := &Guard{limits: limits, pools: pools, log: loglimit.Bound(log)}
+	g := &Guard{limits: limits, pools: pools, stallTime: limits.StallTime, log: loglimit.Bound(log)}
+	if g.stallTime == 0 {
+		g.stallTime = defaultStallTime
+	}
 	g.ended.L = &g.mu
 	g.refusals = [refusalCount][]byte{refuseTooLarge: refusals.TooLarge, refuseNoRoom: refusals.NoRoom}
 	return g
@@ -161,7 +173,19 @@
 	if first := g.waiting.Front(); first != nil {
 		return first.Value.(*Conn)
 	}
-	return nil
+	return g.mostStalled()
+}
+
+// mostStalled returns the connection whose caller has taken nothing for longest, if that is longer than minStall.
+func (g *Guard) mostStalled() (victim *Conn) {
+	since := time.Now().Add(-minStall).UnixNano()
+	for e := g.serving.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if at := c.stalledSince.Load(); at != 0 && at < since {
+			victim, since = c, at
+		}
+	}
+	return victim
 }
 
 // await puts a connection last among those without a complete request.
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -26,6 +26,9 @@
 			g.serve(c)
 		} else {
 			r.Body = &body{r.Body, c}
+			if r.ContentLength < 0 || r.ContentLength > largeBody {
+				c.widen()
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/callerconn/helpers_test.go
+++ b/internal/callerconn/helpers_test.go
@@ -36,12 +36,14 @@
 }
 
 func defaultLimits() callerconn.Limits {
-	return callerconn.Limits{Connections: 100, HeadBytes: func() int { return headLimit }}
+	return callerconn.Limits{
+		Connections: 100, ReceiveBuffer: 8 << 10, SendBuffer: 8 << 10, HeadBytes: func() int { return headLimit },
+	}
 }
 
 // startServer starts a server with room for headRoom bytes of large heads.
 func startServer(t testing.TB, limits callerconn.Limits, headRoom int64, handler http.HandlerFunc) *server {
-	s := &server{t: t, pools: callerconn.Pools{Heads: hostplan.NewPool(headRoom)}}
+	s := &server{t: t, pools: callerconn.Pools{Heads: hostplan.NewPool(headRoom), Windows: hostplan.NewPool(1 << 20)}}
 	refusals := callerconn.Refusals{TooLarge: []byte(tooLarge), NoRoom: []byte(noRoom)}
 	s.guard = callerconn.New(limits, s.pools, refusals, zerolog.Nop())
 	listener, err := s.guard.Listen("127.0.0.1:0")
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -14,9 +15,10 @@
 	guard *Guard
 }
 
-// Listen opens a listener at addr, IP:PORT.
+// Listen opens a listener at addr, IP:PORT, whose connections have the socket buffers of the guard's limits.
 func (g *Guard) Listen(addr string) (*Listener, error) {
-	listener, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: g.setBuffers}
+	listener, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen at %s", addr)
 	}
@@ -42,6 +44,18 @@
 	return errors.Join(err, listenErr)
 }
 
+// setBuffers sets the sizes of the listener's socket buffers, which its connections inherit.
+func (g *Guard) setBuffers(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, g.limits.ReceiveBuffer),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, g.limits.SendBuffer),
+		)
+	})
+	return errors.Join(err, optionErr)
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 		started: host.Clock.Now(),
 	}
 	n.buffers = forward.NewBuffers(plan.BodyBytes)
-	n.pools = callerconn.Pools{Heads: hostplan.NewPool(plan.HeadBytes)}
+	n.pools = callerconn.Pools{Heads: hostplan.NewPool(plan.HeadBytes), Windows: hostplan.NewPool(plan.WindowBytes)}
 	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
 	n.fleet.Connect = n.network.Connect
@@ -159,21 +159,23 @@
 // listen opens the listeners for callers, for the requests of other nodes, and for the balancer.
 func (n *Node) listen(plan hostplan.Plan) (err error) {
 	boot := n.boot.Load()
-	if n.callers, err = listen("callers", boot.CallersAddr, n.guard(plan.Connections), &n.shuttingDown, n.log); err != nil {
+	if n.callers, err = listen("callers", boot.CallersAddr, n.guard(plan, plan.Connections), &n.shuttingDown, n.log); err != nil {
 		return err
 	}
-	if n.helperServer, err = listen("helper", peerAddr(boot), n.guard(plan.PeerConnections), &n.shuttingDown, n.log); err != nil {
+	if n.helperServer, err = listen("helper", peerAddr(boot), n.guard(plan, plan.PeerConnections), &n.shuttingDown, n.log); err != nil {
 		return err
 	}
-	n.readyServer, err = listen("ready", boot.ReadyAddr, n.guard(plan.ReadyConnections), &n.shuttingDown, n.log)
+	n.readyServer, err = listen("ready", boot.ReadyAddr, n.guard(plan, plan.ReadyConnections), &n.shuttingDown, n.log)
 	return err
 }
 
 // guard returns what bounds a listener with the given number of connections.
-func (n *Node) guard(connections int) *callerconn.Guard {
+func (n *Node) guard(plan hostplan.Plan, connections int) *callerconn.Guard {
 	limits := callerconn.Limits{
-		Connections: connections,
-		HeadBytes:   n.state.headLimit,
+		Connections:   connections,
+		ReceiveBuffer: plan.ReceiveBuffer,
+		SendBuffer:    plan.SendBuffer,
+		HeadBytes:     n.state.headLimit,
 	}
 	return callerconn.New(limits, n.pools, forward.Refusals(platform.Dialect{}, n.log), n.log)
 }
