Log: texts that callers choose are cut at 128 bytes

Operators saw lines as long as a caller's head: an id of 7 KB stood in each line of its request, which costs a host of 0.4 core its processor time and, while the log's reader is slow, its memory.

Cause: ids, the ids that a stream resumes, event ids and parts of prompts were logged as they came.

Change: such a text is cut at 128 bytes and ends with "...". Ids of the users' callers have 16.

That the lines were long is read from the code and from logs of the crowd with long ids; their processor time was not measured.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -95,7 +95,7 @@
 		if x.hasLostPath() {
 			return x.withoutPath(ctx, mayHaveRunCount)
 		}
-		x.Log.Info().Str("event", "sent_again").Str("id", x.attrs.ID).Str("endpoint", placement.Member.ID).
+		x.Log.Info().Str("event", "sent_again").Str("id", logged(x.attrs.ID)).Str("endpoint", placement.Member.ID).
 			Str("release", placement.Member.Endpoint().Release).Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.position.lastID).
 			Dur("after_ms", x.Clock.Since(x.arrived)).Send()
 	}
@@ -259,7 +259,7 @@
 		return info.ID == x.attrs.ID
 	}
 	own := fresh && !info.Signed
-	x.Log.Warn().Str("event", "answer_unidentified").Str("id", x.attrs.ID).Bool("fresh", fresh).Bool("own", own).Bool("not_run", info.NotRun).Send()
+	x.Log.Warn().Str("event", "answer_unidentified").Str("id", logged(x.attrs.ID)).Bool("fresh", fresh).Bool("own", own).Bool("not_run", info.NotRun).Send()
 	return own
 }
 
--- a/internal/forward/deliver.go
+++ b/internal/forward/deliver.go
@@ -125,7 +125,7 @@
 	answer.Done()
 	x.writeHead(answer.Response, body.length)
 	if err := body.writeTo(x.w); err != nil {
-		x.Log.Debug().Str("event", "answer_unread").Str("id", x.attrs.ID).Err(err).Send()
+		x.Log.Debug().Str("event", "answer_unread").Str("id", logged(x.attrs.ID)).Err(err).Send()
 	}
 	return deliveredVerdict(answer.StatusCode)
 }
--- a/internal/forward/endpoint_signals.go
+++ b/internal/forward/endpoint_signals.go
@@ -16,15 +16,15 @@
 		return
 	}
 	if headers := strings.Join(info.Unreadable, "; "); headers != "" && m.Signals.Unreadable(headers) {
-		x.Log.Warn().Str("event", "answer_unreadable").Str("endpoint", m.ID).Str("id", x.attrs.ID).Str("headers", headers).Send()
+		x.Log.Warn().Str("event", "answer_unreadable").Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).Str("headers", headers).Send()
 	}
 	x.recordLimit(status, info, m, sent)
 	x.recordBrittle(status, info, m)
 	if info.Draining && x.Fleet.MarkDraining(m, x.Clock.Now()) {
-		x.Log.Info().Str("event", "endpoint_draining").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
+		x.Log.Info().Str("event", "endpoint_draining").Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).Send()
 	}
 	if isRefusal(status) && info.RetryAfter > 0 && m.Signals.RecordBackoff(info.RetryAfter, x.Clock.Now()) {
-		x.Log.Info().Str("event", "endpoint_backoff").Str("endpoint", m.ID).Str("id", x.attrs.ID).
+		x.Log.Info().Str("event", "endpoint_backoff").Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).
 			Int64("asked_ms", info.RetryAfter.Milliseconds()).Int64("for_ms", min(info.RetryAfter, fleet.MaxBackoff).Milliseconds()).Send()
 	}
 }
@@ -43,14 +43,14 @@
 		x.logBrittleRefusal(m, info)
 	}
 	if x.Brittle.Record(m.Service, info.MaxRefusals) {
-		x.Log.Info().Str("event", "service_brittle").Str("service", m.Service).Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).Send()
+		x.Log.Info().Str("event", "service_brittle").Str("service", m.Service).Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).Int("refusals", info.MaxRefusals).Send()
 	}
 }
 
 // logBrittleRefusal logs what this node knew of a brittle endpoint that refused a request for want of room:
 // whether it had borrowed a slot, and the requests there.
 func (x *exchange) logBrittleRefusal(m *fleet.Member, info *AnswerInfo) {
-	event := x.Log.Warn().Str("event", "brittle_refusal").Str("endpoint", m.ID).Str("id", x.attrs.ID).Int("refusals", info.MaxRefusals).
+	event := x.Log.Warn().Str("event", "brittle_refusal").Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).Int("refusals", info.MaxRefusals).
 		Int("own", m.Load.Running()).Int("slots", m.Endpoint().Slots)
 	if p := x.placement; p != nil {
 		event = event.Bool("borrowed", p.Slot != nil).Int("running", p.SlotState.Running).Int("held", p.OccupiedTokens).Int64("load_age_ms", p.LoadAge.Milliseconds())
@@ -67,9 +67,9 @@
 	switch {
 	case info.HasLimit:
 		if m.Signals.SetLimit(info.Limit, now) {
-			x.Log.Info().Str("event", "endpoint_limited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Float64("per_s", info.Limit).Send()
+			x.Log.Info().Str("event", "endpoint_limited").Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).Float64("per_s", info.Limit).Send()
 		}
 	case limitRemoved && m.Signals.ClearLimit(sent):
-		x.Log.Info().Str("event", "endpoint_unlimited").Str("endpoint", m.ID).Str("id", x.attrs.ID).Send()
+		x.Log.Info().Str("event", "endpoint_unlimited").Str("endpoint", m.ID).Str("id", logged(x.attrs.ID)).Send()
 	}
 }
--- a/internal/forward/error_response.go
+++ b/internal/forward/error_response.go
@@ -28,7 +28,7 @@
 	data := errorResponse(h.Dialect, h.Log, w.Header(), id, e)
 	w.WriteHeader(statusOf(e))
 	if _, err := w.Write(data); err != nil {
-		h.Log.Debug().Str("event", "answer_unread").Str("id", id).Err(err).Send()
+		h.Log.Debug().Str("event", "answer_unread").Str("id", logged(id)).Err(err).Send()
 	}
 }
 
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -21,7 +21,7 @@
 	now := x.Clock.Now()
 	health := &p.Member.Health
 	if x.excess != nil {
-		x.Log.Warn().Str("event", "answer_excess").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).Str("part", string(x.excess.Part)).Send()
+		x.Log.Warn().Str("event", "answer_excess").Str("id", logged(x.attrs.ID)).Str("endpoint", p.Member.ID).Str("part", string(x.excess.Part)).Send()
 	}
 	endpointEnded := v == notRun && (x.endpointReplaced || x.connectionRefused())
 	unreachable := v == notRun && x.unreachable()
@@ -34,7 +34,7 @@
 	case v == notRun && !unreachable && !endpointEnded && x.excess == nil:
 		health.RecordRefusal(now, refusalBackoff)
 	case health.RecordFailure(now, unreachable || x.excess != nil):
-		x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", x.attrs.ID).
+		x.Log.Warn().Str("event", "endpoint_avoided").Str("endpoint", p.Member.ID).Str("id", logged(x.attrs.ID)).
 			Float64("failure_rate", health.FailureRate(now)).AnErr("cause", x.cause).Send()
 	}
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -77,7 +77,7 @@
 func (x *exchange) reportBrokenAnswer(p *Placement) {
 	f := x.fingerprint()
 	ended := x.hasEnded(p.Member)
-	x.Log.Warn().Str("event", "run_lost").Str("id", x.attrs.ID).Str("endpoint", p.Member.ID).
+	x.Log.Warn().Str("event", "run_lost").Str("id", logged(x.attrs.ID)).Str("endpoint", p.Member.ID).
 		Stringer("fingerprint", f).Bool("ended", ended).Bool("begun", x.begun).Strs("parts", x.sharedPartIDs()).AnErr("cause", x.cause).Send()
 	if !ended {
 		return
