--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 func NewOn(host Host, boot *bootstrap.Node, source BootSource, log zerolog.Logger) (*Node, error) {
 	plan := hostplan.New(boot.MemoryBytes, boot.MaxFiles)
 	limitMemory(plan)
+	logPlan(log, plan)
 	n := &Node{
 		kernel: kernel.New(boot.Bounds.StopGracePeriod - stopMargin),
 		fleet:  fleet.New(log),
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -13,10 +13,12 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cherryward/cherryward/internal/brittle"
+	"github.com/cherryward/cherryward/internal/callerconn"
 	"github.com/cherryward/cherryward/internal/datagram"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/fleet"
 	"github.com/cherryward/cherryward/internal/forward"
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/peerload"
 	"github.com/cherryward/cherryward/internal/quarantine"
@@ -38,7 +40,9 @@
 		network:    &network{},
 		storeEra:   func() int64 { return 0 },
 		buffers:    forward.NewBuffers(0),
+		pools:      callerconn.Pools{Heads: hostplan.NewPool(0)},
 	}
+	n.callers = &server{guard: callerconn.New(callerconn.Limits{}, n.pools, callerconn.Refusals{}, zerolog.Nop())}
 	n.boot.Store(testBoot(t))
 	conn, err := datagram.Listen("127.0.0.1:0", zerolog.Nop())
 	must.NoError(t, err)
