Forward: a request that endpoints could read otherwise is refused

A caller could send X-Attempt-Id, X-Model, a deadline or the parts of a prompt twice with different values: the node decided by the first and forwarded all, so that an endpoint could run the request under another id or model than the one that the node accounts for. A body in chunks of an HTTP/1.0 request was lost: the request ran with an empty one.

Cause: net/http keeps all values of a header, and takes chunks of HTTP/1.0 for no body, as it ignores Transfer-Encoding there. Neither is an error to it.

Change: several different values of a header that may be given once are refused with 400 (1022, ambiguous_header); equal ones are forwarded as one. An HTTP/1.0 request other than GET or HEAD that states no length is refused with 400 (1023, unclear_body), and connections of HTTP/1.0 are closed after their answer.

Why it holds: what is forwarded is written anew from what was decided by.

Three cases of TestRequestsAreReadInOneWay failed before: "two ids", "ids twice" (the endpoint got two fields) and "HTTP/1.0 in chunks" (it got an empty body).

--- a/internal/forward/callerbytes_test.go
+++ b/internal/forward/callerbytes_test.go
@@ -206,10 +206,13 @@
 	"chunk extension":           {"POST" + callerHead + "Transfer-Encoding: chunked\r\n\r\n2;a=\"b\"\r\nab\r\n0\r\n\r\n", []string{"ab"}},
 	"pipelined":                 {"GET" + callerHead + "\r\n" + smuggled, []string{"", ""}},
 	"absolute target":           {"GET http://" + host + "/record/a HTTP/1.1\r\nHost: other\r\nX-Attempt-Id: r1\r\nAuthorization: Bearer " + key + "\r\n\r\n", []string{""}},
+	"ids twice":                 {"GET" + callerHead + "X-Attempt-Id: r1\r\n\r\n", []string{""}},
+	"two ids":                   {"GET" + callerHead + "X-Attempt-Id: r2\r\n\r\n", nil},
 	"control in the target":     {"GET /record/\x01 HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nil},
 	"bytes beyond ASCII":        {"GET /record/\xff\xfe HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: r1\r\nAuthorization: Bearer " + key + "\r\n\r\n", []string{""}},
 	"expects to be continued":   {"POST" + callerHead + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nab", []string{"ab"}},
 	"HTTP/1.0":                  {"GET /record/a HTTP/1.0\r\nHost: " + host + "\r\nX-Attempt-Id: r1\r\nAuthorization: Bearer " + key + "\r\n\r\n", []string{""}},
+	"HTTP/1.0 in chunks":        {"POST /record/a HTTP/1.0\r\nHost: " + host + "\r\nX-Attempt-Id: r1\r\nAuthorization: Bearer " + key + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", nil},
 	"LF ends a chunk size":      {"POST" + callerHead + "Transfer-Encoding: chunked\r\n\r\n2\nab\r\n0\r\n\r\n", nil},
 	"lengths listed in a field": {"POST" + callerHead + "Content-Length: 2, 2\r\n\r\nab", nil},
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -145,6 +145,9 @@
 	if x.tooLarge() {
 		return result.New(result.HeaderTooLarge)
 	}
+	if err := x.checkReading(); err != nil {
+		return err
+	}
 	// A stale configuration may lack routes and keys that a newer one has.
 	stale := x.configAge > bounds.ConfigApplyLimit
 	x.route = x.config.Match(x.r.Host, rawPath(x.r))
@@ -213,6 +216,24 @@
 	return size > limit
 }
 
+// checkReading refuses requests that this node and an endpoint could read differently. The HTTP server has refused most of
+// them.
+func (x *exchange) checkReading() *result.Error {
+	if x.attrs.Ambiguous != "" {
+		return result.New(result.AmbiguousHeader, result.WithField(x.attrs.Ambiguous))
+	}
+	if x.r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	x.w.Header().Set("Connection", "close")
+	// HTTP/1.0 knows no chunks: a body that is sent in them looks like one that is empty.
+	_, stated := x.r.Header["Content-Length"]
+	if !stated && x.r.Method != http.MethodGet && x.r.Method != http.MethodHead {
+		return result.New(result.UnclearBody)
+	}
+	return nil
+}
+
 // accountName returns the name of the caller's account; empty on public routes and before it is known.
 func (x *exchange) accountName() string {
 	if x.account == nil {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -49,6 +49,8 @@
 	Resumes string
 	// ResumesInvalid is true if the caller states several ids there, or one that is too long.
 	ResumesInvalid bool
+	// Ambiguous is the name of a header that may be given once and has several values; empty if there is none.
+	Ambiguous string
 
 	Model        string
 	PromptTokens int
@@ -106,7 +108,7 @@
 type Dialect interface {
 	// ReadRequest decodes a caller's headers.
 	ReadRequest(h http.Header) Attributes
-	// StripRequest removes the headers that callers must not set.
+	// StripRequest removes the headers that callers must not set, and repetitions of those that may be given once.
 	StripRequest(h http.Header)
 	// EndToEnd reports whether a header, given by its canonical name, is never one of a single connection, whatever
 	// the Connection header lists.
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -33,6 +33,8 @@
 	HeaderTooLarge   Code = 1019
 	BodyTimeout      Code = 1020
 	BadResumes       Code = 1021
+	AmbiguousHeader  Code = 1022
+	UnclearBody      Code = 1023
 )
 
 // Authentication and limits of client accounts.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -47,6 +47,12 @@
 	{BadResumes, "bad_resumes", http.StatusBadRequest, NotRun, false,
 		"The header that names the request which began a stream has several values or is too long.",
 		"Send the id of the request that brought the stream's first event."},
+	{AmbiguousHeader, "ambiguous_header", http.StatusBadRequest, NotRun, false,
+		"A header that may be given once has several values.",
+		"Send the header that param names once."},
+	{UnclearBody, "unclear_body", http.StatusBadRequest, NotRun, false,
+		"An HTTP/1.0 request doesn't state the length of its body.",
+		"Send a Content-Length, or HTTP/1.1."},
 
 	{MissingKey, "missing_key", http.StatusUnauthorized, NotRun, false,
 		"The request has no bearer key.", "Send Authorization: Bearer with the client account's key."},
