Soak: crowds of callers that don't behave

Callers that don't behave come alone in the tests of cmd/cherryward. The promises to ordinary callers must hold beside them and all other faults.

Change: beside all faults, a crowd of 120 clients of seven kinds calls one node after the other for 1.5 s: heads and lines without end, empty lines, silence, requests without a key and without reading, bodies that stop, idle connections. None may reach an endpoint. After each, the node must be within its host's memory.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -65,6 +65,7 @@
 	if w.seed%2 == 1 {
 		phase = storeTurn
 	}
+	wg.Go(w.sendCrowds)
 	if w.changes != nil {
 		wg.Go(func() { w.changes.run(length) })
 		if w.changes.only {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,7 +1,7 @@
 // Package soak runs gateway nodes as processes against a stand-in for the users' platform, and
 // injects random faults from outside: proxies delay, reset or drop the data of connections in one or
 // both directions, signals suspend, terminate, kill and reload nodes, and the metadata store and the
-// servers misbehave. Faults occur in sequences and overlap. Meanwhile clients send requests over
+// servers misbehave, and so do crowds of callers. Faults occur in sequences and overlap. Meanwhile clients send requests over
 // persistent connections. The guarantees are checked from the responses that clients received and
 // the requests that servers ran.
 //
