Gateway: a caller that reads slowly doesn't count as one that reads nothing

At the limit of connections, with requests served on all, a caller that took a long answer slowly could be closed for a new one as if it took nothing.

Cause, found by reading: the time since which a caller has taken nothing counted from the start of a write, which may be of 64 KB.

Change: an answer is written in pieces of 16 KB, and the time counts from the last one that was taken; a connection gives way after 1 s of that in place of 250 ms, since a lost packet alone may take some hundred ms.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -40,15 +40,16 @@
 	net.Conn
 	guard *Guard
 
-	// The fields down to reserved belong to the goroutine that serves the connection.
+	// The fields down to wide belong to the goroutine that serves the connection.
 	phase     int
-	deadlines int // set since the connection became idle
-	last      chunk
-	head      chunk
+	deadlines int   // set since the connection became idle
+	last      chunk // that was read
+	head      chunk // read so far
 	reserved  int64 // of the guard's pool of heads
 	wide      bool  // the socket buffers are large
 
-	// stalledSince is when the write in progress last made progress, in Unix nanoseconds; 0 if none is in progress.
+	// stalledSince is when the caller last took a piece of the answer that is being written, in Unix nanoseconds; 0 if
+	// none is.
 	stalledSince atomic.Int64
 
 	// The guard's mutex protects these.
@@ -170,23 +171,32 @@
 		c.widen()
 	}
 	for {
-		now := time.Now()
-		c.stalledSince.Store(now.UnixNano())
-		if err = c.Conn.SetWriteDeadline(now.Add(c.guard.stallTime)); err != nil {
-			return written, err
-		}
-		n, err := c.Conn.Write(p[written:])
+		n, err := c.writePiece(p[written:min(written+largeWrite, len(p))])
 		written += n
-		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return written, err
-		case n == 0:
-			c.dropUnsent()
+		if err != nil || written == len(p) {
 			return written, err
 		}
 	}
 }
 
+// writePiece writes a piece of an answer, or a part of it if the caller takes that and no more in stallTime.
+func (c *Conn) writePiece(p []byte) (int, error) {
+	now := time.Now()
+	c.stalledSince.Store(now.UnixNano())
+	if err := c.Conn.SetWriteDeadline(now.Add(c.guard.stallTime)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if n > 0 {
+		return n, nil
+	}
+	c.dropUnsent()
+	return 0, err
+}
+
 // dropUnsent has the connection closed without what the caller has not taken.
 func (c *Conn) dropUnsent() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -18,8 +18,8 @@
 const (
 	// defaultStallTime is the time after which an answer of which the caller takes nothing is broken off.
 	defaultStallTime = 10 * time.Second
-	// minStall is how long a write must have made no progress for its connection to give way to a new one.
-	minStall = 250 * time.Millisecond
+	// minStall is how long a caller must have taken nothing for its connection to give way to a new one.
+	minStall = time.Second
 	// lingerTime and maxLingerBytes bound the reading of what a caller still sends whose head was refused.
 	lingerTime     = 500 * time.Millisecond
 	maxLingerBytes = 256 << 10
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,7 +188,7 @@
 	n.callers.handle(handler, refuse)
 	n.helperServer.handle(http.HandlerFunc(handler.ServePassed), refuse)
 	n.callers.shutdownDelay = callersShutdownDelay
-	n.readyServer.http.Handler = http.HandlerFunc(n.serveReady)
+	n.readyServer.http.Handler = n.readyServer.guard.Handler(http.HandlerFunc(n.serveReady), refuse)
 }
 
 func (n *Node) bounds() bootstrap.Bounds { return n.boot.Load().Bounds }
