Log: lines of requests displace no others

Cause: lines that are too many replace the oldest, of whatever kind. The gap of the library's ring is read from its code and from its reports of collisions.

They are written in the order in which they came.

--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -121,8 +121,44 @@
 			_, err := w.Write(make([]byte, 16<<10))
 			must.NoError(t, err)
 		}
-		must.LessEq(t, maxBufferedBytes, w.bytes)
+		must.LessEq(t, maxBufferedBytes, w.requests.bytes+w.others.bytes)
 		close(out)
 		must.NoError(t, w.Close())
 	})
 }
+
+// allLines keeps all lines that were written, each time it is allowed to go on.
+type allLines struct {
+	blockedWriter
+	lines []string
+}
+
+// Write implements io.Writer.
+func (w *allLines) Write(p []byte) (int, error) {
+	<-w.blockedWriter
+	w.lines = append(w.lines, string(p))
+	return len(p), nil
+}
+
+// TestRequestLinesDisplaceNoOthers guards against a crowd of requests whose lines push out what the node logs of itself.
+func TestRequestLinesDisplaceNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &allLines{blockedWriter: make(blockedWriter)}
+		w := newBufferedLines(out)
+		log := zerolog.New(w)
+		log.Info().Str("event", "start").Send()
+		log.Info().Str("event", "hangup").Send()
+		for range 2 * maxBufferedLines {
+			log.Info().Str("event", "request").Send()
+		}
+		log.Info().Str("event", "stopping").Send()
+		close(out.blockedWriter)
+		must.NoError(t, w.Close())
+		text := strings.Join(out.lines, "")
+		for _, event := range []string{"start", "hangup", "log_lines_dropped", "request", "stopping"} {
+			must.StrContains(t, text, `"event":"`+event+`"`)
+		}
+		must.True(t, strings.Index(text, "hangup") < strings.Index(text, `"request"`))
+		must.StrContains(t, out.lines[len(out.lines)-1], "stopping")
+	})
+}
