Upstream: idle connections are bounded over all endpoints

Nobody saw this fail; the account of descriptors didn't add up. Idle connections were bounded for each endpoint, 32, so that at many endpoints they could take what is left to the node, and a node without descriptors loses the store.

Change: idle connections to endpoints and to other nodes share one bound, 0.19 of the sockets (737 of 4,100 descriptors); one that finds no place is closed after its answer. Callers have 0.35 of the sockets in place of 0.4, as each of their requests, and of those that other nodes pass, may hold a connection to an endpoint: 2 x (0.35 + 0.044) + 0.19 leaves a 50th for the store, probes and datagrams (TestWorstCaseFitsHost adds it up for 400 to 65,536 descriptors).

TestIdleConnectionsTogetherAreBounded.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,9 +64,8 @@
 
 // Fleet is the set of known endpoints. It is safe for concurrent use.
 type Fleet struct {
-	// Connect opens the connections to endpoints. Nil means the default of upstream.NewPool. It must be
-	// set before the first Update.
-	Connect upstream.DialFunc
+	// Connections are the options of the connections to endpoints. They must be set before the first Update.
+	Connections upstream.Options
 
 	log zerolog.Logger
 	// entryLog logs what single entries show. Other processes may write any number of these.
@@ -177,10 +176,10 @@
 // replace installs a member for the entry in place of previous, which may be nil. Requests in flight
 // at the previous member continue.
 func (f *Fleet) replace(previous *Member, e *Endpoint, now time.Time) {
-	m := newMember(e, f.Connect, now)
+	m := newMember(e, f.Connections, now)
 	if previous != nil {
 		if previous.StartedMs == e.StartedMs {
-			m = previous.moved(e, f.Connect, now)
+			m = previous.moved(e, f.Connections, now)
 		}
 		previous.Pool.CloseIdle()
 		f.clearAddr(previous)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -43,8 +43,8 @@
 }
 
 // newMember returns a member with an entry and no observations.
-func newMember(e *Endpoint, connect upstream.DialFunc, now time.Time) *Member {
-	m := &Member{ID: e.ID, Service: e.Service, StartedMs: e.StartedMs, Pool: upstream.NewPool(e.Addr, connect), Load: &Load{}, Signals: &Signals{}, weightsChanged: now}
+func newMember(e *Endpoint, connections upstream.Options, now time.Time) *Member {
+	m := &Member{ID: e.ID, Service: e.Service, StartedMs: e.StartedMs, Pool: upstream.NewPool(e.Addr, connections), Load: &Load{}, Signals: &Signals{}, weightsChanged: now}
 	m.entry.Store(e)
 	m.applyColdLeft(nil, e, now)
 	return m
@@ -52,8 +52,8 @@
 
 // moved returns the member of the same start at another address or of another service. Requests in
 // flight, reports, the weights estimate and the cold period are carried over.
-func (m *Member) moved(e *Endpoint, connect upstream.DialFunc, now time.Time) *Member {
-	next := newMember(e, connect, now)
+func (m *Member) moved(e *Endpoint, connections upstream.Options, now time.Time) *Member {
+	next := newMember(e, connections, now)
 	next.Load, next.Signals = m.Load, m.Signals
 	next.entry.Store(m.Endpoint())
 	next.estimate.Store(m.estimate.Load())
--- a/internal/forward/helpers_test.go
+++ b/internal/forward/helpers_test.go
@@ -189,7 +189,7 @@
 	if h.memory == nil {
 		return
 	}
-	f.Connect = h.memory.dial
+	f.Connections.Connect = h.memory.dial
 	h.client = &http.Client{Transport: &http.Transport{DialContext: h.memory.dial}}
 	t.Cleanup(func() {
 		h.client.CloseIdleConnections()
--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -76,7 +76,7 @@
 		Clock:        n.clock,
 		Log:          n.log,
 	})
-	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN}
+	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN, Idle: n.idle}
 }
 
 // buildRoster creates the list of nodes.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	recorder      *recorder
 	buffers       *forward.Buffers // of the bodies of requests and answers
 	pools         callerconn.Pools // of what callers' connections take
+	idle          *hostplan.Pool   // of connections to endpoints and other nodes that no request uses
 	started       time.Time
 	startLog      *startLog
 	shuttingDown  atomic.Bool
@@ -134,7 +135,8 @@
 	n.pools = callerconn.Pools{Heads: hostplan.NewPool(plan.HeadBytes), Windows: hostplan.NewPool(plan.WindowBytes)}
 	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
-	n.fleet.Connect = n.network.Connect
+	n.idle = hostplan.NewPool(int64(plan.IdleConnections))
+	n.fleet.Connections = upstream.Options{Connect: n.network.Connect, Idle: n.idle}
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
 	n.state.clock = host.Clock
--- a/internal/handoff/table.go
+++ b/internal/handoff/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
@@ -60,6 +61,8 @@
 	Now   func() time.Time
 	// Random returns a random number in [0, n).
 	Random func(n int) int
+	// Idle bounds the idle connections to helpers, with others. Nil means no common bound.
+	Idle *hostplan.Pool
 
 	mu      sync.Mutex
 	helpers []*Helper
@@ -85,7 +88,7 @@
 		}
 		h := known[n]
 		if h == nil {
-			h = &Helper{Node: n, Pool: upstream.NewPool(n.Addr, nil), order: xxhash.Sum64String(t.Name + "/" + n.Name)}
+			h = &Helper{Node: n, Pool: upstream.NewPool(n.Addr, upstream.Options{Idle: t.Idle}), order: xxhash.Sum64String(t.Name + "/" + n.Name)}
 		}
 		delete(known, n)
 		helpers = append(helpers, h)
--- a/internal/hostplan/plan.go
+++ b/internal/hostplan/plan.go
@@ -39,9 +39,12 @@
 
 	// fileDescriptors are the descriptors that sockets don't use.
 	fileDescriptors = 200
-	// callersFiles is the fraction of the sockets for callers' connections. The others are for the requests that these
-	// cause at endpoints, for the metadata store, and for other nodes.
-	callersFiles = 0.4
+	// callersFiles is the fraction of the sockets for callers' connections. Each of these, and of those of other nodes,
+	// may have a connection to an endpoint in use.
+	callersFiles = 0.35
+	// idleFiles is the fraction for connections to endpoints and other nodes that no request uses. The rest, a 50th, is
+	// for the metadata store, probes and datagrams.
+	idleFiles = 0.19
 	// minConnections keeps a node usable whose host states very small limits.
 	minConnections = 8
 	// peersPart is the part of the callers' connections that other nodes may open to pass requests on.
@@ -61,10 +64,12 @@
 	// Connections, PeerConnections and ReadyConnections bound the open connections of callers, of other nodes that
 	// pass requests, and of readiness checks.
 	Connections, PeerConnections, ReadyConnections int
-	HeadBytes                                      int64 // for heads of more than ordinary size
-	BodyBytes                                      int64 // for buffered bodies
-	WindowBytes                                    int64 // for larger socket buffers
-	ReceiveBuffer, SendBuffer                      int   // sizes of socket buffers, in bytes
+	// IdleConnections bounds the connections to endpoints and other nodes that no request uses.
+	IdleConnections           int
+	HeadBytes                 int64 // for heads of more than ordinary size
+	BodyBytes                 int64 // for buffered bodies
+	WindowBytes               int64 // for larger socket buffers
+	ReceiveBuffer, SendBuffer int   // sizes of socket buffers, in bytes
 }
 
 // New returns the plan for a host with the given memory and number of descriptors. Limits that are not positive count
@@ -83,6 +88,7 @@
 		Connections:      connections,
 		PeerConnections:  max(int(peersPart*float64(connections)), minConnections),
 		ReadyConnections: readyConnections,
+		IdleConnections:  max(int(idleFiles*socketsOf(files)), minConnections),
 		HeadBytes:        part(memoryBytes, headsShare),
 		WindowBytes:      part(memoryBytes, windowsShare),
 		BodyBytes:        part(memoryBytes, bodiesShare),
@@ -97,10 +103,13 @@
 	inHeap := part(memoryBytes, connectionsShare) / connectionBytes
 	outside := part(memoryBytes, 1-heapShare-windowsShare-spareShare) - programBytes
 	inKernel := int64(float64(outside/socketBytes-readyConnections) / (1 + peersPart))
-	inFiles := int64(callersFiles * float64(files-fileDescriptors-readyConnections))
+	inFiles := int64(callersFiles * socketsOf(files))
 	return int(max(min(inHeap, inKernel, inFiles), minConnections))
 }
 
+// socketsOf returns the number of sockets for requests.
+func socketsOf(files int) float64 { return float64(files - fileDescriptors - readyConnections) }
+
 // Worst returns the memory, in bytes, that the process takes if its heap is full and all connections hold as many
 // unread bytes as they can.
 func (p Plan) Worst() int64 {
--- a/internal/hostplan/plan_test.go
+++ b/internal/hostplan/plan_test.go
@@ -15,8 +15,10 @@
 		for _, files := range []int{400, 1024, 4100, 65536} {
 			p := hostplan.New(megabytes<<20, files)
 			test.LessEq(t, p.MemoryBytes, p.Worst(), test.Sprint(megabytes, " MB, ", files, " files"))
-			callers := p.Connections + p.PeerConnections + p.ReadyConnections
-			test.LessEq(t, (files-200)*2/3, callers, test.Sprint("sockets that are not left to the node, of ", files))
+			requests := p.Connections + p.PeerConnections
+			const own = 4 // the store, datagrams and listeners, at least
+			sockets := 2*requests + p.ReadyConnections + p.IdleConnections + own
+			test.LessEq(t, files-200, sockets, test.Sprint("sockets, of ", files))
 			test.LessEq(t, p.HeapBytes, p.HeadBytes+p.BodyBytes+int64(p.Connections)*(40<<10), test.Sprint("heap of ", megabytes, " MB"))
 		}
 	}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -9,9 +9,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
 // startEndpoint starts an endpoint that serves each connection with the given function until the
@@ -20,7 +23,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	p := NewPool(l.Addr().String(), nil)
+	p := NewPool(l.Addr().String(), Options{})
 	t.Cleanup(func() {
 		p.CloseIdle()
 		_ = l.Close()
@@ -202,3 +205,25 @@
 	a.Done()
 	must.SliceEmpty(t, p.idle)
 }
+
+// TestIdleConnectionsTogetherAreBounded guards against idle connections to many endpoints that take a node's descriptors.
+func TestIdleConnectionsTogetherAreBounded(t *testing.T) {
+	const places = 2
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	idle := hostplan.NewPool(places)
+	var pools []*Pool
+	for range 2 * places {
+		p := NewPool(l.Addr().String(), Options{Idle: idle})
+		must.NoError(t, p.Probe(t.Context()))
+		pools = append(pools, p)
+	}
+	must.Eq(t, places, idle.Used())
+	must.True(t, pools[0].HasIdle(time.Now()))
+	must.False(t, pools[places].HasIdle(time.Now()))
+	for _, p := range pools {
+		p.CloseIdle()
+	}
+	must.Zero(t, idle.Used())
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/tcp"
 )
 
@@ -34,10 +35,18 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// Options are what pools of a node have in common.
+type Options struct {
+	// Connect opens connections. Nil means a tcp.Dialer.
+	Connect DialFunc
+	// Idle bounds the idle connections of all pools together. Nil means that each pool is bounded alone.
+	Idle *hostplan.Pool
+}
+
 // Pool holds the connections to one endpoint. It is safe for concurrent use.
 type Pool struct {
-	addr    string
-	connect DialFunc
+	addr string
+	Options
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
@@ -46,14 +55,14 @@
 	dials atomic.Int64
 }
 
-// NewPool returns a pool of connections to addr, as IP:PORT. Connections are opened on demand by
-// connect, or by a tcp.Dialer if it is nil. An attempt takes dialTimeout at most.
-func NewPool(addr string, connect DialFunc) *Pool {
-	if connect == nil {
+// NewPool returns a pool of connections to addr, as IP:PORT. They are opened on demand; an attempt takes dialTimeout at
+// most.
+func NewPool(addr string, options Options) *Pool {
+	if options.Connect == nil {
 		dialer := tcp.Dialer(dialTimeout)
-		connect = dialer.DialContext
+		options.Connect = dialer.DialContext
 	}
-	return &Pool{addr: addr, connect: connect}
+	return &Pool{addr: addr, Options: options}
 }
 
 // Dials returns the number of connections opened so far.
@@ -101,14 +110,27 @@
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
 	p.idle = p.idle[:n-1]
+	p.releaseIdle(1)
 	return c
 }
 
+// reserveIdle reports whether one more idle connection may be kept.
+func (p *Pool) reserveIdle() bool {
+	return !p.closed && len(p.idle) < maxIdle && (p.Idle == nil || p.Idle.Reserve(1))
+}
+
+// releaseIdle gives back the places of idle connections.
+func (p *Pool) releaseIdle(count int) {
+	if p.Idle != nil {
+		p.Idle.Release(int64(count))
+	}
+}
+
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	p.dials.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	nc, err := p.connect(ctx, "tcp", p.addr)
+	nc, err := p.Connect(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, err
 	}
@@ -142,12 +164,12 @@
 }
 
 // put keeps a connection for reuse until timeout has passed, or closes it if the pool is closed or
-// full.
+// there is no place for it.
 func (p *Pool) put(c *conn, timeout time.Duration) {
 	c.reusableUntil = time.Now().Add(timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdle {
+	if !p.reserveIdle() {
 		c.Close()
 		return
 	}
@@ -163,6 +185,7 @@
 	for _, c := range p.idle {
 		c.Close()
 	}
+	p.releaseIdle(len(p.idle))
 	p.idle = nil
 }
 
@@ -176,6 +199,7 @@
 		if c.reusable(now) {
 			return false
 		}
+		p.releaseIdle(1)
 		c.Close()
 		return true
 	})
