--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -115,6 +115,15 @@
 	return nil
 }
 
+// headLimit returns the number of bytes that a request's head may have under the configuration in force.
+func (s *state) headLimit() int {
+	config := s.config.Load()
+	if config == nil || config.Limits.HeaderBytes <= 0 {
+		return maxHeaderBytes
+	}
+	return min(config.Limits.HeaderBytes, maxHeaderBytes)
+}
+
 // closeWhenShuttingDown sets the Connection: close header while the node shuts down, so that
 // callers use a new connection for their next request.
 func closeWhenShuttingDown(shuttingDown *atomic.Bool, next http.Handler) http.Handler {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -253,15 +253,6 @@
 	return s.config.Load(), s.clock.Since(*confirmedAt)
 }
 
-// headLimit returns the number of bytes that a request's head may have under the configuration in force.
-func (s *state) headLimit() int {
-	config := s.config.Load()
-	if config == nil || config.Limits.HeaderBytes <= 0 {
-		return maxHeaderBytes
-	}
-	return min(config.Limits.HeaderBytes, maxHeaderBytes)
-}
-
 // Evacuated reports whether operators have evacuated a failure domain, so that its endpoints must
 // receive no requests.
 func (s *state) Evacuated(domain string) bool { return s.evacuations.isEvacuated(domain) }
