Crowds: bytes that the process has not read of endpoints count, too

The crowds counted what the kernel holds in callers' connections only.

Change: unread bytes of all sockets of the process count, found by their inodes; crowds and bounds stay. The counting has a file of its own.

--- a/cmd/cherryward/crowd_test.go
+++ b/cmd/cherryward/crowd_test.go
@@ -49,11 +49,6 @@
 	client func(c net.Conn, i int) error
 }
 
-// usage is the most that a process was seen to use.
-type usage struct {
-	peakMB, unreadMB, sockets int
-}
-
 // run lets a crowd loose at a node and checks what must hold whatever callers do.
 func (c *crowd) run(t *testing.T) {
 	s := startSite(t)
@@ -139,69 +134,6 @@
 	})
 }
 
-// observe returns the most that the process uses until stop is closed.
-func (n *node) observe(stop <-chan struct{}) (use usage) {
-	ticker := time.NewTicker(sampleInterval)
-	defer ticker.Stop()
-	for {
-		use.unreadMB = max(use.unreadMB, n.unreadBytes()/1e6)
-		use.sockets = max(use.sockets, n.sockets())
-		select {
-		case <-stop:
-			select {
-			case <-n.ended:
-			default:
-				use.peakMB = n.peakMB()
-			}
-			return use
-		case <-ticker.C:
-		}
-	}
-}
-
-// sockets returns the number of open sockets of the process.
-func (n *node) sockets() (count int) {
-	dir := fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid)
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return 0 // the process has ended
-	}
-	for _, f := range files {
-		target, _ := os.Readlink(filepath.Join(dir, f.Name())) // fails if it was closed meanwhile
-		if strings.HasPrefix(target, "socket:") {
-			count++
-		}
-	}
-	return count
-}
-
-// unreadBytes returns the number of bytes that the kernel holds in the connections of the node's callers, those that the
-// process has not read and those that its callers have not.
-func (n *node) unreadBytes() (bytes int) {
-	_, port, err := net.SplitHostPort(n.addr())
-	must.NoError(n.t, err)
-	number, err := strconv.Atoi(port)
-	must.NoError(n.t, err)
-	file, err := os.Open("/proc/net/tcp")
-	must.NoError(n.t, err)
-	defer file.Close()
-	suffix := fmt.Sprintf(":%04X", number)
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		const local, state, queues, listening = 1, 3, 4, "0A"
-		if len(fields) <= queues || !strings.HasSuffix(fields[local], suffix) || fields[state] == listening {
-			continue
-		}
-		sent, received, _ := strings.Cut(fields[queues], ":")
-		for _, text := range []string{sent, received} {
-			size, err := strconv.ParseInt(text, 16, 64)
-			must.NoError(n.t, err)
-			bytes += int(size)
-		}
-	}
-	return bytes
-}
-
 const (
 	crowdClients  = 600
 	crowdMemoryMB = smallHostMB
