Callerconn: what it has is used once

Read again: refuse had its own copy of Conn.CloseWrite, the size of a parsed head was computed twice where it is refused, and the stall time stood in the guard beside its limits.

Change: each is called, computed or kept once.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -114,7 +114,7 @@
 // grow adds what was read to the head.
 func (c *Conn) grow(read chunk) refusal {
 	c.head = c.head.plus(read)
-	if c.head.bytes > c.guard.headLimit()+headSlack {
+	if c.head.bytes > c.guard.limits.HeadBytes()+headSlack {
 		return refuseTooLarge
 	}
 	if !c.reserve(c.head.cost()) {
@@ -144,7 +144,7 @@
 	if _, err := c.Conn.Write(c.guard.refusals[why]); err != nil {
 		return errRefused
 	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+	if c.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // ends with the connection, or with the deadline
 	}
 	return errRefused
@@ -164,7 +164,7 @@
 // headDeadline is the number of the deadline, after a connection has become idle, that is for the next head.
 const headDeadline = 2
 
-// Write implements net.Conn. It fails if the caller takes nothing for stallTime.
+// Write implements net.Conn. It fails if the caller takes nothing for Limits.StallTime.
 func (c *Conn) Write(p []byte) (written int, err error) {
 	defer c.stalledSince.Store(0)
 	if len(p) > largeWrite {
@@ -179,11 +179,11 @@
 	}
 }
 
-// writePiece writes a piece of an answer, or a part of it if the caller takes that and no more in stallTime.
+// writePiece writes a piece of an answer, or a part of it if the caller takes that and no more in Limits.StallTime.
 func (c *Conn) writePiece(p []byte) (int, error) {
 	now := time.Now()
 	c.stalledSince.Store(now.UnixNano())
-	if err := c.Conn.SetWriteDeadline(now.Add(c.guard.stallTime)); err != nil {
+	if err := c.Conn.SetWriteDeadline(now.Add(c.guard.limits.StallTime)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"net"
@@ -59,11 +60,10 @@
 
 // Guard bounds the connections of a listener. It is safe for concurrent use.
 type Guard struct {
-	limits    Limits
-	pools     Pools
-	stallTime time.Duration
-	refusals  [refusalCount][]byte
-	log       zerolog.Logger
+	limits   Limits
+	pools    Pools
+	refusals [refusalCount][]byte
+	log      zerolog.Logger
 
 	mu      sync.Mutex
 	ended   sync.Cond // signaled when open or closed changes
@@ -86,10 +86,8 @@
 
 // New returns a Guard.
 func New(limits Limits, pools Pools, refusals Refusals, log zerolog.Logger) *Guard {
-	g := &Guard{limits: limits, pools: pools, stallTime: limits.StallTime, log: loglimit.Bound(log)}
-	if g.stallTime == 0 {
-		g.stallTime = defaultStallTime
-	}
+	limits.StallTime = cmp.Or(limits.StallTime, defaultStallTime)
+	g := &Guard{limits: limits, pools: pools, log: loglimit.Bound(log)}
 	g.ended.L = &g.mu
 	g.refusals = [refusalCount][]byte{refuseTooLarge: refusals.TooLarge, refuseNoRoom: refusals.NoRoom}
 	return g
@@ -110,8 +108,6 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-func (g *Guard) headLimit() int { return g.limits.HeadBytes() }
-
 // Open returns the number of open connections.
 func (g *Guard) Open() int {
 	g.mu.Lock()
@@ -233,5 +229,5 @@
 		event = "head_without_room"
 	}
 	g.log.Warn().Str("event", event).Str("caller", c.RemoteAddr().String()).
-		Int("bytes", c.head.bytes).Int("lines", c.head.lines).Int("limit", g.headLimit()).Int64("pool_used", g.pools.Heads.Used()).Send()
+		Int("bytes", c.head.bytes).Int("lines", c.head.lines).Int("limit", g.limits.HeadBytes()).Int64("pool_used", g.pools.Heads.Used()).Send()
 }
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -15,8 +15,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !c.reserve(sizeOf(r).cost()) {
-			c.head = sizeOf(r)
+		c.head = sizeOf(r)
+		if !c.reserve(c.head.cost()) {
 			g.countRefusal(refuseNoRoom, c)
 			w.Header().Set("Connection", "close")
 			refuse.ServeHTTP(w, r)
