Forward: the event id in a line of a repeat is cut, too

The lines of requests cut texts of callers at 128 bytes; after_event of sent_again didn't, and starts as the id that the caller states, which may be as long as a head.

Change: it goes through the same function. No test failed for it: the function has its own, TestLoggedTextIsBounded. The package's tests pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 			return x.withoutPath(ctx, mayHaveRunCount)
 		}
 		x.Log.Info().Str("event", "sent_again").Str("id", logged(x.attrs.ID)).Str("endpoint", placement.Member.ID).
-			Str("release", placement.Member.Endpoint().Release).Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", x.position.lastID).
+			Str("release", placement.Member.Endpoint().Release).Stringer("verdict", v).AnErr("cause", x.cause).Str("after_event", logged(x.position.lastID)).
 			Dur("after_ms", x.Clock.Since(x.arrived)).Send()
 	}
 }
