--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -26,7 +26,6 @@
 	"lease":     leaseOfHolder,
 	"handoff":   longHeaders,
 	"popular":   popularPage,
-	"replaced":  replacedNodes,
 }
 
 func main() {
