--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-exec "$root/target/review-kit" lease "$root/target/cherryward" "$here/record.txt"
+exec "$root/target/review-kit" handoff "$root/target/cherryward" "$here/record.txt"
