review: case 7 looks at the orders to one server, case 8 cuts one node of three

Case 7 compared orders to different servers, which is stricter than the rule; four of nine servers now leave orders unanswered.

--- a/review/_kit/handoff.go
+++ b/review/_kit/handoff.go
@@ -62,8 +62,10 @@
 	if err != nil {
 		return false, err
 	}
-	if _, err := w.start("edge-hall-north-2", w.site.BootFile("edge-hall-north-2")); err != nil {
-		return false, err
+	for _, name := range []string{"edge-hall-north-2", "edge-hall-east-1"} {
+		if _, err := w.start(name, w.site.BootFile(name)); err != nil {
+			return false, err
+		}
 	}
 	if w.trouble {
 		for _, l := range links {
--- a/review/_kit/lease.go
+++ b/review/_kit/lease.go
@@ -28,6 +28,8 @@
 	engines  = 9
 	loadTime = 1300 * time.Millisecond
 	atOnce   = 2
+	// lateOrders is when four of the servers carry out an order, which they don't answer.
+	lateOrders = 12 * time.Second
 	// orderTimeout is how long an order is awaited.
 	orderTimeout = 30 * time.Second
 	// tokenField is how the name of the field with the fencing token ends.
@@ -62,6 +64,11 @@
 	if err != nil {
 		return false, err
 	}
+	for i, server := range w.site.Models {
+		if i%2 == 1 { // four of nine
+			server.SetFaults(modelserver.Faults{LateOrders: lateOrders})
+		}
+	}
 	w.site.Configure(1, key)
 	for _, name := range []string{"node-1", "node-2", "node-3"} {
 		boot := w.unfencedBoot(name)
@@ -110,22 +117,29 @@
 			w.logf("SIGKILL to %s", n.name)
 		}
 	}
-	next, err := seen.await(func(o order) bool { return o.holder != first.holder })
+	next, err := seen.await(func(o order) bool { return o.holder != first.holder && seen.lastOf(first.holder, o.server) != nil })
 	if err != nil {
 		return false, err
 	}
-	last := first
 	for _, o := range seen.all() {
 		w.logf("at %.3f s: order of %s to %s, token %v", o.at.Sub(w.began).Seconds(), o.holder, o.server, o.token)
-		if o.holder == first.holder {
-			last = o
-		}
 	}
+	last := seen.lastOf(first.holder, next.server)
 	gap := next.at.Sub(last.at)
-	w.logf("%.3f s from the last order of %s to the first of %s; the lease is %v", gap.Seconds(), last.holder, next.holder, laterLease)
+	w.logf("server %s: %.3f s from the last order of %s to the first of %s; the lease is %v", next.server, gap.Seconds(), last.holder, next.holder, laterLease)
 	return gap < laterLease, nil
 }
 
+// lastOf returns the last order of a holder to a server, or nil.
+func (o *orders) lastOf(holder, server string) (last *order) {
+	for _, seen := range o.all() {
+		if seen.holder == holder && seen.server == server {
+			last = &seen
+		}
+	}
+	return last
+}
+
 func (o *orders) all() []order {
 	o.mu.Lock()
 	defer o.mu.Unlock()
