Upstream: an answer without a length is whole only once its request was taken

What callers saw: an endpoint answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got 200 with that part, as a whole answer; a stream got a regular end.

Cause: a socket hands out its pending error once. The goroutine that writes the request's body took ECONNRESET, after which the reader saw the end of the connection, and that is what ends such a body. The result of the write was asked for only before the connection was reused.

Change: at the end of a body that only the connection ends, the read waits for the write of the request and fails with a CutOffError if that failed. An endpoint that answers early, closes its direction and reads the rest keeps its answer, and so does one that states a length or sends chunks. The wait ends with the request's time, or with Discard's, which therefore bounds both directions. All that read such a body (buffered, long, events, discarded) do so through this reader. A caller gets 502 (may_have_run), an idempotent request is sent elsewhere, a stream that has begun breaks.

Not changed, as nothing shows it: an answer without a length that ends early with a regular close, when the whole request had been written.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,11 +81,11 @@
 // Done or Abort must be called.
 type Answer struct {
 	*http.Response
-	pool        *Pool
-	conn        *conn
-	writeResult <-chan error // result of a concurrent write of the body; nil if there is none
-	detach      func() bool  // detaches the connection from the context; false if the context ended first
-	body        *trackedBody
+	pool   *Pool
+	conn   *conn
+	write  *bodyWrite  // of a body that is written while the answer is read; nil if there is none
+	detach func() bool // detaches the connection from the context; false if the context ended first
+	body   *trackedBody
 	// closeDelimited is set if only the closing of the connection marks the end of the body.
 	closeDelimited bool
 }
@@ -125,12 +125,7 @@
 	if n, err := a.conn.Write(head); err != nil {
 		return sendError(n, err)
 	}
-	done := make(chan error, 1)
-	go func() {
-		_, err := a.conn.Write(req.Body)
-		done <- err
-	}()
-	a.writeResult = done
+	a.write = startWrite(a.conn, req.Body)
 	return nil
 }
 
@@ -187,6 +182,9 @@
 func (a *Answer) accept(resp *http.Response) {
 	a.body = &trackedBody{ReadCloser: resp.Body}
 	a.closeDelimited = isCloseDelimited(resp)
+	if a.closeDelimited {
+		a.body.endsAfter = a.write
+	}
 	resp.Body = a.body
 	a.Response = resp
 }
@@ -227,7 +225,7 @@
 // most maxBytes and arrives within the given time; otherwise it closes it. It returns an ExcessError if the body is
 // longer, and the error of the connection if that fails.
 func (a *Answer) Discard(maxBytes int64, within time.Duration) error {
-	_ = a.conn.SetReadDeadline(time.Now().Add(within)) // if this fails, so does the read
+	_ = a.conn.SetDeadline(time.Now().Add(within)) // if this fails, so does the read
 	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBytes+1))
 	if err == nil && n > maxBytes {
 		err = &ExcessError{Part: PartBody}
@@ -239,7 +237,7 @@
 		}
 		return err
 	}
-	_ = a.conn.SetReadDeadline(time.Time{}) // if this fails, so does the next read
+	_ = a.conn.SetDeadline(time.Time{}) // if this fails, so does the next read
 	a.Done()
 	return nil
 }
@@ -261,15 +259,7 @@
 	if a.Close || !a.body.reachedEOF || a.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if a.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-a.writeResult:
-		return err == nil
-	default:
-		return false // the endpoint answered before the request body was written
-	}
+	return a.write == nil || a.write.succeeded() // otherwise the endpoint answered before the request body was written
 }
 
 // Abort closes the connection, which signals the endpoint to stop.
