Upstream: the status line of an answer is checked before it is parsed

What callers saw: an endpoint in trouble sent an answer with status 000, and the caller got it as an answer: 200 with whatever the endpoint sent next as its body.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, so 000, 099 and +20 are statuses, and any status below 200 counted as interim: what came next was read as the answer. In the same way 101, which nobody asked for, any version of HTTP, a second blank and control bytes in the reason passed; 600 and 999 were handed to the caller.

Change: package answerhead reads below the parser's buffer and checks the bytes of a head as they arrive, those of interim responses too: HTTP/1.0 or a later minor version of HTTP/1, one blank, three digits from 100 to 599 and not 101, a reason without control bytes. It passes on nothing behind the head until the body is read, so that the bytes of a body are not taken for a head. A line is judged at its end: one without an end is still reported as too long. The failure is that of any malformed answer: 502 (may_have_run), sent elsewhere if idempotent, counted in the endpoint's health. The bound on the bytes of heads moved there from limitedReader.

--- /dev/null
+++ b/internal/answerhead/reader.go
@@ -0,0 +1,98 @@
+package answerhead
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrTooLong reports that heads have more bytes than they may.
+var ErrTooLong = errors.New("heads of an answer are too long")
+
+// Reader reads a connection and checks the heads in it. It passes on the bytes of a head, and none after it until they
+// are read as the body. It is not safe for concurrent use.
+type Reader struct {
+	source  io.Reader
+	heads   checker
+	inHead  bool
+	left    int    // bytes that heads may still have
+	pending []byte // read from source and not passed on
+	failed  error  // of a head, and of all reads after it
+}
+
+// NewReader returns a Reader that passes everything on until a head is due.
+func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
+
+// ExpectHead has the next bytes checked as the head of an answer, after those of its interim responses. early are bytes
+// that were read from the connection already and belong before what the Reader would read next. All these heads may
+// have limit bytes.
+func (r *Reader) ExpectHead(early []byte, limit int) {
+	if len(early) > 0 {
+		r.pending = append(append([]byte{}, early...), r.pending...)
+	}
+	r.heads, r.inHead, r.left = checker{}, true, limit
+}
+
+// Left returns the number of bytes that heads may still have.
+func (r *Reader) Left() int { return r.left }
+
+// Pending returns the number of bytes that were received and not passed on.
+func (r *Reader) Pending() int { return len(r.pending) }
+
+// Err returns the error of a head, which a parser may have taken for the end of a line.
+func (r *Reader) Err() error { return r.failed }
+
+// Read implements io.Reader. Within a head it fails with a MalformedError or ErrTooLong.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.failed != nil {
+		return 0, r.failed
+	}
+	if !r.inHead {
+		return r.readBody(p)
+	}
+	if len(r.pending) > 0 {
+		n := copy(p, r.pending)
+		used, err := r.check(p[:n])
+		r.drop(used)
+		return used, err
+	}
+	n, err := r.source.Read(p)
+	if n == 0 {
+		return 0, err
+	}
+	used, err := r.check(p[:n])
+	if used < n && err == nil {
+		r.pending = append([]byte{}, p[used:n]...)
+	}
+	return used, err
+}
+
+func (r *Reader) readBody(p []byte) (int, error) {
+	if len(r.pending) == 0 {
+		return r.source.Read(p)
+	}
+	n := copy(p, r.pending)
+	r.drop(n)
+	return n, nil
+}
+
+// drop drops pending bytes, and their memory with the last ones: an idle connection needs none.
+func (r *Reader) drop(n int) {
+	if r.pending = r.pending[n:]; len(r.pending) == 0 {
+		r.pending = nil
+	}
+}
+
+// check checks bytes of heads and returns how many of them belong there.
+func (r *Reader) check(b []byte) (used int, err error) {
+	used, complete, err := r.heads.scan(b)
+	if err == nil && used > r.left {
+		err = ErrTooLong
+	}
+	if err != nil {
+		r.failed = err
+		return 0, err
+	}
+	r.left -= used
+	r.inHead = !complete
+	return used, nil
+}
--- /dev/null
+++ b/internal/forward/answer_head_test.go
@@ -0,0 +1,66 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test"
+)
+
+// undelivered plays raw answers, each at a new endpoint, and checks that none of their bytes reach a caller: an
+// idempotent request is served by the sound endpoint, another one gets 502.
+func undelivered(t *testing.T, answers map[string]string) {
+	t.Helper()
+	for name, text := range answers {
+		for path, want := range map[string]result{recordPath: served, uploadPath: failed} {
+			t.Run(name+path, func(t *testing.T) {
+				h := newRawTestHandler(t, fixedAnswer(text), fixedAnswer(head(http.StatusOK, contentLength(len("sound")))+"sound"))
+				got := h.do(t, http.MethodPost, path, "body", nil)
+				test.Eq(t, want, seenByUpload(got), test.Sprintf("%d %q", got.status, got.body))
+				test.Positive(t, h.placer.members[0].Health.FailureRate(h.handler.Clock.Now()))
+			})
+		}
+	}
+}
+
+// statusLine replaces the status line of a whole answer of two bytes.
+func statusLine(line string) string {
+	_, rest, _ := strings.Cut(head(http.StatusOK, contentLength(2))+"ok", "\r\n")
+	return line + "\r\n" + rest
+}
+
+// TestStatusThatIsNone guards against answers of endpoints in trouble that a caller gets as answers, or whose text passes
+// for the answer after them.
+func TestStatusThatIsNone(t *testing.T) {
+	whole := head(http.StatusOK, contentLength(2)) + "ok"
+	undelivered(t, map[string]string{
+		"000":                  statusLine("HTTP/1.1 000 Trouble"),
+		"000 and a body":       "HTTP/1.1 000 Trouble\r\n\r\n" + whole,
+		"099 and a body":       "HTTP/1.1 099 Trouble\r\n\r\n" + whole,
+		"+20 and a body":       "HTTP/1.1 +20 Trouble\r\n\r\n" + whole,
+		"101 and a body":       "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n" + whole,
+		"600":                  statusLine("HTTP/1.1 600 Trouble"),
+		"999":                  statusLine("HTTP/1.1 999 Trouble"),
+		"two digits":           statusLine("HTTP/1.1 20 OK"),
+		"four digits":          statusLine("HTTP/1.1 2000 OK"),
+		"two blanks":           statusLine("HTTP/1.1  200 OK"),
+		"tab":                  statusLine("HTTP/1.1\t200 OK"),
+		"other version":        statusLine("HTTP/9.9 200 OK"),
+		"HTTP/2":               statusLine("HTTP/2.0 200 OK"),
+		"other protocol":       statusLine("ICY/1.1 200 OK"),
+		"NUL in the reason":    statusLine("HTTP/1.1 200 O\x00K"),
+		"CR in the reason":     statusLine("HTTP/1.1 200 O\rK"),
+		"empty line before it": "\r\n" + whole,
+	})
+}
+
+// TestHeadThatBreaksOff guards against an empty answer that passes for a whole one.
+func TestHeadThatBreaksOff(t *testing.T) {
+	whole := head(http.StatusOK, contentLength(12))
+	answers := make(map[string]string)
+	for i := range whole {
+		answers["after "+whole[max(i-8, 0):i]] = whole[:i]
+	}
+	undelivered(t, answers)
+}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -84,28 +84,3 @@
 func isCloseDelimited(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
-
-// unlimited is the value of limitedReader.remaining after the header of the answer was read.
-const unlimited = -1
-
-// limitedReader reads from source until the remaining bytes are used up, then fails with an ExcessError.
-type limitedReader struct {
-	source    io.Reader
-	remaining int
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.remaining == unlimited {
-		return l.source.Read(b)
-	}
-	if l.remaining <= 0 {
-		return 0, &ExcessError{Part: PartHeader}
-	}
-	if len(b) > l.remaining {
-		b = b[:l.remaining]
-	}
-	n, err := l.source.Read(b)
-	l.remaining = max(l.remaining-n, 0)
-	return n, err
-}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/cherryward/cherryward/internal/answerhead"
 )
 
 const (
@@ -155,13 +157,12 @@
 
 // receive reads answers until the one that belongs to this request.
 func (a *Answer) receive(req *Request, isOwn OwnFunc) error {
-	headerBytes := maxHeaderBytes // what is left for headers
+	a.conn.expectHead(maxHeaderBytes)
 	for skipped := 0; ; {
-		resp, left, err := a.readHeader(req.Method, headerBytes)
+		resp, err := a.readHeader(req.Method)
 		if err != nil {
 			return err
 		}
-		headerBytes = left
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response such as 100 Continue
 		}
@@ -176,6 +177,7 @@
 		if err := skipBody(resp); err != nil {
 			return &Error{Stage: StageAnswer, Err: err}
 		}
+		a.conn.expectHead(a.conn.heads.Left())
 	}
 }
 
@@ -202,23 +204,29 @@
 	return err
 }
 
-// readHeader reads the header of one response, for which at most limit bytes are received. It returns what is left
-// of them; received bytes that follow the header are not left.
-func (a *Answer) readHeader(method string, limit int) (resp *http.Response, left int, err error) {
-	a.conn.limited.remaining = limit
+// readHeader reads the header of one response.
+func (a *Answer) readHeader(method string) (*http.Response, error) {
 	if _, err := a.conn.reader.Peek(1); err != nil {
-		return nil, 0, &Error{Stage: StageSend, Err: err}
+		return nil, a.headerError(StageSend, err)
 	}
-	resp, err = http.ReadResponse(a.conn.reader, &http.Request{Method: method})
-	left = a.conn.limited.remaining
-	switch {
-	case err != nil && left == 0: // a line that was cut off by the limit may count as malformed
-		return nil, 0, &Error{Stage: StageAnswer, Err: &ExcessError{Part: PartHeader}}
-	case err != nil:
-		return nil, 0, &Error{Stage: StageAnswer, Err: err}
+	resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, a.headerError(StageAnswer, err)
+	}
+	return resp, nil
+}
+
+// headerError returns the error of an exchange in which reading a header failed with err, once the given stage was
+// reached.
+func (a *Answer) headerError(reached Stage, err error) *Error {
+	switch failed := a.conn.heads.Err(); {
+	case failed == nil:
+		return &Error{Stage: reached, Err: err}
+	case errors.Is(failed, answerhead.ErrTooLong):
+		return &Error{Stage: StageAnswer, Err: &ExcessError{Part: PartHeader}}
+	default:
+		return &Error{Stage: StageAnswer, Err: failed}
 	}
-	a.conn.limited.remaining = unlimited
-	return resp, left, nil
 }
 
 // Discard ends an answer whose body is not needed. It keeps the connection for reuse if the rest of the body has at
@@ -256,7 +264,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if a.Close || !a.body.reachedEOF || a.conn.reader.Buffered() > 0 {
+	if a.Close || !a.body.reachedEOF || a.conn.buffered() > 0 {
 		return false
 	}
 	return a.write == nil || a.write.succeeded() // otherwise the endpoint answered before the request body was written
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/answerhead"
 	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/tcp"
 )
@@ -81,9 +82,9 @@
 type conn struct {
 	net.Conn
 	reader        *bufio.Reader
-	limited       limitedReader
-	reusableUntil time.Time // end of the time in which it may be reused
-	used          bool      // it has carried a request before the present one
+	heads         *answerhead.Reader // below reader
+	reusableUntil time.Time          // end of the time in which it may be reused
+	used          bool               // it has carried a request before the present one
 }
 
 // get returns an idle connection that is still open, or dials a new one.
@@ -134,12 +135,21 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc}
-	c.limited.source = nc
-	c.reader = bufio.NewReaderSize(&c.limited, bufferBytes)
+	c := &conn{Conn: nc, heads: answerhead.NewReader(nc)}
+	c.reader = bufio.NewReaderSize(c.heads, bufferBytes)
 	return c, nil
 }
 
+// expectHead has the next bytes checked as heads, which may have limit bytes.
+func (c *conn) expectHead(limit int) {
+	early, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
+	c.heads.ExpectHead(early, limit)
+	c.reader.Reset(c.heads)
+}
+
+// buffered returns the number of received bytes that nobody has read.
+func (c *conn) buffered() int { return c.reader.Buffered() + c.heads.Pending() }
+
 // Probe opens a connection, which is kept for later requests, and reports whether that succeeds.
 func (p *Pool) Probe(ctx context.Context) error {
 	c, err := p.dial(ctx)
@@ -211,7 +221,7 @@
 // isIdle reports whether the peer has neither closed the connection nor sent anything since the
 // last answer.
 func (c *conn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
+	if c.buffered() > 0 {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
