Upstream: an answer with two framings, or with chunks in HTTP/1.0, is no answer

What callers would see: the body of such an answer by one framing while another reader, or the endpoint, means the other: 200 by the chunks although a length of 2 was stated, or the lengths of the chunks as body (HTTP/1.0).

Cause: net/http follows a transfer encoding and drops the length beside it, and ignores a transfer encoding in HTTP/1.0, so that the end of the connection becomes the framing. Neither shows in the parsed response.

Change: package answerhead notes both fields as it checks their lines and accepts one framing. RFC 9112, 6.1 and 6.3, call both forms an error of the sender that ought to be handled as such.

Two lengths, lengths that are none, and encodings other than chunked were refused before: these cases are kept.

--- a/internal/answerhead/fields.go
+++ b/internal/answerhead/fields.go
@@ -54,7 +54,17 @@
 // framing is what a head says of the end of its body.
 type framing struct{ encoded, sized bool }
 
-func (f *framing) check(*statusLine) error { return nil }
+// check checks the framing of a whole head. Readers differ in which of two framings they follow, and in whether a
+// server that speaks HTTP/1.0 can send chunks.
+func (f *framing) check(status *statusLine) error {
+	switch {
+	case f.encoded && f.sized:
+		return malformed("a length beside a transfer encoding")
+	case f.encoded && status.isHTTP10():
+		return malformed("a transfer encoding in HTTP/1.0")
+	}
+	return nil
+}
 
 func lower(ch byte) byte {
 	if 'A' <= ch && ch <= 'Z' {
--- a/internal/answerhead/fields_test.go
+++ b/internal/answerhead/fields_test.go
@@ -44,3 +44,25 @@
 		}
 	}
 }
+
+func TestFraming(t *testing.T) {
+	const chunked, length = "tRANSFER-eNCODING: chunked\r\n", "cONTENT-lENGTH: 3\r\n"
+	tests := []struct {
+		status, fields string
+		ok             bool
+	}{
+		{"HTTP/1.1 200 OK", chunked, true},
+		{"HTTP/1.1 200 OK", length, true},
+		{"HTTP/1.0 200 OK", length, true},
+		{"HTTP/1.0 200 OK", "", true},
+		{"HTTP/1.1 200 OK", length + "Transfer-Encodings: chunked\r\n", true},
+		{"HTTP/1.1 103 Early Hints", length + "\r\nHTTP/1.1 200 OK\r\n" + chunked, true},
+		{"HTTP/1.1 200 OK", chunked + length, false},
+		{"HTTP/1.1 200 OK", length + chunked, false},
+		{"HTTP/1.0 200 OK", chunked, false},
+	}
+	for _, tc := range tests {
+		_, err := readAll(t, tc.status+"\r\n"+tc.fields+"\r\n")
+		must.Eq(t, tc.ok, err == nil, must.Sprintf("%s %q: %v", tc.status, tc.fields, err))
+	}
+}
--- a/internal/forward/answer_head_test.go
+++ b/internal/forward/answer_head_test.go
@@ -87,3 +87,19 @@
 		"in an interim response":      "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + with(contentLength(2), "ok"),
 	})
 }
+
+// TestTwoFramings guards against a body that ends elsewhere for the caller than for the endpoint.
+func TestTwoFramings(t *testing.T) {
+	chunked := chunk("ok") + lastChunk
+	undelivered(t, map[string]string{
+		"length beside chunks": head(http.StatusOK, contentLength(2)+chunkedEncoding) + chunked,
+		"chunks beside length": head(http.StatusOK, chunkedEncoding+contentLength(2)) + chunked,
+		"chunks in HTTP/1.0":   strings.Replace(head(http.StatusOK, chunkedEncoding), "HTTP/1.1", "HTTP/1.0", 1) + chunked,
+		"two lengths":          head(http.StatusOK, contentLength(2)+contentLength(3)) + "ok!",
+		"length with a sign":   head(http.StatusOK, "Content-Length: +2\r\n") + "ok",
+		"length of nothing":    head(http.StatusOK, "Content-Length: \r\n") + "ok",
+		"another encoding":     head(http.StatusOK, "Transfer-Encoding: gzip, chunked\r\n") + chunked,
+		"two encodings":        head(http.StatusOK, chunkedEncoding+chunkedEncoding) + chunked,
+		"identity":             head(http.StatusOK, "Transfer-Encoding: identity\r\n") + "ok",
+	})
+}
