Upstream: a trailer with a blank in a name is no end of an answer

What callers would see: 200 with a body whose last chunk is followed by something else than a trailer.

Cause: net/http's parser forgives blanks in the names of trailers as it does in heads, and nobody looked at them, as trailers aren't passed on.

Change: at the end of a body the names of its trailer must be tokens.

Control bytes, missing colons and trailers of over 4 KB were refused before.

--- a/internal/answerhead/fields.go
+++ b/internal/answerhead/fields.go
@@ -1,6 +1,10 @@
 package answerhead
 
-import "strings"
+import (
+	"net/http"
+	"strings"
+	"unicode"
+)
 
 const (
 	transferEncoding = "transfer-encoding"
@@ -66,6 +70,20 @@
 	return nil
 }
 
+// CheckNames returns a MalformedError if a name in h, such as that of a trailer, is no token.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return malformed("field %q", name)
+		}
+	}
+	return nil
+}
+
+func isToken(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(r rune) bool { return r > unicode.MaxASCII || !isTokenByte(byte(r)) })
+}
+
 func lower(ch byte) byte {
 	if 'A' <= ch && ch <= 'Z' {
 		return ch + ('a' - 'A')
--- a/internal/forward/answer_head_test.go
+++ b/internal/forward/answer_head_test.go
@@ -103,3 +103,17 @@
 		"identity":             head(http.StatusOK, "Transfer-Encoding: identity\r\n") + "ok",
 	})
 }
+
+// TestTrailerThatIsNone guards against chunks that end in something else than a trailer and pass for a whole body.
+func TestTrailerThatIsNone(t *testing.T) {
+	with := func(trailer string) string {
+		return head(http.StatusOK, chunkedEncoding) + chunk("ok") + "0\r\n" + trailer + "\r\n\r\n"
+	}
+	undelivered(t, map[string]string{
+		"blank in a name":        with("X Sum: 1"),
+		"blank before the colon": with("X-Sum : 1"),
+		"control byte in a name": with("X-\x01Sum: 1"),
+		"no colon":               with("X-Sum"),
+		"too long":               with("X-Sum: " + strings.Repeat("1", 8<<10)),
+	})
+}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/cherryward/cherryward/internal/answerhead"
 )
 
 // trackedBody records whether a body was read to its end: any unread rest would be read as the
@@ -12,6 +14,7 @@
 type trackedBody struct {
 	io.ReadCloser
 	reachedEOF bool
+	answer     *http.Response
 	// endsAfter is the writing of the request, without which the body is not complete; nil if the body shows its end.
 	endsAfter *bodyWrite
 }
@@ -27,6 +30,9 @@
 			return n, &CutOffError{Err: cause}
 		}
 	}
+	if malformed := answerhead.CheckNames(b.answer.Trailer); malformed != nil {
+		return n, malformed
+	}
 	b.reachedEOF = true
 	return n, err
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -182,7 +182,7 @@
 }
 
 func (a *Answer) accept(resp *http.Response) {
-	a.body = &trackedBody{ReadCloser: resp.Body}
+	a.body = &trackedBody{ReadCloser: resp.Body, answer: resp}
 	a.closeDelimited = isCloseDelimited(resp)
 	if a.closeDelimited {
 		a.body.endsAfter = a.write
