--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -9,6 +9,9 @@
 
 import "fmt"
 
+// MaxBytes bounds the heads that come for one request: that of the answer and those of the interim responses before it.
+const MaxBytes = 64 << 10
+
 // MalformedError reports that an endpoint sent something else where a head is due. What it sent is no answer.
 type MalformedError struct{ Reason string }
 
--- a/internal/answerhead/reader.go
+++ b/internal/answerhead/reader.go
@@ -38,6 +38,9 @@
 // Pending returns the number of bytes that were received and not passed on.
 func (r *Reader) Pending() int { return len(r.pending) }
 
+// passesOn reports whether the next read passes on what source has, unchecked.
+func (r *Reader) passesOn() bool { return !r.inHead && len(r.pending) == 0 && r.failed == nil }
+
 // Err returns the error of a head, which a parser may have taken for the end of a line.
 func (r *Reader) Err() error { return r.failed }
 
--- a/internal/answerhead/status_test.go
+++ b/internal/answerhead/status_test.go
@@ -9,16 +9,14 @@
 	"github.com/shoenig/test/must"
 )
 
-const testLimit = 64 << 10
-
 // readAll reads one head and what follows it from text, as it would arrive in pieces of any size.
 func readAll(t *testing.T, text string) (string, error) {
 	t.Helper()
 	r := NewReader(strings.NewReader(text))
-	r.ExpectHead(nil, testLimit)
+	r.ExpectHead(nil, MaxBytes)
 	whole, err := io.ReadAll(r)
 	slow := NewReader(iotest.OneByteReader(strings.NewReader(text)))
-	slow.ExpectHead(nil, testLimit)
+	slow.ExpectHead(nil, MaxBytes)
 	pieces, slowErr := io.ReadAll(slow)
 	must.Eq(t, err == nil, slowErr == nil, must.Sprintf("in pieces: %v, at once: %v", slowErr, err))
 	if err == nil {
@@ -89,13 +87,13 @@
 func TestBytesAfterHeadStayForTheBody(t *testing.T) {
 	const first, body, second = "HTTP/1.1 200 OK\r\n\r\n", "b\x00dy", "HTTP/1.1 404 Not Found\r\n\r\n"
 	r := NewReader(strings.NewReader(first + body + second))
-	r.ExpectHead(nil, testLimit)
-	buffer := make([]byte, 2*testLimit)
+	r.ExpectHead(nil, MaxBytes)
+	buffer := make([]byte, 2*MaxBytes)
 	n, err := r.Read(buffer)
 	must.NoError(t, err)
 	must.Eq(t, first, string(buffer[:n]))
 	must.Eq(t, len(body+second), r.Pending())
-	must.Eq(t, testLimit-len(first), r.Left())
+	must.Eq(t, MaxBytes-len(first), r.Left())
 	n, err = r.Read(buffer[:len(body)+2])
 	must.NoError(t, err)
 	must.Eq(t, body+second[:2], string(buffer[:n]))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// maxHeaderBytes bounds the headers of an exchange: that of the answer and those of all responses before it.
-	maxHeaderBytes = 64 << 10
 	// maxSkippedAnswers bounds the answers to other requests that are skipped before this request's
 	// answer.
 	maxSkippedAnswers = 2
@@ -157,7 +155,7 @@
 
 // receive reads answers until the one that belongs to this request.
 func (a *Answer) receive(req *Request, isOwn OwnFunc) error {
-	a.conn.expectHead(maxHeaderBytes)
+	a.conn.expectHead(answerhead.MaxBytes)
 	for skipped := 0; ; {
 		resp, err := a.readHeader(req.Method)
 		if err != nil {
