Calls: what is no answer isn't delivered as that of a plain service

What callers saw, of a standalone node: the body behind a status of 000 (an empty status to the caller), 101 or 600, the lengths of chunks as a body; and a head of up to 10 MB was read for each call.

Change: the client's Transport is answerhead's.

--- a/internal/calls/plain.go
+++ b/internal/calls/plain.go
@@ -15,6 +15,7 @@
 	"time"
 
 	pb "github.com/cherryward/cherryward/api/gen/cherryward/v1"
+	"github.com/cherryward/cherryward/internal/answerhead"
 	"github.com/cherryward/cherryward/internal/config"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/runs"
@@ -69,7 +70,7 @@
 		directory:  directory,
 		leaving:    leaving,
 		budget:     budget,
-		http:       &http.Client{Transport: transport, CheckRedirect: noRedirects},
+		http:       &http.Client{Transport: answerhead.NewTransport(transport), CheckRedirect: noRedirects},
 		avoidUntil: make(map[string]time.Time),
 	}
 }
