Engine client: what is no answer isn't an engine's word that a run was not begun

What was seen, of a standalone node: an answer with status 000, 099 or 600 whose body says "not_run" counted as a refusal, so that the caller would be told that its prompt had not run; 200 in heads that are none began a stream.

Cause: any status but 2xx counts as a refusal whose body states the run state, and net/http's parser lets any pass.

Change: the client's Transport is answerhead's, so that such an answer is an error after which the run may have begun.

--- a/internal/endpoint/engine/engine.go
+++ b/internal/endpoint/engine/engine.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cherryward/cherryward/api/wire/enginewire"
+	"github.com/cherryward/cherryward/internal/answerhead"
 	"github.com/cherryward/cherryward/internal/result"
 )
 
@@ -51,7 +52,7 @@
 		ReadBufferSize:      transportBufferBytes,
 		WriteBufferSize:     transportBufferBytes,
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: answerhead.NewTransport(transport)}}
 }
 
 // Start starts a run and returns its stream.
