Owner: what is no answer isn't a store host's word that a manifest was published

What was seen, of a standalone node: a status of 000, 099 or 101 counted as success, as any below 300 does, so that a manifest counted as published that was not; and a head of up to 10 MB was read.

Change: the Transport that all store hosts share is answerhead's.

--- a/internal/owner/store.go
+++ b/internal/owner/store.go
@@ -9,6 +9,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	pb "github.com/cherryward/cherryward/api/gen/cherryward/v1"
+	"github.com/cherryward/cherryward/internal/answerhead"
 	"github.com/cherryward/cherryward/internal/kvcache"
 	"github.com/cherryward/cherryward/internal/kvcache/link"
 	"github.com/cherryward/cherryward/internal/kvcache/policy"
@@ -53,7 +54,7 @@
 
 // storeClient is shared by all store hosts. It is used for control calls only;
 // engines transfer the blocks.
-var storeClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, IdleConnTimeout: idleStoreConnTimeout}}
+var storeClient = &http.Client{Transport: answerhead.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, IdleConnTimeout: idleStoreConnTimeout})}
 
 func newStoreHost(e *pb.Endpoint, now time.Time) (*storeHost, error) {
 	host, err := kvcache.NewStoreHost(e.GetUrl(), storehttp.NewClient(e.GetUrl(), storeClient), time.Now, kvcache.RandomName, kvcache.DefaultTiming())
