Log service: what is no answer isn't taken for one of the log or the list of hosts

What was seen, of a standalone node: an append was accepted, and a list of hosts read, by a head that is none.

Change: both clients share a Transport of answerhead, with the defaults of the one before.

--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -18,6 +18,7 @@
 	"github.com/cherryward/cherryward/api/wire/hostwire"
 	"github.com/cherryward/cherryward/api/wire/logwire"
 	"github.com/cherryward/cherryward/coord/changelog"
+	"github.com/cherryward/cherryward/internal/answerhead"
 )
 
 const (
@@ -29,6 +30,9 @@
 	offsetShift = 1
 )
 
+// transport is shared by all clients.
+var transport = answerhead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+
 // StatusError is a response with an error status.
 type StatusError struct {
 	Status int
@@ -50,7 +54,7 @@
 
 // NewLog returns a client of a stream of the log service at a base URL.
 func NewLog(base, stream string) *Log {
-	return &Log{base: base + logwire.PathStreams + url.PathEscape(stream) + "/records", http: &http.Client{Timeout: callTimeout}}
+	return &Log{base: base + logwire.PathStreams + url.PathEscape(stream) + "/records", http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
 // Append implements changelog.Log. If it fails, the record may still be in the log.
@@ -92,7 +96,7 @@
 
 // NewHosts returns a client of the host list service at a base URL.
 func NewHosts(base string) *Hosts {
-	return &Hosts{url: base + hostwire.PathHosts, http: &http.Client{Timeout: callTimeout}}
+	return &Hosts{url: base + hostwire.PathHosts, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
 // List returns the current list, or ErrUnchanged if it is the one that was returned last.
