Answers read by http.Transport: one without a length is whole only once its request was taken

Change: httptrace says how the writing of a request ended; the connection of package answerhead asks for that before it reports its end behind a head. All readers by that Transport have it: plain services, engines, stores, the log. What upstream had of this is package requestwrite now, which both use.

--- a/internal/answerhead/transport.go
+++ b/internal/answerhead/transport.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/cherryward/cherryward/internal/requestwrite"
 )
 
 // transport is an http.RoundTripper that checks the heads of answers.
@@ -30,11 +33,16 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.expectHead()
-		}
-	}}
+	var sent atomic.Pointer[requestwrite.Write]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { // again if base sends the request on another connection
+			if c, ok := info.Conn.(*conn); ok {
+				sent.Store(requestwrite.New())
+				c.expectAnswer(sent.Load())
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Load().End(info.Err) },
+	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cherryward/cherryward/internal/answerhead"
+	"github.com/cherryward/cherryward/internal/requestwrite"
 )
 
 const (
@@ -83,8 +84,8 @@
 	*http.Response
 	pool   *Pool
 	conn   *conn
-	write  *bodyWrite  // of a body that is written while the answer is read; nil if there is none
-	detach func() bool // detaches the connection from the context; false if the context ended first
+	write  *requestwrite.Write // of a body that is written while the answer is read; nil if there is none
+	detach func() bool         // detaches the connection from the context; false if the context ended first
 	body   *trackedBody
 	// closeDelimited is set if only the closing of the connection marks the end of the body.
 	closeDelimited bool
@@ -125,7 +126,11 @@
 	if n, err := a.conn.Write(head); err != nil {
 		return sendError(n, err)
 	}
-	a.write = startWrite(a.conn, req.Body)
+	a.write = requestwrite.New()
+	go func() {
+		_, err := a.conn.Write(req.Body)
+		a.write.End(err)
+	}()
 	return nil
 }
 
@@ -265,7 +270,7 @@
 	if a.Close || !a.body.reachedEOF || a.conn.buffered() > 0 {
 		return false
 	}
-	return a.write == nil || a.write.succeeded() // otherwise the endpoint answered before the request body was written
+	return a.write.Succeeded() // otherwise the endpoint answered before the request body was written
 }
 
 // Abort closes the connection, which signals the endpoint to stop.
