Hostplan: what a head takes, and pools within pools, stand once

The cost of a head and its reservation were part of callerconn, the pool of answers within that of all bodies part of forward.Buffers. Answers' heads need both.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,7 +1,6 @@
 package callerconn
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -9,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
 const (
@@ -18,11 +19,6 @@
 	// headSlack is what a head may take beyond the limit before it is refused unread: what the limit doesn't count,
 	// and the start of the body, which is read with the end of the head.
 	headSlack = 1<<10 + readBufferBytes
-	// freeHeadBytes is what a head of ordinary size takes. It is a part of what each connection has.
-	freeHeadBytes = 8 << 10
-	// A head takes bytesFactor times its size, and fieldBytes for each field, or each entry of a list in a field.
-	bytesFactor = 2
-	fieldBytes  = 256
 )
 
 // Phases of a connection.
@@ -42,11 +38,11 @@
 
 	// The fields down to wide belong to the goroutine that serves the connection.
 	phase     int
-	deadlines int   // set since the connection became idle
-	last      chunk // that was read
-	head      chunk // read so far
-	reserved  int64 // of the guard's pool of heads
-	wide      bool  // the socket buffers are large
+	deadlines int                 // set since the connection became idle
+	last      hostplan.HeadSize   // that was read
+	head      hostplan.HeadSize   // read so far
+	memory    hostplan.HeadMemory // of the guard's pool of heads
+	wide      bool                // the socket buffers are large
 
 	// stalledSince is when the caller last took a piece of the answer that is being written, in Unix nanoseconds; 0 if
 	// none is.
@@ -57,21 +53,11 @@
 	yielded, ended bool // the connection was told to end for another one; its goroutine ends
 }
 
-// chunk is a size of a text.
-type chunk struct{ bytes, lines int }
-
-func (c chunk) plus(other chunk) chunk { return chunk{c.bytes + other.bytes, c.lines + other.lines} }
-
-// cost returns the memory that a parsed head of this size takes beyond that of an ordinary one.
-func (c chunk) cost() int64 {
-	return max(int64(bytesFactor*c.bytes+fieldBytes*c.lines)-freeHeadBytes, 0)
-}
-
 // Read implements net.Conn. It bounds what is read of a head, before the HTTP server parses it.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.phase == phaseHead {
 		// The head may have begun with bytes that were read with the request before.
-		if why := c.grow(chunk{}); why != refuseNothing {
+		if why := c.grow(hostplan.HeadSize{}); why != refuseNothing {
 			return 0, c.refuse(why)
 		}
 	}
@@ -84,9 +70,9 @@
 		return n, err
 	}
 	if c.phase == phaseIdle {
-		c.beginHead(chunk{})
+		c.beginHead(hostplan.HeadSize{})
 	}
-	c.last = chunkOf(p[:n])
+	c.last = hostplan.HeadSizeOf(p[:n])
 	if why := c.grow(c.last); why != refuseNothing {
 		return 0, c.refuse(why)
 	}
@@ -97,44 +83,28 @@
 // request is served. What is longer than the HTTP server's buffer goes past it.
 func (c *Conn) noteBodyRead(read []byte) {
 	if n := len(read); n > 1 && n <= readBufferBytes {
-		c.last = chunkOf(read)
+		c.last = hostplan.HeadSizeOf(read)
 	}
 }
 
-func chunkOf(text []byte) chunk { return chunk{len(text), bytes.Count(text, newline)} }
-
-var newline = []byte("\n")
-
 // beginHead begins a head of which the HTTP server has read some before.
-func (c *Conn) beginHead(read chunk) {
+func (c *Conn) beginHead(read hostplan.HeadSize) {
 	c.phase, c.head = phaseHead, read
 	c.guard.await(c)
 }
 
 // grow adds what was read to the head.
-func (c *Conn) grow(read chunk) refusal {
-	c.head = c.head.plus(read)
-	if c.head.bytes > c.guard.limits.HeadBytes()+headSlack {
+func (c *Conn) grow(read hostplan.HeadSize) refusal {
+	c.head = c.head.Plus(read)
+	if c.head.Bytes > c.guard.limits.HeadBytes()+headSlack {
 		return refuseTooLarge
 	}
-	if !c.reserve(c.head.cost()) {
+	if !c.memory.Resize(c.head.Cost()) {
 		return refuseNoRoom
 	}
 	return refuseNothing
 }
 
-// reserve changes what is reserved for the head to n bytes. It reports whether there is room.
-func (c *Conn) reserve(n int64) bool {
-	if n > c.reserved && !c.guard.pools.Heads.Reserve(n-c.reserved) {
-		return false
-	}
-	if n < c.reserved {
-		c.guard.pools.Heads.Release(c.reserved - n)
-	}
-	c.reserved = n
-	return true
-}
-
 // refuse answers a head that is not read to its end, and waits until the caller has got the answer or lingerTime is
 // over: to close a connection with unread bytes at once would take the answer away from the caller. It returns the error
 // of the read.
@@ -241,12 +211,12 @@
 	case http.StateActive:
 		c.phase = phaseRequest
 	case http.StateIdle:
-		c.reserve(0)
+		c.memory.Resize(0)
 		c.narrow()
 		c.phase, c.deadlines = phaseIdle, 0
 		c.guard.await(c)
 	case http.StateClosed:
-		c.reserve(0)
+		c.memory.Resize(0)
 		c.narrow()
 		c.guard.remove(c)
 	}
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -130,7 +130,7 @@
 // admit returns the connection for a new one of the listener, or nil if it has to be closed. At the limit it waits until
 // a connection has ended, which those that give way do at once.
 func (g *Guard) admit(raw net.Conn) *Conn {
-	c := &Conn{Conn: raw, guard: g}
+	c := &Conn{Conn: raw, guard: g, memory: hostplan.HeadMemory{Pool: g.pools.Heads}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.open >= g.limits.Connections && !g.closed {
@@ -229,5 +229,5 @@
 		event = "head_without_room"
 	}
 	g.log.Warn().Str("event", event).Str("caller", c.RemoteAddr().String()).
-		Int("bytes", c.head.bytes).Int("lines", c.head.lines).Int("limit", g.limits.HeadBytes()).Int64("pool_used", g.pools.Heads.Used()).Send()
+		Int("bytes", c.head.Bytes).Int("lines", c.head.Lines).Int("limit", g.limits.HeadBytes()).Int64("pool_used", g.pools.Heads.Used()).Send()
 }
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
 // Handler returns a handler that passes requests to next once there is memory for their heads, and otherwise to
@@ -16,7 +18,7 @@
 			return
 		}
 		c.head = sizeOf(r)
-		if !c.reserve(c.head.cost()) {
+		if !c.memory.Resize(c.head.Cost()) {
 			g.countRefusal(refuseNoRoom, c)
 			w.Header().Set("Connection", "close")
 			refuse.ServeHTTP(w, r)
@@ -35,12 +37,12 @@
 }
 
 // sizeOf returns the size of a parsed head. Entries of a list in a field count as fields: they are decoded one by one.
-func sizeOf(r *http.Request) chunk {
-	size := chunk{bytes: len(r.RequestURI), lines: strings.Count(r.RequestURI, listSeparator)}
+func sizeOf(r *http.Request) hostplan.HeadSize {
+	size := hostplan.HeadSize{Bytes: len(r.RequestURI), Lines: strings.Count(r.RequestURI, listSeparator)}
 	for name, values := range r.Header {
 		for _, value := range values {
-			size.bytes += len(name) + len(value)
-			size.lines += 1 + strings.Count(value, listSeparator)
+			size.Bytes += len(name) + len(value)
+			size.Lines += 1 + strings.Count(value, listSeparator)
 		}
 	}
 	return size
--- a/internal/forward/buffers.go
+++ b/internal/forward/buffers.go
@@ -28,7 +28,8 @@
 
 // NewBuffers returns a Buffers for at most limit bytes.
 func NewBuffers(limit int64) *Buffers {
-	return &Buffers{all: hostplan.NewPool(limit), answers: hostplan.NewPool(int64(answersPart * float64(limit)))}
+	all := hostplan.NewPool(limit)
+	return &Buffers{all: all, answers: all.Part(answersPart)}
 }
 
 // Used returns the number of bytes reserved now.
@@ -51,19 +52,13 @@
 		return false
 	case b == nil:
 		return true
-	case held+n > b.answers.Limit()/answerShares, !b.answers.Reserve(n):
-		return false
-	case !b.reserve(n):
-		b.answers.Release(n)
-		return false
 	}
-	return true
+	return held+n <= b.answers.Limit()/answerShares && b.answers.Reserve(n)
 }
 
 func (b *Buffers) releaseAnswer(n int64) {
 	if b != nil {
 		b.answers.Release(n)
-		b.release(n)
 	}
 }
 
--- a/internal/hostplan/pool.go
+++ b/internal/hostplan/pool.go
@@ -2,15 +2,19 @@
 
 import "sync/atomic"
 
-// Pool is a bounded amount, of memory in bytes or of descriptors. It is safe for concurrent use.
+// Pool is a bounded amount, of memory in bytes or of descriptors. It is safe for concurrent use. A nil *Pool has no bound.
 type Pool struct {
-	limit int64
-	used  atomic.Int64
+	limit  int64
+	used   atomic.Int64
+	within *Pool // has the same amounts reserved; nil if the pool is no part of another
 }
 
 // NewPool returns a pool of the given size.
 func NewPool(limit int64) *Pool { return &Pool{limit: limit} }
 
+// Part returns a pool whose size is a share of p's and whose reservations count in p, too.
+func (p *Pool) Part(share float64) *Pool { return &Pool{limit: part(p.limit, share), within: p} }
+
 // Limit returns the size of the pool.
 func (p *Pool) Limit() int64 { return p.limit }
 
@@ -19,16 +23,29 @@
 
 // Reserve reserves n. It reports whether there is room; at no time is more reserved than the limit.
 func (p *Pool) Reserve(n int64) bool {
+	if p == nil {
+		return true
+	}
 	for {
 		before := p.used.Load()
 		if before+n > p.limit {
 			return false
 		}
 		if p.used.CompareAndSwap(before, before+n) {
-			return true
+			break
 		}
 	}
+	if !p.within.Reserve(n) {
+		p.used.Add(-n)
+		return false
+	}
+	return true
 }
 
 // Release gives n back that were reserved.
-func (p *Pool) Release(n int64) { p.used.Add(-n) }
+func (p *Pool) Release(n int64) {
+	if p != nil {
+		p.used.Add(-n)
+		p.within.Release(n)
+	}
+}
