Answers' heads share a bound on memory, and have a bound on lines

What callers would see: a node that runs out of memory and ends, with all requests on it, as endpoints send heads that never end: each stays within 64 KB and then nothing comes.

Cause: the bound was on the bytes of one head. A line of four bytes takes some 90 times that once it is parsed, and nothing bounded all heads together; hostplan had a row for the heads of requests only.

Change: heads that come for one request have 256 lines at most, which package answerhead counts before they are parsed. What a head takes beyond an ordinary one (8 KB) is reserved of the pool for heads, of which answers may take half, until the answer is done: a request whose answer is dropped may have run, while a caller can be told to come back. Other nodes' answers count as well. No more memory is planned for than before. A head without room ends like one that is too long.

--- a/cmd/cherryward/memory_test.go
+++ b/cmd/cherryward/memory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -94,3 +95,43 @@
 	n.awaitServing()
 	test.Less(t, smallHostMB, n.peakMB())
 }
+
+// TestSmallHostSurvivesLargeHeads guards against endpoints whose heads, each within its bound, together take the memory
+// of a small host while the rest of the answers doesn't come.
+func TestSmallHostSurvivesLargeHeads(t *testing.T) {
+	const calls, headBytes = 300, 63 << 10
+	lines := func(n, valueBytes int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "%x:%s\r\n", i, strings.Repeat("v", valueBytes))
+		}
+		return b.String()[:headBytes]
+	}
+	heads := map[string]string{
+		"short fields": "HTTP/1.1 200 OK\r\n" + lines(headBytes/4, 0),
+		"long fields":  "HTTP/1.1 200 OK\r\n" + lines(100, 1<<10),
+		"one field":    "HTTP/1.1 200 OK\r\nX-Field: " + strings.Repeat("v", headBytes),
+	}
+	for name, text := range heads {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t)
+			n := startSmallNode(t, s)
+			servers := append([]*modelserver.Server{s.Plain}, s.Models...)
+			for _, server := range servers {
+				server.SetFaults(modelserver.Faults{Raw: text})
+			}
+			var answers sync.WaitGroup
+			for i := range calls {
+				path := []string{site.PathLookup, site.PathQuery}[i%2]
+				answers.Go(func() { n.send(http.MethodPost, path, fmt.Sprint("head-", i), 0, nil) })
+			}
+			answers.Wait()
+			for _, server := range servers {
+				server.SetFaults(modelserver.Faults{})
+			}
+			n.awaitServing()
+			t.Log(n.peakMB(), "MB")
+			test.Less(t, smallHostMB, n.peakMB())
+		})
+	}
+}
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -9,7 +9,7 @@
 
 import "fmt"
 
-// MaxBytes bounds the heads that come for one request: that of the answer and those of the interim responses before it.
+// MaxBytes bounds the heads that come for one request: that of the answer and those of the responses before it.
 const MaxBytes = 64 << 10
 
 // MalformedError reports that an endpoint sent something else where a head is due. What it sent is no answer.
--- a/internal/answerhead/conn.go
+++ b/internal/answerhead/conn.go
@@ -17,7 +17,7 @@
 	request  atomic.Pointer[requestwrite.Write] // the one that was sent last
 }
 
-func newConn(raw net.Conn) *conn { return &conn{Conn: raw, reader: NewReader(raw)} }
+func newConn(raw net.Conn) *conn { return &conn{Conn: raw, reader: NewReader(raw, nil)} }
 
 // expectAnswer has the next bytes checked as heads of the answer to a request. The connection must not be in use.
 func (c *conn) expectAnswer(request *requestwrite.Write) {
--- a/internal/answerhead/reader.go
+++ b/internal/answerhead/reader.go
@@ -3,10 +3,19 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
-// ErrTooLong reports that heads have more bytes than they may.
-var ErrTooLong = errors.New("heads of an answer are too long")
+// maxLines bounds the lines of the heads that come for one request. A parsed line takes far more memory than its bytes.
+const maxLines = 256
+
+var (
+	// ErrTooLong reports that heads have more bytes or lines than they may.
+	ErrTooLong = errors.New("heads of an answer are too long")
+	// ErrNoMemory reports that this host has no memory for the heads now.
+	ErrNoMemory = errors.New("no memory for the heads of an answer")
+)
 
 // Reader reads a connection and checks the heads in it. It passes on the bytes of a head, and none after it until they
 // are read as the body. It is not safe for concurrent use.
@@ -14,13 +23,24 @@
 	source  io.Reader
 	heads   checker
 	inHead  bool
-	left    int    // bytes that heads may still have
+	left    int               // bytes that heads may still have
+	size    hostplan.HeadSize // of all heads since Release
+	memory  hostplan.HeadMemory
 	pending []byte // read from source and not passed on
 	failed  error  // of a head, and of all reads after it
 }
 
-// NewReader returns a Reader that passes everything on until a head is due.
-func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
+// NewReader returns a Reader that passes everything on until a head is due. What heads take beyond the size of ordinary
+// ones is reserved of a pool, which may be nil.
+func NewReader(source io.Reader, pool *hostplan.Pool) *Reader {
+	return &Reader{source: source, memory: hostplan.HeadMemory{Pool: pool}}
+}
+
+// Release gives back the memory of the heads that were read. Further calls have no effect.
+func (r *Reader) Release() {
+	r.size = hostplan.HeadSize{}
+	r.memory.Resize(0)
+}
 
 // ExpectHead has the next bytes checked as the head of an answer, after those of its interim responses. early are bytes
 // that were read from the connection already and belong before what the Reader would read next. All these heads may
@@ -44,7 +64,7 @@
 // Err returns the error of a head, which a parser may have taken for the end of a line.
 func (r *Reader) Err() error { return r.failed }
 
-// Read implements io.Reader. Within a head it fails with a MalformedError or ErrTooLong.
+// Read implements io.Reader. Within a head it fails with a MalformedError, ErrTooLong or ErrNoMemory.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.failed != nil {
 		return 0, r.failed
@@ -88,14 +108,26 @@
 // check checks bytes of heads and returns how many of them belong there.
 func (r *Reader) check(b []byte) (used int, err error) {
 	used, complete, err := r.heads.scan(b)
-	if err == nil && used > r.left {
-		err = ErrTooLong
+	if err == nil {
+		err = r.grow(b[:used])
 	}
 	if err != nil {
 		r.failed = err
 		return 0, err
 	}
-	r.left -= used
 	r.inHead = !complete
 	return used, nil
 }
+
+// grow adds a text to the size of the heads.
+func (r *Reader) grow(text []byte) error {
+	r.left -= len(text)
+	r.size = r.size.Plus(hostplan.HeadSizeOf(text))
+	switch {
+	case r.left < 0 || r.size.Lines > maxLines:
+		return ErrTooLong
+	case !r.memory.Resize(r.size.Cost()):
+		return ErrNoMemory
+	}
+	return nil
+}
--- a/internal/answerhead/status_test.go
+++ b/internal/answerhead/status_test.go
@@ -12,10 +12,10 @@
 // readAll reads one head and what follows it from text, as it would arrive in pieces of any size.
 func readAll(t *testing.T, text string) (string, error) {
 	t.Helper()
-	r := NewReader(strings.NewReader(text))
+	r := NewReader(strings.NewReader(text), nil)
 	r.ExpectHead(nil, MaxBytes)
 	whole, err := io.ReadAll(r)
-	slow := NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	slow := NewReader(iotest.OneByteReader(strings.NewReader(text)), nil)
 	slow.ExpectHead(nil, MaxBytes)
 	pieces, slowErr := io.ReadAll(slow)
 	must.Eq(t, err == nil, slowErr == nil, must.Sprintf("in pieces: %v, at once: %v", slowErr, err))
@@ -74,7 +74,7 @@
 // TestLimitHoldsForAllHeads guards against heads that are each short enough and together have no end.
 func TestLimitHoldsForAllHeads(t *testing.T) {
 	const interim = "HTTP/1.1 100 Continue\r\n\r\n"
-	r := NewReader(strings.NewReader(strings.Repeat(interim, 3)))
+	r := NewReader(strings.NewReader(strings.Repeat(interim, 3)), nil)
 	r.ExpectHead(nil, 2*len(interim))
 	_, err := io.ReadAll(iotest.OneByteReader(r))
 	must.ErrorIs(t, err, ErrTooLong)
@@ -86,7 +86,7 @@
 // the head.
 func TestBytesAfterHeadStayForTheBody(t *testing.T) {
 	const first, body, second = "HTTP/1.1 200 OK\r\n\r\n", "b\x00dy", "HTTP/1.1 404 Not Found\r\n\r\n"
-	r := NewReader(strings.NewReader(first + body + second))
+	r := NewReader(strings.NewReader(first+body+second), nil)
 	r.ExpectHead(nil, MaxBytes)
 	buffer := make([]byte, 2*MaxBytes)
 	n, err := r.Read(buffer)
--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -76,7 +76,9 @@
 		Clock:        n.clock,
 		Log:          n.log,
 	})
-	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN, Idle: n.idle}
+	connections := n.fleet.Connections
+	connections.Connect = nil // n.network judges the paths to endpoints, not those to nodes
+	n.helpers = &handoff.Table{Name: boot.Name, Heard: n.mayHelp, Now: n.clock.Now, Random: rand.IntN, Connections: connections}
 }
 
 // buildRoster creates the list of nodes.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 	n.startLog = &startLog{started: n.started, since: host.Clock.Since, log: log}
 	n.network = newNetwork(host, n.fleet, log)
 	n.idle = hostplan.NewPool(int64(plan.IdleConnections))
-	n.fleet.Connections = upstream.Options{Connect: n.network.Connect, Idle: n.idle}
+	n.fleet.Connections = upstream.Options{Connect: n.network.Connect, Idle: n.idle, Heads: n.pools.Heads.Part(plan.AnswerHeadsPart)}
 	n.boot.Store(boot)
 	n.state = newState(n.bounds, log)
 	n.state.clock = host.Clock
--- a/internal/handoff/table.go
+++ b/internal/handoff/table.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/upstream"
 )
 
@@ -61,8 +60,8 @@
 	Now   func() time.Time
 	// Random returns a random number in [0, n).
 	Random func(n int) int
-	// Idle bounds the idle connections to helpers, with others. Nil means no common bound.
-	Idle *hostplan.Pool
+	// Connections are the options of the pools of helpers.
+	Connections upstream.Options
 
 	mu      sync.Mutex
 	helpers []*Helper
@@ -88,7 +87,7 @@
 		}
 		h := known[n]
 		if h == nil {
-			h = &Helper{Node: n, Pool: upstream.NewPool(n.Addr, upstream.Options{Idle: t.Idle}), order: xxhash.Sum64String(t.Name + "/" + n.Name)}
+			h = &Helper{Node: n, Pool: upstream.NewPool(n.Addr, t.Connections), order: xxhash.Sum64String(t.Name + "/" + n.Name)}
 		}
 		delete(known, n)
 		helpers = append(helpers, h)
--- a/internal/hostplan/plan.go
+++ b/internal/hostplan/plan.go
@@ -1,7 +1,7 @@
 // Package hostplan divides the memory and the descriptors of a node's host between what the node itself needs and what
 // its callers may make it hold.
 //
-// What callers can cause is bounded by the number of their connections, by pools for what grows with the bytes that
+// What callers and endpoints can cause is bounded by the number of their connections, by pools for what grows with the bytes that
 // they send, and by the sizes of their socket buffers. The worst cases of all of these, together with what the program
 // takes, stay within the host's memory: see Plan.Worst.
 package hostplan
@@ -21,6 +21,9 @@
 	connectionsShare = 0.2
 	headsShare       = 1.0 / 16
 	bodiesShare      = 3.0 / 16
+	// answerHeadsPart is the part of the memory for heads that answers may take. The rest is for requests alone: a caller
+	// can be told to come back, while a request whose answer is dropped has run.
+	answerHeadsPart = 1.0 / 2
 
 	// connectionBytes is the heap that a connection takes while its request is served: stacks, the buffers of both
 	// sides, and a head of ordinary size.
@@ -66,10 +69,11 @@
 	Connections, PeerConnections, ReadyConnections int
 	// IdleConnections bounds the connections to endpoints and other nodes that no request uses.
 	IdleConnections           int
-	HeadBytes                 int64 // for heads of more than ordinary size
-	BodyBytes                 int64 // for buffered bodies
-	WindowBytes               int64 // for larger socket buffers
-	ReceiveBuffer, SendBuffer int   // sizes of socket buffers, in bytes
+	HeadBytes                 int64   // for heads of more than ordinary size
+	AnswerHeadsPart           float64 // the part of HeadBytes that answers may take
+	BodyBytes                 int64   // for buffered bodies
+	WindowBytes               int64   // for larger socket buffers
+	ReceiveBuffer, SendBuffer int     // sizes of socket buffers, in bytes
 }
 
 // New returns the plan for a host with the given memory and number of descriptors. Limits that are not positive count
@@ -90,6 +94,7 @@
 		ReadyConnections: readyConnections,
 		IdleConnections:  max(int(idleFiles*socketsOf(files)), minConnections),
 		HeadBytes:        part(memoryBytes, headsShare),
+		AnswerHeadsPart:  answerHeadsPart,
 		WindowBytes:      part(memoryBytes, windowsShare),
 		BodyBytes:        part(memoryBytes, bodiesShare),
 		ReceiveBuffer:    receiveBytes,
--- a/internal/hostplan/plan_test.go
+++ b/internal/hostplan/plan_test.go
@@ -39,3 +39,19 @@
 	p.Release(6)
 	must.Eq(t, 4, p.Used())
 }
+
+// TestPartsCountInTheirPool guards against parts that together exceed their pool, and pools that exceed their limit by
+// parts.
+func TestPartsCountInTheirPool(t *testing.T) {
+	p := hostplan.NewPool(10)
+	half := p.Part(0.5)
+	must.False(t, half.Reserve(6))
+	must.True(t, half.Reserve(4))
+	must.Eq(t, 4, p.Used())
+	must.True(t, p.Reserve(6))
+	must.False(t, half.Reserve(1))
+	must.Eq(t, 4, half.Used())
+	half.Release(4)
+	must.Eq(t, 6, p.Used())
+	must.Zero(t, half.Used())
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -225,7 +225,7 @@
 	switch failed := a.conn.heads.Err(); {
 	case failed == nil:
 		return &Error{Stage: reached, Err: err}
-	case errors.Is(failed, answerhead.ErrTooLong):
+	case errors.Is(failed, answerhead.ErrTooLong), errors.Is(failed, answerhead.ErrNoMemory):
 		return &Error{Stage: StageAnswer, Err: &ExcessError{Part: PartHeader}}
 	default:
 		return &Error{Stage: StageAnswer, Err: failed}
@@ -260,6 +260,7 @@
 		a.Abort()
 		return
 	}
+	a.conn.heads.Release()
 	if !a.detach() {
 		return // the context ended and closed the connection
 	}
@@ -275,6 +276,7 @@
 
 // Abort closes the connection, which signals the endpoint to stop.
 func (a *Answer) Abort() {
+	a.conn.heads.Release()
 	a.detach()
 	a.conn.Close()
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,6 +42,8 @@
 	Connect DialFunc
 	// Idle bounds the idle connections of all pools together. Nil means that each pool is bounded alone.
 	Idle *hostplan.Pool
+	// Heads holds the memory, in bytes, of answers' heads of more than ordinary size. Nil means that each is bounded alone.
+	Heads *hostplan.Pool
 }
 
 // Pool holds the connections to one endpoint. It is safe for concurrent use.
@@ -135,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, heads: answerhead.NewReader(nc)}
+	c := &conn{Conn: nc, heads: answerhead.NewReader(nc, p.Heads)}
 	c.reader = bufio.NewReaderSize(c.heads, bufferBytes)
 	return c, nil
 }
--- a/standin/modelserver/endless.go
+++ b/standin/modelserver/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 )
@@ -102,17 +103,13 @@
 
 // serveEndless sends bytes of the form that faults select until the client closes the connection.
 func (s *Server) serveEndless(w http.ResponseWriter, faults *Faults, id string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err) // the stand-in speaks HTTP/1.1 only
-	}
-	defer conn.Close()
 	first, repeated := s.endlessText(faults, id)
 	if repeated == "" {
-		_, _ = conn.Write([]byte(first))
-		_, _ = conn.Read(make([]byte, 1)) // returns when the client closes
+		serveRaw(w, first)
 		return
 	}
+	conn := hijack(w)
+	defer conn.Close()
 	block := []byte(strings.Repeat(repeated, endlessBlockBytes/len(repeated)))
 	for text := []byte(first); ; text = block {
 		n, err := conn.Write(text)
@@ -123,6 +120,23 @@
 	}
 }
 
+// serveRaw sends a text as it is, and nothing more until the client closes the connection.
+func serveRaw(w http.ResponseWriter, text string) {
+	conn := hijack(w)
+	defer conn.Close()
+	_, _ = conn.Write([]byte(text))   // fails if the client has closed
+	_, _ = conn.Read(make([]byte, 1)) // returns when the client closes
+}
+
+// hijack takes over the connection of a response.
+func hijack(w http.ResponseWriter) net.Conn {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the stand-in speaks HTTP/1.1 only
+	}
+	return conn
+}
+
 // EndlessBytes returns the number of bytes sent in endless forms that clients have received, or that wait in the
 // buffers of the connections.
 func (s *Server) EndlessBytes() int64 { return s.endlessBytes.Load() }
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -48,6 +48,9 @@
 	Brittle string
 	// Endless is the form of bytes that are sent in place of responses, without end.
 	Endless Endless
+	// Raw is sent in place of the first bytes of a response, after which nothing follows until the client closes the connection;
+	// empty disables this.
+	Raw string
 	// CrashOnSuffix is a path suffix. A request whose path has it crashes the server that runs it; empty
 	// disables this.
 	CrashOnSuffix string
