Calls: the answers of plain services share a bound on memory

What callers would see, of a standalone node: it runs out of memory and ends, as a faulty service sends a body without end, or stops in it, for several calls at once. Each call kept up to 64 MB.

Cause: a bound per answer with none on all together, and a buffer that grows beside its copy.

Change: the memory of all answers, old and new buffer included, is reserved of one pool of 128 MB, until the caller has the answer. A call without room fails (may_have_run); an idempotent one is sent elsewhere. What a head reserves of a pool is hostplan.Reservation now, which the answers use as well.

Not bounded together: the states of many engines (64 MB each), one read for each engine at a time.

--- a/internal/answerhead/reader.go
+++ b/internal/answerhead/reader.go
@@ -25,7 +25,7 @@
 	inHead  bool
 	left    int               // bytes that heads may still have
 	size    hostplan.HeadSize // of all heads since Release
-	memory  hostplan.HeadMemory
+	memory  hostplan.Reservation
 	pending []byte // read from source and not passed on
 	failed  error  // of a head, and of all reads after it
 }
@@ -33,7 +33,7 @@
 // NewReader returns a Reader that passes everything on until a head is due. What heads take beyond the size of ordinary
 // ones is reserved of a pool, which may be nil.
 func NewReader(source io.Reader, pool *hostplan.Pool) *Reader {
-	return &Reader{source: source, memory: hostplan.HeadMemory{Pool: pool}}
+	return &Reader{source: source, memory: hostplan.Reservation{Pool: pool}}
 }
 
 // Release gives back the memory of the heads that were read. Further calls have no effect.
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -38,11 +38,11 @@
 
 	// The fields down to wide belong to the goroutine that serves the connection.
 	phase     int
-	deadlines int                 // set since the connection became idle
-	last      hostplan.HeadSize   // that was read
-	head      hostplan.HeadSize   // read so far
-	memory    hostplan.HeadMemory // of the guard's pool of heads
-	wide      bool                // the socket buffers are large
+	deadlines int                  // set since the connection became idle
+	last      hostplan.HeadSize    // that was read
+	head      hostplan.HeadSize    // read so far
+	memory    hostplan.Reservation // of the guard's pool of heads
+	wide      bool                 // the socket buffers are large
 
 	// stalledSince is when the caller last took a piece of the answer that is being written, in Unix nanoseconds; 0 if
 	// none is.
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -130,7 +130,7 @@
 // admit returns the connection for a new one of the listener, or nil if it has to be closed. At the limit it waits until
 // a connection has ended, which those that give way do at once.
 func (g *Guard) admit(raw net.Conn) *Conn {
-	c := &Conn{Conn: raw, guard: g, memory: hostplan.HeadMemory{Pool: g.pools.Heads}}
+	c := &Conn{Conn: raw, guard: g, memory: hostplan.Reservation{Pool: g.pools.Heads}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.open >= g.limits.Connections && !g.closed {
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/runs"
 )
@@ -27,11 +28,19 @@
 	TimeLeft  time.Duration     `json:"time_left"`
 }
 
-// ServiceAnswer is a service's complete answer, of any status.
+// ServiceAnswer is a service's complete answer, of any status. It must be released.
 type ServiceAnswer struct {
 	Status      int    `json:"status"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
+
+	memory hostplan.Reservation
+}
+
+// Release gives back the memory of the body, which must not be used any more.
+func (a *ServiceAnswer) Release() {
+	a.Body = nil
+	a.memory.Resize(0)
 }
 
 // TicketedPromptAnswer is the complete answer to a ticketed prompt.
--- a/internal/calls/plain.go
+++ b/internal/calls/plain.go
@@ -17,6 +17,7 @@
 	pb "github.com/cherryward/cherryward/api/gen/cherryward/v1"
 	"github.com/cherryward/cherryward/internal/answerhead"
 	"github.com/cherryward/cherryward/internal/config"
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/result"
 	"github.com/cherryward/cherryward/internal/runs"
 )
@@ -26,7 +27,9 @@
 	maxIdlePerHost = 64
 	idleTimeout    = time.Minute
 	maxAnswerBytes = 64 << 20
-	maxAttempts    = 3
+	// answersMemory bounds the memory, in bytes, of all answers together: that of the largest one while its buffer grows.
+	answersMemory = 2 * (maxAnswerBytes + 1)
+	maxAttempts   = 3
 	// avoidDuration is the time for which an unreachable endpoint is tried last.
 	avoidDuration = 2 * time.Second
 
@@ -51,6 +54,7 @@
 	leaving   LeavingHosts
 	budget    runs.Budget
 	http      *http.Client
+	answers   *hostplan.Pool // memory of answers' bodies
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time // by endpoint name: the time until which it is tried last
@@ -71,6 +75,7 @@
 		leaving:    leaving,
 		budget:     budget,
 		http:       &http.Client{Transport: answerhead.NewTransport(transport), CheckRedirect: noRedirects},
+		answers:    hostplan.NewPool(answersMemory),
 		avoidUntil: make(map[string]time.Time),
 	}
 }
@@ -221,11 +226,13 @@
 		return nil, sendError(ctx, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAnswerBytes))
-	if err != nil {
+	answer := &ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get(headerContentType)}
+	answer.memory.Pool = p.answers
+	if err := answer.readBody(resp.Body); err != nil {
+		answer.Release()
 		return nil, result.Wrap(err, result.ServiceCallFailed, result.WithRunState(result.MayHaveRun))
 	}
-	return &ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get(headerContentType), Body: body}, nil
+	return answer, nil
 }
 
 // sendError converts a transport error. Only a failed dial is known not to have reached the
--- a/internal/calls/redeem.go
+++ b/internal/calls/redeem.go
@@ -58,6 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
+		defer answer.Release()
 		return encode(answer), nil
 	}
 	if call.Prompt == nil {
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	defer answer.Release()
 	return c.Blob(answer.Status, answer.ContentType, answer.Body)
 }
 
--- a/internal/hostplan/heads.go
+++ b/internal/hostplan/heads.go
@@ -30,21 +30,3 @@
 func (s HeadSize) Cost() int64 {
 	return max(int64(bytesFactor*s.Bytes+fieldBytes*s.Lines)-freeHeadBytes, 0)
 }
-
-// HeadMemory is what a head has reserved of a pool. The zero value has reserved nothing, of no pool.
-type HeadMemory struct {
-	Pool     *Pool
-	reserved int64
-}
-
-// Resize changes what is reserved to n bytes. It reports whether there is room; without, nothing changes.
-func (m *HeadMemory) Resize(n int64) bool {
-	if n > m.reserved && !m.Pool.Reserve(n-m.reserved) {
-		return false
-	}
-	if n < m.reserved {
-		m.Pool.Release(m.reserved - n)
-	}
-	m.reserved = n
-	return true
-}
--- a/internal/hostplan/pool.go
+++ b/internal/hostplan/pool.go
@@ -49,3 +49,22 @@
 		p.within.Release(n)
 	}
 }
+
+// Reservation is what one user has reserved of a pool. The zero value has reserved nothing, of no pool. It is not safe for
+// concurrent use.
+type Reservation struct {
+	Pool     *Pool
+	reserved int64
+}
+
+// Resize changes what is reserved to n bytes. It reports whether there is room; without, nothing changes.
+func (m *Reservation) Resize(n int64) bool {
+	if n > m.reserved && !m.Pool.Reserve(n-m.reserved) {
+		return false
+	}
+	if n < m.reserved {
+		m.Pool.Release(m.reserved - n)
+	}
+	m.reserved = n
+	return true
+}
