Gateway: a node that stops answers all requests that it has read

What callers saw, around a planned stop: a request that came on a connection which was opened before, when the listener was closed already, got no answer, at once; one whose body ended late was passed on, and cut without an answer 7.5 s after SIGTERM, as were all others then in progress, among them those that may not be repeated (LOST). A closed connection says nothing of whether the request has run.

Cause: http.Server.Shutdown closes connections whose request it reads after it was called, and what remains at the end of the grace period ended with the process. No decision to send a request looked at how long the node still lives.

Change: the listener closes first and keep-alive ends; Shutdown follows when no request is in progress. A request whose head came after that is refused (503, draining, not run) unless its deadline is before the end of the node: another node serves it at once. One that came before is not sent any more when the node ends within the route's objective. At the end the requests in progress are ended by their context, and have 150 ms of the 500 ms reserved for the exit: 502 (may_have_run), or 503 where none was sent. Streams that have begun can only break.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,6 +61,9 @@
 	query := &Query{Route: x.route, Service: x.service, Account: x.account, Attributes: &x.attrs, Residency: x.residency(), Sharing: x.config.SharingKey(), Age: x.age}
 	mayHaveRunCount := 0
 	for {
+		if x.stopsTooSoon() {
+			return x.finalError(ctx, mayHaveRunCount, draining())
+		}
 		if refusal := x.quarantineRefusal(); refusal != nil {
 			return x.finalError(ctx, mayHaveRunCount, refusal)
 		}
@@ -73,6 +76,10 @@
 			placement.releaseSlot(false)
 			return x.finalError(ctx, mayHaveRunCount, result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryAfterOtherNode)))
 		}
+		if x.stopsTooSoon() {
+			placement.releaseSlot(false)
+			return x.finalError(ctx, mayHaveRunCount, draining())
+		}
 		x.outcome.Attempts++
 		v := x.attempt(ctx, query, &placement)
 		placement.releaseSlot(x.refusedForRoom)
@@ -136,12 +143,16 @@
 }
 
 // finalError returns notRunErr if no endpoint can have run the request, and otherwise an error with
-// run state may_have_run. If the caller has left or the deadline has passed, the error states that
+// run state may_have_run. If the caller has left, this node ends, or the deadline has passed, the error states that
 // instead.
 func (x *exchange) finalError(ctx context.Context, mayHaveRunCount int, notRunErr *result.Error) *result.Error {
 	switch {
 	case x.callerWriteFailed, x.r.Context().Err() != nil:
 		return result.New(result.CallerDisconnected)
+	case errors.Is(context.Cause(ctx), errNodeStops) && mayHaveRunCount == 0:
+		return draining()
+	case errors.Is(context.Cause(ctx), errNodeStops):
+		return result.New(result.Draining, result.WithRunState(result.MayHaveRun))
 	case mayHaveRunCount == 0 && x.expired(ctx):
 		return result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryAfterOtherNode))
 	case mayHaveRunCount == 0:
--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -29,8 +29,13 @@
 	return time.Now().Add(x.Clock.Until(at))
 }
 
-// deadlineContext returns a context that is canceled at the request's deadline or when the caller
-// leaves.
+// deadlineContext returns a context that is canceled at the request's deadline, when the caller leaves, or when the
+// node ends.
 func (x *exchange) deadlineContext() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(x.r.Context(), x.monotonicTime(x.deadline()))
+	ctx, cancelDeadline := context.WithDeadline(x.r.Context(), x.monotonicTime(x.deadline()))
+	ctx, cancelStop := x.Stop.context(ctx)
+	return ctx, func() {
+		cancelStop()
+		cancelDeadline()
+	}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -50,6 +50,8 @@
 	// ShuttingDown reports whether this node refuses requests of other nodes because it shuts down. Nil
 	// means that it doesn't.
 	ShuttingDown func() bool
+	// Stop tells of the end of this node. Nil means that it doesn't come.
+	Stop *Stop
 	// Buffers bounds the memory of buffered bodies. Nil means that each is bounded alone.
 	Buffers *Buffers
 	// Pacer limits the rate of long answers that state no length. Nil means no limit.
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -61,7 +61,7 @@
 	case x.passed == nil:
 		return nil
 	case x.ShuttingDown != nil && x.ShuttingDown():
-		return result.New(result.Draining, result.WithRetryAfter(retryAfterOtherNode))
+		return draining()
 	case x.config.Version < x.passed.Config:
 		return result.New(result.NodeStale, result.WithRetryAfter(retryAfterOtherNode))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,10 @@
 	started       time.Time
 	startLog      *startLog
 	shuttingDown  atomic.Bool
-	reportedReady atomic.Bool // last readiness reported to the balancer
-	streamsBegan  atomic.Bool // streams could begin since the start
+	stop          *forward.Stop
+	stopTime      time.Duration // from the start of the shutdown to the end of the requests that are in progress then
+	reportedReady atomic.Bool   // last readiness reported to the balancer
+	streamsBegan  atomic.Bool   // streams could begin since the start
 	log           zerolog.Logger
 
 	// releaseGate holds back streams at releases that the platform's store does not name, which releaseRecorder writes.
@@ -122,13 +124,17 @@
 	plan := hostplan.New(boot.MemoryBytes, boot.MaxFiles)
 	limitMemory(plan)
 	logPlan(log, plan)
+	stopTime := boot.Bounds.StopGracePeriod - stopMargin
 	n := &Node{
-		kernel: kernel.New(boot.Bounds.StopGracePeriod - stopMargin),
+		kernel: kernel.New(stopTime),
 		fleet:  fleet.New(log),
 		log:    log,
 
 		clock: host.Clock,
 
+		stop:     forward.NewStop(),
+		stopTime: stopTime,
+
 		started: host.Clock.Now(),
 	}
 	n.buffers = forward.NewBuffers(plan.BodyBytes)
@@ -190,6 +196,11 @@
 	n.callers.handle(handler, refuse)
 	n.helperServer.handle(http.HandlerFunc(handler.ServePassed), refuse)
 	n.callers.shutdownDelay = callersShutdownDelay
+	n.callers.stopped = func() {
+		now := n.clock.Now()
+		n.stop.Begin(now, now.Add(n.stopTime-callersShutdownDelay))
+	}
+	n.callers.endRequests = n.stop.End
 	n.readyServer.http.Handler = n.readyServer.guard.Handler(http.HandlerFunc(n.serveReady), refuse)
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,6 +33,7 @@
 		Paths:        n.network,
 		Helpers:      n.helpers,
 		ShuttingDown: n.shuttingDown.Load,
+		Stop:         n.stop,
 		Buffers:      n.buffers,
 		Pacer:        forward.NewPacer(unsizedRate(boot.MilliCores)),
 		Clock:        n.clock,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,6 +27,8 @@
 	// callersShutdownDelay is how long a node that shuts down still accepts new connections: the
 	// balancer checks readiness once per second and needs two failures.
 	callersShutdownDelay = 2500 * time.Millisecond
+	// endTime is how long requests that are ended with the node may take to answer; it is a part of stopMargin.
+	endTime = 150 * time.Millisecond
 )
 
 // server is a listener with its HTTP server, run as a kernel service.
@@ -39,9 +40,15 @@
 	http     *http.Server
 	// shuttingDown is set when the node starts to shut down.
 	shuttingDown *atomic.Bool
-	// shutdownDelay is how long the server accepts new requests after the shutdown starts.
+	// shutdownDelay is how long the server accepts new connections after the shutdown starts.
 	shutdownDelay time.Duration
-	log           zerolog.Logger
+	// stopped is called when it accepts none any more, and endRequests when the requests that are then in progress must end;
+	// both may be nil.
+	stopped, endRequests func()
+	inProgress           requestCount
+	serving              atomic.Bool
+	served               chan struct{} // closed when it was serving and accepts no connections any more
+	log                  zerolog.Logger
 }
 
 var (
@@ -62,6 +69,7 @@
 		listener:     listener,
 		guard:        guard,
 		shuttingDown: shuttingDown,
+		served:       make(chan struct{}),
 		log:          log,
 		http: &http.Server{
 			ReadHeaderTimeout: headerTimeout,
@@ -77,7 +85,7 @@
 
 // handle has requests served by next, and those for whose heads there is no memory by refuse.
 func (s *server) handle(next, refuse http.Handler) {
-	s.http.Handler = closeWhenShuttingDown(s.shuttingDown, s.guard.Handler(next, refuse))
+	s.http.Handler = s.inProgress.counted(closeWhenShuttingDown(s.shuttingDown, s.guard.Handler(next, refuse)))
 }
 
 // addr returns the address that the server listens at, IP:PORT.
@@ -94,27 +102,58 @@
 
 // Run implements kernel.Runner.
 func (s *server) Run(ctx context.Context) error {
+	s.serving.Store(true)
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	close(s.served)
+	if s.shuttingDown.Load() {
 		<-ctx.Done()
 		return nil
 	}
 	return eris.Wrapf(err, "serve %s", s.name)
 }
 
-// Stop implements kernel.Stopper. New requests are accepted until the balancer has noticed the
-// shutdown; requests in progress may finish until ctx is done.
+// Stop implements kernel.Stopper. New connections are accepted until the balancer has noticed the
+// shutdown. On those that are open then, requests get an answer, if only a refusal, for as long as others are in progress; those
+// in progress may finish until ctx is done.
 func (s *server) Stop(ctx context.Context) error {
 	s.shuttingDown.Store(true)
 	s.log.Info().Str("event", "stopping").Str("server", s.name).Send()
 	retry.Sleep(ctx, s.shutdownDelay)
+	s.acceptNoMore()
+	s.inProgress.wait(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
-		// The grace period is over: remaining requests are aborted when the process exits.
 		s.log.Warn().Str("event", "requests_cut").Str("server", s.name).AnErr("error", err).Send()
+		s.cut()
 	}
 	return nil
 }
 
+// acceptNoMore closes the listener, the idle connections, and each other one after its next answer.
+func (s *server) acceptNoMore() {
+	_ = s.listener.Close() // fails if it is closed
+	if s.serving.Load() {
+		<-s.served
+	}
+	if s.stopped != nil {
+		s.stopped()
+	}
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+// cut has the requests in progress end with answers, for which the process stays a little longer. What is left is
+// aborted when it exits.
+func (s *server) cut() {
+	if s.endRequests == nil {
+		return
+	}
+	s.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.Warn().Str("event", "requests_aborted").Str("server", s.name).AnErr("error", err).Send()
+	}
+}
+
 // headLimit returns the number of bytes that a request's head may have under the configuration in force.
 func (s *state) headLimit() int {
 	config := s.config.Load()
