Soak: servers send heads that are none, as one more fault

The stand-in has ten forms, with the id of the request in them, so that a node which forgives them delivers them.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -140,6 +140,7 @@
 		forms := modelserver.EndlessForms()
 		f.Endless = forms[target%len(forms)]
 	},
+	func(f *modelserver.Faults, target int) { f.BrokenHead = 1 + target%modelserver.BrokenHeads },
 }
 
 // injectServerFault injects a fault into a server for a time.
--- a/standin/modelserver/answer.go
+++ b/standin/modelserver/answer.go
@@ -110,6 +110,8 @@
 	case faults.LongOnSuffix != "" && strings.HasSuffix(r.URL.Path, faults.LongOnSuffix):
 		w.Header().Set("Content-Length", strconv.Itoa(LongBytes))
 		_, _ = w.Write(make([]byte, LongBytes)) // fails only if the client has disconnected
+	case faults.BrokenHead > 0:
+		s.serveBrokenHead(w, faults.BrokenHead, id)
 	case faults.Raw != "":
 		serveRaw(w, faults.Raw)
 	case faults.Hang:
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -48,6 +48,8 @@
 	Brittle string
 	// Endless is the form of bytes that are sent in place of responses, without end.
 	Endless Endless
+	// BrokenHead is the form, from 1 to BrokenHeads, of what is sent in place of a response and is no head; 0 disables this.
+	BrokenHead int
 	// Raw is sent in place of the first bytes of a response, after which nothing follows until the client closes the connection;
 	// empty disables this.
 	Raw string
