Callerconn: a request that crosses the closing of its connection is not served

Cause: http.Server.SetKeepAlivesEnabled closes connections that count as idle while their next request is being read, and then serves that request: it is passed on, and nobody gets the answer. The same was there for a connection that gives way to a new one.

Change: the guard of the callers' connections closes the idle ones itself. Whether a connection was told to end and whether its request is served are decided under one mutex, so a request is served only if its connection stays. That holds for connections that give way, too.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -49,8 +49,11 @@
 	stalledSince atomic.Int64
 
 	// The guard's mutex protects these.
-	place          element
-	yielded, ended bool // the connection was told to end for another one; its goroutine ends
+	place   element
+	idle    bool // between two requests
+	told    bool // to end
+	yielded bool // told to end for another one
+	ended   bool // the goroutine ends
 }
 
 // Read implements net.Conn. It bounds what is read of a head, before the HTTP server parses it.
@@ -189,8 +192,10 @@
 	return half.CloseWrite()
 }
 
-// abort closes the connection for a new one, also if its caller takes nothing.
-func (c *Conn) abort() {
+// end closes the connection, also if its caller takes nothing. The guard's mutex must be held.
+func (c *Conn) end() {
+	c.leave()
+	c.told = true
 	if c.stalledSince.Load() != 0 {
 		c.dropUnsent()
 	}
@@ -214,7 +219,7 @@
 		c.memory.Resize(0)
 		c.narrow()
 		c.phase, c.deadlines = phaseIdle, 0
-		c.guard.await(c)
+		c.guard.rest(c)
 	case http.StateClosed:
 		c.memory.Resize(0)
 		c.narrow()
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -70,6 +70,7 @@
 	open    int       // connections that take resources, also those that were told to end and have not yet
 	ending  int       // connections that were told to end and have not yet
 	closed  bool      // the listener was closed
+	noIdle  bool      // connections end when they become idle
 	waiting list.List // of *Conn without a complete request, the one that has been for longest first
 	serving list.List // of *Conn whose request is being served
 
@@ -155,15 +156,29 @@
 	if victim == nil {
 		return false
 	}
-	victim.leave()
 	victim.yielded = true
 	g.ending++
 	g.yielded.Add(1)
 	g.log.Warn().Str("event", "connection_yields").Str("caller", victim.RemoteAddr().String()).Int("limit", g.limits.Connections).Send()
-	victim.abort()
+	victim.end()
 	return true
 }
 
+// CloseIdle closes the connections between two requests, and each other one once its answer is sent. A request that
+// crosses that is not served.
+func (g *Guard) CloseIdle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noIdle = true
+	for e := g.waiting.Front(); e != nil; {
+		c := e.Value.(*Conn)
+		e = e.Next()
+		if c.idle {
+			c.end()
+		}
+	}
+}
+
 // victim returns the connection that gives way to a new one, if any.
 func (g *Guard) victim() *Conn {
 	if first := g.waiting.Front(); first != nil {
@@ -184,11 +199,15 @@
 	return victim
 }
 
-// await puts a connection last among those without a complete request.
-func (g *Guard) await(c *Conn) { g.move(c, &g.waiting) }
+// await puts a connection on which a head begins last among those without a complete request.
+func (g *Guard) await(c *Conn) { g.move(c, &g.waiting, false) }
+
+// rest puts a connection whose answer was sent last among those without a complete request.
+func (g *Guard) rest(c *Conn) { g.move(c, &g.waiting, true) }
 
-// serve puts a connection among those whose request is being served.
-func (g *Guard) serve(c *Conn) { g.move(c, &g.serving) }
+// serve puts a connection among those whose request is being served. It reports false if the connection was told to
+// end: nobody would get the answer.
+func (g *Guard) serve(c *Conn) bool { return g.move(c, &g.serving, false) }
 
 // remove forgets a connection whose goroutine ends.
 func (g *Guard) remove(c *Conn) {
@@ -211,14 +230,19 @@
 	g.ended.Broadcast()
 }
 
-// move puts a connection last in one of the lists, unless it was told to end.
-func (g *Guard) move(c *Conn, to *list.List) {
+// move puts a connection last in one of the lists. It reports false if the connection was told to end.
+func (g *Guard) move(c *Conn, to *list.List, idle bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.leave()
-	if !c.yielded && !c.ended {
-		c.place = element{to.PushBack(c), to}
+	if c.told || c.ended {
+		return false
+	}
+	c.place, c.idle = element{to.PushBack(c), to}, idle
+	if idle && g.noIdle {
+		c.end()
 	}
+	return !c.told
 }
 
 // countRefusal counts and logs a refused head.
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -25,7 +26,9 @@
 			return
 		}
 		if r.Body == nil || r.Body == http.NoBody {
-			g.serve(c)
+			if !g.serve(c) {
+				panic(http.ErrAbortHandler)
+			}
 		} else {
 			r.Body = &body{r.Body, c}
 			if r.ContentLength < 0 || r.ContentLength > largeBody {
@@ -59,8 +62,8 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.conn.guard.serve(b.conn)
+	if err != nil && !b.conn.guard.serve(b.conn) {
+		return n, net.ErrClosed
 	}
 	return n, err
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -137,7 +137,7 @@
 	if s.stopped != nil {
 		s.stopped()
 	}
-	s.http.SetKeepAlivesEnabled(false)
+	s.guard.CloseIdle()
 }
 
 // cut has the requests in progress end with answers, for which the process stays a little longer. What is left is
