--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -152,7 +152,7 @@
 	case errors.Is(context.Cause(ctx), errNodeStops) && mayHaveRunCount == 0:
 		return draining()
 	case errors.Is(context.Cause(ctx), errNodeStops):
-		return result.New(result.Draining, result.WithRunState(result.MayHaveRun))
+		return result.New(result.Draining, result.WithRunState(result.MayHaveRun), result.WithMessage("the node stops and ended the request"))
 	case mayHaveRunCount == 0 && x.expired(ctx):
 		return result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryAfterOtherNode))
 	case mayHaveRunCount == 0:
