Answers read by http.Transport: bounds on heads hold for one request, and their error is told

The error said something of the parser's.

Cause: a Reader counted since its last Release, which connections of a Transport never called; net/http's parser takes a read error within a line for the end of that line.

Change: ExpectAnswer begins a new request, ExpectAnother goes on with one; both have the one bound, so that none is passed. RoundTrip returns the error of the head.

--- a/internal/answerhead/conn.go
+++ b/internal/answerhead/conn.go
@@ -15,6 +15,7 @@
 	reader   *Reader
 	expected atomic.Bool                        // a request is about to be sent, so that a head comes next
 	request  atomic.Pointer[requestwrite.Write] // the one that was sent last
+	failed   atomic.Pointer[error]              // of a head
 }
 
 func newConn(raw net.Conn) *conn { return &conn{Conn: raw, reader: NewReader(raw, nil)} }
@@ -28,6 +29,9 @@
 // Read implements net.Conn. After a head, the connection ends regularly only if the request was written.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
+	if failed := c.reader.Err(); failed != nil {
+		c.failed.Store(&failed)
+	}
 	if !errors.Is(err, io.EOF) || c.reader.inHead || c.expected.Load() {
 		return n, err
 	}
@@ -37,6 +41,14 @@
 	return n, err
 }
 
+// headError returns the error of a head, which a parser may hide, or else err.
+func (c *conn) headError(err error) error {
+	if c == nil || c.failed.Load() == nil {
+		return err
+	}
+	return *c.failed.Load()
+}
+
 // read reads on. A read that began while the connection was idle returns the first bytes of a head.
 func (c *conn) read(p []byte) (int, error) {
 	if c.reader.passesOn() {
@@ -44,9 +56,9 @@
 		if n == 0 || !c.expected.Swap(false) {
 			return n, err
 		}
-		c.reader.ExpectHead(p[:n], MaxBytes)
+		c.reader.ExpectAnswer(p[:n])
 	} else if c.expected.Swap(false) {
-		c.reader.ExpectHead(nil, MaxBytes)
+		c.reader.ExpectAnswer(nil)
 	}
 	return c.reader.Read(p)
 }
--- a/internal/answerhead/reader.go
+++ b/internal/answerhead/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/cherryward/cherryward/internal/hostplan"
@@ -12,7 +13,7 @@
 
 var (
 	// ErrTooLong reports that heads have more bytes or lines than they may.
-	ErrTooLong = errors.New("heads of an answer are too long")
+	ErrTooLong = fmt.Errorf("heads of an answer have more than %d bytes or %d lines", MaxBytes, maxLines)
 	// ErrNoMemory reports that this host has no memory for the heads now.
 	ErrNoMemory = errors.New("no memory for the heads of an answer")
 )
@@ -23,8 +24,7 @@
 	source  io.Reader
 	heads   checker
 	inHead  bool
-	left    int               // bytes that heads may still have
-	size    hostplan.HeadSize // of all heads since Release
+	size    hostplan.HeadSize // of all heads for the request
 	memory  hostplan.Reservation
 	pending []byte // read from source and not passed on
 	failed  error  // of a head, and of all reads after it
@@ -36,25 +36,29 @@
 	return &Reader{source: source, memory: hostplan.Reservation{Pool: pool}}
 }
 
-// Release gives back the memory of the heads that were read. Further calls have no effect.
+// Release gives back the memory of the heads that were read for a request. Further calls have no effect.
 func (r *Reader) Release() {
 	r.size = hostplan.HeadSize{}
 	r.memory.Resize(0)
 }
 
-// ExpectHead has the next bytes checked as the head of an answer, after those of its interim responses. early are bytes
-// that were read from the connection already and belong before what the Reader would read next. All these heads may
-// have limit bytes.
-func (r *Reader) ExpectHead(early []byte, limit int) {
+// ExpectAnswer has the next bytes checked as the head of the answer to a new request, after those of its interim
+// responses. early are bytes that were read from the connection already and belong before what the Reader would read
+// next.
+func (r *Reader) ExpectAnswer(early []byte) {
+	r.Release()
+	r.ExpectAnother(early)
+}
+
+// ExpectAnother is ExpectAnswer for a further answer that comes for the same request. Its head has what the heads before
+// have left of the bounds.
+func (r *Reader) ExpectAnother(early []byte) {
 	if len(early) > 0 {
 		r.pending = append(append([]byte{}, early...), r.pending...)
 	}
-	r.heads, r.inHead, r.left = checker{}, true, limit
+	r.heads, r.inHead = checker{}, true
 }
 
-// Left returns the number of bytes that heads may still have.
-func (r *Reader) Left() int { return r.left }
-
 // Pending returns the number of bytes that were received and not passed on.
 func (r *Reader) Pending() int { return len(r.pending) }
 
@@ -121,10 +125,9 @@
 
 // grow adds a text to the size of the heads.
 func (r *Reader) grow(text []byte) error {
-	r.left -= len(text)
 	r.size = r.size.Plus(hostplan.HeadSizeOf(text))
 	switch {
-	case r.left < 0 || r.size.Lines > maxLines:
+	case r.size.Bytes > MaxBytes || r.size.Lines > maxLines:
 		return ErrTooLong
 	case !r.memory.Resize(r.size.Cost()):
 		return ErrNoMemory
--- a/internal/answerhead/status_test.go
+++ b/internal/answerhead/status_test.go
@@ -13,10 +13,10 @@
 func readAll(t *testing.T, text string) (string, error) {
 	t.Helper()
 	r := NewReader(strings.NewReader(text), nil)
-	r.ExpectHead(nil, MaxBytes)
+	r.ExpectAnswer(nil)
 	whole, err := io.ReadAll(r)
 	slow := NewReader(iotest.OneByteReader(strings.NewReader(text)), nil)
-	slow.ExpectHead(nil, MaxBytes)
+	slow.ExpectAnswer(nil)
 	pieces, slowErr := io.ReadAll(slow)
 	must.Eq(t, err == nil, slowErr == nil, must.Sprintf("in pieces: %v, at once: %v", slowErr, err))
 	if err == nil {
@@ -73,9 +73,9 @@
 
 // TestLimitHoldsForAllHeads guards against heads that are each short enough and together have no end.
 func TestLimitHoldsForAllHeads(t *testing.T) {
-	const interim = "HTTP/1.1 100 Continue\r\n\r\n"
+	interim := "HTTP/1.1 100 Continue\r\nX-A: " + strings.Repeat("a", MaxBytes/3) + "\r\n\r\n"
 	r := NewReader(strings.NewReader(strings.Repeat(interim, 3)), nil)
-	r.ExpectHead(nil, 2*len(interim))
+	r.ExpectAnswer(nil)
 	_, err := io.ReadAll(iotest.OneByteReader(r))
 	must.ErrorIs(t, err, ErrTooLong)
 	_, err = r.Read(make([]byte, 1))
@@ -87,17 +87,16 @@
 func TestBytesAfterHeadStayForTheBody(t *testing.T) {
 	const first, body, second = "HTTP/1.1 200 OK\r\n\r\n", "b\x00dy", "HTTP/1.1 404 Not Found\r\n\r\n"
 	r := NewReader(strings.NewReader(first+body+second), nil)
-	r.ExpectHead(nil, MaxBytes)
+	r.ExpectAnswer(nil)
 	buffer := make([]byte, 2*MaxBytes)
 	n, err := r.Read(buffer)
 	must.NoError(t, err)
 	must.Eq(t, first, string(buffer[:n]))
 	must.Eq(t, len(body+second), r.Pending())
-	must.Eq(t, MaxBytes-len(first), r.Left())
 	n, err = r.Read(buffer[:len(body)+2])
 	must.NoError(t, err)
 	must.Eq(t, body+second[:2], string(buffer[:n]))
-	r.ExpectHead([]byte(second[:2]), r.Left())
+	r.ExpectAnother([]byte(second[:2]))
 	rest, err := io.ReadAll(r)
 	must.NoError(t, err)
 	must.Eq(t, second, string(rest))
--- a/internal/answerhead/transport.go
+++ b/internal/answerhead/transport.go
@@ -34,9 +34,11 @@
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var sent atomic.Pointer[requestwrite.Write]
+	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { // again if base sends the request on another connection
 			if c, ok := info.Conn.(*conn); ok {
+				used.Store(c)
 				sent.Store(requestwrite.New())
 				c.expectAnswer(sent.Load())
 			}
@@ -45,7 +47,7 @@
 	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return nil, err
+		return nil, used.Load().headError(err)
 	}
 	if err := checkParsed(resp); err != nil {
 		resp.Body.Close()
--- a/internal/answerhead/transport_test.go
+++ b/internal/answerhead/transport_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -72,6 +73,28 @@
 	must.Eq(t, 1, connections)
 }
 
+// TestTransportKeepsConnections guards against bounds for one request that add up over all requests of a connection.
+func TestTransportKeepsConnections(t *testing.T) {
+	const requests = 1000
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for range requests {
+		resp, err := client.Get(server.URL)
+		must.NoError(t, err)
+		resp.Body.Close()
+	}
+	must.Eq(t, 1, connections.Load())
+}
+
 // TestTransportServesTLS guards against the bytes of another protocol being taken for heads.
 func TestTransportServesTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") }))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -160,7 +160,7 @@
 
 // receive reads answers until the one that belongs to this request.
 func (a *Answer) receive(req *Request, isOwn OwnFunc) error {
-	a.conn.expectHead(answerhead.MaxBytes)
+	a.conn.expectHead(a.conn.heads.ExpectAnswer)
 	for skipped := 0; ; {
 		resp, err := a.readHeader(req.Method)
 		if err != nil {
@@ -180,7 +180,7 @@
 		if err := skipBody(resp); err != nil {
 			return &Error{Stage: StageAnswer, Err: err}
 		}
-		a.conn.expectHead(a.conn.heads.Left())
+		a.conn.expectHead(a.conn.heads.ExpectAnother)
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -142,10 +142,10 @@
 	return c, nil
 }
 
-// expectHead has the next bytes checked as heads, which may have limit bytes.
-func (c *conn) expectHead(limit int) {
+// expectHead has the next bytes checked as the head of an answer: expect is a method of c.heads.
+func (c *conn) expectHead(expect func(early []byte)) {
 	early, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
-	c.heads.ExpectHead(early, limit)
+	expect(early)
 	c.reader.Reset(c.heads)
 }
 
