Gateway: requests that other nodes passed end with an answer, too; tests share a server

The listener of other nodes calls the end of requests as the callers' does, in case the callers' one has ended before. internal/forward and internal/gateway pass.

--- a/internal/forward/early_answer_test.go
+++ b/internal/forward/early_answer_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/answerhead/answerheadtest"
 	"github.com/cherryward/cherryward/internal/forward"
 )
 
@@ -43,27 +44,14 @@
 // newEarlyHandler starts a handler in front of an endpoint that answers early, and a sound one.
 func newEarlyHandler(t *testing.T, early earlyAnswer) *testHandler {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			go early.serve(conn.(*net.TCPConn))
-		}
-	}()
 	sound := listen(t, fixedAnswer(head(http.StatusOK, contentLength(len("sound")))+"sound"))
 	h := &testHandler{}
-	h.start(t, []string{l.Addr().String(), sound})
+	h.start(t, []string{answerheadtest.ServeConn(t, early.serve), sound})
 	h.state.config.Limits.BodyBytes = 2 * uploadBytes
 	return h
 }
 
 func (e earlyAnswer) serve(conn *net.TCPConn) {
-	defer conn.Close()
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return // the client closed the connection
 	}
--- a/internal/forward/stop.go
+++ b/internal/forward/stop.go
@@ -33,8 +33,8 @@
 // all the same, on connections that were opened before, are refused unless their deadline is before that time.
 func (s *Stop) Begin(began, end time.Time) { s.times.Store(&stopTimes{began, end}) }
 
-// End ends the requests in progress. Where nothing of an answer was delivered, callers get an error that states whether their
-// request may have run: a closed connection would leave that open.
+// End ends the requests in progress. Where nothing of an answer was delivered, callers get an error that
+// states whether their request may have run: a closed connection would leave that open.
 func (s *Stop) End() { s.end() }
 
 // load returns the times of the end, or nil if they are not known.
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestRequestIsNotSentRightBeforeNodeEnds guards against requests that an endpoint gets when their node is about to end: here the
-// second try of one that came before. The objective is 1 s.
+// TestRequestIsNotSentRightBeforeNodeEnds guards against requests that an endpoint gets when their node is about to
+// end: here the second try of one that came before. The objective is 1 s.
 func TestRequestIsNotSentRightBeforeNodeEnds(t *testing.T) {
 	for endsIn, status := range map[time.Duration]int{500 * time.Millisecond: http.StatusBadGateway, time.Minute: http.StatusOK} {
 		t.Run(endsIn.String(), func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,7 +200,7 @@
 		now := n.clock.Now()
 		n.stop.Begin(now, now.Add(n.stopTime-callersShutdownDelay))
 	}
-	n.callers.endRequests = n.stop.End
+	n.callers.endRequests, n.helperServer.endRequests = n.stop.End, n.stop.End
 	n.readyServer.http.Handler = n.readyServer.guard.Handler(http.HandlerFunc(n.serveReady), refuse)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -42,8 +42,8 @@
 	shuttingDown *atomic.Bool
 	// shutdownDelay is how long the server accepts new connections after the shutdown starts.
 	shutdownDelay time.Duration
-	// stopped is called when it accepts none any more, and endRequests when the requests that are then in progress must end;
-	// both may be nil.
+	// stopped is called when it accepts none any more, and endRequests when the requests in progress must
+	// end. Both may be nil; endRequests may be called again.
 	stopped, endRequests func()
 	inProgress           requestCount
 	serving              atomic.Bool
@@ -113,8 +113,8 @@
 }
 
 // Stop implements kernel.Stopper. New connections are accepted until the balancer has noticed the
-// shutdown. On those that are open then, requests get an answer, if only a refusal, for as long as others are in progress; those
-// in progress may finish until ctx is done.
+// shutdown. On those that are open then, requests get an answer, if only a refusal, for as long as others
+// are in progress; those in progress may finish until ctx is done.
 func (s *server) Stop(ctx context.Context) error {
 	s.shuttingDown.Store(true)
 	s.log.Info().Str("event", "stopping").Str("server", s.name).Send()
