Tests: raw endpoints listen in one place

The accept loop of answerheadtest.ServeConn stood in forward's script endpoints and upstream's startEndpoint as well; the four tests of early answers and TestEarlyAnswer each read the head and answered. Both serve by ServeConn now, and startEarly has the rest.

--- a/internal/answerhead/answerheadtest/answerheadtest.go
+++ b/internal/answerhead/answerheadtest/answerheadtest.go
@@ -1,4 +1,5 @@
-// Package answerheadtest has endpoints whose answers are malformed, for tests of what reads answers.
+// Package answerheadtest has endpoints that send raw bytes, among them malformed answers, for tests of what reads
+// answers.
 package answerheadtest
 
 import (
--- a/internal/forward/raw_test.go
+++ b/internal/forward/raw_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"github.com/shoenig/test/must"
+	"github.com/cherryward/cherryward/internal/answerhead/answerheadtest"
 )
 
 // script answers the requests on a connection with raw bytes. Unless keepAlive is set, the
@@ -69,25 +69,9 @@
 }
 
 // listen serves a script on a local port and returns the address.
-func listen(t testing.TB, s script) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			go s.serve(conn)
-		}
-	}()
-	return l.Addr().String()
-}
+func listen(t testing.TB, s script) string { return answerheadtest.ServeConn(t, s.serve) }
 
-func (s script) serve(conn net.Conn) {
-	defer conn.Close()
+func (s script) serve(conn *net.TCPConn) {
 	reader := bufio.NewReader(conn)
 	for answered := 1; ; answered++ {
 		r, err := http.ReadRequest(reader)
--- a/internal/upstream/early_answer_test.go
+++ b/internal/upstream/early_answer_test.go
@@ -19,6 +19,18 @@
 // uploadBytes is more than the socket buffers hold, so that the upload is still being written when the answer ends.
 const uploadBytes = 16 << 20
 
+// startEarly starts an endpoint that sends text before it has read the body of a request, and calls then.
+func startEarly(t *testing.T, text string, then func(*net.TCPConn)) *Pool {
+	t.Helper()
+	return startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		write(conn, text)
+		then(conn)
+	})
+}
+
 func upload(t *testing.T, p *Pool) *Answer {
 	t.Helper()
 	body := []byte(strings.Repeat("x", uploadBytes))
@@ -48,11 +60,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			for range earlyRuns {
 				read := make(chan struct{})
-				p := startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					write(conn, tc.head+part)
+				p := startEarly(t, tc.head+part, func(conn *net.TCPConn) {
 					<-read
 					tc.end(conn)
 				})
@@ -74,13 +82,9 @@
 // before they have read the request, close their direction of the connection, and read the rest.
 func TestUnsizedEarlyAnswerIsCompleteOnceRequestWasTaken(t *testing.T) {
 	for range earlyRuns {
-		p := startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
-			if _, err := http.ReadRequest(r); err != nil {
-				return
-			}
-			write(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		p := startEarly(t, "HTTP/1.1 200 OK\r\n\r\nwhole", func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, r) // until the client closes
+			_, _ = io.Copy(io.Discard, conn) // until the client closes
 		})
 		a := upload(t, p)
 		text, err := io.ReadAll(a.Body)
@@ -96,11 +100,7 @@
 func TestSizedEarlyAnswerIsCompleteThoughReset(t *testing.T) {
 	for _, framed := range []string{"Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"} {
 		received := make(chan struct{})
-		p := startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
-			if _, err := http.ReadRequest(r); err != nil {
-				return
-			}
-			write(conn, "HTTP/1.1 200 OK\r\n"+framed)
+		p := startEarly(t, "HTTP/1.1 200 OK\r\n"+framed, func(conn *net.TCPConn) {
 			<-received
 			_ = conn.SetLinger(0)
 		})
@@ -120,11 +120,7 @@
 	const within = 50 * time.Millisecond
 	release := make(chan struct{})
 	defer close(release)
-	p := startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
-		if _, err := http.ReadRequest(r); err != nil {
-			return
-		}
-		write(conn, "HTTP/1.1 503 Service Unavailable\r\n\r\nfull")
+	p := startEarly(t, "HTTP/1.1 503 Service Unavailable\r\n\r\nfull", func(conn *net.TCPConn) {
 		_ = conn.CloseWrite()
 		<-release
 	})
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -7,13 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/cherryward/cherryward/internal/answerhead/answerheadtest"
 	"github.com/cherryward/cherryward/internal/hostplan"
 )
 
@@ -21,25 +21,9 @@
 // test ends.
 func startEndpoint(t *testing.T, serve func(conn *net.TCPConn, r *bufio.Reader)) *Pool {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	p := NewPool(l.Addr().String(), Options{})
-	t.Cleanup(func() {
-		p.CloseIdle()
-		_ = l.Close()
-	})
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return // closed
-			}
-			go func() {
-				defer conn.Close()
-				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
-			}()
-		}
-	}()
+	addr := answerheadtest.ServeConn(t, func(conn *net.TCPConn) { serve(conn, bufio.NewReader(conn)) })
+	p := NewPool(addr, Options{})
+	t.Cleanup(p.CloseIdle)
 	return p
 }
 
@@ -151,17 +135,9 @@
 // a request.
 func TestEarlyAnswer(t *testing.T) {
 	release := make(chan struct{})
-	p := startEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
-		if _, err := http.ReadRequest(r); err != nil {
-			return
-		}
-		write(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nlong")
-		<-release
-	})
+	p := startEarly(t, "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nlong", func(*net.TCPConn) { <-release })
 	defer close(release)
-	body := []byte(strings.Repeat("x", 16<<20)) // more than the socket buffers hold
-	a, err := p.Do(t.Context(), &Request{Method: http.MethodPost, Target: "/", Host: "h", Body: body}, acceptAny)
-	must.NoError(t, err)
+	a := upload(t, p)
 	text, err := io.ReadAll(a.Body)
 	must.NoError(t, err)
 	test.Eq(t, "long", string(text))
