Hostplan: a buffer that grows within a pool stands once

calls.ServiceAnswer.grow reserved the old buffer beside the new one and copied, as forward's grow of a request's body did already with a reservation of its own. Both call hostplan.Reservation.Grow; what each wants of capacity stays theirs. Buffers' reserve and release for requests were then only its pool.

--- a/internal/calls/body.go
+++ b/internal/calls/body.go
@@ -33,17 +33,17 @@
 	}
 }
 
-// grow makes room for at least one byte. While a buffer is copied, its memory is reserved beside that of the next one.
+// grow makes room for at least one byte.
 func (a *ServiceAnswer) grow() error {
 	held := cap(a.Body)
 	if len(a.Body) < held {
 		return nil
 	}
 	wanted := min(max(2*held, firstBodyBytes), maxAnswerBytes+1)
-	if !a.memory.Resize(int64(held + wanted)) {
+	grown, ok := a.memory.Grow(a.Body, wanted)
+	if !ok {
 		return errNoMemory
 	}
-	a.Body = append(make([]byte, 0, wanted), a.Body...)
-	a.memory.Resize(int64(wanted))
+	a.Body = grown
 	return nil
 }
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -71,6 +71,7 @@
 // bufferBody reads a body to its end. size is what the request states, or -1. The memory is reserved as the body
 // arrives, and released at the end of the request.
 func (x *exchange) bufferBody(r io.Reader, size int64) ([]byte, error) {
+	x.bodyMemory.Pool = x.Buffers.requests()
 	var data []byte
 	for size < 0 || int64(len(data)) < size {
 		if len(data) == cap(data) {
@@ -100,17 +101,8 @@
 	if size >= 0 {
 		wanted = min(wanted, size)
 	}
-	if !x.Buffers.reserve(wanted) {
-		return nil, false
-	}
-	grown := append(make([]byte, 0, wanted), data...)
-	x.Buffers.release(x.bodyReserved)
-	x.bodyReserved = wanted
-	return grown, true
+	return x.bodyMemory.Grow(data, int(wanted))
 }
 
 // releaseBody releases the memory of the body.
-func (x *exchange) releaseBody() {
-	x.Buffers.release(x.bodyReserved)
-	x.bodyReserved = 0
-}
+func (x *exchange) releaseBody() { x.bodyMemory.Resize(0) }
--- a/internal/forward/buffers.go
+++ b/internal/forward/buffers.go
@@ -35,13 +35,12 @@
 // Used returns the number of bytes reserved now.
 func (b *Buffers) Used() int64 { return b.all.Used() }
 
-// reserve reserves n bytes for a request. It fails if there is no room for them.
-func (b *Buffers) reserve(n int64) bool { return b == nil || b.all.Reserve(n) }
-
-func (b *Buffers) release(n int64) {
-	if b != nil {
-		b.all.Release(n)
+// requests returns the pool for the bodies of requests.
+func (b *Buffers) requests() *hostplan.Pool {
+	if b == nil {
+		return nil
 	}
+	return b.all
 }
 
 // reserveAnswer reserves n more bytes for an answer that has reserved held bytes. It fails if there is no room for
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -11,6 +11,7 @@
 	"github.com/cherryward/cherryward/internal/clock"
 	"github.com/cherryward/cherryward/internal/enginepace"
 	"github.com/cherryward/cherryward/internal/handoff"
+	"github.com/cherryward/cherryward/internal/hostplan"
 	"github.com/cherryward/cherryward/internal/origin"
 	"github.com/cherryward/cherryward/internal/quarantine"
 	"github.com/cherryward/cherryward/internal/residency"
@@ -82,10 +83,10 @@
 	age       time.Duration // since the caller's first try, as estimated from its deadline
 	body      []byte
 	bodyRead  bool
-	// bodyReserved is the memory reserved in Buffers for the body.
-	bodyReserved int64
-	passed       *handoff.Envelope // set if another node passed the request to this one
-	counted      bool              // the request was counted in a retry budget
+	// bodyMemory is what is reserved of Buffers for the body.
+	bodyMemory hostplan.Reservation
+	passed     *handoff.Envelope // set if another node passed the request to this one
+	counted    bool              // the request was counted in a retry budget
 
 	outcome           Outcome
 	sends             sendCounts
--- a/internal/hostplan/pool.go
+++ b/internal/hostplan/pool.go
@@ -68,3 +68,14 @@
 	m.reserved = n
 	return true
 }
+
+// Grow returns data with the given capacity, and reserves that in place of what data took. While data is copied, both
+// are reserved. It reports false if there is no room.
+func (m *Reservation) Grow(data []byte, size int) (_ []byte, ok bool) {
+	if !m.Resize(int64(cap(data) + size)) {
+		return nil, false
+	}
+	grown := append(make([]byte, 0, size), data...)
+	m.Resize(int64(size))
+	return grown, true
+}
