Answerhead: whether a line is empty follows from the field it holds

The checker counted the bytes of each line for that alone, and the field had a reset of its own beside its zero value. The line's field is taken out and replaced by an empty one at the line's end. Copies of bytes are slices.Concat and bytes.Clone.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -25,13 +25,12 @@
 
 // checker checks heads as their bytes arrive. The zero value expects a status line.
 type checker struct {
-	status    statusLine
-	field     fieldLine
-	framing   framing
-	inFields  bool // the status line is over
-	lineBytes int  // of the present line, without its end
-	endsInCR  bool // the last byte was a CR, which only a LF may follow
-	bad       bool // the present line holds a byte that may not be there
+	status   statusLine
+	field    fieldLine
+	framing  framing
+	inFields bool // the status line is over
+	endsInCR bool // the last byte was a CR, which only a LF may follow
+	bad      bool // the present line holds a byte that may not be there
 }
 
 // scan checks the next bytes. It returns how many of them belong to the head and to the interim responses before it, and
@@ -57,7 +56,6 @@
 		c.endsInCR = true
 		return
 	}
-	c.lineBytes++
 	if c.inFields {
 		c.bad = c.field.add(ch) || c.bad
 	} else {
@@ -67,17 +65,16 @@
 
 // endLine checks a line as a whole and reports whether it ends the answer's head.
 func (c *checker) endLine() (complete bool, err error) {
-	empty, bad := c.lineBytes == 0, c.bad
-	c.lineBytes, c.endsInCR, c.bad = 0, false, false
+	field, bad := c.field, c.bad
+	c.field, c.endsInCR, c.bad = fieldLine{}, false, false
 	switch {
 	case !c.inFields:
 		c.inFields = true
 		return false, c.status.check(bad)
-	case empty && !bad:
+	case field.isEmpty() && !bad:
 		return c.endHead()
 	}
-	defer c.field.reset()
-	return false, c.field.check(bad, &c.framing)
+	return false, field.check(bad, &c.framing)
 }
 
 // endHead checks a head as a whole. Another one follows an interim response.
--- a/internal/answerhead/fields.go
+++ b/internal/answerhead/fields.go
@@ -53,7 +53,8 @@
 	return nil
 }
 
-func (f *fieldLine) reset() { f.length, f.inValue = 0, false }
+// isEmpty reports whether the line has no bytes.
+func (f *fieldLine) isEmpty() bool { return f.length == 0 && !f.inValue }
 
 // framing is what a head says of the end of its body.
 type framing struct{ encoded, sized bool }
--- a/internal/answerhead/reader.go
+++ b/internal/answerhead/reader.go
@@ -1,9 +1,11 @@
 package answerhead
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/cherryward/cherryward/internal/hostplan"
 )
@@ -54,7 +56,7 @@
 // have left of the bounds.
 func (r *Reader) ExpectAnother(early []byte) {
 	if len(early) > 0 {
-		r.pending = append(append([]byte{}, early...), r.pending...)
+		r.pending = slices.Concat(early, r.pending)
 	}
 	r.heads, r.inHead = checker{}, true
 }
@@ -88,7 +90,7 @@
 	}
 	used, err := r.check(p[:n])
 	if used < n && err == nil {
-		r.pending = append([]byte{}, p[used:n]...)
+		r.pending = bytes.Clone(p[used:n])
 	}
 	return used, err
 }
