--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -149,10 +149,8 @@
 	switch {
 	case x.callerWriteFailed, x.r.Context().Err() != nil:
 		return result.New(result.CallerDisconnected)
-	case errors.Is(context.Cause(ctx), errNodeStops) && mayHaveRunCount == 0:
-		return draining()
 	case errors.Is(context.Cause(ctx), errNodeStops):
-		return result.New(result.Draining, result.WithRunState(result.MayHaveRun), result.WithMessage("the node stops and ended the request"))
+		return endedByStop(mayHaveRunCount)
 	case mayHaveRunCount == 0 && x.expired(ctx):
 		return result.New(result.DeadlineUnmeetable, result.WithRetryAfter(retryAfterOtherNode))
 	case mayHaveRunCount == 0:
--- a/internal/forward/stop.go
+++ b/internal/forward/stop.go
@@ -75,3 +75,11 @@
 func draining() *result.Error {
 	return result.New(result.Draining, result.WithRetryAfter(retryAfterOtherNode))
 }
+
+// endedByStop returns the error of a request that was in progress when its node ended.
+func endedByStop(mayHaveRunCount int) *result.Error {
+	if mayHaveRunCount == 0 {
+		return draining()
+	}
+	return result.New(result.Draining, result.WithRunState(result.MayHaveRun), result.WithMessage("the node stops and ended the request"))
+}
